Add the workspace, the kernel, the domain types and the platform and engine traits

The kernel holds what every part builds on: tables with a checked lock order, the worker pool, the plug-in registry, the run state and settings whose errors name file, line, section and key.

--- /dev/null
+++ b/crates/corneltrestle/src/lib.rs
@@ -0,0 +1,1 @@
+//! corneltrestle: a serving system for models whose replicas span several VMs.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry node.
+
+fn main() {}
--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,89 @@
+//! Model engines: reports, orders, generation and KV cache.
+
+mod error;
+mod order;
+mod request;
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use corneltrestle_policy::report;
+
+pub use error::{Error, Kind};
+pub use order::{Answer, Order};
+pub use request::{Generate, Resume, Token};
+
+/// The result of an engine call.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Client of the engines of VMs.
+pub trait Engine: Send + Sync + 'static {
+    /// A stream of tokens.
+    type Stream: Stream;
+
+    /// Reads the report of the VM at `peer`.
+    fn report(&self, peer: SocketAddr) -> impl Future<Output = Result<report::Report>> + Send;
+
+    /// Gives an order to the VM at `peer`.
+    fn order(
+        &self,
+        peer: SocketAddr,
+        order: &Order<'_>,
+    ) -> impl Future<Output = Result<Answer>> + Send;
+
+    /// Reads cache events after a sequence number; they come late and with gaps.
+    fn cache_events(
+        &self,
+        peer: SocketAddr,
+        after: u64,
+    ) -> impl Future<Output = Result<Vec<CacheEvent>>> + Send;
+
+    /// Starts a streamed generation on the head VM at `peer`.
+    fn stream(
+        &self,
+        peer: SocketAddr,
+        request: &Generate<'_>,
+    ) -> impl Future<Output = Result<Self::Stream>> + Send;
+
+    /// Runs a generation that is answered in one body.
+    fn complete(
+        &self,
+        peer: SocketAddr,
+        request: &Generate<'_>,
+    ) -> impl Future<Output = Result<Bytes>> + Send;
+
+    /// Cancels a request.
+    fn cancel(&self, peer: SocketAddr, id: &str) -> impl Future<Output = Result<()>> + Send;
+
+    /// Exports the KV cache of a request.
+    fn export(&self, peer: SocketAddr, id: &str) -> impl Future<Output = Result<Bytes>> + Send;
+
+    /// Imports the KV cache of a request.
+    fn import(
+        &self,
+        peer: SocketAddr,
+        id: &str,
+        cache: Bytes,
+    ) -> impl Future<Output = Result<()>> + Send;
+}
+
+/// A stream of tokens; dropping it closes its connection.
+pub trait Stream: Send + 'static {
+    /// The next token, or `None` after the mark of a complete answer.
+    ///
+    /// A connection that ends before that mark is an error.
+    fn next(&mut self) -> impl Future<Output = Result<Option<Token>>> + Send;
+}
+
+/// A change in the prefix cache of an engine.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CacheEvent {
+    /// Sequence number.
+    pub sequence: u64,
+    /// Hash of the prefix.
+    pub prefix: u64,
+    /// Whether the prefix is stored now, or was evicted.
+    pub stored: bool,
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,1 @@
+//! Front ends for callers and operators.
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,17 @@
+//! The kernel of corneltrestle: what every plug-in builds on.
+//!
+//! The kernel knows no plug-in. A plug-in is one file with a static [`plugin::Plugin`] descriptor
+//! in the slice [`plugin::PLUGINS`]; it finds the shared tables, the worker pool and the settings
+//! through the [`host::Host`] that opens it.
+
+pub mod host;
+pub mod ini;
+pub mod logging;
+pub mod plugin;
+pub mod pool;
+pub mod run;
+pub mod settings;
+pub mod table;
+
+pub use corneltrestle_time::clock;
+pub use linkme;
--- /dev/null
+++ b/crates/kernel/src/plugin/handle.rs
@@ -0,0 +1,56 @@
+//! Handles on running plug-ins.
+
+use std::future::Future;
+
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::pool;
+
+/// A running plug-in: its jobs and the token that stops them.
+#[derive(Clone, Debug, Default)]
+pub struct Handle {
+    stop: CancellationToken,
+    jobs: TaskTracker,
+}
+
+impl Handle {
+    /// A handle without jobs.
+    pub fn idle() -> Self {
+        Self::default()
+    }
+
+    /// The token that is cancelled at shutdown.
+    pub fn stop(&self) -> &CancellationToken {
+        &self.stop
+    }
+
+    /// Runs a job that shutdown waits for; the job watches [`Handle::stop`] itself.
+    pub fn run<F>(&self, pool: &pool::Pool, job: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.jobs.spawn_on(job, pool.handle());
+    }
+
+    /// Runs a job that is dropped at its next await point at shutdown.
+    pub fn run_until_stop<F>(&self, pool: &pool::Pool, job: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let stop = self.stop.clone();
+        self.run(pool, async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = job => {}
+            }
+        });
+    }
+
+    /// Stops the jobs and waits until they have ended.
+    pub async fn shutdown(&self) {
+        self.stop.cancel();
+        self.jobs.close();
+        self.jobs.wait().await;
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/settings.rs
@@ -0,0 +1,214 @@
+//! Checked settings: declared sections and keys, each with unit, range and default.
+
+mod document;
+mod error;
+mod key;
+mod value;
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use std::{fs, net};
+
+pub use document::document;
+pub use error::{Error, Fault, FaultKind};
+pub use key::{Key, Section, Type};
+pub use value::Value;
+
+use crate::{ini, plugin};
+
+/// The result of reading settings.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Checked settings, defaults filled in.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    values: BTreeMap<(&'static str, &'static str), Value>,
+}
+
+/// The settings of one section.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    settings: &'a Settings,
+    section: &'static str,
+}
+
+/// The sections of all registered plug-ins, by name.
+pub fn sections() -> Vec<&'static Section> {
+    let mut all: Vec<_> = plugin::ordered().iter().filter_map(|plugin| plugin.section).collect();
+    all.sort_by_key(|section| section.name);
+    all.dedup_by_key(|section| section.name);
+    all
+}
+
+impl Settings {
+    /// Reads and checks a file against the given sections.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read, or with every fault in it.
+    pub fn load(path: &Path, sections: &[&'static Section]) -> Result<Self> {
+        let file = path.display().to_string();
+        let bytes = fs::read(path)
+            .map_err(|source| Error::Read { file: file.clone(), message: source.to_string() })?;
+        let text = String::from_utf8(bytes).map_err(|_| Error::Read {
+            file: file.clone(),
+            message: "not UTF-8 text".to_owned(),
+        })?;
+        Self::parse(&file, &text, sections)
+    }
+
+    /// Checks a text against the given sections; `file` is named in errors.
+    ///
+    /// # Errors
+    ///
+    /// Every fault in the text.
+    pub fn parse(file: &str, text: &str, sections: &[&'static Section]) -> Result<Self> {
+        let doc = ini::Document::parse(text).map_err(|e| Error::Syntax {
+            file: file.to_owned(),
+            line: e.line,
+            message: e.message,
+        })?;
+        let mut settings = Self::default();
+        let mut faults = Vec::new();
+        faults.extend(unknown_sections(&doc, sections));
+        for section in sections {
+            let found: Vec<_> = doc.named(section.name).collect();
+            faults.extend(unknown_keys(section, &found));
+            for key in section.keys {
+                match read_key(section, key, &found) {
+                    Ok(Some(value)) => {
+                        settings.values.insert((section.name, key.name), value);
+                    }
+                    Ok(None) => {}
+                    Err(fault) => faults.push(fault),
+                }
+            }
+        }
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(Error::Faults { file: file.to_owned(), faults })
+        }
+    }
+
+    /// The settings of a declared section.
+    pub fn section(&self, section: &'static str) -> View<'_> {
+        View { settings: self, section }
+    }
+}
+
+fn unknown_sections(doc: &ini::Document, sections: &[&'static Section]) -> Vec<Fault> {
+    doc.sections
+        .iter()
+        .filter(|found| sections.iter().all(|section| section.name != found.name))
+        .map(|found| Fault {
+            line: found.line,
+            section: found.name.clone(),
+            key: String::new(),
+            kind: FaultKind::UnknownSection {
+                known: sections.iter().map(|section| section.name).collect(),
+            },
+        })
+        .collect()
+}
+
+fn unknown_keys(section: &'static Section, found: &[&ini::Section]) -> Vec<Fault> {
+    let mut seen = Vec::new();
+    let mut faults = Vec::new();
+    for entry in found.iter().flat_map(|part| &part.entries) {
+        let kind = if section.keys.iter().all(|key| key.name != entry.key) {
+            FaultKind::UnknownKey { known: section.keys.iter().map(|key| key.name).collect() }
+        } else if seen.contains(&entry.key.as_str()) {
+            FaultKind::Repeated
+        } else {
+            seen.push(entry.key.as_str());
+            continue;
+        };
+        faults.push(Fault {
+            line: entry.line,
+            section: section.name.to_owned(),
+            key: entry.key.clone(),
+            kind,
+        });
+    }
+    faults
+}
+
+fn read_key(
+    section: &'static Section,
+    key: &'static Key,
+    found: &[&ini::Section],
+) -> std::result::Result<Option<Value>, Fault> {
+    let entry = found.iter().find_map(|part| part.entry(key.name));
+    let line = entry.map_or(found.first().map_or(1, |part| part.line), |entry| entry.line);
+    let fault =
+        |kind| Fault { line, section: section.name.to_owned(), key: key.name.to_owned(), kind };
+    match (entry.map(|entry| entry.value.as_str()).or(key.default), key.required) {
+        (Some(text), _) => value::parse(&key.ty, text).map(Some).map_err(fault),
+        (None, true) => Err(fault(FaultKind::Missing { expected: key.ty.to_string() })),
+        (None, false) => Ok(None),
+    }
+}
+
+/// Typed access. Each function panics if the key is not declared with that type, which is a
+/// fault of the program, not of the settings.
+impl<'a> View<'a> {
+    fn value(&self, key: &'static str) -> Option<&'a Value> {
+        self.settings.values.get(&(self.section, key))
+    }
+
+    fn wrong(&self, key: &'static str) -> ! {
+        panic!("settings key [{}] {key} is not declared with the type requested", self.section)
+    }
+
+    /// A text; the empty text if the key is optional and absent.
+    pub fn text(&self, key: &'static str) -> &'a str {
+        match self.value(key) {
+            Some(Value::Text(text)) => text,
+            None => "",
+            Some(_) => self.wrong(key),
+        }
+    }
+
+    /// Whether a flag is set.
+    pub fn flag(&self, key: &'static str) -> bool {
+        match self.value(key) {
+            Some(Value::Flag(flag)) => *flag,
+            _ => self.wrong(key),
+        }
+    }
+
+    /// A count, or a size in bytes.
+    pub fn count(&self, key: &'static str) -> u64 {
+        match self.value(key) {
+            Some(Value::Count(count)) => *count,
+            _ => self.wrong(key),
+        }
+    }
+
+    /// A span of time.
+    pub fn span(&self, key: &'static str) -> Duration {
+        match self.value(key) {
+            Some(Value::Span(span)) => *span,
+            _ => self.wrong(key),
+        }
+    }
+
+    /// A socket address.
+    pub fn address(&self, key: &'static str) -> net::SocketAddr {
+        match self.value(key) {
+            Some(Value::Address(address)) => *address,
+            _ => self.wrong(key),
+        }
+    }
+
+    /// A file's path, if the key is present.
+    pub fn path(&self, key: &'static str) -> Option<&'a PathBuf> {
+        match self.value(key) {
+            Some(Value::Path(path)) => Some(path),
+            None => None,
+            Some(_) => self.wrong(key),
+        }
+    }
+}
--- /dev/null
+++ b/crates/kernel/src/table.rs
@@ -0,0 +1,80 @@
+//! Shared tables with a stated lock order.
+
+mod order;
+
+use std::ops;
+
+use parking_lot::{Mutex, MutexGuard};
+
+/// A value that can be stored in a [`Table`], with its place in the lock order.
+pub trait Ranked {
+    /// Place in the lock order; locks are taken in increasing rank.
+    const RANK: u16;
+    /// Name in panics and metrics.
+    const NAME: &'static str;
+}
+
+/// A value shared by the workers, behind a lock with a rank.
+///
+/// Debug builds check that each thread takes locks in increasing rank. A guard is not `Send`, so
+/// that code which holds one across an await point does not run on the pool.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_kernel::table::{Ranked, Table};
+///
+/// #[derive(Default)]
+/// struct Counts(u64);
+///
+/// impl Ranked for Counts {
+///     const RANK: u16 = 10;
+///     const NAME: &'static str = "counts";
+/// }
+///
+/// let table = Table::<Counts>::default();
+/// table.lock().0 += 1;
+/// assert_eq!(table.lock().0, 1);
+/// ```
+#[derive(Debug, Default)]
+pub struct Table<T> {
+    inner: Mutex<T>,
+}
+
+impl<T: Ranked> Table<T> {
+    /// Stores `value` in a new table.
+    pub fn new(value: T) -> Self {
+        Self { inner: Mutex::new(value) }
+    }
+
+    /// Locks the table until the guard is dropped.
+    ///
+    /// # Panics
+    ///
+    /// In debug builds, when the thread already holds a table of the same or a higher rank.
+    pub fn lock(&self) -> Guard<'_, T> {
+        let held = order::Held::acquire(T::RANK, T::NAME);
+        Guard { inner: self.inner.lock(), _held: held }
+    }
+}
+
+/// Exclusive access to the value of a [`Table`].
+#[derive(Debug)]
+pub struct Guard<'a, T> {
+    inner: MutexGuard<'a, T>,
+    _held: order::Held,
+}
+
+impl<T> ops::Deref for Guard<'_, T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.inner
+    }
+}
+
+impl<T> ops::DerefMut for Guard<'_, T> {
+    fn deref_mut(&mut self) -> &mut T {
+        &mut self.inner
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shared tables of one node, its duties, links and request pipeline.
--- /dev/null
+++ b/crates/platform/src/store/error.rs
@@ -0,0 +1,48 @@
+//! Errors of store calls.
+
+use std::fmt;
+
+/// A store call that failed, with the step and the peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// What is known about the effect.
+    pub kind: Kind,
+    /// The call.
+    pub step: &'static str,
+    /// Address of the store.
+    pub peer: String,
+    /// The cause.
+    pub cause: String,
+}
+
+/// What is known about the effect of a failed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum Kind {
+    /// Nothing was sent.
+    NotSent,
+    /// The call may have taken effect.
+    Unknown,
+    /// The store refused the call; it had no effect.
+    Refused,
+    /// The call budget or the back-off delay did not allow the call; nothing was sent.
+    Budget,
+    /// The answer could not be decoded; the call may have taken effect.
+    Malformed,
+}
+
+impl Error {
+    /// Whether the call may have taken effect.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self.kind, Kind::Unknown | Kind::Malformed)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let effect = if self.may_have_run() { "; it may have taken effect" } else { "" };
+        write!(f, "{} at store {}: {}{effect}", self.step, self.peer, self.cause)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decisions of corneltrestle as pure functions.
+//!
+//! Nothing here does I/O, awaits, encodes or reads a clock: each function takes borrowed views and
+//! the present time and returns a small decision.
+
+pub mod assignment;
+pub mod id;
+pub mod rank;
+pub mod release;
+pub mod report;
+pub mod vm;
+
+pub use corneltrestle_time::Moment;
--- /dev/null
+++ b/crates/policy/src/rank.rs
@@ -0,0 +1,42 @@
+//! Rendezvous hashing: all nodes with the same members rank them the same way.
+
+use xxhash_rust::xxh3;
+
+/// Weight of `member` for `key`; lower weights rank first.
+pub fn weight(key: &str, member: &str) -> u64 {
+    xxh3::xxh3_64_with_seed(member.as_bytes(), xxh3::xxh3_64(key.as_bytes()))
+}
+
+/// The first `count` members for `key`, best first.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::rank;
+///
+/// let members = ["a", "b", "c"];
+/// let all = rank::first("vm-1", members, 3);
+/// assert_eq!(rank::first("vm-1", members, 2), all[..2]);
+/// ```
+pub fn first<'a>(
+    key: &str,
+    members: impl IntoIterator<Item = &'a str>,
+    count: usize,
+) -> Vec<&'a str> {
+    let mut ranked: Vec<_> = members.into_iter().map(|m| (weight(key, m), m)).collect();
+    ranked.sort_unstable();
+    ranked.truncate(count);
+    ranked.into_iter().map(|(_, member)| member).collect()
+}
+
+/// Whether `member` is among the first `count` of `members` for `key`.
+pub fn is_first<'a>(
+    key: &str,
+    member: &str,
+    members: impl IntoIterator<Item = &'a str>,
+    count: usize,
+) -> bool {
+    let own = (weight(key, member), member);
+    let better = members.into_iter().filter(|m| (weight(key, m), *m) < own).count();
+    better < count
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of the platform, model engines and plain services.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,4 @@
+//! Codecs of corneltrestle.
+//!
+//! Encodings are kept apart from decisions: this crate turns bytes into the types of
+//! [`corneltrestle_policy`] and back.
