--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! the present time and returns a small decision.
 
 pub mod assignment;
+pub mod changeset;
 pub mod id;
 pub mod rank;
 pub mod release;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,3 +2,6 @@
 //!
 //! Encodings are kept apart from decisions: this crate turns bytes into the types of
 //! [`corneltrestle_policy`] and back.
+
+pub mod openai;
+pub mod sse;
--- /dev/null
+++ b/crates/wire/src/sse.rs
@@ -0,0 +1,47 @@
+//! Server-sent events between engines, nodes and callers.
+//!
+//! An event of an engine has the id `<request id>/<index>`; the stream is complete after the event
+//! with the data [`DONE`].
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// Data of the event that marks a complete answer.
+pub const DONE: &str = "[DONE]";
+
+/// Encodes an event with an id.
+///
+/// # Examples
+///
+/// ```
+/// let event = corneltrestle_wire::sse::encode("r1/0", b"{}");
+/// assert_eq!(&event[..], b"id: r1/0\ndata: {}\n\n");
+/// ```
+pub fn encode(id: &str, data: &[u8]) -> Bytes {
+    let mut event = BytesMut::with_capacity(id.len() + data.len() + 14);
+    if !id.is_empty() {
+        event.put_slice(b"id: ");
+        event.put_slice(id.as_bytes());
+        event.put_u8(b'\n');
+    }
+    event.put_slice(b"data: ");
+    event.put_slice(data);
+    event.put_slice(b"\n\n");
+    event.freeze()
+}
+
+/// Encodes an event of another type than a message, for example `error`.
+pub fn encode_named(event: &str, data: &[u8]) -> Bytes {
+    let mut out = BytesMut::with_capacity(event.len() + data.len() + 17);
+    out.put_slice(b"event: ");
+    out.put_slice(event.as_bytes());
+    out.put_slice(b"\ndata: ");
+    out.put_slice(data);
+    out.put_slice(b"\n\n");
+    out.freeze()
+}
+
+/// Splits an event id into the request id and the index.
+pub fn split_id(id: &str) -> Option<(&str, u64)> {
+    let (request, index) = id.rsplit_once('/')?;
+    Some((request, index.parse().ok()?))
+}
