--- a/crates/policy/src/assignment.rs
+++ b/crates/policy/src/assignment.rs
@@ -22,7 +22,7 @@
 
 /// A VM that may still act on orders of its former replica.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct Releasing {
     /// The VM.
     pub vm: Member,
--- a/crates/policy/src/assignment/replica.rs
+++ b/crates/policy/src/assignment/replica.rs
@@ -6,7 +6,7 @@
 
 /// A replica with its member VMs.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct Replica {
     /// Name of the replica.
     pub id: id::Replica,
@@ -24,7 +24,7 @@
 
 /// A member VM.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct Member {
     /// The VM.
     pub id: id::Vm,
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -59,7 +59,7 @@
 #[derive(
     Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct Replica {
     /// The replica set.
     pub set: ReplicaSet,
--- a/crates/policy/src/release/organisation.rs
+++ b/crates/policy/src/release/organisation.rs
@@ -2,7 +2,7 @@
 
 /// Key, share and limits of an organisation.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct Organisation {
     /// SHA-256 hash of its key in lower-case hexadecimal.
     pub key_hash: String,
--- a/crates/policy/src/release/replica_set.rs
+++ b/crates/policy/src/release/replica_set.rs
@@ -4,7 +4,7 @@
 
 /// A declared number of replicas of one shape in one availability zone.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct ReplicaSet {
     /// The service that the replicas serve.
     pub service: id::Service,
--- a/crates/policy/src/release/service.rs
+++ b/crates/policy/src/release/service.rs
@@ -7,7 +7,7 @@
 
 /// A service that requests are addressed to.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct Service {
     /// What serves it.
     pub kind: Kind,
@@ -32,7 +32,7 @@
 
 /// A plain HTTP service.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct Plain {
     /// Path prefix, with a leading and without a trailing slash.
     pub prefix: String,
@@ -46,7 +46,7 @@
 
 /// A method with a path pattern relative to the prefix; `*` stands for one segment.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct Pattern {
     /// HTTP method in upper case.
     pub method: String,
@@ -56,7 +56,7 @@
 
 /// Service-level targets; fractions are between 0 and 1.
 #[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[serde(rename_all = "kebab-case")]
 pub struct Targets {
     /// Fraction of requests answered whole and within their deadline.
     pub whole: f64,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,5 +3,8 @@
 //! Encodings are kept apart from decisions: this crate turns bytes into the types of
 //! [`corneltrestle_policy`] and back.
 
+pub mod key;
+pub mod note;
 pub mod openai;
 pub mod sse;
+pub mod stored;
--- /dev/null
+++ b/crates/wire/src/note.rs
@@ -0,0 +1,216 @@
+//! Release notes as INI texts.
+//!
+//! The section `[note]` has the keys `id` and `base`. Each other section is `[kind NAME]` with
+//! `change = add`, `change` or `withdraw`; with `change`, absent keys keep their present value.
+
+mod encode;
+mod error;
+mod item;
+mod section;
+mod value;
+
+use std::collections::BTreeSet;
+
+use corneltrestle_kernel::ini;
+use corneltrestle_policy::changeset::{Action, Change, Changeset, Item};
+use corneltrestle_policy::release;
+use xxhash_rust::xxh3;
+
+pub use encode::encode;
+pub use error::{Error, Fault, FaultKind};
+
+use section::Reader;
+
+/// Longest text of a note; the complete declared state stays below this size too.
+pub const MAX_BYTES: usize = 256 * 1024;
+
+/// The result of decoding a note.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// The identity of a note, which can be read without the release that it is based on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Identifier chosen by the operator.
+    pub id: String,
+    /// The revision that the changes are based on.
+    pub base: u64,
+    /// Hash of the text.
+    pub digest: u64,
+}
+
+/// Hash of a note's text.
+pub fn digest(text: &str) -> u64 {
+    xxh3::xxh3_64(text.as_bytes())
+}
+
+/// Decodes the section `[note]` only.
+///
+/// A note that was accepted before can be recognised by this, even if its changes no longer fit
+/// the present release.
+///
+/// # Errors
+///
+/// Every fault of that section, or the first line that is not INI.
+pub fn identify(text: &str) -> Result<Identity> {
+    let mut faults = Vec::new();
+    let found = identity(&parse(text)?, &mut faults);
+    finish(faults, found.map(|(id, base)| Identity { id, base, digest: digest(text) }))
+}
+
+/// Decodes a note against the present release, which supplies the keys that a change leaves out.
+///
+/// # Errors
+///
+/// Every fault of the text, with line, section, key and what would be right.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::release::Release;
+/// use corneltrestle_wire::note;
+///
+/// let text = "[note]\nid = n1\nbase = 0\n[zone a]\nchange = change\nstate = out\n";
+/// let changeset = note::decode(text, &Release::default()).unwrap();
+/// assert_eq!(changeset.changes.len(), 1);
+///
+/// let error = note::decode("[note]\nid = n1\nbase = x\n", &Release::default()).unwrap_err();
+/// assert_eq!(error.faults[0].line, 3);
+/// ```
+pub fn decode(text: &str, present: &release::Release) -> Result<Changeset> {
+    let doc = parse(text)?;
+    let mut faults = Vec::new();
+    let identity = identity(&doc, &mut faults);
+    let mut seen = BTreeSet::new();
+    let mut changes = Vec::new();
+    for section in &doc.sections {
+        let (kind, name) = split(&section.name);
+        if !seen.insert((kind, name)) {
+            Reader::new(section, &mut faults).fault(FaultKind::RepeatedSection);
+        }
+        if kind != "note" {
+            changes.extend(change(section, present, &mut faults));
+        }
+    }
+    let digest = digest(text);
+    finish(faults, identity.map(|(id, base)| Changeset { id, base, digest, changes }))
+}
+
+fn parse(text: &str) -> Result<ini::Document> {
+    let fault = |line, kind| {
+        let fault = Fault { line, section: String::new(), key: String::new(), kind };
+        Error { faults: vec![fault] }
+    };
+    if text.len() > MAX_BYTES {
+        return Err(fault(1, FaultKind::TooLarge { bytes: text.len() }));
+    }
+    ini::Document::parse(text).map_err(|e| fault(e.line, FaultKind::Syntax { message: e.message }))
+}
+
+fn finish<T>(mut faults: Vec<Fault>, value: Option<T>) -> Result<T> {
+    match value {
+        Some(value) if faults.is_empty() => Ok(value),
+        _ => {
+            faults.sort_by_key(|fault| fault.line);
+            Err(Error { faults })
+        }
+    }
+}
+
+/// The id and base of the note.
+fn identity(doc: &ini::Document, faults: &mut Vec<Fault>) -> Option<(String, u64)> {
+    let Some(section) = doc.named("note").next() else {
+        faults.push(Fault {
+            line: 1,
+            section: "note".to_owned(),
+            key: String::new(),
+            kind: FaultKind::Missing { expected: "this section with id and base" },
+        });
+        return None;
+    };
+    let mut reader = Reader::new(section, faults);
+    reader.check_keys(item::NOTE_KEYS);
+    let id = reader.value("id", &value::NAME, None);
+    let base = reader.value("base", &value::REVISION, None);
+    Some((id?, base?))
+}
+
+/// Splits a section name into its kind and the name of the item.
+fn split(section: &str) -> (&str, &str) {
+    let section = section.trim();
+    let (kind, name) = section.split_once(char::is_whitespace).unwrap_or((section, ""));
+    (kind, name.trim())
+}
+
+/// Decodes one section; `None` if it has a fault.
+fn change(
+    section: &ini::Section,
+    present: &release::Release,
+    faults: &mut Vec<Fault>,
+) -> Option<Change> {
+    let (kind, name) = split(&section.name);
+    let mut reader = Reader::new(section, faults);
+    let (keys, is_declared) = match kind {
+        "organisation" => (item::ORGANISATION_KEYS, present.organisations.contains_key(name)),
+        "service" => (item::SERVICE_KEYS, present.services.contains_key(name)),
+        "group" => (item::GROUP_KEYS, present.sets.contains_key(name)),
+        "zone" => (item::ZONE_KEYS, true),
+        _ => {
+            reader.fault(FaultKind::UnknownSection);
+            return None;
+        }
+    };
+    if !value::is_name(name) {
+        reader.fault(FaultKind::SectionName);
+    }
+    let action = reader.value("change", &value::ACTION, None);
+    if action == Some(Action::Withdraw) {
+        reader.forbid_others();
+    } else {
+        reader.check_keys(keys);
+    }
+    match action {
+        Some(Action::Change) if !is_declared => {
+            reader.fault(FaultKind::NotDeclared);
+            reader.ignore_missing();
+        }
+        None => reader.ignore_missing(),
+        _ => {}
+    }
+    let item = read(&mut reader, kind, name, action, present)?;
+    Some(Change { line: section.line, action: action?, item })
+}
+
+/// Reads the item of a section with its complete new value.
+fn read(
+    reader: &mut Reader<'_>,
+    kind: &str,
+    name: &str,
+    action: Option<Action>,
+    present: &release::Release,
+) -> Option<Item> {
+    let is_change = action == Some(Action::Change);
+    let is_withdrawn = action == Some(Action::Withdraw);
+    Some(match kind {
+        "organisation" => {
+            let before = present.organisations.get(name).filter(|_| is_change);
+            let value = unless(is_withdrawn, || item::organisation(reader, before))?;
+            Item::Organisation(name.into(), value)
+        }
+        "service" => {
+            let before = present.services.get(name).filter(|_| is_change);
+            let value = unless(is_withdrawn, || item::service(reader, before))?;
+            Item::Service(name.into(), value)
+        }
+        "group" => {
+            let before = present.sets.get(name).filter(|_| is_change);
+            let value = unless(is_withdrawn, || item::replica_set(reader, before))?;
+            Item::ReplicaSet(name.into(), value)
+        }
+        _ => Item::Zone(name.into(), unless(is_withdrawn, || item::zone(reader))?),
+    })
+}
+
+/// The value of an item: `Some(None)` if the item is withdrawn, `None` if a key has a fault.
+fn unless<T>(is_withdrawn: bool, read: impl FnOnce() -> Option<T>) -> Option<Option<T>> {
+    if is_withdrawn { Some(None) } else { read().map(Some) }
+}
--- /dev/null
+++ b/crates/wire/src/note/item.rs
@@ -0,0 +1,163 @@
+//! Items of a release as sections of a note.
+
+use corneltrestle_policy::release::{
+    Fencing, Kind, Organisation, Plain, ReplicaSet, Service, Targets, ZoneState,
+};
+
+use super::error::FaultKind;
+use super::section::Reader;
+use super::value::{self, ServiceKind};
+
+/// Work in progress that a replica bears after a cold start unless the note says otherwise.
+const COLD_LIMIT: u32 = 2;
+
+pub(super) const NOTE_KEYS: &[&str] = &["id", "base"];
+pub(super) const ORGANISATION_KEYS: &[&str] =
+    &["change", "key-hash", "weight", "rate", "concurrency"];
+pub(super) const SERVICE_KEYS: &[&str] = &[
+    "change",
+    "kind",
+    "model",
+    "prefix",
+    "upstreams",
+    "repeatable",
+    "require-key",
+    "timeout",
+    "target-whole",
+    "target-first-token",
+    "target-between-tokens",
+    "target-orders",
+];
+pub(super) const GROUP_KEYS: &[&str] = &[
+    "change",
+    "service",
+    "zone",
+    "vms",
+    "replicas",
+    "model",
+    "adapter",
+    "version",
+    "fencing",
+    "cold-limit",
+];
+pub(super) const ZONE_KEYS: &[&str] = &["change", "state"];
+
+pub(super) fn organisation(
+    reader: &mut Reader<'_>,
+    present: Option<&Organisation>,
+) -> Option<Organisation> {
+    let hash = present.map(|p| p.key_hash.clone());
+    let key_hash = reader.value("key-hash", &value::KEY_HASH, hash);
+    let weight = reader.value("weight", &value::COUNT, Some(present.map_or(1, |p| p.weight)));
+    let rate = reader.value("rate", &value::COUNT, present.map(|p| p.rate));
+    let concurrency = reader.value("concurrency", &value::COUNT, present.map(|p| p.concurrency));
+    Some(Organisation {
+        key_hash: key_hash?,
+        weight: weight?,
+        rate: rate?,
+        concurrency: concurrency?,
+    })
+}
+
+pub(super) fn service(reader: &mut Reader<'_>, present: Option<&Service>) -> Option<Service> {
+    let kind = kind(reader, present.map(|p| &p.kind));
+    let timeout = reader.value("timeout", &value::TIME, present.map(|p| p.timeout));
+    let targets = targets(reader, present.map(|p| p.targets).unwrap_or_default());
+    Some(Service { kind: kind?, timeout: timeout?, targets: targets? })
+}
+
+fn kind(reader: &mut Reader<'_>, present: Option<&Kind>) -> Option<Kind> {
+    let before = present.map(|kind| match kind {
+        Kind::Model { .. } => ServiceKind::Model,
+        Kind::Plain(_) => ServiceKind::Plain,
+    });
+    match reader.value("kind", &value::KIND, before) {
+        Some(ServiceKind::Model) => {
+            for key in ["prefix", "upstreams", "repeatable", "require-key"] {
+                reader.forbid(key, &FaultKind::OtherKind { kind: "plain" });
+            }
+            model(reader, present)
+        }
+        Some(ServiceKind::Plain) => {
+            reader.forbid("model", &FaultKind::OtherKind { kind: "model" });
+            plain(reader, present)
+        }
+        None => {
+            reader.ignore_missing();
+            model(reader, present);
+            plain(reader, present);
+            None
+        }
+    }
+}
+
+fn model(reader: &mut Reader<'_>, present: Option<&Kind>) -> Option<Kind> {
+    let before = match present {
+        Some(Kind::Model { model }) => Some(model.clone()),
+        _ => None,
+    };
+    reader.value("model", &value::TEXT, before).map(|model| Kind::Model { model })
+}
+
+fn plain(reader: &mut Reader<'_>, present: Option<&Kind>) -> Option<Kind> {
+    let before = match present {
+        Some(Kind::Plain(plain)) => Some(plain),
+        _ => None,
+    };
+    let prefix = reader.value("prefix", &value::PREFIX, before.map(|p| p.prefix.clone()));
+    let upstreams = before.map(|p| p.upstreams.clone());
+    let upstreams = reader.value("upstreams", &value::UPSTREAMS, upstreams);
+    let repeatable = before.map(|p| p.repeatable.clone()).unwrap_or_default();
+    let repeatable = reader.value("repeatable", &value::REPEATABLE, Some(repeatable));
+    let required = before.is_none_or(|p| p.require_key);
+    let require_key = reader.value("require-key", &value::FLAG, Some(required));
+    Some(Kind::Plain(Plain {
+        prefix: prefix?,
+        upstreams: upstreams?,
+        repeatable: repeatable?,
+        require_key: require_key?,
+    }))
+}
+
+fn targets(reader: &mut Reader<'_>, before: Targets) -> Option<Targets> {
+    let whole = reader.value("target-whole", &value::FRACTION, Some(before.whole));
+    let first = reader.value("target-first-token", &value::TIME, Some(before.first_token));
+    let between = reader.value("target-between-tokens", &value::TIME, Some(before.between_tokens));
+    let orders = reader.value("target-orders", &value::FRACTION, Some(before.orders));
+    Some(Targets { whole: whole?, first_token: first?, between_tokens: between?, orders: orders? })
+}
+
+pub(super) fn replica_set(
+    reader: &mut Reader<'_>,
+    present: Option<&ReplicaSet>,
+) -> Option<ReplicaSet> {
+    let service = present.map(|p| p.service.to_string());
+    let service = reader.value("service", &value::NAME, service);
+    let zone = reader.value("zone", &value::NAME, present.map(|p| p.zone.to_string()));
+    let vms = reader.value("vms", &value::VMS, present.map(|p| p.vms));
+    let replicas = reader.value("replicas", &value::REPLICAS, present.map(|p| p.replicas));
+    let model = reader.value("model", &value::TEXT, present.map(|p| p.model.clone()));
+    let adapter = present.map(|p| p.adapter.clone()).unwrap_or_default();
+    let adapter = reader.value("adapter", &value::ADAPTER, Some(adapter));
+    let version = reader.value("version", &value::TEXT, present.map(|p| p.version.clone()));
+    // Waiting for a confirmed release is safe for engines of both kinds.
+    let fencing = present.map_or(Fencing::Ignored, |p| p.fencing);
+    let fencing = reader.value("fencing", &value::FENCING, Some(fencing));
+    let limit = present.map_or(COLD_LIMIT, |p| p.cold_limit);
+    let cold_limit = reader.value("cold-limit", &value::COUNT, Some(limit));
+    Some(ReplicaSet {
+        service: service?.as_str().into(),
+        zone: zone?.as_str().into(),
+        vms: vms?,
+        replicas: replicas?,
+        model: model?,
+        adapter: adapter?,
+        version: version?,
+        fencing: fencing?,
+        cold_limit: cold_limit?,
+    })
+}
+
+pub(super) fn zone(reader: &mut Reader<'_>) -> Option<ZoneState> {
+    reader.value("state", &value::STATE, None)
+}
--- /dev/null
+++ b/crates/wire/src/note/section.rs
@@ -0,0 +1,86 @@
+//! Reading the keys of one section.
+
+use corneltrestle_kernel::ini;
+
+use super::error::{Fault, FaultKind};
+use super::value::Form;
+
+/// Reads the values of one section and collects its faults.
+pub(super) struct Reader<'a> {
+    section: &'a ini::Section,
+    faults: &'a mut Vec<Fault>,
+    /// Whether absent keys are faults; they are not if it is unknown which keys are needed.
+    reports_missing: bool,
+}
+
+impl<'a> Reader<'a> {
+    pub(super) fn new(section: &'a ini::Section, faults: &'a mut Vec<Fault>) -> Self {
+        Self { section, faults, reports_missing: true }
+    }
+
+    /// Reports only the faults of keys that are given from here on.
+    pub(super) fn ignore_missing(&mut self) {
+        self.reports_missing = false;
+    }
+
+    /// Adds a fault of the section.
+    pub(super) fn fault(&mut self, kind: FaultKind) {
+        self.push(self.section.line, "", kind);
+    }
+
+    /// Adds a fault of `key` if it is given, once for each time.
+    pub(super) fn forbid(&mut self, key: &str, kind: &FaultKind) {
+        let section = self.section;
+        for entry in section.entries.iter().filter(|entry| entry.key == key) {
+            self.push(entry.line, key, kind.clone());
+        }
+    }
+
+    /// Adds a fault of each key but the first `change`.
+    pub(super) fn forbid_others(&mut self) {
+        let section = self.section;
+        let mut has_change = false;
+        for entry in &section.entries {
+            if entry.key != "change" {
+                self.push(entry.line, &entry.key, FaultKind::Withdrawn);
+            } else if std::mem::replace(&mut has_change, true) {
+                self.push(entry.line, &entry.key, FaultKind::RepeatedKey);
+            }
+        }
+    }
+
+    /// Adds a fault of each key that is unknown or repeated.
+    pub(super) fn check_keys(&mut self, known: &'static [&'static str]) {
+        let section = self.section;
+        for (n, entry) in section.entries.iter().enumerate() {
+            if !known.contains(&entry.key.as_str()) {
+                self.push(entry.line, &entry.key, FaultKind::UnknownKey { known });
+            } else if section.entries[..n].iter().any(|earlier| earlier.key == entry.key) {
+                self.push(entry.line, &entry.key, FaultKind::RepeatedKey);
+            }
+        }
+    }
+
+    /// The value of `key`, or `absent` if the key is not given; without both it is a fault.
+    pub(super) fn value<T>(&mut self, key: &str, form: &Form<T>, absent: Option<T>) -> Option<T> {
+        let Some(entry) = self.section.entry(key) else {
+            if absent.is_none() && self.reports_missing {
+                let kind = FaultKind::Missing { expected: form.expected };
+                self.push(self.section.line, key, kind);
+            }
+            return absent;
+        };
+        let found = entry.value.trim();
+        let value = (form.parse)(found);
+        if value.is_none() {
+            let kind = FaultKind::Invalid { found: found.to_owned(), expected: form.expected };
+            self.push(entry.line, key, kind);
+        }
+        value
+    }
+
+    fn push(&mut self, line: usize, key: &str, kind: FaultKind) {
+        let section = self.section.name.clone();
+        self.faults.push(Fault { line, section, key: key.to_owned(), kind });
+    }
+}
