--- /dev/null
+++ b/crates/policy/src/burn.rs
@@ -0,0 +1,93 @@
+//! Service-level counts and the rate at which they use up the error budget.
+
+mod counts;
+mod rating;
+mod series;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use corneltrestle_time::Moment;
+
+use crate::id;
+
+pub use counts::Counts;
+pub use rating::{Rating, Verdict, rate};
+use series::Series;
+
+/// Counts of one service and organisation over the windows of the report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+pub struct Totals {
+    /// The last 5 minutes.
+    pub short: Counts,
+    /// The last hour.
+    pub long: Counts,
+    /// The last 24 hours, which the error budget covers.
+    pub day: Counts,
+}
+
+impl Totals {
+    /// Adds the counts of another node.
+    pub fn add(&mut self, other: &Totals) {
+        self.short.add(&other.short);
+        self.long.add(&other.long);
+        self.day.add(&other.day);
+    }
+}
+
+/// Counts by service and organisation on one node.
+#[derive(Debug, Default)]
+pub struct Burn {
+    series: BTreeMap<id::Service, BTreeMap<id::Organisation, Series>>,
+    number: usize,
+}
+
+impl Burn {
+    /// Most pairs of service and organisation; each takes about 13 KB.
+    pub const LIMIT: usize = 1_024;
+    /// The short window.
+    pub const SHORT: Duration = Duration::from_secs(300);
+    /// The long window.
+    pub const LONG: Duration = Duration::from_secs(3_600);
+
+    /// Adds counts at `now`; false if there are too many pairs to count another one.
+    pub fn record(&mut self, service: &str, org: &str, counts: &Counts, now: Moment) -> bool {
+        if let Some(series) = self.series.get_mut(service).and_then(|all| all.get_mut(org)) {
+            series.record(counts, now);
+            return true;
+        }
+        if self.number >= Self::LIMIT {
+            return false;
+        }
+        let series = self.series.entry(service.into()).or_default().entry(org.into()).or_default();
+        series.record(counts, now);
+        self.number += 1;
+        true
+    }
+
+    /// Keeps only the pairs that `keep` accepts.
+    pub fn retain(&mut self, mut keep: impl FnMut(&id::Service, &id::Organisation) -> bool) {
+        self.series.retain(|service, all| {
+            all.retain(|organisation, _| keep(service, organisation));
+            !all.is_empty()
+        });
+        self.number = self.series.values().map(BTreeMap::len).sum();
+    }
+
+    /// The totals of all pairs.
+    pub fn totals(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (&id::Service, &id::Organisation, Totals)> {
+        self.series.iter().flat_map(move |(service, all)| {
+            all.iter().map(move |(org, series)| (service, org, series.totals(now)))
+        })
+    }
+
+    /// The last 60 minutes of a pair by age in minutes, the present minute first.
+    pub fn minutes(&self, service: &str, org: &str, now: Moment) -> Vec<Counts> {
+        let series = self.series.get(service).and_then(|all| all.get(org));
+        series.map(|series| series.minutes(now)).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/calls.rs
@@ -0,0 +1,149 @@
+//! The budget of calls to the store: calls in flight, rates by class and backoff.
+
+use std::time::Duration;
+
+use corneltrestle_time::Moment;
+use rand::Rng;
+
+use crate::admission::{Bucket, wait};
+use crate::retry;
+
+/// What a call is for, more important ones first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Class {
+    /// Leases of zones.
+    Lease,
+    /// Claims of idempotency keys.
+    Order,
+    /// Releases and assignments.
+    Config,
+    /// Everything else.
+    Report,
+}
+
+impl Class {
+    /// All classes, more important ones first.
+    pub const ALL: [Class; 4] = [Class::Lease, Class::Order, Class::Config, Class::Report];
+
+    /// Calls in flight up to which a call of this class may begin. Each class leaves one place to
+    /// the more important ones, so that slow reports cannot block the renewal of a lease.
+    pub const fn places(self) -> usize {
+        Calls::FLIGHT - self as usize
+    }
+}
+
+/// Rate and burst of one class.
+#[derive(Clone, Copy, Debug)]
+pub struct Rate {
+    /// Calls a second.
+    pub rate: f64,
+    /// Most calls at once, at least 1.
+    pub burst: f64,
+}
+
+/// Whether a call may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permit {
+    /// It may, and counts as in flight.
+    Go,
+    /// It may not; this is the earliest moment at which time alone can allow it.
+    Wait(Moment),
+    /// It may not until a call in flight ends.
+    Full,
+}
+
+/// State of the calls to the store.
+///
+/// Over any time t all classes together begin at most the sum of `burst + rate * t`, and each
+/// class at most its own such part plus those of the less important ones.
+#[derive(Clone, Debug)]
+pub struct Calls {
+    rates: [Rate; 4],
+    buckets: [Bucket; 4],
+    flight: usize,
+    failures: u32,
+    /// End of the backoff, which holds back all classes.
+    backoff: Moment,
+    /// End of the delay after an outage, which holds back the less important classes.
+    pause: Moment,
+}
+
+impl Calls {
+    /// Most calls in flight.
+    pub const FLIGHT: usize = 8;
+    /// Failures in a row, each after its own backoff, that count as an outage.
+    pub const OUTAGE: u32 = 3;
+    /// Longest delay of configuration and report calls after an outage.
+    pub const PAUSE: Duration = Duration::from_secs(2);
+
+    /// Opens the budget with the rates of [`Class::ALL`].
+    pub fn open(rates: [Rate; 4]) -> Self {
+        Self {
+            rates,
+            buckets: Default::default(),
+            flight: 0,
+            failures: 0,
+            backoff: Moment::ZERO,
+            pause: Moment::ZERO,
+        }
+    }
+
+    /// Calls in flight.
+    pub fn flight(&self) -> usize {
+        self.flight
+    }
+
+    /// Whether the store has failed repeatedly and not succeeded since.
+    pub fn is_out(&self) -> bool {
+        self.failures >= Self::OUTAGE
+    }
+
+    /// Asks to begin a call.
+    pub fn begin(&mut self, class: Class, now: Moment) -> Permit {
+        let held = if class >= Class::Config { self.backoff.max(self.pause) } else { self.backoff };
+        if held > now {
+            return Permit::Wait(held);
+        }
+        if self.flight >= class.places() {
+            return Permit::Full;
+        }
+        for (bucket, rate) in self.buckets.iter_mut().zip(&self.rates) {
+            bucket.refill(rate.rate, rate.burst, now);
+        }
+        // Its own tokens first, then those of the least important class.
+        let own = class as usize;
+        let taken = std::iter::once(own)
+            .chain((own + 1..self.buckets.len()).rev())
+            .any(|slot| self.buckets[slot].take());
+        if taken {
+            self.flight += 1;
+            return Permit::Go;
+        }
+        let soonest = (own..self.buckets.len())
+            .map(|slot| {
+                let Rate { rate, burst } = self.rates[slot];
+                wait(self.buckets[slot].level(rate, burst, now), 1.0, rate)
+            })
+            .min();
+        Permit::Wait(now + soonest.unwrap_or_default())
+    }
+
+    /// Takes the end of a call that [`Permit::Go`] allowed. A failure is a time-out, a refused
+    /// connection or an error of the store itself, not a lost comparison.
+    pub fn end(&mut self, failed: bool, now: Moment, rng: &mut impl Rng) {
+        self.flight = self.flight.saturating_sub(1);
+        if failed {
+            // Calls that were in flight together fail together and count once.
+            if self.failures == 0 || now >= self.backoff {
+                self.failures = self.failures.saturating_add(1);
+                self.backoff = now + retry::backoff(self.failures, rng);
+            }
+            return;
+        }
+        if self.is_out() {
+            self.pause = now + rng.random_range(Duration::ZERO..=Self::PAUSE);
+        }
+        self.failures = 0;
+        self.backoff = now;
+    }
+}
--- /dev/null
+++ b/crates/policy/src/claim.rs
@@ -0,0 +1,142 @@
+//! Idempotency keys: one claim for each key, and at most one run.
+
+mod holding;
+
+use crate::id;
+
+pub use holding::{Ended, Holding};
+
+/// The stored value of an idempotency key.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Record {
+    /// Random identifier of the claim.
+    pub claim: String,
+    /// The node that claimed the key.
+    pub node: id::Node,
+    /// The start of that node.
+    pub boot: u64,
+    /// Hash of the request.
+    pub request: String,
+    /// Progress of the call.
+    pub state: State,
+}
+
+/// Progress of a claimed call.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// The holder may send it, or has sent it.
+    Claimed,
+    /// It ran, with this answer.
+    Done(Answer),
+    /// It has not run and never will under this claim.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// A recorded answer.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// End-to-end headers.
+    pub headers: Vec<(String, String)>,
+    /// The complete body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Largest recorded answer in bytes of headers and body.
+    pub const LIMIT: usize = 64 * 1024;
+
+    /// Bytes of headers and body.
+    pub fn size(&self) -> usize {
+        self.headers.iter().map(|(name, value)| name.len() + value.len()).sum::<usize>()
+            + self.body.len()
+    }
+}
+
+/// A call with an idempotency key.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    /// Random identifier of the claim that this call would make.
+    pub claim: &'a str,
+    /// This node.
+    pub node: &'a str,
+    /// The start of this node.
+    pub boot: u64,
+    /// Hash of the request.
+    pub request: &'a str,
+}
+
+impl Call<'_> {
+    /// The record that claims the key for this call.
+    pub fn record(&self) -> Record {
+        Record {
+            claim: self.claim.to_owned(),
+            node: self.node.into(),
+            boot: self.boot,
+            request: self.request.to_owned(),
+            state: State::Claimed,
+        }
+    }
+}
+
+/// What is known about the holder of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Holder {
+    /// The same start of the node is alive or may be.
+    Live,
+    /// That start of the node is dead.
+    Dead,
+    /// It is this start of this node, and the claim is in progress here.
+    Here,
+    /// It is this start of this node, which remembers that it gave the claim up before sending: the
+    /// write took effect late. Without that memory the holder counts as dead.
+    Abandoned,
+}
+
+/// What to do with a call after its key was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision<'a> {
+    /// Claim the key by compare-and-swap from this version; 0 stands for an absent key.
+    Claim(u64),
+    /// The key is claimed by this call; hold it at this version.
+    Hold(u64),
+    /// Answer that the first call is in progress.
+    InProgress,
+    /// Answer that the outcome is unknown.
+    Unknown,
+    /// Return the recorded answer.
+    Answer(&'a Answer),
+    /// Refuse with 422: the key belongs to another request.
+    Different,
+}
+
+/// Decides on `call` after its key was read with this record and version.
+///
+/// `holder` is asked only about a claim of another call that is in progress.
+pub fn decide<'a>(
+    call: &Call<'_>,
+    found: Option<(&'a Record, u64)>,
+    holder: impl FnOnce(&Record) -> Holder,
+) -> Decision<'a> {
+    let Some((record, version)) = found else { return Decision::Claim(0) };
+    if record.request != call.request {
+        return Decision::Different;
+    }
+    match &record.state {
+        State::Done(answer) => Decision::Answer(answer),
+        State::Unknown => Decision::Unknown,
+        State::NotRun => Decision::Claim(version),
+        State::Claimed if record.claim == call.claim => Decision::Hold(version),
+        State::Claimed => match holder(record) {
+            Holder::Live | Holder::Here => Decision::InProgress,
+            Holder::Dead => Decision::Unknown,
+            Holder::Abandoned => Decision::Claim(version),
+        },
+    }
+}
--- /dev/null
+++ b/crates/policy/src/claim/holding.rs
@@ -0,0 +1,78 @@
+//! A claimed key, from the claim to the record of its outcome.
+
+use std::time::Duration;
+
+use corneltrestle_time::Moment;
+
+use super::{Answer, Record, State};
+
+/// A key that this node has claimed.
+///
+/// It allows one send, apart from attempts of which no byte was sent. The record of the outcome is written by compare-and-swap from `version`, so
+/// it cannot replace a later claim.
+#[derive(Clone, Debug)]
+pub struct Holding {
+    version: u64,
+    claimed: Moment,
+    sent: bool,
+}
+
+/// How a call that held a key ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// No byte was sent.
+    NotSent,
+    /// The upstream refused it before running it.
+    Refused,
+    /// The upstream answered completely.
+    Answered(Answer),
+    /// Something was sent and the answer is not known completely.
+    Broken,
+}
+
+impl Holding {
+    /// Oldest claim under which a call is sent.
+    pub const AGE: Duration = Duration::from_secs(10);
+
+    /// Holds a key at the version that the claim has; `claimed` is the moment before the first
+    /// attempt to write the claim.
+    pub fn open(version: u64, claimed: Moment) -> Self {
+        Self { version, claimed, sent: false }
+    }
+
+    /// The version to write the outcome from.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Asks to send the call, right before the first byte; true at most once, and only while the
+    /// claim is younger than [`Holding::AGE`].
+    pub fn send(&mut self, now: Moment) -> bool {
+        let allowed = !self.sent && now.since(self.claimed) < Self::AGE;
+        self.sent |= allowed;
+        allowed
+    }
+
+    /// Allows another send after an attempt of which certainly no byte was sent.
+    pub fn not_sent(&mut self) {
+        self.sent = false;
+    }
+
+    /// The state to record after the call ended.
+    ///
+    /// [`State::NotRun`] lets a later call claim the key again. An answer above [`Answer::LIMIT`]
+    /// is not recorded, so later calls get an unknown outcome.
+    pub fn outcome(&self, ended: Ended) -> State {
+        match ended {
+            _ if !self.sent => State::NotRun,
+            Ended::NotSent | Ended::Refused => State::NotRun,
+            Ended::Answered(answer) if answer.size() <= Answer::LIMIT => State::Done(answer),
+            Ended::Answered(_) | Ended::Broken => State::Unknown,
+        }
+    }
+
+    /// The record with the outcome, to write from [`Holding::version`].
+    pub fn record(&self, claimed: &Record, ended: Ended) -> Record {
+        Record { state: self.outcome(ended), ..claimed.clone() }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/delivery.rs
@@ -0,0 +1,126 @@
+//! Checks of stream events before anything of them reaches the caller.
+
+use corneltrestle_time::Moment;
+
+/// An event of a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct Event<'a> {
+    /// The request that the upstream says it belongs to.
+    pub request: &'a str,
+    /// Index of the token, from 0.
+    pub index: u64,
+    /// Text of the token.
+    pub text: &'a str,
+}
+
+/// What to do with an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Pass it on.
+    Deliver,
+    /// Pass on nothing; it has been delivered before.
+    Drop,
+    /// Close the connection and pass on nothing: the answer belongs to another request.
+    Mismatch,
+    /// Close the connection and pass on nothing: tokens are missing.
+    Gap,
+    /// Close the connection and pass on nothing: the attempt has ended before.
+    Closed,
+}
+
+/// Where to go on after an attempt that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resume<'a> {
+    /// The text delivered so far.
+    pub text: &'a str,
+    /// Index of the next token.
+    pub next: u64,
+}
+
+/// The delivery of one request over its attempts.
+#[derive(Clone, Debug)]
+pub struct Delivery {
+    request: String,
+    text: String,
+    next: u64,
+    resumes: u8,
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Open,
+    Broken,
+    Whole,
+}
+
+impl Delivery {
+    /// Most resumes of one request.
+    pub const RESUMES: u8 = 3;
+
+    /// Opens the delivery of a request before its first attempt.
+    pub fn open(request: &str) -> Self {
+        Self {
+            request: request.to_owned(),
+            text: String::new(),
+            next: 0,
+            resumes: 0,
+            state: State::Open,
+        }
+    }
+
+    /// Text delivered so far.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Whether the end mark has arrived after all tokens; only then is the answer complete.
+    pub fn is_whole(&self) -> bool {
+        self.state == State::Whole
+    }
+
+    /// Checks an event of the present attempt. After a fault the attempt delivers nothing more.
+    pub fn check(&mut self, event: &Event<'_>) -> Verdict {
+        if self.state != State::Open {
+            return Verdict::Closed;
+        }
+        if event.request != self.request {
+            self.state = State::Broken;
+            return Verdict::Mismatch;
+        }
+        if event.index < self.next {
+            return Verdict::Drop;
+        }
+        if event.index > self.next {
+            self.state = State::Broken;
+            return Verdict::Gap;
+        }
+        self.next += 1;
+        self.text.push_str(event.text);
+        Verdict::Deliver
+    }
+
+    /// Takes the end mark of the present attempt.
+    pub fn end(&mut self) -> Verdict {
+        if self.state != State::Open {
+            return Verdict::Closed;
+        }
+        self.state = State::Whole;
+        Verdict::Deliver
+    }
+
+    /// Decides whether another attempt may go on after the present one failed, was cut off or fell
+    /// silent: at most [`Delivery::RESUMES`] times and before the deadline.
+    pub fn resume(&mut self, deadline: Moment, now: Moment) -> Option<Resume<'_>> {
+        if self.state == State::Whole {
+            return None;
+        }
+        self.state = State::Broken;
+        if self.resumes >= Self::RESUMES || now >= deadline {
+            return None;
+        }
+        self.resumes += 1;
+        self.state = State::Open;
+        Some(Resume { text: &self.text, next: self.next })
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,12 +3,22 @@
 //! Nothing here does I/O, awaits, encodes or reads a clock: each function takes borrowed views and
 //! the present time and returns a small decision.
 
+pub mod admission;
 pub mod assignment;
+pub mod burn;
+pub mod calls;
 pub mod changeset;
+pub mod claim;
+pub mod delivery;
 pub mod id;
+pub mod prefix;
 pub mod rank;
 pub mod release;
 pub mod report;
+pub mod retry;
+pub mod route;
+pub mod silence;
 pub mod vm;
+pub mod warmup;
 
 pub use corneltrestle_time::Moment;
--- /dev/null
+++ b/crates/policy/src/prefix.rs
@@ -0,0 +1,183 @@
+//! Prefix caches of upstreams, estimated from own dispatches and their cache events.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use corneltrestle_time::Moment;
+use xxhash_rust::xxh3;
+
+use crate::id;
+
+/// Hashes of the prefixes of `prompt` that end at whole blocks of `size` bytes, shortest first, at
+/// most `limit` of them. `scope` separates models, adapters and organisations.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::prefix;
+///
+/// let (a, b) = (prefix::blocks("m", b"aaaabbbbc", 4, 9), prefix::blocks("m", b"aaaaxxxx", 4, 9));
+/// assert_eq!((a.len(), b.len()), (2, 2));
+/// assert!(a[0] == b[0] && a[1] != b[1]);
+/// ```
+pub fn blocks(scope: &str, prompt: &[u8], size: usize, limit: usize) -> Vec<u64> {
+    let mut hash = xxh3::xxh3_64(scope.as_bytes());
+    prompt
+        .chunks_exact(size.max(1))
+        .take(limit)
+        .map(|block| {
+            hash = xxh3::xxh3_64_with_seed(block, hash);
+            hash
+        })
+        .collect()
+}
+
+/// A change in the prefix cache of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Sequence number.
+    pub sequence: u64,
+    /// Hash of the prefix.
+    pub prefix: u64,
+    /// Whether the prefix is stored now, or was evicted.
+    pub stored: bool,
+}
+
+/// What upstreams hold in their prefix caches, as far as this node knows.
+#[derive(Debug)]
+pub struct History {
+    /// Prefixes remembered for each upstream.
+    capacity: usize,
+    caches: HashMap<id::Replica, Cache>,
+}
+
+#[derive(Debug, Default)]
+struct Cache {
+    start: u64,
+    /// Latest sequence number seen; `None` before the first event.
+    sequence: Option<u64>,
+    /// Change counter, for the order of use.
+    tick: u64,
+    known: HashMap<u64, Known>,
+    /// Prefixes in the order of their latest use.
+    used: BTreeMap<u64, u64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    tick: u64,
+    /// The latest own dispatch with this prefix.
+    sent: Option<Moment>,
+}
+
+impl History {
+    /// Own dispatches this recent outweigh events and gaps: events come late and may describe the
+    /// time before the dispatch.
+    pub const TRUST: Duration = Duration::from_secs(5);
+
+    /// Opens an empty history with room for `capacity` prefixes of each upstream.
+    pub fn open(capacity: usize) -> Self {
+        Self { capacity, caches: HashMap::new() }
+    }
+
+    /// Prefixes remembered for all upstreams.
+    pub fn len(&self) -> usize {
+        self.caches.values().map(|cache| cache.known.len()).sum()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Keeps only the upstreams that `keep` accepts.
+    pub fn retain(&mut self, mut keep: impl FnMut(&id::Replica) -> bool) {
+        self.caches.retain(|upstream, _| keep(upstream));
+    }
+
+    /// Takes a dispatch of this node: the upstream will hold these prefixes.
+    pub fn dispatched(&mut self, upstream: &id::Replica, start: u64, blocks: &[u64], now: Moment) {
+        let capacity = self.capacity;
+        let cache = self.cache(upstream, start);
+        // The shortest prefix is used last, so that it is evicted last.
+        for &prefix in blocks.iter().rev() {
+            cache.insert(prefix, Some(now), capacity);
+        }
+    }
+
+    /// Merges cache events in the order in which they were read.
+    ///
+    /// Events with an old sequence number are ignored. A gap may hide evictions, so only what own
+    /// recent dispatches confirm outlasts it.
+    pub fn merge(&mut self, upstream: &id::Replica, start: u64, events: &[Event], now: Moment) {
+        let capacity = self.capacity;
+        let cache = self.cache(upstream, start);
+        for event in events {
+            match cache.sequence {
+                Some(last) if event.sequence <= last => continue,
+                Some(last) if event.sequence > last + 1 => cache.forget_unconfirmed(now),
+                _ => {}
+            }
+            cache.sequence = Some(event.sequence);
+            let recent = cache.known.get(&event.prefix).is_some_and(|known| known.is_recent(now));
+            if event.stored {
+                cache.insert(event.prefix, None, capacity);
+            } else if !recent {
+                cache.remove(event.prefix);
+            }
+        }
+    }
+
+    /// Number of leading blocks that the upstream holds, 0 for an unknown upstream or start.
+    pub fn cached(&self, upstream: &id::Replica, start: u64, blocks: &[u64]) -> u32 {
+        let Some(cache) = self.caches.get(upstream).filter(|cache| cache.start == start) else {
+            return 0;
+        };
+        let held = blocks.iter().take_while(|prefix| cache.known.contains_key(prefix)).count();
+        u32::try_from(held).unwrap_or(u32::MAX)
+    }
+
+    /// The cache of an upstream; a new start id empties it.
+    fn cache(&mut self, upstream: &id::Replica, start: u64) -> &mut Cache {
+        let cache = self.caches.entry(upstream.clone()).or_default();
+        if cache.start != start {
+            *cache = Cache { start, ..Cache::default() };
+        }
+        cache
+    }
+}
+
+impl Known {
+    fn is_recent(&self, now: Moment) -> bool {
+        self.sent.is_some_and(|sent| now.since(sent) < History::TRUST)
+    }
+}
+
+impl Cache {
+    fn insert(&mut self, prefix: u64, sent: Option<Moment>, capacity: usize) {
+        let before = self.known.get(&prefix).copied();
+        if let Some(before) = before {
+            self.used.remove(&before.tick);
+        }
+        self.tick += 1;
+        let sent = sent.or(before.and_then(|known| known.sent));
+        self.known.insert(prefix, Known { tick: self.tick, sent });
+        self.used.insert(self.tick, prefix);
+        while self.known.len() > capacity {
+            let Some((_, oldest)) = self.used.pop_first() else { break };
+            self.known.remove(&oldest);
+        }
+    }
+
+    fn remove(&mut self, prefix: u64) {
+        if let Some(known) = self.known.remove(&prefix) {
+            self.used.remove(&known.tick);
+        }
+    }
+
+    fn forget_unconfirmed(&mut self, now: Moment) {
+        self.known.retain(|_, known| known.is_recent(now));
+        let known = &self.known;
+        self.used.retain(|_, prefix| known.contains_key(prefix));
+    }
+}
--- /dev/null
+++ b/crates/policy/src/route/baseline.rs
@@ -0,0 +1,44 @@
+//! Well-known rules of choice, to compare measurements against.
+
+use rand::Rng;
+use rand::seq::index;
+
+use super::Candidate;
+
+/// Power of two choices: the less loaded of two random permitted candidates.
+pub fn two_choices(candidates: &[Candidate<'_>], rng: &mut impl Rng) -> Option<usize> {
+    let permitted = permitted(candidates);
+    index::sample(rng, permitted.len(), permitted.len().min(2))
+        .into_iter()
+        .map(|place| permitted[place])
+        .min_by_key(|&i| load(&candidates[i]))
+}
+
+/// Prefix affinity with a load bound: the permitted candidate that holds the longest prefix among
+/// those whose load is at most `bound` times the mean plus one request; the least loaded one if
+/// none of them holds any. Ties go to a random candidate.
+pub fn prefix_affinity(
+    candidates: &[Candidate<'_>],
+    bound: f64,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let permitted = permitted(candidates);
+    let total: u64 = permitted.iter().map(|&i| load(&candidates[i])).sum();
+    let most = bound * total as f64 / permitted.len().max(1) as f64 + 1.0;
+    permitted
+        .into_iter()
+        .map(|i| (i, load(&candidates[i]), rng.random::<u32>()))
+        .min_by_key(|&(i, load, tie)| {
+            let held = if load as f64 <= most { candidates[i].cached } else { 0 };
+            (std::cmp::Reverse(held), load, tie)
+        })
+        .map(|(i, _, _)| i)
+}
+
+fn permitted(candidates: &[Candidate<'_>]) -> Vec<usize> {
+    (0..candidates.len()).filter(|&i| candidates[i].permitted).collect()
+}
+
+fn load(candidate: &Candidate<'_>) -> u64 {
+    u64::from(candidate.running) + u64::from(candidate.waiting) + candidate.unreported() as u64
+}
--- /dev/null
+++ b/crates/policy/src/silence.rs
@@ -0,0 +1,104 @@
+//! Progress and age of long-lived connections.
+
+use std::time::Duration;
+
+use corneltrestle_time::Moment;
+use rand::Rng;
+
+/// What a connection is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A stream of tokens from an engine.
+    Stream,
+    /// A link between nodes.
+    Link,
+    /// A watch on a key of the store.
+    Watch,
+    /// A connection that is being set up.
+    Connect,
+}
+
+impl Kind {
+    /// Longest time without progress while something is expected.
+    pub const fn limit(self) -> Duration {
+        match self {
+            Kind::Stream | Kind::Watch => Duration::from_secs(5),
+            Kind::Link => Duration::from_secs(2),
+            Kind::Connect => Duration::from_secs(1),
+        }
+    }
+}
+
+/// What to do with a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Keep it.
+    Keep,
+    /// Send nothing new on it and close it when its work is done.
+    ReplaceWhenIdle,
+    /// Close it and move its repeatable work.
+    Replace,
+}
+
+/// The history of one connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Connection {
+    kind: Kind,
+    progress: Moment,
+    expiry: Moment,
+    busy: bool,
+}
+
+impl Connection {
+    /// Longest age.
+    pub const AGE: Duration = Duration::from_secs(600);
+    /// The age limit is drawn from this fraction of [`Connection::AGE`] up to the whole, so that
+    /// connections opened together are not replaced together.
+    pub const AGE_FRACTION: f64 = 0.8;
+
+    /// Opens the history; the connection expects progress at once if it is being set up or is a
+    /// watch.
+    pub fn open(kind: Kind, now: Moment, rng: &mut impl Rng) -> Self {
+        let age = Self::AGE.mul_f64(rng.random_range(Self::AGE_FRACTION..=1.0));
+        let busy = matches!(kind, Kind::Connect | Kind::Watch);
+        Self { kind, progress: now, expiry: now + age, busy }
+    }
+
+    /// Something is expected from the peer now.
+    pub fn began(&mut self, now: Moment) {
+        if !self.busy {
+            self.progress = now;
+        }
+        self.busy = true;
+    }
+
+    /// Something arrived.
+    pub fn progressed(&mut self, now: Moment) {
+        self.progress = self.progress.max(now);
+    }
+
+    /// Nothing is expected any more.
+    pub fn rested(&mut self) {
+        self.busy = false;
+    }
+
+    /// Decides on the connection.
+    pub fn check(&self, now: Moment) -> Verdict {
+        let silent = self.busy && now.since(self.progress) >= self.kind.limit();
+        match (silent, now >= self.expiry, self.busy) {
+            (true, _, _) | (false, true, false) => Verdict::Replace,
+            (false, true, true) => Verdict::ReplaceWhenIdle,
+            (false, false, _) => Verdict::Keep,
+        }
+    }
+
+    /// When the next check may decide differently without progress.
+    pub fn due(&self, now: Moment) -> Moment {
+        let silence = self.progress + self.kind.limit();
+        match (self.busy, now < self.expiry) {
+            (true, true) => silence.min(self.expiry),
+            (true, false) => silence,
+            (false, _) => self.expiry,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/warmup.rs
@@ -0,0 +1,123 @@
+//! Slow start: bounds on the work in progress at an upstream that may be cold.
+
+use std::time::Duration;
+
+use xxhash_rust::xxh3;
+
+/// The warm-up level of one upstream.
+///
+/// The level depends only on the engine's own count of finished requests, so routers with reports
+/// of different ages differ only by a lower level. All requests in progress at the upstream, over
+/// all routers of one epoch, number at most the highest level that any of them sees; just after a
+/// fall-back, at most the larger of that level and what was already in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Warmup {
+    limits: Limits,
+    start: u64,
+    /// The engine's count of finished requests at the start or the latest fall-back.
+    base: u64,
+    finished: u64,
+    /// Slow first tokens in a row.
+    slow: u32,
+}
+
+/// Levels at which the warm-up of an upstream starts and ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests in progress that a cold upstream bears, at least 1.
+    pub cold: u32,
+    /// Requests in progress from which the upstream counts as warm.
+    pub full: u32,
+}
+
+impl Warmup {
+    /// Slow first tokens in a row after which the upstream counts as cold; fewer may be long prompts.
+    pub const SLOW: u32 = 3;
+
+    /// Opens at the cold level, whatever the engine has finished before: a router that has not seen
+    /// an upstream before cannot tell whether its cache was lost meanwhile.
+    pub fn open(limits: Limits, start: u64, finished: u64) -> Self {
+        Self { limits, start, base: finished, finished, slow: 0 }
+    }
+
+    /// Takes a report of the upstream's head VM; a new start id begins at the cold level.
+    ///
+    /// A count that has gone back comes from an older report and changes nothing.
+    pub fn observe(&mut self, start: u64, finished: u64) {
+        if start != self.start {
+            *self = Self::open(self.limits, start, finished);
+        } else {
+            self.finished = self.finished.max(finished);
+        }
+    }
+
+    /// Takes the news that the prefix cache was cleared; falls back to the cold level.
+    pub fn cache_lost(&mut self) {
+        self.base = self.finished;
+        self.slow = 0;
+    }
+
+    /// Takes the time to a first token; [`Warmup::SLOW`] in a row above `limit` fall back to the
+    /// cold level. Returns whether that happened.
+    pub fn first_token(&mut self, taken: Duration, limit: Duration) -> bool {
+        self.slow = if taken > limit { self.slow + 1 } else { 0 };
+        let cold = self.slow >= Self::SLOW;
+        if cold {
+            self.cache_lost();
+        }
+        cold
+    }
+
+    /// The most requests in progress over all routers.
+    pub fn level(&self) -> u32 {
+        let (mut level, full) = (self.limits.cold.max(1), self.limits.full);
+        let mut left = self.finished.saturating_sub(self.base);
+        while level < full && left >= u64::from(level) {
+            left -= u64::from(level);
+            level = level.saturating_mul(2);
+        }
+        level.min(full.max(self.limits.cold.max(1)))
+    }
+
+    /// Whether the level has reached the full limit, so that no slots apply.
+    pub fn is_warm(&self) -> bool {
+        self.level() >= self.limits.full
+    }
+
+    /// Whether the node `own` with `busy` requests in progress may dispatch one more.
+    pub fn permits(&self, ordered: &[&str], own: &str, busy: u32) -> bool {
+        self.is_warm() || busy < slots(self.level(), ordered, own)
+    }
+}
+
+/// The routers of an epoch in the order in which they get slots at a start of the upstream.
+pub fn order<'a>(start: u64, routers: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut ordered: Vec<_> = routers
+        .into_iter()
+        .map(|node| (xxh3::xxh3_64_with_seed(node.as_bytes(), start), node))
+        .collect();
+    ordered.sort_unstable();
+    ordered.dedup();
+    ordered.into_iter().map(|(_, node)| node).collect()
+}
+
+/// Slots of `own` when `level` slots go to the ordered routers in turn: slot i belongs to router
+/// i modulo their number. A node that is not listed has none, and so may a listed one: a minimum
+/// of one slot would exceed the level.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::warmup;
+///
+/// let routers = ["b", "a", "c"];
+/// assert_eq!(warmup::slots(4, &routers, "b"), 2);
+/// assert_eq!(warmup::slots(4, &routers, "c"), 1);
+/// assert_eq!(warmup::slots(2, &routers, "c"), 0);
+/// ```
+pub fn slots(level: u32, ordered: &[&str], own: &str) -> u32 {
+    let Some(place) = ordered.iter().position(|node| *node == own) else { return 0 };
+    let number = ordered.len() as u64;
+    let (turns, rest) = (u64::from(level) / number, u64::from(level) % number);
+    (turns + u64::from((place as u64) < rest)) as u32
+}
