--- a/crates/policy/src/changeset.rs
+++ b/crates/policy/src/changeset.rs
@@ -1,5 +1,12 @@
 //! The content of a release note: what is added, changed and withdrawn.
 
+mod apply;
+mod check;
+mod error;
+
+pub use apply::apply;
+pub use error::{Error, Fault, FaultKind, Kind, Result};
+
 use crate::{id, release};
 
 /// Changes that lead from one revision to the next.
@@ -49,3 +56,25 @@
     /// An availability zone.
     Zone(id::Zone, Option<release::ZoneState>),
 }
+
+impl Item {
+    /// Kind and name, as in the section header of a note.
+    pub fn label(&self) -> String {
+        match self {
+            Self::Organisation(name, _) => format!("organisation {name}"),
+            Self::Service(name, _) => format!("service {name}"),
+            Self::ReplicaSet(name, _) => format!("group {name}"),
+            Self::Zone(name, _) => format!("zone {name}"),
+        }
+    }
+
+    /// The name alone.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Organisation(name, _) => name.as_str(),
+            Self::Service(name, _) => name.as_str(),
+            Self::ReplicaSet(name, _) => name.as_str(),
+            Self::Zone(name, _) => name.as_str(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/changeset/apply.rs
@@ -0,0 +1,108 @@
+//! The step from one release to the next.
+
+use std::collections::BTreeMap;
+
+use super::error::{Error, Fault, FaultKind, Kind, Result};
+use super::{Action, Change, Changeset, Item, check};
+use crate::release::{Note, Release};
+
+/// The release that `changeset` leads to.
+///
+/// # Errors
+///
+/// Says whether the note was accepted before, conflicts with another one, or is wrong; a wrong note
+/// is reported with all its faults. `release` is left as it is in any case.
+pub fn apply(release: &Release, changeset: &Changeset) -> Result<Release> {
+    let fail = |kind| Err(Error { note: changeset.id.clone(), kind });
+    if let Some(note) = release.notes.iter().rev().find(|note| note.id == changeset.id) {
+        return fail(if note.digest == changeset.digest {
+            Kind::AlreadyAccepted(note.revision)
+        } else {
+            Kind::Reused { revision: note.revision }
+        });
+    }
+    if changeset.base != release.revision {
+        return fail(Kind::Base { base: changeset.base, revision: release.revision });
+    }
+    let mut faults = Vec::new();
+    let mut next = release.clone();
+    check_note(changeset, &mut faults);
+    let mut lines = BTreeMap::new();
+    for change in &changeset.changes {
+        let label = change.item.label();
+        let fault = if let Some(first) = lines.get(&label) {
+            Some(FaultKind::Repeated { first: *first })
+        } else {
+            lines.insert(label.clone(), change.line);
+            apply_change(&mut next, change)
+        };
+        faults.extend(fault.map(|kind| Fault { line: change.line, item: label, kind }));
+    }
+    for change in &changeset.changes {
+        check::values(change, &mut faults);
+    }
+    check::references(&next, &changeset.changes, &mut faults);
+    check::clashes(&next, &lines, &mut faults);
+    if !faults.is_empty() {
+        faults.sort_by_key(|fault| fault.line);
+        return fail(Kind::Faults(faults));
+    }
+    next.revision += 1;
+    next.notes.push_back(Note {
+        id: changeset.id.clone(),
+        revision: next.revision,
+        digest: changeset.digest,
+    });
+    while next.notes.len() > Release::HISTORY {
+        next.notes.pop_front();
+    }
+    Ok(next)
+}
+
+fn check_note(changeset: &Changeset, faults: &mut Vec<Fault>) {
+    let mut add = |kind| faults.push(Fault { line: 0, item: "note".to_owned(), kind });
+    if !check::is_name(&changeset.id) {
+        add(FaultKind::Name);
+    }
+    if changeset.changes.is_empty() {
+        add(FaultKind::Empty);
+    }
+}
+
+fn apply_change(next: &mut Release, change: &Change) -> Option<FaultKind> {
+    match &change.item {
+        Item::Organisation(name, value) => {
+            apply_item(&mut next.organisations, change.action, name, value.as_ref())
+        }
+        Item::Service(name, value) => {
+            apply_item(&mut next.services, change.action, name, value.as_ref())
+        }
+        Item::ReplicaSet(name, value) => {
+            apply_item(&mut next.sets, change.action, name, value.as_ref())
+        }
+        Item::Zone(name, value) => apply_item(&mut next.zones, change.action, name, value.as_ref()),
+    }
+}
+
+/// Applies the change as far as possible even if it is wrong, so that no fault follows from
+/// another one.
+fn apply_item<K: Ord + Clone, V: Clone>(
+    items: &mut BTreeMap<K, V>,
+    action: Action,
+    name: &K,
+    value: Option<&V>,
+) -> Option<FaultKind> {
+    let exists = items.contains_key(name);
+    if let (Action::Add | Action::Change, Some(value)) = (action, value) {
+        items.insert(name.clone(), value.clone());
+    }
+    if action == Action::Withdraw {
+        items.remove(name);
+    }
+    match (action, exists) {
+        (Action::Add, true) => Some(FaultKind::Exists),
+        (Action::Change | Action::Withdraw, false) => Some(FaultKind::Missing),
+        _ if (action == Action::Withdraw) == value.is_some() => Some(FaultKind::Value),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/changeset/check.rs
@@ -0,0 +1,247 @@
+//! Checks of values, of references between items and of values that must be distinct.
+
+use std::collections::BTreeMap;
+
+use super::error::{Fault, FaultKind};
+use super::{Action, Change, Item};
+use crate::release::{Kind, Organisation, Pattern, Plain, Release, ReplicaSet, Service};
+
+/// Paths of the model calls, which no plain service may take.
+const RESERVED: [&str; 3] = ["/v1/chat/completions", "/v1/completions", "/v1/models"];
+
+/// Longest name, so that keys in the store stay short.
+const NAME_BYTES: usize = 64;
+
+/// Names are parts of keys in the store, where `/` separates parts.
+pub(super) fn is_name(name: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    (1..=NAME_BYTES).contains(&name.len()) && name.bytes().all(allowed)
+}
+
+/// Checks the name and the value of one item.
+pub(super) fn values(change: &Change, faults: &mut Vec<Fault>) {
+    let mut sink = Sink { change, faults };
+    if !is_name(change.item.name()) {
+        sink.add(FaultKind::Name);
+    }
+    match &change.item {
+        Item::Organisation(_, Some(value)) => organisation(value, &mut sink),
+        Item::Service(_, Some(value)) => service(value, &mut sink),
+        Item::ReplicaSet(_, Some(value)) => replica_set(value, &mut sink),
+        _ => {}
+    }
+}
+
+/// Collects the faults of one change.
+struct Sink<'a> {
+    change: &'a Change,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl Sink<'_> {
+    fn add(&mut self, kind: FaultKind) {
+        let Change { line, item, .. } = self.change;
+        self.faults.push(Fault { line: *line, item: item.label(), kind });
+    }
+
+    fn invalid(&mut self, field: &'static str, found: &str, expected: &'static str) {
+        self.add(FaultKind::Invalid { field, found: found.to_owned(), expected });
+    }
+
+    fn positive(&mut self, field: &'static str, value: u32) {
+        if value == 0 {
+            self.invalid(field, "0", "at least 1");
+        }
+    }
+}
+
+fn organisation(value: &Organisation, sink: &mut Sink<'_>) {
+    let hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+    if value.key_hash.len() != 64 || !value.key_hash.bytes().all(hex) {
+        sink.invalid("key-hash", &value.key_hash, "64 lower-case hexadecimal digits of SHA-256");
+    }
+    sink.positive("weight", value.weight);
+    sink.positive("rate", value.rate);
+    sink.positive("concurrency", value.concurrency);
+}
+
+fn replica_set(value: &ReplicaSet, sink: &mut Sink<'_>) {
+    sink.positive("vms", value.vms.into());
+    sink.positive("replicas", value.replicas.into());
+    sink.positive("cold-limit", value.cold_limit);
+    for (field, text) in [("model", &value.model), ("version", &value.version)] {
+        if text.is_empty() {
+            sink.invalid(field, "", "a name");
+        }
+    }
+}
+
+fn service(value: &Service, sink: &mut Sink<'_>) {
+    let targets = &value.targets;
+    for (field, fraction) in [("target-whole", targets.whole), ("target-orders", targets.orders)] {
+        if !(0.0..=1.0).contains(&fraction) {
+            sink.invalid(field, &fraction.to_string(), "a fraction from 0 to 1");
+        }
+    }
+    for (field, time) in [
+        ("timeout", value.timeout),
+        ("target-first-token", targets.first_token),
+        ("target-between-tokens", targets.between_tokens),
+    ] {
+        if time.is_zero() {
+            sink.invalid(field, "0 s", "a time above zero");
+        }
+    }
+    match &value.kind {
+        Kind::Model { model } if model.is_empty() => sink.invalid("model", "", "a name"),
+        Kind::Model { .. } => {}
+        Kind::Plain(plain) => plain_service(plain, sink),
+    }
+}
+
+fn plain_service(plain: &Plain, sink: &mut Sink<'_>) {
+    if !is_path(&plain.prefix) || plain.prefix.contains('*') {
+        sink.invalid("prefix", &plain.prefix, "a path such as /orders, without a trailing slash");
+    } else if RESERVED.iter().any(|path| overlap(path, &plain.prefix)) {
+        sink.invalid("prefix", &plain.prefix, "a path outside the model calls under /v1");
+    }
+    if plain.upstreams.is_empty() {
+        sink.invalid("upstreams", "", "at least one upstream");
+    }
+    for (n, (_, address)) in plain.upstreams.iter().enumerate() {
+        if plain.upstreams[..n].iter().any(|(_, other)| other == address) {
+            sink.invalid("upstreams", &address.to_string(), "each upstream once");
+        }
+    }
+    for (n, pattern) in plain.repeatable.iter().enumerate() {
+        let text = || format!("{} {}", pattern.method, pattern.path);
+        if let Some(expected) = pattern_fault(pattern) {
+            sink.invalid("repeatable", &text(), expected);
+        } else if plain.repeatable[..n].contains(pattern) {
+            sink.invalid("repeatable", &text(), "each pattern once");
+        }
+    }
+}
+
+fn pattern_fault(pattern: &Pattern) -> Option<&'static str> {
+    let upper = |b: u8| b.is_ascii_uppercase();
+    if pattern.method.is_empty() || !pattern.method.bytes().all(upper) {
+        return Some("an HTTP method in upper case, then a path pattern");
+    }
+    if pattern.path != "/" && !is_path(&pattern.path) {
+        return Some("a path pattern such as /orders/*/status, without empty segments");
+    }
+    let partial = |segment: &str| segment.len() > 1 && segment.contains('*');
+    pattern.path.split('/').any(partial).then_some("* only as a whole segment")
+}
+
+fn is_path(path: &str) -> bool {
+    let segment =
+        |s: &str| !s.is_empty() && s.bytes().all(|b| b.is_ascii_graphic() && !b"?#".contains(&b));
+    path.strip_prefix('/').is_some_and(|rest| rest.split('/').all(segment))
+}
+
+/// Whether one path is the other one or lies below it.
+fn overlap(a: &str, b: &str) -> bool {
+    let below =
+        |a: &str, b: &str| a.strip_prefix(b).is_some_and(|r| r.is_empty() || r.starts_with('/'));
+    below(a, b) || below(b, a)
+}
+
+/// Checks that everything an item refers to exists in the resulting release.
+pub(super) fn references(next: &Release, changes: &[Change], faults: &mut Vec<Fault>) {
+    for change in changes {
+        let mut sink = Sink { change, faults };
+        match &change.item {
+            Item::ReplicaSet(_, Some(set)) => set_references(next, set, &mut sink),
+            Item::Service(name, value) => {
+                if let Some(Service { kind: Kind::Plain(plain), .. }) = value {
+                    for (zone, _) in &plain.upstreams {
+                        if !next.zones.contains_key(zone) {
+                            sink.add(FaultKind::Unknown { reference: format!("zone {zone}") });
+                        }
+                    }
+                }
+                let plain = value.as_ref().is_some_and(|v| matches!(v.kind, Kind::Plain(_)));
+                if change.action == Action::Withdraw || plain {
+                    users(next, changes, |set| set.service == *name, &mut sink);
+                }
+            }
+            Item::Zone(name, _) if change.action == Action::Withdraw => {
+                users(next, changes, |set| set.zone == *name, &mut sink);
+                for (service, value) in &next.services {
+                    let Kind::Plain(plain) = &value.kind else { continue };
+                    if plain.upstreams.iter().any(|(zone, _)| zone == name) {
+                        sink.add(FaultKind::Used { user: format!("service {service}") });
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn set_references(next: &Release, set: &ReplicaSet, sink: &mut Sink<'_>) {
+    match next.services.get(&set.service).map(|service| &service.kind) {
+        None => sink.add(FaultKind::Unknown { reference: format!("service {}", set.service) }),
+        Some(Kind::Plain(_)) => {
+            sink.add(FaultKind::PlainService { service: set.service.to_string() })
+        }
+        Some(Kind::Model { .. }) => {}
+    }
+    if !next.zones.contains_key(&set.zone) {
+        sink.add(FaultKind::Unknown { reference: format!("zone {}", set.zone) });
+    }
+}
+
+/// Reports the replica sets that use a withdrawn item and are not themselves part of the note;
+/// those that are get a fault of their own.
+fn users(
+    next: &Release,
+    changes: &[Change],
+    uses: impl Fn(&ReplicaSet) -> bool,
+    sink: &mut Sink<'_>,
+) {
+    for name in next.sets.iter().filter(|(_, set)| uses(set)).map(|(name, _)| name) {
+        let named = |c: &Change| matches!(&c.item, Item::ReplicaSet(other, _) if other == name);
+        if !changes.iter().any(named) {
+            sink.add(FaultKind::Used { user: format!("group {name}") });
+        }
+    }
+}
+
+/// Checks that key hashes, model names and path prefixes are distinct.
+pub(super) fn clashes(next: &Release, lines: &BTreeMap<String, usize>, faults: &mut Vec<Fault>) {
+    let keys: Vec<_> = (next.organisations.iter())
+        .map(|(name, value)| (format!("organisation {name}"), value.key_hash.as_str()))
+        .collect();
+    pairs("key-hash", &keys, |a, b| a == b, lines, faults);
+    let (mut models, mut prefixes) = (Vec::new(), Vec::new());
+    for (name, service) in &next.services {
+        match &service.kind {
+            Kind::Model { model } => models.push((format!("service {name}"), model.as_str())),
+            Kind::Plain(plain) => prefixes.push((format!("service {name}"), plain.prefix.as_str())),
+        }
+    }
+    pairs("model", &models, |a, b| a == b, lines, faults);
+    pairs("prefix", &prefixes, overlap, lines, faults);
+}
+
+/// Reports each clash once, at the later section if both items are part of the note.
+fn pairs(
+    field: &'static str,
+    values: &[(String, &str)],
+    clash: impl Fn(&str, &str) -> bool,
+    lines: &BTreeMap<String, usize>,
+    faults: &mut Vec<Fault>,
+) {
+    for (n, a) in values.iter().enumerate() {
+        for b in values[n + 1..].iter().filter(|b| clash(a.1, b.1)) {
+            let (line_a, line_b) = (lines.get(&a.0), lines.get(&b.0));
+            let (own, other) = if line_a > line_b { (a, b) } else { (b, a) };
+            let Some(line) = line_a.max(line_b) else { continue };
+            let kind = FaultKind::Clash { field, found: own.1.to_owned(), other: other.0.clone() };
+            faults.push(Fault { line: *line, item: own.0.clone(), kind });
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/changeset/error.rs
@@ -0,0 +1,164 @@
+//! Why a changeset is not accepted.
+
+use std::fmt;
+
+/// The result of applying a changeset.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A changeset that was not applied.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// Id of the note.
+    pub note: String,
+    /// The cause.
+    pub kind: Kind,
+}
+
+/// Why a changeset was not applied.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum Kind {
+    /// The same note was accepted before and led to this revision.
+    AlreadyAccepted(u64),
+    /// Another note with the same id was accepted before.
+    Reused {
+        /// The revision that the other note led to.
+        revision: u64,
+    },
+    /// The note is based on another revision than the present one.
+    Base {
+        /// The base in the note.
+        base: u64,
+        /// The present revision.
+        revision: u64,
+    },
+    /// The content is wrong.
+    Faults(Vec<Fault>),
+}
+
+/// One fault of a changeset.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Line of the item's section, from 1; 0 if the fault concerns the note as a whole.
+    pub line: usize,
+    /// Kind and name of the item.
+    pub item: String,
+    /// What is wrong.
+    pub kind: FaultKind,
+}
+
+/// What is wrong with an item; the text of each says what would be right.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum FaultKind {
+    /// The note contains no change.
+    Empty,
+    /// The name cannot be part of a key in the store.
+    Name,
+    /// The item appears twice in the note.
+    Repeated {
+        /// Line of the first section.
+        first: usize,
+    },
+    /// The item to add exists already.
+    Exists,
+    /// The item to change or withdraw does not exist.
+    Missing,
+    /// An added or changed item has no value, or a withdrawn item has one.
+    Value,
+    /// The item names another one that does not exist in the resulting release.
+    Unknown {
+        /// Kind and name of what it refers to.
+        reference: String,
+    },
+    /// A replica set refers to a plain service.
+    PlainService {
+        /// The service.
+        service: String,
+    },
+    /// The withdrawn item is still used.
+    Used {
+        /// Kind and name of its user.
+        user: String,
+    },
+    /// Another item has the same key hash, model name or an overlapping prefix.
+    Clash {
+        /// The field.
+        field: &'static str,
+        /// The value.
+        found: String,
+        /// Kind and name of the other item.
+        other: String,
+    },
+    /// A value is out of its range or malformed.
+    Invalid {
+        /// The field.
+        field: &'static str,
+        /// The value.
+        found: String,
+        /// What would be right.
+        expected: &'static str,
+    },
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "note {}: ", self.note)?;
+        match &self.kind {
+            Kind::AlreadyAccepted(revision) => write!(f, "already accepted as revision {revision}"),
+            Kind::Reused { revision } => {
+                write!(f, "another note with this id led to revision {revision}; use a new id")
+            }
+            Kind::Base { base, revision } => {
+                write!(
+                    f,
+                    "base is {base}, the present revision is {revision}; review the note and set base = {revision}"
+                )
+            }
+            Kind::Faults(faults) => {
+                write!(f, "{} fault(s)", faults.len())?;
+                faults.iter().try_for_each(|fault| write!(f, "\n{fault}"))
+            }
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: [{}]: {}", self.line, self.item, self.kind)
+    }
+}
+
+impl fmt::Display for FaultKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => f.write_str("no change; expected at least one section besides [note]"),
+            Self::Name => f.write_str(
+                "unusable name; expected 1 to 64 ASCII letters, digits, hyphens, underscores or dots",
+            ),
+            Self::Repeated { first } => {
+                write!(f, "appears twice, first at line {first}; keep one section")
+            }
+            Self::Exists => f.write_str("exists already; expected change = change"),
+            Self::Missing => f.write_str("does not exist; expected change = add, or another name"),
+            Self::Value => f.write_str(
+                "add and change need the complete new value, and withdraw takes none",
+            ),
+            Self::Unknown { reference } => {
+                write!(f, "refers to {reference}, which does not exist; add it in the same note")
+            }
+            Self::PlainService { service } => {
+                write!(f, "service {service} is plain; expected a service of kind model")
+            }
+            Self::Used { user } => write!(f, "still used by {user}; withdraw or change that too"),
+            Self::Clash { field, found, other } => {
+                write!(f, "{field} {found:?} clashes with {other}; expected a distinct value")
+            }
+            Self::Invalid { field, found, expected } => {
+                write!(f, "{field} is {found:?}; expected {expected}")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lease.rs
@@ -0,0 +1,127 @@
+//! The holder's own judgement of its zone lease, on its monotonic clock.
+
+use std::time::Duration;
+
+use corneltrestle_time::Moment;
+use rand::Rng;
+
+use crate::{id, rank};
+
+/// Time to live that is requested from the store, in whole seconds as the store counts.
+pub const TTL: Duration = Duration::from_secs(5);
+
+/// A gap between runs above this means that the process was paused; matches membership.
+pub use crate::membership::PAUSE;
+
+/// Nodes of a zone that compete for its lease; three bound the writes after a store outage.
+pub const CANDIDATES: usize = 3;
+
+/// Delay between the attempts of successive candidates, so that usually one attempt is made.
+const STAGGER: Duration = Duration::from_millis(250);
+
+/// The value of a zone's lease key.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Record {
+    /// The holder.
+    pub holder: id::Node,
+    /// Boot id of the holder.
+    pub boot: u64,
+    /// Fencing token.
+    pub token: u64,
+}
+
+/// A lease that this node holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Fencing token of this acquisition.
+    pub token: u64,
+    /// The moment before the latest confirmed grant or renewal was sent.
+    pub sent: Moment,
+    /// Time to live that the store confirmed.
+    pub ttl: Duration,
+}
+
+/// What a node does about the lease now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Act as the holder.
+    Act,
+    /// Act as the holder and renew.
+    ActAndRenew,
+    /// Do not act; a renewal sent now decides whether the lease is still held.
+    Renew,
+    /// Do not act; the lease counts as lost and has to be acquired under a new token.
+    StepDown,
+}
+
+impl Held {
+    /// The end of validity: the time to live less a margin of 25 %, from before the sending.
+    ///
+    /// The margin covers clocks of different rates.
+    pub fn valid_until(&self) -> Moment {
+        self.sent + self.ttl * 3 / 4
+    }
+
+    /// When to renew: early enough for two attempts within the validity.
+    pub fn renew_at(&self) -> Moment {
+        self.sent + self.ttl / 4
+    }
+
+    /// What the holder does at `now`, with the end of its latest pause, if any.
+    ///
+    /// After a pause it acts only once a renewal that was sent after the pause is confirmed.
+    pub fn step(&self, resumed: Option<Moment>, now: Moment) -> Step {
+        if now >= self.valid_until() {
+            Step::StepDown
+        } else if resumed.is_some_and(|end| self.sent < end) {
+            Step::Renew
+        } else if now >= self.renew_at() {
+            Step::ActAndRenew
+        } else {
+            Step::Act
+        }
+    }
+
+    /// Records a confirmed renewal; one that was sent earlier than the latest is ignored.
+    pub fn renewed(&mut self, sent: Moment, ttl: Duration) {
+        if sent > self.sent {
+            (self.sent, self.ttl) = (sent, ttl);
+        }
+    }
+}
+
+/// Whether a gap between two runs shows that the process was paused.
+pub fn is_pause(previous: Moment, now: Moment) -> bool {
+    now.since(previous) > PAUSE
+}
+
+/// When `node` tries to acquire the lease of `zone`, which was found free at `free`, or `None` if
+/// it is no candidate among the `live` nodes of the zone.
+pub fn acquire_at<'a, R: Rng>(
+    zone: &str,
+    node: &str,
+    live: impl IntoIterator<Item = &'a str>,
+    free: Moment,
+    rng: &mut R,
+) -> Option<Moment> {
+    let key = format!("lease/{zone}");
+    let others = live.into_iter().filter(|other| *other != node);
+    let own = (rank::weight(&key, node), node);
+    let better = others.filter(|other| (rank::weight(&key, other), *other) < own).count();
+    let stagger = STAGGER * u32::try_from(better).ok()?;
+    (better < CANDIDATES).then(|| free + stagger + STAGGER.mul_f64(rng.random::<f64>()))
+}
+
+/// The fencing token of the next acquisition, above every token seen in the lease key and in the
+/// zone's assignment.
+///
+/// The lease key vanishes with its lease, so the assignment is what keeps tokens growing.
+pub fn next_token(record: Option<&Record>, assigned: u64) -> u64 {
+    record.map_or(0, |record| record.token).max(assigned) + 1
+}
+
+/// Whether an acquisition whose answer was lost took effect, judged by the record read back.
+pub fn is_own(record: Option<&Record>, node: &str, boot: u64, token: u64) -> bool {
+    record.is_some_and(|r| r.holder.as_str() == node && r.boot == boot && r.token == token)
+}
--- /dev/null
+++ b/crates/policy/src/membership.rs
@@ -0,0 +1,122 @@
+//! Which nodes there are, learned from heartbeats that spread through digests.
+//!
+//! Each node of a zone pulls the digest of one peer per period. Ages are relative and grow by the
+//! round trip of each transfer, so an age is never underestimated and clocks need not agree.
+
+mod merge;
+mod news;
+mod peers;
+mod view;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corneltrestle_time::Moment;
+
+pub use merge::{Entry, Merged};
+pub use news::{Forwarded, News};
+pub use view::{Liveness, View};
+
+use crate::id;
+
+/// Time between two pulls of a node.
+pub const PERIOD: Duration = Duration::from_millis(500);
+
+/// Heartbeat age from which a node is suspect.
+pub const SUSPECT: Duration = Duration::from_secs(3);
+
+/// Heartbeat age from which a node is dead.
+pub const DEAD: Duration = Duration::from_secs(6);
+
+/// Heartbeat age at which a node is forgotten; above any delay of a digest, so that an old digest
+/// does not bring it back.
+pub const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// A gap between two runs above this means that the process was paused: three periods.
+pub const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// The nodes that one node knows of.
+#[derive(Clone, Debug)]
+pub struct Members {
+    own: id::Node,
+    nodes: BTreeMap<id::Node, Member>,
+    ran: Moment,
+    resumed: Option<Moment>,
+    renewed: bool,
+}
+
+/// A known node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Availability zone.
+    pub zone: id::Zone,
+    /// Address of its link.
+    pub address: SocketAddr,
+    /// Identifier of its process; 0 before its first heartbeat is known.
+    pub boot: u64,
+    /// Heartbeat counter of that process.
+    pub heartbeat: u64,
+    /// The moment before which the heartbeat was not yet this old; `None` before the first one.
+    pub beat: Option<Moment>,
+    /// When the VM list last named it.
+    pub listed: Option<Moment>,
+    /// Whether it drains.
+    pub draining: bool,
+}
+
+impl Members {
+    /// The members as a starting node knows them: itself.
+    pub fn new(own: id::Node, zone: id::Zone, address: SocketAddr, boot: u64, now: Moment) -> Self {
+        let member = Member {
+            zone,
+            address,
+            boot,
+            heartbeat: 1,
+            beat: Some(now),
+            listed: Some(now),
+            draining: false,
+        };
+        let nodes = BTreeMap::from([(own.clone(), member)]);
+        Self { own, nodes, ran: now, resumed: None, renewed: true }
+    }
+
+    /// Starts a run at `now`: counts the own heartbeat, detects a pause and forgets members that
+    /// have been dead for long. Returns whether a pause was detected.
+    pub fn run(&mut self, now: Moment) -> bool {
+        let paused = now.since(self.ran) > PAUSE;
+        self.ran = now;
+        if paused {
+            self.resumed = Some(now);
+            self.renewed = false;
+        }
+        let is_kept = |member: &Member| {
+            let latest = member.beat.max(member.listed);
+            latest.is_some_and(|latest| now.since(latest) < FORGOTTEN)
+        };
+        self.nodes.retain(|id, member| *id == self.own || is_kept(member));
+        if let Some(own) = self.nodes.get_mut(&self.own) {
+            own.heartbeat += 1;
+            own.beat = Some(now);
+        }
+        paused
+    }
+
+    /// Sets whether this node drains; digests carry it from now on.
+    pub fn set_draining(&mut self, draining: bool) {
+        if let Some(own) = self.nodes.get_mut(&self.own) {
+            own.draining = draining;
+        }
+    }
+
+    /// Borrows the members for decisions at `now`.
+    pub fn view(&self, now: Moment) -> View<'_> {
+        View {
+            own: &self.own,
+            nodes: &self.nodes,
+            now,
+            resumed: self.resumed,
+            renewed: self.renewed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/membership/peers.rs
@@ -0,0 +1,80 @@
+//! Choice of peers for pulls and pushes.
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use super::{Liveness, Member, View};
+use crate::{id, rank};
+
+/// Peers that get each piece of news from each node.
+const FAN_OUT: usize = 3;
+
+/// Nodes of each other zone that one node pulls from.
+const CONTACTS: usize = 2;
+
+/// One pull in so many goes to a node without a known heartbeat, so that separated parts of a zone
+/// find each other again.
+const PROBE_ROUNDS: u64 = 8;
+
+impl<'a> View<'a> {
+    /// The node of the own zone to pull from in `round`.
+    ///
+    /// The offset in id order is 2^k, with k going round, so that information reaches n nodes in
+    /// ceil(log2 n) rounds in which all choose the same k.
+    pub fn pull_target(&self, round: u64) -> Option<(&'a id::Node, &'a Member)> {
+        let zone = &self.nodes.get(self.own)?.zone;
+        let is_present = |(node, member): &(&id::Node, &Member)| {
+            *node == self.own || self.judge(member) != Liveness::Dead
+        };
+        let ring: Vec<_> =
+            self.nodes.iter().filter(|(_, m)| m.zone == *zone).filter(is_present).collect();
+        let probe = self.probe(zone, round / PROBE_ROUNDS);
+        if probe.is_some() && (round % PROBE_ROUNDS == PROBE_ROUNDS - 1 || ring.len() < 2) {
+            return probe;
+        }
+        if ring.len() < 2 {
+            return None;
+        }
+        let own = ring.iter().position(|(node, _)| *node == self.own)?;
+        let steps = u64::from((ring.len() - 1).ilog2() + 1);
+        // Rounds that probe do not count, so that none of the offsets is always left out.
+        let regular = if probe.is_some() { round - round / PROBE_ROUNDS } else { round };
+        let offset = 1_usize << (regular % steps);
+        ring.get((own + offset) % ring.len()).copied()
+    }
+
+    /// A node of `zone` that counts as dead; the choice goes round.
+    fn probe(&self, zone: &id::Zone, round: u64) -> Option<(&'a id::Node, &'a Member)> {
+        let absent: Vec<_> = (self.nodes.iter())
+            .filter(|(node, m)| *node != self.own && m.zone == *zone)
+            .filter(|(_, member)| self.judge(member) == Liveness::Dead)
+            .collect();
+        let count = u64::try_from(absent.len()).ok().filter(|count| *count > 0)?;
+        absent.get(usize::try_from(round % count).ok()?).copied()
+    }
+
+    /// The nodes of another zone that this node pulls from, best first: live ones, or any while
+    /// none is known to be live.
+    pub fn contacts(&self, zone: &str) -> Vec<&'a id::Node> {
+        let of_zone = || self.nodes.iter().filter(|(_, m)| m.zone.as_str() == zone);
+        let live = of_zone().filter(|(_, m)| self.judge(m) == Liveness::Alive && !m.draining);
+        let mut names: Vec<_> = live.map(|(node, _)| node.as_str()).collect();
+        if names.is_empty() {
+            names = of_zone().map(|(node, _)| node.as_str()).collect();
+        }
+        let first = rank::first(self.own.as_str(), names, CONTACTS);
+        first.iter().filter_map(|name| self.nodes.get_key_value(*name)).map(|(id, _)| id).collect()
+    }
+
+    /// The nodes to push news to: some that are not dead, except the one that it came from.
+    pub fn push_targets<R: Rng>(
+        &self,
+        sender: Option<&id::Node>,
+        rng: &mut R,
+    ) -> Vec<(&'a id::Node, &'a Member)> {
+        (self.nodes.iter())
+            .filter(|(node, _)| *node != self.own && Some(*node) != sender)
+            .filter(|(_, member)| self.judge(member) != Liveness::Dead)
+            .choose_multiple(rng, FAN_OUT)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/membership/view.rs
@@ -0,0 +1,99 @@
+//! Decisions over the members at one moment.
+
+use std::collections::BTreeMap;
+
+use corneltrestle_time::Moment;
+
+use super::{DEAD, Entry, Member, SUSPECT};
+use crate::id;
+
+/// The members at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    pub(super) own: &'a id::Node,
+    pub(super) nodes: &'a BTreeMap<id::Node, Member>,
+    pub(super) now: Moment,
+    pub(super) resumed: Option<Moment>,
+    pub(super) renewed: bool,
+}
+
+/// Whether a node is there, by the age of its heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Liveness {
+    /// Below [`SUSPECT`].
+    Alive,
+    /// Below [`DEAD`].
+    Suspect,
+    /// Older, or no heartbeat is known.
+    Dead,
+}
+
+impl<'a> View<'a> {
+    /// This node.
+    pub fn own(&self) -> &'a id::Node {
+        self.own
+    }
+
+    /// A known node.
+    pub fn get(&self, node: &str) -> Option<&'a Member> {
+        self.nodes.get(node)
+    }
+
+    /// Whether a node is there.
+    pub fn liveness(&self, node: &str) -> Liveness {
+        self.get(node).map_or(Liveness::Dead, |member| self.judge(member))
+    }
+
+    pub(super) fn judge(&self, member: &Member) -> Liveness {
+        match member.beat.map(|beat| self.now.since(beat)) {
+            Some(age) if age < SUSPECT => Liveness::Alive,
+            Some(age) if age < DEAD => Liveness::Suspect,
+            _ => Liveness::Dead,
+        }
+    }
+
+    /// The nodes of `zone` that are alive and do not drain, in id order.
+    pub fn live(&self, zone: &'a str) -> impl Iterator<Item = (&'a id::Node, &'a Member)> + '_ {
+        self.nodes.iter().filter(move |(_, member)| {
+            member.zone.as_str() == zone
+                && !member.draining
+                && self.judge(member) == Liveness::Alive
+        })
+    }
+
+    /// Whether decisions may be taken: no pause, or the members were renewed since.
+    ///
+    /// A node without any peer left in its view has nobody to renew it from, so it need not wait.
+    pub fn is_settled(&self) -> bool {
+        let dead = |(node, member): (&id::Node, &Member)| {
+            node == self.own || self.judge(member) == Liveness::Dead
+        };
+        self.renewed || self.nodes.iter().all(dead)
+    }
+
+    /// Whether data that was renewed at `renewed` may be used: not if it dates from before the
+    /// latest pause.
+    pub fn is_usable(&self, renewed: Moment) -> bool {
+        self.resumed.is_none_or(|end| renewed >= end)
+    }
+
+    /// The end of the latest pause of this process.
+    pub fn resumed(&self) -> Option<Moment> {
+        self.resumed
+    }
+
+    /// The entries of a digest that is sent now.
+    pub fn entries(&self) -> impl Iterator<Item = Entry<'a>> + '_ {
+        self.nodes.iter().filter_map(|(node, member)| {
+            Some(Entry {
+                node,
+                zone: &member.zone,
+                address: member.address,
+                boot: member.boot,
+                heartbeat: member.heartbeat,
+                age: self.now.since(member.beat?),
+                draining: member.draining,
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/draft.rs
@@ -0,0 +1,147 @@
+//! The assignment while it is being planned.
+
+use std::collections::BTreeMap;
+
+use corneltrestle_time::Moment;
+
+use super::View;
+use crate::assignment::{Assignment, Member, Phase, Releasing, Replica};
+use crate::{id, report, vm};
+
+/// The next assignment with the VMs and loads that are still available.
+///
+/// A VM moves only between the spares, one replica and the releasing VMs, so it is never a member
+/// of two replicas.
+pub(super) struct Draft<'a> {
+    pub(super) view: &'a View<'a>,
+    pub(super) now: Moment,
+    pub(super) next: Assignment,
+    pub(super) spares: BTreeMap<id::Fabric, Vec<Member>>,
+    /// Replicas that may start to load in this round.
+    pub(super) slots: usize,
+}
+
+impl<'a> Draft<'a> {
+    pub(super) fn new(view: &'a View<'a>, now: Moment) -> Self {
+        let mut next = view.assignment.clone();
+        next.releasing.retain(|entry| !view.is_released(entry, now));
+        let mut draft = Self { view, now, next, spares: BTreeMap::new(), slots: 0 };
+        let mut spares: Vec<_> = view.vms.iter().filter(|vm| draft.is_spare(vm)).collect();
+        spares.sort_by(|a, b| a.id.cmp(&b.id));
+        spares.dedup_by(|a, b| a.id == b.id);
+        for vm in spares {
+            let member = Member { id: vm.id.clone(), address: vm.address };
+            draft.spares.entry(vm.fabric.clone()).or_default().push(member);
+        }
+        draft
+    }
+
+    fn is_spare(&self, vm: &vm::Vm) -> bool {
+        let idle = |report: &report::Report| report.replica.is_none();
+        vm.zone == *self.view.zone
+            && vm.role == vm::Role::Engine
+            && vm.state == vm::State::Live
+            && self.view.fresh(&vm.id, self.now).is_some_and(idle)
+            && self.next.is_free(vm.id.as_str())
+    }
+
+    /// Number of spares in `fabric`.
+    pub(super) fn spare_count(&self, fabric: &id::Fabric) -> usize {
+        self.spares.get(fabric).map_or(0, Vec::len)
+    }
+
+    pub(super) fn is_broken(&self, replica: &Replica) -> bool {
+        self.view.is_broken(replica, self.now)
+    }
+
+    /// Whether the replica takes part of the rate of the weight store.
+    pub(super) fn is_loading(&self, replica: &Replica) -> bool {
+        let loads = |member: &Member| {
+            let report = self.view.fresh(&member.id, self.now);
+            report.is_some_and(|report| report.phase == report::Phase::Loading)
+        };
+        replica.phase == Phase::Forming
+            && (!self.is_broken(replica) || replica.vms.iter().any(loads))
+    }
+
+    /// Replicas of a set that count towards its declared number.
+    pub(super) fn standing(&self, set: &id::ReplicaSet) -> usize {
+        self.count(set, |replica| replica.phase != Phase::Draining)
+    }
+
+    pub(super) fn serving(&self, set: &id::ReplicaSet) -> usize {
+        self.count(set, |replica| replica.phase == Phase::Serving)
+    }
+
+    fn count(&self, set: &id::ReplicaSet, is_wanted: impl Fn(&Replica) -> bool) -> usize {
+        self.next.replicas.iter().filter(|r| r.id.set == *set && is_wanted(r)).count()
+    }
+
+    pub(super) fn get(&self, id: &id::Replica) -> Option<&Replica> {
+        self.next.replicas.iter().find(|replica| replica.id == *id)
+    }
+
+    pub(super) fn set_phase(&mut self, id: &id::Replica, phase: Phase) {
+        if let Some(replica) = self.next.replicas.iter_mut().find(|r| r.id == *id) {
+            replica.phase = phase;
+        }
+    }
+
+    /// Removes a replica; its members are free once they are released.
+    pub(super) fn dissolve(&mut self, id: &id::Replica) {
+        let Some(at) = self.next.replicas.iter().position(|r| r.id == *id) else { return };
+        let replica = self.next.replicas.remove(at);
+        for vm in replica.vms {
+            let entry = Releasing { vm, replica: replica.id.clone(), epoch: replica.epoch };
+            self.next.releasing.push(entry);
+        }
+    }
+
+    /// Takes `count` spares of `fabric`, or none if there are fewer.
+    fn take(&mut self, fabric: &id::Fabric, count: usize) -> Option<Vec<Member>> {
+        let spares = self.spares.get_mut(fabric).filter(|spares| spares.len() >= count)?;
+        Some(spares.drain(..count).collect())
+    }
+
+    fn next_epoch(&mut self) -> u64 {
+        self.next.epoch += 1;
+        self.next.epoch
+    }
+
+    /// Forms a replica of `size` spares of `fabric`; false if there are too few.
+    pub(super) fn form(&mut self, id: id::Replica, fabric: &id::Fabric, size: usize) -> bool {
+        let Some(vms) = self.take(fabric, size) else { return false };
+        let epoch = self.next_epoch();
+        let (fabric, phase, routers) = (fabric.clone(), Phase::Forming, Vec::new());
+        self.next.replicas.push(Replica { id, epoch, fabric, vms, phase, routers });
+        true
+    }
+
+    /// Replaces the unfit members of a replica by spares of its fabric domain, at a new epoch;
+    /// false if there are too few.
+    pub(super) fn replace(&mut self, id: &id::Replica) -> bool {
+        let Some(at) = self.next.replicas.iter().position(|r| r.id == *id) else { return false };
+        let old = self.next.replicas[at].clone();
+        let is_unfit = |m: &Member| self.view.is_unfit(&old, &m.id, self.now);
+        let unfit: Vec<_> = old.vms.iter().map(is_unfit).collect();
+        let count = unfit.iter().filter(|unfit| **unfit).count();
+        let Some(spares) = self.take(&old.fabric, count) else { return false };
+        let epoch = self.next_epoch();
+        let replica = &mut self.next.replicas[at];
+        (replica.epoch, replica.phase) = (epoch, Phase::Forming);
+        replica.routers.clear();
+        let slots = replica.vms.iter_mut().zip(&unfit).filter(|(_, unfit)| **unfit);
+        for ((slot, _), spare) in slots.zip(spares) {
+            let vm = std::mem::replace(slot, spare);
+            let entry = Releasing { vm, replica: old.id.clone(), epoch: old.epoch };
+            self.next.releasing.push(entry);
+        }
+        true
+    }
+
+    /// The fabric domain with the fewest spares left over after taking `size`.
+    pub(super) fn best_fit(&self, size: usize) -> Option<id::Fabric> {
+        let fitting = self.spares.iter().filter(|(_, spares)| spares.len() >= size);
+        fitting.min_by_key(|(_, spares)| spares.len()).map(|(fabric, _)| fabric.clone())
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/gather.rs
@@ -0,0 +1,128 @@
+//! Consolidation of fragmented VMs, only through replicas that do not serve.
+
+use super::draft::Draft;
+use crate::assignment::{Member, Phase, Replica};
+use crate::id;
+
+/// A replica that cannot be formed or repaired from the spares of any fabric domain.
+struct Demand {
+    /// The broken replica; `None` for one that is missing.
+    broken: Option<Replica>,
+    /// VMs of a complete replica.
+    size: usize,
+}
+
+/// A replica that gives up its VMs.
+struct Donor {
+    id: id::Replica,
+    /// VMs that become available in its fabric domain.
+    gives: usize,
+    /// Where it is formed anew at once.
+    moves: Option<id::Fabric>,
+}
+
+impl Draft<'_> {
+    /// Makes room for the first unmet demand that can be met, by dissolving broken replicas or
+    /// moving forming ones. One demand in a round: the next round sees the outcome.
+    pub(super) fn gather(&mut self) {
+        if self.slots == 0 {
+            return;
+        }
+        for demand in self.demands() {
+            let fabrics = self.fabrics();
+            // VMs that are about to be released will meet the demand without further moves.
+            if fabrics.iter().any(|f| self.coming(f) >= self.need(&demand, f)) {
+                return;
+            }
+            let options = fabrics.iter().filter_map(|fabric| self.donors(&demand, fabric));
+            let Some(donors) = options.min_by_key(Vec::len) else { continue };
+            for donor in donors {
+                let size = self.get(&donor.id).map_or(0, |replica| replica.vms.len());
+                self.dissolve(&donor.id);
+                donor.moves.inspect(|fabric| {
+                    self.form(donor.id.clone(), fabric, size);
+                });
+            }
+            return;
+        }
+    }
+
+    fn demands(&self) -> Vec<Demand> {
+        let broken = self.broken();
+        let broken = broken
+            .iter()
+            .filter_map(|id| self.get(id))
+            .map(|replica| Demand { broken: Some(replica.clone()), size: replica.vms.len() });
+        let missing = self.missing().into_iter().map(|(_, size)| Demand { broken: None, size });
+        broken.chain(missing).collect()
+    }
+
+    fn fabrics(&self) -> Vec<id::Fabric> {
+        let zone = self.view.vms.iter().filter(|vm| vm.zone == *self.view.zone);
+        let mut fabrics: Vec<_> = zone.map(|vm| vm.fabric.clone()).collect();
+        fabrics.sort();
+        fabrics.dedup();
+        fabrics
+    }
+
+    /// VMs that `demand` needs from `fabric`.
+    fn need(&self, demand: &Demand, fabric: &id::Fabric) -> usize {
+        match demand.broken.as_ref().filter(|replica| replica.fabric == *fabric) {
+            Some(replica) => demand.size - self.survivors(replica),
+            None => demand.size,
+        }
+    }
+
+    fn survivors(&self, replica: &Replica) -> usize {
+        let fit = |member: &&Member| !self.view.is_unfit(replica, &member.id, self.now);
+        replica.vms.iter().filter(fit).count()
+    }
+
+    /// Spares of `fabric` and VMs there that will be released, as far as is known.
+    pub(super) fn coming(&self, fabric: &id::Fabric) -> usize {
+        let releasing = self.next.releasing.iter().filter(|entry| {
+            let listed = self.view.listed(&entry.vm.id);
+            listed.is_some_and(|vm| vm.fabric == *fabric)
+                && !self.view.is_leaving(&entry.vm.id)
+                && self.view.fresh(&entry.vm.id, self.now).is_some()
+        });
+        self.spare_count(fabric) + releasing.count()
+    }
+
+    /// The replicas of `fabric` to dissolve for `demand`, those that give least first; `None` if
+    /// all of them do not suffice.
+    fn donors(&self, demand: &Demand, fabric: &id::Fabric) -> Option<Vec<Donor>> {
+        let is_other = |r: &&Replica| demand.broken.as_ref().is_none_or(|own| own.id != r.id);
+        let of_fabric = self.next.replicas.iter().filter(|r| r.fabric == *fabric);
+        let mut donors: Vec<_> =
+            of_fabric.filter(is_other).filter_map(|replica| self.donor(replica)).collect();
+        donors.sort_by_key(|donor| donor.gives);
+        let mut open = self.need(demand, fabric) - self.coming(fabric);
+        let (mut chosen, mut is_moved) = (Vec::new(), false);
+        for donor in donors {
+            // Moves compete for the same spares, so a round has at most one.
+            if open == 0 || (is_moved && donor.moves.is_some()) {
+                continue;
+            }
+            is_moved |= donor.moves.is_some();
+            open = open.saturating_sub(donor.gives);
+            chosen.push(donor);
+        }
+        (open == 0).then_some(chosen)
+    }
+
+    fn donor(&self, replica: &Replica) -> Option<Donor> {
+        if replica.phase != Phase::Forming {
+            return None;
+        }
+        let (id, gives) = (replica.id.clone(), self.view.present(replica, self.now));
+        if self.is_broken(replica) {
+            return (gives > 0).then_some(Donor { id, gives, moves: None });
+        }
+        let fits = |spares: &Vec<Member>| spares.len() >= replica.vms.len();
+        let elsewhere =
+            self.spares.iter().filter(|(f, spares)| **f != replica.fabric && fits(spares));
+        let moves = elsewhere.min_by_key(|(_, spares)| spares.len()).map(|(f, _)| f.clone())?;
+        Some(Donor { id, gives, moves: Some(moves) })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/growth.rs
@@ -0,0 +1,61 @@
+//! Formation of replicas that are declared and missing, and choice of their routers.
+
+use std::cmp::Reverse;
+
+use super::ROUTERS;
+use super::draft::Draft;
+use crate::{id, rank};
+
+impl Draft<'_> {
+    /// The sets of the zone with missing replicas and the size of each, in order of preference:
+    /// fewest replicas first, then the largest, which are hardest to place.
+    pub(super) fn missing(&self) -> Vec<(id::ReplicaSet, usize)> {
+        let mut missing: Vec<_> = (self.view.release.sets.iter())
+            .filter(|(_, set)| set.zone == *self.view.zone && set.vms > 0)
+            .map(|(name, set)| (self.standing(name), Reverse(set.vms), name, set.replicas))
+            .filter(|(standing, _, _, replicas)| *standing < usize::from(*replicas))
+            .collect();
+        missing.sort();
+        missing.into_iter().map(|(_, vms, name, _)| (name.clone(), vms.0.into())).collect()
+    }
+
+    /// Forms missing replicas while spares and loads suffice.
+    pub(super) fn grow(&mut self) {
+        while self.slots > 0 {
+            let place = self
+                .missing()
+                .into_iter()
+                .find_map(|(name, size)| Some((self.unused(name)?, self.best_fit(size)?, size)));
+            let Some((id, fabric, size)) = place else { return };
+            if !self.form(id, &fabric, size) {
+                return;
+            }
+            self.slots -= 1;
+        }
+    }
+
+    /// The replica of a set with the lowest number that is not in use.
+    fn unused(&self, set: id::ReplicaSet) -> Option<id::Replica> {
+        let is_unused = |index: &u16| {
+            !self.next.replicas.iter().any(|r| r.id.set == set && r.id.index == *index)
+        };
+        let index = (0..=u16::MAX).find(is_unused)?;
+        Some(id::Replica { set, index })
+    }
+
+    /// Chooses the routers of replicas that have none, or none that is live.
+    ///
+    /// The routers of an epoch stay otherwise: two lists in use at once would exceed the bound on
+    /// cold work.
+    pub(super) fn choose_routers(&mut self) {
+        let live = self.view.routers;
+        for replica in &mut self.next.replicas {
+            if live.is_empty() || replica.routers.iter().any(|node| live.contains(&node.as_str())) {
+                continue;
+            }
+            let key = format!("{}@{}", replica.id, replica.epoch);
+            let chosen = rank::first(&key, live.iter().copied(), ROUTERS);
+            replica.routers = chosen.into_iter().map(id::Node::from).collect();
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/health.rs
@@ -0,0 +1,135 @@
+//! Judgement of VMs and replicas from their reports.
+
+use corneltrestle_time::Moment;
+
+use super::{ORDER_TIMEOUT, View};
+use crate::assignment::{Member, Phase, Releasing, Replica};
+use crate::release::{Fencing, ReplicaSet};
+use crate::report::{self, Report};
+use crate::{id, vm};
+
+/// State of a member VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Health {
+    /// It reports the replica and the epoch.
+    Joined,
+    /// It reports, but has not joined yet.
+    Waiting,
+    /// It does not report, or left the replica by a restart.
+    Lost,
+}
+
+impl<'a> View<'a> {
+    /// The latest report of `vm` unless it is older than the bound.
+    pub(super) fn fresh(&self, vm: &id::Vm, now: Moment) -> Option<&'a Report> {
+        let seen = self.reports.get(vm)?;
+        (now.since(seen.at) <= self.bound).then_some(&seen.report)
+    }
+
+    pub(super) fn listed(&self, vm: &id::Vm) -> Option<&'a vm::Vm> {
+        self.vms.iter().find(|listed| listed.id == *vm)
+    }
+
+    pub(super) fn is_leaving(&self, vm: &id::Vm) -> bool {
+        self.listed(vm).is_some_and(|listed| listed.state == vm::State::Leaving)
+    }
+
+    /// The replica set of `replica` if it is still declared for this zone.
+    pub(super) fn declared(&self, replica: &Replica) -> Option<&'a ReplicaSet> {
+        self.release.sets.get(&replica.id.set).filter(|set| set.zone == *self.zone)
+    }
+
+    /// The replica set of `replica` if it is declared with the same number of VMs.
+    pub(super) fn set_of(&self, replica: &Replica) -> Option<&'a ReplicaSet> {
+        self.declared(replica).filter(|set| usize::from(set.vms) == replica.vms.len())
+    }
+
+    pub(super) fn health(&self, replica: &Replica, vm: &id::Vm, now: Moment) -> Health {
+        let Some(report) = self.fresh(vm, now) else { return Health::Lost };
+        let start = self.memory.start(vm, replica.epoch);
+        if report.replica.as_ref() == Some(&replica.id) && report.epoch == replica.epoch {
+            let same = start.is_none_or(|start| start == report.start);
+            return if same { Health::Joined } else { Health::Lost };
+        }
+        let since = self.memory.since(&replica.id, replica.epoch, Phase::Forming);
+        let is_late = since.is_some_and(|since| now.since(since) > ORDER_TIMEOUT);
+        if replica.phase != Phase::Forming || start.is_some() || is_late {
+            Health::Lost
+        } else {
+            Health::Waiting
+        }
+    }
+
+    /// Whether `vm` has to be replaced before the replica can serve.
+    pub(super) fn is_unfit(&self, replica: &Replica, vm: &id::Vm, now: Moment) -> bool {
+        self.is_leaving(vm) || self.health(replica, vm, now) == Health::Lost
+    }
+
+    /// Whether a member has to be replaced.
+    pub(super) fn is_broken(&self, replica: &Replica, now: Moment) -> bool {
+        replica.vms.iter().any(|member| self.is_unfit(replica, &member.id, now))
+    }
+
+    /// Members that report and stay, whether or not they have joined.
+    pub(super) fn present(&self, replica: &Replica, now: Moment) -> usize {
+        let present = |m: &&Member| !self.is_leaving(&m.id) && self.fresh(&m.id, now).is_some();
+        replica.vms.iter().filter(present).count()
+    }
+
+    pub(super) fn has_lost(&self, replica: &Replica, now: Moment) -> bool {
+        let lost = |member: &Member| self.health(replica, &member.id, now) == Health::Lost;
+        replica.vms.iter().any(lost)
+    }
+
+    /// Whether `vm` reports other weights than declared.
+    pub(super) fn is_outdated(&self, set: &ReplicaSet, vm: &id::Vm, now: Moment) -> bool {
+        self.fresh(vm, now).is_some_and(|report| {
+            report.phase == report::Phase::Ready
+                && (&report.model, &report.adapter, &report.version)
+                    != (&set.model, &set.adapter, &set.version)
+        })
+    }
+
+    /// Whether all members have joined and loaded what is declared.
+    pub(super) fn is_complete(&self, set: &ReplicaSet, replica: &Replica, now: Moment) -> bool {
+        replica.vms.iter().all(|member| {
+            let ready = |report: &Report| report.phase == report::Phase::Ready;
+            self.health(replica, &member.id, now) == Health::Joined
+                && self.fresh(&member.id, now).is_some_and(ready)
+                && !self.is_leaving(&member.id)
+                && !self.is_outdated(set, &member.id, now)
+        })
+    }
+
+    /// Whether a draining replica has finished its requests.
+    ///
+    /// The reports must be newer than the start of the drain by the bound, because routers may
+    /// dispatch for as long after they last saw the replica serving.
+    pub(super) fn is_drained(&self, replica: &Replica) -> bool {
+        let since = self.memory.since(&replica.id, replica.epoch, Phase::Draining);
+        since.is_some_and(|since| {
+            replica.vms.iter().all(|member| {
+                self.reports.get(&member.id).is_some_and(|seen| {
+                    let left = seen.report.running + seen.report.waiting;
+                    seen.at >= since + self.bound && left == 0
+                })
+            })
+        })
+    }
+
+    /// Whether a VM that left its replica may be used again.
+    pub(super) fn is_released(&self, entry: &Releasing, now: Moment) -> bool {
+        let Some(release) = self.memory.release(&entry.vm.id, entry.epoch) else { return false };
+        if let Some(report) = self.fresh(&entry.vm.id, now) {
+            return release.confirmed && report.replica.is_none();
+        }
+        // The engines of a withdrawn set are taken to ignore tokens, which is the slower rule.
+        let checked = self.release.sets.get(&entry.replica.set).map(|set| set.fencing);
+        if checked == Some(Fencing::Checked) && self.listed(&entry.vm.id).is_some() {
+            return false;
+        }
+        let last = self.reports.get(&entry.vm.id).map(|seen| seen.at + self.bound);
+        let lost = last.map_or(release.since, |last| last.max(release.since));
+        now.since(lost) > ORDER_TIMEOUT + self.bound
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/orders.rs
@@ -0,0 +1,90 @@
+//! Orders that bring the engines in line with the assignment.
+
+use super::draft::Draft;
+use super::health::Health;
+use crate::assignment::{Member, Phase, Replica};
+use crate::{id, vm};
+
+/// An order to the engine of a VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The VM.
+    pub vm: Member,
+    /// What it is to do.
+    pub kind: Kind,
+}
+
+/// What an engine is to do; the declared set says which weights to load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Join a replica and load its weights.
+    Join {
+        /// The replica.
+        replica: id::Replica,
+        /// Its epoch.
+        epoch: u64,
+        /// Number of the member; 0 is the head.
+        rank: u16,
+        /// Number of members.
+        size: u16,
+    },
+    /// Leave the replica that was joined at this or an earlier epoch.
+    Release {
+        /// The epoch.
+        epoch: u64,
+    },
+    /// Load the declared weights while staying in the replica.
+    Load {
+        /// The replica.
+        replica: id::Replica,
+    },
+}
+
+impl Draft<'_> {
+    pub(super) fn orders(&self) -> Vec<Order> {
+        let mut orders = Vec::new();
+        self.release_orders(&mut orders);
+        for replica in self.next.replicas.iter().filter(|r| r.phase == Phase::Forming) {
+            if !self.is_broken(replica) {
+                self.forming_orders(replica, &mut orders);
+            }
+        }
+        orders
+    }
+
+    fn release_orders(&self, orders: &mut Vec<Order>) {
+        for entry in &self.next.releasing {
+            if self.view.fresh(&entry.vm.id, self.now).is_some() {
+                let kind = Kind::Release { epoch: entry.epoch };
+                orders.push(Order { vm: entry.vm.clone(), kind });
+            }
+        }
+        // A VM that returns with a membership that has ended is released before it is a spare.
+        let is_engine = |vm: &&vm::Vm| vm.zone == *self.view.zone && vm.role == vm::Role::Engine;
+        for vm in self.view.vms.iter().filter(is_engine) {
+            let report = self.view.fresh(&vm.id, self.now).filter(|r| r.replica.is_some());
+            let Some(report) = report.filter(|_| self.next.is_free(vm.id.as_str())) else {
+                continue;
+            };
+            let member = Member { id: vm.id.clone(), address: vm.address };
+            orders.push(Order { vm: member, kind: Kind::Release { epoch: report.epoch } });
+        }
+    }
+
+    fn forming_orders(&self, replica: &Replica, orders: &mut Vec<Order>) {
+        let size = u16::try_from(replica.vms.len()).unwrap_or(u16::MAX);
+        for (rank, member) in (0..size).zip(&replica.vms) {
+            let id = replica.id.clone();
+            let is_outdated = || {
+                let set = self.view.set_of(replica);
+                set.is_some_and(|set| self.view.is_outdated(set, &member.id, self.now))
+            };
+            let kind = match self.view.health(replica, &member.id, self.now) {
+                Health::Joined if is_outdated() => Kind::Load { replica: id },
+                Health::Joined => continue,
+                _ => Kind::Join { replica: id, epoch: replica.epoch, rank, size },
+            };
+            orders.push(Order { vm: member.clone(), kind });
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/repair.rs
@@ -0,0 +1,54 @@
+//! Repair of replicas that lost members.
+
+use super::draft::Draft;
+use crate::assignment::{Member, Phase, Replica};
+use crate::id;
+
+impl Draft<'_> {
+    /// The replicas that have to be repaired, those of sets with the fewest serving ones first.
+    pub(super) fn broken(&self) -> Vec<id::Replica> {
+        let is_waiting = |r: &&Replica| r.phase == Phase::Forming && self.is_broken(r);
+        let mut broken: Vec<_> = (self.next.replicas.iter())
+            .filter(is_waiting)
+            .map(|replica| (self.serving(&replica.id.set), replica.id.clone()))
+            .collect();
+        broken.sort();
+        broken.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Repairs in the same fabric domain if it has spares, and otherwise in the best-fit one.
+    ///
+    /// What can be repaired nowhere keeps its members, so that a spare or a returning member
+    /// completes it.
+    pub(super) fn repair(&mut self) {
+        for id in self.broken() {
+            let Some(replica) = self.get(&id).cloned() else { continue };
+            // A replica that is loading already has its share of the weight store's rate.
+            let cost = usize::from(!self.is_loading(&replica));
+            if self.slots < cost {
+                continue;
+            }
+            if self.replace(&id) || self.rebuild(&replica) {
+                self.slots -= cost;
+            } else if self.is_restartable(&replica) {
+                self.dissolve(&id);
+            }
+        }
+    }
+
+    /// Whether the replica can be formed anew of its own members, some of which report but left
+    /// it by a restart; they have to be released first.
+    fn is_restartable(&self, replica: &Replica) -> bool {
+        let (coming, size) = (self.coming(&replica.fabric), replica.vms.len());
+        let is_unfit = |m: &&Member| self.view.is_unfit(replica, &m.id, self.now);
+        let need = replica.vms.iter().filter(is_unfit).count();
+        coming < need && coming + self.view.present(replica, self.now) >= size
+    }
+
+    fn rebuild(&mut self, replica: &Replica) -> bool {
+        let size = replica.vms.len();
+        let Some(fabric) = self.best_fit(size) else { return false };
+        self.dissolve(&replica.id);
+        self.form(replica.id.clone(), &fabric, size)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan/review.rs
@@ -0,0 +1,112 @@
+//! Changes of phase: loss, drain, end of loading and withdrawal.
+
+use std::cmp::Reverse;
+
+use super::draft::Draft;
+use crate::assignment::{Member, Phase, Replica};
+use crate::id;
+use crate::release::ReplicaSet;
+
+impl Draft<'_> {
+    /// Brings the phase of each replica up to date and drops replicas that are not wanted.
+    pub(super) fn review(&mut self) {
+        self.shed_surplus();
+        for replica in self.next.replicas.clone() {
+            let is_reshaped = self.view.declared(&replica).is_some();
+            let has_lost = self.view.has_lost(&replica, self.now);
+            match self.view.set_of(&replica) {
+                Some(set) => self.review_wanted(set, &replica),
+                // A serving replica of the old shape waits for its turn in `roll`.
+                None if is_reshaped && replica.phase == Phase::Serving && !has_lost => {}
+                None => self.retire(&replica),
+            }
+        }
+        self.slots = self.free_slots();
+        self.roll();
+    }
+
+    /// Takes out of service what a set has beyond its declared number, the replicas that do not
+    /// serve first.
+    fn shed_surplus(&mut self) {
+        for (name, set) in &self.view.release.sets {
+            let surplus = self.standing(name).saturating_sub(set.replicas.into());
+            let is_standing = |r: &&Replica| r.id.set == *name && r.phase != Phase::Draining;
+            let mut standing: Vec<_> =
+                self.next.replicas.iter().filter(is_standing).cloned().collect();
+            standing.sort_by_key(|r| (r.phase == Phase::Serving, Reverse(r.id.index)));
+            for replica in standing.iter().take(surplus) {
+                self.retire(replica);
+            }
+        }
+    }
+
+    /// Ends a replica that is not wanted: at once if it has no requests to finish.
+    fn retire(&mut self, replica: &Replica) {
+        let is_over = match replica.phase {
+            Phase::Forming => true,
+            Phase::Serving => self.view.has_lost(replica, self.now),
+            Phase::Draining => {
+                self.view.has_lost(replica, self.now) || self.view.is_drained(replica)
+            }
+        };
+        if is_over {
+            self.dissolve(&replica.id);
+        } else {
+            self.set_phase(&replica.id, Phase::Draining);
+        }
+    }
+
+    fn review_wanted(&mut self, set: &ReplicaSet, replica: &Replica) {
+        let Some(phase) = self.get(&replica.id).map(|replica| replica.phase) else { return };
+        let (view, now) = (self.view, self.now);
+        let is_lost = view.has_lost(replica, now);
+        match phase {
+            Phase::Forming if view.is_complete(set, replica, now) => {
+                self.set_phase(&replica.id, Phase::Serving);
+            }
+            Phase::Serving if is_lost => self.set_phase(&replica.id, Phase::Forming),
+            Phase::Serving if self.is_broken(replica) => {
+                self.set_phase(&replica.id, Phase::Draining);
+            }
+            Phase::Draining if is_lost || view.is_drained(replica) => {
+                if self.standing(&replica.id.set) >= usize::from(set.replicas) {
+                    self.dissolve(&replica.id);
+                } else if self.is_broken(replica) || self.free_slots() > 0 {
+                    self.set_phase(&replica.id, Phase::Forming);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Replicas that may start to load besides those that are loading.
+    fn free_slots(&self) -> usize {
+        let loading = self.next.replicas.iter().filter(|r| self.is_loading(r)).count();
+        self.view.loads.saturating_sub(loading)
+    }
+
+    /// Drains replicas with other weights or another shape than declared, one of each set at a
+    /// time.
+    fn roll(&mut self) {
+        let of_zone = |set: &ReplicaSet| set.zone == *self.view.zone;
+        for (name, set) in self.view.release.sets.iter().filter(|(_, set)| of_zone(set)) {
+            let in_transit = |replica: &Replica| match replica.phase {
+                Phase::Serving => false,
+                Phase::Draining => true,
+                Phase::Forming => !self.is_broken(replica),
+            };
+            let mut of_set = self.next.replicas.iter().filter(|r| r.id.set == *name);
+            if self.slots == 0 || of_set.clone().any(in_transit) {
+                continue;
+            }
+            let id = of_set.find(|r| self.has_outdated(set, r)).map(|r| r.id.clone());
+            id.inspect(|id: &id::Replica| self.set_phase(id, Phase::Draining));
+        }
+    }
+
+    fn has_outdated(&self, set: &ReplicaSet, replica: &Replica) -> bool {
+        let outdated = |member: &Member| self.view.is_outdated(set, &member.id, self.now);
+        let reshaped = usize::from(set.vms) != replica.vms.len();
+        replica.phase == Phase::Serving && (reshaped || replica.vms.iter().any(outdated))
+    }
+}
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -1,5 +1,7 @@
 //! What a VM's engine reports about itself.
 
+use corneltrestle_time::Moment;
+
 use crate::id;
 
 /// The report of one VM; its load figures lag.
@@ -34,6 +36,15 @@
     pub sequence: u64,
 }
 
+/// A report with the moment at which the VM gave it, as far as this node knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seen {
+    /// No later than the moment at which the VM answered.
+    pub at: Moment,
+    /// The report.
+    pub report: Report,
+}
+
 /// Progress of an engine towards serving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
