--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! the present time and returns a small decision.
 
 pub mod admission;
+pub mod adoption;
 pub mod assignment;
 pub mod burn;
 pub mod calls;
@@ -11,6 +12,9 @@
 pub mod claim;
 pub mod delivery;
 pub mod id;
+pub mod lease;
+pub mod membership;
+pub mod plan;
 pub mod prefix;
 pub mod rank;
 pub mod release;
@@ -20,5 +24,6 @@
 pub mod silence;
 pub mod vm;
 pub mod warmup;
+pub mod wholeness;
 
 pub use corneltrestle_time::Moment;
