Add the HTTP clients of the store, the VM list, engines and services

Connections are driven by the future that uses them, so that dropping a call closes its connection. A call counts as not sent only if connecting failed or the HTTP library hands the request back unsent; calls that must run at most once are never sent again on another ground.

--- /dev/null
+++ b/crates/client/src/headers.rs
@@ -0,0 +1,31 @@
+//! Hop-by-hop headers, which concern one connection and are never forwarded.
+
+use hyper::HeaderMap;
+use hyper::header::{self, HeaderName};
+
+/// Headers that concern one connection (RFC 9110, section 7.6.1), with two that older peers send.
+static HOP_BY_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Removes hop-by-hop headers, including those that `Connection` names.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,6 +1,7 @@
 //! Model engines: reports, orders, generation and KV cache.
 
 mod error;
+pub mod http;
 mod order;
 mod request;
 
--- /dev/null
+++ b/crates/engine/src/engine/http/stream.rs
@@ -0,0 +1,172 @@
+//! A stream of tokens.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use corneltrestle_client::body::Body;
+use corneltrestle_wire::sse;
+use tokio::time::timeout;
+
+use super::failed;
+use crate::engine::{Error, Generate, Kind, Result, Stream, Token};
+
+const STEP: &str = "stream";
+
+/// Tokens as an engine sends them, checked against the request.
+#[derive(Debug)]
+pub struct HttpStream {
+    /// `None` after the end and after an error.
+    body: Option<Body>,
+    events: sse::Decoder,
+    check: Check,
+    progress: Duration,
+    complete: bool,
+}
+
+/// What the events of a stream are checked against.
+#[derive(Debug)]
+struct Check {
+    peer: SocketAddr,
+    id: String,
+    /// Index of the next token.
+    next: u64,
+}
+
+/// What follows from an event.
+enum Verdict {
+    Deliver(Token),
+    Drop,
+    End,
+}
+
+/// What the parts that have arrived hold.
+enum Arrived {
+    Token(Token),
+    End,
+    Nothing,
+}
+
+impl HttpStream {
+    pub(super) fn new(
+        body: Body,
+        peer: SocketAddr,
+        request: &Generate<'_>,
+        progress: Duration,
+        max_event: usize,
+    ) -> Self {
+        let next = request.resume.map_or(0, |resume| resume.next);
+        let check = Check { peer, id: request.id.to_owned(), next };
+        let events = sse::Decoder::new(max_event);
+        Self { body: Some(body), events, check, progress, complete: false }
+    }
+
+    /// The first new token among the events that have arrived.
+    fn arrived(&mut self) -> Result<Arrived> {
+        while let Some(event) = self.events.next().map_err(|e| self.check.too_large(e))? {
+            match self.check.judge(event)? {
+                Verdict::Deliver(token) => return Ok(Arrived::Token(token)),
+                Verdict::Drop => {}
+                Verdict::End => return Ok(Arrived::End),
+            }
+        }
+        Ok(Arrived::Nothing)
+    }
+
+    /// Reads until a token or the end has arrived.
+    async fn receive(&mut self) -> Result<Arrived> {
+        loop {
+            let part = match &mut self.body {
+                Some(body) => body.chunk().await.map_err(|e| failed(STEP, self.check.peer, e))?,
+                None => None,
+            };
+            let Some(part) = part else {
+                return Err(self.check.broken("connection ended before the answer was complete"));
+            };
+            self.events.feed(part);
+            match self.arrived()? {
+                Arrived::Nothing => {}
+                arrived => return Ok(arrived),
+            }
+        }
+    }
+
+    async fn advance(&mut self) -> Result<Arrived> {
+        // A token that has arrived already needs no timer.
+        match self.arrived()? {
+            Arrived::Nothing => {}
+            arrived => return Ok(arrived),
+        }
+        match timeout(self.progress, self.receive()).await {
+            Ok(received) => received,
+            Err(_) => Err(self.check.broken("no event in time")),
+        }
+    }
+}
+
+impl Stream for HttpStream {
+    async fn next(&mut self) -> Result<Option<Token>> {
+        if self.complete {
+            return Ok(None);
+        }
+        match self.advance().await {
+            Ok(Arrived::Token(token)) => Ok(Some(token)),
+            Ok(_) => {
+                self.complete = true;
+                if let Some(body) = self.body.take() {
+                    body.finish();
+                }
+                Ok(None)
+            }
+            Err(error) => {
+                // The connection is closed at once, and nothing that has arrived is delivered.
+                self.body = None;
+                self.events = sse::Decoder::new(0);
+                Err(error)
+            }
+        }
+    }
+}
+
+impl Check {
+    fn judge(&mut self, event: sse::Event) -> Result<Verdict> {
+        let end = event.data == sse::DONE.as_bytes();
+        if end && event.id.is_empty() {
+            return Ok(Verdict::End);
+        }
+        if event.name == "error" {
+            return Err(self.broken("the engine reports an error"));
+        }
+        let id = std::str::from_utf8(&event.id).ok().and_then(sse::split_id);
+        let Some((request, index)) = id else {
+            return Err(
+                self.error(Kind::Malformed, "event without request id and index".to_owned())
+            );
+        };
+        if request != self.id {
+            return Err(self.error(Kind::Mismatch, "event of another request".to_owned()));
+        }
+        if end {
+            return Ok(Verdict::End);
+        }
+        if index > self.next {
+            return Err(self.error(Kind::Gap, format!("token {index} instead of {}", self.next)));
+        }
+        if index < self.next {
+            return Ok(Verdict::Drop);
+        }
+        self.next += 1;
+        Ok(Verdict::Deliver(Token { index, data: event.data }))
+    }
+
+    fn too_large(&self, error: sse::TooLarge) -> Error {
+        self.error(Kind::Malformed, error.to_string())
+    }
+
+    fn broken(&self, cause: &str) -> Error {
+        self.error(Kind::Broken, cause.to_owned())
+    }
+
+    fn error(&self, kind: Kind, cause: String) -> Error {
+        Error { kind, step: STEP, peer: self.peer, cause }
+    }
+}
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -1,5 +1,7 @@
 //! Plain services: one call, one answer, sent at most once by the client.
 
+pub mod http;
+
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
--- /dev/null
+++ b/crates/engine/src/service/http.rs
@@ -0,0 +1,86 @@
+//! Plain services over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use corneltrestle_client as client;
+use corneltrestle_client::headers;
+use corneltrestle_client::pool::{self, Delivery, Pool};
+use http_body_util::Full;
+use hyper::header::{self, HeaderValue};
+use hyper::{HeaderMap, Request};
+use tokio::time::Instant;
+
+use super::{Answer, Call, Result, Service};
+use crate::engine::http::{REQUEST_ID, echoed, failed};
+
+const STEP: &str = "call";
+
+/// Limits of the service client.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Largest body of an answer, in bytes.
+    pub body: usize,
+    /// Connections.
+    pub pool: pool::Config,
+}
+
+/// Client of plain services. It never sends a call twice.
+#[derive(Debug)]
+pub struct HttpService {
+    max: usize,
+    pool: Arc<Pool>,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self { body: 8 * 1024 * 1024, pool: pool::Config::default() }
+    }
+}
+
+impl HttpService {
+    /// Opens a client. It connects on first use.
+    pub fn open(config: Config) -> Self {
+        Self { max: config.body, pool: Pool::open(config.pool) }
+    }
+}
+
+impl Service for HttpService {
+    async fn call(&self, peer: SocketAddr, call: &Call<'_>) -> Result<Answer> {
+        let failed = |e| failed(STEP, peer, e);
+        let until = Instant::now() + call.left;
+        // A call that changes something gets a new connection, so that its effect does not become
+        // unknown because the peer closes an idle one.
+        let delivery = if call.method.is_safe() { Delivery::Once } else { Delivery::OnceFresh };
+        let request = request(call).map_err(failed)?;
+        let answer = self.pool.send(peer, request, delivery, call.left).await.map_err(failed)?;
+        echoed(STEP, peer, &answer, call.id)?;
+        let (head, body) = answer.into_parts();
+        let body = body.collect(self.max, until).await.map_err(failed)?;
+        let mut headers = head.headers;
+        headers::remove_hop_by_hop(&mut headers);
+        Ok(Answer { status: head.status, headers, body })
+    }
+}
+
+fn request(call: &Call<'_>) -> client::Result<Request<Full<bytes::Bytes>>> {
+    let body = Full::new(call.body.clone());
+    let mut request = Request::new(body);
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.target.parse().map_err(client::Error::invalid)?;
+    *request.headers_mut() = end_to_end(call.headers);
+    let id = HeaderValue::from_str(call.id).map_err(client::Error::invalid)?;
+    request.headers_mut().insert(REQUEST_ID, id);
+    let left = u64::try_from(call.left.as_millis()).unwrap_or(u64::MAX);
+    request.headers_mut().insert("x-deadline-ms", left.into());
+    Ok(request)
+}
+
+/// The headers to pass on. The length is that of the body, and the body is sent at once.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    headers::remove_hop_by_hop(&mut kept);
+    kept.remove(header::CONTENT_LENGTH);
+    kept.remove(header::EXPECT);
+    kept
+}
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -1,11 +1,14 @@
 //! The key-value service: compare-and-swap, leases and watches.
 
 mod error;
+pub mod etcd;
+mod limiter;
 
 use std::future::Future;
 use std::time::Duration;
 
 pub use error::{Error, Kind};
+pub use limiter::{InFlight, Limiter};
 
 /// The result of a store call.
 pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/platform/src/store/etcd/watch.rs
@@ -0,0 +1,131 @@
+//! A watch on one key.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use corneltrestle_client::body::Body;
+use corneltrestle_client::pool::Delivery;
+use hyper::StatusCode;
+use tokio::time::{Instant, timeout};
+
+use super::message::{self, Base64, Int64, Streamed, WatchAnswer};
+use super::{Link, MAX_ANSWER_BYTES, request};
+use crate::store::{Event, Kind, Result, Versioned, Watch};
+
+/// A waiting watch. It holds its permit until it is dropped.
+#[derive(Debug)]
+pub struct EtcdWatch<P> {
+    link: Link,
+    /// `None` after an error.
+    body: Option<Body>,
+    /// The messages that have arrived, the last one perhaps in part.
+    arrived: BytesMut,
+    /// Start of the part of `arrived` without the end of a message.
+    scanned: usize,
+    events: VecDeque<Event>,
+    silence: Duration,
+    _permit: P,
+}
+
+/// Opens the stream of a watch.
+pub(super) async fn open(link: &Link, key: &str, start_revision: Int64) -> Result<Body> {
+    let failed = |e| link.failed("watch", e);
+    let until = Instant::now() + link.timeout;
+    let key = Base64(key.as_bytes());
+    let create_request = message::CreateWatch { key, start_revision, progress_notify: true };
+    let request = request("/v3/watch", &message::Watch { create_request }).map_err(failed)?;
+    let sent = link.pool.send(link.peer, request, Delivery::Repeatable, link.timeout);
+    let (head, body) = sent.await.map_err(failed)?.into_parts();
+    if head.status == StatusCode::OK {
+        return Ok(body);
+    }
+    let text = body.collect(MAX_ANSWER_BYTES, until).await.map_err(failed)?;
+    let failure: message::Failure = serde_json::from_slice(&text).unwrap_or_default();
+    Err(link.refused("watch", head.status.as_u16(), &failure.message))
+}
+
+impl<P> EtcdWatch<P> {
+    /// A watch on an open stream; `changed` is a change that was found before it was opened.
+    pub(super) fn new(
+        link: Link,
+        body: Body,
+        silence: Duration,
+        changed: Option<Option<Versioned>>,
+        permit: P,
+    ) -> Self {
+        Self {
+            link,
+            body: Some(body),
+            arrived: BytesMut::new(),
+            scanned: 0,
+            events: changed.map(Event::Changed).into_iter().collect(),
+            silence,
+            _permit: permit,
+        }
+    }
+
+    /// Waits for a whole message and stores its events.
+    async fn receive(&mut self) -> Result<()> {
+        let line = self.line().await?;
+        let answer = self.link.decode::<Streamed<WatchAnswer>>("watch", &line)?;
+        let answer = self.link.streamed("watch", answer)?;
+        if answer.canceled {
+            return Err(self.link.error(Kind::Refused, "watch", answer.cancel_reason));
+        }
+        self.events.extend(answer.events.into_iter().map(Event::from));
+        if self.events.is_empty() {
+            self.events.push_back(Event::Progress);
+        }
+        Ok(())
+    }
+
+    /// The next message; the gateway ends each with a line feed.
+    async fn line(&mut self) -> Result<Bytes> {
+        loop {
+            if let Some(at) = self.arrived[self.scanned..].iter().position(|byte| *byte == b'\n') {
+                let line = self.arrived.split_to(self.scanned + at + 1).freeze();
+                self.scanned = 0;
+                if !line.trim_ascii().is_empty() {
+                    return Ok(line);
+                }
+                continue;
+            }
+            self.scanned = self.arrived.len();
+            if self.arrived.len() > MAX_ANSWER_BYTES {
+                let cause = format!("message larger than {MAX_ANSWER_BYTES} bytes");
+                return Err(self.link.error(Kind::Malformed, "watch", cause));
+            }
+            let part = match &mut self.body {
+                Some(body) => body.chunk().await.map_err(|e| self.link.failed("watch", e))?,
+                None => None,
+            };
+            let ended = || self.link.error(Kind::Unknown, "watch", "watch has ended".to_owned());
+            self.arrived.extend_from_slice(&part.ok_or_else(ended)?);
+        }
+    }
+}
+
+impl<P: Send + 'static> Watch for EtcdWatch<P> {
+    async fn next(&mut self) -> Result<Event> {
+        loop {
+            if let Some(event) = self.events.pop_front() {
+                return Ok(event);
+            }
+            let received = match timeout(self.silence, self.receive()).await {
+                Ok(received) => received,
+                Err(_) => {
+                    let cause = "neither change nor progress in time".to_owned();
+                    Err(self.link.error(Kind::Unknown, "watch", cause))
+                }
+            };
+            if let Err(error) = received {
+                // The connection is closed at once, not when the watch is dropped.
+                self.body = None;
+                self.arrived.clear();
+                self.scanned = 0;
+                return Err(error);
+            }
+        }
+    }
+}
--- a/crates/platform/src/vms.rs
+++ b/crates/platform/src/vms.rs
@@ -1,5 +1,7 @@
 //! The list of live and leaving VMs; it lags.
 
+pub mod discovery;
+
 use std::future::Future;
 
 use corneltrestle_policy::vm;
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -3,6 +3,10 @@
 //! An event of an engine has the id `<request id>/<index>`; the stream is complete after the event
 //! with the data [`DONE`].
 
+mod decoder;
+
+pub use decoder::{Decoder, Event, TooLarge};
+
 use bytes::{BufMut, Bytes, BytesMut};
 
 /// Data of the event that marks a complete answer.
