--- a/crates/corneltrestle/src/lib.rs
+++ b/crates/corneltrestle/src/lib.rs
@@ -1,1 +1,27 @@
 //! corneltrestle: a serving system for models whose replicas span several VMs.
+//!
+//! This crate is the facade: it re-exports the parts of the system as modules and adds
+//! [`running::Running`], one node with all its plug-ins.
+//!
+//! # Examples
+//!
+//! ```no_run
+//! use corneltrestle::{kernel, running};
+//!
+//! let sections = kernel::settings::sections();
+//! let settings = kernel::settings::Settings::load("node.ini".as_ref(), &sections).unwrap();
+//! let node = running::Running::open(settings).unwrap();
+//! node.shutdown();
+//! ```
+
+pub mod command;
+pub mod running;
+
+pub use corneltrestle_engine as engine;
+pub use corneltrestle_http as http;
+pub use corneltrestle_kernel as kernel;
+pub use corneltrestle_node as node;
+pub use corneltrestle_platform as platform;
+pub use corneltrestle_policy as policy;
+pub use corneltrestle_time as time;
+pub use corneltrestle_wire as wire;
--- /dev/null
+++ b/crates/corneltrestle/src/running.rs
@@ -0,0 +1,106 @@
+//! One node with all its plug-ins.
+
+mod error;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_kernel::{host, plugin, pool, run, settings};
+
+pub use error::Error;
+
+/// The result of opening a node.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Time that the workers get to end after all plug-ins have.
+const POOL_LIMIT: Duration = Duration::from_secs(1);
+
+/// A running node that owns its workers.
+#[derive(Debug)]
+pub struct Running {
+    host: Arc<host::Host>,
+    opened: host::Opened,
+}
+
+/// A running node on workers that it shares with others.
+#[derive(Debug)]
+pub struct Attached {
+    host: Arc<host::Host>,
+    opened: host::Opened,
+}
+
+impl Running {
+    /// Opens a node with workers of its own.
+    ///
+    /// # Errors
+    ///
+    /// When a plug-in cannot be opened, for example because an address is in use.
+    pub fn open(settings: settings::Settings) -> Result<Self> {
+        let workers = usize::try_from(settings.section("node").count("workers")).unwrap_or(1);
+        let pool = pool::Pool::spawn(workers).map_err(Error::Pool)?;
+        let host = host::Host::open(settings, pool);
+        let opened = host.open_plugins().map_err(Error::Plugin)?;
+        Ok(Self { host, opened })
+    }
+
+    /// The node's host.
+    pub fn host(&self) -> &Arc<host::Host> {
+        &self.host
+    }
+
+    /// Stops the node: no new requests, requests in progress finish within the drain limit.
+    ///
+    /// Blocks the calling thread, which is not a worker.
+    pub fn shutdown(self) {
+        let Self { host, opened } = self;
+        host.pool.wait(stop(&host, opened));
+        if let Some(host) = Arc::into_inner(host) {
+            host.pool.shutdown(POOL_LIMIT);
+        }
+    }
+}
+
+impl Attached {
+    /// Opens a node on the workers of the calling task.
+    ///
+    /// # Errors
+    ///
+    /// When a plug-in cannot be opened.
+    ///
+    /// # Panics
+    ///
+    /// When called outside a runtime.
+    pub fn open(settings: settings::Settings) -> Result<Self> {
+        let pool = pool::Pool::attach(tokio::runtime::Handle::current());
+        let host = host::Host::open(settings, pool);
+        let opened = host.open_plugins().map_err(Error::Plugin)?;
+        Ok(Self { host, opened })
+    }
+
+    /// The node's host.
+    pub fn host(&self) -> &Arc<host::Host> {
+        &self.host
+    }
+
+    /// Stops the node as [`Running::shutdown`] does.
+    pub async fn shutdown(self) {
+        stop(&self.host, self.opened).await;
+    }
+}
+
+async fn stop(host: &host::Host, opened: host::Opened) {
+    log::info!("node: draining");
+    host.run.advance(run::Stage::Draining);
+    opened.shutdown().await;
+    host.run.advance(run::Stage::Stopped);
+    log::info!("node: stopped");
+}
+
+/// Checks settings as a whole, as every plug-in does when it opens.
+///
+/// # Errors
+///
+/// The first plug-in that finds a contradiction.
+pub fn check(settings: &settings::Settings) -> plugin::Result<()> {
+    plugin::ordered().into_iter().try_for_each(|plugin| (plugin.check)(settings))
+}
--- /dev/null
+++ b/crates/corneltrestle/src/running/error.rs
@@ -0,0 +1,26 @@
+//! Errors of opening a node.
+
+use std::{fmt, io};
+
+use corneltrestle_kernel::plugin;
+
+/// Why a node cannot be opened.
+#[derive(Debug)]
+#[non_exhaustive]
+pub enum Error {
+    /// The workers could not be spawned.
+    Pool(io::Error),
+    /// A plug-in could not be opened.
+    Plugin(plugin::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Pool(e) => write!(f, "cannot spawn the workers: {e}"),
+            Self::Plugin(e) => e.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,142 @@
-//! The entry node.
+//! The entry node as a daemon.
 
-fn main() {}
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use corneltrestle::kernel::settings::{self, Key, Section, Type};
+use corneltrestle::kernel::{host, linkme, logging, plugin};
+use corneltrestle::running;
+use lexopt::prelude::*;
+use tokio::signal::unix;
+
+const HELP: &str = "\
+The entry node of corneltrestle.
+
+Usage: corneltrestled --settings FILE [--check]
+
+Options:
+  --settings FILE  INI file with the settings; docs/settings.md lists every key
+  --check          check the settings and stop
+  --help           print this text
+  --version        print the version
+
+SIGTERM and SIGINT drain the node: it accepts nothing new, lets requests in progress finish within
+the drain limit and ends.
+
+Exit codes: 0 stopped as asked, 1 cannot run, 2 wrong command line or settings.
+";
+
+/// Exit code for a wrong command line or wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+static LOG: Section = Section {
+    name: "log",
+    help: "Logs, written to standard error.",
+    keys: &[Key::new(
+        "level",
+        Type::Text,
+        "info",
+        "Lowest level, with exceptions for parts, such as `info, hyper=warn`.",
+    )],
+};
+
+/// Registers the section of the log; the log itself opens before the plug-ins.
+#[linkme::distributed_slice(plugin::PLUGINS)]
+#[linkme(crate = linkme)]
+static LOGGING: plugin::Plugin = plugin::Plugin {
+    name: "log",
+    kind: plugin::Kind::Port,
+    section: Some(&LOG),
+    check: plugin::unchecked,
+    open: |_: &std::sync::Arc<host::Host>| Ok(plugin::Handle::idle()),
+};
+
+struct Arguments {
+    settings: PathBuf,
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = match parse() {
+        Ok(Some(arguments)) => arguments,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("corneltrestled: {e}; try --help");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match load(&arguments.settings) {
+        Ok(_) if arguments.check => {
+            println!("{}: ok", arguments.settings.display());
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => serve(settings),
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn parse() -> Result<Option<Arguments>, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let (mut settings, mut check) = (None, false);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            Long("check") => check = true,
+            Long("help") | Short('h') => {
+                print!("{HELP}");
+                return Ok(None);
+            }
+            Long("version") => {
+                println!("corneltrestled {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    let settings = settings.ok_or("--settings FILE is missing")?;
+    Ok(Some(Arguments { settings, check }))
+}
+
+fn load(path: &Path) -> Result<settings::Settings, String> {
+    let settings =
+        settings::Settings::load(path, &settings::sections()).map_err(|e| e.to_string())?;
+    running::check(&settings).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(settings)
+}
+
+fn serve(settings: settings::Settings) -> ExitCode {
+    let level = settings.section("log").text("level").to_owned();
+    let _log = match logging::open(&level) {
+        Ok(log) => log,
+        Err(e) => {
+            eprintln!("[log] level: {e}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let node = match running::Running::open(settings) {
+        Ok(node) => node,
+        Err(e) => {
+            log::error!("node: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Err(e) = node.host().pool.wait(stop_signal()) {
+        log::error!("node: cannot listen for signals: {e}");
+        return ExitCode::FAILURE;
+    }
+    node.shutdown();
+    ExitCode::SUCCESS
+}
+
+async fn stop_signal() -> std::io::Result<()> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, StatusCode};
+pub use hyper::header::{HeaderName, HeaderValue};
+pub use hyper::{HeaderMap, Method, StatusCode};
 
 pub use crate::engine::{Error, Kind};
 
--- /dev/null
+++ b/crates/http/src/callers.rs
@@ -0,0 +1,89 @@
+//! The front end for callers.
+
+mod auth;
+mod generate;
+mod intake;
+mod models;
+mod plain;
+mod request_id;
+mod router;
+
+use std::sync::Arc;
+
+use corneltrestle_engine::engine::{self, Engine};
+use corneltrestle_engine::service::{self, Service};
+use corneltrestle_kernel::settings::{Key, Section, Type};
+use corneltrestle_kernel::{host, linkme, plugin};
+use corneltrestle_node::pipeline;
+use corneltrestle_platform::store::{self, Store};
+use tower::ServiceBuilder;
+
+use crate::server;
+
+/// Settings of the front end for callers.
+pub static SECTION: Section = Section {
+    name: "callers",
+    help: "The front end for callers.",
+    keys: &[
+        Key::required("address", Type::Address, "Address on which callers are served."),
+        Key::new(
+            "body-limit",
+            Type::Bytes { min: 1_024, max: 67_108_864 },
+            "4194304",
+            "Largest body of a request.",
+        ),
+        Key::new(
+            "body-time",
+            Type::millis(100, 300_000),
+            "15s",
+            "Longest time for the body of a request to arrive.",
+        ),
+        Key::new(
+            "header-time",
+            Type::millis(100, 60_000),
+            "5s",
+            "Longest time for the header of a request to arrive.",
+        ),
+        Key::new(
+            "connections",
+            Type::Count { min: 1, max: 65_536 },
+            "4096",
+            "Most connections at a time; more are closed at once.",
+        ),
+    ],
+};
+
+#[linkme::distributed_slice(plugin::PLUGINS)]
+#[linkme(crate = linkme)]
+static CALLERS: plugin::Plugin = plugin::Plugin {
+    name: "callers",
+    kind: plugin::Kind::FrontEnd,
+    section: Some(&SECTION),
+    check: plugin::unchecked,
+    open: open::<engine::http::HttpEngine, service::http::HttpService, store::etcd::EtcdStore>,
+};
+
+fn open<E: Engine, P: Service, S: Store>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let callers = host.settings.section("callers");
+    let limits = server::Limits {
+        header_time: callers.span("header-time"),
+        connections: usize::try_from(callers.count("connections")).unwrap_or(usize::MAX),
+        drain: host.settings.section("node").span("drain-limit"),
+        ..server::Limits::default()
+    };
+    let intake = intake::Intake {
+        body_limit: usize::try_from(callers.count("body-limit")).unwrap_or(usize::MAX),
+        body_time: callers.span("body-time"),
+    };
+    let router = Arc::new(router::Router::new(
+        pipeline::Pipeline::<E, P, S>::open(host)?,
+        Arc::clone(host),
+        intake,
+    ));
+    let service =
+        ServiceBuilder::new().layer(request_id::RequestIdLayer).service_fn(move |request| {
+            let router = Arc::clone(&router);
+            async move { Ok(router.handle(request).await) }
+        });
+    server::bind(host, "callers", callers.address("address"), limits, service)
+}
--- /dev/null
+++ b/crates/http/src/callers/auth.rs
@@ -0,0 +1,34 @@
+//! Recognition of organisations by their keys.
+
+use corneltrestle_node::digest;
+use corneltrestle_node::pipeline::refusal::{Code, Refusal, Result};
+use corneltrestle_policy::{id, release};
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+use subtle::ConstantTimeEq;
+
+/// The organisation whose key the request carries.
+///
+/// # Errors
+///
+/// When the key is missing or unknown.
+pub(super) fn organisation(
+    headers: &HeaderMap,
+    release: &release::Release,
+) -> Result<id::Organisation> {
+    let refused = |message| Refusal::not_run(Code::Unauthorized, "authenticate", message);
+    let key = headers
+        .get(AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .ok_or_else(|| refused("send the organisation's key as Authorization: Bearer KEY"))?;
+    let hash = digest::key(key.trim());
+    // Every hash is compared, in constant time, so that the time tells nothing about any of them.
+    let mut found = None;
+    for (name, organisation) in &release.organisations {
+        if bool::from(organisation.key_hash.as_bytes().ct_eq(hash.as_bytes())) {
+            found = Some(name);
+        }
+    }
+    found.cloned().ok_or_else(|| refused("the organisation's key is unknown"))
+}
--- /dev/null
+++ b/crates/http/src/callers/generate.rs
@@ -0,0 +1,136 @@
+//! Generation calls: decoding, relay of streams, errors within streams.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use corneltrestle_engine::engine::Engine;
+use corneltrestle_engine::service::Service;
+use corneltrestle_node::pipeline::refusal::{Code, Refusal, Result};
+use corneltrestle_node::pipeline::{self, request};
+use corneltrestle_platform::store::Store;
+use corneltrestle_policy::{id, prefix, release};
+use corneltrestle_wire::{openai, sse};
+use http_body_util::channel::Sender;
+use hyper::body::Incoming;
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use hyper::{Request, Response};
+
+use super::router::{self, Router};
+use crate::{answer, body};
+
+/// Path of chat calls.
+pub(super) const CHAT: &str = "/v1/chat/completions";
+/// Path of completion calls.
+pub(super) const COMPLETION: &str = "/v1/completions";
+
+/// Value of the header `X-Priority` for work that nobody waits for.
+const BACKGROUND: &str = "background";
+
+/// Bytes of the prompt in one block of the prefix cache.
+const PREFIX_BLOCK_BYTES: usize = 256;
+/// Most blocks of a prompt that are hashed.
+const PREFIX_BLOCKS_MAX: usize = 64;
+
+impl<E: Engine, P: Service, S: Store> Router<E, P, S> {
+    pub(super) async fn generate(
+        &self,
+        request: Request<Incoming>,
+        organisation: id::Organisation,
+        path: &'static str,
+    ) -> Result<Response<body::Body>> {
+        let arrived = self.pipeline.now();
+        let id = router::request_id(&request);
+        let (parts, incoming) = request.into_parts();
+        let body = self.intake.read(incoming).await?;
+        let decoded = openai::Request::decode(&body).map_err(|e| {
+            Refusal::not_run(Code::BadRequest, "decode", format!("the body is no request: {e}"))
+        })?;
+        let release = self.pipeline.release();
+        let (service, declared) = find_service(&release, &decoded.model)?;
+        let generation = request::Generation {
+            id,
+            service: service.clone(),
+            path,
+            prefixes: prefixes(&organisation, &decoded),
+            organisation,
+            interactive: parts.headers.get("x-priority").is_none_or(|value| value != BACKGROUND),
+            arrived,
+            deadline: router::deadline(&parts.headers, arrived, declared.timeout)?,
+            body: body.clone(),
+        };
+        if decoded.stream {
+            self.stream(generation).await
+        } else {
+            let whole = self.pipeline.complete(&generation).await?;
+            Ok(json(whole))
+        }
+    }
+
+    async fn stream(&self, generation: request::Generation) -> Result<Response<body::Body>> {
+        let relay = self.pipeline.stream(generation).await?;
+        let (sender, stream) = body::Body::stream();
+        self.pipeline.run(pump(relay, sender));
+        let mut response = Response::new(stream);
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+        Ok(response)
+    }
+}
+
+/// Feeds a caller's stream until the answer is complete, cannot be completed or is not wanted.
+async fn pump<E: Engine, P: Service, S: Store>(
+    mut relay: pipeline::Relay<E, P, S>,
+    mut sender: Sender<Bytes, body::Error>,
+) {
+    loop {
+        match relay.next().await {
+            Ok(Some(data)) => {
+                if sender.send_data(sse::encode("", &data)).await.is_err() {
+                    return;
+                }
+            }
+            Ok(None) => {
+                let _ = sender.send_data(sse::encode("", sse::DONE.as_bytes())).await;
+                return;
+            }
+            Err(refusal) => {
+                log::warn!("route: a stream ended early: {refusal}");
+                let error = serde_json::to_vec(&answer::error_body(&refusal)).unwrap_or_default();
+                let _ = sender.send_data(sse::encode_named("error", &error)).await;
+                sender.abort(body::Error::Incomplete);
+                return;
+            }
+        }
+    }
+}
+
+/// Hashes of the prompt's prefixes; caches are not shared between organisations.
+fn prefixes(organisation: &id::Organisation, request: &openai::Request<'_>) -> Vec<u64> {
+    let mut prompt = String::new();
+    for text in request.texts() {
+        prompt.push_str(text);
+        prompt.push('\n');
+    }
+    let scope = format!("{organisation}/{}", request.model);
+    prefix::blocks(&scope, prompt.as_bytes(), PREFIX_BLOCK_BYTES, PREFIX_BLOCKS_MAX)
+}
+
+fn find_service<'a>(
+    release: &'a Arc<release::Release>,
+    wanted: &str,
+) -> Result<(&'a id::Service, &'a release::Service)> {
+    let serves = |service: &release::Service| match &service.kind {
+        release::Kind::Model { model } => model == wanted,
+        release::Kind::Plain(_) => false,
+    };
+    release.services.iter().find(|(_, service)| serves(service)).ok_or_else(|| {
+        Refusal::not_run(Code::UnknownService, "route", format!("no service offers model {wanted}"))
+    })
+}
+
+fn json(whole: Bytes) -> Response<body::Body> {
+    let mut response = Response::new(body::Body::full(whole));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/crates/http/src/callers/models.rs
@@ -0,0 +1,35 @@
+//! The list of models.
+
+use corneltrestle_policy::release;
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+use crate::{answer, body};
+
+#[derive(Serialize)]
+struct List<'a> {
+    object: &'static str,
+    data: Vec<Model<'a>>,
+}
+
+#[derive(Serialize)]
+struct Model<'a> {
+    id: &'a str,
+    object: &'static str,
+    owned_by: &'a str,
+}
+
+/// The models of all services, in the form of the OpenAI interface.
+pub(super) fn list(release: &release::Release) -> Response<body::Body> {
+    let data = release
+        .services
+        .iter()
+        .filter_map(|(name, service)| match &service.kind {
+            release::Kind::Model { model } => {
+                Some(Model { id: model, object: "model", owned_by: name.as_str() })
+            }
+            release::Kind::Plain(_) => None,
+        })
+        .collect();
+    answer::json(StatusCode::OK, &List { object: "list", data })
+}
--- /dev/null
+++ b/crates/http/src/callers/router.rs
@@ -0,0 +1,109 @@
+//! Selection of the handler for a request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_engine::engine::Engine;
+use corneltrestle_engine::service::Service;
+use corneltrestle_kernel::{host, run};
+use corneltrestle_node::pipeline;
+use corneltrestle_node::pipeline::refusal::{Code, Refusal, Result};
+use corneltrestle_platform::store::Store;
+use corneltrestle_time::Moment;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+
+use super::request_id::RequestId;
+use super::{auth, generate, intake, models};
+use crate::{answer, body};
+
+/// Header with the time that the caller waits for the whole answer, in milliseconds.
+const DEADLINE: &str = "x-deadline-ms";
+
+/// Handler of all requests of callers.
+#[derive(Debug)]
+pub(super) struct Router<E, P, S> {
+    pub(super) pipeline: Arc<pipeline::Pipeline<E, P, S>>,
+    pub(super) intake: intake::Intake,
+    host: Arc<host::Host>,
+}
+
+impl<E: Engine, P: Service, S: Store> Router<E, P, S> {
+    pub(super) fn new(
+        pipeline: Arc<pipeline::Pipeline<E, P, S>>,
+        host: Arc<host::Host>,
+        intake: intake::Intake,
+    ) -> Self {
+        Self { pipeline, intake, host }
+    }
+
+    /// Answers a request, whatever happens to it.
+    pub(super) async fn handle(&self, request: Request<Incoming>) -> Response<body::Body> {
+        match self.route(request).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                metrics::counter!("requests_refused_total", "code" => refusal.code.as_str())
+                    .increment(1);
+                answer::refusal(&refusal)
+            }
+        }
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Result<Response<body::Body>> {
+        let path = request.uri().path();
+        match path {
+            "/healthz" => return Ok(answer::text(StatusCode::OK, "ok\n")),
+            "/readyz" => return Ok(self.ready()),
+            _ => {}
+        }
+        let release = self.pipeline.release();
+        let organisation = auth::organisation(request.headers(), &release)?;
+        match path {
+            "/v1/models" => {
+                expect(&request, &Method::GET)?;
+                Ok(models::list(&release))
+            }
+            "/v1/chat/completions" => {
+                expect(&request, &Method::POST)?;
+                self.generate(request, organisation, generate::CHAT).await
+            }
+            "/v1/completions" => {
+                expect(&request, &Method::POST)?;
+                self.generate(request, organisation, generate::COMPLETION).await
+            }
+            _ => self.plain(request, organisation, &release).await,
+        }
+    }
+
+    fn ready(&self) -> Response<body::Body> {
+        match self.host.run.stage() {
+            run::Stage::Ready => answer::text(StatusCode::OK, "ready\n"),
+            stage => {
+                answer::text(StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {stage:?}\n"))
+            }
+        }
+    }
+}
+
+fn expect<B>(request: &Request<B>, method: &Method) -> Result<()> {
+    if request.method() == method {
+        return Ok(());
+    }
+    let message = format!("this path is offered for {method} only");
+    Err(Refusal::not_run(Code::MethodNotAllowed, "route", message))
+}
+
+/// Identifier of a request, given by the layer in front.
+pub(super) fn request_id<B>(request: &Request<B>) -> String {
+    request.extensions().get::<RequestId>().map_or_else(String::new, |id| id.0.clone())
+}
+
+/// When the answer is due: the caller's own deadline, at most the service's timeout.
+pub(super) fn deadline(headers: &HeaderMap, arrived: Moment, timeout: Duration) -> Result<Moment> {
+    let Some(value) = headers.get(DEADLINE) else { return Ok(arrived + timeout) };
+    let millis: u64 = value.to_str().ok().and_then(|text| text.parse().ok()).ok_or_else(|| {
+        let message = "X-Deadline-Ms is not a whole number of milliseconds";
+        Refusal::not_run(Code::BadRequest, "receive", message)
+    })?;
+    Ok(arrived + Duration::from_millis(millis).min(timeout))
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,1 +1,11 @@
-//! Front ends for callers and operators.
+//! Front ends of a node: OpenAI calls and plain services for callers, the operators' interface,
+//! health and metrics.
+//!
+//! A front end translates between HTTP and the types of [`corneltrestle_node::pipeline`]; it
+//! decides nothing itself.
+
+pub mod answer;
+pub mod body;
+pub mod callers;
+pub mod operators;
+pub mod server;
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,155 @@
+//! The accept loop shared by all front ends.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_kernel::{host, plugin};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::service::TowerToHyperService;
+use tokio_util::sync::CancellationToken;
+use tower::Service;
+
+use crate::body;
+
+/// Limits of a front end's connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest time for the header of a request.
+    pub header_time: Duration,
+    /// Largest header in bytes.
+    pub header_bytes: usize,
+    /// Most header fields.
+    pub header_fields: usize,
+    /// Most connections at a time; more are closed at once.
+    pub connections: usize,
+    /// Longest time that connections get to finish at shutdown.
+    pub drain: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_time: Duration::from_secs(5),
+            header_bytes: 32 * 1024,
+            header_fields: 64,
+            connections: 4_096,
+            drain: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Binds `address` and serves each connection with a clone of `service`.
+///
+/// At shutdown the address is closed at once; connections get [`Limits::drain`] to finish.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub fn bind<S, F>(
+    host: &Arc<host::Host>,
+    step: &'static str,
+    address: SocketAddr,
+    limits: Limits,
+    service: S,
+) -> plugin::Result<plugin::Handle>
+where
+    S: Service<Request<Incoming>, Response = Response<body::Body>, Error = Infallible, Future = F>,
+    S: Clone + Send + Sync + 'static,
+    F: Future<Output = Result<Response<body::Body>, Infallible>> + Send + 'static,
+{
+    let refused = |source| plugin::Error::Bind { step, peer: address.to_string(), source };
+    let listener = TcpListener::bind(address).map_err(refused)?;
+    listener.set_nonblocking(true).map_err(refused)?;
+    let handle = plugin::Handle::default();
+    let jobs = handle.clone();
+    let host = Arc::clone(host);
+    log::info!("{step}: listening on {address}");
+    handle.run(&host.clone().pool, async move {
+        accept(host, step, listener, limits, service, jobs).await;
+    });
+    Ok(handle)
+}
+
+async fn accept<S, F>(
+    host: Arc<host::Host>,
+    step: &'static str,
+    listener: TcpListener,
+    limits: Limits,
+    service: S,
+    jobs: plugin::Handle,
+) where
+    S: Service<Request<Incoming>, Response = Response<body::Body>, Error = Infallible, Future = F>,
+    S: Clone + Send + Sync + 'static,
+    F: Future<Output = Result<Response<body::Body>, Infallible>> + Send + 'static,
+{
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(e) => return log::error!("{step}: cannot use the listener: {e}"),
+    };
+    let slots = Arc::new(tokio::sync::Semaphore::new(limits.connections));
+    loop {
+        let accepted = tokio::select! {
+            () = jobs.stop().cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((socket, peer)) = accepted else {
+            // Out of file descriptors or an aborted handshake; waiting lets others finish.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+            metrics::counter!("connections_refused_total", "part" => step).increment(1);
+            continue;
+        };
+        let _ = socket.set_nodelay(true);
+        let service = service.clone();
+        let stop = jobs.stop().clone();
+        jobs.run(&host.pool, async move {
+            if let Err(e) = converse(socket, limits, service, stop).await {
+                log::debug!("{step}: connection of {peer} ended: {e}");
+            }
+            drop(slot);
+        });
+    }
+}
+
+async fn converse<S, F>(
+    socket: tokio::net::TcpStream,
+    limits: Limits,
+    service: S,
+    stop: CancellationToken,
+) -> Result<(), Box<dyn std::error::Error + Send + Sync>>
+where
+    S: Service<Request<Incoming>, Response = Response<body::Body>, Error = Infallible, Future = F>,
+    S: Clone + Send + Sync + 'static,
+    F: Future<Output = Result<Response<body::Body>, Infallible>> + Send + 'static,
+{
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_time)
+        .max_buf_size(limits.header_bytes.max(8 * 1024))
+        .max_headers(limits.header_fields);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
+        .max_concurrent_streams(256)
+        .keep_alive_interval(Duration::from_secs(10))
+        .keep_alive_timeout(Duration::from_secs(5));
+    let service = TowerToHyperService::new(service);
+    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        ended = connection.as_mut() => return ended,
+        () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+    }
+    tokio::time::timeout(limits.drain, connection).await.unwrap_or(Ok(()))
+}
--- /dev/null
+++ b/crates/node/src/duty/assign.rs
@@ -0,0 +1,181 @@
+//! Duty: assigns the zone's VMs to replicas while this node holds the zone lease.
+
+mod lease;
+mod orders;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_engine::engine::{self, Engine};
+use corneltrestle_kernel::{host, linkme, plugin, run};
+use corneltrestle_platform::store::{self, Class, Store, Swap};
+use corneltrestle_policy::{assignment, plan};
+use corneltrestle_time::Moment;
+use corneltrestle_wire::{key, stored};
+
+use crate::{identity, tables};
+
+/// Time between two rounds.
+const PERIOD: Duration = Duration::from_millis(500);
+/// Replicas that the weight store allows to load at the same time in one zone.
+const LOADS: usize = 4;
+
+#[linkme::distributed_slice(plugin::PLUGINS)]
+#[linkme(crate = linkme)]
+static ASSIGN: plugin::Plugin = plugin::Plugin {
+    name: "assign",
+    kind: plugin::Kind::Duty,
+    section: None,
+    check: plugin::unchecked,
+    open: open::<store::etcd::EtcdStore, engine::http::HttpEngine>,
+};
+
+/// The duty with what it works on.
+struct Assigner<S, E> {
+    host: Arc<host::Host>,
+    identity: Arc<identity::Identity>,
+    tables: tables::Tables,
+    store: Arc<S>,
+    engine: Arc<E>,
+}
+
+fn open<S: Store, E: Engine>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let assigner = Arc::new(Assigner::<S, E> {
+        host: Arc::clone(host),
+        identity: host.port()?,
+        tables: tables::Tables::of(host)?,
+        store: host.port()?,
+        engine: host.port()?,
+    });
+    let handle = plugin::Handle::default();
+    let release = Arc::clone(&assigner);
+    let stop = handle.stop().clone();
+    handle.run(&host.pool, async move {
+        stop.cancelled().await;
+        release.give_up().await;
+    });
+    host.every(&handle, PERIOD, move |now| {
+        let assigner = Arc::clone(&assigner);
+        async move { assigner.round(now).await }
+    });
+    Ok(handle)
+}
+
+impl<S: Store, E: Engine> Assigner<S, E> {
+    async fn round(self: &Arc<Self>, now: Moment) {
+        if self.host.run.stage() != run::Stage::Ready || !self.is_settled(now) {
+            return;
+        }
+        let Some(token) = self.hold_lease(now).await else { return };
+        match self.stored().await {
+            Ok((version, assignment)) => self.advance(token, version, &assignment).await,
+            Err(cause) => log::warn!("group: cannot read the assignment: {cause}"),
+        }
+    }
+
+    fn is_settled(&self, now: Moment) -> bool {
+        self.tables.members.lock().known.view(now).is_settled()
+    }
+
+    /// The assignment as this node last wrote or read it.
+    async fn stored(&self) -> Result<(u64, Arc<assignment::Assignment>), String> {
+        let zone = &self.identity.zone;
+        let known = self.tables.replicas.lock().zone(zone.as_str());
+        if known.version > 0 {
+            return Ok((known.version, known.assignment));
+        }
+        self.read().await
+    }
+
+    /// Reads the assignment from the store.
+    pub(super) async fn read(&self) -> Result<(u64, Arc<assignment::Assignment>), String> {
+        let zone = &self.identity.zone;
+        let key = key::groups(zone.as_str());
+        let found = self.store.read(&key, Class::Lease).await.map_err(|e| e.to_string())?;
+        let Some(found) = found else { return Ok((0, Arc::default())) };
+        let assignment: assignment::Assignment =
+            stored::decode(&key, &found.value).map_err(|e| e.to_string())?;
+        self.tables.replicas.lock().adopt(zone, found.version, assignment.clone());
+        Ok((found.version, Arc::new(assignment)))
+    }
+
+    /// Plans, writes the next assignment and sends the orders.
+    async fn advance(
+        self: &Arc<Self>,
+        token: u64,
+        version: u64,
+        assignment: &assignment::Assignment,
+    ) {
+        let plan = self.plan(token, assignment);
+        if let Some(next) = plan.next
+            && !self.write(version, next).await
+        {
+            return;
+        }
+        self.send(token, plan.orders);
+    }
+
+    fn plan(&self, token: u64, assignment: &assignment::Assignment) -> plan::Plan {
+        let now = self.host.now();
+        let release = self.tables.current.load();
+        let members = self.tables.members.lock();
+        let view = members.known.view(now);
+        let routers: Vec<_> =
+            view.live(self.identity.zone.as_str()).map(|(node, _)| node.as_str()).collect();
+        let vms = Arc::clone(&self.tables.listed.lock().vms);
+        let mut coordinator = self.tables.coordinator.lock();
+        let reports = self.tables.reports.lock();
+        coordinator.memory.observe(assignment, reports.all(), now);
+        let view = plan::View {
+            zone: &self.identity.zone,
+            release: &release,
+            assignment,
+            vms: &vms,
+            reports: reports.all(),
+            memory: &coordinator.memory,
+            routers: &routers,
+            token,
+            loads: LOADS,
+            bound: self.identity.view_bound,
+        };
+        plan::plan(&view, now)
+    }
+
+    /// Writes the next assignment; returns whether it took effect.
+    async fn write(&self, version: u64, next: assignment::Assignment) -> bool {
+        let zone = &self.identity.zone;
+        let key = key::groups(zone.as_str());
+        let value = match stored::encode(&key, &next) {
+            Ok(value) => value,
+            Err(e) => {
+                log::error!("group: {e}");
+                return false;
+            }
+        };
+        match self.store.swap(&key, version, &value, None, Class::Lease).await {
+            Ok(Swap::Done(version)) => {
+                log::info!("group: assignment of {zone} is at version {version}");
+                self.tables.replicas.lock().adopt(zone, version, next);
+                true
+            }
+            Ok(Swap::Conflict(_)) => {
+                log::warn!("group: another node wrote the assignment of {zone}");
+                self.reread().await;
+                false
+            }
+            Err(e) => {
+                log::warn!("group: cannot write the assignment: {e}");
+                if e.may_have_run() {
+                    self.reread().await;
+                }
+                false
+            }
+        }
+    }
+
+    async fn reread(&self) {
+        if let Err(cause) = self.read().await {
+            log::warn!("group: cannot read the assignment back: {cause}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/duty/assign/lease.rs
@@ -0,0 +1,124 @@
+//! The zone lease: acquisition, renewal and release.
+
+use corneltrestle_engine::engine::Engine;
+use corneltrestle_platform::store::{Class, Store, Swap};
+use corneltrestle_policy::lease;
+use corneltrestle_time::Moment;
+use corneltrestle_wire::{key, stored};
+
+use super::Assigner;
+use crate::tables::coordinator::{Coordinator, Held};
+
+impl<S: Store, E: Engine> Assigner<S, E> {
+    /// Holds the lease if possible; the fencing token if this node may act now.
+    pub(super) async fn hold_lease(&self, now: Moment) -> Option<u64> {
+        let held = self.tables.coordinator.lock().held;
+        let Some(held) = held else {
+            if self.acquire(now).await {
+                log::info!("group: acquired the lease of {}", self.identity.zone);
+            }
+            return None;
+        };
+        let resumed = self.tables.members.lock().known.view(now).resumed();
+        match held.lease.step(resumed, now) {
+            lease::Step::Act => {}
+            lease::Step::ActAndRenew | lease::Step::Renew => self.renew(held).await,
+            lease::Step::StepDown => {
+                self.step_down("its validity has ended");
+                return None;
+            }
+        }
+        // The renewal took time; the lease is judged again right before acting.
+        let now = self.host.now();
+        let held = self.tables.coordinator.lock().held?;
+        let may_act =
+            matches!(held.lease.step(resumed, now), lease::Step::Act | lease::Step::ActAndRenew);
+        may_act.then_some(held.lease.token)
+    }
+
+    async fn renew(&self, held: Held) {
+        let sent = self.host.now();
+        match self.store.renew(held.id, Class::Lease).await {
+            Ok(Some(ttl)) => {
+                if let Some(held) = &mut self.tables.coordinator.lock().held {
+                    held.lease.renewed(sent, ttl);
+                }
+            }
+            Ok(None) => self.step_down("it has lapsed in the store"),
+            Err(e) => log::warn!("group: cannot renew the lease: {e}"),
+        }
+    }
+
+    /// Tries to acquire the lease if this node is a candidate and the key is free.
+    async fn acquire(&self, now: Moment) -> bool {
+        let zone = self.identity.zone.as_str();
+        let node = self.identity.node.as_str();
+        let start = {
+            let members = self.tables.members.lock();
+            let view = members.known.view(now);
+            let live = view.live(zone).map(|(node, _)| node.as_str());
+            lease::acquire_at(zone, node, live, now, &mut rand::rng())
+        };
+        let Some(start) = start else { return false };
+        tokio::time::sleep(start.since(now)).await;
+        match self.try_acquire().await {
+            Ok(acquired) => acquired,
+            Err(cause) => {
+                log::debug!("group: cannot acquire the lease: {cause}");
+                false
+            }
+        }
+    }
+
+    async fn try_acquire(&self) -> Result<bool, String> {
+        let key = key::lease(self.identity.zone.as_str());
+        if self.store.read(&key, Class::Lease).await.map_err(|e| e.to_string())?.is_some() {
+            return Ok(false);
+        }
+        let (_, assignment) = self.read().await?;
+        let token = lease::next_token(None, assignment.token);
+        let sent = self.host.now();
+        let id = self.store.grant(lease::TTL, Class::Lease).await.map_err(|e| e.to_string())?;
+        let record =
+            lease::Record { holder: self.identity.node.clone(), boot: self.identity.boot, token };
+        let value = stored::encode(&key, &record).map_err(|e| e.to_string())?;
+        let acquired = match self.store.swap(&key, 0, &value, Some(id), Class::Lease).await {
+            Ok(Swap::Done(_)) => true,
+            Ok(Swap::Conflict(_)) => false,
+            Err(e) if e.may_have_run() => self.is_own(&key, token).await?,
+            Err(e) => return Err(e.to_string()),
+        };
+        if acquired {
+            let lease = lease::Held { token, sent, ttl: lease::TTL };
+            *self.tables.coordinator.lock() =
+                Coordinator { held: Some(Held { id, lease }), ..Coordinator::default() };
+        } else if let Err(e) = self.store.revoke(id, Class::Lease).await {
+            log::debug!("group: cannot revoke an unused lease: {e}");
+        }
+        Ok(acquired)
+    }
+
+    /// Reads an acquisition back whose answer was lost.
+    async fn is_own(&self, key: &str, token: u64) -> Result<bool, String> {
+        let found = self.store.read(key, Class::Lease).await.map_err(|e| e.to_string())?;
+        let record: Option<lease::Record> =
+            found.and_then(|found| stored::decode(key, &found.value).ok());
+        let (node, boot) = (self.identity.node.as_str(), self.identity.boot);
+        Ok(lease::is_own(record.as_ref(), node, boot, token))
+    }
+
+    fn step_down(&self, cause: &str) {
+        log::warn!("group: stepping down as holder of {}: {cause}", self.identity.zone);
+        *self.tables.coordinator.lock() = Coordinator::default();
+    }
+
+    /// Releases the lease at a planned stop, so that another node takes over at once.
+    pub(super) async fn give_up(&self) {
+        let held = std::mem::take(&mut *self.tables.coordinator.lock()).held;
+        if let Some(held) = held
+            && let Err(e) = self.store.revoke(held.id, Class::Lease).await
+        {
+            log::info!("group: cannot release the lease, it lapses: {e}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/identity.rs
@@ -0,0 +1,147 @@
+//! Who this node is: name, availability zone, addresses and limits from the `[node]` section.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::{fs, io};
+
+use corneltrestle_kernel::settings::{Key, Section, Settings, Type};
+use corneltrestle_kernel::{host, linkme, plugin, table};
+use corneltrestle_policy::{id, membership};
+
+use crate::tables::members;
+
+/// Settings of the node itself.
+pub static SECTION: Section = Section {
+    name: "node",
+    help: "The node itself.",
+    keys: &[
+        Key::required("id", Type::Text, "Name of the node's VM, as in the VM list."),
+        Key::required("zone", Type::Text, "Availability zone of the node."),
+        Key::required("link", Type::Address, "Address on which other nodes reach this one."),
+        Key::required(
+            "secret-file",
+            Type::Path,
+            "File with the secret that all nodes share, 16 bytes or more.",
+        ),
+        Key::new("workers", Type::Count { min: 1, max: 64 }, "2", "Worker threads."),
+        Key::new(
+            "view-bound",
+            Type::millis(500, 30_000),
+            "3s",
+            "Longest age of a VM's report at dispatch.",
+        ),
+        Key::new(
+            "drain-limit",
+            Type::millis(0, 600_000),
+            "30s",
+            "Longest time that requests in progress get at a planned stop.",
+        ),
+    ],
+};
+
+#[linkme::distributed_slice(plugin::PLUGINS)]
+#[linkme(crate = linkme)]
+static IDENTITY: plugin::Plugin = plugin::Plugin {
+    name: "identity",
+    kind: plugin::Kind::Port,
+    section: Some(&SECTION),
+    check: plugin::unchecked,
+    open,
+};
+
+const SECRET_MIN_BYTES: usize = 16;
+
+/// Name, place and limits of a node.
+#[derive(Debug)]
+pub struct Identity {
+    /// Name of the node.
+    pub node: id::Node,
+    /// Availability zone.
+    pub zone: id::Zone,
+    /// Random identifier of this process, never 0.
+    pub boot: u64,
+    /// Address of the node's link.
+    pub link: SocketAddr,
+    /// Secret shared by all nodes.
+    pub secret: Secret,
+    /// Longest age of a VM's report at dispatch.
+    pub view_bound: Duration,
+    /// Longest time for requests in progress at a planned stop.
+    pub drain_limit: Duration,
+}
+
+/// A secret read from a file; its debug form hides it.
+pub struct Secret(Vec<u8>);
+
+impl Secret {
+    /// Reads a secret, without the line end.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read or holds fewer than 16 bytes.
+    pub fn read(path: &std::path::Path) -> io::Result<Self> {
+        let bytes = fs::read(path)?.trim_ascii_end().to_vec();
+        if bytes.len() < SECRET_MIN_BYTES {
+            let hint = format!("the file holds fewer than {SECRET_MIN_BYTES} bytes");
+            return Err(io::Error::new(io::ErrorKind::InvalidData, hint));
+        }
+        Ok(Self(bytes))
+    }
+
+    /// The bytes.
+    pub fn bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret")
+    }
+}
+
+/// Reads the secret named by a key of a section.
+///
+/// # Errors
+///
+/// When the key is absent or the file cannot be used.
+pub fn read_secret(
+    settings: &Settings,
+    section: &'static str,
+    key: &'static str,
+) -> plugin::Result<Secret> {
+    let path = settings.section(section).path(key).ok_or(plugin::Error::Settings {
+        step: section,
+        hint: format!("[{section}] {key} is required"),
+    })?;
+    Secret::read(path).map_err(|source| plugin::Error::File {
+        step: section,
+        peer: path.display().to_string(),
+        source,
+    })
+}
+
+fn open(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let node = host.settings.section("node");
+    let identity = Identity {
+        node: node.text("id").into(),
+        zone: node.text("zone").into(),
+        boot: rand::random::<u64>().max(1),
+        link: node.address("link"),
+        secret: read_secret(&host.settings, "node", "secret-file")?,
+        view_bound: node.span("view-bound"),
+        drain_limit: node.span("drain-limit"),
+    };
+    let known = membership::Members::new(
+        identity.node.clone(),
+        identity.zone.clone(),
+        identity.link,
+        identity.boot,
+        host.now(),
+    );
+    let forwarded = membership::Forwarded::default();
+    host.provide(Arc::new(table::Table::new(members::Members { known, forwarded })));
+    host.provide(Arc::new(identity));
+    Ok(plugin::Handle::idle())
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,12 @@
-//! Shared tables of one node, its duties, links and request pipeline.
+//! One entry node: its shared tables, periodic duties, links and request pipeline.
+//!
+//! Tables are shared by all workers and locked in the order of their ranks, see [`tables`].
+//! Duties keep the tables true; the [`pipeline`] reads them for each request. Decisions are in
+//! [`corneltrestle_policy`].
+
+pub mod digest;
+pub mod duty;
+pub mod identity;
+pub mod operate;
+pub mod pipeline;
+pub mod tables;
--- /dev/null
+++ b/crates/node/src/pipeline.rs
@@ -0,0 +1,113 @@
+//! The way of one request through a node: admit, choose, dispatch, relay.
+//!
+//! Front ends call a [`Pipeline`] with requests that carry no encoding of their own. The pipeline
+//! is generic over its clients, so that nothing on the request path is dispatched dynamically.
+
+mod admit;
+mod choose;
+mod generate;
+mod order;
+mod plain;
+pub mod refusal;
+mod relay;
+pub mod request;
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_kernel::{host, plugin, run};
+use corneltrestle_policy::{burn, id, release};
+use corneltrestle_time::Moment;
+
+pub use refusal::{Code, Outcome, Refusal, Result};
+pub use relay::Relay;
+
+use crate::{identity, tables};
+
+/// The request path of a node over its clients: engines, plain services and the store.
+#[derive(Debug)]
+pub struct Pipeline<E, P, S> {
+    host: Arc<host::Host>,
+    identity: Arc<identity::Identity>,
+    tables: tables::Tables,
+    engine: Arc<E>,
+    service: Arc<P>,
+    store: Arc<S>,
+}
+
+impl<E, P, S> Pipeline<E, P, S>
+where
+    E: Send + Sync + 'static,
+    P: Send + Sync + 'static,
+    S: Send + Sync + 'static,
+{
+    /// Opens the request path on the tables and ports of a host.
+    ///
+    /// # Errors
+    ///
+    /// When a port is missing.
+    pub fn open(host: &Arc<host::Host>) -> plugin::Result<Arc<Self>> {
+        Ok(Arc::new(Self {
+            host: Arc::clone(host),
+            identity: host.port()?,
+            tables: tables::Tables::of(host)?,
+            engine: host.port()?,
+            service: host.port()?,
+            store: host.port()?,
+        }))
+    }
+
+    /// Runs a job on the workers of the node.
+    pub fn run<F>(&self, job: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.host.pool.run(job);
+    }
+}
+
+impl<E, P, S> Pipeline<E, P, S> {
+    /// The present moment.
+    pub fn now(&self) -> Moment {
+        self.host.now()
+    }
+
+    /// The accepted release.
+    pub fn release(&self) -> Arc<release::Release> {
+        self.tables.current.load()
+    }
+
+    /// Adds service-level counts of a request.
+    fn count(&self, service: &id::Service, organisation: &id::Organisation, counts: &burn::Counts) {
+        let now = self.now();
+        self.tables.burn.lock().counts.record(service.as_str(), organisation.as_str(), counts, now);
+    }
+
+    fn targets(&self, service: &id::Service) -> release::Targets {
+        let release = self.tables.current.load();
+        release.services.get(service).map(|service| service.targets).unwrap_or_default()
+    }
+
+    /// Refuses requests unless the node is ready.
+    fn check_stage(&self) -> Result<()> {
+        let (code, message) = match self.host.run.stage() {
+            run::Stage::Ready => return Ok(()),
+            run::Stage::Starting => (Code::Unavailable, "the node has no configuration yet"),
+            _ => (Code::Draining, "the node is stopping"),
+        };
+        Err(Refusal::not_run(code, "admit", message).retry_after(Duration::from_secs(1)))
+    }
+
+    /// Live nodes of all zones, this one included.
+    fn live_nodes(&self) -> usize {
+        let now = self.now();
+        let members = self.tables.members.lock();
+        members.known.view(now).alive().max(1)
+    }
+
+    /// Demand of an organisation at this node and at all live nodes, and the number of those.
+    fn demand(&self, _organisation: &id::Organisation) -> (f64, f64, usize) {
+        (1.0, 1.0, self.live_nodes())
+    }
+}
--- /dev/null
+++ b/crates/node/src/pipeline/choose.rs
@@ -0,0 +1,228 @@
+//! Choice of a replica for a generation.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_engine::engine;
+use corneltrestle_kernel::table;
+use corneltrestle_policy::{assignment, id, release, report, route, vm, warmup, wholeness};
+use corneltrestle_time::Moment;
+
+use super::{Pipeline, request};
+use crate::tables::{self, dispatched, replicas, reports};
+
+/// Requests in progress from which a replica counts as warm.
+const WARM_LEVEL: u32 = 64;
+/// Network latency one way to a replica in another availability zone.
+const ZONE_DISTANCE: Duration = Duration::from_millis(1);
+
+/// The replica that was chosen.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    /// The replica with its epoch and members.
+    pub replica: Arc<assignment::Replica>,
+    /// Its zone.
+    pub zone: id::Zone,
+    /// Address of its head VM.
+    pub head: SocketAddr,
+}
+
+/// A request in progress at a replica; its end is counted when it is dropped.
+#[derive(Debug)]
+pub(super) struct InProgress {
+    table: Arc<table::Table<dispatched::Dispatched>>,
+    replica: id::Replica,
+    sent: Moment,
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.table.lock().end(&self.replica, self.sent);
+    }
+}
+
+/// A replica that may take the request, with what the prediction needs.
+struct Found<'a> {
+    replica: &'a assignment::Replica,
+    zone: &'a id::Zone,
+    head: &'a report::Seen,
+    permitted: bool,
+    cached: u32,
+}
+
+impl Target {
+    /// The engine call for a request, for the time that is left of it.
+    pub(super) fn generate<'a>(
+        &'a self,
+        request: &'a request::Generation,
+        now: Moment,
+        resume: Option<engine::Resume<'a>>,
+    ) -> engine::Generate<'a> {
+        engine::Generate {
+            path: request.path,
+            id: &request.id,
+            replica: &self.replica.id,
+            epoch: self.replica.epoch,
+            priority: u8::from(request.interactive),
+            left: request.deadline.since(now),
+            body: &request.body,
+            resume,
+        }
+    }
+}
+
+impl<E, P, S> Pipeline<E, P, S> {
+    /// Chooses a whole replica for the request and counts the dispatch.
+    ///
+    /// Replicas at which the request failed before are chosen only if there is no other.
+    pub(super) fn choose(
+        &self,
+        request: &request::Generation,
+        failed: &BTreeSet<id::Replica>,
+        now: Moment,
+    ) -> Option<(Target, InProgress)> {
+        let release = self.tables.current.load();
+        let nodes = self.live_nodes();
+        let leaving = self.leaving();
+        let replicas = self.tables.replicas.lock();
+        let reports = self.tables.reports.lock();
+        let mut warmup = self.tables.warmup.lock();
+        let mut dispatched = self.tables.dispatched.lock();
+        let mut found = self.candidates(request, &release, &replicas, &reports, &leaving, now);
+        for candidate in &mut found {
+            let busy = dispatched.of(&candidate.replica.id).len();
+            candidate.permitted = self.is_permitted(candidate, &release, &mut warmup, busy);
+            candidate.cached = dispatched.history.cached(
+                &candidate.replica.id,
+                candidate.head.report.start,
+                &request.prefixes,
+            );
+        }
+        if found.iter().any(|c| c.permitted && !failed.contains(&c.replica.id)) {
+            found.retain(|c| !failed.contains(&c.replica.id));
+        }
+        let weights = route::Weights {
+            blocks: u32::try_from(request.prefixes.len()).unwrap_or(u32::MAX),
+            nodes,
+            rate: dispatched.rate.per_second(now),
+            ..route::Weights::default()
+        };
+        let views: Vec<_> = found.iter().map(|c| self.view_of(c, &dispatched)).collect();
+        let chosen = route::choose(&views, &weights, now, &mut rand::rng())?;
+        let Found { replica, zone, head, .. } = &found[chosen];
+        let head_address = replica.head()?.address;
+        dispatched.begin(&replica.id, now);
+        dispatched.history.dispatched(&replica.id, head.report.start, &request.prefixes, now);
+        let in_progress = InProgress {
+            table: Arc::clone(&self.tables.dispatched),
+            replica: replica.id.clone(),
+            sent: now,
+        };
+        let target = Target {
+            replica: Arc::new((*replica).clone()),
+            zone: (*zone).clone(),
+            head: head_address,
+        };
+        Some((target, in_progress))
+    }
+
+    /// Whether a replica may still be served from, by the tables as they are now.
+    pub(super) fn is_served(&self, target: &Target, now: Moment) -> bool {
+        let leaving = self.leaving();
+        let reports = self.tables.reports.lock();
+        let view = wholeness::View {
+            replica: &target.replica,
+            reports: reports.all(),
+            leaving: &leaving,
+            // Requests in progress finish although their zone takes no new work.
+            zone_in: true,
+            bound: self.identity.view_bound,
+        };
+        match wholeness::check(&view, now) {
+            // A planned leave lets requests in progress finish too.
+            Ok(()) | Err(wholeness::Reason::Leaving(_)) => true,
+            Err(reason) => {
+                log::info!("route: replica {} is not whole: {reason:?}", target.replica.id);
+                false
+            }
+        }
+    }
+
+    /// VMs that the platform asked to leave.
+    fn leaving(&self) -> BTreeSet<id::Vm> {
+        let listed = Arc::clone(&self.tables.listed.lock().vms);
+        let leaving = listed.iter().filter(|entry| entry.state == vm::State::Leaving);
+        leaving.map(|entry| entry.id.clone()).collect()
+    }
+
+    /// The whole replicas of the service in zones that take new work.
+    fn candidates<'a>(
+        &self,
+        request: &request::Generation,
+        release: &release::Release,
+        replicas: &'a replicas::Replicas,
+        reports: &'a reports::Reports,
+        leaving: &BTreeSet<id::Vm>,
+        now: Moment,
+    ) -> Vec<Found<'a>> {
+        let serves = |replica: &assignment::Replica| {
+            let set = release.sets.get(&replica.id.set);
+            set.is_some_and(|set| set.service == request.service)
+        };
+        let mut found = Vec::new();
+        for (zone, stored) in replicas.zones() {
+            let zone_in = release.is_in(zone.as_str());
+            for replica in stored.assignment.replicas.iter().filter(|replica| serves(replica)) {
+                let bound = self.identity.view_bound;
+                let all = reports.all();
+                let view = wholeness::View { replica, reports: all, leaving, zone_in, bound };
+                let head = replica.head().and_then(|head| reports.get(head.id.as_str()));
+                if let (Ok(()), Some(head)) = (wholeness::check(&view, now), head) {
+                    found.push(Found { replica, zone, head, permitted: false, cached: 0 });
+                }
+            }
+        }
+        found
+    }
+
+    fn is_permitted(
+        &self,
+        candidate: &Found<'_>,
+        release: &release::Release,
+        table: &mut tables::warmup::Warmup,
+        busy: usize,
+    ) -> bool {
+        let replica = candidate.replica;
+        let cold = release.sets.get(&replica.id.set).map_or(1, |set| set.cold_limit);
+        let limits = warmup::Limits { cold, full: WARM_LEVEL.max(cold) };
+        let report = &candidate.head.report;
+        let level =
+            table.observe(&replica.id, replica.epoch, limits, report.start, report.finished);
+        let routers = replica.routers.iter().map(id::Node::as_str);
+        let ordered = warmup::order(report.start, routers);
+        level.permits(
+            &ordered,
+            self.identity.node.as_str(),
+            u32::try_from(busy).unwrap_or(u32::MAX),
+        )
+    }
+
+    fn view_of<'a>(
+        &self,
+        found: &Found<'_>,
+        dispatched: &'a dispatched::Dispatched,
+    ) -> route::Candidate<'a> {
+        let own = *found.zone == self.identity.zone;
+        route::Candidate {
+            running: found.head.report.running,
+            waiting: found.head.report.waiting,
+            reported: found.head.at,
+            dispatches: dispatched.of(&found.replica.id),
+            cached: found.cached,
+            distance: if own { Duration::ZERO } else { ZONE_DISTANCE },
+            permitted: found.permitted,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/pipeline/generate.rs
@@ -0,0 +1,182 @@
+//! Generations: dispatch to a replica, and another one while that is allowed.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corneltrestle_engine::engine::{self, Engine};
+use corneltrestle_policy::{burn, retry};
+
+use super::choose::{InProgress, Target};
+use super::{Code, Pipeline, Refusal, Relay, Result, request};
+
+/// Wait between two looks for a replica that can serve.
+const CHOOSE_PERIOD: Duration = Duration::from_millis(50);
+
+/// The attempts of one request so far.
+#[derive(Debug, Default)]
+pub(super) struct Attempts {
+    failed: BTreeSet<corneltrestle_policy::id::Replica>,
+    count: u32,
+    last: Option<engine::Error>,
+}
+
+impl<E, P, S> Pipeline<E, P, S>
+where
+    E: Engine,
+    P: Send + Sync + 'static,
+    S: Send + Sync + 'static,
+{
+    /// Starts a streamed generation.
+    ///
+    /// # Errors
+    ///
+    /// When no upstream has started it; nothing has been delivered then.
+    pub async fn stream(self: &Arc<Self>, request: request::Generation) -> Result<Relay<E, P, S>> {
+        self.check_stage()?;
+        let admitted =
+            self.admit(&request.organisation, request.interactive, request.deadline).await;
+        let started = match admitted {
+            Ok(permit) => Relay::start(Arc::clone(self), permit, request).await,
+            Err(refusal) => Err((request, refusal)),
+        };
+        started.map_err(|(request, refusal)| {
+            self.count_failure(&request);
+            refusal
+        })
+    }
+
+    /// Runs a generation that is answered in one body.
+    ///
+    /// # Errors
+    ///
+    /// When no upstream has answered it whole before its deadline.
+    pub async fn complete(&self, request: &request::Generation) -> Result<Bytes> {
+        self.check_stage()?;
+        let result = self.complete_admitted(request).await;
+        match &result {
+            Ok(_) => {
+                let mut counts = burn::Counts::default();
+                counts.request(self.now() <= request.deadline);
+                self.count(&request.service, &request.organisation, &counts);
+            }
+            Err(_) => self.count_failure(request),
+        }
+        result
+    }
+
+    async fn complete_admitted(&self, request: &request::Generation) -> Result<Bytes> {
+        let _permit =
+            self.admit(&request.organisation, request.interactive, request.deadline).await?;
+        let mut attempts = Attempts::default();
+        loop {
+            let (target, in_progress) = self.target(request, &attempts).await?;
+            let call = target.generate(request, self.now(), None);
+            match self.engine.complete(target.head, &call).await {
+                Ok(body) => return Ok(body),
+                Err(e) => self.retry(request, &mut attempts, &target, e).await?,
+            }
+            drop(in_progress);
+        }
+    }
+
+    /// Chooses a replica, waiting for one while the deadline allows.
+    pub(super) async fn target(
+        &self,
+        request: &request::Generation,
+        attempts: &Attempts,
+    ) -> Result<(Target, InProgress)> {
+        loop {
+            let now = self.now();
+            if now >= request.deadline {
+                return Err(too_late(attempts));
+            }
+            if let Some(chosen) = self.choose(request, &attempts.failed, now) {
+                return Ok(chosen);
+            }
+            tokio::time::sleep(CHOOSE_PERIOD).await;
+        }
+    }
+
+    /// Notes a failed attempt and waits until another one may start.
+    ///
+    /// # Errors
+    ///
+    /// When the failure, the deadline or the retry budget allows no other attempt.
+    pub(super) async fn retry(
+        &self,
+        request: &request::Generation,
+        attempts: &mut Attempts,
+        target: &Target,
+        error: engine::Error,
+    ) -> Result<()> {
+        let now = self.now();
+        attempts.count += 1;
+        attempts.failed.insert(target.replica.id.clone());
+        // Generations have no lasting effect and may always be repeated.
+        let next = may_move(&error).then(|| {
+            let budget = &mut self.tables.admission.lock().retries;
+            let failure = failure(&error);
+            let mut rng = rand::rng();
+            retry::next(failure, true, attempts.count, request.deadline, budget, now, &mut rng)
+        });
+        log::info!(request = request.id, attempt = attempts.count; "route: {error}");
+        metrics::counter!("attempts_failed_total").increment(1);
+        match next.flatten() {
+            Some(at) => {
+                attempts.last = Some(error);
+                tokio::time::sleep(at.since(now)).await;
+                Ok(())
+            }
+            None => Err(upstream_failed("dispatch", &error)),
+        }
+    }
+
+    /// Counts a request that was not answered whole.
+    pub(super) fn count_failure(&self, request: &request::Generation) {
+        let mut counts = burn::Counts::default();
+        counts.request(false);
+        self.count(&request.service, &request.organisation, &counts);
+    }
+}
+
+fn too_late(attempts: &Attempts) -> Refusal {
+    match &attempts.last {
+        Some(e) => {
+            let message = format!("no replica could take over in time: {e}");
+            Refusal::unknown(Code::DeadlineExceeded, "dispatch", message).at(e.peer)
+        }
+        None => Refusal::not_run(Code::Unavailable, "choose", "no replica of this model can serve")
+            .retry_after(Duration::from_secs(1)),
+    }
+}
+
+/// Whether another replica may do better than the one that failed like this.
+pub(super) fn may_move(error: &engine::Error) -> bool {
+    match error.kind {
+        engine::Kind::Refused(status) => matches!(status, 408 | 409 | 429) || status >= 500,
+        _ => true,
+    }
+}
+
+fn failure(error: &engine::Error) -> retry::Failure {
+    match error.kind {
+        engine::Kind::NotSent => retry::Failure::NotSent,
+        engine::Kind::Refused(_) => retry::Failure::Refused,
+        engine::Kind::Broken => retry::Failure::Broken,
+        _ => retry::Failure::Wrong,
+    }
+}
+
+/// The answer after the last attempt failed.
+pub(super) fn upstream_failed(step: &'static str, error: &engine::Error) -> Refusal {
+    let message = error.to_string();
+    let refusal = match error.kind {
+        engine::Kind::NotSent => Refusal::not_run(Code::UpstreamFailed, step, message),
+        engine::Kind::Refused(400..=499) => Refusal::not_run(Code::BadRequest, step, message),
+        engine::Kind::Refused(_) => Refusal::not_run(Code::UpstreamFailed, step, message),
+        _ => Refusal::unknown(Code::UpstreamFailed, step, message),
+    };
+    refusal.at(error.peer)
+}
--- /dev/null
+++ b/crates/node/src/pipeline/order.rs
@@ -0,0 +1,318 @@
+//! Calls with an idempotency key: at most one run over all calls with that key.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corneltrestle_engine::service::{
+    Answer, HeaderMap, HeaderName, HeaderValue, Kind, Service, StatusCode,
+};
+use corneltrestle_platform::store::{self, Class, Store, Swap};
+use corneltrestle_policy::claim::{self, Decision, Ended, Holder, Holding, Record};
+use corneltrestle_policy::membership;
+use corneltrestle_wire::{key, stored};
+
+use super::admit::Permit;
+use super::{Code, Pipeline, Refusal, Result, plain, request};
+use crate::{digest, tables};
+
+/// Attempts to settle a claim or to record an outcome before giving up.
+const TRIES: u32 = 5;
+/// Wait between two such attempts.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Time for which claims are attached to the same store lease.
+const LEASE_PERIOD: Duration = Duration::from_secs(3_600);
+/// Time to live of that lease, so that each claim is kept for 24 hours at least.
+const LEASE_TTL: Duration = Duration::from_secs(25 * 3_600);
+
+/// A key that is claimed for this call.
+struct Claimed {
+    key: String,
+    record: Record,
+    holding: Holding,
+}
+
+impl<E, P, S> Pipeline<E, P, S>
+where
+    E: Send + Sync + 'static,
+    P: Service,
+    S: Store,
+{
+    /// Runs a call under its idempotency key.
+    ///
+    /// It runs in a job of its own, so that a caller who leaves does not leave the claim without
+    /// an outcome.
+    pub(super) async fn order(
+        self: &Arc<Self>,
+        call: request::Call,
+        key: String,
+        permit: Permit,
+    ) -> Result<Answer> {
+        let pipeline = Arc::clone(self);
+        let job = self.host.pool.run(async move {
+            let result = pipeline.run_order(&call, &key).await;
+            drop(permit);
+            result
+        });
+        job.await.unwrap_or_else(|e| {
+            let message = format!("the call's job ended early: {e}");
+            Err(Refusal::unknown(Code::UpstreamFailed, "dispatch", message))
+        })
+    }
+
+    async fn run_order(self: &Arc<Self>, call: &request::Call, key: &str) -> Result<Answer> {
+        let hash = digest::hex(&[key.as_bytes()]);
+        let store_key = key::order(call.organisation.as_str(), call.service.as_str(), &hash);
+        let request =
+            digest::hex(&[call.method.as_str().as_bytes(), call.target.as_bytes(), &call.body]);
+        let id = format!("{:032x}", rand::random::<u128>());
+        let claim = claim::Call {
+            claim: &id,
+            node: self.identity.node.as_str(),
+            boot: self.identity.boot,
+            request: &request,
+        };
+        self.tables.claims.lock().hold(&id);
+        let claimed = self.claim(&claim, store_key).await;
+        let result = match claimed {
+            Ok(Ok(claimed)) => return self.run_claimed(call, claimed).await,
+            Ok(Err(answer)) => Ok(answer),
+            Err(refusal) => Err(refusal),
+        };
+        self.tables.claims.lock().release(&id);
+        result
+    }
+
+    /// Claims the key, or finds the recorded answer.
+    async fn claim(
+        self: &Arc<Self>,
+        call: &claim::Call<'_>,
+        key: String,
+    ) -> Result<std::result::Result<Claimed, Answer>> {
+        let started = self.now();
+        let record = call.record();
+        let mut written = false;
+        for attempt in 0..TRIES {
+            if attempt > 0 {
+                tokio::time::sleep(PAUSE).await;
+            }
+            let found = match self.store.read(&key, Class::Order).await {
+                Ok(found) => found,
+                Err(e) if written => {
+                    log::info!("order: cannot read a claim back: {e}");
+                    continue;
+                }
+                Err(e) => return Err(store_failed(&e)),
+            };
+            let found = match found {
+                Some(found) => Some((decode(&key, &found.value)?, found.version)),
+                None => None,
+            };
+            let found = found.as_ref().map(|(record, version)| (record, *version));
+            let version = match claim::decide(call, found, |record| self.holder(record)) {
+                Decision::Hold(version) => {
+                    let holding = Holding::open(version, started);
+                    return Ok(Ok(Claimed { key, record, holding }));
+                }
+                Decision::Answer(answer) => return Ok(Err(recorded(answer))),
+                Decision::Claim(version) => version,
+                decision => return Err(declined(decision)),
+            };
+            let lease = self.claim_lease().await.map_err(|e| store_failed(&e))?;
+            let value = stored::encode(&key, &record).map_err(|e| malformed(&e))?;
+            match self.store.swap(&key, version, &value, Some(lease), Class::Order).await {
+                Ok(Swap::Done(version)) => {
+                    let holding = Holding::open(version, started);
+                    return Ok(Ok(Claimed { key, record, holding }));
+                }
+                // The next pass reads the other claim.
+                Ok(Swap::Conflict(_)) => {}
+                Err(e) if e.may_have_run() => written = true,
+                Err(e) if !written => return Err(store_failed(&e)),
+                Err(_) => {}
+            }
+        }
+        self.abandon(key, record);
+        Err(Refusal::not_run(
+            Code::StoreUnavailable,
+            "claim",
+            "the claim of the idempotency key could not be settled",
+        )
+        .retry_after(Duration::from_secs(2)))
+    }
+
+    /// Sends the call under its claim and records the outcome.
+    async fn run_claimed(
+        self: &Arc<Self>,
+        call: &request::Call,
+        mut claimed: Claimed,
+    ) -> Result<Answer> {
+        let result = self.send_claimed(call, &mut claimed.holding).await;
+        let ended = match &result {
+            Ok(answer) => Ended::Answered(record_answer(answer)),
+            Err(refusal) if refusal.outcome == super::Outcome::NotRun => Ended::NotSent,
+            Err(_) => Ended::Broken,
+        };
+        let record = claimed.holding.record(&claimed.record, ended);
+        let (key, version) = (claimed.key, claimed.holding.version());
+        self.record(&key, version, &record).await;
+        self.tables.claims.lock().release(&record.claim);
+        result
+    }
+
+    async fn send_claimed(&self, call: &request::Call, holding: &mut Holding) -> Result<Answer> {
+        let mut last = None;
+        for peer in self.upstreams(&call.service)? {
+            if !holding.send(self.now()) {
+                break;
+            }
+            match self.send(call, peer).await {
+                Err(e) if e.kind == Kind::NotSent => {
+                    holding.not_sent();
+                    last = Some(e);
+                }
+                result => return result.map_err(|e| plain::failed(&e)),
+            }
+        }
+        Err(last.map_or_else(
+            || Refusal::not_run(Code::Unavailable, "dispatch", "the claim became too old to send"),
+            |e| plain::failed(&e),
+        ))
+    }
+
+    /// Records an outcome; without it later calls get an unknown outcome, never a second run.
+    async fn record(&self, key: &str, version: u64, record: &Record) {
+        let Ok(value) = stored::encode(key, record) else { return };
+        for attempt in 0..TRIES {
+            if attempt > 0 {
+                tokio::time::sleep(PAUSE).await;
+            }
+            let lease = self.tables.claims.lock().lease.map(|lease| lease.id);
+            match self.store.swap(key, version, &value, lease, Class::Order).await {
+                Ok(Swap::Done(_)) => return,
+                // An earlier attempt took effect, or the claim has lapsed; neither is overwritten.
+                Ok(Swap::Conflict(_)) => return,
+                Err(e) => log::info!("order: cannot record an outcome: {e}"),
+            }
+        }
+        log::warn!("order: the outcome of a call is not recorded; its key answers unknown");
+    }
+}
+
+/// Claims of other calls.
+impl<E, P, S> Pipeline<E, P, S>
+where
+    E: Send + Sync + 'static,
+    P: Service,
+    S: Store,
+{
+    /// What is known about the holder of another call's claim.
+    fn holder(&self, record: &Record) -> Holder {
+        let now = self.now();
+        let members = self.tables.members.lock();
+        if record.node == self.identity.node && record.boot == self.identity.boot {
+            return self.tables.claims.lock().holder(&record.claim);
+        }
+        let view = members.known.view(now);
+        let same = view.get(record.node.as_str()).is_some_and(|node| node.boot == record.boot);
+        match view.liveness(record.node.as_str()) {
+            membership::Liveness::Dead => Holder::Dead,
+            _ if same => Holder::Live,
+            _ => Holder::Dead,
+        }
+    }
+
+    /// Gives up a claim that may still take effect, and withdraws it if it does.
+    fn abandon(self: &Arc<Self>, key: String, record: Record) {
+        self.tables.claims.lock().abandon(&record.claim);
+        let pipeline = Arc::clone(self);
+        self.host.pool.run(async move {
+            for _ in 0..TRIES {
+                tokio::time::sleep(PAUSE * 5).await;
+                let Ok(Some(found)) = pipeline.store.read(&key, Class::Order).await else {
+                    continue;
+                };
+                let is_own = decode(&key, &found.value).is_ok_and(|own| own.claim == record.claim);
+                if is_own {
+                    let record = Record { state: claim::State::NotRun, ..record };
+                    pipeline.record(&key, found.version, &record).await;
+                }
+                return;
+            }
+        });
+    }
+
+    /// The store lease that keeps claims for their retention.
+    async fn claim_lease(&self) -> store::Result<store::LeaseId> {
+        let now = self.now();
+        let known = self.tables.claims.lock().lease;
+        if let Some(lease) = known.filter(|lease| now.since(lease.granted) < LEASE_PERIOD) {
+            return Ok(lease.id);
+        }
+        let id = self.store.grant(LEASE_TTL, Class::Order).await?;
+        self.tables.claims.lock().lease = Some(tables::claims::Lease { id, granted: now });
+        Ok(id)
+    }
+}
+
+fn decode(key: &str, value: &[u8]) -> Result<Record> {
+    stored::decode(key, value).map_err(|e| malformed(&e))
+}
+
+fn malformed(error: &stored::Error) -> Refusal {
+    Refusal::unknown(Code::StoreUnavailable, "claim", error.to_string())
+}
+
+fn store_failed(error: &store::Error) -> Refusal {
+    let message = format!("this call was not run: {error}");
+    Refusal::not_run(Code::StoreUnavailable, "claim", message)
+        .at(&error.peer)
+        .retry_after(Duration::from_secs(2))
+}
+
+fn declined(decision: Decision<'_>) -> Refusal {
+    match decision {
+        Decision::Different => Refusal::not_run(
+            Code::KeyReused,
+            "claim",
+            "the idempotency key belongs to another request; use a new key",
+        ),
+        Decision::InProgress => Refusal::unknown(
+            Code::InProgress,
+            "claim",
+            "the first call with this idempotency key is in progress",
+        )
+        .retry_after(Duration::from_secs(1)),
+        _ => Refusal::unknown(
+            Code::UpstreamFailed,
+            "claim",
+            "the first call with this idempotency key may have run; ask the service for its status",
+        ),
+    }
+}
+
+fn record_answer(answer: &Answer) -> claim::Answer {
+    let headers = answer.headers.iter().filter_map(|(name, value)| {
+        Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+    });
+    claim::Answer {
+        status: answer.status.as_u16(),
+        headers: headers.collect(),
+        body: answer.body.to_vec(),
+    }
+}
+
+fn recorded(answer: &claim::Answer) -> Answer {
+    let headers: HeaderMap = answer
+        .headers
+        .iter()
+        .filter_map(|(name, value)| {
+            Some((HeaderName::try_from(name).ok()?, HeaderValue::try_from(value).ok()?))
+        })
+        .collect();
+    Answer {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+        headers,
+        body: Bytes::from(answer.body.clone()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/pipeline/plain.rs
@@ -0,0 +1,209 @@
+//! Calls to plain services.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_engine::service::{self, Answer, Kind, Service};
+use corneltrestle_platform::store::Store;
+use corneltrestle_policy::{burn, id, release, retry, vm};
+use rand::seq::SliceRandom;
+
+use super::{Code, Pipeline, Refusal, Result, request};
+
+/// Time without an answer after which a repeatable call is sent to a second upstream.
+const HEDGE_DELAY: Duration = Duration::from_millis(250);
+
+impl<E, P, S> Pipeline<E, P, S>
+where
+    E: Send + Sync + 'static,
+    P: Service,
+    S: Store,
+{
+    /// Runs a call to a plain service.
+    ///
+    /// A call that is not repeatable is sent at most once; with an idempotency key, once over all
+    /// calls with that key.
+    ///
+    /// # Errors
+    ///
+    /// When no complete answer of the service can be given; the refusal says whether the call may
+    /// have run.
+    pub async fn call(self: &Arc<Self>, call: request::Call) -> Result<Answer> {
+        self.check_stage()?;
+        let release = self.tables.current.load();
+        let plain = plain(&release, &call.service)?;
+        let repeatable = plain.is_repeatable(call.method.as_str(), call.path());
+        let permit = self.admit(&call.organisation, true, call.deadline).await?;
+        let mut counts = burn::Counts::default();
+        let (service, organisation) = (call.service.clone(), call.organisation.clone());
+        let deadline = call.deadline;
+        let result = if repeatable {
+            self.repeatable(&call).await
+        } else if let Some(key) = call.key.clone() {
+            self.order(call, key, permit).await
+        } else if plain.require_key {
+            Err(Refusal::not_run(
+                Code::KeyRequired,
+                "route",
+                "this call may not be repeated; send it with an Idempotency-Key",
+            ))
+        } else {
+            self.once(&call).await
+        };
+        counts.request(result.is_ok() && self.now() <= deadline);
+        if !repeatable {
+            let known = |refusal: &Refusal| refusal.outcome == super::Outcome::NotRun;
+            counts.order(result.as_ref().map_or_else(known, |_| true));
+        }
+        self.count(&service, &organisation, &counts);
+        result
+    }
+
+    /// Sends a repeatable call, again while that is allowed.
+    async fn repeatable(&self, call: &request::Call) -> Result<Answer> {
+        let mut failures = 0;
+        loop {
+            let peers = self.upstreams(&call.service)?;
+            let error = match self.hedged(call, &peers).await {
+                Ok(answer) if !answer.status.is_server_error() => return Ok(answer),
+                // The service's own error stands if no other upstream may be asked.
+                Ok(answer) => match self.next_attempt(call, &mut failures, retry::Failure::Wrong) {
+                    None => return Ok(answer),
+                    Some(wait) => {
+                        tokio::time::sleep(wait).await;
+                        continue;
+                    }
+                },
+                Err(e) => e,
+            };
+            log::info!(request = call.id; "route: {error}");
+            match self.next_attempt(call, &mut failures, failure(&error)) {
+                Some(wait) => tokio::time::sleep(wait).await,
+                None => return Err(failed(&error)),
+            }
+        }
+    }
+
+    fn next_attempt(
+        &self,
+        call: &request::Call,
+        failures: &mut u32,
+        failure: retry::Failure,
+    ) -> Option<Duration> {
+        *failures += 1;
+        let now = self.now();
+        let budget = &mut self.tables.admission.lock().retries;
+        let mut rng = rand::rng();
+        retry::next(failure, true, *failures, call.deadline, budget, now, &mut rng)
+            .map(|at| at.since(now))
+    }
+
+    /// Sends a repeatable call, and a second one if the first upstream is slow.
+    async fn hedged(&self, call: &request::Call, peers: &[SocketAddr]) -> service::Result<Answer> {
+        let first = self.send(call, peers[0]);
+        tokio::pin!(first);
+        if let Ok(result) = tokio::time::timeout(HEDGE_DELAY, &mut first).await {
+            return result;
+        }
+        let now = self.now();
+        let granted = peers.len() > 1 && self.tables.admission.lock().hedges.hedge(true, now);
+        if !granted {
+            return first.await;
+        }
+        metrics::counter!("hedges_total").increment(1);
+        let second = self.send(call, peers[1]);
+        tokio::pin!(second);
+        tokio::select! {
+            result = &mut first => match result {
+                Ok(answer) => Ok(answer),
+                Err(_) => second.await,
+            },
+            result = &mut second => match result {
+                Ok(answer) => Ok(answer),
+                Err(_) => first.await,
+            },
+        }
+    }
+
+    /// Sends a call that is not repeatable; another upstream is asked only if nothing was sent.
+    async fn once(&self, call: &request::Call) -> Result<Answer> {
+        let mut last = None;
+        for peer in self.upstreams(&call.service)? {
+            match self.send(call, peer).await {
+                Err(e) if e.kind == Kind::NotSent => last = Some(e),
+                result => return result.map_err(|e| failed(&e)),
+            }
+        }
+        Err(last.map_or_else(no_upstream, |e| failed(&e)))
+    }
+
+    /// Sends a call once to one upstream.
+    pub(super) async fn send(
+        &self,
+        call: &request::Call,
+        peer: SocketAddr,
+    ) -> service::Result<Answer> {
+        let outgoing = service::Call {
+            id: &call.id,
+            method: &call.method,
+            target: &call.target,
+            headers: &call.headers,
+            body: &call.body,
+            left: call.deadline.since(self.now()),
+        };
+        self.service.call(peer, &outgoing).await
+    }
+
+    /// Upstreams that take new work, those of the own zone first, in random order.
+    pub(super) fn upstreams(&self, service: &id::Service) -> Result<Vec<SocketAddr>> {
+        let release = self.tables.current.load();
+        let plain = plain(&release, service)?;
+        let listed = Arc::clone(&self.tables.listed.lock().vms);
+        let is_leaving = |peer: &SocketAddr| {
+            listed.iter().any(|vm| vm.address == *peer && vm.state == vm::State::Leaving)
+        };
+        let mut found: Vec<_> = plain
+            .upstreams
+            .iter()
+            .filter(|(zone, peer)| release.is_in(zone.as_str()) && !is_leaving(peer))
+            .collect();
+        found.shuffle(&mut rand::rng());
+        found.sort_by_key(|(zone, _)| *zone != self.identity.zone);
+        if found.is_empty() {
+            return Err(no_upstream());
+        }
+        Ok(found.into_iter().map(|(_, peer)| *peer).collect())
+    }
+}
+
+fn plain<'a>(release: &'a release::Release, service: &id::Service) -> Result<&'a release::Plain> {
+    match release.services.get(service).map(|service| &service.kind) {
+        Some(release::Kind::Plain(plain)) => Ok(plain),
+        _ => Err(Refusal::not_run(Code::UnknownService, "route", "the service was withdrawn")),
+    }
+}
+
+pub(super) fn no_upstream() -> Refusal {
+    Refusal::not_run(Code::Unavailable, "choose", "no upstream of the service takes new work")
+        .retry_after(Duration::from_secs(1))
+}
+
+fn failure(error: &service::Error) -> retry::Failure {
+    match error.kind {
+        Kind::NotSent => retry::Failure::NotSent,
+        Kind::Refused(_) => retry::Failure::Refused,
+        Kind::Broken => retry::Failure::Broken,
+        _ => retry::Failure::Wrong,
+    }
+}
+
+/// The answer after a call failed for good.
+pub(super) fn failed(error: &service::Error) -> Refusal {
+    let message = error.to_string();
+    let refusal = match error.kind {
+        Kind::NotSent => Refusal::not_run(Code::UpstreamFailed, "dispatch", message),
+        _ => Refusal::unknown(Code::UpstreamFailed, "dispatch", message),
+    };
+    refusal.at(error.peer)
+}
--- /dev/null
+++ b/crates/node/src/pipeline/relay.rs
@@ -0,0 +1,266 @@
+//! Relay of a streamed answer, moved to another replica when its own is lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corneltrestle_engine::engine::{self, Engine, Stream};
+use corneltrestle_policy::{burn, id, release};
+use corneltrestle_time::Moment;
+use corneltrestle_wire::openai;
+
+use super::admit::Permit;
+use super::choose::{InProgress, Target};
+use super::generate::{Attempts, may_move, upstream_failed};
+use super::{Code, Pipeline, Refusal, Result, request};
+
+/// Most times that one answer is moved to another replica.
+const MOVES_MAX: u32 = 3;
+/// Time between two checks that the replica of a stream is whole.
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
+
+/// A streamed answer in progress; dropping it cancels the work upstream.
+#[derive(Debug)]
+pub struct Relay<E, P, S>
+where
+    E: Engine,
+    P: Send + Sync + 'static,
+    S: Send + Sync + 'static,
+{
+    pipeline: Arc<Pipeline<E, P, S>>,
+    request: request::Generation,
+    target: Target,
+    in_progress: InProgress,
+    upstream: E::Stream,
+    /// Data of the events delivered so far, from which a resume takes its text.
+    delivered: Vec<Bytes>,
+    moves: u32,
+    checked: Moment,
+    latest: Moment,
+    targets: release::Targets,
+    counts: burn::Counts,
+    /// Whether the answer was whole, once it has ended.
+    ended: Option<bool>,
+    _permit: Permit,
+}
+
+impl<E, P, S> Relay<E, P, S>
+where
+    E: Engine,
+    P: Send + Sync + 'static,
+    S: Send + Sync + 'static,
+{
+    pub(super) async fn start(
+        pipeline: Arc<Pipeline<E, P, S>>,
+        permit: Permit,
+        request: request::Generation,
+    ) -> std::result::Result<Self, (request::Generation, Refusal)> {
+        let mut attempts = Attempts::default();
+        loop {
+            let (target, in_progress) = match pipeline.target(&request, &attempts).await {
+                Ok(chosen) => chosen,
+                Err(refusal) => return Err((request, refusal)),
+            };
+            let now = pipeline.now();
+            let call = target.generate(&request, now, None);
+            match pipeline.engine.stream(target.head, &call).await {
+                Ok(upstream) => {
+                    let targets = pipeline.targets(&request.service);
+                    return Ok(Self {
+                        pipeline,
+                        request,
+                        target,
+                        in_progress,
+                        upstream,
+                        delivered: Vec::new(),
+                        moves: 0,
+                        checked: now,
+                        latest: now,
+                        targets,
+                        counts: burn::Counts::default(),
+                        ended: None,
+                        _permit: permit,
+                    });
+                }
+                Err(e) => {
+                    let retried = pipeline.retry(&request, &mut attempts, &target, e).await;
+                    if let Err(refusal) = retried {
+                        return Err((request, refusal));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The next event's data, or `None` after the complete answer.
+    ///
+    /// # Errors
+    ///
+    /// When the answer cannot be completed; what was delivered is then a part of it.
+    pub async fn next(&mut self) -> Result<Option<Bytes>> {
+        loop {
+            // The period bounds the time until the loss of a member VM is noticed while the head
+            // is silent.
+            let event = match tokio::time::timeout(CHECK_PERIOD, self.upstream.next()).await {
+                Ok(event) => event,
+                Err(_) => {
+                    self.check().await?;
+                    continue;
+                }
+            };
+            match event {
+                Ok(Some(token)) => {
+                    let now = self.pipeline.now();
+                    if now.since(self.checked) >= CHECK_PERIOD {
+                        self.check().await?;
+                    }
+                    if token.index == self.next_index() {
+                        self.observe(now);
+                        self.delivered.push(token.data.clone());
+                        return Ok(Some(token.data));
+                    }
+                }
+                Ok(None) => {
+                    self.end(self.pipeline.now() <= self.request.deadline);
+                    return Ok(None);
+                }
+                Err(e) => self.resume(e).await?,
+            }
+        }
+    }
+
+    /// The zone of the replica that serves the answer.
+    pub fn zone(&self) -> &id::Zone {
+        &self.target.zone
+    }
+
+    fn next_index(&self) -> u64 {
+        self.delivered.len() as u64
+    }
+
+    /// Moves the stream if its replica is no longer whole, or ends it after the deadline.
+    async fn check(&mut self) -> Result<()> {
+        let now = self.pipeline.now();
+        self.checked = now;
+        if now >= self.request.deadline {
+            self.end(false);
+            let message = "the deadline passed before the answer was complete";
+            return Err(
+                Refusal::unknown(Code::DeadlineExceeded, "relay", message).at(self.target.head)
+            );
+        }
+        if self.pipeline.is_served(&self.target, now) {
+            return Ok(());
+        }
+        let cause = format!("a member of replica {} is missing", self.target.replica.id);
+        let error = engine::Error {
+            kind: engine::Kind::Broken,
+            step: "relay",
+            peer: self.target.head,
+            cause,
+        };
+        self.resume(error).await
+    }
+
+    async fn resume(&mut self, error: engine::Error) -> Result<()> {
+        let resumed = self.try_resume(error).await;
+        if resumed.is_err() {
+            self.end(false);
+        }
+        resumed
+    }
+
+    async fn try_resume(&mut self, mut error: engine::Error) -> Result<()> {
+        let text = self.text()?;
+        let mut attempts = Attempts::default();
+        while self.moves < MOVES_MAX && may_move(&error) {
+            self.moves += 1;
+            metrics::counter!("streams_moved_total").increment(1);
+            self.pipeline.retry(&self.request, &mut attempts, &self.target, error).await?;
+            let (target, in_progress) = self.pipeline.target(&self.request, &attempts).await?;
+            let next = self.next_index();
+            let resume = (next > 0).then_some(engine::Resume { text: &text, next });
+            let call = target.generate(&self.request, self.pipeline.now(), resume);
+            let started = self.pipeline.engine.stream(target.head, &call).await;
+            self.target = target;
+            self.in_progress = in_progress;
+            match started {
+                Ok(upstream) => {
+                    self.upstream = upstream;
+                    self.checked = self.pipeline.now();
+                    return Ok(());
+                }
+                Err(e) => error = e,
+            }
+        }
+        Err(upstream_failed("relay", &error))
+    }
+
+    fn text(&self) -> Result<String> {
+        let mut text = String::new();
+        for data in &self.delivered {
+            openai::append_text(&mut text, data).map_err(|e| {
+                let message = format!("an event that was delivered cannot be read: {e}");
+                Refusal::unknown(Code::UpstreamFailed, "resume", message).at(self.target.head)
+            })?;
+        }
+        Ok(text)
+    }
+}
+
+/// Service-level counts.
+impl<E, P, S> Relay<E, P, S>
+where
+    E: Engine,
+    P: Send + Sync + 'static,
+    S: Send + Sync + 'static,
+{
+    fn observe(&mut self, now: Moment) {
+        if self.delivered.is_empty() {
+            let taken = now.since(self.request.arrived);
+            self.counts.first_token(Some(taken), &self.targets);
+            let mut warmup = self.pipeline.tables.warmup.lock();
+            if let Some(level) = warmup.get_mut(&self.target.replica.id) {
+                level.first_token(now.since(self.latest), self.targets.first_token);
+            }
+        } else {
+            self.counts.gap(now.since(self.latest), &self.targets);
+        }
+        self.latest = now;
+    }
+
+    fn end(&mut self, whole: bool) {
+        if self.ended.is_some() {
+            return;
+        }
+        self.ended = Some(whole);
+        if self.delivered.is_empty() {
+            self.counts.first_token(None, &self.targets);
+        }
+        self.counts.request(whole);
+        let counts = std::mem::take(&mut self.counts);
+        self.pipeline.count(&self.request.service, &self.request.organisation, &counts);
+    }
+}
+
+impl<E, P, S> Drop for Relay<E, P, S>
+where
+    E: Engine,
+    P: Send + Sync + 'static,
+    S: Send + Sync + 'static,
+{
+    fn drop(&mut self) {
+        if self.ended == Some(true) {
+            return;
+        }
+        // Dropping the stream closes its connection; the explicit call also reaches an engine
+        // that does not notice the close.
+        let pipeline = Arc::clone(&self.pipeline);
+        let (head, id) = (self.target.head, self.request.id.clone());
+        self.pipeline.host.pool.run(async move {
+            if let Err(e) = pipeline.engine.cancel(head, &id).await {
+                log::debug!(request = id; "route: cannot cancel: {e}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/tables.rs
@@ -0,0 +1,87 @@
+//! The shared tables of a node, in lock order.
+//!
+//! | rank | table | holds |
+//! |---|---|---|
+//! | 10 | [`config::Config`] | accepted release and its version in the store |
+//! | 20 | [`members::Members`] | nodes of this and other zones |
+//! | 25 | [`listed::Listed`] | the platform's VM list |
+//! | 30 | [`replicas::Replicas`] | assignment of each zone |
+//! | 35 | [`coordinator::Coordinator`] | state of the holder of the zone lease |
+//! | 40 | [`reports::Reports`] | latest report of each VM |
+//! | 50 | [`warmup::Warmup`] | warm-up levels |
+//! | 60 | [`dispatched::Dispatched`] | own requests in progress by replica, prefix history |
+//! | 70 | [`admission::Admission`] | queues, shares and retry budget |
+//! | 80 | [`claims::Claims`] | idempotency claims in progress |
+//! | 90 | [`calls::Calls`] | call budget towards the store |
+//! | 100 | [`burn::Burn`] | service-level counts |
+
+pub mod admission;
+pub mod burn;
+pub mod claims;
+pub mod config;
+pub mod coordinator;
+pub mod dispatched;
+pub mod listed;
+pub mod members;
+pub mod replicas;
+pub mod reports;
+pub mod warmup;
+
+use std::sync::Arc;
+
+use corneltrestle_kernel::{host, plugin, table};
+
+/// Handles on the tables of a node.
+#[derive(Clone, Debug)]
+pub struct Tables {
+    /// Accepted release, for writers.
+    pub config: Arc<table::Table<config::Config>>,
+    /// Accepted release, for readers.
+    pub current: config::Current,
+    /// Nodes of this and other zones.
+    pub members: Arc<table::Table<members::Members>>,
+    /// The platform's VM list.
+    pub listed: Arc<table::Table<listed::Listed>>,
+    /// Assignments.
+    pub replicas: Arc<table::Table<replicas::Replicas>>,
+    /// State of the holder of the zone lease.
+    pub coordinator: Arc<table::Table<coordinator::Coordinator>>,
+    /// Reports of VMs.
+    pub reports: Arc<table::Table<reports::Reports>>,
+    /// Warm-up levels.
+    pub warmup: Arc<table::Table<warmup::Warmup>>,
+    /// Own requests in progress.
+    pub dispatched: Arc<table::Table<dispatched::Dispatched>>,
+    /// Admission queues.
+    pub admission: Arc<table::Table<admission::Admission>>,
+    /// Idempotency claims.
+    pub claims: Arc<table::Table<claims::Claims>>,
+    /// Service-level counts.
+    pub burn: Arc<table::Table<burn::Burn>>,
+}
+
+impl Tables {
+    /// The tables of a host, created empty on first use.
+    ///
+    /// # Errors
+    ///
+    /// When the node's identity has not been opened yet, which provides the members.
+    pub fn of(host: &host::Host) -> plugin::Result<Self> {
+        let config = host.table::<config::Config>();
+        let current = config.lock().current();
+        Ok(Self {
+            config,
+            current,
+            members: host.port()?,
+            listed: host.table(),
+            replicas: host.table(),
+            coordinator: host.table(),
+            reports: host.table(),
+            warmup: host.table(),
+            dispatched: host.table(),
+            admission: host.table(),
+            claims: host.table(),
+            burn: host.table(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/tables/burn.rs
@@ -0,0 +1,16 @@
+//! Service-level counts.
+
+use corneltrestle_kernel::table;
+use corneltrestle_policy::burn;
+
+/// Service-level counts of this node; rank 100.
+#[derive(Debug, Default)]
+pub struct Burn {
+    /// The counts.
+    pub counts: burn::Burn,
+}
+
+impl table::Ranked for Burn {
+    const RANK: u16 = 100;
+    const NAME: &'static str = "burn";
+}
--- /dev/null
+++ b/crates/node/src/tables/config.rs
@@ -0,0 +1,60 @@
+//! The accepted release.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use corneltrestle_kernel::table;
+use corneltrestle_policy::release;
+use corneltrestle_time::Moment;
+
+/// The accepted release with its place in the store; rank 10.
+#[derive(Debug, Default)]
+pub struct Config {
+    /// Version of `config/head` in the store when it was read, 0 if learned from a peer.
+    pub version: u64,
+    /// When a watch or a direct read last confirmed the head, on this or another node.
+    pub confirmed: Option<Moment>,
+    current: Current,
+}
+
+impl table::Ranked for Config {
+    const RANK: u16 = 10;
+    const NAME: &'static str = "config";
+}
+
+/// Readers' snapshot of the accepted release; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct Current {
+    release: Arc<ArcSwap<release::Release>>,
+}
+
+impl Current {
+    /// The present release.
+    pub fn load(&self) -> Arc<release::Release> {
+        self.release.load_full()
+    }
+}
+
+impl Config {
+    /// A handle for readers, which do not lock the table.
+    pub fn current(&self) -> Current {
+        self.current.clone()
+    }
+
+    /// The present revision; 0 before the first.
+    pub fn revision(&self) -> u64 {
+        self.current.release.load().revision
+    }
+
+    /// Takes a release if its revision is higher than the present one.
+    ///
+    /// Returns whether it was taken. A revision never goes back, whatever a lagging read or a peer
+    /// says.
+    pub fn adopt(&mut self, offered: release::Release) -> bool {
+        let newer = offered.revision > self.revision();
+        if newer {
+            self.current.release.store(Arc::new(offered));
+        }
+        newer
+    }
+}
--- /dev/null
+++ b/crates/node/src/tables/dispatched.rs
@@ -0,0 +1,86 @@
+//! This node's own requests in progress, by replica, and its prefix history.
+
+use std::collections::HashMap;
+
+use corneltrestle_kernel::table;
+use corneltrestle_policy::{id, prefix};
+use corneltrestle_time::Moment;
+
+/// Prefixes remembered for each replica.
+const PREFIXES: usize = 4_096;
+
+/// Requests in progress; rank 60.
+#[derive(Debug)]
+pub struct Dispatched {
+    sent: HashMap<id::Replica, Vec<Moment>>,
+    /// What replicas hold in their prefix caches.
+    pub history: prefix::History,
+    /// Dispatches a second, averaged.
+    pub rate: Rate,
+}
+
+impl table::Ranked for Dispatched {
+    const RANK: u16 = 60;
+    const NAME: &'static str = "dispatched";
+}
+
+impl Default for Dispatched {
+    fn default() -> Self {
+        Self {
+            sent: HashMap::new(),
+            history: prefix::History::open(PREFIXES),
+            rate: Rate::default(),
+        }
+    }
+}
+
+impl Dispatched {
+    /// Counts a dispatch.
+    pub fn begin(&mut self, replica: &id::Replica, now: Moment) {
+        self.sent.entry(replica.clone()).or_default().push(now);
+        self.rate.count(now);
+    }
+
+    /// Counts the end of the request that was dispatched at `sent`.
+    pub fn end(&mut self, replica: &id::Replica, sent: Moment) {
+        let Some(moments) = self.sent.get_mut(replica) else { return };
+        if let Ok(at) = moments.binary_search(&sent) {
+            moments.remove(at);
+        }
+        if moments.is_empty() {
+            self.sent.remove(replica);
+        }
+    }
+
+    /// Moments of the dispatches in progress, in increasing order.
+    pub fn of(&self, replica: &id::Replica) -> &[Moment] {
+        self.sent.get(replica).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// An exponentially weighted rate.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rate {
+    level: f64,
+    counted: Moment,
+}
+
+/// Time over which the weight of a count falls by half, in seconds.
+const HALF_LIFE_S: f64 = 5.0;
+
+impl Rate {
+    /// Counts one event.
+    pub fn count(&mut self, now: Moment) {
+        self.level = self.decayed(now) + std::f64::consts::LN_2 / HALF_LIFE_S;
+        self.counted = now;
+    }
+
+    /// Events a second.
+    pub fn per_second(&self, now: Moment) -> f64 {
+        self.decayed(now)
+    }
+
+    fn decayed(&self, now: Moment) -> f64 {
+        self.level * (-now.since(self.counted).as_secs_f64() / HALF_LIFE_S).exp2()
+    }
+}
--- /dev/null
+++ b/crates/node/src/tables/listed.rs
@@ -0,0 +1,28 @@
+//! The platform's VM list as last read.
+
+use std::sync::Arc;
+
+use corneltrestle_kernel::table;
+use corneltrestle_policy::vm;
+use corneltrestle_time::Moment;
+
+/// The VM list; rank 25.
+#[derive(Debug, Default)]
+pub struct Listed {
+    /// The entries.
+    pub vms: Arc<Vec<vm::Vm>>,
+    /// When the list was read; `None` before the first time.
+    pub read: Option<Moment>,
+}
+
+impl table::Ranked for Listed {
+    const RANK: u16 = 25;
+    const NAME: &'static str = "listed";
+}
+
+impl Listed {
+    /// The entry of `vm`.
+    pub fn find(&self, vm: &str) -> Option<&vm::Vm> {
+        self.vms.iter().find(|entry| entry.id.as_str() == vm)
+    }
+}
--- /dev/null
+++ b/crates/node/src/tables/replicas.rs
@@ -0,0 +1,54 @@
+//! The assignment of each zone as last learned.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use corneltrestle_kernel::table;
+use corneltrestle_policy::{assignment, id};
+
+/// The assignments; rank 30.
+#[derive(Debug, Default)]
+pub struct Replicas {
+    zones: BTreeMap<id::Zone, Stored>,
+}
+
+/// An assignment with its version in the store.
+#[derive(Clone, Debug, Default)]
+pub struct Stored {
+    /// Version of the value in the store.
+    pub version: u64,
+    /// The assignment.
+    pub assignment: Arc<assignment::Assignment>,
+}
+
+impl table::Ranked for Replicas {
+    const RANK: u16 = 30;
+    const NAME: &'static str = "replicas";
+}
+
+impl Replicas {
+    /// Takes an assignment if its version is higher than the one known; returns whether it was.
+    pub fn adopt(
+        &mut self,
+        zone: &id::Zone,
+        version: u64,
+        assignment: assignment::Assignment,
+    ) -> bool {
+        let known = self.zones.entry(zone.clone()).or_default();
+        let newer = version > known.version;
+        if newer {
+            *known = Stored { version, assignment: Arc::new(assignment) };
+        }
+        newer
+    }
+
+    /// The assignment of a zone.
+    pub fn zone(&self, zone: &str) -> Stored {
+        self.zones.get(zone).cloned().unwrap_or_default()
+    }
+
+    /// All zones with an assignment.
+    pub fn zones(&self) -> impl Iterator<Item = (&id::Zone, &Stored)> {
+        self.zones.iter()
+    }
+}
--- a/crates/policy/src/membership/view.rs
+++ b/crates/policy/src/membership/view.rs
@@ -61,6 +61,11 @@
         })
     }
 
+    /// Number of nodes of all zones that are alive, this one included.
+    pub fn alive(&self) -> usize {
+        self.nodes.values().filter(|member| self.judge(member) == Liveness::Alive).count()
+    }
+
     /// Whether decisions may be taken: no pause, or the members were renewed since.
     ///
     /// A node without any peer left in its view has nobody to renew it from, so it need not wait.
--- a/crates/wire/src/stored.rs
+++ b/crates/wire/src/stored.rs
@@ -5,8 +5,8 @@
 
 use std::fmt;
 
-use corneltrestle_policy::{assignment, id, release};
-use serde::{Deserialize, Serialize, de};
+use corneltrestle_policy::{assignment, claim, lease, release};
+use serde::{Serialize, de};
 
 /// Largest value that the store accepts.
 pub const MAX_BYTES: usize = 1_000_000;
@@ -59,19 +59,8 @@
 
 impl Stored for release::Release {}
 impl Stored for assignment::Assignment {}
-impl Stored for Lease {}
-
-/// The holder of a zone's lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Lease {
-    /// The node that holds it.
-    pub node: id::Node,
-    /// Random identifier of that node's start.
-    pub boot: u64,
-    /// Fencing token of this term.
-    pub token: u64,
-}
+impl Stored for lease::Record {}
+impl Stored for claim::Record {}
 
 /// Decodes the value of `key`.
 ///
@@ -84,8 +73,10 @@
 /// ```
 /// use corneltrestle_wire::{key, stored};
 ///
-/// let text = br#"{"node":"n1","boot":7,"token":3,"later":true}"#;
-/// let lease: stored::Lease = stored::decode(&key::lease("a"), text).unwrap();
+/// use corneltrestle_policy::lease;
+///
+/// let text = br#"{"holder":"n1","boot":7,"token":3,"later":true}"#;
+/// let lease: lease::Record = stored::decode(&key::lease("a"), text).unwrap();
 /// assert_eq!(lease.token, 3);
 /// ```
 pub fn decode<T: Stored>(key: &str, value: &[u8]) -> Result<T> {
