--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -7,9 +7,11 @@
 /// The warm-up level of one upstream.
 ///
 /// The level depends only on the engine's own count of finished requests, so routers with reports
-/// of different ages differ only by a lower level. All requests in progress at the upstream, over
-/// all routers of one epoch, number at most the highest level that any of them sees; just after a
-/// fall-back, at most the larger of that level and what was already in progress.
+/// of different ages differ only by a lower level. The requests in progress, over all routers of
+/// one epoch that know the start id, number at most the highest level that any of them sees. After
+/// a fall-back without a restart, what a router already had in progress beyond its slots comes on
+/// top until it ends. A router that has not seen a new start id yet is bounded only by the age that
+/// its reports may have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Warmup {
     limits: Limits,
--- /dev/null
+++ b/crates/policy/tests/warmup.rs
@@ -0,0 +1,140 @@
+//! Guards the bound on work in progress at cold upstreams.
+
+use std::time::Duration;
+
+use corneltrestle_policy::warmup::{self, Limits, Warmup};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use test_case::test_case;
+
+const LIMITS: Limits = Limits { cold: 2, full: 40 };
+
+#[derive(Clone, Copy, Debug)]
+enum Op {
+    Dispatch(usize),
+    Finish(usize),
+    Observe(usize, usize),
+    Restart,
+    LoseCache,
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        80 => any::<usize>().prop_map(Op::Dispatch),
+        40 => any::<usize>().prop_map(Op::Finish),
+        40 => (any::<usize>(), 0..5usize).prop_map(|(router, age)| Op::Observe(router, age)),
+        1 => Just(Op::Restart),
+        1 => Just(Op::LoseCache),
+    ]
+}
+
+fn histories() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(12);
+    ProptestConfig { cases: 1_000, rng_seed, failure_persistence: None, ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(histories())]
+
+    /// Guards against routers with lagging reports that together send a cold upstream more than
+    /// its level.
+    #[test]
+    fn total_in_progress_stays_within_the_level(
+        number in 1..9usize, ops in prop::collection::vec(op(), 1..300),
+    ) {
+        let names: Vec<String> = (0..=number).map(|i| format!("node-{i}")).collect();
+        let (mut start, mut finished, mut reports) = (1u64, 0u64, vec![0u64]);
+        let mut exact = Warmup::open(LIMITS, start, 0);
+        // The last router is not listed in the assignment.
+        let mut views = vec![exact; number + 1];
+        let mut busy = vec![0u32; number + 1];
+        // What each router had in progress at the latest fall-back and still has.
+        let mut carried = vec![0u32; number + 1];
+        for op in ops {
+            let ordered = warmup::order(start, names[..number].iter().map(String::as_str));
+            match op {
+                Op::Dispatch(router) => {
+                    let r = router % (number + 1);
+                    if views[r].permits(&ordered, &names[r], busy[r]) {
+                        busy[r] += 1;
+                        let total: u32 = busy.iter().sum();
+                        let excess = |r: usize| {
+                            let slots = warmup::slots(exact.level(), &ordered, &names[r]);
+                            carried[r].saturating_sub(slots)
+                        };
+                        let most = exact.level() + (0..=number).map(excess).sum::<u32>();
+                        prop_assert!(
+                            exact.is_warm() || total <= most,
+                            "{total} in progress at level {}", exact.level()
+                        );
+                    }
+                }
+                Op::Finish(router) => {
+                    let r = router % (number + 1);
+                    if busy[r] > 0 {
+                        busy[r] -= 1;
+                        carried[r] = carried[r].min(busy[r]);
+                        finished += 1;
+                        reports.push(finished);
+                        exact.observe(start, finished);
+                    }
+                }
+                Op::Observe(router, age) => {
+                    let seen = reports[reports.len().saturating_sub(1 + age)];
+                    views[router % (number + 1)].observe(start, seen);
+                }
+                Op::Restart => {
+                    (start, finished, reports) = (start + 1, 0, vec![0]);
+                    exact.observe(start, 0);
+                    views.iter_mut().for_each(|view| view.observe(start, 0));
+                    busy.fill(0);
+                    carried.fill(0);
+                }
+                Op::LoseCache => {
+                    exact.cache_lost();
+                    for view in &mut views {
+                        view.observe(start, finished);
+                        view.cache_lost();
+                    }
+                    carried.clone_from(&busy);
+                }
+            }
+        }
+    }
+
+    /// Guards against slots that are given twice, to nobody, or to nodes that are not listed.
+    #[test]
+    fn slots_are_partitioned(level in 0..5_000u32, number in 1..60usize, start in any::<u64>()) {
+        let names: Vec<String> = (0..number).map(|i| format!("node-{i}")).collect();
+        let ordered = warmup::order(start, names.iter().map(String::as_str));
+        let total: u32 = names.iter().map(|name| warmup::slots(level, &ordered, name)).sum();
+        prop_assert_eq!(total, level);
+        prop_assert_eq!(warmup::slots(level, &ordered, "other"), 0);
+    }
+}
+
+#[test_case(0, 2)]
+#[test_case(1, 2)]
+#[test_case(2, 4)]
+#[test_case(5, 4)]
+#[test_case(6, 8)]
+#[test_case(14, 16)]
+#[test_case(62, 40; "full")]
+fn level_doubles_after_as_many_finished_requests(finished: u64, level: u32) {
+    let mut warmup = Warmup::open(LIMITS, 1, 0);
+    warmup.observe(1, finished);
+    assert_eq!((warmup.level(), warmup.is_warm()), (level, level == LIMITS.full));
+}
+
+/// Guards against an upstream that keeps its level although it is cold again.
+#[test_case(|w| w.observe(2, 100); "new start id")]
+#[test_case(|w| w.cache_lost(); "lost cache")]
+#[test_case(|w| (0..3).for_each(|_| {
+    w.first_token(Duration::from_secs(2), Duration::from_secs(1));
+}); "slow first tokens")]
+fn level_falls_back(event: fn(&mut Warmup)) {
+    let mut warmup = Warmup::open(LIMITS, 1, 0);
+    warmup.observe(1, 100);
+    event(&mut warmup);
+    assert_eq!(warmup.level(), LIMITS.cold);
+}
