--- /dev/null
+++ b/crates/policy/tests/burn.rs
@@ -0,0 +1,66 @@
+//! Guards the verdicts on service-level targets and the memory of the counts.
+
+use std::time::Duration;
+
+use corneltrestle_policy::Moment;
+use corneltrestle_policy::burn::{Burn, Counts, Totals, Verdict, rate};
+use corneltrestle_policy::release::Targets;
+use test_case::test_case;
+
+fn requests(requests: u64, failed: u64) -> Counts {
+    Counts { requests, whole: requests - failed, ..Counts::default() }
+}
+
+#[test_case(0, 0, 0, Verdict::NoData)]
+#[test_case(0, 0, 500, Verdict::Ok; "errors only long ago")]
+#[test_case(2, 0, 0, Verdict::Ok; "errors only in the short window")]
+#[test_case(2, 20, 0, Verdict::SlowBurn)]
+#[test_case(10, 100, 0, Verdict::FastBurn)]
+#[test_case(10, 100, 900, Verdict::Exhausted)]
+fn verdicts_follow_the_budget(short: u64, long: u64, day: u64, expected: Verdict) {
+    let idle = expected == Verdict::NoData;
+    let part = |all: u64, failed: u64| requests(if idle { 0 } else { all }, failed);
+    let totals = Totals {
+        short: part(1_000, short),
+        long: part(10_000, short.max(long)),
+        day: part(1_000_000, short.max(long) + day),
+    };
+    let ratings = rate(&totals, &Targets::default());
+    assert_eq!(Verdict::of(&ratings), expected, "{ratings:?}");
+}
+
+/// Guards against errors that leave a window too early or too late, and against counts that are
+/// lost or doubled when nodes are merged.
+#[test_case(0, 1, 1, 1)]
+#[test_case(4, 1, 1, 1)]
+#[test_case(5, 0, 1, 1; "left the short window")]
+#[test_case(59, 0, 1, 1)]
+#[test_case(60, 0, 0, 1; "left the long window")]
+#[test_case(1_430, 0, 0, 1)]
+#[test_case(1_440, 0, 0, 0; "left the day")]
+fn windows_end(age: u64, short: u64, long: u64, day: u64) {
+    let mut burn = Burn::default();
+    let at = Moment::from_millis(600_000 * 1_000);
+    assert!(burn.record("s", "o", &requests(1, 1), at));
+    let now = at + Duration::from_secs(60 * age);
+    assert!(burn.record("s", "o", &Counts::default(), now));
+    let (.., totals) = burn.totals(now).next().unwrap();
+    let mut merged = totals;
+    merged.add(&totals);
+    let seen = [merged.short, merged.long, merged.day].map(|counts| counts.requests);
+    assert_eq!(seen, [2 * short, 2 * long, 2 * day]);
+    let minutes = burn.minutes("s", "o", now);
+    assert_eq!(minutes.iter().position(|m| m.requests == 1), (age < 60).then_some(age as usize));
+}
+
+#[test]
+fn pairs_are_bounded() {
+    let mut burn = Burn::default();
+    let recorded = (0..Burn::LIMIT + 10)
+        .filter(|i| burn.record("s", &i.to_string(), &requests(1, 0), Moment::ZERO))
+        .count();
+    assert_eq!(recorded, Burn::LIMIT);
+    burn.retain(|_, organisation| organisation.as_str() == "7");
+    assert!(burn.record("s", "other", &requests(1, 0), Moment::ZERO));
+    assert_eq!(burn.totals(Moment::ZERO).count(), 2);
+}
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,75 @@
+//! Guards against repeated orders, retry storms and connections that stay silent.
+
+use std::time::Duration;
+
+use corneltrestle_policy::Moment;
+use corneltrestle_policy::retry::{self, BACKOFF_MAX, Budget, Failure};
+use corneltrestle_policy::silence::{Connection, Kind, Verdict};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use test_case::test_case;
+
+#[test_case(Failure::NotSent, true, true)]
+#[test_case(Failure::Refused, true, true)]
+#[test_case(Failure::Broken, true, false)]
+#[test_case(Failure::Wrong, true, false)]
+fn only_safe_failures_are_retried(failure: Failure, repeatable: bool, other: bool) {
+    assert_eq!(retry::is_allowed(failure, true), repeatable);
+    assert_eq!(retry::is_allowed(failure, false), other);
+}
+
+#[test_case(Budget::retries(), 1, 3; "minimum")]
+#[test_case(Budget::retries(), 100, 10; "a tenth")]
+#[test_case(Budget::hedges(), 100, 5; "a twentieth")]
+#[test_case(Budget::hedges(), 10, 0; "no minimum of hedges")]
+fn extra_attempts_are_bounded(mut budget: Budget, requests: u32, granted: usize) {
+    let now = Moment::from_millis(50_500);
+    (0..requests).for_each(|_| budget.count(now));
+    assert_eq!((0..200).filter(|_| budget.take(now)).count(), granted);
+    assert!(!budget.hedge(false, now + Duration::from_secs(60)), "a hedge of an order");
+    let later = now + Duration::from_secs(Budget::WINDOW as u64);
+    let minimum = (0..200).filter(|_| budget.take(later)).count();
+    assert!(minimum <= 3, "requests outside the window still count");
+}
+
+#[test]
+fn retries_end_before_the_deadline() {
+    let (mut rng, mut budget) = (StdRng::seed_from_u64(16), Budget::retries());
+    let now = Moment::from_millis(1_000);
+    let mut longest = Duration::ZERO;
+    for round in 0..2_000u64 {
+        let now = now + Duration::from_secs(round);
+        let deadline = now + Duration::from_secs(3);
+        let at = retry::next(Failure::Refused, false, 10, deadline, &mut budget, now, &mut rng);
+        assert!(at.is_none_or(|at| at < deadline));
+        longest = longest.max(retry::backoff(40, &mut rng));
+    }
+    assert!(longest <= BACKOFF_MAX && longest > BACKOFF_MAX.mul_f64(0.9));
+}
+
+#[test_case(Kind::Stream, 5_000)]
+#[test_case(Kind::Watch, 5_000)]
+#[test_case(Kind::Link, 2_000)]
+#[test_case(Kind::Connect, 1_000)]
+fn silent_connections_are_replaced(kind: Kind, limit: u64) {
+    let (mut rng, open) = (StdRng::seed_from_u64(17), Moment::from_millis(1));
+    let mut connection = Connection::open(kind, open, &mut rng);
+    connection.began(open);
+    let progress = open + Duration::from_millis(400);
+    connection.progressed(progress);
+    let due = progress + Duration::from_millis(limit);
+    assert_eq!(connection.due(progress), due);
+    assert_eq!(connection.check(due.before(Duration::from_micros(1))), Verdict::Keep);
+    assert_eq!(connection.check(due), Verdict::Replace);
+    connection.rested();
+    assert_eq!(connection.check(due), Verdict::Keep, "an idle connection is not silent");
+    connection.began(due);
+    assert_eq!(connection.check(due), Verdict::Keep, "idle time counts as silence");
+    let old = open + Connection::AGE;
+    connection.progressed(old);
+    assert_eq!(connection.check(old), Verdict::ReplaceWhenIdle);
+    connection.rested();
+    assert_eq!(connection.check(old), Verdict::Replace);
+    let young = open + Connection::AGE.mul_f64(Connection::AGE_FRACTION - 0.01);
+    assert_eq!(connection.check(young), Verdict::Keep);
+}
