--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,312 @@
+//! Stand-in of a model engine: one VM, which may be a member of a replica.
+
+mod cache;
+mod fabric;
+mod generate;
+mod orders;
+mod slots;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_kernel::clock::{self, Clock};
+use corneltrestle_kernel::table::{Ranked, Table};
+use corneltrestle_policy::{Moment, id, report};
+use hyper::{Method, StatusCode};
+
+pub use cache::prefixes;
+pub use fabric::Fabric;
+
+use crate::fault;
+use crate::server::{self, Api, Body, Call, Kind, Reply, Shared};
+
+/// A running engine.
+pub type Handle = server::Handle<Engine>;
+
+/// Number of requests whose KV cache can be exported.
+const EXPORTS: usize = 256;
+
+/// How an engine is set up.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Name of the VM.
+    pub vm: id::Vm,
+    /// The VMs of this process, among which the members of a replica see each other.
+    pub fabric: Fabric,
+    /// Time to load a model.
+    pub load: Duration,
+    /// Time to the first token of an uncached prompt without other load.
+    pub first: Duration,
+    /// Time between tokens without other load.
+    pub token: Duration,
+    /// Requests decoded at the same time.
+    pub slots: u32,
+    /// Requests that may wait.
+    pub queue: u32,
+    /// Requests in progress that a just started engine bears.
+    pub cold: u64,
+    /// KV cache blocks; each holds one prefix.
+    pub blocks: u32,
+    /// Whether fencing tokens of orders are checked.
+    pub fencing: bool,
+    /// Age up to which load figures in reports may be old.
+    pub lag: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            listen: ([127, 0, 0, 1], 0).into(),
+            vm: "vm-0".into(),
+            fabric: Fabric::default(),
+            load: Duration::ZERO,
+            first: Duration::ZERO,
+            token: Duration::ZERO,
+            slots: 8,
+            queue: 32,
+            cold: 2,
+            blocks: 1024,
+            fencing: true,
+            lag: Duration::ZERO,
+        }
+    }
+}
+
+/// The engine of one VM.
+#[derive(Debug)]
+pub struct Engine {
+    config: Config,
+    clock: clock::System,
+    state: Table<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    start: u64,
+    /// Highest fencing token seen.
+    token: u64,
+    model: orders::Model,
+    slots: slots::Slots,
+    cache: cache::Cache,
+    /// Prefixes of the latest requests, for export.
+    exports: VecDeque<(String, Vec<u64>)>,
+    seen: Option<(Moment, Load)>,
+}
+
+/// The load figures of a report.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    running: u32,
+    waiting: u32,
+    finished: u64,
+    blocks: u32,
+}
+
+impl Ranked for State {
+    const RANK: u16 = 250;
+    const NAME: &'static str = "standin-engine";
+}
+
+/// Binds an engine on the workers of the present tokio runtime.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub async fn bind(config: Config) -> server::Result<Handle> {
+    let listen = config.listen;
+    config.fabric.update(&config.vm, |member| *member = fabric::Member::idle());
+    let state = Table::new(State::new(&config));
+    server::bind(Engine { config, clock: clock::System::open(), state }, listen).await
+}
+
+impl State {
+    fn new(config: &Config) -> Self {
+        Self {
+            start: rand::random(),
+            token: 0,
+            model: orders::Model::default(),
+            slots: slots::Slots::new(config.cold),
+            cache: cache::Cache::new(config.blocks),
+            exports: VecDeque::new(),
+            seen: None,
+        }
+    }
+
+    /// Starts the engine anew; requests in progress keep their slots until they notice.
+    fn restart(&mut self, config: &Config) {
+        self.start = rand::random();
+        self.slots.restart(config.cold);
+        self.cache = cache::Cache::new(config.blocks);
+        self.exports.clear();
+        self.seen = None;
+    }
+
+    fn load(&self) -> Load {
+        Load {
+            running: self.slots.running(),
+            waiting: self.slots.waiting(),
+            finished: self.slots.finished(),
+            blocks: self.cache.free(),
+        }
+    }
+
+    /// The load figures, renewed when they are older than `lag`.
+    fn lagged_load(&mut self, lag: Duration, now: Moment) -> Load {
+        match self.seen {
+            Some((taken, load)) if now.since(taken) < lag => load,
+            _ => {
+                let load = self.load();
+                self.seen = Some((now, load));
+                load
+            }
+        }
+    }
+
+    fn export(&mut self, id: &str, prefixes: &[u64]) {
+        if self.exports.len() == EXPORTS {
+            self.exports.pop_front();
+        }
+        self.exports.push_back((id.to_owned(), prefixes.to_vec()));
+    }
+}
+
+impl Engine {
+    /// Name of the VM.
+    pub fn vm(&self) -> &id::Vm {
+        &self.config.vm
+    }
+
+    /// Number of requests that arrived above what the engine could bear after its start.
+    pub fn overloads(&self) -> u64 {
+        self.state.lock().slots.overloads()
+    }
+
+    /// The present report.
+    pub fn report(&self) -> report::Report {
+        let member = self.config.fabric.member(&self.config.vm);
+        let mut state = self.state.lock();
+        let load = state.lagged_load(self.config.lag, self.now());
+        report::Report {
+            vm: self.config.vm.clone(),
+            replica: member.replica,
+            epoch: member.epoch,
+            start: state.start,
+            model: state.model.name.clone(),
+            adapter: state.model.adapter.clone(),
+            version: state.model.version.clone(),
+            phase: member.phase,
+            running: load.running,
+            waiting: load.waiting,
+            finished: load.finished,
+            blocks: load.blocks,
+            sequence: state.cache.sequence(),
+        }
+    }
+
+    fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    fn events(&self, call: &Call, shared: &Shared) -> Reply {
+        let knobs = shared.knobs();
+        let after = call.number("after").unwrap_or(0);
+        let now = self.now();
+        let state = self.state.lock();
+        let events = state.cache.events(after, now, knobs.event_delay, knobs.event_gap);
+        server::json(StatusCode::OK, &events.collect::<Vec<_>>())
+    }
+
+    fn export(&self, id: &str) -> Reply {
+        let state = self.state.lock();
+        match state.exports.iter().rev().find(|(known, _)| known == id) {
+            Some((_, prefixes)) => server::json(StatusCode::OK, prefixes),
+            None => server::failure(StatusCode::NOT_FOUND, "unknown", "no such request"),
+        }
+    }
+
+    fn import(&self, id: &str, body: &[u8]) -> Reply {
+        let Ok(prefixes) = serde_json::from_slice::<Vec<u64>>(body) else {
+            return server::failure(StatusCode::BAD_REQUEST, "invalid", "not an exported cache");
+        };
+        let now = self.now();
+        let mut state = self.state.lock();
+        state.cache.touch(&prefixes, now);
+        state.export(id, &prefixes);
+        empty()
+    }
+
+    fn cancel(&self, id: &str) -> Reply {
+        if self.state.lock().slots.cancel(id) {
+            return empty();
+        }
+        server::failure(StatusCode::NOT_FOUND, "unknown", "no such request")
+    }
+}
+
+fn empty() -> Reply {
+    server::reply(StatusCode::NO_CONTENT, Body::whole(bytes::Bytes::new()))
+}
+
+impl Api for Engine {
+    fn kind(&self, method: &Method, path: &str) -> Kind {
+        let (name, write) = match (method, path) {
+            (&Method::GET, "/v1/report") => ("report", false),
+            (&Method::GET, "/v1/cache-events") => ("cache-events", false),
+            (&Method::POST, "/v1/orders") => ("order", true),
+            (&Method::POST, "/v1/completions" | "/v1/chat/completions") => ("generate", true),
+            (&Method::DELETE, path) if path.starts_with("/v1/requests/") => ("cancel", true),
+            (&Method::GET, path) if path.starts_with("/v1/kv/") => ("export", false),
+            (&Method::PUT, path) if path.starts_with("/v1/kv/") => ("import", true),
+            _ => ("unknown", false),
+        };
+        Kind { name, write }
+    }
+
+    async fn answer(self: &Arc<Self>, call: &Call, shared: &Arc<Shared>) -> Reply {
+        let last = call.path.rsplit('/').next().unwrap_or("");
+        match self.kind(&call.method, &call.path).name {
+            "report" => server::json(StatusCode::OK, &self.report()),
+            "cache-events" => self.events(call, shared),
+            "order" => orders::answer(self, &call.body, shared),
+            "generate" => generate::answer(self, call, shared).await,
+            "cancel" => self.cancel(last),
+            "export" => self.export(last),
+            "import" => self.import(last, &call.body),
+            _ => server::failure(StatusCode::NOT_FOUND, "unknown", "no such call"),
+        }
+    }
+
+    fn counts(&self, counts: &mut BTreeMap<String, u64>) {
+        let state = self.state.lock();
+        counts.insert("overload".to_owned(), state.slots.overloads());
+        counts.insert("finished".to_owned(), state.slots.finished());
+        counts.insert("cancelled".to_owned(), state.slots.cancelled());
+    }
+
+    fn switched(&self, before: &fault::Knobs, after: &fault::Knobs) {
+        let live = !after.crashed && !after.paused;
+        let wiped = after.wipes > before.wipes;
+        if wiped || after.restarts > before.restarts {
+            let mut state = self.state.lock();
+            state.restart(&self.config);
+            if wiped {
+                state.token = 0;
+                state.model = orders::Model::default();
+            }
+        }
+        self.config.fabric.update(&self.config.vm, |member| {
+            if wiped {
+                *member = fabric::Member::idle();
+            }
+            member.live = live;
+        });
+    }
+
+    fn stopped(&self) {
+        self.config.fabric.update(&self.config.vm, |member| member.live = false);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/cache.rs
@@ -0,0 +1,115 @@
+//! The prefix cache and its events.
+
+use std::collections::{HashSet, VecDeque};
+use std::time::Duration;
+
+use corneltrestle_policy::Moment;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Number of events that are kept.
+const HISTORY: usize = 4096;
+
+/// A bounded cache of prefixes, evicted in the order in which they were stored.
+#[derive(Debug)]
+pub(super) struct Cache {
+    limit: usize,
+    order: VecDeque<u64>,
+    stored: HashSet<u64>,
+    events: VecDeque<(Moment, Event)>,
+    sequence: u64,
+}
+
+/// An event as `corneltrestle_engine::engine::CacheEvent` reads it.
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) struct Event {
+    sequence: u64,
+    prefix: u64,
+    stored: bool,
+}
+
+/// The hashes of the prefixes of a prompt, one after each text that is not empty.
+///
+/// Each is the xxh3 hash of the text with the hash before it as seed, 0 at first.
+pub fn prefixes<'a>(texts: impl Iterator<Item = &'a str>) -> Vec<u64> {
+    let texts = texts.filter(|text| !text.is_empty());
+    let chain = texts.scan(0, |seed, text| {
+        *seed = xxh3_64_with_seed(text.as_bytes(), *seed);
+        Some(*seed)
+    });
+    chain.collect()
+}
+
+impl Cache {
+    pub(super) fn new(limit: u32) -> Self {
+        Self {
+            limit: limit as usize,
+            order: VecDeque::new(),
+            stored: HashSet::new(),
+            events: VecDeque::new(),
+            sequence: 0,
+        }
+    }
+
+    pub(super) fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    pub(super) fn free(&self) -> u32 {
+        u32::try_from(self.limit - self.order.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Stores prefixes; returns how many leading ones were there.
+    pub(super) fn touch(&mut self, prefixes: &[u64], now: Moment) -> usize {
+        let hits = prefixes.iter().take_while(|prefix| self.stored.contains(prefix)).count();
+        for prefix in prefixes {
+            if self.limit == 0 || !self.stored.insert(*prefix) {
+                continue;
+            }
+            if self.order.len() == self.limit {
+                self.evict(now);
+            }
+            self.order.push_back(*prefix);
+            self.record(*prefix, true, now);
+        }
+        hits
+    }
+
+    /// Evicts everything.
+    pub(super) fn clear(&mut self, now: Moment) {
+        while !self.order.is_empty() {
+            self.evict(now);
+        }
+    }
+
+    fn evict(&mut self, now: Moment) {
+        if let Some(prefix) = self.order.pop_front() {
+            self.stored.remove(&prefix);
+            self.record(prefix, false, now);
+        }
+    }
+
+    fn record(&mut self, prefix: u64, stored: bool, now: Moment) {
+        self.sequence += 1;
+        if self.events.len() == HISTORY {
+            self.events.pop_front();
+        }
+        self.events.push_back((now, Event { sequence: self.sequence, prefix, stored }));
+    }
+
+    /// Events after a sequence number that are at least `delay` old, without every `gap`th one.
+    pub(super) fn events(
+        &self,
+        after: u64,
+        now: Moment,
+        delay: Duration,
+        gap: u64,
+    ) -> impl Iterator<Item = Event> {
+        let events = self.events.iter();
+        let visible = events.filter(move |(at, event)| {
+            let lost = gap != 0 && event.sequence.is_multiple_of(gap);
+            event.sequence > after && now.since(*at) >= delay && !lost
+        });
+        visible.map(|(_, event)| *event)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/generate.rs
@@ -0,0 +1,289 @@
+//! Generation: admission, tokens and answers.
+
+use std::borrow::Cow;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corneltrestle_wire::{openai, sse};
+use hyper::{StatusCode, header};
+use serde_json::json;
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::fabric::Member;
+use super::slots::Slot;
+use super::{Engine, cache};
+use crate::server::{self, Body, Call, Reply, Shared};
+
+/// Tokens of an answer, unless the request says otherwise.
+const TOKENS: u64 = 16;
+
+/// Wait for a slot, unless the request has a deadline.
+const WAIT_LIMIT: Duration = Duration::from_secs(600);
+
+const WORDS: [&str; 32] = [
+    "arc", "bay", "cap", "dew", "elm", "fog", "gap", "hub", "ink", "jar", "key", "log", "map",
+    "net", "oak", "pin", "quay", "rim", "sun", "tin", "urn", "van", "web", "yarn", "zinc", "ash",
+    "bus", "cog", "dam", "ear", "fin", "gum",
+];
+
+#[derive(serde::Deserialize)]
+struct Options<'a> {
+    max_tokens: Option<u64>,
+    #[serde(borrow)]
+    resume: Option<Resume<'a>>,
+}
+
+#[derive(serde::Deserialize)]
+struct Resume<'a> {
+    #[serde(borrow)]
+    text: Cow<'a, str>,
+    next: u64,
+}
+
+/// Why a generation is not run, or not to its end.
+struct Refusal(StatusCode, &'static str, &'static str);
+
+const NOT_MEMBER: Refusal =
+    Refusal(StatusCode::CONFLICT, "not-member", "not the head of this replica at this epoch");
+const INCOMPLETE: Refusal =
+    Refusal(StatusCode::SERVICE_UNAVAILABLE, "incomplete", "a member is loading or lost");
+const INVALID: Refusal = Refusal(StatusCode::BAD_REQUEST, "invalid", "body not understood");
+const QUEUE_FULL: Refusal =
+    Refusal(StatusCode::TOO_MANY_REQUESTS, "overloaded", "the queue is full");
+const DEADLINE: Refusal = Refusal(StatusCode::GATEWAY_TIMEOUT, "deadline", "no slot in time");
+const CANCELLED: Refusal = Refusal(StatusCode::GONE, "cancelled", "the request was cancelled");
+
+impl Refusal {
+    fn reply(&self) -> Reply {
+        server::failure(self.0, self.1, self.2)
+    }
+}
+
+/// An admitted generation.
+struct Job {
+    id: String,
+    model: String,
+    chat: bool,
+    stream: bool,
+    prefixes: Vec<u64>,
+    next: u64,
+    total: u64,
+    member: Member,
+}
+
+/// The token of a prompt at an index; the same on every engine.
+fn token(prompt: u64, index: u64) -> Cow<'static, str> {
+    let hash = xxh3_64_with_seed(&index.to_le_bytes(), prompt);
+    let word = WORDS[(hash % WORDS.len() as u64) as usize];
+    if index == 0 { Cow::Borrowed(word) } else { Cow::Owned(format!(" {word}")) }
+}
+
+pub(super) async fn answer(engine: &Arc<Engine>, call: &Call, shared: &Arc<Shared>) -> Reply {
+    let job = match Job::admit(engine, call) {
+        Ok(job) => job,
+        Err(refusal) => return refusal.reply(),
+    };
+    let priority = call.header("x-priority").parse().unwrap_or(0);
+    let Some((slot, ready)) = Slot::enter(engine, &job.id, priority) else {
+        return QUEUE_FULL.reply();
+    };
+    let left = call.header("x-deadline-ms").parse().map_or(WAIT_LIMIT, Duration::from_millis);
+    tokio::select! {
+        _ = ready => {}
+        () = slot.cancel.cancelled() => return CANCELLED.reply(),
+        () = engine.config.fabric.lost(&engine.config.vm, &job.member) => return INCOMPLETE.reply(),
+        () = tokio::time::sleep(left) => return DEADLINE.reply(),
+    }
+    if job.stream {
+        stream(engine, job, slot, shared)
+    } else {
+        whole(engine, &job, slot, shared).await
+    }
+}
+
+impl Job {
+    fn admit(engine: &Engine, call: &Call) -> Result<Self, Refusal> {
+        let member = engine.config.fabric.member(&engine.config.vm);
+        let replica = member.replica.as_ref().map(ToString::to_string);
+        let epoch = call.header("x-epoch").parse().ok();
+        let named = replica.as_deref() == Some(call.header("x-replica"));
+        if !named || epoch != Some(member.epoch) || member.rank != 0 {
+            return Err(NOT_MEMBER);
+        }
+        if !engine.config.fabric.complete(&engine.config.vm, &member) {
+            return Err(INCOMPLETE);
+        }
+        Self::decode(call, member).ok_or(INVALID)
+    }
+
+    fn decode(call: &Call, member: Member) -> Option<Self> {
+        let request = openai::Request::decode(&call.body).ok()?;
+        let options: Options<'_> = serde_json::from_slice(&call.body).ok()?;
+        let mut job = Self {
+            id: call.id().to_owned(),
+            model: request.model.as_ref().to_owned(),
+            chat: call.path.starts_with("/v1/chat/"),
+            stream: request.stream,
+            prefixes: cache::prefixes(request.texts()),
+            next: 0,
+            total: options.max_tokens.unwrap_or(TOKENS),
+            member,
+        };
+        if let Some(resume) = options.resume {
+            let delivered: String = (0..resume.next).map(|index| job.token(index)).collect();
+            // A text that this prompt does not generate cannot be resumed.
+            job.next = (delivered == resume.text).then_some(resume.next)?;
+        }
+        Some(job)
+    }
+
+    fn token(&self, index: u64) -> Cow<'static, str> {
+        token(self.prefixes.last().copied().unwrap_or(0), index)
+    }
+
+    fn object(&self, chunk: bool) -> &'static str {
+        match (self.chat, chunk) {
+            (true, true) => "chat.completion.chunk",
+            (true, false) => "chat.completion",
+            (false, _) => "text_completion",
+        }
+    }
+
+    /// The event of one token, under another request's id from index `foreign` on.
+    fn event(&self, index: u64, foreign: Option<u64>) -> Bytes {
+        let other = foreign.is_some_and(|from| index >= from);
+        let id = if other { server::other_id(&self.id) } else { self.id.clone() };
+        let text = self.token(index);
+        let (delta, text) = if self.chat {
+            (Some(openai::Delta { content: text }), None)
+        } else {
+            (None, Some(text))
+        };
+        let last = index + 1 == self.total;
+        let finish_reason = last.then_some(Cow::Borrowed("length"));
+        let chunk = openai::Chunk {
+            id: Cow::Borrowed(&id),
+            object: Cow::Borrowed(self.object(true)),
+            model: Cow::Borrowed(&self.model),
+            choices: vec![openai::Choice { index: 0, delta, text, finish_reason }],
+        };
+        let data = serde_json::to_vec(&chunk).expect("a chunk is plain JSON");
+        sse::encode(&format!("{id}/{index}"), &data)
+    }
+
+    fn completion(&self, text: &str) -> serde_json::Value {
+        let mut choice = json!({"index": 0, "finish_reason": "length"});
+        if self.chat {
+            choice["message"] = json!({"role": "assistant", "content": text});
+        } else {
+            choice["text"] = text.into();
+        }
+        let tokens = self.total.saturating_sub(self.next);
+        json!({
+            "id": self.id,
+            "object": self.object(false),
+            "model": self.model,
+            "choices": [choice],
+            "usage": {"prompt_tokens": self.prefixes.len(), "completion_tokens": tokens},
+        })
+    }
+}
+
+impl Engine {
+    /// Computes the prompt, in less time if its prefixes are cached.
+    async fn prefill(&self, job: &Job, shared: &Shared) {
+        let now = self.now();
+        let span = {
+            let mut state = self.state.lock();
+            let hits = state.cache.touch(&job.prefixes, now);
+            state.export(&job.id, &job.prefixes);
+            let missing = (job.prefixes.len() - hits) as f64 / job.prefixes.len().max(1) as f64;
+            self.config.first.mul_f64(state.slots.pace(self.config.slots) * missing.max(0.1))
+        };
+        pass(span, shared).await;
+    }
+
+    /// Computes one more token.
+    async fn decode(&self, shared: &Shared) {
+        let pace = self.state.lock().slots.pace(self.config.slots);
+        pass(self.config.token.mul_f64(pace), shared).await;
+    }
+}
+
+/// Lets time pass, and the time of a pause with it.
+async fn pass(span: Duration, shared: &Shared) {
+    if !span.is_zero() {
+        tokio::time::sleep(span).await;
+    }
+    shared.unpaused().await;
+}
+
+/// Answers in one body.
+async fn whole(engine: &Arc<Engine>, job: &Job, slot: Slot, shared: &Arc<Shared>) -> Reply {
+    let work = async {
+        engine.prefill(job, shared).await;
+        for _ in job.next + 1..job.total {
+            engine.decode(shared).await;
+        }
+    };
+    tokio::select! {
+        biased;
+        () = engine.config.fabric.lost(&engine.config.vm, &job.member) => return INCOMPLETE.reply(),
+        () = slot.cancel.cancelled() => return CANCELLED.reply(),
+        () = work => {}
+    }
+    slot.finish();
+    let text: String = (job.next..job.total).map(|index| job.token(index)).collect();
+    server::json(StatusCode::OK, &job.completion(&text))
+}
+
+/// Answers with one event for each token.
+fn stream(engine: &Arc<Engine>, job: Job, slot: Slot, shared: &Arc<Shared>) -> Reply {
+    let (sender, frames) = mpsc::channel(4);
+    let (engine, server) = (Arc::clone(engine), Arc::clone(shared));
+    shared.run(async move {
+        let done = tokio::select! {
+            biased;
+            () = engine.config.fabric.lost(&engine.config.vm, &job.member) => false,
+            () = slot.cancel.cancelled() => false,
+            () = sender.closed() => false,
+            () = send(&engine, &job, &sender, &server) => true,
+        };
+        // The slot is free before the caller learns of the end and sends the next request.
+        let last = if done {
+            slot.finish();
+            Ok(sse::encode("", sse::DONE.as_bytes()))
+        } else {
+            drop(slot);
+            Err(io::Error::other("the replica is incomplete or the request was cancelled"))
+        };
+        server.unpaused().await;
+        let _ = sender.send(last).await;
+    });
+    let mut reply = server::reply(StatusCode::OK, Body::stream(frames));
+    let kind = header::HeaderValue::from_static("text/event-stream");
+    reply.headers_mut().insert(header::CONTENT_TYPE, kind);
+    reply
+}
+
+async fn send(
+    engine: &Engine,
+    job: &Job,
+    sender: &mpsc::Sender<io::Result<Bytes>>,
+    server: &Shared,
+) {
+    engine.prefill(job, server).await;
+    for index in job.next..job.total {
+        if index > job.next {
+            engine.decode(server).await;
+        }
+        let event = job.event(index, server.knobs().foreign);
+        if sender.send(Ok(event)).await.is_err() {
+            // The caller has gone; `closed` ends this stream.
+            return std::future::pending().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/slots.rs
@@ -0,0 +1,184 @@
+//! Decoding slots, the queue before them and the cold limit.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use super::Engine;
+
+/// How much slower an engine is while it has more work than it bears.
+const OVERLOAD_FACTOR: f64 = 10.0;
+
+/// Requests in progress.
+#[derive(Debug)]
+pub(super) struct Slots {
+    running: u32,
+    /// Waiting requests, the next one first.
+    waiting: BTreeMap<Place, oneshot::Sender<()>>,
+    requests: HashMap<String, (u64, CancellationToken)>,
+    next: u64,
+    finished: u64,
+    cancelled: u64,
+    overloads: u64,
+    /// Requests in progress that the engine bears.
+    level: u64,
+    /// Requests finished at this level.
+    warmed: u64,
+    /// Number of restarts; a request from before one does not warm the engine.
+    restarts: u64,
+}
+
+type Place = (Reverse<u8>, u64);
+
+/// A place in the queue, then a slot; dropping it passes the slot on.
+#[derive(Debug)]
+pub(super) struct Slot {
+    engine: Arc<Engine>,
+    id: String,
+    place: Place,
+    restarts: u64,
+    finished: bool,
+    /// Cancelled when the caller cancels the request.
+    pub(super) cancel: CancellationToken,
+}
+
+impl Slots {
+    pub(super) fn new(cold: u64) -> Self {
+        Self {
+            running: 0,
+            waiting: BTreeMap::new(),
+            requests: HashMap::new(),
+            next: 0,
+            finished: 0,
+            cancelled: 0,
+            overloads: 0,
+            level: cold,
+            warmed: 0,
+            restarts: 0,
+        }
+    }
+
+    pub(super) fn running(&self) -> u32 {
+        self.running
+    }
+
+    pub(super) fn waiting(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn finished(&self) -> u64 {
+        self.finished
+    }
+
+    pub(super) fn cancelled(&self) -> u64 {
+        self.cancelled
+    }
+
+    pub(super) fn overloads(&self) -> u64 {
+        self.overloads
+    }
+
+    /// Begins a new start of the engine; the number of overloads stays.
+    pub(super) fn restart(&mut self, cold: u64) {
+        self.restarts += 1;
+        self.finished = 0;
+        self.restart_level(cold);
+    }
+
+    pub(super) fn restart_level(&mut self, cold: u64) {
+        self.level = cold;
+        self.warmed = 0;
+    }
+
+    /// Cancels a request; whether there was one.
+    pub(super) fn cancel(&mut self, id: &str) -> bool {
+        let Some((_, cancel)) = self.requests.get(id) else { return false };
+        cancel.cancel();
+        true
+    }
+
+    /// Factor on the times of an engine with `slots` slots.
+    pub(super) fn pace(&self, slots: u32) -> f64 {
+        let load = 1.0 + f64::from(self.running.saturating_sub(1)) / f64::from(slots.max(1));
+        if self.in_progress() > self.level { load * OVERLOAD_FACTOR } else { load }
+    }
+
+    fn in_progress(&self) -> u64 {
+        u64::from(self.running) + u64::from(self.waiting())
+    }
+
+    /// Counts a finished request; the level doubles after as many as the level.
+    fn finish(&mut self) {
+        self.finished += 1;
+        self.warmed += 1;
+        if self.warmed >= self.level {
+            self.level = self.level.saturating_mul(2);
+            self.warmed = 0;
+        }
+    }
+
+    fn release(&mut self, slot: &Slot) {
+        if self.requests.get(&slot.id).is_some_and(|(number, _)| *number == slot.place.1) {
+            self.requests.remove(&slot.id);
+        }
+        match (slot.finished, slot.restarts == self.restarts) {
+            (true, true) => self.finish(),
+            (true, false) => {}
+            (false, _) => self.cancelled += 1,
+        }
+        if self.waiting.remove(&slot.place).is_some() {
+            return;
+        }
+        self.running -= 1;
+        if let Some((_, next)) = self.waiting.pop_first() {
+            self.running += 1;
+            // A receiver that is gone gives the slot back when its `Slot` is dropped.
+            let _ = next.send(());
+        }
+    }
+}
+
+impl Slot {
+    /// Enters the queue; `None` if it is full. The slot is there once the receiver answers.
+    pub(super) fn enter(
+        engine: &Arc<Engine>,
+        id: &str,
+        priority: u8,
+    ) -> Option<(Self, oneshot::Receiver<()>)> {
+        let (granted, ready) = oneshot::channel();
+        let cancel = CancellationToken::new();
+        let mut state = engine.state.lock();
+        let slots = &mut state.slots;
+        let place = (Reverse(priority), slots.next);
+        if slots.running < engine.config.slots {
+            slots.running += 1;
+            let _ = granted.send(());
+        } else if slots.waiting() < engine.config.queue {
+            slots.waiting.insert(place, granted);
+        } else {
+            return None;
+        }
+        slots.next += 1;
+        slots.requests.insert(id.to_owned(), (place.1, cancel.clone()));
+        if slots.in_progress() > slots.level {
+            slots.overloads += 1;
+        }
+        let (engine, id, restarts) = (Arc::clone(engine), id.to_owned(), slots.restarts);
+        Some((Self { engine, id, place, restarts, finished: false, cancel }, ready))
+    }
+
+    /// Ends the request as finished.
+    pub(super) fn finish(mut self) {
+        self.finished = true;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let engine = Arc::clone(&self.engine);
+        engine.state.lock().slots.release(self);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fault/answer_lost.rs
@@ -0,0 +1,14 @@
+//! Fault `answer-lost`.
+
+use corneltrestle_kernel::linkme::distributed_slice;
+
+use super::{FAULTS, Fault};
+
+#[distributed_slice(FAULTS)]
+#[linkme(crate = corneltrestle_kernel::linkme)]
+static ANSWER_LOST: Fault = Fault {
+    name: "answer-lost",
+    help: "A write takes effect, then the connection closes without an answer; value: number of writes.",
+    default: 1,
+    apply: |knobs, switch| knobs.lost = switch.amount(),
+};
--- /dev/null
+++ b/crates/standin/src/fault/cold_again.rs
@@ -0,0 +1,19 @@
+//! Fault `cold-again`.
+
+use corneltrestle_kernel::linkme::distributed_slice;
+
+use super::{FAULTS, Fault};
+
+#[distributed_slice(FAULTS)]
+#[linkme(crate = corneltrestle_kernel::linkme)]
+static COLD_AGAIN: Fault = Fault {
+    name: "cold-again",
+    help: "The engine restarts: new start id, empty cache, the model still loaded.",
+    default: 0,
+    apply: |knobs, switch| {
+        if switch.on {
+            knobs.restarts += 1;
+            knobs.broken += 1;
+        }
+    },
+};
--- /dev/null
+++ b/crates/standin/src/fault/down.rs
@@ -0,0 +1,26 @@
+//! Fault `down`.
+
+use corneltrestle_kernel::linkme::distributed_slice;
+
+use hyper::StatusCode;
+
+use super::{FAULTS, Fault};
+
+#[distributed_slice(FAULTS)]
+#[linkme(crate = corneltrestle_kernel::linkme)]
+static DOWN: Fault = Fault {
+    name: "down",
+    help: "Every call fails; value: the HTTP status, or 0 to close the port and break connections.",
+    default: 503,
+    apply: |knobs, switch| {
+        let refusing = switch.given() == Some(0);
+        knobs.broken += u64::from(refusing);
+        knobs.refusing = refusing;
+        knobs.status = switch.given().filter(|v| *v != 0).map(|v| {
+            u16::try_from(v)
+                .ok()
+                .and_then(|v| StatusCode::from_u16(v).ok())
+                .unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
+        });
+    },
+};
--- /dev/null
+++ b/crates/standin/src/fault/gapped_events.rs
@@ -0,0 +1,14 @@
+//! Fault `gapped-events`.
+
+use corneltrestle_kernel::linkme::distributed_slice;
+
+use super::{FAULTS, Fault};
+
+#[distributed_slice(FAULTS)]
+#[linkme(crate = corneltrestle_kernel::linkme)]
+static GAPPED_EVENTS: Fault = Fault {
+    name: "gapped-events",
+    help: "Cache events are missing; value: every event whose number is a multiple of it.",
+    default: 2,
+    apply: |knobs, switch| knobs.event_gap = switch.amount(),
+};
--- /dev/null
+++ b/crates/standin/src/fault/ignore_fencing.rs
@@ -0,0 +1,14 @@
+//! Fault `ignore-fencing`.
+
+use corneltrestle_kernel::linkme::distributed_slice;
+
+use super::{FAULTS, Fault};
+
+#[distributed_slice(FAULTS)]
+#[linkme(crate = corneltrestle_kernel::linkme)]
+static IGNORE_FENCING: Fault = Fault {
+    name: "ignore-fencing",
+    help: "The engine accepts orders with an old fencing token.",
+    default: 0,
+    apply: |knobs, switch| knobs.unfenced = switch.on,
+};
--- /dev/null
+++ b/crates/standin/src/fault/late_events.rs
@@ -0,0 +1,14 @@
+//! Fault `late-events`.
+
+use corneltrestle_kernel::linkme::distributed_slice;
+
+use super::{FAULTS, Fault};
+
+#[distributed_slice(FAULTS)]
+#[linkme(crate = corneltrestle_kernel::linkme)]
+static LATE_EVENTS: Fault = Fault {
+    name: "late-events",
+    help: "Cache events become visible late; value: milliseconds.",
+    default: 1000,
+    apply: |knobs, switch| knobs.event_delay = switch.millis(),
+};
--- /dev/null
+++ b/crates/standin/src/fault/lease_lapse.rs
@@ -0,0 +1,14 @@
+//! Fault `lease-lapse`.
+
+use corneltrestle_kernel::linkme::distributed_slice;
+
+use super::{FAULTS, Fault};
+
+#[distributed_slice(FAULTS)]
+#[linkme(crate = corneltrestle_kernel::linkme)]
+static LEASE_LAPSE: Fault = Fault {
+    name: "lease-lapse",
+    help: "All leases lapse at once and their keys are deleted.",
+    default: 0,
+    apply: |knobs, switch| knobs.lapses += u64::from(switch.on),
+};
--- /dev/null
+++ b/crates/standin/src/fault/truncate.rs
@@ -0,0 +1,14 @@
+//! Fault `truncate`.
+
+use corneltrestle_kernel::linkme::distributed_slice;
+
+use super::{FAULTS, Fault};
+
+#[distributed_slice(FAULTS)]
+#[linkme(crate = corneltrestle_kernel::linkme)]
+static TRUNCATE: Fault = Fault {
+    name: "truncate",
+    help: "A body is cut in its middle; value: number of frames that a stream sends before.",
+    default: 1,
+    apply: |knobs, switch| knobs.cut = switch.given(),
+};
--- /dev/null
+++ b/crates/standin/src/fault/wrong_id.rs
@@ -0,0 +1,14 @@
+//! Fault `wrong-id`.
+
+use corneltrestle_kernel::linkme::distributed_slice;
+
+use super::{FAULTS, Fault};
+
+#[distributed_slice(FAULTS)]
+#[linkme(crate = corneltrestle_kernel::linkme)]
+static WRONG_ID: Fault = Fault {
+    name: "wrong-id",
+    help: "Answers carry another request's id; value: index of the first event that does, 0 for headers too.",
+    default: 0,
+    apply: |knobs, switch| knobs.foreign = switch.given(),
+};
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,115 @@
+//! The stand-ins as a program: `corneltrestle-standin KIND --settings FILE`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use corneltrestle_kernel::settings::Settings;
+use corneltrestle_kernel::{logging, pool};
+use corneltrestle_standin::settings::Kind;
+use corneltrestle_standin::{fault, server, settings};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Threads of the pool; stand-ins share their machine with the nodes under test.
+const WORKERS: usize = 2;
+
+/// Exit code for wrong arguments and settings.
+const EXIT_USAGE: u8 = 2;
+
+const USAGE: &str = "\
+Usage: corneltrestle-standin store|engine|vms|service --settings FILE [--check]
+
+Runs a stand-in of an outside system until SIGTERM or SIGINT.
+
+  --settings FILE  INI file with the section of the stand-in
+  --check          check the settings and exit
+  --help           print this text
+
+Exit codes: 0 stopped or checked, 1 cannot run, 2 wrong arguments or settings.";
+
+struct Arguments {
+    kind: Kind,
+    file: PathBuf,
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = match parse() {
+        Ok(Some(arguments)) => arguments,
+        Ok(None) => {
+            println!("{USAGE}\n\nFaults:");
+            for fault in fault::FAULTS {
+                println!("  {:15} {} (default {})", fault.name, fault.help, fault.default);
+            }
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => {
+            eprintln!("standin: {e}\n\n{USAGE}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let settings = match arguments.kind.load(&arguments.file) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if arguments.check {
+        return ExitCode::SUCCESS;
+    }
+    match run(arguments.kind, &settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("standin: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Reads the arguments; `None` asks for help.
+fn parse() -> Result<Option<Arguments>, lexopt::Error> {
+    use lexopt::prelude::*;
+
+    let (mut kind, mut file, mut check) = (None, None, false);
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("help") | Short('h') => return Ok(None),
+            Long("settings") => file = Some(PathBuf::from(parser.value()?)),
+            Long("check") => check = true,
+            Value(name) if kind.is_none() => {
+                let name = name.string()?;
+                let unknown = || format!("unknown stand-in {name:?}");
+                kind = Some(Kind::named(&name).ok_or_else(unknown)?);
+            }
+            other => return Err(other.unexpected()),
+        }
+    }
+    let kind = kind.ok_or("missing stand-in: store, engine, vms or service")?;
+    let file = file.ok_or("missing --settings FILE")?;
+    Ok(Some(Arguments { kind, file, check }))
+}
+
+fn run(kind: Kind, settings: &Settings) -> Result<(), Box<dyn std::error::Error>> {
+    let _log = logging::open("info")?;
+    let pool = pool::Pool::spawn(WORKERS)?;
+    pool.wait(async {
+        match kind {
+            Kind::Store => until_signal(settings::store(settings).await?).await,
+            Kind::Engine => until_signal(settings::engines(settings).await?).await,
+            Kind::Vms => until_signal(settings::vms(settings).await?).await,
+            Kind::Service => until_signal(settings::service(settings).await?).await,
+        }
+    })?;
+    Ok(())
+}
+
+async fn until_signal<A: server::Api>(running: settings::Running<A>) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        interrupted = tokio::signal::ctrl_c() => interrupted?,
+    }
+    running.shutdown().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,199 @@
+//! The server that all stand-ins share: connections, faults, counts and the control endpoint.
+
+mod body;
+mod call;
+mod connection;
+mod control;
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use corneltrestle_kernel::table::{Ranked, Table};
+use corneltrestle_kernel::{plugin, pool};
+use hyper::Method;
+use tokio::net::TcpListener;
+use tokio::runtime;
+use tokio::sync::watch;
+
+pub use body::Body;
+pub use call::{Call, Reply, failure, json, reply};
+pub(crate) use connection::other_id;
+pub use control::{Control, control};
+
+use crate::fault;
+
+/// The result of binding a stand-in.
+pub type Result<T> = std::io::Result<T>;
+
+/// What kind of call a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Kind {
+    /// Name in the counts.
+    pub name: &'static str,
+    /// Whether the call has an effect, so that its answer can be lost after the effect.
+    pub write: bool,
+}
+
+/// The calls of one stand-in.
+pub trait Api: Send + Sync + Sized + 'static {
+    /// The kind of a call.
+    fn kind(&self, method: &Method, path: &str) -> Kind;
+
+    /// Answers a call.
+    fn answer(
+        self: &Arc<Self>,
+        call: &Call,
+        shared: &Arc<Shared>,
+    ) -> impl Future<Output = Reply> + Send;
+
+    /// Answers a control call of this stand-in, if it has one at that path.
+    fn control(&self, _call: &Call) -> Option<Reply> {
+        None
+    }
+
+    /// Counts beyond those of calls.
+    fn counts(&self, _counts: &mut BTreeMap<String, u64>) {}
+
+    /// Acts on a switched fault.
+    fn switched(&self, _before: &fault::Knobs, _after: &fault::Knobs) {}
+
+    /// Acts on the shutdown of the server.
+    fn stopped(&self) {}
+}
+
+/// What connections and jobs of one server share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Address that the server listens on.
+    pub address: SocketAddr,
+    jobs: plugin::Handle,
+    pool: pool::Pool,
+    knobs: watch::Sender<fault::Knobs>,
+    counts: Table<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts(BTreeMap<&'static str, u64>);
+
+impl Ranked for Counts {
+    const RANK: u16 = 260;
+    const NAME: &'static str = "standin-counts";
+}
+
+/// A running stand-in; [`Handle::shutdown`] stops it as the loss of its VM would.
+#[derive(Debug)]
+pub struct Handle<A> {
+    api: Arc<A>,
+    shared: Arc<Shared>,
+}
+
+impl<A> Clone for Handle<A> {
+    fn clone(&self) -> Self {
+        Self { api: Arc::clone(&self.api), shared: Arc::clone(&self.shared) }
+    }
+}
+
+/// Binds a server for `api` on the workers of the present tokio runtime.
+pub(crate) async fn bind<A: Api>(api: A, listen: SocketAddr) -> Result<Handle<A>> {
+    let listener = TcpListener::bind(listen).await?;
+    let shared = Arc::new(Shared {
+        address: listener.local_addr()?,
+        jobs: plugin::Handle::idle(),
+        pool: pool::Pool::attach(runtime::Handle::current()),
+        knobs: watch::Sender::new(fault::Knobs::default()),
+        counts: Table::default(),
+    });
+    let handle = Handle { api: Arc::new(api), shared };
+    let server = handle.clone();
+    handle.shared.run(connection::accept(server, listener));
+    Ok(handle)
+}
+
+impl<A: Api> Handle<A> {
+    /// Address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
+    }
+
+    /// The stand-in behind the server.
+    pub fn api(&self) -> &Arc<A> {
+        &self.api
+    }
+
+    /// Switches a fault on or off; without a value it has its default.
+    ///
+    /// # Errors
+    ///
+    /// When no fault has this name.
+    pub fn switch(&self, name: &str, on: bool, value: Option<u64>) -> fault::Result<()> {
+        let fault = fault::named(name)?;
+        let switch = fault::Switch { on, value: value.unwrap_or(fault.default) };
+        let before = self.shared.knobs();
+        self.shared.knobs.send_modify(|knobs| (fault.apply)(knobs, switch));
+        self.api.switched(&before, &self.shared.knobs());
+        log::info!(
+            "standin: fault {name} of {} is {}",
+            self.address(),
+            if on { "on" } else { "off" }
+        );
+        Ok(())
+    }
+
+    /// The counts of calls by kind, and those of the stand-in itself.
+    pub fn counts(&self) -> BTreeMap<String, u64> {
+        let mut counts = BTreeMap::new();
+        for (name, count) in &self.shared.counts.lock().0 {
+            counts.insert((*name).to_owned(), *count);
+        }
+        self.api.counts(&mut counts);
+        counts
+    }
+
+    /// Runs a job until the server stops.
+    pub(crate) fn run(&self, job: impl Future<Output = ()> + Send + 'static) {
+        self.shared.run(job);
+    }
+
+    /// Stops listening, breaks all connections and waits for the jobs to end.
+    pub async fn shutdown(&self) {
+        self.api.stopped();
+        self.shared.jobs.shutdown().await;
+    }
+}
+
+impl Shared {
+    /// The present state of the faults.
+    pub fn knobs(&self) -> fault::Knobs {
+        self.knobs.borrow().clone()
+    }
+
+    /// Runs a job until the server stops.
+    pub(crate) fn run(&self, job: impl Future<Output = ()> + Send + 'static) {
+        self.jobs.run_until_stop(&self.pool, job);
+    }
+
+    /// Waits while the fault `pause` is on.
+    pub(crate) async fn unpaused(&self) {
+        self.reached(|knobs| !knobs.paused).await;
+    }
+
+    async fn reached(&self, wanted: impl Fn(&fault::Knobs) -> bool) {
+        // The sender lives as long as `self`, so that waiting cannot fail.
+        let _ = self.knobs.subscribe().wait_for(wanted).await;
+    }
+
+    fn count(&self, name: &'static str) {
+        *self.counts.lock().0.entry(name).or_default() += 1;
+    }
+
+    /// Whether the answer to this write is to be lost; uses up one of the losses.
+    fn take_loss(&self) -> bool {
+        self.knobs.send_if_modified(|knobs| {
+            let lost = knobs.lost > 0;
+            knobs.lost = knobs.lost.saturating_sub(1);
+            lost
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/server/call.rs
@@ -0,0 +1,87 @@
+//! Calls as stand-ins see them, and their replies.
+
+use std::borrow::Cow;
+
+use bytes::Bytes;
+use corneltrestle_wire::openai;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
+
+use super::Body;
+
+/// The reply to a call.
+pub type Reply = Response<Body>;
+
+/// Largest request body in bytes; the store's limit of 1 MB grows by a third in base64.
+const BODY_LIMIT: usize = 4 << 20;
+
+/// A call with its complete body.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: Method,
+    /// The path, without query.
+    pub path: String,
+    /// The query; empty if there is none.
+    pub query: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Reads a call; `None` if its body is broken or too large.
+    pub(super) async fn read(request: Request<Incoming>) -> Option<Self> {
+        let (head, body) = request.into_parts();
+        let body = Limited::new(body, BODY_LIMIT).collect().await.ok()?.to_bytes();
+        let path = head.uri.path().to_owned();
+        let query = head.uri.query().unwrap_or("").to_owned();
+        Some(Self { method: head.method, path, query, headers: head.headers, body })
+    }
+
+    /// A header's text; empty if it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+
+    /// The request id.
+    pub fn id(&self) -> &str {
+        self.header("x-request-id")
+    }
+
+    /// A number in the query.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+    }
+}
+
+/// A reply with a JSON body.
+pub fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Reply {
+    let bytes = serde_json::to_vec(value).expect("stand-ins' values are plain JSON");
+    let mut reply = reply(status, Body::whole(bytes.into()));
+    reply
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+    reply
+}
+
+/// A reply with a status and a body.
+pub fn reply(status: StatusCode, body: Body) -> Reply {
+    let mut reply = Response::new(body);
+    *reply.status_mut() = status;
+    reply
+}
+
+/// An error in the form of [`openai::ErrorBody`].
+pub fn failure(status: StatusCode, code: &str, message: &str) -> Reply {
+    let error = openai::ErrorInfo {
+        code: Cow::Borrowed(code),
+        message: Cow::Borrowed(message),
+        step: Cow::Borrowed("standin"),
+        retry_after_ms: None,
+    };
+    json(status, &openai::ErrorBody { error })
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,130 @@
+//! Stand-in of a plain order service.
+//!
+//! It runs every order that it receives and counts the runs, so that a second run shows.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_kernel::table::{Ranked, Table};
+use hyper::{Method, StatusCode};
+use serde_json::json;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::server::{self, Api, Call, Kind, Reply, Shared};
+
+/// A running service.
+pub type Handle = server::Handle<Service>;
+
+/// How a service is set up.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Time that each call takes.
+    pub time: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self { listen: ([127, 0, 0, 1], 0).into(), time: Duration::ZERO }
+    }
+}
+
+/// The order service.
+#[derive(Debug)]
+pub struct Service {
+    time: Duration,
+    orders: Table<Orders>,
+}
+
+/// How often orders ran.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Orders {
+    /// Runs by the header `Idempotency-Key`.
+    pub keys: BTreeMap<String, u64>,
+    /// Runs by request id.
+    pub requests: BTreeMap<String, u64>,
+    /// All runs, those without key or request id included.
+    pub total: u64,
+}
+
+impl Ranked for Orders {
+    const RANK: u16 = 230;
+    const NAME: &'static str = "standin-orders";
+}
+
+/// Binds a service on the workers of the present tokio runtime.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub async fn bind(config: Config) -> server::Result<Handle> {
+    let service = Service { time: config.time, orders: Table::default() };
+    server::bind(service, config.listen).await
+}
+
+impl Service {
+    /// How often each order ran.
+    pub fn runs(&self) -> Orders {
+        self.orders.lock().clone()
+    }
+
+    fn run(&self, key: &str, id: &str) -> u64 {
+        let mut orders = self.orders.lock();
+        orders.total += 1;
+        if !key.is_empty() {
+            *orders.keys.entry(key.to_owned()).or_default() += 1;
+        }
+        if !id.is_empty() {
+            *orders.requests.entry(id.to_owned()).or_default() += 1;
+        }
+        orders.total
+    }
+
+    fn status(&self, key: &str) -> Reply {
+        match self.orders.lock().keys.get(key) {
+            Some(runs) => {
+                server::json(StatusCode::OK, &json!({"key": key, "state": "placed", "runs": runs}))
+            }
+            None => server::failure(StatusCode::NOT_FOUND, "unknown", "no order with this key"),
+        }
+    }
+}
+
+impl Api for Service {
+    fn kind(&self, method: &Method, path: &str) -> Kind {
+        let name = match (method, path) {
+            (&Method::POST, "/orders") => "order",
+            (&Method::GET, path) if path.starts_with("/orders/") => "status",
+            (&Method::GET, path) if path.starts_with("/stock/") => "stock",
+            _ => "unknown",
+        };
+        Kind { name, write: name == "order" }
+    }
+
+    async fn answer(self: &Arc<Self>, call: &Call, _: &Arc<Shared>) -> Reply {
+        tokio::time::sleep(self.time).await;
+        let parts: Vec<_> = call.path.split('/').skip(1).collect();
+        match (&call.method, parts.as_slice()) {
+            (&Method::POST, ["orders"]) => {
+                let key = call.header("idempotency-key");
+                let number = self.run(key, call.id());
+                server::json(StatusCode::CREATED, &json!({"order": number, "key": key}))
+            }
+            (&Method::GET, ["orders", key, "status"]) => self.status(key),
+            (&Method::GET, ["stock", item]) => {
+                let stock = xxh3_64(item.as_bytes()) % 100;
+                server::json(StatusCode::OK, &json!({"item": item, "stock": stock}))
+            }
+            _ => server::failure(StatusCode::NOT_FOUND, "unknown", "no such call"),
+        }
+    }
+
+    fn control(&self, call: &Call) -> Option<Reply> {
+        let runs = (&call.method, call.path.as_str()) == (&Method::GET, "/control/runs");
+        runs.then(|| server::json(StatusCode::OK, &self.runs()))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/settings.rs
@@ -0,0 +1,294 @@
+//! Settings of the binary: one section for each stand-in.
+
+use std::collections::HashSet;
+use std::io;
+use std::path::Path;
+
+use corneltrestle_kernel::ini;
+use corneltrestle_kernel::settings::{self, Key, Section, Settings, Type};
+
+use crate::{engine, fault, server, service, store, vms};
+
+/// Longest time in settings, in milliseconds.
+const LONGEST_MS: u64 = 600_000;
+
+const LISTEN: Key =
+    Key::new("listen", Type::Address, "127.0.0.1:0", "Address of the server, or of the first VM.");
+const CONTROL: Key = Key::new(
+    "control",
+    Type::Address,
+    "127.0.0.1:0",
+    "Address of a control port that stays open when a server crashes.",
+);
+const FAULTS: Key = Key::optional(
+    "faults",
+    Type::Text,
+    "Faults that are on from the start, as NAME or NAME:NUMBER, separated by commas.",
+);
+
+/// The section `[store]`.
+pub static STORE: Section = Section {
+    name: "store",
+    help: "The key-value service.",
+    keys: &[
+        LISTEN,
+        CONTROL,
+        FAULTS,
+        Key::new(
+            "progress",
+            Type::millis(10, LONGEST_MS),
+            "1s",
+            "Time between progress notifications of a watch.",
+        ),
+    ],
+};
+
+/// The section `[vms]`.
+pub static VMS: Section = Section {
+    name: "vms",
+    help: "The VM list; its entries are set with POST /control/vms.",
+    keys: &[
+        LISTEN,
+        CONTROL,
+        FAULTS,
+        Key::new("lag", Type::millis(0, LONGEST_MS), "0s", "Time until a change is visible."),
+    ],
+};
+
+/// The section `[service]`.
+pub static SERVICE: Section = Section {
+    name: "service",
+    help: "The order service.",
+    keys: &[
+        LISTEN,
+        CONTROL,
+        FAULTS,
+        Key::new("time", Type::millis(0, LONGEST_MS), "0s", "Time that each call takes."),
+    ],
+};
+
+/// A stand-in that the binary can run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The key-value service.
+    Store,
+    /// Model engines.
+    Engine,
+    /// The VM list.
+    Vms,
+    /// The order service.
+    Service,
+}
+
+impl Kind {
+    /// The kind with this name.
+    pub fn named(name: &str) -> Option<Self> {
+        match name {
+            "store" => Some(Self::Store),
+            "engine" => Some(Self::Engine),
+            "vms" => Some(Self::Vms),
+            "service" => Some(Self::Service),
+            _ => None,
+        }
+    }
+
+    /// The section of this kind.
+    pub fn section(self) -> &'static Section {
+        match self {
+            Self::Store => &STORE,
+            Self::Engine => &ENGINE,
+            Self::Vms => &VMS,
+            Self::Service => &SERVICE,
+        }
+    }
+
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Every fault in the file.
+    pub fn load(self, path: &Path) -> settings::Result<Settings> {
+        let section = self.section();
+        let settings = Settings::load(path, &[section])?;
+        let view = settings.section(section.name);
+        let mut faults = Vec::new();
+        if let Err(e) = fault::list(view.text("faults")) {
+            faults.push(self.fault(path, "faults", view.text("faults"), e.to_string()));
+        }
+        if self == Self::Engine && !distinct(view.text("vms")) {
+            let expected = "names that differ, separated by commas".to_owned();
+            faults.push(self.fault(path, "vms", view.text("vms"), expected));
+        }
+        if faults.is_empty() {
+            return Ok(settings);
+        }
+        Err(settings::Error::Faults { file: path.display().to_string(), faults })
+    }
+
+    /// A fault in a value that the type of its key cannot state.
+    fn fault(self, path: &Path, key: &str, found: &str, expected: String) -> settings::Fault {
+        let section = self.section().name;
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let document = ini::Document::parse(&text).unwrap_or_default();
+        let line = document.named(section).find_map(|part| part.entry(key)).map_or(1, |e| e.line);
+        let kind = settings::FaultKind::Invalid { found: found.to_owned(), expected };
+        settings::Fault { line, section: section.to_owned(), key: key.to_owned(), kind }
+    }
+}
+
+/// The section `[engine]`.
+pub static ENGINE: Section = Section {
+    name: "engine",
+    help: "Model engines, one for each VM, on consecutive ports from `listen`.",
+    keys: &[
+        LISTEN,
+        CONTROL,
+        FAULTS,
+        Key::required("vms", Type::Text, "Names of the VMs, separated by commas."),
+        Key::new("load", Type::millis(0, LONGEST_MS), "2s", "Time to load a model."),
+        Key::new("first-token", Type::millis(0, LONGEST_MS), "100ms", "Time to the first token."),
+        Key::new("per-token", Type::millis(0, LONGEST_MS), "20ms", "Time between tokens."),
+        Key::new("slots", Type::Count { min: 1, max: 4096 }, "8", "Requests decoded at once."),
+        Key::new("queue", Type::Count { min: 0, max: 65_536 }, "32", "Requests that may wait."),
+        Key::new(
+            "cold-limit",
+            Type::Count { min: 1, max: 4096 },
+            "2",
+            "Requests in progress that a just started engine bears.",
+        ),
+        Key::new(
+            "blocks",
+            Type::Count { min: 0, max: 1_000_000 },
+            "1024",
+            "Prefixes in the cache.",
+        ),
+        Key::new(
+            "fencing",
+            Type::Choice(&["checked", "ignored"]),
+            "checked",
+            "Whether fencing tokens are checked.",
+        ),
+        Key::new(
+            "report-lag",
+            Type::millis(0, LONGEST_MS),
+            "0s",
+            "Age of load figures in reports.",
+        ),
+    ],
+};
+
+/// Running stand-ins of one process.
+#[derive(Debug)]
+pub struct Running<A> {
+    /// The servers by name: the VM for engines, the kind for others.
+    pub servers: Vec<(String, server::Handle<A>)>,
+    /// The control port for all of them.
+    pub control: server::Handle<server::Control<A>>,
+}
+
+impl<A: server::Api> Running<A> {
+    async fn open(
+        view: settings::View<'_>,
+        servers: Vec<(String, server::Handle<A>)>,
+    ) -> server::Result<Self> {
+        let faults = fault::list(view.text("faults")).map_err(io::Error::other)?;
+        for (name, server) in &servers {
+            log::info!("standin: {name} listens on {}", server.address());
+            for (fault, value) in &faults {
+                server.switch(fault, true, *value).map_err(io::Error::other)?;
+            }
+        }
+        let listen = view.address("control");
+        let control = server::control(servers.clone(), listen).await?;
+        log::info!("standin: control listens on {}", control.address());
+        Ok(Self { servers, control })
+    }
+
+    /// Stops all servers.
+    pub async fn shutdown(&self) {
+        self.control.shutdown().await;
+        for (_, server) in &self.servers {
+            server.shutdown().await;
+        }
+    }
+}
+
+/// Binds the store.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub async fn store(settings: &Settings) -> server::Result<Running<store::Store>> {
+    let view = settings.section(STORE.name);
+    let config = store::Config { listen: view.address("listen"), progress: view.span("progress") };
+    let server = store::bind(config).await?;
+    Running::open(view, vec![(STORE.name.to_owned(), server)]).await
+}
+
+/// Binds the VM list.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub async fn vms(settings: &Settings) -> server::Result<Running<vms::Vms>> {
+    let view = settings.section(VMS.name);
+    let config =
+        vms::Config { listen: view.address("listen"), lag: view.span("lag"), vms: Vec::new() };
+    let server = vms::bind(config).await?;
+    Running::open(view, vec![(VMS.name.to_owned(), server)]).await
+}
+
+/// Binds the order service.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub async fn service(settings: &Settings) -> server::Result<Running<service::Service>> {
+    let view = settings.section(SERVICE.name);
+    let config = service::Config { listen: view.address("listen"), time: view.span("time") };
+    let server = service::bind(config).await?;
+    Running::open(view, vec![(SERVICE.name.to_owned(), server)]).await
+}
+
+/// Binds one engine for each VM, on consecutive ports unless the first port is 0.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub async fn engines(settings: &Settings) -> server::Result<Running<engine::Engine>> {
+    let view = settings.section(ENGINE.name);
+    let count = |key| u32::try_from(view.count(key)).unwrap_or(u32::MAX);
+    let mut config = engine::Config {
+        listen: view.address("listen"),
+        vm: "".into(),
+        fabric: engine::Fabric::default(),
+        load: view.span("load"),
+        first: view.span("first-token"),
+        token: view.span("per-token"),
+        slots: count("slots"),
+        queue: count("queue"),
+        cold: view.count("cold-limit"),
+        blocks: count("blocks"),
+        fencing: view.text("fencing") == "checked",
+        lag: view.span("report-lag"),
+    };
+    let mut servers = Vec::new();
+    for name in names(view.text("vms")) {
+        config.vm = name.into();
+        let server = engine::bind(config.clone()).await?;
+        servers.push((name.to_owned(), server));
+        if config.listen.port() != 0 {
+            config.listen.set_port(config.listen.port().wrapping_add(1));
+        }
+    }
+    Running::open(view, servers).await
+}
+
+fn names(list: &str) -> impl Iterator<Item = &str> {
+    list.split(',').map(str::trim).filter(|name| !name.is_empty())
+}
+
+fn distinct(list: &str) -> bool {
+    let mut seen = HashSet::new();
+    names(list).all(|name| seen.insert(name)) && !seen.is_empty()
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,160 @@
+//! Stand-in of the platform's key-value service: a part of the etcd v3 JSON gateway.
+
+mod keys;
+mod message;
+mod watch;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use corneltrestle_kernel::clock::{self, Clock};
+use corneltrestle_kernel::table::Table;
+use hyper::{Method, StatusCode};
+use serde_json::{Value, json};
+use tokio::sync::watch as notify;
+
+use crate::fault;
+use crate::server::{self, Api, Call, Kind, Reply, Shared};
+
+/// A running store.
+pub type Handle = server::Handle<Store>;
+
+/// Period in which lapsed leases are removed; leases last whole seconds.
+const LAPSE_PERIOD: Duration = Duration::from_millis(50);
+
+/// How a store is set up.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Time between the progress notifications of a watch.
+    pub progress: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self { listen: ([127, 0, 0, 1], 0).into(), progress: Duration::from_secs(1) }
+    }
+}
+
+/// The key-value service.
+#[derive(Debug)]
+pub struct Store {
+    progress: Duration,
+    clock: clock::System,
+    keys: Table<keys::Keys>,
+    /// The latest revision, which watches wait for.
+    revision: notify::Sender<u64>,
+    watching: AtomicU64,
+}
+
+/// Binds a store on the workers of the present tokio runtime.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub async fn bind(config: Config) -> server::Result<Handle> {
+    let store = Store {
+        progress: config.progress,
+        clock: clock::System::open(),
+        keys: Table::default(),
+        revision: notify::Sender::new(1),
+        watching: AtomicU64::new(0),
+    };
+    let handle = server::bind(store, config.listen).await?;
+    let store = Arc::clone(handle.api());
+    handle.run(async move {
+        loop {
+            tokio::time::sleep(LAPSE_PERIOD).await;
+            let now = store.clock.now();
+            store.change(|keys| keys.lapse(now));
+        }
+    });
+    Ok(handle)
+}
+
+impl Store {
+    /// The value of a key, as a test looks at it without a call.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.keys.lock().get(key.as_bytes()).map(|found| found.value.clone())
+    }
+
+    /// Changes the keys and wakes the watches.
+    fn change<T>(&self, change: impl FnOnce(&mut keys::Keys) -> T) -> T {
+        let (result, revision) = {
+            let mut keys = self.keys.lock();
+            (change(&mut keys), keys.revision())
+        };
+        self.revision.send_if_modified(|seen| {
+            let grown = revision > *seen;
+            *seen = revision.max(*seen);
+            grown
+        });
+        result
+    }
+
+    fn call(&self, path: &str, body: &[u8]) -> message::Result<Value> {
+        let now = self.clock.now();
+        match path {
+            "/v3/kv/range" => {
+                let range = message::decode::<message::Range>(body)?;
+                Ok(self.keys.lock().range(&range))
+            }
+            "/v3/kv/txn" => {
+                let txn = message::decode::<message::Txn>(body)?;
+                self.change(|keys| keys.txn(&txn))
+            }
+            "/v3/lease/grant" => {
+                let grant = message::decode::<message::Grant>(body)?;
+                self.change(|keys| keys.grant(&grant, now))
+            }
+            "/v3/lease/keepalive" => {
+                let lease = message::decode::<message::Lease>(body)?;
+                Ok(json!({"result": self.change(|keys| keys.keep_alive(&lease, now))}))
+            }
+            "/v3/lease/revoke" => {
+                let lease = message::decode::<message::Lease>(body)?;
+                self.change(|keys| keys.revoke(&lease))
+            }
+            _ => Err(message::Error::unknown()),
+        }
+    }
+}
+
+impl Api for Store {
+    fn kind(&self, _: &Method, path: &str) -> Kind {
+        match path {
+            "/v3/kv/range" => Kind { name: "range", write: false },
+            "/v3/kv/txn" => Kind { name: "txn", write: true },
+            "/v3/lease/grant" => Kind { name: "grant", write: true },
+            "/v3/lease/keepalive" => Kind { name: "keepalive", write: true },
+            "/v3/lease/revoke" => Kind { name: "revoke", write: true },
+            "/v3/watch" => Kind { name: "watch", write: false },
+            _ => Kind { name: "unknown", write: false },
+        }
+    }
+
+    async fn answer(self: &Arc<Self>, call: &Call, shared: &Arc<Shared>) -> Reply {
+        let answered = match call.path.as_str() {
+            _ if call.method != Method::POST => Err(message::Error::unknown()),
+            "/v3/watch" => {
+                message::decode(&call.body).map(|create| watch::open(self, create, shared))
+            }
+            path => self.call(path, &call.body).map(|value| server::json(StatusCode::OK, &value)),
+        };
+        answered.unwrap_or_else(|e| e.reply())
+    }
+
+    fn counts(&self, counts: &mut BTreeMap<String, u64>) {
+        counts.insert("watching".to_owned(), self.watching.load(Ordering::Relaxed));
+    }
+
+    fn switched(&self, before: &fault::Knobs, after: &fault::Knobs) {
+        if after.lapses > before.lapses {
+            self.change(keys::Keys::lapse_all);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/keys.rs
@@ -0,0 +1,265 @@
+//! Keys, leases and the history that watches read.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use corneltrestle_kernel::table::Ranked;
+use corneltrestle_policy::Moment;
+use serde_json::{Value, json};
+
+use super::message::{self, Error, Operation, Result};
+
+/// Largest value in bytes.
+const VALUE_LIMIT: usize = 1 << 20;
+
+/// Number of changes that watches can go back.
+const HISTORY: usize = 4096;
+
+/// The keys of a store with their leases.
+#[derive(Debug)]
+pub(super) struct Keys {
+    revision: u64,
+    keys: BTreeMap<Vec<u8>, Key>,
+    leases: BTreeMap<i64, Granted>,
+    next: i64,
+    history: VecDeque<Change>,
+    /// Revision of the latest change that was dropped from the history.
+    compacted: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Key {
+    pub(super) value: Vec<u8>,
+    created: u64,
+    modified: u64,
+    version: u64,
+    lease: i64,
+}
+
+#[derive(Debug)]
+struct Granted {
+    ttl: Duration,
+    expiry: Moment,
+}
+
+#[derive(Debug)]
+struct Change {
+    revision: u64,
+    name: Vec<u8>,
+    key: Option<Key>,
+}
+
+impl Default for Keys {
+    fn default() -> Self {
+        // The revision of an empty etcd is 1.
+        Self {
+            revision: 1,
+            keys: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            next: 1,
+            history: VecDeque::new(),
+            compacted: 0,
+        }
+    }
+}
+
+impl Ranked for Keys {
+    const RANK: u16 = 210;
+    const NAME: &'static str = "standin-keys";
+}
+
+/// Keys.
+impl Keys {
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub(super) fn get(&self, name: &[u8]) -> Option<&Key> {
+        self.keys.get(name)
+    }
+
+    pub(super) fn header(&self) -> Value {
+        let revision = self.revision.to_string();
+        json!({"cluster_id": "1", "member_id": "1", "revision": revision, "raft_term": "1"})
+    }
+
+    pub(super) fn range(&self, range: &message::Range) -> Value {
+        match self.keys.get(&range.key) {
+            Some(key) => {
+                json!({"header": self.header(), "kvs": [key.encode(&range.key)], "count": "1"})
+            }
+            None => json!({"header": self.header()}),
+        }
+    }
+
+    pub(super) fn txn(&mut self, txn: &message::Txn) -> Result<Value> {
+        let [compare] = &txn.compare;
+        let message::Target::Mod = compare.target;
+        let message::Comparison::Equal = compare.result;
+        let present = self.keys.get(&compare.key).map_or(0, |key| key.modified);
+        let succeeded = i64::try_from(present).is_ok_and(|n| n == compare.mod_revision);
+        let operations = if succeeded { &txn.success } else { &txn.failure };
+        self.check(operations)?;
+        let responses: Vec<_> = operations.iter().map(|operation| self.apply(operation)).collect();
+        let mut answer = json!({"header": self.header()});
+        if succeeded {
+            answer["succeeded"] = true.into();
+        }
+        if !responses.is_empty() {
+            answer["responses"] = responses.into();
+        }
+        Ok(answer)
+    }
+
+    /// Checks all operations before the first takes effect.
+    fn check(&self, operations: &[Operation]) -> Result<()> {
+        for operation in operations {
+            let Operation::Put(put) = operation else { continue };
+            if put.value.len() > VALUE_LIMIT {
+                return Err(Error::invalid("etcdserver: request is too large"));
+            }
+            if put.lease != 0 && !self.leases.contains_key(&put.lease) {
+                return Err(Error::no_lease());
+            }
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, operation: &Operation) -> Value {
+        match operation {
+            Operation::Range(range) => json!({"response_range": self.range(range)}),
+            Operation::Put(put) => {
+                self.put(put);
+                json!({"response_put": {"header": {"revision": self.revision.to_string()}}})
+            }
+        }
+    }
+
+    fn put(&mut self, put: &message::Put) {
+        self.revision += 1;
+        let before = self.keys.get(&put.key);
+        let key = Key {
+            value: put.value.clone(),
+            created: before.map_or(self.revision, |key| key.created),
+            modified: self.revision,
+            version: before.map_or(1, |key| key.version + 1),
+            lease: put.lease,
+        };
+        self.keys.insert(put.key.clone(), key.clone());
+        self.record(put.key.clone(), Some(key));
+    }
+
+    fn record(&mut self, name: Vec<u8>, key: Option<Key>) {
+        if self.history.len() == HISTORY
+            && let Some(dropped) = self.history.pop_front()
+        {
+            self.compacted = dropped.revision;
+        }
+        self.history.push_back(Change { revision: self.revision, name, key });
+    }
+}
+
+/// Leases.
+impl Keys {
+    pub(super) fn grant(&mut self, grant: &message::Grant, now: Moment) -> Result<Value> {
+        let ttl = u64::try_from(grant.ttl).ok().filter(|ttl| (1..=9_000_000_000).contains(ttl));
+        let ttl = ttl.ok_or_else(|| Error::invalid("etcdserver: lease TTL out of range"))?;
+        let id = if grant.id == 0 { self.next } else { grant.id };
+        self.next = self.next.max(id) + 1;
+        let ttl = Duration::from_secs(ttl);
+        self.leases.insert(id, Granted { ttl, expiry: now + ttl });
+        Ok(self.lease(id, Some(ttl)))
+    }
+
+    pub(super) fn keep_alive(&mut self, lease: &message::Lease, now: Moment) -> Value {
+        self.lapse(now);
+        let ttl = self.leases.get_mut(&lease.id).map(|granted| {
+            granted.expiry = now + granted.ttl;
+            granted.ttl
+        });
+        self.lease(lease.id, ttl)
+    }
+
+    pub(super) fn revoke(&mut self, lease: &message::Lease) -> Result<Value> {
+        self.leases.remove(&lease.id).ok_or_else(Error::no_lease)?;
+        self.remove(&[lease.id]);
+        Ok(json!({"header": self.header()}))
+    }
+
+    /// Removes the leases that have lapsed, with their keys.
+    pub(super) fn lapse(&mut self, now: Moment) {
+        let lapsed = |granted: &Granted| now >= granted.expiry;
+        let ids: Vec<_> =
+            self.leases.iter().filter(|(_, g)| lapsed(g)).map(|(id, _)| *id).collect();
+        self.leases.retain(|id, _| !ids.contains(id));
+        self.remove(&ids);
+    }
+
+    pub(super) fn lapse_all(&mut self) {
+        let ids: Vec<_> = std::mem::take(&mut self.leases).into_keys().collect();
+        self.remove(&ids);
+    }
+
+    fn remove(&mut self, leases: &[i64]) {
+        if leases.is_empty() {
+            return;
+        }
+        let attached = self.keys.iter().filter(|(_, key)| leases.contains(&key.lease));
+        let names: Vec<_> = attached.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.revision += 1;
+            self.keys.remove(&name);
+            self.record(name, None);
+        }
+    }
+
+    fn lease(&self, id: i64, ttl: Option<Duration>) -> Value {
+        let mut answer = json!({"header": self.header(), "ID": id.to_string()});
+        if let Some(ttl) = ttl {
+            answer["TTL"] = ttl.as_secs().to_string().into();
+        }
+        answer
+    }
+}
+
+/// Watches.
+impl Keys {
+    /// The events of a key from a revision on; `Err` with the revision that has been dropped.
+    pub(super) fn events(&self, name: &[u8], from: u64) -> std::result::Result<Vec<Value>, u64> {
+        if from <= self.compacted {
+            return Err(self.compacted);
+        }
+        let changes = self.history.iter().filter(|c| c.revision >= from && c.name == name);
+        Ok(changes.map(Change::encode).collect())
+    }
+}
+
+impl Change {
+    fn encode(&self) -> Value {
+        match &self.key {
+            Some(key) => json!({"kv": key.encode(&self.name)}),
+            None => {
+                let name = message::encode(&self.name);
+                json!({"type": "DELETE", "kv": {"key": name, "mod_revision": self.revision.to_string()}})
+            }
+        }
+    }
+}
+
+impl Key {
+    fn encode(&self, name: &[u8]) -> Value {
+        let mut value = json!({
+            "key": message::encode(name),
+            "create_revision": self.created.to_string(),
+            "mod_revision": self.modified.to_string(),
+            "version": self.version.to_string(),
+        });
+        if !self.value.is_empty() {
+            value["value"] = message::encode(&self.value).into();
+        }
+        if self.lease != 0 {
+            value["lease"] = self.lease.to_string().into();
+        }
+        value
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store/watch.rs
@@ -0,0 +1,91 @@
+//! Watches: newline-separated results on one response.
+
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use hyper::StatusCode;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+
+use super::{Store, message};
+use crate::server::{self, Body, Reply, Shared};
+
+type Sender = mpsc::Sender<io::Result<Bytes>>;
+
+/// Counts a watch as long as it lives.
+struct Waiting(Arc<Store>);
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.watching.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Opens a watch on one key.
+pub(super) fn open(store: &Arc<Store>, watch: message::Watch, shared: &Arc<Shared>) -> Reply {
+    let (sender, frames) = mpsc::channel(16);
+    store.watching.fetch_add(1, Ordering::Relaxed);
+    let waiting = Waiting(Arc::clone(store));
+    let server = Arc::clone(shared);
+    shared.run(async move {
+        let create = &watch.create_request;
+        tokio::select! {
+            () = sender.closed() => {}
+            _ = feed(&waiting.0, create, &sender, &server) => {}
+        }
+    });
+    server::reply(StatusCode::OK, Body::stream(frames))
+}
+
+/// Sends events and progress until the watch ends; `None` once the caller has gone.
+async fn feed(
+    store: &Store,
+    create: &message::Create,
+    sender: &Sender,
+    server: &Shared,
+) -> Option<()> {
+    let mut revision = store.revision.subscribe();
+    let (header, present) = {
+        let keys = store.keys.lock();
+        (keys.header(), keys.revision())
+    };
+    let start = u64::try_from(create.start_revision).unwrap_or(0);
+    let mut from = if start == 0 { present + 1 } else { start };
+    send(sender, json!({"header": header, "created": true})).await?;
+    loop {
+        revision.borrow_and_update();
+        let (header, events, next) = {
+            let keys = store.keys.lock();
+            (keys.header(), keys.events(&create.key, from), keys.revision() + 1)
+        };
+        server.unpaused().await;
+        match events {
+            Ok(events) if events.is_empty() => {}
+            Ok(events) => send(sender, json!({"header": header, "events": events})).await?,
+            Err(dropped) => {
+                let dropped = dropped.to_string();
+                let end = json!({"header": header, "canceled": true, "compact_revision": dropped});
+                return send(sender, end).await;
+            }
+        }
+        from = from.max(next);
+        loop {
+            let changed = tokio::time::timeout(store.progress, revision.changed()).await;
+            if changed.is_ok() {
+                break;
+            }
+            server.unpaused().await;
+            if create.progress_notify {
+                let header = store.keys.lock().header();
+                send(sender, json!({"header": header})).await?;
+            }
+        }
+    }
+}
+
+async fn send(sender: &Sender, result: Value) -> Option<()> {
+    let line = format!("{}\n", json!({"result": result}));
+    sender.send(Ok(line.into())).await.ok()
+}
--- /dev/null
+++ b/crates/standin/src/vms.rs
@@ -0,0 +1,166 @@
+//! Stand-in of the platform's VM list, in the form of Prometheus HTTP service discovery.
+
+use std::borrow::Cow;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_kernel::clock::{self, Clock};
+use corneltrestle_kernel::table::{Ranked, Table};
+use corneltrestle_policy::{Moment, vm};
+use hyper::{Method, StatusCode};
+use serde_json::json;
+
+use crate::server::{self, Api, Call, Kind, Reply, Shared};
+
+/// A running VM list.
+pub type Handle = server::Handle<Vms>;
+
+/// Number of past lists that are kept for the lag.
+const HISTORY: usize = 256;
+
+/// How a VM list is set up.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Time after which a change becomes visible.
+    pub lag: Duration,
+    /// The first list, visible at once.
+    pub vms: Vec<vm::Vm>,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self { listen: ([127, 0, 0, 1], 0).into(), lag: Duration::ZERO, vms: Vec::new() }
+    }
+}
+
+/// The VM list.
+#[derive(Debug)]
+pub struct Vms {
+    lag: Duration,
+    clock: clock::System,
+    lists: Table<Lists>,
+}
+
+/// Past and present lists, oldest first; never empty.
+#[derive(Debug)]
+struct Lists(VecDeque<(Moment, Vec<vm::Vm>)>);
+
+impl Ranked for Lists {
+    const RANK: u16 = 220;
+    const NAME: &'static str = "standin-vms";
+}
+
+/// Binds a VM list on the workers of the present tokio runtime.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub async fn bind(config: Config) -> server::Result<Handle> {
+    let clock = clock::System::open();
+    let lists = Table::new(Lists(VecDeque::from([(clock.now(), config.vms)])));
+    server::bind(Vms { lag: config.lag, clock, lists }, config.listen).await
+}
+
+impl Vms {
+    /// Replaces the list; it becomes visible after the lag.
+    pub fn set(&self, vms: &[vm::Vm]) {
+        let now = self.clock.now();
+        let mut lists = self.lists.lock();
+        if lists.0.len() == HISTORY {
+            lists.0.pop_front();
+        }
+        lists.0.push_back((now, vms.to_vec()));
+    }
+
+    fn visible(&self, lag: Duration) -> Vec<serde_json::Value> {
+        let now = self.clock.now();
+        let lists = self.lists.lock();
+        let found = lists.0.iter().rev().find(|(set, _)| now.since(*set) >= lag);
+        let (_, vms) = found.unwrap_or(&lists.0[0]);
+        vms.iter().map(entry).collect()
+    }
+}
+
+fn entry(vm: &vm::Vm) -> serde_json::Value {
+    json!({
+        "targets": [vm.address],
+        "labels": {
+            "vm": vm.id,
+            "zone": vm.zone,
+            "fabric": vm.fabric,
+            "role": vm.role,
+            "state": vm.state,
+            "accelerators": vm.accelerators.to_string(),
+        },
+    })
+}
+
+#[derive(serde::Deserialize)]
+struct Entry<'a> {
+    targets: [SocketAddr; 1],
+    #[serde(borrow)]
+    labels: Labels<'a>,
+}
+
+#[derive(serde::Deserialize)]
+struct Labels<'a> {
+    #[serde(borrow)]
+    vm: Cow<'a, str>,
+    #[serde(borrow)]
+    zone: Cow<'a, str>,
+    #[serde(borrow)]
+    fabric: Cow<'a, str>,
+    role: vm::Role,
+    state: vm::State,
+    #[serde(borrow)]
+    accelerators: Cow<'a, str>,
+}
+
+impl Entry<'_> {
+    fn decode(&self) -> Option<vm::Vm> {
+        Some(vm::Vm {
+            id: self.labels.vm.as_ref().into(),
+            address: self.targets[0],
+            zone: self.labels.zone.as_ref().into(),
+            fabric: self.labels.fabric.as_ref().into(),
+            role: self.labels.role,
+            state: self.labels.state,
+            accelerators: self.labels.accelerators.parse().ok()?,
+        })
+    }
+}
+
+impl Api for Vms {
+    fn kind(&self, method: &Method, path: &str) -> Kind {
+        let list = method == Method::GET && path == "/v1/vms";
+        Kind { name: if list { "list" } else { "unknown" }, write: false }
+    }
+
+    async fn answer(self: &Arc<Self>, call: &Call, shared: &Arc<Shared>) -> Reply {
+        if (&call.method, call.path.as_str()) != (&Method::GET, "/v1/vms") {
+            return server::failure(StatusCode::NOT_FOUND, "unknown", "no such call");
+        }
+        let lag = shared.knobs().list_lag.unwrap_or(self.lag);
+        server::json(StatusCode::OK, &self.visible(lag))
+    }
+
+    fn control(&self, call: &Call) -> Option<Reply> {
+        if (&call.method, call.path.as_str()) != (&Method::POST, "/control/vms") {
+            return None;
+        }
+        let entries: Result<Vec<Entry<'_>>, _> = serde_json::from_slice(&call.body);
+        let vms = entries.ok().and_then(|list| list.iter().map(Entry::decode).collect());
+        let vms: Option<Vec<_>> = vms;
+        Some(match vms {
+            Some(vms) => {
+                self.set(&vms);
+                server::json(StatusCode::OK, &json!({}))
+            }
+            None => server::failure(StatusCode::BAD_REQUEST, "invalid", "not a list of targets"),
+        })
+    }
+}
