--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -81,15 +81,13 @@
 pub struct Engine {
     config: Config,
     clock: clock::System,
+    orders: Table<orders::Orders>,
     state: Table<State>,
 }
 
 #[derive(Debug)]
 struct State {
     start: u64,
-    /// Highest fencing token seen.
-    token: u64,
-    model: orders::Model,
     slots: slots::Slots,
     cache: cache::Cache,
     /// Prefixes of the latest requests, for export.
@@ -120,15 +118,14 @@
     let listen = config.listen;
     config.fabric.update(&config.vm, |member| *member = fabric::Member::idle());
     let state = Table::new(State::new(&config));
-    server::bind(Engine { config, clock: clock::System::open(), state }, listen).await
+    let orders = Table::default();
+    server::bind(Engine { config, clock: clock::System::open(), orders, state }, listen).await
 }
 
 impl State {
     fn new(config: &Config) -> Self {
         Self {
             start: rand::random(),
-            token: 0,
-            model: orders::Model::default(),
             slots: slots::Slots::new(config.cold),
             cache: cache::Cache::new(config.blocks),
             exports: VecDeque::new(),
@@ -188,6 +185,7 @@
     /// The present report.
     pub fn report(&self) -> report::Report {
         let member = self.config.fabric.member(&self.config.vm);
+        let model = self.orders.lock().model.clone();
         let mut state = self.state.lock();
         let load = state.lagged_load(self.config.lag, self.now());
         report::Report {
@@ -195,9 +193,9 @@
             replica: member.replica,
             epoch: member.epoch,
             start: state.start,
-            model: state.model.name.clone(),
-            adapter: state.model.adapter.clone(),
-            version: state.model.version.clone(),
+            model: model.name,
+            adapter: model.adapter,
+            version: model.version,
             phase: member.phase,
             running: load.running,
             waiting: load.waiting,
@@ -291,12 +289,11 @@
         let live = !after.crashed && !after.paused;
         let wiped = after.wipes > before.wipes;
         if wiped || after.restarts > before.restarts {
-            let mut state = self.state.lock();
-            state.restart(&self.config);
-            if wiped {
-                state.token = 0;
-                state.model = orders::Model::default();
-            }
+            self.state.lock().restart(&self.config);
+        }
+        let mut orders = self.orders.lock();
+        if wiped {
+            *orders = orders::Orders::default();
         }
         self.config.fabric.update(&self.config.vm, |member| {
             if wiped {
--- a/crates/standin/src/engine/generate.rs
+++ b/crates/standin/src/engine/generate.rs
@@ -20,6 +20,9 @@
 /// Tokens of an answer, unless the request says otherwise.
 const TOKENS: u64 = 16;
 
+/// Longest answer in tokens.
+const TOKEN_LIMIT: u64 = 65_536;
+
 /// Wait for a slot, unless the request has a deadline.
 const WAIT_LIMIT: Duration = Duration::from_secs(600);
 
@@ -129,10 +132,13 @@
             stream: request.stream,
             prefixes: cache::prefixes(request.texts()),
             next: 0,
-            total: options.max_tokens.unwrap_or(TOKENS),
+            total: options.max_tokens.unwrap_or(TOKENS).min(TOKEN_LIMIT),
             member,
         };
         if let Some(resume) = options.resume {
+            if resume.next > job.total {
+                return None;
+            }
             let delivered: String = (0..resume.next).map(|index| job.token(index)).collect();
             // A text that this prompt does not generate cannot be resumed.
             job.next = (delivered == resume.text).then_some(resume.next)?;
@@ -174,7 +180,7 @@
         sse::encode(&format!("{id}/{index}"), &data)
     }
 
-    fn completion(&self, text: &str) -> serde_json::Value {
+    fn completion(&self, text: &str, id: &str) -> serde_json::Value {
         let mut choice = json!({"index": 0, "finish_reason": "length"});
         if self.chat {
             choice["message"] = json!({"role": "assistant", "content": text});
@@ -183,7 +189,7 @@
         }
         let tokens = self.total.saturating_sub(self.next);
         json!({
-            "id": self.id,
+            "id": id,
             "object": self.object(false),
             "model": self.model,
             "choices": [choice],
@@ -209,7 +215,7 @@
     /// Computes one more token.
     async fn decode(&self, shared: &Shared) {
         let pace = self.state.lock().slots.pace(self.config.slots);
-        pass(self.config.token.mul_f64(pace), shared).await;
+        pass(self.config.token.mul_f64(pace) + shared.knobs().delay, shared).await;
     }
 }
 
@@ -237,7 +243,9 @@
     }
     slot.finish();
     let text: String = (job.next..job.total).map(|index| job.token(index)).collect();
-    server::json(StatusCode::OK, &job.completion(&text))
+    let other = shared.knobs().foreign == Some(0);
+    let id = if other { server::other_id(&job.id) } else { job.id.clone() };
+    server::json(StatusCode::OK, &job.completion(&text, &id))
 }
 
 /// Answers with one event for each token.
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use corneltrestle_kernel::table::Ranked;
 use corneltrestle_policy::{id, report};
 use hyper::StatusCode;
 use serde_json::json;
@@ -19,6 +20,19 @@
     pub(super) version: String,
 }
 
+/// What orders have left; the lock makes orders take effect one after the other.
+#[derive(Debug, Default)]
+pub(super) struct Orders {
+    /// Highest fencing token seen.
+    token: u64,
+    pub(super) model: Model,
+}
+
+impl Ranked for Orders {
+    const RANK: u16 = 240;
+    const NAME: &'static str = "standin-engine-orders";
+}
+
 #[derive(Debug, serde::Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "order")]
 enum Order {
@@ -69,24 +83,19 @@
         }
     };
     let checked = engine.config.fencing && !shared.knobs().unfenced;
-    let answer = if engine.fenced_off(order.token(), checked) {
+    let mut orders = engine.orders.lock();
+    let stale = order.token() < orders.token;
+    orders.token = orders.token.max(order.token());
+    let answer = if stale && checked {
         Answer::Stale
     } else {
-        engine.act(&order, shared)
+        engine.act(&order, &mut orders.model, shared)
     };
     server::json(StatusCode::OK, &json!({"answer": answer}))
 }
 
 impl Engine {
-    /// Notes a fencing token; whether an order with it must be refused as stale.
-    fn fenced_off(&self, token: u64, checked: bool) -> bool {
-        let mut state = self.state.lock();
-        let stale = token < state.token;
-        state.token = state.token.max(token);
-        stale && checked
-    }
-
-    fn act(self: &Arc<Self>, order: &Order, shared: &Shared) -> Answer {
+    fn act(self: &Arc<Self>, order: &Order, loaded: &mut Model, shared: &Shared) -> Answer {
         match order {
             Order::Join { replica, epoch, rank, size, model, .. } => {
                 let wanted = Member {
@@ -96,56 +105,64 @@
                     size: *size,
                     ..Member::idle()
                 };
-                self.join(&wanted, model, shared)
+                self.join(&wanted, model, loaded, shared)
             }
-            Order::Release { epoch, .. } => self.release(*epoch),
-            Order::Load { model, .. } => self.load(model, shared),
+            Order::Release { epoch, .. } => self.release(*epoch, loaded),
+            Order::Load { model, .. } => self.load(model, loaded, shared),
         }
     }
 
-    /// Joins a replica, also at a later epoch of the present one; weights that are loaded stay.
-    fn join(self: &Arc<Self>, wanted: &Member, model: &Model, shared: &Shared) -> Answer {
+    /// Joins a replica, also at a later epoch of the present one; its weights stay if its part of
+    /// the model is the same.
+    fn join(
+        self: &Arc<Self>,
+        wanted: &Member,
+        model: &Model,
+        loaded: &mut Model,
+        shared: &Shared,
+    ) -> Answer {
         let present = self.config.fabric.member(&self.config.vm);
         let same = present.replica == wanted.replica;
         if (present.replica.is_some() && !same) || present.epoch > wanted.epoch {
             return Answer::Refused;
         }
+        let part = same && (present.rank, present.size) == (wanted.rank, wanted.size);
         if same && present.epoch == wanted.epoch {
-            let equal = (present.rank, present.size) == (wanted.rank, wanted.size);
-            return if equal { Answer::Accepted } else { Answer::Refused };
+            return if part { Answer::Accepted } else { Answer::Refused };
         }
         let now = self.now();
-        let loaded = {
+        {
             let mut state = self.state.lock();
             // KV cache is spread over the members, so that it is lost with the old membership.
             state.cache.clear(now);
             state.slots.restart_level(self.config.cold);
-            std::mem::replace(&mut state.model, model.clone()) == *model
-        };
+        }
+        let equal = std::mem::replace(loaded, model.clone()) == *model;
         self.config.fabric.update(&self.config.vm, |member| {
             let (loads, live) = (member.loads, member.live);
             *member = Member { loads, live, ..wanted.clone() };
         });
-        self.begin_load(loaded, shared);
+        self.begin_load(part && equal, shared);
         Answer::Accepted
     }
 
-    fn release(&self, epoch: u64) -> Answer {
+    /// Leaves the replica and unloads the model.
+    fn release(&self, epoch: u64, loaded: &mut Model) -> Answer {
         self.config.fabric.update(&self.config.vm, |member| {
             if member.epoch > epoch {
                 return Answer::Refused;
             }
+            *loaded = Model::default();
             *member = Member { loads: member.loads + 1, live: member.live, ..Member::idle() };
             Answer::Accepted
         })
     }
 
-    fn load(self: &Arc<Self>, model: &Model, shared: &Shared) -> Answer {
+    fn load(self: &Arc<Self>, model: &Model, loaded: &mut Model, shared: &Shared) -> Answer {
         if self.config.fabric.member(&self.config.vm).replica.is_none() {
             return Answer::Refused;
         }
-        let loaded = std::mem::replace(&mut self.state.lock().model, model.clone()) == *model;
-        if !loaded {
+        if std::mem::replace(loaded, model.clone()) != *model {
             self.begin_load(false, shared);
         }
         Answer::Accepted
--- a/crates/standin/src/engine/slots.rs
+++ b/crates/standin/src/engine/slots.rs
@@ -27,7 +27,7 @@
     level: u64,
     /// Requests finished at this level.
     warmed: u64,
-    /// Number of restarts; a request from before one does not warm the engine.
+    /// Number of times that the level fell back.
     restarts: u64,
 }
 
@@ -83,12 +83,13 @@
 
     /// Begins a new start of the engine; the number of overloads stays.
     pub(super) fn restart(&mut self, cold: u64) {
-        self.restarts += 1;
         self.finished = 0;
         self.restart_level(cold);
     }
 
+    /// Falls back to the cold limit; requests in progress do not count towards a higher one.
     pub(super) fn restart_level(&mut self, cold: u64) {
+        self.restarts += 1;
         self.level = cold;
         self.warmed = 0;
     }
--- a/crates/standin/src/fault/slow.rs
+++ b/crates/standin/src/fault/slow.rs
@@ -8,7 +8,7 @@
 #[linkme(crate = corneltrestle_kernel::linkme)]
 static SLOW: Fault = Fault {
     name: "slow",
-    help: "Each answer is delayed; value: milliseconds.",
+    help: "Each answer, and each token after the first, is delayed; value: milliseconds.",
     default: 500,
     apply: |knobs, switch| knobs.delay = switch.millis(),
 };
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -130,9 +130,14 @@
     pub fn switch(&self, name: &str, on: bool, value: Option<u64>) -> fault::Result<()> {
         let fault = fault::named(name)?;
         let switch = fault::Switch { on, value: value.unwrap_or(fault.default) };
-        let before = self.shared.knobs();
-        self.shared.knobs.send_modify(|knobs| (fault.apply)(knobs, switch));
-        self.api.switched(&before, &self.shared.knobs());
+        let mut before = fault::Knobs::default();
+        let mut after = fault::Knobs::default();
+        self.shared.knobs.send_modify(|knobs| {
+            before.clone_from(knobs);
+            (fault.apply)(knobs, switch);
+            after.clone_from(knobs);
+        });
+        self.api.switched(&before, &after);
         log::info!(
             "standin: fault {name} of {} is {}",
             self.address(),
--- a/crates/standin/src/server/connection.rs
+++ b/crates/standin/src/server/connection.rs
@@ -10,6 +10,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::fault::Knobs;
+
 use super::{Api, Call, Handle, Reply, call, control};
 
 /// Pause before the port is bound again, when something else holds it.
@@ -29,12 +31,13 @@
             continue;
         };
         tokio::select! {
+            biased;
+            () = shared.reached(|knobs| !knobs.listening()) => listener = None,
             accepted = open.accept() => match accepted {
                 Ok((stream, _)) => shared.run(connection(server.clone(), stream)),
                 // Running out of descriptors must not turn into a busy loop.
                 Err(_) => tokio::time::sleep(REBIND_DELAY).await,
             },
-            () = shared.reached(|knobs| !knobs.listening()) => listener = None,
         }
     }
 }
@@ -43,18 +46,20 @@
     let _ = stream.set_nodelay(true);
     let shared = &server.shared;
     let opened = shared.knobs();
+    // A connection that was accepted while the port was being closed breaks as well.
+    let broken = |knobs: &Knobs| knobs.broken > opened.broken || !knobs.listening();
     let service = service_fn(|request| answer(&server, request));
     let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         _ = &mut served => return,
-        () = shared.reached(|knobs| knobs.broken > opened.broken) => return,
+        () = shared.reached(broken) => return,
         () = shared.reached(|knobs| knobs.silenced > opened.silenced) => {}
     }
     // Work in progress is dropped, but the socket stays open without a word.
     let _silent = served.into_parts().io;
-    shared.reached(|knobs| knobs.broken > opened.broken).await;
+    shared.reached(broken).await;
 }
 
 /// Answers a request with the faults applied; an error closes the connection without an answer.
--- a/crates/standin/src/store/watch.rs
+++ b/crates/standin/src/store/watch.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::{Store, message};
 use crate::server::{self, Body, Reply, Shared};
@@ -54,33 +55,36 @@
     let start = u64::try_from(create.start_revision).unwrap_or(0);
     let mut from = if start == 0 { present + 1 } else { start };
     send(sender, json!({"header": header, "created": true})).await?;
+    let mut due = Instant::now() + store.progress;
     loop {
         revision.borrow_and_update();
         let (header, events, next) = {
             let keys = store.keys.lock();
             (keys.header(), keys.events(&create.key, from), keys.revision() + 1)
         };
+        from = from.max(next);
         server.unpaused().await;
         match events {
-            Ok(events) if events.is_empty() => {}
-            Ok(events) => send(sender, json!({"header": header, "events": events})).await?,
+            Ok(events) if !events.is_empty() => {
+                send(sender, json!({"header": header, "events": events})).await?;
+                due = Instant::now() + store.progress;
+            }
+            Ok(_) if Instant::now() >= due => {
+                if create.progress_notify {
+                    send(sender, json!({"header": header})).await?;
+                }
+                due = Instant::now() + store.progress;
+            }
+            Ok(_) => {}
             Err(dropped) => {
                 let dropped = dropped.to_string();
                 let end = json!({"header": header, "canceled": true, "compact_revision": dropped});
                 return send(sender, end).await;
             }
         }
-        from = from.max(next);
-        loop {
-            let changed = tokio::time::timeout(store.progress, revision.changed()).await;
-            if changed.is_ok() {
-                break;
-            }
-            server.unpaused().await;
-            if create.progress_notify {
-                let header = store.keys.lock().header();
-                send(sender, json!({"header": header})).await?;
-            }
+        tokio::select! {
+            _ = revision.changed() => {}
+            () = tokio::time::sleep_until(due) => {}
         }
     }
 }
