--- a/crates/standin/tests/contract/settings.rs
+++ b/crates/standin/tests/contract/settings.rs
@@ -13,7 +13,8 @@
 #[test_case("service", "[service]\ntime = 5\n", 2, ":2: [service] time: found \"5\""; "time without unit")]
 #[test_case("other", "", 2, "unknown stand-in"; "unknown stand-in")]
 fn check_names_the_fault(kind: &str, text: &str, code: i32, message: &str) {
-    let name = format!("{kind}-{}.ini", text.len());
+    // Test programs that run side by side share the folder.
+    let name = format!("{kind}-{}-{}.ini", text.len(), std::process::id());
     let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&file, text).unwrap();
     let mut program = Command::new(env!("CARGO_BIN_EXE_corneltrestle-standin"));
