--- /dev/null
+++ b/crates/standin/src/engine/orders.rs
@@ -0,0 +1,191 @@
+//! Orders to join, leave and load.
+
+use std::sync::Arc;
+
+use corneltrestle_kernel::table::Ranked;
+use corneltrestle_policy::{id, report};
+use hyper::StatusCode;
+use serde_json::json;
+
+use super::Engine;
+use super::fabric::Member;
+use crate::server::{self, Reply, Shared};
+
+/// What an engine has loaded; empty texts for nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Deserialize)]
+pub(super) struct Model {
+    #[serde(rename = "model")]
+    pub(super) name: String,
+    pub(super) adapter: String,
+    pub(super) version: String,
+}
+
+/// What orders have left; the lock makes orders take effect one after the other.
+#[derive(Debug, Default)]
+pub(super) struct Orders {
+    /// Highest fencing token seen.
+    token: u64,
+    pub(super) model: Model,
+}
+
+impl Ranked for Orders {
+    const RANK: u16 = 240;
+    const NAME: &'static str = "standin-engine-orders";
+}
+
+#[derive(Debug, serde::Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "order")]
+enum Order {
+    Join {
+        token: u64,
+        replica: id::Replica,
+        epoch: u64,
+        rank: u16,
+        size: u16,
+        #[serde(flatten)]
+        model: Model,
+    },
+    Release {
+        token: u64,
+        epoch: u64,
+    },
+    Load {
+        token: u64,
+        #[serde(flatten)]
+        model: Model,
+    },
+}
+
+/// The answers of `corneltrestle_engine::engine::Answer`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Answer {
+    Accepted,
+    Stale,
+    Refused,
+}
+
+impl Order {
+    fn token(&self) -> u64 {
+        match self {
+            Self::Join { token, .. } | Self::Release { token, .. } | Self::Load { token, .. } => {
+                *token
+            }
+        }
+    }
+}
+
+pub(super) fn answer(engine: &Arc<Engine>, body: &[u8], shared: &Arc<Shared>) -> Reply {
+    let order: Order = match serde_json::from_slice(body) {
+        Ok(order) => order,
+        Err(e) => {
+            return server::failure(StatusCode::BAD_REQUEST, "invalid", &e.to_string());
+        }
+    };
+    let checked = engine.config.fencing && !shared.knobs().unfenced;
+    let mut orders = engine.orders.lock();
+    let stale = order.token() < orders.token;
+    orders.token = orders.token.max(order.token());
+    let answer = if stale && checked {
+        Answer::Stale
+    } else {
+        engine.act(&order, &mut orders.model, shared)
+    };
+    server::json(StatusCode::OK, &json!({"answer": answer}))
+}
+
+impl Engine {
+    fn act(self: &Arc<Self>, order: &Order, loaded: &mut Model, shared: &Shared) -> Answer {
+        match order {
+            Order::Join { replica, epoch, rank, size, model, .. } => {
+                let wanted = Member {
+                    replica: Some(replica.clone()),
+                    epoch: *epoch,
+                    rank: *rank,
+                    size: *size,
+                    ..Member::idle()
+                };
+                self.join(&wanted, model, loaded, shared)
+            }
+            Order::Release { epoch, .. } => self.release(*epoch, loaded),
+            Order::Load { model, .. } => self.load(model, loaded, shared),
+        }
+    }
+
+    /// Joins a replica, also at a later epoch of the present one; its weights stay if its part of
+    /// the model is the same.
+    fn join(
+        self: &Arc<Self>,
+        wanted: &Member,
+        model: &Model,
+        loaded: &mut Model,
+        shared: &Shared,
+    ) -> Answer {
+        let present = self.config.fabric.member(&self.config.vm);
+        let same = present.replica == wanted.replica;
+        if (present.replica.is_some() && !same) || present.epoch > wanted.epoch {
+            return Answer::Refused;
+        }
+        let part = same && (present.rank, present.size) == (wanted.rank, wanted.size);
+        if same && present.epoch == wanted.epoch {
+            return if part { Answer::Accepted } else { Answer::Refused };
+        }
+        let now = self.now();
+        {
+            let mut state = self.state.lock();
+            // KV cache is spread over the members, so that it is lost with the old membership.
+            state.cache.clear(now);
+            state.slots.restart_level(self.config.cold);
+        }
+        let equal = std::mem::replace(loaded, model.clone()) == *model;
+        self.config.fabric.update(&self.config.vm, |member| {
+            let (loads, live) = (member.loads, member.live);
+            *member = Member { loads, live, ..wanted.clone() };
+        });
+        self.begin_load(part && equal, shared);
+        Answer::Accepted
+    }
+
+    /// Leaves the replica and unloads the model.
+    fn release(&self, epoch: u64, loaded: &mut Model) -> Answer {
+        self.config.fabric.update(&self.config.vm, |member| {
+            if member.epoch > epoch {
+                return Answer::Refused;
+            }
+            *loaded = Model::default();
+            *member = Member { loads: member.loads + 1, live: member.live, ..Member::idle() };
+            Answer::Accepted
+        })
+    }
+
+    fn load(self: &Arc<Self>, model: &Model, loaded: &mut Model, shared: &Shared) -> Answer {
+        if self.config.fabric.member(&self.config.vm).replica.is_none() {
+            return Answer::Refused;
+        }
+        if std::mem::replace(loaded, model.clone()) != *model {
+            self.begin_load(false, shared);
+        }
+        Answer::Accepted
+    }
+
+    /// Becomes ready after the load time, or at once if the weights are there.
+    fn begin_load(self: &Arc<Self>, loaded: bool, shared: &Shared) {
+        let number = self.config.fabric.update(&self.config.vm, |member| {
+            member.loads += 1;
+            member.phase = if loaded { report::Phase::Ready } else { report::Phase::Loading };
+            member.loads
+        });
+        if loaded {
+            return;
+        }
+        let engine = Arc::clone(self);
+        shared.run(async move {
+            tokio::time::sleep(engine.config.load).await;
+            engine.config.fabric.update(&engine.config.vm, |member| {
+                if member.loads == number && member.phase == report::Phase::Loading {
+                    member.phase = report::Phase::Ready;
+                }
+            });
+        });
+    }
+}
