--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -7,10 +7,19 @@
 //! # Size
 //!
 //! For control a node may spend 2 KB a second at 43 nodes and 75 VMs a zone, with a pull every
-//! 500 ms. The following encoded sizes are measured by the test
-//! `pull_stays_within_its_share_of_the_control_budget`.
+//! 500 ms. These are the encoded bytes of a pull for one zone, without headers and frames, when
+//! every heartbeat and load is newer than the caller's and there are ten organisations; the test
+//! `documented_sizes_are_the_measured_ones` measures them.
 //!
-//! SIZES
+//! | case | request | answer |
+//! |---|---|---|
+//! | replicas of 16 VMs | 203 | 258 |
+//! | the demand of four members changed too | 203 | 521 |
+//! | replicas of one VM | 274 | 686 |
+//! | first pull, or the members differ | 64 | 2974 |
+//!
+//! The last case recurs only while a joining, leaving or restarted node becomes known. Nodes keep
+//! within the budget by publishing a new demand only when it differs notably from the last one.
 
 pub mod age;
 mod check;
