--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -7,7 +7,6 @@
 use http_body_util::Full;
 use http_body_util::channel::{Channel, Sender};
 use hyper::body::{Frame, SizeHint};
-use pin_project_lite::pin_project;
 
 /// Why the body of an answer was cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,24 +23,13 @@
 
 impl std::error::Error for Error {}
 
-pin_project! {
-    /// A body that is known as a whole, or a stream fed by a job of the pool.
-    #[derive(Debug)]
-    #[project = Project]
-    pub enum Body {
-        /// A complete body.
-        Full {
-            /// The bytes.
-            #[pin]
-            full: Full<Bytes>,
-        },
-        /// A stream; an error in it aborts the connection, so that it is never taken as complete.
-        Stream {
-            /// The frames.
-            #[pin]
-            stream: Channel<Bytes, Error>,
-        },
-    }
+/// A body that is known as a whole, or a stream fed by a job of the pool.
+#[derive(Debug)]
+pub enum Body {
+    /// A complete body.
+    Full(Full<Bytes>),
+    /// A stream; an error in it aborts the connection, so that it is never taken as complete.
+    Stream(Channel<Bytes, Error>),
 }
 
 /// Frames that wait in a stream before its producer pauses.
@@ -50,13 +38,13 @@
 impl Body {
     /// A complete body.
     pub fn full(bytes: impl Into<Bytes>) -> Self {
-        Self::Full { full: Full::new(bytes.into()) }
+        Self::Full(Full::new(bytes.into()))
     }
 
     /// A stream with the sender that feeds it.
     pub fn stream() -> (Sender<Bytes, Error>, Self) {
         let (sender, stream) = Channel::new(STREAM_FRAMES);
-        (sender, Self::Stream { stream })
+        (sender, Self::Stream(stream))
     }
 }
 
@@ -68,23 +56,23 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        match self.project() {
-            Project::Full { full } => full.poll_frame(cx).map_err(|never| match never {}),
-            Project::Stream { stream } => stream.poll_frame(cx),
+        match self.get_mut() {
+            Self::Full(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
+            Self::Stream(stream) => Pin::new(stream).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Full { full } => full.is_end_stream(),
-            Self::Stream { stream } => stream.is_end_stream(),
+            Self::Full(full) => full.is_end_stream(),
+            Self::Stream(stream) => stream.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full { full } => full.size_hint(),
-            Self::Stream { stream } => stream.size_hint(),
+            Self::Full(full) => full.size_hint(),
+            Self::Stream(stream) => stream.size_hint(),
         }
     }
 }
