--- a/crates/policy/src/plan/draft.rs
+++ b/crates/policy/src/plan/draft.rs
@@ -17,15 +17,13 @@
     pub(super) now: Moment,
     pub(super) next: Assignment,
     pub(super) spares: BTreeMap<id::Fabric, Vec<Member>>,
-    /// Replicas that may start to load in this round.
-    pub(super) slots: usize,
 }
 
 impl<'a> Draft<'a> {
     pub(super) fn new(view: &'a View<'a>, now: Moment) -> Self {
         let mut next = view.assignment.clone();
         next.releasing.retain(|entry| !view.is_released(entry, now));
-        let mut draft = Self { view, now, next, spares: BTreeMap::new(), slots: 0 };
+        let mut draft = Self { view, now, next, spares: BTreeMap::new() };
         let mut spares: Vec<_> = view.vms.iter().filter(|vm| draft.is_spare(vm)).collect();
         spares.sort_by(|a, b| a.id.cmp(&b.id));
         spares.dedup_by(|a, b| a.id == b.id);
--- a/crates/policy/src/plan/gather.rs
+++ b/crates/policy/src/plan/gather.rs
@@ -25,7 +25,7 @@
     /// Makes room for the first unmet demand that can be met, by dissolving broken replicas or
     /// moving forming ones. One demand in a round: the next round sees the outcome.
     pub(super) fn gather(&mut self) {
-        if self.slots == 0 {
+        if self.free_slots() == 0 {
             return;
         }
         for demand in self.demands() {
--- a/crates/policy/src/plan/growth.rs
+++ b/crates/policy/src/plan/growth.rs
@@ -21,7 +21,7 @@
 
     /// Forms missing replicas while spares and loads suffice.
     pub(super) fn grow(&mut self) {
-        while self.slots > 0 {
+        while self.free_slots() > 0 {
             let place = self
                 .missing()
                 .into_iter()
@@ -30,7 +30,6 @@
             if !self.form(id, &fabric, size) {
                 return;
             }
-            self.slots -= 1;
         }
     }
 
--- a/crates/policy/src/plan/health.rs
+++ b/crates/policy/src/plan/health.rs
@@ -90,17 +90,21 @@
         })
     }
 
-    /// Whether all members have joined and loaded what is declared.
-    pub(super) fn is_complete(&self, set: &ReplicaSet, replica: &Replica, now: Moment) -> bool {
+    /// Whether all members have joined and are ready.
+    pub(super) fn is_whole(&self, replica: &Replica, now: Moment) -> bool {
+        let ready = |report: &Report| report.phase == report::Phase::Ready;
         replica.vms.iter().all(|member| {
-            let ready = |report: &Report| report.phase == report::Phase::Ready;
             self.health(replica, &member.id, now) == Health::Joined
                 && self.fresh(&member.id, now).is_some_and(ready)
-                && !self.is_leaving(&member.id)
-                && !self.is_outdated(set, &member.id, now)
         })
     }
 
+    /// Whether the replica is whole, stays and has loaded what is declared.
+    pub(super) fn is_complete(&self, set: &ReplicaSet, replica: &Replica, now: Moment) -> bool {
+        let unfit = |m: &Member| self.is_leaving(&m.id) || self.is_outdated(set, &m.id, now);
+        self.is_whole(replica, now) && !replica.vms.iter().any(unfit)
+    }
+
     /// Whether a draining replica has finished its requests.
     ///
     /// The reports must be newer than the start of the drain by the bound, because routers may
--- a/crates/policy/src/plan/repair.rs
+++ b/crates/policy/src/plan/repair.rs
@@ -21,19 +21,24 @@
     /// What can be repaired nowhere keeps its members, so that a spare or a returning member
     /// completes it.
     pub(super) fn repair(&mut self) {
-        for id in self.broken() {
-            let Some(replica) = self.get(&id).cloned() else { continue };
-            // A replica that is loading already has its share of the weight store's rate.
-            let cost = usize::from(!self.is_loading(&replica));
-            if self.slots < cost {
-                continue;
-            }
-            if self.replace(&id) || self.rebuild(&replica) {
-                self.slots -= cost;
-            } else if self.is_restartable(&replica) {
-                self.dissolve(&id);
-            }
+        // Each repair may free or take VMs and loads, so the rest is judged anew.
+        while self.broken().iter().any(|id| self.repair_one(id)) {}
+    }
+
+    fn repair_one(&mut self, id: &id::Replica) -> bool {
+        let Some(replica) = self.get(id).cloned() else { return false };
+        // A replica that is loading already has its share of the weight store's rate.
+        if self.free_slots() == 0 && !self.is_loading(&replica) {
+            return false;
+        }
+        if self.replace(id) || self.rebuild(&replica) {
+            return true;
+        }
+        let is_restartable = self.is_restartable(&replica);
+        if is_restartable {
+            self.dissolve(id);
         }
+        is_restartable
     }
 
     /// Whether the replica can be formed anew of its own members, some of which report but left
--- a/crates/policy/src/plan/review.rs
+++ b/crates/policy/src/plan/review.rs
@@ -13,15 +13,14 @@
         self.shed_surplus();
         for replica in self.next.replicas.clone() {
             let is_reshaped = self.view.declared(&replica).is_some();
-            let has_lost = self.view.has_lost(&replica, self.now);
+            let is_whole = self.view.is_whole(&replica, self.now);
             match self.view.set_of(&replica) {
                 Some(set) => self.review_wanted(set, &replica),
                 // A serving replica of the old shape waits for its turn in `roll`.
-                None if is_reshaped && replica.phase == Phase::Serving && !has_lost => {}
+                None if is_reshaped && replica.phase == Phase::Serving && is_whole => {}
                 None => self.retire(&replica),
             }
         }
-        self.slots = self.free_slots();
         self.roll();
     }
 
@@ -64,7 +63,10 @@
             Phase::Forming if view.is_complete(set, replica, now) => {
                 self.set_phase(&replica.id, Phase::Serving);
             }
-            Phase::Serving if is_lost => self.set_phase(&replica.id, Phase::Forming),
+            // A member that is there but not ready loads again, for example after a late order.
+            Phase::Serving if !view.is_whole(replica, now) => {
+                self.set_phase(&replica.id, Phase::Forming);
+            }
             Phase::Serving if self.is_broken(replica) => {
                 self.set_phase(&replica.id, Phase::Draining);
             }
@@ -80,7 +82,7 @@
     }
 
     /// Replicas that may start to load besides those that are loading.
-    fn free_slots(&self) -> usize {
+    pub(super) fn free_slots(&self) -> usize {
         let loading = self.next.replicas.iter().filter(|r| self.is_loading(r)).count();
         self.view.loads.saturating_sub(loading)
     }
@@ -96,7 +98,7 @@
                 Phase::Forming => !self.is_broken(replica),
             };
             let mut of_set = self.next.replicas.iter().filter(|r| r.id.set == *name);
-            if self.slots == 0 || of_set.clone().any(in_transit) {
+            if self.free_slots() == 0 || of_set.clone().any(in_transit) {
                 continue;
             }
             let id = of_set.find(|r| self.has_outdated(set, r)).map(|r| r.id.clone());
--- /dev/null
+++ b/crates/policy/tests/plan.rs
@@ -0,0 +1,242 @@
+//! Guards the planner's answers to single losses, planned stops and changed notes.
+
+#[path = "support/world.rs"]
+mod world;
+
+use std::collections::BTreeSet;
+
+use corneltrestle_policy::assignment::Phase::{self, Draining, Forming, Serving};
+use corneltrestle_policy::plan::{Kind, Plan};
+use corneltrestle_policy::release::Fencing;
+use corneltrestle_policy::vm::State;
+use test_case::test_case;
+use world::{BOUND, ROUND, World, set};
+
+impl World {
+    fn rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            let plan = self.plan();
+            self.carry_out(plan);
+        }
+    }
+
+    fn count(&self, set: &str, phase: Phase) -> usize {
+        let replicas = self.assignment.replicas.iter();
+        replicas.filter(|r| r.id.set.as_str() == set && r.phase == phase).count()
+    }
+}
+
+/// A zone with one set of one replica, which serves.
+fn serving(fabrics: &[usize], vms: u16, fencing: Fencing) -> World {
+    let mut world = World::new(fabrics, &[("a", set(vms, 1, fencing))]);
+    world.rounds(8);
+    assert_eq!(world.count("a", Serving), 1);
+    world
+}
+
+fn head(world: &World) -> String {
+    world.assignment.replicas[0].head().unwrap().id.to_string()
+}
+
+/// Silences a VM and advances until its report has just become too old.
+fn lose(world: &mut World, vm: &str) -> Plan {
+    world.engine(vm).up = false;
+    let last = world.reports[vm].at;
+    while world.now.since(last) <= BOUND {
+        world.rounds(1);
+    }
+    world.plan()
+}
+
+#[test]
+fn the_best_fit_domain_is_chosen() {
+    let world = serving(&[4, 2, 3], 2, Fencing::Checked);
+    assert_eq!(world.assignment.replicas[0].fabric.as_str(), "f1");
+}
+
+#[test_case(&[3, 4], 2, "f0"; "spare in the same domain")]
+#[test_case(&[2, 3], 2, "f1"; "no spare in the same domain")]
+fn a_loss_is_repaired_in_the_first_round_after_it_is_seen(
+    fabrics: &[usize],
+    vms: u16,
+    fabric: &str,
+) {
+    let mut world = serving(fabrics, vms, Fencing::Checked);
+    let (before, lost) = (world.assignment.replicas[0].clone(), head(&world));
+    let plan = lose(&mut world, &lost);
+    let next = plan.next.unwrap();
+    let after = &next.replicas[0];
+    assert_eq!((after.fabric.as_str(), after.phase), (fabric, Forming));
+    assert!(after.epoch > before.epoch);
+    assert!(after.vms.iter().all(|vm| vm.id.as_str() != lost));
+    let joins = plan.orders.iter().filter(|order| matches!(order.kind, Kind::Join { .. }));
+    assert_eq!(joins.count(), usize::from(vms));
+}
+
+#[test]
+fn a_returning_vm_is_released_before_it_is_used() {
+    let mut world = serving(&[2, 2], 2, Fencing::Ignored);
+    let lost = head(&world);
+    lose(&mut world, &lost);
+    world.rounds(40);
+    assert!(world.assignment.releasing.is_empty());
+    world.engine(&lost).up = true;
+    let plan = world.plan();
+    assert!(matches!(plan.orders[..], [ref order] if matches!(order.kind, Kind::Release { .. })));
+    assert_eq!(plan.orders[0].vm.id.as_str(), lost);
+}
+
+#[test]
+fn absence_from_the_list_does_not_end_a_reporting_member() {
+    let mut world = serving(&[3], 2, Fencing::Checked);
+    let vm = head(&world);
+    world.vms.retain(|listed| listed.id.as_str() != vm);
+    assert_eq!(world.plan().next, None);
+}
+
+#[test]
+fn an_engine_restart_is_a_loss_even_if_it_reports_the_same_epoch() {
+    let mut world = serving(&[3], 2, Fencing::Checked);
+    let vm = head(&world);
+    world.engine(&vm).report.start += 1;
+    assert_eq!(world.plan().next.unwrap().replicas[0].phase, Forming);
+}
+
+#[test]
+fn a_replica_without_spares_is_formed_again_of_its_restarted_members() {
+    let mut world = serving(&[2], 2, Fencing::Checked);
+    let vm = head(&world);
+    world.restart(&vm);
+    world.rounds(10);
+    assert_eq!(world.count("a", Serving), 1);
+}
+
+#[test]
+fn a_leaving_vm_finishes_its_requests_first() {
+    let mut world = serving(&[2], 2, Fencing::Checked);
+    let vm = head(&world);
+    world.engine(&vm).busy = 1;
+    world.list_state(&vm, State::Leaving);
+    world.rounds(20);
+    assert_eq!(world.count("a", Draining), 1);
+    world.engine(&vm).busy = 0;
+    world.add("f0", "vm-new");
+    world.rounds(8);
+    assert_eq!(world.count("a", Serving), 1);
+    assert!(world.assignment.replicas[0].vms.iter().all(|member| member.id.as_str() != vm));
+}
+
+#[test]
+fn a_leaving_vm_is_replaced_elsewhere_while_its_replica_drains() {
+    let mut world = serving(&[2, 2], 2, Fencing::Checked);
+    let vm = head(&world);
+    world.engine(&vm).busy = 1;
+    world.list_state(&vm, State::Leaving);
+    world.rounds(8);
+    assert_eq!((world.count("a", Draining), world.count("a", Serving)), (1, 1));
+}
+
+#[test_case(true; "withdrawn")]
+#[test_case(false; "fewer replicas")]
+fn unwanted_replicas_drain_and_free_their_vms(is_withdrawn: bool) {
+    let mut world = World::new(&[4], &[("a", set(2, 2, Fencing::Checked))]);
+    world.rounds(8);
+    if is_withdrawn {
+        world.release.sets.clear();
+    } else {
+        world.release.sets.insert("a".into(), set(2, 1, Fencing::Checked));
+    }
+    world.rounds(1);
+    let left = usize::from(!is_withdrawn);
+    assert_eq!((world.count("a", Serving), world.count("a", Draining)), (left, 2 - left));
+    world.rounds(16);
+    assert_eq!((world.assignment.replicas.len(), world.assignment.releasing.len()), (left, 0));
+}
+
+#[test]
+fn a_new_version_is_loaded_one_replica_at_a_time() {
+    let mut world = World::new(&[4], &[("a", set(2, 2, Fencing::Checked))]);
+    world.rounds(8);
+    world.release.sets.get_mut("a").unwrap().version = "2".to_owned();
+    for _ in 0..60 {
+        world.rounds(1);
+        assert!(world.count("a", Serving) >= 1);
+    }
+    assert_eq!(world.count("a", Serving), 2);
+    assert!(world.engines.values().all(|engine| engine.report.version == "2"));
+    assert_eq!(world.assignment.epoch, 2, "members stay while they load another version");
+}
+
+#[test]
+fn a_serving_replica_is_not_moved_to_gather_fragments() {
+    let mut world = serving(&[3], 2, Fencing::Checked);
+    let before = world.assignment.replicas.clone();
+    (0..2).for_each(|n| world.add("f1", &format!("vm-1-{n}")));
+    world.release.sets.insert("b".into(), set(3, 1, Fencing::Checked));
+    world.rounds(12);
+    assert_eq!(world.assignment.replicas, before);
+}
+
+#[test]
+fn a_forming_replica_moves_to_make_room_for_a_larger_one() {
+    let mut world = World::new(&[3], &[("a", set(2, 1, Fencing::Checked))]);
+    world.rounds(1);
+    (0..2).for_each(|n| world.add("f1", &format!("vm-1-{n}")));
+    world.release.sets.insert("b".into(), set(3, 1, Fencing::Checked));
+    world.rounds(12);
+    assert_eq!((world.count("a", Serving), world.count("b", Serving)), (1, 1));
+}
+
+#[test]
+fn sets_with_the_fewest_serving_replicas_are_repaired_first() {
+    let sets = [("a", set(1, 2, Fencing::Checked)), ("b", set(1, 1, Fencing::Checked))];
+    let mut world = World::new(&[4], &sets);
+    world.loads = 4;
+    world.rounds(8);
+    let member = |world: &World, set: &str| {
+        let replica = world.assignment.replicas.iter().find(|r| r.id.set.as_str() == set);
+        replica.unwrap().head().unwrap().id.to_string()
+    };
+    for set in ["a", "b"] {
+        let vm = member(&world, set);
+        world.engine(&vm).up = false;
+    }
+    world.rounds(8);
+    let whole = |set: &str| {
+        world.assignment.replicas.iter().any(|replica| {
+            replica.id.set.as_str() == set
+                && world.engines[&replica.vms[0].id].up
+                && replica.epoch > 3
+        })
+    };
+    assert_eq!((whole("b"), whole("a")), (true, false));
+}
+
+#[test]
+fn an_old_token_plans_nothing() {
+    let mut world = World::new(&[4], &[("a", set(2, 1, Fencing::Checked))]);
+    world.assignment.token = 2;
+    assert_eq!(world.plan(), Plan::default());
+}
+
+#[test]
+fn routers_are_few_and_stay_for_the_epoch() {
+    let mut world = serving(&[2], 2, Fencing::Checked);
+    let routers = world.assignment.replicas[0].routers.clone();
+    assert_eq!(routers.iter().collect::<BTreeSet<_>>().len(), 4);
+    world.rounds(4);
+    assert_eq!(world.assignment.replicas[0].routers, routers);
+}
+
+#[test]
+fn a_lost_vm_that_ignores_tokens_is_held_back_for_the_waiting_time() {
+    let mut world = serving(&[3], 2, Fencing::Ignored);
+    let vm = head(&world);
+    let last = world.reports[vm.as_str()].at;
+    lose(&mut world, &vm);
+    while !world.assignment.is_free(&vm) {
+        world.rounds(1);
+    }
+    let waited = world.now.since(last) - ROUND;
+    assert!(waited > BOUND * 2 + corneltrestle_policy::plan::ORDER_TIMEOUT);
+}
--- /dev/null
+++ b/crates/policy/tests/support/law.rs
@@ -0,0 +1,14 @@
+//! Runs a property over seeded random input, with the same verdict in every run.
+
+use proptest::strategy::Strategy;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseError, TestRng, TestRunner};
+
+pub(crate) fn holds<S: Strategy>(
+    cases: u32,
+    strategy: S,
+    law: impl Fn(S::Value) -> Result<(), TestCaseError>,
+) {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    TestRunner::new_with_rng(config, rng).run(&strategy, law).unwrap();
+}
--- /dev/null
+++ b/crates/policy/tests/support/world.rs
@@ -0,0 +1,213 @@
+//! VMs and engines of one zone, as far as the planner sees them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use corneltrestle_policy::assignment::Assignment;
+use corneltrestle_policy::plan::{self, Kind, Memory, Order, Plan};
+use corneltrestle_policy::release::{Fencing, Release, ReplicaSet};
+use corneltrestle_policy::{Moment, id, report, vm};
+
+pub(crate) const BOUND: Duration = Duration::from_secs(3);
+pub(crate) const ROUND: Duration = Duration::from_millis(500);
+
+pub(crate) struct Engine {
+    pub(crate) up: bool,
+    pub(crate) silent: bool,
+    pub(crate) busy: u32,
+    pub(crate) token: u64,
+    pub(crate) loaded: Moment,
+    /// When it last accepted a release order.
+    pub(crate) released: Option<Moment>,
+    pub(crate) report: report::Report,
+}
+
+pub(crate) struct World {
+    pub(crate) now: Moment,
+    pub(crate) release: Release,
+    pub(crate) assignment: Assignment,
+    pub(crate) memory: Memory,
+    pub(crate) vms: Vec<vm::Vm>,
+    pub(crate) engines: BTreeMap<id::Vm, Engine>,
+    pub(crate) reports: BTreeMap<id::Vm, report::Seen>,
+    pub(crate) token: u64,
+    pub(crate) loads: usize,
+    pub(crate) deliver: bool,
+    /// Join orders that are still under way, with their token.
+    pub(crate) late: Vec<(Order, u64)>,
+}
+
+pub(crate) fn set(vms: u16, replicas: u16, fencing: Fencing) -> ReplicaSet {
+    ReplicaSet {
+        service: "chat".into(),
+        zone: "z".into(),
+        vms,
+        replicas,
+        model: "m".to_owned(),
+        adapter: String::new(),
+        version: "1".to_owned(),
+        fencing,
+        cold_limit: 2,
+    }
+}
+
+impl World {
+    /// A zone with the given number of VMs in each fabric domain, `f0` and so on.
+    pub(crate) fn new(fabrics: &[usize], sets: &[(&str, ReplicaSet)]) -> Self {
+        let sets = sets.iter().map(|(name, set)| (id::ReplicaSet::from(*name), set.clone()));
+        let mut world = Self {
+            now: Moment::from_millis(100_000),
+            release: Release { sets: sets.collect(), ..Release::default() },
+            assignment: Assignment::default(),
+            memory: Memory::default(),
+            vms: Vec::new(),
+            engines: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            token: 1,
+            loads: 2,
+            deliver: true,
+            late: Vec::new(),
+        };
+        for (fabric, count) in fabrics.iter().enumerate() {
+            (0..*count).for_each(|n| world.add(&format!("f{fabric}"), &format!("vm-{fabric}-{n}")));
+        }
+        world
+    }
+
+    pub(crate) fn add(&mut self, fabric: &str, name: &str) {
+        let port = 9_000 + u16::try_from(self.vms.len()).unwrap();
+        self.vms.push(vm::Vm {
+            id: name.into(),
+            address: ([127, 0, 0, 1], port).into(),
+            zone: "z".into(),
+            fabric: fabric.into(),
+            role: vm::Role::Engine,
+            state: vm::State::Live,
+            accelerators: 4,
+        });
+        let report = report::Report {
+            vm: name.into(),
+            replica: None,
+            epoch: 0,
+            start: 1,
+            model: String::new(),
+            adapter: String::new(),
+            version: String::new(),
+            phase: report::Phase::Idle,
+            running: 0,
+            waiting: 0,
+            finished: 0,
+            blocks: 0,
+            sequence: 0,
+        };
+        let engine = Engine {
+            up: true,
+            silent: false,
+            busy: 0,
+            token: 0,
+            loaded: Moment::ZERO,
+            released: None,
+            report,
+        };
+        self.engines.insert(name.into(), engine);
+    }
+
+    pub(crate) fn engine(&mut self, vm: &str) -> &mut Engine {
+        self.engines.get_mut(vm).unwrap()
+    }
+
+    pub(crate) fn restart(&mut self, vm: &str) {
+        let engine = self.engine(vm);
+        (engine.up, engine.silent, engine.token) = (true, false, 0);
+        engine.report.start += 1;
+        engine.idle();
+    }
+
+    pub(crate) fn list_state(&mut self, vm: &str, state: vm::State) {
+        self.vms.iter_mut().find(|listed| listed.id.as_str() == vm).unwrap().state = state;
+    }
+
+    /// Plans once at the present moment without any effect.
+    pub(crate) fn plan(&mut self) -> Plan {
+        for (vm, engine) in self.engines.iter_mut().filter(|(_, e)| e.up && !e.silent) {
+            if engine.report.phase == report::Phase::Loading && self.now >= engine.loaded {
+                engine.report.phase = report::Phase::Ready;
+            }
+            engine.report.running = engine.busy;
+            let seen = report::Seen { at: self.now, report: engine.report.clone() };
+            self.reports.insert(vm.clone(), seen);
+        }
+        self.memory.observe(&self.assignment, &self.reports, self.now);
+        let view = plan::View {
+            zone: &"z".into(),
+            release: &self.release,
+            assignment: &self.assignment,
+            vms: &self.vms,
+            reports: &self.reports,
+            memory: &self.memory,
+            routers: &["n1", "n2", "n3", "n4", "n5"],
+            token: self.token,
+            loads: self.loads,
+            bound: BOUND,
+        };
+        plan::plan(&view, self.now)
+    }
+
+    /// Stores a plan, delivers its orders and advances by one round.
+    pub(crate) fn carry_out(&mut self, plan: Plan) {
+        self.assignment = plan.next.unwrap_or_else(|| self.assignment.clone());
+        self.memory.observe(&self.assignment, &self.reports, self.now);
+        let token = self.token;
+        for order in plan.orders {
+            if self.deliver {
+                self.obey(&order, token);
+            } else if matches!(order.kind, Kind::Join { .. }) {
+                self.late.push((order, token));
+            }
+        }
+        self.now = self.now + ROUND;
+    }
+
+    pub(crate) fn obey(&mut self, order: &Order, token: u64) {
+        let (now, release) = (self.now, &self.release);
+        let Some(engine) = self.engines.get_mut(&order.vm.id).filter(|e| e.up) else { return };
+        let ignores = |set: &id::ReplicaSet| {
+            release.sets.get(set).is_none_or(|set| set.fencing == Fencing::Ignored)
+        };
+        match &order.kind {
+            Kind::Join { replica, epoch, .. } => {
+                if token < engine.token && !ignores(&replica.set) {
+                    return;
+                }
+                engine.report.replica = Some(replica.clone());
+                engine.report.epoch = *epoch;
+                engine.load(release.sets.get(&replica.set), now);
+            }
+            Kind::Load { replica } => engine.load(release.sets.get(&replica.set), now),
+            Kind::Release { epoch } => {
+                if engine.report.epoch <= *epoch {
+                    engine.idle();
+                }
+                engine.released = Some(now);
+                self.memory.confirm(&order.vm.id, *epoch);
+            }
+        }
+        engine.token = engine.token.max(token);
+    }
+}
+
+impl Engine {
+    fn load(&mut self, set: Option<&ReplicaSet>, now: Moment) {
+        if let Some(set) = set {
+            self.report.model = set.model.clone();
+            self.report.version = set.version.clone();
+        }
+        self.report.phase = report::Phase::Loading;
+        self.loaded = now + ROUND * 3;
+    }
+
+    fn idle(&mut self) {
+        (self.report.replica, self.report.epoch) = (None, 0);
+        self.report.phase = report::Phase::Idle;
+    }
+}
