--- a/crates/policy/src/changeset/check.rs
+++ b/crates/policy/src/changeset/check.rs
@@ -171,7 +171,9 @@
                 users(next, changes, |set| set.zone == *name, &mut sink);
                 for (service, value) in &next.services {
                     let Kind::Plain(plain) = &value.kind else { continue };
-                    if plain.upstreams.iter().any(|(zone, _)| zone == name) {
+                    let named = |c: &Change| matches!(&c.item, Item::Service(n, _) if n == service);
+                    let uses = plain.upstreams.iter().any(|(zone, _)| zone == name);
+                    if uses && !changes.iter().any(named) {
                         sink.add(FaultKind::Used { user: format!("service {service}") });
                     }
                 }
--- /dev/null
+++ b/crates/policy/tests/lease.rs
@@ -0,0 +1,112 @@
+//! Guards against two holders of a zone lease at the same time.
+
+#[path = "support/law.rs"]
+mod law;
+
+use std::time::Duration;
+
+use corneltrestle_policy::Moment;
+use corneltrestle_policy::lease::{self, Held, Record, Step, TTL};
+use proptest::collection::vec;
+use proptest::prelude::prop_assert;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use test_case::test_case;
+
+const SENT: Moment = Moment::from_millis(100_000);
+
+#[test_case(0, None, Step::Act; "just renewed")]
+#[test_case(1_250, None, Step::ActAndRenew; "time to renew")]
+#[test_case(3_749, None, Step::ActAndRenew; "last moment within the margin")]
+#[test_case(3_750, None, Step::StepDown; "margin reached")]
+#[test_case(60_000, Some(59_000), Step::StepDown; "paused beyond the validity")]
+#[test_case(2_000, Some(1_900), Step::Renew; "paused within the validity")]
+#[test_case(500, Some(0), Step::Act; "renewal sent at the end of the pause")]
+fn the_holder_judges_its_lease(after: u64, resumed: Option<u64>, expected: Step) {
+    let held = Held { token: 1, sent: SENT, ttl: TTL };
+    let at = |millis| SENT + Duration::from_millis(millis);
+    assert_eq!(held.step(resumed.map(at), at(after)), expected);
+}
+
+#[test]
+fn a_late_answer_to_an_early_renewal_does_not_shorten_the_lease() {
+    let mut held = Held { token: 1, sent: SENT, ttl: TTL };
+    held.renewed(SENT.before(Duration::from_secs(1)), TTL);
+    assert_eq!(held.sent, SENT);
+}
+
+#[test]
+fn a_lost_answer_is_resolved_by_reading_back() {
+    let record = Record { holder: "n1".into(), boot: 7, token: 3 };
+    assert!(lease::is_own(Some(&record), "n1", 7, 3));
+    for (node, boot, token) in [("n2", 7, 3), ("n1", 8, 3), ("n1", 7, 4)] {
+        assert!(!lease::is_own(Some(&record), node, boot, token));
+    }
+    assert!(!lease::is_own(None, "n1", 7, 3));
+}
+
+#[test]
+fn few_nodes_compete_for_a_free_lease() {
+    let names: Vec<_> = (0..42).map(|n| format!("n{n}")).collect();
+    let live = || names.iter().map(String::as_str);
+    let mut rng = StdRng::seed_from_u64(1);
+    let tries = live().filter_map(|node| lease::acquire_at("z", node, live(), SENT, &mut rng));
+    let tries: Vec<_> = tries.collect();
+    assert_eq!(tries.len(), lease::CANDIDATES);
+    assert!(tries.iter().all(|at| (SENT..SENT + Duration::from_secs(1)).contains(at)));
+}
+
+/// The store's view of one lease, and nodes that hear its answers late or never.
+#[derive(Default)]
+struct Store {
+    holder: Option<(usize, u64)>,
+    end: Moment,
+    assigned: u64,
+}
+
+#[test]
+fn no_two_nodes_act_at_once_and_tokens_grow() {
+    // Each event: a node, its delay to the store, the delay of the answer, whether that is lost.
+    let event = (0..3_usize, 0..2_000_u64, 0..2_000_u64, 0..4_u8);
+    law::holds(1_000, vec(event, 10..80), |events| {
+        let (mut store, mut now) = (Store::default(), SENT);
+        let mut nodes: [Option<Held>; 3] = [None; 3];
+        for (node, there, back, fate) in events {
+            let sent = now;
+            let acts = |held: &Option<Held>, at| {
+                let step = held.map(|held| held.step(None, at));
+                matches!(step, Some(Step::Act | Step::ActAndRenew))
+            };
+            now = now + Duration::from_millis(there);
+            let is_held = now < store.end;
+            let token = match (store.holder, nodes[node]) {
+                (Some((holder, token)), Some(held)) if is_held => {
+                    (holder == node && token == held.token).then_some(token)
+                }
+                (holder, _) if !is_held => {
+                    let record =
+                        holder.map(|(_, token)| Record { holder: "n".into(), boot: 0, token });
+                    let token =
+                        lease::next_token(record.as_ref().filter(|_| fate > 1), store.assigned);
+                    prop_assert!(token > store.assigned, "the token {token} did not grow");
+                    Some(token)
+                }
+                _ => None,
+            };
+            if let Some(token) = token {
+                (store.holder, store.end) = (Some((node, token)), now + TTL);
+                store.assigned = store.assigned.max(token);
+                now = now + Duration::from_millis(back);
+                if fate > 0 {
+                    match &mut nodes[node] {
+                        Some(held) if held.token == token => held.renewed(sent, TTL),
+                        held => *held = Some(Held { token, sent, ttl: TTL }),
+                    }
+                }
+            }
+            let acting: Vec<_> = (0..3).filter(|n| acts(&nodes[*n], now)).collect();
+            prop_assert!(acting.len() <= 1, "{acting:?} act at once");
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/crates/policy/tests/membership.rs
@@ -0,0 +1,218 @@
+//! Guards against dead nodes that look alive, live ones that look dead, and endless forwarding.
+
+#[path = "support/law.rs"]
+mod law;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use corneltrestle_policy::membership::{
+    DEAD, Entry, FORGOTTEN, Forwarded, Liveness, Members, Merged, News, PERIOD, SUSPECT,
+};
+use corneltrestle_policy::{Moment, id};
+use proptest::collection::vec;
+use proptest::prelude::{TestCaseError, prop_assert};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use test_case::test_case;
+
+const START: Moment = Moment::from_millis(100_000);
+
+fn members(name: &str, now: Moment) -> Members {
+    Members::new(name.into(), "z".into(), ([127, 0, 0, 1], 1).into(), 1, now)
+}
+
+fn merge(members: &mut Members, boot: u64, heartbeat: u64, age: Duration, now: Moment) -> Merged {
+    let (node, zone, address) = (&"b".into(), &"z".into(), ([127, 0, 0, 1], 2).into());
+    let entry = Entry { node, zone, address, boot, heartbeat, age, draining: false };
+    members.merge_entry(&entry, Duration::ZERO, now)
+}
+
+/// Pulls the digest of `from` into `to`.
+fn pull(all: &mut [Members], to: usize, from: usize, trip: Duration, now: Moment) {
+    let source = all[from].clone();
+    let view = source.view(now);
+    all[to].merge(view.entries(), trip, now + trip);
+}
+
+#[test_case(Duration::ZERO, Liveness::Alive)]
+#[test_case(SUSPECT, Liveness::Suspect)]
+#[test_case(DEAD, Liveness::Dead)]
+fn liveness_follows_the_heartbeat_age(age: Duration, expected: Liveness) {
+    let mut a = members("a", START);
+    merge(&mut a, 1, 1, Duration::ZERO, START);
+    assert_eq!(a.view(START + age).liveness("b"), expected);
+}
+
+#[test_case(1, 9, 0, Merged::Renewed; "newer heartbeat")]
+#[test_case(1, 4, 0, Merged::Nothing; "older heartbeat")]
+#[test_case(1, 5, 2_000, Merged::Nothing; "same heartbeat by a longer way")]
+#[test_case(2, 1, 0, Merged::Restarted; "restarted")]
+#[test_case(2, 9, 2_000, Merged::Nothing; "digest about an earlier process")]
+#[test_case(1, 9, 60_000, Merged::Nothing; "too old to be remembered")]
+fn entries_are_merged(boot: u64, heartbeat: u64, age: u64, expected: Merged) {
+    let mut a = members("a", START);
+    let now = START + Duration::from_secs(1);
+    merge(&mut a, 1, 5, Duration::ZERO, START);
+    assert_eq!(merge(&mut a, boot, heartbeat, Duration::from_millis(age), now), expected);
+}
+
+#[test]
+fn a_drain_is_kept_until_another_process_starts() {
+    let mut a = members("a", START);
+    merge(&mut a, 1, 1, Duration::ZERO, START);
+    assert!(!a.drain(&"b".into(), 9), "an old announcement must not drain a new process");
+    assert!(a.drain(&"b".into(), 1));
+    merge(&mut a, 1, 2, Duration::ZERO, START + PERIOD);
+    assert_eq!(a.view(START + PERIOD).live("z").count(), 1);
+    merge(&mut a, 2, 1, Duration::ZERO, START + PERIOD * 2);
+    assert_eq!(a.view(START + PERIOD * 2).live("z").count(), 2);
+}
+
+#[test]
+fn a_pause_makes_views_stale_until_a_later_digest() {
+    let mut all = [members("a", START), members("b", START)];
+    pull(&mut all, 0, 1, Duration::ZERO, START);
+    let end = START + Duration::from_secs(2);
+    assert!(all[0].run(end));
+    assert!(!all[0].view(end).is_settled() && !all[0].view(end).is_usable(START));
+    // This digest was requested before the pause.
+    pull(&mut all, 0, 1, Duration::from_secs(1), end.before(PERIOD));
+    assert!(!all[0].view(end).is_settled());
+    pull(&mut all, 0, 1, Duration::from_millis(1), end);
+    assert!(all[0].view(end).is_settled() && all[0].view(end).is_usable(end));
+}
+
+#[test]
+fn long_dead_members_are_forgotten_and_stay_so() {
+    let mut all = [members("a", START), members("b", START), members("c", START)];
+    pull(&mut all, 0, 1, Duration::ZERO, START);
+    pull(&mut all, 2, 1, Duration::ZERO, START);
+    let late = START + FORGOTTEN;
+    all[0].run(late);
+    assert!(all[0].view(late).get("b").is_none());
+    pull(&mut all, 0, 2, Duration::ZERO, late);
+    assert!(all[0].view(late).get("b").is_none());
+    all[0].discover(&"b".into(), &"z".into(), ([127, 0, 0, 1], 2).into(), late);
+    assert_eq!(all[0].view(late).liveness("b"), Liveness::Dead);
+    let probes: BTreeSet<_> =
+        (0..8).filter_map(|round| all[0].view(late).pull_target(round)).map(|(id, _)| id).collect();
+    assert!(probes.contains(&id::Node::from("b")), "a node that is listed again is never probed");
+}
+
+#[test_case(2; "two")]
+#[test_case(5; "five")]
+#[test_case(16; "sixteen")]
+#[test_case(43; "forty-three")]
+fn information_reaches_all_in_log_n_rounds(count: usize) {
+    let mut all: Vec<_> = (0..count).map(|n| members(&format!("n{n:02}"), START)).collect();
+    for n in 1..count {
+        for other in 0..count {
+            pull(&mut all, other, n, Duration::ZERO, START);
+            pull(&mut all, n, other, Duration::ZERO, START);
+        }
+    }
+    let mut informed = BTreeSet::from([0]);
+    for round in 0..u64::from((count - 1).ilog2() + 1) {
+        let known = informed.clone();
+        for (n, own) in all.iter().enumerate() {
+            let (target, _) = own.view(START).pull_target(round).unwrap();
+            if known.contains(&target.as_str()[1..].parse().unwrap()) {
+                informed.insert(n);
+            }
+        }
+    }
+    assert_eq!(informed.len(), count);
+}
+
+#[test]
+fn news_is_forwarded_once_to_few() {
+    let mut all: Vec<_> = (0..9).map(|n| members(&format!("n{n}"), START)).collect();
+    (1..9).for_each(|n| pull(&mut all, 0, n, Duration::ZERO, START));
+    let sender = id::Node::from("n1");
+    let targets = all[0].view(START).push_targets(Some(&sender), &mut StdRng::seed_from_u64(1));
+    assert_eq!(targets.len(), 3);
+    assert!(targets.iter().all(|(node, _)| **node != sender && node.as_str() != "n0"));
+    let mut forwarded = Forwarded::default();
+    let loss = News::Loss { vm: "vm".into(), epoch: 1 };
+    let drain = News::Drain { node: "n1".into(), boot: 1 };
+    for news in [News::Revision(2), loss, drain] {
+        assert!(forwarded.first(&news) && !forwarded.first(&news), "{news:?}");
+    }
+    assert!(!forwarded.first(&News::Revision(1)), "an older revision is no news");
+}
+
+/// A node with the true moment of its latest heartbeat.
+struct Truth {
+    boot: u64,
+    beat: Moment,
+    is_up: bool,
+}
+
+fn ages_are_never_underestimated(
+    all: &[Members],
+    truth: &[Truth],
+    now: Moment,
+) -> Result<(), TestCaseError> {
+    for own in all {
+        for (n, truth) in truth.iter().enumerate() {
+            let Some(member) = own.view(now).get(&format!("n{n}")).cloned() else { continue };
+            let is_possible = member.boot < truth.boot || member.beat <= Some(truth.beat);
+            prop_assert!(is_possible, "n{n} is believed younger than it is");
+            let is_dead = now.since(truth.beat) >= DEAD;
+            let name = format!("n{n}");
+            prop_assert!(!is_dead || own.view(now).liveness(&name) == Liveness::Dead);
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn ages_are_true_and_live_nodes_are_found_again() {
+    const COUNT: usize = 4;
+    let event = (0..8_u8, 0..COUNT, 0..COUNT, 0..800_u64);
+    law::holds(1_000, vec(event, 10..120), |events| {
+        let mut now = START;
+        let mut all: Vec<_> = (0..COUNT).map(|n| members(&format!("n{n}"), now)).collect();
+        let up = || Truth { boot: 1, beat: START, is_up: true };
+        let mut truth: Vec<_> = (0..COUNT).map(|_| up()).collect();
+        for (kind, to, from, millis) in events {
+            let span = Duration::from_millis(millis);
+            match kind {
+                0 => truth[to].is_up = false,
+                1 if !truth[to].is_up => {
+                    truth[to] = Truth { boot: truth[to].boot + 1, beat: now, is_up: true };
+                    let address = ([127, 0, 0, 1], 1).into();
+                    let boot = truth[to].boot;
+                    all[to] = Members::new(
+                        format!("n{to}").as_str().into(),
+                        "z".into(),
+                        address,
+                        boot,
+                        now,
+                    );
+                }
+                2 | 3 if truth[to].is_up => {
+                    all[to].run(now);
+                    truth[to].beat = now;
+                }
+                4.. if to != from && truth[to].is_up && truth[from].is_up => {
+                    pull(&mut all, to, from, span, now);
+                }
+                _ => {}
+            }
+            now = now + span;
+            ages_are_never_underestimated(&all, &truth, now)?;
+        }
+        let live: Vec<_> = (0..COUNT).filter(|n| truth[*n].is_up).collect();
+        for n in &live {
+            all[*n].run(now);
+        }
+        for (to, from) in live.iter().flat_map(|to| live.iter().map(move |from| (*to, *from))) {
+            pull(&mut all, to, from, Duration::ZERO, now);
+            let liveness = all[to].view(now).liveness(&format!("n{from}"));
+            prop_assert!(liveness == Liveness::Alive, "n{from} is {liveness:?} to n{to}");
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/crates/policy/tests/wholeness.rs
@@ -0,0 +1,80 @@
+//! Guards against dispatch to a replica that lacks a member.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::LazyLock;
+
+use corneltrestle_policy::assignment::{Member, Phase, Replica};
+use corneltrestle_policy::wholeness::{self, Reason, VIEW_BOUND, View};
+use corneltrestle_policy::{Moment, id, report};
+use test_case::test_case;
+
+const SEEN: Moment = Moment::from_millis(10_000);
+
+struct Case {
+    replica: Replica,
+    reports: BTreeMap<id::Vm, report::Seen>,
+    leaving: BTreeSet<id::Vm>,
+    zone_in: bool,
+}
+
+fn case() -> Case {
+    let id = id::Replica { set: "a".into(), index: 0 };
+    let names = ["vm-0", "vm-1"];
+    let address = ([127, 0, 0, 1], 9_000).into();
+    let vms = names.map(|name| Member { id: name.into(), address }).into();
+    let report = |name: &str| report::Report {
+        vm: name.into(),
+        replica: Some(id.clone()),
+        epoch: 4,
+        start: 1,
+        model: "m".to_owned(),
+        adapter: String::new(),
+        version: "1".to_owned(),
+        phase: report::Phase::Ready,
+        running: 0,
+        waiting: 0,
+        finished: 0,
+        blocks: 0,
+        sequence: 0,
+    };
+    let seen = |name: &str| report::Seen { at: SEEN, report: report(name) };
+    let reports = names.iter().map(|name| (id::Vm::from(*name), seen(name))).collect();
+    let (fabric, phase, routers) = ("f".into(), Phase::Serving, Vec::new());
+    let replica = Replica { id: id.clone(), epoch: 4, fabric, vms, phase, routers };
+    Case { replica, reports, leaving: BTreeSet::new(), zone_in: true }
+}
+
+fn last(case: &mut Case) -> &mut report::Report {
+    &mut case.reports.get_mut("vm-1").unwrap().report
+}
+
+static VM: LazyLock<id::Vm> = LazyLock::new(|| "vm-1".into());
+
+#[test_case(|c| c.zone_in = false, Reason::ZoneOut; "zone out")]
+#[test_case(|c| c.replica.phase = Phase::Forming, Reason::NotServing(Phase::Forming); "forming")]
+#[test_case(|c| c.replica.phase = Phase::Draining, Reason::NotServing(Phase::Draining); "draining")]
+#[test_case(|c| c.replica.vms.clear(), Reason::Empty; "no members")]
+#[test_case(|c| c.leaving = ["vm-1".into()].into(), Reason::Leaving(&VM); "leaving member")]
+#[test_case(|c| drop(c.reports.remove("vm-1")), Reason::Unreported(&VM); "no report")]
+#[test_case(|c| last(c).epoch = 3, Reason::Foreign(&VM); "older epoch")]
+#[test_case(|c| last(c).replica = None, Reason::Foreign(&VM); "no replica")]
+#[test_case(|c| last(c).replica.as_mut().unwrap().index = 1, Reason::Foreign(&VM); "other replica")]
+#[test_case(|c| last(c).phase = report::Phase::Loading, Reason::Loading(&VM); "loading member")]
+fn an_unfit_replica_is_refused(change: fn(&mut Case), expected: Reason<'_>) {
+    let mut case = case();
+    change(&mut case);
+    assert_eq!(check(&case, SEEN), Err(expected));
+}
+
+#[test]
+fn the_age_of_each_report_is_bounded_at_dispatch() {
+    let mut case = case();
+    assert_eq!(check(&case, SEEN + VIEW_BOUND), Ok(()));
+    case.reports.get_mut("vm-1").unwrap().at = Moment::from_micros(SEEN.as_micros() - 1);
+    assert_eq!(check(&case, SEEN + VIEW_BOUND), Err(Reason::Stale(&VM)));
+}
+
+fn check(case: &Case, now: Moment) -> Result<(), Reason<'_>> {
+    let Case { replica, reports, leaving, zone_in } = case;
+    wholeness::check(&View { replica, reports, leaving, zone_in: *zone_in, bound: VIEW_BOUND }, now)
+}
