--- a/crates/corneltrestle/src/command/note.rs
+++ b/crates/corneltrestle/src/command/note.rs
@@ -7,8 +7,9 @@
 use hyper::Method;
 use lexopt::prelude::*;
 
-use super::client::{Access, Answer};
+use super::client::Access;
 use super::{COMMANDS, Command, Error, Exit, Result};
+use crate::local::caller::Answer;
 
 #[linkme::distributed_slice(COMMANDS)]
 #[linkme(crate = linkme)]
--- a/crates/corneltrestle/src/lib.rs
+++ b/crates/corneltrestle/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 pub mod command;
+pub mod local;
 pub mod running;
 
 pub use corneltrestle_engine as engine;
--- /dev/null
+++ b/crates/corneltrestle/src/local.rs
@@ -0,0 +1,178 @@
+//! A deployment on the loopback interface: stand-ins of the outside systems and entry nodes.
+//!
+//! Everything speaks its real protocol over real sockets. The demo, the measurements and the
+//! end-to-end tests use it.
+
+mod address;
+pub mod caller;
+mod error;
+mod nodes;
+pub mod plan;
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use corneltrestle_node::operate;
+use corneltrestle_policy::vm;
+use corneltrestle_standin::{engine, service, store, vms};
+
+pub use error::Error;
+pub use nodes::Node;
+pub use plan::Plan;
+
+/// The result of running a deployment.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Local {
+    /// The key-value service.
+    pub store: store::Handle,
+    /// The VM list.
+    pub vms: vms::Handle,
+    /// Engines by VM.
+    pub engines: BTreeMap<String, engine::Handle>,
+    /// Plain services with their zones.
+    pub services: Vec<(String, service::Handle)>,
+    /// Entry nodes by name.
+    pub nodes: BTreeMap<String, Node>,
+    listed: Vec<vm::Vm>,
+    addresses: address::Addresses,
+    files: PathBuf,
+    plan: Plan,
+}
+
+impl Local {
+    /// Opens a deployment on the workers of the present runtime.
+    ///
+    /// # Errors
+    ///
+    /// When an address cannot be bound or a file cannot be written.
+    pub async fn open(plan: Plan) -> Result<Self> {
+        let addresses = address::Addresses::reserve();
+        let files = nodes::write_secrets(&addresses)?;
+        let platform = addresses.platform();
+        let bind = |step| move |source| Error::Bind { step, peer: platform.to_string(), source };
+        let store = store::bind(store::Config {
+            listen: (platform, 0).into(),
+            progress: Duration::from_secs(1),
+        })
+        .await
+        .map_err(bind("store"))?;
+        let vms = vms::bind(vms::Config {
+            listen: (platform, 0).into(),
+            lag: plan.list_lag,
+            vms: Vec::new(),
+        })
+        .await
+        .map_err(bind("vms"))?;
+        let mut local = Self {
+            store,
+            vms,
+            engines: BTreeMap::new(),
+            services: Vec::new(),
+            nodes: BTreeMap::new(),
+            listed: Vec::new(),
+            addresses,
+            files,
+            plan,
+        };
+        local.bind_engines().await?;
+        local.bind_services().await?;
+        local.list_nodes();
+        local.publish();
+        for name in local.plan.node_names() {
+            local.start_node(&name)?;
+        }
+        Ok(local)
+    }
+
+    async fn bind_engines(&mut self) -> Result<()> {
+        let fabric = engine::Fabric::default();
+        for slot in self.plan.vm_slots() {
+            let ip = self.addresses.zone(slot.zone_number);
+            let config = engine::Config {
+                listen: (ip, 0).into(),
+                vm: slot.vm.as_str().into(),
+                fabric: fabric.clone(),
+                ..self.plan.engine.clone()
+            };
+            let peer = ip.to_string();
+            let handle = engine::bind(config).await.map_err(|source| Error::Bind {
+                step: "engine",
+                peer,
+                source,
+            })?;
+            self.listed.push(vm::Vm {
+                id: slot.vm.as_str().into(),
+                address: handle.address(),
+                zone: slot.zone.as_str().into(),
+                fabric: slot.fabric.as_str().into(),
+                role: vm::Role::Engine,
+                state: vm::State::Live,
+                accelerators: 4,
+            });
+            self.engines.insert(slot.vm, handle);
+        }
+        Ok(())
+    }
+
+    async fn bind_services(&mut self) -> Result<()> {
+        for (number, zone) in self.plan.zones.iter().enumerate() {
+            for _ in 0..zone.services {
+                let ip = self.addresses.zone(number);
+                let peer = ip.to_string();
+                let config = service::Config { listen: (ip, 0).into(), ..Default::default() };
+                let handle = service::bind(config).await.map_err(|source| Error::Bind {
+                    step: "service",
+                    peer,
+                    source,
+                })?;
+                self.services.push((zone.name.clone(), handle));
+            }
+        }
+        Ok(())
+    }
+
+    /// Publishes the VM list as it is now.
+    pub fn publish(&self) {
+        self.vms.api().set(&self.listed);
+    }
+
+    /// Changes the state of a VM in the list.
+    pub fn set_state(&mut self, vm: &str, state: vm::State) {
+        for entry in self.listed.iter_mut().filter(|entry| entry.id.as_str() == vm) {
+            entry.state = state;
+        }
+        self.publish();
+    }
+
+    /// Applies a note through the operators' interface of the first node.
+    ///
+    /// # Errors
+    ///
+    /// When the node cannot be called.
+    pub async fn apply(&self, note: &str) -> Result<operate::Verdict> {
+        let node = self.nodes.values().next().ok_or(Error::NoNode)?;
+        node.apply(note).await
+    }
+
+    /// Stops everything: nodes first, each with its drain.
+    pub async fn shutdown(mut self) {
+        for (_, node) in std::mem::take(&mut self.nodes) {
+            node.shutdown().await;
+        }
+        for handle in self.engines.values() {
+            handle.shutdown().await;
+        }
+        for (_, handle) in &self.services {
+            handle.shutdown().await;
+        }
+        self.vms.shutdown().await;
+        self.store.shutdown().await;
+        if let Err(e) = std::fs::remove_dir_all(&self.files) {
+            log::debug!("local: cannot remove {}: {e}", self.files.display());
+        }
+    }
+}
--- /dev/null
+++ b/crates/corneltrestle/src/local/address.rs
@@ -0,0 +1,52 @@
+//! Loopback addresses of deployments that run at the same time.
+
+use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicU8, Ordering};
+
+/// Number of deployments that this process has opened.
+static OPENED: AtomicU8 = AtomicU8::new(0);
+
+/// A range of loopback addresses, 127.x.y.0 to 127.x.y.255.
+///
+/// The range depends on the process and the number of the deployment, so that tests in several
+/// processes and threads do not share addresses.
+#[derive(Debug)]
+pub(super) struct Addresses {
+    high: u8,
+    low: u8,
+}
+
+impl Addresses {
+    /// Reserves the next range of this process.
+    pub(super) fn reserve() -> Self {
+        let process = std::process::id();
+        let number = OPENED.fetch_add(1, Ordering::Relaxed);
+        let mixed = process.wrapping_mul(0x9e37_79b1).rotate_left(8).to_be_bytes();
+        // 127.0.y.z stays free for other uses of the loopback interface.
+        Self { high: mixed[0].max(1), low: mixed[1].wrapping_add(number) }
+    }
+
+    /// The range in names of files.
+    pub(super) fn name(&self) -> String {
+        format!("{}-{}", self.high, self.low)
+    }
+
+    /// Address of the platform.
+    pub(super) fn platform(&self) -> Ipv4Addr {
+        self.at(1)
+    }
+
+    /// Address of the upstreams of a zone.
+    pub(super) fn zone(&self, number: usize) -> Ipv4Addr {
+        self.at(2 + u8::try_from(number).unwrap_or(u8::MAX) % 14)
+    }
+
+    /// Address of an entry node.
+    pub(super) fn node(&self, number: usize) -> Ipv4Addr {
+        self.at(16 + u8::try_from(number).unwrap_or(u8::MAX) % 239)
+    }
+
+    fn at(&self, last: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.high, self.low, last)
+    }
+}
--- /dev/null
+++ b/crates/corneltrestle/src/local/caller.rs
@@ -0,0 +1,147 @@
+//! A small HTTP client for calls to nodes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+
+use super::{Error, Result};
+
+/// Longest time for one call.
+const CALL_TIME: Duration = Duration::from_secs(60);
+/// Largest answer in bytes.
+const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// Calls one address with one key or token.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    peer: SocketAddr,
+    key: String,
+}
+
+/// A complete answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The complete body.
+    pub body: Bytes,
+}
+
+/// An answer whose body arrives in parts.
+#[derive(Debug)]
+pub struct Parts {
+    response: Response<Incoming>,
+    peer: SocketAddr,
+}
+
+impl Caller {
+    /// A caller of `peer` that sends `key`.
+    pub fn new(peer: SocketAddr, key: &str) -> Self {
+        Self { peer, key: key.to_owned() }
+    }
+
+    /// Sends a request on a connection of its own and reads the complete answer.
+    ///
+    /// # Errors
+    ///
+    /// When the answer does not arrive whole.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<Answer> {
+        let whole = async {
+            let response = self.send(method, path, headers, body).await?.response;
+            let (parts, incoming) = response.into_parts();
+            let body = Limited::new(incoming, ANSWER_MAX_BYTES)
+                .collect()
+                .await
+                .map_err(|e| self.failed("read answer", e))?
+                .to_bytes();
+            Ok(Answer { status: parts.status, headers: parts.headers, body })
+        };
+        tokio::time::timeout(CALL_TIME, whole)
+            .await
+            .map_err(|_| self.failed("call", "no complete answer in time"))?
+    }
+
+    /// Sends a request on a connection of its own; the body is read by [`Parts::next`].
+    ///
+    /// # Errors
+    ///
+    /// When no answer begins.
+    pub async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> Result<Parts> {
+        let mut bearer = HeaderValue::try_from(format!("Bearer {}", self.key))
+            .map_err(|e| self.failed("call", e))?;
+        bearer.set_sensitive(true);
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.peer.to_string())
+            .header(AUTHORIZATION, bearer);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(Bytes::from(body))).map_err(|e| self.failed("call", e))?;
+        let socket = tokio::net::TcpStream::connect(self.peer)
+            .await
+            .map_err(|e| self.failed("connect", e))?;
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(socket))
+            .await
+            .map_err(|e| self.failed("connect", e))?;
+        tokio::spawn(connection);
+        let response = sender.send_request(request).await.map_err(|e| self.failed("call", e))?;
+        Ok(Parts { response, peer: self.peer })
+    }
+
+    fn failed(&self, step: &'static str, cause: impl ToString) -> Error {
+        Error::Call { step, peer: self.peer.to_string(), cause: cause.to_string() }
+    }
+}
+
+impl Parts {
+    /// The status.
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    /// The headers.
+    pub fn headers(&self) -> &HeaderMap {
+        self.response.headers()
+    }
+
+    /// The next part of the body, or `None` after a complete body.
+    ///
+    /// # Errors
+    ///
+    /// When the body is cut off.
+    pub async fn next(&mut self) -> Result<Option<Bytes>> {
+        while let Some(frame) = self.response.body_mut().frame().await {
+            let frame = frame.map_err(|e| Error::Call {
+                step: "read answer",
+                peer: self.peer.to_string(),
+                cause: e.to_string(),
+            })?;
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/crates/corneltrestle/src/local/nodes.rs
@@ -0,0 +1,136 @@
+//! Entry nodes of a deployment.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use corneltrestle_kernel::settings;
+use corneltrestle_node::operate;
+use corneltrestle_policy::vm;
+use hyper::Method;
+
+use super::{Error, Local, Result, address, caller};
+use crate::running;
+
+/// Port for callers.
+const CALLERS: u16 = 8_080;
+/// Port for operators.
+const OPERATORS: u16 = 9_080;
+/// Port for other nodes.
+const LINK: u16 = 7_080;
+/// The operators' token of a deployment.
+const TOKEN: &str = "local-operator-token";
+/// The secret of the nodes of a deployment.
+const SECRET: &str = "local-secret-of-the-nodes";
+
+/// A running entry node.
+#[derive(Debug)]
+pub struct Node {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// The node.
+    pub running: running::Attached,
+}
+
+impl Node {
+    /// Applies a note through the operators' interface.
+    ///
+    /// # Errors
+    ///
+    /// When the node cannot be called.
+    pub async fn apply(&self, note: &str) -> Result<operate::Verdict> {
+        let answer = self.operate(Method::POST, "/v1/note", note).await?;
+        serde_json::from_slice(&answer.body).map_err(|e| Error::Call {
+            step: "apply note",
+            peer: self.operators.to_string(),
+            cause: e.to_string(),
+        })
+    }
+
+    /// Calls the operators' interface.
+    ///
+    /// # Errors
+    ///
+    /// When the node cannot be called.
+    pub async fn operate(&self, method: Method, path: &str, body: &str) -> Result<caller::Answer> {
+        let caller = caller::Caller::new(self.operators, TOKEN);
+        caller.call(method, path, &[], body.as_bytes().to_vec()).await
+    }
+
+    /// Stops the node with its drain.
+    pub async fn shutdown(self) {
+        self.running.shutdown().await;
+    }
+}
+
+/// Writes the files that the nodes' settings name; returns their folder.
+pub(super) fn write_secrets(addresses: &address::Addresses) -> Result<PathBuf> {
+    let folder = std::env::temp_dir().join(format!("corneltrestle-{}", addresses.name()));
+    let written = fs::create_dir_all(&folder)
+        .and_then(|()| fs::write(folder.join("token"), TOKEN))
+        .and_then(|()| fs::write(folder.join("secret"), SECRET));
+    let peer = folder.display().to_string();
+    written.map(|()| folder).map_err(|source| Error::File { peer, source })
+}
+
+impl Local {
+    /// Adds the nodes' VMs to the VM list.
+    pub(super) fn list_nodes(&mut self) {
+        let mut number = 0;
+        for zone in &self.plan.zones {
+            for index in 0..zone.nodes {
+                self.listed.push(vm::Vm {
+                    id: format!("{}-entry-{index}", zone.name).as_str().into(),
+                    address: (self.addresses.node(number), LINK).into(),
+                    zone: zone.name.as_str().into(),
+                    fabric: format!("{}-entry", zone.name).as_str().into(),
+                    role: vm::Role::Entry,
+                    state: vm::State::Live,
+                    accelerators: 0,
+                });
+                number += 1;
+            }
+        }
+    }
+
+    /// Starts a node of the plan that is not running.
+    ///
+    /// # Errors
+    ///
+    /// When the node cannot be opened.
+    pub fn start_node(&mut self, name: &str) -> Result<()> {
+        let listed = self.listed.iter().find(|vm| vm.id.as_str() == name);
+        let listed = listed.ok_or(Error::NoNode)?;
+        let ip = listed.address.ip();
+        let text = self.settings_of(name, listed.zone.as_str(), ip);
+        let fail = |source| Error::Node { peer: name.to_owned(), source };
+        let parsed = settings::Settings::parse(name, &text, &settings::sections())
+            .map_err(|e| fail(running::Error::Settings(e)))?;
+        let running = running::Attached::open(parsed).map_err(fail)?;
+        let node =
+            Node { callers: (ip, CALLERS).into(), operators: (ip, OPERATORS).into(), running };
+        self.nodes.insert(name.to_owned(), node);
+        Ok(())
+    }
+
+    /// Stops a node with its drain.
+    pub async fn stop_node(&mut self, name: &str) {
+        if let Some(node) = self.nodes.remove(name) {
+            node.shutdown().await;
+        }
+    }
+
+    fn settings_of(&self, name: &str, zone: &str, ip: std::net::IpAddr) -> String {
+        let files = self.files.display();
+        let (store, vms) = (self.store.address(), self.vms.address());
+        let further = &self.plan.settings;
+        format!(
+            "[node]\nid = {name}\nzone = {zone}\nlink = {ip}:{LINK}\nsecret-file = {files}/secret\n\
+             [callers]\naddress = {ip}:{CALLERS}\n\
+             [operators]\naddress = {ip}:{OPERATORS}\ntoken-file = {files}/token\n\
+             [store]\naddress = {store}\n[vms]\naddress = {vms}\n{further}\n"
+        )
+    }
+}
--- a/crates/corneltrestle/src/running/error.rs
+++ b/crates/corneltrestle/src/running/error.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, io};
 
-use corneltrestle_kernel::plugin;
+use corneltrestle_kernel::{plugin, settings};
 
 /// Why a node cannot be opened.
 #[derive(Debug)]
@@ -10,6 +10,8 @@
 pub enum Error {
     /// The workers could not be spawned.
     Pool(io::Error),
+    /// The settings are wrong.
+    Settings(settings::Error),
     /// A plug-in could not be opened.
     Plugin(plugin::Error),
 }
@@ -18,6 +20,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Pool(e) => write!(f, "cannot spawn the workers: {e}"),
+            Self::Settings(e) => e.fmt(f),
             Self::Plugin(e) => e.fmt(f),
         }
     }
--- a/crates/wire/tests/stored.rs
+++ b/crates/wire/tests/stored.rs
@@ -2,8 +2,9 @@
 //! store's limit, or whose faults do not name the key.
 
 use corneltrestle_policy::assignment::Assignment;
+use corneltrestle_policy::lease;
 use corneltrestle_policy::release::Release;
-use corneltrestle_wire::stored::{self, Kind, Lease};
+use corneltrestle_wire::stored::{self, Kind};
 use corneltrestle_wire::{key, note};
 use serde_json::Value;
 use test_case::test_case;
@@ -69,16 +70,19 @@
     let assignment: Assignment = stored::decode(&key::groups("a"), ASSIGNMENT.as_bytes()).unwrap();
     assert_eq!(assignment.releasing.len(), 1);
     assert_tolerant(&key::groups("a"), &assignment);
-    assert_tolerant(&key::lease("a"), &Lease { node: "n1".into(), boot: u64::MAX, token: 2 });
+    assert_tolerant(
+        &key::lease("a"),
+        &lease::Record { holder: "n1".into(), boot: u64::MAX, token: 2 },
+    );
 }
 
-#[test_case(br#"{"node":"n1","token":1}"#, "zone/a/lease: .: missing field `boot`"; "missing field")]
-#[test_case(br#"{"node":"n1","boot":-1,"token":1}"#, "zone/a/lease: boot: invalid value"; "wrong type")]
-#[test_case(br#"{"node":"n1","boot":1,"token":1}x"#, "zone/a/lease: .: trailing characters"; "trailing bytes")]
+#[test_case(br#"{"holder":"n1","token":1}"#, "zone/a/lease: .: missing field `boot`"; "missing field")]
+#[test_case(br#"{"holder":"n1","boot":-1,"token":1}"#, "zone/a/lease: boot: invalid value"; "wrong type")]
+#[test_case(br#"{"holder":"n1","boot":1,"token":1}x"#, "zone/a/lease: .: trailing characters"; "trailing bytes")]
 #[test_case(b"\xff\x00", "zone/a/lease: .: "; "random bytes")]
 #[test_case(b"", "zone/a/lease: .: EOF"; "empty value")]
 fn fault_names_key_and_path(value: &[u8], expected: &str) {
-    let error = stored::decode::<Lease>(&key::lease("a"), value).unwrap_err().to_string();
+    let error = stored::decode::<lease::Record>(&key::lease("a"), value).unwrap_err().to_string();
     assert!(error.starts_with(expected), "{error}");
 }
 
