--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -89,6 +89,23 @@
 ///
 /// The caller calls [`Admission::next`] until it returns `None` after each call to `offer` that
 /// queued, `finish`, `update`, `expire` and `withdraw`, and at the moment that `due` returns.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use corneltrestle_policy::Moment;
+/// use corneltrestle_policy::admission::{Admission, Class, Limits, Verdict, View};
+///
+/// let mut admission = Admission::open(Limits { running: 1, waiting: 10, queue: 5 });
+/// let view = View { name: "a", weight: 1, rate: 10.0, concurrency: 4.0 };
+/// let now = Moment::from_millis(1);
+/// let deadline = now + Duration::from_secs(10);
+/// assert_eq!(admission.offer(&view, 1, Class::Interactive, deadline, now), Verdict::Admit);
+/// assert_eq!(admission.offer(&view, 2, Class::Interactive, deadline, now), Verdict::Queue);
+/// admission.finish("a", now);
+/// assert_eq!(admission.next(now), Some(2));
+/// ```
 #[derive(Debug)]
 pub struct Admission {
     limits: Limits,
--- a/crates/policy/src/burn.rs
+++ b/crates/policy/src/burn.rs
@@ -37,6 +37,22 @@
 }
 
 /// Counts by service and organisation on one node.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::Moment;
+/// use corneltrestle_policy::burn::{self, Burn, Counts, Verdict};
+/// use corneltrestle_policy::release::Targets;
+///
+/// let (mut burn, mut counts) = (Burn::default(), Counts::default());
+/// counts.request(true);
+/// burn.record("verse-models", "a", &counts, Moment::ZERO);
+/// for (_service, _organisation, totals) in burn.totals(Moment::ZERO) {
+///     let ratings = burn::rate(&totals, &Targets::default());
+///     assert_eq!(Verdict::of(&ratings), Verdict::Ok);
+/// }
+/// ```
 #[derive(Debug, Default)]
 pub struct Burn {
     series: BTreeMap<id::Service, BTreeMap<id::Organisation, Series>>,
--- a/crates/policy/src/calls.rs
+++ b/crates/policy/src/calls.rs
@@ -56,6 +56,19 @@
 ///
 /// Over any time t all classes together begin at most the sum of `burst + rate * t`, and each
 /// class at most its own such part plus those of the less important ones.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::Moment;
+/// use corneltrestle_policy::calls::{Calls, Class, Permit, Rate};
+///
+/// let mut calls = Calls::open([Rate { rate: 5.0, burst: 1.0 }; 4]);
+/// let now = Moment::from_millis(1);
+/// assert_eq!(calls.begin(Class::Report, now), Permit::Go);
+/// assert_eq!(calls.begin(Class::Report, now), Permit::Wait(Moment::from_millis(201)));
+/// assert_eq!(calls.begin(Class::Lease, now), Permit::Go);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Calls {
     rates: [Rate; 4],
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -119,6 +119,19 @@
 /// Decides on `call` after its key was read with this record and version.
 ///
 /// `holder` is asked only about a claim of another call that is in progress.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::claim::{self, Call, Decision, Holder};
+///
+/// let first = Call { claim: "c-1", node: "a", boot: 1, request: "r" };
+/// assert_eq!(claim::decide(&first, None, |_| Holder::Live), Decision::Claim(0));
+///
+/// let (record, second) = (first.record(), Call { claim: "c-2", node: "b", ..first });
+/// let decision = claim::decide(&second, Some((&record, 1)), |_| Holder::Dead);
+/// assert_eq!(decision, Decision::Unknown);
+/// ```
 pub fn decide<'a>(
     call: &Call<'_>,
     found: Option<(&'a Record, u64)>,
--- a/crates/policy/src/claim/holding.rs
+++ b/crates/policy/src/claim/holding.rs
@@ -10,6 +10,19 @@
 ///
 /// It allows one send, apart from attempts of which no byte was sent. The record of the outcome is written by compare-and-swap from `version`, so
 /// it cannot replace a later claim.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::Moment;
+/// use corneltrestle_policy::claim::{Ended, Holding, State};
+///
+/// let mut holding = Holding::open(1, Moment::ZERO);
+/// assert_eq!(holding.outcome(Ended::Broken), State::NotRun);
+/// assert!(holding.send(Moment::from_millis(20)));
+/// assert!(!holding.send(Moment::from_millis(30)));
+/// assert_eq!(holding.outcome(Ended::Broken), State::Unknown);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Holding {
     version: u64,
--- a/crates/policy/src/delivery.rs
+++ b/crates/policy/src/delivery.rs
@@ -38,6 +38,19 @@
 }
 
 /// The delivery of one request over its attempts.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::delivery::{Delivery, Event, Verdict};
+///
+/// let mut delivery = Delivery::open("r-1");
+/// let event = Event { request: "r-1", index: 0, text: "Hello" };
+/// assert_eq!(delivery.check(&event), Verdict::Deliver);
+/// assert_eq!(delivery.check(&event), Verdict::Drop);
+/// assert_eq!(delivery.check(&Event { request: "r-2", ..event }), Verdict::Mismatch);
+/// assert_eq!(delivery.text(), "Hello");
+/// ```
 #[derive(Clone, Debug)]
 pub struct Delivery {
     request: String,
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -44,9 +44,21 @@
 }
 
 /// What upstreams hold in their prefix caches, as far as this node knows.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::{Moment, id, prefix};
+///
+/// let upstream = id::Replica { set: "verse".into(), index: 0 };
+/// let mut history = prefix::History::open(1_000);
+/// history.dispatched(&upstream, 7, &[1, 2, 3], Moment::ZERO);
+/// assert_eq!(history.cached(&upstream, 7, &[1, 2, 9]), 2);
+/// assert_eq!(history.cached(&upstream, 8, &[1, 2, 9]), 0); // restarted
+/// ```
 #[derive(Debug)]
 pub struct History {
-    /// Prefixes remembered for each upstream.
+    /// Prefixes remembered for all upstreams.
     capacity: usize,
     caches: HashMap<id::Replica, Cache>,
 }
@@ -75,7 +87,8 @@
     /// time before the dispatch.
     pub const TRUST: Duration = Duration::from_secs(5);
 
-    /// Opens an empty history with room for `capacity` prefixes of each upstream.
+    /// Opens an empty history with room for `capacity` prefixes, divided evenly among the
+    /// upstreams; each takes about 100 bytes.
     pub fn open(capacity: usize) -> Self {
         Self { capacity, caches: HashMap::new() }
     }
@@ -97,11 +110,10 @@
 
     /// Takes a dispatch of this node: the upstream will hold these prefixes.
     pub fn dispatched(&mut self, upstream: &id::Replica, start: u64, blocks: &[u64], now: Moment) {
-        let capacity = self.capacity;
-        let cache = self.cache(upstream, start);
+        let (cache, room) = self.cache(upstream, start);
         // The shortest prefix is used last, so that it is evicted last.
         for &prefix in blocks.iter().rev() {
-            cache.insert(prefix, Some(now), capacity);
+            cache.insert(prefix, Some(now), room);
         }
     }
 
@@ -110,8 +122,7 @@
     /// Events with an old sequence number are ignored. A gap may hide evictions, so only what own
     /// recent dispatches confirm outlasts it.
     pub fn merge(&mut self, upstream: &id::Replica, start: u64, events: &[Event], now: Moment) {
-        let capacity = self.capacity;
-        let cache = self.cache(upstream, start);
+        let (cache, room) = self.cache(upstream, start);
         for event in events {
             match cache.sequence {
                 Some(last) if event.sequence <= last => continue,
@@ -121,7 +132,7 @@
             cache.sequence = Some(event.sequence);
             let recent = cache.known.get(&event.prefix).is_some_and(|known| known.is_recent(now));
             if event.stored {
-                cache.insert(event.prefix, None, capacity);
+                cache.insert(event.prefix, None, room);
             } else if !recent {
                 cache.remove(event.prefix);
             }
@@ -137,13 +148,19 @@
         u32::try_from(held).unwrap_or(u32::MAX)
     }
 
-    /// The cache of an upstream; a new start id empties it.
-    fn cache(&mut self, upstream: &id::Replica, start: u64) -> &mut Cache {
+    /// The cache of an upstream and its room; a new start id empties it.
+    fn cache(&mut self, upstream: &id::Replica, start: u64) -> (&mut Cache, usize) {
+        if !self.caches.contains_key(upstream) {
+            let room = self.capacity / (self.caches.len() + 1);
+            self.caches.values_mut().for_each(|cache| cache.trim(room));
+            self.caches.insert(upstream.clone(), Cache::default());
+        }
+        let room = self.capacity / self.caches.len();
         let cache = self.caches.entry(upstream.clone()).or_default();
         if cache.start != start {
             *cache = Cache { start, ..Cache::default() };
         }
-        cache
+        (cache, room)
     }
 }
 
@@ -154,7 +171,7 @@
 }
 
 impl Cache {
-    fn insert(&mut self, prefix: u64, sent: Option<Moment>, capacity: usize) {
+    fn insert(&mut self, prefix: u64, sent: Option<Moment>, room: usize) {
         let before = self.known.get(&prefix).copied();
         if let Some(before) = before {
             self.used.remove(&before.tick);
@@ -163,7 +180,12 @@
         let sent = sent.or(before.and_then(|known| known.sent));
         self.known.insert(prefix, Known { tick: self.tick, sent });
         self.used.insert(self.tick, prefix);
-        while self.known.len() > capacity {
+        self.trim(room);
+    }
+
+    /// Forgets the prefixes that were not used for the longest time.
+    fn trim(&mut self, room: usize) {
+        while self.known.len() > room {
             let Some((_, oldest)) = self.used.pop_first() else { break };
             self.known.remove(&oldest);
         }
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -1,6 +1,7 @@
 //! Choice of the upstream for a request.
 
 mod baseline;
+mod candidate;
 
 use std::time::Duration;
 
@@ -9,25 +10,7 @@
 use rand::seq::index;
 
 pub use baseline::{prefix_affinity, two_choices};
-
-/// An upstream that may take the request.
-#[derive(Clone, Copy, Debug)]
-pub struct Candidate<'a> {
-    /// Requests being decoded, by its report.
-    pub running: u32,
-    /// Requests waiting, by its report.
-    pub waiting: u32,
-    /// The moment that the report describes.
-    pub reported: Moment,
-    /// Moments of this node's dispatches to it that are in progress, in increasing order.
-    pub dispatches: &'a [Moment],
-    /// Leading blocks of the prompt that its prefix cache holds.
-    pub cached: u32,
-    /// Network latency one way.
-    pub distance: Duration,
-    /// Whether its warm-up level allows this node one more request.
-    pub permitted: bool,
-}
+pub use candidate::Candidate;
 
 /// What the prediction depends on besides the candidate.
 #[derive(Clone, Copy, Debug)]
@@ -65,17 +48,11 @@
     }
 }
 
-impl Candidate<'_> {
-    /// Own dispatches that the report does not include.
-    pub fn unreported(&self) -> usize {
-        self.dispatches.len() - self.dispatches.partition_point(|sent| *sent <= self.reported)
-    }
-}
-
 /// Predicted time to the first token at one of `number` candidates.
 ///
 /// Other nodes are taken to dispatch at this node's rate, evenly over the candidates; what they
-/// have dispatched since the report counts as waiting, so an older report counts for less.
+/// have dispatched since the report counts as waiting, so an older report counts for less. Work
+/// finished since then is not subtracted, as it is as much for all candidates.
 pub fn predict(
     candidate: &Candidate<'_>,
     number: usize,
@@ -97,6 +74,28 @@
 ///
 /// The candidate that holds the longest prefix takes one place of the sample: random places alone
 /// would seldom contain it in a large fleet. Returns `None` if no candidate is permitted.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use corneltrestle_policy::{Moment, route};
+/// use rand::SeedableRng;
+///
+/// let busy = route::Candidate {
+///     running: 20,
+///     waiting: 5,
+///     reported: Moment::ZERO,
+///     dispatches: &[],
+///     cached: 0,
+///     distance: Duration::ZERO,
+///     permitted: true,
+/// };
+/// let idle = route::Candidate { running: 0, waiting: 0, ..busy };
+/// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
+/// let weights = route::Weights::default();
+/// assert_eq!(route::choose(&[busy, idle], &weights, Moment::ZERO, &mut rng), Some(1));
+/// ```
 pub fn choose(
     candidates: &[Candidate<'_>],
     weights: &Weights,
@@ -109,7 +108,8 @@
         .iter()
         .copied()
         .filter(|&i| candidates[i].cached > 0)
-        .max_by_key(|&i| candidates[i].cached);
+        // Many upstreams may hold a common prompt; the same one must not be the holder each time.
+        .max_by_key(|&i| (candidates[i].cached, rng.random::<u32>()));
     let places = weights.sample.max(1) - usize::from(holder.is_some() && weights.sample > 1);
     let mut sample: Vec<usize> = index::sample(rng, permitted.len(), places.min(permitted.len()))
         .into_iter()
--- a/crates/policy/src/silence.rs
+++ b/crates/policy/src/silence.rs
@@ -41,6 +41,21 @@
 }
 
 /// The history of one connection.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use corneltrestle_policy::Moment;
+/// use corneltrestle_policy::silence::{Connection, Kind, Verdict};
+/// use rand::SeedableRng;
+///
+/// let (now, mut rng) = (Moment::from_millis(1), rand::rngs::StdRng::seed_from_u64(1));
+/// let mut link = Connection::open(Kind::Link, now, &mut rng);
+/// link.began(now);
+/// assert_eq!(link.check(now + Duration::from_secs(1)), Verdict::Keep);
+/// assert_eq!(link.check(now + Duration::from_secs(2)), Verdict::Replace);
+/// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Connection {
     kind: Kind,
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -12,6 +12,19 @@
 /// a fall-back without a restart, what a router already had in progress beyond its slots comes on
 /// top until it ends. A router that has not seen a new start id yet is bounded only by the age that
 /// its reports may have.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::warmup::{Limits, Warmup};
+///
+/// let mut warmup = Warmup::open(Limits { cold: 2, full: 32 }, 7, 0);
+/// assert_eq!(warmup.level(), 2);
+/// warmup.observe(7, 2);
+/// assert_eq!(warmup.level(), 4);
+/// warmup.observe(8, 0); // restarted
+/// assert_eq!(warmup.level(), 2);
+/// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Warmup {
     limits: Limits,
@@ -42,6 +55,11 @@
         Self { limits, start, base: finished, finished, slow: 0 }
     }
 
+    /// The start id by which the routers are to be ordered, see [`order`].
+    pub fn start(&self) -> u64 {
+        self.start
+    }
+
     /// Takes a report of the upstream's head VM; a new start id begins at the cold level.
     ///
     /// A count that has gone back comes from an older report and changes nothing.
@@ -86,7 +104,8 @@
         self.level() >= self.limits.full
     }
 
-    /// Whether the node `own` with `busy` requests in progress may dispatch one more.
+    /// Whether the node `own` with `busy` requests in progress may dispatch one more; `ordered` are
+    /// the routers of the epoch in the [`order`] of [`Warmup::start`].
     pub fn permits(&self, ordered: &[&str], own: &str, busy: u32) -> bool {
         self.is_warm() || busy < slots(self.level(), ordered, own)
     }
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -58,6 +58,14 @@
     }
     assert!(chosen.iter().all(|count| (50..150).contains(count)), "{chosen:?}");
     candidates[70].cached = 150;
+    candidates[71] = Candidate { cached: 150, distance: Duration::from_millis(90), ..BASE };
+    let mut found = [false; 2];
+    for _ in 0..50 {
+        let chosen = route::choose(&candidates, &weights(), NOW, &mut rng);
+        found[usize::from(chosen == Some(70))] = true;
+    }
+    assert_eq!(found, [true; 2], "one of several holders takes the place each time");
+    candidates[71] = BASE;
     assert_eq!(route::choose(&candidates, &weights(), NOW, &mut rng), Some(70));
     assert_eq!(route::prefix_affinity(&candidates, 1.25, &mut rng), Some(70));
     candidates[70].waiting = 20;
@@ -90,4 +98,7 @@
     assert_eq!(history.cached(&upstream, start, &blocks), cached);
     history.dispatched(&upstream, 1, &(0..100).collect::<Vec<_>>(), NOW);
     assert_eq!(history.len(), 5);
+    let other = id::Replica { set: "t".into(), index: 0 };
+    history.dispatched(&other, 1, &blocks, NOW);
+    assert_eq!((history.len(), history.cached(&other, 1, &blocks)), (4, 2));
 }
