Add the client and server of the links between nodes

A channel without an answer in time is replaced, and a call on a channel that was open before is repeated at once on the new one. Connections are bounded in number, age and silence.

--- /dev/null
+++ b/crates/node/src/link.rs
@@ -0,0 +1,79 @@
+//! Links between nodes: calls to peers and the server that answers them.
+//!
+//! A shared secret authenticates the caller of each call. Every call is repeatable: pulls and
+//! fetches only read, and news that is known already has no effect.
+
+mod channels;
+mod error;
+mod incoming;
+mod secret;
+mod server;
+mod tonic_link;
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use corneltrestle_wire::link::{
+    Ack, CountsReply, CountsRequest, Digest, FetchRequest, News, PullRequest, StatusReply,
+    StatusRequest, Value,
+};
+
+pub use error::Error;
+pub use secret::MIN_SECRET_BYTES;
+pub use server::serve;
+pub use tonic_link::{Limits, TonicLink};
+
+/// The result of a call to a peer.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Calls to peers by the address of their link.
+pub trait Link: Send + Sync + 'static {
+    /// Asks for what the peer knows and the caller does not.
+    fn pull(
+        &self,
+        peer: SocketAddr,
+        request: &PullRequest,
+    ) -> impl Future<Output = Result<Digest>> + Send;
+
+    /// Sends news that cannot wait for the next pull.
+    fn push(&self, peer: SocketAddr, news: &News) -> impl Future<Output = Result<Ack>> + Send;
+
+    /// Asks for a stored document as the peer knows it.
+    fn fetch(
+        &self,
+        peer: SocketAddr,
+        request: &FetchRequest,
+    ) -> impl Future<Output = Result<Value>> + Send;
+
+    /// Asks for the peer's service-level counts.
+    fn counts(
+        &self,
+        peer: SocketAddr,
+        request: CountsRequest,
+    ) -> impl Future<Output = Result<CountsReply>> + Send;
+
+    /// Asks for the peer's state.
+    fn status(
+        &self,
+        peer: SocketAddr,
+        request: StatusRequest,
+    ) -> impl Future<Output = Result<StatusReply>> + Send;
+}
+
+/// Answers to the calls of peers. A caller waits for 2 s; later answers are lost.
+pub trait Handler: Send + Sync + 'static {
+    /// What this node knows and the caller does not.
+    fn pull(&self, request: &PullRequest) -> impl Future<Output = Digest> + Send;
+
+    /// Takes in news.
+    fn push(&self, news: &News) -> impl Future<Output = Ack> + Send;
+
+    /// A stored document as this node knows it.
+    fn fetch(&self, request: &FetchRequest) -> impl Future<Output = Value> + Send;
+
+    /// This node's service-level counts.
+    fn counts(&self, request: CountsRequest) -> impl Future<Output = CountsReply> + Send;
+
+    /// This node's state.
+    fn status(&self, request: StatusRequest) -> impl Future<Output = StatusReply> + Send;
+}
--- /dev/null
+++ b/crates/node/src/link/secret.rs
@@ -0,0 +1,88 @@
+//! The shared secret in the metadata of each call.
+
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+use tonic::metadata::{BinaryMetadataValue, MetadataMap, MetadataValue};
+use tonic::service::Interceptor;
+use tonic::{Request, Status};
+
+use super::{Error, Result};
+
+/// Least length of the shared secret.
+pub const MIN_SECRET_BYTES: usize = 16;
+
+/// Metadata key of the secret.
+const KEY: &str = "corneltrestle-secret-bin";
+
+/// A secret as a caller sends it; marked as sensitive, so that it is neither printed nor kept in
+/// header compression tables.
+#[derive(Clone)]
+pub(super) struct Outgoing {
+    value: BinaryMetadataValue,
+}
+
+/// A secret as the server compares it. The comparison of hashes takes the same time for every
+/// secret of the same length, whatever the expected one is.
+#[derive(Clone)]
+pub(super) struct Expected {
+    hash: [u8; 32],
+}
+
+impl Outgoing {
+    pub(super) fn new(secret: &[u8]) -> Result<Self> {
+        check(secret)?;
+        let mut value = MetadataValue::from_bytes(secret);
+        value.set_sensitive(true);
+        Ok(Self { value })
+    }
+
+    pub(super) fn attach(&self, metadata: &mut MetadataMap) {
+        metadata.insert_bin(KEY, self.value.clone());
+    }
+}
+
+impl Expected {
+    pub(super) fn new(secret: &[u8]) -> Result<Self> {
+        check(secret)?;
+        Ok(Self { hash: Sha256::digest(secret).into() })
+    }
+
+    fn matches(&self, metadata: &MetadataMap) -> bool {
+        let sent = metadata.get_bin(KEY).and_then(|value| value.to_bytes().ok());
+        sent.is_some_and(|sent| {
+            let hash: [u8; 32] = Sha256::digest(&sent).into();
+            hash.ct_eq(&self.hash).into()
+        })
+    }
+}
+
+impl Interceptor for Expected {
+    fn call(&mut self, request: Request<()>) -> std::result::Result<Request<()>, Status> {
+        if self.matches(request.metadata()) {
+            Ok(request)
+        } else {
+            Err(Status::unauthenticated("wrong link secret"))
+        }
+    }
+}
+
+impl fmt::Debug for Outgoing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Outgoing(..)")
+    }
+}
+
+impl fmt::Debug for Expected {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Expected(..)")
+    }
+}
+
+fn check(secret: &[u8]) -> Result<()> {
+    if secret.len() < MIN_SECRET_BYTES {
+        return Err(Error::Secret { min: MIN_SECRET_BYTES });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/link/server.rs
@@ -0,0 +1,129 @@
+//! The server that answers the calls of peers.
+
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_wire::link::{self as wire, FetchRequest, News, PullRequest, generated};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::Server;
+use tonic::{Request, Response, Status, async_trait};
+
+use super::secret::Expected;
+use super::{Error, Handler, Result, incoming};
+
+/// Pings make a peer that is gone noticeable on an idle connection.
+const PING_INTERVAL: Duration = Duration::from_secs(10);
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest time of a call; callers have given up before.
+const MAX_CALL: Duration = Duration::from_secs(5);
+
+/// Calls in progress on one connection.
+const MAX_CALLS: u32 = 32;
+
+/// Largest headers of a call in bytes.
+const MAX_HEADERS: u32 = 8 * 1024;
+
+/// Longest wait for calls in progress after the stop.
+const STOP_LIMIT: Duration = Duration::from_secs(5);
+
+/// Answers the calls of peers until `stop` is cancelled; then calls in progress finish.
+///
+/// Calls without the secret are refused before their message is read.
+///
+/// # Errors
+///
+/// When the secret is shorter than [`MIN_SECRET_BYTES`](super::MIN_SECRET_BYTES), or the server
+/// ends without being stopped.
+pub fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    secret: &[u8],
+    stop: CancellationToken,
+) -> impl Future<Output = Result<()>> + Send + use<H> {
+    let secret = Expected::new(secret);
+    async move { run(listener, handler, secret?, stop).await }
+}
+
+async fn run<H: Handler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    secret: Expected,
+    stop: CancellationToken,
+) -> Result<()> {
+    let address = listener.local_addr().unwrap_or(SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)));
+    let service = generated::link_server::LinkServer::new(Service { handler })
+        .max_decoding_message_size(wire::MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(wire::MAX_MESSAGE_BYTES);
+    let server = Server::builder()
+        .timeout(MAX_CALL)
+        .max_concurrent_streams(MAX_CALLS)
+        .http2_max_header_list_size(MAX_HEADERS)
+        .http2_keepalive_interval(Some(PING_INTERVAL))
+        .http2_keepalive_timeout(Some(PING_TIMEOUT))
+        .add_service(InterceptedService::new(service, secret))
+        .serve_with_incoming_shutdown(
+            incoming::connections(listener),
+            stop.clone().cancelled_owned(),
+        );
+    let limit = async {
+        stop.cancelled().await;
+        tokio::time::sleep(STOP_LIMIT).await;
+    };
+    tokio::select! {
+        ended = server => ended.map_err(|e| Error::Server { address, cause: e.to_string() }),
+        () = limit => Ok(()),
+    }
+}
+
+/// Turns generated messages into calls of a handler.
+struct Service<H> {
+    handler: Arc<H>,
+}
+
+type Answer<T> = std::result::Result<Response<T>, Status>;
+
+fn checked<A, B>(request: Request<A>) -> std::result::Result<B, Status>
+where
+    B: TryFrom<A, Error = wire::Error>,
+{
+    B::try_from(request.into_inner()).map_err(|e| Status::invalid_argument(e.to_string()))
+}
+
+#[async_trait]
+impl<H: Handler> generated::link_server::Link for Service<H> {
+    async fn pull(&self, request: Request<generated::PullRequest>) -> Answer<generated::Digest> {
+        let request: PullRequest = checked(request)?;
+        Ok(Response::new(self.handler.pull(&request).await.into()))
+    }
+
+    async fn push(&self, request: Request<generated::News>) -> Answer<generated::Ack> {
+        let news: News = checked(request)?;
+        Ok(Response::new(self.handler.push(&news).await.into()))
+    }
+
+    async fn fetch(&self, request: Request<generated::FetchRequest>) -> Answer<generated::Value> {
+        let request: FetchRequest = checked(request)?;
+        Ok(Response::new(self.handler.fetch(&request).await.into()))
+    }
+
+    async fn counts(
+        &self,
+        request: Request<generated::CountsRequest>,
+    ) -> Answer<generated::CountsReply> {
+        let request = request.into_inner().into();
+        Ok(Response::new(self.handler.counts(request).await.into()))
+    }
+
+    async fn status(
+        &self,
+        request: Request<generated::StatusRequest>,
+    ) -> Answer<generated::StatusReply> {
+        let request = request.into_inner().into();
+        Ok(Response::new(self.handler.status(request).await.into()))
+    }
+}
--- /dev/null
+++ b/crates/node/src/link/tonic_link.rs
@@ -0,0 +1,196 @@
+//! Calls to peers over gRPC.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_kernel::table::Table;
+use corneltrestle_time::clock::Clock;
+use corneltrestle_wire::link::{
+    self as wire, Ack, CountsReply, CountsRequest, Digest, FetchRequest, News, PullRequest,
+    StatusReply, StatusRequest, Value, generated,
+};
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Code, Request, Response, Status};
+
+use super::channels::{Channels, Open};
+use super::secret::Outgoing;
+use super::{Error, Link, Result};
+
+type Client = generated::link_client::LinkClient<Channel>;
+
+/// Pings find a connection that is silent during a call before its next use.
+const PING_INTERVAL: Duration = Duration::from_secs(10);
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Times of calls and connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest time to connect; 1 s unless changed.
+    pub connect: Duration,
+    /// Longest time of one attempt of a call, connecting included; 2 s unless changed.
+    pub call: Duration,
+    /// Age at which a channel is replaced, less up to 10 %; 10 min unless changed.
+    pub age: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            call: Duration::from_secs(2),
+            age: Duration::from_secs(600),
+        }
+    }
+}
+
+/// Calls to peers over gRPC, with one channel for each peer.
+///
+/// A channel without an answer in time is replaced. If the channel had been in use before, the
+/// call is repeated once at once on the new one, so that a call ends within twice its limit.
+#[derive(Debug)]
+pub struct TonicLink<C> {
+    clock: Arc<C>,
+    secret: Outgoing,
+    limits: Limits,
+    channels: Table<Channels>,
+}
+
+impl<C: Clock + 'static> TonicLink<C> {
+    /// Opens the calls to peers; connections are opened by the first call to a peer.
+    ///
+    /// # Errors
+    ///
+    /// When the secret is shorter than [`MIN_SECRET_BYTES`](super::MIN_SECRET_BYTES).
+    pub fn open(clock: Arc<C>, secret: &[u8], limits: Limits) -> Result<Self> {
+        let secret = Outgoing::new(secret)?;
+        Ok(Self { clock, secret, limits, channels: Table::default() })
+    }
+
+    /// Calls a peer; repeats the call once if a channel that was open before failed.
+    async fn call<Q, A, F>(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        message: Q,
+        run: impl Fn(Client, Request<Q>) -> F + Send + Sync,
+    ) -> Result<A>
+    where
+        Q: Clone + Send + Sync,
+        F: Future<Output = std::result::Result<Response<A>, Status>> + Send,
+    {
+        let (open, is_reused) = self.channel(step, peer)?;
+        let answer = run(client(&open), self.request(message.clone()));
+        match self.attempt(step, peer, &open, answer).await {
+            Err(error) if is_reused && error.is_connection() => {
+                log::debug!("link: replaced the channel: {error}");
+                let (open, _) = self.channel(step, peer)?;
+                let answer = run(client(&open), self.request(message));
+                self.attempt(step, peer, &open, answer).await
+            }
+            result => result,
+        }
+    }
+
+    /// Waits for the answer of one attempt; drops the channel if the connection failed.
+    async fn attempt<A>(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        open: &Open,
+        answer: impl Future<Output = std::result::Result<Response<A>, Status>> + Send,
+    ) -> Result<A> {
+        let result = match tokio::time::timeout(self.limits.call, answer).await {
+            Ok(Ok(response)) => Ok(response.into_inner()),
+            Ok(Err(status)) => Err(failure(step, peer, &status)),
+            Err(_) => Err(Error::Silent { step, peer }),
+        };
+        if result.as_ref().is_err_and(Error::is_connection) {
+            self.channels.lock().remove(peer, open.number);
+        }
+        result
+    }
+
+    /// A request with the secret.
+    fn request<Q>(&self, message: Q) -> Request<Q> {
+        let mut request = Request::new(message);
+        self.secret.attach(request.metadata_mut());
+        request
+    }
+
+    /// The channel to a peer and whether it was open before.
+    fn channel(&self, step: &'static str, peer: SocketAddr) -> Result<(Open, bool)> {
+        let now = self.clock.now();
+        let mut channels = self.channels.lock();
+        if let Some(open) = channels.get(peer, now) {
+            return Ok((open, true));
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{peer}"))
+            .map_err(|e| Error::Unreachable { step, peer, cause: e.to_string() })?
+            .connect_timeout(self.limits.connect)
+            .tcp_nodelay(true)
+            .http2_keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_TIMEOUT);
+        Ok((channels.insert(peer, endpoint.connect_lazy(), now, self.limits.age), false))
+    }
+}
+
+fn client(open: &Open) -> Client {
+    Client::new(open.channel.clone())
+        .max_decoding_message_size(wire::MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(wire::MAX_MESSAGE_BYTES)
+}
+
+fn failure(step: &'static str, peer: SocketAddr, status: &Status) -> Error {
+    let cause = || status.message().chars().take(200).collect();
+    match status.code() {
+        Code::Unauthenticated => Error::Refused { step, peer },
+        Code::DeadlineExceeded | Code::Cancelled => Error::Silent { step, peer },
+        Code::Unavailable => Error::Unreachable { step, peer, cause: cause() },
+        // A connection that ends during a call has this code and a source.
+        Code::Unknown if std::error::Error::source(status).is_some() => {
+            Error::Unreachable { step, peer, cause: cause() }
+        }
+        _ => Error::Failed { step, peer, cause: cause() },
+    }
+}
+
+fn checked<A, B>(step: &'static str, peer: SocketAddr, answer: A) -> Result<B>
+where
+    B: TryFrom<A, Error = wire::Error>,
+{
+    B::try_from(answer).map_err(|cause| Error::Malformed { step, peer, cause })
+}
+
+impl<C: Clock + 'static> Link for TonicLink<C> {
+    async fn pull(&self, peer: SocketAddr, request: &PullRequest) -> Result<Digest> {
+        let message = generated::PullRequest::from(request.clone());
+        let run = |mut client: Client, request| async move { client.pull(request).await };
+        checked("pull", peer, self.call("pull", peer, message, run).await?)
+    }
+
+    async fn push(&self, peer: SocketAddr, news: &News) -> Result<Ack> {
+        let message = generated::News::from(news.clone());
+        let run = |mut client: Client, request| async move { client.push(request).await };
+        Ok(self.call("push", peer, message, run).await?.into())
+    }
+
+    async fn fetch(&self, peer: SocketAddr, request: &FetchRequest) -> Result<Value> {
+        let message = generated::FetchRequest::from(request.clone());
+        let run = |mut client: Client, request| async move { client.fetch(request).await };
+        checked("fetch", peer, self.call("fetch", peer, message, run).await?)
+    }
+
+    async fn counts(&self, peer: SocketAddr, request: CountsRequest) -> Result<CountsReply> {
+        let message = generated::CountsRequest::from(request);
+        let run = |mut client: Client, request| async move { client.counts(request).await };
+        checked("counts", peer, self.call("counts", peer, message, run).await?)
+    }
+
+    async fn status(&self, peer: SocketAddr, request: StatusRequest) -> Result<StatusReply> {
+        let message = generated::StatusRequest::from(request);
+        let run = |mut client: Client, request| async move { client.status(request).await };
+        checked("status", peer, self.call("status", peer, message, run).await?)
+    }
+}
