--- a/tools/codegen/src/main.rs
+++ b/tools/codegen/src/main.rs
@@ -1,7 +1,7 @@
 //! Generates `crates/wire/src/link/generated.rs` from `crates/wire/proto/link.proto`.
 //!
 //! Run `cargo run --manifest-path tools/codegen/Cargo.toml` from the root of the repository after
-//! a change of the proto file, and commit the result. No build runs this.
+//! a change of the proto file, then `cargo fmt`, and commit the result. No build runs this.
 
 use std::error::Error;
 use std::path::Path;
