--- a/crates/corneltrestle/src/local/caller.rs
+++ b/crates/corneltrestle/src/local/caller.rs
@@ -98,7 +98,8 @@
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let request = request.body(Full::new(Bytes::from(body))).map_err(|e| self.failed("call", e))?;
+        let request =
+            request.body(Full::new(Bytes::from(body))).map_err(|e| self.failed("call", e))?;
         let socket = tokio::net::TcpStream::connect(self.peer)
             .await
             .map_err(|e| self.failed("connect", e))?;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod digest;
 pub mod duty;
 pub mod identity;
+pub mod link;
 pub mod operate;
 pub mod pipeline;
 pub mod tables;
