--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -2,5 +2,6 @@
 
 pub mod assign;
 pub mod discover;
+pub mod gossip;
 pub mod observe;
 pub mod watch;
--- /dev/null
+++ b/crates/node/src/duty/gossip.rs
@@ -0,0 +1,193 @@
+//! Duty: pulls digests from peers and pushes news to them.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_kernel::{host, linkme, plugin};
+use corneltrestle_policy::{id, membership, vm};
+use corneltrestle_time::Moment;
+use corneltrestle_wire::link as wire;
+
+use crate::link::Link;
+use crate::link::port::NodeLink;
+use crate::{follow, identity, tables};
+
+#[linkme::distributed_slice(plugin::PLUGINS)]
+#[linkme(crate = linkme)]
+static GOSSIP: plugin::Plugin = plugin::Plugin {
+    name: "gossip",
+    kind: plugin::Kind::Duty,
+    section: None,
+    check: plugin::unchecked,
+    open: open::<NodeLink>,
+};
+
+/// The duty with what it works on.
+#[derive(Debug)]
+struct Gossip<L> {
+    host: Arc<host::Host>,
+    identity: Arc<identity::Identity>,
+    tables: tables::Tables,
+    link: Arc<L>,
+}
+
+fn open<L: Link>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let gossip = Arc::new(Gossip::<L> {
+        host: Arc::clone(host),
+        identity: host.port()?,
+        tables: tables::Tables::of(host)?,
+        link: host.port()?,
+    });
+    let handle = plugin::Handle::default();
+    let pusher = Arc::clone(&gossip);
+    handle.run_until_stop(&host.pool, async move { pusher.push_news().await });
+    let leaver = Arc::clone(&gossip);
+    let stop = handle.stop().clone();
+    handle.run(&host.pool, async move {
+        stop.cancelled().await;
+        leaver.leave().await;
+    });
+    let mut round = 0;
+    host.every(&handle, membership::PERIOD, move |now| {
+        round += 1;
+        gossip.start_round(round, now);
+        std::future::ready(())
+    });
+    Ok(handle)
+}
+
+impl<L: Link> Gossip<L> {
+    /// Starts the pulls of a round, each in a job of its own, so that a silent peer delays none.
+    fn start_round(self: &Arc<Self>, round: u64, now: Moment) {
+        self.renew(now);
+        let own = &self.identity.zone;
+        let zones = self.zones();
+        let others: Vec<_> = zones.iter().filter(|zone| *zone != own).cloned().collect();
+        let (near, far) = {
+            let members = self.tables.members.lock();
+            let view = members.known.view(now);
+            let near = view.pull_target(round).map(|(_, member)| member.address);
+            let far = others.get(usize::try_from(round).unwrap_or(0) % others.len().max(1));
+            let far = far.and_then(|zone| {
+                let contacts = view.contacts(zone.as_str());
+                let turn = usize::try_from(round / others.len() as u64).unwrap_or(0);
+                let contact = contacts.get(turn % contacts.len().max(1))?;
+                Some((zone.clone(), view.get(contact.as_str())?.address))
+            });
+            (near, far)
+        };
+        if let Some(peer) = near {
+            self.pull(peer, std::slice::from_ref(own), &zones, now);
+        }
+        if let Some((zone, peer)) = far {
+            let zone = [zone];
+            self.pull(peer, &zone, &zone, now);
+        }
+    }
+
+    /// Counts the own heartbeat, takes nodes from the VM list and publishes the own demand.
+    fn renew(&self, now: Moment) {
+        let demand: Vec<_> = {
+            let admission = self.tables.admission.lock();
+            let rows = admission.policy.demand(now);
+            rows.filter(|(_, amount)| *amount >= 1.0)
+                .map(|(name, amount)| (name.clone(), amount.min(1e9) as u32))
+                .collect()
+        };
+        let mut members = self.tables.members.lock();
+        if members.known.run(now) {
+            log::warn!("node: this process was paused; views are renewed before decisions");
+        }
+        let node = &self.identity.node;
+        let heartbeat = members.known.view(now).get(node.as_str()).map_or(0, |own| own.heartbeat);
+        members.publish_demand(node, heartbeat, demand);
+        members.prune(now);
+        let listed = Arc::clone(&self.tables.listed.lock().vms);
+        let entries = listed
+            .iter()
+            .filter(|vm| vm.role == vm::Role::Entry && vm.state == vm::State::Live)
+            .filter(|vm| vm.id.as_str() != node.as_str());
+        for vm in entries {
+            members.known.discover(&vm.id.as_str().into(), &vm.zone, vm.address, now);
+        }
+    }
+
+    /// All zones that are declared or have nodes, the own one included.
+    fn zones(&self) -> Vec<id::Zone> {
+        let release = self.tables.current.load();
+        let listed = Arc::clone(&self.tables.listed.lock().vms);
+        let mut zones: BTreeSet<id::Zone> = release.zones.keys().cloned().collect();
+        zones.extend(listed.iter().filter(|vm| vm.role == vm::Role::Entry).map(|vm| vm.zone.clone()));
+        zones.insert(self.identity.zone.clone());
+        zones.into_iter().collect()
+    }
+
+    fn pull(
+        self: &Arc<Self>,
+        peer: std::net::SocketAddr,
+        rosters: &[id::Zone],
+        zones: &[id::Zone],
+        now: Moment,
+    ) {
+        let pull = follow::Pull::prepare(&self.identity, &self.tables, rosters, zones, now);
+        let gossip = Arc::clone(self);
+        self.host.pool.run(async move {
+            if let Err(e) = pull.run(&gossip.host, &gossip.tables, &*gossip.link, peer).await {
+                log::debug!("link: {e}");
+            }
+        });
+    }
+}
+
+/// Pushes of news.
+impl<L: Link> Gossip<L> {
+    async fn push_news(self: Arc<Self>) {
+        let added = self.tables.outbox.lock().added();
+        loop {
+            added.notified().await;
+            let posts = self.tables.outbox.lock().take();
+            for post in posts {
+                self.push(&post);
+            }
+        }
+    }
+
+    /// Pushes a piece of news to a few peers, each in a job of its own.
+    fn push(self: &Arc<Self>, post: &tables::outbox::Post) {
+        for peer in self.push_targets(post.sender.as_ref()) {
+            let gossip = Arc::clone(self);
+            let news =
+                wire::News { node: self.identity.node.clone(), kind: post.kind.clone() };
+            self.host.pool.run(async move {
+                if let Err(e) = gossip.link.push(peer, &news).await {
+                    log::debug!("link: {e}");
+                }
+            });
+        }
+    }
+
+    fn push_targets(&self, sender: Option<&id::Node>) -> Vec<std::net::SocketAddr> {
+        let now = self.host.now();
+        let members = self.tables.members.lock();
+        let view = members.known.view(now);
+        let targets = view.push_targets(sender, &mut rand::rng());
+        targets.into_iter().map(|(_, member)| member.address).collect()
+    }
+
+    /// Tells peers of a planned stop.
+    async fn leave(&self) {
+        let kind = wire::NewsKind::Drain {
+            node: self.identity.node.clone(),
+            boot: self.identity.boot,
+        };
+        let news = wire::News { node: self.identity.node.clone(), kind };
+        let pushes = self.push_targets(None).into_iter().map(|peer| {
+            let news = &news;
+            tokio::time::timeout(Duration::from_secs(1), async move {
+                self.link.push(peer, news).await
+            })
+        });
+        futures_util::future::join_all(pushes).await;
+    }
+}
--- a/crates/node/src/duty/observe.rs
+++ b/crates/node/src/duty/observe.rs
@@ -5,12 +5,22 @@
 
 use corneltrestle_engine::engine::{self, Engine};
 use corneltrestle_kernel::{host, linkme, plugin};
-use corneltrestle_policy::{assignment, vm};
+use corneltrestle_policy::{assignment, id, membership, rank, vm};
+use corneltrestle_time::Moment;
+use corneltrestle_wire::link::NewsKind;
 
-use crate::{identity, tables};
+use crate::{follow, identity, tables};
 
 /// Time between two polls of a VM.
 const PERIOD: Duration = Duration::from_millis(500);
+/// Longest wait for a report; a later one counts as missed.
+const POLL_WAIT: Duration = Duration::from_millis(400);
+/// Nodes that poll each VM, so that the loss of one does not hide it.
+const OBSERVERS: usize = 2;
+/// Polls missed in a row after which a VM is lost.
+const MISSES: u32 = 2;
+/// Age at which a report is forgotten.
+const FORGOTTEN: Duration = Duration::from_secs(300);
 
 #[linkme::distributed_slice(plugin::PLUGINS)]
 #[linkme(crate = linkme)]
@@ -22,53 +32,110 @@
     open: open::<engine::http::HttpEngine>,
 };
 
+/// The duty with what it works on.
+#[derive(Debug)]
+struct Observer<E> {
+    host: Arc<host::Host>,
+    identity: Arc<identity::Identity>,
+    tables: tables::Tables,
+    engine: Arc<E>,
+}
+
 fn open<E: Engine>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
-    let port = host.port::<E>()?;
-    let identity = host.port::<identity::Identity>()?;
-    let tables = tables::Tables::of(host)?;
+    let observer = Arc::new(Observer::<E> {
+        host: Arc::clone(host),
+        identity: host.port()?,
+        tables: tables::Tables::of(host)?,
+        engine: host.port()?,
+    });
     let handle = plugin::Handle::default();
-    let node = Arc::clone(host);
-    host.every(&handle, PERIOD, move |_| {
-        for member in observed(&tables, &identity) {
-            let (node, port, tables) = (Arc::clone(&node), Arc::clone(&port), tables.clone());
-            // Each VM is polled by a job of its own, so that a silent one delays no other.
-            node.clone().pool.run(async move { poll(&node, &*port, &tables, member).await });
-        }
+    host.every(&handle, PERIOD, move |now| {
+        observer.start_polls(now);
         std::future::ready(())
     });
     Ok(handle)
 }
 
-/// The VMs of the own zone that are listed or assigned.
-fn observed(tables: &tables::Tables, identity: &identity::Identity) -> Vec<assignment::Member> {
-    let listed = Arc::clone(&tables.listed.lock().vms);
-    let assigned = tables.replicas.lock().zone(identity.zone.as_str()).assignment;
-    let mut members: Vec<_> = listed
-        .iter()
-        .filter(|entry| entry.role == vm::Role::Engine && entry.zone == identity.zone)
-        .map(|entry| assignment::Member { id: entry.id.clone(), address: entry.address })
-        .chain(assigned.replicas.iter().flat_map(|replica| replica.vms.iter().cloned()))
-        .chain(assigned.releasing.iter().map(|releasing| releasing.vm.clone()))
-        .collect();
-    members.sort_by(|a, b| a.id.cmp(&b.id));
-    members.dedup_by(|a, b| a.id == b.id);
-    members
-}
+impl<E: Engine> Observer<E> {
+    /// Starts a poll of each VM in a job of its own, so that a silent one delays no other.
+    fn start_polls(self: &Arc<Self>, now: Moment) {
+        self.tables.reports.lock().prune(now.before(FORGOTTEN));
+        for member in self.observed(now) {
+            let observer = Arc::clone(self);
+            self.host.pool.run(async move { observer.poll(member).await });
+        }
+    }
+
+    /// The VMs of the zone that this node polls: all of them while it holds the zone lease.
+    fn observed(&self, now: Moment) -> Vec<assignment::Member> {
+        let members = self.tables.members.lock();
+        let view = members.known.view(now);
+        let zone = &self.identity.zone;
+        let live: Vec<_> = view.live(zone.as_str()).map(|(node, _)| node.as_str()).collect();
+        let own = self.identity.node.as_str();
+        let is_holder = self.tables.coordinator.lock().held.is_some();
+        let others = || live.iter().copied().filter(|node| *node != own);
+        let mut all = self.zone_vms();
+        all.retain(|member| {
+            is_holder || rank::is_first(member.id.as_str(), own, others(), OBSERVERS)
+        });
+        all
+    }
+
+    /// The engine VMs of the zone that are listed or assigned.
+    fn zone_vms(&self) -> Vec<assignment::Member> {
+        let zone = &self.identity.zone;
+        let listed = Arc::clone(&self.tables.listed.lock().vms);
+        let assigned = self.tables.replicas.lock().zone(zone.as_str()).assignment;
+        let mut members: Vec<_> = listed
+            .iter()
+            .filter(|entry| entry.role == vm::Role::Engine && entry.zone == *zone)
+            .map(|entry| assignment::Member { id: entry.id.clone(), address: entry.address })
+            .chain(assigned.replicas.iter().flat_map(|replica| replica.vms.iter().cloned()))
+            .chain(assigned.releasing.iter().map(|releasing| releasing.vm.clone()))
+            .collect();
+        members.sort_by(|a, b| a.id.cmp(&b.id));
+        members.dedup_by(|a, b| a.id == b.id);
+        members
+    }
+
+    async fn poll(&self, member: assignment::Member) {
+        // The report holds at least since the poll was sent.
+        let sent = self.host.now();
+        let report = tokio::time::timeout(POLL_WAIT, self.engine.report(member.address)).await;
+        match report {
+            Ok(Ok(report)) if report.vm == member.id => {
+                self.tables.reports.lock().polled(report, sent);
+            }
+            Ok(Ok(report)) => {
+                log::warn!("group: VM {} answered as {}", member.id, report.vm);
+                self.missed(&member.id);
+            }
+            Ok(Err(e)) => {
+                log::debug!("group: {e}");
+                self.missed(&member.id);
+            }
+            Err(_) => self.missed(&member.id),
+        }
+    }
 
-async fn poll<E: Engine>(
-    node: &host::Host,
-    port: &E,
-    tables: &tables::Tables,
-    member: assignment::Member,
-) {
-    // The report holds at least since the poll was sent.
-    let sent = node.now();
-    match port.report(member.address).await {
-        Ok(report) if report.vm == member.id => tables.reports.lock().record(report, sent),
-        Ok(report) => log::warn!("observe: {} answered as {}", member.id, report.vm),
-        Err(e) => {
-            let missed = tables.reports.lock().miss(&member.id);
-            log::debug!("observe: {e}; {missed} polls missed");
+    /// Counts a missed poll; a member VM that is lost is announced at once.
+    fn missed(&self, vm: &id::Vm) {
+        if self.tables.reports.lock().miss(vm) != MISSES {
+            return;
         }
+        let zone = &self.identity.zone;
+        let assigned = self.tables.replicas.lock().zone(zone.as_str()).assignment;
+        let Some(replica) = assigned.replica_of(vm.as_str()) else { return };
+        let news = membership::News::Loss { vm: vm.clone(), epoch: replica.epoch };
+        self.tables.members.lock().forwarded.first(&news);
+        let kind = NewsKind::Loss {
+            zone: zone.clone(),
+            vm: vm.clone(),
+            replica: replica.id.clone(),
+            epoch: replica.epoch,
+        };
+        follow::lose(&self.host, &self.tables, vm);
+        self.tables.outbox.lock().post(kind, None);
     }
 }
--- a/crates/node/src/duty/watch.rs
+++ b/crates/node/src/duty/watch.rs
@@ -1,17 +1,21 @@
 //! Duty: follows the head of the configuration in the store.
+//!
+//! Two nodes of each zone hold a watch; the others hear from them and read the store themselves
+//! only when such news stop. The duty also decides when a starting node is ready.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use corneltrestle_kernel::{host, linkme, plugin, run};
 use corneltrestle_platform::store::{self, Class, Store, Watch};
-use corneltrestle_policy::release;
+use corneltrestle_policy::{adoption, assignment, release};
+use corneltrestle_time::Moment;
 use corneltrestle_wire::{key, stored};
 
-use crate::tables;
+use crate::{follow, identity, tables};
 
-/// Wait before a new watch after one has ended.
-const RETRY: Duration = Duration::from_millis(500);
+/// Time between two looks at who watches and how old the news are.
+const PERIOD: Duration = Duration::from_millis(250);
 
 #[linkme::distributed_slice(plugin::PLUGINS)]
 #[linkme(crate = linkme)]
@@ -23,52 +27,160 @@
     open: open::<store::etcd::EtcdStore>,
 };
 
+/// The duty with what it works on.
+#[derive(Debug)]
+struct Watcher<S> {
+    host: Arc<host::Host>,
+    identity: Arc<identity::Identity>,
+    tables: tables::Tables,
+    store: Arc<S>,
+}
+
 fn open<S: Store>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
-    let port = host.port::<S>()?;
-    let tables = tables::Tables::of(host)?;
+    let watcher = Arc::new(Watcher::<S> {
+        host: Arc::clone(host),
+        identity: host.port()?,
+        tables: tables::Tables::of(host)?,
+        store: host.port()?,
+    });
     let handle = plugin::Handle::default();
-    let node = Arc::clone(host);
-    host.every(&handle, RETRY, move |_| {
-        let (node, port, tables) = (Arc::clone(&node), Arc::clone(&port), tables.clone());
-        async move {
-            if let Err(e) = follow(&node, &*port, &tables).await {
-                log::warn!("store: {e}");
-            }
-        }
+    host.every(&handle, PERIOD, move |now| {
+        let watcher = Arc::clone(&watcher);
+        async move { watcher.round(now).await }
     });
     Ok(handle)
 }
 
-/// Reads the head, then follows its changes until the watch ends.
-async fn follow<S: Store>(
-    node: &host::Host,
-    port: &S,
-    tables: &tables::Tables,
-) -> store::Result<()> {
-    let head = port.read(key::head(), Class::Config).await?;
-    let version = head.as_ref().map_or(0, |head| head.version);
-    adopt(node, tables, head);
-    let mut watch = port.watch(key::head(), version).await?;
-    loop {
-        if let store::Event::Changed(changed) = watch.next().await? {
-            adopt(node, tables, changed);
+impl<S: Store> Watcher<S> {
+    async fn round(&self, now: Moment) {
+        if self.host.run.stage() == run::Stage::Starting {
+            self.start().await;
+            return;
+        }
+        let (watches, read_at) = self.role();
+        let result = if watches {
+            self.follow().await
+        } else if now >= read_at {
+            self.read().await.map(|_| ())
+        } else {
+            Ok(())
+        };
+        if let Err(e) = result {
+            log::info!("store: {e}");
+        }
+    }
+
+    /// Whether this node watches, and when it reads the head itself otherwise.
+    fn role(&self) -> (bool, Moment) {
+        let now = self.host.now();
+        let confirmed = self.tables.config.lock().confirmed.unwrap_or(Moment::ZERO);
+        let members = self.tables.members.lock();
+        let view = members.known.view(now);
+        let (zone, own) = (self.identity.zone.as_str(), self.identity.node.as_str());
+        let live = || view.live(zone).map(|(node, _)| node.as_str());
+        let watches = adoption::watches(zone, own, live());
+        (watches, adoption::read_at(zone, own, live(), confirmed, &mut rand::rng()))
+    }
+
+    /// Follows changes of the head until the watch ends or another node is to watch.
+    async fn follow(&self) -> store::Result<()> {
+        let version = self.read().await?;
+        let mut watch = self.store.watch(key::head(), version).await?;
+        while self.role().0 {
+            match watch.next().await? {
+                store::Event::Changed(head) => {
+                    self.adopt(head, self.host.now());
+                }
+                store::Event::Progress => {
+                    let mut config = self.tables.config.lock();
+                    let revision = config.revision();
+                    config.heard(revision, self.host.now());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the head and returns its version.
+    async fn read(&self) -> store::Result<store::Version> {
+        let sent = self.host.now();
+        let head = self.store.read(key::head(), Class::Config).await?;
+        let version = head.as_ref().map_or(0, |head| head.version);
+        self.adopt(head, sent);
+        Ok(version)
+    }
+
+    /// Adopts a head that was the present one at `at`; returns its revision.
+    fn adopt(&self, head: Option<store::Versioned>, at: Moment) -> u64 {
+        let Some(head) = head else {
+            self.tables.config.lock().heard(0, at);
+            return 0;
+        };
+        let release = match stored::decode::<release::Release>(key::head(), &head.value) {
+            Ok(release) => release,
+            Err(e) => {
+                log::error!("store: {e}");
+                return 0;
+            }
+        };
+        let revision = release.revision;
+        let own = self.tables.config.lock().revision();
+        if adoption::decide(own, revision, adoption::Source::Store) == adoption::Decision::Regressed
+        {
+            log::error!("store: the head is at revision {revision}, behind {own}; keeping {own}");
         }
+        follow::adopt_release(&self.tables, release, head.version);
+        self.tables.config.lock().heard(revision, at);
+        revision
     }
 }
 
-fn adopt(node: &host::Host, tables: &tables::Tables, head: Option<store::Versioned>) {
-    if let Some(head) = head {
-        match stored::decode::<release::Release>(key::head(), &head.value) {
-            Ok(release) => {
-                let revision = release.revision;
-                let mut config = tables.config.lock();
-                if config.adopt(release) {
-                    config.version = head.version;
-                    log::info!("store: revision {revision} is in force");
+/// Start of a node.
+impl<S: Store> Watcher<S> {
+    /// Reads the store once and becomes ready with the highest revision that can be known.
+    async fn start(&self) {
+        let store = match self.read().await {
+            Ok(_) => {
+                if let Err(e) = self.read_assignment().await {
+                    log::info!("store: {e}");
                 }
+                adoption::Answer::Revision(self.tables.config.lock().revision())
+            }
+            Err(e) => {
+                log::warn!("store: {e}");
+                adoption::Answer::Unreachable
+            }
+        };
+        let (own, peer) = {
+            let config = self.tables.config.lock();
+            (config.revision(), config.peer)
+        };
+        // Peers are asked by the pulls; the store's own answer does not wait for them, because it
+        // holds the highest revision.
+        let peers: Vec<_> = match (store, peer) {
+            (adoption::Answer::Revision(_), None) => Vec::new(),
+            (_, peer) => vec![peer.unwrap_or(adoption::Answer::Unreachable)],
+        };
+        match adoption::readiness(Some(own), store, &peers) {
+            adoption::Readiness::Ready => {
+                log::info!("node: ready at revision {own}");
+                self.host.run.advance(run::Stage::Ready);
+            }
+            readiness => log::info!("node: not ready yet: {readiness:?}"),
+        }
+    }
+
+    /// Reads the assignment of the own zone, which this node may need before a peer answers.
+    async fn read_assignment(&self) -> store::Result<()> {
+        let zone = &self.identity.zone;
+        let key = key::groups(zone.as_str());
+        let Some(found) = self.store.read(&key, Class::Config).await? else { return Ok(()) };
+        match stored::decode::<assignment::Assignment>(&key, &found.value) {
+            Ok(assignment) => {
+                self.tables.replicas.lock().adopt(zone, found.version, assignment);
             }
             Err(e) => log::error!("store: {e}"),
         }
+        Ok(())
     }
-    node.run.advance(run::Stage::Ready);
 }
--- /dev/null
+++ b/crates/node/src/follow.rs
@@ -0,0 +1,130 @@
+//! Taking over what peers know: news, documents and digests.
+
+mod digest;
+mod reports;
+
+use std::net::SocketAddr;
+
+use corneltrestle_kernel::host;
+use corneltrestle_policy::{assignment, id, membership, release};
+use corneltrestle_wire::link::{self as wire, NewsKind};
+use corneltrestle_wire::{key, stored};
+
+pub use digest::Pull;
+pub use reports::ZoneReports;
+
+use crate::link::{self, Link};
+use crate::tables;
+
+/// Whether this node hears of a piece of news for the first time.
+pub fn is_fresh(tables: &tables::Tables, kind: &NewsKind) -> bool {
+    let news = match kind {
+        NewsKind::Revision { revision } => {
+            if *revision <= tables.config.lock().revision() {
+                return false;
+            }
+            membership::News::Revision(*revision)
+        }
+        NewsKind::Loss { vm, epoch, .. } => {
+            membership::News::Loss { vm: vm.clone(), epoch: *epoch }
+        }
+        NewsKind::Drain { node, boot } => {
+            membership::News::Drain { node: node.clone(), boot: *boot }
+        }
+    };
+    tables.members.lock().forwarded.first(&news)
+}
+
+/// Acts on news that came from the peer at `sender`.
+pub async fn take<L: Link>(
+    host: &host::Host,
+    tables: &tables::Tables,
+    link: &L,
+    kind: &NewsKind,
+    sender: Option<SocketAddr>,
+) {
+    match kind {
+        NewsKind::Revision { .. } => {
+            let Some(sender) = sender else { return };
+            if let Err(e) = fetch_release(tables, link, sender).await {
+                log::info!("link: {e}");
+            }
+        }
+        NewsKind::Loss { vm, .. } => lose(host, tables, vm),
+        NewsKind::Drain { node, boot } => {
+            tables.members.lock().known.drain(node, *boot);
+        }
+    }
+}
+
+/// Notes the loss of a VM, whose replica takes no work from now on.
+pub fn lose(host: &host::Host, tables: &tables::Tables, vm: &id::Vm) {
+    log::info!("group: VM {vm} is lost");
+    tables.reports.lock().lose(vm, host.now());
+}
+
+/// Fetches the release from a peer and adopts it if it is newer; returns whether it was.
+///
+/// # Errors
+///
+/// When the peer does not answer.
+pub async fn fetch_release<L: Link>(
+    tables: &tables::Tables,
+    link: &L,
+    peer: SocketAddr,
+) -> link::Result<bool> {
+    let known = tables.config.lock().revision();
+    let request = wire::FetchRequest { document: wire::Document::Release, known };
+    let value = link.fetch(peer, &request).await?;
+    let Some(body) = value.body else { return Ok(false) };
+    match stored::decode::<release::Release>(key::head(), &body) {
+        Ok(release) => Ok(adopt_release(tables, release, 0)),
+        Err(e) => {
+            log::error!("link: peer {peer} sent a release that cannot be read: {e}");
+            Ok(false)
+        }
+    }
+}
+
+/// Adopts a release if it is newer and tells peers of it; returns whether it was newer.
+///
+/// `version` is its version in the store, 0 if it came from a peer.
+pub fn adopt_release(tables: &tables::Tables, release: release::Release, version: u64) -> bool {
+    let revision = release.revision;
+    {
+        let mut config = tables.config.lock();
+        if !config.adopt(release) {
+            return false;
+        }
+        config.version = version;
+    }
+    log::info!("config: revision {revision} is in force");
+    let news = membership::News::Revision(revision);
+    tables.members.lock().forwarded.first(&news);
+    tables.outbox.lock().post(NewsKind::Revision { revision }, None);
+    true
+}
+
+/// Fetches the assignment of a zone from a peer and adopts it if it is newer.
+///
+/// # Errors
+///
+/// When the peer does not answer.
+pub async fn fetch_assignment<L: Link>(
+    tables: &tables::Tables,
+    link: &L,
+    peer: SocketAddr,
+    zone: &id::Zone,
+) -> link::Result<()> {
+    let known = tables.replicas.lock().zone(zone.as_str()).version;
+    let request = wire::FetchRequest { document: wire::Document::Assignment(zone.clone()), known };
+    let value = link.fetch(peer, &request).await?;
+    let Some(body) = value.body else { return Ok(()) };
+    match stored::decode::<assignment::Assignment>(&key::groups(zone.as_str()), &body) {
+        Ok(assignment) => {
+            tables.replicas.lock().adopt(zone, value.revision, assignment);
+        }
+        Err(e) => log::error!("link: peer {peer} sent an assignment that cannot be read: {e}"),
+    }
+    Ok(())
+}
--- a/crates/node/src/identity.rs
+++ b/crates/node/src/identity.rs
@@ -140,8 +140,7 @@
         identity.boot,
         host.now(),
     );
-    let forwarded = membership::Forwarded::default();
-    host.provide(Arc::new(table::Table::new(members::Members { known, forwarded })));
+    host.provide(Arc::new(table::Table::new(members::Members::new(known))));
     host.provide(Arc::new(identity));
     Ok(plugin::Handle::idle())
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,8 +4,10 @@
 //! Duties keep the tables true; the [`pipeline`] reads them for each request. Decisions are in
 //! [`corneltrestle_policy`].
 
+pub mod counts;
 pub mod digest;
 pub mod duty;
+pub mod follow;
 pub mod identity;
 pub mod link;
 pub mod operate;
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -3,9 +3,11 @@
 //! A shared secret authenticates the caller of each call. Every call is repeatable: pulls and
 //! fetches only read, and news that is known already has no effect.
 
+pub mod answer;
 mod channels;
 mod error;
 mod incoming;
+pub mod port;
 mod secret;
 mod server;
 mod tonic_link;
--- /dev/null
+++ b/crates/node/src/link/answer.rs
@@ -0,0 +1,178 @@
+//! Answers to the calls of peers, from this node's tables.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use corneltrestle_kernel::{host, plugin};
+use corneltrestle_policy::{assignment, id, membership, release, wholeness};
+use corneltrestle_time::Moment;
+use corneltrestle_wire::link as wire;
+use corneltrestle_wire::{key, stored};
+
+use super::{Handler, Link};
+use crate::{counts, follow, identity, tables};
+
+/// Longest wait for another node of the zone when a status call asks for all of them.
+const STATUS_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Answers from the tables of a node.
+#[derive(Debug)]
+pub struct Answers<L> {
+    host: Arc<host::Host>,
+    identity: Arc<identity::Identity>,
+    tables: tables::Tables,
+    link: Arc<L>,
+}
+
+impl<L: Link> Answers<L> {
+    /// Opens the answers on a host.
+    ///
+    /// # Errors
+    ///
+    /// When a port is missing.
+    pub fn open(host: &Arc<host::Host>) -> plugin::Result<Self> {
+        Ok(Self {
+            host: Arc::clone(host),
+            identity: host.port()?,
+            tables: tables::Tables::of(host)?,
+            link: host.port()?,
+        })
+    }
+
+    /// The state of this node.
+    pub fn own_status(&self) -> wire::NodeStatus {
+        let now = self.host.now();
+        let zone = &self.identity.zone;
+        let (revision, watch_age) = {
+            let config = self.tables.config.lock();
+            (config.revision(), config.watch_age(now))
+        };
+        let stored = self.tables.replicas.lock().zone(zone.as_str());
+        let serving = self.serving(zone, &stored.assignment, now);
+        wire::NodeStatus {
+            node: self.identity.node.clone(),
+            zone: zone.clone(),
+            is_reached: true,
+            stage: self.host.run.stage(),
+            revision,
+            watch_age,
+            replicas: u32::try_from(stored.assignment.replicas.len()).unwrap_or(u32::MAX),
+            serving,
+        }
+    }
+
+    fn serving(&self, zone: &id::Zone, assignment: &assignment::Assignment, now: Moment) -> u32 {
+        let zone_in = self.tables.current.load().is_in(zone.as_str());
+        let leaving = Default::default();
+        let reports = self.tables.reports.lock();
+        let whole = assignment.replicas.iter().filter(|replica| {
+            let bound = self.identity.view_bound;
+            let reports = reports.all();
+            let view = wholeness::View { replica, reports, leaving: &leaving, zone_in, bound };
+            wholeness::check(&view, now).is_ok()
+        });
+        u32::try_from(whole.count()).unwrap_or(u32::MAX)
+    }
+
+    /// The states of the other nodes of the zone that are not known to be dead.
+    async fn zone_status(&self) -> Vec<wire::NodeStatus> {
+        let now = self.host.now();
+        let members = self.tables.members.lock().roster(self.identity.zone.as_str(), now);
+        let ask = |member: wire::Member| async move {
+            let request = wire::StatusRequest { is_zone: false };
+            let call = self.link.status(member.address, request);
+            let reply = tokio::time::timeout(STATUS_WAIT, call).await;
+            let known = reply.ok().and_then(Result::ok).and_then(|r| r.nodes.into_iter().next());
+            known.unwrap_or_else(|| unreached(&member, &self.identity.zone))
+        };
+        let others = members.into_iter().filter(|member| {
+            member.id != self.identity.node && member.age < membership::DEAD
+        });
+        futures_util::future::join_all(others.map(ask)).await
+    }
+}
+
+fn unreached(member: &wire::Member, zone: &id::Zone) -> wire::NodeStatus {
+    wire::NodeStatus {
+        node: member.id.clone(),
+        zone: zone.clone(),
+        is_reached: false,
+        stage: member.state,
+        revision: 0,
+        watch_age: Duration::ZERO,
+        replicas: 0,
+        serving: 0,
+    }
+}
+
+impl<L: Link> Handler for Answers<L> {
+    async fn pull(&self, request: &wire::PullRequest) -> wire::Digest {
+        let now = self.host.now();
+        let (revision, watch_age) = {
+            let config = self.tables.config.lock();
+            (config.revision(), config.watch_age(now))
+        };
+        let rosters = {
+            let members = self.tables.members.lock();
+            let answer = |known: &wire::KnownRoster| {
+                let roster = members.roster(known.zone.as_str(), now);
+                wire::Roster::answer(&known.zone, &members.views(&roster), known)
+            };
+            request.rosters.iter().map(answer).collect()
+        };
+        let answer = |known: &wire::KnownReports| {
+            let view = follow::ZoneReports::of(&self.tables, &known.zone, now);
+            wire::Reports::answer(&known.zone, view.version, &view.ages, &view.loads, known)
+        };
+        wire::Digest {
+            node: self.identity.node.clone(),
+            revision,
+            watch_age,
+            rosters,
+            reports: request.reports.iter().map(answer).collect(),
+        }
+    }
+
+    async fn push(&self, news: &wire::News) -> wire::Ack {
+        let is_fresh = follow::is_fresh(&self.tables, &news.kind);
+        if is_fresh {
+            let address = {
+                let now = self.host.now();
+                let members = self.tables.members.lock();
+                members.known.view(now).get(news.node.as_str()).map(|member| member.address)
+            };
+            follow::take(&self.host, &self.tables, &*self.link, &news.kind, address).await;
+            self.tables.outbox.lock().post(news.kind.clone(), Some(news.node.clone()));
+        }
+        wire::Ack { is_fresh }
+    }
+
+    async fn fetch(&self, request: &wire::FetchRequest) -> wire::Value {
+        let (revision, body) = match &request.document {
+            wire::Document::Release => {
+                let release = self.tables.current.load();
+                let encode = || stored::encode::<release::Release>(key::head(), &release);
+                (release.revision, (release.revision > request.known).then(encode))
+            }
+            wire::Document::Assignment(zone) => {
+                let known = self.tables.replicas.lock().zone(zone.as_str());
+                let encode = || stored::encode(&key::groups(zone.as_str()), &*known.assignment);
+                (known.version, (known.version > request.known).then(encode))
+            }
+        };
+        wire::Value { revision, body: body.and_then(Result::ok).map(Bytes::from) }
+    }
+
+    async fn counts(&self, request: wire::CountsRequest) -> wire::CountsReply {
+        counts::reply(&self.host, &self.identity, &self.tables, request)
+    }
+
+    async fn status(&self, request: wire::StatusRequest) -> wire::StatusReply {
+        let mut nodes = vec![self.own_status()];
+        if request.is_zone {
+            nodes.extend(self.zone_status().await);
+        }
+        wire::StatusReply { nodes }
+    }
+}
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -4,7 +4,7 @@
 use corneltrestle_policy::{changeset, release};
 use corneltrestle_wire::{key, note, stored};
 
-use crate::tables;
+use crate::{follow, tables};
 
 /// Tries to settle a write whose answer was lost before the verdict is unknown.
 const SETTLE_TRIES: u32 = 5;
@@ -81,7 +81,7 @@
         let next = match next(&head, text) {
             Ok(next) => next,
             Err(verdict) => {
-                adopt(tables, head);
+                follow::adopt_release(tables, head.release, head.version);
                 return verdict;
             }
         };
@@ -92,7 +92,7 @@
         };
         match store.swap(key::head(), head.version, &value, None, Class::Config).await {
             Ok(Swap::Done(version)) => {
-                adopt(tables, Head { version, release: next });
+                follow::adopt_release(tables, next, version);
                 log::info!("note: revision {revision} is accepted");
                 return Verdict::Accepted { revision };
             }
@@ -139,13 +139,6 @@
     changeset::apply(&head.release, &changeset).map_err(|e| verdict(&head.release, &e))
 }
 
-fn adopt(tables: &tables::Tables, head: Head) {
-    let mut config = tables.config.lock();
-    if config.adopt(head.release) {
-        config.version = head.version;
-    }
-}
-
 fn verdict(present: &release::Release, error: &changeset::Error) -> Verdict {
     match &error.kind {
         changeset::Kind::AlreadyAccepted(revision) => Verdict::Accepted { revision: *revision },
--- a/crates/node/src/pipeline.rs
+++ b/crates/node/src/pipeline.rs
@@ -107,7 +107,9 @@
     }
 
     /// Demand of an organisation at this node and at all live nodes, and the number of those.
-    fn demand(&self, _organisation: &id::Organisation) -> (f64, f64, usize) {
-        (1.0, 1.0, self.live_nodes())
+    fn demand(&self, organisation: &id::Organisation) -> (f64, f64, usize) {
+        let now = self.now();
+        let members = self.tables.members.lock();
+        members.demand(&self.identity.node, organisation.as_str(), now)
     }
 }
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -4,6 +4,7 @@
 //! |---|---|---|
 //! | 10 | [`config::Config`] | accepted release and its version in the store |
 //! | 20 | [`members::Members`] | nodes of this and other zones |
+//! | 22 | [`outbox::Outbox`] | news that wait to be pushed |
 //! | 25 | [`listed::Listed`] | the platform's VM list |
 //! | 30 | [`replicas::Replicas`] | assignment of each zone |
 //! | 35 | [`coordinator::Coordinator`] | state of the holder of the zone lease |
@@ -23,6 +24,7 @@
 pub mod dispatched;
 pub mod listed;
 pub mod members;
+pub mod outbox;
 pub mod replicas;
 pub mod reports;
 pub mod warmup;
@@ -40,6 +42,8 @@
     pub current: config::Current,
     /// Nodes of this and other zones.
     pub members: Arc<table::Table<members::Members>>,
+    /// News to push.
+    pub outbox: Arc<table::Table<outbox::Outbox>>,
     /// The platform's VM list.
     pub listed: Arc<table::Table<listed::Listed>>,
     /// Assignments.
@@ -73,6 +77,7 @@
             config,
             current,
             members: host.port()?,
+            outbox: host.table(),
             listed: host.table(),
             replicas: host.table(),
             coordinator: host.table(),
--- a/crates/node/src/tables/config.rs
+++ b/crates/node/src/tables/config.rs
@@ -1,19 +1,25 @@
 //! The accepted release.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use corneltrestle_kernel::table;
-use corneltrestle_policy::release;
+use corneltrestle_policy::{adoption, release};
 use corneltrestle_time::Moment;
 
+/// Age of watch data that was never received.
+const UNCONFIRMED: Duration = Duration::from_secs(86_400);
+
 /// The accepted release with its place in the store; rank 10.
 #[derive(Debug, Default)]
 pub struct Config {
     /// Version of `config/head` in the store when it was read, 0 if learned from a peer.
     pub version: u64,
-    /// When a watch or a direct read last confirmed the head, on this or another node.
+    /// When a watch or a direct read last confirmed the present revision, on any node.
     pub confirmed: Option<Moment>,
+    /// The highest revision with which a peer of the zone has answered.
+    pub peer: Option<adoption::Answer>,
     current: Current,
 }
 
@@ -46,6 +52,27 @@
         self.current.release.load().revision
     }
 
+    /// Age of the newest watch data; a day if there is none.
+    pub fn watch_age(&self, now: Moment) -> Duration {
+        self.confirmed.map_or(UNCONFIRMED, |confirmed| now.since(confirmed))
+    }
+
+    /// Notes that `revision` was the newest one at `at`, as the store or a peer says.
+    pub fn heard(&mut self, revision: u64, at: Moment) {
+        if revision <= self.revision() {
+            self.confirmed = self.confirmed.max(Some(at));
+        }
+    }
+
+    /// Notes that a peer of the zone answered with `revision`.
+    pub fn peer_answered(&mut self, revision: u64) {
+        let highest = match self.peer {
+            Some(adoption::Answer::Revision(known)) => known.max(revision),
+            _ => revision,
+        };
+        self.peer = Some(adoption::Answer::Revision(highest));
+    }
+
     /// Takes a release if its revision is higher than the present one.
     ///
     /// Returns whether it was taken. A revision never goes back, whatever a lagging read or a peer
--- a/crates/node/src/tables/reports.rs
+++ b/crates/node/src/tables/reports.rs
@@ -11,6 +11,8 @@
 pub struct Reports {
     seen: BTreeMap<id::Vm, report::Seen>,
     missed: BTreeMap<id::Vm, u32>,
+    /// When VMs were last known to be lost; older reports of peers do not bring them back.
+    lost: BTreeMap<id::Vm, Moment>,
 }
 
 impl table::Ranked for Reports {
@@ -19,9 +21,11 @@
 }
 
 impl Reports {
-    /// Takes a report that holds at least since `at`, unless a later one is known.
+    /// Takes a report that holds at least since `at`, unless a later one or a loss is known.
     pub fn record(&mut self, report: report::Report, at: Moment) {
-        self.missed.remove(&report.vm);
+        if self.lost.get(&report.vm).is_some_and(|lost| *lost >= at) {
+            return;
+        }
         match self.seen.get_mut(&report.vm) {
             Some(seen) if seen.at >= at => {}
             Some(seen) => *seen = report::Seen { at, report },
@@ -31,13 +35,35 @@
         }
     }
 
+    /// Takes the report that the VM itself gave to a poll sent at `at`.
+    pub fn polled(&mut self, report: report::Report, at: Moment) {
+        self.missed.remove(&report.vm);
+        self.record(report, at);
+    }
+
     /// Notes that a report still holds at `at`, as a peer has seen it.
-    pub fn confirm(&mut self, vm: &str, at: Moment) {
+    pub fn confirm(&mut self, vm: &id::Vm, at: Moment) {
+        if self.lost.get(vm).is_some_and(|lost| *lost >= at) {
+            return;
+        }
         if let Some(seen) = self.seen.get_mut(vm) {
             seen.at = seen.at.max(at);
         }
     }
 
+    /// Changes the report of a VM, if one is known.
+    pub fn update(&mut self, vm: &str, change: impl FnOnce(&mut report::Report)) {
+        if let Some(seen) = self.seen.get_mut(vm) {
+            change(&mut seen.report);
+        }
+    }
+
+    /// Notes the loss of a VM at `at`.
+    pub fn lose(&mut self, vm: &id::Vm, at: Moment) {
+        self.seen.remove(vm);
+        self.lost.insert(vm.clone(), at);
+    }
+
     /// Counts a failed poll and returns the number since the last report.
     pub fn miss(&mut self, vm: &id::Vm) -> u32 {
         let missed = self.missed.entry(vm.clone()).or_default();
@@ -55,14 +81,10 @@
         &self.seen
     }
 
-    /// Forgets the report of a VM that was lost.
-    pub fn forget(&mut self, vm: &str) {
-        self.seen.remove(vm);
-    }
-
     /// Forgets reports older than `oldest`, so that the table stays bounded as VMs are replaced.
     pub fn prune(&mut self, oldest: Moment) {
         self.seen.retain(|_, seen| seen.at >= oldest);
         self.missed.retain(|vm, _| self.seen.contains_key(vm));
+        self.lost.retain(|_, lost| *lost >= oldest);
     }
 }
