--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -59,12 +59,10 @@
     assert!(chosen.iter().all(|count| (50..150).contains(count)), "{chosen:?}");
     candidates[70].cached = 150;
     candidates[71] = Candidate { cached: 150, distance: Duration::from_millis(90), ..BASE };
-    let mut found = [false; 2];
-    for _ in 0..50 {
-        let chosen = route::choose(&candidates, &weights(), NOW, &mut rng);
-        found[usize::from(chosen == Some(70))] = true;
-    }
-    assert_eq!(found, [true; 2], "one of several holders takes the place each time");
+    let found = (0..200)
+        .filter(|_| route::choose(&candidates, &weights(), NOW, &mut rng) == Some(70))
+        .count();
+    assert!((60..140).contains(&found), "one of two holders takes the place each time: {found}");
     candidates[71] = BASE;
     assert_eq!(route::choose(&candidates, &weights(), NOW, &mut rng), Some(70));
     assert_eq!(route::prefix_affinity(&candidates, 1.25, &mut rng), Some(70));
--- a/crates/policy/tests/warmup.rs
+++ b/crates/policy/tests/warmup.rs
@@ -18,6 +18,12 @@
     LoseCache,
 }
 
+/// The level after so many finished requests, worked out apart from the code under test.
+fn level(finished: u64) -> u32 {
+    let doublings = (0..5).take_while(|k| 2 * ((2 << k) - 1) <= finished).count();
+    (2 << doublings).min(LIMITS.full)
+}
+
 fn op() -> impl Strategy<Value = Op> {
     prop_oneof![
         80 => any::<usize>().prop_map(Op::Dispatch),
@@ -41,9 +47,9 @@
     ) {
         let names: Vec<String> = (0..=number).map(|i| format!("node-{i}")).collect();
         let (mut start, mut finished, mut reports) = (1u64, 0u64, vec![0u64]);
-        let mut exact = Warmup::open(LIMITS, start, 0);
+        let mut base = 0;
         // The last router is not listed in the assignment.
-        let mut views = vec![exact; number + 1];
+        let mut views = vec![Warmup::open(LIMITS, start, 0); number + 1];
         let mut busy = vec![0u32; number + 1];
         // What each router had in progress at the latest fall-back and still has.
         let mut carried = vec![0u32; number + 1];
@@ -55,12 +61,13 @@
                     if views[r].permits(&ordered, &names[r], busy[r]) {
                         busy[r] += 1;
                         let total: u32 = busy.iter().sum();
+                        let level = level(finished - base);
                         let excess = |r: usize| {
-                            let slots = warmup::slots(exact.level(), &ordered, &names[r]);
+                            let slots = warmup::slots(level, &ordered, &names[r]);
                             carried[r].saturating_sub(slots)
                         };
-                        let most = exact.level() + (0..=number).map(excess).sum::<u32>();
-                        prop_assert!(exact.is_warm() || total <= most, "{total} above {most}");
+                        let most = level + (0..=number).map(excess).sum::<u32>();
+                        prop_assert!(level == LIMITS.full || total <= most, "{total} above {most}");
                     }
                 }
                 Op::Finish(router) => {
@@ -70,7 +77,6 @@
                         carried[r] = carried[r].min(busy[r]);
                         finished += 1;
                         reports.push(finished);
-                        exact.observe(start, finished);
                     }
                 }
                 Op::Observe(router, age) => {
@@ -78,14 +84,13 @@
                     views[router % (number + 1)].observe(start, seen);
                 }
                 Op::Restart => {
-                    (start, finished, reports) = (start + 1, 0, vec![0]);
-                    exact.observe(start, 0);
+                    (start, finished, base, reports) = (start + 1, 0, 0, vec![0]);
                     views.iter_mut().for_each(|view| view.observe(start, 0));
                     busy.fill(0);
                     carried.fill(0);
                 }
                 Op::LoseCache => {
-                    exact.cache_lost();
+                    base = finished;
                     views.iter_mut().for_each(|view| view.observe(start, finished));
                     views.iter_mut().for_each(Warmup::cache_lost);
                     carried.clone_from(&busy);
