--- a/crates/policy/src/changeset/check.rs
+++ b/crates/policy/src/changeset/check.rs
@@ -4,6 +4,7 @@
 
 use super::error::{Fault, FaultKind};
 use super::{Action, Change, Item};
+use crate::id;
 use crate::release::{Kind, Organisation, Pattern, Plain, Release, ReplicaSet, Service};
 
 /// Paths of the model calls, which no plain service may take.
@@ -155,34 +156,27 @@
         match &change.item {
             Item::ReplicaSet(_, Some(set)) => set_references(next, set, &mut sink),
             Item::Service(name, value) => {
-                if let Some(Service { kind: Kind::Plain(plain), .. }) = value {
-                    for (zone, _) in &plain.upstreams {
-                        if !next.zones.contains_key(zone) {
-                            sink.add(FaultKind::Unknown { reference: format!("zone {zone}") });
-                        }
-                    }
-                }
-                let plain = value.as_ref().is_some_and(|v| matches!(v.kind, Kind::Plain(_)));
-                if change.action == Action::Withdraw || plain {
-                    users(next, changes, |set| set.service == *name, &mut sink);
+                let plain = value.as_ref().and_then(|value| value.plain());
+                plain.inspect(|plain| zone_references(next, plain, &mut sink));
+                if change.action == Action::Withdraw || plain.is_some() {
+                    set_users(next, changes, |set| set.service == *name, &mut sink);
                 }
             }
             Item::Zone(name, _) if change.action == Action::Withdraw => {
-                users(next, changes, |set| set.zone == *name, &mut sink);
-                for (service, value) in &next.services {
-                    let Kind::Plain(plain) = &value.kind else { continue };
-                    let named = |c: &Change| matches!(&c.item, Item::Service(n, _) if n == service);
-                    let uses = plain.upstreams.iter().any(|(zone, _)| zone == name);
-                    if uses && !changes.iter().any(named) {
-                        sink.add(FaultKind::Used { user: format!("service {service}") });
-                    }
-                }
+                set_users(next, changes, |set| set.zone == *name, &mut sink);
+                service_users(next, changes, name, &mut sink);
             }
             _ => {}
         }
     }
 }
 
+fn zone_references(next: &Release, plain: &Plain, sink: &mut Sink<'_>) {
+    for (zone, _) in plain.upstreams.iter().filter(|(zone, _)| !next.zones.contains_key(zone)) {
+        sink.add(FaultKind::Unknown { reference: format!("zone {zone}") });
+    }
+}
+
 fn set_references(next: &Release, set: &ReplicaSet, sink: &mut Sink<'_>) {
     match next.services.get(&set.service).map(|service| &service.kind) {
         None => sink.add(FaultKind::Unknown { reference: format!("service {}", set.service) }),
@@ -198,7 +192,7 @@
 
 /// Reports the replica sets that use a withdrawn item and are not themselves part of the note;
 /// those that are get a fault of their own.
-fn users(
+fn set_users(
     next: &Release,
     changes: &[Change],
     uses: impl Fn(&ReplicaSet) -> bool,
@@ -212,6 +206,17 @@
     }
 }
 
+/// Reports the plain services with upstreams in a withdrawn zone, except those in the note.
+fn service_users(next: &Release, changes: &[Change], zone: &id::Zone, sink: &mut Sink<'_>) {
+    for (name, service) in &next.services {
+        let named = |c: &Change| matches!(&c.item, Item::Service(other, _) if other == name);
+        let uses = |plain: &Plain| plain.upstreams.iter().any(|(other, _)| other == zone);
+        if service.plain().is_some_and(uses) && !changes.iter().any(named) {
+            sink.add(FaultKind::Used { user: format!("service {name}") });
+        }
+    }
+}
+
 /// Checks that key hashes, model names and path prefixes are distinct.
 pub(super) fn clashes(next: &Release, lines: &BTreeMap<String, usize>, faults: &mut Vec<Fault>) {
     let keys: Vec<_> = (next.organisations.iter())
--- a/crates/policy/src/changeset/error.rs
+++ b/crates/policy/src/changeset/error.rs
@@ -110,10 +110,8 @@
                 write!(f, "another note with this id led to revision {revision}; use a new id")
             }
             Kind::Base { base, revision } => {
-                write!(
-                    f,
-                    "base is {base}, the present revision is {revision}; review the note and set base = {revision}"
-                )
+                write!(f, "base is {base}, but the present revision is {revision}; ")?;
+                write!(f, "review the note and set base = {revision}")
             }
             Kind::Faults(faults) => {
                 write!(f, "{} fault(s)", faults.len())?;
@@ -136,16 +134,16 @@
         match self {
             Self::Empty => f.write_str("no change; expected at least one section besides [note]"),
             Self::Name => f.write_str(
-                "unusable name; expected 1 to 64 ASCII letters, digits, hyphens, underscores or dots",
+                "unusable name; expected 1 to 64 ASCII letters, digits, `-`, `_` or `.`",
             ),
             Self::Repeated { first } => {
                 write!(f, "appears twice, first at line {first}; keep one section")
             }
             Self::Exists => f.write_str("exists already; expected change = change"),
             Self::Missing => f.write_str("does not exist; expected change = add, or another name"),
-            Self::Value => f.write_str(
-                "add and change need the complete new value, and withdraw takes none",
-            ),
+            Self::Value => {
+                f.write_str("add and change need the complete new value, and withdraw takes none")
+            }
             Self::Unknown { reference } => {
                 write!(f, "refers to {reference}, which does not exist; add it in the same note")
             }
--- a/crates/policy/src/release/service.rs
+++ b/crates/policy/src/release/service.rs
@@ -79,6 +79,16 @@
     }
 }
 
+impl Service {
+    /// The plain service, unless it is served by replicas.
+    pub fn plain(&self) -> Option<&Plain> {
+        match &self.kind {
+            Kind::Plain(plain) => Some(plain),
+            Kind::Model { .. } => None,
+        }
+    }
+}
+
 impl Plain {
     /// Whether a call, with its path relative to the prefix, may be repeated.
     ///
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -36,6 +36,27 @@
     pub sequence: u64,
 }
 
+impl Report {
+    /// The report of an engine that has just started.
+    pub fn idle(vm: id::Vm, start: u64) -> Self {
+        Self {
+            vm,
+            replica: None,
+            epoch: 0,
+            start,
+            model: String::new(),
+            adapter: String::new(),
+            version: String::new(),
+            phase: Phase::Idle,
+            running: 0,
+            waiting: 0,
+            finished: 0,
+            blocks: 0,
+            sequence: 0,
+        }
+    }
+}
+
 /// A report with the moment at which the VM gave it, as far as this node knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -18,8 +18,8 @@
 
 const START: Moment = Moment::from_millis(100_000);
 
-fn members(name: &str, now: Moment) -> Members {
-    Members::new(name.into(), "z".into(), ([127, 0, 0, 1], 1).into(), 1, now)
+fn members(name: &str, boot: u64, now: Moment) -> Members {
+    Members::new(name.into(), "z".into(), ([127, 0, 0, 1], 1).into(), boot, now)
 }
 
 fn merge(members: &mut Members, boot: u64, heartbeat: u64, age: Duration, now: Moment) -> Merged {
@@ -39,7 +39,7 @@
 #[test_case(SUSPECT, Liveness::Suspect)]
 #[test_case(DEAD, Liveness::Dead)]
 fn liveness_follows_the_heartbeat_age(age: Duration, expected: Liveness) {
-    let mut a = members("a", START);
+    let mut a = members("a", 1, START);
     merge(&mut a, 1, 1, Duration::ZERO, START);
     assert_eq!(a.view(START + age).liveness("b"), expected);
 }
@@ -51,7 +51,7 @@
 #[test_case(2, 9, 2_000, Merged::Nothing; "digest about an earlier process")]
 #[test_case(1, 9, 60_000, Merged::Nothing; "too old to be remembered")]
 fn entries_are_merged(boot: u64, heartbeat: u64, age: u64, expected: Merged) {
-    let mut a = members("a", START);
+    let mut a = members("a", 1, START);
     let now = START + Duration::from_secs(1);
     merge(&mut a, 1, 5, Duration::ZERO, START);
     assert_eq!(merge(&mut a, boot, heartbeat, Duration::from_millis(age), now), expected);
@@ -59,7 +59,7 @@
 
 #[test]
 fn a_drain_is_kept_until_another_process_starts() {
-    let mut a = members("a", START);
+    let mut a = members("a", 1, START);
     merge(&mut a, 1, 1, Duration::ZERO, START);
     assert!(!a.drain(&"b".into(), 9), "an old announcement must not drain a new process");
     assert!(a.drain(&"b".into(), 1));
@@ -71,7 +71,7 @@
 
 #[test]
 fn a_pause_makes_views_stale_until_a_later_digest() {
-    let mut all = [members("a", START), members("b", START)];
+    let mut all = [members("a", 1, START), members("b", 1, START)];
     pull(&mut all, 0, 1, Duration::ZERO, START);
     let end = START + Duration::from_secs(2);
     assert!(all[0].run(end));
@@ -85,7 +85,7 @@
 
 #[test]
 fn long_dead_members_are_forgotten_and_stay_so() {
-    let mut all = [members("a", START), members("b", START), members("c", START)];
+    let mut all = [members("a", 1, START), members("b", 1, START), members("c", 1, START)];
     pull(&mut all, 0, 1, Duration::ZERO, START);
     pull(&mut all, 2, 1, Duration::ZERO, START);
     let late = START + FORGOTTEN;
@@ -105,7 +105,7 @@
 #[test_case(16; "sixteen")]
 #[test_case(43; "forty-three")]
 fn information_reaches_all_in_log_n_rounds(count: usize) {
-    let mut all: Vec<_> = (0..count).map(|n| members(&format!("n{n:02}"), START)).collect();
+    let mut all: Vec<_> = (0..count).map(|n| members(&format!("n{n:02}"), 1, START)).collect();
     for n in 1..count {
         for other in 0..count {
             pull(&mut all, other, n, Duration::ZERO, START);
@@ -127,7 +127,7 @@
 
 #[test]
 fn news_is_forwarded_once_to_few() {
-    let mut all: Vec<_> = (0..9).map(|n| members(&format!("n{n}"), START)).collect();
+    let mut all: Vec<_> = (0..9).map(|n| members(&format!("n{n}"), 1, START)).collect();
     (1..9).for_each(|n| pull(&mut all, 0, n, Duration::ZERO, START));
     let sender = id::Node::from("n1");
     let targets = all[0].view(START).push_targets(Some(&sender), &mut StdRng::seed_from_u64(1));
@@ -173,7 +173,7 @@
     let event = (0..8_u8, 0..COUNT, 0..COUNT, 0..800_u64);
     law::holds(1_000, vec(event, 10..120), |events| {
         let mut now = START;
-        let mut all: Vec<_> = (0..COUNT).map(|n| members(&format!("n{n}"), now)).collect();
+        let mut all: Vec<_> = (0..COUNT).map(|n| members(&format!("n{n}"), 1, now)).collect();
         let up = || Truth { boot: 1, beat: START, is_up: true };
         let mut truth: Vec<_> = (0..COUNT).map(|_| up()).collect();
         for (kind, to, from, millis) in events {
@@ -182,18 +182,15 @@
                 0 => truth[to].is_up = false,
                 1 if !truth[to].is_up => {
                     truth[to] = Truth { boot: truth[to].boot + 1, beat: now, is_up: true };
-                    let address = ([127, 0, 0, 1], 1).into();
-                    let boot = truth[to].boot;
-                    all[to] = Members::new(
-                        format!("n{to}").as_str().into(),
-                        "z".into(),
-                        address,
-                        boot,
-                        now,
-                    );
+                    all[to] = members(&format!("n{to}"), truth[to].boot, now);
                 }
                 2 | 3 if truth[to].is_up => {
+                    let heartbeat = |own: &Members| {
+                        own.view(now).get(own.view(now).own().as_str()).map(|m| m.heartbeat)
+                    };
+                    let before = heartbeat(&all[to]);
                     all[to].run(now);
+                    prop_assert!(heartbeat(&all[to]) > before, "the own heartbeat stands still");
                     truth[to].beat = now;
                 }
                 4.. if to != from && truth[to].is_up && truth[from].is_up => {
--- a/crates/policy/tests/plan_laws.rs
+++ b/crates/policy/tests/plan_laws.rs
@@ -17,28 +17,38 @@
 
 type Verdict = Result<(), TestCaseError>;
 
-fn has_spares(world: &World, next: &Assignment, fabric: &str) -> usize {
-    let is_spare = |vm: &&vm::Vm| {
-        let seen = world.reports.get(&vm.id);
-        vm.fabric.as_str() == fabric
-            && vm.state == vm::State::Live
-            && next.is_free(vm.id.as_str())
-            && seen.is_some_and(|s| s.report.replica.is_none() && world.now.since(s.at) <= BOUND)
-    };
-    world.vms.iter().filter(is_spare).count()
+fn is_fresh(world: &World, vm: &id::Vm) -> bool {
+    world.reports.get(vm).is_some_and(|seen| world.now.since(seen.at) <= BOUND)
+}
+
+/// Whether a VM reports and stays.
+fn is_present(world: &World, vm: &id::Vm) -> bool {
+    let is_listed = |listed: &vm::Vm| listed.id == *vm && listed.state == vm::State::Leaving;
+    is_fresh(world, vm) && !world.vms.iter().any(is_listed)
 }
 
-fn is_ready_member(world: &World, replica: &Replica, vm: &id::Vm) -> bool {
-    world.reports.get(vm).is_some_and(|seen| {
-        world.now.since(seen.at) <= BOUND
-            && seen.report.replica.as_ref() == Some(&replica.id)
-            && seen.report.epoch == replica.epoch
-            && seen.report.phase == report::Phase::Ready
+fn is_joined(world: &World, replica: &Replica, vm: &id::Vm) -> bool {
+    let report = world.reports.get(vm).map(|seen| (&seen.report.replica, seen.report.epoch));
+    is_present(world, vm) && report == Some((&Some(replica.id.clone()), replica.epoch))
+}
+
+fn has_phase(world: &World, vm: &id::Vm, phase: report::Phase) -> bool {
+    world.reports.get(vm).is_some_and(|seen| seen.report.phase == phase)
+}
+
+fn is_sound(world: &World, replica: &Replica) -> bool {
+    replica.vms.iter().all(|vm| {
+        is_joined(world, replica, &vm.id) && has_phase(world, &vm.id, report::Phase::Ready)
     })
 }
 
-fn is_leaving(world: &World, vm: &id::Vm) -> bool {
-    world.vms.iter().any(|listed| listed.id == *vm && listed.state == vm::State::Leaving)
+fn spares(world: &World, next: &Assignment, fabric: &str) -> usize {
+    let is_spare = |vm: &&vm::Vm| {
+        let is_idle = has_phase(world, &vm.id, report::Phase::Idle);
+        let is_free = next.is_free(vm.id.as_str());
+        vm.fabric.as_str() == fabric && is_present(world, &vm.id) && is_idle && is_free
+    };
+    world.vms.iter().filter(is_spare).count()
 }
 
 /// No VM is in two places, and each replica lies in one fabric domain.
@@ -58,26 +68,21 @@
 /// A replica that is marked as serving is complete; a sound one is not disturbed.
 fn serving_is_complete(world: &World, next: &Assignment) -> Verdict {
     for replica in next.replicas.iter().filter(|r| r.phase == Phase::Serving) {
-        for vm in &replica.vms {
-            prop_assert!(is_ready_member(world, replica, &vm.id), "{} lacks {}", replica.id, vm.id);
-            prop_assert!(!is_leaving(world, &vm.id), "{} has leaving {}", replica.id, vm.id);
-        }
+        prop_assert!(is_sound(world, replica), "{} is marked but lacks a member", replica.id);
     }
-    let sound = world.assignment.replicas.iter().filter(|replica| {
-        let is_sound = |vm: &id::Vm| is_ready_member(world, replica, vm) && !is_leaving(world, vm);
-        replica.id.set.as_str() == "a"
-            && replica.phase == Phase::Serving
-            && replica.vms.iter().all(|vm| is_sound(&vm.id))
-    });
-    for replica in sound {
-        prop_assert!(next.replicas.contains(replica), "{} was disturbed", replica.id);
+    let is_steady = |r: &&Replica| r.id.set.as_str() == "a" && r.phase == Phase::Serving;
+    for replica in world.assignment.replicas.iter().filter(is_steady) {
+        let is_kept = next.replicas.contains(replica);
+        prop_assert!(is_kept || !is_sound(world, replica), "{} was disturbed", replica.id);
     }
     Ok(())
 }
 
 /// Epochs and tokens only grow, and each change of members has a new epoch.
-fn epochs_grow(old: &Assignment, next: &Assignment) -> Verdict {
+fn epochs_grow(world: &World, next: &Assignment) -> Verdict {
+    let old = &world.assignment;
     prop_assert!(next.epoch >= old.epoch && next.token >= old.token);
+    prop_assert!(next == old || next.token == world.token, "the token was not recorded");
     let mut epochs = BTreeSet::new();
     for replica in &next.replicas {
         prop_assert!(epochs.insert(replica.epoch) && replica.epoch <= next.epoch);
@@ -93,80 +98,47 @@
 /// No replica is missing or broken while one fabric domain has its VMs and a load is allowed, and
 /// no more replicas start to load than allowed.
 fn nothing_is_stranded(world: &World, next: &Assignment) -> Verdict {
-    let unfit = |replica: &Replica| {
-        let is_unfit = |vm: &id::Vm| {
-            let seen = world.reports.get(vm);
-            is_leaving(world, vm) || seen.is_none_or(|s| world.now.since(s.at) > BOUND)
-        };
-        replica.vms.iter().filter(|vm| is_unfit(&vm.id)).count()
-    };
     let forming = || next.replicas.iter().filter(|r| r.phase == Phase::Forming);
-    let is_new = |r: &&Replica| r.epoch > world.assignment.epoch;
-    let loading = forming().filter(|r| unfit(r) == 0).count();
-    let started = forming().filter(is_new).count();
+    let started = forming().filter(|r| r.epoch > world.assignment.epoch).count();
     prop_assert!(started <= world.loads, "{started} loads started");
-    let occupied = |r: &&Replica| {
-        let loads = |vm: &id::Vm| {
-            world.reports.get(vm).is_some_and(|s| s.report.phase == report::Phase::Loading)
-        };
-        unfit(r) == 0 || r.vms.iter().any(|vm| loads(&vm.id))
-    };
-    if forming().filter(occupied).count() >= world.loads {
+    let is_broken = |r: &&Replica| r.vms.iter().any(|vm| !is_present(world, &vm.id));
+    let loads = |vm: &id::Vm| has_phase(world, vm, report::Phase::Loading);
+    let is_loading = |r: &&Replica| !is_broken(r) || r.vms.iter().any(|vm| loads(&vm.id));
+    if forming().filter(is_loading).count() >= world.loads {
         return Ok(());
     }
-    prop_assert!(loading < world.loads);
-    let fabrics = ["f0", "f1", "f2"];
+    let has_place = |size| ["f0", "f1", "f2"].iter().any(|f| spares(world, next, f) >= size);
     for (name, set) in &world.release.sets {
-        let standing = |r: &&Replica| r.id.set == *name && r.phase != Phase::Draining;
-        let count = next.replicas.iter().filter(standing).count();
-        let possible = fabrics.iter().any(|f| has_spares(world, next, f) >= set.vms.into());
-        prop_assert!(count >= set.replicas.into() || !possible, "{name} could grow");
+        let is_standing = |r: &&Replica| r.id.set == *name && r.phase != Phase::Draining;
+        let standing = next.replicas.iter().filter(is_standing).count();
+        let is_whole = standing >= set.replicas.into();
+        prop_assert!(is_whole || !has_place(set.vms.into()), "{name} could grow");
     }
-    for replica in forming().filter(|replica| unfit(replica) > 0) {
-        let spares = has_spares(world, next, replica.fabric.as_str());
-        let is_joined = |vm: &id::Vm| {
-            let report = &world.reports[vm].report;
-            report.replica.as_ref() == Some(&replica.id) && report.epoch == replica.epoch
-        };
-        let is_fit = |vm: &id::Vm| {
-            let is_fresh = world.now.since(world.reports[vm].at) <= BOUND;
-            is_fresh && is_joined(vm) && !is_leaving(world, vm)
-        };
-        let need = replica.vms.iter().filter(|vm| !is_fit(&vm.id)).count();
-        prop_assert!(spares < need, "{} could be repaired", replica.id);
-        let elsewhere = |f: &&str| has_spares(world, next, f) >= replica.vms.len();
-        prop_assert!(!fabrics.iter().any(elsewhere), "{} could be rebuilt", replica.id);
+    for replica in forming().filter(is_broken) {
+        let need = replica.vms.iter().filter(|vm| !is_joined(world, replica, &vm.id)).count();
+        let found = spares(world, next, replica.fabric.as_str());
+        prop_assert!(found < need, "{} could be repaired", replica.id);
+        prop_assert!(!has_place(replica.vms.len()), "{} could be rebuilt", replica.id);
     }
     Ok(())
 }
 
-/// When each VM left a replica of a set that ignores tokens, and at which epoch.
-type Left = BTreeMap<id::Vm, (Moment, u64)>;
+/// When each VM left a replica of a set that ignores tokens.
+type Left = BTreeMap<id::Vm, Moment>;
 
-/// A VM of a set that ignores tokens is used again only after a confirmed release or the wait.
+/// A VM of a set that ignores tokens is free only after a confirmed release or the wait.
 fn waits_are_kept(world: &World, next: &Assignment, left: &mut Left) -> Verdict {
-    for replica in next.replicas.iter().filter(|r| r.epoch > world.assignment.epoch) {
-        for vm in &replica.vms {
-            let Some((since, _)) = left.get(&vm.id).copied() else { continue };
-            let stays = world.assignment.replica_of(vm.id.as_str()).is_some();
-            let is_released = world.engines[&vm.id].released.is_some_and(|at| at >= since);
-            let is_over = world.now.since(since) > ORDER_TIMEOUT + BOUND;
-            prop_assert!(stays || is_released || is_over, "{} was used too early", vm.id);
-            left.remove(&vm.id);
-        }
+    for (vm, since) in left.iter() {
+        let is_held = next.releasing.iter().any(|entry| entry.vm.id == *vm);
+        let is_released = world.engines[vm].released.is_some_and(|at| at >= *since);
+        let is_over = world.now.since(*since) > ORDER_TIMEOUT + BOUND;
+        prop_assert!(is_held || is_released || is_over, "{vm} was freed too early");
     }
+    left.retain(|vm, _| next.releasing.iter().any(|entry| entry.vm.id == *vm));
     for replica in world.assignment.replicas.iter().filter(|r| r.id.set.as_str() == "b") {
-        for vm in replica.vms.iter().filter(|vm| next.replica_of(vm.id.as_str()).is_none()) {
-            left.insert(vm.id.clone(), (world.now, replica.epoch));
-        }
-    }
-    // An entry may be dropped only under the same conditions.
-    for entry in world.assignment.releasing.iter().filter(|e| next.is_free(e.vm.id.as_str())) {
-        if let Some((since, _)) = left.get(&entry.vm.id) {
-            let is_released = world.engines[&entry.vm.id].released.is_some_and(|at| at >= *since);
-            let is_over = world.now.since(*since) > ORDER_TIMEOUT + BOUND;
-            prop_assert!(is_released || is_over, "{} was freed too early", entry.vm.id);
-        }
+        let is_out = |vm: &&id::Vm| next.replica_of(vm.as_str()).is_none();
+        let out = replica.vms.iter().map(|vm| &vm.id).filter(is_out);
+        left.extend(out.map(|vm| (vm.clone(), world.now)));
     }
     Ok(())
 }
@@ -176,7 +148,7 @@
     let next = plan.next.as_ref().unwrap_or(&world.assignment).clone();
     vms_are_in_one_place(&next)?;
     serving_is_complete(world, &next)?;
-    epochs_grow(&world.assignment, &next)?;
+    epochs_grow(world, &next)?;
     nothing_is_stranded(world, &next)?;
     waits_are_kept(world, &next, left)?;
     orders_fit(&plan, &next)?;
--- a/crates/policy/tests/support/world.rs
+++ b/crates/policy/tests/support/world.rs
@@ -85,30 +85,9 @@
             state: vm::State::Live,
             accelerators: 4,
         });
-        let report = report::Report {
-            vm: name.into(),
-            replica: None,
-            epoch: 0,
-            start: 1,
-            model: String::new(),
-            adapter: String::new(),
-            version: String::new(),
-            phase: report::Phase::Idle,
-            running: 0,
-            waiting: 0,
-            finished: 0,
-            blocks: 0,
-            sequence: 0,
-        };
-        let engine = Engine {
-            up: true,
-            silent: false,
-            busy: 0,
-            token: 0,
-            loaded: Moment::ZERO,
-            released: None,
-            report,
-        };
+        let (busy, token, loaded, released) = (0, 0, Moment::ZERO, None);
+        let report = report::Report::idle(name.into(), 1);
+        let engine = Engine { up: true, silent: false, busy, token, loaded, released, report };
         self.engines.insert(name.into(), engine);
     }
 
@@ -119,8 +98,7 @@
     pub(crate) fn restart(&mut self, vm: &str) {
         let engine = self.engine(vm);
         (engine.up, engine.silent, engine.token) = (true, false, 0);
-        engine.report.start += 1;
-        engine.idle();
+        engine.report = report::Report::idle(vm.into(), engine.report.start + 1);
     }
 
     pub(crate) fn list_state(&mut self, vm: &str, state: vm::State) {
--- a/crates/policy/tests/wholeness.rs
+++ b/crates/policy/tests/wholeness.rs
@@ -23,19 +23,10 @@
     let address = ([127, 0, 0, 1], 9_000).into();
     let vms = names.map(|name| Member { id: name.into(), address }).into();
     let report = |name: &str| report::Report {
-        vm: name.into(),
         replica: Some(id.clone()),
         epoch: 4,
-        start: 1,
-        model: "m".to_owned(),
-        adapter: String::new(),
-        version: "1".to_owned(),
         phase: report::Phase::Ready,
-        running: 0,
-        waiting: 0,
-        finished: 0,
-        blocks: 0,
-        sequence: 0,
+        ..report::Report::idle(name.into(), 1)
     };
     let seen = |name: &str| report::Seen { at: SEEN, report: report(name) };
     let reports = names.iter().map(|name| (id::Vm::from(*name), seen(name))).collect();
