--- a/crates/policy/src/adoption.rs
+++ b/crates/policy/src/adoption.rs
@@ -42,6 +42,15 @@
 }
 
 /// Decides on a revision; the own one never decreases.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::adoption::{Decision, Source, decide};
+///
+/// assert_eq!(decide(4, 5, Source::Peer), Decision::Adopt);
+/// assert_eq!(decide(5, 4, Source::Store), Decision::Regressed);
+/// ```
 pub fn decide(own: u64, offered: u64, source: Source) -> Decision {
     match (offered.cmp(&own), source) {
         (std::cmp::Ordering::Greater, _) => Decision::Adopt,
@@ -105,6 +114,8 @@
 }
 
 /// Whether a node that has adopted the revision `own`, if any, is ready.
+///
+/// `peers` are the peers of its own zone; the caller bounds how long an answer may be pending.
 pub fn readiness(own: Option<u64>, store: Answer, peers: &[Answer]) -> Readiness {
     let answers = || peers.iter().chain([&store]);
     if answers().any(|answer| *answer == Answer::Pending) {
--- a/crates/policy/src/changeset/apply.rs
+++ b/crates/policy/src/changeset/apply.rs
@@ -12,6 +12,21 @@
 ///
 /// Says whether the note was accepted before, conflicts with another one, or is wrong; a wrong note
 /// is reported with all its faults. `release` is left as it is in any case.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::changeset::{self, Action, Change, Changeset, Item, Kind};
+/// use corneltrestle_policy::release::{Release, ZoneState};
+///
+/// let item = Item::Zone("bilbao".into(), Some(ZoneState::Out));
+/// let changes = vec![Change { line: 4, action: Action::Add, item }];
+/// let note = Changeset { id: "n-1".to_owned(), base: 0, digest: 7, changes };
+/// let next = changeset::apply(&Release::default(), &note)?;
+/// assert!(!next.is_in("bilbao"));
+/// assert_eq!(changeset::apply(&next, &note).unwrap_err().kind, Kind::AlreadyAccepted(1));
+/// # Ok::<(), changeset::Error>(())
+/// ```
 pub fn apply(release: &Release, changeset: &Changeset) -> Result<Release> {
     let fail = |kind| Err(Error { note: changeset.id.clone(), kind });
     if let Some(note) = release.notes.iter().rev().find(|note| note.id == changeset.id) {
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -10,9 +10,6 @@
 /// Time to live that is requested from the store, in whole seconds as the store counts.
 pub const TTL: Duration = Duration::from_secs(5);
 
-/// A gap between runs above this means that the process was paused; matches membership.
-pub use crate::membership::PAUSE;
-
 /// Nodes of a zone that compete for its lease; three bound the writes after a store outage.
 pub const CANDIDATES: usize = 3;
 
@@ -70,7 +67,22 @@
 
     /// What the holder does at `now`, with the end of its latest pause, if any.
     ///
-    /// After a pause it acts only once a renewal that was sent after the pause is confirmed.
+    /// After a pause it acts only once a renewal that was sent after the pause is confirmed. A pause
+    /// is detected by [`crate::membership::Members::run`].
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use corneltrestle_policy::{Moment, lease};
+    ///
+    /// let sent = Moment::from_millis(1_000);
+    /// let held = lease::Held { token: 1, sent, ttl: lease::TTL };
+    /// let now = sent + Duration::from_millis(500);
+    /// assert_eq!(held.step(None, now), lease::Step::Act);
+    /// assert_eq!(held.step(Some(now), now), lease::Step::Renew);
+    /// assert_eq!(held.step(None, sent + lease::TTL), lease::Step::StepDown);
+    /// ```
     pub fn step(&self, resumed: Option<Moment>, now: Moment) -> Step {
         if now >= self.valid_until() {
             Step::StepDown
@@ -91,11 +103,6 @@
     }
 }
 
-/// Whether a gap between two runs shows that the process was paused.
-pub fn is_pause(previous: Moment, now: Moment) -> bool {
-    now.since(previous) > PAUSE
-}
-
 /// When `node` tries to acquire the lease of `zone`, which was found free at `free`, or `None` if
 /// it is no candidate among the `live` nodes of the zone.
 pub fn acquire_at<'a, R: Rng>(
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -57,7 +57,7 @@
     pub boot: u64,
     /// Heartbeat counter of that process.
     pub heartbeat: u64,
-    /// The moment before which the heartbeat was not yet this old; `None` before the first one.
+    /// No later than the moment of that heartbeat; `None` before the first one is known.
     pub beat: Option<Moment>,
     /// When the VM list last named it.
     pub listed: Option<Moment>,
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -187,6 +187,16 @@
     assert_eq!((world.count("a", Serving), world.count("b", Serving)), (1, 1));
 }
 
+#[test]
+fn the_survivors_of_two_broken_replicas_form_one() {
+    let mut world = World::new(&[4], &[("a", set(2, 2, Fencing::Checked))]);
+    world.rounds(8);
+    let heads: Vec<_> = world.assignment.replicas.iter().map(|r| r.vms[0].id.clone()).collect();
+    heads.iter().for_each(|vm| world.engine(vm.as_str()).up = false);
+    world.rounds(20);
+    assert_eq!(world.count("a", Serving), 1);
+}
+
 #[test]
 fn sets_with_the_fewest_serving_replicas_are_repaired_first() {
     let sets = [("a", set(1, 2, Fencing::Checked)), ("b", set(1, 1, Fencing::Checked))];
