--- a/crates/corneltrestle/src/command/client.rs
+++ b/crates/corneltrestle/src/command/client.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use corneltrestle_local as local;
+use corneltrestle_local::caller::{Answer, Caller};
 use corneltrestle_node::identity;
 use hyper::Method;
 
 use super::{Error, Result};
-use crate::local;
-use crate::local::caller::{Answer, Caller};
 
 /// How to reach a node, from the command line.
 #[derive(Debug, Default)]
--- /dev/null
+++ b/crates/corneltrestle/src/command/measure.rs
@@ -0,0 +1,67 @@
+//! `corneltrestle measure`: measurement scenarios.
+
+use corneltrestle_kernel::linkme;
+use corneltrestle_measure::scenario::{self, Options};
+use lexopt::prelude::*;
+
+use super::{COMMANDS, Command, Error, Exit, Result};
+
+#[linkme::distributed_slice(COMMANDS)]
+#[linkme(crate = linkme)]
+static MEASURE: Command = Command {
+    name: "measure",
+    summary: "run a measurement scenario beside its baseline",
+    help: HELP,
+    run,
+};
+
+const HELP: &str = "\
+Runs a measurement scenario: the real code against small stand-ins on the loopback interface, beside
+a simple baseline in the same run.
+
+Usage: corneltrestle measure SCENARIO [--seed N] [--json]
+       corneltrestle measure --list
+
+Options:
+  --seed N  seed of everything random in the scenario; 1 unless given
+  --json    print the figures as JSON
+  --list    list the scenarios
+
+Exit codes: 0 all goals met, 1 a goal was not met or the scenario could not run, 2 wrong command
+line.
+";
+
+fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
+    let (mut name, mut seed, mut json, mut list) = (None, 1, false, false);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Value(word) if name.is_none() => name = Some(word.string()?),
+            Long("seed") => seed = parser.value()?.parse()?,
+            Long("json") => json = true,
+            Long("list") => list = true,
+            argument => return Err(argument.unexpected().into()),
+        }
+    }
+    if list {
+        for scenario in scenario::ordered() {
+            println!("{:14} {}", scenario.name, scenario.summary);
+        }
+        return Ok(Exit::Success);
+    }
+    let name = name.ok_or_else(|| Error::Usage("SCENARIO is missing".to_owned()))?;
+    let scenario = scenario::ordered()
+        .into_iter()
+        .find(|scenario| scenario.name == name)
+        .ok_or_else(|| Error::Usage(format!("unknown scenario {name}; see measure --list")))?;
+    let report = (scenario.run)(&Options { seed, progress: !json }).map_err(|e| Error::Failed {
+        step: "measure",
+        peer: name,
+        cause: e.to_string(),
+    })?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
+    } else {
+        print!("{report}");
+    }
+    Ok(if report.is_met() { Exit::Success } else { Exit::Failure })
+}
--- a/crates/corneltrestle/src/command/note.rs
+++ b/crates/corneltrestle/src/command/note.rs
@@ -3,13 +3,13 @@
 use std::path::PathBuf;
 
 use corneltrestle_kernel::linkme;
+use corneltrestle_local::caller::Answer;
 use corneltrestle_node::operate::Verdict;
 use hyper::Method;
 use lexopt::prelude::*;
 
 use super::client::Access;
 use super::{COMMANDS, Command, Error, Exit, Result};
-use crate::local::caller::Answer;
 
 #[linkme::distributed_slice(COMMANDS)]
 #[linkme(crate = linkme)]
--- a/crates/corneltrestle/src/lib.rs
+++ b/crates/corneltrestle/src/lib.rs
@@ -1,12 +1,12 @@
 //! corneltrestle: a serving system for models whose replicas span several VMs.
 //!
 //! This crate is the facade: it re-exports the parts of the system as modules and adds
-//! [`running::Running`], one node with all its plug-ins.
+//! the operators' commands.
 //!
 //! # Examples
 //!
 //! ```no_run
-//! use corneltrestle::{kernel, running};
+//! use corneltrestle::kernel::{self, running};
 //!
 //! let sections = kernel::settings::sections();
 //! let settings = kernel::settings::Settings::load("node.ini".as_ref(), &sections).unwrap();
@@ -15,12 +15,12 @@
 //! ```
 
 pub mod command;
-pub mod local;
-pub mod running;
 
 pub use corneltrestle_engine as engine;
 pub use corneltrestle_http as http;
 pub use corneltrestle_kernel as kernel;
+pub use corneltrestle_local as local;
+pub use corneltrestle_measure as measure;
 pub use corneltrestle_node as node;
 pub use corneltrestle_platform as platform;
 pub use corneltrestle_policy as policy;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,8 +4,7 @@
 use std::process::ExitCode;
 
 use corneltrestle::kernel::settings::{self, Key, Section, Type};
-use corneltrestle::kernel::{host, linkme, logging, plugin};
-use corneltrestle::running;
+use corneltrestle::kernel::{host, linkme, logging, plugin, running};
 use lexopt::prelude::*;
 use tokio::signal::unix;
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod plugin;
 pub mod pool;
 pub mod run;
+pub mod running;
 pub mod settings;
 pub mod table;
 
--- a/crates/corneltrestle/src/running.rs
+++ b/crates/kernel/src/running.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use corneltrestle_kernel::{host, plugin, pool, run, settings};
-
 pub use error::Error;
 
+use crate::{host, plugin, pool, run, settings};
+
 /// The result of opening a node.
 pub type Result<T> = std::result::Result<T, Error>;
 
--- a/crates/corneltrestle/src/running/error.rs
+++ b/crates/kernel/src/running/error.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, io};
 
-use corneltrestle_kernel::{plugin, settings};
+use crate::{plugin, settings};
 
 /// Why a node cannot be opened.
 #[derive(Debug)]
--- a/crates/corneltrestle/src/local/address.rs
+++ b/crates/local/src/address.rs
@@ -11,14 +11,14 @@
 /// The range depends on the process and the number of the deployment, so that tests in several
 /// processes and threads do not share addresses.
 #[derive(Debug)]
-pub(super) struct Addresses {
+pub(crate) struct Addresses {
     high: u8,
     low: u8,
 }
 
 impl Addresses {
     /// Reserves the next range of this process.
-    pub(super) fn reserve() -> Self {
+    pub(crate) fn reserve() -> Self {
         let process = std::process::id();
         let number = OPENED.fetch_add(1, Ordering::Relaxed);
         let mixed = process.wrapping_mul(0x9e37_79b1).rotate_left(8).to_be_bytes();
@@ -27,22 +27,22 @@
     }
 
     /// The range in names of files.
-    pub(super) fn name(&self) -> String {
+    pub(crate) fn name(&self) -> String {
         format!("{}-{}", self.high, self.low)
     }
 
     /// Address of the platform.
-    pub(super) fn platform(&self) -> Ipv4Addr {
+    pub(crate) fn platform(&self) -> Ipv4Addr {
         self.at(1)
     }
 
     /// Address of the upstreams of a zone.
-    pub(super) fn zone(&self, number: usize) -> Ipv4Addr {
+    pub(crate) fn zone(&self, number: usize) -> Ipv4Addr {
         self.at(2 + u8::try_from(number).unwrap_or(u8::MAX) % 14)
     }
 
     /// Address of an entry node.
-    pub(super) fn node(&self, number: usize) -> Ipv4Addr {
+    pub(crate) fn node(&self, number: usize) -> Ipv4Addr {
         self.at(16 + u8::try_from(number).unwrap_or(u8::MAX) % 239)
     }
 
--- a/crates/corneltrestle/src/local/caller.rs
+++ b/crates/local/src/caller.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 
-use super::{Error, Result};
+use crate::{Error, Result};
 
 /// Longest time for one call.
 const CALL_TIME: Duration = Duration::from_secs(60);
--- a/crates/corneltrestle/src/local/error.rs
+++ b/crates/local/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, io};
 
-use crate::running;
+use corneltrestle_kernel::running;
 
 /// Why a deployment cannot run, with the step and the peer.
 #[derive(Debug)]
--- a/crates/corneltrestle/src/local.rs
+++ b/crates/local/src/local.rs
@@ -1,13 +1,4 @@
-//! A deployment on the loopback interface: stand-ins of the outside systems and entry nodes.
-//!
-//! Everything speaks its real protocol over real sockets. The demo, the measurements and the
-//! end-to-end tests use it.
-
-mod address;
-pub mod caller;
-mod error;
-mod nodes;
-pub mod plan;
+//! A running deployment.
 
 use std::collections::BTreeMap;
 use std::path::PathBuf;
@@ -17,9 +8,7 @@
 use corneltrestle_policy::vm;
 use corneltrestle_standin::{engine, service, store, vms};
 
-pub use error::Error;
-pub use nodes::Node;
-pub use plan::Plan;
+use crate::{Error, Node, Plan, address, nodes};
 
 /// The result of running a deployment.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -37,10 +26,10 @@
     pub services: Vec<(String, service::Handle)>,
     /// Entry nodes by name.
     pub nodes: BTreeMap<String, Node>,
-    listed: Vec<vm::Vm>,
-    addresses: address::Addresses,
-    files: PathBuf,
-    plan: Plan,
+    pub(crate) listed: Vec<vm::Vm>,
+    pub(crate) addresses: address::Addresses,
+    pub(crate) files: PathBuf,
+    pub(crate) plan: Plan,
 }
 
 impl Local {
--- a/crates/corneltrestle/src/local/nodes.rs
+++ b/crates/local/src/nodes.rs
@@ -4,13 +4,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use corneltrestle_kernel::settings;
+use corneltrestle_kernel::{running, settings};
 use corneltrestle_node::operate;
 use corneltrestle_policy::vm;
 use hyper::Method;
 
-use super::{Error, Local, Result, address, caller};
-use crate::running;
+use crate::{Error, Local, Result, address, caller};
 
 /// Port for callers.
 const CALLERS: u16 = 8_080;
@@ -66,7 +65,7 @@
 }
 
 /// Writes the files that the nodes' settings name; returns their folder.
-pub(super) fn write_secrets(addresses: &address::Addresses) -> Result<PathBuf> {
+pub(crate) fn write_secrets(addresses: &address::Addresses) -> Result<PathBuf> {
     let folder = std::env::temp_dir().join(format!("corneltrestle-{}", addresses.name()));
     let written = fs::create_dir_all(&folder)
         .and_then(|()| fs::write(folder.join("token"), TOKEN))
@@ -77,7 +76,7 @@
 
 impl Local {
     /// Adds the nodes' VMs to the VM list.
-    pub(super) fn list_nodes(&mut self) {
+    pub(crate) fn list_nodes(&mut self) {
         let mut number = 0;
         for zone in &self.plan.zones {
             for index in 0..zone.nodes {
--- a/crates/corneltrestle/src/local/plan.rs
+++ b/crates/local/src/plan.rs
@@ -34,7 +34,7 @@
 
 /// A VM of an engine before it is bound.
 #[derive(Clone, Debug)]
-pub(super) struct Slot {
+pub(crate) struct Slot {
     pub vm: String,
     pub zone: String,
     pub zone_number: usize,
@@ -71,7 +71,7 @@
         }
     }
 
-    pub(super) fn node_names(&self) -> Vec<String> {
+    pub(crate) fn node_names(&self) -> Vec<String> {
         let names = |zone: &Zone| {
             let name = zone.name.clone();
             (0..zone.nodes).map(move |number| format!("{name}-entry-{number}"))
@@ -79,7 +79,7 @@
         self.zones.iter().flat_map(names).collect()
     }
 
-    pub(super) fn vm_slots(&self) -> Vec<Slot> {
+    pub(crate) fn vm_slots(&self) -> Vec<Slot> {
         let mut slots = Vec::new();
         for (zone_number, zone) in self.zones.iter().enumerate() {
             for fabric in 0..zone.fabrics {
--- /dev/null
+++ b/crates/measure/src/scenario.rs
@@ -0,0 +1,84 @@
+//! Scenarios and their registration.
+
+use std::fmt;
+
+use corneltrestle_kernel::linkme::{self, distributed_slice};
+use corneltrestle_local as local;
+
+use crate::report;
+
+/// The result of running a scenario.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a scenario could not run.
+#[derive(Debug)]
+#[non_exhaustive]
+pub enum Error {
+    /// The deployment could not run.
+    Local(local::Error),
+    /// A step failed.
+    Failed {
+        /// The step.
+        step: &'static str,
+        /// The cause.
+        cause: String,
+    },
+}
+
+impl From<local::Error> for Error {
+    fn from(e: local::Error) -> Self {
+        Self::Local(e)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Local(e) => e.fmt(f),
+            Self::Failed { step, cause } => write!(f, "{step}: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// How a scenario runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Seed of everything random in the scenario.
+    pub seed: u64,
+    /// Whether progress is printed to standard error.
+    pub progress: bool,
+}
+
+impl Options {
+    /// Prints a line of progress.
+    pub fn say(&self, line: impl fmt::Display) {
+        if self.progress {
+            eprintln!("{line}");
+        }
+    }
+}
+
+/// A measurement scenario.
+#[derive(Debug)]
+pub struct Scenario {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// What it measures, in one line.
+    pub summary: &'static str,
+    /// Runs it, within two minutes.
+    pub run: fn(&Options) -> Result<report::Report>,
+}
+
+/// All scenarios linked into the program.
+#[distributed_slice]
+#[linkme(crate = linkme)]
+pub static SCENARIOS: [Scenario];
+
+/// The scenarios in the order of their names.
+pub fn ordered() -> Vec<&'static Scenario> {
+    let mut all: Vec<_> = SCENARIOS.iter().collect();
+    all.sort_by_key(|scenario| scenario.name);
+    all
+}
--- a/crates/node/src/duty/gossip.rs
+++ b/crates/node/src/duty/gossip.rs
@@ -118,7 +118,9 @@
         let release = self.tables.current.load();
         let listed = Arc::clone(&self.tables.listed.lock().vms);
         let mut zones: BTreeSet<id::Zone> = release.zones.keys().cloned().collect();
-        zones.extend(listed.iter().filter(|vm| vm.role == vm::Role::Entry).map(|vm| vm.zone.clone()));
+        zones.extend(
+            listed.iter().filter(|vm| vm.role == vm::Role::Entry).map(|vm| vm.zone.clone()),
+        );
         zones.insert(self.identity.zone.clone());
         zones.into_iter().collect()
     }
@@ -157,8 +159,7 @@
     fn push(self: &Arc<Self>, post: &tables::outbox::Post) {
         for peer in self.push_targets(post.sender.as_ref()) {
             let gossip = Arc::clone(self);
-            let news =
-                wire::News { node: self.identity.node.clone(), kind: post.kind.clone() };
+            let news = wire::News { node: self.identity.node.clone(), kind: post.kind.clone() };
             self.host.pool.run(async move {
                 if let Err(e) = gossip.link.push(peer, &news).await {
                     log::debug!("link: {e}");
@@ -177,16 +178,15 @@
 
     /// Tells peers of a planned stop.
     async fn leave(&self) {
-        let kind = wire::NewsKind::Drain {
-            node: self.identity.node.clone(),
-            boot: self.identity.boot,
-        };
+        let kind =
+            wire::NewsKind::Drain { node: self.identity.node.clone(), boot: self.identity.boot };
         let news = wire::News { node: self.identity.node.clone(), kind };
         let pushes = self.push_targets(None).into_iter().map(|peer| {
             let news = &news;
-            tokio::time::timeout(Duration::from_secs(1), async move {
-                self.link.push(peer, news).await
-            })
+            tokio::time::timeout(
+                Duration::from_secs(1),
+                async move { self.link.push(peer, news).await },
+            )
         });
         futures_util::future::join_all(pushes).await;
     }
--- a/crates/node/src/follow/reports.rs
+++ b/crates/node/src/follow/reports.rs
@@ -57,9 +57,8 @@
     for ((replica, member), age) in members(&stored.assignment.replicas).zip(&digest.ages) {
         let Some(age) = age else { continue };
         let at = now.before(*age + trip);
-        let joined = reports.get(member.id.as_str()).is_some_and(|seen| {
-            is_joined(&seen.report, replica)
-        });
+        let joined =
+            reports.get(member.id.as_str()).is_some_and(|seen| is_joined(&seen.report, replica));
         if joined {
             reports.confirm(&member.id, at);
         } else if let Some(report) = relayed(replica, member, release) {
@@ -125,10 +124,7 @@
 }
 
 fn load(report: &report::Report) -> wire::ReplicaLoad {
-    let load = wire::Load {
-        running: report.running,
-        waiting: report.waiting,
-        finished: report.finished,
-    };
+    let load =
+        wire::Load { running: report.running, waiting: report.waiting, finished: report.finished };
     wire::ReplicaLoad { start: report.start, load }
 }
--- a/crates/node/src/link/port.rs
+++ b/crates/node/src/link/port.rs
@@ -36,9 +36,8 @@
     // Ports open in the order of their names; "identity" is before "link-client".
     let identity = host.port::<identity::Identity>()?;
     let clock = Arc::new(host.clock);
-    let link = TonicLink::open(clock, identity.secret.bytes(), Limits::default()).map_err(|e| {
-        plugin::Error::Settings { step: "link-client", hint: e.to_string() }
-    })?;
+    let link = TonicLink::open(clock, identity.secret.bytes(), Limits::default())
+        .map_err(|e| plugin::Error::Settings { step: "link-client", hint: e.to_string() })?;
     host.provide(Arc::new(link));
     Ok(plugin::Handle::idle())
 }
--- a/crates/node/src/tables/members.rs
+++ b/crates/node/src/tables/members.rs
@@ -33,11 +33,7 @@
 impl Members {
     /// Members as a starting node knows them.
     pub fn new(known: membership::Members) -> Self {
-        Self {
-            known,
-            forwarded: membership::Forwarded::default(),
-            demand: BTreeMap::new(),
-        }
+        Self { known, forwarded: membership::Forwarded::default(), demand: BTreeMap::new() }
     }
 
     /// Takes the demand of a node, known with its heartbeat `changed`.
@@ -63,9 +59,7 @@
             let row = rows.iter().find(|(name, _)| name.as_str() == organisation);
             row.map_or(0.0, |(_, amount)| f64::from(*amount))
         };
-        let present = |node: &&id::Node| {
-            view.liveness(node.as_str()) != membership::Liveness::Dead
-        };
+        let present = |node: &&id::Node| view.liveness(node.as_str()) != membership::Liveness::Dead;
         let total = self.demand.keys().filter(present).map(of).sum();
         (of(own), total, view.alive().max(1))
     }
@@ -105,7 +99,10 @@
 }
 
 /// Whether an amount appeared, vanished, or changed by a quarter and at least 2.
-fn differs_notably(published: &[(id::Organisation, u32)], rows: &[(id::Organisation, u32)]) -> bool {
+fn differs_notably(
+    published: &[(id::Organisation, u32)],
+    rows: &[(id::Organisation, u32)],
+) -> bool {
     let amount = |rows: &[(id::Organisation, u32)], name: &id::Organisation| {
         rows.iter().find(|(known, _)| known == name).map_or(0, |(_, amount)| *amount)
     };
