Share one budget of store calls in a node and read cache events

A watch starts from the known version without a read before it, which saves one call for each new watch. Engines, stand-in and router name prompt prefixes by the same chain of hashes, so that cache events match.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use corneltrestle_policy::report;
+use corneltrestle_policy::{prefix, report};
 
 pub use error::{Error, Kind};
 pub use order::{Answer, Order};
@@ -38,7 +38,7 @@
         &self,
         peer: SocketAddr,
         after: u64,
-    ) -> impl Future<Output = Result<Vec<CacheEvent>>> + Send;
+    ) -> impl Future<Output = Result<Vec<prefix::Event>>> + Send;
 
     /// Starts a streamed generation on the head VM at `peer`.
     fn stream(
@@ -76,15 +76,3 @@
     /// A connection that ends before that mark is an error.
     fn next(&mut self) -> impl Future<Output = Result<Option<Token>>> + Send;
 }
-
-/// A change in the prefix cache of an engine.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct CacheEvent {
-    /// Sequence number.
-    pub sequence: u64,
-    /// Hash of the prefix.
-    pub prefix: u64,
-    /// Whether the prefix is stored now, or was evicted.
-    pub stored: bool,
-}
--- a/crates/engine/src/engine/http.rs
+++ b/crates/engine/src/engine/http.rs
@@ -11,7 +11,7 @@
 use corneltrestle_client as client;
 use corneltrestle_client::body::Body;
 use corneltrestle_client::pool::{self, Delivery, Pool};
-use corneltrestle_policy::report;
+use corneltrestle_policy::{prefix, report};
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode};
 use serde::Deserialize;
@@ -20,7 +20,7 @@
 
 pub use stream::HttpStream;
 
-use super::{Answer, CacheEvent, Engine, Error, Generate, Kind, Order, Result};
+use super::{Answer, Engine, Error, Generate, Kind, Order, Result};
 
 /// The header that a request and its answer carry.
 pub(crate) const REQUEST_ID: &str = "x-request-id";
@@ -133,7 +133,7 @@
         decode(step, peer, &body).map(|OrderAnswer { answer }| answer)
     }
 
-    async fn cache_events(&self, peer: SocketAddr, after: u64) -> Result<Vec<CacheEvent>> {
+    async fn cache_events(&self, peer: SocketAddr, after: u64) -> Result<Vec<prefix::Event>> {
         let request = request::get(&format!("/v1/cache-events?after={after}"));
         self.read("cache events", peer, request).await
     }
--- a/crates/http/src/callers.rs
+++ b/crates/http/src/callers.rs
@@ -60,7 +60,7 @@
     kind: plugin::Kind::FrontEnd,
     section: Some(&SECTION),
     check: plugin::unchecked,
-    open: open::<engine::http::HttpEngine, service::http::HttpService, store::etcd::EtcdStore>,
+    open: open::<engine::http::HttpEngine, service::http::HttpService, store::etcd::NodeStore>,
 };
 
 fn open<E: Engine, P: Service, S: Store>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
--- a/crates/http/src/callers/generate.rs
+++ b/crates/http/src/callers/generate.rs
@@ -26,10 +26,8 @@
 /// Value of the header `X-Priority` for work that nobody waits for.
 const BACKGROUND: &str = "background";
 
-/// Bytes of the prompt in one block of the prefix cache.
-const PREFIX_BLOCK_BYTES: usize = 256;
-/// Most blocks of a prompt that are hashed.
-const PREFIX_BLOCKS_MAX: usize = 64;
+/// Most prefixes of a prompt that are hashed.
+const PREFIXES_MAX: usize = 64;
 
 impl<E: Engine, P: Service, S: Store> Router<E, P, S> {
     pub(super) async fn generate(
@@ -51,7 +49,7 @@
             id,
             service: service.clone(),
             path,
-            prefixes: prefixes(&organisation, &decoded),
+            prefixes: prefix::chain(decoded.texts(), PREFIXES_MAX),
             organisation,
             interactive: parts.headers.get("x-priority").is_none_or(|value| value != BACKGROUND),
             arrived,
@@ -105,17 +103,6 @@
     }
 }
 
-/// Hashes of the prompt's prefixes; caches are not shared between organisations.
-fn prefixes(organisation: &id::Organisation, request: &openai::Request<'_>) -> Vec<u64> {
-    let mut prompt = String::new();
-    for text in request.texts() {
-        prompt.push_str(text);
-        prompt.push('\n');
-    }
-    let scope = format!("{organisation}/{}", request.model);
-    prefix::blocks(&scope, prompt.as_bytes(), PREFIX_BLOCK_BYTES, PREFIX_BLOCKS_MAX)
-}
-
 fn find_service<'a>(
     release: &'a Arc<release::Release>,
     wanted: &str,
--- a/crates/http/src/operators.rs
+++ b/crates/http/src/operators.rs
@@ -34,7 +34,7 @@
     kind: plugin::Kind::FrontEnd,
     section: Some(&SECTION),
     check: plugin::unchecked,
-    open: open::<store::etcd::EtcdStore>,
+    open: open::<store::etcd::NodeStore>,
 };
 
 fn open<S: Store>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
--- a/crates/node/src/duty/assign.rs
+++ b/crates/node/src/duty/assign.rs
@@ -27,7 +27,7 @@
     kind: plugin::Kind::Duty,
     section: None,
     check: plugin::unchecked,
-    open: open::<store::etcd::EtcdStore, engine::http::HttpEngine>,
+    open: open::<store::etcd::NodeStore, engine::http::HttpEngine>,
 };
 
 /// The duty with what it works on.
--- a/crates/node/src/duty/watch.rs
+++ b/crates/node/src/duty/watch.rs
@@ -24,7 +24,7 @@
     kind: plugin::Kind::Duty,
     section: None,
     check: plugin::unchecked,
-    open: open::<store::etcd::EtcdStore>,
+    open: open::<store::etcd::NodeStore>,
 };
 
 /// The duty with what it works on.
@@ -61,7 +61,7 @@
         let result = if watches {
             self.follow().await
         } else if now >= read_at {
-            self.read().await.map(|_| ())
+            self.read().await
         } else {
             Ok(())
         };
@@ -83,8 +83,10 @@
     }
 
     /// Follows changes of the head until the watch ends or another node is to watch.
+    ///
+    /// The watch itself reports a version other than the known one, so no read comes before it.
     async fn follow(&self) -> store::Result<()> {
-        let version = self.read().await?;
+        let version = self.tables.config.lock().version;
         let mut watch = self.store.watch(key::head(), version).await?;
         while self.role().0 {
             match watch.next().await? {
@@ -101,26 +103,25 @@
         Ok(())
     }
 
-    /// Reads the head and returns its version.
-    async fn read(&self) -> store::Result<store::Version> {
+    /// Reads the head.
+    async fn read(&self) -> store::Result<()> {
         let sent = self.host.now();
         let head = self.store.read(key::head(), Class::Config).await?;
-        let version = head.as_ref().map_or(0, |head| head.version);
         self.adopt(head, sent);
-        Ok(version)
+        Ok(())
     }
 
-    /// Adopts a head that was the present one at `at`; returns its revision.
-    fn adopt(&self, head: Option<store::Versioned>, at: Moment) -> u64 {
+    /// Adopts a head that was the present one at `at`.
+    fn adopt(&self, head: Option<store::Versioned>, at: Moment) {
         let Some(head) = head else {
             self.tables.config.lock().heard(0, at);
-            return 0;
+            return;
         };
         let release = match stored::decode::<release::Release>(key::head(), &head.value) {
             Ok(release) => release,
             Err(e) => {
                 log::error!("store: {e}");
-                return 0;
+                return;
             }
         };
         let revision = release.revision;
@@ -131,7 +132,6 @@
         }
         follow::adopt_release(&self.tables, release, head.version);
         self.tables.config.lock().heard(revision, at);
-        revision
     }
 }
 
@@ -140,7 +140,7 @@
     /// Reads the store once and becomes ready with the highest revision that can be known.
     async fn start(&self) {
         let store = match self.read().await {
-            Ok(_) => {
+            Ok(()) => {
                 if let Err(e) = self.read_assignment().await {
                     log::info!("store: {e}");
                 }
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -13,7 +13,7 @@
 //! | 60 | [`dispatched::Dispatched`] | own requests in progress by replica, prefix history |
 //! | 70 | [`admission::Admission`] | queues, shares and retry budget |
 //! | 80 | [`claims::Claims`] | idempotency claims in progress |
-//! | 90 | [`calls::Calls`] | call budget towards the store |
+//! | 90 | `store::budget::Calls` of the platform crate | call budget towards the store |
 //! | 100 | [`burn::Burn`] | service-level counts |
 
 pub mod admission;
--- a/crates/node/src/tables/dispatched.rs
+++ b/crates/node/src/tables/dispatched.rs
@@ -13,6 +13,9 @@
 #[derive(Debug)]
 pub struct Dispatched {
     sent: HashMap<id::Replica, Vec<Moment>>,
+    /// Number of the round in which the cache events of a replica were last read.
+    events: HashMap<id::Replica, u64>,
+    rounds: u64,
     /// What replicas hold in their prefix caches.
     pub history: prefix::History,
     /// Dispatches a second, averaged.
@@ -28,6 +31,8 @@
     fn default() -> Self {
         Self {
             sent: HashMap::new(),
+            events: HashMap::new(),
+            rounds: 0,
             history: prefix::History::open(PREFIXES),
             rate: Rate::default(),
         }
@@ -52,6 +57,23 @@
         }
     }
 
+    /// When the cache events of a replica were last read, as a number that grows with each read.
+    pub fn events_read(&self, replica: &id::Replica) -> u64 {
+        self.events.get(replica).copied().unwrap_or_default()
+    }
+
+    /// Notes that the cache events of a replica are being read.
+    pub fn reading_events(&mut self, replica: &id::Replica) {
+        self.rounds += 1;
+        self.events.insert(replica.clone(), self.rounds);
+    }
+
+    /// Keeps only the replicas that `keep` accepts.
+    pub fn retain(&mut self, mut keep: impl FnMut(&id::Replica) -> bool) {
+        self.events.retain(|replica, _| keep(replica));
+        self.history.retain(keep);
+    }
+
     /// Moments of the dispatches in progress, in increasing order.
     pub fn of(&self, replica: &id::Replica) -> &[Moment] {
         self.sent.get(replica).map_or(&[], Vec::as_slice)
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -1,5 +1,6 @@
 //! The key-value service: compare-and-swap, leases and watches.
 
+pub mod budget;
 mod error;
 pub mod etcd;
 mod limiter;
@@ -7,8 +8,9 @@
 use std::future::Future;
 use std::time::Duration;
 
+pub use corneltrestle_policy::calls::Class;
 pub use error::{Error, Kind};
-pub use limiter::{InFlight, Limiter};
+pub use limiter::{InFlight, Limiter, Permit};
 
 /// The result of a store call.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -46,19 +48,6 @@
     Progress,
 }
 
-/// What a call is for; each class has its own part of the call budget. More important ones first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Class {
-    /// Leases of zones.
-    Lease,
-    /// Claims of idempotency keys.
-    Order,
-    /// Releases and assignments.
-    Config,
-    /// Everything else.
-    Report,
-}
-
 /// The platform's key-value service.
 ///
 /// A call whose answer is lost fails with [`Kind::Unknown`]; the caller settles it by reading.
--- a/crates/platform/src/store/etcd.rs
+++ b/crates/platform/src/store/etcd.rs
@@ -17,9 +17,10 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+pub use port::NodeStore;
 pub use watch::EtcdWatch;
 
-use super::limiter::{InFlight, Limiter};
+use super::limiter::{InFlight, Limiter, Permit};
 use super::{Class, Error, Kind, LeaseId, Result, Store, Swap, Version, Versioned};
 use message::{Base64, Int64};
 
@@ -91,14 +92,14 @@
         call: Call<'_, Q>,
         class: Class,
     ) -> Result<A> {
-        let _permit = self.start(call.step, class)?;
+        let mut permit = self.start(call.step, class).await?;
         let answer = self.link.call(&call).await;
-        self.settle(class, &answer);
+        permit.settle(is_answered(&answer));
         self.link.decode(call.step, &answer?)
     }
 
-    fn start(&self, step: &'static str, class: Class) -> Result<L::Permit> {
-        let permit = self.limiter.start(class).map_err(|e| {
+    async fn start(&self, step: &'static str, class: Class) -> Result<L::Permit> {
+        let permit = self.limiter.start(class).await.map_err(|e| {
             let peer = self.link.peer.to_string();
             Error { step, peer, ..e }
         })?;
@@ -106,11 +107,6 @@
         Ok(permit)
     }
 
-    fn settle<T>(&self, class: Class, answer: &Result<T>) {
-        let silent = |e: &Error| matches!(e.kind, Kind::NotSent | Kind::Unknown);
-        self.limiter.settled(class, !answer.as_ref().is_err_and(silent));
-    }
-
     async fn range(
         &self,
         step: &'static str,
@@ -184,10 +180,10 @@
     async fn watch(&self, key: &str, after: Version) -> Result<Self::Watch> {
         let (step, class) = ("watch", Class::Config);
         let start = self.range(step, key, class).await?;
-        let permit = self.start(step, class)?;
+        let mut permit = self.start(step, class).await?;
         let revision = start.header.revision;
         let opened = watch::open(&self.link, key, Int64(revision.saturating_add(1))).await;
-        self.settle(class, &opened);
+        permit.settle(is_answered(&opened));
         let present = message::first(start.kvs);
         let changed = present.as_ref().map_or(0, |kv| kv.version) != after;
         Ok(EtcdWatch::new(
@@ -200,6 +196,11 @@
     }
 }
 
+/// Whether the store itself answered, with whatever result.
+fn is_answered<T>(answer: &Result<T>) -> bool {
+    !answer.as_ref().is_err_and(|e| matches!(e.kind, Kind::NotSent | Kind::Unknown))
+}
+
 /// One call to the gateway.
 struct Call<'a, Q> {
     step: &'static str,
--- a/crates/platform/src/store/etcd/port.rs
+++ b/crates/platform/src/store/etcd/port.rs
@@ -8,6 +8,10 @@
 use corneltrestle_kernel::settings::{Key, Section, Type};
 
 use super::{Config, EtcdStore};
+use crate::store::budget::Budget;
+
+/// The store as nodes use it.
+pub type NodeStore = EtcdStore<Budget>;
 
 static SECTION: Section = Section {
     name: "store",
@@ -16,10 +20,16 @@
         Key::required("address", Type::Address, "Address of the gateway."),
         Key::new("timeout", Type::millis(10, 60_000), "1s", "Longest time of a call."),
         Key::new(
-            "in-flight",
-            Type::Count { min: 1, max: 64 },
-            "8",
-            "Calls in flight, waiting watches included.",
+            "order-rate",
+            Type::Count { min: 1, max: 10_000 },
+            "60",
+            "Calls a second of this node for orders; an order takes three.",
+        ),
+        Key::new(
+            "other-rate",
+            Type::Count { min: 5, max: 10_000 },
+            "25",
+            "Calls a second of this node for everything else.",
         ),
     ],
 };
@@ -36,12 +46,11 @@
 
 fn open(host: &Arc<Host>) -> plugin::Result<Handle> {
     let settings = host.settings.section(SECTION.name);
-    let calls = usize::try_from(settings.count("in-flight")).unwrap_or(usize::MAX);
-    let config = Config {
-        timeout: settings.span("timeout"),
-        calls,
-        ..Config::new(settings.address("address"))
-    };
-    host.provide(Arc::new(EtcdStore::open(config)));
+    let config =
+        Config { timeout: settings.span("timeout"), ..Config::new(settings.address("address")) };
+    let rate = |key| settings.count(key) as f64;
+    let budget = Budget::open(host, rate("order-rate"), rate("other-rate"));
+    let store: NodeStore = EtcdStore::with_limiter(config, budget);
+    host.provide(Arc::new(store));
     Ok(Handle::idle())
 }
--- a/crates/platform/src/store/limiter.rs
+++ b/crates/platform/src/store/limiter.rs
@@ -1,5 +1,6 @@
 //! Limits on the calls that a node makes.
 
+use std::future::Future;
 use std::sync::Arc;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -9,19 +10,20 @@
 /// Decides whether a call may start.
 pub trait Limiter: Send + Sync + 'static {
     /// Held while a call is in progress.
-    type Permit: Send + 'static;
+    type Permit: Permit;
 
-    /// Starts a call of `class`.
+    /// Starts a call of `class`, after a short wait if need be.
     ///
     /// # Errors
     ///
     /// [`Kind::Budget`] when the call may not start now; the client adds the step and the peer.
-    fn start(&self, class: Class) -> Result<Self::Permit>;
+    fn start(&self, class: Class) -> impl Future<Output = Result<Self::Permit>> + Send;
+}
 
-    /// Learns whether the store answered a call of `class`.
-    fn settled(&self, class: Class, answered: bool) {
-        let _ = (class, answered);
-    }
+/// A call in progress; it ends when the permit is dropped.
+pub trait Permit: Send + 'static {
+    /// Learns whether the store answered.
+    fn settle(&mut self, answered: bool);
 }
 
 /// Allows a fixed number of calls in flight, whatever their class.
@@ -40,12 +42,18 @@
 impl Limiter for InFlight {
     type Permit = OwnedSemaphorePermit;
 
-    fn start(&self, _: Class) -> Result<Self::Permit> {
-        Arc::clone(&self.free).try_acquire_owned().map_err(|_| Error {
-            kind: Kind::Budget,
-            step: "limit",
-            peer: String::new(),
-            cause: "too many calls in flight".to_owned(),
-        })
+    async fn start(&self, _: Class) -> Result<Self::Permit> {
+        Arc::clone(&self.free)
+            .try_acquire_owned()
+            .map_err(|_| refused("too many calls in flight".to_owned()))
     }
 }
+
+impl Permit for OwnedSemaphorePermit {
+    fn settle(&mut self, _: bool) {}
+}
+
+/// A call that may not start now.
+pub(super) fn refused(cause: String) -> Error {
+    Error { kind: Kind::Budget, step: "limit", peer: String::new(), cause }
+}
--- a/crates/platform/tests/ports.rs
+++ b/crates/platform/tests/ports.rs
@@ -1,7 +1,7 @@
 //! Guards against ports that are not registered, or that do not read their settings.
 
 use corneltrestle_kernel::{host, pool, settings};
-use corneltrestle_platform::store::etcd::EtcdStore;
+use corneltrestle_platform::store::etcd::NodeStore;
 use corneltrestle_platform::vms::discovery::HttpVms;
 
 const SETTINGS: &str = "[store]\naddress = 127.0.0.1:2379\n[vms]\naddress = 127.0.0.1:9000\n";
@@ -12,7 +12,7 @@
     let pool = pool::Pool::attach(tokio::runtime::Handle::current());
     let host = host::Host::open(settings, pool);
     let opened = host.open_plugins().unwrap();
-    host.port::<EtcdStore>().unwrap();
+    host.port::<NodeStore>().unwrap();
     host.port::<HttpVms>().unwrap();
     opened.shutdown().await;
 }
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -8,32 +8,33 @@
 
 use crate::id;
 
-/// Hashes of the prefixes of `prompt` that end at whole blocks of `size` bytes, shortest first, at
-/// most `limit` of them. `scope` separates models, adapters and organisations.
+/// Hashes of the prefixes of a prompt, one after each of its texts that is not empty, at most
+/// `limit` of them.
+///
+/// Each is the xxh3 hash of the text with the hash before it as seed, 0 at first; engines name
+/// prefixes in their cache events in the same way.
 ///
 /// # Examples
 ///
 /// ```
 /// use corneltrestle_policy::prefix;
 ///
-/// let (a, b) = (prefix::blocks("m", b"aaaabbbbc", 4, 9), prefix::blocks("m", b"aaaaxxxx", 4, 9));
+/// let (a, b) = (prefix::chain(["user", "hello"], 9), prefix::chain(["user", "", "bye"], 9));
 /// assert_eq!((a.len(), b.len()), (2, 2));
 /// assert!(a[0] == b[0] && a[1] != b[1]);
 /// ```
-pub fn blocks(scope: &str, prompt: &[u8], size: usize, limit: usize) -> Vec<u64> {
-    let mut hash = xxh3::xxh3_64(scope.as_bytes());
-    prompt
-        .chunks_exact(size.max(1))
-        .take(limit)
-        .map(|block| {
-            hash = xxh3::xxh3_64_with_seed(block, hash);
-            hash
-        })
-        .collect()
+pub fn chain<'a>(texts: impl IntoIterator<Item = &'a str>, limit: usize) -> Vec<u64> {
+    let texts = texts.into_iter().filter(|text| !text.is_empty()).take(limit);
+    let hashes = texts.scan(0, |seed, text| {
+        *seed = xxh3::xxh3_64_with_seed(text.as_bytes(), *seed);
+        Some(*seed)
+    });
+    hashes.collect()
 }
 
 /// A change in the prefix cache of an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct Event {
     /// Sequence number.
     pub sequence: u64,
@@ -139,6 +140,13 @@
         }
     }
 
+    /// Sequence number of the latest event of an upstream at this start, 0 before the first one;
+    /// `None` if nothing was dispatched to that start.
+    pub fn sequence(&self, upstream: &id::Replica, start: u64) -> Option<u64> {
+        let cache = self.caches.get(upstream).filter(|cache| cache.start == start)?;
+        Some(cache.sequence.unwrap_or_default())
+    }
+
     /// Number of leading blocks that the upstream holds, 0 for an unknown upstream or start.
     pub fn cached(&self, upstream: &id::Replica, start: u64, blocks: &[u64]) -> u32 {
         let Some(cache) = self.caches.get(upstream).filter(|cache| cache.start == start) else {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -16,7 +16,6 @@
 use corneltrestle_policy::{Moment, id, report};
 use hyper::{Method, StatusCode};
 
-pub use cache::prefixes;
 pub use fabric::Fabric;
 
 use crate::fault;
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use corneltrestle_policy::Moment;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use corneltrestle_policy::prefix::Event;
 
 /// Number of events that are kept.
 const HISTORY: usize = 4096;
@@ -19,27 +19,6 @@
     sequence: u64,
 }
 
-/// An event as `corneltrestle_engine::engine::CacheEvent` reads it.
-#[derive(Clone, Copy, Debug, serde::Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub(super) struct Event {
-    sequence: u64,
-    prefix: u64,
-    stored: bool,
-}
-
-/// The hashes of the prefixes of a prompt, one after each text that is not empty.
-///
-/// Each is the xxh3 hash of the text with the hash before it as seed, 0 at first.
-pub fn prefixes<'a>(texts: impl Iterator<Item = &'a str>) -> Vec<u64> {
-    let texts = texts.filter(|text| !text.is_empty());
-    let chain = texts.scan(0, |seed, text| {
-        *seed = xxh3_64_with_seed(text.as_bytes(), *seed);
-        Some(*seed)
-    });
-    chain.collect()
-}
-
 impl Cache {
     pub(super) fn new(limit: u32) -> Self {
         Self {
--- a/crates/standin/src/engine/generate.rs
+++ b/crates/standin/src/engine/generate.rs
@@ -6,15 +6,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use corneltrestle_policy::prefix;
 use corneltrestle_wire::{openai, sse};
 use hyper::{StatusCode, header};
 use serde_json::json;
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::Engine;
 use super::fabric::Member;
 use super::slots::Slot;
-use super::{Engine, cache};
 use crate::server::{self, Body, Call, Reply, Shared};
 
 /// Tokens of an answer, unless the request says otherwise.
@@ -23,6 +24,9 @@
 /// Longest answer in tokens.
 const TOKEN_LIMIT: u64 = 65_536;
 
+/// Most prefixes of a prompt that are cached.
+const PREFIXES: usize = 64;
+
 /// Wait for a slot, unless the request has a deadline.
 const WAIT_LIMIT: Duration = Duration::from_secs(600);
 
@@ -130,7 +134,7 @@
             model: request.model.as_ref().to_owned(),
             chat: call.path.starts_with("/v1/chat/"),
             stream: request.stream,
-            prefixes: cache::prefixes(request.texts()),
+            prefixes: prefix::chain(request.texts(), PREFIXES),
             next: 0,
             total: options.max_tokens.unwrap_or(TOKENS).min(TOKEN_LIMIT),
             member,
--- a/crates/standin/tests/contract/engine.rs
+++ b/crates/standin/tests/contract/engine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use corneltrestle_policy::report::Phase;
+use corneltrestle_policy::{prefix, report::Phase};
 use corneltrestle_standin::engine::{self, Config, Fabric, Handle};
 use hyper::body::Incoming;
 use hyper::{Method, Response, StatusCode};
@@ -102,7 +102,7 @@
         "start": report["start"], "model": "m", "adapter": "", "version": "1", "phase": "ready",
         "running": 0, "waiting": 0, "finished": 1, "blocks": 1023, "sequence": 1});
     assert_eq!(report, expected);
-    let prefix = engine::prefixes(["hello"].into_iter())[0];
+    let prefix = prefix::chain(["hello"], 1)[0];
     let events = client.get(engines[0].address(), "/v1/cache-events?after=0").await.unwrap().json;
     assert_eq!(events, json!([{"sequence": 1, "prefix": prefix, "stored": true}]));
 }
