Add the demo command

Runs stand-ins and four entry nodes in two zones over real sockets, sends requests of two organisations while a zone leaves and returns, and checks every answer.

--- a/crates/corneltrestle/src/command.rs
+++ b/crates/corneltrestle/src/command.rs
@@ -1,6 +1,7 @@
 //! Commands of the operators' program; each is one file that registers itself.
 
 mod client;
+mod demo;
 mod measure;
 mod note;
 
--- /dev/null
+++ b/crates/corneltrestle/src/command/demo/run.rs
@@ -0,0 +1,212 @@
+//! The course of the demo.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use corneltrestle_local::caller::Caller;
+use corneltrestle_local::{self as local, Local, Plan};
+use corneltrestle_node::operate::Verdict;
+use corneltrestle_policy::report::Phase;
+use hyper::{Method, StatusCode};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::check::{self, End};
+use super::notes::{self, MOVED, ORGANISATIONS, ZONES};
+use super::report::{self, Report};
+use super::request::Generation;
+use super::traffic::Traffic;
+use super::{Options, failed, serve};
+use crate::command::{Error, Result};
+
+/// Longest time until everything serves, and until a zone that returned gets work.
+const SERVING_LIMIT: Duration = Duration::from_secs(20);
+/// Time of load with all zones in service, before a zone leaves and after it returned.
+const LOAD_TIME: Duration = Duration::from_secs(5);
+/// Time after which a zone that is out gets no new work.
+const OUT_LIMIT: Duration = Duration::from_secs(3);
+/// Time during which a zone that is out is watched.
+const OUT_TIME: Duration = Duration::from_secs(4);
+/// Time between two looks at something that is waited for.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+/// Calls that count as work of an upstream.
+const WORK: [&str; 4] = ["generate", "order", "status", "stock"];
+
+/// Runs the demo and prints its report.
+///
+/// # Errors
+///
+/// When the deployment cannot be opened or does not serve.
+pub(super) async fn run(options: Options) -> Result<Report> {
+    let begun = Instant::now();
+    let local = Local::open(Plan::zones(&ZONES)).await.map_err(call_failed)?;
+    options.progress(&format!(
+        "opened {} engines, {} order services and {} entry nodes in {}",
+        local.engines.len(),
+        local.services.len(),
+        local.nodes.len(),
+        ZONES.join(" and "),
+    ));
+    let mut report = Report { seed: options.seed, ..Report::default() };
+    let course = course(&local, options, &mut report).await;
+    report.run_ms = report::millis(begun.elapsed());
+    if course.is_ok() && options.serve {
+        show(options, &report);
+        serve::until_interrupt(&local, options).await?;
+        local.shutdown().await;
+        return Ok(report);
+    }
+    let stopping = Instant::now();
+    local.shutdown().await;
+    report.stopped(stopping.elapsed());
+    course?;
+    options.progress(&format!("stopped everything within {} ms", report.shutdown_ms));
+    show(options, &report);
+    Ok(report)
+}
+
+fn show(options: Options, report: &Report) {
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(report).unwrap_or_default());
+    } else {
+        print!("{report}");
+    }
+}
+
+async fn course(local: &Local, options: Options, report: &mut Report) -> Result<()> {
+    wait_until("become ready", || is_ready(local)).await?;
+    let applied = Instant::now();
+    let services = local.services.iter();
+    let note = notes::first(services.map(|(zone, handle)| (zone.as_str(), handle.address())));
+    let mut revision = apply(local, &note).await?;
+    wait_until("load models", async || engines_serve(local)).await?;
+    probe(local, options.seed).await?;
+    report.serving_ms = report::millis(applied.elapsed());
+    options.progress(&format!(
+        "the first note is in force at revision {revision}; every node serves after {} ms",
+        report.serving_ms
+    ));
+
+    let nodes = local.nodes.values().map(|node| node.callers).collect();
+    let traffic = Traffic::open(nodes, options.seed);
+    tokio::time::sleep(LOAD_TIME).await;
+    report.zone.before = work_of_moved(local);
+    progress(options, &traffic, "both zones are in service");
+
+    revision = apply(local, &notes::zone(revision, "out")).await?;
+    options.progress(&format!("{MOVED} is taken out of service at revision {revision}"));
+    tokio::time::sleep(OUT_LIMIT).await;
+    let from = work_of_moved(local);
+    tokio::time::sleep(OUT_TIME).await;
+    report.zone.out = work_of_moved(local) - from;
+    progress(options, &traffic, &format!("{MOVED} was out of service"));
+
+    revision = apply(local, &notes::zone(revision, "in")).await?;
+    options.progress(&format!("{MOVED} is back in service at revision {revision}"));
+    let left = work_of_moved(local);
+    let returned = wait_until("get work again", async || work_of_moved(local) > left).await;
+    tokio::time::sleep(LOAD_TIME).await;
+    report.zone.after = work_of_moved(local) - left;
+    traffic.shutdown().await;
+    progress(options, &traffic, "all requests have ended");
+
+    if let Err(e) = returned {
+        report.violated("a zone that returned gets work", e);
+    }
+    report.overloads = local.engines.values().map(|engine| engine.api().overloads()).sum();
+    let runs = runs(local);
+    report.judge(&traffic.tally.lock(), &runs);
+    Ok(())
+}
+
+fn progress(options: Options, traffic: &Traffic, stage: &str) {
+    let total = traffic.tally.lock().total();
+    options.progress(&format!(
+        "{stage}: {} requests sent, {} answered whole, {} not",
+        total.sent,
+        total.whole,
+        total.ended() - total.whole
+    ));
+}
+
+async fn apply(local: &Local, note: &str) -> Result<u64> {
+    match local.apply(note).await.map_err(call_failed)? {
+        Verdict::Accepted { revision } => Ok(revision),
+        verdict => Err(failed("apply note", "the first node", format!("{verdict:?}"))),
+    }
+}
+
+/// Waits until something is so.
+async fn wait_until(step: &'static str, is_so: impl AsyncFn() -> bool) -> Result<()> {
+    let wait = async {
+        while !is_so().await {
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+    };
+    tokio::time::timeout(SERVING_LIMIT, wait)
+        .await
+        .map_err(|_| failed(step, "the deployment", "not within the limit"))
+}
+
+async fn is_ready(local: &Local) -> bool {
+    for node in local.nodes.values() {
+        let caller = Caller::new(node.callers, "");
+        let answer = caller.call(Method::GET, "/readyz", &[], Vec::new()).await;
+        if !answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+            return false;
+        }
+    }
+    true
+}
+
+fn engines_serve(local: &Local) -> bool {
+    local.engines.values().all(|engine| engine.api().report().phase == Phase::Ready)
+}
+
+/// Sends a request to each node and waits for its answer.
+async fn probe(local: &Local, seed: u64) -> Result<()> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let organisation = ORGANISATIONS[0];
+    for (name, node) in &local.nodes {
+        let generation = Generation::draw(organisation, false, &mut rng);
+        let caller = Caller::new(node.callers, organisation.key);
+        let begun = Instant::now();
+        loop {
+            match check::generate(&caller, &generation).await {
+                End::Whole(_) => break,
+                end if begun.elapsed() > SERVING_LIMIT => {
+                    return Err(failed("serve", name, format!("{end:?}")));
+                }
+                _ => tokio::time::sleep(LOOK_PERIOD).await,
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Requests that the upstreams of the moved zone have received.
+fn work_of_moved(local: &Local) -> u64 {
+    let engines = local.engines.iter().filter(|(vm, _)| vm.starts_with(MOVED));
+    let services = local.services.iter().filter(|(zone, _)| zone == MOVED);
+    let counts =
+        engines.map(|(_, e)| e.counts()).chain(services.map(|(_, service)| service.counts()));
+    counts.map(|counts| WORK.iter().filter_map(|kind| counts.get(*kind)).sum::<u64>()).sum()
+}
+
+/// Runs by idempotency key over all order services.
+fn runs(local: &Local) -> BTreeMap<String, u64> {
+    let mut all = BTreeMap::new();
+    for (_, service) in &local.services {
+        for (key, runs) in service.api().runs().keys {
+            *all.entry(key).or_default() += runs;
+        }
+    }
+    all
+}
+
+fn call_failed(error: local::Error) -> Error {
+    match error {
+        local::Error::Call { step, peer, cause } => Error::Failed { step, peer, cause },
+        other => failed("open", "the deployment", other),
+    }
+}
--- /dev/null
+++ b/crates/corneltrestle/src/command/demo/traffic.rs
@@ -0,0 +1,176 @@
+//! Callers that send requests at a bounded rate.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use corneltrestle_kernel::{plugin, pool, table};
+use corneltrestle_local::caller::{Answer, Caller};
+use hyper::{Method, StatusCode};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use tokio::sync::Semaphore;
+
+use super::check::{self, End};
+use super::notes::{DESK, ORGANISATIONS, Organisation};
+use super::request::{Request, Work};
+use super::tally::Tally;
+
+/// Time between two requests of one organisation.
+const PERIOD: Duration = Duration::from_millis(40);
+/// Most requests of one organisation in progress; the next one waits for an end.
+const IN_PROGRESS: usize = 64;
+
+/// The callers.
+#[derive(Clone, Debug)]
+pub(super) struct Traffic {
+    /// What they saw.
+    pub tally: Arc<table::Table<Tally>>,
+    nodes: Arc<[SocketAddr]>,
+    jobs: plugin::Handle,
+    pool: Arc<pool::Pool>,
+}
+
+impl Traffic {
+    /// Starts the callers of all organisations.
+    pub(super) fn open(nodes: Arc<[SocketAddr]>, seed: u64) -> Self {
+        let traffic = Self {
+            tally: Arc::default(),
+            nodes,
+            jobs: plugin::Handle::default(),
+            pool: Arc::new(pool::Pool::attach(tokio::runtime::Handle::current())),
+        };
+        for (number, organisation) in (0..).zip(ORGANISATIONS) {
+            let sender = traffic.clone();
+            let rng = ChaCha8Rng::seed_from_u64(seed.wrapping_add(number));
+            traffic.jobs.run_until_stop(&traffic.pool, sender.send_all(organisation, rng));
+        }
+        traffic
+    }
+
+    /// Sends no more requests and waits until those in progress have ended.
+    pub(super) async fn shutdown(&self) {
+        self.jobs.shutdown().await;
+    }
+
+    async fn send_all(self, organisation: Organisation, mut rng: ChaCha8Rng) {
+        let slots = Arc::new(Semaphore::new(IN_PROGRESS));
+        let mut ticks = tokio::time::interval(PERIOD);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        for number in 0.. {
+            ticks.tick().await;
+            let slot = Arc::clone(&slots).acquire_owned().await;
+            let request = Request::draw(organisation, number, self.nodes.len(), &mut rng);
+            let caller = self.clone();
+            self.jobs.run(&self.pool, async move {
+                caller.run(request).await;
+                drop(slot);
+            });
+        }
+    }
+
+    async fn run(self, request: Request) {
+        let caller = Caller::new(self.nodes[request.node], request.organisation.key);
+        match &request.work {
+            Work::Generation(generation) => {
+                let kind = if generation.stream { "streamed" } else { "whole" };
+                self.tally.lock().sent(kind);
+                let end = check::generate(&caller, generation).await;
+                self.tally.lock().ended(kind, end);
+            }
+            Work::Order { key, overlap } => {
+                let other = Caller::new(self.nodes[request.other], request.organisation.key);
+                if *overlap {
+                    tokio::join!(self.order(&caller, "order", key), async {
+                        self.order(&other, "order repeated", key).await;
+                    });
+                } else {
+                    self.order(&caller, "order", key).await;
+                    self.order(&other, "order repeated", key).await;
+                }
+            }
+            Work::Status { key } => {
+                let path = format!("{DESK}/orders/{key}/status");
+                self.look_up(&caller, "status", &path, |answer| is_status(answer, key)).await;
+            }
+            Work::Stock { item } => {
+                let path = format!("{DESK}/stock/{item}");
+                self.look_up(&caller, "stock", &path, |answer| is_stock(answer, item)).await;
+            }
+        }
+    }
+
+    async fn order(&self, caller: &Caller, kind: &'static str, key: &str) {
+        self.tally.lock().sent(kind);
+        let headers = [("idempotency-key", key)];
+        let body = json!({"item": key}).to_string().into_bytes();
+        let called = caller.call(Method::POST, &format!("{DESK}/orders"), &headers, body).await;
+        let mut tally = self.tally.lock();
+        let end = match called {
+            Ok(answer) => match check::refusal(&answer.headers, &answer.body) {
+                Some(refused) => {
+                    let not_run =
+                        matches!(&refused, End::Refused { outcome, .. } if outcome == "not-run");
+                    tally.ordered(key, None, not_run);
+                    refused
+                }
+                None if !is_order(&answer, key) => End::Wrong(describe(&answer)),
+                None if !tally.ordered(key, Some(&answer.body), false) => {
+                    End::Wrong(format!("order {key} got a second answer: {}", describe(&answer)))
+                }
+                None => End::Whole(None),
+            },
+            Err(e) => {
+                tally.ordered(key, None, false);
+                End::NoAnswer(e.to_string())
+            }
+        };
+        tally.ended(kind, end);
+    }
+
+    async fn look_up(
+        &self,
+        caller: &Caller,
+        kind: &'static str,
+        path: &str,
+        is_right: impl Fn(&Answer) -> bool,
+    ) {
+        self.tally.lock().sent(kind);
+        let end = match caller.call(Method::GET, path, &[], Vec::new()).await {
+            Ok(answer) => match check::refusal(&answer.headers, &answer.body) {
+                Some(refused) => refused,
+                None if is_right(&answer) => End::Whole(None),
+                None => End::Wrong(format!("{path} got {}", describe(&answer))),
+            },
+            Err(e) => End::NoAnswer(e.to_string()),
+        };
+        self.tally.lock().ended(kind, end);
+    }
+}
+
+fn decode(answer: &Answer) -> serde_json::Value {
+    serde_json::from_slice(&answer.body).unwrap_or_default()
+}
+
+fn is_order(answer: &Answer, key: &str) -> bool {
+    answer.status == StatusCode::CREATED && decode(answer)["key"] == key
+}
+
+/// Whether a status is that of the order; each zone's service knows only the orders that it ran.
+fn is_status(answer: &Answer, key: &str) -> bool {
+    let body = decode(answer);
+    match answer.status {
+        StatusCode::OK => body["key"] == key && body["runs"] == 1,
+        status => status == StatusCode::NOT_FOUND,
+    }
+}
+
+fn is_stock(answer: &Answer, item: &str) -> bool {
+    let body = decode(answer);
+    answer.status == StatusCode::OK && body["item"] == item && body["stock"].is_u64()
+}
+
+fn describe(answer: &Answer) -> String {
+    format!("status {} with {}", answer.status, String::from_utf8_lossy(&answer.body))
+}
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -137,6 +137,11 @@
         self.publish();
     }
 
+    /// The file with the operators' token of all nodes.
+    pub fn token_file(&self) -> PathBuf {
+        self.files.join("token")
+    }
+
     /// Applies a note through the operators' interface of the first node.
     ///
     /// # Errors
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -18,6 +18,7 @@
 
 pub use cache::prefixes;
 pub use fabric::Fabric;
+pub use generate::answer_text;
 
 use crate::fault;
 use crate::server::{self, Api, Body, Call, Kind, Reply, Shared};
--- a/crates/standin/src/engine/generate.rs
+++ b/crates/standin/src/engine/generate.rs
@@ -84,6 +84,21 @@
     if index == 0 { Cow::Borrowed(word) } else { Cow::Owned(format!(" {word}")) }
 }
 
+/// The complete text that every engine generates for a prompt with these texts.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_standin::engine;
+///
+/// let long = engine::answer_text(["hello"].into_iter(), 8);
+/// assert!(long.starts_with(&engine::answer_text(["hello"].into_iter(), 3)));
+/// ```
+pub fn answer_text<'a>(prompt: impl Iterator<Item = &'a str>, tokens: u64) -> String {
+    let prompt = cache::prefixes(prompt).last().copied().unwrap_or(0);
+    (0..tokens).map(|index| token(prompt, index)).collect()
+}
+
 pub(super) async fn answer(engine: &Arc<Engine>, call: &Call, shared: &Arc<Shared>) -> Reply {
     let job = match Job::admit(engine, call) {
         Ok(job) => job,
