Let a starting lease holder gather its zone before it chooses routers

Cause: the routers of an epoch are chosen when its replica forms and stay. A holder that had just started knew only itself, because the VM list lags and no digest had arrived, and became the only router; the other nodes of the zone had no warm-up slot until the replica was warm.

Change: within 3 s of its start a holder chooses no routers while the VM list does not name it or names a node of its zone that it has not heard of.

--- a/crates/node/src/duty/assign.rs
+++ b/crates/node/src/duty/assign.rs
@@ -9,7 +9,7 @@
 use corneltrestle_engine::engine::{self, Engine};
 use corneltrestle_kernel::{host, linkme, plugin, run};
 use corneltrestle_platform::store::{self, Class, Store, Swap};
-use corneltrestle_policy::{assignment, plan};
+use corneltrestle_policy::{assignment, plan, vm};
 use corneltrestle_time::Moment;
 use corneltrestle_wire::{key, stored};
 
@@ -120,14 +120,20 @@
         let release = self.tables.current.load();
         let members = self.tables.members.lock();
         let view = members.known.view(now);
-        let routers: Vec<_> =
-            view.live(self.identity.zone.as_str()).map(|(node, _)| node.as_str()).collect();
+        let zone = &self.identity.zone;
         let vms = Arc::clone(&self.tables.listed.lock().vms);
+        let entries = vms.iter().filter(|vm| vm.role == vm::Role::Entry && vm.zone == *zone);
+        // The routers of an epoch stay, so a node that is not known yet would get no slots.
+        let routers: Vec<_> = if view.is_gathering(entries.map(|vm| vm.id.as_str())) {
+            Vec::new()
+        } else {
+            view.live(zone.as_str()).map(|(node, _)| node.as_str()).collect()
+        };
         let mut coordinator = self.tables.coordinator.lock();
         let reports = self.tables.reports.lock();
         coordinator.memory.observe(assignment, reports.all(), now);
         let view = plan::View {
-            zone: &self.identity.zone,
+            zone,
             release: &release,
             assignment,
             vms: &vms,
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -41,6 +41,7 @@
 pub struct Members {
     own: id::Node,
     nodes: BTreeMap<id::Node, Member>,
+    opened: Moment,
     ran: Moment,
     resumed: Option<Moment>,
     renewed: bool,
@@ -78,7 +79,7 @@
             draining: false,
         };
         let nodes = BTreeMap::from([(own.clone(), member)]);
-        Self { own, nodes, ran: now, resumed: None, renewed: true }
+        Self { own, nodes, opened: now, ran: now, resumed: None, renewed: true }
     }
 
     /// Starts a run at `now`: counts the own heartbeat, detects a pause and forgets members that
@@ -115,6 +116,7 @@
             own: &self.own,
             nodes: &self.nodes,
             now,
+            opened: self.opened,
             resumed: self.resumed,
             renewed: self.renewed,
         }
--- a/crates/policy/src/membership/view.rs
+++ b/crates/policy/src/membership/view.rs
@@ -13,6 +13,7 @@
     pub(super) own: &'a id::Node,
     pub(super) nodes: &'a BTreeMap<id::Node, Member>,
     pub(super) now: Moment,
+    pub(super) opened: Moment,
     pub(super) resumed: Option<Moment>,
     pub(super) renewed: bool,
 }
@@ -76,6 +77,22 @@
         self.renewed || self.nodes.iter().all(dead)
     }
 
+    /// Whether this node has just started and does not know all nodes of its zone yet: `listed`,
+    /// the nodes of the zone in the VM list, lacks this node or holds one that was never heard of.
+    ///
+    /// It ends [`SUSPECT`] after the start, because a listed node may be lost for good.
+    pub fn is_gathering<'b>(&self, listed: impl IntoIterator<Item = &'b str>) -> bool {
+        if self.now.since(self.opened) >= SUSPECT {
+            return false;
+        }
+        let (mut has_own, mut has_unheard) = (false, false);
+        for node in listed {
+            has_own |= node == self.own.as_str();
+            has_unheard |= self.get(node).is_none_or(|member| member.beat.is_none());
+        }
+        !has_own || has_unheard
+    }
+
     /// Whether data that was renewed at `renewed` may be used: not if it dates from before the
     /// latest pause.
     pub fn is_usable(&self, renewed: Moment) -> bool {
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -57,6 +57,18 @@
     assert_eq!(merge(&mut a, boot, heartbeat, Duration::from_millis(age), now), expected);
 }
 
+#[test_case(&[], 0, true; "the list does not name this node yet")]
+#[test_case(&["a", "b"], 0, false; "all are known")]
+#[test_case(&["a", "b", "c"], 0, true; "one was never heard of")]
+#[test_case(&["a", "b", "c"], 3_000, false; "one may be lost for good")]
+fn a_starting_node_gathers_its_zone_first(listed: &[&str], millis: u64, expected: bool) {
+    let mut a = members("a", 1, START);
+    merge(&mut a, 1, 1, Duration::ZERO, START);
+    a.discover(&"c".into(), &"z".into(), ([127, 0, 0, 1], 3).into(), START);
+    let view = a.view(START + Duration::from_millis(millis));
+    assert_eq!(view.is_gathering(listed.iter().copied()), expected);
+}
+
 #[test]
 fn a_drain_is_kept_until_another_process_starts() {
     let mut a = members("a", 1, START);
