--- a/crates/corneltrestle/src/command/demo/tally.rs
+++ b/crates/corneltrestle/src/command/demo/tally.rs
@@ -95,6 +95,11 @@
         self.kinds.entry(kind).or_default().sent += 1;
     }
 
+    /// Counts a refusal by code and outcome.
+    pub(super) fn refused(&mut self, code: String, outcome: String) {
+        *self.refusals.entry((code, outcome)).or_default() += 1;
+    }
+
     /// Counts the end of a request.
     pub(super) fn ended(&mut self, kind: &'static str, end: End) {
         let counts = self.kinds.entry(kind).or_default();
@@ -109,7 +114,7 @@
             }
             End::Refused { code, outcome } => {
                 counts.refused += 1;
-                *self.refusals.entry((code, outcome)).or_default() += 1;
+                self.refused(code, outcome);
                 return;
             }
             End::CutOff(cause) => {
--- a/crates/corneltrestle/src/command/demo/traffic.rs
+++ b/crates/corneltrestle/src/command/demo/traffic.rs
@@ -21,6 +21,12 @@
 const PERIOD: Duration = Duration::from_millis(40);
 /// Most requests of one organisation in progress; the next one waits for an end.
 const IN_PROGRESS: usize = 64;
+/// The code of the answer to an order whose first call is in progress.
+const IN_PROGRESS_CODE: &str = "in-progress";
+/// Times that such an order is sent again.
+const ORDER_TRIES: u32 = 10;
+/// Wait before that, as `Retry-After` in the answer says.
+const ORDER_PAUSE: Duration = Duration::from_secs(1);
 
 /// The callers.
 #[derive(Clone, Debug)]
@@ -101,13 +107,29 @@
         }
     }
 
+    /// Sends an order, again while another call with its key is in progress.
     async fn order(&self, caller: &Caller, kind: &'static str, key: &str) {
         self.tally.lock().sent(kind);
+        let mut end = self.try_order(caller, key).await;
+        for _ in 0..ORDER_TRIES {
+            match end {
+                End::Refused { code, outcome } if code == IN_PROGRESS_CODE => {
+                    self.tally.lock().refused(code, outcome);
+                }
+                end => return self.tally.lock().ended(kind, end),
+            }
+            tokio::time::sleep(ORDER_PAUSE).await;
+            end = self.try_order(caller, key).await;
+        }
+        self.tally.lock().ended(kind, end);
+    }
+
+    async fn try_order(&self, caller: &Caller, key: &str) -> End {
         let headers = [("idempotency-key", key)];
         let body = json!({"item": key}).to_string().into_bytes();
         let called = caller.call(Method::POST, &format!("{DESK}/orders"), &headers, body).await;
         let mut tally = self.tally.lock();
-        let end = match called {
+        match called {
             Ok(answer) => match check::refusal(&answer.headers, &answer.body) {
                 Some(refused) => {
                     let not_run =
@@ -125,8 +147,7 @@
                 tally.ordered(key, None, false);
                 End::NoAnswer(e.to_string())
             }
-        };
-        tally.ended(kind, end);
+        }
     }
 
     async fn look_up(
