--- /dev/null
+++ b/crates/daemon/tests/process.rs
@@ -0,0 +1,185 @@
+//! Guards against a daemon that starts with wrong settings, that does not say what is wrong with
+//! them, or that cuts off a request when it is stopped as planned.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+use corneltrestle::local::caller::Caller;
+use corneltrestle::local::{Local, Plan};
+use corneltrestle::node::digest;
+use hyper::{Method, StatusCode};
+use test_case::test_case;
+
+const KEY: &str = "key-of-acme";
+const CALLERS: u16 = 8_080;
+const OPERATORS: u16 = 9_080;
+/// Longest wait for a daemon; only a failing test reaches it.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Files and a loopback address of one test.
+struct Place {
+    folder: PathBuf,
+    ip: Ipv4Addr,
+}
+
+impl Place {
+    fn open(number: u8) -> Self {
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let folder = std::env::temp_dir().join(format!("corneltrestled-{high}-{low}-{number}"));
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("secret"), "local-secret-of-the-nodes").unwrap();
+        std::fs::write(folder.join("token"), "local-operator-token").unwrap();
+        Self { folder, ip: Ipv4Addr::new(127, 100 + number, high, low) }
+    }
+
+    fn settings(&self, store: SocketAddr, vms: SocketAddr) -> String {
+        let (ip, files) = (self.ip, self.folder.display());
+        format!(
+            "[node]\nid = entry\nzone = zone-a\nlink = {ip}:7080\nsecret-file = {files}/secret\n\
+             [callers]\naddress = {ip}:{CALLERS}\n\
+             [operators]\naddress = {ip}:{OPERATORS}\ntoken-file = {files}/token\n\
+             [store]\naddress = {store}\n[vms]\naddress = {vms}\n"
+        )
+    }
+
+    /// Settings with a platform that does not answer.
+    fn alone(&self) -> String {
+        let closed = (self.ip, 1).into();
+        self.settings(closed, closed)
+    }
+
+    fn write(&self, settings: &str) -> PathBuf {
+        let file = self.folder.join("node.ini");
+        std::fs::write(&file, settings).unwrap();
+        file
+    }
+
+    fn caller(&self, port: u16, key: &str) -> Caller {
+        Caller::new((self.ip, port).into(), key)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn daemon(file: &Path, arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_corneltrestled"));
+    command.arg("--settings").arg(file).args(arguments);
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    command
+}
+
+fn terminate(child: &Child) {
+    let status = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(status.success());
+}
+
+fn errors(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+/// Waits until the daemon answers a path with a status.
+async fn answers(caller: &Caller, path: &str, wanted: StatusCode) {
+    let wait = async {
+        loop {
+            let answer = caller.call(Method::GET, path, &[], Vec::new()).await;
+            if answer.is_ok_and(|answer| answer.status == wanted) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, wait).await.unwrap();
+}
+
+#[test]
+fn check_accepts_right_settings() {
+    let place = Place::open(1);
+    let output = daemon(&place.write(&place.alone()), &["--check"]).output().unwrap();
+    assert_eq!(output.status.code(), Some(0), "{}", errors(&output));
+}
+
+#[test_case(2, "id = entry", "id =", "node.ini:2: [node] id"; "value missing")]
+#[test_case(3, "zone = zone-a\n", "", "[node] zone"; "required key missing")]
+#[test_case(4, ":8080", "", "node.ini:7: [callers] address"; "port missing")]
+#[test_case(5, "[store]", "[stores]", "node.ini:11: [stores]"; "unknown section")]
+#[test_case(6, "token-file", "token", "node.ini:10: [operators] token"; "unknown key")]
+fn wrong_settings_name_their_place(number: u8, right: &str, wrong: &str, place_named: &str) {
+    let place = Place::open(number);
+    let file = place.write(&place.alone().replacen(right, wrong, 1));
+    for arguments in [&["--check"][..], &[]] {
+        let output = daemon(&file, arguments).output().unwrap();
+        assert_eq!(output.status.code(), Some(2), "{}", errors(&output));
+        assert!(errors(&output).contains(place_named), "{}", errors(&output));
+    }
+}
+
+#[test]
+fn absent_settings_are_named() {
+    let output = daemon(Path::new("absent/node.ini"), &[]).output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(errors(&output).contains("absent/node.ini"), "{}", errors(&output));
+}
+
+#[test]
+fn port_in_use_ends_the_daemon() {
+    let place = Place::open(7);
+    let address = SocketAddr::from((place.ip, CALLERS));
+    let _taken = TcpListener::bind(address).unwrap();
+    let output = daemon(&place.write(&place.alone()), &[]).output().unwrap();
+    assert_eq!(output.status.code(), Some(1), "{}", errors(&output));
+    assert!(errors(&output).contains(&address.to_string()), "{}", errors(&output));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn termination_ends_a_daemon_without_platform() {
+    let place = Place::open(8);
+    let child = daemon(&place.write(&place.alone()), &[]).spawn().unwrap();
+    answers(&place.caller(CALLERS, ""), "/healthz", StatusCode::OK).await;
+    terminate(&child);
+    let output = child.wait_with_output().unwrap();
+    assert_eq!(output.status.code(), Some(0), "{}", errors(&output));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn termination_lets_a_stream_finish() {
+    let place = Place::open(9);
+    let mut plan = Plan::zones(&["zone-a"]);
+    plan.zones[0].nodes = 0;
+    let platform = Local::open(plan).await.unwrap();
+    let settings = place.settings(platform.store.address(), platform.vms.address());
+    let child = daemon(&place.write(&settings), &[]).spawn().unwrap();
+    answers(&place.caller(CALLERS, ""), "/readyz", StatusCode::OK).await;
+    let note = format!(
+        "[note]\nid = first\nbase = 0\n[zone zone-a]\nchange = add\nstate = in\n\
+         [organisation acme]\nchange = add\nkey-hash = {}\nrate = 100\nconcurrency = 100\n\
+         [service chat]\nchange = add\nkind = model\nmodel = small\ntimeout = 60s\n\
+         [group chat-a]\nchange = add\nservice = chat\nzone = zone-a\nvms = 3\nreplicas = 1\n\
+         model = small\nversion = 1\nfencing = checked\n",
+        digest::key(KEY)
+    );
+    let operators = place.caller(OPERATORS, "local-operator-token");
+    let applied = operators.call(Method::POST, "/v1/note", &[], note.into_bytes()).await.unwrap();
+    assert_eq!(applied.status, StatusCode::OK);
+
+    let body = br#"{"model":"small","stream":true,"max_tokens":100,"prompt":"hello"}"#;
+    let caller = place.caller(CALLERS, KEY);
+    let sent = caller.send(Method::POST, "/v1/completions", &[], body.to_vec()).await;
+    let mut parts = sent.unwrap();
+    let mut text = parts.next().await.unwrap().unwrap().to_vec();
+    terminate(&child);
+    while let Some(part) = parts.next().await.unwrap() {
+        text.extend_from_slice(&part);
+    }
+    let text = String::from_utf8(text).unwrap();
+    assert_eq!(text.matches("data: {").count(), 100, "{text}");
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    let output = child.wait_with_output().unwrap();
+    assert_eq!(output.status.code(), Some(0), "{}", errors(&output));
+    platform.shutdown().await;
+}
