--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -17,6 +17,7 @@
 use hyper::{Method, StatusCode};
 
 pub use fabric::Fabric;
+pub use generate::answer_text;
 
 use crate::fault;
 use crate::server::{self, Api, Body, Call, Kind, Reply, Shared};
