Serve note lookups, system status and burn readings to operators

GET /v1/note/{id} asks nodes of each zone for their revision and says where it is in force, behind or unreachable; GET /v1/status and GET /v1/burn read all zones. A note that was accepted before, or that is based on another revision, is recognised before its changes are decoded: the changes need not fit the present release, and their faults hid the acceptance or the conflict. Counts replies now cover the 24 hours of the error budget, not only the last hour, and are merged into coarser groups instead of being cut when they exceed one message. A head that cannot be decoded is an error of the lookup; before, the note was said to be unknown. Operators' answers carry X-Request-Id.

--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -59,8 +59,9 @@
     match code {
         Code::BadRequest | Code::KeyRequired => StatusCode::BAD_REQUEST,
         Code::Unauthorized => StatusCode::UNAUTHORIZED,
-        Code::UnknownService => StatusCode::NOT_FOUND,
+        Code::UnknownService | Code::NotFound => StatusCode::NOT_FOUND,
         Code::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
+        Code::HeaderTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
         Code::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         Code::RequestTimeout => StatusCode::REQUEST_TIMEOUT,
         Code::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/http/src/callers.rs
+++ b/crates/http/src/callers.rs
@@ -2,10 +2,8 @@
 
 mod auth;
 mod generate;
-mod intake;
 mod models;
 mod plain;
-mod request_id;
 mod router;
 
 use std::sync::Arc;
@@ -18,7 +16,7 @@
 use corneltrestle_platform::store::{self, Store};
 use tower::ServiceBuilder;
 
-use crate::server;
+use crate::{intake, request_id, server};
 
 /// Settings of the front end for callers.
 pub static SECTION: Section = Section {
--- a/crates/http/src/callers/router.rs
+++ b/crates/http/src/callers/router.rs
@@ -13,9 +13,9 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 
-use super::request_id::RequestId;
-use super::{auth, generate, intake, models};
-use crate::{answer, body};
+use super::{auth, generate, models};
+use crate::request_id::RequestId;
+use crate::{answer, body, intake};
 
 /// Header with the time that the caller waits for the whole answer, in milliseconds.
 const DEADLINE: &str = "x-deadline-ms";
--- a/crates/http/src/callers/intake.rs
+++ b/crates/http/src/intake.rs
@@ -9,11 +9,11 @@
 
 /// Limits on the bodies of requests.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Intake {
+pub(crate) struct Intake {
     /// Largest body in bytes.
-    pub body_limit: usize,
+    pub(crate) body_limit: usize,
     /// Longest time for a body to arrive.
-    pub body_time: Duration,
+    pub(crate) body_time: Duration,
 }
 
 impl Intake {
@@ -22,7 +22,7 @@
     /// # Errors
     ///
     /// When it is too large, too slow or cut off.
-    pub(super) async fn read(&self, body: Incoming) -> Result<Bytes> {
+    pub(crate) async fn read(&self, body: Incoming) -> Result<Bytes> {
         let too_large = || {
             let message = format!("the body is larger than {} bytes", self.body_limit);
             Refusal::not_run(Code::TooLarge, "receive", message)
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -7,5 +7,7 @@
 pub mod answer;
 pub mod body;
 pub mod callers;
+mod intake;
 pub mod operators;
+mod request_id;
 pub mod server;
--- a/crates/http/src/operators.rs
+++ b/crates/http/src/operators.rs
@@ -7,11 +7,13 @@
 use corneltrestle_kernel::settings::{Key, Section, Type};
 use corneltrestle_kernel::{host, linkme, plugin};
 use corneltrestle_node::identity;
+use corneltrestle_node::link::Link;
+use corneltrestle_node::link::port::NodeLink;
 use corneltrestle_platform::store::{self, Store};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tower::ServiceBuilder;
 
-use crate::server;
+use crate::{request_id, server};
 
 /// Settings of the front end for operators.
 pub static SECTION: Section = Section {
@@ -34,16 +36,17 @@
     kind: plugin::Kind::FrontEnd,
     section: Some(&SECTION),
     check: plugin::unchecked,
-    open: open::<store::etcd::EtcdStore>,
+    open: open::<store::etcd::EtcdStore, NodeLink>,
 };
 
-fn open<S: Store>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+fn open<S: Store, L: Link>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let token = identity::read_secret(&host.settings, "operators", "token-file")?;
-    let handler = Arc::new(handler::Handler::<S>::open(host, token, recorder())?);
-    let service = ServiceBuilder::new().service_fn(move |request| {
-        let handler = Arc::clone(&handler);
-        async move { Ok(handler.handle(request).await) }
-    });
+    let handler = Arc::new(handler::Handler::<S, L>::open(host, token, recorder())?);
+    let service =
+        ServiceBuilder::new().layer(request_id::RequestIdLayer).service_fn(move |request| {
+            let handler = Arc::clone(&handler);
+            async move { Ok(handler.handle(request).await) }
+        });
     let address = host.settings.section("operators").address("address");
     server::bind(host, "operators", address, server::Limits::default(), service)
 }
--- a/crates/http/src/operators/handler.rs
+++ b/crates/http/src/operators/handler.rs
@@ -3,41 +3,51 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use corneltrestle_kernel::{host, plugin};
+use corneltrestle_node::link::Link;
+use corneltrestle_node::operate::{self, overview, standing, survey};
 use corneltrestle_node::pipeline::refusal::{Code, Refusal, Result};
-use corneltrestle_node::{identity, operate, tables};
+use corneltrestle_node::{counts, identity, tables};
 use corneltrestle_platform::store::Store;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use metrics_exporter_prometheus::PrometheusHandle;
 use subtle::ConstantTimeEq;
 
+use crate::intake::Intake;
 use crate::{answer, body};
 
 /// Largest note in bytes.
-const NOTE_MAX_BYTES: usize = 512 * 1024;
+const NOTE_MAX_BYTES: usize = corneltrestle_wire::note::MAX_BYTES;
+/// Prefix of the path under which a note is looked up.
+const NOTE: &str = "/v1/note/";
 /// Longest time for a note to arrive.
 const NOTE_TIME: Duration = Duration::from_secs(10);
 
 /// Handler of operator calls.
 #[derive(Debug)]
-pub(super) struct Handler<S> {
+pub(super) struct Handler<S, L> {
     token: identity::Secret,
     metrics: PrometheusHandle,
     store: Arc<S>,
     tables: tables::Tables,
+    survey: survey::Survey<L>,
 }
 
-impl<S: Store> Handler<S> {
+impl<S: Store, L: Link> Handler<S, L> {
     pub(super) fn open(
         host: &Arc<host::Host>,
         token: identity::Secret,
         metrics: PrometheusHandle,
     ) -> plugin::Result<Self> {
-        Ok(Self { token, metrics, store: host.port()?, tables: tables::Tables::of(host)? })
+        Ok(Self {
+            token,
+            metrics,
+            store: host.port()?,
+            tables: tables::Tables::of(host)?,
+            survey: survey::Survey::open(host)?,
+        })
     }
 
     /// Answers a request, whatever happens to it.
@@ -62,11 +72,29 @@
                 let text = note(request).await?;
                 Ok(verdict(&operate::check(&*self.store, &text).await))
             }
-            _ => Err(Refusal::not_run(
-                Code::UnknownService,
-                "route",
-                "no operator call has this method and path",
-            )),
+            (&Method::GET, "/v1/status") => {
+                Ok(answer::json(StatusCode::OK, &overview::read(&self.survey).await))
+            }
+            (&Method::GET, "/v1/burn") => {
+                Ok(answer::json(StatusCode::OK, &counts::reading::read(&self.survey).await))
+            }
+            (method, path) => match path.strip_prefix(NOTE) {
+                Some(id) if method == Method::GET && is_name(id) => self.standing(id).await,
+                _ => Err(unknown_call(path)),
+            },
+        }
+    }
+
+    async fn standing(&self, id: &str) -> Result<Response<body::Body>> {
+        match standing::find(&*self.store, &self.survey, id).await {
+            standing::Found::Accepted(standing) => Ok(answer::json(StatusCode::OK, &standing)),
+            standing::Found::Unknown => {
+                let message = format!("no accepted note with id {id} is remembered");
+                Err(Refusal::not_run(Code::NotFound, "look up note", message))
+            }
+            standing::Found::Unavailable { cause } => {
+                Err(Refusal::not_run(Code::StoreUnavailable, "look up note", cause))
+            }
         }
     }
 
@@ -86,14 +114,25 @@
     }
 }
 
+/// Whether a text can be the id of a note.
+fn is_name(id: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    (1..=64).contains(&id.len()) && id.bytes().all(allowed)
+}
+
+fn unknown_call(path: &str) -> Refusal {
+    let is_known = matches!(path, "/v1/note" | "/v1/note/check" | "/v1/status" | "/v1/burn");
+    if is_known || path.strip_prefix(NOTE).is_some_and(is_name) {
+        let message = "this path is not offered for this method";
+        return Refusal::not_run(Code::MethodNotAllowed, "route", message);
+    }
+    Refusal::not_run(Code::NotFound, "route", "no operator call has this path")
+}
+
 async fn note(request: Request<Incoming>) -> Result<String> {
     let bad = |message: String| Refusal::not_run(Code::BadRequest, "receive", message);
-    let whole = Limited::new(request.into_body(), NOTE_MAX_BYTES).collect();
-    let bytes: Bytes = tokio::time::timeout(NOTE_TIME, whole)
-        .await
-        .map_err(|_| bad(format!("the note did not arrive within {} s", NOTE_TIME.as_secs())))?
-        .map_err(|e| bad(format!("the note did not arrive whole: {e}")))?
-        .to_bytes();
+    let intake = Intake { body_limit: NOTE_MAX_BYTES, body_time: NOTE_TIME };
+    let bytes = intake.read(request.into_body()).await?;
     String::from_utf8(bytes.into()).map_err(|_| bad("the note is not UTF-8 text".to_owned()))
 }
 
--- a/crates/http/src/callers/request_id.rs
+++ b/crates/http/src/request_id.rs
@@ -20,7 +20,7 @@
 
 /// Adds [`RequestId`] to each request.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct RequestIdLayer;
+pub(crate) struct RequestIdLayer;
 
 impl<S> Layer<S> for RequestIdLayer {
     type Service = RequestIdService<S>;
@@ -32,7 +32,7 @@
 
 /// The service of [`RequestIdLayer`].
 #[derive(Clone, Debug)]
-pub(super) struct RequestIdService<S> {
+pub(crate) struct RequestIdService<S> {
     inner: S,
 }
 
@@ -69,7 +69,7 @@
 pin_project! {
     /// Adds the identifier to the answer.
     #[derive(Debug)]
-    pub(super) struct Echo<F> {
+    pub(crate) struct Echo<F> {
         #[pin]
         inner: F,
         echo: Option<HeaderValue>,
--- a/crates/node/src/counts.rs
+++ b/crates/node/src/counts.rs
@@ -1,8 +1,10 @@
-//! Service-level counts of this node for reports.
+//! Service-level counts: those of this node, and a reading over all nodes.
+
+pub mod reading;
 
 use corneltrestle_kernel::clock::Clock;
 use corneltrestle_kernel::host;
-use corneltrestle_policy::burn;
+use corneltrestle_policy::{burn, id};
 use corneltrestle_wire::link as wire;
 
 use crate::{identity, tables};
@@ -10,7 +12,15 @@
 /// Milliseconds of a minute.
 const MINUTE_MS: u64 = 60_000;
 
-/// This node's counts of the last hour by minute.
+/// Minutes of a group in a coarse reply; divides the windows of the report.
+const GROUP: u32 = 5;
+/// Minutes of the long window; a coarse reply has one row for all that is older.
+const HOUR: u32 = 60;
+
+/// This node's counts of the last 24 hours.
+///
+/// If the counts by minute exceed one message, all rows are merged into groups of five minutes and
+/// one group for what is older than an hour, so that no count is left out.
 pub fn reply(
     host: &host::Host,
     identity: &identity::Identity,
@@ -18,36 +28,66 @@
     request: wire::CountsRequest,
 ) -> wire::CountsReply {
     let now = host.now();
-    let present = u32::try_from(host.clock.wall() / MINUTE_MS).unwrap_or(u32::MAX);
-    let burn = tables.burn.lock();
-    let pairs: Vec<_> = burn
-        .counts
-        .totals(now)
-        .map(|(service, organisation, _)| (service.clone(), organisation.clone()))
-        .collect();
+    let present = minute(host);
     let mut rows = Vec::new();
-    for (service, organisation) in pairs {
-        let minutes = burn.counts.minutes(service.as_str(), organisation.as_str(), now);
-        for (age, counts) in (0..).zip(&minutes) {
-            let minute = present.saturating_sub(age);
-            if minute < request.since || *counts == burn::Counts::default() {
-                continue;
-            }
-            rows.push(wire::Count {
-                service: service.clone(),
-                organisation: organisation.clone(),
-                minute,
-                counts: to_wire(counts),
-            });
-            if rows.len() == wire::MAX_COUNTS {
-                break;
-            }
+    {
+        let burn = tables.burn.lock();
+        let pairs =
+            burn.counts.totals(now).map(|(service, organisation, _)| (service, organisation));
+        for (service, organisation) in pairs {
+            let history = burn.counts.history(service.as_str(), organisation.as_str(), now);
+            rows.extend(
+                history.iter().map(|(age, counts)| row(service, organisation, *age, counts)),
+            );
         }
     }
-    rows.truncate(wire::MAX_COUNTS);
+    if rows.len() > wire::MAX_COUNTS {
+        rows = coarse(rows);
+    }
+    for row in &mut rows {
+        row.minute = present.saturating_sub(row.minute);
+    }
+    rows.retain(|row| row.minute >= request.since);
     wire::CountsReply { node: identity.node.clone(), rows }
 }
 
+/// The present minute since the Unix epoch.
+fn minute(host: &host::Host) -> u32 {
+    u32::try_from(host.clock.wall() / MINUTE_MS).unwrap_or(u32::MAX)
+}
+
+/// A row whose minute is still an age.
+fn row(
+    service: &id::Service,
+    organisation: &id::Organisation,
+    age: u32,
+    counts: &burn::Counts,
+) -> wire::Count {
+    let (service, organisation) = (service.clone(), organisation.clone());
+    wire::Count { service, organisation, minute: age, counts: to_wire(counts) }
+}
+
+/// Merges rows of the same pair and group; rows of a pair are neighbours, youngest first.
+fn coarse(rows: Vec<wire::Count>) -> Vec<wire::Count> {
+    let mut merged: Vec<wire::Count> = Vec::new();
+    for mut row in rows {
+        row.minute = if row.minute < HOUR { row.minute / GROUP * GROUP + GROUP - 1 } else { HOUR };
+        match merged.last_mut() {
+            Some(last)
+                if last.minute == row.minute
+                    && last.service == row.service
+                    && last.organisation == row.organisation =>
+            {
+                let mut sum = from_wire(&last.counts);
+                sum.add(&from_wire(&row.counts));
+                last.counts = to_wire(&sum);
+            }
+            _ => merged.push(row),
+        }
+    }
+    merged
+}
+
 fn to_wire(counts: &burn::Counts) -> wire::Counts {
     let ratio = |good, all| wire::Ratio { good, all };
     wire::Counts {
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -1,6 +1,10 @@
-//! Release notes: checking, applying and looking up.
+//! What operators ask for: release notes, the state of the system.
 
-use corneltrestle_platform::store::{self, Class, Store, Swap};
+pub mod overview;
+pub mod standing;
+pub mod survey;
+
+use corneltrestle_platform::store::{Class, Store, Swap};
 use corneltrestle_policy::{changeset, release};
 use corneltrestle_wire::{key, note, stored};
 
@@ -109,19 +113,6 @@
     }
 }
 
-/// The revision at which a note was accepted, if the head remembers it.
-///
-/// # Errors
-///
-/// When the store cannot be read.
-pub async fn find<S: Store>(store: &S, id: &str) -> store::Result<Option<release::Note>> {
-    let Some(head) = store.read(key::head(), Class::Config).await? else {
-        return Ok(None);
-    };
-    let release = stored::decode::<release::Release>(key::head(), &head.value).unwrap_or_default();
-    Ok(release.notes.into_iter().find(|note| note.id == id))
-}
-
 async fn read<S: Store>(store: &S) -> Result<Head, String> {
     let found = store.read(key::head(), Class::Config).await.map_err(|e| e.to_string())?;
     let Some(found) = found else {
@@ -133,8 +124,19 @@
 }
 
 fn next(head: &Head, text: &str) -> Result<release::Release, Verdict> {
+    // The changes of a note that was accepted before, or that is based on another revision, need
+    // not fit the present release; their faults would hide what has happened.
+    if let Ok(identity) = note::identify(text) {
+        let note::Identity { id, base, digest } = identity;
+        let changeset = changeset::Changeset { id, base, digest, changes: Vec::new() };
+        if let Err(e) = changeset::apply(&head.release, &changeset)
+            && !matches!(e.kind, changeset::Kind::Faults(_))
+        {
+            return Err(verdict(&head.release, &e));
+        }
+    }
     let changeset = note::decode(text, &head.release).map_err(|e| Verdict::Rejected {
-        faults: e.to_string().lines().map(str::to_owned).collect(),
+        faults: e.faults.iter().map(ToString::to_string).collect(),
     })?;
     changeset::apply(&head.release, &changeset).map_err(|e| verdict(&head.release, &e))
 }
--- /dev/null
+++ b/crates/node/src/operate/standing.rs
@@ -0,0 +1,109 @@
+//! Where an accepted note is in force.
+
+use corneltrestle_platform::store::{Class, Store};
+use corneltrestle_policy::{adoption, id, release};
+use corneltrestle_wire::link as wire;
+use corneltrestle_wire::{key, stored};
+
+use super::survey::Survey;
+use crate::link::Link;
+
+/// What is known of a note.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// It was accepted.
+    Accepted(Standing),
+    /// The head remembers no note with this id.
+    Unknown,
+    /// The store cannot be read, and this node's release does not hold the note.
+    Unavailable {
+        /// The cause.
+        cause: String,
+    },
+}
+
+/// An accepted note with the state of its revision in every zone.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Standing {
+    /// The id of the note.
+    pub id: String,
+    /// The revision that it led to.
+    pub revision: u64,
+    /// Every zone.
+    pub zones: Vec<ZoneStanding>,
+}
+
+/// Where a zone stands with respect to a revision.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ZoneStanding {
+    /// The zone.
+    pub zone: id::Zone,
+    /// Whether the revision is in force.
+    pub state: State,
+    /// The nodes that are behind, or that did not answer.
+    pub nodes: Vec<id::Node>,
+}
+
+/// Whether a revision is in force in a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// Every node of the zone has adopted it.
+    InForce,
+    /// Some nodes have an older revision.
+    Behind,
+    /// Not all nodes answered, or the zone has none.
+    Unreachable,
+}
+
+impl Standing {
+    /// Whether the revision is in force in every zone.
+    pub fn is_in_force(&self) -> bool {
+        self.zones.iter().all(|zone| zone.state == State::InForce)
+    }
+}
+
+/// Looks a note up and asks the nodes of all zones for their revision.
+pub async fn find<S: Store, L: Link>(store: &S, survey: &Survey<L>, id: &str) -> Found {
+    let note = match remembered(store, id).await {
+        Ok(note) => note,
+        // Adopted releases carry the notes too, and an accepted note stays accepted.
+        Err(cause) => match named(&survey.tables.current.load(), id) {
+            Some(note) => Some(note),
+            None => return Found::Unavailable { cause },
+        },
+    };
+    let Some(note) = note else { return Found::Unknown };
+    let zones = survey.zones().await;
+    let zones = zones.iter().map(|(zone, nodes)| judge(zone, nodes, note.revision)).collect();
+    Found::Accepted(Standing { id: note.id, revision: note.revision, zones })
+}
+
+async fn remembered<S: Store>(store: &S, id: &str) -> Result<Option<release::Note>, String> {
+    let found = store.read(key::head(), Class::Config).await.map_err(|e| e.to_string())?;
+    let Some(head) = found else { return Ok(None) };
+    let release = stored::decode(key::head(), &head.value).map_err(|e| e.to_string())?;
+    Ok(named(&release, id))
+}
+
+fn named(release: &release::Release, id: &str) -> Option<release::Note> {
+    release.notes.iter().find(|note| note.id == id).cloned()
+}
+
+fn judge(zone: &id::Zone, nodes: &[wire::NodeStatus], revision: u64) -> ZoneStanding {
+    let replies: Vec<_> = nodes
+        .iter()
+        .map(|node| adoption::Reply {
+            node: &node.node,
+            revision: node.is_reached.then_some(node.revision),
+        })
+        .collect();
+    let (state, nodes) = match adoption::verdict(revision, &replies) {
+        adoption::Verdict::InForce => (State::InForce, Vec::new()),
+        adoption::Verdict::Behind(nodes) => (State::Behind, nodes),
+        adoption::Verdict::Unreachable(nodes) => (State::Unreachable, nodes),
+    };
+    ZoneStanding { zone: zone.clone(), state, nodes: nodes.into_iter().cloned().collect() }
+}
--- /dev/null
+++ b/crates/node/src/operate/survey.rs
@@ -0,0 +1,115 @@
+//! What the nodes of every zone say about themselves.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use corneltrestle_kernel::{host, plugin, run};
+use corneltrestle_policy::{id, membership, vm};
+use corneltrestle_wire::link as wire;
+
+use crate::link::answer::Answers;
+use crate::link::{Handler, Link};
+use crate::{identity, tables};
+
+/// Nodes of another zone that are asked for the zone before it counts as unreachable.
+const CONTACTS: usize = 3;
+
+/// Asks the nodes of all zones.
+#[derive(Debug)]
+pub struct Survey<L> {
+    pub(crate) host: Arc<host::Host>,
+    pub(crate) identity: Arc<identity::Identity>,
+    pub(crate) tables: tables::Tables,
+    pub(crate) link: Arc<L>,
+    pub(crate) answers: Answers<L>,
+}
+
+/// The nodes of a zone as they answered; those that did not are marked.
+pub type Zones = BTreeMap<id::Zone, Vec<wire::NodeStatus>>;
+
+impl<L: Link> Survey<L> {
+    /// Opens the survey on a host.
+    ///
+    /// # Errors
+    ///
+    /// When a port is missing.
+    pub fn open(host: &Arc<host::Host>) -> plugin::Result<Self> {
+        Ok(Self {
+            host: Arc::clone(host),
+            identity: host.port()?,
+            tables: tables::Tables::of(host)?,
+            link: host.port()?,
+            answers: Answers::open(host)?,
+        })
+    }
+
+    /// The nodes of every zone that are not known to be dead; a zone without any is empty.
+    pub async fn zones(&self) -> Zones {
+        let asked = self.known_zones().into_iter().map(|zone| async move {
+            let nodes = self.zone(&zone).await;
+            (zone, nodes)
+        });
+        futures_util::future::join_all(asked).await.into_iter().collect()
+    }
+
+    async fn zone(&self, zone: &id::Zone) -> Vec<wire::NodeStatus> {
+        let request = wire::StatusRequest { is_zone: true };
+        if *zone == self.identity.zone {
+            return self.answers.status(request).await.nodes;
+        }
+        let known = self.present(zone);
+        let mut nodes = Vec::new();
+        for (_, address, _) in known.iter().take(CONTACTS) {
+            if let Ok(reply) = self.link.status(*address, request).await {
+                nodes = reply.nodes;
+                nodes.retain(|node| node.zone == *zone);
+                break;
+            }
+        }
+        // A node that this one knows to be alive and the contact did not name is not left out.
+        let named: BTreeSet<_> = nodes.iter().map(|node| node.node.clone()).collect();
+        let others = known.into_iter().filter(|(node, ..)| !named.contains(node));
+        nodes.extend(others.map(|(node, _, stage)| unreached(node, zone, stage)));
+        nodes
+    }
+
+    /// The members of another zone that are not known to be dead, live ones first.
+    fn present(&self, zone: &id::Zone) -> Vec<(id::Node, SocketAddr, run::Stage)> {
+        let now = self.host.now();
+        let mut roster = self.tables.members.lock().roster(zone.as_str(), now);
+        roster.retain(|member| member.age < membership::DEAD);
+        roster.sort_by_key(|member| (member.state != run::Stage::Ready, member.age));
+        roster.into_iter().map(|member| (member.id, member.address, member.state)).collect()
+    }
+
+    /// All zones that are declared, have nodes or have replicas.
+    fn known_zones(&self) -> BTreeSet<id::Zone> {
+        let release = self.tables.current.load();
+        let mut zones: BTreeSet<_> = release.zones.keys().cloned().collect();
+        zones.extend(release.sets.values().map(|set| set.zone.clone()));
+        zones.insert(self.identity.zone.clone());
+        let now = self.host.now();
+        {
+            let members = self.tables.members.lock();
+            zones.extend(members.known.view(now).entries().map(|entry| entry.zone.clone()));
+        }
+        let listed = Arc::clone(&self.tables.listed.lock().vms);
+        let entries = listed.iter().filter(|vm| vm.role == vm::Role::Entry);
+        zones.extend(entries.map(|vm| vm.zone.clone()));
+        zones
+    }
+}
+
+fn unreached(node: id::Node, zone: &id::Zone, stage: run::Stage) -> wire::NodeStatus {
+    wire::NodeStatus {
+        node,
+        zone: zone.clone(),
+        is_reached: false,
+        stage,
+        revision: 0,
+        watch_age: std::time::Duration::ZERO,
+        replicas: 0,
+        serving: 0,
+    }
+}
--- a/crates/node/src/pipeline/refusal.rs
+++ b/crates/node/src/pipeline/refusal.rs
@@ -27,8 +27,12 @@
     Unauthorized,
     /// No service has this path or model.
     UnknownService,
+    /// What was asked for does not exist.
+    NotFound,
     /// The method is not offered on this path.
     MethodNotAllowed,
+    /// The header is larger than the limit.
+    HeaderTooLarge,
     /// The body is larger than the limit.
     TooLarge,
     /// The request did not arrive within the limit.
@@ -79,7 +83,9 @@
             Self::BadRequest => "bad-request",
             Self::Unauthorized => "unauthorized",
             Self::UnknownService => "unknown-service",
+            Self::NotFound => "not-found",
             Self::MethodNotAllowed => "method-not-allowed",
+            Self::HeaderTooLarge => "header-too-large",
             Self::TooLarge => "too-large",
             Self::RequestTimeout => "request-timeout",
             Self::KeyRequired => "key-required",
--- a/crates/policy/src/burn.rs
+++ b/crates/policy/src/burn.rs
@@ -101,6 +101,13 @@
         })
     }
 
+    /// The last 24 hours of a pair: ages in minutes with the counts at that age, without overlap.
+    /// Counts older than an hour are in steps of ten minutes, at the age of the step's end.
+    pub fn history(&self, service: &str, org: &str, now: Moment) -> Vec<(u32, Counts)> {
+        let series = self.series.get(service).and_then(|all| all.get(org));
+        series.map(|series| series.history(now)).unwrap_or_default()
+    }
+
     /// The last 60 minutes of a pair by age in minutes, the present minute first.
     pub fn minutes(&self, service: &str, org: &str, now: Moment) -> Vec<Counts> {
         let series = self.series.get(service).and_then(|all| all.get(org));
--- a/crates/policy/src/burn/counts.rs
+++ b/crates/policy/src/burn/counts.rs
@@ -62,4 +62,16 @@
         self.orders += other.orders;
         self.known_orders += other.known_orders;
     }
+
+    /// Takes away counts that are a part of these.
+    pub(super) fn subtract(&mut self, part: &Counts) {
+        self.requests = self.requests.saturating_sub(part.requests);
+        self.whole = self.whole.saturating_sub(part.whole);
+        self.firsts = self.firsts.saturating_sub(part.firsts);
+        self.prompt_firsts = self.prompt_firsts.saturating_sub(part.prompt_firsts);
+        self.gaps = self.gaps.saturating_sub(part.gaps);
+        self.prompt_gaps = self.prompt_gaps.saturating_sub(part.prompt_gaps);
+        self.orders = self.orders.saturating_sub(part.orders);
+        self.known_orders = self.known_orders.saturating_sub(part.known_orders);
+    }
 }
--- a/crates/policy/src/burn/series.rs
+++ b/crates/policy/src/burn/series.rs
@@ -34,6 +34,26 @@
         }
     }
 
+    pub(super) fn history(&self, now: Moment) -> Vec<(u32, Counts)> {
+        let (minute, step) = (now.as_millis() / MINUTE, now.as_millis() / TEN_MINUTES);
+        let per_step = TEN_MINUTES / MINUTE;
+        let mut history: Vec<_> = (0..).zip(self.minutes(now)).collect();
+        for back in 0..Self::STEPS as u64 {
+            let Some(at) = step.checked_sub(back) else { break };
+            let mut older = self.steps.at(at);
+            let (first, last) = (at * per_step, at * per_step + per_step - 1);
+            for fine in first..=last.min(minute) {
+                if minute - fine < Self::MINUTES as u64 {
+                    older.subtract(&self.minutes.at(fine));
+                }
+            }
+            let age = minute.saturating_sub(last).max(Self::MINUTES as u64);
+            history.push((u32::try_from(age).unwrap_or(u32::MAX), older));
+        }
+        history.retain(|(_, counts)| *counts != Counts::default());
+        history
+    }
+
     pub(super) fn minutes(&self, now: Moment) -> Vec<Counts> {
         let minute = now.as_millis() / MINUTE;
         (0..Self::MINUTES as u64)
