--- a/crates/corneltrestle/src/command.rs
+++ b/crates/corneltrestle/src/command.rs
@@ -3,6 +3,9 @@
 mod client;
 mod measure;
 mod note;
+pub mod report;
+mod status;
+mod table;
 
 use std::process::ExitCode;
 
@@ -117,7 +120,10 @@
 
 fn run(command: &Command, parser: &mut lexopt::Parser) -> Result<Exit> {
     let arguments: Vec<_> = parser.raw_args()?.collect();
-    if arguments.iter().any(|argument| argument == "--help" || argument == "-h") {
+    let is_help = |argument: &std::ffi::OsString| argument == "--help" || argument == "-h";
+    // Reports have help texts of their own behind their names.
+    let own_help = command.name != "report" || arguments.first().is_some_and(is_help);
+    if own_help && arguments.iter().any(is_help) {
         print!("{}", command.help);
         return Ok(Exit::Success);
     }
--- a/crates/corneltrestle/src/command/client.rs
+++ b/crates/corneltrestle/src/command/client.rs
@@ -6,6 +6,7 @@
 use corneltrestle_local as local;
 use corneltrestle_local::caller::{Answer, Caller};
 use corneltrestle_node::identity;
+use corneltrestle_wire::openai;
 use hyper::Method;
 
 use super::{Error, Result};
@@ -47,6 +48,15 @@
         })
     }
 
+    /// Decodes the answer to a call.
+    pub(super) fn decode<T: serde::de::DeserializeOwned>(&self, answer: &Answer) -> Result<T> {
+        let peer = self.node.map_or_else(String::new, |node| node.to_string());
+        if !answer.status.is_success() {
+            return Err(failed("call", peer, refused(answer)));
+        }
+        serde_json::from_slice(&answer.body).map_err(|e| failed("read answer", peer, e))
+    }
+
     fn read_token(&self) -> Result<String> {
         let missing = || Error::Usage("--token-file FILE is missing".to_owned());
         let file = self.token.as_ref().ok_or_else(missing)?;
@@ -56,6 +66,13 @@
     }
 }
 
+/// What an answer without success says.
+pub(super) fn refused(answer: &Answer) -> String {
+    let error: Option<openai::ErrorBody<'_>> = serde_json::from_slice(&answer.body).ok();
+    let message = error.map(|body| format!(": {}", body.error.message)).unwrap_or_default();
+    format!("{}{message}", answer.status)
+}
+
 fn failed(step: &'static str, peer: impl ToString, cause: impl ToString) -> Error {
     Error::Failed { step, peer: peer.to_string(), cause: cause.to_string() }
 }
--- a/crates/corneltrestle/src/command/note.rs
+++ b/crates/corneltrestle/src/command/note.rs
@@ -5,11 +5,12 @@
 use corneltrestle_kernel::linkme;
 use corneltrestle_local::caller::Answer;
 use corneltrestle_node::operate::Verdict;
+use corneltrestle_node::operate::standing::{Standing, State};
 use hyper::Method;
 use lexopt::prelude::*;
 
-use super::client::Access;
-use super::{COMMANDS, Command, Error, Exit, Result};
+use super::client::{self, Access};
+use super::{COMMANDS, Command, Error, Exit, Result, table};
 
 #[linkme::distributed_slice(COMMANDS)]
 #[linkme(crate = linkme)]
@@ -32,8 +33,9 @@
   --token-file FILE  file with the operators' token
   --json             print the answer as JSON
 
-Exit codes: 0 accepted or valid, 1 rejected, conflict, not found or not reachable, 2 wrong command
-line, 3 it is not known whether the note was accepted.
+Exit codes: 0 accepted, valid or, for status, in force in every zone; 1 rejected, conflict, not found,
+not in force in every zone or not reachable; 2 wrong command line; 3 it is not known whether the note
+was accepted.
 ";
 
 fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
@@ -57,7 +59,7 @@
     let answer = match action.as_str() {
         "check" => access.call(Method::POST, "/v1/note/check", read(subject)?)?,
         "apply" => access.call(Method::POST, "/v1/note", read(subject)?)?,
-        "status" => access.call(Method::GET, &format!("/v1/note/{subject}"), String::new())?,
+        "status" => return status(&access, subject, json),
         other => return Err(Error::Usage(format!("unknown action {other}"))),
     };
     show(&answer, json)
@@ -75,8 +77,8 @@
     let verdict: Verdict = match serde_json::from_slice(&answer.body) {
         Ok(verdict) => verdict,
         Err(_) => {
-            println!("{}", String::from_utf8_lossy(&answer.body));
-            return Ok(if answer.status.is_success() { Exit::Success } else { Exit::Failure });
+            println!("{}", client::refused(answer));
+            return Ok(Exit::Failure);
         }
     };
     if json {
@@ -91,6 +93,38 @@
     })
 }
 
+fn status(access: &Access, id: &str, json: bool) -> Result<Exit> {
+    let answer = access.call(Method::GET, &format!("/v1/note/{id}"), String::new())?;
+    let standing: Standing = access.decode(&answer)?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&standing).unwrap_or_default());
+    } else {
+        print!("{}", standing_text(&standing));
+    }
+    Ok(if standing.is_in_force() { Exit::Success } else { Exit::Failure })
+}
+
+/// The zones as a table, and the verdict.
+fn standing_text(standing: &Standing) -> String {
+    let mut zones = table::open(&["zone", "state", "nodes"]);
+    for zone in &standing.zones {
+        let state = match zone.state {
+            State::InForce => "in force",
+            State::Behind => "behind",
+            State::Unreachable => "unreachable",
+        };
+        let nodes: Vec<_> = zone.nodes.iter().map(ToString::to_string).collect();
+        zones.add_row([zone.zone.to_string(), state.to_owned(), nodes.join(", ")]);
+    }
+    let (id, revision) = (&standing.id, standing.revision);
+    let verdict = if standing.is_in_force() {
+        "in force in every zone"
+    } else {
+        "not known to be in force in every zone"
+    };
+    format!("Note {id} was accepted at revision {revision}; it is {verdict}.\n{zones}\n")
+}
+
 fn print(verdict: &Verdict) {
     match verdict {
         Verdict::Accepted { revision } => println!("accepted at revision {revision}"),
--- /dev/null
+++ b/crates/corneltrestle/src/command/report.rs
@@ -0,0 +1,53 @@
+//! `corneltrestle report`: reports; each is one file that registers itself.
+
+pub mod burn;
+
+use corneltrestle_kernel::linkme::{self, distributed_slice};
+use lexopt::prelude::*;
+
+use super::{COMMANDS, Command, Error, Exit, Result};
+
+/// A report.
+#[derive(Debug)]
+pub struct Report {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// One line for the overview.
+    pub summary: &'static str,
+    /// Complete help text.
+    pub help: &'static str,
+    /// Runs the report with the arguments after its name.
+    pub run: fn(&mut lexopt::Parser) -> Result<Exit>,
+}
+
+/// All reports linked into the program.
+#[distributed_slice]
+#[linkme(crate = linkme)]
+pub static REPORTS: [Report];
+
+#[linkme::distributed_slice(COMMANDS)]
+#[linkme(crate = linkme)]
+static REPORT: Command = Command { name: "report", summary: "print a report", help: HELP, run };
+
+const HELP: &str = "\
+Prints a report.
+
+Usage: corneltrestle report NAME [OPTIONS]
+
+Reports:
+  burn  error budgets and burn rates by service and organisation
+
+Each report has its own --help.
+
+Exit codes: 0 as wished, 1 failed or not as wished, 2 wrong command line.
+";
+
+fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
+    let Some(Value(name)) = parser.next()? else {
+        return Err(Error::Usage("the name of a report is missing".to_owned()));
+    };
+    let name = name.string()?;
+    let report = REPORTS.iter().find(|report| report.name == name);
+    let report = report.ok_or_else(|| Error::Usage(format!("unknown report {name}")))?;
+    (report.run)(parser)
+}
--- /dev/null
+++ b/crates/corneltrestle/src/command/report/burn.rs
@@ -0,0 +1,95 @@
+//! `corneltrestle report burn`: error budgets and burn rates.
+
+mod html;
+mod text;
+
+use std::path::PathBuf;
+
+use corneltrestle_kernel::linkme;
+use corneltrestle_node::counts::reading::Reading;
+use corneltrestle_policy::burn::Verdict;
+use hyper::Method;
+use lexopt::prelude::*;
+
+use super::{REPORTS, Report};
+use crate::command::client::Access;
+use crate::command::{Error, Exit, Result};
+
+pub use html::render as html;
+pub use text::render as text;
+
+#[linkme::distributed_slice(REPORTS)]
+#[linkme(crate = linkme)]
+static BURN: Report = Report {
+    name: "burn",
+    summary: "error budgets and burn rates by service and organisation",
+    help: HELP,
+    run,
+};
+
+const HELP: &str = "\
+Reports, for each service and organisation, how much of the error budget of the last 24 hours is
+left and how fast it burns over the last 5 minutes and the last hour. A burn rate of 1 uses up the
+budget in exactly 24 hours. The targets come from the release in force.
+
+Usage: corneltrestle report burn --node ADDRESS --token-file FILE [--json] [--html FILE]
+
+The counts are kept in the memory of the nodes and read from all of them; nodes that do not answer
+are named, and their counts are missing. A node that restarts begins with empty counts.
+
+Verdicts: no-data, ok, slow-burn (both windows above 1), fast-burn (both windows at 6 or more, which
+uses up the budget in 4 hours), exhausted.
+
+Options:
+  --node ADDRESS     operators' address of a node, such as 127.0.0.1:9100
+  --token-file FILE  file with the operators' token
+  --json             print the report as JSON
+  --html FILE        write the report with plots as one HTML file too
+
+Exit codes: 0 every budget lasts and every node answered, 1 a budget burns too fast or is exhausted,
+a node is missing, or the report failed, 2 wrong command line.
+";
+
+fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
+    let (mut access, mut json, mut file) = (Access::default(), false, None);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("json") => json = true,
+            Long("html") => file = Some(PathBuf::from(parser.value()?)),
+            Long("help") | Short('h') => {
+                print!("{HELP}");
+                return Ok(Exit::Success);
+            }
+            Long(name) => {
+                let name = name.to_owned();
+                if !access.take(&name, parser)? {
+                    return Err(Error::Usage(format!("unknown option --{name}")));
+                }
+            }
+            argument => return Err(argument.unexpected().into()),
+        }
+    }
+    let answer = access.call(Method::GET, "/v1/burn", String::new())?;
+    let reading: Reading = access.decode(&answer)?;
+    if let Some(file) = file {
+        let failed = |cause: String| Error::Failed {
+            step: "write report",
+            peer: file.display().to_string(),
+            cause,
+        };
+        let page = html(&reading).map_err(failed)?;
+        std::fs::write(&file, page).map_err(|e| failed(e.to_string()))?;
+    }
+    if json {
+        println!("{}", serde_json::to_string_pretty(&reading).unwrap_or_default());
+    } else {
+        print!("{}", text(&reading));
+    }
+    Ok(exit(&reading))
+}
+
+/// Whether the report is as wished.
+pub fn exit(reading: &Reading) -> Exit {
+    let lasts = reading.rows.iter().all(|row| row.verdict <= Verdict::Ok);
+    if lasts && reading.missing.is_empty() { Exit::Success } else { Exit::Failure }
+}
--- /dev/null
+++ b/crates/corneltrestle/src/command/report/burn/text.rs
@@ -0,0 +1,92 @@
+//! The report as a text table.
+
+use std::fmt::Write;
+
+use corneltrestle_node::counts::reading::{Reading, Row, TARGETS};
+use corneltrestle_policy::burn::{Counts, Verdict};
+
+use crate::command::table;
+
+/// Renders the report as a table with one line for each target that has counts.
+pub fn render(reading: &Reading) -> String {
+    let mut table = table::open(&[
+        "service",
+        "organisation",
+        "target",
+        "counted in 24 h",
+        "missed",
+        "budget left",
+        "burn 5 min",
+        "burn 1 h",
+        "verdict",
+    ]);
+    for row in &reading.rows {
+        for line in lines(row) {
+            table.add_row(line);
+        }
+    }
+    let mut text = format!("{table}\n");
+    if reading.rows.is_empty() {
+        text.push_str("No requests were counted in the last 24 hours.\n");
+    }
+    let _ = writeln!(
+        text,
+        "Targets of revision {}; counts of {} nodes.",
+        reading.revision,
+        reading.nodes.len()
+    );
+    text.push_str(&missing(reading));
+    text
+}
+
+/// The sentence that names the missing nodes; empty if there are none.
+pub(super) fn missing(reading: &Reading) -> String {
+    if reading.missing.is_empty() {
+        return String::new();
+    }
+    let names: Vec<_> = reading.missing.iter().map(ToString::to_string).collect();
+    format!("Missing, their counts are not in the report: {}.\n", names.join(", "))
+}
+
+/// The name of a verdict.
+pub(super) fn verdict(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::NoData => "no-data",
+        Verdict::Ok => "ok",
+        Verdict::SlowBurn => "slow-burn",
+        Verdict::FastBurn => "fast-burn",
+        Verdict::Exhausted => "exhausted",
+    }
+}
+
+/// The lines of a row, one for each target that has counts.
+pub(super) fn lines(row: &Row) -> Vec<[String; 9]> {
+    let counted = counted(&row.totals.day);
+    let targets = TARGETS.iter().zip(&row.ratings).zip(counted);
+    targets
+        .filter(|(_, (_, all))| *all > 0)
+        .map(|((target, rating), (good, all))| {
+            [
+                row.service.to_string(),
+                row.organisation.to_string(),
+                (*target).to_owned(),
+                all.to_string(),
+                all.saturating_sub(good).to_string(),
+                format!("{:.1} %", rating.left * 100.0),
+                format!("{:.2}", rating.short),
+                format!("{:.2}", rating.long),
+                verdict(rating.verdict).to_owned(),
+            ]
+        })
+        .collect()
+}
+
+/// Good ones and all of them, by target.
+fn counted(counts: &Counts) -> [(u64, u64); 4] {
+    [
+        (counts.whole, counts.requests),
+        (counts.prompt_firsts, counts.firsts),
+        (counts.prompt_gaps, counts.gaps),
+        (counts.known_orders, counts.orders),
+    ]
+}
--- /dev/null
+++ b/crates/corneltrestle/src/command/status.rs
@@ -0,0 +1,167 @@
+//! `corneltrestle status`: the state of the system.
+
+use std::fmt::Write;
+
+use corneltrestle_kernel::linkme;
+use corneltrestle_kernel::run::Stage;
+use corneltrestle_node::operate::overview::{Member, Node, Overview, Replica};
+use corneltrestle_policy::assignment::Phase;
+use corneltrestle_policy::release::ZoneState;
+use hyper::Method;
+use lexopt::prelude::*;
+
+use super::client::Access;
+use super::{COMMANDS, Command, Error, Exit, Result, table};
+
+#[linkme::distributed_slice(COMMANDS)]
+#[linkme(crate = linkme)]
+static STATUS: Command = Command {
+    name: "status",
+    summary: "show nodes, zones, replicas and upstreams",
+    help: HELP,
+    run,
+};
+
+const HELP: &str = "\
+Shows the nodes, availability zones, replicas and upstreams of the system.
+
+Usage: corneltrestle status --node ADDRESS --token-file FILE [--json]
+
+The nodes are asked for their own state; a node that does not answer is shown as unreachable. The
+replicas with the age and load of each member's report are those that the asked node knows of.
+
+Options:
+  --node ADDRESS     operators' address of a node, such as 127.0.0.1:9100
+  --token-file FILE  file with the operators' token
+  --json             print the state as JSON
+
+Exit codes: 0 every node answered, 1 a node or zone is unreachable or the call failed, 2 wrong
+command line.
+";
+
+fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
+    let (mut access, mut json) = (Access::default(), false);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("json") => json = true,
+            Long(name) => {
+                let name = name.to_owned();
+                if !access.take(&name, parser)? {
+                    return Err(Error::Usage(format!("unknown option --{name}")));
+                }
+            }
+            argument => return Err(argument.unexpected().into()),
+        }
+    }
+    let answer = access.call(Method::GET, "/v1/status", String::new())?;
+    let overview: Overview = access.decode(&answer)?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&overview).unwrap_or_default());
+    } else {
+        print!("{}", text(&overview));
+    }
+    Ok(exit(&overview))
+}
+
+/// Whether every zone and node was reached.
+fn exit(overview: &Overview) -> Exit {
+    let reached = |zone: &corneltrestle_node::operate::overview::Zone| {
+        zone.nodes > 0 && zone.nodes == zone.reached
+    };
+    if overview.zones.iter().all(reached) { Exit::Success } else { Exit::Failure }
+}
+
+/// The state as tables.
+fn text(overview: &Overview) -> String {
+    let mut text =
+        format!("As node {} knows it, at revision {}.\n\n", overview.node, overview.revision);
+    let mut zones = table::open(&["zone", "state", "nodes", "reached"]);
+    for zone in &overview.zones {
+        zones.add_row([
+            zone.zone.to_string(),
+            state(zone.state).to_owned(),
+            zone.nodes.to_string(),
+            zone.reached.to_string(),
+        ]);
+    }
+    let heads = ["node", "zone", "stage", "revision", "watch age", "replicas", "serving"];
+    let mut nodes = table::open(&heads);
+    for node in &overview.nodes {
+        nodes.add_row(node_line(node));
+    }
+    let heads = ["replica", "service", "zone", "epoch", "phase", "member", "report age", "load"];
+    let mut replicas = table::open(&heads);
+    for replica in &overview.replicas {
+        for (n, member) in replica.members.iter().enumerate() {
+            replicas.add_row(member_line(replica, member, n == 0));
+        }
+    }
+    let mut upstreams = table::open(&["service", "zone", "upstream", "zone state"]);
+    for upstream in &overview.upstreams {
+        upstreams.add_row([
+            upstream.service.to_string(),
+            upstream.zone.to_string(),
+            upstream.address.to_string(),
+            state(upstream.state).to_owned(),
+        ]);
+    }
+    let _ = writeln!(text, "{zones}\n\n{nodes}\n\n{replicas}\n\n{upstreams}");
+    text
+}
+
+fn node_line(node: &Node) -> [String; 7] {
+    let (name, zone) = (node.node.to_string(), node.zone.to_string());
+    let Some(state) = &node.state else {
+        let unknown = String::new;
+        return [name, zone, "unreachable".to_owned(), unknown(), unknown(), unknown(), unknown()];
+    };
+    let stage = match state.stage {
+        Stage::Starting => "starting",
+        Stage::Ready => "ready",
+        Stage::Draining => "draining",
+        Stage::Stopped => "stopped",
+    };
+    [
+        name,
+        zone,
+        stage.to_owned(),
+        state.revision.to_string(),
+        format!("{} ms", state.watch_age_ms),
+        state.replicas.to_string(),
+        state.serving.to_string(),
+    ]
+}
+
+/// One line for each member; what concerns the whole replica stands in the line of its head.
+fn member_line(replica: &Replica, member: &Member, is_head: bool) -> [String; 8] {
+    let once = |text: String| if is_head { text } else { String::new() };
+    let phase = match replica.phase {
+        Phase::Forming => "forming",
+        Phase::Serving => "serving",
+        Phase::Draining => "draining",
+    };
+    let (age, load) = member.report.map_or_else(
+        || ("no report".to_owned(), String::new()),
+        |report| {
+            let load = format!("{} running, {} waiting", report.running, report.waiting);
+            (format!("{} ms", report.age_ms), load)
+        },
+    );
+    [
+        once(replica.replica.clone()),
+        once(replica.service.as_ref().map_or_else(String::new, ToString::to_string)),
+        once(replica.zone.to_string()),
+        once(replica.epoch.to_string()),
+        once(phase.to_owned()),
+        member.vm.to_string(),
+        age,
+        load,
+    ]
+}
+
+fn state(state: ZoneState) -> &'static str {
+    match state {
+        ZoneState::In => "in",
+        ZoneState::Out => "out",
+    }
+}
