--- a/crates/standin/src/engine/generate.rs
+++ b/crates/standin/src/engine/generate.rs
@@ -99,7 +99,7 @@
 /// assert!(long.starts_with(&engine::answer_text(["hello"].into_iter(), 3)));
 /// ```
 pub fn answer_text<'a>(prompt: impl Iterator<Item = &'a str>, tokens: u64) -> String {
-    let prompt = cache::prefixes(prompt).last().copied().unwrap_or(0);
+    let prompt = prefix::chain(prompt, PREFIXES).last().copied().unwrap_or(0);
     (0..tokens).map(|index| token(prompt, index)).collect()
 }
 
