Take the warm-up level of an upstream at first sight from its own counter

A node that started when upstreams were long warm opened their levels at the cold limit and got no slots unless it was a router of the epoch, so that it could not use them until they had restarted. The level now follows the engine's count of finished requests since its start. The assignment notes the count at which an epoch began to serve, because a join clears the cache but not the counter.

A replica whose start id is not known yet takes no work, as its slots cannot be divided. Start ids in digests now count without a load too: the load of an idle upstream does not differ from that of one of which nothing is known.

--- a/crates/node/src/follow/reports.rs
+++ b/crates/node/src/follow/reports.rs
@@ -65,19 +65,25 @@
             reports.record(report, at);
         }
     }
+    let heads = || stored.assignment.replicas.iter().map(assignment::Replica::head);
+    // A start counts without a load too: the load of an idle upstream does not differ from that of
+    // one of which nothing is known.
+    let mut restarted = vec![false; stored.assignment.replicas.len()];
+    let starts = digest.starts.iter().flatten();
+    for ((head, start), restarted) in heads().zip(starts).zip(&mut restarted) {
+        let Some(head) = head.filter(|_| *start != 0) else { continue };
+        reports.update(head.id.as_str(), |report| {
+            *restarted = report.start != *start;
+            report.start = *start;
+        });
+    }
     for (position, load) in &digest.loads {
-        let start = digest.starts.as_ref().and_then(|starts| starts.get(*position));
         let Some(head) = stored.assignment.replicas.get(*position).and_then(|r| r.head()) else {
             continue;
         };
         reports.update(head.id.as_str(), |report| {
             // The counter only grows within a start, so that an older load does not set it back.
-            let is_newer = load.finished >= report.finished;
-            if let Some(start) = start.filter(|start| **start != 0 && **start != report.start) {
-                report.start = *start;
-                report.finished = load.finished;
-            }
-            if is_newer {
+            if restarted[*position] || load.finished >= report.finished {
                 report.running = load.running;
                 report.waiting = load.waiting;
                 report.finished = load.finished;
--- a/crates/node/src/pipeline/choose.rs
+++ b/crates/node/src/pipeline/choose.rs
@@ -198,8 +198,11 @@
         let cold = release.sets.get(&replica.id.set).map_or(1, |set| set.cold_limit);
         let limits = warmup::Limits { cold, full: WARM_LEVEL.max(cold) };
         let report = &candidate.head.report;
-        let level =
-            table.observe(&replica.id, replica.epoch, limits, report.start, report.finished);
+        // A report relayed by a peer may lack the start, without which the slots are not known.
+        if report.start == 0 {
+            return false;
+        }
+        let level = table.observe(replica, limits, report.start, report.finished);
         let routers = replica.routers.iter().map(id::Node::as_str);
         let ordered = warmup::order(report.start, routers);
         level.permits(
--- a/crates/node/src/tables/warmup.rs
+++ b/crates/node/src/tables/warmup.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use corneltrestle_kernel::table;
-use corneltrestle_policy::{id, warmup};
+use corneltrestle_policy::{assignment, id, warmup};
 
 /// The warm-up levels; rank 50.
 #[derive(Debug, Default)]
@@ -23,18 +23,21 @@
 }
 
 impl Warmup {
-    /// The level of a replica at an epoch, after taking the report of its head.
+    /// The level of a replica at its epoch, after taking the report of its head.
     pub fn observe(
         &mut self,
-        replica: &id::Replica,
-        epoch: u64,
+        replica: &assignment::Replica,
         limits: warmup::Limits,
         start: u64,
         finished: u64,
     ) -> &mut warmup::Warmup {
-        let open = || Level { epoch, warmup: warmup::Warmup::open(limits, start, finished) };
-        let level = self.levels.entry(replica.clone()).or_insert_with(open);
-        if level.epoch == epoch {
+        let base = replica.cold_base(start, finished);
+        let open = || Level {
+            epoch: replica.epoch,
+            warmup: warmup::Warmup::open(limits, start, finished).after(base),
+        };
+        let level = self.levels.entry(replica.id.clone()).or_insert_with(open);
+        if level.epoch == replica.epoch {
             level.warmup.observe(start, finished);
         } else {
             *level = open();
--- a/crates/policy/src/assignment.rs
+++ b/crates/policy/src/assignment.rs
@@ -2,7 +2,7 @@
 
 mod replica;
 
-pub use replica::{Member, Phase, Replica};
+pub use replica::{Begun, Member, Phase, Replica};
 
 use crate::id;
 
--- a/crates/policy/src/assignment/replica.rs
+++ b/crates/policy/src/assignment/replica.rs
@@ -20,6 +20,22 @@
     pub phase: Phase,
     /// Nodes that hold warm-up slots of this epoch.
     pub routers: Vec<id::Node>,
+    /// State of the head's engine when this epoch began to serve.
+    #[serde(default)]
+    pub begun: Begun,
+}
+
+/// State of an engine at which an epoch began to serve.
+///
+/// A join clears the cache but not the engine's counter, so work of earlier epochs must not count
+/// as warm-up of this one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Begun {
+    /// Identifier of the engine's start; 0 if it is not known.
+    pub start: u64,
+    /// Requests that it had finished since that start.
+    pub finished: u64,
 }
 
 /// A member VM.
@@ -49,4 +65,15 @@
     pub fn head(&self) -> Option<&Member> {
         self.vms.first()
     }
+
+    /// The count of finished requests of its head at which the replica became cold, if the head's
+    /// engine is at this start and has finished as many requests since.
+    pub fn cold_base(&self, start: u64, finished: u64) -> u64 {
+        match self.begun.start {
+            0 => finished,
+            begun if begun == start => self.begun.finished,
+            // The engine has restarted since, and its counter with it.
+            _ => 0,
+        }
+    }
 }
--- a/crates/policy/src/plan/draft.rs
+++ b/crates/policy/src/plan/draft.rs
@@ -5,7 +5,7 @@
 use corneltrestle_time::Moment;
 
 use super::View;
-use crate::assignment::{Assignment, Member, Phase, Releasing, Replica};
+use crate::assignment::{Assignment, Begun, Member, Phase, Releasing, Replica};
 use crate::{id, report, vm};
 
 /// The next assignment with the VMs and loads that are still available.
@@ -85,6 +85,18 @@
         }
     }
 
+    /// Puts a replica into service and notes the state of its head's engine.
+    pub(super) fn begin(&mut self, id: &id::Replica) {
+        let head = self.get(id).and_then(Replica::head);
+        let report = head.and_then(|head| self.view.fresh(&head.id, self.now));
+        let begun = report
+            .map(|report| Begun { start: report.start, finished: report.finished })
+            .unwrap_or_default();
+        if let Some(replica) = self.next.replicas.iter_mut().find(|r| r.id == *id) {
+            (replica.phase, replica.begun) = (Phase::Serving, begun);
+        }
+    }
+
     /// Removes a replica; its members are free once they are released.
     pub(super) fn dissolve(&mut self, id: &id::Replica) {
         let Some(at) = self.next.replicas.iter().position(|r| r.id == *id) else { return };
@@ -111,7 +123,8 @@
         let Some(vms) = self.take(fabric, size) else { return false };
         let epoch = self.next_epoch();
         let (fabric, phase, routers) = (fabric.clone(), Phase::Forming, Vec::new());
-        self.next.replicas.push(Replica { id, epoch, fabric, vms, phase, routers });
+        let begun = Begun::default();
+        self.next.replicas.push(Replica { id, epoch, fabric, vms, phase, routers, begun });
         true
     }
 
--- a/crates/policy/src/plan/review.rs
+++ b/crates/policy/src/plan/review.rs
@@ -60,9 +60,7 @@
         let (view, now) = (self.view, self.now);
         let is_lost = view.has_lost(replica, now);
         match phase {
-            Phase::Forming if view.is_complete(set, replica, now) => {
-                self.set_phase(&replica.id, Phase::Serving);
-            }
+            Phase::Forming if view.is_complete(set, replica, now) => self.begin(&replica.id),
             // A member that is there but not ready loads again, for example after a late order.
             Phase::Serving if !view.is_whole(replica, now) => {
                 self.set_phase(&replica.id, Phase::Forming);
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -6,7 +6,7 @@
 
 /// The warm-up level of one upstream.
 ///
-/// The level depends only on the engine's own count of finished requests, so routers with reports
+/// The level depends only on the engine's own count of finished requests since it became cold, so routers with reports
 /// of different ages differ only by a lower level. The requests in progress, over all routers of
 /// one epoch that know the start id, number at most the highest level that any of them sees. After
 /// a fall-back without a restart, what a router already had in progress beyond its slots comes on
@@ -29,7 +29,7 @@
 pub struct Warmup {
     limits: Limits,
     start: u64,
-    /// The engine's count of finished requests at the start or the latest fall-back.
+    /// The engine's count of finished requests when it became cold.
     base: u64,
     finished: u64,
     /// Slow first tokens in a row.
@@ -49,10 +49,21 @@
     /// Slow first tokens in a row after which the upstream counts as cold; fewer may be long prompts.
     pub const SLOW: u32 = 3;
 
-    /// Opens at the cold level, whatever the engine has finished before: a router that has not seen
-    /// an upstream before cannot tell whether its cache was lost meanwhile.
+    /// Opens at the level that the engine's count since its start allows.
+    ///
+    /// The engine's own counter shows that it is warm, whoever sent the work. Opening at the cold
+    /// level instead left a restarted node without use of warm upstreams, and the fleet without
+    /// that node, for as long as the others took the slots. A cache that was lost without a restart
+    /// before this router first saw the upstream is noticed by slow first tokens only.
     pub fn open(limits: Limits, start: u64, finished: u64) -> Self {
-        Self { limits, start, base: finished, finished, slow: 0 }
+        Self { limits, start, base: 0, finished, slow: 0 }
+    }
+
+    /// Leaves the first `base` finished requests out of the count, because the upstream became cold
+    /// after them.
+    #[must_use]
+    pub fn after(self, base: u64) -> Self {
+        Self { base, ..self }
     }
 
     /// The start id by which the routers are to be ordered, see [`order`].
@@ -65,7 +76,7 @@
     /// A count that has gone back comes from an older report and changes nothing.
     pub fn observe(&mut self, start: u64, finished: u64) {
         if start != self.start {
-            *self = Self::open(self.limits, start, finished);
+            *self = Self::open(self.limits, start, finished).after(finished);
         } else {
             self.finished = self.finished.max(finished);
         }
--- a/crates/policy/tests/warmup.rs
+++ b/crates/policy/tests/warmup.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use corneltrestle_policy::assignment::{Begun, Phase, Replica};
+use corneltrestle_policy::id;
 use corneltrestle_policy::warmup::{self, Limits, Warmup};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -14,6 +16,7 @@
     Dispatch(usize),
     Finish(usize),
     Observe(usize, usize),
+    Reopen(usize, usize),
     Restart,
     LoseCache,
 }
@@ -29,6 +32,7 @@
         80 => any::<usize>().prop_map(Op::Dispatch),
         40 => any::<usize>().prop_map(Op::Finish),
         40 => (any::<usize>(), 0..5usize).prop_map(|(router, age)| Op::Observe(router, age)),
+        4 => (any::<usize>(), 0..5usize).prop_map(|(router, age)| Op::Reopen(router, age)),
         1 => Just(Op::Restart),
         1 => Just(Op::LoseCache),
     ]
@@ -83,6 +87,15 @@
                     let seen = reports[reports.len().saturating_sub(1 + age)];
                     views[router % (number + 1)].observe(start, seen);
                 }
+                // A restarted router has nothing in progress and sees the upstream for the first
+                // time. It cannot know of a cache loss before that.
+                Op::Reopen(router, age) if base == 0 => {
+                    let seen = reports[reports.len().saturating_sub(1 + age)];
+                    let r = router % (number + 1);
+                    views[r] = Warmup::open(LIMITS, start, seen);
+                    (busy[r], carried[r]) = (0, 0);
+                }
+                Op::Reopen(..) => {}
                 Op::Restart => {
                     (start, finished, base, reports) = (start + 1, 0, 0, vec![0]);
                     views.iter_mut().for_each(|view| view.observe(start, 0));
@@ -123,6 +136,34 @@
     assert_eq!((warmup.level(), warmup.is_warm()), (level, level == LIMITS.full));
 }
 
+/// Guards against a restarted router that cannot use warm upstreams, and against one that counts
+/// work of an earlier epoch as warm-up.
+#[test_case(62, 0, 40; "warm since its start")]
+#[test_case(6, 0, 8; "warming up")]
+#[test_case(62, 62, 2; "new epoch")]
+#[test_case(62, 60, 4; "new epoch and two more")]
+#[test_case(62, 100, 2; "report from before the epoch")]
+fn level_on_first_sight_follows_the_engines_counter(finished: u64, base: u64, level: u32) {
+    assert_eq!(Warmup::open(LIMITS, 1, finished).after(base).level(), level);
+}
+
+/// Guards against a base that belongs to another start or epoch of the head's engine.
+#[test_case(0, 0, 50; "start not known")]
+#[test_case(7, 20, 20; "same start")]
+#[test_case(6, 20, 0; "restarted since")]
+fn replica_is_cold_from_the_count_at_which_it_began(start: u64, finished: u64, base: u64) {
+    let replica = Replica {
+        id: id::Replica { set: "a".into(), index: 0 },
+        epoch: 2,
+        fabric: "f".into(),
+        vms: Vec::new(),
+        phase: Phase::Serving,
+        routers: Vec::new(),
+        begun: Begun { start, finished },
+    };
+    assert_eq!(replica.cold_base(7, 50), base);
+}
+
 /// Guards against an upstream that keeps its level although it is cold again.
 #[test_case(|w| w.observe(2, 100); "new start id")]
 #[test_case(|w| w.cache_lost(); "lost cache")]
