--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -39,6 +39,17 @@
     ///
     /// When an address cannot be bound or a file cannot be written.
     pub async fn open(plan: Plan) -> Result<Self> {
+        let mut local = Self::bind(plan).await?;
+        local.start_nodes()?;
+        Ok(local)
+    }
+
+    /// Opens the stand-ins of a deployment without its nodes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Local::open`].
+    pub async fn bind(plan: Plan) -> Result<Self> {
         let addresses = address::Addresses::reserve();
         let files = nodes::write_secrets(&addresses)?;
         let platform = addresses.platform();
@@ -71,12 +82,21 @@
         local.bind_services().await?;
         local.list_nodes();
         local.publish();
-        for name in local.plan.node_names() {
-            local.start_node(&name)?;
-        }
         Ok(local)
     }
 
+    /// Starts the nodes of the plan on the workers of the runtime that the caller has entered.
+    ///
+    /// # Errors
+    ///
+    /// When a node cannot be opened.
+    pub fn start_nodes(&mut self) -> Result<()> {
+        for name in self.plan.node_names() {
+            self.start_node(&name)?;
+        }
+        Ok(())
+    }
+
     async fn bind_engines(&mut self) -> Result<()> {
         let fabric = engine::Fabric::default();
         for slot in self.plan.vm_slots() {
