--- a/crates/node/src/link/incoming.rs
+++ b/crates/node/src/link/incoming.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use futures_util::{Stream, stream};
+use metrics::Counter;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -24,11 +25,12 @@
 /// Pause after a failed accept, for example without free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// A connection that counts towards the bound until it is dropped.
-#[derive(Debug)]
+/// A connection that counts towards the bound until it is dropped; its bytes are counted, too.
 pub(super) struct Connection {
     stream: TcpStream,
     silence: Pin<Box<Sleep>>,
+    received: Counter,
+    sent: Counter,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -41,7 +43,10 @@
         let permit = permits.clone().acquire_owned().await.ok()?;
         let stream = accept(&listener).await;
         let silence = Box::pin(tokio::time::sleep(MAX_SILENCE));
-        Some((Ok(Connection { stream, silence, _permit: permit }), (listener, permits)))
+        let bytes = |direction| metrics::counter!("link_bytes_total", "direction" => direction);
+        let (received, sent) = (bytes("received"), bytes("sent"));
+        let connection = Connection { stream, silence, received, sent, _permit: permit };
+        Some((Ok(connection), (listener, permits)))
     })
 }
 
@@ -61,6 +66,16 @@
     }
 }
 
+impl Connection {
+    /// Counts bytes that were written.
+    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(bytes)) = &written {
+            self.sent.increment(*bytes as u64);
+        }
+        written
+    }
+}
+
 impl Connected for Connection {
     type ConnectInfo = <TcpStream as Connected>::ConnectInfo;
 
@@ -76,8 +91,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
+        let before = buf.filled().len();
         if let Poll::Ready(result) = Pin::new(&mut this.stream).poll_read(cx, buf) {
             this.silence.as_mut().reset(Instant::now() + MAX_SILENCE);
+            this.received.increment((buf.filled().len() - before) as u64);
             return Poll::Ready(result);
         }
         this.silence.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
@@ -90,7 +107,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -106,7 +124,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.count(written)
     }
 
     fn is_write_vectored(&self) -> bool {
