--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -9,6 +9,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use corneltrestle_kernel::table::{Ranked, Table};
 use corneltrestle_kernel::{plugin, pool};
@@ -72,6 +73,18 @@
     pool: pool::Pool,
     knobs: watch::Sender<fault::Knobs>,
     counts: Table<Counts>,
+    in_flight: AtomicU64,
+    peak: AtomicU64,
+}
+
+/// A call in progress, until it is dropped.
+#[derive(Debug)]
+struct InFlight<'a>(&'a Shared);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 #[derive(Debug, Default)]
@@ -104,6 +117,8 @@
         pool: pool::Pool::attach(runtime::Handle::current()),
         knobs: watch::Sender::new(fault::Knobs::default()),
         counts: Table::default(),
+        in_flight: AtomicU64::new(0),
+        peak: AtomicU64::new(0),
     });
     let handle = Handle { api: Arc::new(api), shared };
     let server = handle.clone();
@@ -156,6 +171,12 @@
         counts
     }
 
+    /// The most calls that were in progress at the same time since this was last asked. A streamed
+    /// answer counts until it begins.
+    pub fn take_peak(&self) -> u64 {
+        self.shared.peak.swap(self.shared.in_flight.load(Ordering::Relaxed), Ordering::Relaxed)
+    }
+
     /// Runs a job until the server stops.
     pub(crate) fn run(&self, job: impl Future<Output = ()> + Send + 'static) {
         self.shared.run(job);
@@ -189,8 +210,11 @@
         let _ = self.knobs.subscribe().wait_for(wanted).await;
     }
 
-    fn count(&self, name: &'static str) {
+    fn begin(&self, name: &'static str) -> InFlight<'_> {
         *self.counts.lock().0.entry(name).or_default() += 1;
+        let in_flight = self.in_flight.fetch_add(1, Ordering::Relaxed) + 1;
+        self.peak.fetch_max(in_flight, Ordering::Relaxed);
+        InFlight(self)
     }
 
     /// Whether the answer to this write is to be lost; uses up one of the losses.
--- a/crates/standin/src/server/connection.rs
+++ b/crates/standin/src/server/connection.rs
@@ -72,7 +72,7 @@
     }
     let shared = &server.shared;
     let kind = server.api.kind(&call.method, &call.path);
-    shared.count(kind.name);
+    let _in_flight = shared.begin(kind.name);
     let knobs = shared.knobs();
     if !knobs.delay.is_zero() {
         tokio::time::sleep(knobs.delay).await;
