--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -3,5 +3,6 @@
 //!
 //! A scenario is one file that registers itself in [`scenario::SCENARIOS`].
 
+pub mod process;
 pub mod report;
 pub mod scenario;
--- a/crates/measure/src/scenario.rs
+++ b/crates/measure/src/scenario.rs
@@ -1,5 +1,7 @@
 //! Scenarios and their registration.
 
+pub mod relay;
+
 use std::fmt;
 
 use corneltrestle_kernel::linkme::{self, distributed_slice};
