--- a/crates/measure/src/scenario.rs
+++ b/crates/measure/src/scenario.rs
@@ -1,5 +1,6 @@
 //! Scenarios and their registration.
 
+pub mod config;
 pub mod relay;
 
 use std::fmt;
