--- a/crates/measure/src/scenario.rs
+++ b/crates/measure/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Scenarios and their registration.
 
 pub mod config;
+pub mod control;
 pub mod relay;
 
 use std::fmt;
