--- a/crates/measure/src/scenario.rs
+++ b/crates/measure/src/scenario.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod control;
 pub mod relay;
+pub mod store_outage;
 
 use std::fmt;
 
