--- a/crates/measure/src/scenario.rs
+++ b/crates/measure/src/scenario.rs
@@ -1,5 +1,10 @@
 //! Scenarios and their registration.
 
+pub mod config;
+pub mod control;
+pub mod relay;
+pub mod store_outage;
+
 use std::fmt;
 
 use corneltrestle_kernel::linkme::{self, distributed_slice};
