measure: use other keys before the outage than in it

Cause: the load that waits for readiness used the same idempotency keys as the measured one, so that an order that had run before was refused not-run in the outage and counted as a false refusal. The refusal is true for the second call. Ruled out: a second run (no key ran twice) and a late claim.

--- a/crates/measure/src/scenario/store_outage.rs
+++ b/crates/measure/src/scenario/store_outage.rs
@@ -62,6 +62,9 @@
     Outage { name: "answers lost", fault: "answer-lost", value: 1_000_000 },
 ];
 
+/// First number of the keys that are used before the measurement.
+const READY_KEYS: u64 = 1_000_000;
+
 /// A part of the run.
 struct Phase {
     name: String,
@@ -153,7 +156,9 @@
     for _ in 0..50 {
         let verdict = local.apply(&note(local)).await?;
         if matches!(verdict, operate::Verdict::Accepted { .. }) {
-            let mut load = Load::default();
+            // Keys of their own: a key that ran here could be refused `not-run` in an outage, which
+            // says that the second call has not run.
+            let mut load = Load::from_number(READY_KEYS);
             load.run(nodes, Duration::from_millis(500)).await;
             if load.finish().await.iter().all(|sample| sample.end == End::Whole) {
                 return Ok(());
