http: deliver the error event of a stream before the connection is aborted

Cause: a caller's stream that ends early gets an `error` event and an aborted connection, but the server drops what it has not written when the body fails, so that the event never left the node and callers saw only a broken connection. Ruled out: the channel of the body, which hands out its frames before the error. Change: the body holds the error back for one poll; the server writes what is pending in between. Conclusion: best effort; a caller who does not read may still miss the event, and then sees the aborted connection only. HTTP/2 was not tried.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -29,7 +29,15 @@
     /// A complete body.
     Full(Full<Bytes>),
     /// A stream; an error in it aborts the connection, so that it is never taken as complete.
-    Stream(Channel<Bytes, Error>),
+    Stream(Stream),
+}
+
+/// The frames of a stream in progress.
+#[derive(Debug)]
+pub struct Stream {
+    frames: Channel<Bytes, Error>,
+    /// An error that waits until the frames before it are written.
+    held: Option<Error>,
 }
 
 /// Frames that wait in a stream before its producer pauses.
@@ -44,7 +52,7 @@
     /// A stream with the sender that feeds it.
     pub fn stream() -> (Sender<Bytes, Error>, Self) {
         let (sender, stream) = Channel::new(STREAM_FRAMES);
-        (sender, Self::Stream(stream))
+        (sender, Self::Stream(Stream { frames: stream, held: None }))
     }
 }
 
@@ -58,21 +66,40 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match self.get_mut() {
             Self::Full(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
-            Self::Stream(stream) => Pin::new(stream).poll_frame(cx),
+            Self::Stream(stream) => stream.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(full) => full.is_end_stream(),
-            Self::Stream(stream) => stream.is_end_stream(),
+            Self::Stream(stream) => stream.held.is_none() && stream.frames.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(full) => full.size_hint(),
-            Self::Stream(stream) => stream.size_hint(),
+            Self::Stream(stream) => stream.frames.size_hint(),
+        }
+    }
+}
+
+impl Stream {
+    /// Holds an error back for one poll. The server drops what it has not written when a body
+    /// fails, and writes it when a body is pending; the last event, which says what went wrong,
+    /// would be lost otherwise.
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if let Some(error) = self.held.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match hyper::body::Body::poll_frame(Pin::new(&mut self.frames), cx) {
+            Poll::Ready(Some(Err(error))) => {
+                self.held = Some(error);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            polled => polled,
         }
     }
 }
