engine: keep the progress limit of a stream across dropped calls of next

Cause: the relay looks at the replica's members every 250 ms and drops its call of `next` for that; each new call started the 5 s progress limit again, so that a silent connection was noticed only at the deadline of the request. Ruled out: the pool (a stream's connection is not reused) and the report polls (the VM answers them on other connections). Change: the stream remembers since when it waits for the next event. Before: `streams` cases "silent connections of one engine" and "of all engines" ended all streams on silent connections at the deadline (20 s). After: the streams move after 5 s and are whole.

--- a/crates/engine/src/engine/http/stream.rs
+++ b/crates/engine/src/engine/http/stream.rs
@@ -5,7 +5,7 @@
 
 use corneltrestle_client::body::Body;
 use corneltrestle_wire::sse;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::failed;
 use crate::engine::{Error, Generate, Kind, Result, Stream, Token};
@@ -20,6 +20,9 @@
     events: sse::Decoder,
     check: Check,
     progress: Duration,
+    /// Since when the next event is awaited. It outlives a call of `next` that is dropped, so that
+    /// a caller who looks at other things meanwhile does not put off the end of a silent stream.
+    awaited: Option<Instant>,
     complete: bool,
 }
 
@@ -57,7 +60,7 @@
         let next = request.resume.map_or(0, |resume| resume.next);
         let check = Check { peer, id: request.id.to_owned(), next };
         let events = sse::Decoder::new(max_event);
-        Self { body: Some(body), events, check, progress, complete: false }
+        Self { body: Some(body), events, check, progress, awaited: None, complete: false }
     }
 
     /// The first new token among the events that have arrived.
@@ -96,8 +99,12 @@
             Arrived::Nothing => {}
             arrived => return Ok(arrived),
         }
-        match timeout(self.progress, self.receive()).await {
-            Ok(received) => received,
+        let until = *self.awaited.get_or_insert_with(Instant::now) + self.progress;
+        match timeout_at(until, self.receive()).await {
+            Ok(received) => {
+                self.awaited = None;
+                received
+            }
             Err(_) => Err(self.check.broken("no event in time")),
         }
     }
