client: leave time for a new connection when a reused one is silent

Cause: a repeatable call on a reused connection that had fallen silent used up its whole time there, and each further idle connection to that peer cost another call. Change: the first attempt of a repeatable call on a reused connection gets half of the time, and a failure on a reused connection closes the other idle ones to the same peer, which are as old. Before: `orders` case "connections to the store silent" was refused `not-run` after 1 s although new connections worked.

--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -94,9 +94,13 @@
             return self.send_fresh(peer, request, until).await;
         };
         let spare = (delivery == Delivery::Repeatable).then(|| request.clone());
-        match self.send_on(connection, peer, request, until).await {
+        // A reused connection may be silent for good; half of the time is left for a new one.
+        let first = if spare.is_some() { Instant::now() + limit / 2 } else { until };
+        match self.send_on(connection, peer, request, first).await {
             Ok(answer) => Ok(answer),
             Err(failed) => {
+                // The other idle connections are as old as this one and may be silent, too.
+                self.idle.lock().peers.remove(&peer);
                 match failed.unsent.or(spare.filter(|_| failed.error.kind == Kind::Broken)) {
                     Some(request) if Instant::now() < until => {
                         self.send_fresh(peer, request, until).await
