node: wait for a later report after a dispatch failed like a restart

Cause: after an engine restarted, a node whose streams broke sent them again at once, at the level of the engine's previous start, because the new start id is known only from the next report; and a replica that refused everything because a member was missing was asked again until the retry budget was empty. Change: after a broken or refused connection, or status 409 or 503, a replica takes no more work from this node until a report of its head that is later than the failure. Conclusion: a node that had nothing in progress at the restart still works with the old start id until the next report, as the design says.

--- a/crates/node/src/pipeline/generate.rs
+++ b/crates/node/src/pipeline/generate.rs
@@ -134,6 +134,11 @@
     }
 
     /// Counts a request that was not answered whole.
+        if may_be_cold(&error) {
+            // A restarted engine is cold and a broken replica refuses everything; only a later
+            // report shows which, and the present level would be too high for the former.
+            self.tables.dispatched.lock().fail(&target.replica.id, now);
+        }
     pub(super) fn count_failure(&self, request: &request::Generation) {
         let mut counts = burn::Counts::default();
         counts.request(false);
@@ -180,3 +185,9 @@
     };
     refusal.at(error.peer)
 }
+/// Whether a failure may come from a restart of the engine or the loss of a member.
+fn may_be_cold(error: &engine::Error) -> bool {
+    use engine::Kind::{Broken, NotSent, Refused};
+    matches!(error.kind, NotSent | Broken | Refused(409 | 503))
+}
+
--- a/crates/node/src/tables/dispatched.rs
+++ b/crates/node/src/tables/dispatched.rs
@@ -13,6 +13,8 @@
 #[derive(Debug)]
 pub struct Dispatched {
     sent: HashMap<id::Replica, Vec<Moment>>,
+    /// When a dispatch to a replica last failed in a way that may mean a restart or a loss.
+    failed: HashMap<id::Replica, Moment>,
     /// What replicas hold in their prefix caches.
     pub history: prefix::History,
     /// Dispatches a second, averaged.
@@ -28,6 +30,7 @@
     fn default() -> Self {
         Self {
             sent: HashMap::new(),
+            failed: HashMap::new(),
             history: prefix::History::open(PREFIXES),
             rate: Rate::default(),
         }
@@ -52,6 +55,20 @@
         }
     }
 
+    /// Notes a failure at `now` after which what is known about a replica may be out of date.
+    pub fn fail(&mut self, replica: &id::Replica, now: Moment) {
+        self.failed.insert(replica.clone(), now);
+    }
+
+    /// Whether a report that was seen at `seen` says how a replica is after its latest failure.
+    pub fn is_confirmed(&mut self, replica: &id::Replica, seen: Moment) -> bool {
+        let confirmed = self.failed.get(replica).is_none_or(|failed| seen > *failed);
+        if confirmed {
+            self.failed.remove(replica);
+        }
+        confirmed
+    }
+
     /// Moments of the dispatches in progress, in increasing order.
     pub fn of(&self, replica: &id::Replica) -> &[Moment] {
         self.sent.get(replica).map_or(&[], Vec::as_slice)
