node: refuse as not-run only if no attempt reached an upstream

Cause: the outcome of a refusal was that of the last attempt. When an attempt broke after the engine had begun and the next one could not connect, the request was refused as `not-run`. The same held for the second of two hedged calls, for a stream that could not be resumed, and for an unstreamed answer with status 503 or 410, which an engine may send after part of the work. Ruled out: orders, which are sent once and keep their own record. Change: attempts remember whether an upstream may have begun. Before: `streams` case "unstreamed ... head crash" was refused `not-run` after the engine had begun. After: `unknown`.

--- a/crates/node/src/pipeline/generate.rs
+++ b/crates/node/src/pipeline/generate.rs
@@ -9,7 +9,7 @@
 use corneltrestle_policy::{burn, retry};
 
 use super::choose::{InProgress, Target};
-use super::{Code, Pipeline, Refusal, Relay, Result, request};
+use super::{Code, Outcome, Pipeline, Refusal, Relay, Result, request};
 
 /// Wait between two looks for a replica that can serve.
 const CHOOSE_PERIOD: Duration = Duration::from_millis(50);
@@ -20,6 +20,21 @@
     failed: BTreeSet<corneltrestle_policy::id::Replica>,
     count: u32,
     last: Option<engine::Error>,
+    /// Whether an upstream may have begun the request.
+    reached: bool,
+}
+
+impl Attempts {
+    /// The attempts after a stream had been started, which an upstream has begun therefore.
+    pub(super) fn resumed() -> Self {
+        Self { reached: true, ..Self::default() }
+    }
+
+    /// The answer after the last attempt failed; `not-run` only if no attempt reached an upstream.
+    pub(super) fn refusal(&self, step: &'static str, error: &engine::Error) -> Refusal {
+        let refusal = upstream_failed(step, error);
+        if self.reached { Refusal { outcome: Outcome::Unknown, ..refusal } } else { refusal }
+    }
 }
 
 impl<E, P, S> Pipeline<E, P, S>
@@ -75,7 +90,11 @@
             let call = target.generate(request, self.now(), None);
             match self.engine.complete(target.head, &call).await {
                 Ok(body) => return Ok(body),
-                Err(e) => self.retry(request, &mut attempts, &target, e).await?,
+                Err(e) => {
+                    // The status of an unstreamed answer is sent after the work.
+                    attempts.reached |= matches!(e.kind, engine::Kind::Refused(410 | 500..));
+                    self.retry(request, &mut attempts, &target, e).await?;
+                }
             }
             drop(in_progress);
         }
@@ -113,7 +132,13 @@
     ) -> Result<()> {
         let now = self.now();
         attempts.count += 1;
+        attempts.reached |= !matches!(error.kind, engine::Kind::NotSent | engine::Kind::Refused(_));
         attempts.failed.insert(target.replica.id.clone());
+        if may_be_cold(&error) {
+            // A restarted engine is cold and a broken replica refuses everything; only a later
+            // report shows which, and the present level would be too high for the former.
+            self.tables.dispatched.lock().fail(&target.replica.id, now);
+        }
         // Generations have no lasting effect and may always be repeated.
         let next = may_move(&error).then(|| {
             let budget = &mut self.tables.admission.lock().retries;
@@ -129,16 +154,11 @@
                 tokio::time::sleep(at.since(now)).await;
                 Ok(())
             }
-            None => Err(upstream_failed("dispatch", &error)),
+            None => Err(attempts.refusal("dispatch", &error)),
         }
     }
 
     /// Counts a request that was not answered whole.
-        if may_be_cold(&error) {
-            // A restarted engine is cold and a broken replica refuses everything; only a later
-            // report shows which, and the present level would be too high for the former.
-            self.tables.dispatched.lock().fail(&target.replica.id, now);
-        }
     pub(super) fn count_failure(&self, request: &request::Generation) {
         let mut counts = burn::Counts::default();
         counts.request(false);
@@ -165,6 +185,12 @@
     }
 }
 
+/// Whether a failure may come from a restart of the engine or the loss of a member.
+fn may_be_cold(error: &engine::Error) -> bool {
+    use engine::Kind::{Broken, NotSent, Refused};
+    matches!(error.kind, NotSent | Broken | Refused(409 | 503))
+}
+
 fn failure(error: &engine::Error) -> retry::Failure {
     match error.kind {
         engine::Kind::NotSent => retry::Failure::NotSent,
@@ -175,7 +201,7 @@
 }
 
 /// The answer after the last attempt failed.
-pub(super) fn upstream_failed(step: &'static str, error: &engine::Error) -> Refusal {
+fn upstream_failed(step: &'static str, error: &engine::Error) -> Refusal {
     let message = error.to_string();
     let refusal = match error.kind {
         engine::Kind::NotSent => Refusal::not_run(Code::UpstreamFailed, step, message),
@@ -185,9 +211,3 @@
     };
     refusal.at(error.peer)
 }
-/// Whether a failure may come from a restart of the engine or the loss of a member.
-fn may_be_cold(error: &engine::Error) -> bool {
-    use engine::Kind::{Broken, NotSent, Refused};
-    matches!(error.kind, NotSent | Broken | Refused(409 | 503))
-}
-
--- a/crates/node/src/pipeline/plain.rs
+++ b/crates/node/src/pipeline/plain.rs
@@ -63,6 +63,7 @@
     /// Sends a repeatable call, again while that is allowed.
     async fn repeatable(&self, call: &request::Call) -> Result<Answer> {
         let mut failures = 0;
+        let mut reached = false;
         loop {
             let peers = self.upstreams(&call.service)?;
             let error = match self.hedged(call, &peers).await {
@@ -71,6 +72,7 @@
                 Ok(answer) => match self.next_attempt(call, &mut failures, retry::Failure::Wrong) {
                     None => return Ok(answer),
                     Some(wait) => {
+                        reached = true;
                         tokio::time::sleep(wait).await;
                         continue;
                     }
@@ -78,8 +80,12 @@
                 Err(e) => e,
             };
             log::info!(request = call.id; "route: {error}");
+            reached |= error.kind != Kind::NotSent;
             match self.next_attempt(call, &mut failures, failure(&error)) {
                 Some(wait) => tokio::time::sleep(wait).await,
+                None if reached => {
+                    return Err(Refusal { outcome: super::Outcome::Unknown, ..failed(&error) });
+                }
                 None => return Err(failed(&error)),
             }
         }
@@ -117,11 +123,11 @@
         tokio::select! {
             result = &mut first => match result {
                 Ok(answer) => Ok(answer),
-                Err(_) => second.await,
+                Err(e) => second.await.map_err(|other| farther(e, other)),
             },
             result = &mut second => match result {
                 Ok(answer) => Ok(answer),
-                Err(_) => first.await,
+                Err(e) => first.await.map_err(|other| farther(e, other)),
             },
         }
     }
@@ -184,6 +190,11 @@
     }
 }
 
+/// Of the errors of two sends of one call, one that reached its upstream if any did.
+fn farther(one: service::Error, other: service::Error) -> service::Error {
+    if other.kind == Kind::NotSent { one } else { other }
+}
+
 pub(super) fn no_upstream() -> Refusal {
     Refusal::not_run(Code::Unavailable, "choose", "no upstream of the service takes new work")
         .retry_after(Duration::from_secs(1))
--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -11,7 +11,7 @@
 
 use super::admit::Permit;
 use super::choose::{InProgress, Target};
-use super::generate::{Attempts, may_move, upstream_failed};
+use super::generate::{Attempts, may_move};
 use super::{Code, Pipeline, Refusal, Result, request};
 
 /// Most times that one answer is moved to another replica.
@@ -172,7 +172,7 @@
 
     async fn try_resume(&mut self, mut error: engine::Error) -> Result<()> {
         let text = self.text()?;
-        let mut attempts = Attempts::default();
+        let mut attempts = Attempts::resumed();
         while self.moves < MOVES_MAX && may_move(&error) {
             self.moves += 1;
             metrics::counter!("streams_moved_total").increment(1);
@@ -193,7 +193,7 @@
                 Err(e) => error = e,
             }
         }
-        Err(upstream_failed("relay", &error))
+        Err(attempts.refusal("relay", &error))
     }
 
     fn text(&self) -> Result<String> {
