node: recover from a lapsed or uncertain lease of claims

Cause: a node keeps the store lease that claims are attached to for an hour. When it lapsed in the store, the store refused every claim until the hour was over. When the answer to the grant was lost, or a grant failed after a claim whose own answer was lost, the call ended at once, in the second case without withdrawing the claim that may still take effect. Change: a refused claim forgets its lease and is tried once more with a new one; an uncertain grant is tried again within the same limit of attempts.

--- a/crates/node/src/pipeline/order.rs
+++ b/crates/node/src/pipeline/order.rs
@@ -91,7 +91,7 @@
     ) -> Result<std::result::Result<Claimed, Answer>> {
         let started = self.now();
         let record = call.record();
-        let mut written = false;
+        let (mut written, mut refused) = (false, false);
         for attempt in 0..TRIES {
             if attempt > 0 {
                 tokio::time::sleep(PAUSE).await;
@@ -118,7 +118,15 @@
                 Decision::Claim(version) => version,
                 decision => return Err(declined(decision)),
             };
-            let lease = self.claim_lease().await.map_err(|e| store_failed(&e))?;
+            let lease = match self.claim_lease().await {
+                Ok(lease) => lease,
+                // A grant whose answer was lost leaves a lease without keys.
+                Err(e) if written || e.may_have_run() => {
+                    log::info!("order: cannot get a lease for claims: {e}");
+                    continue;
+                }
+                Err(e) => return Err(store_failed(&e)),
+            };
             let value = stored::encode(&key, &record).map_err(|e| malformed(&e))?;
             match self.store.swap(&key, version, &value, Some(lease), Class::Order).await {
                 Ok(Swap::Done(version)) => {
@@ -128,6 +136,12 @@
                 // The next pass reads the other claim.
                 Ok(Swap::Conflict(_)) => {}
                 Err(e) if e.may_have_run() => written = true,
+                Err(e) if e.kind == store::Kind::Refused && !refused => {
+                    // The lease may have lapsed in the store.
+                    log::info!("order: the store refused a claim: {e}");
+                    self.tables.claims.lock().lease.take_if(|known| known.id == lease);
+                    refused = true;
+                }
                 Err(e) if !written => return Err(store_failed(&e)),
                 Err(_) => {}
             }
