node: count only peers of the own zone for the readiness at start

Cause: a node that starts without the store becomes ready with the highest revision that a peer has answered, and pulls from other zones counted. A peer of a zone that is cut off may be behind, so that a restarted node could become ready at an earlier revision than before. Change: only answers to pulls from the own zone count, as the design says.

--- a/crates/node/src/follow/digest.rs
+++ b/crates/node/src/follow/digest.rs
@@ -19,6 +19,8 @@
     request: wire::PullRequest,
     /// Ids and heartbeats of each roster, in the order of the request.
     asked: Vec<Vec<(id::Node, u64)>>,
+    /// Whether the peer is of the own zone.
+    is_near: bool,
 }
 
 impl Pull {
@@ -47,7 +49,8 @@
             rosters: known,
             reports: zones.iter().map(known_reports).collect(),
         };
-        Self { request, asked }
+        let is_near = rosters.contains(&identity.zone);
+        Self { request, asked, is_near }
     }
 
     /// Pulls from a peer and takes over what it knows.
@@ -75,7 +78,9 @@
         {
             let mut config = tables.config.lock();
             config.heard(digest.revision, now.before(digest.watch_age + trip));
-            config.peer_answered(digest.revision);
+            if self.is_near {
+                config.peer_answered(digest.revision);
+            }
         }
         let release = tables.current.load();
         for reports in &digest.reports {
