--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -12,7 +12,7 @@
 
 use super::admit::Permit;
 use super::choose::{InProgress, Target};
-use super::generate::{Attempts, may_move, upstream_failed};
+use super::generate::{Attempts, may_move};
 use super::{Code, Pipeline, Refusal, Result, request};
 
 /// Time between two checks that the replica of a stream is whole.
@@ -169,7 +169,7 @@
 
     async fn try_resume(&mut self, mut error: engine::Error) -> Result<()> {
         let text = self.text()?;
-        let mut attempts = Attempts::default();
+        let mut attempts = Attempts::resumed();
         while may_move(&error) {
             let now = self.pipeline.now();
             let Some(next) = self.delivery.resume(self.request.deadline, now) else { break };
@@ -190,7 +190,7 @@
                 Err(e) => error = e,
             }
         }
-        Err(upstream_failed("relay", &error))
+        Err(attempts.refusal("relay", &error))
     }
 
     fn text(&self) -> Result<String> {
--- a/crates/node/src/tables/dispatched.rs
+++ b/crates/node/src/tables/dispatched.rs
@@ -16,6 +16,8 @@
     /// Number of the round in which the cache events of a replica were last read.
     events: HashMap<id::Replica, u64>,
     rounds: u64,
+    /// When a dispatch to a replica last failed in a way that may mean a restart or a loss.
+    failed: HashMap<id::Replica, Moment>,
     /// What replicas hold in their prefix caches.
     pub history: prefix::History,
     /// Dispatches a second, averaged.
@@ -33,6 +35,7 @@
             sent: HashMap::new(),
             events: HashMap::new(),
             rounds: 0,
+            failed: HashMap::new(),
             history: prefix::History::open(PREFIXES),
             rate: Rate::default(),
         }
@@ -71,9 +74,24 @@
     /// Keeps only the replicas that `keep` accepts.
     pub fn retain(&mut self, mut keep: impl FnMut(&id::Replica) -> bool) {
         self.events.retain(|replica, _| keep(replica));
+        self.failed.retain(|replica, _| keep(replica));
         self.history.retain(keep);
     }
 
+    /// Notes a failure at `now` after which what is known about a replica may be out of date.
+    pub fn fail(&mut self, replica: &id::Replica, now: Moment) {
+        self.failed.insert(replica.clone(), now);
+    }
+
+    /// Whether a report that was seen at `seen` says how a replica is after its latest failure.
+    pub fn is_confirmed(&mut self, replica: &id::Replica, seen: Moment) -> bool {
+        let confirmed = self.failed.get(replica).is_none_or(|failed| seen > *failed);
+        if confirmed {
+            self.failed.remove(replica);
+        }
+        confirmed
+    }
+
     /// Moments of the dispatches in progress, in increasing order.
     pub fn of(&self, replica: &id::Replica) -> &[Moment] {
         self.sent.get(replica).map_or(&[], Vec::as_slice)
