--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -5,3 +5,4 @@
 
 pub mod report;
 pub mod scenario;
+pub mod traffic;
--- a/crates/measure/src/scenario.rs
+++ b/crates/measure/src/scenario.rs
@@ -1,5 +1,11 @@
 //! Scenarios and their registration.
 
+pub mod cold_start;
+pub mod group_loss;
+pub mod orders;
+pub mod stranded;
+pub mod zone_move;
+
 use std::fmt;
 
 use corneltrestle_kernel::linkme::{self, distributed_slice};
--- /dev/null
+++ b/crates/measure/src/scenario/group_loss.rs
@@ -0,0 +1,305 @@
+//! Scenario `group-loss`: downtime of a replica after the loss of one VM and of a fabric domain.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use corneltrestle_engine::engine::{self as client, Engine};
+use corneltrestle_kernel::{linkme, pool};
+use corneltrestle_local::{Local, Plan};
+use corneltrestle_policy::assignment::{Member, Phase, Replica};
+use corneltrestle_policy::{id, report};
+use corneltrestle_standin::engine;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{Error, Options, Result, SCENARIOS, Scenario};
+use crate::report::Report;
+use crate::traffic::{self, End, Entries, Groups, Kind, Rates, RoundRobin, Sample, Traffic};
+
+#[linkme::distributed_slice(SCENARIOS)]
+#[linkme(crate = linkme)]
+static GROUP_LOSS: Scenario = Scenario {
+    name: "group-loss",
+    summary: "downtime of a replica after the loss of one VM and of a fabric domain",
+    run,
+};
+
+/// Repair starts within this time after a loss.
+const REPAIR_START: Duration = Duration::from_secs(2);
+/// Longest wait for a replica to serve again.
+const REPAIR_LIMIT: Duration = Duration::from_secs(25);
+/// Time between two looks at the deployment.
+const LOOK: Duration = Duration::from_millis(5);
+/// Period of the baseline's health check.
+const CHECK_PERIOD: Duration = Duration::from_secs(30);
+/// Calls a second.
+const RATES: Rates = Rates { models: 30.0, orders: 0.0 };
+
+/// What is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// A VM that is not the head goes dark.
+    Vm,
+    /// The head VM stops answering.
+    Head,
+    /// A whole fabric domain goes dark.
+    Fabric,
+}
+
+/// The losses of a run.
+pub const LOSSES: [Loss; 3] = [Loss::Vm, Loss::Head, Loss::Fabric];
+
+/// What followed a loss, counted from it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Repair {
+    /// The latest arrival of work at the broken replica.
+    pub work: Duration,
+    /// The first order to an engine.
+    pub order: Duration,
+    /// The replica serves again.
+    pub serving: Duration,
+}
+
+fn run(options: &Options) -> Result<Report> {
+    let pool = pool::Pool::spawn(4)
+        .map_err(|e| Error::Failed { step: "start workers", cause: e.to_string() })?;
+    let report = pool.wait(measure(options));
+    pool.shutdown(Duration::from_secs(2));
+    report
+}
+
+async fn measure(options: &Options) -> Result<Report> {
+    let mut report = Report::new("group-loss", options.seed);
+    let ours = lose(&LOSSES, options).await?;
+    let (baseline, replaced) = health_check(options).await?;
+    for (loss, repair, samples) in &ours {
+        let beside = replaced.get(loss_name(*loss)).map(Duration::as_secs_f64);
+        let name = |what: &str| format!("{}: {what}", loss_name(*loss));
+        report.figure(&name("last work sent to it"), "s", repair.work.as_secs_f64(), None);
+        report.figure(&name("first order"), "s", repair.order.as_secs_f64(), beside);
+        report.figure(&name("serves again"), "s", repair.serving.as_secs_f64(), beside);
+        report.figure(&name("calls"), "calls", samples.len() as f64, None);
+        let failed = traffic::ended(samples, |end| *end != End::Whole);
+        report.figure(&name("failed or late"), "calls", failed as f64, None);
+        report.goal(
+            &name("repair starts within 2 s"),
+            repair.order <= REPAIR_START,
+            format!("{:.2} s", repair.order.as_secs_f64()),
+        );
+    }
+    let samples: Vec<_> = ours.iter().flat_map(|(_, _, samples)| samples.clone()).collect();
+    let failed = |samples: &[Sample]| 100.0 - traffic::whole_percent(samples);
+    report.figure("failed or late", "%", failed(&samples), Some(failed(&baseline)));
+    let silent = cut(&samples);
+    report.figure("streams cut without an error", "streams", silent, Some(cut(&baseline)));
+    report.goal(
+        "every stream is whole or ends with an explicit error",
+        silent == 0.0,
+        format!("{silent} without; all that were not whole: {}", traffic::failures(&samples)),
+    );
+    report.remark(
+        "one zone, 4 fabric domains of 4 VMs, 3 replicas of 3, 2 nodes, loading takes 0.2 s; \
+         baseline: round robin over the heads, lost VMs are replaced by the first idle ones of a \
+         fixed order at a health check each 30 s, at a seeded phase",
+    );
+    report.remark("the machine is shared by several developers during these runs");
+    Ok(report)
+}
+
+fn loss_name(loss: Loss) -> &'static str {
+    match loss {
+        Loss::Vm => "one VM dark",
+        Loss::Head => "head VM silent",
+        Loss::Fabric => "fabric domain dark",
+    }
+}
+
+fn cut(samples: &[Sample]) -> f64 {
+    let is_cut = |sample: &&Sample| sample.kind == Kind::Stream && sample.end == End::Cut;
+    samples.iter().filter(is_cut).count() as f64
+}
+
+async fn open() -> Result<Local> {
+    let mut plan = Plan::zones(&["zone-a"]);
+    (plan.zones[0].fabrics, plan.zones[0].vms, plan.zones[0].services) = (4, 4, 0);
+    plan.engine = engine::Config {
+        first: Duration::from_millis(40),
+        token: Duration::from_millis(10),
+        ..plan.engine
+    };
+    traffic::open(&plan, Groups { replicas: 3, vms: 3 }).await
+}
+
+/// Causes losses one after the other under traffic through the nodes.
+///
+/// # Errors
+///
+/// When the deployment does not run, or a replica is not repaired.
+pub async fn lose(losses: &[Loss], options: &Options) -> Result<Vec<(Loss, Repair, Vec<Sample>)>> {
+    let local = open().await?;
+    let route = Arc::new(Entries::of(&local));
+    // Warms the engines up; not counted.
+    let warm = Traffic::start(&route, RATES, options.seed.wrapping_add(1_000));
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    warm.finish().await;
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let mut seen = Vec::new();
+    for loss in losses {
+        options.say(loss_name(*loss));
+        let traffic = Traffic::start(&route, RATES, options.seed);
+        tokio::time::sleep(Duration::from_millis(rng.random_range(500..1_000))).await;
+        let replicas = traffic::serving(&local);
+        let replica = &replicas[rng.random_range(0..replicas.len())];
+        let lost = victims(&local, replica, *loss);
+        let repair = watch(&local, replica, &lost, *loss).await?;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let samples = traffic.finish().await;
+        seen.push((*loss, repair, samples));
+        lost.iter().for_each(|vm| fail(&local, vm, *loss, false));
+        let settled = traffic::until(|| traffic::serving(&local).len() == 3);
+        traffic::within("settle", REPAIR_LIMIT, settled).await?;
+        // Orders for returning VMs must not count as the start of the next repair.
+        tokio::time::sleep(Duration::from_secs(3)).await;
+    }
+    local.shutdown().await;
+    Ok(seen)
+}
+
+fn victims(local: &Local, replica: &Replica, loss: Loss) -> Vec<String> {
+    match loss {
+        Loss::Vm => replica.vms.iter().skip(1).take(1).map(|vm| vm.id.to_string()).collect(),
+        Loss::Head => replica.head().map(|vm| vm.id.to_string()).into_iter().collect(),
+        Loss::Fabric => traffic::vms_of(local, &format!("{}-", replica.fabric)),
+    }
+}
+
+fn fail(local: &Local, vm: &str, loss: Loss, is_on: bool) {
+    let fault = if loss == Loss::Head { "pause" } else { "crash" };
+    if let Some(Err(e)) = local.engines.get(vm).map(|engine| engine.switch(fault, is_on, None)) {
+        log::error!("measure: {e}");
+    }
+}
+
+async fn watch(local: &Local, replica: &Replica, lost: &[String], loss: Loss) -> Result<Repair> {
+    let name = replica.id.to_string();
+    let head = replica.head().map(|head| head.id.to_string()).unwrap_or_default();
+    let work = || traffic::count(local, [head.as_str()], "generate");
+    let orders = || traffic::count(local, local.engines.keys().map(String::as_str), "order");
+    let (mut last, first) = (work(), orders());
+    let started = Instant::now();
+    lost.iter().for_each(|vm| fail(local, vm, loss, true));
+    let mut repair = Repair::default();
+    while repair.serving.is_zero() {
+        tokio::time::sleep(LOOK).await;
+        let taken = started.elapsed();
+        if taken > REPAIR_LIMIT {
+            let cause = format!("{name} does not serve after {taken:?}");
+            return Err(Error::Failed { step: "repair", cause });
+        }
+        let now = traffic::replicas(local).remove(&name);
+        let is_new = |found: &Replica| found.epoch > replica.epoch;
+        // Work at the same head after its new epoch is not work for the broken replica.
+        if work() != last && !now.as_ref().is_some_and(is_new) {
+            (last, repair.work) = (work(), taken);
+        }
+        if repair.order.is_zero() && orders() != first {
+            repair.order = taken;
+        }
+        if now.is_some_and(|found| is_new(&found) && found.phase == Phase::Serving) {
+            repair.serving = taken;
+        }
+    }
+    Ok(repair)
+}
+
+/// Baseline: the same losses, noticed and repaired by a health check with a fixed period.
+async fn health_check(
+    options: &Options,
+) -> Result<(Vec<Sample>, BTreeMap<&'static str, Duration>)> {
+    options.say("baseline: a health check each 30 s");
+    let mut local = open().await?;
+    let route = Arc::new(RoundRobin::default());
+    let replicas = traffic::serving(&local);
+    route.known.lock().replicas.clone_from(&replicas);
+    let names: Vec<_> = local.nodes.keys().cloned().collect();
+    for name in names {
+        local.stop_node(&name).await;
+    }
+    let warm = Traffic::start(&route, RATES, options.seed.wrapping_add(1_000));
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    warm.finish().await;
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let traffic = Traffic::start(&route, RATES, options.seed);
+    let check = tokio::time::Instant::now() + CHECK_PERIOD;
+    let mut lost = Vec::new();
+    for (loss, replica) in [Loss::Vm, Loss::Fabric].into_iter().zip(&replicas) {
+        let wait =
+            Duration::from_millis(rng.random_range(1_000..CHECK_PERIOD.as_millis() as u64 / 2));
+        tokio::time::sleep(wait).await;
+        let vms = victims(&local, replica, loss);
+        vms.iter().for_each(|vm| fail(&local, vm, loss, true));
+        lost.push((loss, Instant::now()));
+    }
+    tokio::time::sleep_until(check).await;
+    let replaced = replace_lost(&local, &replicas).await;
+    route.known.lock().replicas = replaced;
+    let replaced = lost.into_iter().map(|(loss, since)| (loss_name(loss), since.elapsed()));
+    let replaced = replaced.collect();
+    let samples = traffic.finish().await;
+    local.shutdown().await;
+    Ok((samples, replaced))
+}
+
+/// Replaces each VM that does not report by the first idle one, whatever its fabric domain, and
+/// waits until all are ready.
+async fn replace_lost(local: &Local, replicas: &[Replica]) -> Vec<Replica> {
+    let engine = client::http::HttpEngine::open(client::http::Config::default());
+    let (mut idle, mut present) = (Vec::new(), Vec::new());
+    for (vm, handle) in &local.engines {
+        let Ok(report) = engine.report(handle.address()).await else { continue };
+        let member = Member { id: vm.as_str().into(), address: handle.address() };
+        if report.replica.is_none() { idle.push(member) } else { present.push(member) }
+    }
+    idle.reverse();
+    let mut replaced = replicas.to_vec();
+    for replica in &mut replaced {
+        let is_lost = |member: &&mut Member| !present.contains(member);
+        let mut changed = false;
+        for member in replica.vms.iter_mut().filter(is_lost) {
+            let Some(spare) = idle.pop() else { continue };
+            (*member, changed) = (spare, true);
+        }
+        if changed {
+            replica.epoch += 100;
+            join(&engine, replica).await;
+        }
+    }
+    let is_ready = |vm: &id::Vm| {
+        let engine = local.engines.get(vm.as_str());
+        engine.is_some_and(|engine| engine.api().report().phase == report::Phase::Ready)
+    };
+    let all = || replaced.iter().flat_map(|replica| &replica.vms).all(|vm| is_ready(&vm.id));
+    if tokio::time::timeout(Duration::from_secs(5), traffic::until(all)).await.is_err() {
+        log::error!("measure: the baseline's replicas are not ready");
+    }
+    replaced
+}
+
+async fn join(engine: &client::http::HttpEngine, replica: &Replica) {
+    for (rank, member) in (0..).zip(&replica.vms) {
+        let order = client::Order::Join {
+            token: u64::MAX,
+            replica: &replica.id,
+            epoch: replica.epoch,
+            rank,
+            size: u16::try_from(replica.vms.len()).unwrap_or(u16::MAX),
+            model: "small",
+            adapter: "",
+            version: "1",
+        };
+        if let Err(e) = engine.order(member.address, &order).await {
+            log::error!("measure: {e}");
+        }
+    }
+}
