--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod process;
 pub mod report;
 pub mod scenario;
+pub mod traffic;
--- a/crates/measure/src/scenario.rs
+++ b/crates/measure/src/scenario.rs
@@ -1,9 +1,14 @@
 //! Scenarios and their registration.
 
+pub mod cold_start;
 pub mod config;
 pub mod control;
+pub mod group_loss;
+pub mod orders;
 pub mod relay;
 pub mod store_outage;
+pub mod stranded;
+pub mod zone_move;
 
 use std::fmt;
 
