Let requests wait while the queues of replicas are full

Cause: an engine that answers 429 has a full queue. The refusal counted as a failure, which took an attempt from the retry budget and the replica from the choice; when the budget was used up, the caller got 400 bad-request although its request was right and there was time to wait.

Change: a full queue takes nothing from the budget, the node sends that replica nothing more until a later report, and the request waits for room until its deadline. A stream that meets a full queue while it moves uses up no move. The refusal after that is overloaded with Retry-After; 408 and 409 are about the replica and no longer reported as bad-request.

--- /dev/null
+++ b/crates/corneltrestle/tests/full_queue.rs
@@ -0,0 +1,56 @@
+//! Guards against requests that fail in a burst although there is time to wait until the queue of
+//! the only replica has room again.
+
+use corneltrestle::local::{Local, Plan, caller};
+use corneltrestle::node::{digest, operate};
+use hyper::{Method, StatusCode};
+
+const KEY: &str = "key-of-acme";
+/// Requests of the burst; the engine holds four.
+const BURST: usize = 40;
+
+fn note() -> String {
+    format!(
+        "[note]\nid = first\nbase = 0\n[zone zone-a]\nchange = add\nstate = in\n\
+         [organisation acme]\nchange = add\nkey-hash = {}\nrate = 1000\nconcurrency = 1000\n\
+         [service chat]\nchange = add\nkind = model\nmodel = small\ntimeout = 60s\n\
+         [group chat-a]\nchange = add\nservice = chat\nzone = zone-a\nvms = 3\nreplicas = 1\n\
+         model = small\nversion = 1\nfencing = checked\ncold-limit = 1000\n",
+        digest::key(KEY)
+    )
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_burst_waits_for_room_in_the_queue() {
+    let mut plan = Plan::zones(&["zone-a"]);
+    plan.zones[0].nodes = 1;
+    plan.zones[0].fabrics = 1;
+    (plan.engine.slots, plan.engine.queue, plan.engine.cold) = (2, 2, 1_000);
+    let local = Local::open(plan).await.unwrap();
+    let verdict = local.apply(&note()).await.unwrap();
+    assert_eq!(verdict, operate::Verdict::Accepted { revision: 1 });
+    let node = local.nodes.values().next().unwrap();
+    let caller = caller::Caller::new(node.callers, KEY);
+    let mut burst = tokio::task::JoinSet::new();
+    for number in 0..BURST {
+        let (caller, stream) = (caller.clone(), number % 2 == 0);
+        burst.spawn(async move {
+            let body = format!(
+                r#"{{"model":"small","stream":{stream},"max_tokens":4,"prompt":"p{number}"}}"#
+            );
+            caller.call(Method::POST, "/v1/completions", &[], body.into_bytes()).await.unwrap()
+        });
+    }
+    while let Some(answer) = burst.join_next().await {
+        let answer = answer.unwrap();
+        let text = String::from_utf8_lossy(&answer.body);
+        assert_eq!(answer.status, StatusCode::OK, "{text}");
+    }
+    let full = local
+        .engines
+        .values()
+        .map(|engine| engine.counts().get("generate").copied().unwrap_or(0))
+        .sum::<u64>();
+    assert!(full > BURST as u64, "no request met a full queue, so this test shows nothing");
+    local.shutdown().await;
+}
--- a/crates/node/src/pipeline/choose.rs
+++ b/crates/node/src/pipeline/choose.rs
@@ -91,6 +91,7 @@
         let mut warmup = self.tables.warmup.lock();
         let mut dispatched = self.tables.dispatched.lock();
         let mut found = self.candidates(request, &release, &replicas, &reports, &leaving, now);
+        found.retain(|c| !dispatched.is_full(&c.replica.id, c.head.at));
         for candidate in &mut found {
             let busy = dispatched.of(&candidate.replica.id).len();
             candidate.permitted = self.is_permitted(candidate, &release, &mut warmup, busy);
--- a/crates/node/src/pipeline/generate.rs
+++ b/crates/node/src/pipeline/generate.rs
@@ -13,13 +13,18 @@
 
 /// Wait between two looks for a replica that can serve.
 const CHOOSE_PERIOD: Duration = Duration::from_millis(50);
+/// Wait that callers are told after a refusal for want of capacity.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The attempts of one request so far.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
     failed: BTreeSet<corneltrestle_policy::id::Replica>,
     count: u32,
+    /// The latest failure other than a full queue.
     last: Option<engine::Error>,
+    /// Whether a replica's queue was full.
+    full: bool,
 }
 
 impl<E, P, S> Pipeline<E, P, S>
@@ -113,7 +118,12 @@
     ) -> Result<()> {
         let now = self.now();
         attempts.count += 1;
-        attempts.failed.insert(target.replica.id.clone());
+        let is_full = is_full(&error);
+        if is_full {
+            self.tables.dispatched.lock().refused_full(&target.replica.id, now);
+        } else {
+            attempts.failed.insert(target.replica.id.clone());
+        }
         // Generations have no lasting effect and may always be repeated.
         let next = may_move(&error).then(|| {
             let budget = &mut self.tables.admission.lock().retries;
@@ -125,7 +135,10 @@
         metrics::counter!("attempts_failed_total").increment(1);
         match next.flatten() {
             Some(at) => {
-                attempts.last = Some(error);
+                attempts.full |= is_full;
+                if !is_full {
+                    attempts.last = Some(error);
+                }
                 tokio::time::sleep(at.since(now)).await;
                 Ok(())
             }
@@ -147,8 +160,12 @@
             let message = format!("no replica could take over in time: {e}");
             Refusal::unknown(Code::DeadlineExceeded, "dispatch", message).at(e.peer)
         }
+        None if attempts.full => {
+            let message = "the queues of the replicas were full until the deadline";
+            Refusal::not_run(Code::Overloaded, "dispatch", message).retry_after(RETRY_AFTER)
+        }
         None => Refusal::not_run(Code::Unavailable, "choose", "no replica of this model can serve")
-            .retry_after(Duration::from_secs(1)),
+            .retry_after(RETRY_AFTER),
     }
 }
 
@@ -160,8 +177,14 @@
     }
 }
 
+/// Whether the engine refused the request because its queue is full.
+pub(super) fn is_full(error: &engine::Error) -> bool {
+    error.kind == engine::Kind::Refused(429)
+}
+
 fn failure(error: &engine::Error) -> retry::Failure {
     match error.kind {
+        engine::Kind::Refused(429) => retry::Failure::Full,
         engine::Kind::NotSent => retry::Failure::NotSent,
         engine::Kind::Refused(_) => retry::Failure::Refused,
         engine::Kind::Broken => retry::Failure::Broken,
@@ -174,6 +197,11 @@
     let message = error.to_string();
     let refusal = match error.kind {
         engine::Kind::NotSent => Refusal::not_run(Code::UpstreamFailed, step, message),
+        engine::Kind::Refused(429) => {
+            Refusal::not_run(Code::Overloaded, step, message).retry_after(RETRY_AFTER)
+        }
+        // These two are about the state of the replica, not about the request.
+        engine::Kind::Refused(408 | 409) => Refusal::not_run(Code::UpstreamFailed, step, message),
         engine::Kind::Refused(400..=499) => Refusal::not_run(Code::BadRequest, step, message),
         engine::Kind::Refused(_) => Refusal::not_run(Code::UpstreamFailed, step, message),
         _ => Refusal::unknown(Code::UpstreamFailed, step, message),
--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -11,7 +11,7 @@
 
 use super::admit::Permit;
 use super::choose::{InProgress, Target};
-use super::generate::{Attempts, may_move, upstream_failed};
+use super::generate::{Attempts, is_full, may_move, upstream_failed};
 use super::{Code, Pipeline, Refusal, Result, request};
 
 /// Most times that one answer is moved to another replica.
@@ -174,8 +174,11 @@
         let text = self.text()?;
         let mut attempts = Attempts::default();
         while self.moves < MOVES_MAX && may_move(&error) {
-            self.moves += 1;
-            metrics::counter!("streams_moved_total").increment(1);
+            // A replica with a full queue has not taken the stream, so that is no move.
+            if !is_full(&error) {
+                self.moves += 1;
+                metrics::counter!("streams_moved_total").increment(1);
+            }
             self.pipeline.retry(&self.request, &mut attempts, &self.target, error).await?;
             let (target, in_progress) = self.pipeline.target(&self.request, &attempts).await?;
             let next = self.next_index();
--- a/crates/node/src/tables/dispatched.rs
+++ b/crates/node/src/tables/dispatched.rs
@@ -13,6 +13,8 @@
 #[derive(Debug)]
 pub struct Dispatched {
     sent: HashMap<id::Replica, Vec<Moment>>,
+    /// When replicas last refused a request because their queue was full.
+    full: HashMap<id::Replica, Moment>,
     /// What replicas hold in their prefix caches.
     pub history: prefix::History,
     /// Dispatches a second, averaged.
@@ -28,6 +30,7 @@
     fn default() -> Self {
         Self {
             sent: HashMap::new(),
+            full: HashMap::new(),
             history: prefix::History::open(PREFIXES),
             rate: Rate::default(),
         }
@@ -52,6 +55,20 @@
         }
     }
 
+    /// Notes that a replica refused a request because its queue is full.
+    pub fn refused_full(&mut self, replica: &id::Replica, now: Moment) {
+        self.full.insert(replica.clone(), now);
+    }
+
+    /// Whether the queue of a replica was full after its latest report, which is from `reported`.
+    pub fn is_full(&mut self, replica: &id::Replica, reported: Moment) -> bool {
+        let is_full = self.full.get(replica).is_some_and(|refused| reported <= *refused);
+        if !is_full {
+            self.full.remove(replica);
+        }
+        is_full
+    }
+
     /// Moments of the dispatches in progress, in increasing order.
     pub fn of(&self, replica: &id::Replica) -> &[Moment] {
         self.sent.get(replica).map_or(&[], Vec::as_slice)
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -21,6 +21,8 @@
     NotSent,
     /// The upstream refused the call before running it.
     Refused,
+    /// The upstream refused the call because its queue is full.
+    Full,
     /// Something was sent, and whether it ran is unknown.
     Broken,
     /// The answer was wrong: foreign, incomplete or malformed.
@@ -41,7 +43,7 @@
 /// ```
 pub fn is_allowed(failure: Failure, repeatable: bool) -> bool {
     match failure {
-        Failure::NotSent | Failure::Refused => true,
+        Failure::NotSent | Failure::Refused | Failure::Full => true,
         Failure::Broken | Failure::Wrong => repeatable,
     }
 }
@@ -59,6 +61,10 @@
 
 /// When to send a failed call again: after a backoff that ends before the deadline, if the failure
 /// allows it and the budget has an attempt left. `failures` counts this call's failed attempts.
+///
+/// A full queue takes nothing from the budget: the refusal costs the upstream little, and the router
+/// sends it nothing more until a later report. Without that rule a burst at one upstream uses up the
+/// budget and fails although there is time to wait.
 pub fn next(
     failure: Failure,
     repeatable: bool,
@@ -71,6 +77,7 @@
     if !is_allowed(failure, repeatable) {
         return None;
     }
-    let at = now + backoff(failures, rng);
-    (at < deadline && budget.take(now)).then_some(at)
+    let is_full = failure == Failure::Full;
+    let at = now + backoff(if is_full { 1 } else { failures }, rng);
+    (at < deadline && (is_full || budget.take(now))).then_some(at)
 }
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -11,6 +11,7 @@
 
 #[test_case(Failure::NotSent, true, true)]
 #[test_case(Failure::Refused, true, true)]
+#[test_case(Failure::Full, true, true)]
 #[test_case(Failure::Broken, true, false)]
 #[test_case(Failure::Wrong, true, false)]
 fn only_safe_failures_are_retried(failure: Failure, repeatable: bool, other: bool) {
@@ -32,6 +33,21 @@
     assert!(minimum <= 3, "requests outside the window still count");
 }
 
+#[test]
+fn full_queues_do_not_use_up_the_budget() {
+    let (mut rng, mut budget) = (StdRng::seed_from_u64(18), Budget::retries());
+    let now = Moment::from_millis(1_000);
+    let deadline = now + Duration::from_secs(20);
+    for failures in 1..200 {
+        let at = retry::next(Failure::Full, false, failures, deadline, &mut budget, now, &mut rng);
+        assert!(at.is_some_and(|at| at <= now + retry::BACKOFF_MIN));
+    }
+    let at = retry::next(Failure::Full, true, 1, now, &mut budget, now, &mut rng);
+    assert_eq!(at, None, "the deadline has passed");
+    let at = retry::next(Failure::Refused, true, 1, deadline, &mut budget, now, &mut rng);
+    assert!(at.is_some(), "the budget is for failures of other kinds");
+}
+
 #[test]
 fn retries_end_before_the_deadline() {
     let (mut rng, mut budget) = (StdRng::seed_from_u64(16), Budget::retries());
