--- a/crates/corneltrestle/src/command/demo.rs
+++ b/crates/corneltrestle/src/command/demo.rs
@@ -27,7 +27,8 @@
 const HELP: &str = "\
 Runs stand-ins of the outside systems and four entry nodes in two availability zones in one process,
 over real sockets on the loopback interface. Applies a release note, sends requests of two
-organisations, takes a zone out of service, brings it back, and checks every answer.
+organisations, restarts a node, takes a zone out of service, brings it back, and checks
+every answer.
 
 Usage: corneltrestle demo [--serve] [--seed N] [--json]
 
--- a/crates/corneltrestle/src/command/demo/report.rs
+++ b/crates/corneltrestle/src/command/demo/report.rs
@@ -20,6 +20,8 @@
     pub serving_ms: u64,
     /// Time of the whole run in milliseconds.
     pub run_ms: u64,
+    /// Time that the planned stop of one node under load took, in milliseconds.
+    pub restart_ms: u64,
     /// Time that the shutdown took, in milliseconds.
     pub shutdown_ms: u64,
     /// Counts by kind of request.
@@ -163,11 +165,6 @@
             self.violated("a cold upstream gets no more work than it bears", self.overloads);
         }
     }
-
-    /// Notes the time that the shutdown took.
-    pub(super) fn stopped(&mut self, taken: Duration) {
-        self.shutdown_ms = millis(taken);
-    }
 }
 
 /// Whole milliseconds.
@@ -210,6 +207,7 @@
     fn figures(&self) -> Vec<(String, String)> {
         let mut rows = vec![
             ("first note to serving".to_owned(), format!("{} ms", self.serving_ms)),
+            ("planned stop of a node".to_owned(), format!("{} ms", self.restart_ms)),
             ("time to first token, p50".to_owned(), format!("{:.1} ms", self.first_token.p50_ms)),
             ("time to first token, p99".to_owned(), format!("{:.1} ms", self.first_token.p99_ms)),
             ("orders sent".to_owned(), self.orders.keys.to_string()),
--- a/crates/corneltrestle/src/command/demo/run.rs
+++ b/crates/corneltrestle/src/command/demo/run.rs
@@ -29,6 +29,8 @@
 const OUT_TIME: Duration = Duration::from_secs(4);
 /// Time between two looks at something that is waited for.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
+/// The node that is stopped and started.
+const RESTARTED: &str = "zone-b-entry-0";
 /// Calls that count as work of an upstream.
 const WORK: [&str; 4] = ["generate", "order", "status", "stock"];
 
@@ -39,7 +41,7 @@
 /// When the deployment cannot be opened or does not serve.
 pub(super) async fn run(options: Options) -> Result<Report> {
     let begun = Instant::now();
-    let local = Local::open(Plan::zones(&ZONES)).await.map_err(call_failed)?;
+    let mut local = Local::open(Plan::zones(&ZONES)).await.map_err(call_failed)?;
     options.progress(&format!(
         "opened {} engines, {} order services and {} entry nodes in {}",
         local.engines.len(),
@@ -48,7 +50,7 @@
         ZONES.join(" and "),
     ));
     let mut report = Report { seed: options.seed, ..Report::default() };
-    let course = course(&local, options, &mut report).await;
+    let course = course(&mut local, options, &mut report).await;
     report.run_ms = report::millis(begun.elapsed());
     if course.is_ok() && options.serve {
         show(options, &report);
@@ -58,7 +60,7 @@
     }
     let stopping = Instant::now();
     local.shutdown().await;
-    report.stopped(stopping.elapsed());
+    report.shutdown_ms = report::millis(stopping.elapsed());
     course?;
     options.progress(&format!("stopped everything within {} ms", report.shutdown_ms));
     show(options, &report);
@@ -73,8 +75,8 @@
     }
 }
 
-async fn course(local: &Local, options: Options, report: &mut Report) -> Result<()> {
-    wait_until("become ready", || is_ready(local)).await?;
+async fn course(local: &mut Local, options: Options, report: &mut Report) -> Result<()> {
+    wait_until("become ready", async || is_ready(local).await).await?;
     let applied = Instant::now();
     let services = local.services.iter();
     let note = notes::first(services.map(|(zone, handle)| (zone.as_str(), handle.address())));
@@ -92,6 +94,8 @@
     tokio::time::sleep(LOAD_TIME).await;
     report.zone.before = work_of_moved(local);
     progress(options, &traffic, "both zones are in service");
+    report.restart_ms = restart(local, &traffic).await?;
+    progress(options, &traffic, &format!("{RESTARTED} was stopped and started"));
 
     revision = apply(local, &notes::zone(revision, "out")).await?;
     options.progress(&format!("{MOVED} is taken out of service at revision {revision}"));
@@ -119,6 +123,21 @@
     Ok(())
 }
 
+/// Stops a node as planned and starts it again, while the callers' balancer sends its requests to
+/// the next node; returns the time that the stop took, in milliseconds.
+async fn restart(local: &mut Local, traffic: &Traffic) -> Result<u64> {
+    let addresses: Vec<_> = local.nodes.values().map(|node| node.callers).collect();
+    let number = local.nodes.keys().position(|name| name == RESTARTED).unwrap_or(0);
+    traffic.redirect(number, addresses[(number + 1) % addresses.len()]);
+    let begun = Instant::now();
+    local.stop_node(RESTARTED).await;
+    let taken = report::millis(begun.elapsed());
+    local.start_node(RESTARTED).map_err(call_failed)?;
+    wait_until("become ready", async || is_ready(local).await).await?;
+    traffic.redirect(number, addresses[number]);
+    Ok(taken)
+}
+
 fn progress(options: Options, traffic: &Traffic, stage: &str) {
     let total = traffic.tally.lock().total();
     options.progress(&format!(
--- a/crates/corneltrestle/src/command/demo/traffic.rs
+++ b/crates/corneltrestle/src/command/demo/traffic.rs
@@ -33,24 +33,36 @@
 pub(super) struct Traffic {
     /// What they saw.
     pub tally: Arc<table::Table<Tally>>,
-    nodes: Arc<[SocketAddr]>,
+    nodes: Arc<table::Table<Nodes>>,
     jobs: plugin::Handle,
     pool: Arc<pool::Pool>,
 }
 
+/// The nodes as the callers' balancer knows them: where each one's requests go.
+#[derive(Debug)]
+struct Nodes(Vec<SocketAddr>);
+
+impl table::Ranked for Nodes {
+    const RANK: u16 = 310;
+    const NAME: &'static str = "demo-nodes";
+}
+
 impl Traffic {
     /// Starts the callers of all organisations.
-    pub(super) fn open(nodes: Arc<[SocketAddr]>, seed: u64) -> Self {
+    pub(super) fn open(nodes: Vec<SocketAddr>, seed: u64) -> Self {
+        let number_of_nodes = nodes.len();
         let traffic = Self {
             tally: Arc::default(),
-            nodes,
+            nodes: Arc::new(table::Table::new(Nodes(nodes))),
             jobs: plugin::Handle::default(),
             pool: Arc::new(pool::Pool::attach(tokio::runtime::Handle::current())),
         };
         for (number, organisation) in (0..).zip(ORGANISATIONS) {
             let sender = traffic.clone();
             let rng = ChaCha8Rng::seed_from_u64(seed.wrapping_add(number));
-            traffic.jobs.run_until_stop(&traffic.pool, sender.send_all(organisation, rng));
+            traffic
+                .jobs
+                .run_until_stop(&traffic.pool, sender.send_all(organisation, number_of_nodes, rng));
         }
         traffic
     }
@@ -60,14 +72,23 @@
         self.jobs.shutdown().await;
     }
 
-    async fn send_all(self, organisation: Organisation, mut rng: ChaCha8Rng) {
+    /// Sends the requests for node `number` to `address` from now on.
+    pub(super) fn redirect(&self, number: usize, address: SocketAddr) {
+        self.nodes.lock().0[number] = address;
+    }
+
+    fn node(&self, number: usize) -> SocketAddr {
+        self.nodes.lock().0[number]
+    }
+
+    async fn send_all(self, organisation: Organisation, nodes: usize, mut rng: ChaCha8Rng) {
         let slots = Arc::new(Semaphore::new(IN_PROGRESS));
         let mut ticks = tokio::time::interval(PERIOD);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         for number in 0.. {
             ticks.tick().await;
             let slot = Arc::clone(&slots).acquire_owned().await;
-            let request = Request::draw(organisation, number, self.nodes.len(), &mut rng);
+            let request = Request::draw(organisation, number, nodes, &mut rng);
             let caller = self.clone();
             self.jobs.run(&self.pool, async move {
                 caller.run(request).await;
@@ -77,7 +98,7 @@
     }
 
     async fn run(self, request: Request) {
-        let caller = Caller::new(self.nodes[request.node], request.organisation.key);
+        let caller = Caller::new(self.node(request.node), request.organisation.key);
         match &request.work {
             Work::Generation(generation) => {
                 let kind = if generation.stream { "streamed" } else { "whole" };
@@ -86,7 +107,7 @@
                 self.tally.lock().ended(kind, end);
             }
             Work::Order { key, overlap } => {
-                let other = Caller::new(self.nodes[request.other], request.organisation.key);
+                let other = Caller::new(self.node(request.other), request.organisation.key);
                 if *overlap {
                     tokio::join!(self.order(&caller, "order", key), async {
                         self.order(&other, "order repeated", key).await;
