--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -12,7 +12,7 @@
 
 use super::admit::Permit;
 use super::choose::{InProgress, Target};
-use super::generate::{Attempts, may_move};
+use super::generate::{Attempts, is_full, may_move};
 use super::{Code, Pipeline, Refusal, Result, request};
 
 /// Time between two checks that the replica of a stream is whole.
@@ -171,9 +171,15 @@
         let text = self.text()?;
         let mut attempts = Attempts::resumed();
         while may_move(&error) {
-            let now = self.pipeline.now();
-            let Some(next) = self.delivery.resume(self.request.deadline, now) else { break };
-            metrics::counter!("streams_moved_total").increment(1);
+            // A replica with a full queue has not taken the stream, so that is no move.
+            if !is_full(&error) {
+                let now = self.pipeline.now();
+                if self.delivery.resume(self.request.deadline, now).is_none() {
+                    break;
+                }
+                metrics::counter!("streams_moved_total").increment(1);
+            }
+            let next = self.delivery.next();
             self.pipeline.retry(&self.request, &mut attempts, &self.target, error).await?;
             let (target, in_progress) = self.pipeline.target(&self.request, &attempts).await?;
             let resume = (next > 0).then_some(engine::Resume { text: &text, next });
--- a/crates/node/src/tables/dispatched.rs
+++ b/crates/node/src/tables/dispatched.rs
@@ -16,7 +16,8 @@
     /// Number of the round in which the cache events of a replica were last read.
     events: HashMap<id::Replica, u64>,
     rounds: u64,
-    /// When a dispatch to a replica last failed in a way that may mean a restart or a loss.
+    /// When a dispatch to a replica last failed in a way that only a later report explains: a
+    /// restart, a loss or a full queue.
     failed: HashMap<id::Replica, Moment>,
     /// What replicas hold in their prefix caches.
     pub history: prefix::History,
