Keep the progress limit of a stream while its reader checks other things

Cause: the relay waits for the next token in slices of 250 ms, and each slice began a new progress limit of 5 s, so that a silent engine was never given up before the request's deadline. The limit now counts from the first wait for a token, whatever happens to the futures of that wait. The stream and the relay also share one timer for all tokens instead of setting two for each.

The new test fails without the change: the silent stream did not end within 40 waits of 125 ms.

--- a/crates/engine/src/engine/http/stream.rs
+++ b/crates/engine/src/engine/http/stream.rs
@@ -1,11 +1,12 @@
 //! A stream of tokens.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use corneltrestle_client::body::Body;
 use corneltrestle_wire::sse;
-use tokio::time::timeout;
+use tokio::time::{Instant, Sleep};
 
 use super::failed;
 use crate::engine::{Error, Generate, Kind, Result, Stream, Token};
@@ -15,12 +16,31 @@
 /// Tokens as an engine sends them, checked against the request.
 #[derive(Debug)]
 pub struct HttpStream {
+    reader: Reader,
+    silence: Silence,
+    complete: bool,
+}
+
+/// Reads and checks tokens.
+#[derive(Debug)]
+struct Reader {
     /// `None` after the end and after an error.
     body: Option<Body>,
     events: sse::Decoder,
     check: Check,
-    progress: Duration,
-    complete: bool,
+}
+
+/// The limit of the wait for the next token.
+///
+/// One timer serves all tokens: it is set again only when it fires, because setting one for each
+/// token costs more than reading the token.
+#[derive(Debug)]
+struct Silence {
+    limit: Duration,
+    timer: Pin<Box<Sleep>>,
+    /// Begin of the present wait. It is kept when the future of the wait is dropped, so that a
+    /// reader that looks at other things in between does not extend the limit.
+    since: Option<Instant>,
 }
 
 /// What the events of a stream are checked against.
@@ -57,9 +77,43 @@
         let next = request.resume.map_or(0, |resume| resume.next);
         let check = Check { peer, id: request.id.to_owned(), next };
         let events = sse::Decoder::new(max_event);
-        Self { body: Some(body), events, check, progress, complete: false }
+        let reader = Reader { body: Some(body), events, check };
+        let timer = Box::pin(tokio::time::sleep(progress));
+        let silence = Silence { limit: progress, timer, since: None };
+        Self { reader, silence, complete: false }
     }
 
+    async fn advance(&mut self) -> Result<Arrived> {
+        // A token that has arrived already needs no timer.
+        match self.reader.arrived()? {
+            Arrived::Nothing => {}
+            arrived => return Ok(arrived),
+        }
+        let received = tokio::select! {
+            biased;
+            received = self.reader.receive() => received,
+            () = self.silence.passed() => Err(self.reader.check.broken("no event in time")),
+        };
+        self.silence.since = None;
+        received
+    }
+}
+
+impl Silence {
+    /// Waits until the present wait has taken as long as the limit.
+    async fn passed(&mut self) {
+        let due = *self.since.get_or_insert_with(Instant::now) + self.limit;
+        loop {
+            self.timer.as_mut().await;
+            if Instant::now() >= due {
+                return;
+            }
+            self.timer.as_mut().reset(due);
+        }
+    }
+}
+
+impl Reader {
     /// The first new token among the events that have arrived.
     fn arrived(&mut self) -> Result<Arrived> {
         while let Some(event) = self.events.next().map_err(|e| self.check.too_large(e))? {
@@ -89,18 +143,6 @@
             }
         }
     }
-
-    async fn advance(&mut self) -> Result<Arrived> {
-        // A token that has arrived already needs no timer.
-        match self.arrived()? {
-            Arrived::Nothing => {}
-            arrived => return Ok(arrived),
-        }
-        match timeout(self.progress, self.receive()).await {
-            Ok(received) => received,
-            Err(_) => Err(self.check.broken("no event in time")),
-        }
-    }
 }
 
 impl Stream for HttpStream {
@@ -112,15 +154,15 @@
             Ok(Arrived::Token(token)) => Ok(Some(token)),
             Ok(_) => {
                 self.complete = true;
-                if let Some(body) = self.body.take() {
+                if let Some(body) = self.reader.body.take() {
                     body.finish();
                 }
                 Ok(None)
             }
             Err(error) => {
                 // The connection is closed at once, and nothing that has arrived is delivered.
-                self.body = None;
-                self.events = sse::Decoder::new(0);
+                self.reader.body = None;
+                self.reader.events = sse::Decoder::new(0);
                 Err(error)
             }
         }
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -225,3 +225,20 @@
     let error = engine.cancel(peer, "../orders").await.unwrap_err();
     assert_eq!(error.kind, Kind::NotSent, "an id cannot lead to another path");
 }
+
+/// Guards against a progress limit that starts anew each time its reader looks at other things,
+/// as a relay does that checks its replica several times a second.
+#[tokio::test]
+async fn silence_ends_a_stream_whose_reader_gives_up_waiting_in_between() {
+    let first = stream("id: r1/0\ndata: {}\n\n");
+    let server = Scripted::bind(vec![vec![Read, first, Stall]]).await;
+    let (replica, body) = (replica(), Bytes::from_static(b"{}"));
+    let mut stream = open().stream(server.address, &generate(&replica, &body, None)).await.unwrap();
+    assert!(stream.next().await.unwrap().is_some());
+    for _ in 0..40 {
+        if let Ok(ended) = tokio::time::timeout(LIMIT / 8, stream.next()).await {
+            return assert_eq!(ended.unwrap_err().kind, Kind::Broken);
+        }
+    }
+    panic!("the silent stream did not end");
+}
--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -8,6 +8,7 @@
 use corneltrestle_policy::{burn, id, release};
 use corneltrestle_time::Moment;
 use corneltrestle_wire::openai;
+use tokio::time::{Instant, Interval, MissedTickBehavior, interval_at};
 
 use super::admit::Permit;
 use super::choose::{InProgress, Target};
@@ -19,6 +20,13 @@
 /// Time between two checks that the replica of a stream is whole.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
+/// A timer that does not catch up on checks that were late.
+fn check_timer() -> Interval {
+    let mut timer = interval_at(Instant::now() + CHECK_PERIOD, CHECK_PERIOD);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    timer
+}
+
 /// A streamed answer in progress; dropping it cancels the work upstream.
 #[derive(Debug)]
 pub struct Relay<E, P, S>
@@ -35,7 +43,9 @@
     /// Data of the events delivered so far, from which a resume takes its text.
     delivered: Vec<Bytes>,
     moves: u32,
+    /// When the replica was last checked, and the timer of the next check.
     checked: Moment,
+    due: Interval,
     latest: Moment,
     targets: release::Targets,
     counts: burn::Counts,
@@ -75,6 +85,7 @@
                         delivered: Vec::new(),
                         moves: 0,
                         checked: now,
+                        due: check_timer(),
                         latest: now,
                         targets,
                         counts: burn::Counts::default(),
@@ -100,10 +111,11 @@
     pub async fn next(&mut self) -> Result<Option<Bytes>> {
         loop {
             // The period bounds the time until the loss of a member VM is noticed while the head
-            // is silent.
-            let event = match tokio::time::timeout(CHECK_PERIOD, self.upstream.next()).await {
-                Ok(event) => event,
-                Err(_) => {
+            // is silent. One timer serves all events, since setting one for each is expensive.
+            let event = tokio::select! {
+                biased;
+                event = self.upstream.next() => event,
+                _ = self.due.tick() => {
                     self.check().await?;
                     continue;
                 }
@@ -142,6 +154,7 @@
     async fn check(&mut self) -> Result<()> {
         let now = self.pipeline.now();
         self.checked = now;
+        self.due.reset();
         if now >= self.request.deadline {
             self.end(false);
             let message = "the deadline passed before the answer was complete";
