--- a/crates/measure/src/scenario/config.rs
+++ b/crates/measure/src/scenario/config.rs
@@ -29,6 +29,8 @@
 const WAIT: Duration = Duration::from_secs(12);
 /// Time between two looks at the nodes, which bounds the error of the figures.
 const LOOK: Duration = Duration::from_millis(1);
+/// Times that an operator applies a note again that was not accepted.
+const TRIES: usize = 5;
 /// How long a paused node stands still.
 const PAUSE: Duration = Duration::from_secs(8);
 
@@ -69,6 +71,8 @@
     pub resumed: Vec<f64>,
     /// Times that a reachable node did not have a note before the end of the wait.
     pub missed: usize,
+    /// Times that the operator applied a note again.
+    pub repeated: usize,
     /// Revisions that a node lost again.
     pub reverted: usize,
     /// Store calls a second and node, and those of the polling clients.
@@ -111,6 +115,10 @@
             let name = format!("{name}: store calls per node");
             report.figure(&name, "calls/s", own, Some(polling));
         }
+        if found.repeated > 0 {
+            let name = format!("{name}: notes that the operator applied again");
+            report.figure(&name, "times", found.repeated as f64, None);
+        }
         if let Some(resumed) = found.resumed.first() {
             let name = format!("{name}: the paused node after it goes on");
             report.figure(&name, "s", *resumed, None);
@@ -141,6 +149,7 @@
         local: platform.block_on(Local::bind(deployment(case)))?,
         watched: Vec::new(),
         revision: 0,
+        repeated: 0,
         victim: None,
     };
     {
@@ -184,6 +193,7 @@
     local: Local,
     watched: Vec<Watched>,
     revision: u64,
+    repeated: usize,
     victim: Option<Victim>,
 }
 
@@ -214,6 +224,7 @@
         let all = self.calls() - calls;
         found.calls = (all.saturating_sub(polls) as f64 / span, polls as f64 / span);
         pollers.stop();
+        found.repeated = self.repeated;
         Ok(found)
     }
 
@@ -261,11 +272,17 @@
         let mut usable = self.local.nodes.iter().filter(|(name, _)| Some(name.as_str()) != victim);
         // The last node is in another zone than the victim.
         let (_, node) = usable.next_back().ok_or(local::Error::NoNode)?;
-        match node.apply(&note).await? {
-            operate::Verdict::Accepted { revision } => self.revision = revision,
-            verdict => return Err(failed("apply note")(format!("{verdict:?}"))),
+        let mut verdict = node.apply(&note).await?;
+        // The same note may be applied again; the first call may meet a silent connection.
+        for _ in 0..TRIES {
+            if let operate::Verdict::Accepted { revision } = verdict {
+                self.revision = revision;
+                return Ok(Instant::now());
+            }
+            self.repeated += 1;
+            verdict = node.apply(&note).await?;
         }
-        Ok(Instant::now())
+        Err(failed("apply note")(format!("{verdict:?}")))
     }
 
     fn disturb(&mut self) -> Result<Option<Instant>> {
--- a/crates/measure/src/scenario/store_outage.rs
+++ b/crates/measure/src/scenario/store_outage.rs
@@ -72,6 +72,8 @@
 /// Calls to the store after one outage.
 struct Return {
     name: &'static str,
+    /// Calls a second during the outage; a closed port receives none.
+    during: f64,
     calls: u64,
     peak: u64,
 }
@@ -124,7 +126,9 @@
         options.say(format_args!("store-outage: {}", outage.name));
         let switch = |on| local.store.switch(outage.fault, on, Some(outage.value));
         switch(true).map_err(failed("fault"))?;
+        let calls = store_calls(&local);
         found.phase(outage.name, &mut load, &nodes, sizes.outage).await;
+        let during = (store_calls(&local) - calls) as f64 / sizes.outage.as_secs_f64();
         switch(false).map_err(failed("fault"))?;
         local.store.take_peak();
         let calls = store_calls(&local);
@@ -132,7 +136,12 @@
         let first = Duration::from_secs(1).min(sizes.after);
         found.phase(&name, &mut load, &nodes, first).await;
         let calls = store_calls(&local) - calls;
-        found.returns.push(Return { name: outage.name, calls, peak: local.store.take_peak() });
+        found.returns.push(Return {
+            name: outage.name,
+            during,
+            calls,
+            peak: local.store.take_peak(),
+        });
         load.run(&nodes, sizes.after.saturating_sub(first)).await;
         if let Some(last) = found.phases.last_mut() {
             last.ended = Instant::now();
@@ -256,6 +265,8 @@
         }
     }
     for back in &found.returns {
+        let name = format!("store calls a second during {}", back.name);
+        report.figure(&name, "calls/s", back.during, Some(found.calm));
         let name = format!("store calls in the second after {}", back.name);
         report.figure(&name, "calls", back.calls as f64, Some(found.calm));
         let name = format!("store calls in flight in the second after {}", back.name);
