--- a/crates/engine/src/engine/http/stream.rs
+++ b/crates/engine/src/engine/http/stream.rs
@@ -6,7 +6,7 @@
 use corneltrestle_client::body::Body;
 use corneltrestle_policy::delivery::{self, Delivery};
 use corneltrestle_wire::sse;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, Interval, MissedTickBehavior};
 
 use super::failed;
 use crate::engine::{Error, Generate, Kind, Result, Stream, Token};
@@ -16,15 +16,31 @@
 /// Tokens as an engine sends them, checked against the request.
 #[derive(Debug)]
 pub struct HttpStream {
+    reader: Reader,
+    silence: Silence,
+    complete: bool,
+}
+
+/// Reads and checks tokens.
+#[derive(Debug)]
+struct Reader {
     /// `None` after the end and after an error.
     body: Option<Body>,
     events: sse::Decoder,
     check: Check,
-    progress: Duration,
-    /// Since when the next event is awaited. It outlives a call of `next` that is dropped, so that
-    /// a caller who looks at other things meanwhile does not put off the end of a silent stream.
-    awaited: Option<Instant>,
-    complete: bool,
+}
+
+/// The limit of the wait for the next token.
+///
+/// One periodic timer serves all tokens, because setting one for each token costs more than
+/// reading the token.
+#[derive(Debug)]
+struct Silence {
+    limit: Duration,
+    timer: Interval,
+    /// Begin of the present wait. It is kept when the future of the wait is dropped, so that a
+    /// reader that looks at other things in between does not extend the limit.
+    since: Option<Instant>,
 }
 
 /// What the events of a stream are checked against.
@@ -59,9 +75,48 @@
         let next = request.resume.map_or(0, |resume| resume.next);
         let check = Check { peer, delivery: Delivery::open_at(request.id, next) };
         let events = sse::Decoder::new(max_event);
-        Self { body: Some(body), events, check, progress, awaited: None, complete: false }
+        let reader = Reader { body: Some(body), events, check };
+        let silence = Silence::new(progress);
+        Self { reader, silence, complete: false }
     }
 
+    async fn advance(&mut self) -> Result<Arrived> {
+        // A token that has arrived already needs no timer.
+        match self.reader.arrived()? {
+            Arrived::Nothing => {}
+            arrived => return Ok(arrived),
+        }
+        let received = tokio::select! {
+            biased;
+            received = self.reader.receive() => received,
+            () = self.silence.passed() => Err(self.reader.check.broken("no event in time")),
+        };
+        self.silence.since = None;
+        received
+    }
+}
+
+impl Silence {
+    /// Looks within one limit; the wait ends at most a tenth of the limit late.
+    const LOOKS: u32 = 10;
+
+    fn new(limit: Duration) -> Self {
+        let period = (limit / Self::LOOKS).max(Duration::from_millis(1));
+        let mut timer = tokio::time::interval(period);
+        timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        Self { limit, timer, since: None }
+    }
+
+    /// Waits until the present wait has taken as long as the limit.
+    async fn passed(&mut self) {
+        let due = *self.since.get_or_insert_with(Instant::now) + self.limit;
+        while Instant::now() < due {
+            self.timer.tick().await;
+        }
+    }
+}
+
+impl Reader {
     /// The first new token among the events that have arrived.
     fn arrived(&mut self) -> Result<Arrived> {
         while let Some(event) = self.events.next().map_err(|e| self.check.too_large(e))? {
@@ -91,22 +146,6 @@
             }
         }
     }
-
-    async fn advance(&mut self) -> Result<Arrived> {
-        // A token that has arrived already needs no timer.
-        match self.arrived()? {
-            Arrived::Nothing => {}
-            arrived => return Ok(arrived),
-        }
-        let until = *self.awaited.get_or_insert_with(Instant::now) + self.progress;
-        match timeout_at(until, self.receive()).await {
-            Ok(received) => {
-                self.awaited = None;
-                received
-            }
-            Err(_) => Err(self.check.broken("no event in time")),
-        }
-    }
 }
 
 impl Stream for HttpStream {
@@ -118,15 +157,15 @@
             Ok(Arrived::Token(token)) => Ok(Some(token)),
             Ok(_) => {
                 self.complete = true;
-                if let Some(body) = self.body.take() {
+                if let Some(body) = self.reader.body.take() {
                     body.finish();
                 }
                 Ok(None)
             }
             Err(error) => {
                 // The connection is closed at once, and nothing that has arrived is delivered.
-                self.body = None;
-                self.events = sse::Decoder::new(0);
+                self.reader.body = None;
+                self.reader.events = sse::Decoder::new(0);
                 Err(error)
             }
         }
