Keep the moments of dispatches sorted, so that each end is found

Requests read the clock before they take the lock of the table, so two concurrent ones may add their moments out of order.

--- a/crates/node/src/tables/dispatched.rs
+++ b/crates/node/src/tables/dispatched.rs
@@ -36,8 +36,12 @@
 
 impl Dispatched {
     /// Counts a dispatch.
+    ///
+    /// Concurrent requests read the clock before they get the lock, so the moments may come out of
+    /// order; without a sorted place their end would not be found and the count would only grow.
     pub fn begin(&mut self, replica: &id::Replica, now: Moment) {
-        self.sent.entry(replica.clone()).or_default().push(now);
+        let moments = self.sent.entry(replica.clone()).or_default();
+        moments.insert(moments.partition_point(|sent| *sent <= now), now);
         self.rate.count(now);
     }
 
