Flush the events before a cut stream ends

The error of an aborted body came in the same poll loop as the event before it, and the connection dropped what it had not flushed, so a stream that could not be completed ended without the error event that states the cause.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use http_body_util::channel::{Channel, Sender};
-use hyper::body::{Frame, SizeHint};
+use hyper::body::{Body as _, Frame, SizeHint};
 
 /// Why the body of an answer was cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,7 +29,15 @@
     /// A complete body.
     Full(Full<Bytes>),
     /// A stream; an error in it aborts the connection, so that it is never taken as complete.
-    Stream(Channel<Bytes, Error>),
+    Stream(Stream),
+}
+
+/// A stream fed by a job of the pool.
+#[derive(Debug)]
+pub struct Stream {
+    frames: Channel<Bytes, Error>,
+    /// An error that is due after the frames before it have been flushed.
+    cut: Option<Error>,
 }
 
 /// Frames that wait in a stream before its producer pauses.
@@ -43,8 +51,26 @@
 
     /// A stream with the sender that feeds it.
     pub fn stream() -> (Sender<Bytes, Error>, Self) {
-        let (sender, stream) = Channel::new(STREAM_FRAMES);
-        (sender, Self::Stream(stream))
+        let (sender, frames) = Channel::new(STREAM_FRAMES);
+        (sender, Self::Stream(Stream { frames, cut: None }))
+    }
+}
+
+impl Stream {
+    /// The next frame. An error comes one poll later than it is known: the connection flushes what
+    /// it has at a pending poll, and drops it at an error, the event that states the cause included.
+    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        if let Some(error) = self.cut.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match Pin::new(&mut self.frames).poll_frame(cx) {
+            Poll::Ready(Some(Err(error))) => {
+                self.cut = Some(error);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            frame => frame,
+        }
     }
 }
 
@@ -58,21 +84,21 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match self.get_mut() {
             Self::Full(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
-            Self::Stream(stream) => Pin::new(stream).poll_frame(cx),
+            Self::Stream(stream) => stream.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(full) => full.is_end_stream(),
-            Self::Stream(stream) => stream.is_end_stream(),
+            Self::Stream(stream) => stream.cut.is_none() && stream.frames.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(full) => full.size_hint(),
-            Self::Stream(stream) => stream.size_hint(),
+            Self::Stream(stream) => stream.frames.size_hint(),
         }
     }
 }
