policy: choose the routers of a replica again while it is forming

Cause: a replica that forms before the holder knows the other nodes got the holder as its only router for the whole epoch; the other nodes had no slot for it until it was warm, and requests there waited until their deadlines. Ruled out: the warm-up levels themselves, which bound the work as designed. Change: the routers follow the live nodes until the replica serves; nobody dispatches before that, so that the bound on cold work holds. Before: the new test fails at the second node (by restoring the old file). After: it passes. Conclusion: a node that is no router of a replica, for example in another zone, still has no slot for it until it is warm.

--- a/crates/policy/src/plan/growth.rs
+++ b/crates/policy/src/plan/growth.rs
@@ -4,6 +4,7 @@
 
 use super::ROUTERS;
 use super::draft::Draft;
+use crate::assignment::Phase;
 use crate::{id, rank};
 
 impl Draft<'_> {
@@ -44,12 +45,13 @@
 
     /// Chooses the routers of replicas that have none, or none that is live.
     ///
-    /// The routers of an epoch stay otherwise: two lists in use at once would exceed the bound on
-    /// cold work.
+    /// The routers of an epoch stay otherwise once it serves: two lists in use at once would exceed
+    /// the bound on cold work. Before that nobody dispatches, and nodes that become known count.
     pub(super) fn choose_routers(&mut self) {
         let live = self.view.routers;
         for replica in &mut self.next.replicas {
-            if live.is_empty() || replica.routers.iter().any(|node| live.contains(&node.as_str())) {
+            let has_live = replica.routers.iter().any(|node| live.contains(&node.as_str()));
+            if live.is_empty() || (has_live && replica.phase != Phase::Forming) {
                 continue;
             }
             let key = format!("{}@{}", replica.id, replica.epoch);
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -238,6 +238,24 @@
     assert_eq!(world.assignment.replicas[0].routers, routers);
 }
 
+/// Guards against a replica that only the first node may use while it is cold.
+#[test]
+fn routers_follow_the_live_nodes_until_the_replica_serves() {
+    let mut world = World::new(&[2], &[("g", set(2, 1, Fencing::Checked))]);
+    world.routers = vec!["n1"];
+    world.rounds(1);
+    assert_eq!(world.assignment.replicas[0].phase, Forming);
+    assert_eq!(world.assignment.replicas[0].routers, ["n1".into()]);
+    world.routers = vec!["n1", "n2"];
+    world.rounds(1);
+    assert_eq!(world.assignment.replicas[0].routers.len(), 2);
+    world.rounds(20);
+    assert_eq!(world.assignment.replicas[0].phase, Serving);
+    world.routers = vec!["n1", "n2", "n3"];
+    world.rounds(1);
+    assert_eq!(world.assignment.replicas[0].routers.len(), 2);
+}
+
 #[test]
 fn a_lost_vm_that_ignores_tokens_is_held_back_for_the_waiting_time() {
     let mut world = serving(&[3], 2, Fencing::Ignored);
--- a/crates/policy/tests/support/world.rs
+++ b/crates/policy/tests/support/world.rs
@@ -33,6 +33,8 @@
     pub(crate) token: u64,
     pub(crate) loads: usize,
     pub(crate) deliver: bool,
+    /// The live nodes.
+    pub(crate) routers: Vec<&'static str>,
     /// Join orders that are still under way, with their token.
     pub(crate) late: Vec<(Order, u64)>,
 }
@@ -66,6 +68,7 @@
             token: 1,
             loads: 2,
             deliver: true,
+            routers: vec!["n1", "n2", "n3", "n4", "n5"],
             late: Vec::new(),
         };
         for (fabric, count) in fabrics.iter().enumerate() {
@@ -123,7 +126,7 @@
             vms: &self.vms,
             reports: &self.reports,
             memory: &self.memory,
-            routers: &["n1", "n2", "n3", "n4", "n5"],
+            routers: &self.routers,
             token: self.token,
             loads: self.loads,
             bound: BOUND,
