local: start nodes behind other addresses, so that paths can be cut

Adds the optional setting `link-bind` (where the link listens when a forwarded port reaches it) and `Local::ways`, the addresses of the platform and of the link that a node uses in place of the direct ones.

--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -203,6 +203,15 @@
         }
     }
 
+    /// An address, if the key is present.
+    pub fn found_address(&self, key: &'static str) -> Option<net::SocketAddr> {
+        match self.value(key) {
+            Some(Value::Address(address)) => Some(*address),
+            None => None,
+            Some(_) => self.wrong(key),
+        }
+    }
+
     /// A file's path, if the key is present.
     pub fn path(&self, key: &'static str) -> Option<&'a PathBuf> {
         match self.value(key) {
--- a/crates/local/src/lib.rs
+++ b/crates/local/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use error::Error;
 pub use local::{Local, Result};
-pub use nodes::Node;
+pub use nodes::{Node, Ways};
 pub use plan::Plan;
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -26,6 +26,8 @@
     pub services: Vec<(String, service::Handle)>,
     /// Entry nodes by name.
     pub nodes: BTreeMap<String, Node>,
+    /// Other addresses on the paths of nodes, used when a node is started.
+    pub ways: BTreeMap<String, nodes::Ways>,
     pub(crate) listed: Vec<vm::Vm>,
     pub(crate) addresses: address::Addresses,
     pub(crate) files: PathBuf,
@@ -62,6 +64,7 @@
             engines: BTreeMap::new(),
             services: Vec::new(),
             nodes: BTreeMap::new(),
+            ways: BTreeMap::new(),
             listed: Vec::new(),
             addresses,
             files,
--- a/crates/local/src/nodes.rs
+++ b/crates/local/src/nodes.rs
@@ -22,6 +22,19 @@
 /// The secret of the nodes of a deployment.
 const SECRET: &str = "local-secret-of-the-nodes";
 
+/// Addresses at which a node finds the platform and listens, in place of the direct ones.
+///
+/// Forwarders in between can cut these paths.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Ways {
+    /// The key-value service.
+    pub store: Option<SocketAddr>,
+    /// The VM list.
+    pub vms: Option<SocketAddr>,
+    /// Where the link listens; peers still use the address in the VM list.
+    pub bind: Option<SocketAddr>,
+}
+
 /// A running entry node.
 #[derive(Debug)]
 pub struct Node {
@@ -114,6 +127,11 @@
         Ok(())
     }
 
+    /// The address of a VM in the VM list.
+    pub fn address(&self, vm: &str) -> Option<SocketAddr> {
+        self.listed.iter().find(|listed| listed.id.as_str() == vm).map(|listed| listed.address)
+    }
+
     /// Stops a node with its drain.
     pub async fn stop_node(&mut self, name: &str) {
         if let Some(node) = self.nodes.remove(name) {
@@ -123,10 +141,13 @@
 
     fn settings_of(&self, name: &str, zone: &str, ip: std::net::IpAddr) -> String {
         let files = self.files.display();
-        let (store, vms) = (self.store.address(), self.vms.address());
+        let ways = self.ways.get(name).copied().unwrap_or_default();
+        let store = ways.store.unwrap_or(self.store.address());
+        let vms = ways.vms.unwrap_or(self.vms.address());
+        let bind = ways.bind.unwrap_or((ip, LINK).into());
         let further = &self.plan.settings;
         format!(
-            "[node]\nid = {name}\nzone = {zone}\nlink = {ip}:{LINK}\nsecret-file = {files}/secret\n\
+            "[node]\nid = {name}\nzone = {zone}\nlink = {ip}:{LINK}\nlink-bind = {bind}\nsecret-file = {files}/secret\n\
              [callers]\naddress = {ip}:{CALLERS}\n\
              [operators]\naddress = {ip}:{OPERATORS}\ntoken-file = {files}/token\n\
              [store]\naddress = {store}\n[vms]\naddress = {vms}\n{further}\n"
--- a/crates/node/src/identity.rs
+++ b/crates/node/src/identity.rs
@@ -19,6 +19,11 @@
         Key::required("id", Type::Text, "Name of the node's VM, as in the VM list."),
         Key::required("zone", Type::Text, "Availability zone of the node."),
         Key::required("link", Type::Address, "Address on which other nodes reach this one."),
+        Key::optional(
+            "link-bind",
+            Type::Address,
+            "Address that the link listens on, if a forwarded port reaches it at `link`.",
+        ),
         Key::required(
             "secret-file",
             Type::Path,
@@ -63,6 +68,8 @@
     pub boot: u64,
     /// Address of the node's link.
     pub link: SocketAddr,
+    /// Address that the link listens on.
+    pub bind: SocketAddr,
     /// Secret shared by all nodes.
     pub secret: Secret,
     /// Longest age of a VM's report at dispatch.
@@ -129,6 +136,7 @@
         zone: node.text("zone").into(),
         boot: rand::random::<u64>().max(1),
         link: node.address("link"),
+        bind: node.found_address("link-bind").unwrap_or_else(|| node.address("link")),
         secret: read_secret(&host.settings, "node", "secret-file")?,
         view_bound: node.span("view-bound"),
         drain_limit: node.span("drain-limit"),
--- a/crates/node/src/link/port.rs
+++ b/crates/node/src/link/port.rs
@@ -46,10 +46,10 @@
     let identity = host.port::<identity::Identity>()?;
     let refused = |source| plugin::Error::Bind {
         step: "link-server",
-        peer: identity.link.to_string(),
+        peer: identity.bind.to_string(),
         source,
     };
-    let listener = TcpListener::bind(identity.link).map_err(refused)?;
+    let listener = TcpListener::bind(identity.bind).map_err(refused)?;
     listener.set_nonblocking(true).map_err(refused)?;
     let answers = Arc::new(Answers::<L>::open(host)?);
     let handle = plugin::Handle::default();
