local: prove the invariants under failure through the real code

Callers' texts are compared with those of an engine beside the deployment. Limits are the design's bounds plus 3 s.

--- /dev/null
+++ b/crates/local/tests/common.rs
@@ -0,0 +1,368 @@
+//! Deployments, calls and observations that the failure tests share.
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use corneltrestle_local::caller::{Answer, Caller};
+use corneltrestle_local::{Local, Node, Plan};
+use corneltrestle_node::{digest, operate, tables};
+use corneltrestle_policy::{assignment, id, report, wholeness};
+use corneltrestle_standin::engine;
+use corneltrestle_wire::{key, stored};
+use hyper::{Method, StatusCode};
+use serde_json::json;
+
+/// The caller's key.
+pub const KEY: &str = "key-of-acme";
+/// Longest time for a deployment to serve, and for a repair: lease, rounds, load and reports.
+pub const FORMED: Duration = Duration::from_secs(20);
+/// The design's bound on the age of a report at dispatch.
+pub const VIEW: Duration = Duration::from_secs(3);
+/// The design's bound for a revision to be in force.
+pub const CONFIG: Duration = Duration::from_secs(6);
+/// Added to a bound of the design before a test fails; covers a busy machine.
+pub const SLACK: Duration = Duration::from_secs(3);
+
+/// How a call for a generation ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The answer was complete.
+    Whole(String),
+    /// The caller was told: an error answer, with its status and outcome.
+    Refused(u16, String),
+    /// The stream ended with an error event and an aborted connection.
+    Aborted,
+    /// The answer ended in another way.
+    Wrong(String),
+}
+
+/// The first note: `replicas` of three VMs in each zone, and the order service of each zone.
+///
+/// `cold` is the cold limit; from 64 on, no slots apply.
+pub fn note(local: &Local, zones: &[&str], replicas: u16, cold: u32) -> String {
+    let mut note = format!(
+        "[note]\nid = first\nbase = 0\n\
+         [organisation acme]\nchange = add\nkey-hash = {}\nweight = 1\nrate = 1000\n\
+         concurrency = 1000\n\
+         [service chat]\nchange = add\nkind = model\nmodel = small\ntimeout = 20s\n",
+        digest::key(KEY)
+    );
+    let desks: Vec<_> =
+        local.services.iter().map(|(zone, desk)| format!("{zone} {}", desk.address())).collect();
+    if !desks.is_empty() {
+        note += &format!(
+            "[service desk]\nchange = add\nkind = plain\nprefix = /desk\nupstreams = {}\n\
+             repeatable = GET /orders/*/status, GET /stock/*\nrequire-key = yes\ntimeout = 8s\n",
+            desks.join(", ")
+        );
+    }
+    for zone in zones {
+        note += &format!(
+            "[zone {zone}]\nchange = add\nstate = in\n\
+             [group chat-{zone}]\nchange = add\nservice = chat\nzone = {zone}\nvms = 3\n\
+             replicas = {replicas}\nmodel = small\nversion = 1\nfencing = checked\n\
+             cold-limit = {cold}\n"
+        );
+    }
+    note
+}
+
+/// A note that takes a zone out or in.
+pub fn zone_note(id: &str, base: u64, zone: &str, state: &str) -> String {
+    format!("[note]\nid = {id}\nbase = {base}\n[zone {zone}]\nchange = change\nstate = {state}\n")
+}
+
+/// Opens a deployment of warm engines and waits until every node sees every replica serve.
+pub async fn open(mut plan: Plan, replicas: u16) -> Local {
+    plan.engine.cold = 64;
+    open_cold(plan, replicas, 64).await
+}
+
+/// As [`open`], with engines that are cold at first and bear what the plan says.
+pub async fn open_cold(plan: Plan, replicas: u16, cold: u32) -> Local {
+    log();
+    let zones: Vec<_> = plan.zones.iter().map(|zone| zone.name.clone()).collect();
+    let zones: Vec<_> = zones.iter().map(String::as_str).collect();
+    let local = Local::open(plan).await.unwrap();
+    ready(&local).await;
+    let verdict = local.apply(&note(&local, &zones, replicas, cold)).await.unwrap();
+    assert_eq!(verdict, operate::Verdict::Accepted { revision: 1 });
+    let wanted = usize::from(replicas) * zones.len();
+    until("all replicas serve", FORMED, || {
+        local.nodes.values().all(|node| serving(node).len() == wanted)
+    })
+    .await;
+    local
+}
+
+/// Waits until all nodes are ready.
+pub async fn ready(local: &Local) {
+    until("all nodes are ready", FORMED, || local.nodes.values().all(is_ready)).await;
+    let knows_all = |node: &Node| {
+        let (tables, now) = (tables(node), node.running.host().now());
+        let members = tables.members.lock();
+        members.known.view(now).alive() == local.nodes.len()
+    };
+    until("all nodes know each other", FORMED, || local.nodes.values().all(knows_all)).await;
+}
+
+/// Whether a node is ready.
+pub fn is_ready(node: &Node) -> bool {
+    node.running.host().run.stage() == corneltrestle_kernel::run::Stage::Ready
+}
+
+/// Waits for a condition; fails after `limit`.
+pub async fn until(what: &str, limit: Duration, mut is_met: impl FnMut() -> bool) {
+    let end = Instant::now() + limit;
+    while !is_met() {
+        assert!(Instant::now() < end, "not within {limit:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// The tables of a node.
+pub fn tables(node: &Node) -> tables::Tables {
+    tables::Tables::of(node.running.host()).unwrap()
+}
+
+/// The revision in force at a node.
+pub fn revision(node: &Node) -> u64 {
+    tables(node).current.load().revision
+}
+
+/// The replicas to which a node would dispatch now.
+pub fn serving(node: &Node) -> Vec<assignment::Replica> {
+    let (tables, now) = (tables(node), node.running.host().now());
+    let release = tables.current.load();
+    let listed = std::sync::Arc::clone(&tables.listed.lock().vms);
+    let leaving = listed.iter().filter(|vm| vm.state == corneltrestle_policy::vm::State::Leaving);
+    let leaving = leaving.map(|vm| vm.id.clone()).collect();
+    let replicas = tables.replicas.lock();
+    let reports = tables.reports.lock();
+    let is_whole = |zone: &id::Zone, replica: &assignment::Replica| {
+        let view = wholeness::View {
+            replica,
+            reports: reports.all(),
+            leaving: &leaving,
+            zone_in: release.is_in(zone.as_str()),
+            bound: VIEW,
+        };
+        wholeness::check(&view, now).is_ok()
+    };
+    let zones = replicas.zones();
+    zones
+        .flat_map(|(zone, stored)| stored.assignment.replicas.iter().map(move |r| (zone, r)))
+        .filter(|(zone, replica)| is_whole(zone, replica))
+        .map(|(_, replica)| replica.clone())
+        .collect()
+}
+
+/// The stored assignment of a zone.
+pub fn stored(local: &Local, zone: &str) -> assignment::Assignment {
+    let key = key::groups(zone);
+    let value = local.store.api().value(&key);
+    value.map_or_else(Default::default, |value| stored::decode(&key, &value).unwrap())
+}
+
+/// The node that holds the lease of a zone.
+pub fn holder(local: &Local, zone: &str) -> Option<String> {
+    let key = key::lease(zone);
+    let value = local.store.api().value(&key)?;
+    let record: corneltrestle_policy::lease::Record = stored::decode(&key, &value).unwrap();
+    Some(record.holder.to_string())
+}
+
+/// Fails if a VM is in two replicas, in a stored assignment or by the reports of the engines.
+///
+/// An engine has one membership, so that an overlap shows as two heads that serve with it.
+pub fn assert_no_overlap(local: &Local) {
+    for zone in &zones(local) {
+        let assignment = stored(local, zone);
+        let mut seen = BTreeMap::new();
+        for replica in &assignment.replicas {
+            for member in &replica.vms {
+                let other = seen.insert(member.id.clone(), replica.id.clone());
+                assert!(other.is_none(), "{} is in {:?} and {}", member.id, other, replica.id);
+            }
+        }
+    }
+    let mut ranks = BTreeMap::new();
+    for engine in local.engines.values() {
+        let report = engine.api().report();
+        if let (Some(replica), report::Phase::Ready) = (report.replica, report.phase) {
+            *ranks.entry((replica, report.epoch)).or_insert(0) += 1;
+        }
+    }
+    assert!(ranks.values().all(|members| *members <= 3), "{ranks:?}");
+}
+
+/// Zones of the deployment that have nodes.
+pub fn zones(local: &Local) -> Vec<String> {
+    let mut zones: Vec<_> = local
+        .engines
+        .keys()
+        .filter_map(|vm| vm.rsplit_once("-f").map(|(z, _)| z.to_owned()))
+        .collect();
+    zones.dedup();
+    zones
+}
+
+/// Requests above what an engine could bear, over all engines.
+pub fn overloads(local: &Local) -> u64 {
+    local.engines.values().map(|engine| engine.api().overloads()).sum()
+}
+
+/// Generations that have reached the engines whose names begin with `prefix`.
+pub fn generated(local: &Local, prefix: &str) -> u64 {
+    let of = local.engines.iter().filter(|(vm, _)| vm.starts_with(prefix));
+    of.map(|(_, engine)| engine.counts().get("generate").copied().unwrap_or(0)).sum()
+}
+
+/// The body of a generation.
+pub fn body(prompt: &str, tokens: u64, stream: bool) -> Vec<u8> {
+    let body = json!({"model": "small", "stream": stream, "max_tokens": tokens, "prompt": prompt});
+    body.to_string().into_bytes()
+}
+
+/// Sends a streamed generation and reads it to its end.
+pub async fn generate(caller: &Caller, prompt: &str, tokens: u64) -> Ended {
+    let sent = caller.send(Method::POST, "/v1/completions", &[], body(prompt, tokens, true)).await;
+    let mut answer = match sent {
+        Ok(answer) => answer,
+        Err(e) => return Ended::Wrong(e.to_string()),
+    };
+    if answer.status() != StatusCode::OK {
+        let outcome = answer.headers().get("corneltrestle-outcome");
+        let outcome = outcome.map_or("", |value| value.to_str().unwrap()).to_owned();
+        return Ended::Refused(answer.status().as_u16(), outcome);
+    }
+    let mut text = String::new();
+    let is_cut = loop {
+        match answer.next().await {
+            Ok(Some(part)) => text.push_str(std::str::from_utf8(&part).unwrap()),
+            Ok(None) => break false,
+            Err(_) => break true,
+        }
+    };
+    if is_cut {
+        let told = text.contains("event: error") && !text.contains("[DONE]");
+        return if told { Ended::Aborted } else { Ended::Wrong(text) };
+    }
+    match text.strip_suffix("data: [DONE]\n\n") {
+        Some(events) => Ended::Whole(joined(events)),
+        None => Ended::Wrong(text),
+    }
+}
+
+fn joined(events: &str) -> String {
+    let data = events.lines().filter_map(|line| line.strip_prefix("data: "));
+    data.map(|data| {
+        let chunk: serde_json::Value = serde_json::from_str(data).unwrap();
+        chunk["choices"][0]["text"].as_str().unwrap().to_owned()
+    })
+    .collect()
+}
+
+/// An engine beside the deployment that says what the answer to a prompt must be.
+pub struct Oracle {
+    engine: engine::Handle,
+    caller: Caller,
+}
+
+impl Oracle {
+    /// Opens an engine of its own with the model loaded.
+    pub async fn open() -> Self {
+        let engine = engine::bind(engine::Config { cold: 10_000, ..Default::default() }).await;
+        let engine = engine.unwrap();
+        let caller = Caller::new(engine.address(), "none");
+        let join = json!({"order": "join", "token": 1, "replica": {"set": "oracle", "index": 0},
+            "epoch": 1, "rank": 0, "size": 1, "model": "small", "adapter": "", "version": "1"});
+        let joined = caller.call(Method::POST, "/v1/orders", &[], join.to_string().into()).await;
+        assert_eq!(&joined.unwrap().body[..], br#"{"answer":"accepted"}"#);
+        while engine.api().report().phase != report::Phase::Ready {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        Self { engine, caller }
+    }
+
+    /// The complete text for a prompt.
+    pub async fn text(&self, prompt: &str, tokens: u64) -> String {
+        let headers = [("x-request-id", "oracle"), ("x-replica", "oracle/0"), ("x-epoch", "1")];
+        let body = body(prompt, tokens, false);
+        let answer = self.caller.call(Method::POST, "/v1/completions", &headers, body).await;
+        let answer: serde_json::Value = serde_json::from_slice(&answer.unwrap().body).unwrap();
+        answer["choices"][0]["text"].as_str().unwrap().to_owned()
+    }
+
+    /// Fails unless the call ended with the right text or by telling the caller; whether whole.
+    pub async fn check(&self, prompt: &str, tokens: u64, ended: &Ended) -> bool {
+        match ended {
+            Ended::Whole(text) => {
+                assert_eq!(*text, self.text(prompt, tokens).await, "answer to {prompt:?}");
+                true
+            }
+            Ended::Refused(..) | Ended::Aborted => false,
+            Ended::Wrong(what) => panic!("{prompt:?} ended without a word: {what}"),
+        }
+    }
+}
+
+/// Sends an order under an idempotency key.
+pub async fn order(caller: &Caller, key: &str) -> Answer {
+    let headers = [("idempotency-key", key)];
+    caller.call(Method::POST, "/desk/orders", &headers, b"{}".to_vec()).await.unwrap()
+}
+
+/// Status and outcome of an answer; an empty outcome is the upstream's own answer.
+pub fn outcome(answer: &Answer) -> (u16, String) {
+    let outcome = answer.headers.get("corneltrestle-outcome");
+    let outcome = outcome.map_or("", |value| value.to_str().unwrap()).to_owned();
+    (answer.status.as_u16(), outcome)
+}
+
+/// Runs of an order over all services.
+pub fn runs(local: &Local, key: &str) -> u64 {
+    local
+        .services
+        .iter()
+        .map(|(_, desk)| desk.api().runs().keys.get(key).copied().unwrap_or(0))
+        .sum()
+}
+
+/// A caller of a node.
+pub fn caller(node: &Node) -> Caller {
+    Caller::new(node.callers, KEY)
+}
+
+/// The first node of the deployment whose name begins with `prefix`.
+pub fn node<'a>(local: &'a Local, prefix: &str) -> &'a Node {
+    let found = local.nodes.iter().find(|(name, _)| name.starts_with(prefix));
+    found.map(|(_, node)| node).unwrap()
+}
+
+/// A plan of one zone.
+pub fn one_zone(nodes: usize, fabrics: usize, vms: usize) -> Plan {
+    let mut plan = Plan::zones(&["zone-a"]);
+    (plan.zones[0].nodes, plan.zones[0].fabrics, plan.zones[0].vms) = (nodes, fabrics, vms);
+    plan
+}
+
+/// Writes the log of the nodes to stderr when `CORNELTRESTLE_TEST_LOG` is set.
+pub fn log() {
+    struct Stderr;
+    impl log::Log for Stderr {
+        fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+            metadata.target().starts_with("corneltrestle")
+        }
+        fn log(&self, record: &log::Record<'_>) {
+            if self.enabled(record.metadata()) {
+                eprintln!("{} {}", record.level(), record.args());
+            }
+        }
+        fn flush(&self) {}
+    }
+    if std::env::var_os("CORNELTRESTLE_TEST_LOG").is_some() && log::set_logger(&Stderr).is_ok() {
+        log::set_max_level(log::LevelFilter::Debug);
+    }
+}
--- /dev/null
+++ b/crates/local/tests/groups.rs
@@ -0,0 +1,117 @@
+//! Guards invariants (a) and (b): no answer from a replica with a missing VM, and no VM in two
+//! replicas, while VMs and whole fabric domains fail and return.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{FORMED, Oracle, SLACK, VIEW};
+use corneltrestle_local::Local;
+use test_case::test_case;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The member of the first replica at `rank`.
+fn member(local: &Local, rank: usize) -> String {
+    common::stored(local, "zone-a").replicas[0].vms[rank].id.to_string()
+}
+
+/// Whether a node sees `wanted` replicas serve, none of them with one of the VMs.
+fn avoids(local: &Local, lost: &[String], wanted: usize) -> bool {
+    local.nodes.values().all(|node| {
+        let serving = common::serving(node);
+        serving.len() == wanted
+            && serving.iter().flat_map(|r| &r.vms).all(|m| !lost.contains(&m.id.to_string()))
+    })
+}
+
+/// Waits for a repair without the lost VMs, with checks of both invariants at each sample.
+async fn repaired(local: &Local, lost: &[String], wanted: usize) {
+    let start = Instant::now();
+    let end = start + FORMED;
+    while !avoids(local, lost, wanted) {
+        assert!(Instant::now() < end, "not repaired: {:?}", common::stored(local, "zone-a"));
+        common::assert_no_overlap(local);
+        for node in local.nodes.values().filter(|_| start.elapsed() > VIEW + SLACK) {
+            for replica in common::serving(node) {
+                let missing = replica.vms.iter().find(|m| lost.contains(&m.id.to_string()));
+                assert!(missing.is_none(), "{} still serves with {missing:?}", replica.id);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    common::assert_no_overlap(local);
+}
+
+#[test_case("crash", 0; "head crash")]
+#[test_case("crash", 1; "member crash")]
+#[test_case("pause", 0; "head pause")]
+#[test_case("pause", 2; "member pause")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn replica_without_a_member_stops_and_is_repaired(fault: &str, rank: usize) {
+    let local = common::open(common::one_zone(2, 1, 4), 1).await;
+    let (lost, oracle) = (member(&local, rank), Oracle::open().await);
+    local.engines[&lost].switch(fault, true, None).unwrap();
+    repaired(&local, std::slice::from_ref(&lost), 1).await;
+    let caller = common::caller(common::node(&local, "zone-a"));
+    let ended = common::generate(&caller, "after the repair", 8).await;
+    assert!(oracle.check("after the repair", 8, &ended).await, "{ended:?}");
+    // The VM returns with its old membership, or empty, and becomes a spare.
+    local.engines[&lost].switch(fault, false, None).unwrap();
+    let is_idle = || local.engines[&lost].api().report().replica.is_none();
+    common::until("the returned VM is released", FORMED, is_idle).await;
+    for _ in 0..10 {
+        common::assert_no_overlap(&local);
+        tokio::time::sleep(SECOND / 10).await;
+    }
+    local.shutdown().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_are_answered_whole_or_aborted_while_members_crash() {
+    let plan = common::one_zone(2, 2, 4);
+    let (local, oracle) = (common::open(plan, 2).await, Oracle::open().await);
+    let callers: Vec<_> = local.nodes.values().map(common::caller).collect();
+    let prompts: Vec<_> = (0..4).map(|number| format!("stream {number} of 4")).collect();
+    let streams = prompts
+        .iter()
+        .enumerate()
+        .map(|(number, prompt)| common::generate(&callers[number % callers.len()], prompt, 300));
+    let crash = async {
+        tokio::time::sleep(SECOND / 2).await;
+        local.engines[&member(&local, 1)].switch("crash", true, None).unwrap();
+    };
+    let (ended, ()) = tokio::join!(futures_util::future::join_all(streams), crash);
+    for (prompt, ended) in prompts.iter().zip(&ended) {
+        assert!(oracle.check(prompt, 300, ended).await, "{ended:?}");
+    }
+    local.shutdown().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn dark_fabric_domain_is_rebuilt_elsewhere() {
+    let local = common::open(common::one_zone(2, 2, 3), 1).await;
+    let fabric = common::stored(&local, "zone-a").replicas[0].fabric.to_string();
+    let lost: Vec<_> = local.engines.keys().filter(|vm| vm.starts_with(&fabric)).cloned().collect();
+    for vm in &lost {
+        local.engines[vm].switch("crash", true, None).unwrap();
+    }
+    repaired(&local, &lost, 1).await;
+    local.shutdown().await;
+}
+
+#[test_case(500; "list 0.5 s late")]
+#[test_case(60_000; "list 60 s late")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn absence_from_the_list_does_not_end_a_reporting_replica(lag: u64) {
+    let local = common::open(common::one_zone(1, 1, 3), 1).await;
+    let before = common::stored(&local, "zone-a");
+    local.vms.switch("lagging-list", true, Some(lag)).unwrap();
+    local.vms.api().set(&[]);
+    for _ in 0..30 {
+        assert_eq!(common::serving(common::node(&local, "zone-a")).len(), 1);
+        tokio::time::sleep(SECOND / 10).await;
+    }
+    assert_eq!(common::stored(&local, "zone-a").replicas, before.replicas);
+    local.shutdown().await;
+}
--- /dev/null
+++ b/crates/local/tests/orders.rs
@@ -0,0 +1,139 @@
+//! Guards invariants (f) and (g): a refusal that says `not-run` is true, and an order runs at most
+//! once, while the store, the service and nodes fail.
+
+mod common;
+
+use std::time::Duration;
+
+use corneltrestle_local::Local;
+use futures_util::future;
+use test_case::test_case;
+
+/// Longest time in which a write that was on its way takes effect or never does.
+const SETTLED: Duration = Duration::from_secs(2);
+
+/// Opens a zone of two nodes and two order services.
+async fn open() -> Local {
+    let mut plan = common::one_zone(2, 1, 3);
+    plan.zones[0].services = 2;
+    common::open(plan, 1).await
+}
+
+fn switch_services(local: &Local, fault: &str, on: bool, value: Option<u64>) {
+    local.services.iter().for_each(|(_, desk)| desk.switch(fault, on, value).unwrap());
+}
+
+#[test_case("down", Some(503), Some("not-run"); "store fails")]
+#[test_case("down", Some(0), Some("not-run"); "store is down")]
+#[test_case("slow", Some(200), None; "store slow")]
+#[test_case("slow", Some(3000), Some("not-run"); "store slower than the limit")]
+#[test_case("pause", None, Some("not-run"); "store silent")]
+#[test_case("answer-lost", Some(1), None; "answer to the first write lost")]
+#[test_case("answer-lost", Some(2), None; "answers to two writes lost")]
+#[test_case("silent", None, None; "connections to the store silent")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_runs_once_or_is_refused_truly(fault: &str, value: Option<u64>, first: Option<&str>) {
+    let local = open().await;
+    let callers: Vec<_> = local.nodes.values().map(common::caller).collect();
+    local.store.switch(fault, true, value).unwrap();
+    let (status, outcome) = common::outcome(&common::order(&callers[0], "frame-1").await);
+    match first {
+        Some(wanted) => {
+            assert_eq!(outcome, wanted, "{status}");
+            tokio::time::sleep(SETTLED).await;
+            assert_eq!(common::runs(&local, "frame-1"), 0, "a not-run order ran");
+        }
+        None => {
+            tokio::time::sleep(SETTLED).await;
+            let truth = match outcome.as_str() {
+                "" => status == 201 && common::runs(&local, "frame-1") == 1,
+                "not-run" => common::runs(&local, "frame-1") == 0,
+                _ => false,
+            };
+            assert!(truth, "{status} {outcome}, {} runs", common::runs(&local, "frame-1"));
+        }
+    }
+    local.store.switch(fault, false, None).unwrap();
+    // Later calls with the key, through both nodes, run it if nobody has.
+    let mut last = (0, String::new());
+    for round in 0..40 {
+        last = common::outcome(&common::order(&callers[round % 2], "frame-1").await);
+        if last.0 == 201 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    assert_eq!(last.0, 201, "the key stays blocked: {last:?}");
+    assert_eq!(common::runs(&local, "frame-1"), 1);
+    local.shutdown().await;
+}
+
+#[test_case("answer-lost", Some(1), "unknown", 1; "answer of the service lost")]
+#[test_case("truncate", Some(1), "unknown", 1; "answer of the service cut")]
+#[test_case("wrong-id", Some(0), "unknown", 1; "answer of another call")]
+#[test_case("down", Some(0), "not-run", 0; "service down")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn order_with_a_failed_service_says_what_is_known(
+    fault: &str,
+    value: Option<u64>,
+    wanted: &str,
+    runs: u64,
+) {
+    let local = open().await;
+    switch_services(&local, fault, true, value);
+    let callers: Vec<_> = local.nodes.values().map(common::caller).collect();
+    let (_, outcome) = common::outcome(&common::order(&callers[0], "frame-2").await);
+    assert_eq!(outcome, wanted);
+    assert_eq!(common::runs(&local, "frame-2"), runs);
+    switch_services(&local, fault, false, None);
+    let (status, outcome) = common::outcome(&common::order(&callers[1], "frame-2").await);
+    if wanted == "not-run" {
+        assert_eq!(status, 201, "a key that has not run may be used again");
+    } else {
+        assert_eq!(outcome, "unknown");
+    }
+    assert_eq!(common::runs(&local, "frame-2"), 1);
+    local.shutdown().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn concurrent_calls_with_one_key_run_once() {
+    let local = open().await;
+    switch_services(&local, "slow", true, Some(300));
+    let callers: Vec<_> = local.nodes.values().map(common::caller).collect();
+    let calls = (0..8).map(|number| common::order(&callers[number % 2], "frame-3"));
+    let outcomes: Vec<_> = future::join_all(calls).await.iter().map(common::outcome).collect();
+    assert_eq!(common::runs(&local, "frame-3"), 1, "{outcomes:?}");
+    let told = |(status, outcome): &(u16, String)| *status == 201 || outcome == "unknown";
+    assert!(outcomes.iter().all(told), "{outcomes:?}");
+    local.shutdown().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_go_on_after_the_lease_of_claims_lapsed() {
+    let local = open().await;
+    let caller = common::caller(common::node(&local, "zone-a"));
+    assert_eq!(common::order(&caller, "frame-4").await.status, 201);
+    local.store.switch("lease-lapse", true, None).unwrap();
+    let (status, outcome) = common::outcome(&common::order(&caller, "frame-5").await);
+    assert_eq!((status, outcome.as_str()), (201, ""), "a new key after the lapse");
+    assert_eq!(common::runs(&local, "frame-5"), 1);
+    local.shutdown().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn node_that_stops_finishes_its_order() {
+    let mut local = open().await;
+    switch_services(&local, "slow", true, Some(1500));
+    let names: Vec<_> = local.nodes.keys().cloned().collect();
+    let first = common::caller(&local.nodes[&names[0]]);
+    let call =
+        tokio::spawn(async move { common::outcome(&common::order(&first, "frame-6").await) });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    local.stop_node(&names[0]).await;
+    assert_eq!(call.await.unwrap(), (201, String::new()), "the order was cut");
+    let second = common::caller(&local.nodes[&names[1]]);
+    assert_eq!(common::order(&second, "frame-6").await.status, 201, "the recorded answer");
+    assert_eq!(common::runs(&local, "frame-6"), 1);
+    local.shutdown().await;
+}
