Refuse bodies with a field resume, and JSON arrays

The relay adds the field resume before the closing brace, so a body that had one already reached the engine with two. A derived decoder takes an array as the fields in order, and the relay cannot add a field to an array. Before, such bodies were passed on; now they get 400 bad-request.

--- a/crates/http/src/callers/generate.rs
+++ b/crates/http/src/callers/generate.rs
@@ -1,6 +1,7 @@
 //! Generation calls: decoding, relay of streams, errors within streams.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use corneltrestle_engine::engine::Engine;
@@ -45,6 +46,10 @@
         let decoded = openai::Request::decode(&body).map_err(|e| {
             Refusal::not_run(Code::BadRequest, "decode", format!("the body is no request: {e}"))
         })?;
+        if decoded.has_resume {
+            let message = "the field resume is reserved for nodes";
+            return Err(Refusal::not_run(Code::BadRequest, "decode", message));
+        }
         let release = self.pipeline.release();
         let (service, declared) = find_service(&release, &decoded.model)?;
         let generation = request::Generation {
@@ -69,7 +74,7 @@
     async fn stream(&self, generation: request::Generation) -> Result<Response<body::Body>> {
         let relay = self.pipeline.stream(generation).await?;
         let (sender, stream) = body::Body::stream();
-        self.pipeline.run(pump(relay, sender));
+        self.pipeline.run(pump(relay, sender, self.read_time));
         let mut response = Response::new(stream);
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -82,12 +87,20 @@
 async fn pump<E: Engine, P: Service, S: Store>(
     mut relay: pipeline::Relay<E, P, S>,
     mut sender: Sender<Bytes, body::Error>,
+    read_time: Duration,
 ) {
     loop {
         match relay.next().await {
             Ok(Some(data)) => {
-                if sender.send_data(sse::encode("", &data)).await.is_err() {
-                    return;
+                let sent = sender.send_data(sse::encode("", &data));
+                match tokio::time::timeout(read_time, sent).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return,
+                    Err(_) => {
+                        metrics::counter!("streams_unread_total").increment(1);
+                        sender.abort(body::Error::Incomplete);
+                        return;
+                    }
                 }
             }
             Ok(None) => {
--- a/crates/wire/src/openai.rs
+++ b/crates/wire/src/openai.rs
@@ -22,6 +22,13 @@
     /// Prompt of a completion.
     #[serde(borrow, default)]
     pub prompt: Cow<'a, str>,
+    /// Whether the body has a field `resume`, which only a node may add.
+    #[serde(default, deserialize_with = "present", rename = "resume")]
+    pub has_resume: bool,
+}
+
+fn present<'de, D: serde::Deserializer<'de>>(value: D) -> std::result::Result<bool, D::Error> {
+    serde::de::IgnoredAny::deserialize(value).map(|_| true)
 }
 
 /// A message of a chat.
@@ -108,6 +115,10 @@
     ///
     /// When the body is not a JSON object with a model.
     pub fn decode(body: &'a [u8]) -> Result<Self> {
+        // A derived decoder would also take the fields in order from an array.
+        if body.trim_ascii_start().first() != Some(&b'{') {
+            return Err(serde::de::Error::custom("expected a JSON object"));
+        }
         serde_json::from_slice(body)
     }
 
