Answer half-sent and oversized headers and excess connections in the error form

hyper's header limit does not run until the version of HTTP is known, so a connection that sent nothing, or one byte, was kept for good; one without a request within the header time is now closed, after a 408 if a part of a header had arrived. hyper refuses headers above its limits without a body; the front end now does so itself up to four times the limits. Connections beyond the limit get 503 instead of a close.

--- a/crates/http/src/callers.rs
+++ b/crates/http/src/callers.rs
@@ -42,11 +42,17 @@
             "5s",
             "Longest time for the header of a request to arrive.",
         ),
+        Key::new(
+            "read-time",
+            Type::millis(100, 300_000),
+            "30s",
+            "Longest time that a caller may read nothing of a stream; then it is cut off.",
+        ),
         Key::new(
             "connections",
             Type::Count { min: 1, max: 65_536 },
             "4096",
-            "Most connections at a time; more are closed at once.",
+            "Most connections at a time; more are refused at once.",
         ),
     ],
 };
@@ -77,6 +83,7 @@
         pipeline::Pipeline::<E, P, S>::open(host)?,
         Arc::clone(host),
         intake,
+        callers.span("read-time"),
     ));
     let service =
         ServiceBuilder::new().layer(request_id::RequestIdLayer).service_fn(move |request| {
--- a/crates/http/src/callers/router.rs
+++ b/crates/http/src/callers/router.rs
@@ -25,6 +25,8 @@
 pub(super) struct Router<E, P, S> {
     pub(super) pipeline: Arc<pipeline::Pipeline<E, P, S>>,
     pub(super) intake: intake::Intake,
+    /// Longest time that a caller may read nothing of a stream.
+    pub(super) read_time: Duration,
     host: Arc<host::Host>,
 }
 
@@ -33,8 +35,9 @@
         pipeline: Arc<pipeline::Pipeline<E, P, S>>,
         host: Arc<host::Host>,
         intake: intake::Intake,
+        read_time: Duration,
     ) -> Self {
-        Self { pipeline, intake, host }
+        Self { pipeline, intake, read_time, host }
     }
 
     /// Answers a request, whatever happens to it.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,9 +1,13 @@
 //! The accept loop shared by all front ends.
 
+mod early;
+mod header;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use corneltrestle_kernel::{host, plugin};
@@ -26,12 +30,16 @@
     pub header_bytes: usize,
     /// Most header fields.
     pub header_fields: usize,
-    /// Most connections at a time; more are closed at once.
+    /// Most connections at a time; more are refused at once.
     pub connections: usize,
     /// Longest time that connections get to finish at shutdown.
     pub drain: Duration,
 }
 
+/// Multiple of the header limits at which hyper itself gives up. Up to it, the front end answers in
+/// its own error form.
+const HARD: usize = 4;
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -105,6 +113,7 @@
         };
         let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
             metrics::counter!("connections_refused_total", "part" => step).increment(1);
+            early::refuse(socket);
             continue;
         };
         let _ = socket.set_nodelay(true);
@@ -135,20 +144,30 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_time)
-        .max_buf_size(limits.header_bytes.max(8 * 1024))
-        .max_headers(limits.header_fields);
+        .max_buf_size((HARD * limits.header_bytes).max(8 * 1024))
+        .max_headers(HARD * limits.header_fields);
     builder
         .http2()
         .timer(TokioTimer::new())
-        .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
+        .max_header_list_size(u32::try_from(HARD * limits.header_bytes).unwrap_or(u32::MAX))
         .max_concurrent_streams(256)
         .keep_alive_interval(Duration::from_secs(10))
         .keep_alive_timeout(Duration::from_secs(5));
+    let asked = Arc::new(AtomicBool::new(false));
+    let service = header::Checked::new(service, limits, Arc::clone(&asked));
     let service = TowerToHyperService::new(service);
-    let connection = builder.serve_connection(TokioIo::new(socket), service);
+    let connection = builder.serve_connection(TokioIo::new(early::Socket::new(socket)), service);
     tokio::pin!(connection);
+    // hyper's own limit does not run before the version is known, and not for HTTP/2.
+    let idle = async {
+        tokio::time::sleep(limits.header_time).await;
+        if asked.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+    };
     tokio::select! {
         ended = connection.as_mut() => return ended,
+        () = idle => return Err("no request within the header time".into()),
         () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
     }
     tokio::time::timeout(limits.drain, connection).await.unwrap_or(Ok(()))
--- /dev/null
+++ b/crates/http/tests/contract/connections.rs
@@ -0,0 +1,149 @@
+//! Connections that are slow, silent, too many or speak another version.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use test_case::test_case;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::deployment::{KEY, LIMITS, expect_service, node, ready};
+use crate::raw;
+
+/// Longest time for a front end to close a connection.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Guards against connections that hold a place and never finish their header.
+#[test_case(b"GET /v1/models HTTP/1.1\r\nHost: node\r\nX-Half: "; "half a header")]
+#[test_case(b"P"; "one byte that could begin either version")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn half_sent_header_is_answered_and_closed(bytes: &[u8]) {
+    let local = ready(LIMITS).await;
+    let answer = raw::exchange(node(&local).callers, bytes).await.expect("no answer");
+    answer.expect(408, "request-timeout");
+    expect_service(&local).await;
+    local.shutdown().await;
+}
+
+/// Guards against connections that are held without a request.
+#[test_case(b""; "nothing sent")]
+#[test_case(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0"; "HTTP/2 without a request")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connection_without_request_is_closed(bytes: &[u8]) {
+    let local = ready(LIMITS).await;
+    let mut socket = TcpStream::connect(node(&local).callers).await.unwrap();
+    socket.write_all(bytes).await.unwrap();
+    let mut rest = Vec::new();
+    let read = tokio::time::timeout(LIMIT, socket.read_to_end(&mut rest)).await;
+    let _ = read.expect("the connection stays open");
+    expect_service(&local).await;
+    local.shutdown().await;
+}
+
+/// Guards against a body that arrives too slowly to ever end and keeps its buffer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_body_is_refused() {
+    let local = ready(LIMITS).await;
+    let mut socket = TcpStream::connect(node(&local).callers).await.unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: 1000\r\n\r\n"
+    );
+    socket.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..1_000 {
+        if socket.write_all(b" ").await.is_err() {
+            break;
+        }
+        let pause = Duration::from_millis(100);
+        if tokio::time::timeout(pause, socket.readable()).await.is_ok() {
+            break;
+        }
+    }
+    raw::answer(&mut socket).await.expect("no answer").expect(408, "request-timeout");
+    expect_service(&local).await;
+    local.shutdown().await;
+}
+
+/// Guards against a cut body that is taken as complete.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn body_cut_by_the_caller_runs_nothing() {
+    let local = ready(LIMITS).await;
+    let mut socket = TcpStream::connect(node(&local).callers).await.unwrap();
+    let head = format!(
+        "POST /desk/orders HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer {KEY}\r\n\
+         Idempotency-Key: one\r\nContent-Length: 10\r\n\r\n{{}}"
+    );
+    socket.write_all(head.as_bytes()).await.unwrap();
+    socket.shutdown().await.unwrap();
+    if let Some(answer) = raw::answer(&mut socket).await {
+        answer.expect(400, "bad-request");
+    }
+    assert_eq!(local.services[0].1.api().runs().total, 0);
+    expect_service(&local).await;
+    local.shutdown().await;
+}
+
+/// Guards against idle connections that use up the process, and against places that are not freed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_beyond_the_limit_are_refused_and_the_limit_recovers() {
+    let local = ready("[callers]\nconnections = 8\nheader-time = 60s\n").await;
+    let peer = node(&local).callers;
+    let mut held = Vec::new();
+    let refused = loop {
+        let mut socket = TcpStream::connect(peer).await.unwrap();
+        let mut first = [0];
+        let pause = Duration::from_millis(200);
+        match tokio::time::timeout(pause, socket.peek(&mut first)).await {
+            Ok(_) => break raw::answer(&mut socket).await,
+            Err(_) => held.push(socket),
+        }
+        assert!(held.len() <= 8, "no connection is refused");
+    };
+    refused.expect("no answer").expect(503, "overloaded");
+    assert_eq!(held.len(), 8);
+    held.clear();
+    until_served(peer).await;
+    expect_service(&local).await;
+    local.shutdown().await;
+}
+
+async fn until_served(peer: SocketAddr) {
+    for _ in 0..100 {
+        let request = raw::request("GET", "/healthz", &[], "");
+        if raw::exchange(peer, &request).await.is_some_and(|answer| answer.status == 200) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the places of closed connections are not freed");
+}
+
+/// Guards against a front end that serves one version of HTTP only.
+#[test_case("small", StatusCode::OK; "good request")]
+#[test_case("huge", StatusCode::NOT_FOUND; "unknown model")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn http2_with_prior_knowledge_is_served(model: &str, expected: StatusCode) {
+    let local = ready(LIMITS).await;
+    let socket = TcpStream::connect(node(&local).callers).await.unwrap();
+    let io = TokioIo::new(socket);
+    let (mut sender, connection) =
+        hyper::client::conn::http2::handshake(TokioExecutor::new(), io).await.unwrap();
+    let connection = tokio::spawn(connection);
+    let body = format!(r#"{{"model":"{model}","max_tokens":2,"prompt":"x"}}"#);
+    let request = Request::post("http://node/v1/completions")
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(Full::new(Bytes::from(body)))
+        .unwrap();
+    let response = sender.send_request(request).await.unwrap();
+    assert_eq!(response.status(), expected);
+    assert!(response.headers().contains_key("x-request-id"));
+    assert_eq!(response.headers().contains_key("corneltrestle-outcome"), !expected.is_success());
+    response.into_body().collect().await.unwrap();
+    drop(sender);
+    let _ = connection.await;
+    local.shutdown().await;
+}
