Answer in-progress for an order held by a process that has just started

Cause: another node judged the holder of a claim by its boot id and took any other id than the known one as proof that the holder was dead. A restarted node serves orders before its peers have heard of its new process, so a second call with the same key at a peer got unknown although the first was in progress.

Change: a process that is not known counts as live until 6 s after this node first read the claim, when news of it would have arrived; after that it counts as dead as before. Fewer claims count as dead at any time, so no order can run because of it.

--- a/crates/node/src/pipeline/order.rs
+++ b/crates/node/src/pipeline/order.rs
@@ -9,7 +9,6 @@
 };
 use corneltrestle_platform::store::{self, Class, Store, Swap};
 use corneltrestle_policy::claim::{self, Decision, Ended, Holder, Holding, Record};
-use corneltrestle_policy::membership;
 use corneltrestle_wire::{key, stored};
 
 use super::admit::Permit;
@@ -214,12 +213,13 @@
             return self.tables.claims.lock().holder(&record.claim);
         }
         let view = members.known.view(now);
-        let same = view.get(record.node.as_str()).is_some_and(|node| node.boot == record.boot);
-        match view.liveness(record.node.as_str()) {
-            membership::Liveness::Dead => Holder::Dead,
-            _ if same => Holder::Live,
-            _ => Holder::Dead,
-        }
+        let node = record.node.as_str();
+        let present = view.get(node).map(|member| (member.boot, view.liveness(node)));
+        let read = match present {
+            Some((boot, _)) if boot == record.boot => now,
+            _ => self.tables.claims.lock().first_read(&record.claim, now),
+        };
+        claim::holder(record.boot, present, now.since(read))
     }
 
     /// Gives up a claim that may still take effect, and withdraws it if it does.
--- a/crates/node/src/tables/claims.rs
+++ b/crates/node/src/tables/claims.rs
@@ -4,15 +4,20 @@
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::claim;
+use corneltrestle_time::Moment;
 
 /// Claims given up before sending that are remembered.
 const ABANDONED: usize = 4_096;
+/// Claims of processes that are not known that are remembered.
+const DOUBTFUL: usize = 4_096;
 
 /// Claims in progress, and those given up; rank 80.
 #[derive(Debug, Default)]
 pub struct Claims {
     held: HashSet<String>,
     abandoned: VecDeque<String>,
+    /// Claims of processes that are not known, with the moments when they were first read.
+    doubtful: VecDeque<(String, Moment)>,
     /// Store lease that new claims are attached to.
     pub lease: Option<Lease>,
 }
@@ -23,7 +28,7 @@
     /// The lease.
     pub id: i64,
     /// When it was granted.
-    pub granted: corneltrestle_time::Moment,
+    pub granted: Moment,
 }
 
 impl table::Ranked for Claims {
@@ -51,6 +56,18 @@
         self.abandoned.push_back(claim.to_owned());
     }
 
+    /// When this node first read a claim of a process that it does not know.
+    pub fn first_read(&mut self, claim: &str, now: Moment) -> Moment {
+        if let Some((_, read)) = self.doubtful.iter().find(|(known, _)| known == claim) {
+            return *read;
+        }
+        if self.doubtful.len() == DOUBTFUL {
+            self.doubtful.pop_front();
+        }
+        self.doubtful.push_back((claim.to_owned(), now));
+        now
+    }
+
     /// What is known about the holder of a claim that this start of this node made.
     pub fn holder(&self, claim: &str) -> claim::Holder {
         if self.held.contains(claim) {
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -2,7 +2,9 @@
 
 mod holding;
 
-use crate::id;
+use std::time::Duration;
+
+use crate::{id, membership};
 
 pub use holding::{Ended, Holding};
 
@@ -99,6 +101,32 @@
     Abandoned,
 }
 
+/// What is known about the process of another node that made a claim.
+///
+/// `present` is the process that is known of that node, with its liveness; `waited` is the time since
+/// this node first read the claim. A process that is not known counts as live until news of it would
+/// have arrived: it may have just started, and another boot id does not prove that it has ended.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use corneltrestle_policy::claim::{self, Holder};
+/// use corneltrestle_policy::membership::Liveness;
+///
+/// let present = Some((1, Liveness::Alive));
+/// assert_eq!(claim::holder(2, present, Duration::ZERO), Holder::Live);
+/// assert_eq!(claim::holder(2, present, Duration::from_secs(6)), Holder::Dead);
+/// ```
+pub fn holder(boot: u64, present: Option<(u64, membership::Liveness)>, waited: Duration) -> Holder {
+    match present {
+        Some((known, membership::Liveness::Dead)) if known == boot => Holder::Dead,
+        Some((known, _)) if known == boot => Holder::Live,
+        _ if waited < membership::DEAD => Holder::Live,
+        _ => Holder::Dead,
+    }
+}
+
 /// What to do with a call after its key was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision<'a> {
--- a/crates/policy/tests/claim.rs
+++ b/crates/policy/tests/claim.rs
@@ -4,8 +4,9 @@
 
 use corneltrestle_policy::Moment;
 use corneltrestle_policy::claim::{
-    Answer, Call, Decision, Ended, Holder, Holding, Record, State, decide,
+    Answer, Call, Decision, Ended, Holder, Holding, Record, State, decide, holder,
 };
+use corneltrestle_policy::membership::{DEAD, Liveness};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use test_case::test_case;
@@ -18,6 +19,24 @@
     Record { claim: claim.to_owned(), node: "n".into(), boot: 1, request: "r".to_owned(), state }
 }
 
+#[test_case(Some((1, Liveness::Alive)), 0, Holder::Live; "alive")]
+#[test_case(Some((1, Liveness::Suspect)), 0, Holder::Live; "suspect")]
+#[test_case(Some((1, Liveness::Dead)), 0, Holder::Dead; "dead")]
+#[test_case(Some((2, Liveness::Alive)), 0, Holder::Live; "news of its start may be on the way")]
+#[test_case(Some((2, Liveness::Alive)), 5_999, Holder::Live; "shortly before the end of the wait")]
+#[test_case(Some((2, Liveness::Alive)), 6_000, Holder::Dead; "another process has its place")]
+#[test_case(Some((2, Liveness::Dead)), 0, Holder::Live; "its predecessor is dead")]
+#[test_case(None, 0, Holder::Live; "node not known yet")]
+#[test_case(None, 6_000, Holder::Dead; "node not known")]
+fn a_process_that_may_have_just_started_is_not_dead(
+    present: Option<(u64, Liveness)>,
+    waited: u64,
+    expected: Holder,
+) {
+    assert_eq!(DEAD, Duration::from_secs(6));
+    assert_eq!(holder(1, present, Duration::from_millis(waited)), expected);
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Op {
     /// A call at a node; one of several has another body.
