--- a/crates/corneltrestle/src/command/demo/check.rs
+++ b/crates/corneltrestle/src/command/demo/check.rs
@@ -23,6 +23,8 @@
         code: String,
         /// What is known about the effect.
         outcome: String,
+        /// The sentence in the answer.
+        message: String,
     },
     /// The answer began and was cut off, so that the caller sees that it is not complete.
     CutOff(String),
@@ -52,9 +54,11 @@
 /// The end of a request that was not answered by its upstream, if it was not.
 pub(super) fn refusal(headers: &HeaderMap, body: &[u8]) -> Option<End> {
     let outcome = headers.get(OUTCOME)?.to_str().unwrap_or("unreadable").to_owned();
-    let code = serde_json::from_slice::<openai::ErrorBody<'_>>(body)
-        .map_or_else(|_| "unreadable".to_owned(), |body| body.error.code.into_owned());
-    Some(End::Refused { code, outcome })
+    let (code, message) = serde_json::from_slice::<openai::ErrorBody<'_>>(body).map_or_else(
+        |e| ("unreadable".to_owned(), e.to_string()),
+        |body| (body.error.code.into_owned(), body.error.message.into_owned()),
+    );
+    Some(End::Refused { code, outcome, message })
 }
 
 fn whole(answer: &Answer, generation: &Generation) -> End {
--- a/crates/corneltrestle/src/command/demo/report.rs
+++ b/crates/corneltrestle/src/command/demo/report.rs
@@ -38,6 +38,8 @@
     pub zone: Zone,
     /// Requests at a cold engine above what it bears.
     pub overloads: u64,
+    /// Descriptions of the first requests that were not answered whole.
+    pub details: Vec<String>,
     /// The violated guarantees.
     pub violations: Vec<String>,
 }
@@ -92,6 +94,7 @@
     /// Takes over what callers saw and what the order services ran, with the violations in them.
     pub(super) fn judge(&mut self, tally: &Tally, runs: &BTreeMap<String, u64>) {
         self.requests = tally.kinds.clone();
+        self.details = tally.faults.clone();
         self.total = tally.total();
         let ms = |quantile| tally.first.value_at_quantile(quantile) as f64 / 1_000.0;
         self.first_token = FirstToken { p50_ms: ms(0.5), p99_ms: ms(0.99) };
@@ -109,7 +112,7 @@
                 count: *count,
             })
             .collect();
-        self.judge_answers(tally);
+        self.judge_answers();
         self.judge_orders(tally, runs);
         self.judge_zone();
     }
@@ -119,7 +122,7 @@
         self.violations.push(format!("{guarantee}: {cause}"));
     }
 
-    fn judge_answers(&mut self, tally: &Tally) {
+    fn judge_answers(&mut self) {
         let total = self.total;
         if total.wrong > 0 {
             self.violated("a caller gets the complete answer to its own request", total.wrong);
@@ -136,7 +139,6 @@
             let cause = format!("{} of {}", total.whole, total.sent);
             self.violated("99.9 % of the requests are answered whole", cause);
         }
-        self.violations.extend(tally.faults.iter().map(|fault| format!("detail: {fault}")));
     }
 
     fn judge_orders(&mut self, tally: &Tally, runs: &BTreeMap<String, u64>) {
@@ -195,6 +197,7 @@
             figures.add_row([name, value]);
         }
         writeln!(f, "{requests}\n{figures}")?;
+        self.details.iter().try_for_each(|detail| writeln!(f, "not whole: {detail}"))?;
         if self.violations.is_empty() {
             return writeln!(f, "no guarantee was violated");
         }
--- a/crates/corneltrestle/src/command/demo/tally.rs
+++ b/crates/corneltrestle/src/command/demo/tally.rs
@@ -23,7 +23,7 @@
     pub refusals: BTreeMap<(String, String), u64>,
     /// What callers know of the orders, by key.
     pub orders: BTreeMap<String, Order>,
-    /// Descriptions of wrong answers, cut-off answers and requests without answer.
+    /// Descriptions of requests that were not answered whole.
     pub faults: Vec<String>,
 }
 
@@ -112,10 +112,11 @@
                 }
                 return;
             }
-            End::Refused { code, outcome } => {
+            End::Refused { code, outcome, message } => {
                 counts.refused += 1;
+                let fault = format!("{kind}: refused: {code} ({outcome}): {message}");
                 self.refused(code, outcome);
-                return;
+                fault
             }
             End::CutOff(cause) => {
                 counts.cut_off += 1;
--- a/crates/corneltrestle/src/command/demo/traffic.rs
+++ b/crates/corneltrestle/src/command/demo/traffic.rs
@@ -134,7 +134,7 @@
         let mut end = self.try_order(caller, key).await;
         for _ in 0..ORDER_TRIES {
             match end {
-                End::Refused { code, outcome } if code == IN_PROGRESS_CODE => {
+                End::Refused { code, outcome, .. } if code == IN_PROGRESS_CODE => {
                     self.tally.lock().refused(code, outcome);
                 }
                 end => return self.tally.lock().ended(kind, end),
