--- a/crates/corneltrestle/src/command/demo/request.rs
+++ b/crates/corneltrestle/src/command/demo/request.rs
@@ -81,8 +81,18 @@
 impl Generation {
     /// Draws a generation.
     pub(super) fn draw(organisation: Organisation, stream: bool, rng: &mut impl Rng) -> Self {
-        let prompt = format!("{} asks {}", organisation.name, rng.random_range(0..PROMPTS));
         let tokens = rng.random_range(TOKENS);
+        Self::of_length(tokens, organisation, stream, rng)
+    }
+
+    /// Draws a generation with an answer of `tokens` tokens.
+    pub(super) fn of_length(
+        tokens: u64,
+        organisation: Organisation,
+        stream: bool,
+        rng: &mut impl Rng,
+    ) -> Self {
+        let prompt = format!("{} asks {}", organisation.name, rng.random_range(0..PROMPTS));
         let mut body = json!({"model": MODEL, "stream": stream, "max_tokens": tokens});
         let path = if rng.random_bool(0.5) {
             body["messages"] = json!([{"role": "user", "content": prompt}]);
--- a/crates/corneltrestle/src/command/demo/run.rs
+++ b/crates/corneltrestle/src/command/demo/run.rs
@@ -27,6 +27,14 @@
 const OUT_LIMIT: Duration = Duration::from_secs(3);
 /// Time during which a zone that is out is watched.
 const OUT_TIME: Duration = Duration::from_secs(4);
+/// Time from taking a node out of the callers' balancer to its stop. A node closes connections whose
+/// request has not arrived when it stops, so the balancer has to come first.
+const BALANCER_TIME: Duration = Duration::from_millis(500);
+/// Tokens of the stream that is in progress while a node stops; at 5 ms each it outlasts
+/// [`BALANCER_TIME`].
+const LONG_TOKENS: u64 = 300;
+/// The kind of that stream in the report.
+const LONG: &str = "streamed over a stop";
 /// Time between two looks at something that is waited for.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 /// The node that is stopped and started.
@@ -94,7 +102,7 @@
     tokio::time::sleep(LOAD_TIME).await;
     report.zone.before = work_of_moved(local);
     progress(options, &traffic, "both zones are in service");
-    report.restart_ms = restart(local, &traffic).await?;
+    report.restart_ms = restart(local, &traffic, options.seed).await?;
     progress(options, &traffic, &format!("{RESTARTED} was stopped and started"));
 
     revision = apply(local, &notes::zone(revision, "out")).await?;
@@ -125,16 +133,24 @@
 
 /// Stops a node as planned and starts it again, while the callers' balancer sends its requests to
 /// the next node; returns the time that the stop took, in milliseconds.
-async fn restart(local: &mut Local, traffic: &Traffic) -> Result<u64> {
+async fn restart(local: &mut Local, traffic: &Traffic, seed: u64) -> Result<u64> {
     let addresses: Vec<_> = local.nodes.values().map(|node| node.callers).collect();
     let number = local.nodes.keys().position(|name| name == RESTARTED).unwrap_or(0);
     traffic.redirect(number, addresses[(number + 1) % addresses.len()]);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let organisation = ORGANISATIONS[0];
+    let long = Generation::of_length(LONG_TOKENS, organisation, true, &mut rng);
+    let caller = Caller::new(addresses[number], organisation.key);
+    let sender = traffic.clone();
+    let streamed = tokio::spawn(async move { sender.generate(&caller, LONG, &long).await });
+    tokio::time::sleep(BALANCER_TIME).await;
     let begun = Instant::now();
     local.stop_node(RESTARTED).await;
     let taken = report::millis(begun.elapsed());
     local.start_node(RESTARTED).map_err(call_failed)?;
     wait_until("become ready", async || is_ready(local).await).await?;
     traffic.redirect(number, addresses[number]);
+    streamed.await.map_err(|e| failed("stream over a planned stop", RESTARTED, e))?;
     Ok(taken)
 }
 
--- a/crates/corneltrestle/src/command/demo/traffic.rs
+++ b/crates/corneltrestle/src/command/demo/traffic.rs
@@ -14,7 +14,7 @@
 
 use super::check::{self, End};
 use super::notes::{DESK, ORGANISATIONS, Organisation};
-use super::request::{Request, Work};
+use super::request::{Generation, Request, Work};
 use super::tally::Tally;
 
 /// Time between two requests of one organisation.
@@ -102,9 +102,7 @@
         match &request.work {
             Work::Generation(generation) => {
                 let kind = if generation.stream { "streamed" } else { "whole" };
-                self.tally.lock().sent(kind);
-                let end = check::generate(&caller, generation).await;
-                self.tally.lock().ended(kind, end);
+                self.generate(&caller, kind, generation).await;
             }
             Work::Order { key, overlap } => {
                 let other = Caller::new(self.node(request.other), request.organisation.key);
@@ -128,6 +126,18 @@
         }
     }
 
+    /// Sends a generation and counts its end.
+    pub(super) async fn generate(
+        &self,
+        caller: &Caller,
+        kind: &'static str,
+        generation: &Generation,
+    ) {
+        self.tally.lock().sent(kind);
+        let end = check::generate(caller, generation).await;
+        self.tally.lock().ended(kind, end);
+    }
+
     /// Sends an order, again while another call with its key is in progress.
     async fn order(&self, caller: &Caller, kind: &'static str, key: &str) {
         self.tally.lock().sent(kind);
--- a/crates/corneltrestle/tests/demo.rs
+++ b/crates/corneltrestle/tests/demo.rs
@@ -32,6 +32,7 @@
     assert!(number("/orders/run") > 0 && number("/orders/run") <= number("/orders/keys"), "{text}");
     let repeated = number("/requests/order repeated/sent");
     assert_eq!(repeated, number("/requests/order/sent"), "{text}");
+    assert_eq!(number("/requests/streamed over a stop/whole"), 1, "{text}");
     let ended = ["whole", "refused", "cut-off", "no-answer", "wrong"];
     let ended: u64 = ended.iter().map(|end| number(&format!("/total/{end}"))).sum();
     assert_eq!(ended, number("/total/sent"), "{text}");
