--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -29,7 +29,7 @@
     pub connect: Duration,
     /// Idle connections that are kept per peer.
     pub idle: usize,
-    /// Age at which a connection is closed; up to a fifth less, at random.
+    /// Age at which a connection is closed; up to a tenth less, at random.
     pub age: Duration,
 }
 
--- a/crates/http/src/callers/generate.rs
+++ b/crates/http/src/callers/generate.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use corneltrestle_engine::engine::Engine;
 use corneltrestle_engine::service::Service;
 use corneltrestle_node::pipeline::refusal::{Code, Refusal, Result};
@@ -29,6 +29,8 @@
 
 /// Most prefixes of a prompt that are hashed.
 const PREFIXES_MAX: usize = 64;
+/// Size of the buffer in which the events of a stream are encoded; it holds a few dozen.
+const EVENTS_BYTES: usize = 4 * 1024;
 
 impl<E: Engine, P: Service, S: Store> Router<E, P, S> {
     pub(super) async fn generate(
@@ -87,10 +89,11 @@
     mut sender: Sender<Bytes, body::Error>,
     read_time: Duration,
 ) {
+    let mut buffer = BytesMut::with_capacity(EVENTS_BYTES);
     loop {
         match relay.next().await {
             Ok(Some(data)) => {
-                let sent = sender.send_data(sse::encode("", &data));
+                let sent = sender.send_data(sse::encode_in(&mut buffer, "", &data));
                 match tokio::time::timeout(read_time, sent).await {
                     Ok(Ok(())) => {}
                     Ok(Err(_)) => return,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -166,6 +166,8 @@
         }
     };
     tokio::select! {
+        // Each frame polls this, so that the choice of a random order would be paid per frame.
+        biased;
         ended = connection.as_mut() => return ended,
         () = idle => return Err("no request within the header time".into()),
         () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
--- a/crates/node/src/link/tonic_link.rs
+++ b/crates/node/src/link/tonic_link.rs
@@ -32,7 +32,7 @@
     pub connect: Duration,
     /// Longest time of one attempt of a call, connecting included; 2 s unless changed.
     pub call: Duration,
-    /// Age at which a channel is replaced, less up to 20 %; 10 min unless changed.
+    /// Age at which a channel is replaced, less up to 10 %; 10 min unless changed.
     pub age: Duration,
 }
 
--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -19,6 +19,29 @@
 /// Time between two checks that the replica of a stream is whole.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
+/// Data of the events delivered so far, from which a resume takes its text.
+///
+/// It is copied into one buffer: parts of the read buffers would keep all of these alive, with the
+/// framing of each event.
+#[derive(Debug, Default)]
+struct Delivered {
+    data: Vec<u8>,
+    /// End of each event in `data`.
+    ends: Vec<usize>,
+}
+
+impl Delivered {
+    fn push(&mut self, event: &[u8]) {
+        self.data.extend_from_slice(event);
+        self.ends.push(self.data.len());
+    }
+
+    fn events(&self) -> impl Iterator<Item = &[u8]> {
+        let starts = std::iter::once(0).chain(self.ends.iter().copied());
+        starts.zip(&self.ends).map(|(start, end)| &self.data[start..*end])
+    }
+}
+
 /// A timer that does not catch up on checks that were late.
 fn check_timer() -> Interval {
     let mut timer = interval_at(Instant::now() + CHECK_PERIOD, CHECK_PERIOD);
@@ -40,8 +63,7 @@
     in_progress: InProgress,
     upstream: E::Stream,
     delivery: Delivery,
-    /// Data of the events delivered so far, from which a resume takes its text.
-    delivered: Vec<Bytes>,
+    delivered: Delivered,
     /// When the replica was last checked, and the timer of the next check.
     checked: Moment,
     due: Interval,
@@ -82,7 +104,7 @@
                         target,
                         in_progress,
                         upstream,
-                        delivered: Vec::new(),
+                        delivered: Delivered::default(),
                         checked: now,
                         due: check_timer(),
                         latest: now,
@@ -128,7 +150,7 @@
                     let event = delivery::Event { request: &self.request.id, index: token.index };
                     if self.delivery.check(&event) == delivery::Verdict::Deliver {
                         self.observe(now);
-                        self.delivered.push(token.data.clone());
+                        self.delivered.push(&token.data);
                         return Ok(Some(token.data));
                     }
                 }
@@ -214,7 +236,7 @@
 
     fn text(&self) -> Result<String> {
         let mut text = String::new();
-        for data in &self.delivered {
+        for data in self.delivered.events() {
             openai::append_text(&mut text, data).map_err(|e| {
                 let message = format!("an event that was delivered cannot be read: {e}");
                 Refusal::unknown(Code::UpstreamFailed, "resume", message).at(self.target.head)
@@ -232,7 +254,7 @@
     S: Send + Sync + 'static,
 {
     fn observe(&mut self, now: Moment) {
-        if self.delivered.is_empty() {
+        if self.delivered.ends.is_empty() {
             let taken = now.since(self.request.arrived);
             self.counts.first_token(Some(taken), &self.targets);
             let mut warmup = self.pipeline.tables.warmup.lock();
@@ -250,7 +272,7 @@
             return;
         }
         self.ended = Some(whole);
-        if self.delivered.is_empty() {
+        if self.delivered.ends.is_empty() {
             self.counts.first_token(None, &self.targets);
         }
         self.counts.request(whole);
--- a/crates/policy/src/silence.rs
+++ b/crates/policy/src/silence.rs
@@ -69,7 +69,7 @@
     pub const AGE: Duration = Duration::from_secs(600);
     /// The age limit is drawn from this fraction of [`Connection::AGE`] up to the whole, so that
     /// connections opened together are not replaced together.
-    pub const AGE_FRACTION: f64 = 0.8;
+    pub const AGE_FRACTION: f64 = 0.9;
 
     /// Opens the history; the connection expects progress at once if it is being set up or is a
     /// watch.
