After a failure send a replica no work until all its members have reported

Reports up to 3 s old still showed a replica as whole after the loss of a member, and as warm after a restart. Its fast refusals made it look idle, so it drew work and used up the retry budget. A node now notes a broken connection or a refusal as incomplete, and takes the replica again only on reports that are newer.

--- a/crates/node/src/pipeline/choose.rs
+++ b/crates/node/src/pipeline/choose.rs
@@ -73,6 +73,22 @@
     }
 }
 
+/// Whether all members have reported since a failure of their replica.
+///
+/// Older reports do not show the loss or the restart that explains it: work on them would meet the
+/// same failure and use up the retry budget, or exceed what a restarted engine bears.
+fn is_newer(
+    replica: &assignment::Replica,
+    reports: &reports::Reports,
+    doubt: Option<Moment>,
+) -> bool {
+    let Some(doubt) = doubt else { return true };
+    let reported = |member: &assignment::Member| {
+        reports.get(member.id.as_str()).is_some_and(|seen| seen.at >= doubt)
+    };
+    replica.vms.iter().all(reported)
+}
+
 impl<E, P, S> Pipeline<E, P, S> {
     /// Chooses a whole replica for the request and counts the dispatch.
     ///
@@ -93,7 +109,9 @@
         let mut found = self.candidates(request, &release, &replicas, &reports, &leaving, now);
         for candidate in &mut found {
             let busy = dispatched.of(&candidate.replica.id).len();
-            candidate.permitted = self.is_permitted(candidate, &release, &mut warmup, busy);
+            let doubt = dispatched.doubt_of(&candidate.replica.id);
+            candidate.permitted = is_newer(candidate.replica, &reports, doubt)
+                && self.is_permitted(candidate, &release, &mut warmup, busy);
             candidate.cached = dispatched.history.cached(
                 &candidate.replica.id,
                 candidate.head.report.start,
--- a/crates/node/src/pipeline/generate.rs
+++ b/crates/node/src/pipeline/generate.rs
@@ -14,6 +14,9 @@
 /// Wait between two looks for a replica that can serve.
 const CHOOSE_PERIOD: Duration = Duration::from_millis(50);
 
+/// Time before its deadline in which a call may fail for want of time.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+
 /// The attempts of one request so far.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
@@ -114,6 +117,10 @@
         let now = self.now();
         attempts.count += 1;
         attempts.failed.insert(target.replica.id.clone());
+        // A call that ran into its own deadline says nothing of the replica.
+        if is_doubtful(&error) && now + DEADLINE_MARGIN < request.deadline {
+            self.tables.dispatched.lock().doubt(&target.replica.id, now);
+        }
         // Generations have no lasting effect and may always be repeated.
         let next = may_move(&error).then(|| {
             let budget = &mut self.tables.admission.lock().retries;
@@ -160,6 +167,14 @@
     }
 }
 
+/// Whether a lost member or a restart of the engine would explain the failure.
+fn is_doubtful(error: &engine::Error) -> bool {
+    matches!(
+        error.kind,
+        engine::Kind::NotSent | engine::Kind::Broken | engine::Kind::Refused(409 | 503)
+    )
+}
+
 fn failure(error: &engine::Error) -> retry::Failure {
     match error.kind {
         engine::Kind::NotSent => retry::Failure::NotSent,
--- a/crates/node/src/tables/dispatched.rs
+++ b/crates/node/src/tables/dispatched.rs
@@ -13,6 +13,8 @@
 #[derive(Debug)]
 pub struct Dispatched {
     sent: HashMap<id::Replica, Vec<Moment>>,
+    /// When a request last failed in a way that a loss or a restart would explain.
+    doubts: HashMap<id::Replica, Moment>,
     /// What replicas hold in their prefix caches.
     pub history: prefix::History,
     /// Dispatches a second, averaged.
@@ -28,6 +30,7 @@
     fn default() -> Self {
         Self {
             sent: HashMap::new(),
+            doubts: HashMap::new(),
             history: prefix::History::open(PREFIXES),
             rate: Rate::default(),
         }
@@ -35,16 +38,27 @@
 }
 
 impl Dispatched {
-    /// Counts a dispatch.
+    /// Counts a dispatch, which ends a doubt.
     ///
     /// Concurrent requests read the clock before they get the lock, so the moments may come out of
     /// order; without a sorted place their end would not be found and the count would only grow.
     pub fn begin(&mut self, replica: &id::Replica, now: Moment) {
         let moments = self.sent.entry(replica.clone()).or_default();
         moments.insert(moments.partition_point(|sent| *sent <= now), now);
+        self.doubts.remove(replica);
         self.rate.count(now);
     }
 
+    /// Notes a failure that a lost member or a restart of the engine would explain.
+    pub fn doubt(&mut self, replica: &id::Replica, now: Moment) {
+        self.doubts.insert(replica.clone(), now);
+    }
+
+    /// When a request last failed at a replica, unless one was dispatched to it since.
+    pub fn doubt_of(&self, replica: &id::Replica) -> Option<Moment> {
+        self.doubts.get(replica).copied()
+    }
+
     /// Counts the end of the request that was dispatched at `sent`.
     pub fn end(&mut self, replica: &id::Replica, sent: Moment) {
         let Some(moments) = self.sent.get_mut(replica) else { return };
