Let generations wait for the retry budget until their deadline

A loss fails many requests at once, and those beyond the budget ended at once although other replicas served and they had time left. They now wait for the budget, so that the rate of attempts stays as bounded as before. A queue that was full is reported as overload, no longer as a bad request.

--- a/crates/node/src/pipeline/generate.rs
+++ b/crates/node/src/pipeline/generate.rs
@@ -14,8 +14,10 @@
 /// Wait between two looks for a replica that can serve.
 const CHOOSE_PERIOD: Duration = Duration::from_millis(50);
 
-/// Time before its deadline in which a call may fail for want of time.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+/// Wait between two looks at the retry budget.
+const BUDGET_PERIOD: Duration = Duration::from_millis(100);
+/// When a retry makes sense after all replicas were busy.
+const RETRY: Duration = Duration::from_secs(1);
 
 /// The attempts of one request so far.
 #[derive(Debug, Default)]
@@ -118,25 +120,49 @@
         attempts.count += 1;
         attempts.failed.insert(target.replica.id.clone());
         // A call that ran into its own deadline says nothing of the replica.
-        if is_doubtful(&error) && now + DEADLINE_MARGIN < request.deadline {
+        if is_doubtful(&error) && now + BUDGET_PERIOD < request.deadline {
             self.tables.dispatched.lock().doubt(&target.replica.id, now);
         }
-        // Generations have no lasting effect and may always be repeated.
-        let next = may_move(&error).then(|| {
-            let budget = &mut self.tables.admission.lock().retries;
-            let failure = failure(&error);
-            let mut rng = rand::rng();
-            retry::next(failure, true, attempts.count, request.deadline, budget, now, &mut rng)
-        });
         log::info!(request = request.id, attempt = attempts.count; "route: {error}");
         metrics::counter!("attempts_failed_total").increment(1);
-        match next.flatten() {
-            Some(at) => {
+        if !may_move(&error) {
+            return Err(upstream_failed("dispatch", &error));
+        }
+        match self.await_retry(request, attempts.count, failure(&error)).await {
+            true => {
                 attempts.last = Some(error);
-                tokio::time::sleep(at.since(now)).await;
                 Ok(())
             }
-            None => Err(upstream_failed("dispatch", &error)),
+            false => Err(upstream_failed("dispatch", &error)),
+        }
+    }
+
+    /// Waits until the retry budget allows another attempt; whether that is before the deadline.
+    ///
+    /// A loss fails many requests at once. Those that the budget does not allow at once wait for
+    /// it, so that the rate of attempts stays bounded and no request fails that still has time.
+    async fn await_retry(
+        &self,
+        request: &request::Generation,
+        failures: u32,
+        failure: retry::Failure,
+    ) -> bool {
+        loop {
+            let now = self.now();
+            if now + BUDGET_PERIOD >= request.deadline {
+                return false;
+            }
+            let next = {
+                let budget = &mut self.tables.admission.lock().retries;
+                let mut rng = rand::rng();
+                // Generations have no lasting effect and may always be repeated.
+                retry::next(failure, true, failures, request.deadline, budget, now, &mut rng)
+            };
+            if let Some(at) = next {
+                tokio::time::sleep(at.since(now)).await;
+                return true;
+            }
+            tokio::time::sleep(BUDGET_PERIOD).await;
         }
     }
 
@@ -189,6 +215,10 @@
     let message = error.to_string();
     let refusal = match error.kind {
         engine::Kind::NotSent => Refusal::not_run(Code::UpstreamFailed, step, message),
+        // The engine or its queue was not able to, but the request is not at fault.
+        engine::Kind::Refused(408 | 409 | 429) => {
+            Refusal::not_run(Code::Overloaded, step, message).retry_after(RETRY)
+        }
         engine::Kind::Refused(400..=499) => Refusal::not_run(Code::BadRequest, step, message),
         engine::Kind::Refused(_) => Refusal::not_run(Code::UpstreamFailed, step, message),
         _ => Refusal::unknown(Code::UpstreamFailed, step, message),
