Give up an answer in one body once its replica is not whole

Streams check each 250 ms that their replica is whole; answers in one body waited for a silent head until their deadline.

--- a/crates/node/src/pipeline/generate.rs
+++ b/crates/node/src/pipeline/generate.rs
@@ -9,6 +9,7 @@
 use corneltrestle_policy::{burn, retry};
 
 use super::choose::{InProgress, Target};
+use super::relay::CHECK_PERIOD;
 use super::{Code, Pipeline, Refusal, Relay, Result, request};
 
 /// Wait between two looks for a replica that can serve.
@@ -77,8 +78,7 @@
         let mut attempts = Attempts::default();
         loop {
             let (target, in_progress) = self.target(request, &attempts).await?;
-            let call = target.generate(request, self.now(), None);
-            match self.engine.complete(target.head, &call).await {
+            match self.run_at(request, &target).await {
                 Ok(body) => return Ok(body),
                 Err(e) => self.retry(request, &mut attempts, &target, e).await?,
             }
@@ -86,6 +86,31 @@
         }
     }
 
+    /// Runs a generation at a replica, and gives the call up once the replica is no longer whole: a
+    /// silent head would otherwise hold it until its deadline.
+    async fn run_at(
+        &self,
+        request: &request::Generation,
+        target: &Target,
+    ) -> engine::Result<Bytes> {
+        let call = target.generate(request, self.now(), None);
+        let body = self.engine.complete(target.head, &call);
+        tokio::pin!(body);
+        loop {
+            if let Ok(result) = tokio::time::timeout(CHECK_PERIOD, &mut body).await {
+                return result;
+            }
+            if !self.is_served(target, self.now()) {
+                return Err(engine::Error {
+                    kind: engine::Kind::Broken,
+                    step: "dispatch",
+                    peer: target.head,
+                    cause: format!("a member of replica {} is missing", target.replica.id),
+                });
+            }
+        }
+    }
+
     /// Chooses a replica, waiting for one while the deadline allows.
     pub(super) async fn target(
         &self,
--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -16,8 +16,8 @@
 
 /// Most times that one answer is moved to another replica.
 const MOVES_MAX: u32 = 3;
-/// Time between two checks that the replica of a stream is whole.
-const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two checks that the replica of an answer in progress is whole.
+pub(super) const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
 /// A streamed answer in progress; dropping it cancels the work upstream.
 #[derive(Debug)]
