--- a/crates/node/src/pipeline/generate.rs
+++ b/crates/node/src/pipeline/generate.rs
@@ -9,6 +9,7 @@
 use corneltrestle_policy::{burn, retry};
 
 use super::choose::{InProgress, Target};
+use super::relay::CHECK_PERIOD;
 use super::{Code, Outcome, Pipeline, Refusal, Relay, Result, request};
 
 /// Wait between two looks for a replica that can serve.
@@ -16,6 +17,9 @@
 /// Wait that callers are told after a refusal for want of capacity.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Wait between two looks at the retry budget.
+const BUDGET_PERIOD: Duration = Duration::from_millis(100);
+
 /// The attempts of one request so far.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
@@ -92,8 +96,7 @@
         let mut attempts = Attempts::default();
         loop {
             let (target, in_progress) = self.target(request, &attempts).await?;
-            let call = target.generate(request, self.now(), None);
-            match self.engine.complete(target.head, &call).await {
+            match self.run_at(request, &target).await {
                 Ok(body) => return Ok(body),
                 Err(e) => {
                     // The status of an unstreamed answer is sent after the work.
@@ -105,6 +108,31 @@
         }
     }
 
+    /// Runs a generation at a replica, and gives the call up once the replica is no longer whole: a
+    /// silent head would otherwise hold it until its deadline.
+    async fn run_at(
+        &self,
+        request: &request::Generation,
+        target: &Target,
+    ) -> engine::Result<Bytes> {
+        let call = target.generate(request, self.now(), None);
+        let body = self.engine.complete(target.head, &call);
+        tokio::pin!(body);
+        loop {
+            if let Ok(result) = tokio::time::timeout(CHECK_PERIOD, &mut body).await {
+                return result;
+            }
+            if !self.is_served(target, self.now()) {
+                return Err(engine::Error {
+                    kind: engine::Kind::Broken,
+                    step: "dispatch",
+                    peer: target.head,
+                    cause: format!("a member of replica {} is missing", target.replica.id),
+                });
+            }
+        }
+    }
+
     /// Chooses a replica, waiting for one while the deadline allows.
     pub(super) async fn target(
         &self,
@@ -142,30 +170,50 @@
         if !is_full {
             attempts.failed.insert(target.replica.id.clone());
         }
-        if is_full || may_be_cold(&error) {
-            // A restarted engine is cold, a broken replica refuses everything and a full queue
-            // empties; only a later report shows the present level.
-            self.tables.dispatched.lock().fail(&target.replica.id, now);
+        // A call that ran into its own deadline says nothing of the replica.
+        if (is_full || is_doubtful(&error)) && now + BUDGET_PERIOD < request.deadline {
+            self.tables.dispatched.lock().doubt(&target.replica.id, now);
         }
-        // Generations have no lasting effect and may always be repeated.
-        let next = may_move(&error).then(|| {
-            let budget = &mut self.tables.admission.lock().retries;
-            let failure = failure(&error);
-            let mut rng = rand::rng();
-            retry::next(failure, true, attempts.count, request.deadline, budget, now, &mut rng)
-        });
         log::info!(request = request.id, attempt = attempts.count; "route: {error}");
         metrics::counter!("attempts_failed_total").increment(1);
-        match next.flatten() {
-            Some(at) => {
-                attempts.full |= is_full;
-                if !is_full {
-                    attempts.last = Some(error);
-                }
+        let may_go_on =
+            may_move(&error) && self.await_retry(request, attempts.count, failure(&error)).await;
+        if !may_go_on {
+            return Err(attempts.refusal("dispatch", &error));
+        }
+        attempts.full |= is_full;
+        if !is_full {
+            attempts.last = Some(error);
+        }
+        Ok(())
+    }
+
+    /// Waits until the retry budget allows another attempt; whether that is before the deadline.
+    ///
+    /// A loss fails many requests at once. Those that the budget does not allow at once wait for
+    /// it, so that the rate of attempts stays bounded and no request fails that still has time.
+    async fn await_retry(
+        &self,
+        request: &request::Generation,
+        failures: u32,
+        failure: retry::Failure,
+    ) -> bool {
+        loop {
+            let now = self.now();
+            if now + BUDGET_PERIOD >= request.deadline {
+                return false;
+            }
+            let next = {
+                let budget = &mut self.tables.admission.lock().retries;
+                let mut rng = rand::rng();
+                // Generations have no lasting effect and may always be repeated.
+                retry::next(failure, true, failures, request.deadline, budget, now, &mut rng)
+            };
+            if let Some(at) = next {
                 tokio::time::sleep(at.since(now)).await;
-                Ok(())
+                return true;
             }
-            None => Err(attempts.refusal("dispatch", &error)),
+            tokio::time::sleep(BUDGET_PERIOD).await;
         }
     }
 
@@ -200,10 +248,12 @@
     }
 }
 
-/// Whether a failure may come from a restart of the engine or the loss of a member.
-fn may_be_cold(error: &engine::Error) -> bool {
-    use engine::Kind::{Broken, NotSent, Refused};
-    matches!(error.kind, NotSent | Broken | Refused(409 | 503))
+/// Whether a lost member or a restart of the engine would explain the failure.
+fn is_doubtful(error: &engine::Error) -> bool {
+    matches!(
+        error.kind,
+        engine::Kind::NotSent | engine::Kind::Broken | engine::Kind::Refused(409 | 503)
+    )
 }
 
 /// Whether the engine refused the request because its queue is full.
--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -16,8 +16,8 @@
 use super::generate::{Attempts, is_full, may_move};
 use super::{Code, Pipeline, Refusal, Result, request};
 
-/// Time between two checks that the replica of a stream is whole.
-const CHECK_PERIOD: Duration = Duration::from_millis(250);
+/// Time between two checks that the replica of an answer in progress is whole.
+pub(super) const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
 /// Data of the events delivered so far, from which a resume takes its text.
 ///
--- a/crates/node/src/tables/dispatched.rs
+++ b/crates/node/src/tables/dispatched.rs
@@ -16,9 +16,8 @@
     /// Number of the round in which the cache events of a replica were last read.
     events: HashMap<id::Replica, u64>,
     rounds: u64,
-    /// When a dispatch to a replica last failed in a way that only a later report explains: a
-    /// restart, a loss or a full queue.
-    failed: HashMap<id::Replica, Moment>,
+    /// When a request last failed in a way that a loss or a restart would explain.
+    doubts: HashMap<id::Replica, Moment>,
     /// What replicas hold in their prefix caches.
     pub history: prefix::History,
     /// Dispatches a second, averaged.
@@ -36,7 +35,7 @@
             sent: HashMap::new(),
             events: HashMap::new(),
             rounds: 0,
-            failed: HashMap::new(),
+            doubts: HashMap::new(),
             history: prefix::History::open(PREFIXES),
             rate: Rate::default(),
         }
@@ -44,16 +43,27 @@
 }
 
 impl Dispatched {
-    /// Counts a dispatch.
+    /// Counts a dispatch, which ends a doubt.
     ///
     /// Concurrent requests read the clock before they get the lock, so the moments may come out of
     /// order; without a sorted place their end would not be found and the count would only grow.
     pub fn begin(&mut self, replica: &id::Replica, now: Moment) {
         let moments = self.sent.entry(replica.clone()).or_default();
         moments.insert(moments.partition_point(|sent| *sent <= now), now);
+        self.doubts.remove(replica);
         self.rate.count(now);
     }
 
+    /// Notes a failure that a lost member or a restart of the engine would explain.
+    pub fn doubt(&mut self, replica: &id::Replica, now: Moment) {
+        self.doubts.insert(replica.clone(), now);
+    }
+
+    /// When a request last failed at a replica, unless one was dispatched to it since.
+    pub fn doubt_of(&self, replica: &id::Replica) -> Option<Moment> {
+        self.doubts.get(replica).copied()
+    }
+
     /// Counts the end of the request that was dispatched at `sent`.
     pub fn end(&mut self, replica: &id::Replica, sent: Moment) {
         let Some(moments) = self.sent.get_mut(replica) else { return };
@@ -79,24 +89,10 @@
     /// Keeps only the replicas that `keep` accepts.
     pub fn retain(&mut self, mut keep: impl FnMut(&id::Replica) -> bool) {
         self.events.retain(|replica, _| keep(replica));
-        self.failed.retain(|replica, _| keep(replica));
+        self.doubts.retain(|replica, _| keep(replica));
         self.history.retain(keep);
     }
 
-    /// Notes a failure at `now` after which what is known about a replica may be out of date.
-    pub fn fail(&mut self, replica: &id::Replica, now: Moment) {
-        self.failed.insert(replica.clone(), now);
-    }
-
-    /// Whether a report that was seen at `seen` says how a replica is after its latest failure.
-    pub fn is_confirmed(&mut self, replica: &id::Replica, seen: Moment) -> bool {
-        let confirmed = self.failed.get(replica).is_none_or(|failed| seen > *failed);
-        if confirmed {
-            self.failed.remove(replica);
-        }
-        confirmed
-    }
-
     /// Moments of the dispatches in progress, in increasing order.
     pub fn of(&self, replica: &id::Replica) -> &[Moment] {
         self.sent.get(replica).map_or(&[], Vec::as_slice)
