node: judge the zone lease again before sending orders

Cause: a round judged the lease before it read and wrote the assignment. With a slow store that takes up to 2 s, so that orders could leave after the lease had lapsed (3.75 s + 2 s, of 5 s). Engines that check tokens refuse them once a later holder has acted; engines that ignore tokens would not. Change: orders are sent only if the lease is still valid after the write; the next round repeats them otherwise.

--- a/crates/node/src/duty/assign.rs
+++ b/crates/node/src/duty/assign.rs
@@ -112,7 +112,11 @@
         {
             return;
         }
-        self.send(token, plan.orders);
+        // The write took time. Engines that ignore fencing tokens rely on orders ending with the
+        // lease, so it is judged again.
+        if self.acting_token() == Some(token) {
+            self.send(token, plan.orders);
+        }
     }
 
     fn plan(&self, token: u64, assignment: &assignment::Assignment) -> plan::Plan {
--- a/crates/node/src/duty/assign/lease.rs
+++ b/crates/node/src/duty/assign/lease.rs
@@ -29,7 +29,13 @@
             }
         }
         // The renewal took time; the lease is judged again right before acting.
+        self.acting_token()
+    }
+
+    /// The fencing token if this node may act as the holder at this moment.
+    pub(super) fn acting_token(&self) -> Option<u64> {
         let now = self.host.now();
+        let resumed = self.tables.members.lock().known.view(now).resumed();
         let held = self.tables.coordinator.lock().held?;
         let may_act =
             matches!(held.lease.step(resumed, now), lease::Step::Act | lease::Step::ActAndRenew);
