node: notice a lost member of a replica that has a leaving VM

Cause: the check of a stream's replica let a leaving VM pass, but the check of members stops at the first reason, so that the loss of the leaving VM itself or of a later member went unnoticed until the stream fell silent. Change: streams in progress are checked without the set of leaving VMs. Found by reading; `zones::replica_of_a_leaving_vm_...` passes before and after.

--- a/crates/node/src/pipeline/choose.rs
+++ b/crates/node/src/pipeline/choose.rs
@@ -131,19 +131,18 @@
 
     /// Whether a replica may still be served from, by the tables as they are now.
     pub(super) fn is_served(&self, target: &Target, now: Moment) -> bool {
-        let leaving = self.leaving();
         let reports = self.tables.reports.lock();
         let view = wholeness::View {
             replica: &target.replica,
             reports: reports.all(),
-            leaving: &leaving,
-            // Requests in progress finish although their zone takes no new work.
+            // Requests in progress finish although a member is to leave or their zone takes no new
+            // work.
+            leaving: &BTreeSet::new(),
             zone_in: true,
             bound: self.identity.view_bound,
         };
         match wholeness::check(&view, now) {
-            // A planned leave lets requests in progress finish too.
-            Ok(()) | Err(wholeness::Reason::Leaving(_)) => true,
+            Ok(()) => true,
             Err(reason) => {
                 log::info!("route: replica {} is not whole: {reason:?}", target.replica.id);
                 false
