--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -12,10 +12,12 @@
 The entry node of corneltrestle.
 
 Usage: corneltrestled --settings FILE [--check]
+       corneltrestled --print-settings
 
 Options:
   --settings FILE  INI file with the settings; docs/settings.md lists every key
   --check          check the settings and stop
+  --print-settings print the reference page of the settings
   --help           print this text
   --version        print the version
 
@@ -84,6 +86,10 @@
         match argument {
             Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
             Long("check") => check = true,
+            Long("print-settings") => {
+                print!("{}", settings::document(&settings::sections()));
+                return Ok(None);
+            }
             Long("help") | Short('h') => {
                 print!("{HELP}");
                 return Ok(None);
