--- a/crates/http/tests/contract/connections.rs
+++ b/crates/http/tests/contract/connections.rs
@@ -147,3 +147,13 @@
     let _ = connection.await;
     local.shutdown().await;
 }
+
+/// Guards against connections that hold a place after their last request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connection_is_closed_after_its_request() {
+    let local = ready(LIMITS).await;
+    let mut socket = TcpStream::connect(node(&local).callers).await.unwrap();
+    socket.write_all(b"GET /healthz HTTP/1.1\r\nHost: node\r\n\r\n").await.unwrap();
+    assert_eq!(raw::answer(&mut socket).await.expect("no answer").status, 200);
+    local.shutdown().await;
+}
--- a/crates/policy/tests/burn.rs
+++ b/crates/policy/tests/burn.rs
@@ -64,3 +64,24 @@
     assert!(burn.record("s", "other", &requests(1, 0), Moment::ZERO));
     assert_eq!(burn.totals(Moment::ZERO).count(), 2);
 }
+
+/// Guards against counts that the history leaves out or has twice where minutes and steps meet.
+#[test_case(0)]
+#[test_case(7)]
+#[test_case(59)]
+fn history_adds_up_to_the_day(start: u64) {
+    let mut burn = Burn::default();
+    let at = |minute: u64| Moment::ZERO + Duration::from_secs(60 * minute);
+    let last = start + 1_300;
+    for minute in start..=last {
+        burn.record("s", "o", &requests(minute + 1, minute % 3), at(minute));
+    }
+    let mut sum = Counts::default();
+    let history = burn.history("s", "o", at(last));
+    history.iter().for_each(|(_, counts)| sum.add(counts));
+    let (_, _, totals) = burn.totals(at(last)).next().unwrap();
+    assert_eq!(sum, totals.day);
+    let mut hour = Counts::default();
+    history.iter().filter(|(age, _)| *age < 60).for_each(|(_, counts)| hour.add(counts));
+    assert_eq!(hour, totals.long);
+}
