--- a/crates/measure/src/scenario/store_outage.rs
+++ b/crates/measure/src/scenario/store_outage.rs
@@ -29,6 +29,9 @@
 /// Most calls of one node in flight at the store.
 const IN_FLIGHT: u64 = 8;
 
+/// First number of the orders that are sent before the measurement.
+const READY_KEYS: u64 = 1_000_000;
+
 /// How long each part takes.
 #[derive(Clone, Copy, Debug)]
 pub struct Sizes {
@@ -62,9 +65,6 @@
     Outage { name: "answers lost", fault: "answer-lost", value: 1_000_000 },
 ];
 
-/// First number of the keys that are used before the measurement.
-const READY_KEYS: u64 = 1_000_000;
-
 /// A part of the run.
 struct Phase {
     name: String,
@@ -165,9 +165,8 @@
     for _ in 0..50 {
         let verdict = local.apply(&note(local)).await?;
         if matches!(verdict, operate::Verdict::Accepted { .. }) {
-            // Keys of their own: a key that ran here could be refused `not-run` in an outage, which
-            // says that the second call has not run.
-            let mut load = Load::from_number(READY_KEYS);
+            // These orders are not judged, so that their keys must not appear again.
+            let mut load = Load::starting(READY_KEYS);
             load.run(nodes, Duration::from_millis(500)).await;
             if load.finish().await.iter().all(|sample| sample.end == End::Whole) {
                 return Ok(());
--- a/crates/measure/src/scenario/store_outage/load.rs
+++ b/crates/measure/src/scenario/store_outage/load.rs
@@ -51,8 +51,8 @@
 }
 
 impl Load {
-    /// A load whose orders have keys from this number on.
-    pub(super) fn from_number(number: u64) -> Self {
+    /// A load whose orders have keys from `number` on.
+    pub(super) fn starting(number: u64) -> Self {
         Self { number, ..Self::default() }
     }
 
