--- a/crates/measure/src/traffic.rs
+++ b/crates/measure/src/traffic.rs
@@ -360,6 +360,9 @@
 /// When it does not get that far.
 pub async fn open(plan: &Plan, groups: Groups) -> Result<Local> {
     let local = Local::open(plan.clone()).await?;
+    // A node that is not known yet when a replica forms is no router of its epoch.
+    let known = nodes_known(plan, &local);
+    within("find peers", Duration::from_secs(10), known).await?;
     let accepted = async {
         loop {
             match local.apply(&note(plan, &local, groups)).await {
@@ -379,6 +382,18 @@
     Ok(local)
 }
 
+/// Waits until each node knows all nodes of its zone as alive.
+async fn nodes_known(plan: &Plan, local: &Local) {
+    let is_known = |(name, node): (&String, &corneltrestle_local::Node)| {
+        let host = node.running.host();
+        let zone = plan.zones.iter().find(|zone| name.starts_with(&zone.name));
+        let (Some(zone), Ok(tables)) = (zone, tables::Tables::of(host)) else { return false };
+        let members = tables.members.lock();
+        members.known.view(host.now()).live(&zone.name).count() >= zone.nodes
+    };
+    until(|| local.nodes.iter().all(is_known)).await;
+}
+
 /// The replicas that every running node lists as serving, as the first node of each zone knows.
 pub fn serving(local: &Local) -> Vec<assignment::Replica> {
     replicas(local).into_values().filter(|replica| replica.phase == Phase::Serving).collect()
