Serve requests for a delay after a planned stop begins

Change: the node is not ready for drain-delay (2 s) before its addresses close, and serves meanwhile, so that the load balancer can send new requests elsewhere.

The end-to-end test sent its request to another node than the one that had accepted the note without waiting until the note was in force there.

--- a/crates/corneltrestle/tests/whole_path.rs
+++ b/crates/corneltrestle/tests/whole_path.rs
@@ -30,6 +30,14 @@
 
     let node = local.nodes.values().last().unwrap();
     let caller = caller::Caller::new(node.callers, KEY);
+    // The note was applied at another node; it is in force here within seconds.
+    for _ in 0..60 {
+        let models = caller.call(Method::GET, "/v1/models", &[], Vec::new()).await.unwrap();
+        if models.status == StatusCode::OK {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
     let body = br#"{"model":"small","stream":true,"max_tokens":8,"prompt":"hello"}"#;
     let mut answer =
         caller.send(Method::POST, "/v1/completions", &[], body.to_vec()).await.unwrap();
--- a/crates/kernel/src/running.rs
+++ b/crates/kernel/src/running.rs
@@ -109,6 +109,9 @@
 async fn stop(host: &host::Host, opened: host::Opened) {
     log::info!("node: draining");
     host.run.advance(run::Stage::Draining);
+    // Requests are still served until the load balancer has seen that the node is not ready: a
+    // connection that is closed while a request is on its way would cut that request off.
+    tokio::time::sleep(host.settings.section("node").span("drain-delay")).await;
     opened.shutdown().await;
     host.run.advance(run::Stage::Stopped);
     log::info!("node: stopped");
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -177,9 +177,9 @@
 
     /// Stops everything: nodes first, each with its drain.
     pub async fn shutdown(mut self) {
-        for (_, node) in std::mem::take(&mut self.nodes) {
-            node.shutdown().await;
-        }
+        let nodes = std::mem::take(&mut self.nodes).into_values();
+        let stops: tokio::task::JoinSet<()> = nodes.map(Node::shutdown).collect();
+        stops.join_all().await;
         for handle in self.engines.values() {
             handle.shutdown().await;
         }
--- a/crates/local/src/nodes.rs
+++ b/crates/local/src/nodes.rs
@@ -147,7 +147,7 @@
         let bind = ways.bind.unwrap_or((ip, LINK).into());
         let further = &self.plan.settings;
         format!(
-            "[node]\nid = {name}\nzone = {zone}\nlink = {ip}:{LINK}\nlink-bind = {bind}\nsecret-file = {files}/secret\n\
+            "[node]\nid = {name}\nzone = {zone}\nlink = {ip}:{LINK}\nlink-bind = {bind}\nsecret-file = {files}/secret\ndrain-delay = 100ms\n\
              [callers]\naddress = {ip}:{CALLERS}\n\
              [operators]\naddress = {ip}:{OPERATORS}\ntoken-file = {files}/token\n\
              [store]\naddress = {store}\n[vms]\naddress = {vms}\n{further}\n"
--- a/crates/node/src/identity.rs
+++ b/crates/node/src/identity.rs
@@ -36,6 +36,13 @@
             "3s",
             "Longest age of a VM's report at dispatch.",
         ),
+        Key::new(
+            "drain-delay",
+            Type::millis(0, 60_000),
+            "2s",
+            "Time between the begin of a planned stop, when the node is no longer ready, and the \
+             close of its addresses; longer than the load balancer takes to notice.",
+        ),
         Key::new(
             "drain-limit",
             Type::millis(0, 600_000),
--- a/crates/node/src/pipeline.rs
+++ b/crates/node/src/pipeline.rs
@@ -94,10 +94,10 @@
         release.services.get(service).map(|service| service.targets).unwrap_or_default()
     }
 
-    /// Refuses requests unless the node is ready.
+    /// Refuses requests before the node is ready; a draining node serves until its addresses close.
     fn check_stage(&self) -> Result<()> {
         let (code, message) = match self.host.run.stage() {
-            run::Stage::Ready => return Ok(()),
+            run::Stage::Ready | run::Stage::Draining => return Ok(()),
             run::Stage::Starting => (Code::Unavailable, "the node has no configuration yet"),
             _ => (Code::Draining, "the node is stopping"),
         };
