--- a/crates/client/src/body.rs
+++ b/crates/client/src/body.rs
@@ -1,35 +1,34 @@
 //! Bodies of answers, each with the connection that carries it.
 
-use std::future::poll_fn;
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::{future, net, sync};
 
-use bytes::{Bytes, BytesMut};
-use hyper::body::{Body as _, Incoming};
-use tokio::time::{Instant, timeout_at};
+use hyper::body::{self, Body as _};
+use tokio::time;
 
-use crate::connection::Connection;
-use crate::error::{Error, Kind, Result};
-use crate::pool::Pool;
+use crate::{
+    connection,
+    error::{self, Result},
+    pool,
+};
 
 /// The body of an answer. Dropping it before its end closes the connection.
 #[derive(Debug)]
 pub struct Body {
-    incoming: Incoming,
+    incoming: body::Incoming,
     /// `None` once the connection was given back.
-    connection: Option<Connection>,
-    pool: Arc<Pool>,
-    peer: SocketAddr,
+    connection: Option<connection::Connection>,
+    pool: sync::Arc<pool::Pool>,
+    peer: net::SocketAddr,
     /// Whether the end of the body is marked; otherwise a truncated body cannot be recognised.
     delimited: bool,
 }
 
 impl Body {
     pub(crate) fn new(
-        incoming: Incoming,
-        connection: Connection,
-        pool: Arc<Pool>,
-        peer: SocketAddr,
+        incoming: body::Incoming,
+        connection: connection::Connection,
+        pool: sync::Arc<pool::Pool>,
+        peer: net::SocketAddr,
         delimited: bool,
     ) -> Self {
         Self { incoming, connection: Some(connection), pool, peer, delimited }
@@ -39,12 +38,12 @@
     ///
     /// # Errors
     ///
-    /// [`Kind::Broken`] when the body is truncated, or its end cannot be told from a truncation.
-    pub async fn chunk(&mut self) -> Result<Option<Bytes>> {
+    /// [`error::Kind::Broken`] when the body is truncated, or its end cannot be told from a truncation.
+    pub async fn chunk(&mut self) -> Result<Option<bytes::Bytes>> {
         loop {
             let Some(connection) = &mut self.connection else { return Ok(None) };
             let incoming = &mut self.incoming;
-            match poll_fn(|cx| connection.poll_frame(incoming, cx)).await {
+            match future::poll_fn(|cx| connection.poll_frame(incoming, cx)).await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         return Ok(Some(data));
@@ -52,7 +51,7 @@
                 }
                 Some(Err(e)) => {
                     self.connection = None;
-                    return Err(Error::after_send(&e));
+                    return Err(error::Error::after_send(&e));
                 }
                 None => return self.end().map(|()| None),
             }
@@ -63,12 +62,12 @@
     ///
     /// # Errors
     ///
-    /// [`Kind::Malformed`] when it is larger, [`Kind::Broken`] when it is truncated or not
+    /// [`error::Kind::Malformed`] when it is larger, [`error::Kind::Broken`] when it is truncated or not
     /// complete at `until`.
-    pub async fn collect(mut self, max: usize, until: Instant) -> Result<Bytes> {
-        match timeout_at(until, self.collect_bounded(max)).await {
+    pub async fn collect(mut self, max: usize, until: time::Instant) -> Result<bytes::Bytes> {
+        match time::timeout_at(until, self.collect_bounded(max)).await {
             Ok(collected) => collected,
-            Err(_) => Err(Error::new(Kind::Broken, "body not complete in time")),
+            Err(_) => Err(error::Error::new(error::Kind::Broken, "body not complete in time")),
         }
     }
 
@@ -80,16 +79,17 @@
         }
     }
 
-    async fn collect_bounded(&mut self, max: usize) -> Result<Bytes> {
-        let oversized = || Error::new(Kind::Malformed, format!("body larger than {max} bytes"));
+    async fn collect_bounded(&mut self, max: usize) -> Result<bytes::Bytes> {
+        let oversized =
+            || error::Error::new(error::Kind::Malformed, format!("body larger than {max} bytes"));
         if self.incoming.size_hint().lower() > max as u64 {
             return Err(oversized());
         }
-        let Some(first) = self.chunk().await? else { return Ok(Bytes::new()) };
+        let Some(first) = self.chunk().await? else { return Ok(bytes::Bytes::new()) };
         let Some(second) = self.chunk().await? else {
             return if first.len() > max { Err(oversized()) } else { Ok(first) };
         };
-        let mut all = BytesMut::from(first);
+        let mut all = bytes::BytesMut::from(first);
         all.extend_from_slice(&second);
         while all.len() <= max {
             let Some(next) = self.chunk().await? else { return Ok(all.freeze()) };
@@ -101,7 +101,7 @@
     fn end(&mut self) -> Result<()> {
         let connection = self.connection.take();
         if !self.delimited {
-            return Err(Error::new(Kind::Broken, "body without length or end mark"));
+            return Err(error::Error::new(error::Kind::Broken, "body without length or end mark"));
         }
         if let Some(connection) = connection {
             self.pool.put(self.peer, connection.rest(None));
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -1,86 +1,85 @@
 //! One connection to a peer, driven by the future that uses it.
 
-use std::future::{Future, poll_fn};
-use std::net::SocketAddr;
-use std::pin::{Pin, pin};
-use std::task::{Context, Poll, Waker};
+use std::{
+    future, net,
+    pin::{Pin, pin},
+    task,
+};
 
-use bytes::Bytes;
 use corneltrestle_policy::silence;
-use corneltrestle_time::Moment;
-use http_body_util::Full;
-use hyper::body::{Body, Frame, Incoming};
-use hyper::client::conn::http1;
-use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout_at};
+use corneltrestle_time::moment;
+use hyper::{
+    body::{self, Body},
+    client::conn::http1,
+};
+use hyper_util::rt;
+use tokio::{net::TcpStream, time};
 
-use crate::error::{Error, Kind, Result};
+use crate::error::{self, Result};
 
 /// Bounds the memory that one connection uses for heads and reads.
 const BUFFER_BYTES: usize = 64 * 1024;
 
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type Driver = http1::Connection<rt::TokioIo<TcpStream>, http_body_util::Full<bytes::Bytes>>;
 
 /// An open connection. No other task polls it, so that it closes when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<http_body_util::Full<bytes::Bytes>>,
     /// `None` once the connection has ended.
     driver: Option<Driver>,
     /// The body of an answer that is complete for its reader, but whose end has not been read.
-    tail: Option<Incoming>,
+    tail: Option<body::Incoming>,
     history: silence::Connection,
 }
 
 /// A request that was not answered.
 pub(crate) struct Unanswered {
     /// What happened.
-    pub(crate) error: Error,
+    pub(crate) error: error::Error,
     /// The request, if the connection has not taken any byte of it.
-    pub(crate) unsent: Option<Request<Full<Bytes>>>,
+    pub(crate) unsent: Option<hyper::Request<http_body_util::Full<bytes::Bytes>>>,
 }
 
 impl Connection {
-    /// Connects to `peer`; every error is [`Kind::NotSent`].
+    /// Connects to `peer`; every error is [`error::Kind::NotSent`].
     pub(crate) async fn open(
-        peer: SocketAddr,
-        until: Instant,
+        peer: net::SocketAddr,
+        until: time::Instant,
         history: silence::Connection,
     ) -> Result<Self> {
-        let not_sent = |cause: String| Error::new(Kind::NotSent, cause);
-        let stream = timeout_at(until, TcpStream::connect(peer))
+        let not_sent = |cause: String| error::Error::new(error::Kind::NotSent, cause);
+        let stream = time::timeout_at(until, TcpStream::connect(peer))
             .await
             .map_err(|_| not_sent("no connection in time".to_owned()))?
             .map_err(|e| not_sent(format!("cannot connect: {e}")))?;
         stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
+            .handshake(rt::TokioIo::new(stream))
             .await
             .map_err(|e| not_sent(e.to_string()))?;
         Ok(Self { sender, driver: Some(driver), tail: None, history })
     }
 
     /// Whether the connection is past its age limit.
-    pub(crate) fn is_expired(&self, now: Moment) -> bool {
+    pub(crate) fn is_expired(&self, now: moment::Moment) -> bool {
         self.history.check(now) != silence::Verdict::Keep
     }
 
     /// Marks the connection as idle; `tail` is the body whose end is still to be read.
-    pub(crate) fn rest(mut self, tail: Option<Incoming>) -> Self {
+    pub(crate) fn rest(mut self, tail: Option<body::Incoming>) -> Self {
         self.tail = tail;
         self
     }
 
     /// Whether the connection can carry another call: the last body has ended, the peer has not
     /// closed it and it is not too old.
-    pub(crate) fn is_usable(&mut self, now: Moment) -> bool {
-        let cx = &mut Context::from_waker(Waker::noop());
+    pub(crate) fn is_usable(&mut self, now: moment::Moment) -> bool {
+        let cx = &mut task::Context::from_waker(task::Waker::noop());
         self.drive(cx);
         if let Some(tail) = &mut self.tail {
-            if !matches!(Pin::new(tail).poll_frame(cx), Poll::Ready(None)) {
+            if !matches!(Pin::new(tail).poll_frame(cx), task::Poll::Ready(None)) {
                 return false;
             }
             self.tail = None;
@@ -92,44 +91,44 @@
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> std::result::Result<Response<Incoming>, Unanswered> {
+        request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
+    ) -> std::result::Result<hyper::Response<body::Incoming>, Unanswered> {
         let mut answer = pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
-        let answered = poll_fn(|cx| {
+        let answered = future::poll_fn(|cx| {
             drive(driver, cx);
             answer.as_mut().poll(cx)
         });
         answered.await.map_err(|mut failed| match failed.take_message() {
             Some(request) => Unanswered {
-                error: Error::new(Kind::NotSent, failed.error().to_string()),
+                error: error::Error::new(error::Kind::NotSent, failed.error().to_string()),
                 unsent: Some(request),
             },
-            None => Unanswered { error: Error::after_send(failed.error()), unsent: None },
+            None => Unanswered { error: error::Error::after_send(failed.error()), unsent: None },
         })
     }
 
     /// Polls the next frame of the body that this connection carries.
     pub(crate) fn poll_frame(
         &mut self,
-        body: &mut Incoming,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+        body: &mut body::Incoming,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<hyper::Result<body::Frame<bytes::Bytes>>>> {
         // A frame that has been read already needs no turn of the connection.
-        if let Poll::Ready(frame) = Pin::new(&mut *body).poll_frame(cx) {
-            return Poll::Ready(frame);
+        if let task::Poll::Ready(frame) = Pin::new(&mut *body).poll_frame(cx) {
+            return task::Poll::Ready(frame);
         }
         self.drive(cx);
         Pin::new(body).poll_frame(cx)
     }
 
-    fn drive(&mut self, cx: &mut Context<'_>) {
+    fn drive(&mut self, cx: &mut task::Context<'_>) {
         drive(&mut self.driver, cx);
     }
 }
 
 /// Lets the connection read and write; its errors reach the reader of the answer.
-fn drive(driver: &mut Option<Driver>, cx: &mut Context<'_>) {
+fn drive(driver: &mut Option<Driver>, cx: &mut task::Context<'_>) {
     if let Some(running) = driver
         && Pin::new(running).poll(cx).is_ready()
     {
--- a/crates/client/src/headers.rs
+++ b/crates/client/src/headers.rs
@@ -1,13 +1,12 @@
 //! Hop-by-hop headers, which concern one connection and are never forwarded.
 
-use hyper::HeaderMap;
-use hyper::header::{self, HeaderName};
+use hyper::header;
 
 /// Headers that concern one connection (RFC 9110, section 7.6.1), with two that older peers send.
-static HOP_BY_HOP: [HeaderName; 9] = [
+static HOP_BY_HOP: [header::HeaderName; 9] = [
     header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
+    header::HeaderName::from_static("keep-alive"),
+    header::HeaderName::from_static("proxy-connection"),
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
     header::TE,
@@ -17,8 +16,8 @@
 ];
 
 /// Removes hop-by-hop headers, including those that `Connection` names.
-pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
+pub fn remove_hop_by_hop(headers: &mut hyper::HeaderMap) {
+    let named: Vec<header::HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -1,36 +1,33 @@
 //! Idle connections by peer, and calls over them.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-
-use bytes::Bytes;
-use corneltrestle_kernel::clock::{self, Clock};
-use corneltrestle_kernel::table::{Ranked, Table};
+use std::{collections, net, sync, time};
+
+use corneltrestle_kernel::{
+    clock::{self, Clock},
+    table::{self, Ranked},
+};
 use corneltrestle_policy::silence;
-use corneltrestle_time::Moment;
-use http_body_util::Full;
-use hyper::header::{self, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use corneltrestle_time::moment;
+use hyper::header;
 use tokio::time::{Instant, timeout_at};
 
-use crate::body::Body;
-use crate::connection::{Connection, Unanswered};
-use crate::error::{Error, Kind, Result};
+use crate::{
+    body, connection,
+    error::{self, Result},
+};
 
 /// How often connections past their age limit are removed, whatever their peer.
-const SWEEP_PERIOD: Duration = Duration::from_secs(10);
+const SWEEP_PERIOD: time::Duration = time::Duration::from_secs(10);
 
 /// Limits of a pool.
 #[derive(Clone, Debug)]
 pub struct Config {
     /// Longest time for connecting.
-    pub connect: Duration,
+    pub connect: time::Duration,
     /// Idle connections that are kept per peer.
     pub idle: usize,
     /// Age at which a connection is closed; up to a tenth less, at random.
-    pub age: Duration,
+    pub age: time::Duration,
 }
 
 /// How often a call may reach its peer.
@@ -48,8 +45,8 @@
 /// Idle connections; the first rank after the tables of a node.
 #[derive(Debug, Default)]
 pub struct Idle {
-    peers: HashMap<SocketAddr, Vec<Connection>>,
-    swept: Option<Moment>,
+    peers: collections::HashMap<net::SocketAddr, Vec<connection::Connection>>,
+    swept: Option<moment::Moment>,
 }
 
 impl Ranked for Idle {
@@ -62,7 +59,7 @@
 pub struct Pool {
     clock: clock::System,
     config: Config,
-    idle: Table<Idle>,
+    idle: table::Table<Idle>,
 }
 
 impl Default for Config {
@@ -74,24 +71,25 @@
 
 impl Pool {
     /// Opens a pool without connections.
-    pub fn open(config: Config) -> Arc<Self> {
-        Arc::new(Self { clock: clock::System::open(), config, idle: Table::default() })
+    pub fn open(config: Config) -> sync::Arc<Self> {
+        sync::Arc::new(Self { clock: clock::System::open(), config, idle: table::Table::default() })
     }
 
     /// Sends a request and waits at most `limit` for the head of the answer. `Host` is set.
     ///
     /// # Errors
     ///
-    /// [`Kind::NotSent`] only if no byte of the request has left the process.
+    /// [`error::Kind::NotSent`] only if no byte of the request has left the process.
     pub async fn send(
-        self: &Arc<Self>,
-        peer: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        self: &sync::Arc<Self>,
+        peer: net::SocketAddr,
+        mut request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
         delivery: Delivery,
-        limit: Duration,
-    ) -> Result<Response<Body>> {
+        limit: time::Duration,
+    ) -> Result<hyper::Response<body::Body>> {
         let until = Instant::now() + limit;
-        let host = HeaderValue::try_from(peer.to_string()).map_err(Error::invalid)?;
+        let host =
+            header::HeaderValue::try_from(peer.to_string()).map_err(error::Error::invalid)?;
         request.headers_mut().insert(header::HOST, host);
         let Some(connection) = self.take(peer, delivery) else {
             return self.send_fresh(peer, request, until).await;
@@ -104,7 +102,7 @@
             Err(failed) => {
                 // The other idle connections are as old as this one and may be silent, too.
                 self.idle.lock().peers.remove(&peer);
-                match failed.unsent.or(spare.filter(|_| failed.error.kind == Kind::Broken)) {
+                match failed.unsent.or(spare.filter(|_| failed.error.kind == error::Kind::Broken)) {
                     Some(request) if Instant::now() < until => {
                         self.send_fresh(peer, request, until).await
                     }
@@ -118,60 +116,64 @@
     ///
     /// # Errors
     ///
-    /// As [`Pool::send`] and [`Body::collect`].
+    /// As [`Pool::send`] and [`body::Body::collect`].
     pub async fn fetch(
-        self: &Arc<Self>,
-        peer: SocketAddr,
-        request: Request<Full<Bytes>>,
+        self: &sync::Arc<Self>,
+        peer: net::SocketAddr,
+        request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
         delivery: Delivery,
-        limit: Duration,
+        limit: time::Duration,
         max: usize,
-    ) -> Result<Response<Bytes>> {
+    ) -> Result<hyper::Response<bytes::Bytes>> {
         let until = Instant::now() + limit;
         let (head, body) = self.send(peer, request, delivery, limit).await?.into_parts();
-        Ok(Response::from_parts(head, body.collect(max, until).await?))
+        Ok(hyper::Response::from_parts(head, body.collect(max, until).await?))
     }
 
     async fn send_fresh(
-        self: &Arc<Self>,
-        peer: SocketAddr,
-        request: Request<Full<Bytes>>,
+        self: &sync::Arc<Self>,
+        peer: net::SocketAddr,
+        request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
         until: Instant,
-    ) -> Result<Response<Body>> {
+    ) -> Result<hyper::Response<body::Body>> {
         let connect = until.min(Instant::now() + self.config.connect);
         let (kind, now) = (silence::Kind::Connect, self.clock.now());
         let mut history =
             silence::Connection::open_for(kind, self.config.age, now, &mut rand::rng());
         // The time for connecting has its own limit; after that only the age counts.
         history.rested();
-        let connection = Connection::open(peer, connect, history).await?;
+        let connection = connection::Connection::open(peer, connect, history).await?;
         self.send_on(connection, peer, request, until).await.map_err(|failed| failed.error)
     }
 
     async fn send_on(
-        self: &Arc<Self>,
-        mut connection: Connection,
-        peer: SocketAddr,
-        request: Request<Full<Bytes>>,
+        self: &sync::Arc<Self>,
+        mut connection: connection::Connection,
+        peer: net::SocketAddr,
+        request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
         until: Instant,
-    ) -> std::result::Result<Response<Body>, Unanswered> {
-        let bodyless = request.method() == Method::HEAD;
-        let broken = |kind, cause| Unanswered { error: Error::new(kind, cause), unsent: None };
+    ) -> std::result::Result<hyper::Response<body::Body>, connection::Unanswered> {
+        let bodyless = request.method() == hyper::Method::HEAD;
+        let broken = |kind, cause| connection::Unanswered {
+            error: error::Error::new(kind, cause),
+            unsent: None,
+        };
         let answer = timeout_at(until, connection.send(request))
             .await
-            .map_err(|_| broken(Kind::Broken, "no answer in time"))??;
+            .map_err(|_| broken(error::Kind::Broken, "no answer in time"))??;
         if answer.status().is_informational() {
-            return Err(broken(Kind::Malformed, "answer switches protocols"));
+            return Err(broken(error::Kind::Malformed, "answer switches protocols"));
         }
         let delimited = bodyless || is_delimited(&answer);
-        Ok(answer.map(|body| Body::new(body, connection, Arc::clone(self), peer, delimited)))
+        Ok(answer
+            .map(|body| body::Body::new(body, connection, sync::Arc::clone(self), peer, delimited)))
     }
 }
 
 /// Idle connections.
 impl Pool {
     /// The idle connection of `peer` that was used last, if one is still usable.
-    fn take(&self, peer: SocketAddr, delivery: Delivery) -> Option<Connection> {
+    fn take(&self, peer: net::SocketAddr, delivery: Delivery) -> Option<connection::Connection> {
         if delivery == Delivery::OnceFresh {
             return None;
         }
@@ -185,7 +187,7 @@
     }
 
     /// Keeps a connection for the next call.
-    pub(crate) fn put(&self, peer: SocketAddr, connection: Connection) {
+    pub(crate) fn put(&self, peer: net::SocketAddr, connection: connection::Connection) {
         let now = self.clock.now();
         if connection.is_expired(now) {
             return;
@@ -203,7 +205,7 @@
 
 impl Idle {
     /// Removes connections past their age limit; those to peers that are gone are never taken.
-    fn sweep(&mut self, now: Moment) {
+    fn sweep(&mut self, now: moment::Moment) {
         self.swept = Some(now);
         self.peers.retain(|_, kept| {
             kept.retain(|connection| !connection.is_expired(now));
@@ -213,9 +215,12 @@
 }
 
 /// Whether the end of a body is marked by a length or by the last chunk.
-fn is_delimited<B>(answer: &Response<B>) -> bool {
+fn is_delimited<B>(answer: &hyper::Response<B>) -> bool {
     let headers = answer.headers();
     headers.contains_key(header::CONTENT_LENGTH)
         || headers.contains_key(header::TRANSFER_ENCODING)
-        || matches!(answer.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+        || matches!(
+            answer.status(),
+            hyper::StatusCode::NO_CONTENT | hyper::StatusCode::NOT_MODIFIED
+        )
 }
--- a/crates/corneltrestle/src/bin/corneltrestle.rs
+++ b/crates/corneltrestle/src/bin/corneltrestle.rs
@@ -1,7 +1,7 @@
 //! The operators' program.
 
-use std::process::ExitCode;
+use std::process;
 
-fn main() -> ExitCode {
+fn main() -> process::ExitCode {
     corneltrestle::command::main()
 }
--- a/crates/corneltrestle/src/command.rs
+++ b/crates/corneltrestle/src/command.rs
@@ -8,7 +8,7 @@
 mod status;
 mod table;
 
-use std::process::ExitCode;
+use std::process;
 
 use corneltrestle_kernel::linkme::{self, distributed_slice};
 
@@ -79,19 +79,19 @@
 impl std::error::Error for Error {}
 
 /// Runs the program with its command line.
-pub fn main() -> ExitCode {
+pub fn main() -> process::ExitCode {
     let mut parser = lexopt::Parser::from_env();
     match dispatch(&mut parser) {
-        Ok(Exit::Success) => ExitCode::SUCCESS,
-        Ok(Exit::Failure) => ExitCode::from(1),
-        Ok(Exit::Unknown) => ExitCode::from(3),
+        Ok(Exit::Success) => process::ExitCode::SUCCESS,
+        Ok(Exit::Failure) => process::ExitCode::from(1),
+        Ok(Exit::Unknown) => process::ExitCode::from(3),
         Err(Error::Usage(hint)) => {
             eprintln!("corneltrestle: {hint}; try --help");
-            ExitCode::from(2)
+            process::ExitCode::from(2)
         }
         Err(e) => {
             eprintln!("corneltrestle: {e}");
-            ExitCode::from(1)
+            process::ExitCode::from(1)
         }
     }
 }
--- a/crates/corneltrestle/src/command/client.rs
+++ b/crates/corneltrestle/src/command/client.rs
@@ -1,23 +1,21 @@
 //! Calls to the operators' interface of a node.
 
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::{net, path};
 
-use corneltrestle_local as local;
-use corneltrestle_local::caller::{Answer, Caller};
+use corneltrestle_local::{self as local, caller};
 use corneltrestle_node::identity;
 use corneltrestle_wire::openai;
-use hyper::Method;
 
-use super::{Error, Result};
+use super::Result;
+use crate::command;
 
 /// How to reach a node, from the command line.
 #[derive(Debug, Default)]
 pub(super) struct Access {
     /// Address of the operators' interface.
-    pub node: Option<SocketAddr>,
+    pub node: Option<net::SocketAddr>,
     /// File with the operators' token.
-    pub token: Option<PathBuf>,
+    pub token: Option<path::PathBuf>,
 }
 
 impl Access {
@@ -27,29 +25,41 @@
 
         match name {
             "node" => self.node = Some(parser.value()?.parse()?),
-            "token-file" => self.token = Some(PathBuf::from(parser.value()?)),
+            "token-file" => self.token = Some(path::PathBuf::from(parser.value()?)),
             _ => return Ok(false),
         }
         Ok(true)
     }
 
     /// Calls the node and reads the whole answer.
-    pub(super) fn call(&self, method: Method, path: &str, body: String) -> Result<Answer> {
-        let node = self.node.ok_or_else(|| Error::Usage("--node ADDRESS is missing".to_owned()))?;
-        let caller = Caller::new(node, &self.read_token()?);
+    pub(super) fn call(
+        &self,
+        method: hyper::Method,
+        path: &str,
+        body: String,
+    ) -> Result<caller::Answer> {
+        let node = self
+            .node
+            .ok_or_else(|| command::Error::Usage("--node ADDRESS is missing".to_owned()))?;
+        let caller = caller::Caller::new(node, &self.read_token()?);
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
             .map_err(|e| failed("start", node, e))?;
         let call = caller.call(method, path, &[], body.into_bytes());
         runtime.block_on(call).map_err(|e| match e {
-            local::Error::Call { step, peer, cause } => Error::Failed { step, peer, cause },
+            local::Error::Call { step, peer, cause } => {
+                command::Error::Failed { step, peer, cause }
+            }
             other => failed("call", node, other),
         })
     }
 
     /// Decodes the answer to a call.
-    pub(super) fn decode<T: serde::de::DeserializeOwned>(&self, answer: &Answer) -> Result<T> {
+    pub(super) fn decode<T: serde::de::DeserializeOwned>(
+        &self,
+        answer: &caller::Answer,
+    ) -> Result<T> {
         let peer = self.node.map_or_else(String::new, |node| node.to_string());
         if !answer.status.is_success() {
             return Err(failed("call", peer, refused(answer)));
@@ -58,7 +68,7 @@
     }
 
     fn read_token(&self) -> Result<String> {
-        let missing = || Error::Usage("--token-file FILE is missing".to_owned());
+        let missing = || command::Error::Usage("--token-file FILE is missing".to_owned());
         let file = self.token.as_ref().ok_or_else(missing)?;
         let read = |e: &dyn std::fmt::Display| failed("read token", file.display(), e);
         let secret = identity::Secret::read(file).map_err(|e| read(&e))?;
@@ -67,12 +77,12 @@
 }
 
 /// What an answer without success says.
-pub(super) fn refused(answer: &Answer) -> String {
+pub(super) fn refused(answer: &caller::Answer) -> String {
     let error: Option<openai::ErrorBody<'_>> = serde_json::from_slice(&answer.body).ok();
     let message = error.map(|body| format!(": {}", body.error.message)).unwrap_or_default();
     format!("{}{message}", answer.status)
 }
 
-fn failed(step: &'static str, peer: impl ToString, cause: impl ToString) -> Error {
-    Error::Failed { step, peer: peer.to_string(), cause: cause.to_string() }
+fn failed(step: &'static str, peer: impl ToString, cause: impl ToString) -> command::Error {
+    command::Error::Failed { step, peer: peer.to_string(), cause: cause.to_string() }
 }
--- a/crates/corneltrestle/src/command/demo.rs
+++ b/crates/corneltrestle/src/command/demo.rs
@@ -13,11 +13,12 @@
 use corneltrestle_kernel::{linkme, pool};
 use lexopt::prelude::*;
 
-use super::{COMMANDS, Command, Error, Exit, Result};
+use super::Result;
+use crate::command;
 
-#[linkme::distributed_slice(COMMANDS)]
+#[linkme::distributed_slice(command::COMMANDS)]
 #[linkme(crate = linkme)]
-static DEMO: Command = Command {
+static DEMO: command::Command = command::Command {
     name: "demo",
     summary: "run the whole system in one process and check its guarantees",
     help: HELP,
@@ -63,7 +64,7 @@
     }
 }
 
-fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
+fn run(parser: &mut lexopt::Parser) -> Result<command::Exit> {
     let mut options = Options { serve: false, seed: 1, json: false };
     while let Some(argument) = parser.next()? {
         match argument {
@@ -75,9 +76,9 @@
     }
     let pool = pool::Pool::spawn(WORKERS).map_err(|e| failed("start", "workers", e))?;
     let report = pool.wait(run::run(options))?;
-    Ok(if report.violations.is_empty() { Exit::Success } else { Exit::Failure })
+    Ok(if report.violations.is_empty() { command::Exit::Success } else { command::Exit::Failure })
 }
 
-fn failed(step: &'static str, peer: impl ToString, cause: impl ToString) -> Error {
-    Error::Failed { step, peer: peer.to_string(), cause: cause.to_string() }
+fn failed(step: &'static str, peer: impl ToString, cause: impl ToString) -> command::Error {
+    command::Error::Failed { step, peer: peer.to_string(), cause: cause.to_string() }
 }
--- a/crates/corneltrestle/src/command/demo/check.rs
+++ b/crates/corneltrestle/src/command/demo/check.rs
@@ -1,13 +1,12 @@
 //! What became of a request, judged against the answer that it must get.
 
-use std::time::{Duration, Instant};
+use std::time;
 
-use corneltrestle_http::answer::{OUTCOME, REQUEST_ID};
-use corneltrestle_local::caller::{Answer, Caller, Parts};
+use corneltrestle_http::answer;
+use corneltrestle_local::caller;
 use corneltrestle_wire::{openai, sse};
-use hyper::{HeaderMap, Method};
 
-use super::request::Generation;
+use super::request;
 
 /// Largest event of a stream in bytes.
 const EVENT_MAX_BYTES: usize = 64 * 1024;
@@ -16,7 +15,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum End {
     /// The complete and right answer, with the time to the first token of a stream.
-    Whole(Option<Duration>),
+    Whole(Option<time::Duration>),
     /// An answer of the system itself.
     Refused {
         /// The code in the answer.
@@ -35,16 +34,16 @@
 }
 
 /// Sends a generation and checks its answer.
-pub(super) async fn generate(caller: &Caller, generation: &Generation) -> End {
-    let sent = Instant::now();
+pub(super) async fn generate(caller: &caller::Caller, generation: &request::Generation) -> End {
+    let sent = time::Instant::now();
     let body = generation.body.clone();
     if generation.stream {
-        match caller.send(Method::POST, generation.path, &[], body).await {
+        match caller.send(hyper::Method::POST, generation.path, &[], body).await {
             Ok(parts) => stream(parts, generation, sent).await,
             Err(e) => End::NoAnswer(e.to_string()),
         }
     } else {
-        match caller.call(Method::POST, generation.path, &[], body).await {
+        match caller.call(hyper::Method::POST, generation.path, &[], body).await {
             Ok(answer) => whole(&answer, generation),
             Err(e) => End::NoAnswer(e.to_string()),
         }
@@ -52,8 +51,8 @@
 }
 
 /// The end of a request that was not answered by its upstream, if it was not.
-pub(super) fn refusal(headers: &HeaderMap, body: &[u8]) -> Option<End> {
-    let outcome = headers.get(OUTCOME)?.to_str().unwrap_or("unreadable").to_owned();
+pub(super) fn refusal(headers: &hyper::HeaderMap, body: &[u8]) -> Option<End> {
+    let outcome = headers.get(answer::OUTCOME)?.to_str().unwrap_or("unreadable").to_owned();
     let (code, message) = serde_json::from_slice::<openai::ErrorBody<'_>>(body).map_or_else(
         |e| ("unreadable".to_owned(), e.to_string()),
         |body| (body.error.code.into_owned(), body.error.message.into_owned()),
@@ -61,7 +60,7 @@
     Some(End::Refused { code, outcome, message })
 }
 
-fn whole(answer: &Answer, generation: &Generation) -> End {
+fn whole(answer: &caller::Answer, generation: &request::Generation) -> End {
     if let Some(refused) = refusal(&answer.headers, &answer.body) {
         return refused;
     }
@@ -73,9 +72,13 @@
     judge(text, body["id"].as_str().unwrap_or(""), &answer.headers, generation, None)
 }
 
-async fn stream(mut parts: Parts, generation: &Generation, sent: Instant) -> End {
+async fn stream(
+    mut parts: caller::Parts,
+    generation: &request::Generation,
+    sent: time::Instant,
+) -> End {
     let headers = parts.headers().clone();
-    if headers.contains_key(OUTCOME) {
+    if headers.contains_key(answer::OUTCOME) {
         let mut body = Vec::new();
         while let Ok(Some(part)) = parts.next().await {
             body.extend_from_slice(&part);
@@ -120,11 +123,11 @@
 fn judge(
     text: &str,
     id: &str,
-    headers: &HeaderMap,
-    generation: &Generation,
-    first: Option<Duration>,
+    headers: &hyper::HeaderMap,
+    generation: &request::Generation,
+    first: Option<time::Duration>,
 ) -> End {
-    let own = headers.get(REQUEST_ID).and_then(|value| value.to_str().ok()).unwrap_or("");
+    let own = headers.get(answer::REQUEST_ID).and_then(|value| value.to_str().ok()).unwrap_or("");
     if id != own {
         return End::Wrong(format!("request {own} got an answer of {id}"));
     }
--- a/crates/corneltrestle/src/command/demo/notes.rs
+++ b/crates/corneltrestle/src/command/demo/notes.rs
@@ -1,6 +1,6 @@
 //! The release notes of the demo.
 
-use std::net::SocketAddr;
+use std::net;
 
 /// The zones of the deployment.
 pub(super) const ZONES: [&str; 2] = ["zone-a", "zone-b"];
@@ -28,7 +28,7 @@
 }
 
 /// The sample note with the addresses of the order services.
-pub(super) fn first<'a>(services: impl IntoIterator<Item = (&'a str, SocketAddr)>) -> String {
+pub(super) fn first<'a>(services: impl IntoIterator<Item = (&'a str, net::SocketAddr)>) -> String {
     services.into_iter().fold(SAMPLE.to_owned(), |note, (zone, address)| {
         note.replace(&format!("@orders-{zone}@"), &address.to_string())
     })
--- a/crates/corneltrestle/src/command/demo/report.rs
+++ b/crates/corneltrestle/src/command/demo/report.rs
@@ -1,11 +1,10 @@
 //! The final table and the guarantees that it is judged by.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+use std::{collections, time};
 
-use comfy_table::{Table, presets};
+use comfy_table::presets;
 
-use super::tally::{Counts, Tally};
+use super::tally;
 
 /// Least share of requests that are answered whole; the remaining zone has the capacity for all.
 const WHOLE_MIN: f64 = 0.999;
@@ -25,9 +24,9 @@
     /// Time that the shutdown took, in milliseconds.
     pub shutdown_ms: u64,
     /// Counts by kind of request.
-    pub requests: BTreeMap<&'static str, Counts>,
+    pub requests: collections::BTreeMap<&'static str, tally::Counts>,
     /// Counts over all kinds.
-    pub total: Counts,
+    pub total: tally::Counts,
     /// Time to the first token of streams.
     pub first_token: FirstToken,
     /// Runs of orders.
@@ -92,7 +91,11 @@
 
 impl Report {
     /// Takes over what callers saw and what the order services ran, with the violations in them.
-    pub(super) fn judge(&mut self, tally: &Tally, runs: &BTreeMap<String, u64>) {
+    pub(super) fn judge(
+        &mut self,
+        tally: &tally::Tally,
+        runs: &collections::BTreeMap<String, u64>,
+    ) {
         self.requests = tally.kinds.clone();
         self.details = tally.faults.clone();
         self.total = tally.total();
@@ -141,7 +144,7 @@
         }
     }
 
-    fn judge_orders(&mut self, tally: &Tally, runs: &BTreeMap<String, u64>) {
+    fn judge_orders(&mut self, tally: &tally::Tally, runs: &collections::BTreeMap<String, u64>) {
         if self.orders.duplicates > 0 {
             self.violated("an order runs at most once", self.orders.duplicates);
         }
@@ -170,13 +173,13 @@
 }
 
 /// Whole milliseconds.
-pub(super) fn millis(span: Duration) -> u64 {
+pub(super) fn millis(span: time::Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
 impl std::fmt::Display for Report {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let mut requests = Table::new();
+        let mut requests = comfy_table::Table::new();
         requests.load_preset(presets::UTF8_FULL_CONDENSED).set_header([
             "requests",
             "sent",
@@ -191,7 +194,7 @@
             let counts = [c.sent, c.whole, c.refused, c.cut_off, c.no_answer, c.wrong];
             requests.add_row([kind.to_owned()].into_iter().chain(counts.map(|n| n.to_string())));
         }
-        let mut figures = Table::new();
+        let mut figures = comfy_table::Table::new();
         figures.load_preset(presets::UTF8_FULL_CONDENSED).set_header(["figure", "value"]);
         for (name, value) in self.figures() {
             figures.add_row([name, value]);
--- a/crates/corneltrestle/src/command/demo/request.rs
+++ b/crates/corneltrestle/src/command/demo/request.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use serde_json::json;
 
-use super::notes::{MODEL, Organisation};
+use super::notes;
 
 /// Fewest and most tokens of an answer.
 const TOKENS: std::ops::RangeInclusive<u64> = 4..=40;
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Request {
     /// Who sends it.
-    pub organisation: Organisation,
+    pub organisation: notes::Organisation,
     /// Number of the node that gets it.
     pub node: usize,
     /// Number of the node that gets the repetition of an order.
@@ -56,7 +56,7 @@
 impl Request {
     /// Draws request `number` of an organisation, for one of `nodes` nodes.
     pub(super) fn draw(
-        organisation: Organisation,
+        organisation: notes::Organisation,
         number: u64,
         nodes: usize,
         rng: &mut impl Rng,
@@ -80,7 +80,11 @@
 
 impl Generation {
     /// Draws a generation.
-    pub(super) fn draw(organisation: Organisation, stream: bool, rng: &mut impl Rng) -> Self {
+    pub(super) fn draw(
+        organisation: notes::Organisation,
+        stream: bool,
+        rng: &mut impl Rng,
+    ) -> Self {
         let tokens = rng.random_range(TOKENS);
         Self::of_length(tokens, organisation, stream, rng)
     }
@@ -88,12 +92,12 @@
     /// Draws a generation with an answer of `tokens` tokens.
     pub(super) fn of_length(
         tokens: u64,
-        organisation: Organisation,
+        organisation: notes::Organisation,
         stream: bool,
         rng: &mut impl Rng,
     ) -> Self {
         let prompt = format!("{} asks {}", organisation.name, rng.random_range(0..PROMPTS));
-        let mut body = json!({"model": MODEL, "stream": stream, "max_tokens": tokens});
+        let mut body = json!({"model": notes::MODEL, "stream": stream, "max_tokens": tokens});
         let path = if rng.random_bool(0.5) {
             body["messages"] = json!([{"role": "user", "content": prompt}]);
             "/v1/chat/completions"
@@ -108,6 +112,6 @@
     }
 }
 
-fn order_key(organisation: Organisation, number: u64) -> String {
+fn order_key(organisation: notes::Organisation, number: u64) -> String {
     format!("{}-{number}", organisation.name)
 }
--- a/crates/corneltrestle/src/command/demo/run.rs
+++ b/crates/corneltrestle/src/command/demo/run.rs
@@ -1,42 +1,37 @@
 //! The course of the demo.
 
-use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::{collections, time};
 
-use corneltrestle_local::caller::Caller;
-use corneltrestle_local::{self as local, Local, Plan};
-use corneltrestle_node::operate::Verdict;
+use corneltrestle_local::{self as local, caller};
+use corneltrestle_node::operate;
 use corneltrestle_policy::report::Phase;
-use hyper::{Method, StatusCode};
 use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 
-use super::check::{self, End};
-use super::notes::{self, MOVED, ORGANISATIONS, ZONES};
-use super::report::{self, Report};
-use super::request::Generation;
-use super::traffic::Traffic;
-use super::{Options, failed, serve};
-use crate::command::{Error, Result};
+use super::{
+    check, failed,
+    notes::{self, MOVED},
+    report, request, serve, traffic,
+};
+use crate::command::{self, Result, demo};
 
 /// Longest time until everything serves, and until a zone that returned gets work.
-const SERVING_LIMIT: Duration = Duration::from_secs(20);
+const SERVING_LIMIT: time::Duration = time::Duration::from_secs(20);
 /// Time of load with all zones in service, before a zone leaves and after it returned.
-const LOAD_TIME: Duration = Duration::from_secs(5);
+const LOAD_TIME: time::Duration = time::Duration::from_secs(5);
 /// Time after which a zone that is out gets no new work.
-const OUT_LIMIT: Duration = Duration::from_secs(3);
+const OUT_LIMIT: time::Duration = time::Duration::from_secs(3);
 /// Time during which a zone that is out is watched.
-const OUT_TIME: Duration = Duration::from_secs(4);
+const OUT_TIME: time::Duration = time::Duration::from_secs(4);
 /// Time from taking a node out of the callers' balancer to its stop. A node closes connections whose
 /// request has not arrived when it stops, so the balancer has to come first.
-const BALANCER_TIME: Duration = Duration::from_millis(500);
+const BALANCER_TIME: time::Duration = time::Duration::from_millis(500);
 /// Tokens of the stream that is in progress while a node stops; at 5 ms each it outlasts
 /// [`BALANCER_TIME`].
 const LONG_TOKENS: u64 = 300;
 /// The kind of that stream in the report.
 const LONG: &str = "streamed over a stop";
 /// Time between two looks at something that is waited for.
-const LOOK_PERIOD: Duration = Duration::from_millis(50);
+const LOOK_PERIOD: time::Duration = time::Duration::from_millis(50);
 /// The node that is stopped and started.
 const RESTARTED: &str = "zone-b-entry-0";
 /// Calls that count as work of an upstream.
@@ -47,17 +42,18 @@
 /// # Errors
 ///
 /// When the deployment cannot be opened or does not serve.
-pub(super) async fn run(options: Options) -> Result<Report> {
-    let begun = Instant::now();
-    let mut local = Local::open(Plan::zones(&ZONES)).await.map_err(call_failed)?;
+pub(super) async fn run(options: demo::Options) -> Result<report::Report> {
+    let begun = time::Instant::now();
+    let mut local =
+        local::Local::open(local::Plan::zones(&notes::ZONES)).await.map_err(call_failed)?;
     options.progress(&format!(
         "opened {} engines, {} order services and {} entry nodes in {}",
         local.engines.len(),
         local.services.len(),
         local.nodes.len(),
-        ZONES.join(" and "),
+        notes::ZONES.join(" and "),
     ));
-    let mut report = Report { seed: options.seed, ..Report::default() };
+    let mut report = report::Report { seed: options.seed, ..report::Report::default() };
     let course = course(&mut local, options, &mut report).await;
     report.run_ms = report::millis(begun.elapsed());
     if course.is_ok() && options.serve {
@@ -66,7 +62,7 @@
         local.shutdown().await;
         return Ok(report);
     }
-    let stopping = Instant::now();
+    let stopping = time::Instant::now();
     local.shutdown().await;
     report.shutdown_ms = report::millis(stopping.elapsed());
     course?;
@@ -75,7 +71,7 @@
     Ok(report)
 }
 
-fn show(options: Options, report: &Report) {
+fn show(options: demo::Options, report: &report::Report) {
     if options.json {
         println!("{}", serde_json::to_string_pretty(report).unwrap_or_default());
     } else {
@@ -83,9 +79,13 @@
     }
 }
 
-async fn course(local: &mut Local, options: Options, report: &mut Report) -> Result<()> {
+async fn course(
+    local: &mut local::Local,
+    options: demo::Options,
+    report: &mut report::Report,
+) -> Result<()> {
     wait_until("become ready", async || is_ready(local).await).await?;
-    let applied = Instant::now();
+    let applied = time::Instant::now();
     let services = local.services.iter();
     let note = notes::first(services.map(|(zone, handle)| (zone.as_str(), handle.address())));
     let mut revision = apply(local, &note).await?;
@@ -98,7 +98,7 @@
     ));
 
     let nodes = local.nodes.values().map(|node| node.callers).collect();
-    let traffic = Traffic::open(nodes, options.seed);
+    let traffic = traffic::Traffic::open(nodes, options.seed);
     tokio::time::sleep(LOAD_TIME).await;
     report.zone.before = work_of_moved(local);
     progress(options, &traffic, "both zones are in service");
@@ -133,18 +133,18 @@
 
 /// Stops a node as planned and starts it again, while the callers' balancer sends its requests to
 /// the next node; returns the time that the stop took, in milliseconds.
-async fn restart(local: &mut Local, traffic: &Traffic, seed: u64) -> Result<u64> {
+async fn restart(local: &mut local::Local, traffic: &traffic::Traffic, seed: u64) -> Result<u64> {
     let addresses: Vec<_> = local.nodes.values().map(|node| node.callers).collect();
     let number = local.nodes.keys().position(|name| name == RESTARTED).unwrap_or(0);
     traffic.redirect(number, addresses[(number + 1) % addresses.len()]);
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let organisation = ORGANISATIONS[0];
-    let long = Generation::of_length(LONG_TOKENS, organisation, true, &mut rng);
-    let caller = Caller::new(addresses[number], organisation.key);
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    let organisation = notes::ORGANISATIONS[0];
+    let long = request::Generation::of_length(LONG_TOKENS, organisation, true, &mut rng);
+    let caller = caller::Caller::new(addresses[number], organisation.key);
     let sender = traffic.clone();
     let streamed = tokio::spawn(async move { sender.generate(&caller, LONG, &long).await });
     tokio::time::sleep(BALANCER_TIME).await;
-    let begun = Instant::now();
+    let begun = time::Instant::now();
     local.stop_node(RESTARTED).await;
     let taken = report::millis(begun.elapsed());
     local.start_node(RESTARTED).map_err(call_failed)?;
@@ -154,7 +154,7 @@
     Ok(taken)
 }
 
-fn progress(options: Options, traffic: &Traffic, stage: &str) {
+fn progress(options: demo::Options, traffic: &traffic::Traffic, stage: &str) {
     let total = traffic.tally.lock().total();
     options.progress(&format!(
         "{stage}: {} requests sent, {} answered whole, {} not",
@@ -164,9 +164,9 @@
     ));
 }
 
-async fn apply(local: &Local, note: &str) -> Result<u64> {
+async fn apply(local: &local::Local, note: &str) -> Result<u64> {
     match local.apply(note).await.map_err(call_failed)? {
-        Verdict::Accepted { revision } => Ok(revision),
+        operate::Verdict::Accepted { revision } => Ok(revision),
         verdict => Err(failed("apply note", "the first node", format!("{verdict:?}"))),
     }
 }
@@ -183,32 +183,32 @@
         .map_err(|_| failed(step, "the deployment", "not within the limit"))
 }
 
-async fn is_ready(local: &Local) -> bool {
+async fn is_ready(local: &local::Local) -> bool {
     for node in local.nodes.values() {
-        let caller = Caller::new(node.callers, "");
-        let answer = caller.call(Method::GET, "/readyz", &[], Vec::new()).await;
-        if !answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+        let caller = caller::Caller::new(node.callers, "");
+        let answer = caller.call(hyper::Method::GET, "/readyz", &[], Vec::new()).await;
+        if !answer.is_ok_and(|answer| answer.status == hyper::StatusCode::OK) {
             return false;
         }
     }
     true
 }
 
-fn engines_serve(local: &Local) -> bool {
+fn engines_serve(local: &local::Local) -> bool {
     local.engines.values().all(|engine| engine.api().report().phase == Phase::Ready)
 }
 
 /// Sends a request to each node and waits for its answer.
-async fn probe(local: &Local, seed: u64) -> Result<()> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let organisation = ORGANISATIONS[0];
+async fn probe(local: &local::Local, seed: u64) -> Result<()> {
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+    let organisation = notes::ORGANISATIONS[0];
     for (name, node) in &local.nodes {
-        let generation = Generation::draw(organisation, false, &mut rng);
-        let caller = Caller::new(node.callers, organisation.key);
-        let begun = Instant::now();
+        let generation = request::Generation::draw(organisation, false, &mut rng);
+        let caller = caller::Caller::new(node.callers, organisation.key);
+        let begun = time::Instant::now();
         loop {
             match check::generate(&caller, &generation).await {
-                End::Whole(_) => break,
+                check::End::Whole(_) => break,
                 end if begun.elapsed() > SERVING_LIMIT => {
                     return Err(failed("serve", name, format!("{end:?}")));
                 }
@@ -220,7 +220,7 @@
 }
 
 /// Requests that the upstreams of the moved zone have received.
-fn work_of_moved(local: &Local) -> u64 {
+fn work_of_moved(local: &local::Local) -> u64 {
     let engines = local.engines.iter().filter(|(vm, _)| vm.starts_with(MOVED));
     let services = local.services.iter().filter(|(zone, _)| zone == MOVED);
     let counts =
@@ -229,8 +229,8 @@
 }
 
 /// Runs by idempotency key over all order services.
-fn runs(local: &Local) -> BTreeMap<String, u64> {
-    let mut all = BTreeMap::new();
+fn runs(local: &local::Local) -> collections::BTreeMap<String, u64> {
+    let mut all = collections::BTreeMap::new();
     for (_, service) in &local.services {
         for (key, runs) in service.api().runs().keys {
             *all.entry(key).or_default() += runs;
@@ -239,9 +239,9 @@
     all
 }
 
-fn call_failed(error: local::Error) -> Error {
+fn call_failed(error: local::Error) -> command::Error {
     match error {
-        local::Error::Call { step, peer, cause } => Error::Failed { step, peer, cause },
+        local::Error::Call { step, peer, cause } => command::Error::Failed { step, peer, cause },
         other => failed("open", "the deployment", other),
     }
 }
--- a/crates/corneltrestle/src/command/demo/serve.rs
+++ b/crates/corneltrestle/src/command/demo/serve.rs
@@ -1,17 +1,20 @@
 //! `--serve`: the deployment stays up, with calls to try.
 
-use corneltrestle_local::Local;
-
-use super::notes::{DESK, MODEL, ORGANISATIONS};
-use super::{Options, failed};
-use crate::command::Result;
+use super::{
+    failed,
+    notes::{self, DESK, MODEL},
+};
+use crate::command::{Result, demo};
 
 /// Prints calls to try and waits for Ctrl-C.
 ///
 /// # Errors
 ///
 /// When the signal cannot be listened for.
-pub(super) async fn until_interrupt(local: &Local, options: Options) -> Result<()> {
+pub(super) async fn until_interrupt(
+    local: &corneltrestle_local::Local,
+    options: demo::Options,
+) -> Result<()> {
     options.progress("\nthe deployment stays up until Ctrl-C; calls to try:\n");
     for line in lines(local) {
         options.progress(&line);
@@ -21,10 +24,10 @@
     Ok(())
 }
 
-fn lines(local: &Local) -> Vec<String> {
+fn lines(local: &corneltrestle_local::Local) -> Vec<String> {
     let Some(node) = local.nodes.values().next() else { return Vec::new() };
     let (callers, operators) = (node.callers, node.operators);
-    let key = ORGANISATIONS[0].key;
+    let key = notes::ORGANISATIONS[0].key;
     let token = local.token_file();
     let token = token.display();
     vec![
--- a/crates/corneltrestle/src/command/demo/tally.rs
+++ b/crates/corneltrestle/src/command/demo/tally.rs
@@ -1,11 +1,10 @@
 //! What callers saw.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use corneltrestle_kernel::table;
-use hdrhistogram::Histogram;
 
-use super::check::End;
+use super::check;
 
 /// Longest time to a first token that is told apart, in microseconds.
 const FIRST_TOKEN_MAX_US: u64 = 60_000_000;
@@ -16,13 +15,13 @@
 #[derive(Debug)]
 pub(super) struct Tally {
     /// Counts by kind of request.
-    pub kinds: BTreeMap<&'static str, Counts>,
+    pub kinds: collections::BTreeMap<&'static str, Counts>,
     /// Times to the first token in microseconds.
-    pub first: Histogram<u64>,
+    pub first: hdrhistogram::Histogram<u64>,
     /// Refusals by code and outcome.
-    pub refusals: BTreeMap<(String, String), u64>,
+    pub refusals: collections::BTreeMap<(String, String), u64>,
     /// What callers know of the orders, by key.
-    pub orders: BTreeMap<String, Order>,
+    pub orders: collections::BTreeMap<String, Order>,
     /// Descriptions of requests that were not answered whole.
     pub faults: Vec<String>,
 }
@@ -62,11 +61,11 @@
 impl Default for Tally {
     fn default() -> Self {
         Self {
-            kinds: BTreeMap::new(),
-            first: Histogram::new_with_bounds(1, FIRST_TOKEN_MAX_US, 3)
+            kinds: collections::BTreeMap::new(),
+            first: hdrhistogram::Histogram::new_with_bounds(1, FIRST_TOKEN_MAX_US, 3)
                 .expect("the bounds are valid"),
-            refusals: BTreeMap::new(),
-            orders: BTreeMap::new(),
+            refusals: collections::BTreeMap::new(),
+            orders: collections::BTreeMap::new(),
             faults: Vec::new(),
         }
     }
@@ -101,10 +100,10 @@
     }
 
     /// Counts the end of a request.
-    pub(super) fn ended(&mut self, kind: &'static str, end: End) {
+    pub(super) fn ended(&mut self, kind: &'static str, end: check::End) {
         let counts = self.kinds.entry(kind).or_default();
         let fault = match end {
-            End::Whole(first) => {
+            check::End::Whole(first) => {
                 counts.whole += 1;
                 if let Some(first) = first {
                     let micros = u64::try_from(first.as_micros()).unwrap_or(u64::MAX);
@@ -112,21 +111,21 @@
                 }
                 return;
             }
-            End::Refused { code, outcome, message } => {
+            check::End::Refused { code, outcome, message } => {
                 counts.refused += 1;
                 let fault = format!("{kind}: refused: {code} ({outcome}): {message}");
                 self.refused(code, outcome);
                 fault
             }
-            End::CutOff(cause) => {
+            check::End::CutOff(cause) => {
                 counts.cut_off += 1;
                 format!("{kind}: cut off: {cause}")
             }
-            End::NoAnswer(cause) => {
+            check::End::NoAnswer(cause) => {
                 counts.no_answer += 1;
                 format!("{kind}: no answer: {cause}")
             }
-            End::Wrong(cause) => {
+            check::End::Wrong(cause) => {
                 counts.wrong += 1;
                 format!("{kind}: wrong: {cause}")
             }
--- a/crates/corneltrestle/src/command/measure.rs
+++ b/crates/corneltrestle/src/command/measure.rs
@@ -1,14 +1,15 @@
 //! `corneltrestle measure`: measurement scenarios.
 
 use corneltrestle_kernel::linkme;
-use corneltrestle_measure::scenario::{self, Options};
+use corneltrestle_measure::scenario;
 use lexopt::prelude::*;
 
-use super::{COMMANDS, Command, Error, Exit, Result};
+use super::Result;
+use crate::command;
 
-#[linkme::distributed_slice(COMMANDS)]
+#[linkme::distributed_slice(command::COMMANDS)]
 #[linkme(crate = linkme)]
-static MEASURE: Command = Command {
+static MEASURE: command::Command = command::Command {
     name: "measure",
     summary: "run a measurement scenario beside its baseline",
     help: HELP,
@@ -31,7 +32,7 @@
 line.
 ";
 
-fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
+fn run(parser: &mut lexopt::Parser) -> Result<command::Exit> {
     let (mut name, mut seed, mut json, mut list) = (None, 1, false, false);
     while let Some(argument) = parser.next()? {
         match argument {
@@ -46,22 +47,20 @@
         for scenario in scenario::ordered() {
             println!("{:14} {}", scenario.name, scenario.summary);
         }
-        return Ok(Exit::Success);
+        return Ok(command::Exit::Success);
     }
-    let name = name.ok_or_else(|| Error::Usage("SCENARIO is missing".to_owned()))?;
-    let scenario = scenario::ordered()
-        .into_iter()
-        .find(|scenario| scenario.name == name)
-        .ok_or_else(|| Error::Usage(format!("unknown scenario {name}; see measure --list")))?;
-    let report = (scenario.run)(&Options { seed, progress: !json }).map_err(|e| Error::Failed {
-        step: "measure",
-        peer: name,
-        cause: e.to_string(),
+    let name = name.ok_or_else(|| command::Error::Usage("SCENARIO is missing".to_owned()))?;
+    let scenario =
+        scenario::ordered().into_iter().find(|scenario| scenario.name == name).ok_or_else(
+            || command::Error::Usage(format!("unknown scenario {name}; see measure --list")),
+        )?;
+    let report = (scenario.run)(&scenario::Options { seed, progress: !json }).map_err(|e| {
+        command::Error::Failed { step: "measure", peer: name, cause: e.to_string() }
     })?;
     if json {
         println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
     } else {
         print!("{report}");
     }
-    Ok(if report.is_met() { Exit::Success } else { Exit::Failure })
+    Ok(if report.is_met() { command::Exit::Success } else { command::Exit::Failure })
 }
--- a/crates/corneltrestle/src/command/note.rs
+++ b/crates/corneltrestle/src/command/note.rs
@@ -1,21 +1,23 @@
 //! `corneltrestle note`: release notes.
 
-use std::path::PathBuf;
+use std::path;
 
 use corneltrestle_kernel::linkme;
-use corneltrestle_local::caller::Answer;
-use corneltrestle_node::operate::Verdict;
-use corneltrestle_node::operate::standing::{Standing, State};
-use hyper::Method;
+use corneltrestle_local::caller;
+use corneltrestle_node::operate::{self, standing};
 use lexopt::prelude::*;
 
-use super::client::{self, Access};
-use super::{COMMANDS, Command, Error, Exit, Result, table};
+use super::{Result, client, table};
+use crate::command;
 
-#[linkme::distributed_slice(COMMANDS)]
+#[linkme::distributed_slice(command::COMMANDS)]
 #[linkme(crate = linkme)]
-static NOTE: Command =
-    Command { name: "note", summary: "check, apply and look up release notes", help: HELP, run };
+static NOTE: command::Command = command::Command {
+    name: "note",
+    summary: "check, apply and look up release notes",
+    help: HELP,
+    run,
+};
 
 const HELP: &str = "\
 Checks, applies and looks up release notes.
@@ -38,8 +40,8 @@
 was accepted.
 ";
 
-fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
-    let (mut words, mut access, mut json) = (Vec::new(), Access::default(), false);
+fn run(parser: &mut lexopt::Parser) -> Result<command::Exit> {
+    let (mut words, mut access, mut json) = (Vec::new(), client::Access::default(), false);
     while let Some(argument) = parser.next()? {
         match argument {
             Value(word) => words.push(word.string()?),
@@ -47,38 +49,40 @@
             Long(name) => {
                 let name = name.to_owned();
                 if !access.take(&name, parser)? {
-                    return Err(Error::Usage(format!("unknown option --{name}")));
+                    return Err(command::Error::Usage(format!("unknown option --{name}")));
                 }
             }
             argument => return Err(argument.unexpected().into()),
         }
     }
     let [action, subject] = words.as_slice() else {
-        return Err(Error::Usage("expected check FILE, apply FILE or status ID".to_owned()));
+        return Err(command::Error::Usage(
+            "expected check FILE, apply FILE or status ID".to_owned(),
+        ));
     };
     let answer = match action.as_str() {
-        "check" => access.call(Method::POST, "/v1/note/check", read(subject)?)?,
-        "apply" => access.call(Method::POST, "/v1/note", read(subject)?)?,
+        "check" => access.call(hyper::Method::POST, "/v1/note/check", read(subject)?)?,
+        "apply" => access.call(hyper::Method::POST, "/v1/note", read(subject)?)?,
         "status" => return status(&access, subject, json),
-        other => return Err(Error::Usage(format!("unknown action {other}"))),
+        other => return Err(command::Error::Usage(format!("unknown action {other}"))),
     };
     show(&answer, json)
 }
 
 fn read(file: &str) -> Result<String> {
-    std::fs::read_to_string(PathBuf::from(file)).map_err(|e| Error::Failed {
+    std::fs::read_to_string(path::PathBuf::from(file)).map_err(|e| command::Error::Failed {
         step: "read note",
         peer: file.to_owned(),
         cause: e.to_string(),
     })
 }
 
-fn show(answer: &Answer, json: bool) -> Result<Exit> {
-    let verdict: Verdict = match serde_json::from_slice(&answer.body) {
+fn show(answer: &caller::Answer, json: bool) -> Result<command::Exit> {
+    let verdict: operate::Verdict = match serde_json::from_slice(&answer.body) {
         Ok(verdict) => verdict,
         Err(_) => {
             println!("{}", client::refused(answer));
-            return Ok(Exit::Failure);
+            return Ok(command::Exit::Failure);
         }
     };
     if json {
@@ -87,31 +91,33 @@
         print(&verdict);
     }
     Ok(match verdict {
-        Verdict::Accepted { .. } | Verdict::Valid { .. } => Exit::Success,
-        Verdict::Unknown { .. } => Exit::Unknown,
-        _ => Exit::Failure,
+        operate::Verdict::Accepted { .. } | operate::Verdict::Valid { .. } => {
+            command::Exit::Success
+        }
+        operate::Verdict::Unknown { .. } => command::Exit::Unknown,
+        _ => command::Exit::Failure,
     })
 }
 
-fn status(access: &Access, id: &str, json: bool) -> Result<Exit> {
-    let answer = access.call(Method::GET, &format!("/v1/note/{id}"), String::new())?;
-    let standing: Standing = access.decode(&answer)?;
+fn status(access: &client::Access, id: &str, json: bool) -> Result<command::Exit> {
+    let answer = access.call(hyper::Method::GET, &format!("/v1/note/{id}"), String::new())?;
+    let standing: standing::Standing = access.decode(&answer)?;
     if json {
         println!("{}", serde_json::to_string_pretty(&standing).unwrap_or_default());
     } else {
         print!("{}", standing_text(&standing));
     }
-    Ok(if standing.is_in_force() { Exit::Success } else { Exit::Failure })
+    Ok(if standing.is_in_force() { command::Exit::Success } else { command::Exit::Failure })
 }
 
 /// The zones as a table, and the verdict.
-fn standing_text(standing: &Standing) -> String {
+fn standing_text(standing: &standing::Standing) -> String {
     let mut zones = table::open(&["zone", "state", "nodes"]);
     for zone in &standing.zones {
         let state = match zone.state {
-            State::InForce => "in force",
-            State::Behind => "behind",
-            State::Unreachable => "unreachable",
+            standing::State::InForce => "in force",
+            standing::State::Behind => "behind",
+            standing::State::Unreachable => "unreachable",
         };
         let nodes: Vec<_> = zone.nodes.iter().map(ToString::to_string).collect();
         zones.add_row([zone.zone.to_string(), state.to_owned(), nodes.join(", ")]);
@@ -125,16 +131,20 @@
     format!("Note {id} was accepted at revision {revision}; it is {verdict}.\n{zones}\n")
 }
 
-fn print(verdict: &Verdict) {
+fn print(verdict: &operate::Verdict) {
     match verdict {
-        Verdict::Accepted { revision } => println!("accepted at revision {revision}"),
-        Verdict::Valid { revision } => println!("valid; it would lead to revision {revision}"),
-        Verdict::Rejected { faults } => {
+        operate::Verdict::Accepted { revision } => println!("accepted at revision {revision}"),
+        operate::Verdict::Valid { revision } => {
+            println!("valid; it would lead to revision {revision}")
+        }
+        operate::Verdict::Rejected { faults } => {
             println!("rejected:");
             faults.iter().for_each(|fault| println!("  {fault}"));
         }
-        Verdict::Conflict { revision, hint } => println!("conflict at revision {revision}: {hint}"),
-        Verdict::Unavailable { cause } => println!("not accepted: {cause}"),
-        Verdict::Unknown { cause, hint } => println!("unknown: {cause}; {hint}"),
+        operate::Verdict::Conflict { revision, hint } => {
+            println!("conflict at revision {revision}: {hint}")
+        }
+        operate::Verdict::Unavailable { cause } => println!("not accepted: {cause}"),
+        operate::Verdict::Unknown { cause, hint } => println!("unknown: {cause}; {hint}"),
     }
 }
--- a/crates/corneltrestle/src/command/report.rs
+++ b/crates/corneltrestle/src/command/report.rs
@@ -5,7 +5,8 @@
 use corneltrestle_kernel::linkme::{self, distributed_slice};
 use lexopt::prelude::*;
 
-use super::{COMMANDS, Command, Error, Exit, Result};
+use super::Result;
+use crate::command;
 
 /// A report.
 #[derive(Debug)]
@@ -17,7 +18,7 @@
     /// Complete help text.
     pub help: &'static str,
     /// Runs the report with the arguments after its name.
-    pub run: fn(&mut lexopt::Parser) -> Result<Exit>,
+    pub run: fn(&mut lexopt::Parser) -> Result<command::Exit>,
 }
 
 /// All reports linked into the program.
@@ -25,9 +26,10 @@
 #[linkme(crate = linkme)]
 pub static REPORTS: [Report];
 
-#[linkme::distributed_slice(COMMANDS)]
+#[linkme::distributed_slice(command::COMMANDS)]
 #[linkme(crate = linkme)]
-static REPORT: Command = Command { name: "report", summary: "print a report", help: HELP, run };
+static REPORT: command::Command =
+    command::Command { name: "report", summary: "print a report", help: HELP, run };
 
 const HELP: &str = "\
 Prints a report.
@@ -42,12 +44,12 @@
 Exit codes: 0 as wished, 1 failed or not as wished, 2 wrong command line.
 ";
 
-fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
+fn run(parser: &mut lexopt::Parser) -> Result<command::Exit> {
     let Some(Value(name)) = parser.next()? else {
-        return Err(Error::Usage("the name of a report is missing".to_owned()));
+        return Err(command::Error::Usage("the name of a report is missing".to_owned()));
     };
     let name = name.string()?;
     let report = REPORTS.iter().find(|report| report.name == name);
-    let report = report.ok_or_else(|| Error::Usage(format!("unknown report {name}")))?;
+    let report = report.ok_or_else(|| command::Error::Usage(format!("unknown report {name}")))?;
     (report.run)(parser)
 }
--- a/crates/corneltrestle/src/command/report/burn.rs
+++ b/crates/corneltrestle/src/command/report/burn.rs
@@ -3,24 +3,21 @@
 mod html;
 mod text;
 
-use std::path::PathBuf;
+use std::path;
 
 use corneltrestle_kernel::linkme;
-use corneltrestle_node::counts::reading::Reading;
-use corneltrestle_policy::burn::Verdict;
-use hyper::Method;
+use corneltrestle_node::counts::reading;
+use corneltrestle_policy::burn;
 use lexopt::prelude::*;
 
-use super::{REPORTS, Report};
-use crate::command::client::Access;
-use crate::command::{Error, Exit, Result};
+use crate::command::{self, Result, client, report};
 
 pub use html::render as html;
 pub use text::render as text;
 
-#[linkme::distributed_slice(REPORTS)]
+#[linkme::distributed_slice(report::REPORTS)]
 #[linkme(crate = linkme)]
-static BURN: Report = Report {
+static BURN: report::Report = report::Report {
     name: "burn",
     summary: "error budgets and burn rates by service and organisation",
     help: HELP,
@@ -50,29 +47,29 @@
 a node is missing, or the report failed, 2 wrong command line.
 ";
 
-fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
-    let (mut access, mut json, mut file) = (Access::default(), false, None);
+fn run(parser: &mut lexopt::Parser) -> Result<command::Exit> {
+    let (mut access, mut json, mut file) = (client::Access::default(), false, None);
     while let Some(argument) = parser.next()? {
         match argument {
             Long("json") => json = true,
-            Long("html") => file = Some(PathBuf::from(parser.value()?)),
+            Long("html") => file = Some(path::PathBuf::from(parser.value()?)),
             Long("help") | Short('h') => {
                 print!("{HELP}");
-                return Ok(Exit::Success);
+                return Ok(command::Exit::Success);
             }
             Long(name) => {
                 let name = name.to_owned();
                 if !access.take(&name, parser)? {
-                    return Err(Error::Usage(format!("unknown option --{name}")));
+                    return Err(command::Error::Usage(format!("unknown option --{name}")));
                 }
             }
             argument => return Err(argument.unexpected().into()),
         }
     }
-    let answer = access.call(Method::GET, "/v1/burn", String::new())?;
-    let reading: Reading = access.decode(&answer)?;
+    let answer = access.call(hyper::Method::GET, "/v1/burn", String::new())?;
+    let reading: reading::Reading = access.decode(&answer)?;
     if let Some(file) = file {
-        let failed = |cause: String| Error::Failed {
+        let failed = |cause: String| command::Error::Failed {
             step: "write report",
             peer: file.display().to_string(),
             cause,
@@ -89,7 +86,11 @@
 }
 
 /// Whether the report is as wished.
-pub fn exit(reading: &Reading) -> Exit {
-    let lasts = reading.rows.iter().all(|row| row.verdict <= Verdict::Ok);
-    if lasts && reading.missing.is_empty() { Exit::Success } else { Exit::Failure }
+pub fn exit(reading: &reading::Reading) -> command::Exit {
+    let lasts = reading.rows.iter().all(|row| row.verdict <= burn::Verdict::Ok);
+    if lasts && reading.missing.is_empty() {
+        command::Exit::Success
+    } else {
+        command::Exit::Failure
+    }
 }
--- a/crates/corneltrestle/src/command/report/burn/html.rs
+++ b/crates/corneltrestle/src/command/report/burn/html.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use corneltrestle_node::counts::reading::{Reading, Row};
+use corneltrestle_node::counts::reading;
 use plotters::prelude::*;
 
 use super::text;
@@ -36,7 +36,7 @@
 /// # Errors
 ///
 /// When a plot cannot be drawn.
-pub fn render(reading: &Reading) -> Result<String, String> {
+pub fn render(reading: &reading::Reading) -> Result<String, String> {
     let mut rows: Vec<_> = reading.rows.iter().collect();
     rows.sort_by_key(|row| std::cmp::Reverse(row.verdict));
     let mut page = format!(
@@ -70,7 +70,7 @@
     Ok(page)
 }
 
-fn table(rows: &[&Row]) -> String {
+fn table(rows: &[&reading::Row]) -> String {
     let mut table = String::from("<table>\n<tr>");
     for head in HEAD {
         let _ = write!(table, "<th>{head}</th>");
--- a/crates/corneltrestle/src/command/report/burn/text.rs
+++ b/crates/corneltrestle/src/command/report/burn/text.rs
@@ -2,13 +2,13 @@
 
 use std::fmt::Write;
 
-use corneltrestle_node::counts::reading::{Reading, Row, TARGETS};
-use corneltrestle_policy::burn::{Counts, Verdict};
+use corneltrestle_node::counts::reading;
+use corneltrestle_policy::burn;
 
 use crate::command::table;
 
 /// Renders the report as a table with one line for each target that has counts.
-pub fn render(reading: &Reading) -> String {
+pub fn render(reading: &reading::Reading) -> String {
     let mut table = table::open(&[
         "service",
         "organisation",
@@ -40,7 +40,7 @@
 }
 
 /// The sentence that names the missing nodes; empty if there are none.
-pub(super) fn missing(reading: &Reading) -> String {
+pub(super) fn missing(reading: &reading::Reading) -> String {
     if reading.missing.is_empty() {
         return String::new();
     }
@@ -49,20 +49,20 @@
 }
 
 /// The name of a verdict.
-pub(super) fn verdict(verdict: Verdict) -> &'static str {
+pub(super) fn verdict(verdict: burn::Verdict) -> &'static str {
     match verdict {
-        Verdict::NoData => "no-data",
-        Verdict::Ok => "ok",
-        Verdict::SlowBurn => "slow-burn",
-        Verdict::FastBurn => "fast-burn",
-        Verdict::Exhausted => "exhausted",
+        burn::Verdict::NoData => "no-data",
+        burn::Verdict::Ok => "ok",
+        burn::Verdict::SlowBurn => "slow-burn",
+        burn::Verdict::FastBurn => "fast-burn",
+        burn::Verdict::Exhausted => "exhausted",
     }
 }
 
 /// The lines of a row, one for each target that has counts.
-pub(super) fn lines(row: &Row) -> Vec<[String; 9]> {
+pub(super) fn lines(row: &reading::Row) -> Vec<[String; 9]> {
     let counted = counted(&row.totals.day);
-    let targets = TARGETS.iter().zip(&row.ratings).zip(counted);
+    let targets = reading::TARGETS.iter().zip(&row.ratings).zip(counted);
     targets
         .filter(|(_, (_, all))| *all > 0)
         .map(|((target, rating), (good, all))| {
@@ -82,7 +82,7 @@
 }
 
 /// Good ones and all of them, by target.
-fn counted(counts: &Counts) -> [(u64, u64); 4] {
+fn counted(counts: &burn::Counts) -> [(u64, u64); 4] {
     [
         (counts.whole, counts.requests),
         (counts.prompt_firsts, counts.firsts),
--- a/crates/corneltrestle/src/command/status.rs
+++ b/crates/corneltrestle/src/command/status.rs
@@ -2,20 +2,17 @@
 
 use std::fmt::Write;
 
-use corneltrestle_kernel::linkme;
-use corneltrestle_kernel::run::Stage;
-use corneltrestle_node::operate::overview::{Member, Node, Overview, Replica};
-use corneltrestle_policy::assignment::Phase;
-use corneltrestle_policy::release::ZoneState;
-use hyper::Method;
+use corneltrestle_kernel::{linkme, run};
+use corneltrestle_node::operate::overview;
+use corneltrestle_policy::{assignment, release};
 use lexopt::prelude::*;
 
-use super::client::Access;
-use super::{COMMANDS, Command, Error, Exit, Result, table};
+use super::{Result, client, table};
+use crate::command;
 
-#[linkme::distributed_slice(COMMANDS)]
+#[linkme::distributed_slice(command::COMMANDS)]
 #[linkme(crate = linkme)]
-static STATUS: Command = Command {
+static STATUS: command::Command = command::Command {
     name: "status",
     summary: "show nodes, zones, replicas and upstreams",
     help: HELP,
@@ -39,22 +36,22 @@
 command line.
 ";
 
-fn run(parser: &mut lexopt::Parser) -> Result<Exit> {
-    let (mut access, mut json) = (Access::default(), false);
+fn run(parser: &mut lexopt::Parser) -> Result<command::Exit> {
+    let (mut access, mut json) = (client::Access::default(), false);
     while let Some(argument) = parser.next()? {
         match argument {
             Long("json") => json = true,
             Long(name) => {
                 let name = name.to_owned();
                 if !access.take(&name, parser)? {
-                    return Err(Error::Usage(format!("unknown option --{name}")));
+                    return Err(command::Error::Usage(format!("unknown option --{name}")));
                 }
             }
             argument => return Err(argument.unexpected().into()),
         }
     }
-    let answer = access.call(Method::GET, "/v1/status", String::new())?;
-    let overview: Overview = access.decode(&answer)?;
+    let answer = access.call(hyper::Method::GET, "/v1/status", String::new())?;
+    let overview: overview::Overview = access.decode(&answer)?;
     if json {
         println!("{}", serde_json::to_string_pretty(&overview).unwrap_or_default());
     } else {
@@ -64,15 +61,15 @@
 }
 
 /// Whether every zone and node was reached.
-fn exit(overview: &Overview) -> Exit {
+fn exit(overview: &overview::Overview) -> command::Exit {
     let reached = |zone: &corneltrestle_node::operate::overview::Zone| {
         zone.nodes > 0 && zone.nodes == zone.reached
     };
-    if overview.zones.iter().all(reached) { Exit::Success } else { Exit::Failure }
+    if overview.zones.iter().all(reached) { command::Exit::Success } else { command::Exit::Failure }
 }
 
 /// The state as tables.
-fn text(overview: &Overview) -> String {
+fn text(overview: &overview::Overview) -> String {
     let mut text =
         format!("As node {} knows it, at revision {}.\n\n", overview.node, overview.revision);
     let mut zones = table::open(&["zone", "state", "nodes", "reached"]);
@@ -109,17 +106,17 @@
     text
 }
 
-fn node_line(node: &Node) -> [String; 7] {
+fn node_line(node: &overview::Node) -> [String; 7] {
     let (name, zone) = (node.node.to_string(), node.zone.to_string());
     let Some(state) = &node.state else {
         let unknown = String::new;
         return [name, zone, "unreachable".to_owned(), unknown(), unknown(), unknown(), unknown()];
     };
     let stage = match state.stage {
-        Stage::Starting => "starting",
-        Stage::Ready => "ready",
-        Stage::Draining => "draining",
-        Stage::Stopped => "stopped",
+        run::Stage::Starting => "starting",
+        run::Stage::Ready => "ready",
+        run::Stage::Draining => "draining",
+        run::Stage::Stopped => "stopped",
     };
     [
         name,
@@ -133,12 +130,16 @@
 }
 
 /// One line for each member; what concerns the whole replica stands in the line of its head.
-fn member_line(replica: &Replica, member: &Member, is_head: bool) -> [String; 8] {
+fn member_line(
+    replica: &overview::Replica,
+    member: &overview::Member,
+    is_head: bool,
+) -> [String; 8] {
     let once = |text: String| if is_head { text } else { String::new() };
     let phase = match replica.phase {
-        Phase::Forming => "forming",
-        Phase::Serving => "serving",
-        Phase::Draining => "draining",
+        assignment::Phase::Forming => "forming",
+        assignment::Phase::Serving => "serving",
+        assignment::Phase::Draining => "draining",
     };
     let (age, load) = member.report.map_or_else(
         || ("no report".to_owned(), String::new()),
@@ -159,9 +160,9 @@
     ]
 }
 
-fn state(state: ZoneState) -> &'static str {
+fn state(state: release::ZoneState) -> &'static str {
     match state {
-        ZoneState::In => "in",
-        ZoneState::Out => "out",
+        release::ZoneState::In => "in",
+        release::ZoneState::Out => "out",
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,10 +1,8 @@
 //! The entry node as a daemon.
 
-use std::path::{Path, PathBuf};
-use std::process::ExitCode;
+use std::{path, process};
 
-use corneltrestle::kernel::settings::{self, Key, Section, Type};
-use corneltrestle::kernel::{host, linkme, logging, plugin, running};
+use corneltrestle::kernel::{host, linkme, logging, plugin, running, settings};
 use lexopt::prelude::*;
 use tokio::signal::unix;
 
@@ -30,12 +28,12 @@
 /// Exit code for a wrong command line or wrong settings.
 const EXIT_USAGE: u8 = 2;
 
-static LOG: Section = Section {
+static LOG: settings::Section = settings::Section {
     name: "log",
     help: "Logs, written to standard error.",
-    keys: &[Key::new(
+    keys: &[settings::Key::new(
         "level",
-        Type::Text,
+        settings::Type::Text,
         "info",
         "Lowest level, with exceptions for parts, such as `info, hyper=warn`.",
     )],
@@ -53,28 +51,28 @@
 };
 
 struct Arguments {
-    settings: PathBuf,
+    settings: path::PathBuf,
     check: bool,
 }
 
-fn main() -> ExitCode {
+fn main() -> process::ExitCode {
     let arguments = match parse() {
         Ok(Some(arguments)) => arguments,
-        Ok(None) => return ExitCode::SUCCESS,
+        Ok(None) => return process::ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("corneltrestled: {e}; try --help");
-            return ExitCode::from(EXIT_USAGE);
+            return process::ExitCode::from(EXIT_USAGE);
         }
     };
     match load(&arguments.settings) {
         Ok(_) if arguments.check => {
             println!("{}: ok", arguments.settings.display());
-            ExitCode::SUCCESS
+            process::ExitCode::SUCCESS
         }
         Ok(settings) => serve(settings),
         Err(message) => {
             eprintln!("{message}");
-            ExitCode::from(EXIT_USAGE)
+            process::ExitCode::from(EXIT_USAGE)
         }
     }
 }
@@ -84,7 +82,7 @@
     let (mut settings, mut check) = (None, false);
     while let Some(argument) = parser.next()? {
         match argument {
-            Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            Long("settings") => settings = Some(path::PathBuf::from(parser.value()?)),
             Long("check") => check = true,
             Long("print-settings") => {
                 print!("{}", settings::document(&settings::sections()));
@@ -105,27 +103,27 @@
     Ok(Some(Arguments { settings, check }))
 }
 
-fn load(path: &Path) -> Result<settings::Settings, String> {
+fn load(path: &path::Path) -> Result<settings::Settings, String> {
     let settings =
         settings::Settings::load(path, &settings::sections()).map_err(|e| e.to_string())?;
     running::check(&settings).map_err(|e| format!("{}: {e}", path.display()))?;
     Ok(settings)
 }
 
-fn serve(settings: settings::Settings) -> ExitCode {
+fn serve(settings: settings::Settings) -> process::ExitCode {
     let level = settings.section("log").text("level").to_owned();
     let _log = match logging::open(&level) {
         Ok(log) => log,
         Err(e) => {
             eprintln!("[log] level: {e}");
-            return ExitCode::from(EXIT_USAGE);
+            return process::ExitCode::from(EXIT_USAGE);
         }
     };
     match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => process::ExitCode::SUCCESS,
         Err(message) => {
             log::error!("node: {message}");
-            ExitCode::FAILURE
+            process::ExitCode::FAILURE
         }
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -5,10 +5,8 @@
 mod order;
 mod request;
 
-use std::future::Future;
-use std::net::SocketAddr;
+use std::net;
 
-use bytes::Bytes;
 use corneltrestle_policy::{prefix, report};
 
 pub use error::{Error, Kind};
@@ -24,48 +22,52 @@
     type Stream: Stream;
 
     /// Reads the report of the VM at `peer`.
-    fn report(&self, peer: SocketAddr) -> impl Future<Output = Result<report::Report>> + Send;
+    fn report(&self, peer: net::SocketAddr) -> impl Future<Output = Result<report::Report>> + Send;
 
     /// Gives an order to the VM at `peer`.
     fn order(
         &self,
-        peer: SocketAddr,
+        peer: net::SocketAddr,
         order: &Order<'_>,
     ) -> impl Future<Output = Result<Answer>> + Send;
 
     /// Reads cache events after a sequence number; they come late and with gaps.
     fn cache_events(
         &self,
-        peer: SocketAddr,
+        peer: net::SocketAddr,
         after: u64,
     ) -> impl Future<Output = Result<Vec<prefix::Event>>> + Send;
 
     /// Starts a streamed generation on the head VM at `peer`.
     fn stream(
         &self,
-        peer: SocketAddr,
+        peer: net::SocketAddr,
         request: &Generate<'_>,
     ) -> impl Future<Output = Result<Self::Stream>> + Send;
 
     /// Runs a generation that is answered in one body.
     fn complete(
         &self,
-        peer: SocketAddr,
+        peer: net::SocketAddr,
         request: &Generate<'_>,
-    ) -> impl Future<Output = Result<Bytes>> + Send;
+    ) -> impl Future<Output = Result<bytes::Bytes>> + Send;
 
     /// Cancels a request.
-    fn cancel(&self, peer: SocketAddr, id: &str) -> impl Future<Output = Result<()>> + Send;
+    fn cancel(&self, peer: net::SocketAddr, id: &str) -> impl Future<Output = Result<()>> + Send;
 
     /// Exports the KV cache of a request.
-    fn export(&self, peer: SocketAddr, id: &str) -> impl Future<Output = Result<Bytes>> + Send;
+    fn export(
+        &self,
+        peer: net::SocketAddr,
+        id: &str,
+    ) -> impl Future<Output = Result<bytes::Bytes>> + Send;
 
     /// Imports the KV cache of a request.
     fn import(
         &self,
-        peer: SocketAddr,
+        peer: net::SocketAddr,
         id: &str,
-        cache: Bytes,
+        cache: bytes::Bytes,
     ) -> impl Future<Output = Result<()>> + Send;
 }
 
--- a/crates/engine/src/engine/error.rs
+++ b/crates/engine/src/engine/error.rs
@@ -1,7 +1,6 @@
 //! Errors of engine calls.
 
-use std::fmt;
-use std::net::SocketAddr;
+use std::{fmt, net};
 
 /// An engine call that failed, with the step and the peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,7 +10,7 @@
     /// The call.
     pub step: &'static str,
     /// The VM.
-    pub peer: SocketAddr,
+    pub peer: net::SocketAddr,
     /// The cause.
     pub cause: String,
 }
--- a/crates/engine/src/engine/http.rs
+++ b/crates/engine/src/engine/http.rs
@@ -3,24 +3,17 @@
 mod request;
 mod stream;
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-
-use bytes::Bytes;
-use corneltrestle_client as client;
-use corneltrestle_client::body::Body;
-use corneltrestle_client::pool::{self, Delivery, Pool};
+use std::{net, sync, time};
+
+use corneltrestle_client::{self as client, body, pool};
 use corneltrestle_policy::{prefix, report, silence};
-use http_body_util::Full;
-use hyper::{Request, Response, StatusCode};
-use serde::Deserialize;
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, de::DeserializeOwned};
 use tokio::time::Instant;
 
-pub use stream::HttpStream;
+use super::{Engine, Result};
+use crate::engine;
 
-use super::{Answer, Engine, Error, Generate, Kind, Order, Result};
+pub use stream::HttpStream;
 
 /// The header that a request and its answer carry.
 pub(crate) const REQUEST_ID: &str = "x-request-id";
@@ -32,11 +25,11 @@
 #[derive(Clone, Debug)]
 pub struct Config {
     /// Longest time for a report, a batch of cache events or a cancellation.
-    pub timeout: Duration,
+    pub timeout: time::Duration,
     /// Longest time for an order or for moving KV cache.
-    pub order: Duration,
+    pub order: time::Duration,
     /// Longest time until the next event of a stream.
-    pub progress: Duration,
+    pub progress: time::Duration,
     /// Largest event of a stream, in bytes.
     pub event: usize,
     /// Largest body of an answer that is not streamed, in bytes.
@@ -51,20 +44,20 @@
 #[derive(Debug)]
 pub struct HttpEngine {
     config: Config,
-    pool: Arc<Pool>,
+    pool: sync::Arc<pool::Pool>,
 }
 
 /// How an engine answers an order.
 #[derive(Deserialize)]
 struct OrderAnswer {
-    answer: Answer,
+    answer: engine::Answer,
 }
 
 impl Default for Config {
     fn default() -> Self {
         Self {
-            timeout: Duration::from_secs(1),
-            order: Duration::from_secs(10),
+            timeout: time::Duration::from_secs(1),
+            order: time::Duration::from_secs(10),
             progress: silence::Kind::Stream.limit(),
             event: 256 * 1024,
             body: 8 * 1024 * 1024,
@@ -77,11 +70,11 @@
 impl HttpEngine {
     /// Opens a client. It connects on first use.
     pub fn open(config: Config) -> Self {
-        let pool = Pool::open(config.pool.clone());
+        let pool = pool::Pool::open(config.pool.clone());
         Self { config, pool }
     }
 
-    async fn fetch(&self, call: Call) -> Result<Bytes> {
+    async fn fetch(&self, call: Call) -> Result<bytes::Bytes> {
         let Call { step, peer, request, delivery, limit, max } = call;
         let fetched = self.pool.fetch(peer, request, delivery, limit, max).await;
         let answer = fetched.map_err(|e| failed(step, peer, e))?;
@@ -92,11 +85,11 @@
     async fn read<T: DeserializeOwned>(
         &self,
         step: &'static str,
-        peer: SocketAddr,
-        request: client::Result<Request<Full<Bytes>>>,
+        peer: net::SocketAddr,
+        request: client::Result<hyper::Request<http_body_util::Full<bytes::Bytes>>>,
     ) -> Result<T> {
         let request = request.map_err(|e| failed(step, peer, e))?;
-        let (delivery, limit) = (Delivery::Repeatable, self.config.timeout);
+        let (delivery, limit) = (pool::Delivery::Repeatable, self.config.timeout);
         let call = Call { step, peer, request, delivery, limit, max: MAX_CONTROL_BYTES };
         decode(step, peer, &self.fetch(call).await?)
     }
@@ -105,12 +98,12 @@
     async fn generate(
         &self,
         step: &'static str,
-        peer: SocketAddr,
-        wanted: &Generate<'_>,
-        limit: Duration,
-    ) -> Result<Response<Body>> {
+        peer: net::SocketAddr,
+        wanted: &engine::Generate<'_>,
+        limit: time::Duration,
+    ) -> Result<hyper::Response<body::Body>> {
         let request = request::generate(wanted).map_err(|e| failed(step, peer, e))?;
-        let sent = self.pool.send(peer, request, Delivery::Once, limit).await;
+        let sent = self.pool.send(peer, request, pool::Delivery::Once, limit).await;
         let answer = sent.map_err(|e| failed(step, peer, e))?;
         accepted(step, peer, answer.status())?;
         Ok(answer)
@@ -120,27 +113,35 @@
 impl Engine for HttpEngine {
     type Stream = HttpStream;
 
-    async fn report(&self, peer: SocketAddr) -> Result<report::Report> {
+    async fn report(&self, peer: net::SocketAddr) -> Result<report::Report> {
         self.read("report", peer, request::get("/v1/report")).await
     }
 
-    async fn order(&self, peer: SocketAddr, order: &Order<'_>) -> Result<Answer> {
+    async fn order(
+        &self,
+        peer: net::SocketAddr,
+        order: &engine::Order<'_>,
+    ) -> Result<engine::Answer> {
         let step = "order";
         let request = request::order(order).map_err(|e| failed(step, peer, e))?;
-        let (delivery, limit) = (Delivery::Once, self.config.order);
+        let (delivery, limit) = (pool::Delivery::Once, self.config.order);
         let call = Call { step, peer, request, delivery, limit, max: MAX_CONTROL_BYTES };
         let body = self.fetch(call).await?;
         decode(step, peer, &body).map(|OrderAnswer { answer }| answer)
     }
 
-    async fn cache_events(&self, peer: SocketAddr, after: u64) -> Result<Vec<prefix::Event>> {
+    async fn cache_events(&self, peer: net::SocketAddr, after: u64) -> Result<Vec<prefix::Event>> {
         let request = request::get(&format!("/v1/cache-events?after={after}"));
         self.read("cache events", peer, request).await
     }
 
     /// Waits at most the progress limit for the head of the answer. The events echo the request id;
     /// the head may do so, too.
-    async fn stream(&self, peer: SocketAddr, request: &Generate<'_>) -> Result<HttpStream> {
+    async fn stream(
+        &self,
+        peer: net::SocketAddr,
+        request: &engine::Generate<'_>,
+    ) -> Result<HttpStream> {
         let limit = self.config.progress;
         let answer = self.generate("stream", peer, request, limit).await?;
         if answer.headers().contains_key(REQUEST_ID) {
@@ -150,7 +151,11 @@
     }
 
     /// Waits at most until the deadline of the request.
-    async fn complete(&self, peer: SocketAddr, request: &Generate<'_>) -> Result<Bytes> {
+    async fn complete(
+        &self,
+        peer: net::SocketAddr,
+        request: &engine::Generate<'_>,
+    ) -> Result<bytes::Bytes> {
         let until = Instant::now() + request.left;
         let answer = self.generate("complete", peer, request, request.left).await?;
         echoed("complete", peer, &answer, request.id)?;
@@ -159,28 +164,28 @@
     }
 
     /// A request that the engine does not know any more counts as cancelled.
-    async fn cancel(&self, peer: SocketAddr, id: &str) -> Result<()> {
+    async fn cancel(&self, peer: net::SocketAddr, id: &str) -> Result<()> {
         let step = "cancel";
         let request = request::cancel(id).map_err(|e| failed(step, peer, e))?;
-        let (delivery, limit) = (Delivery::Repeatable, self.config.timeout);
+        let (delivery, limit) = (pool::Delivery::Repeatable, self.config.timeout);
         let call = Call { step, peer, request, delivery, limit, max: MAX_CONTROL_BYTES };
         match self.fetch(call).await {
-            Err(Error { kind: Kind::Refused(404), .. }) => Ok(()),
+            Err(engine::Error { kind: engine::Kind::Refused(404), .. }) => Ok(()),
             answer => answer.map(drop),
         }
     }
 
-    async fn export(&self, peer: SocketAddr, id: &str) -> Result<Bytes> {
+    async fn export(&self, peer: net::SocketAddr, id: &str) -> Result<bytes::Bytes> {
         let step = "export";
         let request = request::export(id).map_err(|e| failed(step, peer, e))?;
-        let (delivery, limit) = (Delivery::Repeatable, self.config.order);
+        let (delivery, limit) = (pool::Delivery::Repeatable, self.config.order);
         self.fetch(Call { step, peer, request, delivery, limit, max: self.config.cache }).await
     }
 
-    async fn import(&self, peer: SocketAddr, id: &str, cache: Bytes) -> Result<()> {
+    async fn import(&self, peer: net::SocketAddr, id: &str, cache: bytes::Bytes) -> Result<()> {
         let step = "import";
         let request = request::import(id, cache).map_err(|e| failed(step, peer, e))?;
-        let (delivery, limit) = (Delivery::Once, self.config.order);
+        let (delivery, limit) = (pool::Delivery::Once, self.config.order);
         let call = Call { step, peer, request, delivery, limit, max: MAX_CONTROL_BYTES };
         self.fetch(call).await.map(drop)
     }
@@ -189,54 +194,62 @@
 /// A call whose answer is read whole.
 struct Call {
     step: &'static str,
-    peer: SocketAddr,
-    request: Request<Full<Bytes>>,
-    delivery: Delivery,
-    limit: Duration,
+    peer: net::SocketAddr,
+    request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
+    delivery: pool::Delivery,
+    limit: time::Duration,
     max: usize,
 }
 
 /// Adds the step and the peer to an error of the connection.
-pub(crate) fn failed(step: &'static str, peer: SocketAddr, error: client::Error) -> Error {
+pub(crate) fn failed(
+    step: &'static str,
+    peer: net::SocketAddr,
+    error: client::Error,
+) -> engine::Error {
     let kind = match error.kind {
-        client::Kind::NotSent => Kind::NotSent,
-        client::Kind::Malformed => Kind::Malformed,
-        _ => Kind::Broken,
+        client::Kind::NotSent => engine::Kind::NotSent,
+        client::Kind::Malformed => engine::Kind::Malformed,
+        _ => engine::Kind::Broken,
     };
-    Error { kind, step, peer, cause: error.cause }
+    engine::Error { kind, step, peer, cause: error.cause }
 }
 
 /// Checks that the answer echoes the request's id.
 pub(crate) fn echoed<B>(
     step: &'static str,
-    peer: SocketAddr,
-    answer: &Response<B>,
+    peer: net::SocketAddr,
+    answer: &hyper::Response<B>,
     id: &str,
 ) -> Result<()> {
     if answer.headers().get(REQUEST_ID).is_some_and(|echo| echo.as_bytes() == id.as_bytes()) {
         return Ok(());
     }
     let cause = "the answer does not echo the request id".to_owned();
-    Err(Error { kind: Kind::Mismatch, step, peer, cause })
+    Err(engine::Error { kind: engine::Kind::Mismatch, step, peer, cause })
 }
 
 /// Client errors and 503 are answered before a call runs; other statuses say nothing about that.
-fn accepted(step: &'static str, peer: SocketAddr, status: StatusCode) -> Result<()> {
+fn accepted(step: &'static str, peer: net::SocketAddr, status: hyper::StatusCode) -> Result<()> {
     if status.is_success() {
         return Ok(());
     }
-    let refused = status.is_client_error() && status != StatusCode::REQUEST_TIMEOUT;
-    let kind = if refused || status == StatusCode::SERVICE_UNAVAILABLE {
-        Kind::Refused(status.as_u16())
+    let refused = status.is_client_error() && status != hyper::StatusCode::REQUEST_TIMEOUT;
+    let kind = if refused || status == hyper::StatusCode::SERVICE_UNAVAILABLE {
+        engine::Kind::Refused(status.as_u16())
     } else {
-        Kind::Broken
+        engine::Kind::Broken
     };
-    Err(Error { kind, step, peer, cause: format!("status {status}") })
+    Err(engine::Error { kind, step, peer, cause: format!("status {status}") })
 }
 
-fn decode<T: DeserializeOwned>(step: &'static str, peer: SocketAddr, body: &[u8]) -> Result<T> {
-    serde_json::from_slice(body).map_err(|e| Error {
-        kind: Kind::Malformed,
+fn decode<T: DeserializeOwned>(
+    step: &'static str,
+    peer: net::SocketAddr,
+    body: &[u8],
+) -> Result<T> {
+    serde_json::from_slice(body).map_err(|e| engine::Error {
+        kind: engine::Kind::Malformed,
         step,
         peer,
         cause: e.to_string(),
--- a/crates/engine/src/engine/http/stream.rs
+++ b/crates/engine/src/engine/http/stream.rs
@@ -1,15 +1,14 @@
 //! A stream of tokens.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::{net, time};
 
-use corneltrestle_client::body::Body;
-use corneltrestle_policy::delivery::{self, Delivery};
+use corneltrestle_client::body;
+use corneltrestle_policy::delivery;
 use corneltrestle_wire::sse;
 use tokio::time::{Instant, Interval, MissedTickBehavior};
 
 use super::failed;
-use crate::engine::{Error, Generate, Kind, Result, Stream, Token};
+use crate::engine::{self, Result, Stream};
 
 const STEP: &str = "stream";
 
@@ -25,7 +24,7 @@
 #[derive(Debug)]
 struct Reader {
     /// `None` after the end and after an error.
-    body: Option<Body>,
+    body: Option<body::Body>,
     events: sse::Decoder,
     check: Check,
 }
@@ -36,7 +35,7 @@
 /// reading the token.
 #[derive(Debug)]
 struct Silence {
-    limit: Duration,
+    limit: time::Duration,
     timer: Interval,
     /// Begin of the present wait. It is kept when the future of the wait is dropped, so that a
     /// reader that looks at other things in between does not extend the limit.
@@ -46,34 +45,34 @@
 /// What the events of a stream are checked against.
 #[derive(Debug)]
 struct Check {
-    peer: SocketAddr,
-    delivery: Delivery,
+    peer: net::SocketAddr,
+    delivery: delivery::Delivery,
 }
 
 /// What follows from an event.
 enum Verdict {
-    Deliver(Token),
+    Deliver(engine::Token),
     Drop,
     End,
 }
 
 /// What the parts that have arrived hold.
 enum Arrived {
-    Token(Token),
+    Token(engine::Token),
     End,
     Nothing,
 }
 
 impl HttpStream {
     pub(super) fn new(
-        body: Body,
-        peer: SocketAddr,
-        request: &Generate<'_>,
-        progress: Duration,
+        body: body::Body,
+        peer: net::SocketAddr,
+        request: &engine::Generate<'_>,
+        progress: time::Duration,
         max_event: usize,
     ) -> Self {
         let next = request.resume.map_or(0, |resume| resume.next);
-        let check = Check { peer, delivery: Delivery::open_at(request.id, next) };
+        let check = Check { peer, delivery: delivery::Delivery::open_at(request.id, next) };
         let events = sse::Decoder::new(max_event);
         let reader = Reader { body: Some(body), events, check };
         let silence = Silence::new(progress);
@@ -100,8 +99,8 @@
     /// Looks within one limit; the wait ends at most a tenth of the limit late.
     const LOOKS: u32 = 10;
 
-    fn new(limit: Duration) -> Self {
-        let period = (limit / Self::LOOKS).max(Duration::from_millis(1));
+    fn new(limit: time::Duration) -> Self {
+        let period = (limit / Self::LOOKS).max(time::Duration::from_millis(1));
         let mut timer = tokio::time::interval(period);
         timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
         Self { limit, timer, since: None }
@@ -149,7 +148,7 @@
 }
 
 impl Stream for HttpStream {
-    async fn next(&mut self) -> Result<Option<Token>> {
+    async fn next(&mut self) -> Result<Option<engine::Token>> {
         if self.complete {
             return Ok(None);
         }
@@ -183,34 +182,35 @@
         }
         let id = std::str::from_utf8(&event.id).ok().and_then(sse::split_id);
         let Some((request, index)) = id else {
-            return Err(
-                self.error(Kind::Malformed, "event without request id and index".to_owned())
-            );
+            return Err(self
+                .error(engine::Kind::Malformed, "event without request id and index".to_owned()));
         };
         let expected = self.delivery.next();
         match self.delivery.check(&delivery::Event { request, index }) {
             delivery::Verdict::Mismatch => {
-                Err(self.error(Kind::Mismatch, "event of another request".to_owned()))
+                Err(self.error(engine::Kind::Mismatch, "event of another request".to_owned()))
             }
             // An end mark beyond the next token shows that tokens are missing.
             delivery::Verdict::Gap | delivery::Verdict::Closed => {
-                Err(self.error(Kind::Gap, format!("token {index} instead of {expected}")))
+                Err(self.error(engine::Kind::Gap, format!("token {index} instead of {expected}")))
             }
             _ if end => Ok(Verdict::End),
-            delivery::Verdict::Deliver => Ok(Verdict::Deliver(Token { index, data: event.data })),
+            delivery::Verdict::Deliver => {
+                Ok(Verdict::Deliver(engine::Token { index, data: event.data }))
+            }
             delivery::Verdict::Drop => Ok(Verdict::Drop),
         }
     }
 
-    fn too_large(&self, error: sse::TooLarge) -> Error {
-        self.error(Kind::Malformed, error.to_string())
+    fn too_large(&self, error: sse::TooLarge) -> engine::Error {
+        self.error(engine::Kind::Malformed, error.to_string())
     }
 
-    fn broken(&self, cause: &str) -> Error {
-        self.error(Kind::Broken, cause.to_owned())
+    fn broken(&self, cause: &str) -> engine::Error {
+        self.error(engine::Kind::Broken, cause.to_owned())
     }
 
-    fn error(&self, kind: Kind, cause: String) -> Error {
-        Error { kind, step: STEP, peer: self.peer, cause }
+    fn error(&self, kind: engine::Kind, cause: String) -> engine::Error {
+        engine::Error { kind, step: STEP, peer: self.peer, cause }
     }
 }
--- a/crates/engine/src/engine/request.rs
+++ b/crates/engine/src/engine/request.rs
@@ -1,8 +1,7 @@
 //! Generation requests and their tokens.
 
-use std::time::Duration;
+use std::time;
 
-use bytes::Bytes;
 use corneltrestle_policy::id;
 
 /// A generation to run.
@@ -19,9 +18,9 @@
     /// Priority; higher goes first.
     pub priority: u8,
     /// Time left until the caller's deadline.
-    pub left: Duration,
+    pub left: time::Duration,
     /// JSON body as the caller sent it.
-    pub body: &'a Bytes,
+    pub body: &'a bytes::Bytes,
     /// Where to go on, if a part has been delivered.
     pub resume: Option<Resume<'a>>,
 }
@@ -42,5 +41,5 @@
     /// Index within the answer, from 0.
     pub index: u64,
     /// The JSON data of the event, as it is passed on to the caller.
-    pub data: Bytes,
+    pub data: bytes::Bytes,
 }
--- a/crates/engine/src/port.rs
+++ b/crates/engine/src/port.rs
@@ -1,68 +1,70 @@
 //! The plug-in that offers the clients of upstreams as ports.
 
-use std::sync::Arc;
+use std::sync;
 
 use corneltrestle_client::pool;
-use corneltrestle_kernel::host::Host;
-use corneltrestle_kernel::linkme;
-use corneltrestle_kernel::plugin::{self, Handle, Kind, Plugin};
-use corneltrestle_kernel::settings::{Key, Section, Type, View};
+use corneltrestle_kernel::{host, linkme, plugin, settings};
 
 use crate::{engine, service};
 
 /// Sizes of bodies are below 1 GB.
 const MAX_BYTES: u64 = 1_000_000_000;
 
-static SECTION: Section = Section {
+static SECTION: settings::Section = settings::Section {
     name: "upstream",
     help: "Connections to engines and plain services.",
     keys: &[
-        Key::new("connect-timeout", Type::millis(10, 60_000), "1s", "Longest time for connecting."),
-        Key::new(
+        settings::Key::new(
+            "connect-timeout",
+            settings::Type::millis(10, 60_000),
+            "1s",
+            "Longest time for connecting.",
+        ),
+        settings::Key::new(
             "timeout",
-            Type::millis(10, 60_000),
+            settings::Type::millis(10, 60_000),
             "1s",
             "Longest time for a report, a batch of cache events or a cancellation.",
         ),
-        Key::new(
+        settings::Key::new(
             "order-timeout",
-            Type::millis(10, 60_000),
+            settings::Type::millis(10, 60_000),
             "10s",
             "Longest time for an order or for moving KV cache.",
         ),
-        Key::new(
+        settings::Key::new(
             "progress-timeout",
-            Type::millis(10, 60_000),
+            settings::Type::millis(10, 60_000),
             "5s",
             "Longest time between two events of a stream.",
         ),
-        Key::new(
+        settings::Key::new(
             "max-event",
-            Type::Bytes { min: 1_000, max: MAX_BYTES },
+            settings::Type::Bytes { min: 1_000, max: MAX_BYTES },
             "256000",
             "Largest event of a stream.",
         ),
-        Key::new(
+        settings::Key::new(
             "max-body",
-            Type::Bytes { min: 1_000, max: MAX_BYTES },
+            settings::Type::Bytes { min: 1_000, max: MAX_BYTES },
             "8000000",
             "Largest body of an answer that is not streamed.",
         ),
-        Key::new(
+        settings::Key::new(
             "max-cache",
-            Type::Bytes { min: 1_000, max: MAX_BYTES },
+            settings::Type::Bytes { min: 1_000, max: MAX_BYTES },
             "256000000",
             "Largest exported KV cache.",
         ),
-        Key::new(
+        settings::Key::new(
             "idle",
-            Type::Count { min: 0, max: 1_000 },
+            settings::Type::Count { min: 0, max: 1_000 },
             "32",
             "Idle connections that are kept per peer.",
         ),
-        Key::new(
+        settings::Key::new(
             "max-age",
-            Type::millis(1_000, 86_400_000),
+            settings::Type::millis(1_000, 86_400_000),
             "10m",
             "Age at which a connection is closed.",
         ),
@@ -71,22 +73,22 @@
 
 #[linkme::distributed_slice(plugin::PLUGINS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static UPSTREAM: Plugin = Plugin {
+static UPSTREAM: plugin::Plugin = plugin::Plugin {
     name: "upstream",
-    kind: Kind::Port,
+    kind: plugin::Kind::Port,
     section: Some(&SECTION),
     check: plugin::unchecked,
     open,
 };
 
-fn open(host: &Arc<Host>) -> plugin::Result<Handle> {
+fn open(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let settings = host.settings.section(SECTION.name);
     let pool = pool::Config {
         connect: settings.span("connect-timeout"),
         idle: size(settings, "idle"),
         age: settings.span("max-age"),
     };
-    host.provide(Arc::new(engine::http::HttpEngine::open(engine::http::Config {
+    host.provide(sync::Arc::new(engine::http::HttpEngine::open(engine::http::Config {
         timeout: settings.span("timeout"),
         order: settings.span("order-timeout"),
         progress: settings.span("progress-timeout"),
@@ -96,10 +98,13 @@
         pool: pool.clone(),
     })));
     let body = size(settings, "max-body");
-    host.provide(Arc::new(service::http::HttpService::open(service::http::Config { body, pool })));
-    Ok(Handle::idle())
+    host.provide(sync::Arc::new(service::http::HttpService::open(service::http::Config {
+        body,
+        pool,
+    })));
+    Ok(plugin::Handle::idle())
 }
 
-fn size(settings: View<'_>, key: &'static str) -> usize {
+fn size(settings: settings::View<'_>, key: &'static str) -> usize {
     usize::try_from(settings.count(key)).unwrap_or(usize::MAX)
 }
--- a/crates/engine/src/service.rs
+++ b/crates/engine/src/service.rs
@@ -2,11 +2,8 @@
 
 pub mod http;
 
-use std::future::Future;
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::{net, time};
 
-use bytes::Bytes;
 pub use hyper::header::{HeaderName, HeaderValue};
 pub use hyper::{HeaderMap, Method, StatusCode};
 
@@ -27,9 +24,9 @@
     /// End-to-end headers.
     pub headers: &'a HeaderMap,
     /// The body.
-    pub body: &'a Bytes,
+    pub body: &'a bytes::Bytes,
     /// Time left until the caller's deadline.
-    pub left: Duration,
+    pub left: time::Duration,
 }
 
 /// A complete answer.
@@ -40,7 +37,7 @@
     /// End-to-end headers.
     pub headers: HeaderMap,
     /// The complete body.
-    pub body: Bytes,
+    pub body: bytes::Bytes,
 }
 
 /// Client of plain services.
@@ -48,7 +45,7 @@
     /// Sends a call once and reads the complete answer.
     fn call(
         &self,
-        peer: SocketAddr,
+        peer: net::SocketAddr,
         call: &Call<'_>,
     ) -> impl Future<Output = Result<Answer>> + Send;
 }
--- a/crates/engine/src/service/http.rs
+++ b/crates/engine/src/service/http.rs
@@ -1,18 +1,16 @@
 //! Plain services over HTTP.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::{net, sync};
 
-use corneltrestle_client as client;
-use corneltrestle_client::headers;
-use corneltrestle_client::pool::{self, Delivery, Pool};
-use http_body_util::Full;
-use hyper::header::{self, HeaderValue};
-use hyper::{HeaderMap, Request};
-use tokio::time::Instant;
+use corneltrestle_client::{self as client, headers, pool};
+use hyper::header;
+use tokio::time;
 
-use super::{Answer, Call, Result, Service};
-use crate::engine::http::{REQUEST_ID, echoed, failed};
+use super::{Result, Service};
+use crate::{
+    engine::http::{self, echoed, failed},
+    service,
+};
 
 const STEP: &str = "call";
 
@@ -29,7 +27,7 @@
 #[derive(Debug)]
 pub struct HttpService {
     max: usize,
-    pool: Arc<Pool>,
+    pool: sync::Arc<pool::Pool>,
 }
 
 impl Default for Config {
@@ -41,17 +39,22 @@
 impl HttpService {
     /// Opens a client. It connects on first use.
     pub fn open(config: Config) -> Self {
-        Self { max: config.body, pool: Pool::open(config.pool) }
+        Self { max: config.body, pool: pool::Pool::open(config.pool) }
     }
 }
 
 impl Service for HttpService {
-    async fn call(&self, peer: SocketAddr, call: &Call<'_>) -> Result<Answer> {
+    async fn call(
+        &self,
+        peer: net::SocketAddr,
+        call: &service::Call<'_>,
+    ) -> Result<service::Answer> {
         let failed = |e| failed(STEP, peer, e);
-        let until = Instant::now() + call.left;
+        let until = time::Instant::now() + call.left;
         // A call that changes something gets a new connection, so that its effect does not become
         // unknown because the peer closes an idle one.
-        let delivery = if call.method.is_safe() { Delivery::Once } else { Delivery::OnceFresh };
+        let delivery =
+            if call.method.is_safe() { pool::Delivery::Once } else { pool::Delivery::OnceFresh };
         let request = request(call).map_err(failed)?;
         let answer = self.pool.send(peer, request, delivery, call.left).await.map_err(failed)?;
         echoed(STEP, peer, &answer, call.id)?;
@@ -59,25 +62,27 @@
         let body = body.collect(self.max, until).await.map_err(failed)?;
         let mut headers = head.headers;
         headers::remove_hop_by_hop(&mut headers);
-        Ok(Answer { status: head.status, headers, body })
+        Ok(service::Answer { status: head.status, headers, body })
     }
 }
 
-fn request(call: &Call<'_>) -> client::Result<Request<Full<bytes::Bytes>>> {
-    let body = Full::new(call.body.clone());
-    let mut request = Request::new(body);
+fn request(
+    call: &service::Call<'_>,
+) -> client::Result<hyper::Request<http_body_util::Full<bytes::Bytes>>> {
+    let body = http_body_util::Full::new(call.body.clone());
+    let mut request = hyper::Request::new(body);
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.target.parse().map_err(client::Error::invalid)?;
     *request.headers_mut() = end_to_end(call.headers);
-    let id = HeaderValue::from_str(call.id).map_err(client::Error::invalid)?;
-    request.headers_mut().insert(REQUEST_ID, id);
+    let id = header::HeaderValue::from_str(call.id).map_err(client::Error::invalid)?;
+    request.headers_mut().insert(http::REQUEST_ID, id);
     let left = u64::try_from(call.left.as_millis()).unwrap_or(u64::MAX);
     request.headers_mut().insert("x-deadline-ms", left.into());
     Ok(request)
 }
 
 /// The headers to pass on. The length is that of the body, and the body is sent at once.
-fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+fn end_to_end(headers: &hyper::HeaderMap) -> hyper::HeaderMap {
     let mut kept = headers.clone();
     headers::remove_hop_by_hop(&mut kept);
     kept.remove(header::CONTENT_LENGTH);
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,12 +1,9 @@
 //! Bodies of answers.
 
-use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::{pin, task};
 
-use bytes::Bytes;
-use http_body_util::Full;
-use http_body_util::channel::{Channel, Sender};
-use hyper::body::{Frame, SizeHint};
+use http_body_util::channel;
+use hyper::body;
 
 /// Why the body of an answer was cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,7 +24,7 @@
 #[derive(Debug)]
 pub enum Body {
     /// A complete body.
-    Full(Full<Bytes>),
+    Full(http_body_util::Full<bytes::Bytes>),
     /// A stream; an error in it aborts the connection, so that it is never taken as complete.
     Stream(Stream),
 }
@@ -35,7 +32,7 @@
 /// The frames of a stream in progress.
 #[derive(Debug)]
 pub struct Stream {
-    frames: Channel<Bytes, Error>,
+    frames: channel::Channel<bytes::Bytes, Error>,
     /// An error that waits until the frames before it are written.
     held: Option<Error>,
 }
@@ -45,27 +42,27 @@
 
 impl Body {
     /// A complete body.
-    pub fn full(bytes: impl Into<Bytes>) -> Self {
-        Self::Full(Full::new(bytes.into()))
+    pub fn full(bytes: impl Into<bytes::Bytes>) -> Self {
+        Self::Full(http_body_util::Full::new(bytes.into()))
     }
 
     /// A stream with the sender that feeds it.
-    pub fn stream() -> (Sender<Bytes, Error>, Self) {
-        let (sender, stream) = Channel::new(STREAM_FRAMES);
+    pub fn stream() -> (channel::Sender<bytes::Bytes, Error>, Self) {
+        let (sender, stream) = channel::Channel::new(STREAM_FRAMES);
         (sender, Self::Stream(Stream { frames: stream, held: None }))
     }
 }
 
 impl hyper::body::Body for Body {
-    type Data = Bytes;
+    type Data = bytes::Bytes;
     type Error = Error;
 
     fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<bytes::Bytes>, Error>>> {
         match self.get_mut() {
-            Self::Full(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
+            Self::Full(full) => pin::Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
             Self::Stream(stream) => stream.poll_frame(cx),
         }
     }
@@ -77,7 +74,7 @@
         }
     }
 
-    fn size_hint(&self) -> SizeHint {
+    fn size_hint(&self) -> body::SizeHint {
         match self {
             Self::Full(full) => full.size_hint(),
             Self::Stream(stream) => stream.frames.size_hint(),
@@ -89,15 +86,18 @@
     /// Holds an error back for one poll. The server drops what it has not written when a body
     /// fails, and writes it when a body is pending; the last event, which says what went wrong,
     /// would be lost otherwise.
-    fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+    fn poll_frame(
+        &mut self,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<bytes::Bytes>, Error>>> {
         if let Some(error) = self.held.take() {
-            return Poll::Ready(Some(Err(error)));
+            return task::Poll::Ready(Some(Err(error)));
         }
-        match hyper::body::Body::poll_frame(Pin::new(&mut self.frames), cx) {
-            Poll::Ready(Some(Err(error))) => {
+        match hyper::body::Body::poll_frame(pin::Pin::new(&mut self.frames), cx) {
+            task::Poll::Ready(Some(Err(error))) => {
                 self.held = Some(error);
                 cx.waker().wake_by_ref();
-                Poll::Pending
+                task::Poll::Pending
             }
             polled => polled,
         }
--- a/crates/http/src/callers.rs
+++ b/crates/http/src/callers.rs
@@ -6,53 +6,58 @@
 mod plain;
 mod router;
 
-use std::sync::Arc;
+use std::sync;
 
-use corneltrestle_engine::engine::{self, Engine};
-use corneltrestle_engine::service::{self, Service};
-use corneltrestle_kernel::settings::{Key, Section, Type};
-use corneltrestle_kernel::{host, linkme, plugin};
-use corneltrestle_node::link::Link;
-use corneltrestle_node::link::port::NodeLink;
-use corneltrestle_node::pipeline;
+use corneltrestle_engine::{
+    engine::{self, Engine},
+    service::{self, Service},
+};
+use corneltrestle_kernel::{host, linkme, plugin, settings};
+use corneltrestle_node::{
+    link::{Link, port},
+    pipeline,
+};
 use corneltrestle_platform::store::{self, Store};
-use tower::ServiceBuilder;
 
 use crate::{intake, request_id, server};
 
 /// Settings of the front end for callers.
-pub static SECTION: Section = Section {
+pub static SECTION: settings::Section = settings::Section {
     name: "callers",
     help: "The front end for callers.",
     keys: &[
-        Key::required("address", Type::Address, "Address on which callers are served."),
-        Key::new(
+        settings::Key::required(
+            "address",
+            settings::Type::Address,
+            "Address on which callers are served.",
+        ),
+        settings::Key::new(
             "body-limit",
-            Type::Bytes { min: 1_024, max: 67_108_864 },
+            settings::Type::Bytes { min: 1_024, max: 67_108_864 },
             "4194304",
             "Largest body of a request.",
         ),
-        Key::new(
+        settings::Key::new(
             "body-time",
-            Type::millis(100, 300_000),
+            settings::Type::millis(100, 300_000),
             "15s",
             "Longest time for the body of a request to arrive.",
         ),
-        Key::new(
+        settings::Key::new(
             "header-time",
-            Type::millis(100, 60_000),
+            settings::Type::millis(100, 60_000),
             "5s",
             "Longest time for the header of a request to arrive.",
         ),
-        Key::new(
+        settings::Key::new(
             "read-time",
-            Type::millis(100, 300_000),
+            settings::Type::millis(100, 300_000),
             "30s",
             "Longest time that a caller may read nothing of a stream; then it is cut off.",
         ),
-        Key::new(
+        settings::Key::new(
             "connections",
-            Type::Count { min: 1, max: 65_536 },
+            settings::Type::Count { min: 1, max: 65_536 },
             "4096",
             "Most connections at a time; more are refused at once.",
         ),
@@ -70,12 +75,12 @@
         engine::http::HttpEngine,
         service::http::HttpService,
         store::etcd::NodeStore,
-        NodeLink,
+        port::NodeLink,
     >,
 };
 
 fn open<E: Engine, P: Service, S: Store, L: Link>(
-    host: &Arc<host::Host>,
+    host: &sync::Arc<host::Host>,
 ) -> plugin::Result<plugin::Handle> {
     let callers = host.settings.section("callers");
     let limits = server::Limits {
@@ -88,15 +93,15 @@
         body_limit: usize::try_from(callers.count("body-limit")).unwrap_or(usize::MAX),
         body_time: callers.span("body-time"),
     };
-    let router = Arc::new(router::Router::new(
+    let router = sync::Arc::new(router::Router::new(
         pipeline::Pipeline::<E, P, S, L>::open(host)?,
-        Arc::clone(host),
+        sync::Arc::clone(host),
         intake,
         callers.span("read-time"),
     ));
     let service =
-        ServiceBuilder::new().layer(request_id::RequestIdLayer).service_fn(move |request| {
-            let router = Arc::clone(&router);
+        tower::ServiceBuilder::new().layer(request_id::RequestIdLayer).service_fn(move |request| {
+            let router = sync::Arc::clone(&router);
             async move { Ok(router.handle(request).await) }
         });
     server::bind(host, "callers", callers.address("address"), limits, service)
--- a/crates/http/src/callers/auth.rs
+++ b/crates/http/src/callers/auth.rs
@@ -1,10 +1,11 @@
 //! Recognition of organisations by their keys.
 
-use corneltrestle_node::digest;
-use corneltrestle_node::pipeline::refusal::{Code, Refusal, Result};
+use corneltrestle_node::{
+    digest,
+    pipeline::refusal::{self, Result},
+};
 use corneltrestle_policy::{id, release};
-use hyper::HeaderMap;
-use hyper::header::AUTHORIZATION;
+use hyper::header;
 use subtle::ConstantTimeEq;
 
 /// The organisation whose key the request carries.
@@ -13,12 +14,13 @@
 ///
 /// When the key is missing or unknown.
 pub(super) fn organisation(
-    headers: &HeaderMap,
+    headers: &hyper::HeaderMap,
     release: &release::Release,
 ) -> Result<id::Organisation> {
-    let refused = |message| Refusal::not_run(Code::Unauthorized, "authenticate", message);
+    let refused =
+        |message| refusal::Refusal::not_run(refusal::Code::Unauthorized, "authenticate", message);
     let key = headers
-        .get(AUTHORIZATION)
+        .get(header::AUTHORIZATION)
         .and_then(|value| value.to_str().ok())
         .and_then(|value| value.strip_prefix("Bearer "))
         .ok_or_else(|| refused("send the organisation's key as Authorization: Bearer KEY"))?;
--- a/crates/http/src/callers/generate.rs
+++ b/crates/http/src/callers/generate.rs
@@ -1,23 +1,23 @@
 //! Generation calls: decoding, relay of streams, errors within streams.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
-use bytes::{Bytes, BytesMut};
-use corneltrestle_engine::engine::Engine;
-use corneltrestle_engine::service::Service;
-use corneltrestle_node::link::Link;
-use corneltrestle_node::pipeline::refusal::{Code, Refusal, Result};
-use corneltrestle_node::pipeline::{self, request};
+use corneltrestle_engine::{engine::Engine, service::Service};
+use corneltrestle_node::{
+    link::Link,
+    pipeline::{
+        self,
+        refusal::{self, Result},
+        request,
+    },
+};
 use corneltrestle_platform::store::Store;
 use corneltrestle_policy::{id, prefix, release};
 use corneltrestle_wire::{openai, sse};
-use http_body_util::channel::Sender;
-use hyper::body::Incoming;
-use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
-use hyper::{Request, Response};
+use http_body_util::channel;
+use hyper::{body::Incoming, header};
 
-use super::router::{self, Router};
+use super::router;
 use crate::{answer, body};
 
 /// Path of chat calls.
@@ -33,23 +33,27 @@
 /// Size of the buffer in which the events of a stream are encoded; it holds a few dozen.
 const EVENTS_BYTES: usize = 4 * 1024;
 
-impl<E: Engine, P: Service, S: Store, L: Link> Router<E, P, S, L> {
+impl<E: Engine, P: Service, S: Store, L: Link> router::Router<E, P, S, L> {
     pub(super) async fn generate(
         &self,
-        request: Request<Incoming>,
+        request: hyper::Request<Incoming>,
         organisation: id::Organisation,
         path: &'static str,
-    ) -> Result<Response<body::Body>> {
+    ) -> Result<hyper::Response<body::Body>> {
         let arrived = self.pipeline.now();
         let id = router::request_id(&request);
         let (parts, incoming) = request.into_parts();
         let body = self.intake.read(incoming).await?;
         let decoded = openai::Request::decode(&body).map_err(|e| {
-            Refusal::not_run(Code::BadRequest, "decode", format!("the body is no request: {e}"))
+            refusal::Refusal::not_run(
+                refusal::Code::BadRequest,
+                "decode",
+                format!("the body is no request: {e}"),
+            )
         })?;
         if decoded.has_resume {
             let message = "the field resume is reserved for nodes";
-            return Err(Refusal::not_run(Code::BadRequest, "decode", message));
+            return Err(refusal::Refusal::not_run(refusal::Code::BadRequest, "decode", message));
         }
         let release = self.pipeline.release();
         let (service, declared) = find_service(&release, &decoded.model)?;
@@ -72,14 +76,14 @@
         }
     }
 
-    async fn stream(&self, generation: request::Generation) -> Result<Response<body::Body>> {
+    async fn stream(&self, generation: request::Generation) -> Result<hyper::Response<body::Body>> {
         let relay = self.pipeline.stream(generation).await?;
         let (sender, stream) = body::Body::stream();
         self.pipeline.run(pump(relay, sender, self.read_time));
-        let mut response = Response::new(stream);
+        let mut response = hyper::Response::new(stream);
         let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
-        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+        headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("text/event-stream"));
+        headers.insert(header::CACHE_CONTROL, header::HeaderValue::from_static("no-cache"));
         Ok(response)
     }
 }
@@ -87,10 +91,10 @@
 /// Feeds a caller's stream until the answer is complete, cannot be completed or is not wanted.
 async fn pump<E: Engine, P: Service, S: Store, L: Link>(
     mut relay: pipeline::Relay<E, P, S, L>,
-    mut sender: Sender<Bytes, body::Error>,
-    read_time: Duration,
+    mut sender: channel::Sender<bytes::Bytes, body::Error>,
+    read_time: time::Duration,
 ) {
-    let mut buffer = BytesMut::with_capacity(EVENTS_BYTES);
+    let mut buffer = bytes::BytesMut::with_capacity(EVENTS_BYTES);
     loop {
         match relay.next().await {
             Ok(Some(data)) => {
@@ -121,7 +125,7 @@
 }
 
 fn find_service<'a>(
-    release: &'a Arc<release::Release>,
+    release: &'a sync::Arc<release::Release>,
     wanted: &str,
 ) -> Result<(&'a id::Service, &'a release::Service)> {
     let serves = |service: &release::Service| match &service.kind {
@@ -129,12 +133,18 @@
         release::Kind::Plain(_) => false,
     };
     release.services.iter().find(|(_, service)| serves(service)).ok_or_else(|| {
-        Refusal::not_run(Code::UnknownService, "route", format!("no service offers model {wanted}"))
+        refusal::Refusal::not_run(
+            refusal::Code::UnknownService,
+            "route",
+            format!("no service offers model {wanted}"),
+        )
     })
 }
 
-fn json(whole: Bytes) -> Response<body::Body> {
-    let mut response = Response::new(body::Body::full(whole));
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+fn json(whole: bytes::Bytes) -> hyper::Response<body::Body> {
+    let mut response = hyper::Response::new(body::Body::full(whole));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
     response
 }
--- a/crates/http/src/callers/models.rs
+++ b/crates/http/src/callers/models.rs
@@ -1,7 +1,6 @@
 //! The list of models.
 
 use corneltrestle_policy::release;
-use hyper::{Response, StatusCode};
 use serde::Serialize;
 
 use crate::{answer, body};
@@ -20,7 +19,7 @@
 }
 
 /// The models of all services, in the form of the OpenAI interface.
-pub(super) fn list(release: &release::Release) -> Response<body::Body> {
+pub(super) fn list(release: &release::Release) -> hyper::Response<body::Body> {
     let data = release
         .services
         .iter()
@@ -31,5 +30,5 @@
             release::Kind::Plain(_) => None,
         })
         .collect();
-    answer::json(StatusCode::OK, &List { object: "list", data })
+    answer::json(hyper::StatusCode::OK, &List { object: "list", data })
 }
--- a/crates/http/src/callers/plain.rs
+++ b/crates/http/src/callers/plain.rs
@@ -1,17 +1,21 @@
 //! Calls to plain services.
 
-use corneltrestle_engine::engine::Engine;
-use corneltrestle_engine::service::{self, Service};
-use corneltrestle_node::link::Link;
-use corneltrestle_node::pipeline::refusal::{Code, Refusal, Result};
-use corneltrestle_node::pipeline::request;
+use corneltrestle_engine::{
+    engine::Engine,
+    service::{self, Service},
+};
+use corneltrestle_node::{
+    link::Link,
+    pipeline::{
+        refusal::{self, Result},
+        request,
+    },
+};
 use corneltrestle_platform::store::Store;
 use corneltrestle_policy::{id, release};
-use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, HOST};
-use hyper::{HeaderMap, Request, Response};
+use hyper::{body::Incoming, header};
 
-use super::router::{self, Router};
+use super::router;
 use crate::body;
 
 /// Header with the caller's idempotency key.
@@ -19,13 +23,13 @@
 /// Longest idempotency key in bytes.
 const KEY_MAX_BYTES: usize = 256;
 
-impl<E: Engine, P: Service, S: Store, L: Link> Router<E, P, S, L> {
+impl<E: Engine, P: Service, S: Store, L: Link> router::Router<E, P, S, L> {
     pub(super) async fn plain(
         &self,
-        request: Request<Incoming>,
+        request: hyper::Request<Incoming>,
         organisation: id::Organisation,
         release: &release::Release,
-    ) -> Result<Response<body::Body>> {
+    ) -> Result<hyper::Response<body::Body>> {
         let arrived = self.pipeline.now();
         let id = router::request_id(&request);
         let (parts, incoming) = request.into_parts();
@@ -59,31 +63,35 @@
         release::Kind::Model { .. } => None,
     });
     found.ok_or_else(|| {
-        Refusal::not_run(Code::UnknownService, "route", "no service is offered under this path")
+        refusal::Refusal::not_run(
+            refusal::Code::UnknownService,
+            "route",
+            "no service is offered under this path",
+        )
     })
 }
 
-fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>> {
+fn idempotency_key(headers: &hyper::HeaderMap) -> Result<Option<String>> {
     let Some(value) = headers.get(IDEMPOTENCY_KEY) else { return Ok(None) };
     let key = value.to_str().ok().filter(|key| !key.is_empty() && key.len() <= KEY_MAX_BYTES);
     key.map(|key| Some(key.to_owned())).ok_or_else(|| {
         let message = format!("Idempotency-Key must be 1 to {KEY_MAX_BYTES} visible characters");
-        Refusal::not_run(Code::BadRequest, "receive", message)
+        refusal::Refusal::not_run(refusal::Code::BadRequest, "receive", message)
     })
 }
 
 /// Headers for the upstream, which must not learn the organisation's key.
-fn outgoing(mut headers: HeaderMap) -> HeaderMap {
-    for name in [AUTHORIZATION, HOST, CONTENT_LENGTH] {
+fn outgoing(mut headers: hyper::HeaderMap) -> hyper::HeaderMap {
+    for name in [header::AUTHORIZATION, header::HOST, header::CONTENT_LENGTH] {
         headers.remove(name);
     }
     headers
 }
 
-fn response(answer: service::Answer) -> Response<body::Body> {
-    let mut response = Response::new(body::Body::full(answer.body));
+fn response(answer: service::Answer) -> hyper::Response<body::Body> {
+    let mut response = hyper::Response::new(body::Body::full(answer.body));
     *response.status_mut() = answer.status;
     *response.headers_mut() = answer.headers;
-    response.headers_mut().remove(CONTENT_LENGTH);
+    response.headers_mut().remove(header::CONTENT_LENGTH);
     response
 }
--- a/crates/http/src/callers/router.rs
+++ b/crates/http/src/callers/router.rs
@@ -1,22 +1,22 @@
 //! Selection of the handler for a request.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
-use corneltrestle_engine::engine::Engine;
-use corneltrestle_engine::service::Service;
+use corneltrestle_engine::{engine::Engine, service::Service};
 use corneltrestle_kernel::{host, run};
-use corneltrestle_node::link::Link;
-use corneltrestle_node::pipeline;
-use corneltrestle_node::pipeline::refusal::{Code, Refusal, Result};
+use corneltrestle_node::{
+    link::Link,
+    pipeline::{
+        self,
+        refusal::{self, Result},
+    },
+};
 use corneltrestle_platform::store::Store;
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 
 use super::{auth, generate, models};
-use crate::request_id::RequestId;
-use crate::{answer, body, intake};
+use crate::{answer, body, intake, request_id};
 
 /// Header with the time that the caller waits for the whole answer, in milliseconds.
 const DEADLINE: &str = "x-deadline-ms";
@@ -24,25 +24,28 @@
 /// Handler of all requests of callers.
 #[derive(Debug)]
 pub(super) struct Router<E, P, S, L> {
-    pub(super) pipeline: Arc<pipeline::Pipeline<E, P, S, L>>,
+    pub(super) pipeline: sync::Arc<pipeline::Pipeline<E, P, S, L>>,
     pub(super) intake: intake::Intake,
     /// Longest time that a caller may read nothing of a stream.
-    pub(super) read_time: Duration,
-    host: Arc<host::Host>,
+    pub(super) read_time: time::Duration,
+    host: sync::Arc<host::Host>,
 }
 
 impl<E: Engine, P: Service, S: Store, L: Link> Router<E, P, S, L> {
     pub(super) fn new(
-        pipeline: Arc<pipeline::Pipeline<E, P, S, L>>,
-        host: Arc<host::Host>,
+        pipeline: sync::Arc<pipeline::Pipeline<E, P, S, L>>,
+        host: sync::Arc<host::Host>,
         intake: intake::Intake,
-        read_time: Duration,
+        read_time: time::Duration,
     ) -> Self {
         Self { pipeline, intake, read_time, host }
     }
 
     /// Answers a request, whatever happens to it.
-    pub(super) async fn handle(&self, request: Request<Incoming>) -> Response<body::Body> {
+    pub(super) async fn handle(
+        &self,
+        request: hyper::Request<Incoming>,
+    ) -> hyper::Response<body::Body> {
         match self.route(request).await {
             Ok(response) => response,
             Err(refusal) => {
@@ -53,10 +56,13 @@
         }
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Result<Response<body::Body>> {
+    async fn route(
+        &self,
+        request: hyper::Request<Incoming>,
+    ) -> Result<hyper::Response<body::Body>> {
         let path = request.uri().path();
         match path {
-            "/healthz" => return Ok(answer::text(StatusCode::OK, "ok\n")),
+            "/healthz" => return Ok(answer::text(hyper::StatusCode::OK, "ok\n")),
             "/readyz" => return Ok(self.ready()),
             _ => {}
         }
@@ -64,50 +70,55 @@
         let organisation = auth::organisation(request.headers(), &release)?;
         match path {
             "/v1/models" => {
-                expect(&request, &Method::GET)?;
+                expect(&request, &hyper::Method::GET)?;
                 Ok(models::list(&release))
             }
             "/v1/chat/completions" => {
-                expect(&request, &Method::POST)?;
+                expect(&request, &hyper::Method::POST)?;
                 self.generate(request, organisation, generate::CHAT).await
             }
             "/v1/completions" => {
-                expect(&request, &Method::POST)?;
+                expect(&request, &hyper::Method::POST)?;
                 self.generate(request, organisation, generate::COMPLETION).await
             }
             _ => self.plain(request, organisation, &release).await,
         }
     }
 
-    fn ready(&self) -> Response<body::Body> {
+    fn ready(&self) -> hyper::Response<body::Body> {
         match self.host.run.stage() {
-            run::Stage::Ready => answer::text(StatusCode::OK, "ready\n"),
-            stage => {
-                answer::text(StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {stage:?}\n"))
-            }
+            run::Stage::Ready => answer::text(hyper::StatusCode::OK, "ready\n"),
+            stage => answer::text(
+                hyper::StatusCode::SERVICE_UNAVAILABLE,
+                format!("not ready: {stage:?}\n"),
+            ),
         }
     }
 }
 
-fn expect<B>(request: &Request<B>, method: &Method) -> Result<()> {
+fn expect<B>(request: &hyper::Request<B>, method: &hyper::Method) -> Result<()> {
     if request.method() == method {
         return Ok(());
     }
     let message = format!("this path is offered for {method} only");
-    Err(Refusal::not_run(Code::MethodNotAllowed, "route", message))
+    Err(refusal::Refusal::not_run(refusal::Code::MethodNotAllowed, "route", message))
 }
 
 /// Identifier of a request, given by the layer in front.
-pub(super) fn request_id<B>(request: &Request<B>) -> String {
-    request.extensions().get::<RequestId>().map_or_else(String::new, |id| id.0.clone())
+pub(super) fn request_id<B>(request: &hyper::Request<B>) -> String {
+    request.extensions().get::<request_id::RequestId>().map_or_else(String::new, |id| id.0.clone())
 }
 
 /// When the answer is due: the caller's own deadline, at most the service's timeout.
-pub(super) fn deadline(headers: &HeaderMap, arrived: Moment, timeout: Duration) -> Result<Moment> {
+pub(super) fn deadline(
+    headers: &hyper::HeaderMap,
+    arrived: moment::Moment,
+    timeout: time::Duration,
+) -> Result<moment::Moment> {
     let Some(value) = headers.get(DEADLINE) else { return Ok(arrived + timeout) };
     let millis: u64 = value.to_str().ok().and_then(|text| text.parse().ok()).ok_or_else(|| {
         let message = "X-Deadline-Ms is not a whole number of milliseconds";
-        Refusal::not_run(Code::BadRequest, "receive", message)
+        refusal::Refusal::not_run(refusal::Code::BadRequest, "receive", message)
     })?;
-    Ok(arrived + Duration::from_millis(millis).min(timeout))
+    Ok(arrived + time::Duration::from_millis(millis).min(timeout))
 }
--- a/crates/http/src/operators.rs
+++ b/crates/http/src/operators.rs
@@ -2,28 +2,30 @@
 
 mod handler;
 
-use std::sync::{Arc, OnceLock};
+use std::sync;
 
-use corneltrestle_kernel::settings::{Key, Section, Type};
-use corneltrestle_kernel::{host, linkme, plugin};
-use corneltrestle_node::identity;
-use corneltrestle_node::link::Link;
-use corneltrestle_node::link::port::NodeLink;
+use corneltrestle_kernel::{host, linkme, plugin, settings};
+use corneltrestle_node::{
+    identity,
+    link::{Link, port},
+};
 use corneltrestle_platform::store::{self, Store};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
-use tower::ServiceBuilder;
 
 use crate::{request_id, server};
 
 /// Settings of the front end for operators.
-pub static SECTION: Section = Section {
+pub static SECTION: settings::Section = settings::Section {
     name: "operators",
     help: "The front end for operators; metrics are served without token under `/metrics`.",
     keys: &[
-        Key::required("address", Type::Address, "Address on which operators are served."),
-        Key::required(
+        settings::Key::required(
+            "address",
+            settings::Type::Address,
+            "Address on which operators are served.",
+        ),
+        settings::Key::required(
             "token-file",
-            Type::Path,
+            settings::Type::Path,
             "File with the token that operators send, 16 bytes or more.",
         ),
     ],
@@ -36,15 +38,15 @@
     kind: plugin::Kind::FrontEnd,
     section: Some(&SECTION),
     check: plugin::unchecked,
-    open: open::<store::etcd::NodeStore, NodeLink>,
+    open: open::<store::etcd::NodeStore, port::NodeLink>,
 };
 
-fn open<S: Store, L: Link>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+fn open<S: Store, L: Link>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let token = identity::read_secret(&host.settings, "operators", "token-file")?;
-    let handler = Arc::new(handler::Handler::<S, L>::open(host, token, recorder())?);
+    let handler = sync::Arc::new(handler::Handler::<S, L>::open(host, token, recorder())?);
     let service =
-        ServiceBuilder::new().layer(request_id::RequestIdLayer).service_fn(move |request| {
-            let handler = Arc::clone(&handler);
+        tower::ServiceBuilder::new().layer(request_id::RequestIdLayer).service_fn(move |request| {
+            let handler = sync::Arc::clone(&handler);
             async move { Ok(handler.handle(request).await) }
         });
     let address = host.settings.section("operators").address("address");
@@ -52,10 +54,11 @@
 }
 
 /// The process's metrics; several nodes in one process share them.
-fn recorder() -> PrometheusHandle {
-    static RECORDER: OnceLock<PrometheusHandle> = OnceLock::new();
+fn recorder() -> metrics_exporter_prometheus::PrometheusHandle {
+    static RECORDER: sync::OnceLock<metrics_exporter_prometheus::PrometheusHandle> =
+        sync::OnceLock::new();
     let install = || {
-        let recorder = PrometheusBuilder::new().build_recorder();
+        let recorder = metrics_exporter_prometheus::PrometheusBuilder::new().build_recorder();
         let handle = recorder.handle();
         // Another recorder is in place when the library is embedded; that one then has the metrics.
         let _ = metrics::set_global_recorder(recorder);
--- a/crates/http/src/operators/handler.rs
+++ b/crates/http/src/operators/handler.rs
@@ -1,45 +1,43 @@
 //! Operator calls.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
 use corneltrestle_kernel::{host, plugin};
-use corneltrestle_node::link::Link;
-use corneltrestle_node::operate::{self, overview, standing, survey};
-use corneltrestle_node::pipeline::refusal::{Code, Refusal, Result};
-use corneltrestle_node::{counts, identity, tables};
+use corneltrestle_node::{
+    counts, identity,
+    link::Link,
+    operate::{self, overview, standing, survey},
+    pipeline::refusal::{self, Result},
+    tables,
+};
 use corneltrestle_platform::store::Store;
-use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use metrics_exporter_prometheus::PrometheusHandle;
+use hyper::{body::Incoming, header};
 use subtle::ConstantTimeEq;
 
-use crate::intake::Intake;
-use crate::{answer, body};
+use crate::{answer, body, intake};
 
 /// Largest note in bytes.
 const NOTE_MAX_BYTES: usize = corneltrestle_wire::note::MAX_BYTES;
 /// Prefix of the path under which a note is looked up.
 const NOTE: &str = "/v1/note/";
 /// Longest time for a note to arrive.
-const NOTE_TIME: Duration = Duration::from_secs(10);
+const NOTE_TIME: time::Duration = time::Duration::from_secs(10);
 
 /// Handler of operator calls.
 #[derive(Debug)]
 pub(super) struct Handler<S, L> {
     token: identity::Secret,
-    metrics: PrometheusHandle,
-    store: Arc<S>,
+    metrics: metrics_exporter_prometheus::PrometheusHandle,
+    store: sync::Arc<S>,
     tables: tables::Tables,
     survey: survey::Survey<L>,
 }
 
 impl<S: Store, L: Link> Handler<S, L> {
     pub(super) fn open(
-        host: &Arc<host::Host>,
+        host: &sync::Arc<host::Host>,
         token: identity::Secret,
-        metrics: PrometheusHandle,
+        metrics: metrics_exporter_prometheus::PrometheusHandle,
     ) -> plugin::Result<Self> {
         Ok(Self {
             token,
@@ -51,63 +49,73 @@
     }
 
     /// Answers a request, whatever happens to it.
-    pub(super) async fn handle(&self, request: Request<Incoming>) -> Response<body::Body> {
+    pub(super) async fn handle(
+        &self,
+        request: hyper::Request<Incoming>,
+    ) -> hyper::Response<body::Body> {
         self.route(request).await.unwrap_or_else(|refusal| answer::refusal(&refusal))
     }
 
-    async fn route(&self, request: Request<Incoming>) -> Result<Response<body::Body>> {
+    async fn route(
+        &self,
+        request: hyper::Request<Incoming>,
+    ) -> Result<hyper::Response<body::Body>> {
         let path = request.uri().path().to_owned();
         match path.as_str() {
-            "/metrics" => return Ok(answer::text(StatusCode::OK, self.metrics.render())),
-            "/healthz" => return Ok(answer::text(StatusCode::OK, "ok\n")),
+            "/metrics" => return Ok(answer::text(hyper::StatusCode::OK, self.metrics.render())),
+            "/healthz" => return Ok(answer::text(hyper::StatusCode::OK, "ok\n")),
             _ => {}
         }
         self.authenticate(request.headers())?;
         match (request.method(), path.as_str()) {
-            (&Method::POST, "/v1/note") => {
+            (&hyper::Method::POST, "/v1/note") => {
                 let text = note(request).await?;
                 Ok(verdict(&operate::apply(&*self.store, &self.tables, &text).await))
             }
-            (&Method::POST, "/v1/note/check") => {
+            (&hyper::Method::POST, "/v1/note/check") => {
                 let text = note(request).await?;
                 Ok(verdict(&operate::check(&*self.store, &text).await))
             }
-            (&Method::GET, "/v1/status") => {
-                Ok(answer::json(StatusCode::OK, &overview::read(&self.survey).await))
+            (&hyper::Method::GET, "/v1/status") => {
+                Ok(answer::json(hyper::StatusCode::OK, &overview::read(&self.survey).await))
             }
-            (&Method::GET, "/v1/burn") => {
-                Ok(answer::json(StatusCode::OK, &counts::reading::read(&self.survey).await))
+            (&hyper::Method::GET, "/v1/burn") => {
+                Ok(answer::json(hyper::StatusCode::OK, &counts::reading::read(&self.survey).await))
             }
             (method, path) => match path.strip_prefix(NOTE) {
-                Some(id) if method == Method::GET && is_name(id) => self.standing(id).await,
+                Some(id) if method == hyper::Method::GET && is_name(id) => self.standing(id).await,
                 _ => Err(unknown_call(path)),
             },
         }
     }
 
-    async fn standing(&self, id: &str) -> Result<Response<body::Body>> {
+    async fn standing(&self, id: &str) -> Result<hyper::Response<body::Body>> {
         match standing::find(&*self.store, &self.survey, id).await {
-            standing::Found::Accepted(standing) => Ok(answer::json(StatusCode::OK, &standing)),
+            standing::Found::Accepted(standing) => {
+                Ok(answer::json(hyper::StatusCode::OK, &standing))
+            }
             standing::Found::Unknown => {
                 let message = format!("no accepted note with id {id} is remembered");
-                Err(Refusal::not_run(Code::NotFound, "look up note", message))
-            }
-            standing::Found::Unavailable { cause } => {
-                Err(Refusal::not_run(Code::StoreUnavailable, "look up note", cause))
+                Err(refusal::Refusal::not_run(refusal::Code::NotFound, "look up note", message))
             }
+            standing::Found::Unavailable { cause } => Err(refusal::Refusal::not_run(
+                refusal::Code::StoreUnavailable,
+                "look up note",
+                cause,
+            )),
         }
     }
 
-    fn authenticate(&self, headers: &HeaderMap) -> Result<()> {
+    fn authenticate(&self, headers: &hyper::HeaderMap) -> Result<()> {
         let sent = headers
-            .get(AUTHORIZATION)
+            .get(header::AUTHORIZATION)
             .and_then(|value| value.as_bytes().strip_prefix(b"Bearer "))
             .unwrap_or_default();
         if bool::from(sent.ct_eq(self.token.bytes())) {
             return Ok(());
         }
-        Err(Refusal::not_run(
-            Code::Unauthorized,
+        Err(refusal::Refusal::not_run(
+            refusal::Code::Unauthorized,
             "authenticate",
             "send the operators' token as Authorization: Bearer TOKEN",
         ))
@@ -120,29 +128,30 @@
     (1..=64).contains(&id.len()) && id.bytes().all(allowed)
 }
 
-fn unknown_call(path: &str) -> Refusal {
+fn unknown_call(path: &str) -> refusal::Refusal {
     let is_known = matches!(path, "/v1/note" | "/v1/note/check" | "/v1/status" | "/v1/burn");
     if is_known || path.strip_prefix(NOTE).is_some_and(is_name) {
         let message = "this path is not offered for this method";
-        return Refusal::not_run(Code::MethodNotAllowed, "route", message);
+        return refusal::Refusal::not_run(refusal::Code::MethodNotAllowed, "route", message);
     }
-    Refusal::not_run(Code::NotFound, "route", "no operator call has this path")
+    refusal::Refusal::not_run(refusal::Code::NotFound, "route", "no operator call has this path")
 }
 
-async fn note(request: Request<Incoming>) -> Result<String> {
-    let bad = |message: String| Refusal::not_run(Code::BadRequest, "receive", message);
-    let intake = Intake { body_limit: NOTE_MAX_BYTES, body_time: NOTE_TIME };
+async fn note(request: hyper::Request<Incoming>) -> Result<String> {
+    let bad =
+        |message: String| refusal::Refusal::not_run(refusal::Code::BadRequest, "receive", message);
+    let intake = intake::Intake { body_limit: NOTE_MAX_BYTES, body_time: NOTE_TIME };
     let bytes = intake.read(request.into_body()).await?;
     String::from_utf8(bytes.into()).map_err(|_| bad("the note is not UTF-8 text".to_owned()))
 }
 
-fn verdict(verdict: &operate::Verdict) -> Response<body::Body> {
+fn verdict(verdict: &operate::Verdict) -> hyper::Response<body::Body> {
     let status = match verdict {
-        operate::Verdict::Accepted { .. } | operate::Verdict::Valid { .. } => StatusCode::OK,
-        operate::Verdict::Rejected { .. } => StatusCode::UNPROCESSABLE_ENTITY,
-        operate::Verdict::Conflict { .. } => StatusCode::CONFLICT,
-        operate::Verdict::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
-        operate::Verdict::Unknown { .. } => StatusCode::GATEWAY_TIMEOUT,
+        operate::Verdict::Accepted { .. } | operate::Verdict::Valid { .. } => hyper::StatusCode::OK,
+        operate::Verdict::Rejected { .. } => hyper::StatusCode::UNPROCESSABLE_ENTITY,
+        operate::Verdict::Conflict { .. } => hyper::StatusCode::CONFLICT,
+        operate::Verdict::Unavailable { .. } => hyper::StatusCode::SERVICE_UNAVAILABLE,
+        operate::Verdict::Unknown { .. } => hyper::StatusCode::GATEWAY_TIMEOUT,
     };
     answer::json(status, verdict)
 }
--- a/crates/http/src/request_id.rs
+++ b/crates/http/src/request_id.rs
@@ -1,11 +1,11 @@
 //! Layer that gives each request an identifier and echoes it in the answer.
 
-use std::future::Future;
-use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::{
+    pin,
+    task::{self, ready},
+};
 
-use hyper::header::{HeaderName, HeaderValue};
-use hyper::{Request, Response};
+use hyper::header;
 use pin_project_lite::pin_project;
 use tower::{Layer, Service};
 
@@ -36,29 +36,29 @@
     inner: S,
 }
 
-impl<S, B, R> Service<Request<B>> for RequestIdService<S>
+impl<S, B, R> Service<hyper::Request<B>> for RequestIdService<S>
 where
-    S: Service<Request<B>, Response = Response<R>>,
+    S: Service<hyper::Request<B>, Response = hyper::Response<R>>,
 {
     type Response = S::Response;
     type Error = S::Error;
     type Future = Echo<S::Future>;
 
-    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), S::Error>> {
+    fn poll_ready(&mut self, cx: &mut task::Context<'_>) -> task::Poll<Result<(), S::Error>> {
         self.inner.poll_ready(cx)
     }
 
-    fn call(&mut self, mut request: Request<B>) -> Self::Future {
+    fn call(&mut self, mut request: hyper::Request<B>) -> Self::Future {
         let id =
             from_caller(&request).unwrap_or_else(|| format!("{:032x}", rand::random::<u128>()));
-        let echo = HeaderValue::from_str(&id).ok();
+        let echo = header::HeaderValue::from_str(&id).ok();
         request.extensions_mut().insert(RequestId(id));
         Echo { inner: self.inner.call(request), echo }
     }
 }
 
 /// A caller's own identifier with a random part, so that two requests never share one.
-fn from_caller<B>(request: &Request<B>) -> Option<String> {
+fn from_caller<B>(request: &hyper::Request<B>) -> Option<String> {
     let id = request.headers().get(answer::REQUEST_ID)?.to_str().ok()?;
     let usable = !id.is_empty()
         && id.len() <= CALLER_ID_MAX_BYTES
@@ -72,22 +72,24 @@
     pub(crate) struct Echo<F> {
         #[pin]
         inner: F,
-        echo: Option<HeaderValue>,
+        echo: Option<header::HeaderValue>,
     }
 }
 
 impl<F, R, E> Future for Echo<F>
 where
-    F: Future<Output = Result<Response<R>, E>>,
+    F: Future<Output = Result<hyper::Response<R>, E>>,
 {
     type Output = F::Output;
 
-    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+    fn poll(self: pin::Pin<&mut Self>, cx: &mut task::Context<'_>) -> task::Poll<Self::Output> {
         let this = self.project();
         let mut result = ready!(this.inner.poll(cx));
         if let (Ok(response), Some(echo)) = (&mut result, this.echo.take()) {
-            response.headers_mut().insert(HeaderName::from_static(answer::REQUEST_ID), echo);
+            response
+                .headers_mut()
+                .insert(header::HeaderName::from_static(answer::REQUEST_ID), echo);
         }
-        Poll::Ready(result)
+        task::Poll::Ready(result)
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,19 +3,15 @@
 mod early;
 mod header;
 
-use std::convert::Infallible;
-use std::future::Future;
-use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::{
+    convert, net,
+    sync::{self, atomic},
+    time,
+};
 
 use corneltrestle_kernel::{host, plugin};
 use hyper::body::Incoming;
-use hyper::{Request, Response};
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::conn::auto;
-use hyper_util::service::TowerToHyperService;
+use hyper_util::{rt, server::conn::auto, service};
 use tokio_util::sync::CancellationToken;
 use tower::Service;
 
@@ -25,7 +21,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Longest time for the header of a request.
-    pub header_time: Duration,
+    pub header_time: time::Duration,
     /// Largest header in bytes.
     pub header_bytes: usize,
     /// Most header fields.
@@ -33,7 +29,7 @@
     /// Most connections at a time; more are refused at once.
     pub connections: usize,
     /// Longest time that connections get to finish at shutdown.
-    pub drain: Duration,
+    pub drain: time::Duration,
 }
 
 /// Multiple of the header limits at which hyper itself gives up. Up to it, the front end answers in
@@ -43,11 +39,11 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            header_time: Duration::from_secs(5),
+            header_time: time::Duration::from_secs(5),
             header_bytes: 32 * 1024,
             header_fields: 64,
             connections: 4_096,
-            drain: Duration::from_secs(30),
+            drain: time::Duration::from_secs(30),
         }
     }
 }
@@ -60,23 +56,28 @@
 ///
 /// When the address cannot be bound.
 pub fn bind<S, F>(
-    host: &Arc<host::Host>,
+    host: &sync::Arc<host::Host>,
     step: &'static str,
-    address: SocketAddr,
+    address: net::SocketAddr,
     limits: Limits,
     service: S,
 ) -> plugin::Result<plugin::Handle>
 where
-    S: Service<Request<Incoming>, Response = Response<body::Body>, Error = Infallible, Future = F>,
+    S: Service<
+            hyper::Request<Incoming>,
+            Response = hyper::Response<body::Body>,
+            Error = convert::Infallible,
+            Future = F,
+        >,
     S: Clone + Send + Sync + 'static,
-    F: Future<Output = Result<Response<body::Body>, Infallible>> + Send + 'static,
+    F: Future<Output = Result<hyper::Response<body::Body>, convert::Infallible>> + Send + 'static,
 {
     let refused = |source| plugin::Error::Bind { step, peer: address.to_string(), source };
-    let listener = TcpListener::bind(address).map_err(refused)?;
+    let listener = net::TcpListener::bind(address).map_err(refused)?;
     listener.set_nonblocking(true).map_err(refused)?;
     let handle = plugin::Handle::default();
     let jobs = handle.clone();
-    let host = Arc::clone(host);
+    let host = sync::Arc::clone(host);
     log::info!("{step}: listening on {address}");
     handle.run(&host.clone().pool, async move {
         accept(host, step, listener, limits, service, jobs).await;
@@ -85,22 +86,27 @@
 }
 
 async fn accept<S, F>(
-    host: Arc<host::Host>,
+    host: sync::Arc<host::Host>,
     step: &'static str,
-    listener: TcpListener,
+    listener: net::TcpListener,
     limits: Limits,
     service: S,
     jobs: plugin::Handle,
 ) where
-    S: Service<Request<Incoming>, Response = Response<body::Body>, Error = Infallible, Future = F>,
+    S: Service<
+            hyper::Request<Incoming>,
+            Response = hyper::Response<body::Body>,
+            Error = convert::Infallible,
+            Future = F,
+        >,
     S: Clone + Send + Sync + 'static,
-    F: Future<Output = Result<Response<body::Body>, Infallible>> + Send + 'static,
+    F: Future<Output = Result<hyper::Response<body::Body>, convert::Infallible>> + Send + 'static,
 {
     let listener = match tokio::net::TcpListener::from_std(listener) {
         Ok(listener) => listener,
         Err(e) => return log::error!("{step}: cannot use the listener: {e}"),
     };
-    let slots = Arc::new(tokio::sync::Semaphore::new(limits.connections));
+    let slots = sync::Arc::new(tokio::sync::Semaphore::new(limits.connections));
     loop {
         let accepted = tokio::select! {
             () = jobs.stop().cancelled() => return,
@@ -108,10 +114,10 @@
         };
         let Ok((socket, peer)) = accepted else {
             // Out of file descriptors or an aborted handshake; waiting lets others finish.
-            tokio::time::sleep(Duration::from_millis(10)).await;
+            tokio::time::sleep(time::Duration::from_millis(10)).await;
             continue;
         };
-        let Ok(slot) = Arc::clone(&slots).try_acquire_owned() else {
+        let Ok(slot) = sync::Arc::clone(&slots).try_acquire_owned() else {
             metrics::counter!("connections_refused_total", "part" => step).increment(1);
             early::refuse(socket);
             continue;
@@ -135,33 +141,39 @@
     stop: CancellationToken,
 ) -> Result<(), Box<dyn std::error::Error + Send + Sync>>
 where
-    S: Service<Request<Incoming>, Response = Response<body::Body>, Error = Infallible, Future = F>,
+    S: Service<
+            hyper::Request<Incoming>,
+            Response = hyper::Response<body::Body>,
+            Error = convert::Infallible,
+            Future = F,
+        >,
     S: Clone + Send + Sync + 'static,
-    F: Future<Output = Result<Response<body::Body>, Infallible>> + Send + 'static,
+    F: Future<Output = Result<hyper::Response<body::Body>, convert::Infallible>> + Send + 'static,
 {
-    let mut builder = auto::Builder::new(TokioExecutor::new());
+    let mut builder = auto::Builder::new(rt::TokioExecutor::new());
     builder
         .http1()
-        .timer(TokioTimer::new())
+        .timer(rt::TokioTimer::new())
         .header_read_timeout(limits.header_time)
         .max_buf_size((HARD * limits.header_bytes).max(8 * 1024))
         .max_headers(HARD * limits.header_fields);
     builder
         .http2()
-        .timer(TokioTimer::new())
+        .timer(rt::TokioTimer::new())
         .max_header_list_size(u32::try_from(HARD * limits.header_bytes).unwrap_or(u32::MAX))
         .max_concurrent_streams(256)
-        .keep_alive_interval(Duration::from_secs(10))
-        .keep_alive_timeout(Duration::from_secs(5));
-    let asked = Arc::new(AtomicBool::new(false));
-    let service = header::Checked::new(service, limits, Arc::clone(&asked));
-    let service = TowerToHyperService::new(service);
-    let connection = builder.serve_connection(TokioIo::new(early::Socket::new(socket)), service);
+        .keep_alive_interval(time::Duration::from_secs(10))
+        .keep_alive_timeout(time::Duration::from_secs(5));
+    let asked = sync::Arc::new(atomic::AtomicBool::new(false));
+    let service = header::Checked::new(service, limits, sync::Arc::clone(&asked));
+    let service = service::TowerToHyperService::new(service);
+    let connection =
+        builder.serve_connection(rt::TokioIo::new(early::Socket::new(socket)), service);
     tokio::pin!(connection);
     // hyper's own limit does not run before the version is known, and not for HTTP/2.
     let idle = async {
         tokio::time::sleep(limits.header_time).await;
-        if asked.load(Ordering::Relaxed) {
+        if asked.load(atomic::Ordering::Relaxed) {
             std::future::pending::<()>().await;
         }
     };
--- a/crates/http/src/server/early.rs
+++ b/crates/http/src/server/early.rs
@@ -1,25 +1,28 @@
 //! Answers on connections that never carry a complete header.
 
-use std::io::{self, Write};
-use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::{
+    io::{self, Write},
+    pin, task,
+};
 
-use corneltrestle_node::pipeline::refusal::{Code, Refusal};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use corneltrestle_node::pipeline::refusal;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net,
+};
 
 use crate::answer;
 
 /// A connection that is answered when it ends after a part of a first header.
 #[derive(Debug)]
 pub(super) struct Socket {
-    socket: TcpStream,
+    socket: net::TcpStream,
     has_read: bool,
     has_written: bool,
 }
 
 impl Socket {
-    pub(super) fn new(socket: TcpStream) -> Self {
+    pub(super) fn new(socket: net::TcpStream) -> Self {
         Self { socket, has_read: false, has_written: false }
     }
 }
@@ -28,7 +31,8 @@
     fn drop(&mut self) {
         if self.has_read && !self.has_written {
             let message = "the header of the request did not arrive whole in time";
-            let refusal = Refusal::not_run(Code::RequestTimeout, "receive", message);
+            let refusal =
+                refusal::Refusal::not_run(refusal::Code::RequestTimeout, "receive", message);
             // A caller that has left cannot be told.
             let _ = self.socket.try_write(&whole("408 Request Timeout", &refusal));
         }
@@ -36,16 +40,16 @@
 }
 
 /// Refuses a connection beyond the limit; nothing waits for the caller.
-pub(super) fn refuse(socket: TcpStream) {
+pub(super) fn refuse(socket: net::TcpStream) {
     let message = "the node has too many connections";
-    let refusal = Refusal::not_run(Code::Overloaded, "accept", message);
+    let refusal = refusal::Refusal::not_run(refusal::Code::Overloaded, "accept", message);
     if let Ok(mut socket) = socket.into_std() {
         let _ = socket.write(&whole("503 Service Unavailable", &refusal));
     }
 }
 
 /// A complete answer as bytes, for connections on which hyper has no request to answer.
-fn whole(status: &str, refusal: &Refusal) -> Vec<u8> {
+fn whole(status: &str, refusal: &refusal::Refusal) -> Vec<u8> {
     let body = serde_json::to_vec(&answer::error_body(refusal)).unwrap_or_default();
     let head = format!(
         "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
@@ -61,12 +65,12 @@
 
 impl AsyncRead for Socket {
     fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
         buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    ) -> task::Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.socket).poll_read(cx, buf);
+        let read = pin::Pin::new(&mut self.socket).poll_read(cx, buf);
         self.has_read |= buf.filled().len() > before;
         read
     }
@@ -74,32 +78,38 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
         buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
+    ) -> task::Poll<io::Result<usize>> {
         self.has_written = true;
-        Pin::new(&mut self.socket).poll_write(cx, buf)
+        pin::Pin::new(&mut self.socket).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
         bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
+    ) -> task::Poll<io::Result<usize>> {
         self.has_written = true;
-        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
+        pin::Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
         self.socket.is_write_vectored()
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.socket).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
--- a/crates/kernel/src/host.rs
+++ b/crates/kernel/src/host.rs
@@ -1,20 +1,19 @@
 //! What a plug-in finds when it opens: tables, ports, pool, clock and settings.
 
-use std::any::{Any, TypeId, type_name};
-use std::collections::HashMap;
-use std::future::Future;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{
+    any::{self, Any, type_name},
+    collections, sync, time,
+};
 
-use parking_lot::Mutex;
+use corneltrestle_time::{
+    clock::{self, Clock},
+    moment,
+};
 use rand::Rng;
 
-use corneltrestle_time::Moment;
-use corneltrestle_time::clock::{self, Clock};
-
 use crate::{plugin, pool, run, settings, table};
 
-type Shared = HashMap<TypeId, Arc<dyn Any + Send + Sync>>;
+type Shared = collections::HashMap<any::TypeId, sync::Arc<dyn Any + Send + Sync>>;
 
 /// The host of the plug-ins of one node.
 ///
@@ -29,7 +28,7 @@
     pub run: run::State,
     /// The checked settings.
     pub settings: settings::Settings,
-    shared: Mutex<Shared>,
+    shared: parking_lot::Mutex<Shared>,
 }
 
 /// The plug-ins of a node that have been opened, in order.
@@ -40,13 +39,13 @@
 
 impl Host {
     /// Opens a host without plug-ins.
-    pub fn open(settings: settings::Settings, pool: pool::Pool) -> Arc<Self> {
-        Arc::new(Self {
+    pub fn open(settings: settings::Settings, pool: pool::Pool) -> sync::Arc<Self> {
+        sync::Arc::new(Self {
             clock: clock::System::open(),
             pool,
             run: run::State::open(),
             settings,
-            shared: Mutex::default(),
+            shared: parking_lot::Mutex::default(),
         })
     }
 
@@ -55,7 +54,7 @@
     /// # Errors
     ///
     /// The first plug-in that cannot be checked or opened.
-    pub fn open_plugins(self: &Arc<Self>) -> plugin::Result<Opened> {
+    pub fn open_plugins(self: &sync::Arc<Self>) -> plugin::Result<Opened> {
         let mut opened = Opened::default();
         for plugin in plugin::ordered() {
             (plugin.check)(&self.settings)?;
@@ -65,7 +64,7 @@
     }
 
     /// The present moment of the node's clock.
-    pub fn now(&self) -> Moment {
+    pub fn now(&self) -> moment::Moment {
         self.clock.now()
     }
 }
@@ -73,20 +72,20 @@
 /// Shared values by type.
 impl Host {
     /// The table that stores `T`, created empty on first use.
-    pub fn table<T>(&self) -> Arc<table::Table<T>>
+    pub fn table<T>(&self) -> sync::Arc<table::Table<T>>
     where
         T: table::Ranked + Default + Send + 'static,
     {
         let mut shared = self.shared.lock();
         let entry = shared
-            .entry(TypeId::of::<table::Table<T>>())
-            .or_insert_with(|| Arc::new(table::Table::new(T::default())));
-        Arc::clone(entry).downcast().unwrap_or_else(|_| unreachable!("keyed by type"))
+            .entry(any::TypeId::of::<table::Table<T>>())
+            .or_insert_with(|| sync::Arc::new(table::Table::new(T::default())));
+        sync::Arc::clone(entry).downcast().unwrap_or_else(|_| unreachable!("keyed by type"))
     }
 
     /// Offers a port to plug-ins that open later.
-    pub fn provide<P: Send + Sync + 'static>(&self, port: Arc<P>) {
-        self.shared.lock().insert(TypeId::of::<P>(), port);
+    pub fn provide<P: Send + Sync + 'static>(&self, port: sync::Arc<P>) {
+        self.shared.lock().insert(any::TypeId::of::<P>(), port);
     }
 
     /// A port that an earlier plug-in offered.
@@ -94,8 +93,8 @@
     /// # Errors
     ///
     /// When no plug-in has offered it.
-    pub fn port<P: Send + Sync + 'static>(&self) -> plugin::Result<Arc<P>> {
-        let found = self.shared.lock().get(&TypeId::of::<P>()).cloned();
+    pub fn port<P: Send + Sync + 'static>(&self) -> plugin::Result<sync::Arc<P>> {
+        let found = self.shared.lock().get(&any::TypeId::of::<P>()).cloned();
         found
             .and_then(|port| port.downcast().ok())
             .ok_or(plugin::Error::Port { step: type_name::<P>() })
@@ -108,12 +107,16 @@
     ///
     /// The duty receives the present moment. A run that takes longer than the period delays the
     /// next one; runs never overlap.
-    pub fn every<F, Fut>(self: &Arc<Self>, handle: &plugin::Handle, period: Duration, mut duty: F)
-    where
-        F: FnMut(Moment) -> Fut + Send + 'static,
+    pub fn every<F, Fut>(
+        self: &sync::Arc<Self>,
+        handle: &plugin::Handle,
+        period: time::Duration,
+        mut duty: F,
+    ) where
+        F: FnMut(moment::Moment) -> Fut + Send + 'static,
         Fut: Future<Output = ()> + Send + 'static,
     {
-        let host = Arc::clone(self);
+        let host = sync::Arc::clone(self);
         handle.run_until_stop(&self.pool, async move {
             loop {
                 duty(host.now()).await;
--- a/crates/kernel/src/ini.rs
+++ b/crates/kernel/src/ini.rs
@@ -2,8 +2,6 @@
 
 use std::fmt;
 
-use ini::Ini;
-
 /// The result of parsing a document.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -71,7 +69,7 @@
     /// ```
     pub fn parse(text: &str) -> Result<Self> {
         check_headers(text)?;
-        let parsed = Ini::load_from_str_noescape(text)
+        let parsed = ini::Ini::load_from_str_noescape(text)
             .map_err(|e| Error { line: e.line, message: e.msg.into_owned() })?;
         let mut lines = Lines::new(text);
         let mut sections = Vec::new();
--- a/crates/kernel/src/plugin.rs
+++ b/crates/kernel/src/plugin.rs
@@ -3,15 +3,15 @@
 mod error;
 mod handle;
 
-use std::sync::Arc;
+use std::sync;
 
 use linkme::distributed_slice;
 
+use crate::{host, settings};
+
 pub use error::Error;
 pub use handle::Handle;
 
-use crate::{host, settings};
-
 /// The result of checking or opening a plug-in.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -40,7 +40,7 @@
     /// Checks settings together, beyond what each key states.
     pub check: fn(&settings::Settings) -> Result<()>,
     /// Opens the plug-in on a host.
-    pub open: fn(&Arc<host::Host>) -> Result<Handle>,
+    pub open: fn(&sync::Arc<host::Host>) -> Result<Handle>,
 }
 
 /// All plug-ins linked into the program.
--- a/crates/kernel/src/plugin/handle.rs
+++ b/crates/kernel/src/plugin/handle.rs
@@ -1,17 +1,14 @@
 //! Handles on running plug-ins.
 
-use std::future::Future;
-
-use tokio_util::sync::CancellationToken;
-use tokio_util::task::TaskTracker;
+use tokio_util::{sync, task};
 
 use crate::pool;
 
 /// A running plug-in: its jobs and the token that stops them.
 #[derive(Clone, Debug, Default)]
 pub struct Handle {
-    stop: CancellationToken,
-    jobs: TaskTracker,
+    stop: sync::CancellationToken,
+    jobs: task::TaskTracker,
 }
 
 impl Handle {
@@ -21,7 +18,7 @@
     }
 
     /// The token that is cancelled at shutdown.
-    pub fn stop(&self) -> &CancellationToken {
+    pub fn stop(&self) -> &sync::CancellationToken {
         &self.stop
     }
 
--- a/crates/kernel/src/pool.rs
+++ b/crates/kernel/src/pool.rs
@@ -1,10 +1,8 @@
 //! The pool of worker threads on which connections and periodic duties run.
 
-use std::future::Future;
-use std::time::Duration;
+use std::time;
 
-use tokio::runtime;
-use tokio::task::JoinHandle;
+use tokio::{runtime, task};
 
 /// A fixed number of worker threads.
 #[derive(Debug)]
@@ -42,7 +40,7 @@
     }
 
     /// Runs a job on the pool.
-    pub fn run<F>(&self, job: F) -> JoinHandle<F::Output>
+    pub fn run<F>(&self, job: F) -> task::JoinHandle<F::Output>
     where
         F: Future + Send + 'static,
         F::Output: Send + 'static,
@@ -56,7 +54,7 @@
     }
 
     /// Ends the workers, waiting at most `limit` for jobs that are still running.
-    pub fn shutdown(self, limit: Duration) {
+    pub fn shutdown(self, limit: time::Duration) {
         if let Some(owned) = self.owned {
             owned.shutdown_timeout(limit);
         }
--- a/crates/kernel/src/running.rs
+++ b/crates/kernel/src/running.rs
@@ -2,30 +2,29 @@
 
 mod error;
 
-use std::sync::Arc;
-use std::time::Duration;
-
-pub use error::Error;
+use std::{sync, time};
 
 use crate::{host, plugin, pool, run, settings};
 
+pub use error::Error;
+
 /// The result of opening a node.
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Time that the workers get to end after all plug-ins have.
-const POOL_LIMIT: Duration = Duration::from_secs(1);
+const POOL_LIMIT: time::Duration = time::Duration::from_secs(1);
 
 /// A running node that owns its workers.
 #[derive(Debug)]
 pub struct Running {
-    host: Arc<host::Host>,
+    host: sync::Arc<host::Host>,
     opened: host::Opened,
 }
 
 /// A running node on workers that it shares with others.
 #[derive(Debug)]
 pub struct Attached {
-    host: Arc<host::Host>,
+    host: sync::Arc<host::Host>,
     opened: host::Opened,
 }
 
@@ -62,7 +61,7 @@
     }
 
     /// The node's host.
-    pub fn host(&self) -> &Arc<host::Host> {
+    pub fn host(&self) -> &sync::Arc<host::Host> {
         &self.host
     }
 
@@ -72,7 +71,7 @@
     pub fn shutdown(self) {
         let Self { host, opened } = self;
         host.pool.wait(stop(&host, opened));
-        if let Some(host) = Arc::into_inner(host) {
+        if let Some(host) = sync::Arc::into_inner(host) {
             host.pool.shutdown(POOL_LIMIT);
         }
     }
@@ -96,7 +95,7 @@
     }
 
     /// The node's host.
-    pub fn host(&self) -> &Arc<host::Host> {
+    pub fn host(&self) -> &sync::Arc<host::Host> {
         &self.host
     }
 
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -5,25 +5,22 @@
 mod key;
 mod value;
 
-use std::collections::BTreeMap;
-use std::path::{Path, PathBuf};
-use std::time::Duration;
-use std::{fs, net};
+use std::{collections, fs, net, path, time};
+
+use crate::{ini, plugin};
 
 pub use document::document;
 pub use error::{Error, Fault, FaultKind};
 pub use key::{Key, Section, Type};
 pub use value::Value;
 
-use crate::{ini, plugin};
-
 /// The result of reading settings.
 pub type Result<T> = std::result::Result<T, Error>;
 
 /// Checked settings, defaults filled in.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
-    values: BTreeMap<(&'static str, &'static str), Value>,
+    values: collections::BTreeMap<(&'static str, &'static str), Value>,
 }
 
 /// The settings of one section.
@@ -47,7 +44,7 @@
     /// # Errors
     ///
     /// When the file cannot be read, or with every fault in it.
-    pub fn load(path: &Path, sections: &[&'static Section]) -> Result<Self> {
+    pub fn load(path: &path::Path, sections: &[&'static Section]) -> Result<Self> {
         let file = path.display().to_string();
         let bytes = fs::read(path)
             .map_err(|source| Error::Read { file: file.clone(), message: source.to_string() })?;
@@ -188,7 +185,7 @@
     }
 
     /// A span of time.
-    pub fn span(&self, key: &'static str) -> Duration {
+    pub fn span(&self, key: &'static str) -> time::Duration {
         match self.value(key) {
             Some(Value::Span(span)) => *span,
             _ => self.wrong(key),
@@ -213,7 +210,7 @@
     }
 
     /// A file's path, if the key is present.
-    pub fn path(&self, key: &'static str) -> Option<&'a PathBuf> {
+    pub fn path(&self, key: &'static str) -> Option<&'a path::PathBuf> {
         match self.value(key) {
             Some(Value::Path(path)) => Some(path),
             None => None,
--- a/crates/kernel/src/settings/document.rs
+++ b/crates/kernel/src/settings/document.rs
@@ -2,10 +2,10 @@
 
 use std::fmt::Write;
 
-use super::key::Section;
+use super::key;
 
 /// Renders the sections as a Markdown page.
-pub fn document(sections: &[&'static Section]) -> String {
+pub fn document(sections: &[&'static key::Section]) -> String {
     let mut page =
         String::from("# Settings\n\nOne INI file per node. Every key is checked at start.\n");
     for section in sections {
--- a/crates/kernel/src/settings/key.rs
+++ b/crates/kernel/src/settings/key.rs
@@ -1,7 +1,6 @@
 //! Declarations of settings.
 
-use std::fmt;
-use std::time::Duration;
+use std::{fmt, time};
 
 /// A declared section.
 #[derive(Debug)]
@@ -54,9 +53,9 @@
     /// A span of time with its unit, in a range.
     Span {
         /// Shortest span.
-        min: Duration,
+        min: time::Duration,
         /// Longest span.
-        max: Duration,
+        max: time::Duration,
     },
     /// An IP address with a port.
     Address,
@@ -91,7 +90,7 @@
 impl Type {
     /// A span between two numbers of milliseconds.
     pub const fn millis(min: u64, max: u64) -> Self {
-        Self::Span { min: Duration::from_millis(min), max: Duration::from_millis(max) }
+        Self::Span { min: time::Duration::from_millis(min), max: time::Duration::from_millis(max) }
     }
 }
 
--- a/crates/kernel/src/table.rs
+++ b/crates/kernel/src/table.rs
@@ -4,8 +4,6 @@
 
 use std::ops;
 
-use parking_lot::{Mutex, MutexGuard};
-
 /// A value that can be stored in a [`Table`], with its place in the lock order.
 pub trait Ranked {
     /// Place in the lock order; locks are taken in increasing rank.
@@ -38,13 +36,13 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct Table<T> {
-    inner: Mutex<T>,
+    inner: parking_lot::Mutex<T>,
 }
 
 impl<T: Ranked> Table<T> {
     /// Stores `value` in a new table.
     pub fn new(value: T) -> Self {
-        Self { inner: Mutex::new(value) }
+        Self { inner: parking_lot::Mutex::new(value) }
     }
 
     /// Locks the table until the guard is dropped.
@@ -61,7 +59,7 @@
 /// Exclusive access to the value of a [`Table`].
 #[derive(Debug)]
 pub struct Guard<'a, T> {
-    inner: MutexGuard<'a, T>,
+    inner: parking_lot::MutexGuard<'a, T>,
     _held: order::Held,
 }
 
--- a/crates/local/src/caller.rs
+++ b/crates/local/src/caller.rs
@@ -1,26 +1,22 @@
 //! A small HTTP client for calls to nodes.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::{net, time};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use http_body_util::BodyExt;
+use hyper::{body, header};
+use hyper_util::rt;
 
-use crate::{Error, Result};
+use crate::Result;
 
 /// Longest time for one call.
-const CALL_TIME: Duration = Duration::from_secs(60);
+const CALL_TIME: time::Duration = time::Duration::from_secs(60);
 /// Largest answer in bytes.
 const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
 
 /// Calls one address with one key or token.
 #[derive(Clone, Debug)]
 pub struct Caller {
-    peer: SocketAddr,
+    peer: net::SocketAddr,
     key: String,
 }
 
@@ -28,23 +24,23 @@
 #[derive(Clone, Debug)]
 pub struct Answer {
     /// The status.
-    pub status: StatusCode,
+    pub status: hyper::StatusCode,
     /// The headers.
-    pub headers: HeaderMap,
+    pub headers: header::HeaderMap,
     /// The complete body.
-    pub body: Bytes,
+    pub body: bytes::Bytes,
 }
 
 /// An answer whose body arrives in parts.
 #[derive(Debug)]
 pub struct Parts {
-    response: Response<Incoming>,
-    peer: SocketAddr,
+    response: hyper::Response<body::Incoming>,
+    peer: net::SocketAddr,
 }
 
 impl Caller {
     /// A caller of `peer` that sends `key`.
-    pub fn new(peer: SocketAddr, key: &str) -> Self {
+    pub fn new(peer: net::SocketAddr, key: &str) -> Self {
         Self { peer, key: key.to_owned() }
     }
 
@@ -55,7 +51,7 @@
     /// When the answer does not arrive whole.
     pub async fn call(
         &self,
-        method: Method,
+        method: hyper::Method,
         path: &str,
         headers: &[(&str, &str)],
         body: Vec<u8>,
@@ -63,7 +59,7 @@
         let whole = async {
             let response = self.send(method, path, headers, body).await?.response;
             let (parts, incoming) = response.into_parts();
-            let body = Limited::new(incoming, ANSWER_MAX_BYTES)
+            let body = http_body_util::Limited::new(incoming, ANSWER_MAX_BYTES)
                 .collect()
                 .await
                 .map_err(|e| self.failed("read answer", e))?
@@ -82,48 +78,50 @@
     /// When no answer begins.
     pub async fn send(
         &self,
-        method: Method,
+        method: hyper::Method,
         path: &str,
         headers: &[(&str, &str)],
         body: Vec<u8>,
     ) -> Result<Parts> {
-        let mut bearer = HeaderValue::try_from(format!("Bearer {}", self.key))
+        let mut bearer = header::HeaderValue::try_from(format!("Bearer {}", self.key))
             .map_err(|e| self.failed("call", e))?;
         bearer.set_sensitive(true);
-        let mut request = Request::builder()
+        let mut request = hyper::Request::builder()
             .method(method)
             .uri(path)
-            .header(HOST, self.peer.to_string())
-            .header(AUTHORIZATION, bearer);
+            .header(header::HOST, self.peer.to_string())
+            .header(header::AUTHORIZATION, bearer);
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
-        let request =
-            request.body(Full::new(Bytes::from(body))).map_err(|e| self.failed("call", e))?;
+        let request = request
+            .body(http_body_util::Full::new(bytes::Bytes::from(body)))
+            .map_err(|e| self.failed("call", e))?;
         let socket = tokio::net::TcpStream::connect(self.peer)
             .await
             .map_err(|e| self.failed("connect", e))?;
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(socket))
-            .await
-            .map_err(|e| self.failed("connect", e))?;
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(rt::TokioIo::new(socket))
+                .await
+                .map_err(|e| self.failed("connect", e))?;
         tokio::spawn(connection);
         let response = sender.send_request(request).await.map_err(|e| self.failed("call", e))?;
         Ok(Parts { response, peer: self.peer })
     }
 
-    fn failed(&self, step: &'static str, cause: impl ToString) -> Error {
-        Error::Call { step, peer: self.peer.to_string(), cause: cause.to_string() }
+    fn failed(&self, step: &'static str, cause: impl ToString) -> crate::Error {
+        crate::Error::Call { step, peer: self.peer.to_string(), cause: cause.to_string() }
     }
 }
 
 impl Parts {
     /// The status.
-    pub fn status(&self) -> StatusCode {
+    pub fn status(&self) -> hyper::StatusCode {
         self.response.status()
     }
 
     /// The headers.
-    pub fn headers(&self) -> &HeaderMap {
+    pub fn headers(&self) -> &header::HeaderMap {
         self.response.headers()
     }
 
@@ -132,9 +130,9 @@
     /// # Errors
     ///
     /// When the body is cut off.
-    pub async fn next(&mut self) -> Result<Option<Bytes>> {
+    pub async fn next(&mut self) -> Result<Option<bytes::Bytes>> {
         while let Some(frame) = self.response.body_mut().frame().await {
-            let frame = frame.map_err(|e| Error::Call {
+            let frame = frame.map_err(|e| crate::Error::Call {
                 step: "read answer",
                 peer: self.peer.to_string(),
                 cause: e.to_string(),
--- a/crates/local/src/local.rs
+++ b/crates/local/src/local.rs
@@ -1,17 +1,15 @@
 //! A running deployment.
 
-use std::collections::BTreeMap;
-use std::path::PathBuf;
-use std::time::Duration;
+use std::{collections, path, time};
 
 use corneltrestle_node::operate;
 use corneltrestle_policy::vm;
 use corneltrestle_standin::{engine, service, store, vms};
 
-use crate::{Error, Node, Plan, address, nodes};
+use crate::{address, nodes};
 
 /// The result of running a deployment.
-pub type Result<T> = std::result::Result<T, Error>;
+pub type Result<T> = std::result::Result<T, crate::Error>;
 
 /// A running deployment.
 #[derive(Debug)]
@@ -21,17 +19,17 @@
     /// The VM list.
     pub vms: vms::Handle,
     /// Engines by VM.
-    pub engines: BTreeMap<String, engine::Handle>,
+    pub engines: collections::BTreeMap<String, engine::Handle>,
     /// Plain services with their zones.
     pub services: Vec<(String, service::Handle)>,
     /// Entry nodes by name.
-    pub nodes: BTreeMap<String, Node>,
+    pub nodes: collections::BTreeMap<String, crate::Node>,
     /// Other addresses on the paths of nodes, used when a node is started.
-    pub ways: BTreeMap<String, nodes::Ways>,
+    pub ways: collections::BTreeMap<String, nodes::Ways>,
     pub(crate) listed: Vec<vm::Vm>,
     pub(crate) addresses: address::Addresses,
-    pub(crate) files: PathBuf,
-    pub(crate) plan: Plan,
+    pub(crate) files: path::PathBuf,
+    pub(crate) plan: crate::Plan,
 }
 
 impl Local {
@@ -40,7 +38,7 @@
     /// # Errors
     ///
     /// When an address cannot be bound or a file cannot be written.
-    pub async fn open(plan: Plan) -> Result<Self> {
+    pub async fn open(plan: crate::Plan) -> Result<Self> {
         let mut local = Self::bind(plan).await?;
         local.start_nodes()?;
         Ok(local)
@@ -51,14 +49,15 @@
     /// # Errors
     ///
     /// As [`Local::open`].
-    pub async fn bind(plan: Plan) -> Result<Self> {
+    pub async fn bind(plan: crate::Plan) -> Result<Self> {
         let addresses = address::Addresses::reserve();
         let files = nodes::write_secrets(&addresses)?;
         let platform = addresses.platform();
-        let bind = |step| move |source| Error::Bind { step, peer: platform.to_string(), source };
+        let bind =
+            |step| move |source| crate::Error::Bind { step, peer: platform.to_string(), source };
         let store = store::bind(store::Config {
             listen: (platform, 0).into(),
-            progress: Duration::from_secs(1),
+            progress: time::Duration::from_secs(1),
         })
         .await
         .map_err(bind("store"))?;
@@ -72,10 +71,10 @@
         let mut local = Self {
             store,
             vms,
-            engines: BTreeMap::new(),
+            engines: collections::BTreeMap::new(),
             services: Vec::new(),
-            nodes: BTreeMap::new(),
-            ways: BTreeMap::new(),
+            nodes: collections::BTreeMap::new(),
+            ways: collections::BTreeMap::new(),
             listed: Vec::new(),
             addresses,
             files,
@@ -111,7 +110,7 @@
                 ..self.plan.engine.clone()
             };
             let peer = ip.to_string();
-            let handle = engine::bind(config).await.map_err(|source| Error::Bind {
+            let handle = engine::bind(config).await.map_err(|source| crate::Error::Bind {
                 step: "engine",
                 peer,
                 source,
@@ -136,7 +135,7 @@
                 let ip = self.addresses.zone(number);
                 let peer = ip.to_string();
                 let config = service::Config { listen: (ip, 0).into(), ..Default::default() };
-                let handle = service::bind(config).await.map_err(|source| Error::Bind {
+                let handle = service::bind(config).await.map_err(|source| crate::Error::Bind {
                     step: "service",
                     peer,
                     source,
@@ -161,7 +160,7 @@
     }
 
     /// The file with the operators' token of all nodes.
-    pub fn token_file(&self) -> PathBuf {
+    pub fn token_file(&self) -> path::PathBuf {
         self.files.join("token")
     }
 
@@ -171,14 +170,14 @@
     ///
     /// When the node cannot be called.
     pub async fn apply(&self, note: &str) -> Result<operate::Verdict> {
-        let node = self.nodes.values().next().ok_or(Error::NoNode)?;
+        let node = self.nodes.values().next().ok_or(crate::Error::NoNode)?;
         node.apply(note).await
     }
 
     /// Stops everything: nodes first, each with its drain.
     pub async fn shutdown(mut self) {
         let nodes = std::mem::take(&mut self.nodes).into_values();
-        let stops: tokio::task::JoinSet<()> = nodes.map(Node::shutdown).collect();
+        let stops: tokio::task::JoinSet<()> = nodes.map(crate::Node::shutdown).collect();
         stops.join_all().await;
         for handle in self.engines.values() {
             handle.shutdown().await;
--- a/crates/local/src/nodes.rs
+++ b/crates/local/src/nodes.rs
@@ -1,15 +1,12 @@
 //! Entry nodes of a deployment.
 
-use std::fs;
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::{fs, net, path};
 
 use corneltrestle_kernel::{running, settings};
 use corneltrestle_node::operate;
 use corneltrestle_policy::vm;
-use hyper::Method;
 
-use crate::{Error, Local, Result, address, caller};
+use crate::{Result, address, caller};
 
 /// Port for callers.
 const CALLERS: u16 = 8_080;
@@ -28,20 +25,20 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Ways {
     /// The key-value service.
-    pub store: Option<SocketAddr>,
+    pub store: Option<net::SocketAddr>,
     /// The VM list.
-    pub vms: Option<SocketAddr>,
+    pub vms: Option<net::SocketAddr>,
     /// Where the link listens; peers still use the address in the VM list.
-    pub bind: Option<SocketAddr>,
+    pub bind: Option<net::SocketAddr>,
 }
 
 /// A running entry node.
 #[derive(Debug)]
 pub struct Node {
     /// Address for callers.
-    pub callers: SocketAddr,
+    pub callers: net::SocketAddr,
     /// Address for operators.
-    pub operators: SocketAddr,
+    pub operators: net::SocketAddr,
     /// The node.
     pub running: running::Attached,
 }
@@ -53,8 +50,8 @@
     ///
     /// When the node cannot be called.
     pub async fn apply(&self, note: &str) -> Result<operate::Verdict> {
-        let answer = self.operate(Method::POST, "/v1/note", note).await?;
-        serde_json::from_slice(&answer.body).map_err(|e| Error::Call {
+        let answer = self.operate(hyper::Method::POST, "/v1/note", note).await?;
+        serde_json::from_slice(&answer.body).map_err(|e| crate::Error::Call {
             step: "apply note",
             peer: self.operators.to_string(),
             cause: e.to_string(),
@@ -66,7 +63,12 @@
     /// # Errors
     ///
     /// When the node cannot be called.
-    pub async fn operate(&self, method: Method, path: &str, body: &str) -> Result<caller::Answer> {
+    pub async fn operate(
+        &self,
+        method: hyper::Method,
+        path: &str,
+        body: &str,
+    ) -> Result<caller::Answer> {
         let caller = caller::Caller::new(self.operators, TOKEN);
         caller.call(method, path, &[], body.as_bytes().to_vec()).await
     }
@@ -78,16 +80,16 @@
 }
 
 /// Writes the files that the nodes' settings name; returns their folder.
-pub(crate) fn write_secrets(addresses: &address::Addresses) -> Result<PathBuf> {
+pub(crate) fn write_secrets(addresses: &address::Addresses) -> Result<path::PathBuf> {
     let folder = std::env::temp_dir().join(format!("corneltrestle-{}", addresses.name()));
     let written = fs::create_dir_all(&folder)
         .and_then(|()| fs::write(folder.join("token"), TOKEN))
         .and_then(|()| fs::write(folder.join("secret"), SECRET));
     let peer = folder.display().to_string();
-    written.map(|()| folder).map_err(|source| Error::File { peer, source })
+    written.map(|()| folder).map_err(|source| crate::Error::File { peer, source })
 }
 
-impl Local {
+impl crate::Local {
     /// Adds the nodes' VMs to the VM list.
     pub(crate) fn list_nodes(&mut self) {
         let mut number = 0;
@@ -114,10 +116,10 @@
     /// When the node cannot be opened.
     pub fn start_node(&mut self, name: &str) -> Result<()> {
         let listed = self.listed.iter().find(|vm| vm.id.as_str() == name);
-        let listed = listed.ok_or(Error::NoNode)?;
+        let listed = listed.ok_or(crate::Error::NoNode)?;
         let ip = listed.address.ip();
         let text = self.settings_of(name, listed.zone.as_str(), ip);
-        let fail = |source| Error::Node { peer: name.to_owned(), source };
+        let fail = |source| crate::Error::Node { peer: name.to_owned(), source };
         let parsed = settings::Settings::parse(name, &text, &settings::sections())
             .map_err(|e| fail(running::Error::Settings(e)))?;
         let running = running::Attached::open(parsed).map_err(fail)?;
@@ -128,7 +130,7 @@
     }
 
     /// The address of a VM in the VM list.
-    pub fn address(&self, vm: &str) -> Option<SocketAddr> {
+    pub fn address(&self, vm: &str) -> Option<net::SocketAddr> {
         self.listed.iter().find(|listed| listed.id.as_str() == vm).map(|listed| listed.address)
     }
 
--- a/crates/local/src/plan.rs
+++ b/crates/local/src/plan.rs
@@ -1,6 +1,6 @@
 //! What a deployment consists of.
 
-use std::time::Duration;
+use std::time;
 
 use corneltrestle_standin::engine;
 
@@ -12,7 +12,7 @@
     /// How engines behave; address, name and fabric are set for each.
     pub engine: engine::Config,
     /// Lag of the VM list.
-    pub list_lag: Duration,
+    pub list_lag: time::Duration,
     /// Further lines of the nodes' settings, with section headers.
     pub settings: String,
 }
@@ -61,12 +61,12 @@
         Self {
             zones: names.iter().map(zone).collect(),
             engine: engine::Config {
-                load: Duration::from_millis(200),
-                first: Duration::from_millis(20),
-                token: Duration::from_millis(5),
+                load: time::Duration::from_millis(200),
+                first: time::Duration::from_millis(20),
+                token: time::Duration::from_millis(5),
                 ..engine::Config::default()
             },
-            list_lag: Duration::from_millis(500),
+            list_lag: time::Duration::from_millis(500),
             settings: String::new(),
         }
     }
--- a/crates/measure/src/process.rs
+++ b/crates/measure/src/process.rs
@@ -1,7 +1,6 @@
 //! Processor time and memory of this process, and runtimes whose threads can be told apart.
 
-use std::time::Duration;
-use std::{fs, io};
+use std::{fs, io, time};
 
 use tokio::runtime;
 
@@ -14,14 +13,14 @@
 }
 
 /// Processor time of the threads whose names begin with `name`; zero if it cannot be read.
-pub fn processor_time(name: &str) -> Duration {
-    let Ok(threads) = fs::read_dir("/proc/self/task") else { return Duration::ZERO };
+pub fn processor_time(name: &str) -> time::Duration {
+    let Ok(threads) = fs::read_dir("/proc/self/task") else { return time::Duration::ZERO };
     let time = |entry: fs::DirEntry| {
         let path = entry.path();
         let thread = fs::read_to_string(path.join("comm")).ok()?;
         let counts = fs::read_to_string(path.join("schedstat")).ok()?;
         let nanos = counts.split_whitespace().next()?.parse().ok()?;
-        thread.starts_with(name).then_some(Duration::from_nanos(nanos))
+        thread.starts_with(name).then_some(time::Duration::from_nanos(nanos))
     };
     threads.flatten().filter_map(time).sum()
 }
--- a/crates/measure/src/report.rs
+++ b/crates/measure/src/report.rs
@@ -2,8 +2,7 @@
 
 use std::fmt;
 
-use comfy_table::Table;
-use comfy_table::presets::UTF8_FULL_CONDENSED;
+use comfy_table::presets;
 
 /// The figures of one run.
 #[derive(Clone, Debug, PartialEq, serde::Serialize)]
@@ -83,8 +82,8 @@
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{} (seed {})", self.scenario, self.seed)?;
-        let mut table = Table::new();
-        table.load_preset(UTF8_FULL_CONDENSED);
+        let mut table = comfy_table::Table::new();
+        table.load_preset(presets::UTF8_FULL_CONDENSED);
         table.set_header(["figure", "unit", "corneltrestle", "baseline"]);
         for figure in &self.figures {
             let baseline = figure.baseline.map_or_else(|| "-".to_owned(), number);
