--- a/crates/measure/src/scenario/cold_start.rs
+++ b/crates/measure/src/scenario/cold_start.rs
@@ -1,21 +1,23 @@
 //! Scenario `cold-start`: many routers and cold replicas under full load.
 
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::{sync, time};
 
-use corneltrestle_kernel::table::{Ranked, Table};
-use corneltrestle_kernel::{linkme, pool};
-use corneltrestle_local::{Local, Plan};
+use corneltrestle_kernel::{
+    linkme, pool,
+    table::{self, Ranked},
+};
 use corneltrestle_standin::engine;
 use tokio::sync::Semaphore;
 
-use super::{Error, Options, Result, SCENARIOS, Scenario};
-use crate::report::Report;
-use crate::traffic::{self, End, Entries, Groups, Kind, Rates, RoundRobin, Route, Traffic};
+use super::Result;
+use crate::{
+    report, scenario,
+    traffic::{self, Route},
+};
 
-#[linkme::distributed_slice(SCENARIOS)]
+#[linkme::distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
-static COLD_START: Scenario = Scenario {
+static COLD_START: scenario::Scenario = scenario::Scenario {
     name: "cold-start",
     summary: "work above what cold replicas bear, with many routers under full load",
     run,
@@ -26,11 +28,11 @@
 /// Finished requests after which an engine bears full work: the sum of the levels 2 to 32.
 const WARM_AFTER: u64 = 62;
 /// Generations a second, about what two warm replicas can do.
-const RATES: Rates = Rates { models: 40.0, orders: 0.0 };
+const RATES: traffic::Rates = traffic::Rates { models: 40.0, orders: 0.0 };
 /// Longest wait for full work.
-const LIMIT: Duration = Duration::from_secs(25);
+const LIMIT: time::Duration = time::Duration::from_secs(25);
 /// Longest wait for full work of the baseline.
-const BASELINE_LIMIT: Duration = Duration::from_secs(12);
+const BASELINE_LIMIT: time::Duration = time::Duration::from_secs(12);
 /// Nodes that restart at once.
 const RESTARTS: usize = 3;
 
@@ -40,7 +42,7 @@
     /// Requests that arrived above what the engines bore.
     pub overloads: u64,
     /// Time until the step's end.
-    pub taken: Duration,
+    pub taken: time::Duration,
 }
 
 /// What a run showed.
@@ -56,16 +58,16 @@
     pub failed: f64,
 }
 
-fn run(options: &Options) -> Result<Report> {
+fn run(options: &scenario::Options) -> Result<report::Report> {
     let pool = pool::Pool::spawn(4)
-        .map_err(|e| Error::Failed { step: "start workers", cause: e.to_string() })?;
+        .map_err(|e| scenario::Error::Failed { step: "start workers", cause: e.to_string() })?;
     let report = pool.wait(measure(options));
-    pool.shutdown(Duration::from_secs(2));
+    pool.shutdown(time::Duration::from_secs(2));
     report
 }
 
-async fn measure(options: &Options) -> Result<Report> {
-    let mut report = Report::new("cold-start", options.seed);
+async fn measure(options: &scenario::Options) -> Result<report::Report> {
+    let mut report = report::Report::new("cold-start", options.seed);
     options.say("corneltrestle");
     let ours = through_nodes(options).await?;
     options.say("no listed router is live");
@@ -97,13 +99,13 @@
     Ok(report)
 }
 
-fn plan(nodes: usize, fabrics: usize) -> Plan {
-    let mut plan = Plan::zones(&["zone-a"]);
+fn plan(nodes: usize, fabrics: usize) -> corneltrestle_local::Plan {
+    let mut plan = corneltrestle_local::Plan::zones(&["zone-a"]);
     let zone = &mut plan.zones[0];
     (zone.nodes, zone.fabrics, zone.vms, zone.services) = (nodes, fabrics, 3, 0);
     plan.engine = engine::Config {
-        first: Duration::from_millis(40),
-        token: Duration::from_millis(8),
+        first: time::Duration::from_millis(40),
+        token: time::Duration::from_millis(8),
         // In all as many requests as from which an upstream counts as warm.
         slots: 16,
         queue: 48,
@@ -113,17 +115,17 @@
 }
 
 /// The heads of the serving replicas.
-fn heads(local: &Local) -> Vec<String> {
+fn heads(local: &corneltrestle_local::Local) -> Vec<String> {
     let heads = traffic::serving(local);
     heads.iter().filter_map(|replica| Some(replica.head()?.id.to_string())).collect()
 }
 
-fn count(local: &Local, heads: &[String], name: &str) -> u64 {
+fn count(local: &corneltrestle_local::Local, heads: &[String], name: &str) -> u64 {
     traffic::count(local, heads.iter().map(String::as_str), name)
 }
 
 /// Waits until each of these engines bears full work.
-async fn warm(local: &Local, heads: &[String]) -> Result<()> {
+async fn warm(local: &corneltrestle_local::Local, heads: &[String]) -> Result<()> {
     let is_warm =
         |head: &String| count(local, std::slice::from_ref(head), "finished") >= WARM_AFTER;
     traffic::within("warm up", LIMIT, traffic::until(|| heads.iter().all(is_warm))).await
@@ -131,30 +133,30 @@
 
 /// Measures one step.
 async fn step(
-    local: &Local,
+    local: &corneltrestle_local::Local,
     heads: &[String],
     work: impl Future<Output = Result<()>>,
 ) -> Result<Step> {
-    let (before, started) = (count(local, heads, "overload"), Instant::now());
+    let (before, started) = (count(local, heads, "overload"), time::Instant::now());
     work.await?;
     let taken = started.elapsed();
     // Requests that were sent on an old view arrive within the view bound.
-    tokio::time::sleep(Duration::from_secs(1)).await;
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
     Ok(Step { overloads: count(local, heads, "overload") - before, taken })
 }
 
-fn restart(local: &Local, head: &str) -> Result<()> {
+fn restart(local: &corneltrestle_local::Local, head: &str) -> Result<()> {
     let Some(engine) = local.engines.get(head) else { return Ok(()) };
     engine
         .switch("cold-again", true, None)
-        .map_err(|e| Error::Failed { step: "restart engine", cause: e.to_string() })
+        .map_err(|e| scenario::Error::Failed { step: "restart engine", cause: e.to_string() })
 }
 
-async fn through_nodes(options: &Options) -> Result<Outcome> {
-    let mut local = traffic::open(&plan(NODES, 2), Groups { replicas: 2, vms: 3 }).await?;
+async fn through_nodes(options: &scenario::Options) -> Result<Outcome> {
+    let mut local = traffic::open(&plan(NODES, 2), traffic::Groups { replicas: 2, vms: 3 }).await?;
     let heads = heads(&local);
-    let route = Arc::new(Entries::of(&local));
-    let traffic = Traffic::start(&route, RATES, options.seed);
+    let route = sync::Arc::new(traffic::Entries::of(&local));
+    let traffic = traffic::Traffic::start(&route, RATES, options.seed);
     let start = step(&local, &heads, warm(&local, &heads)).await?;
     options.say(format_args!("cold start: {start:?}"));
     restart(&local, &heads[0])?;
@@ -170,11 +172,15 @@
 }
 
 /// Restarts several nodes at once while the others serve.
-async fn restart_nodes(local: &mut Local, heads: &[String], options: &Options) -> Result<Step> {
+async fn restart_nodes(
+    local: &mut corneltrestle_local::Local,
+    heads: &[String],
+    options: &scenario::Options,
+) -> Result<Step> {
     let names: Vec<_> = local.nodes.keys().take(RESTARTS).cloned().collect();
     let others = local.nodes.iter().filter(|(name, _)| !names.contains(name));
-    let route = Arc::new(Entries(others.map(|(_, node)| node.callers).collect()));
-    let traffic = Traffic::start(&route, RATES, options.seed.wrapping_add(7));
+    let route = sync::Arc::new(traffic::Entries(others.map(|(_, node)| node.callers).collect()));
+    let traffic = traffic::Traffic::start(&route, RATES, options.seed.wrapping_add(7));
     let stopped: Vec<_> = names.iter().filter_map(|name| local.nodes.remove(name)).collect();
     let mut stops = tokio::task::JoinSet::new();
     for node in stopped {
@@ -195,8 +201,10 @@
     for peer in peers {
         calls.spawn(async move {
             let way = traffic::Way { peer, headers: Vec::new(), prefix: "" };
-            while traffic::call(Kind::Stream, &way, rand::random()).await.1 != End::Whole {
-                tokio::time::sleep(Duration::from_millis(20)).await;
+            while traffic::call(traffic::Kind::Stream, &way, rand::random()).await.1
+                != traffic::End::Whole
+            {
+                tokio::time::sleep(time::Duration::from_millis(20)).await;
             }
         });
     }
@@ -209,16 +217,16 @@
 /// # Errors
 ///
 /// When they cannot use the replica.
-pub async fn without_routers(options: &Options) -> Result<Step> {
-    let mut local = traffic::open(&plan(NODES, 1), Groups { replicas: 1, vms: 3 }).await?;
+pub async fn without_routers(options: &scenario::Options) -> Result<Step> {
+    let mut local = traffic::open(&plan(NODES, 1), traffic::Groups { replicas: 1, vms: 3 }).await?;
     let heads = heads(&local);
     let routers = traffic::serving(&local).remove(0).routers;
     for router in &routers {
         local.stop_node(router.as_str()).await;
     }
-    let route = Arc::new(Entries::of(&local));
-    let rates = Rates { models: RATES.models / 2.0, ..RATES };
-    let traffic = Traffic::start(&route, rates, options.seed);
+    let route = sync::Arc::new(traffic::Entries::of(&local));
+    let rates = traffic::Rates { models: RATES.models / 2.0, ..RATES };
+    let traffic = traffic::Traffic::start(&route, rates, options.seed);
     let result = step(&local, &heads, warm(&local, &heads)).await;
     let samples = traffic.finish().await;
     options.say(format_args!("{result:?}; not whole: {}", traffic::failures(&samples)));
@@ -229,7 +237,7 @@
 /// The level of one router of the baseline at one replica.
 #[derive(Debug)]
 struct Level {
-    places: Arc<Semaphore>,
+    places: sync::Arc<Semaphore>,
     level: u32,
     finished: u32,
 }
@@ -245,7 +253,7 @@
 
 impl Level {
     fn cold() -> Self {
-        Self { places: Arc::new(Semaphore::new(1)), level: 1, finished: 0 }
+        Self { places: sync::Arc::new(Semaphore::new(1)), level: 1, finished: 0 }
     }
 
     fn ended(&mut self, is_whole: bool) {
@@ -262,14 +270,14 @@
 }
 
 /// Baseline: each router starts slowly by what it sees alone, with a floor of one.
-async fn alone(options: &Options) -> Result<Outcome> {
-    let local = traffic::open(&plan(2, 2), Groups { replicas: 2, vms: 3 }).await?;
+async fn alone(options: &scenario::Options) -> Result<Outcome> {
+    let local = traffic::open(&plan(2, 2), traffic::Groups { replicas: 2, vms: 3 }).await?;
     let heads = heads(&local);
-    let route = Arc::new(RoundRobin::default());
+    let route = sync::Arc::new(traffic::RoundRobin::default());
     route.known.lock().replicas = traffic::serving(&local);
-    let levels: Arc<Table<Levels>> = Arc::default();
+    let levels: sync::Arc<table::Table<Levels>> = sync::Arc::default();
     levels.lock().0 = (0..NODES * heads.len()).map(|_| Level::cold()).collect();
-    let job = tokio::spawn(offer(Arc::clone(&route), levels, heads.len()));
+    let job = tokio::spawn(offer(sync::Arc::clone(&route), levels, heads.len()));
     // Overloaded engines may stay cold for good, which counts as the whole limit.
     let bounded = || async {
         let _ = tokio::time::timeout(BASELINE_LIMIT, warm(&local, &heads)).await;
@@ -285,19 +293,23 @@
 }
 
 /// Offers calls at the steady rate; each waits for a place of its router at its replica.
-async fn offer(route: Arc<RoundRobin>, levels: Arc<Table<Levels>>, replicas: usize) {
+async fn offer(
+    route: sync::Arc<traffic::RoundRobin>,
+    levels: sync::Arc<table::Table<Levels>>,
+    replicas: usize,
+) {
     let mut calls = tokio::task::JoinSet::new();
-    let mut ticks = tokio::time::interval(Duration::from_secs_f64(1.0 / RATES.models));
+    let mut ticks = tokio::time::interval(time::Duration::from_secs_f64(1.0 / RATES.models));
     for turn in 0.. {
         ticks.tick().await;
         let at = turn % (NODES * replicas);
         let Some(way) = route.model(at) else { continue };
-        let levels = Arc::clone(&levels);
+        let levels = sync::Arc::clone(&levels);
         calls.spawn(async move {
-            let places = Arc::clone(&levels.lock().0[at].places);
+            let places = sync::Arc::clone(&levels.lock().0[at].places);
             let Ok(place) = places.acquire().await else { return };
-            let (_, end) = traffic::call(Kind::Stream, &way, rand::random()).await;
-            levels.lock().0[at].ended(matches!(end, End::Whole | End::Late));
+            let (_, end) = traffic::call(traffic::Kind::Stream, &way, rand::random()).await;
+            levels.lock().0[at].ended(matches!(end, traffic::End::Whole | traffic::End::Late));
             drop(place);
         });
         while calls.try_join_next().is_some() {}
--- a/crates/measure/src/scenario/config.rs
+++ b/crates/measure/src/scenario/config.rs
@@ -2,37 +2,36 @@
 
 mod poll;
 
-use std::time::{Duration, Instant};
+use std::time;
 
 use corneltrestle_kernel::linkme::{self, distributed_slice};
-use corneltrestle_local::{self as local, Local, Plan, plan};
+use corneltrestle_local::{self as local, plan};
 use corneltrestle_node::{operate, tables};
 use corneltrestle_policy::adoption;
 use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
-use tokio::runtime::Runtime;
+use tokio::runtime;
 
-use super::{Error, Options, Result, SCENARIOS, Scenario};
-use crate::{process, report};
+use super::Result;
+use crate::{process, report, scenario};
 
-#[distributed_slice(SCENARIOS)]
+#[distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
-static CONFIG: Scenario = Scenario {
+static CONFIG: scenario::Scenario = scenario::Scenario {
     name: "config",
     summary: "time until an accepted note is in force on all nodes, beside polling by each node",
     run,
 };
 
 /// Longest time until an accepted note is in force on every reachable node.
-const GOAL: Duration = Duration::from_secs(6);
+const GOAL: time::Duration = time::Duration::from_secs(6);
 /// Longest wait for one note; nodes that are late by then count with this time.
-const WAIT: Duration = Duration::from_secs(12);
+const WAIT: time::Duration = time::Duration::from_secs(12);
 /// Time between two looks at the nodes, which bounds the error of the figures.
-const LOOK: Duration = Duration::from_millis(1);
+const LOOK: time::Duration = time::Duration::from_millis(1);
 /// Times that an operator applies a note again that was not accepted.
 const TRIES: usize = 5;
 /// How long a paused node stands still.
-const PAUSE: Duration = Duration::from_secs(8);
+const PAUSE: time::Duration = time::Duration::from_secs(8);
 
 /// What goes wrong while notes are applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -95,11 +94,11 @@
     Case { name: "7 nodes, watcher lost", zones: THREE, notes: 2, trouble: Trouble::LostWatcher },
 ];
 
-fn failed<E: ToString>(step: &'static str) -> impl Fn(E) -> Error {
-    move |e| Error::Failed { step, cause: e.to_string() }
+fn failed<E: ToString>(step: &'static str) -> impl Fn(E) -> scenario::Error {
+    move |e| scenario::Error::Failed { step, cause: e.to_string() }
 }
 
-fn run(options: &Options) -> Result<report::Report> {
+fn run(options: &scenario::Options) -> Result<report::Report> {
     let mut report = report::Report::new("config", options.seed);
     for case in &CASES {
         options.say(format_args!("config: {}", case.name));
@@ -145,8 +144,8 @@
     let nodes = process::runtime("m-nodes", 4).map_err(failed("runtime"))?;
     let mut run = Run {
         case: *case,
-        rng: ChaCha8Rng::seed_from_u64(seed),
-        local: platform.block_on(Local::bind(deployment(case)))?,
+        rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+        local: platform.block_on(local::Local::bind(deployment(case)))?,
         watched: Vec::new(),
         revision: 0,
         repeated: 0,
@@ -158,12 +157,12 @@
     }
     let found = platform.block_on(run.all(&nodes))?;
     // Draining dozens of nodes in turn would take longer than the measurement.
-    nodes.shutdown_timeout(Duration::from_secs(1));
+    nodes.shutdown_timeout(time::Duration::from_secs(1));
     platform.block_on(run.local.shutdown());
     Ok(found)
 }
 
-fn deployment(case: &Case) -> Plan {
+fn deployment(case: &Case) -> local::Plan {
     let zone = |(number, nodes): (usize, &usize)| plan::Zone {
         name: format!("zone-{number}"),
         nodes: *nodes,
@@ -172,7 +171,7 @@
         services: 0,
     };
     let zones = case.zones.iter().enumerate().map(zone).collect();
-    Plan { zones, ..Plan::default() }
+    local::Plan { zones, ..local::Plan::default() }
 }
 
 /// A node that the scenario looks at.
@@ -185,13 +184,13 @@
 /// A node on a runtime of its own, so that it can stand still or be lost alone.
 struct Victim {
     name: String,
-    runtime: Option<Runtime>,
+    runtime: Option<runtime::Runtime>,
 }
 
 struct Run {
     case: Case,
-    rng: ChaCha8Rng,
-    local: Local,
+    rng: rand_chacha::ChaCha8Rng,
+    local: local::Local,
     watched: Vec<Watched>,
     revision: u64,
     repeated: usize,
@@ -199,7 +198,7 @@
 }
 
 impl Run {
-    async fn all(&mut self, nodes: &Runtime) -> Result<Found> {
+    async fn all(&mut self, nodes: &runtime::Runtime) -> Result<Found> {
         if matches!(self.case.trouble, Trouble::PausedWatcher | Trouble::LostWatcher) {
             self.choose_victim().await?;
         }
@@ -209,15 +208,15 @@
             self.watched.push(watched);
         }
         // Members are known to each other and the watches are open after this time.
-        tokio::time::sleep(Duration::from_secs(3)).await;
+        tokio::time::sleep(time::Duration::from_secs(3)).await;
         self.apply().await?;
         let pollers = poll::Pollers::spawn(self.local.store.address(), self.watched.len(), nodes);
-        tokio::time::sleep(Duration::from_secs(1)).await;
-        let (begun, calls, polls) = (Instant::now(), self.calls(), pollers.calls());
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        let (begun, calls, polls) = (time::Instant::now(), self.calls(), pollers.calls());
         let mut found = Found::default();
         for _ in 0..self.case.notes {
             let pause = self.rng.random_range(100..600);
-            tokio::time::sleep(Duration::from_millis(pause)).await;
+            tokio::time::sleep(time::Duration::from_millis(pause)).await;
             self.note(&pollers, &mut found).await?;
         }
         let span = begun.elapsed().as_secs_f64() * self.watched.len() as f64;
@@ -254,7 +253,7 @@
     }
 
     /// Applies the next note through a node that has no trouble.
-    async fn apply(&mut self) -> Result<Instant> {
+    async fn apply(&mut self) -> Result<time::Instant> {
         let base = self.revision;
         let item = if base == 0 {
             let zones = 0..self.case.zones.len();
@@ -278,7 +277,7 @@
         for _ in 0..TRIES {
             if let operate::Verdict::Accepted { revision } = verdict {
                 self.revision = revision;
-                return Ok(Instant::now());
+                return Ok(time::Instant::now());
             }
             self.repeated += 1;
             verdict = node.apply(&note).await?;
@@ -286,14 +285,14 @@
         Err(failed("apply note")(format!("{verdict:?}")))
     }
 
-    fn disturb(&mut self) -> Result<Option<Instant>> {
+    fn disturb(&mut self) -> Result<Option<time::Instant>> {
         match (self.case.trouble, &mut self.victim) {
             (Trouble::SilentWatch, _) => {
                 self.local.store.switch("silent", true, None).map_err(failed("fault"))?;
             }
             (Trouble::PausedWatcher, Some(Victim { runtime: Some(runtime), .. })) => {
                 runtime.spawn(async { std::thread::sleep(PAUSE) });
-                return Ok(Some(Instant::now() + PAUSE));
+                return Ok(Some(time::Instant::now() + PAUSE));
             }
             (Trouble::LostWatcher, Some(victim)) => {
                 if let Some(runtime) = victim.runtime.take() {
@@ -310,10 +309,10 @@
         let accepted = self.apply().await?;
         let victim = self.victim.as_ref().map(|victim| victim.name.clone());
         let is_victim = |watched: &Watched| Some(&watched.name) == victim.as_ref();
-        let mut times: Vec<Option<Instant>> = vec![None; self.watched.len()];
+        let mut times: Vec<Option<time::Instant>> = vec![None; self.watched.len()];
         let mut polled = None;
         loop {
-            let now = Instant::now();
+            let now = time::Instant::now();
             for (watched, time) in self.watched.iter_mut().zip(&mut times) {
                 let revision = watched.current.load().revision;
                 found.reverted += usize::from(revision < watched.highest);
@@ -333,7 +332,7 @@
             }
             tokio::time::sleep(LOOK).await;
         }
-        let since = |time: Option<Instant>, start: Instant| {
+        let since = |time: Option<time::Instant>, start: time::Instant| {
             time.map_or(WAIT, |time| time.saturating_duration_since(start)).as_secs_f64()
         };
         for (watched, time) in self.watched.iter().zip(&times) {
--- a/crates/measure/src/scenario/config/poll.rs
+++ b/crates/measure/src/scenario/config/poll.rs
@@ -1,35 +1,39 @@
 //! The baseline: clients that read the head of the configuration once a second.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::{
+    net,
+    sync::{self, atomic},
+    time,
+};
 
-use corneltrestle_platform::store::etcd::{self, EtcdStore};
-use corneltrestle_platform::store::{Class, Store};
+use corneltrestle_platform::store::{self, Store, etcd};
 use corneltrestle_policy::release;
 use corneltrestle_wire::{key, stored};
-use tokio::runtime::Runtime;
-use tokio::task::JoinHandle;
+use tokio::{runtime, task};
 
 /// Time between two reads of one client.
-const PERIOD: Duration = Duration::from_secs(1);
+const PERIOD: time::Duration = time::Duration::from_secs(1);
 
 /// Running clients.
 pub(super) struct Pollers {
-    seen: Vec<Arc<AtomicU64>>,
-    calls: Arc<AtomicU64>,
-    jobs: Vec<JoinHandle<()>>,
+    seen: Vec<sync::Arc<atomic::AtomicU64>>,
+    calls: sync::Arc<atomic::AtomicU64>,
+    jobs: Vec<task::JoinHandle<()>>,
 }
 
 impl Pollers {
     /// Starts clients whose reads are spread evenly over the period.
-    pub(super) fn spawn(store: SocketAddr, clients: usize, runtime: &Runtime) -> Self {
-        let calls = Arc::new(AtomicU64::new(0));
-        let seen: Vec<_> = (0..clients).map(|_| Arc::new(AtomicU64::new(0))).collect();
+    pub(super) fn spawn(
+        store: net::SocketAddr,
+        clients: usize,
+        runtime: &runtime::Runtime,
+    ) -> Self {
+        let calls = sync::Arc::new(atomic::AtomicU64::new(0));
+        let seen: Vec<_> =
+            (0..clients).map(|_| sync::Arc::new(atomic::AtomicU64::new(0))).collect();
         let phases = (0..clients).map(|number| PERIOD.mul_f64(number as f64 / clients as f64));
         let jobs = seen.iter().zip(phases).map(|(seen, phase)| {
-            runtime.spawn(poll(store, phase, Arc::clone(seen), Arc::clone(&calls)))
+            runtime.spawn(poll(store, phase, sync::Arc::clone(seen), sync::Arc::clone(&calls)))
         });
         let jobs = jobs.collect();
         Self { seen, calls, jobs }
@@ -37,12 +41,12 @@
 
     /// Whether every client has read this revision.
     pub(super) fn all_at(&self, revision: u64) -> bool {
-        self.seen.iter().all(|seen| seen.load(Ordering::Relaxed) >= revision)
+        self.seen.iter().all(|seen| seen.load(atomic::Ordering::Relaxed) >= revision)
     }
 
     /// Reads so far.
     pub(super) fn calls(&self) -> u64 {
-        self.calls.load(Ordering::Relaxed)
+        self.calls.load(atomic::Ordering::Relaxed)
     }
 
     /// Ends the clients.
@@ -53,15 +57,20 @@
     }
 }
 
-async fn poll(store: SocketAddr, phase: Duration, seen: Arc<AtomicU64>, calls: Arc<AtomicU64>) {
-    let client = EtcdStore::open(etcd::Config::new(store));
+async fn poll(
+    store: net::SocketAddr,
+    phase: time::Duration,
+    seen: sync::Arc<atomic::AtomicU64>,
+    calls: sync::Arc<atomic::AtomicU64>,
+) {
+    let client = etcd::EtcdStore::open(etcd::Config::new(store));
     let mut due = tokio::time::interval_at(tokio::time::Instant::now() + phase, PERIOD);
     loop {
         due.tick().await;
-        calls.fetch_add(1, Ordering::Relaxed);
-        let Ok(Some(head)) = client.read(key::head(), Class::Config).await else { continue };
+        calls.fetch_add(1, atomic::Ordering::Relaxed);
+        let Ok(Some(head)) = client.read(key::head(), store::Class::Config).await else { continue };
         if let Ok(release) = stored::decode::<release::Release>(key::head(), &head.value) {
-            seen.fetch_max(release.revision, Ordering::Relaxed);
+            seen.fetch_max(release.revision, atomic::Ordering::Relaxed);
         }
     }
 }
--- a/crates/measure/src/scenario/control.rs
+++ b/crates/measure/src/scenario/control.rs
@@ -2,21 +2,20 @@
 
 mod line;
 
-use std::time::{Duration, Instant};
+use std::time;
 
 use corneltrestle_kernel::linkme::{self, distributed_slice};
-use corneltrestle_local::{self as local, Local, Plan, caller, plan};
+use corneltrestle_local::{self as local, caller, plan};
 use corneltrestle_node::{digest, tables};
-use hyper::Method;
 
-use super::{Error, Options, Result, SCENARIOS, Scenario};
-use crate::{process, report};
+use super::Result;
+use crate::{process, report, scenario};
 
 pub use line::Line;
 
-#[distributed_slice(SCENARIOS)]
+#[distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
-static CONTROL: Scenario = Scenario {
+static CONTROL: scenario::Scenario = scenario::Scenario {
     name: "control",
     summary: "processor time, memory, bytes and store calls of control work as zones grow",
     run,
@@ -37,13 +36,13 @@
 const REPLICA_VMS: usize = 4;
 /// Time without a change after which an assignment counts as settled, and the longest wait for that.
 /// Documents that nodes fetch while replicas are formed would count as the work of an idle zone.
-const SETTLE: Duration = Duration::from_millis(1_500);
-const SETTLE_LIMIT: Duration = Duration::from_secs(6);
+const SETTLE: time::Duration = time::Duration::from_millis(1_500);
+const SETTLE_LIMIT: time::Duration = time::Duration::from_secs(6);
 /// Time of a measurement.
-const IDLE: Duration = Duration::from_secs(3);
+const IDLE: time::Duration = time::Duration::from_secs(3);
 /// Time of a measurement under load, and the pause between its requests.
-const LOADED: Duration = Duration::from_millis(1_500);
-const LOAD_PAUSE: Duration = Duration::from_millis(50);
+const LOADED: time::Duration = time::Duration::from_millis(1_500);
+const LOAD_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// The callers' key.
 const KEY: &str = "key-of-acme";
 /// Name of the threads of the nodes.
@@ -115,11 +114,11 @@
     },
 ];
 
-fn failed<E: ToString>(step: &'static str) -> impl Fn(E) -> Error {
-    move |e| Error::Failed { step, cause: e.to_string() }
+fn failed<E: ToString>(step: &'static str) -> impl Fn(E) -> scenario::Error {
+    move |e| scenario::Error::Failed { step, cause: e.to_string() }
 }
 
-fn run(options: &Options) -> Result<report::Report> {
+fn run(options: &scenario::Options) -> Result<report::Report> {
     let mut found: Vec<Found> = Vec::new();
     for axis in &AXES {
         for size in axis.sizes {
@@ -141,17 +140,17 @@
 /// # Errors
 ///
 /// When the deployment cannot run.
-pub fn measure(size: Size, idle: Duration, loaded: Duration) -> Result<Found> {
+pub fn measure(size: Size, idle: time::Duration, loaded: time::Duration) -> Result<Found> {
     let platform = process::runtime("m-platform", 2).map_err(failed("runtime"))?;
     let nodes = process::runtime(NODES, 4).map_err(failed("runtime"))?;
-    let mut local = platform.block_on(Local::bind(deployment(size)))?;
+    let mut local = platform.block_on(local::Local::bind(deployment(size)))?;
     let before = megabytes();
     {
         let _entered = nodes.enter();
         local.start_nodes()?;
     }
     let found = platform.block_on(async {
-        tokio::time::sleep(Duration::from_secs(1)).await;
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
         local.apply(&note(size)).await?;
         settle(&local).await?;
         let meter = Meter::start(&local, size).await?;
@@ -161,16 +160,16 @@
         let meter = Meter::start(&local, size).await?;
         load(&local, loaded).await;
         let loaded = meter.stop(&local).await?;
-        Ok::<_, Error>(Found { size, idle, loaded, memory, before })
+        Ok::<_, scenario::Error>(Found { size, idle, loaded, memory, before })
     })?;
     // Draining dozens of nodes in turn would take longer than the measurement.
-    nodes.shutdown_timeout(Duration::from_secs(1));
+    nodes.shutdown_timeout(time::Duration::from_secs(1));
     platform.block_on(local.shutdown());
     Ok(found)
 }
 
 /// Waits until all nodes hold the same assignments for a while.
-async fn settle(local: &Local) -> Result<()> {
+async fn settle(local: &local::Local) -> Result<()> {
     let open = |node: &local::Node| tables::Tables::of(node.running.host());
     let nodes: Vec<_> = local
         .nodes
@@ -182,15 +181,15 @@
         let replicas = tables.replicas.lock();
         replicas.zones().map(|(zone, stored)| (zone.clone(), stored.version)).collect::<Vec<_>>()
     };
-    let (begun, mut changed, mut last) = (Instant::now(), Instant::now(), Vec::new());
+    let (begun, mut changed, mut last) = (time::Instant::now(), time::Instant::now(), Vec::new());
     while changed.elapsed() < SETTLE && begun.elapsed() < SETTLE_LIMIT {
         let now: Vec<_> = nodes.iter().map(versions).collect();
         let equal = now.iter().all(|versions| Some(versions) == now.first());
         if !equal || now != last {
-            changed = Instant::now();
+            changed = time::Instant::now();
             last = now;
         }
-        tokio::time::sleep(Duration::from_millis(50)).await;
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
     }
     Ok(())
 }
@@ -199,7 +198,7 @@
     process::resident_bytes() as f64 / 1e6
 }
 
-fn deployment(size: Size) -> Plan {
+fn deployment(size: Size) -> local::Plan {
     let zone = |number| plan::Zone {
         name: format!("zone-{number}"),
         nodes: size.nodes,
@@ -207,8 +206,9 @@
         vms: size.vms,
         services: 0,
     };
-    let mut plan = Plan { zones: (0..size.zones).map(zone).collect(), ..Plan::default() };
-    plan.engine.load = Duration::from_millis(10);
+    let mut plan =
+        local::Plan { zones: (0..size.zones).map(zone).collect(), ..local::Plan::default() };
+    plan.engine.load = time::Duration::from_millis(10);
     plan
 }
 
@@ -231,16 +231,16 @@
 }
 
 /// Sends a small request through each node in turn.
-async fn load(local: &Local, time: Duration) {
-    let end = Instant::now() + time;
+async fn load(local: &local::Local, time: time::Duration) {
+    let end = time::Instant::now() + time;
     let body = br#"{"model":"small","max_tokens":2,"prompt":"hello"}"#;
     for node in local.nodes.values().cycle() {
-        if Instant::now() >= end {
+        if time::Instant::now() >= end {
             return;
         }
         let caller = caller::Caller::new(node.callers, KEY);
         tokio::spawn(async move {
-            let call = caller.call(Method::POST, "/v1/completions", &[], body.to_vec());
+            let call = caller.call(hyper::Method::POST, "/v1/completions", &[], body.to_vec());
             if let Err(e) = call.await {
                 log::debug!("measure: {e}");
             }
@@ -252,24 +252,24 @@
 /// Counters at the begin of a measurement.
 struct Meter {
     nodes: f64,
-    begun: Instant,
-    processor: Duration,
+    begun: time::Instant,
+    processor: time::Duration,
     bytes: f64,
     calls: u64,
 }
 
 impl Meter {
-    async fn start(local: &Local, size: Size) -> Result<Self> {
+    async fn start(local: &local::Local, size: Size) -> Result<Self> {
         Ok(Self {
             nodes: (size.nodes * size.zones) as f64,
             bytes: link_bytes(local).await?,
             calls: store_calls(local),
             processor: process::processor_time(NODES),
-            begun: Instant::now(),
+            begun: time::Instant::now(),
         })
     }
 
-    async fn stop(self, local: &Local) -> Result<Cost> {
+    async fn stop(self, local: &local::Local) -> Result<Cost> {
         let span = self.begun.elapsed().as_secs_f64() * self.nodes;
         let processor = process::processor_time(NODES).saturating_sub(self.processor);
         let calls = store_calls(local).saturating_sub(self.calls);
@@ -284,15 +284,15 @@
 
 /// Bytes on all links so far. All nodes of the process share the counters, which count each byte
 /// once, at the end that accepted the connection.
-async fn link_bytes(local: &Local) -> Result<f64> {
+async fn link_bytes(local: &local::Local) -> Result<f64> {
     let node = local.nodes.values().next().ok_or(local::Error::NoNode)?;
-    let answer = node.operate(Method::GET, "/metrics", "").await?;
+    let answer = node.operate(hyper::Method::GET, "/metrics", "").await?;
     let text = String::from_utf8_lossy(&answer.body).into_owned();
     let lines = text.lines().filter(|line| line.starts_with("link_bytes_total"));
     Ok(lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<f64>().ok()).sum())
 }
 
-fn store_calls(local: &Local) -> u64 {
+fn store_calls(local: &local::Local) -> u64 {
     let counts = local.store.counts();
     counts.iter().filter(|(name, _)| *name != "watching").map(|(_, count)| count).sum()
 }
--- a/crates/measure/src/scenario/group_loss.rs
+++ b/crates/measure/src/scenario/group_loss.rs
@@ -1,42 +1,36 @@
 //! Scenario `group-loss`: downtime of a replica after the loss of one VM and of a fabric domain.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::{collections, sync, time};
 
 use corneltrestle_engine::engine::{self as client, Engine};
 use corneltrestle_kernel::{linkme, pool};
-use corneltrestle_local::{Local, Plan};
-use corneltrestle_policy::assignment::{Member, Phase, Replica};
-use corneltrestle_policy::{id, report};
+use corneltrestle_policy::{assignment, id, report};
 use corneltrestle_standin::engine;
 use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 
-use super::{Error, Options, Result, SCENARIOS, Scenario};
-use crate::report::Report;
-use crate::traffic::{self, End, Entries, Groups, Kind, Rates, RoundRobin, Sample, Traffic};
+use super::Result;
+use crate::{report::Report, scenario, traffic};
 
-#[linkme::distributed_slice(SCENARIOS)]
+#[linkme::distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
-static GROUP_LOSS: Scenario = Scenario {
+static GROUP_LOSS: scenario::Scenario = scenario::Scenario {
     name: "group-loss",
     summary: "downtime of a replica after the loss of one VM and of a fabric domain",
     run,
 };
 
 /// Repair starts within this time after a loss.
-const REPAIR_START: Duration = Duration::from_secs(2);
+const REPAIR_START: time::Duration = time::Duration::from_secs(2);
 /// Longest wait for a replica to serve again.
-const REPAIR_LIMIT: Duration = Duration::from_secs(25);
+const REPAIR_LIMIT: time::Duration = time::Duration::from_secs(25);
 /// Time between two looks at the deployment.
-const LOOK: Duration = Duration::from_millis(5);
+const LOOK: time::Duration = time::Duration::from_millis(5);
 /// Period of the baseline's health check.
-const CHECK_PERIOD: Duration = Duration::from_secs(30);
+const CHECK_PERIOD: time::Duration = time::Duration::from_secs(30);
 /// Time with traffic before the first loss.
-const WARM_UP: Duration = Duration::from_secs(4);
+const WARM_UP: time::Duration = time::Duration::from_secs(4);
 /// Calls a second.
-const RATES: Rates = Rates { models: 30.0, orders: 0.0 };
+const RATES: traffic::Rates = traffic::Rates { models: 30.0, orders: 0.0 };
 
 /// What is lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,33 +50,33 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Repair {
     /// The latest arrival of work at the broken replica.
-    pub work: Duration,
+    pub work: time::Duration,
     /// The first order to an engine.
-    pub order: Duration,
+    pub order: time::Duration,
     /// The replica serves again.
-    pub serving: Duration,
+    pub serving: time::Duration,
 }
 
-fn run(options: &Options) -> Result<Report> {
+fn run(options: &scenario::Options) -> Result<Report> {
     let pool = pool::Pool::spawn(4)
-        .map_err(|e| Error::Failed { step: "start workers", cause: e.to_string() })?;
+        .map_err(|e| scenario::Error::Failed { step: "start workers", cause: e.to_string() })?;
     let report = pool.wait(measure(options));
-    pool.shutdown(Duration::from_secs(2));
+    pool.shutdown(time::Duration::from_secs(2));
     report
 }
 
-async fn measure(options: &Options) -> Result<Report> {
+async fn measure(options: &scenario::Options) -> Result<Report> {
     let mut report = Report::new("group-loss", options.seed);
     let ours = lose(&LOSSES, WARM_UP, options).await?;
     let (baseline, replaced) = health_check(options).await?;
     for (loss, repair, samples) in &ours {
-        let beside = replaced.get(loss_name(*loss)).map(Duration::as_secs_f64);
+        let beside = replaced.get(loss_name(*loss)).map(time::Duration::as_secs_f64);
         let name = |what: &str| format!("{}: {what}", loss_name(*loss));
         report.figure(&name("last work sent to it"), "s", repair.work.as_secs_f64(), None);
         report.figure(&name("first order"), "s", repair.order.as_secs_f64(), beside);
         report.figure(&name("serves again"), "s", repair.serving.as_secs_f64(), beside);
         report.figure(&name("calls"), "calls", samples.len() as f64, None);
-        let failed = traffic::ended(samples, |end| *end != End::Whole);
+        let failed = traffic::ended(samples, |end| *end != traffic::End::Whole);
         report.figure(&name("failed or late"), "calls", failed as f64, None);
         report.goal(
             &name("repair starts within 2 s"),
@@ -91,7 +85,7 @@
         );
     }
     let samples: Vec<_> = ours.iter().flat_map(|(_, _, samples)| samples.clone()).collect();
-    let failed = |samples: &[Sample]| 100.0 - traffic::whole_percent(samples);
+    let failed = |samples: &[traffic::Sample]| 100.0 - traffic::whole_percent(samples);
     report.figure("failed or late", "%", failed(&samples), Some(failed(&baseline)));
     let silent = cut(&samples);
     report.figure("streams cut without an error", "streams", silent, Some(cut(&baseline)));
@@ -117,20 +111,22 @@
     }
 }
 
-fn cut(samples: &[Sample]) -> f64 {
-    let is_cut = |sample: &&Sample| sample.kind == Kind::Stream && sample.end == End::Cut;
+fn cut(samples: &[traffic::Sample]) -> f64 {
+    let is_cut = |sample: &&traffic::Sample| {
+        sample.kind == traffic::Kind::Stream && sample.end == traffic::End::Cut
+    };
     samples.iter().filter(is_cut).count() as f64
 }
 
-async fn open() -> Result<Local> {
-    let mut plan = Plan::zones(&["zone-a"]);
+async fn open() -> Result<corneltrestle_local::Local> {
+    let mut plan = corneltrestle_local::Plan::zones(&["zone-a"]);
     (plan.zones[0].fabrics, plan.zones[0].vms, plan.zones[0].services) = (4, 4, 0);
     plan.engine = engine::Config {
-        first: Duration::from_millis(40),
-        token: Duration::from_millis(10),
+        first: time::Duration::from_millis(40),
+        token: time::Duration::from_millis(10),
         ..plan.engine
     };
-    traffic::open(&plan, Groups { replicas: 3, vms: 3 }).await
+    traffic::open(&plan, traffic::Groups { replicas: 3, vms: 3 }).await
 }
 
 /// Causes losses one after the other under traffic through the nodes.
@@ -140,26 +136,26 @@
 /// When the deployment does not run, or a replica is not repaired.
 pub async fn lose(
     losses: &[Loss],
-    warm_up: Duration,
-    options: &Options,
-) -> Result<Vec<(Loss, Repair, Vec<Sample>)>> {
+    warm_up: time::Duration,
+    options: &scenario::Options,
+) -> Result<Vec<(Loss, Repair, Vec<traffic::Sample>)>> {
     let local = open().await?;
-    let route = Arc::new(Entries::of(&local));
+    let route = sync::Arc::new(traffic::Entries::of(&local));
     // Warms the engines up; not counted.
-    let warm = Traffic::start(&route, RATES, options.seed.wrapping_add(1_000));
+    let warm = traffic::Traffic::start(&route, RATES, options.seed.wrapping_add(1_000));
     tokio::time::sleep(warm_up).await;
     warm.finish().await;
-    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(options.seed);
     let mut seen = Vec::new();
     for loss in losses {
         options.say(loss_name(*loss));
-        let traffic = Traffic::start(&route, RATES, options.seed);
-        tokio::time::sleep(Duration::from_millis(rng.random_range(500..1_000))).await;
+        let traffic = traffic::Traffic::start(&route, RATES, options.seed);
+        tokio::time::sleep(time::Duration::from_millis(rng.random_range(500..1_000))).await;
         let replicas = traffic::serving(&local);
         let replica = &replicas[rng.random_range(0..replicas.len())];
         let lost = victims(&local, replica, *loss);
         let repair = watch(&local, replica, &lost, *loss).await?;
-        tokio::time::sleep(Duration::from_millis(500)).await;
+        tokio::time::sleep(time::Duration::from_millis(500)).await;
         let samples = traffic.finish().await;
         seen.push((*loss, repair, samples));
         if seen.len() == losses.len() {
@@ -169,13 +165,17 @@
         let settled = traffic::until(|| traffic::serving(&local).len() == 3);
         traffic::within("settle", REPAIR_LIMIT, settled).await?;
         // Orders for returning VMs must not count as the start of the next repair.
-        tokio::time::sleep(Duration::from_secs(3)).await;
+        tokio::time::sleep(time::Duration::from_secs(3)).await;
     }
     local.shutdown().await;
     Ok(seen)
 }
 
-fn victims(local: &Local, replica: &Replica, loss: Loss) -> Vec<String> {
+fn victims(
+    local: &corneltrestle_local::Local,
+    replica: &assignment::Replica,
+    loss: Loss,
+) -> Vec<String> {
     match loss {
         Loss::Vm => replica.vms.iter().skip(1).take(1).map(|vm| vm.id.to_string()).collect(),
         Loss::Head => replica.head().map(|vm| vm.id.to_string()).into_iter().collect(),
@@ -183,20 +183,25 @@
     }
 }
 
-fn fail(local: &Local, vm: &str, loss: Loss, is_on: bool) {
+fn fail(local: &corneltrestle_local::Local, vm: &str, loss: Loss, is_on: bool) {
     let fault = if loss == Loss::Head { "pause" } else { "crash" };
     if let Some(Err(e)) = local.engines.get(vm).map(|engine| engine.switch(fault, is_on, None)) {
         log::error!("measure: {e}");
     }
 }
 
-async fn watch(local: &Local, replica: &Replica, lost: &[String], loss: Loss) -> Result<Repair> {
+async fn watch(
+    local: &corneltrestle_local::Local,
+    replica: &assignment::Replica,
+    lost: &[String],
+    loss: Loss,
+) -> Result<Repair> {
     let name = replica.id.to_string();
     let head = replica.head().map(|head| head.id.to_string()).unwrap_or_default();
     let work = || traffic::count(local, [head.as_str()], "generate");
     let orders = || traffic::count(local, local.engines.keys().map(String::as_str), "order");
     let (mut last, first) = (work(), orders());
-    let started = Instant::now();
+    let started = time::Instant::now();
     lost.iter().for_each(|vm| fail(local, vm, loss, true));
     let mut repair = Repair::default();
     while repair.serving.is_zero() {
@@ -204,10 +209,10 @@
         let taken = started.elapsed();
         if taken > REPAIR_LIMIT {
             let cause = format!("{name} does not serve after {taken:?}");
-            return Err(Error::Failed { step: "repair", cause });
+            return Err(scenario::Error::Failed { step: "repair", cause });
         }
         let now = traffic::replicas(local).remove(&name);
-        let is_new = |found: &Replica| found.epoch > replica.epoch;
+        let is_new = |found: &assignment::Replica| found.epoch > replica.epoch;
         // Work at the same head after its new epoch is not work for the broken replica.
         if work() != last && !now.as_ref().is_some_and(is_new) {
             (last, repair.work) = (work(), taken);
@@ -215,7 +220,7 @@
         if repair.order.is_zero() && orders() != first {
             repair.order = taken;
         }
-        if now.is_some_and(|found| is_new(&found) && found.phase == Phase::Serving) {
+        if now.is_some_and(|found| is_new(&found) && found.phase == assignment::Phase::Serving) {
             repair.serving = taken;
         }
     }
@@ -224,31 +229,32 @@
 
 /// Baseline: the same losses, noticed and repaired by a health check with a fixed period.
 async fn health_check(
-    options: &Options,
-) -> Result<(Vec<Sample>, BTreeMap<&'static str, Duration>)> {
+    options: &scenario::Options,
+) -> Result<(Vec<traffic::Sample>, collections::BTreeMap<&'static str, time::Duration>)> {
     options.say("baseline: a health check each 30 s");
     let mut local = open().await?;
-    let route = Arc::new(RoundRobin::default());
+    let route = sync::Arc::new(traffic::RoundRobin::default());
     let replicas = traffic::serving(&local);
     route.known.lock().replicas.clone_from(&replicas);
     let names: Vec<_> = local.nodes.keys().cloned().collect();
     for name in names {
         local.stop_node(&name).await;
     }
-    let warm = Traffic::start(&route, RATES, options.seed.wrapping_add(1_000));
+    let warm = traffic::Traffic::start(&route, RATES, options.seed.wrapping_add(1_000));
     tokio::time::sleep(WARM_UP).await;
     warm.finish().await;
-    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
-    let traffic = Traffic::start(&route, RATES, options.seed);
+    let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(options.seed);
+    let traffic = traffic::Traffic::start(&route, RATES, options.seed);
     let check = tokio::time::Instant::now() + CHECK_PERIOD;
     let mut lost = Vec::new();
     for (loss, replica) in [Loss::Vm, Loss::Fabric].into_iter().zip(&replicas) {
-        let wait =
-            Duration::from_millis(rng.random_range(1_000..CHECK_PERIOD.as_millis() as u64 / 2));
+        let wait = time::Duration::from_millis(
+            rng.random_range(1_000..CHECK_PERIOD.as_millis() as u64 / 2),
+        );
         tokio::time::sleep(wait).await;
         let vms = victims(&local, replica, loss);
         vms.iter().for_each(|vm| fail(&local, vm, loss, true));
-        lost.push((loss, Instant::now()));
+        lost.push((loss, time::Instant::now()));
     }
     tokio::time::sleep_until(check).await;
     let replaced = replace_lost(&local, &replicas).await;
@@ -262,18 +268,21 @@
 
 /// Replaces each VM that does not report by the first idle one, whatever its fabric domain, and
 /// waits until all are ready.
-async fn replace_lost(local: &Local, replicas: &[Replica]) -> Vec<Replica> {
+async fn replace_lost(
+    local: &corneltrestle_local::Local,
+    replicas: &[assignment::Replica],
+) -> Vec<assignment::Replica> {
     let engine = client::http::HttpEngine::open(client::http::Config::default());
     let (mut idle, mut present) = (Vec::new(), Vec::new());
     for (vm, handle) in &local.engines {
         let Ok(report) = engine.report(handle.address()).await else { continue };
-        let member = Member { id: vm.as_str().into(), address: handle.address() };
+        let member = assignment::Member { id: vm.as_str().into(), address: handle.address() };
         if report.replica.is_none() { idle.push(member) } else { present.push(member) }
     }
     idle.reverse();
     let mut replaced = replicas.to_vec();
     for replica in &mut replaced {
-        let is_lost = |member: &&mut Member| !present.contains(member);
+        let is_lost = |member: &&mut assignment::Member| !present.contains(member);
         let mut changed = false;
         for member in replica.vms.iter_mut().filter(is_lost) {
             let Some(spare) = idle.pop() else { continue };
@@ -289,13 +298,13 @@
         engine.is_some_and(|engine| engine.api().report().phase == report::Phase::Ready)
     };
     let all = || replaced.iter().flat_map(|replica| &replica.vms).all(|vm| is_ready(&vm.id));
-    if tokio::time::timeout(Duration::from_secs(5), traffic::until(all)).await.is_err() {
+    if tokio::time::timeout(time::Duration::from_secs(5), traffic::until(all)).await.is_err() {
         log::error!("measure: the baseline's replicas are not ready");
     }
     replaced
 }
 
-async fn join(engine: &client::http::HttpEngine, replica: &Replica) {
+async fn join(engine: &client::http::HttpEngine, replica: &assignment::Replica) {
     for (rank, member) in (0..).zip(&replica.vms) {
         let order = client::Order::Join {
             token: u64::MAX,
--- a/crates/measure/src/scenario/orders.rs
+++ b/crates/measure/src/scenario/orders.rs
@@ -1,26 +1,22 @@
 //! Scenario `orders`: runs for each idempotency key under faults of the store, the service and the
 //! nodes.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{collections, net, sync, time};
 
-use corneltrestle_kernel::table::{Ranked, Table};
-use corneltrestle_kernel::{linkme, pool};
-use corneltrestle_local::{Local, Plan, caller};
-use corneltrestle_standin::server::{Api, Handle};
-use hyper::Method;
+use corneltrestle_kernel::{
+    linkme, pool,
+    table::{self, Ranked},
+};
+use corneltrestle_local::caller;
+use corneltrestle_standin::server::{self, Api};
 use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 
-use super::{Error, Options, Result, SCENARIOS, Scenario};
-use crate::report::Report;
-use crate::traffic::{self, Groups};
+use super::Result;
+use crate::{report, scenario, traffic};
 
-#[linkme::distributed_slice(SCENARIOS)]
+#[linkme::distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
-static ORDERS: Scenario = Scenario {
+static ORDERS: scenario::Scenario = scenario::Scenario {
     name: "orders",
     summary: "runs for each idempotency key under faults of store, service and nodes",
     run,
@@ -31,7 +27,7 @@
 /// Later calls with the same key.
 const REPEATS: usize = 3;
 /// Longest wait for an answer.
-const CALL_LIMIT: Duration = Duration::from_secs(10);
+const CALL_LIMIT: time::Duration = time::Duration::from_secs(10);
 /// Longest random wait before each of the concurrent calls, in milliseconds.
 const SPREAD_MS: u64 = 30;
 /// Attempts of the baseline for each call.
@@ -119,16 +115,16 @@
     pub unfounded: usize,
 }
 
-fn run(options: &Options) -> Result<Report> {
+fn run(options: &scenario::Options) -> Result<report::Report> {
     let pool = pool::Pool::spawn(4)
-        .map_err(|e| Error::Failed { step: "start workers", cause: e.to_string() })?;
+        .map_err(|e| scenario::Error::Failed { step: "start workers", cause: e.to_string() })?;
     let report = pool.wait(measure(options));
-    pool.shutdown(Duration::from_secs(2));
+    pool.shutdown(time::Duration::from_secs(2));
     report
 }
 
-async fn measure(options: &Options) -> Result<Report> {
-    let mut report = Report::new("orders", options.seed);
+async fn measure(options: &scenario::Options) -> Result<report::Report> {
+    let mut report = report::Report::new("orders", options.seed);
     let mut totals = [Outcome::default(), Outcome::default()];
     for trouble in TROUBLES {
         options.say(format_args!("{trouble:?}"));
@@ -189,23 +185,24 @@
     seed: u64,
     is_ours: bool,
 ) -> Result<Outcome> {
-    let mut plan = Plan::zones(&["zone-a"]);
+    let mut plan = corneltrestle_local::Plan::zones(&["zone-a"]);
     (plan.zones[0].nodes, plan.zones[0].services) = (3, 2);
-    let mut local = traffic::open(&plan, Groups { replicas: 1, vms: 3 }).await?;
+    let mut local = traffic::open(&plan, traffic::Groups { replicas: 1, vms: 3 }).await?;
     for (_, service) in &local.services {
         switch(service, "slow", true, Some(20));
     }
-    let peers: Vec<SocketAddr> = if is_ours {
+    let peers: Vec<net::SocketAddr> = if is_ours {
         local.nodes.values().map(|node| node.callers).collect()
     } else {
         local.services.iter().map(|(_, service)| service.address()).collect()
     };
     begin(&local, trouble, keys as u64);
-    let attempts: Arc<Table<Attempts>> = Arc::default();
+    let attempts: sync::Arc<table::Table<Attempts>> = sync::Arc::default();
     let mut jobs = tokio::task::JoinSet::new();
     for number in 0..keys {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000) + number as u64);
-        let (peers, attempts) = (peers.clone(), Arc::clone(&attempts));
+        let mut rng =
+            rand_chacha::ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000) + number as u64);
+        let (peers, attempts) = (peers.clone(), sync::Arc::clone(&attempts));
         jobs.spawn(async move {
             let key = format!("key-{number}");
             for attempt in order(&peers, &key, &mut rng, is_ours).await {
@@ -215,30 +212,30 @@
     }
     if trouble == Trouble::NodeStop && is_ours {
         let name = local.nodes.keys().nth(1).cloned().unwrap_or_default();
-        tokio::time::sleep(Duration::from_millis(60)).await;
+        tokio::time::sleep(time::Duration::from_millis(60)).await;
         local.stop_node(&name).await;
         local.start_node(&name)?;
     }
-    tokio::time::sleep(Duration::from_millis(800)).await;
+    tokio::time::sleep(time::Duration::from_millis(800)).await;
     if trouble == Trouble::StoreDown {
         switch(&local.store, "down", false, None);
     }
     while jobs.join_next().await.is_some() {}
     // Work that is still under way must not be missed.
-    tokio::time::sleep(Duration::from_millis(200)).await;
+    tokio::time::sleep(time::Duration::from_millis(200)).await;
     let attempts = std::mem::take(&mut attempts.lock().0);
     let outcome = judge(&local, keys, &attempts);
     local.shutdown().await;
     Ok(outcome)
 }
 
-fn switch<A: Api>(server: &Handle<A>, fault: &str, is_on: bool, value: Option<u64>) {
+fn switch<A: Api>(server: &server::Handle<A>, fault: &str, is_on: bool, value: Option<u64>) {
     if let Err(e) = server.switch(fault, is_on, value) {
         log::error!("measure: {e}");
     }
 }
 
-fn begin(local: &Local, trouble: Trouble, keys: u64) {
+fn begin(local: &corneltrestle_local::Local, trouble: Trouble, keys: u64) {
     match trouble {
         Trouble::None | Trouble::NodeStop => {}
         Trouble::StoreAnswers => switch(&local.store, "answer-lost", true, Some(keys)),
@@ -254,14 +251,14 @@
 
 /// Makes all calls with one key.
 async fn order(
-    peers: &[SocketAddr],
+    peers: &[net::SocketAddr],
     key: &str,
-    rng: &mut ChaCha8Rng,
+    rng: &mut rand_chacha::ChaCha8Rng,
     is_ours: bool,
 ) -> Vec<Attempt> {
     let mut jobs = tokio::task::JoinSet::new();
     for number in 0..=CONCURRENT {
-        let wait = Duration::from_millis(rng.random_range(0..SPREAD_MS));
+        let wait = time::Duration::from_millis(rng.random_range(0..SPREAD_MS));
         let peer = peers[(number + rng.random_range(0..peers.len())) % peers.len()];
         // The last one has another body.
         let body = if number < CONCURRENT { "{\"item\":1}" } else { "{\"item\":2}" };
@@ -273,7 +270,7 @@
     }
     let mut attempts = jobs.join_all().await;
     for number in 0..REPEATS {
-        tokio::time::sleep(Duration::from_millis(400)).await;
+        tokio::time::sleep(time::Duration::from_millis(400)).await;
         let peer = peers[rng.random_range(0..peers.len())];
         let id = format!("{key}-repeat-{number}");
         attempts.push(attempt(peer, key.to_owned(), id, "{\"item\":1}", is_ours).await);
@@ -282,7 +279,7 @@
 }
 
 async fn attempt(
-    peer: SocketAddr,
+    peer: net::SocketAddr,
     key: String,
     id: String,
     body: &'static str,
@@ -299,11 +296,11 @@
     Attempt { key, id, end }
 }
 
-async fn send(peer: SocketAddr, key: &str, id: &str, body: &str, is_ours: bool) -> End {
+async fn send(peer: net::SocketAddr, key: &str, id: &str, body: &str, is_ours: bool) -> End {
     let caller = caller::Caller::new(peer, traffic::KEY);
     let path = if is_ours { "/desk/orders" } else { "/orders" };
     let headers = [("idempotency-key", key), ("x-request-id", id)];
-    let call = caller.call(Method::POST, path, &headers, body.as_bytes().to_vec());
+    let call = caller.call(hyper::Method::POST, path, &headers, body.as_bytes().to_vec());
     let Ok(Ok(answer)) = tokio::time::timeout(CALL_LIMIT, call).await else { return End::Broken };
     let text = String::from_utf8_lossy(&answer.body).into_owned();
     let outcome = answer.headers.get("corneltrestle-outcome").map(|value| value.as_bytes());
@@ -318,10 +315,10 @@
 }
 
 /// Compares what callers were told with what ran.
-fn judge(local: &Local, keys: usize, attempts: &[Attempt]) -> Outcome {
+fn judge(local: &corneltrestle_local::Local, keys: usize, attempts: &[Attempt]) -> Outcome {
     let mut outcome = Outcome { keys, calls: attempts.len(), ..Outcome::default() };
-    let mut runs: BTreeMap<String, u64> = BTreeMap::new();
-    let mut ran: BTreeSet<String> = BTreeSet::new();
+    let mut runs: collections::BTreeMap<String, u64> = collections::BTreeMap::new();
+    let mut ran: collections::BTreeSet<String> = collections::BTreeSet::new();
     for (_, service) in &local.services {
         let orders = service.api().runs();
         for (key, count) in orders.keys {
@@ -333,7 +330,7 @@
     }
     outcome.ran = runs.len();
     outcome.surplus = runs.values().map(|count| count - 1).sum();
-    let mut answers: BTreeMap<&str, &str> = BTreeMap::new();
+    let mut answers: collections::BTreeMap<&str, &str> = collections::BTreeMap::new();
     for attempt in attempts {
         match &attempt.end {
             End::Answered(text) => {
--- a/crates/measure/src/scenario/relay.rs
+++ b/crates/measure/src/scenario/relay.rs
@@ -4,21 +4,20 @@
 mod plain;
 mod source;
 
-use std::time::Duration;
+use std::time;
 
 use corneltrestle_kernel::linkme::{self, distributed_slice};
-use corneltrestle_local::{self as local, Local, Plan};
+use corneltrestle_local as local;
 use corneltrestle_node::{digest, operate};
 use corneltrestle_policy::vm;
-use tokio::runtime::Runtime;
+use tokio::runtime;
 
-use super::{Error, Options, Result, SCENARIOS, Scenario};
-use crate::{process, report};
-use load::{Peer, Streams};
+use super::Result;
+use crate::{process, report, scenario};
 
-#[distributed_slice(SCENARIOS)]
+#[distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
-static RELAY: Scenario = Scenario {
+static RELAY: scenario::Scenario = scenario::Scenario {
     name: "relay",
     summary: "added latency and events a second per core, beside a plain hyper relay",
     run: |options| run(options, &Sizes::default()),
@@ -40,7 +39,7 @@
     /// Rounds, in each of which both relays take their turn.
     pub rounds: usize,
     /// Time of a load in one round.
-    pub time: Duration,
+    pub time: time::Duration,
     /// Small requests in one round.
     pub requests: usize,
     /// Events of a stream.
@@ -49,18 +48,18 @@
 
 impl Default for Sizes {
     fn default() -> Self {
-        Self { rounds: 5, time: Duration::from_millis(1_500), requests: 800, events: 2_000 }
+        Self { rounds: 5, time: time::Duration::from_millis(1_500), requests: 800, events: 2_000 }
     }
 }
 
 struct Bench {
-    callers: Runtime,
-    _source: Runtime,
-    node: Runtime,
-    _plain: Runtime,
-    local: Local,
-    direct: Peer,
-    relays: [(&'static str, Peer); 2],
+    callers: runtime::Runtime,
+    _source: runtime::Runtime,
+    node: runtime::Runtime,
+    _plain: runtime::Runtime,
+    local: local::Local,
+    direct: load::Peer,
+    relays: [(&'static str, load::Peer); 2],
 }
 
 /// Rates of one relay over the rounds.
@@ -73,8 +72,8 @@
     tail: Vec<f64>,
 }
 
-fn failed<E: ToString>(step: &'static str) -> impl Fn(E) -> Error {
-    move |e| Error::Failed { step, cause: e.to_string() }
+fn failed<E: ToString>(step: &'static str) -> impl Fn(E) -> scenario::Error {
+    move |e| scenario::Error::Failed { step, cause: e.to_string() }
 }
 
 /// Runs the scenario with the given sizes.
@@ -82,7 +81,7 @@
 /// # Errors
 ///
 /// When the relays cannot run or do not answer.
-pub fn run(options: &Options, sizes: &Sizes) -> Result<report::Report> {
+pub fn run(options: &scenario::Options, sizes: &Sizes) -> Result<report::Report> {
     let bench = Bench::open()?;
     let mut broken = 0;
     let mut rates = [Rates::default(), Rates::default()];
@@ -106,11 +105,11 @@
         let (node, plain) = (runtime(NODE)?, runtime(PLAIN)?);
         let upstream = source.block_on(source::bind("source")).map_err(failed("source"))?;
         let baseline = plain.block_on(plain::bind(upstream)).map_err(failed("plain relay"))?;
-        let mut plan = Plan::zones(&["zone-a"]);
+        let mut plan = local::Plan::zones(&["zone-a"]);
         for zone in &mut plan.zones {
             (zone.nodes, zone.fabrics, zone.vms, zone.services) = (1, 0, 0, 0);
         }
-        let mut local = callers.block_on(Local::bind(plan))?;
+        let mut local = callers.block_on(local::Local::bind(plan))?;
         local.vms.api().set(&[vm::Vm {
             id: "source".into(),
             address: upstream,
@@ -126,10 +125,10 @@
         }
         let address = local.nodes.values().next().ok_or(local::Error::NoNode)?.callers;
         let bench = Self {
-            direct: Peer { address: upstream, lines: 3 },
+            direct: load::Peer { address: upstream, lines: 3 },
             relays: [
-                (NODE, Peer { address, lines: 2 }),
-                (PLAIN, Peer { address: baseline, lines: 3 }),
+                (NODE, load::Peer { address, lines: 2 }),
+                (PLAIN, load::Peer { address: baseline, lines: 3 }),
             ],
             callers,
             _source: source,
@@ -159,7 +158,7 @@
             {
                 return Ok(());
             }
-            tokio::time::sleep(Duration::from_millis(200)).await;
+            tokio::time::sleep(time::Duration::from_millis(200)).await;
         }
         Err(failed("ready")("the node does not serve the source's model"))
     }
@@ -169,18 +168,23 @@
         &self,
         sizes: &Sizes,
         name: &str,
-        peer: Peer,
+        peer: load::Peer,
         direct: &mut [f64],
         rates: &mut Rates,
     ) -> Result<u64> {
         let (events, time) = (sizes.events, sizes.time);
-        let fast = Streams { connections: 8, events, pace: None, time };
+        let fast = load::Streams { connections: 8, events, pace: None, time };
         let (arrived, core, wall) = self.streams(name, peer, fast)?;
         rates.core.push(core);
         rates.wall.push(wall);
         let mut broken = arrived;
         let events = (time.as_micros() / 5_000) as u64;
-        let slow = Streams { connections: 100, events, pace: Some(5_000), time: Duration::ZERO };
+        let slow = load::Streams {
+            connections: 100,
+            events,
+            pace: Some(5_000),
+            time: time::Duration::ZERO,
+        };
         let (arrived, core, _) = self.streams(name, peer, slow)?;
         rates.paced.push(core);
         broken += arrived;
@@ -193,7 +197,12 @@
     }
 
     /// Runs streams; returns broken answers, events by the relay's processor time and by time.
-    fn streams(&self, name: &str, peer: Peer, load: Streams) -> Result<(u64, f64, f64)> {
+    fn streams(
+        &self,
+        name: &str,
+        peer: load::Peer,
+        load: load::Streams,
+    ) -> Result<(u64, f64, f64)> {
         let (begun, before) = (std::time::Instant::now(), process::processor_time(name));
         let arrived = self.callers.block_on(load::stream(peer, load))?;
         let used = process::processor_time(name).saturating_sub(before);
--- a/crates/measure/src/scenario/relay/load.rs
+++ b/crates/measure/src/scenario/relay/load.rs
@@ -1,23 +1,22 @@
 //! Callers of a relay, and what they count.
 
-use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::{net, time};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::Request;
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper::header::{AUTHORIZATION, HOST};
-use hyper_util::rt::TokioIo;
+use http_body_util::BodyExt;
+use hyper::{
+    client::conn::http1::{self, handshake},
+    header,
+};
+use hyper_util::rt;
 use tokio::net::TcpStream;
 
 use super::{KEY, failed};
-use crate::scenario::{Error, Result};
+use crate::scenario::{self, Result};
 
 /// Whom to call, and what its answers look like.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Peer {
-    pub(super) address: SocketAddr,
+    pub(super) address: net::SocketAddr,
     /// Lines of one event; a relay that checks events drops the line of the id.
     pub(super) lines: u64,
 }
@@ -29,7 +28,7 @@
     pub(super) events: u64,
     /// Time between two events in microseconds; `None` for as fast as possible.
     pub(super) pace: Option<u64>,
-    pub(super) time: Duration,
+    pub(super) time: time::Duration,
 }
 
 /// What arrived.
@@ -40,24 +39,25 @@
 }
 
 struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<http_body_util::Full<bytes::Bytes>>,
 }
 
 impl Connection {
     async fn open(peer: Peer) -> Result<Self> {
         let socket = TcpStream::connect(peer.address).await.map_err(failed("connect"))?;
         socket.set_nodelay(true).map_err(failed("connect"))?;
-        let (sender, driver) = handshake(TokioIo::new(socket)).await.map_err(failed("connect"))?;
+        let (sender, driver) =
+            handshake(rt::TokioIo::new(socket)).await.map_err(failed("connect"))?;
         tokio::spawn(driver);
         Ok(Self { sender })
     }
 
     /// Sends a request, reads the answer and returns the number of its lines.
-    async fn call(&mut self, body: &Bytes) -> Result<u64> {
-        let request = Request::post("/v1/completions")
-            .header(HOST, "relay")
-            .header(AUTHORIZATION, format!("Bearer {KEY}"))
-            .body(Full::new(body.clone()))
+    async fn call(&mut self, body: &bytes::Bytes) -> Result<u64> {
+        let request = hyper::Request::post("/v1/completions")
+            .header(header::HOST, "relay")
+            .header(header::AUTHORIZATION, format!("Bearer {KEY}"))
+            .body(http_body_util::Full::new(body.clone()))
             .map_err(failed("request"))?;
         self.sender.ready().await.map_err(failed("call"))?;
         let answer = self.sender.send_request(request).await.map_err(failed("call"))?;
@@ -83,8 +83,8 @@
         "{{\"model\":\"small\",\"stream\":true,\"max_tokens\":{}{pace},\"prompt\":\"hello\"}}",
         load.events
     );
-    let body = Bytes::from(body);
-    let end = Instant::now() + load.time;
+    let body = bytes::Bytes::from(body);
+    let end = time::Instant::now() + load.time;
     let lanes: Vec<_> = (0..load.connections)
         .map(|_| {
             let body = body.clone();
@@ -96,8 +96,8 @@
                     arrived.events += load.events;
                     // The mark of a complete answer has two lines.
                     arrived.broken += u64::from(lines != peer.lines * load.events + 2);
-                    if Instant::now() >= end {
-                        return Ok::<_, Error>(arrived);
+                    if time::Instant::now() >= end {
+                        return Ok::<_, scenario::Error>(arrived);
                     }
                 }
             })
@@ -114,12 +114,13 @@
 
 /// Times of small requests in milliseconds, one after the other on one connection.
 pub(super) async fn small(peer: Peer, requests: usize) -> Result<Vec<f64>> {
-    let body = Bytes::from_static(b"{\"model\":\"small\",\"max_tokens\":1,\"prompt\":\"hello\"}");
+    let body =
+        bytes::Bytes::from_static(b"{\"model\":\"small\",\"max_tokens\":1,\"prompt\":\"hello\"}");
     let mut connection = Connection::open(peer).await?;
     connection.call(&body).await?;
     let mut times = Vec::with_capacity(requests);
     for _ in 0..requests {
-        let sent = Instant::now();
+        let sent = time::Instant::now();
         connection.call(&body).await?;
         times.push(sent.elapsed().as_secs_f64() * 1e3);
     }
--- a/crates/measure/src/scenario/relay/source.rs
+++ b/crates/measure/src/scenario/relay/source.rs
@@ -1,31 +1,24 @@
 //! A fast engine that sends scripted events, so that the upstream is not the limit.
 
-use std::convert::Infallible;
-use std::fmt::Write;
-use std::net::SocketAddr;
-use std::pin::Pin;
-use std::sync::Arc;
-use std::task::{Context, Poll};
-use std::time::Duration;
+use std::{convert, fmt::Write, net, pin, sync, task, time};
 
-use bytes::{Bytes, BytesMut};
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{id, report};
-use http_body_util::{BodyExt, Either, Full};
-use hyper::body::{Body, Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Method, Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use serde_json::{Value, json};
-use tokio::net::TcpListener;
-use tokio::time::Interval;
+use http_body_util::BodyExt;
+use hyper::{
+    body::{self, Body},
+    header,
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt;
+use serde_json::json;
+use tokio::{net::TcpListener, time::Interval};
 
 /// Header with the identifier of a request.
 const REQUEST_ID: &str = "x-request-id";
 
-type Answer = Response<Either<Full<Bytes>, Events>>;
+type Answer = hyper::Response<http_body_util::Either<http_body_util::Full<bytes::Bytes>, Events>>;
 
 /// What the engine reports; it follows the latest order to join.
 #[derive(Debug)]
@@ -37,19 +30,19 @@
 }
 
 /// Binds the engine of `vm` on the workers of the calling task; returns its address.
-pub(super) async fn bind(vm: &str) -> std::io::Result<SocketAddr> {
+pub(super) async fn bind(vm: &str) -> std::io::Result<net::SocketAddr> {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
     let address = listener.local_addr()?;
     let reported = Reported(report::Report::idle(vm.into(), 1));
-    let reported = Arc::new(table::Table::new(reported));
+    let reported = sync::Arc::new(table::Table::new(reported));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let _ = stream.set_nodelay(true);
-            let reported = Arc::clone(&reported);
-            let service = service_fn(move |request| answer(request, Arc::clone(&reported)));
+            let reported = sync::Arc::clone(&reported);
+            let service = service_fn(move |request| answer(request, sync::Arc::clone(&reported)));
             let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service);
+                .timer(rt::TokioTimer::new())
+                .serve_connection(rt::TokioIo::new(stream), service);
             tokio::spawn(connection);
         }
     });
@@ -57,24 +50,29 @@
 }
 
 async fn answer(
-    request: Request<Incoming>,
-    reported: Arc<table::Table<Reported>>,
-) -> Result<Answer, Infallible> {
+    request: hyper::Request<body::Incoming>,
+    reported: sync::Arc<table::Table<Reported>>,
+) -> Result<Answer, convert::Infallible> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map(|whole| whole.to_bytes()).unwrap_or_default();
-    let value: Value = serde_json::from_slice(&body).unwrap_or_default();
-    let id = head.headers.get(REQUEST_ID).cloned().unwrap_or(HeaderValue::from_static("none"));
+    let value: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+    let id =
+        head.headers.get(REQUEST_ID).cloned().unwrap_or(header::HeaderValue::from_static("none"));
     Ok(match (&head.method, head.uri.path()) {
-        (&Method::GET, "/v1/report") => whole(&reported.lock().0),
-        (&Method::POST, "/v1/orders") => {
+        (&hyper::Method::GET, "/v1/report") => whole(&reported.lock().0),
+        (&hyper::Method::POST, "/v1/orders") => {
             order(&mut reported.lock().0, &value);
             whole(&json!({"answer": "accepted"}))
         }
-        (&Method::GET, _) => whole(&json!([])),
-        (&Method::POST, _) if value["stream"] == true => {
-            let mut answer = Response::new(Either::Right(Events::new(&id, &value)));
+        (&hyper::Method::GET, _) => whole(&json!([])),
+        (&hyper::Method::POST, _) if value["stream"] == true => {
+            let mut answer =
+                hyper::Response::new(http_body_util::Either::Right(Events::new(&id, &value)));
             let headers = answer.headers_mut();
-            headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+            headers.insert(
+                header::CONTENT_TYPE,
+                header::HeaderValue::from_static("text/event-stream"),
+            );
             headers.insert(REQUEST_ID, id);
             answer
         }
@@ -88,10 +86,10 @@
 
 fn whole(value: &impl serde::Serialize) -> Answer {
     let body = serde_json::to_vec(value).unwrap_or_default();
-    Response::new(Either::Left(Full::new(body.into())))
+    hyper::Response::new(http_body_util::Either::Left(http_body_util::Full::new(body.into())))
 }
 
-fn order(report: &mut report::Report, order: &Value) {
+fn order(report: &mut report::Report, order: &serde_json::Value) {
     let text = |name: &str| order[name].as_str().unwrap_or_default().to_owned();
     if order["order"] == "release" {
         *report = report::Report::idle(report.vm.clone(), report.start);
@@ -118,9 +116,9 @@
 }
 
 impl Events {
-    fn new(id: &HeaderValue, request: &Value) -> Self {
+    fn new(id: &header::HeaderValue, request: &serde_json::Value) -> Self {
         let pace = request["pace_us"].as_u64().map(|pace| {
-            let mut pace = tokio::time::interval(Duration::from_micros(pace));
+            let mut pace = tokio::time::interval(time::Duration::from_micros(pace));
             pace.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
             pace
         });
@@ -133,8 +131,8 @@
         }
     }
 
-    fn event(&mut self) -> Bytes {
-        let mut event = BytesMut::with_capacity(192);
+    fn event(&mut self) -> bytes::Bytes {
+        let mut event = bytes::BytesMut::with_capacity(192);
         // Writing to this buffer does not fail.
         let _ = write!(
             event,
@@ -148,24 +146,25 @@
 }
 
 impl Body for Events {
-    type Data = Bytes;
-    type Error = Infallible;
+    type Data = bytes::Bytes;
+    type Error = convert::Infallible;
 
     fn poll_frame(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<body::Frame<bytes::Bytes>, convert::Infallible>>> {
         let this = self.get_mut();
         if this.ended {
-            return Poll::Ready(None);
+            return task::Poll::Ready(None);
         }
         if let Some(pace) = &mut this.pace
             && pace.poll_tick(cx).is_pending()
         {
-            return Poll::Pending;
+            return task::Poll::Pending;
         }
         this.ended = this.next == this.total;
-        let event = if this.ended { Bytes::from_static(b"data: [DONE]\n\n") } else { this.event() };
-        Poll::Ready(Some(Ok(Frame::data(event))))
+        let event =
+            if this.ended { bytes::Bytes::from_static(b"data: [DONE]\n\n") } else { this.event() };
+        task::Poll::Ready(Some(Ok(body::Frame::data(event))))
     }
 }
--- a/crates/measure/src/scenario/store_outage.rs
+++ b/crates/measure/src/scenario/store_outage.rs
@@ -2,21 +2,17 @@
 
 mod load;
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::{collections, net, time};
 
 use corneltrestle_kernel::linkme::{self, distributed_slice};
-use corneltrestle_local::{Local, Plan};
 use corneltrestle_node::{digest, operate};
 
-use super::{Error, Options, Result, SCENARIOS, Scenario};
-use crate::{process, report};
-use load::{End, Kind, Load, Sample};
+use super::Result;
+use crate::{process, report, scenario};
 
-#[distributed_slice(SCENARIOS)]
+#[distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
-static STORE_OUTAGE: Scenario = Scenario {
+static STORE_OUTAGE: scenario::Scenario = scenario::Scenario {
     name: "store-outage",
     summary: "service while the store is down, slow or loses answers, beside no outage",
     run: |options| run(options, &Sizes::default()),
@@ -25,7 +21,7 @@
 /// The callers' key.
 const KEY: &str = "key-of-acme";
 /// Longest time of a model request that counts as on time; without load it takes about 60 ms.
-const ON_TIME: Duration = Duration::from_secs(2);
+const ON_TIME: time::Duration = time::Duration::from_secs(2);
 /// Most calls of one node in flight at the store.
 const IN_FLIGHT: u64 = 8;
 
@@ -36,16 +32,16 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Sizes {
     /// Time without an outage, which is the baseline.
-    pub calm: Duration,
+    pub calm: time::Duration,
     /// Time of each outage.
-    pub outage: Duration,
+    pub outage: time::Duration,
     /// Time after each outage.
-    pub after: Duration,
+    pub after: time::Duration,
 }
 
 impl Default for Sizes {
     fn default() -> Self {
-        let seconds = Duration::from_secs;
+        let seconds = time::Duration::from_secs;
         Self { calm: seconds(5), outage: seconds(7), after: seconds(5) }
     }
 }
@@ -68,8 +64,8 @@
 /// A part of the run.
 struct Phase {
     name: String,
-    begun: Instant,
-    ended: Instant,
+    begun: time::Instant,
+    ended: time::Instant,
 }
 
 /// Calls to the store after one outage.
@@ -82,17 +78,17 @@
 }
 
 struct Found {
-    samples: Vec<Sample>,
+    samples: Vec<load::Sample>,
     phases: Vec<Phase>,
     returns: Vec<Return>,
     /// Store calls a second without an outage.
     calm: f64,
-    runs: BTreeMap<String, u64>,
+    runs: collections::BTreeMap<String, u64>,
     nodes: u64,
 }
 
-fn failed<E: ToString>(step: &'static str) -> impl Fn(E) -> Error {
-    move |e| Error::Failed { step, cause: e.to_string() }
+fn failed<E: ToString>(step: &'static str) -> impl Fn(E) -> scenario::Error {
+    move |e| scenario::Error::Failed { step, cause: e.to_string() }
 }
 
 /// Runs the scenario with the given sizes.
@@ -100,7 +96,7 @@
 /// # Errors
 ///
 /// When the deployment cannot run.
-pub fn run(options: &Options, sizes: &Sizes) -> Result<report::Report> {
+pub fn run(options: &scenario::Options, sizes: &Sizes) -> Result<report::Report> {
     let runtime = process::runtime("m-outage", 4).map_err(failed("runtime"))?;
     let found = runtime.block_on(measure(options, sizes))?;
     let mut report = report::Report::new("store-outage", options.seed);
@@ -108,8 +104,10 @@
     Ok(report)
 }
 
-async fn measure(options: &Options, sizes: &Sizes) -> Result<Found> {
-    let local = Local::open(Plan::zones(&["zone-a", "zone-b"])).await?;
+async fn measure(options: &scenario::Options, sizes: &Sizes) -> Result<Found> {
+    let local =
+        corneltrestle_local::Local::open(corneltrestle_local::Plan::zones(&["zone-a", "zone-b"]))
+            .await?;
     let nodes: Vec<_> = local.nodes.values().map(|node| node.callers).collect();
     ready(&local, &nodes).await?;
     let mut found = Found {
@@ -117,10 +115,10 @@
         phases: Vec::new(),
         returns: Vec::new(),
         calm: 0.0,
-        runs: BTreeMap::new(),
+        runs: collections::BTreeMap::new(),
         nodes: nodes.len() as u64,
     };
-    let mut load = Load::default();
+    let mut load = load::Load::default();
     options.say("store-outage: no outage");
     let calls = store_calls(&local);
     found.phase("none", &mut load, &nodes, sizes.calm).await;
@@ -136,7 +134,7 @@
         local.store.take_peak();
         let calls = store_calls(&local);
         let name = format!("after {}", outage.name);
-        let first = Duration::from_secs(1).min(sizes.after);
+        let first = time::Duration::from_secs(1).min(sizes.after);
         found.phase(&name, &mut load, &nodes, first).await;
         let calls = store_calls(&local) - calls;
         found.returns.push(Return {
@@ -147,7 +145,7 @@
         });
         load.run(&nodes, sizes.after.saturating_sub(first)).await;
         if let Some(last) = found.phases.last_mut() {
-            last.ended = Instant::now();
+            last.ended = time::Instant::now();
         }
     }
     found.samples = load.finish().await;
@@ -161,23 +159,23 @@
 }
 
 /// Applies the note and waits until every node answers a model request.
-async fn ready(local: &Local, nodes: &[SocketAddr]) -> Result<()> {
+async fn ready(local: &corneltrestle_local::Local, nodes: &[net::SocketAddr]) -> Result<()> {
     for _ in 0..50 {
         let verdict = local.apply(&note(local)).await?;
         if matches!(verdict, operate::Verdict::Accepted { .. }) {
             // These orders are not judged, so that their keys must not appear again.
-            let mut load = Load::starting(READY_KEYS);
-            load.run(nodes, Duration::from_millis(500)).await;
-            if load.finish().await.iter().all(|sample| sample.end == End::Whole) {
+            let mut load = load::Load::starting(READY_KEYS);
+            load.run(nodes, time::Duration::from_millis(500)).await;
+            if load.finish().await.iter().all(|sample| sample.end == load::End::Whole) {
                 return Ok(());
             }
         }
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        tokio::time::sleep(time::Duration::from_millis(200)).await;
     }
     Err(failed("ready")("the deployment does not answer all calls"))
 }
 
-fn note(local: &Local) -> String {
+fn note(local: &corneltrestle_local::Local) -> String {
     let upstream = |(zone, service): &(String, corneltrestle_standin::service::Handle)| {
         format!("{zone} {}", service.address())
     };
@@ -201,19 +199,29 @@
     note
 }
 
-fn store_calls(local: &Local) -> u64 {
+fn store_calls(local: &corneltrestle_local::Local) -> u64 {
     let counts = local.store.counts();
     counts.iter().filter(|(name, _)| *name != "watching").map(|(_, count)| count).sum()
 }
 
 impl Found {
-    async fn phase(&mut self, name: &str, load: &mut Load, nodes: &[SocketAddr], time: Duration) {
-        let begun = Instant::now();
+    async fn phase(
+        &mut self,
+        name: &str,
+        load: &mut load::Load,
+        nodes: &[net::SocketAddr],
+        time: time::Duration,
+    ) {
+        let begun = time::Instant::now();
         load.run(nodes, time).await;
-        self.phases.push(Phase { name: name.to_owned(), begun, ended: Instant::now() });
+        self.phases.push(Phase { name: name.to_owned(), begun, ended: time::Instant::now() });
     }
 
-    fn of<'a>(&'a self, phase: &'a Phase, kind: Kind) -> impl Iterator<Item = &'a Sample> + 'a {
+    fn of<'a>(
+        &'a self,
+        phase: &'a Phase,
+        kind: load::Kind,
+    ) -> impl Iterator<Item = &'a load::Sample> + 'a {
         let within = phase.begun..phase.ended;
         self.samples
             .iter()
@@ -221,26 +229,28 @@
     }
 
     /// Part of the calls that were answered whole and on time.
-    fn whole(&self, phase: &Phase, kind: Kind) -> f64 {
+    fn whole(&self, phase: &Phase, kind: load::Kind) -> f64 {
         let calls = self.of(phase, kind).count();
-        let whole = |sample: &&Sample| sample.end == End::Whole && sample.taken <= ON_TIME;
+        let whole =
+            |sample: &&load::Sample| sample.end == load::End::Whole && sample.taken <= ON_TIME;
         self.of(phase, kind).filter(whole).count() as f64 / calls.max(1) as f64
     }
 
-    fn ended(&self, phase: &Phase, end: End) -> f64 {
-        self.of(phase, Kind::Order).filter(|sample| sample.end == end).count() as f64
+    fn ended(&self, phase: &Phase, end: load::End) -> f64 {
+        self.of(phase, load::Kind::Order).filter(|sample| sample.end == end).count() as f64
     }
 
     fn tail(&self, phase: &Phase) -> f64 {
-        let times = self.of(phase, Kind::Model).map(|sample| sample.taken.as_secs_f64() * 1e3);
+        let times =
+            self.of(phase, load::Kind::Model).map(|sample| sample.taken.as_secs_f64() * 1e3);
         process::quantile(&mut times.collect::<Vec<_>>(), 0.99)
     }
 
     /// Orders that ran although every call with their key was answered `not-run`.
     fn untrue(&self) -> usize {
-        let mut keys: BTreeMap<&str, bool> = BTreeMap::new();
-        for sample in self.samples.iter().filter(|sample| sample.kind == Kind::Order) {
-            let refused = sample.end == End::NotRun;
+        let mut keys: collections::BTreeMap<&str, bool> = collections::BTreeMap::new();
+        for sample in self.samples.iter().filter(|sample| sample.kind == load::Kind::Order) {
+            let refused = sample.end == load::End::NotRun;
             keys.entry(&sample.key).and_modify(|all| *all &= refused).or_insert(refused);
         }
         keys.iter().filter(|(key, refused)| **refused && self.runs.contains_key(**key)).count()
@@ -252,9 +262,9 @@
     for phase in phases {
         let name = &phase.name;
         for (kind, calls) in [
-            (Kind::Model, "model requests"),
-            (Kind::Status, "status checks"),
-            (Kind::Order, "orders"),
+            (load::Kind::Model, "model requests"),
+            (load::Kind::Status, "status checks"),
+            (load::Kind::Order, "orders"),
         ] {
             let (own, baseline) = (found.whole(phase, kind), found.whole(calm, kind));
             let name = format!("{name}: {calls} whole and on time");
@@ -262,7 +272,7 @@
         }
         let tail = Some(found.tail(calm));
         report.figure(&format!("{name}: model requests p99"), "ms", found.tail(phase), tail);
-        for (end, word) in [(End::NotRun, "not-run"), (End::Unknown, "unknown")] {
+        for (end, word) in [(load::End::NotRun, "not-run"), (load::End::Unknown, "unknown")] {
             let name = format!("{name}: orders answered {word}");
             let baseline = Some(found.ended(calm, end));
             report.figure(&name, "orders", found.ended(phase, end), baseline);
@@ -284,7 +294,8 @@
 }
 
 fn goals(report: &mut report::Report, found: &Found, phases: &[Phase]) {
-    let worst = phases.iter().map(|phase| found.whole(phase, Kind::Model)).fold(1.0, f64::min);
+    let worst =
+        phases.iter().map(|phase| found.whole(phase, load::Kind::Model)).fold(1.0, f64::min);
     let name = "model requests untouched: all whole and on time in every phase";
     report.goal(name, worst >= 1.0, format!("{:.2} % in the worst phase", worst * 100.0));
     let runs = found.runs.values().copied().max().unwrap_or(0);
--- a/crates/measure/src/scenario/store_outage/load.rs
+++ b/crates/measure/src/scenario/store_outage/load.rs
@@ -1,16 +1,14 @@
 //! Steady load: model requests, orders and status checks.
 
-use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::{net, time};
 
 use corneltrestle_local::caller;
-use hyper::{Method, StatusCode};
-use tokio::task::JoinSet;
+use tokio::task;
 
-use super::KEY;
+use crate::scenario::store_outage;
 
 /// Time between two model requests; every second one is streamed.
-const MODEL_PERIOD: Duration = Duration::from_millis(50);
+const MODEL_PERIOD: time::Duration = time::Duration::from_millis(50);
 /// Model requests between two orders, and between two status checks.
 const ORDER_EVERY: u64 = 4;
 const STATUS_EVERY: u64 = 2;
@@ -39,14 +37,14 @@
     pub(super) end: End,
     /// Idempotency key of an order.
     pub(super) key: String,
-    pub(super) sent: Instant,
-    pub(super) taken: Duration,
+    pub(super) sent: time::Instant,
+    pub(super) taken: time::Duration,
 }
 
 /// Calls in progress and those that have ended.
 #[derive(Debug, Default)]
 pub(super) struct Load {
-    calls: JoinSet<Sample>,
+    calls: task::JoinSet<Sample>,
     number: u64,
 }
 
@@ -57,10 +55,10 @@
     }
 
     /// Sends calls through the nodes in turn for the stated time.
-    pub(super) async fn run(&mut self, nodes: &[SocketAddr], time: Duration) {
-        let end = Instant::now() + time;
+    pub(super) async fn run(&mut self, nodes: &[net::SocketAddr], time: time::Duration) {
+        let end = time::Instant::now() + time;
         let mut due = tokio::time::interval(MODEL_PERIOD);
-        while Instant::now() < end {
+        while time::Instant::now() < end {
             due.tick().await;
             let number = self.number;
             self.number += 1;
@@ -85,39 +83,40 @@
     }
 }
 
-async fn model(node: SocketAddr, stream: bool) -> Sample {
+async fn model(node: net::SocketAddr, stream: bool) -> Sample {
     let body = format!(
         "{{\"model\":\"small\",\"stream\":{stream},\"max_tokens\":8,\"prompt\":\"hello\"}}"
     );
     let path = "/v1/completions";
-    let mut sample = call(Kind::Model, node, Method::POST, path, "", body).await;
+    let mut sample = call(Kind::Model, node, hyper::Method::POST, path, "", body).await;
     if stream && sample.end == End::Whole && !sample.key.ends_with("data: [DONE]\n\n") {
         sample.end = End::Broken;
     }
     sample
 }
 
-async fn order(node: SocketAddr, key: String) -> Sample {
-    let sample = call(Kind::Order, node, Method::POST, "/desk/orders", &key, "{}".to_owned());
+async fn order(node: net::SocketAddr, key: String) -> Sample {
+    let sample =
+        call(Kind::Order, node, hyper::Method::POST, "/desk/orders", &key, "{}".to_owned());
     Sample { key: key.clone(), ..sample.await }
 }
 
-async fn status(node: SocketAddr) -> Sample {
-    call(Kind::Status, node, Method::GET, "/desk/stock/frame", "", String::new()).await
+async fn status(node: net::SocketAddr) -> Sample {
+    call(Kind::Status, node, hyper::Method::GET, "/desk/stock/frame", "", String::new()).await
 }
 
 /// Sends a call; the sample has the answer's text in place of the key.
 async fn call(
     kind: Kind,
-    node: SocketAddr,
-    method: Method,
+    node: net::SocketAddr,
+    method: hyper::Method,
     path: &str,
     key: &str,
     body: String,
 ) -> Sample {
-    let sent = Instant::now();
+    let sent = time::Instant::now();
     let headers: &[(&str, &str)] = if key.is_empty() { &[] } else { &[("idempotency-key", key)] };
-    let caller = caller::Caller::new(node, KEY);
+    let caller = caller::Caller::new(node, store_outage::KEY);
     let answer = caller.call(method, path, headers, body.into_bytes()).await;
     let outcome = |answer: &caller::Answer| {
         let value = answer.headers.get("corneltrestle-outcome");
@@ -128,7 +127,7 @@
         Ok(answer) => match outcome(answer).as_deref() {
             Some(b"not-run") => (End::NotRun, String::new()),
             Some(_) => (End::Unknown, String::new()),
-            None if matches!(answer.status, StatusCode::OK | StatusCode::CREATED) => {
+            None if matches!(answer.status, hyper::StatusCode::OK | hyper::StatusCode::CREATED) => {
                 (End::Whole, String::from_utf8_lossy(&answer.body).into_owned())
             }
             None => (End::Broken, String::new()),
--- a/crates/measure/src/scenario/stranded.rs
+++ b/crates/measure/src/scenario/stranded.rs
@@ -4,18 +4,19 @@
 mod first_fit;
 mod model;
 
-use std::time::Duration;
+use std::time;
 
 use corneltrestle_kernel::linkme;
 
-use super::{Options, Result, SCENARIOS, Scenario};
-use crate::report::Report;
+use super::Result;
+use crate::{report, scenario};
+
 pub use first_fit::first_fit;
 pub use model::planned;
 
-#[linkme::distributed_slice(SCENARIOS)]
+#[linkme::distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
-static STRANDED: Scenario = Scenario {
+static STRANDED: scenario::Scenario = scenario::Scenario {
     name: "stranded",
     summary: "accelerators that idle while a replica is wanted, over a simulated day",
     run,
@@ -24,7 +25,7 @@
 /// Accelerators of a VM: 2,400 on 600 VMs at the target.
 const ACCELERATORS: f64 = 4.0;
 /// Time that an order to load takes.
-pub const LOAD: Duration = Duration::from_secs(120);
+pub const LOAD: time::Duration = time::Duration::from_secs(120);
 /// Replicas that may load at the same time in a zone.
 pub const LOADS: usize = 4;
 
@@ -44,7 +45,7 @@
     /// Whether a fabric domain is dark for two hours.
     pub is_fabric_lost: bool,
     /// Length.
-    pub length: Duration,
+    pub length: time::Duration,
 }
 
 /// One zone of the target with its part of the target's failures.
@@ -55,7 +56,7 @@
     failures: 1,
     restarts: 40,
     is_fabric_lost: true,
-    length: Duration::from_secs(24 * 3_600),
+    length: time::Duration::from_secs(24 * 3_600),
 };
 
 /// One zone of the target with the failures of all zones.
@@ -77,8 +78,8 @@
     pub down: f64,
 }
 
-fn run(options: &Options) -> Result<Report> {
-    let mut report = Report::new("stranded", options.seed);
+fn run(options: &scenario::Options) -> Result<report::Report> {
+    let mut report = report::Report::new("stranded", options.seed);
     for (name, day) in [
         ("zone of the target", TARGET),
         ("zone of the target, failures of all zones", TARGET_ALL),
--- a/crates/measure/src/scenario/stranded/model.rs
+++ b/crates/measure/src/scenario/stranded/model.rs
@@ -1,67 +1,63 @@
 //! A day of one zone: events, engines in simulated time, and the account of idle VMs.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+use std::{collections, time};
 
-use corneltrestle_policy::assignment::{Assignment, Phase, Replica};
-use corneltrestle_policy::plan::{self, Kind, Memory, ORDER_TIMEOUT, Order};
-use corneltrestle_policy::release::{Fencing, Release, ReplicaSet};
-use corneltrestle_policy::{Moment, id, report, vm, wholeness};
+use corneltrestle_policy::{assignment, id, plan, release, report, vm, wholeness};
+use corneltrestle_time::moment;
 use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 
-use super::{Day, LOAD, LOADS, Outcome};
+use crate::scenario::stranded;
 
 /// Age at which a report no longer counts.
-pub(super) const VIEW_BOUND: Duration = wholeness::VIEW_BOUND;
+pub(super) const VIEW_BOUND: time::Duration = wholeness::VIEW_BOUND;
 /// Time for which a VM may be idle before it counts, as long as an order or view remains in effect.
-pub(super) const GRACE: Duration = Duration::from_secs(13);
+pub(super) const GRACE: time::Duration = time::Duration::from_secs(13);
 /// Time between two plans.
-const ROUND: Duration = Duration::from_secs(1);
+const ROUND: time::Duration = time::Duration::from_secs(1);
 /// Time after an event in which each round is run.
-const BUSY: Duration = Duration::from_secs(600);
+const BUSY: time::Duration = time::Duration::from_secs(600);
 /// Longest step while nothing happens.
-const QUIET: Duration = Duration::from_secs(30);
+const QUIET: time::Duration = time::Duration::from_secs(30);
 /// Time until a failed VM is replaced.
-const FAILED: Duration = Duration::from_secs(3_600);
+const FAILED: time::Duration = time::Duration::from_secs(3_600);
 /// Time until a restarted VM is back.
-const RESTARTED: Duration = Duration::from_secs(120);
+const RESTARTED: time::Duration = time::Duration::from_secs(120);
 /// Time until a lost fabric domain is back.
-const DARK: Duration = Duration::from_secs(7_200);
+const DARK: time::Duration = time::Duration::from_secs(7_200);
 
 /// The events of a day and the VMs as they are at the present moment.
 #[derive(Debug)]
 pub(super) struct Events {
-    start: Moment,
-    end: Moment,
+    start: moment::Moment,
+    end: moment::Moment,
     /// When VMs go down, and until when; in order of time.
-    losses: Vec<(Moment, usize, Moment)>,
+    losses: Vec<(moment::Moment, usize, moment::Moment)>,
     next: usize,
     vms: Vec<State>,
     /// The latest loss or return.
-    latest: Moment,
+    latest: moment::Moment,
 }
 
 #[derive(Clone, Debug)]
 struct State {
     fabric: usize,
-    since: Moment,
+    since: moment::Moment,
     /// When it returns, while it is down.
-    back: Option<Moment>,
+    back: Option<moment::Moment>,
     starts: u64,
 }
 
 impl Events {
-    pub(super) fn of(day: &Day, seed: u64) -> Self {
-        let start = Moment::from_millis(1_000_000);
-        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    pub(super) fn of(day: &stranded::Day, seed: u64) -> Self {
+        let start = moment::Moment::from_millis(1_000_000);
+        let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
         let state = |fabric| State { fabric, since: start, back: None, starts: 1 };
         let sizes = day.fabrics.iter().enumerate();
         let vms: Vec<_> =
             sizes.flat_map(|(fabric, count)| (0..*count).map(move |_| state(fabric))).collect();
         let length = day.length.as_secs();
         // Nothing happens while the first replicas form.
-        let mut moment = || start + Duration::from_secs(rng.random_range(900..length));
+        let mut moment = || start + time::Duration::from_secs(rng.random_range(900..length));
         let times: Vec<_> = (0..=day.failures + day.restarts).map(|_| moment()).collect();
         let mut losses = Vec::new();
         for (number, at) in times.iter().skip(1).enumerate() {
@@ -77,11 +73,11 @@
         Self { start, end: start + day.length, losses, next: 0, vms, latest: start }
     }
 
-    pub(super) fn start(&self) -> Moment {
+    pub(super) fn start(&self) -> moment::Moment {
         self.start
     }
 
-    pub(super) fn end(&self) -> Moment {
+    pub(super) fn end(&self) -> moment::Moment {
         self.end
     }
 
@@ -98,13 +94,13 @@
     }
 
     /// For how long a VM has been down.
-    pub(super) fn down_for(&self, number: usize, now: Moment) -> Duration {
+    pub(super) fn down_for(&self, number: usize, now: moment::Moment) -> time::Duration {
         let vm = &self.vms[number];
-        vm.back.map_or(Duration::ZERO, |_| now.since(vm.since))
+        vm.back.map_or(time::Duration::ZERO, |_| now.since(vm.since))
     }
 
     /// Lets everything happen that is due.
-    pub(super) fn advance(&mut self, now: Moment) {
+    pub(super) fn advance(&mut self, now: moment::Moment) {
         for vm in &mut self.vms {
             if vm.back.is_some_and(|back| back <= now) {
                 (vm.back, vm.since, vm.starts) = (None, now, vm.starts + 1);
@@ -125,7 +121,7 @@
     }
 
     /// Time until the next loss or return.
-    fn until_next(&self, now: Moment) -> Duration {
+    fn until_next(&self, now: moment::Moment) -> time::Duration {
         let loss = self.losses.get(self.next).map(|(at, _, _)| at.since(now));
         let back = self.vms.iter().filter_map(|vm| vm.back).map(|back| back.since(now)).min();
         loss.into_iter().chain(back).min().unwrap_or(QUIET)
@@ -133,7 +129,7 @@
 }
 
 /// The step to the next round: longer ones while nothing happens.
-pub(super) fn step(events: &Events, now: Moment, is_settled: bool) -> Duration {
+pub(super) fn step(events: &Events, now: moment::Moment, is_settled: bool) -> time::Duration {
     let is_quiet = is_settled && now.since(events.latest) > BUSY;
     if is_quiet { events.until_next(now).clamp(ROUND, QUIET) } else { ROUND }
 }
@@ -141,23 +137,27 @@
 /// The account of idle VMs.
 #[derive(Debug)]
 pub(super) struct Tally {
-    day: Day,
+    day: stranded::Day,
     /// Since when each VM has been idle.
-    idle: BTreeMap<usize, Moment>,
-    pub(super) outcome: Outcome,
+    idle: collections::BTreeMap<usize, moment::Moment>,
+    pub(super) outcome: stranded::Outcome,
 }
 
 impl Tally {
-    pub(super) fn new(day: &Day) -> Self {
-        Self { day: *day, idle: BTreeMap::new(), outcome: Outcome::default() }
+    pub(super) fn new(day: &stranded::Day) -> Self {
+        Self {
+            day: *day,
+            idle: collections::BTreeMap::new(),
+            outcome: stranded::Outcome::default(),
+        }
     }
 
     /// Adds a span in which `engaged` says which VMs are in a sound replica.
     pub(super) fn add(
         &mut self,
         events: &Events,
-        now: Moment,
-        span: Duration,
+        now: moment::Moment,
+        span: time::Duration,
         engaged: impl Fn(usize) -> bool,
         serving: usize,
         loading: usize,
@@ -182,7 +182,7 @@
         let idle: usize = by_fabric.iter().sum();
         let formable =
             by_fabric.iter().map(|count| count / self.day.size).sum::<usize>().min(wanted);
-        let allowed = formable.min(LOADS.saturating_sub(loading));
+        let allowed = formable.min(stranded::LOADS.saturating_sub(loading));
         let size = self.day.size;
         self.outcome.formable += (allowed * size) as f64 * seconds;
         self.outcome.waiting += ((formable - allowed) * size) as f64 * seconds;
@@ -192,22 +192,22 @@
 
 /// The zone as the planner sees it.
 struct Zone {
-    release: Release,
-    assignment: Assignment,
-    memory: Memory,
+    release: release::Release,
+    assignment: assignment::Assignment,
+    memory: plan::Memory,
     vms: Vec<vm::Vm>,
     engines: Vec<Engine>,
-    reports: BTreeMap<id::Vm, report::Seen>,
+    reports: collections::BTreeMap<id::Vm, report::Seen>,
 }
 
 struct Engine {
     starts: u64,
-    loaded: Moment,
+    loaded: moment::Moment,
     report: report::Report,
 }
 
 /// Runs a day with the planner of the lease holder.
-pub fn planned(day: &Day, seed: u64) -> Outcome {
+pub fn planned(day: &stranded::Day, seed: u64) -> stranded::Outcome {
     let mut events = Events::of(day, seed);
     let mut tally = Tally::new(day);
     let mut zone = Zone::new(day, &events);
@@ -216,7 +216,7 @@
         events.advance(now);
         zone.report(&events, now);
         let is_still = zone.round(now);
-        let is_sound = |replica: &&Replica| {
+        let is_sound = |replica: &&assignment::Replica| {
             replica.vms.iter().all(|member| {
                 let number = zone.number(&member.id);
                 let report = &zone.engines[number].report;
@@ -226,9 +226,11 @@
             })
         };
         let sound: Vec<_> = zone.assignment.replicas.iter().filter(is_sound).collect();
-        let serving = sound.iter().filter(|replica| replica.phase == Phase::Serving).count();
+        let serving =
+            sound.iter().filter(|replica| replica.phase == assignment::Phase::Serving).count();
         let engaged = |number: usize| {
-            let is_member = |r: &&&Replica| r.vms.iter().any(|vm| zone.number(&vm.id) == number);
+            let is_member =
+                |r: &&&assignment::Replica| r.vms.iter().any(|vm| zone.number(&vm.id) == number);
             sound.iter().any(|replica| is_member(&replica))
         };
         let span = step(&events, now, is_still && serving == sound.len());
@@ -239,8 +241,8 @@
 }
 
 impl Zone {
-    fn new(day: &Day, events: &Events) -> Self {
-        let set = ReplicaSet {
+    fn new(day: &stranded::Day, events: &Events) -> Self {
+        let set = release::ReplicaSet {
             service: "chat".into(),
             zone: "z".into(),
             vms: u16::try_from(day.size).unwrap_or(u16::MAX),
@@ -248,7 +250,7 @@
             model: "m".to_owned(),
             adapter: String::new(),
             version: "1".to_owned(),
-            fencing: Fencing::Checked,
+            fencing: release::Fencing::Checked,
             cold_limit: 2,
         };
         let name = |number: usize| id::Vm::from(format!("vm-{number:03}").as_str());
@@ -266,12 +268,15 @@
             Engine { starts: 1, loaded: events.start(), report }
         };
         Self {
-            release: Release { sets: [("a".into(), set)].into(), ..Release::default() },
-            assignment: Assignment::default(),
-            memory: Memory::default(),
+            release: release::Release {
+                sets: [("a".into(), set)].into(),
+                ..release::Release::default()
+            },
+            assignment: assignment::Assignment::default(),
+            memory: plan::Memory::default(),
             vms: vms.collect(),
             engines: (0..events.count()).map(engine).collect(),
-            reports: BTreeMap::new(),
+            reports: collections::BTreeMap::new(),
         }
     }
 
@@ -280,7 +285,7 @@
     }
 
     /// Takes the reports of the VMs that are up; one that was down comes back empty.
-    fn report(&mut self, events: &Events, now: Moment) {
+    fn report(&mut self, events: &Events, now: moment::Moment) {
         for (number, engine) in self.engines.iter_mut().enumerate() {
             if !events.is_up(number) {
                 continue;
@@ -299,7 +304,7 @@
     }
 
     /// Plans, stores the plan and delivers its orders; whether there was nothing to do.
-    fn round(&mut self, now: Moment) -> bool {
+    fn round(&mut self, now: moment::Moment) -> bool {
         self.memory.observe(&self.assignment, &self.reports, now);
         let view = plan::View {
             zone: &"z".into(),
@@ -310,7 +315,7 @@
             memory: &self.memory,
             routers: &["n1", "n2"],
             token: 1,
-            loads: LOADS,
+            loads: stranded::LOADS,
             bound: VIEW_BOUND,
         };
         let plan = plan::plan(&view, now);
@@ -323,7 +328,7 @@
         is_still
     }
 
-    fn obey(&mut self, order: &Order, now: Moment) {
+    fn obey(&mut self, order: &plan::Order, now: moment::Moment) {
         let number = self.number(&order.vm.id);
         let is_up = self.reports.get(&order.vm.id).is_some_and(|seen| seen.at == now);
         if !is_up {
@@ -331,18 +336,18 @@
         }
         let engine = &mut self.engines[number];
         match &order.kind {
-            Kind::Join { replica, epoch, .. } => {
+            plan::Kind::Join { replica, epoch, .. } => {
                 let is_loaded = engine.report.replica.as_ref() == Some(replica)
                     && engine.report.phase == report::Phase::Ready;
                 (engine.report.replica, engine.report.epoch) = (Some(replica.clone()), *epoch);
                 (engine.report.model, engine.report.version) = ("m".to_owned(), "1".to_owned());
                 if !is_loaded {
                     engine.report.phase = report::Phase::Loading;
-                    engine.loaded = now + LOAD;
+                    engine.loaded = now + stranded::LOAD;
                 }
             }
-            Kind::Load { .. } => {}
-            Kind::Release { epoch } => {
+            plan::Kind::Load { .. } => {}
+            plan::Kind::Release { epoch } => {
                 let (vm, starts) = (engine.report.vm.clone(), engine.starts);
                 if engine.report.epoch <= *epoch {
                     engine.report = report::Report::idle(vm.clone(), starts);
@@ -353,4 +358,4 @@
     }
 }
 
-const _: () = assert!(GRACE.as_secs() == ORDER_TIMEOUT.as_secs() + VIEW_BOUND.as_secs());
+const _: () = assert!(GRACE.as_secs() == plan::ORDER_TIMEOUT.as_secs() + VIEW_BOUND.as_secs());
--- a/crates/measure/src/scenario/zone_move.rs
+++ b/crates/measure/src/scenario/zone_move.rs
@@ -1,22 +1,19 @@
 //! Scenario `zone-move`: service while a zone is taken out and brought back, and while the VMs of
 //! another zone leave.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
 use corneltrestle_kernel::{linkme, pool};
-use corneltrestle_local::{Local, Plan};
 use corneltrestle_node::operate;
 use corneltrestle_policy::vm;
 use corneltrestle_standin::engine;
 
-use super::{Error, Options, Result, SCENARIOS, Scenario};
-use crate::report::Report;
-use crate::traffic::{self, End, Entries, Groups, Kind, Rates, RoundRobin, Sample, Traffic};
+use super::Result;
+use crate::{report, scenario, traffic};
 
-#[linkme::distributed_slice(SCENARIOS)]
+#[linkme::distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
-static ZONE_MOVE: Scenario = Scenario {
+static ZONE_MOVE: scenario::Scenario = scenario::Scenario {
     name: "zone-move",
     summary: "service while a zone leaves and returns, and while its VMs are announced as leaving",
     run,
@@ -27,11 +24,11 @@
 /// The zone whose VMs are announced as leaving.
 const LEAVING: &str = "zone-b";
 /// Time after which a zone out of service gets no new work.
-const GRACE: Duration = Duration::from_secs(3);
+const GRACE: time::Duration = time::Duration::from_secs(3);
 /// Lag of the VM list.
-const LAG: Duration = Duration::from_secs(2);
+const LAG: time::Duration = time::Duration::from_secs(2);
 /// Longest time between two reads of the VM list by a node or by the baseline.
-const READ: Duration = Duration::from_secs(1);
+const READ: time::Duration = time::Duration::from_secs(1);
 /// Largest part of answers that need not be whole and on time, in percent.
 const WHOLE_PERCENT: f64 = 99.9;
 
@@ -41,7 +38,7 @@
 /// zones can do.
 const WARM_RATE: f64 = 30.0;
 /// Longest time to warm up.
-const WARM_LIMIT: Duration = Duration::from_secs(20);
+const WARM_LIMIT: time::Duration = time::Duration::from_secs(20);
 
 /// The size of a run.
 #[derive(Clone, Copy, Debug)]
@@ -49,9 +46,9 @@
     /// Replicas of three VMs in each zone.
     pub replicas: usize,
     /// Calls a second.
-    pub rates: Rates,
+    pub rates: traffic::Rates,
     /// Time between two steps of the schedule.
-    pub step: Duration,
+    pub step: time::Duration,
     /// Seconds for which the returning zone is watched.
     pub back: u64,
 }
@@ -60,7 +57,7 @@
 #[derive(Clone, Debug)]
 pub struct Outcome {
     /// The calls.
-    pub samples: Vec<Sample>,
+    pub samples: Vec<traffic::Sample>,
     /// Work that reached the zone later than 3 s after it was taken out.
     pub late: u64,
     /// Work that reached leaving VMs later than 3 s after the list showed it.
@@ -71,20 +68,20 @@
     pub jump: f64,
 }
 
-fn run(options: &Options) -> Result<Report> {
+fn run(options: &scenario::Options) -> Result<report::Report> {
     let pool = pool::Pool::spawn(4)
-        .map_err(|e| Error::Failed { step: "start workers", cause: e.to_string() })?;
+        .map_err(|e| scenario::Error::Failed { step: "start workers", cause: e.to_string() })?;
     let report = pool.wait(measure(options));
-    pool.shutdown(Duration::from_secs(2));
+    pool.shutdown(time::Duration::from_secs(2));
     report
 }
 
-async fn measure(options: &Options) -> Result<Report> {
-    let mut report = Report::new("zone-move", options.seed);
+async fn measure(options: &scenario::Options) -> Result<report::Report> {
+    let mut report = report::Report::new("zone-move", options.seed);
     for (deployment, replicas) in [("6 VMs a zone", 2), ("9 VMs a zone", 3)] {
         let rate = 12.0 * replicas as f64;
-        let rates = Rates { models: rate, orders: 8.0 };
-        let size = Size { replicas, rates, step: Duration::from_secs(2), back: 6 };
+        let rates = traffic::Rates { models: rate, orders: 8.0 };
+        let size = Size { replicas, rates, step: time::Duration::from_secs(2), back: 6 };
         options.say(format_args!("{deployment}: corneltrestle and, beside it, the baseline"));
         let (ours, baseline) = tokio::join!(
             move_zones(size, options.seed, true),
@@ -106,16 +103,16 @@
     Ok(report)
 }
 
-fn add(report: &mut Report, name: &str, ours: &Outcome, baseline: &Outcome) {
+fn add(report: &mut report::Report, name: &str, ours: &Outcome, baseline: &Outcome) {
     let mut figure = |what: &str, unit, of: &dyn Fn(&Outcome) -> f64| {
         report.figure(&format!("{name}: {what}"), unit, of(ours), Some(of(baseline)));
     };
     figure("calls", "calls", &|run| run.samples.len() as f64);
     figure("whole answers on time", "%", &|run| traffic::whole_percent(&run.samples));
     for (what, kind) in [
-        ("whole and on time, streams", Kind::Stream),
-        ("whole and on time, bodies", Kind::Whole),
-        ("whole and on time, orders", Kind::Order),
+        ("whole and on time, streams", traffic::Kind::Stream),
+        ("whole and on time, bodies", traffic::Kind::Whole),
+        ("whole and on time, orders", traffic::Kind::Order),
     ] {
         figure(what, "%", &|run| traffic::whole_percent(&of_kind(&run.samples, kind)));
     }
@@ -140,13 +137,15 @@
     report.goal(&goal, ours.overloads == 0, ours.overloads.to_string());
 }
 
-fn of_kind(samples: &[Sample], kind: Kind) -> Vec<Sample> {
+fn of_kind(samples: &[traffic::Sample], kind: traffic::Kind) -> Vec<traffic::Sample> {
     samples.iter().filter(|sample| sample.kind == kind).cloned().collect()
 }
 
 /// Streams that began and ended without any word of it.
 pub fn cut(run: &Outcome) -> usize {
-    let is_cut = |s: &&Sample| s.kind == Kind::Stream && matches!(s.end, End::Cut | End::Ended);
+    let is_cut = |s: &&traffic::Sample| {
+        s.kind == traffic::Kind::Stream && matches!(s.end, traffic::End::Cut | traffic::End::Ended)
+    };
     run.samples.iter().filter(is_cut).count()
 }
 
@@ -156,12 +155,12 @@
 ///
 /// When the deployment does not run.
 pub async fn move_zones(size: Size, seed: u64, is_ours: bool) -> Result<Outcome> {
-    let groups = Groups { replicas: size.replicas, vms: 3 };
-    let mut plan = Plan::zones(&["zone-a", LEAVING, OUT]);
+    let groups = traffic::Groups { replicas: size.replicas, vms: 3 };
+    let mut plan = corneltrestle_local::Plan::zones(&["zone-a", LEAVING, OUT]);
     plan.list_lag = LAG;
     plan.engine = engine::Config {
-        first: Duration::from_millis(40),
-        token: Duration::from_millis(10),
+        first: time::Duration::from_millis(40),
+        token: time::Duration::from_millis(10),
         ..plan.engine
     };
     for zone in &mut plan.zones {
@@ -169,12 +168,12 @@
     }
     let mut local = traffic::open(&plan, groups).await?;
     // The baseline alone would not get cold engines warm.
-    let route = Arc::new(Entries::of(&local));
+    let route = sync::Arc::new(traffic::Entries::of(&local));
     warm(&local, &route, size, seed).await?;
     let outcome = if is_ours {
         schedule(&mut local, &route, size, seed, true).await
     } else {
-        let route = Arc::new(RoundRobin::default());
+        let route = sync::Arc::new(traffic::RoundRobin::default());
         learn(&local, &route, &[]);
         schedule(&mut local, &route, size, seed, false).await
     };
@@ -183,10 +182,15 @@
 }
 
 /// Warms all engines up with traffic that is not counted, as those of a deployment in use are.
-async fn warm(local: &Local, route: &Arc<Entries>, size: Size, seed: u64) -> Result<()> {
+async fn warm(
+    local: &corneltrestle_local::Local,
+    route: &sync::Arc<traffic::Entries>,
+    size: Size,
+    seed: u64,
+) -> Result<()> {
     let models = size.rates.models.max(WARM_RATE * size.replicas as f64);
-    let rates = Rates { models, orders: 0.0 };
-    let traffic = Traffic::start(route, rates, seed.wrapping_add(1_000));
+    let rates = traffic::Rates { models, orders: 0.0 };
+    let traffic = traffic::Traffic::start(route, rates, seed.wrapping_add(1_000));
     let heads: Vec<_> = traffic::serving(local)
         .iter()
         .filter_map(|replica| Some(replica.head()?.id.to_string()))
@@ -199,7 +203,7 @@
 }
 
 /// Lets the baseline's client know the replicas whose head is not listed as leaving.
-fn learn(local: &Local, route: &RoundRobin, leaving: &[&str]) {
+fn learn(local: &corneltrestle_local::Local, route: &traffic::RoundRobin, leaving: &[&str]) {
     let is_left = |name: &str| leaving.iter().any(|zone| name.starts_with(zone));
     let mut replicas = traffic::serving(local);
     replicas.retain(|replica| replica.head().is_some_and(|head| !is_left(head.id.as_str())));
@@ -212,24 +216,24 @@
 /// What the schedule needs to know of the way in which the traffic learns of changes.
 trait Learns: traffic::Route {
     /// Takes over the VM list as it is visible.
-    fn update(&self, local: &Local, leaving: &[&str]);
+    fn update(&self, local: &corneltrestle_local::Local, leaving: &[&str]);
 }
 
-impl Learns for Entries {
-    fn update(&self, _: &Local, _: &[&str]) {}
+impl Learns for traffic::Entries {
+    fn update(&self, _: &corneltrestle_local::Local, _: &[&str]) {}
 }
 
-impl Learns for RoundRobin {
-    fn update(&self, local: &Local, leaving: &[&str]) {
+impl Learns for traffic::RoundRobin {
+    fn update(&self, local: &corneltrestle_local::Local, leaving: &[&str]) {
         learn(local, self, leaving);
     }
 }
 
 /// Sleeps while the baseline's client takes over the visible list each second.
 async fn pass<R: Learns>(
-    local: &Local,
+    local: &corneltrestle_local::Local,
     route: &R,
-    span: Duration,
+    span: time::Duration,
     before: &[&str],
     after: &[&str],
 ) {
@@ -243,14 +247,14 @@
 }
 
 async fn schedule<R: Learns>(
-    local: &mut Local,
-    route: &Arc<R>,
+    local: &mut corneltrestle_local::Local,
+    route: &sync::Arc<R>,
     size: Size,
     seed: u64,
     is_ours: bool,
 ) -> Result<Outcome> {
     let (out_vms, leaving_vms) = (traffic::vms_of(local, OUT), traffic::vms_of(local, LEAVING));
-    let traffic = Traffic::start(route, size.rates, seed);
+    let traffic = traffic::Traffic::start(route, size.rates, seed);
     pass(local, &**route, size.step, &[], &[]).await;
     // The zone is taken out.
     let steady = work(local, &out_vms, OUT);
@@ -261,7 +265,7 @@
     }
     pass(local, &**route, GRACE, &[], &[OUT]).await;
     let before = work(local, &out_vms, OUT);
-    pass(local, &**route, Duration::from_secs(2), &[OUT], &[OUT]).await;
+    pass(local, &**route, time::Duration::from_secs(2), &[OUT], &[OUT]).await;
     switch(local, &out_vms, true);
     pass(local, &**route, size.step, &[OUT], &[OUT]).await;
     switch(local, &out_vms, false);
@@ -276,7 +280,7 @@
     for second in 0..size.back {
         let before = work(local, &out_vms, OUT);
         let visible: &[&str] = if second < LAG.as_secs() { &[OUT] } else { &[] };
-        pass(local, &**route, Duration::from_secs(1), visible, visible).await;
+        pass(local, &**route, time::Duration::from_secs(1), visible, visible).await;
         jump = jump.max((work(local, &out_vms, OUT) - before) as f64 / steady.max(1.0));
     }
     let overloads =
@@ -291,22 +295,24 @@
     Ok(Outcome { samples, late, late_leaving, overloads, jump })
 }
 
-async fn note(local: &Local, id: &str, base: u64, state: &str) -> Result<()> {
+async fn note(local: &corneltrestle_local::Local, id: &str, base: u64, state: &str) -> Result<()> {
     let text = format!(
         "[note]\nid = {id}\nbase = {base}\n[zone {OUT}]\nchange = change\nstate = {state}\n"
     );
     match local.apply(&text).await? {
         operate::Verdict::Accepted { .. } => Ok(()),
-        verdict => Err(Error::Failed { step: "apply note", cause: format!("{verdict:?}") }),
+        verdict => {
+            Err(scenario::Error::Failed { step: "apply note", cause: format!("{verdict:?}") })
+        }
     }
 }
 
-fn set_states(local: &mut Local, vms: &[String], state: vm::State) {
+fn set_states(local: &mut corneltrestle_local::Local, vms: &[String], state: vm::State) {
     vms.iter().for_each(|vm| local.set_state(vm, state));
 }
 
 /// Stops or starts the engines of some VMs.
-fn switch(local: &Local, vms: &[String], is_down: bool) {
+fn switch(local: &corneltrestle_local::Local, vms: &[String], is_down: bool) {
     for engine in vms.iter().filter_map(|vm| local.engines.get(vm)) {
         if let Err(e) = engine.switch("crash", is_down, None) {
             log::error!("measure: {e}");
@@ -314,12 +320,12 @@
     }
 }
 
-fn generations(local: &Local, vms: &[String]) -> u64 {
+fn generations(local: &corneltrestle_local::Local, vms: &[String]) -> u64 {
     traffic::count(local, vms.iter().map(String::as_str), "generate")
 }
 
 /// Work that reached the upstreams of a zone.
-fn work(local: &Local, vms: &[String], zone: &str) -> u64 {
+fn work(local: &corneltrestle_local::Local, vms: &[String], zone: &str) -> u64 {
     let services = local.services.iter().filter(|(of, _)| of == zone);
     let orders: u64 = services.map(|(_, service)| service.api().runs().total).sum();
     generations(local, vms) + orders
--- a/crates/measure/src/traffic.rs
+++ b/crates/measure/src/traffic.rs
@@ -1,26 +1,21 @@
 //! Traffic on a deployment, and what became of each call.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::{collections, net, sync, time};
 
-use corneltrestle_kernel::table::{Ranked, Table};
-use corneltrestle_local::{Local, Plan, caller};
+use corneltrestle_kernel::table::{self, Ranked};
+use corneltrestle_local::caller;
 use corneltrestle_node::{digest, operate, tables};
-use corneltrestle_policy::assignment::{self, Phase};
-use hyper::Method;
+use corneltrestle_policy::assignment;
 use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 
-use crate::scenario::{Error, Result};
+use crate::scenario::{self, Result};
 
 /// Key of the organisation that sends the traffic.
 pub const KEY: &str = "key-of-acme";
 /// Tokens of each answer.
 pub const TOKENS: usize = 16;
 /// Time within which an answer is on time.
-pub const DEADLINE: Duration = Duration::from_secs(5);
+pub const DEADLINE: time::Duration = time::Duration::from_secs(5);
 
 /// The replica sets of a note: the same in each zone.
 #[derive(Clone, Copy, Debug)]
@@ -52,9 +47,9 @@
     /// What was called.
     pub kind: Kind,
     /// When it was sent, since the start of the traffic.
-    pub sent: Duration,
+    pub sent: time::Duration,
     /// Time to the first token of a stream.
-    pub first: Option<Duration>,
+    pub first: Option<time::Duration>,
     /// How it ended.
     pub end: End,
 }
@@ -74,7 +69,7 @@
 #[derive(Clone, Debug)]
 pub struct Way {
     /// The address.
-    pub peer: SocketAddr,
+    pub peer: net::SocketAddr,
     /// Headers that it needs.
     pub headers: Vec<(&'static str, String)>,
     /// Prefix of the path of orders.
@@ -91,11 +86,11 @@
 
 /// Entry nodes in turn, as the platform's load balancer chooses them.
 #[derive(Clone, Debug)]
-pub struct Entries(pub Vec<SocketAddr>);
+pub struct Entries(pub Vec<net::SocketAddr>);
 
 impl Entries {
     /// All running nodes of a deployment.
-    pub fn of(local: &Local) -> Self {
+    pub fn of(local: &corneltrestle_local::Local) -> Self {
         Self(local.nodes.values().map(|node| node.callers).collect())
     }
 }
@@ -117,7 +112,7 @@
     /// Replicas whose heads it calls in turn.
     pub replicas: Vec<assignment::Replica>,
     /// Order services that it calls in turn.
-    pub desks: Vec<SocketAddr>,
+    pub desks: Vec<net::SocketAddr>,
 }
 
 impl Ranked for Known {
@@ -129,7 +124,7 @@
 #[derive(Debug, Default)]
 pub struct RoundRobin {
     /// What the client knows.
-    pub known: Table<Known>,
+    pub known: table::Table<Known>,
 }
 
 impl Route for RoundRobin {
@@ -169,25 +164,31 @@
 /// Traffic in progress.
 #[derive(Debug)]
 pub struct Traffic {
-    started: Instant,
-    samples: Arc<Table<Samples>>,
+    started: time::Instant,
+    samples: sync::Arc<table::Table<Samples>>,
     jobs: Vec<tokio::task::JoinHandle<()>>,
     stop: tokio::sync::watch::Sender<bool>,
 }
 
 impl Traffic {
     /// Starts traffic at steady rates with jitter; calls do not wait for each other.
-    pub fn start<R: Route>(route: &Arc<R>, rates: Rates, seed: u64) -> Self {
+    pub fn start<R: Route>(route: &sync::Arc<R>, rates: Rates, seed: u64) -> Self {
         let (stop, _) = tokio::sync::watch::channel(false);
-        let mut traffic =
-            Self { started: Instant::now(), samples: Arc::default(), jobs: Vec::new(), stop };
+        let mut traffic = Self {
+            started: time::Instant::now(),
+            samples: sync::Arc::default(),
+            jobs: Vec::new(),
+            stop,
+        };
         for (kinds, rate, number) in [
             (&[Kind::Stream, Kind::Whole][..], rates.models, 1),
             (&[Kind::Order][..], rates.orders, 2),
         ] {
             if rate > 0.0 {
-                let rng = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(10).wrapping_add(number));
-                traffic.launch(Arc::clone(route), kinds, rate, rng);
+                let rng = rand_chacha::ChaCha8Rng::seed_from_u64(
+                    seed.wrapping_mul(10).wrapping_add(number),
+                );
+                traffic.launch(sync::Arc::clone(route), kinds, rate, rng);
             }
         }
         traffic
@@ -195,25 +196,25 @@
 
     fn launch<R: Route>(
         &mut self,
-        route: Arc<R>,
+        route: sync::Arc<R>,
         kinds: &'static [Kind],
         rate: f64,
-        mut rng: ChaCha8Rng,
+        mut rng: rand_chacha::ChaCha8Rng,
     ) {
-        let (started, samples) = (self.started, Arc::clone(&self.samples));
+        let (started, samples) = (self.started, sync::Arc::clone(&self.samples));
         let mut stopped = self.stop.subscribe();
         self.jobs.push(tokio::spawn(async move {
             let mut calls = tokio::task::JoinSet::new();
             let mut due = tokio::time::Instant::now();
             for turn in 0.. {
-                due += Duration::from_secs_f64(rng.random_range(0.5..1.5) / rate);
+                due += time::Duration::from_secs_f64(rng.random_range(0.5..1.5) / rate);
                 tokio::select! {
                     () = tokio::time::sleep_until(due) => {}
                     _ = stopped.changed() => break,
                 }
                 let kind = kinds[turn % kinds.len()];
                 let (route, samples, tag) =
-                    (Arc::clone(&route), Arc::clone(&samples), rng.random::<u64>());
+                    (sync::Arc::clone(&route), sync::Arc::clone(&samples), rng.random::<u64>());
                 calls.spawn(async move {
                     let sent = started.elapsed();
                     let way = match kind {
@@ -234,7 +235,7 @@
     }
 
     /// Time since the start.
-    pub fn elapsed(&self) -> Duration {
+    pub fn elapsed(&self) -> time::Duration {
         self.started.elapsed()
     }
 
@@ -249,8 +250,8 @@
 }
 
 /// Makes one call and judges its answer.
-pub async fn call(kind: Kind, way: &Way, tag: u64) -> (Option<Duration>, End) {
-    let started = Instant::now();
+pub async fn call(kind: Kind, way: &Way, tag: u64) -> (Option<time::Duration>, End) {
+    let started = time::Instant::now();
     let caller = caller::Caller::new(way.peer, KEY);
     let (deadline, key) = (DEADLINE.as_millis().to_string(), format!("key-{tag:016x}"));
     let id = format!("call-{tag:016x}");
@@ -271,7 +272,7 @@
             ),
         ),
     };
-    let parts = caller.send(Method::POST, &path, &headers, body.into_bytes());
+    let parts = caller.send(hyper::Method::POST, &path, &headers, body.into_bytes());
     let limit = DEADLINE * 2;
     let Ok(Ok(parts)) = tokio::time::timeout(limit, parts).await else { return (None, End::Cut) };
     let (first, end) = match tokio::time::timeout(limit, read(parts, is_stream, started)).await {
@@ -285,8 +286,8 @@
 async fn read(
     mut parts: caller::Parts,
     is_stream: bool,
-    started: Instant,
-) -> (Option<Duration>, End) {
+    started: time::Instant,
+) -> (Option<time::Duration>, End) {
     let status = parts.status();
     let outcome = parts.headers().get("corneltrestle-outcome").cloned();
     let (mut text, mut first, mut broken) = (String::new(), None, false);
@@ -322,7 +323,11 @@
 }
 
 /// The note that declares everything of a deployment.
-pub fn note(plan: &Plan, local: &Local, groups: Groups) -> String {
+pub fn note(
+    plan: &corneltrestle_local::Plan,
+    local: &corneltrestle_local::Local,
+    groups: Groups,
+) -> String {
     let hash = digest::key(KEY);
     let mut note = format!(
         "[note]\nid = first\nbase = 0\n\
@@ -358,11 +363,14 @@
 /// # Errors
 ///
 /// When it does not get that far.
-pub async fn open(plan: &Plan, groups: Groups) -> Result<Local> {
-    let local = Local::open(plan.clone()).await?;
+pub async fn open(
+    plan: &corneltrestle_local::Plan,
+    groups: Groups,
+) -> Result<corneltrestle_local::Local> {
+    let local = corneltrestle_local::Local::open(plan.clone()).await?;
     // A node that is not known yet when a replica forms is no router of its epoch.
     let known = nodes_known(plan, &local);
-    within("find peers", Duration::from_secs(10), known).await?;
+    within("find peers", time::Duration::from_secs(10), known).await?;
     let accepted = async {
         loop {
             match local.apply(&note(plan, &local, groups)).await {
@@ -372,18 +380,18 @@
                 }
                 _ => {}
             }
-            tokio::time::sleep(Duration::from_millis(100)).await;
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
         }
     };
-    within("apply note", Duration::from_secs(10), accepted).await?;
+    within("apply note", time::Duration::from_secs(10), accepted).await?;
     let wanted = groups.replicas * plan.zones.len();
     let formed = until(|| serving(&local).len() == wanted);
-    within("form replicas", Duration::from_secs(15), formed).await?;
+    within("form replicas", time::Duration::from_secs(15), formed).await?;
     Ok(local)
 }
 
 /// Waits until each node knows all nodes of its zone as alive.
-async fn nodes_known(plan: &Plan, local: &Local) {
+async fn nodes_known(plan: &corneltrestle_local::Plan, local: &corneltrestle_local::Local) {
     let is_known = |(name, node): (&String, &corneltrestle_local::Node)| {
         let host = node.running.host();
         let zone = plan.zones.iter().find(|zone| name.starts_with(&zone.name));
@@ -395,13 +403,19 @@
 }
 
 /// The replicas that every running node lists as serving, as the first node of each zone knows.
-pub fn serving(local: &Local) -> Vec<assignment::Replica> {
-    replicas(local).into_values().filter(|replica| replica.phase == Phase::Serving).collect()
+pub fn serving(local: &corneltrestle_local::Local) -> Vec<assignment::Replica> {
+    replicas(local)
+        .into_values()
+        .filter(|replica| replica.phase == assignment::Phase::Serving)
+        .collect()
 }
 
 /// All assigned replicas by name, at the highest version that a node knows.
-pub fn replicas(local: &Local) -> BTreeMap<String, assignment::Replica> {
-    let mut newest: BTreeMap<String, tables::replicas::Stored> = BTreeMap::new();
+pub fn replicas(
+    local: &corneltrestle_local::Local,
+) -> collections::BTreeMap<String, assignment::Replica> {
+    let mut newest: collections::BTreeMap<String, tables::replicas::Stored> =
+        collections::BTreeMap::new();
     for node in local.nodes.values() {
         let table = node.running.host().table::<tables::replicas::Replicas>();
         for (zone, stored) in table.lock().zones() {
@@ -418,7 +432,7 @@
 /// Waits until something holds.
 pub async fn until(mut holds: impl FnMut() -> bool) {
     while !holds() {
-        tokio::time::sleep(Duration::from_millis(10)).await;
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
     }
 }
 
@@ -429,21 +443,25 @@
 /// When the step takes longer.
 pub async fn within<T>(
     step: &'static str,
-    limit: Duration,
+    limit: time::Duration,
     work: impl Future<Output = T>,
 ) -> Result<T> {
-    let late = |_| Error::Failed { step, cause: format!("not done within {limit:?}") };
+    let late = |_| scenario::Error::Failed { step, cause: format!("not done within {limit:?}") };
     tokio::time::timeout(limit, work).await.map_err(late)
 }
 
 /// The sum of a count over some engines.
-pub fn count<'a>(local: &Local, vms: impl IntoIterator<Item = &'a str>, name: &str) -> u64 {
+pub fn count<'a>(
+    local: &corneltrestle_local::Local,
+    vms: impl IntoIterator<Item = &'a str>,
+    name: &str,
+) -> u64 {
     let of = |vm: &str| local.engines.get(vm)?.counts().get(name).copied();
     vms.into_iter().filter_map(of).sum()
 }
 
 /// Names of the engine VMs whose name begins like this.
-pub fn vms_of(local: &Local, prefix: &str) -> Vec<String> {
+pub fn vms_of(local: &corneltrestle_local::Local, prefix: &str) -> Vec<String> {
     local.engines.keys().filter(|vm| vm.starts_with(prefix)).cloned().collect()
 }
 
@@ -468,7 +486,7 @@
 
 /// The kinds of failures with their numbers, in words.
 pub fn failures(samples: &[Sample]) -> String {
-    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    let mut counts: collections::BTreeMap<String, usize> = collections::BTreeMap::new();
     for sample in samples.iter().filter(|sample| sample.end != End::Whole) {
         *counts.entry(format!("{:?} {:?}", sample.kind, sample.end)).or_default() += 1;
     }
--- a/crates/node/src/counts/reading.rs
+++ b/crates/node/src/counts/reading.rs
@@ -1,22 +1,21 @@
 //! The counts of all nodes against the targets of the release.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{collections, net, sync, time};
 
 use corneltrestle_policy::{burn, id, membership, release, vm};
 use corneltrestle_wire::link as wire;
 use futures_util::StreamExt;
 
 use super::{from_wire, minute, reply};
-use crate::link::{self, Link};
-use crate::operate::survey::Survey;
+use crate::{
+    link::{self, Link},
+    operate::survey,
+};
 
 /// Nodes that are asked at a time.
 const CALLS: usize = 32;
 /// Longest time for all nodes; those that have not answered by then are missing.
-const LIMIT: Duration = Duration::from_secs(20);
+const LIMIT: time::Duration = time::Duration::from_secs(20);
 
 /// Minutes of the plotted window, which is the long one.
 const MINUTES: usize = 60;
@@ -66,23 +65,23 @@
 #[derive(Default)]
 struct Merged {
     totals: burn::Totals,
-    minutes: BTreeMap<u32, burn::Counts>,
+    minutes: collections::BTreeMap<u32, burn::Counts>,
 }
 
-type Pairs = BTreeMap<(id::Service, id::Organisation), Merged>;
+type Pairs = collections::BTreeMap<(id::Service, id::Organisation), Merged>;
 
 /// Asks all nodes of all zones for their counts of the last 24 hours.
-pub async fn read<L: Link>(survey: &Survey<L>) -> Reading {
+pub async fn read<L: Link>(survey: &survey::Survey<L>) -> Reading {
     let present = minute(&survey.host);
     let request = wire::CountsRequest { since: present.saturating_sub(DAY - 1) };
     let own = &survey.identity.node;
     let mut pairs = Pairs::new();
     merge(&mut pairs, present, &reply(&survey.host, &survey.identity, &survey.tables, request));
-    let mut nodes = BTreeSet::from([own.clone()]);
+    let mut nodes = collections::BTreeSet::from([own.clone()]);
     let others = nodes_to_ask(survey);
     let asked: Vec<_> = others
         .iter()
-        .map(|(node, address)| ask(Arc::clone(&survey.link), node.clone(), *address, request))
+        .map(|(node, address)| ask(sync::Arc::clone(&survey.link), node.clone(), *address, request))
         .collect();
     let mut replies = futures_util::stream::iter(asked).buffer_unordered(CALLS);
     let all = async {
@@ -114,9 +113,9 @@
 
 /// The counts of one node, with its name; owns what it uses, so that many can run at a time.
 async fn ask<L: Link>(
-    link: Arc<L>,
+    link: sync::Arc<L>,
     node: id::Node,
-    address: SocketAddr,
+    address: net::SocketAddr,
     request: wire::CountsRequest,
 ) -> (id::Node, link::Result<wire::CountsReply>) {
     let reply = link.counts(address, request).await;
@@ -124,10 +123,12 @@
 }
 
 /// The other nodes of all zones: those in the VM list, and those whose heartbeats arrive.
-fn nodes_to_ask<L: Link>(survey: &Survey<L>) -> BTreeMap<id::Node, SocketAddr> {
+fn nodes_to_ask<L: Link>(
+    survey: &survey::Survey<L>,
+) -> collections::BTreeMap<id::Node, net::SocketAddr> {
     let now = survey.host.now();
-    let mut nodes: BTreeMap<id::Node, SocketAddr> = BTreeMap::new();
-    let listed = Arc::clone(&survey.tables.listed.lock().vms);
+    let mut nodes: collections::BTreeMap<id::Node, net::SocketAddr> = collections::BTreeMap::new();
+    let listed = sync::Arc::clone(&survey.tables.listed.lock().vms);
     for entry in listed.iter().filter(|vm| vm.role == vm::Role::Entry) {
         nodes.insert(entry.id.as_str().into(), entry.address);
     }
--- a/crates/node/src/digest.rs
+++ b/crates/node/src/digest.rs
@@ -2,13 +2,13 @@
 
 use std::fmt::Write;
 
-use sha2::{Digest, Sha256};
+use sha2::Digest;
 
 /// SHA-256 hash of the parts, each preceded by its length, in lower-case hexadecimal.
 ///
 /// The lengths keep different divisions of the same bytes apart.
 pub fn hex(parts: &[&[u8]]) -> String {
-    let mut hash = Sha256::new();
+    let mut hash = sha2::Sha256::new();
     for part in parts {
         hash.update((part.len() as u64).to_be_bytes());
         hash.update(part);
@@ -25,7 +25,7 @@
 /// assert!(hash.starts_with("2bb80d537b1da3e3"));
 /// ```
 pub fn key(key: &str) -> String {
-    to_hex(&Sha256::digest(key.as_bytes()))
+    to_hex(&sha2::Sha256::digest(key.as_bytes()))
 }
 
 fn to_hex(bytes: &[u8]) -> String {
--- a/crates/node/src/duty/assign.rs
+++ b/crates/node/src/duty/assign.rs
@@ -3,20 +3,19 @@
 mod lease;
 mod orders;
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
 use corneltrestle_engine::engine::{self, Engine};
 use corneltrestle_kernel::{host, linkme, plugin, run};
-use corneltrestle_platform::store::{self, Class, Store, Swap};
+use corneltrestle_platform::store::{self, Store};
 use corneltrestle_policy::{assignment, plan, vm};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use corneltrestle_wire::{key, stored};
 
 use crate::{identity, tables};
 
 /// Time between two rounds.
-const PERIOD: Duration = Duration::from_millis(500);
+const PERIOD: time::Duration = time::Duration::from_millis(500);
 /// Replicas that the weight store allows to load at the same time in one zone.
 const LOADS: usize = 4;
 
@@ -32,37 +31,37 @@
 
 /// The duty with what it works on.
 struct Assigner<S, E> {
-    host: Arc<host::Host>,
-    identity: Arc<identity::Identity>,
+    host: sync::Arc<host::Host>,
+    identity: sync::Arc<identity::Identity>,
     tables: tables::Tables,
-    store: Arc<S>,
-    engine: Arc<E>,
+    store: sync::Arc<S>,
+    engine: sync::Arc<E>,
 }
 
-fn open<S: Store, E: Engine>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
-    let assigner = Arc::new(Assigner::<S, E> {
-        host: Arc::clone(host),
+fn open<S: Store, E: Engine>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let assigner = sync::Arc::new(Assigner::<S, E> {
+        host: sync::Arc::clone(host),
         identity: host.port()?,
         tables: tables::Tables::of(host)?,
         store: host.port()?,
         engine: host.port()?,
     });
     let handle = plugin::Handle::default();
-    let release = Arc::clone(&assigner);
+    let release = sync::Arc::clone(&assigner);
     let stop = handle.stop().clone();
     handle.run(&host.pool, async move {
         stop.cancelled().await;
         release.give_up().await;
     });
     host.every(&handle, PERIOD, move |now| {
-        let assigner = Arc::clone(&assigner);
+        let assigner = sync::Arc::clone(&assigner);
         async move { assigner.round(now).await }
     });
     Ok(handle)
 }
 
 impl<S: Store, E: Engine> Assigner<S, E> {
-    async fn round(self: &Arc<Self>, now: Moment) {
+    async fn round(self: &sync::Arc<Self>, now: moment::Moment) {
         if self.host.run.stage() != run::Stage::Ready || !self.is_settled(now) {
             return;
         }
@@ -73,12 +72,12 @@
         }
     }
 
-    fn is_settled(&self, now: Moment) -> bool {
+    fn is_settled(&self, now: moment::Moment) -> bool {
         self.tables.members.lock().known.view(now).is_settled()
     }
 
     /// The assignment as this node last wrote or read it.
-    async fn stored(&self) -> Result<(u64, Arc<assignment::Assignment>), String> {
+    async fn stored(&self) -> Result<(u64, sync::Arc<assignment::Assignment>), String> {
         let zone = &self.identity.zone;
         let known = self.tables.replicas.lock().zone(zone.as_str());
         if known.version > 0 {
@@ -88,20 +87,20 @@
     }
 
     /// Reads the assignment from the store.
-    pub(super) async fn read(&self) -> Result<(u64, Arc<assignment::Assignment>), String> {
+    pub(super) async fn read(&self) -> Result<(u64, sync::Arc<assignment::Assignment>), String> {
         let zone = &self.identity.zone;
         let key = key::groups(zone.as_str());
-        let found = self.store.read(&key, Class::Lease).await.map_err(|e| e.to_string())?;
-        let Some(found) = found else { return Ok((0, Arc::default())) };
+        let found = self.store.read(&key, store::Class::Lease).await.map_err(|e| e.to_string())?;
+        let Some(found) = found else { return Ok((0, sync::Arc::default())) };
         let assignment: assignment::Assignment =
             stored::decode(&key, &found.value).map_err(|e| e.to_string())?;
         self.tables.replicas.lock().adopt(zone, found.version, assignment.clone());
-        Ok((found.version, Arc::new(assignment)))
+        Ok((found.version, sync::Arc::new(assignment)))
     }
 
     /// Plans, writes the next assignment and sends the orders.
     async fn advance(
-        self: &Arc<Self>,
+        self: &sync::Arc<Self>,
         token: u64,
         version: u64,
         assignment: &assignment::Assignment,
@@ -125,7 +124,7 @@
         let members = self.tables.members.lock();
         let view = members.known.view(now);
         let zone = &self.identity.zone;
-        let vms = Arc::clone(&self.tables.listed.lock().vms);
+        let vms = sync::Arc::clone(&self.tables.listed.lock().vms);
         let entries = vms.iter().filter(|vm| vm.role == vm::Role::Entry && vm.zone == *zone);
         // The routers of an epoch stay, so a node that is not known yet would get no slots.
         let routers: Vec<_> = if view.is_gathering(entries.map(|vm| vm.id.as_str())) {
@@ -162,13 +161,13 @@
                 return false;
             }
         };
-        match self.store.swap(&key, version, &value, None, Class::Lease).await {
-            Ok(Swap::Done(version)) => {
+        match self.store.swap(&key, version, &value, None, store::Class::Lease).await {
+            Ok(store::Swap::Done(version)) => {
                 log::info!("group: assignment of {zone} is at version {version}");
                 self.tables.replicas.lock().adopt(zone, version, next);
                 true
             }
-            Ok(Swap::Conflict(_)) => {
+            Ok(store::Swap::Conflict(_)) => {
                 log::warn!("group: another node wrote the assignment of {zone}");
                 self.reread().await;
                 false
--- a/crates/node/src/duty/assign/lease.rs
+++ b/crates/node/src/duty/assign/lease.rs
@@ -1,17 +1,16 @@
 //! The zone lease: acquisition, renewal and release.
 
 use corneltrestle_engine::engine::Engine;
-use corneltrestle_platform::store::{Class, Store, Swap};
+use corneltrestle_platform::store::{self, Store};
 use corneltrestle_policy::lease;
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use corneltrestle_wire::{key, stored};
 
-use super::Assigner;
-use crate::tables::coordinator::{Coordinator, Held};
+use crate::{duty::assign, tables::coordinator};
 
-impl<S: Store, E: Engine> Assigner<S, E> {
+impl<S: Store, E: Engine> assign::Assigner<S, E> {
     /// Holds the lease if possible; the fencing token if this node may act now.
-    pub(super) async fn hold_lease(&self, now: Moment) -> Option<u64> {
+    pub(super) async fn hold_lease(&self, now: moment::Moment) -> Option<u64> {
         let held = self.tables.coordinator.lock().held;
         let Some(held) = held else {
             if self.acquire(now).await {
@@ -42,9 +41,9 @@
         may_act.then_some(held.lease.token)
     }
 
-    async fn renew(&self, held: Held) {
+    async fn renew(&self, held: coordinator::Held) {
         let sent = self.host.now();
-        match self.store.renew(held.id, Class::Lease).await {
+        match self.store.renew(held.id, store::Class::Lease).await {
             Ok(Some(ttl)) => {
                 if let Some(held) = &mut self.tables.coordinator.lock().held {
                     held.lease.renewed(sent, ttl);
@@ -56,7 +55,7 @@
     }
 
     /// Tries to acquire the lease if this node is a candidate and the key is free.
-    async fn acquire(&self, now: Moment) -> bool {
+    async fn acquire(&self, now: moment::Moment) -> bool {
         let zone = self.identity.zone.as_str();
         let node = self.identity.node.as_str();
         let start = {
@@ -78,27 +77,30 @@
 
     async fn try_acquire(&self) -> Result<bool, String> {
         let key = key::lease(self.identity.zone.as_str());
-        if self.store.read(&key, Class::Lease).await.map_err(|e| e.to_string())?.is_some() {
+        if self.store.read(&key, store::Class::Lease).await.map_err(|e| e.to_string())?.is_some() {
             return Ok(false);
         }
         let (_, assignment) = self.read().await?;
         let token = lease::next_token(None, assignment.token);
         let sent = self.host.now();
-        let id = self.store.grant(lease::TTL, Class::Lease).await.map_err(|e| e.to_string())?;
+        let id =
+            self.store.grant(lease::TTL, store::Class::Lease).await.map_err(|e| e.to_string())?;
         let record =
             lease::Record { holder: self.identity.node.clone(), boot: self.identity.boot, token };
         let value = stored::encode(&key, &record).map_err(|e| e.to_string())?;
-        let acquired = match self.store.swap(&key, 0, &value, Some(id), Class::Lease).await {
-            Ok(Swap::Done(_)) => true,
-            Ok(Swap::Conflict(_)) => false,
+        let acquired = match self.store.swap(&key, 0, &value, Some(id), store::Class::Lease).await {
+            Ok(store::Swap::Done(_)) => true,
+            Ok(store::Swap::Conflict(_)) => false,
             Err(e) if e.may_have_run() => self.is_own(&key, token).await?,
             Err(e) => return Err(e.to_string()),
         };
         if acquired {
             let lease = lease::Held { token, sent, ttl: lease::TTL };
-            *self.tables.coordinator.lock() =
-                Coordinator { held: Some(Held { id, lease }), ..Coordinator::default() };
-        } else if let Err(e) = self.store.revoke(id, Class::Lease).await {
+            *self.tables.coordinator.lock() = coordinator::Coordinator {
+                held: Some(coordinator::Held { id, lease }),
+                ..coordinator::Coordinator::default()
+            };
+        } else if let Err(e) = self.store.revoke(id, store::Class::Lease).await {
             log::debug!("group: cannot revoke an unused lease: {e}");
         }
         Ok(acquired)
@@ -106,7 +108,7 @@
 
     /// Reads an acquisition back whose answer was lost.
     async fn is_own(&self, key: &str, token: u64) -> Result<bool, String> {
-        let found = self.store.read(key, Class::Lease).await.map_err(|e| e.to_string())?;
+        let found = self.store.read(key, store::Class::Lease).await.map_err(|e| e.to_string())?;
         let record: Option<lease::Record> =
             found.and_then(|found| stored::decode(key, &found.value).ok());
         let (node, boot) = (self.identity.node.as_str(), self.identity.boot);
@@ -115,14 +117,14 @@
 
     fn step_down(&self, cause: &str) {
         log::warn!("group: stepping down as holder of {}: {cause}", self.identity.zone);
-        *self.tables.coordinator.lock() = Coordinator::default();
+        *self.tables.coordinator.lock() = coordinator::Coordinator::default();
     }
 
     /// Releases the lease at a planned stop, so that another node takes over at once.
     pub(super) async fn give_up(&self) {
         let held = std::mem::take(&mut *self.tables.coordinator.lock()).held;
         if let Some(held) = held
-            && let Err(e) = self.store.revoke(held.id, Class::Lease).await
+            && let Err(e) = self.store.revoke(held.id, store::Class::Lease).await
         {
             log::info!("group: cannot release the lease, it lapses: {e}");
         }
--- a/crates/node/src/duty/assign/orders.rs
+++ b/crates/node/src/duty/assign/orders.rs
@@ -1,21 +1,21 @@
 //! Orders to engines, each in a job of its own.
 
-use std::sync::Arc;
+use std::sync;
 
 use corneltrestle_engine::engine::{self, Engine};
 use corneltrestle_platform::store::Store;
 use corneltrestle_policy::{id, plan, release};
 
-use super::Assigner;
+use crate::duty::assign;
 
-impl<S: Store, E: Engine> Assigner<S, E> {
+impl<S: Store, E: Engine> assign::Assigner<S, E> {
     /// Sends orders to VMs that have none in flight.
-    pub(super) fn send(self: &Arc<Self>, token: u64, orders: Vec<plan::Order>) {
+    pub(super) fn send(self: &sync::Arc<Self>, token: u64, orders: Vec<plan::Order>) {
         for order in orders {
             if !self.tables.coordinator.lock().ordered.insert(order.vm.id.clone()) {
                 continue;
             }
-            let assigner = Arc::clone(self);
+            let assigner = sync::Arc::clone(self);
             self.host.pool.run(async move {
                 assigner.deliver(token, &order).await;
                 assigner.tables.coordinator.lock().ordered.remove(&order.vm.id);
--- a/crates/node/src/duty/cache.rs
+++ b/crates/node/src/duty/cache.rs
@@ -1,7 +1,6 @@
 //! Duty: reads the cache events of the replicas that this node dispatches to.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
 use corneltrestle_engine::engine::{self, Engine};
 use corneltrestle_kernel::{host, linkme, plugin};
@@ -10,7 +9,7 @@
 use crate::tables;
 
 /// Time between two rounds.
-const PERIOD: Duration = Duration::from_secs(1);
+const PERIOD: time::Duration = time::Duration::from_secs(1);
 /// Replicas whose events are read in one round. Events only sharpen what own dispatches tell, so
 /// that a few at a time suffice and the cost stays the same in a large fleet.
 const REPLICAS: usize = 4;
@@ -33,14 +32,15 @@
     after: u64,
 }
 
-fn open<E: Engine>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+fn open<E: Engine>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let port = host.port::<E>()?;
     let tables = tables::Tables::of(host)?;
     let handle = plugin::Handle::default();
-    let node = Arc::clone(host);
+    let node = sync::Arc::clone(host);
     host.every(&handle, PERIOD, move |_| {
         for next in choose(&tables) {
-            let (node, port, tables) = (Arc::clone(&node), Arc::clone(&port), tables.clone());
+            let (node, port, tables) =
+                (sync::Arc::clone(&node), sync::Arc::clone(&port), tables.clone());
             node.clone().pool.run(async move {
                 match port.cache_events(next.head, next.after).await {
                     Ok(events) => merge(&node, &tables, &next, &events),
--- a/crates/node/src/duty/discover.rs
+++ b/crates/node/src/duty/discover.rs
@@ -1,7 +1,6 @@
 //! Duty: reads the platform's VM list.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
 use corneltrestle_kernel::{host, linkme, plugin};
 use corneltrestle_platform::vms::{self, Vms};
@@ -9,7 +8,7 @@
 use crate::tables;
 
 /// Time between two reads of the list.
-const PERIOD: Duration = Duration::from_secs(1);
+const PERIOD: time::Duration = time::Duration::from_secs(1);
 
 #[linkme::distributed_slice(plugin::PLUGINS)]
 #[linkme(crate = linkme)]
@@ -21,18 +20,19 @@
     open: open::<vms::discovery::HttpVms>,
 };
 
-fn open<V: Vms>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+fn open<V: Vms>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let port = host.port::<V>()?;
     let tables = tables::Tables::of(host)?;
     let handle = plugin::Handle::default();
-    let clock = Arc::clone(host);
+    let clock = sync::Arc::clone(host);
     host.every(&handle, PERIOD, move |_| {
-        let (port, tables, clock) = (Arc::clone(&port), tables.clone(), Arc::clone(&clock));
+        let (port, tables, clock) =
+            (sync::Arc::clone(&port), tables.clone(), sync::Arc::clone(&clock));
         async move {
             match port.list().await {
                 Ok(vms) => {
                     let mut listed = tables.listed.lock();
-                    listed.vms = Arc::new(vms);
+                    listed.vms = sync::Arc::new(vms);
                     listed.read = Some(clock.now());
                 }
                 Err(e) => log::warn!("discover: {e}"),
--- a/crates/node/src/duty/gossip.rs
+++ b/crates/node/src/duty/gossip.rs
@@ -1,17 +1,17 @@
 //! Duty: pulls digests from peers and pushes news to them.
 
-use std::collections::BTreeSet;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{collections, sync, time};
 
 use corneltrestle_kernel::{host, linkme, plugin};
 use corneltrestle_policy::{id, membership, vm};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use corneltrestle_wire::link as wire;
 
-use crate::link::Link;
-use crate::link::port::NodeLink;
-use crate::{follow, identity, tables};
+use crate::{
+    follow, identity,
+    link::{Link, port},
+    tables,
+};
 
 #[linkme::distributed_slice(plugin::PLUGINS)]
 #[linkme(crate = linkme)]
@@ -20,29 +20,29 @@
     kind: plugin::Kind::Duty,
     section: None,
     check: plugin::unchecked,
-    open: open::<NodeLink>,
+    open: open::<port::NodeLink>,
 };
 
 /// The duty with what it works on.
 #[derive(Debug)]
 struct Gossip<L> {
-    host: Arc<host::Host>,
-    identity: Arc<identity::Identity>,
+    host: sync::Arc<host::Host>,
+    identity: sync::Arc<identity::Identity>,
     tables: tables::Tables,
-    link: Arc<L>,
+    link: sync::Arc<L>,
 }
 
-fn open<L: Link>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
-    let gossip = Arc::new(Gossip::<L> {
-        host: Arc::clone(host),
+fn open<L: Link>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let gossip = sync::Arc::new(Gossip::<L> {
+        host: sync::Arc::clone(host),
         identity: host.port()?,
         tables: tables::Tables::of(host)?,
         link: host.port()?,
     });
     let handle = plugin::Handle::default();
-    let pusher = Arc::clone(&gossip);
+    let pusher = sync::Arc::clone(&gossip);
     handle.run_until_stop(&host.pool, async move { pusher.push_news().await });
-    let leaver = Arc::clone(&gossip);
+    let leaver = sync::Arc::clone(&gossip);
     let stop = handle.stop().clone();
     handle.run(&host.pool, async move {
         stop.cancelled().await;
@@ -59,7 +59,7 @@
 
 impl<L: Link> Gossip<L> {
     /// Starts the pulls of a round, each in a job of its own, so that a silent peer delays none.
-    fn start_round(self: &Arc<Self>, round: u64, now: Moment) {
+    fn start_round(self: &sync::Arc<Self>, round: u64, now: moment::Moment) {
         self.renew(now);
         let own = &self.identity.zone;
         let zones = self.zones();
@@ -87,7 +87,7 @@
     }
 
     /// Counts the own heartbeat, takes nodes from the VM list and publishes the own demand.
-    fn renew(&self, now: Moment) {
+    fn renew(&self, now: moment::Moment) {
         let demand: Vec<_> = {
             let admission = self.tables.admission.lock();
             let rows = admission.policy.demand(now);
@@ -103,7 +103,7 @@
         let heartbeat = members.known.view(now).get(node.as_str()).map_or(0, |own| own.heartbeat);
         members.publish_demand(node, heartbeat, demand);
         members.prune(now);
-        let listed = Arc::clone(&self.tables.listed.lock().vms);
+        let listed = sync::Arc::clone(&self.tables.listed.lock().vms);
         let entries = listed
             .iter()
             .filter(|vm| vm.role == vm::Role::Entry && vm.state == vm::State::Live)
@@ -116,8 +116,8 @@
     /// All zones that are declared or have nodes, the own one included.
     fn zones(&self) -> Vec<id::Zone> {
         let release = self.tables.current.load();
-        let listed = Arc::clone(&self.tables.listed.lock().vms);
-        let mut zones: BTreeSet<id::Zone> = release.zones.keys().cloned().collect();
+        let listed = sync::Arc::clone(&self.tables.listed.lock().vms);
+        let mut zones: collections::BTreeSet<id::Zone> = release.zones.keys().cloned().collect();
         zones.extend(
             listed.iter().filter(|vm| vm.role == vm::Role::Entry).map(|vm| vm.zone.clone()),
         );
@@ -126,14 +126,14 @@
     }
 
     fn pull(
-        self: &Arc<Self>,
+        self: &sync::Arc<Self>,
         peer: std::net::SocketAddr,
         rosters: &[id::Zone],
         zones: &[id::Zone],
-        now: Moment,
+        now: moment::Moment,
     ) {
         let pull = follow::Pull::prepare(&self.identity, &self.tables, rosters, zones, now);
-        let gossip = Arc::clone(self);
+        let gossip = sync::Arc::clone(self);
         self.host.pool.run(async move {
             if let Err(e) = pull.run(&gossip.host, &gossip.tables, &*gossip.link, peer).await {
                 log::debug!("link: {e}");
@@ -144,7 +144,7 @@
 
 /// Pushes of news.
 impl<L: Link> Gossip<L> {
-    async fn push_news(self: Arc<Self>) {
+    async fn push_news(self: sync::Arc<Self>) {
         let added = self.tables.outbox.lock().added();
         loop {
             added.notified().await;
@@ -156,9 +156,9 @@
     }
 
     /// Pushes a piece of news to a few peers, each in a job of its own.
-    fn push(self: &Arc<Self>, post: &tables::outbox::Post) {
+    fn push(self: &sync::Arc<Self>, post: &tables::outbox::Post) {
         for peer in self.push_targets(post.sender.as_ref()) {
-            let gossip = Arc::clone(self);
+            let gossip = sync::Arc::clone(self);
             let news = wire::News { node: self.identity.node.clone(), kind: post.kind.clone() };
             self.host.pool.run(async move {
                 if let Err(e) = gossip.link.push(peer, &news).await {
@@ -183,10 +183,9 @@
         let news = wire::News { node: self.identity.node.clone(), kind };
         let pushes = self.push_targets(None).into_iter().map(|peer| {
             let news = &news;
-            tokio::time::timeout(
-                Duration::from_secs(1),
-                async move { self.link.push(peer, news).await },
-            )
+            tokio::time::timeout(time::Duration::from_secs(1), async move {
+                self.link.push(peer, news).await
+            })
         });
         futures_util::future::join_all(pushes).await;
     }
--- a/crates/node/src/duty/observe.rs
+++ b/crates/node/src/duty/observe.rs
@@ -1,26 +1,25 @@
 //! Duty: polls the reports of the zone's VMs.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
 use corneltrestle_engine::engine::{self, Engine};
 use corneltrestle_kernel::{host, linkme, plugin};
 use corneltrestle_policy::{assignment, id, membership, rank, vm};
-use corneltrestle_time::Moment;
-use corneltrestle_wire::link::NewsKind;
+use corneltrestle_time::moment;
+use corneltrestle_wire::link;
 
 use crate::{follow, identity, tables};
 
 /// Time between two polls of a VM.
-const PERIOD: Duration = Duration::from_millis(500);
+const PERIOD: time::Duration = time::Duration::from_millis(500);
 /// Longest wait for a report; a later one counts as missed.
-const POLL_WAIT: Duration = Duration::from_millis(400);
+const POLL_WAIT: time::Duration = time::Duration::from_millis(400);
 /// Nodes that poll each VM, so that the loss of one does not hide it.
 const OBSERVERS: usize = 2;
 /// Polls missed in a row after which a VM is lost.
 const MISSES: u32 = 2;
 /// Age at which a report is forgotten.
-const FORGOTTEN: Duration = Duration::from_secs(300);
+const FORGOTTEN: time::Duration = time::Duration::from_secs(300);
 
 #[linkme::distributed_slice(plugin::PLUGINS)]
 #[linkme(crate = linkme)]
@@ -35,15 +34,15 @@
 /// The duty with what it works on.
 #[derive(Debug)]
 struct Observer<E> {
-    host: Arc<host::Host>,
-    identity: Arc<identity::Identity>,
+    host: sync::Arc<host::Host>,
+    identity: sync::Arc<identity::Identity>,
     tables: tables::Tables,
-    engine: Arc<E>,
+    engine: sync::Arc<E>,
 }
 
-fn open<E: Engine>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
-    let observer = Arc::new(Observer::<E> {
-        host: Arc::clone(host),
+fn open<E: Engine>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let observer = sync::Arc::new(Observer::<E> {
+        host: sync::Arc::clone(host),
         identity: host.port()?,
         tables: tables::Tables::of(host)?,
         engine: host.port()?,
@@ -58,16 +57,16 @@
 
 impl<E: Engine> Observer<E> {
     /// Starts a poll of each VM in a job of its own, so that a silent one delays no other.
-    fn start_polls(self: &Arc<Self>, now: Moment) {
+    fn start_polls(self: &sync::Arc<Self>, now: moment::Moment) {
         self.tables.reports.lock().prune(now.before(FORGOTTEN));
         for member in self.observed(now) {
-            let observer = Arc::clone(self);
+            let observer = sync::Arc::clone(self);
             self.host.pool.run(async move { observer.poll(member).await });
         }
     }
 
     /// The VMs of the zone that this node polls: all of them while it holds the zone lease.
-    fn observed(&self, now: Moment) -> Vec<assignment::Member> {
+    fn observed(&self, now: moment::Moment) -> Vec<assignment::Member> {
         let members = self.tables.members.lock();
         let view = members.known.view(now);
         let zone = &self.identity.zone;
@@ -85,7 +84,7 @@
     /// The engine VMs of the zone that are listed or assigned.
     fn zone_vms(&self) -> Vec<assignment::Member> {
         let zone = &self.identity.zone;
-        let listed = Arc::clone(&self.tables.listed.lock().vms);
+        let listed = sync::Arc::clone(&self.tables.listed.lock().vms);
         let assigned = self.tables.replicas.lock().zone(zone.as_str()).assignment;
         let mut members: Vec<_> = listed
             .iter()
@@ -129,7 +128,7 @@
         let Some(replica) = assigned.replica_of(vm.as_str()) else { return };
         let news = membership::News::Loss { vm: vm.clone(), epoch: replica.epoch };
         self.tables.members.lock().forwarded.first(&news);
-        let kind = NewsKind::Loss {
+        let kind = link::NewsKind::Loss {
             zone: zone.clone(),
             vm: vm.clone(),
             replica: replica.id.clone(),
--- a/crates/node/src/duty/watch.rs
+++ b/crates/node/src/duty/watch.rs
@@ -3,19 +3,18 @@
 //! Two nodes of each zone hold a watch; the others hear from them and read the store themselves
 //! only when such news stop. The duty also decides when a starting node is ready.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
 use corneltrestle_kernel::{host, linkme, plugin, run};
-use corneltrestle_platform::store::{self, Class, Store, Watch};
+use corneltrestle_platform::store::{self, Store, Watch};
 use corneltrestle_policy::{adoption, assignment, release};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use corneltrestle_wire::{key, stored};
 
 use crate::{follow, identity, tables};
 
 /// Time between two looks at who watches and how old the news are.
-const PERIOD: Duration = Duration::from_millis(250);
+const PERIOD: time::Duration = time::Duration::from_millis(250);
 
 #[linkme::distributed_slice(plugin::PLUGINS)]
 #[linkme(crate = linkme)]
@@ -30,29 +29,29 @@
 /// The duty with what it works on.
 #[derive(Debug)]
 struct Watcher<S> {
-    host: Arc<host::Host>,
-    identity: Arc<identity::Identity>,
+    host: sync::Arc<host::Host>,
+    identity: sync::Arc<identity::Identity>,
     tables: tables::Tables,
-    store: Arc<S>,
+    store: sync::Arc<S>,
 }
 
-fn open<S: Store>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
-    let watcher = Arc::new(Watcher::<S> {
-        host: Arc::clone(host),
+fn open<S: Store>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let watcher = sync::Arc::new(Watcher::<S> {
+        host: sync::Arc::clone(host),
         identity: host.port()?,
         tables: tables::Tables::of(host)?,
         store: host.port()?,
     });
     let handle = plugin::Handle::default();
     host.every(&handle, PERIOD, move |now| {
-        let watcher = Arc::clone(&watcher);
+        let watcher = sync::Arc::clone(&watcher);
         async move { watcher.round(now).await }
     });
     Ok(handle)
 }
 
 impl<S: Store> Watcher<S> {
-    async fn round(&self, now: Moment) {
+    async fn round(&self, now: moment::Moment) {
         if self.host.run.stage() == run::Stage::Starting {
             self.start().await;
             return;
@@ -71,9 +70,9 @@
     }
 
     /// Whether this node watches, and when it reads the head itself otherwise.
-    fn role(&self) -> (bool, Moment) {
+    fn role(&self) -> (bool, moment::Moment) {
         let now = self.host.now();
-        let confirmed = self.tables.config.lock().confirmed.unwrap_or(Moment::ZERO);
+        let confirmed = self.tables.config.lock().confirmed.unwrap_or(moment::Moment::ZERO);
         let members = self.tables.members.lock();
         let view = members.known.view(now);
         let (zone, own) = (self.identity.zone.as_str(), self.identity.node.as_str());
@@ -106,13 +105,13 @@
     /// Reads the head.
     async fn read(&self) -> store::Result<()> {
         let sent = self.host.now();
-        let head = self.store.read(key::head(), Class::Config).await?;
+        let head = self.store.read(key::head(), store::Class::Config).await?;
         self.adopt(head, sent);
         Ok(())
     }
 
     /// Adopts a head that was the present one at `at`.
-    fn adopt(&self, head: Option<store::Versioned>, at: Moment) {
+    fn adopt(&self, head: Option<store::Versioned>, at: moment::Moment) {
         let Some(head) = head else {
             self.tables.config.lock().heard(0, at);
             return;
@@ -174,7 +173,7 @@
     async fn read_assignment(&self) -> store::Result<()> {
         let zone = &self.identity.zone;
         let key = key::groups(zone.as_str());
-        let Some(found) = self.store.read(&key, Class::Config).await? else { return Ok(()) };
+        let Some(found) = self.store.read(&key, store::Class::Config).await? else { return Ok(()) };
         match stored::decode::<assignment::Assignment>(&key, &found.value) {
             Ok(assignment) => {
                 self.tables.replicas.lock().adopt(zone, found.version, assignment);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -3,19 +3,24 @@
 mod digest;
 mod reports;
 
-use std::net::SocketAddr;
+use std::net;
 
 use corneltrestle_kernel::host;
 use corneltrestle_policy::{assignment, id, membership, release};
-use corneltrestle_wire::link::{self as wire, NewsKind};
-use corneltrestle_wire::{key, stored};
+use corneltrestle_wire::{
+    key,
+    link::{self as wire, NewsKind},
+    stored,
+};
+
+use crate::{
+    link::{self, Link},
+    tables,
+};
 
 pub use digest::Pull;
 pub use reports::ZoneReports;
 
-use crate::link::{self, Link};
-use crate::tables;
-
 /// Whether this node hears of a piece of news for the first time.
 pub fn is_fresh(tables: &tables::Tables, kind: &NewsKind) -> bool {
     let news = match kind {
@@ -41,7 +46,7 @@
     tables: &tables::Tables,
     link: &L,
     kind: &NewsKind,
-    sender: Option<SocketAddr>,
+    sender: Option<net::SocketAddr>,
 ) {
     match kind {
         NewsKind::Revision { .. } => {
@@ -71,7 +76,7 @@
 pub async fn fetch_release<L: Link>(
     tables: &tables::Tables,
     link: &L,
-    peer: SocketAddr,
+    peer: net::SocketAddr,
 ) -> link::Result<bool> {
     let known = tables.config.lock().revision();
     let request = wire::FetchRequest { document: wire::Document::Release, known };
@@ -113,7 +118,7 @@
 pub async fn fetch_assignment<L: Link>(
     tables: &tables::Tables,
     link: &L,
-    peer: SocketAddr,
+    peer: net::SocketAddr,
     zone: &id::Zone,
 ) -> link::Result<()> {
     let known = tables.replicas.lock().zone(zone.as_str()).version;
--- a/crates/node/src/follow/digest.rs
+++ b/crates/node/src/follow/digest.rs
@@ -1,17 +1,18 @@
 //! One pull: what is asked, and what the digest changes.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::{net, time};
 
-use corneltrestle_kernel::host;
-use corneltrestle_kernel::run;
+use corneltrestle_kernel::{host, run};
 use corneltrestle_policy::{id, membership};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use corneltrestle_wire::link as wire;
 
-use super::{ZoneReports, fetch_assignment, fetch_release, reports};
-use crate::link::{self, Link};
-use crate::{identity, tables};
+use super::{fetch_assignment, fetch_release, reports};
+use crate::{
+    follow, identity,
+    link::{self, Link},
+    tables,
+};
 
 /// A pull from one peer, with what positions in its digest refer to.
 #[derive(Debug)]
@@ -30,7 +31,7 @@
         tables: &tables::Tables,
         rosters: &[id::Zone],
         zones: &[id::Zone],
-        now: Moment,
+        now: moment::Moment,
     ) -> Self {
         let members = tables.members.lock();
         let (mut known, mut asked) = (Vec::new(), Vec::new());
@@ -41,7 +42,7 @@
         }
         drop(members);
         let known_reports = |zone: &id::Zone| {
-            let view = ZoneReports::of(tables, zone, now);
+            let view = follow::ZoneReports::of(tables, zone, now);
             wire::KnownReports::new(zone, view.version, &view.loads, rand::random())
         };
         let request = wire::PullRequest {
@@ -63,7 +64,7 @@
         host: &host::Host,
         tables: &tables::Tables,
         link: &L,
-        peer: SocketAddr,
+        peer: net::SocketAddr,
     ) -> link::Result<()> {
         let sent = host.now();
         let digest = link.pull(peer, &self.request).await?;
@@ -101,8 +102,8 @@
     tables: &tables::Tables,
     roster: &wire::Roster,
     asked: &[(id::Node, u64)],
-    trip: Duration,
-    now: Moment,
+    trip: time::Duration,
+    now: moment::Moment,
 ) {
     let mut members = tables.members.lock();
     match &roster.members {
@@ -136,8 +137,8 @@
     zone: &id::Zone,
     asked: &[(id::Node, u64)],
     beat: &wire::Beat,
-    trip: Duration,
-    now: Moment,
+    trip: time::Duration,
+    now: moment::Moment,
 ) {
     let Some((node, seen)) = asked.get(beat.position) else { return };
     let Some(age) = beat.age else { return };
--- a/crates/node/src/follow/reports.rs
+++ b/crates/node/src/follow/reports.rs
@@ -1,9 +1,9 @@
 //! Reports of a zone's VMs in the order of its assignment.
 
-use std::time::Duration;
+use std::time;
 
 use corneltrestle_policy::{assignment, id, release, report};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use corneltrestle_wire::link as wire;
 
 use crate::tables;
@@ -14,14 +14,14 @@
     /// Version of the assignment that the positions refer to.
     pub version: u64,
     /// Ages of the members' reports of the replica and epoch that they are assigned to.
-    pub ages: Vec<Option<Duration>>,
+    pub ages: Vec<Option<time::Duration>>,
     /// Start and load of each replica.
     pub loads: Vec<wire::ReplicaLoad>,
 }
 
 impl ZoneReports {
     /// Reads the tables.
-    pub fn of(tables: &tables::Tables, zone: &id::Zone, now: Moment) -> Self {
+    pub fn of(tables: &tables::Tables, zone: &id::Zone, now: moment::Moment) -> Self {
         let stored = tables.replicas.lock().zone(zone.as_str());
         let reports = tables.reports.lock();
         let replicas = &stored.assignment.replicas;
@@ -46,8 +46,8 @@
     tables: &tables::Tables,
     release: &release::Release,
     digest: &wire::Reports,
-    trip: Duration,
-    now: Moment,
+    trip: time::Duration,
+    now: moment::Moment,
 ) -> bool {
     let stored = tables.replicas.lock().zone(digest.zone.as_str());
     if stored.version != digest.assignment {
--- a/crates/node/src/identity.rs
+++ b/crates/node/src/identity.rs
@@ -1,51 +1,60 @@
 //! Who this node is: name, availability zone, addresses and limits from the `[node]` section.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-use std::{fs, io};
+use std::{fs, io, net, sync, time};
 
-use corneltrestle_kernel::settings::{Key, Section, Settings, Type};
-use corneltrestle_kernel::{host, linkme, plugin, table};
+use corneltrestle_kernel::{host, linkme, plugin, settings, table};
 use corneltrestle_policy::{id, membership};
 
 use crate::tables::members;
 
 /// Settings of the node itself.
-pub static SECTION: Section = Section {
+pub static SECTION: settings::Section = settings::Section {
     name: "node",
     help: "The node itself.",
     keys: &[
-        Key::required("id", Type::Text, "Name of the node's VM, as in the VM list."),
-        Key::required("zone", Type::Text, "Availability zone of the node."),
-        Key::required("link", Type::Address, "Address on which other nodes reach this one."),
-        Key::optional(
+        settings::Key::required(
+            "id",
+            settings::Type::Text,
+            "Name of the node's VM, as in the VM list.",
+        ),
+        settings::Key::required("zone", settings::Type::Text, "Availability zone of the node."),
+        settings::Key::required(
+            "link",
+            settings::Type::Address,
+            "Address on which other nodes reach this one.",
+        ),
+        settings::Key::optional(
             "link-bind",
-            Type::Address,
+            settings::Type::Address,
             "Address that the link listens on, if a forwarded port reaches it at `link`.",
         ),
-        Key::required(
+        settings::Key::required(
             "secret-file",
-            Type::Path,
+            settings::Type::Path,
             "File with the secret that all nodes share, 16 bytes or more.",
         ),
-        Key::new("workers", Type::Count { min: 1, max: 64 }, "2", "Worker threads."),
-        Key::new(
+        settings::Key::new(
+            "workers",
+            settings::Type::Count { min: 1, max: 64 },
+            "2",
+            "Worker threads.",
+        ),
+        settings::Key::new(
             "view-bound",
-            Type::millis(500, 30_000),
+            settings::Type::millis(500, 30_000),
             "3s",
             "Longest age of a VM's report at dispatch.",
         ),
-        Key::new(
+        settings::Key::new(
             "drain-delay",
-            Type::millis(0, 60_000),
+            settings::Type::millis(0, 60_000),
             "2s",
             "Time between the begin of a planned stop, when the node is no longer ready, and the \
              close of its addresses; longer than the load balancer takes to notice.",
         ),
-        Key::new(
+        settings::Key::new(
             "drain-limit",
-            Type::millis(0, 600_000),
+            settings::Type::millis(0, 600_000),
             "30s",
             "Longest time that requests in progress get at a planned stop.",
         ),
@@ -74,15 +83,15 @@
     /// Random identifier of this process, never 0.
     pub boot: u64,
     /// Address of the node's link.
-    pub link: SocketAddr,
+    pub link: net::SocketAddr,
     /// Address that the link listens on.
-    pub bind: SocketAddr,
+    pub bind: net::SocketAddr,
     /// Secret shared by all nodes.
     pub secret: Secret,
     /// Longest age of a VM's report at dispatch.
-    pub view_bound: Duration,
+    pub view_bound: time::Duration,
     /// Longest time for requests in progress at a planned stop.
-    pub drain_limit: Duration,
+    pub drain_limit: time::Duration,
 }
 
 /// A secret read from a file; its debug form hides it.
@@ -121,7 +130,7 @@
 ///
 /// When the key is absent or the file cannot be used.
 pub fn read_secret(
-    settings: &Settings,
+    settings: &settings::Settings,
     section: &'static str,
     key: &'static str,
 ) -> plugin::Result<Secret> {
@@ -136,7 +145,7 @@
     })
 }
 
-fn open(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+fn open(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let node = host.settings.section("node");
     let identity = Identity {
         node: node.text("id").into(),
@@ -155,7 +164,7 @@
         identity.boot,
         host.now(),
     );
-    host.provide(Arc::new(table::Table::new(members::Members::new(known))));
-    host.provide(Arc::new(identity));
+    host.provide(sync::Arc::new(table::Table::new(members::Members::new(known))));
+    host.provide(sync::Arc::new(identity));
     Ok(plugin::Handle::idle())
 }
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -12,13 +12,9 @@
 mod server;
 mod tonic_link;
 
-use std::future::Future;
-use std::net::SocketAddr;
+use std::net;
 
-use corneltrestle_wire::link::{
-    Ack, CountsReply, CountsRequest, Digest, FetchRequest, Loan, News, PullRequest, SlotRequest,
-    StatusReply, StatusRequest, Value,
-};
+use corneltrestle_wire::link::{self, Digest};
 
 pub use error::Error;
 pub use secret::MIN_SECRET_BYTES;
@@ -33,65 +29,75 @@
     /// Asks for what the peer knows and the caller does not.
     fn pull(
         &self,
-        peer: SocketAddr,
-        request: &PullRequest,
+        peer: net::SocketAddr,
+        request: &link::PullRequest,
     ) -> impl Future<Output = Result<Digest>> + Send;
 
     /// Sends news that cannot wait for the next pull.
-    fn push(&self, peer: SocketAddr, news: &News) -> impl Future<Output = Result<Ack>> + Send;
+    fn push(
+        &self,
+        peer: net::SocketAddr,
+        news: &link::News,
+    ) -> impl Future<Output = Result<link::Ack>> + Send;
 
     /// Asks for a stored document as the peer knows it.
     fn fetch(
         &self,
-        peer: SocketAddr,
-        request: &FetchRequest,
-    ) -> impl Future<Output = Result<Value>> + Send;
+        peer: net::SocketAddr,
+        request: &link::FetchRequest,
+    ) -> impl Future<Output = Result<link::Value>> + Send;
 
     /// Asks for the peer's service-level counts.
     fn counts(
         &self,
-        peer: SocketAddr,
-        request: CountsRequest,
-    ) -> impl Future<Output = Result<CountsReply>> + Send;
+        peer: net::SocketAddr,
+        request: link::CountsRequest,
+    ) -> impl Future<Output = Result<link::CountsReply>> + Send;
 
     /// Asks for the use of one of the peer's warm-up slots.
     fn acquire(
         &self,
-        peer: SocketAddr,
-        request: &SlotRequest,
-    ) -> impl Future<Output = Result<Loan>> + Send;
+        peer: net::SocketAddr,
+        request: &link::SlotRequest,
+    ) -> impl Future<Output = Result<link::Loan>> + Send;
 
     /// Ends the use of a slot.
-    fn release(&self, peer: SocketAddr, loan: u64) -> impl Future<Output = Result<()>> + Send;
+    fn release(&self, peer: net::SocketAddr, loan: u64) -> impl Future<Output = Result<()>> + Send;
 
     /// Asks for the peer's state.
     fn status(
         &self,
-        peer: SocketAddr,
-        request: StatusRequest,
-    ) -> impl Future<Output = Result<StatusReply>> + Send;
+        peer: net::SocketAddr,
+        request: link::StatusRequest,
+    ) -> impl Future<Output = Result<link::StatusReply>> + Send;
 }
 
 /// Answers to the calls of peers. A caller waits for 2 s; later answers are lost.
 pub trait Handler: Send + Sync + 'static {
     /// What this node knows and the caller does not.
-    fn pull(&self, request: &PullRequest) -> impl Future<Output = Digest> + Send;
+    fn pull(&self, request: &link::PullRequest) -> impl Future<Output = Digest> + Send;
 
     /// Takes in news.
-    fn push(&self, news: &News) -> impl Future<Output = Ack> + Send;
+    fn push(&self, news: &link::News) -> impl Future<Output = link::Ack> + Send;
 
     /// A stored document as this node knows it.
-    fn fetch(&self, request: &FetchRequest) -> impl Future<Output = Value> + Send;
+    fn fetch(&self, request: &link::FetchRequest) -> impl Future<Output = link::Value> + Send;
 
     /// This node's service-level counts.
-    fn counts(&self, request: CountsRequest) -> impl Future<Output = CountsReply> + Send;
+    fn counts(
+        &self,
+        request: link::CountsRequest,
+    ) -> impl Future<Output = link::CountsReply> + Send;
 
     /// Lends one of this node's warm-up slots, if one is free.
-    fn acquire(&self, request: &SlotRequest) -> impl Future<Output = Loan> + Send;
+    fn acquire(&self, request: &link::SlotRequest) -> impl Future<Output = link::Loan> + Send;
 
     /// Takes a slot back.
     fn release(&self, loan: u64) -> impl Future<Output = ()> + Send;
 
     /// This node's state.
-    fn status(&self, request: StatusRequest) -> impl Future<Output = StatusReply> + Send;
+    fn status(
+        &self,
+        request: link::StatusRequest,
+    ) -> impl Future<Output = link::StatusReply> + Send;
 }
--- a/crates/node/src/link/answer.rs
+++ b/crates/node/src/link/answer.rs
@@ -1,28 +1,25 @@
 //! Answers to the calls of peers, from this node's tables.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
-use bytes::Bytes;
 use corneltrestle_kernel::{host, plugin};
 use corneltrestle_policy::{assignment, id, membership, release, wholeness};
-use corneltrestle_time::Moment;
-use corneltrestle_wire::link as wire;
-use corneltrestle_wire::{key, stored};
+use corneltrestle_time::moment;
+use corneltrestle_wire::{key, link as wire, stored};
 
 use super::{Handler, Link};
 use crate::{counts, follow, identity, slots, tables};
 
 /// Longest wait for another node of the zone when a status call asks for all of them.
-const STATUS_WAIT: Duration = Duration::from_millis(1_500);
+const STATUS_WAIT: time::Duration = time::Duration::from_millis(1_500);
 
 /// Answers from the tables of a node.
 #[derive(Debug)]
 pub struct Answers<L> {
-    host: Arc<host::Host>,
-    identity: Arc<identity::Identity>,
+    host: sync::Arc<host::Host>,
+    identity: sync::Arc<identity::Identity>,
     tables: tables::Tables,
-    link: Arc<L>,
+    link: sync::Arc<L>,
 }
 
 impl<L: Link> Answers<L> {
@@ -31,9 +28,9 @@
     /// # Errors
     ///
     /// When a port is missing.
-    pub fn open(host: &Arc<host::Host>) -> plugin::Result<Self> {
+    pub fn open(host: &sync::Arc<host::Host>) -> plugin::Result<Self> {
         Ok(Self {
-            host: Arc::clone(host),
+            host: sync::Arc::clone(host),
             identity: host.port()?,
             tables: tables::Tables::of(host)?,
             link: host.port()?,
@@ -62,7 +59,12 @@
         }
     }
 
-    fn serving(&self, zone: &id::Zone, assignment: &assignment::Assignment, now: Moment) -> u32 {
+    fn serving(
+        &self,
+        zone: &id::Zone,
+        assignment: &assignment::Assignment,
+        now: moment::Moment,
+    ) -> u32 {
         let zone_in = self.tables.current.load().is_in(zone.as_str());
         let leaving = Default::default();
         let reports = self.tables.reports.lock();
@@ -100,7 +102,7 @@
         is_reached: false,
         stage: member.state,
         revision: 0,
-        watch_age: Duration::ZERO,
+        watch_age: time::Duration::ZERO,
         replicas: 0,
         serving: 0,
     }
@@ -161,7 +163,7 @@
                 (known.version, (known.version > request.known).then(encode))
             }
         };
-        wire::Value { revision, body: body.and_then(Result::ok).map(Bytes::from) }
+        wire::Value { revision, body: body.and_then(Result::ok).map(bytes::Bytes::from) }
     }
 
     async fn counts(&self, request: wire::CountsRequest) -> wire::CountsReply {
--- a/crates/node/src/link/channels.rs
+++ b/crates/node/src/link/channels.rs
@@ -1,18 +1,16 @@
 //! Open channels, one for each peer.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::{collections, net, time};
 
 use corneltrestle_kernel::table;
-use corneltrestle_policy::silence::{self, Connection};
-use corneltrestle_time::Moment;
-use tonic::transport::Channel;
+use corneltrestle_policy::silence;
+use corneltrestle_time::moment;
+use tonic::transport;
 
 /// The channels of a node by the address of the peer.
 #[derive(Debug, Default)]
 pub(super) struct Channels {
-    open: HashMap<SocketAddr, Open>,
+    open: collections::HashMap<net::SocketAddr, Open>,
     opened: u64,
 }
 
@@ -20,10 +18,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct Open {
     /// The channel.
-    pub(super) channel: Channel,
+    pub(super) channel: transport::Channel,
     /// Number of the channel among all that were opened.
     pub(super) number: u64,
-    history: Connection,
+    history: silence::Connection,
 }
 
 impl table::Ranked for Channels {
@@ -34,21 +32,21 @@
 
 impl Channels {
     /// The channel to `peer` unless it is too old.
-    pub(super) fn get(&self, peer: SocketAddr, now: Moment) -> Option<Open> {
+    pub(super) fn get(&self, peer: net::SocketAddr, now: moment::Moment) -> Option<Open> {
         self.open.get(&peer).filter(|open| open.is_kept(now)).cloned()
     }
 
     /// Stores a channel and drops the channels that are too old.
     pub(super) fn insert(
         &mut self,
-        peer: SocketAddr,
-        channel: Channel,
-        now: Moment,
-        max_age: Duration,
+        peer: net::SocketAddr,
+        channel: transport::Channel,
+        now: moment::Moment,
+        max_age: time::Duration,
     ) -> Open {
         self.opened += 1;
         let kind = silence::Kind::Link;
-        let history = Connection::open_for(kind, max_age, now, &mut rand::rng());
+        let history = silence::Connection::open_for(kind, max_age, now, &mut rand::rng());
         let open = Open { channel, number: self.opened, history };
         self.open.retain(|_, open| open.is_kept(now));
         self.open.insert(peer, open.clone());
@@ -56,7 +54,7 @@
     }
 
     /// Drops the channel with this number; a newer one stays.
-    pub(super) fn remove(&mut self, peer: SocketAddr, number: u64) {
+    pub(super) fn remove(&mut self, peer: net::SocketAddr, number: u64) {
         if self.open.get(&peer).is_some_and(|open| open.number == number) {
             self.open.remove(&peer);
         }
@@ -66,7 +64,7 @@
 impl Open {
     /// Whether new calls may use the channel. Calls have time limits of their own, so that only
     /// the age is judged here.
-    fn is_kept(&self, now: Moment) -> bool {
+    fn is_kept(&self, now: moment::Moment) -> bool {
         self.history.check(now) == silence::Verdict::Keep
     }
 }
--- a/crates/node/src/link/error.rs
+++ b/crates/node/src/link/error.rs
@@ -1,7 +1,6 @@
 //! Errors of links.
 
-use std::fmt;
-use std::net::SocketAddr;
+use std::{fmt, net};
 
 use corneltrestle_wire::link as wire;
 
@@ -19,7 +18,7 @@
         /// The call.
         step: &'static str,
         /// The peer.
-        peer: SocketAddr,
+        peer: net::SocketAddr,
         /// The cause.
         cause: String,
     },
@@ -28,21 +27,21 @@
         /// The call.
         step: &'static str,
         /// The peer.
-        peer: SocketAddr,
+        peer: net::SocketAddr,
     },
     /// The peer has another secret.
     Refused {
         /// The call.
         step: &'static str,
         /// The peer.
-        peer: SocketAddr,
+        peer: net::SocketAddr,
     },
     /// The peer answered with an error.
     Failed {
         /// The call.
         step: &'static str,
         /// The peer.
-        peer: SocketAddr,
+        peer: net::SocketAddr,
         /// The cause.
         cause: String,
     },
@@ -51,14 +50,14 @@
         /// The call.
         step: &'static str,
         /// The peer.
-        peer: SocketAddr,
+        peer: net::SocketAddr,
         /// The field.
         cause: wire::Error,
     },
     /// The server ended without being stopped.
     Server {
         /// The address that it served.
-        address: SocketAddr,
+        address: net::SocketAddr,
         /// The cause.
         cause: String,
     },
--- a/crates/node/src/link/incoming.rs
+++ b/crates/node/src/link/incoming.rs
@@ -1,18 +1,14 @@
 //! Connections of peers, bounded in number and in silence.
 
-use std::future::Future;
-use std::io;
-use std::pin::Pin;
-use std::sync::Arc;
-use std::task::{Context, Poll};
-use std::time::Duration;
+use std::{io, pin, sync, task, time};
 
 use futures_util::{Stream, stream};
-use metrics::Counter;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Instant, Sleep};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net,
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, Sleep},
+};
 use tonic::transport::server::Connected;
 
 /// Most connections at a time; 340 nodes with two each while channels are replaced.
@@ -20,25 +16,25 @@
 
 /// A connection on which nothing arrives for this long is closed. Pings of the server make peers
 /// send something more often.
-const MAX_SILENCE: Duration = Duration::from_secs(30);
+const MAX_SILENCE: time::Duration = time::Duration::from_secs(30);
 
 /// Pause after a failed accept, for example without free file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// A connection that counts towards the bound until it is dropped; its bytes are counted, too.
 pub(super) struct Connection {
-    stream: TcpStream,
-    silence: Pin<Box<Sleep>>,
-    received: Counter,
-    sent: Counter,
+    stream: net::TcpStream,
+    silence: pin::Pin<Box<Sleep>>,
+    received: metrics::Counter,
+    sent: metrics::Counter,
     _permit: OwnedSemaphorePermit,
 }
 
 /// The connections that `listener` accepts.
 pub(super) fn connections(
-    listener: TcpListener,
+    listener: net::TcpListener,
 ) -> impl Stream<Item = io::Result<Connection>> + Send {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let permits = sync::Arc::new(Semaphore::new(MAX_CONNECTIONS));
     stream::unfold((listener, permits), |(listener, permits)| async move {
         let permit = permits.clone().acquire_owned().await.ok()?;
         let stream = accept(&listener).await;
@@ -50,7 +46,7 @@
     })
 }
 
-async fn accept(listener: &TcpListener) -> TcpStream {
+async fn accept(listener: &net::TcpListener) -> net::TcpStream {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -68,8 +64,8 @@
 
 impl Connection {
     /// Counts bytes that were written.
-    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(bytes)) = &written {
+    fn count(&self, written: task::Poll<io::Result<usize>>) -> task::Poll<io::Result<usize>> {
+        if let task::Poll::Ready(Ok(bytes)) = &written {
             self.sent.increment(*bytes as u64);
         }
         written
@@ -77,7 +73,7 @@
 }
 
 impl Connected for Connection {
-    type ConnectInfo = <TcpStream as Connected>::ConnectInfo;
+    type ConnectInfo = <net::TcpStream as Connected>::ConnectInfo;
 
     fn connect_info(&self) -> Self::ConnectInfo {
         self.stream.connect_info()
@@ -86,16 +82,16 @@
 
 impl AsyncRead for Connection {
     fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
         buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    ) -> task::Poll<io::Result<()>> {
         let this = &mut *self;
         let before = buf.filled().len();
-        if let Poll::Ready(result) = Pin::new(&mut this.stream).poll_read(cx, buf) {
+        if let task::Poll::Ready(result) = pin::Pin::new(&mut this.stream).poll_read(cx, buf) {
             this.silence.as_mut().reset(Instant::now() + MAX_SILENCE);
             this.received.increment((buf.filled().len() - before) as u64);
-            return Poll::Ready(result);
+            return task::Poll::Ready(result);
         }
         this.silence.as_mut().poll(cx).map(|()| Err(io::ErrorKind::TimedOut.into()))
     }
@@ -103,28 +99,34 @@
 
 impl AsyncWrite for Connection {
     fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
         buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+    ) -> task::Poll<io::Result<usize>> {
+        let written = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(written)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
         bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+    ) -> task::Poll<io::Result<usize>> {
+        let written = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.count(written)
     }
 
--- a/crates/node/src/link/port.rs
+++ b/crates/node/src/link/port.rs
@@ -1,16 +1,14 @@
 //! Plug-ins: the client of the links as a port, and their server.
 
-use std::net::TcpListener;
-use std::sync::Arc;
+use std::{net, sync};
 
 use corneltrestle_kernel::{clock, host, linkme, plugin};
 
-use super::answer::Answers;
-use super::{Limits, Link, TonicLink, serve};
-use crate::identity;
+use super::{Link, answer, serve};
+use crate::{identity, link};
 
 /// The client of the links that nodes use.
-pub type NodeLink = TonicLink<clock::System>;
+pub type NodeLink = link::TonicLink<clock::System>;
 
 #[linkme::distributed_slice(plugin::PLUGINS)]
 #[linkme(crate = linkme)]
@@ -32,26 +30,26 @@
     open: open_server::<NodeLink>,
 };
 
-fn open_client(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+fn open_client(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     // Ports open in the order of their names; "identity" is before "link-client".
     let identity = host.port::<identity::Identity>()?;
-    let clock = Arc::new(host.clock);
-    let link = TonicLink::open(clock, identity.secret.bytes(), Limits::default())
+    let clock = sync::Arc::new(host.clock);
+    let link = link::TonicLink::open(clock, identity.secret.bytes(), link::Limits::default())
         .map_err(|e| plugin::Error::Settings { step: "link-client", hint: e.to_string() })?;
-    host.provide(Arc::new(link));
+    host.provide(sync::Arc::new(link));
     Ok(plugin::Handle::idle())
 }
 
-fn open_server<L: Link>(host: &Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+fn open_server<L: Link>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let identity = host.port::<identity::Identity>()?;
     let refused = |source| plugin::Error::Bind {
         step: "link-server",
         peer: identity.bind.to_string(),
         source,
     };
-    let listener = TcpListener::bind(identity.bind).map_err(refused)?;
+    let listener = net::TcpListener::bind(identity.bind).map_err(refused)?;
     listener.set_nonblocking(true).map_err(refused)?;
-    let answers = Arc::new(Answers::<L>::open(host)?);
+    let answers = sync::Arc::new(answer::Answers::<L>::open(host)?);
     let handle = plugin::Handle::default();
     let stop = handle.stop().clone();
     handle.run(&host.pool, async move {
--- a/crates/node/src/link/secret.rs
+++ b/crates/node/src/link/secret.rs
@@ -2,13 +2,12 @@
 
 use std::fmt;
 
-use sha2::{Digest, Sha256};
+use sha2::Digest;
 use subtle::ConstantTimeEq;
-use tonic::metadata::{BinaryMetadataValue, MetadataMap, MetadataValue};
-use tonic::service::Interceptor;
-use tonic::{Request, Status};
+use tonic::{metadata, service::Interceptor};
 
-use super::{Error, Result};
+use super::Result;
+use crate::link;
 
 /// Least length of the shared secret.
 pub const MIN_SECRET_BYTES: usize = 16;
@@ -20,7 +19,7 @@
 /// header compression tables.
 #[derive(Clone)]
 pub(super) struct Outgoing {
-    value: BinaryMetadataValue,
+    value: metadata::BinaryMetadataValue,
 }
 
 /// A secret as the server compares it. The comparison of hashes takes the same time for every
@@ -33,12 +32,12 @@
 impl Outgoing {
     pub(super) fn new(secret: &[u8]) -> Result<Self> {
         check(secret)?;
-        let mut value = MetadataValue::from_bytes(secret);
+        let mut value = metadata::MetadataValue::from_bytes(secret);
         value.set_sensitive(true);
         Ok(Self { value })
     }
 
-    pub(super) fn attach(&self, metadata: &mut MetadataMap) {
+    pub(super) fn attach(&self, metadata: &mut metadata::MetadataMap) {
         metadata.insert_bin(KEY, self.value.clone());
     }
 }
@@ -46,24 +45,27 @@
 impl Expected {
     pub(super) fn new(secret: &[u8]) -> Result<Self> {
         check(secret)?;
-        Ok(Self { hash: Sha256::digest(secret).into() })
+        Ok(Self { hash: sha2::Sha256::digest(secret).into() })
     }
 
-    fn matches(&self, metadata: &MetadataMap) -> bool {
+    fn matches(&self, metadata: &metadata::MetadataMap) -> bool {
         let sent = metadata.get_bin(KEY).and_then(|value| value.to_bytes().ok());
         sent.is_some_and(|sent| {
-            let hash: [u8; 32] = Sha256::digest(&sent).into();
+            let hash: [u8; 32] = sha2::Sha256::digest(&sent).into();
             hash.ct_eq(&self.hash).into()
         })
     }
 }
 
 impl Interceptor for Expected {
-    fn call(&mut self, request: Request<()>) -> std::result::Result<Request<()>, Status> {
+    fn call(
+        &mut self,
+        request: tonic::Request<()>,
+    ) -> std::result::Result<tonic::Request<()>, tonic::Status> {
         if self.matches(request.metadata()) {
             Ok(request)
         } else {
-            Err(Status::unauthenticated("wrong link secret"))
+            Err(tonic::Status::unauthenticated("wrong link secret"))
         }
     }
 }
@@ -82,7 +84,7 @@
 
 fn check(secret: &[u8]) -> Result<()> {
     if secret.len() < MIN_SECRET_BYTES {
-        return Err(Error::Secret { min: MIN_SECRET_BYTES });
+        return Err(link::Error::Secret { min: MIN_SECRET_BYTES });
     }
     Ok(())
 }
