--- a/crates/node/src/link/server.rs
+++ b/crates/node/src/link/server.rs
@@ -1,28 +1,20 @@
 //! The server that answers the calls of peers.
 
-use std::future::Future;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
-use std::time::Duration;
-
-use corneltrestle_wire::link::{
-    self as wire, FetchRequest, News, PullRequest, SlotRequest, generated,
-};
+use std::{net, sync, time};
+
+use corneltrestle_wire::link::{self as wire, self, generated};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use tonic::service::interceptor::InterceptedService;
-use tonic::transport::Server;
-use tonic::{Request, Response, Status, async_trait};
+use tonic::{async_trait, service::interceptor, transport};
 
-use super::secret::Expected;
-use super::{Error, Handler, Result, incoming};
+use super::{Error, Handler, Result, incoming, secret};
 
 /// Pings make a peer that is gone noticeable on an idle connection.
-const PING_INTERVAL: Duration = Duration::from_secs(10);
-const PING_TIMEOUT: Duration = Duration::from_secs(2);
+const PING_INTERVAL: time::Duration = time::Duration::from_secs(10);
+const PING_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// Longest time of a call; callers have given up before.
-const MAX_CALL: Duration = Duration::from_secs(5);
+const MAX_CALL: time::Duration = time::Duration::from_secs(5);
 
 /// Calls in progress on one connection.
 const MAX_CALLS: u32 = 32;
@@ -31,7 +23,7 @@
 const MAX_HEADERS: u32 = 8 * 1024;
 
 /// Longest wait for calls in progress after the stop.
-const STOP_LIMIT: Duration = Duration::from_secs(5);
+const STOP_LIMIT: time::Duration = time::Duration::from_secs(5);
 
 /// Answers the calls of peers until `stop` is cancelled; then calls in progress finish.
 ///
@@ -43,31 +35,32 @@
 /// ends without being stopped.
 pub fn serve<H: Handler>(
     listener: TcpListener,
-    handler: Arc<H>,
+    handler: sync::Arc<H>,
     secret: &[u8],
     stop: CancellationToken,
 ) -> impl Future<Output = Result<()>> + Send + use<H> {
-    let secret = Expected::new(secret);
+    let secret = secret::Expected::new(secret);
     async move { run(listener, handler, secret?, stop).await }
 }
 
 async fn run<H: Handler>(
     listener: TcpListener,
-    handler: Arc<H>,
-    secret: Expected,
+    handler: sync::Arc<H>,
+    secret: secret::Expected,
     stop: CancellationToken,
 ) -> Result<()> {
-    let address = listener.local_addr().unwrap_or(SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)));
+    let address =
+        listener.local_addr().unwrap_or(net::SocketAddr::from((net::Ipv4Addr::UNSPECIFIED, 0)));
     let service = generated::link_server::LinkServer::new(Service { handler })
         .max_decoding_message_size(wire::MAX_MESSAGE_BYTES)
         .max_encoding_message_size(wire::MAX_MESSAGE_BYTES);
-    let server = Server::builder()
+    let server = transport::Server::builder()
         .timeout(MAX_CALL)
         .max_concurrent_streams(MAX_CALLS)
         .http2_max_header_list_size(MAX_HEADERS)
         .http2_keepalive_interval(Some(PING_INTERVAL))
         .http2_keepalive_timeout(Some(PING_TIMEOUT))
-        .add_service(InterceptedService::new(service, secret))
+        .add_service(interceptor::InterceptedService::new(service, secret))
         .serve_with_incoming_shutdown(
             incoming::connections(listener),
             stop.clone().cancelled_owned(),
@@ -84,65 +77,71 @@
 
 /// Turns generated messages into calls of a handler.
 struct Service<H> {
-    handler: Arc<H>,
+    handler: sync::Arc<H>,
 }
 
-type Answer<T> = std::result::Result<Response<T>, Status>;
+type Answer<T> = std::result::Result<tonic::Response<T>, tonic::Status>;
 
-fn checked<A, B>(request: Request<A>) -> std::result::Result<B, Status>
+fn checked<A, B>(request: tonic::Request<A>) -> std::result::Result<B, tonic::Status>
 where
     B: TryFrom<A, Error = wire::Error>,
 {
-    B::try_from(request.into_inner()).map_err(|e| Status::invalid_argument(e.to_string()))
+    B::try_from(request.into_inner()).map_err(|e| tonic::Status::invalid_argument(e.to_string()))
 }
 
 #[async_trait]
 impl<H: Handler> generated::link_server::Link for Service<H> {
-    async fn pull(&self, request: Request<generated::PullRequest>) -> Answer<generated::Digest> {
-        let request: PullRequest = checked(request)?;
-        Ok(Response::new(self.handler.pull(&request).await.into()))
+    async fn pull(
+        &self,
+        request: tonic::Request<generated::PullRequest>,
+    ) -> Answer<generated::Digest> {
+        let request: link::PullRequest = checked(request)?;
+        Ok(tonic::Response::new(self.handler.pull(&request).await.into()))
     }
 
-    async fn push(&self, request: Request<generated::News>) -> Answer<generated::Ack> {
-        let news: News = checked(request)?;
-        Ok(Response::new(self.handler.push(&news).await.into()))
+    async fn push(&self, request: tonic::Request<generated::News>) -> Answer<generated::Ack> {
+        let news: link::News = checked(request)?;
+        Ok(tonic::Response::new(self.handler.push(&news).await.into()))
     }
 
-    async fn fetch(&self, request: Request<generated::FetchRequest>) -> Answer<generated::Value> {
-        let request: FetchRequest = checked(request)?;
-        Ok(Response::new(self.handler.fetch(&request).await.into()))
+    async fn fetch(
+        &self,
+        request: tonic::Request<generated::FetchRequest>,
+    ) -> Answer<generated::Value> {
+        let request: link::FetchRequest = checked(request)?;
+        Ok(tonic::Response::new(self.handler.fetch(&request).await.into()))
     }
 
     async fn counts(
         &self,
-        request: Request<generated::CountsRequest>,
+        request: tonic::Request<generated::CountsRequest>,
     ) -> Answer<generated::CountsReply> {
         let request = request.into_inner().into();
-        Ok(Response::new(self.handler.counts(request).await.into()))
+        Ok(tonic::Response::new(self.handler.counts(request).await.into()))
     }
 
     async fn acquire(
         &self,
-        request: Request<generated::SlotRequest>,
+        request: tonic::Request<generated::SlotRequest>,
     ) -> Answer<generated::SlotReply> {
-        let request: SlotRequest = checked(request)?;
+        let request: link::SlotRequest = checked(request)?;
         let loan = self.handler.acquire(&request).await.unwrap_or_default();
-        Ok(Response::new(generated::SlotReply { loan }))
+        Ok(tonic::Response::new(generated::SlotReply { loan }))
     }
 
     async fn release(
         &self,
-        request: Request<generated::SlotRelease>,
+        request: tonic::Request<generated::SlotRelease>,
     ) -> Answer<generated::SlotReleased> {
         self.handler.release(request.into_inner().loan).await;
-        Ok(Response::new(generated::SlotReleased {}))
+        Ok(tonic::Response::new(generated::SlotReleased {}))
     }
 
     async fn status(
         &self,
-        request: Request<generated::StatusRequest>,
+        request: tonic::Request<generated::StatusRequest>,
     ) -> Answer<generated::StatusReply> {
         let request = request.into_inner().into();
-        Ok(Response::new(self.handler.status(request).await.into()))
+        Ok(tonic::Response::new(self.handler.status(request).await.into()))
     }
 }
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -4,7 +4,7 @@
 pub mod standing;
 pub mod survey;
 
-use corneltrestle_platform::store::{Class, Store, Swap};
+use corneltrestle_platform::store::{self, Store};
 use corneltrestle_policy::{changeset, release};
 use corneltrestle_wire::{key, note, stored};
 
@@ -94,14 +94,14 @@
             Ok(value) => value,
             Err(e) => return Verdict::Rejected { faults: vec![e.to_string()] },
         };
-        match store.swap(key::head(), head.version, &value, None, Class::Config).await {
-            Ok(Swap::Done(version)) => {
+        match store.swap(key::head(), head.version, &value, None, store::Class::Config).await {
+            Ok(store::Swap::Done(version)) => {
                 follow::adopt_release(tables, next, version);
                 log::info!("note: revision {revision} is accepted");
                 return Verdict::Accepted { revision };
             }
             // The next pass reads the winner and states the conflict.
-            Ok(Swap::Conflict(_)) => {}
+            Ok(store::Swap::Conflict(_)) => {}
             Err(e) if e.may_have_run() => uncertain = Some(e.to_string()),
             Err(e) if uncertain.is_none() => return Verdict::Unavailable { cause: e.to_string() },
             Err(_) => {}
@@ -114,7 +114,7 @@
 }
 
 async fn read<S: Store>(store: &S) -> Result<Head, String> {
-    let found = store.read(key::head(), Class::Config).await.map_err(|e| e.to_string())?;
+    let found = store.read(key::head(), store::Class::Config).await.map_err(|e| e.to_string())?;
     let Some(found) = found else {
         return Ok(Head { version: 0, release: release::Release::default() });
     };
--- a/crates/node/src/operate/overview.rs
+++ b/crates/node/src/operate/overview.rs
@@ -1,15 +1,14 @@
 //! The state of the whole system as one node knows it.
 
-use std::net::SocketAddr;
+use std::net;
 
 use corneltrestle_kernel::run;
 use corneltrestle_policy::{assignment, id, release, report};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use corneltrestle_wire::link as wire;
 
-use super::survey::Survey;
-use crate::link::Link;
-use crate::tables;
+use super::survey;
+use crate::{link::Link, tables};
 
 /// The state of the whole system.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -124,13 +123,13 @@
     /// The zone.
     pub zone: id::Zone,
     /// The address.
-    pub address: SocketAddr,
+    pub address: net::SocketAddr,
     /// Whether its zone takes new work.
     pub state: release::ZoneState,
 }
 
 /// Asks all nodes and reads this node's tables.
-pub async fn read<L: Link>(survey: &Survey<L>) -> Overview {
+pub async fn read<L: Link>(survey: &survey::Survey<L>) -> Overview {
     let zones = survey.zones().await;
     let release = survey.tables.current.load();
     let state = |zone: &id::Zone| release.zones.get(zone).copied().unwrap_or_default();
@@ -165,7 +164,11 @@
     }
 }
 
-fn replicas(tables: &tables::Tables, release: &release::Release, now: Moment) -> Vec<Replica> {
+fn replicas(
+    tables: &tables::Tables,
+    release: &release::Release,
+    now: moment::Moment,
+) -> Vec<Replica> {
     let stored: Vec<_> = {
         let replicas = tables.replicas.lock();
         replicas.zones().map(|(zone, stored)| (zone.clone(), stored.clone())).collect()
--- a/crates/node/src/operate/standing.rs
+++ b/crates/node/src/operate/standing.rs
@@ -1,11 +1,10 @@
 //! Where an accepted note is in force.
 
-use corneltrestle_platform::store::{Class, Store};
+use corneltrestle_platform::store::{self, Store};
 use corneltrestle_policy::{adoption, id, release};
-use corneltrestle_wire::link as wire;
-use corneltrestle_wire::{key, stored};
+use corneltrestle_wire::{key, link as wire, stored};
 
-use super::survey::Survey;
+use super::survey;
 use crate::link::Link;
 
 /// What is known of a note.
@@ -66,7 +65,7 @@
 }
 
 /// Looks a note up and asks the nodes of all zones for their revision.
-pub async fn find<S: Store, L: Link>(store: &S, survey: &Survey<L>, id: &str) -> Found {
+pub async fn find<S: Store, L: Link>(store: &S, survey: &survey::Survey<L>, id: &str) -> Found {
     let note = match remembered(store, id).await {
         Ok(note) => note,
         // Adopted releases carry the notes too, and an accepted note stays accepted.
@@ -82,7 +81,7 @@
 }
 
 async fn remembered<S: Store>(store: &S, id: &str) -> Result<Option<release::Note>, String> {
-    let found = store.read(key::head(), Class::Config).await.map_err(|e| e.to_string())?;
+    let found = store.read(key::head(), store::Class::Config).await.map_err(|e| e.to_string())?;
     let Some(head) = found else { return Ok(None) };
     let release = stored::decode(key::head(), &head.value).map_err(|e| e.to_string())?;
     Ok(named(&release, id))
--- a/crates/node/src/operate/survey.rs
+++ b/crates/node/src/operate/survey.rs
@@ -1,16 +1,16 @@
 //! What the nodes of every zone say about themselves.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::{collections, net, sync};
 
 use corneltrestle_kernel::{host, plugin, run};
 use corneltrestle_policy::{id, membership, vm};
 use corneltrestle_wire::link as wire;
 
-use crate::link::answer::Answers;
-use crate::link::{Handler, Link};
-use crate::{identity, tables};
+use crate::{
+    identity,
+    link::{Handler, Link, answer},
+    tables,
+};
 
 /// Nodes of another zone that are asked for the zone before it counts as unreachable.
 const CONTACTS: usize = 3;
@@ -18,15 +18,15 @@
 /// Asks the nodes of all zones.
 #[derive(Debug)]
 pub struct Survey<L> {
-    pub(crate) host: Arc<host::Host>,
-    pub(crate) identity: Arc<identity::Identity>,
+    pub(crate) host: sync::Arc<host::Host>,
+    pub(crate) identity: sync::Arc<identity::Identity>,
     pub(crate) tables: tables::Tables,
-    pub(crate) link: Arc<L>,
-    pub(crate) answers: Answers<L>,
+    pub(crate) link: sync::Arc<L>,
+    pub(crate) answers: answer::Answers<L>,
 }
 
 /// The nodes of a zone as they answered; those that did not are marked.
-pub type Zones = BTreeMap<id::Zone, Vec<wire::NodeStatus>>;
+pub type Zones = collections::BTreeMap<id::Zone, Vec<wire::NodeStatus>>;
 
 impl<L: Link> Survey<L> {
     /// Opens the survey on a host.
@@ -34,13 +34,13 @@
     /// # Errors
     ///
     /// When a port is missing.
-    pub fn open(host: &Arc<host::Host>) -> plugin::Result<Self> {
+    pub fn open(host: &sync::Arc<host::Host>) -> plugin::Result<Self> {
         Ok(Self {
-            host: Arc::clone(host),
+            host: sync::Arc::clone(host),
             identity: host.port()?,
             tables: tables::Tables::of(host)?,
             link: host.port()?,
-            answers: Answers::open(host)?,
+            answers: answer::Answers::open(host)?,
         })
     }
 
@@ -68,14 +68,14 @@
             }
         }
         // A node that this one knows to be alive and the contact did not name is not left out.
-        let named: BTreeSet<_> = nodes.iter().map(|node| node.node.clone()).collect();
+        let named: collections::BTreeSet<_> = nodes.iter().map(|node| node.node.clone()).collect();
         let others = known.into_iter().filter(|(node, ..)| !named.contains(node));
         nodes.extend(others.map(|(node, _, stage)| unreached(node, zone, stage)));
         nodes
     }
 
     /// The members of another zone that are not known to be dead, live ones first.
-    fn present(&self, zone: &id::Zone) -> Vec<(id::Node, SocketAddr, run::Stage)> {
+    fn present(&self, zone: &id::Zone) -> Vec<(id::Node, net::SocketAddr, run::Stage)> {
         let now = self.host.now();
         let mut roster = self.tables.members.lock().roster(zone.as_str(), now);
         roster.retain(|member| member.age < membership::DEAD);
@@ -84,9 +84,9 @@
     }
 
     /// All zones that are declared, have nodes or have replicas.
-    fn known_zones(&self) -> BTreeSet<id::Zone> {
+    fn known_zones(&self) -> collections::BTreeSet<id::Zone> {
         let release = self.tables.current.load();
-        let mut zones: BTreeSet<_> = release.zones.keys().cloned().collect();
+        let mut zones: collections::BTreeSet<_> = release.zones.keys().cloned().collect();
         zones.extend(release.sets.values().map(|set| set.zone.clone()));
         zones.insert(self.identity.zone.clone());
         let now = self.host.now();
@@ -94,7 +94,7 @@
             let members = self.tables.members.lock();
             zones.extend(members.known.view(now).entries().map(|entry| entry.zone.clone()));
         }
-        let listed = Arc::clone(&self.tables.listed.lock().vms);
+        let listed = sync::Arc::clone(&self.tables.listed.lock().vms);
         let entries = listed.iter().filter(|vm| vm.role == vm::Role::Entry);
         zones.extend(entries.map(|vm| vm.zone.clone()));
         zones
--- a/crates/node/src/pipeline.rs
+++ b/crates/node/src/pipeline.rs
@@ -13,30 +13,27 @@
 mod relay;
 pub mod request;
 
-use std::future::Future;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
 use corneltrestle_kernel::{host, plugin, run};
 use corneltrestle_policy::{burn, id, release};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
+
+use crate::{identity, link::Link, tables};
 
 pub use refusal::{Code, Outcome, Refusal, Result};
 pub use relay::Relay;
 
-use crate::link::Link;
-use crate::{identity, tables};
-
 /// The request path of a node over its clients: engines, plain services, the store and other nodes.
 #[derive(Debug)]
 pub struct Pipeline<E, P, S, L> {
-    host: Arc<host::Host>,
-    identity: Arc<identity::Identity>,
+    host: sync::Arc<host::Host>,
+    identity: sync::Arc<identity::Identity>,
     tables: tables::Tables,
-    engine: Arc<E>,
-    service: Arc<P>,
-    store: Arc<S>,
-    link: Arc<L>,
+    engine: sync::Arc<E>,
+    service: sync::Arc<P>,
+    store: sync::Arc<S>,
+    link: sync::Arc<L>,
 }
 
 impl<E, P, S, L> Pipeline<E, P, S, L>
@@ -51,9 +48,9 @@
     /// # Errors
     ///
     /// When a port is missing.
-    pub fn open(host: &Arc<host::Host>) -> plugin::Result<Arc<Self>> {
-        Ok(Arc::new(Self {
-            host: Arc::clone(host),
+    pub fn open(host: &sync::Arc<host::Host>) -> plugin::Result<sync::Arc<Self>> {
+        Ok(sync::Arc::new(Self {
+            host: sync::Arc::clone(host),
             identity: host.port()?,
             tables: tables::Tables::of(host)?,
             engine: host.port()?,
@@ -74,12 +71,12 @@
 
 impl<E, P, S, L: Link> Pipeline<E, P, S, L> {
     /// The present moment.
-    pub fn now(&self) -> Moment {
+    pub fn now(&self) -> moment::Moment {
         self.host.now()
     }
 
     /// The accepted release.
-    pub fn release(&self) -> Arc<release::Release> {
+    pub fn release(&self) -> sync::Arc<release::Release> {
         self.tables.current.load()
     }
 
@@ -101,7 +98,7 @@
             run::Stage::Starting => (Code::Unavailable, "the node has no configuration yet"),
             _ => (Code::Draining, "the node is stopping"),
         };
-        Err(Refusal::not_run(code, "admit", message).retry_after(Duration::from_secs(1)))
+        Err(Refusal::not_run(code, "admit", message).retry_after(time::Duration::from_secs(1)))
     }
 
     /// Live nodes of all zones, this one included.
--- a/crates/node/src/pipeline/admit.rs
+++ b/crates/node/src/pipeline/admit.rs
@@ -1,24 +1,22 @@
 //! Admission of requests.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{admission, id, release};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
-use super::{Code, Pipeline, Refusal, Result};
-use crate::link::Link;
-use crate::tables;
+use super::Result;
+use crate::{link::Link, pipeline, tables};
 
 /// Longest sleep of a waiting request before it looks at the queues again.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: time::Duration = time::Duration::from_millis(100);
 
 /// Permission to run a request; its end makes room for another one.
 #[derive(Debug)]
 pub(super) struct Permit {
-    table: Arc<table::Table<tables::admission::Admission>>,
-    host: Arc<corneltrestle_kernel::host::Host>,
+    table: sync::Arc<table::Table<tables::admission::Admission>>,
+    host: sync::Arc<corneltrestle_kernel::host::Host>,
     organisation: id::Organisation,
 }
 
@@ -41,17 +39,21 @@
     }
 }
 
-impl<E, P, S, L: Link> Pipeline<E, P, S, L> {
+impl<E, P, S, L: Link> pipeline::Pipeline<E, P, S, L> {
     /// Admits a request, waiting in the queue of its organisation if need be.
     pub(super) async fn admit(
         &self,
         organisation: &id::Organisation,
         interactive: bool,
-        deadline: Moment,
+        deadline: moment::Moment,
     ) -> Result<Permit> {
         let release = self.tables.current.load();
         let declared = release.organisations.get(organisation).ok_or_else(|| {
-            Refusal::not_run(Code::Unauthorized, "admit", "the organisation was withdrawn")
+            pipeline::Refusal::not_run(
+                pipeline::Code::Unauthorized,
+                "admit",
+                "the organisation was withdrawn",
+            )
         })?;
         let class =
             if interactive { admission::Class::Interactive } else { admission::Class::Background };
@@ -90,7 +92,7 @@
         &self,
         place: tables::admission::Place,
         organisation: &id::Organisation,
-        deadline: Moment,
+        deadline: moment::Moment,
     ) -> Result<Permit> {
         let mut waiting = Waiting { table: &self.tables.admission, place };
         loop {
@@ -100,14 +102,15 @@
                 table.wake(now);
                 table.policy.due(now)
             };
-            let look = due.map_or(LOOK, |due| due.since(now).clamp(Duration::from_millis(1), LOOK));
+            let look =
+                due.map_or(LOOK, |due| due.since(now).clamp(time::Duration::from_millis(1), LOOK));
             match tokio::time::timeout(look, &mut waiting.place.started).await {
                 Ok(Ok(())) => return Ok(self.permit(organisation)),
-                Ok(Err(_)) => return Err(shed(admission::Reason::Late, Duration::ZERO)),
+                Ok(Err(_)) => return Err(shed(admission::Reason::Late, time::Duration::ZERO)),
                 Err(_) if self.now() >= deadline => {
                     // The start and the deadline may meet; a started request must run or end.
                     if self.tables.admission.lock().withdraw(waiting.place.id) {
-                        return Err(shed(admission::Reason::Late, Duration::ZERO));
+                        return Err(shed(admission::Reason::Late, time::Duration::ZERO));
                     }
                 }
                 Err(_) => {}
@@ -117,19 +120,26 @@
 
     fn permit(&self, organisation: &id::Organisation) -> Permit {
         Permit {
-            table: Arc::clone(&self.tables.admission),
-            host: Arc::clone(&self.host),
+            table: sync::Arc::clone(&self.tables.admission),
+            host: sync::Arc::clone(&self.host),
             organisation: organisation.clone(),
         }
     }
 }
 
-fn shed(reason: admission::Reason, retry: Duration) -> Refusal {
+fn shed(reason: admission::Reason, retry: time::Duration) -> pipeline::Refusal {
     let (code, message) = match reason {
-        admission::Reason::Late => (Code::DeadlineExceeded, "the deadline passed before a start"),
-        admission::Reason::Wait => (Code::Overloaded, "the wait would exceed the deadline"),
-        admission::Reason::Queue => (Code::RateLimited, "the organisation's queue is full"),
-        admission::Reason::Node => (Code::Overloaded, "the queues are full"),
+        admission::Reason::Late => {
+            (pipeline::Code::DeadlineExceeded, "the deadline passed before a start")
+        }
+        admission::Reason::Wait => {
+            (pipeline::Code::Overloaded, "the wait would exceed the deadline")
+        }
+        admission::Reason::Queue => {
+            (pipeline::Code::RateLimited, "the organisation's queue is full")
+        }
+        admission::Reason::Node => (pipeline::Code::Overloaded, "the queues are full"),
     };
-    Refusal::not_run(code, "admit", message).retry_after(retry.max(Duration::from_millis(100)))
+    pipeline::Refusal::not_run(code, "admit", message)
+        .retry_after(retry.max(time::Duration::from_millis(100)))
 }
--- a/crates/node/src/pipeline/borrow.rs
+++ b/crates/node/src/pipeline/borrow.rs
@@ -1,31 +1,28 @@
 //! Slots of other nodes, for requests at nodes that have none of a cold replica.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::{collections, net, sync};
 
 use corneltrestle_kernel::host;
 use corneltrestle_policy::{id, membership, warmup};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use corneltrestle_wire::link as wire;
 use rand::seq::IteratorRandom;
 
-use super::choose::{self, InProgress, Target};
-use super::{Pipeline, request};
-use crate::link::Link;
+use super::{choose, request};
+use crate::{link::Link, pipeline};
 
 /// A slot of another node; it is given back when it is dropped.
 #[derive(Debug)]
 pub(super) struct Loan<L: Link> {
-    host: Arc<host::Host>,
-    link: Arc<L>,
-    lender: SocketAddr,
+    host: sync::Arc<host::Host>,
+    link: sync::Arc<L>,
+    lender: net::SocketAddr,
     number: u64,
 }
 
 impl<L: Link> Drop for Loan<L> {
     fn drop(&mut self) {
-        let (link, lender, number) = (Arc::clone(&self.link), self.lender, self.number);
+        let (link, lender, number) = (sync::Arc::clone(&self.link), self.lender, self.number);
         // A loan that cannot be given back ends with the request's deadline.
         self.host.pool.run(async move {
             if let Err(e) = link.release(lender, number).await {
@@ -37,18 +34,18 @@
 
 /// A cold replica and the nodes that hold its slots.
 struct Cold {
-    target: Target,
+    target: choose::Target,
     start: u64,
-    lenders: Vec<SocketAddr>,
+    lenders: Vec<net::SocketAddr>,
 }
 
-impl<E, P, S, L: Link> Pipeline<E, P, S, L> {
+impl<E, P, S, L: Link> pipeline::Pipeline<E, P, S, L> {
     /// Borrows a slot of a cold replica for the request and counts the dispatch.
     pub(super) async fn borrow(
         &self,
         request: &request::Generation,
-        failed: &BTreeSet<id::Replica>,
-    ) -> Option<(Target, InProgress<L>)> {
+        failed: &collections::BTreeSet<id::Replica>,
+    ) -> Option<(choose::Target, choose::InProgress<L>)> {
         let cold = self.choose_cold(request, failed, self.now())?;
         let replica = &cold.target.replica;
         let slot = wire::SlotRequest {
@@ -61,8 +58,8 @@
         for lender in &cold.lenders {
             let Ok(Some(number)) = self.link.acquire(*lender, &slot).await else { continue };
             let loan = Loan {
-                host: Arc::clone(&self.host),
-                link: Arc::clone(&self.link),
+                host: sync::Arc::clone(&self.host),
+                link: sync::Arc::clone(&self.link),
                 lender: *lender,
                 number,
             };
@@ -85,8 +82,8 @@
     fn choose_cold(
         &self,
         request: &request::Generation,
-        failed: &BTreeSet<id::Replica>,
-        now: Moment,
+        failed: &collections::BTreeSet<id::Replica>,
+        now: moment::Moment,
     ) -> Option<Cold> {
         let release = self.tables.current.load();
         let leaving = self.leaving();
@@ -112,8 +109,8 @@
                 && view.liveness(node) != membership::Liveness::Dead
         });
         Some(Cold {
-            target: Target {
-                replica: Arc::new(chosen.replica.clone()),
+            target: choose::Target {
+                replica: sync::Arc::new(chosen.replica.clone()),
                 zone: chosen.zone.clone(),
                 head: chosen.replica.head()?.address,
             },
--- a/crates/node/src/pipeline/choose.rs
+++ b/crates/node/src/pipeline/choose.rs
@@ -1,40 +1,39 @@
 //! Choice of a replica for a generation.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{collections, net, sync, time};
 
 use corneltrestle_engine::engine;
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{assignment, id, release, report, route, vm, wholeness};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
-use super::{Pipeline, borrow, request};
-use crate::link::Link;
-use crate::slots;
-use crate::tables::{dispatched, replicas, reports};
+use super::{borrow, request};
+use crate::{
+    link::Link,
+    pipeline, slots,
+    tables::{dispatched, replicas, reports},
+};
 
 /// Network latency one way to a replica in another availability zone.
-const ZONE_DISTANCE: Duration = Duration::from_millis(1);
+const ZONE_DISTANCE: time::Duration = time::Duration::from_millis(1);
 
 /// The replica that was chosen.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
     /// The replica with its epoch and members.
-    pub replica: Arc<assignment::Replica>,
+    pub replica: sync::Arc<assignment::Replica>,
     /// Its zone.
     pub zone: id::Zone,
     /// Address of its head VM.
-    pub head: SocketAddr,
+    pub head: net::SocketAddr,
 }
 
 /// A request in progress at a replica; its end is counted when it is dropped.
 #[derive(Debug)]
 pub(super) struct InProgress<L: Link> {
-    table: Arc<table::Table<dispatched::Dispatched>>,
+    table: sync::Arc<table::Table<dispatched::Dispatched>>,
     replica: id::Replica,
-    sent: Moment,
+    sent: moment::Moment,
     /// A slot of another node that the request uses.
     _loan: Option<borrow::Loan<L>>,
 }
@@ -59,7 +58,7 @@
     pub(super) fn generate<'a>(
         &'a self,
         request: &'a request::Generation,
-        now: Moment,
+        now: moment::Moment,
         resume: Option<engine::Resume<'a>>,
     ) -> engine::Generate<'a> {
         engine::Generate {
@@ -82,7 +81,7 @@
 pub(super) fn is_newer(
     replica: &assignment::Replica,
     reports: &reports::Reports,
-    doubt: Option<Moment>,
+    doubt: Option<moment::Moment>,
 ) -> bool {
     let Some(doubt) = doubt else { return true };
     let reported = |member: &assignment::Member| {
@@ -91,15 +90,15 @@
     replica.vms.iter().all(reported)
 }
 
-impl<E, P, S, L: Link> Pipeline<E, P, S, L> {
+impl<E, P, S, L: Link> pipeline::Pipeline<E, P, S, L> {
     /// Chooses a whole replica for the request and counts the dispatch.
     ///
     /// Replicas at which the request failed before are chosen only if there is no other.
     pub(super) fn choose(
         &self,
         request: &request::Generation,
-        failed: &BTreeSet<id::Replica>,
-        now: Moment,
+        failed: &collections::BTreeSet<id::Replica>,
+        now: moment::Moment,
     ) -> Option<(Target, InProgress<L>)> {
         let release = self.tables.current.load();
         let nodes = self.live_nodes();
@@ -141,7 +140,7 @@
         let chosen = route::choose(&views, &weights, now, &mut rand::rng())?;
         let Found { replica, zone, head, .. } = &found[chosen];
         let target = Target {
-            replica: Arc::new((*replica).clone()),
+            replica: sync::Arc::new((*replica).clone()),
             zone: (*zone).clone(),
             head: replica.head()?.address,
         };
@@ -158,13 +157,13 @@
         start: u64,
         request: &request::Generation,
         loan: Option<borrow::Loan<L>>,
-        now: Moment,
+        now: moment::Moment,
     ) -> InProgress<L> {
         let replica = &target.replica.id;
         dispatched.begin(replica, now);
         dispatched.history.dispatched(replica, start, &request.prefixes, now);
         InProgress {
-            table: Arc::clone(&self.tables.dispatched),
+            table: sync::Arc::clone(&self.tables.dispatched),
             replica: replica.clone(),
             sent: now,
             _loan: loan,
@@ -172,14 +171,14 @@
     }
 
     /// Whether a replica may still be served from, by the tables as they are now.
-    pub(super) fn is_served(&self, target: &Target, now: Moment) -> bool {
+    pub(super) fn is_served(&self, target: &Target, now: moment::Moment) -> bool {
         let reports = self.tables.reports.lock();
         let view = wholeness::View {
             replica: &target.replica,
             reports: reports.all(),
             // Requests in progress finish although a member is to leave or their zone takes no new
             // work.
-            leaving: &BTreeSet::new(),
+            leaving: &collections::BTreeSet::new(),
             zone_in: true,
             bound: self.identity.view_bound,
         };
@@ -193,8 +192,8 @@
     }
 
     /// VMs that the platform asked to leave.
-    pub(super) fn leaving(&self) -> BTreeSet<id::Vm> {
-        let listed = Arc::clone(&self.tables.listed.lock().vms);
+    pub(super) fn leaving(&self) -> collections::BTreeSet<id::Vm> {
+        let listed = sync::Arc::clone(&self.tables.listed.lock().vms);
         let leaving = listed.iter().filter(|entry| entry.state == vm::State::Leaving);
         leaving.map(|entry| entry.id.clone()).collect()
     }
@@ -206,8 +205,8 @@
         release: &release::Release,
         replicas: &'a replicas::Replicas,
         reports: &'a reports::Reports,
-        leaving: &BTreeSet<id::Vm>,
-        now: Moment,
+        leaving: &collections::BTreeSet<id::Vm>,
+        now: moment::Moment,
     ) -> Vec<Found<'a>> {
         let serves = |replica: &assignment::Replica| {
             let set = release.sets.get(&replica.id.set);
@@ -241,7 +240,7 @@
             reported: found.head.at,
             dispatches: dispatched.of(&found.replica.id),
             cached: found.cached,
-            distance: if own { Duration::ZERO } else { ZONE_DISTANCE },
+            distance: if own { time::Duration::ZERO } else { ZONE_DISTANCE },
             permitted: found.permitted,
         }
     }
--- a/crates/node/src/pipeline/generate.rs
+++ b/crates/node/src/pipeline/generate.rs
@@ -1,30 +1,25 @@
 //! Generations: dispatch to a replica, and another one while that is allowed.
 
-use std::collections::BTreeSet;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{collections, sync, time};
 
-use bytes::Bytes;
 use corneltrestle_engine::engine::{self, Engine};
 use corneltrestle_policy::{burn, retry};
 
-use super::choose::{InProgress, Target};
-use super::relay::CHECK_PERIOD;
-use super::{Code, Outcome, Pipeline, Refusal, Relay, Result, request};
-use crate::link::Link;
+use super::{Result, choose, relay, request};
+use crate::{link::Link, pipeline};
 
 /// Wait between two looks for a replica that can serve.
-const CHOOSE_PERIOD: Duration = Duration::from_millis(50);
+const CHOOSE_PERIOD: time::Duration = time::Duration::from_millis(50);
 /// Wait that callers are told after a refusal for want of capacity.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+const RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
 /// Wait between two looks at the retry budget.
-const BUDGET_PERIOD: Duration = Duration::from_millis(100);
+const BUDGET_PERIOD: time::Duration = time::Duration::from_millis(100);
 
 /// The attempts of one request so far.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
-    failed: BTreeSet<corneltrestle_policy::id::Replica>,
+    failed: collections::BTreeSet<corneltrestle_policy::id::Replica>,
     count: u32,
     /// The latest failure other than a full queue.
     last: Option<engine::Error>,
@@ -41,13 +36,17 @@
     }
 
     /// The answer after the last attempt failed; `not-run` only if no attempt reached an upstream.
-    pub(super) fn refusal(&self, step: &'static str, error: &engine::Error) -> Refusal {
+    pub(super) fn refusal(&self, step: &'static str, error: &engine::Error) -> pipeline::Refusal {
         let refusal = upstream_failed(step, error);
-        if self.reached { Refusal { outcome: Outcome::Unknown, ..refusal } } else { refusal }
+        if self.reached {
+            pipeline::Refusal { outcome: pipeline::Outcome::Unknown, ..refusal }
+        } else {
+            refusal
+        }
     }
 }
 
-impl<E, P, S, L> Pipeline<E, P, S, L>
+impl<E, P, S, L> pipeline::Pipeline<E, P, S, L>
 where
     E: Engine,
     P: Send + Sync + 'static,
@@ -60,14 +59,14 @@
     ///
     /// When no upstream has started it; nothing has been delivered then.
     pub async fn stream(
-        self: &Arc<Self>,
+        self: &sync::Arc<Self>,
         request: request::Generation,
-    ) -> Result<Relay<E, P, S, L>> {
+    ) -> Result<pipeline::Relay<E, P, S, L>> {
         self.check_stage()?;
         let admitted =
             self.admit(&request.organisation, request.interactive, request.deadline).await;
         let started = match admitted {
-            Ok(permit) => Relay::start(Arc::clone(self), permit, request).await,
+            Ok(permit) => pipeline::Relay::start(sync::Arc::clone(self), permit, request).await,
             Err(refusal) => Err((request, refusal)),
         };
         started.map_err(|(request, refusal)| {
@@ -81,7 +80,7 @@
     /// # Errors
     ///
     /// When no upstream has answered it whole before its deadline.
-    pub async fn complete(&self, request: &request::Generation) -> Result<Bytes> {
+    pub async fn complete(&self, request: &request::Generation) -> Result<bytes::Bytes> {
         self.check_stage()?;
         let result = self.complete_admitted(request).await;
         match &result {
@@ -95,7 +94,7 @@
         result
     }
 
-    async fn complete_admitted(&self, request: &request::Generation) -> Result<Bytes> {
+    async fn complete_admitted(&self, request: &request::Generation) -> Result<bytes::Bytes> {
         let _permit =
             self.admit(&request.organisation, request.interactive, request.deadline).await?;
         let mut attempts = Attempts::default();
@@ -118,13 +117,13 @@
     async fn run_at(
         &self,
         request: &request::Generation,
-        target: &Target,
-    ) -> engine::Result<Bytes> {
+        target: &choose::Target,
+    ) -> engine::Result<bytes::Bytes> {
         let call = target.generate(request, self.now(), None);
         let body = self.engine.complete(target.head, &call);
         tokio::pin!(body);
         loop {
-            if let Ok(result) = tokio::time::timeout(CHECK_PERIOD, &mut body).await {
+            if let Ok(result) = tokio::time::timeout(relay::CHECK_PERIOD, &mut body).await {
                 return result;
             }
             if !self.is_served(target, self.now()) {
@@ -143,7 +142,7 @@
         &self,
         request: &request::Generation,
         attempts: &Attempts,
-    ) -> Result<(Target, InProgress<L>)> {
+    ) -> Result<(choose::Target, choose::InProgress<L>)> {
         loop {
             let now = self.now();
             if now >= request.deadline {
@@ -168,7 +167,7 @@
         &self,
         request: &request::Generation,
         attempts: &mut Attempts,
-        target: &Target,
+        target: &choose::Target,
         error: engine::Error,
     ) -> Result<()> {
         let now = self.now();
@@ -233,18 +232,24 @@
     }
 }
 
-fn too_late(attempts: &Attempts) -> Refusal {
+fn too_late(attempts: &Attempts) -> pipeline::Refusal {
     match &attempts.last {
         Some(e) => {
             let message = format!("no replica could take over in time: {e}");
-            Refusal::unknown(Code::DeadlineExceeded, "dispatch", message).at(e.peer)
+            pipeline::Refusal::unknown(pipeline::Code::DeadlineExceeded, "dispatch", message)
+                .at(e.peer)
         }
         None if attempts.full => {
             let message = "the queues of the replicas were full until the deadline";
-            Refusal::not_run(Code::Overloaded, "dispatch", message).retry_after(RETRY_AFTER)
+            pipeline::Refusal::not_run(pipeline::Code::Overloaded, "dispatch", message)
+                .retry_after(RETRY_AFTER)
         }
-        None => Refusal::not_run(Code::Unavailable, "choose", "no replica of this model can serve")
-            .retry_after(RETRY_AFTER),
+        None => pipeline::Refusal::not_run(
+            pipeline::Code::Unavailable,
+            "choose",
+            "no replica of this model can serve",
+        )
+        .retry_after(RETRY_AFTER),
     }
 }
 
@@ -280,18 +285,27 @@
 }
 
 /// The answer after the last attempt failed.
-fn upstream_failed(step: &'static str, error: &engine::Error) -> Refusal {
+fn upstream_failed(step: &'static str, error: &engine::Error) -> pipeline::Refusal {
     let message = error.to_string();
     let refusal = match error.kind {
-        engine::Kind::NotSent => Refusal::not_run(Code::UpstreamFailed, step, message),
+        engine::Kind::NotSent => {
+            pipeline::Refusal::not_run(pipeline::Code::UpstreamFailed, step, message)
+        }
         engine::Kind::Refused(429) => {
-            Refusal::not_run(Code::Overloaded, step, message).retry_after(RETRY_AFTER)
+            pipeline::Refusal::not_run(pipeline::Code::Overloaded, step, message)
+                .retry_after(RETRY_AFTER)
         }
         // These two are about the state of the replica, not about the request.
-        engine::Kind::Refused(408 | 409) => Refusal::not_run(Code::UpstreamFailed, step, message),
-        engine::Kind::Refused(400..=499) => Refusal::not_run(Code::BadRequest, step, message),
-        engine::Kind::Refused(_) => Refusal::not_run(Code::UpstreamFailed, step, message),
-        _ => Refusal::unknown(Code::UpstreamFailed, step, message),
+        engine::Kind::Refused(408 | 409) => {
+            pipeline::Refusal::not_run(pipeline::Code::UpstreamFailed, step, message)
+        }
+        engine::Kind::Refused(400..=499) => {
+            pipeline::Refusal::not_run(pipeline::Code::BadRequest, step, message)
+        }
+        engine::Kind::Refused(_) => {
+            pipeline::Refusal::not_run(pipeline::Code::UpstreamFailed, step, message)
+        }
+        _ => pipeline::Refusal::unknown(pipeline::Code::UpstreamFailed, step, message),
     };
     refusal.at(error.peer)
 }
--- a/crates/node/src/pipeline/order.rs
+++ b/crates/node/src/pipeline/order.rs
@@ -1,38 +1,32 @@
 //! Calls with an idempotency key: at most one run over all calls with that key.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
-use bytes::Bytes;
-use corneltrestle_engine::service::{
-    Answer, HeaderMap, HeaderName, HeaderValue, Kind, Service, StatusCode,
-};
-use corneltrestle_platform::store::{self, Class, Store, Swap};
-use corneltrestle_policy::claim::{self, Decision, Ended, Holder, Holding, Record};
+use corneltrestle_engine::service::{self, Service};
+use corneltrestle_platform::store::{self, Store};
+use corneltrestle_policy::claim;
 use corneltrestle_wire::{key, stored};
 
-use super::admit::Permit;
-use super::{Code, Pipeline, Refusal, Result, plain, request};
-use crate::link::Link;
-use crate::{digest, tables};
+use super::{Result, admit::Permit, plain, request};
+use crate::{digest, link::Link, pipeline, tables};
 
 /// Attempts to settle a claim or to record an outcome before giving up.
 const TRIES: u32 = 5;
 /// Wait between two such attempts.
-const PAUSE: Duration = Duration::from_millis(200);
+const PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Time for which claims are attached to the same store lease.
-const LEASE_PERIOD: Duration = Duration::from_secs(3_600);
+const LEASE_PERIOD: time::Duration = time::Duration::from_secs(3_600);
 /// Time to live of that lease, so that each claim is kept for 24 hours at least.
-const LEASE_TTL: Duration = Duration::from_secs(25 * 3_600);
+const LEASE_TTL: time::Duration = time::Duration::from_secs(25 * 3_600);
 
 /// A key that is claimed for this call.
 struct Claimed {
     key: String,
-    record: Record,
-    holding: Holding,
+    record: claim::Record,
+    holding: claim::Holding,
 }
 
-impl<E, P, S, L> Pipeline<E, P, S, L>
+impl<E, P, S, L> pipeline::Pipeline<E, P, S, L>
 where
     E: Send + Sync + 'static,
     P: Service,
@@ -44,12 +38,12 @@
     /// It runs in a job of its own, so that a caller who leaves does not leave the claim without
     /// an outcome.
     pub(super) async fn order(
-        self: &Arc<Self>,
+        self: &sync::Arc<Self>,
         call: request::Call,
         key: String,
         permit: Permit,
-    ) -> Result<Answer> {
-        let pipeline = Arc::clone(self);
+    ) -> Result<service::Answer> {
+        let pipeline = sync::Arc::clone(self);
         let job = self.host.pool.run(async move {
             let result = pipeline.run_order(&call, &key).await;
             drop(permit);
@@ -57,11 +51,15 @@
         });
         job.await.unwrap_or_else(|e| {
             let message = format!("the call's job ended early: {e}");
-            Err(Refusal::unknown(Code::UpstreamFailed, "dispatch", message))
+            Err(pipeline::Refusal::unknown(pipeline::Code::UpstreamFailed, "dispatch", message))
         })
     }
 
-    async fn run_order(self: &Arc<Self>, call: &request::Call, key: &str) -> Result<Answer> {
+    async fn run_order(
+        self: &sync::Arc<Self>,
+        call: &request::Call,
+        key: &str,
+    ) -> Result<service::Answer> {
         let hash = digest::hex(&[key.as_bytes()]);
         let store_key = key::order(call.organisation.as_str(), call.service.as_str(), &hash);
         let request =
@@ -86,10 +84,10 @@
 
     /// Claims the key, or finds the recorded answer.
     async fn claim(
-        self: &Arc<Self>,
+        self: &sync::Arc<Self>,
         call: &claim::Call<'_>,
         key: String,
-    ) -> Result<std::result::Result<Claimed, Answer>> {
+    ) -> Result<std::result::Result<Claimed, service::Answer>> {
         let started = self.now();
         let record = call.record();
         let (mut written, mut refused) = (false, false);
@@ -97,7 +95,7 @@
             if attempt > 0 {
                 tokio::time::sleep(PAUSE).await;
             }
-            let found = match self.store.read(&key, Class::Order).await {
+            let found = match self.store.read(&key, store::Class::Order).await {
                 Ok(found) => found,
                 Err(e) if written => {
                     log::info!("order: cannot read a claim back: {e}");
@@ -111,12 +109,12 @@
             };
             let found = found.as_ref().map(|(record, version)| (record, *version));
             let version = match claim::decide(call, found, |record| self.holder(record)) {
-                Decision::Hold(version) => {
-                    let holding = Holding::open(version, started);
+                claim::Decision::Hold(version) => {
+                    let holding = claim::Holding::open(version, started);
                     return Ok(Ok(Claimed { key, record, holding }));
                 }
-                Decision::Answer(answer) => return Ok(Err(recorded(answer))),
-                Decision::Claim(version) => version,
+                claim::Decision::Answer(answer) => return Ok(Err(recorded(answer))),
+                claim::Decision::Claim(version) => version,
                 decision => return Err(declined(decision)),
             };
             let lease = match self.claim_lease().await {
@@ -129,13 +127,13 @@
                 Err(e) => return Err(store_failed(&e)),
             };
             let value = stored::encode(&key, &record).map_err(|e| malformed(&e))?;
-            match self.store.swap(&key, version, &value, Some(lease), Class::Order).await {
-                Ok(Swap::Done(version)) => {
-                    let holding = Holding::open(version, started);
+            match self.store.swap(&key, version, &value, Some(lease), store::Class::Order).await {
+                Ok(store::Swap::Done(version)) => {
+                    let holding = claim::Holding::open(version, started);
                     return Ok(Ok(Claimed { key, record, holding }));
                 }
                 // The next pass reads the other claim.
-                Ok(Swap::Conflict(_)) => {}
+                Ok(store::Swap::Conflict(_)) => {}
                 Err(e) if e.may_have_run() => written = true,
                 Err(e) if e.kind == store::Kind::Refused && !refused => {
                     // The lease may have lapsed in the store.
@@ -148,25 +146,25 @@
             }
         }
         self.abandon(key, record);
-        Err(Refusal::not_run(
-            Code::StoreUnavailable,
+        Err(pipeline::Refusal::not_run(
+            pipeline::Code::StoreUnavailable,
             "claim",
             "the claim of the idempotency key could not be settled",
         )
-        .retry_after(Duration::from_secs(2)))
+        .retry_after(time::Duration::from_secs(2)))
     }
 
     /// Sends the call under its claim and records the outcome.
     async fn run_claimed(
-        self: &Arc<Self>,
+        self: &sync::Arc<Self>,
         call: &request::Call,
         mut claimed: Claimed,
-    ) -> Result<Answer> {
+    ) -> Result<service::Answer> {
         let result = self.send_claimed(call, &mut claimed.holding).await;
         let ended = match &result {
-            Ok(answer) => Ended::Answered(record_answer(answer)),
-            Err(refusal) if refusal.outcome == super::Outcome::NotRun => Ended::NotSent,
-            Err(_) => Ended::Broken,
+            Ok(answer) => claim::Ended::Answered(record_answer(answer)),
+            Err(refusal) if refusal.outcome == super::Outcome::NotRun => claim::Ended::NotSent,
+            Err(_) => claim::Ended::Broken,
         };
         let record = claimed.holding.record(&claimed.record, ended);
         let (key, version) = (claimed.key, claimed.holding.version());
@@ -175,14 +173,18 @@
         result
     }
 
-    async fn send_claimed(&self, call: &request::Call, holding: &mut Holding) -> Result<Answer> {
+    async fn send_claimed(
+        &self,
+        call: &request::Call,
+        holding: &mut claim::Holding,
+    ) -> Result<service::Answer> {
         let mut last = None;
         for peer in self.upstreams(&call.service)? {
             if !holding.send(self.now()) {
                 break;
             }
             match self.send(call, peer).await {
-                Err(e) if e.kind == Kind::NotSent => {
+                Err(e) if e.kind == service::Kind::NotSent => {
                     holding.not_sent();
                     last = Some(e);
                 }
@@ -190,23 +192,29 @@
             }
         }
         Err(last.map_or_else(
-            || Refusal::not_run(Code::Unavailable, "dispatch", "the claim became too old to send"),
+            || {
+                pipeline::Refusal::not_run(
+                    pipeline::Code::Unavailable,
+                    "dispatch",
+                    "the claim became too old to send",
+                )
+            },
             |e| plain::failed(&e),
         ))
     }
 
     /// Records an outcome; without it later calls get an unknown outcome, never a second run.
-    async fn record(&self, key: &str, version: u64, record: &Record) {
+    async fn record(&self, key: &str, version: u64, record: &claim::Record) {
         let Ok(value) = stored::encode(key, record) else { return };
         for attempt in 0..TRIES {
             if attempt > 0 {
                 tokio::time::sleep(PAUSE).await;
             }
             let lease = self.tables.claims.lock().lease.map(|lease| lease.id);
-            match self.store.swap(key, version, &value, lease, Class::Order).await {
-                Ok(Swap::Done(_)) => return,
+            match self.store.swap(key, version, &value, lease, store::Class::Order).await {
+                Ok(store::Swap::Done(_)) => return,
                 // An earlier attempt took effect, or the claim has lapsed; neither is overwritten.
-                Ok(Swap::Conflict(_)) => return,
+                Ok(store::Swap::Conflict(_)) => return,
                 Err(e) => log::info!("order: cannot record an outcome: {e}"),
             }
         }
@@ -215,7 +223,7 @@
 }
 
 /// Claims of other calls.
-impl<E, P, S, L> Pipeline<E, P, S, L>
+impl<E, P, S, L> pipeline::Pipeline<E, P, S, L>
 where
     E: Send + Sync + 'static,
     P: Service,
@@ -223,7 +231,7 @@
     L: Link,
 {
     /// What is known about the holder of another call's claim.
-    fn holder(&self, record: &Record) -> Holder {
+    fn holder(&self, record: &claim::Record) -> claim::Holder {
         let now = self.now();
         let members = self.tables.members.lock();
         if record.node == self.identity.node && record.boot == self.identity.boot {
@@ -240,18 +248,18 @@
     }
 
     /// Gives up a claim that may still take effect, and withdraws it if it does.
-    fn abandon(self: &Arc<Self>, key: String, record: Record) {
+    fn abandon(self: &sync::Arc<Self>, key: String, record: claim::Record) {
         self.tables.claims.lock().abandon(&record.claim);
-        let pipeline = Arc::clone(self);
+        let pipeline = sync::Arc::clone(self);
         self.host.pool.run(async move {
             for _ in 0..TRIES {
                 tokio::time::sleep(PAUSE * 5).await;
-                let Ok(Some(found)) = pipeline.store.read(&key, Class::Order).await else {
+                let Ok(Some(found)) = pipeline.store.read(&key, store::Class::Order).await else {
                     continue;
                 };
                 let is_own = decode(&key, &found.value).is_ok_and(|own| own.claim == record.claim);
                 if is_own {
-                    let record = Record { state: claim::State::NotRun, ..record };
+                    let record = claim::Record { state: claim::State::NotRun, ..record };
                     pipeline.record(&key, found.version, &record).await;
                 }
                 return;
@@ -266,49 +274,49 @@
         if let Some(lease) = known.filter(|lease| now.since(lease.granted) < LEASE_PERIOD) {
             return Ok(lease.id);
         }
-        let id = self.store.grant(LEASE_TTL, Class::Order).await?;
+        let id = self.store.grant(LEASE_TTL, store::Class::Order).await?;
         self.tables.claims.lock().lease = Some(tables::claims::Lease { id, granted: now });
         Ok(id)
     }
 }
 
-fn decode(key: &str, value: &[u8]) -> Result<Record> {
+fn decode(key: &str, value: &[u8]) -> Result<claim::Record> {
     stored::decode(key, value).map_err(|e| malformed(&e))
 }
 
-fn malformed(error: &stored::Error) -> Refusal {
-    Refusal::unknown(Code::StoreUnavailable, "claim", error.to_string())
+fn malformed(error: &stored::Error) -> pipeline::Refusal {
+    pipeline::Refusal::unknown(pipeline::Code::StoreUnavailable, "claim", error.to_string())
 }
 
-fn store_failed(error: &store::Error) -> Refusal {
+fn store_failed(error: &store::Error) -> pipeline::Refusal {
     let message = format!("this call was not run: {error}");
-    Refusal::not_run(Code::StoreUnavailable, "claim", message)
+    pipeline::Refusal::not_run(pipeline::Code::StoreUnavailable, "claim", message)
         .at(&error.peer)
-        .retry_after(Duration::from_secs(2))
+        .retry_after(time::Duration::from_secs(2))
 }
 
-fn declined(decision: Decision<'_>) -> Refusal {
+fn declined(decision: claim::Decision<'_>) -> pipeline::Refusal {
     match decision {
-        Decision::Different => Refusal::not_run(
-            Code::KeyReused,
+        claim::Decision::Different => pipeline::Refusal::not_run(
+            pipeline::Code::KeyReused,
             "claim",
             "the idempotency key belongs to another request; use a new key",
         ),
-        Decision::InProgress => Refusal::unknown(
-            Code::InProgress,
+        claim::Decision::InProgress => pipeline::Refusal::unknown(
+            pipeline::Code::InProgress,
             "claim",
             "the first call with this idempotency key is in progress",
         )
-        .retry_after(Duration::from_secs(1)),
-        _ => Refusal::unknown(
-            Code::UpstreamFailed,
+        .retry_after(time::Duration::from_secs(1)),
+        _ => pipeline::Refusal::unknown(
+            pipeline::Code::UpstreamFailed,
             "claim",
             "the first call with this idempotency key may have run; ask the service for its status",
         ),
     }
 }
 
-fn record_answer(answer: &Answer) -> claim::Answer {
+fn record_answer(answer: &service::Answer) -> claim::Answer {
     let headers = answer.headers.iter().filter_map(|(name, value)| {
         Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
     });
@@ -319,17 +327,20 @@
     }
 }
 
-fn recorded(answer: &claim::Answer) -> Answer {
-    let headers: HeaderMap = answer
+fn recorded(answer: &claim::Answer) -> service::Answer {
+    let headers: service::HeaderMap = answer
         .headers
         .iter()
         .filter_map(|(name, value)| {
-            Some((HeaderName::try_from(name).ok()?, HeaderValue::try_from(value).ok()?))
+            Some((
+                service::HeaderName::try_from(name).ok()?,
+                service::HeaderValue::try_from(value).ok()?,
+            ))
         })
         .collect();
-    Answer {
-        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+    service::Answer {
+        status: service::StatusCode::from_u16(answer.status).unwrap_or(service::StatusCode::OK),
         headers,
-        body: Bytes::from(answer.body.clone()),
+        body: bytes::Bytes::from(answer.body.clone()),
     }
 }
--- a/crates/node/src/pipeline/plain.rs
+++ b/crates/node/src/pipeline/plain.rs
@@ -1,21 +1,19 @@
 //! Calls to plain services.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{net, sync, time};
 
-use corneltrestle_engine::service::{self, Answer, Kind, Service};
+use corneltrestle_engine::service::{self, Service};
 use corneltrestle_platform::store::Store;
 use corneltrestle_policy::{burn, id, release, retry, vm};
 use rand::seq::SliceRandom;
 
-use super::{Code, Pipeline, Refusal, Result, request};
-use crate::link::Link;
+use super::{Result, request};
+use crate::{link::Link, pipeline};
 
 /// Time without an answer after which a repeatable call is sent to a second upstream.
-const HEDGE_DELAY: Duration = Duration::from_millis(250);
+const HEDGE_DELAY: time::Duration = time::Duration::from_millis(250);
 
-impl<E, P, S, L> Pipeline<E, P, S, L>
+impl<E, P, S, L> pipeline::Pipeline<E, P, S, L>
 where
     E: Send + Sync + 'static,
     P: Service,
@@ -31,7 +29,7 @@
     ///
     /// When no complete answer of the service can be given; the refusal says whether the call may
     /// have run.
-    pub async fn call(self: &Arc<Self>, call: request::Call) -> Result<Answer> {
+    pub async fn call(self: &sync::Arc<Self>, call: request::Call) -> Result<service::Answer> {
         self.check_stage()?;
         let release = self.tables.current.load();
         let plain = plain(&release, &call.service)?;
@@ -45,8 +43,8 @@
         } else if let Some(key) = call.key.clone() {
             self.order(call, key, permit).await
         } else if plain.require_key {
-            Err(Refusal::not_run(
-                Code::KeyRequired,
+            Err(pipeline::Refusal::not_run(
+                pipeline::Code::KeyRequired,
                 "route",
                 "this call may not be repeated; send it with an Idempotency-Key",
             ))
@@ -55,7 +53,7 @@
         };
         counts.request(result.is_ok() && self.now() <= deadline);
         if !repeatable {
-            let known = |refusal: &Refusal| refusal.outcome == super::Outcome::NotRun;
+            let known = |refusal: &pipeline::Refusal| refusal.outcome == super::Outcome::NotRun;
             counts.order(result.as_ref().map_or_else(known, |_| true));
         }
         self.count(&service, &organisation, &counts);
@@ -63,7 +61,7 @@
     }
 
     /// Sends a repeatable call, again while that is allowed.
-    async fn repeatable(&self, call: &request::Call) -> Result<Answer> {
+    async fn repeatable(&self, call: &request::Call) -> Result<service::Answer> {
         let mut failures = 0;
         let mut reached = false;
         loop {
@@ -82,11 +80,14 @@
                 Err(e) => e,
             };
             log::info!(request = call.id; "route: {error}");
-            reached |= error.kind != Kind::NotSent;
+            reached |= error.kind != service::Kind::NotSent;
             match self.next_attempt(call, &mut failures, failure(&error)) {
                 Some(wait) => tokio::time::sleep(wait).await,
                 None if reached => {
-                    return Err(Refusal { outcome: super::Outcome::Unknown, ..failed(&error) });
+                    return Err(pipeline::Refusal {
+                        outcome: super::Outcome::Unknown,
+                        ..failed(&error)
+                    });
                 }
                 None => return Err(failed(&error)),
             }
@@ -98,7 +99,7 @@
         call: &request::Call,
         failures: &mut u32,
         failure: retry::Failure,
-    ) -> Option<Duration> {
+    ) -> Option<time::Duration> {
         *failures += 1;
         let now = self.now();
         let budget = &mut self.tables.admission.lock().retries;
@@ -108,7 +109,11 @@
     }
 
     /// Sends a repeatable call, and a second one if the first upstream is slow.
-    async fn hedged(&self, call: &request::Call, peers: &[SocketAddr]) -> service::Result<Answer> {
+    async fn hedged(
+        &self,
+        call: &request::Call,
+        peers: &[net::SocketAddr],
+    ) -> service::Result<service::Answer> {
         let first = self.send(call, peers[0]);
         tokio::pin!(first);
         if let Ok(result) = tokio::time::timeout(HEDGE_DELAY, &mut first).await {
@@ -135,11 +140,11 @@
     }
 
     /// Sends a call that is not repeatable; another upstream is asked only if nothing was sent.
-    async fn once(&self, call: &request::Call) -> Result<Answer> {
+    async fn once(&self, call: &request::Call) -> Result<service::Answer> {
         let mut last = None;
         for peer in self.upstreams(&call.service)? {
             match self.send(call, peer).await {
-                Err(e) if e.kind == Kind::NotSent => last = Some(e),
+                Err(e) if e.kind == service::Kind::NotSent => last = Some(e),
                 result => return result.map_err(|e| failed(&e)),
             }
         }
@@ -150,8 +155,8 @@
     pub(super) async fn send(
         &self,
         call: &request::Call,
-        peer: SocketAddr,
-    ) -> service::Result<Answer> {
+        peer: net::SocketAddr,
+    ) -> service::Result<service::Answer> {
         let outgoing = service::Call {
             id: &call.id,
             method: &call.method,
@@ -164,11 +169,11 @@
     }
 
     /// Upstreams that take new work, those of the own zone first, in random order.
-    pub(super) fn upstreams(&self, service: &id::Service) -> Result<Vec<SocketAddr>> {
+    pub(super) fn upstreams(&self, service: &id::Service) -> Result<Vec<net::SocketAddr>> {
         let release = self.tables.current.load();
         let plain = plain(&release, service)?;
-        let listed = Arc::clone(&self.tables.listed.lock().vms);
-        let is_leaving = |peer: &SocketAddr| {
+        let listed = sync::Arc::clone(&self.tables.listed.lock().vms);
+        let is_leaving = |peer: &net::SocketAddr| {
             listed.iter().any(|vm| vm.address == *peer && vm.state == vm::State::Leaving)
         };
         let mut found: Vec<_> = plain
@@ -188,35 +193,45 @@
 fn plain<'a>(release: &'a release::Release, service: &id::Service) -> Result<&'a release::Plain> {
     match release.services.get(service).map(|service| &service.kind) {
         Some(release::Kind::Plain(plain)) => Ok(plain),
-        _ => Err(Refusal::not_run(Code::UnknownService, "route", "the service was withdrawn")),
+        _ => Err(pipeline::Refusal::not_run(
+            pipeline::Code::UnknownService,
+            "route",
+            "the service was withdrawn",
+        )),
     }
 }
 
 /// Of the errors of two sends of one call, one that reached its upstream if any did.
 fn farther(one: service::Error, other: service::Error) -> service::Error {
-    if other.kind == Kind::NotSent { one } else { other }
+    if other.kind == service::Kind::NotSent { one } else { other }
 }
 
-pub(super) fn no_upstream() -> Refusal {
-    Refusal::not_run(Code::Unavailable, "choose", "no upstream of the service takes new work")
-        .retry_after(Duration::from_secs(1))
+pub(super) fn no_upstream() -> pipeline::Refusal {
+    pipeline::Refusal::not_run(
+        pipeline::Code::Unavailable,
+        "choose",
+        "no upstream of the service takes new work",
+    )
+    .retry_after(time::Duration::from_secs(1))
 }
 
 fn failure(error: &service::Error) -> retry::Failure {
     match error.kind {
-        Kind::NotSent => retry::Failure::NotSent,
-        Kind::Refused(_) => retry::Failure::Refused,
-        Kind::Broken => retry::Failure::Broken,
+        service::Kind::NotSent => retry::Failure::NotSent,
+        service::Kind::Refused(_) => retry::Failure::Refused,
+        service::Kind::Broken => retry::Failure::Broken,
         _ => retry::Failure::Wrong,
     }
 }
 
 /// The answer after a call failed for good.
-pub(super) fn failed(error: &service::Error) -> Refusal {
+pub(super) fn failed(error: &service::Error) -> pipeline::Refusal {
     let message = error.to_string();
     let refusal = match error.kind {
-        Kind::NotSent => Refusal::not_run(Code::UpstreamFailed, "dispatch", message),
-        _ => Refusal::unknown(Code::UpstreamFailed, "dispatch", message),
+        service::Kind::NotSent => {
+            pipeline::Refusal::not_run(pipeline::Code::UpstreamFailed, "dispatch", message)
+        }
+        _ => pipeline::Refusal::unknown(pipeline::Code::UpstreamFailed, "dispatch", message),
     };
     refusal.at(error.peer)
 }
--- a/crates/node/src/pipeline/refusal.rs
+++ b/crates/node/src/pipeline/refusal.rs
@@ -1,7 +1,6 @@
 //! Answers that are not the upstream's own.
 
-use std::fmt;
-use std::time::Duration;
+use std::{fmt, time};
 
 /// The result of a step of the request path.
 pub type Result<T> = std::result::Result<T, Refusal>;
@@ -73,7 +72,7 @@
     /// A sentence for people.
     pub message: String,
     /// When a retry makes sense.
-    pub retry: Option<Duration>,
+    pub retry: Option<time::Duration>,
 }
 
 impl Code {
@@ -137,7 +136,7 @@
     }
 
     /// States when a retry makes sense.
-    pub fn retry_after(mut self, span: Duration) -> Self {
+    pub fn retry_after(mut self, span: time::Duration) -> Self {
         self.retry = Some(span);
         self
     }
--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -1,24 +1,24 @@
 //! Relay of a streamed answer, moved to another replica when its own is lost.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
-use bytes::Bytes;
 use corneltrestle_engine::engine::{self, Engine, Stream};
-use corneltrestle_policy::delivery::{self, Delivery};
-use corneltrestle_policy::{burn, id, release};
-use corneltrestle_time::Moment;
+use corneltrestle_policy::{burn, delivery, id, release};
+use corneltrestle_time::moment;
 use corneltrestle_wire::openai;
 use tokio::time::{Instant, Interval, MissedTickBehavior, interval_at};
 
-use super::admit::Permit;
-use super::choose::{InProgress, Target};
-use super::generate::{Attempts, is_full, may_move};
-use super::{Code, Pipeline, Refusal, Result, request};
-use crate::link::Link;
+use super::{
+    Result,
+    admit::Permit,
+    choose,
+    generate::{self, is_full, may_move},
+    request,
+};
+use crate::{link::Link, pipeline};
 
 /// Time between two checks that the replica of an answer in progress is whole.
-pub(super) const CHECK_PERIOD: Duration = Duration::from_millis(250);
+pub(super) const CHECK_PERIOD: time::Duration = time::Duration::from_millis(250);
 
 /// Data of the events delivered so far, from which a resume takes its text.
 ///
@@ -59,17 +59,17 @@
     S: Send + Sync + 'static,
     L: Link,
 {
-    pipeline: Arc<Pipeline<E, P, S, L>>,
+    pipeline: sync::Arc<pipeline::Pipeline<E, P, S, L>>,
     request: request::Generation,
-    target: Target,
-    in_progress: InProgress<L>,
+    target: choose::Target,
+    in_progress: choose::InProgress<L>,
     upstream: E::Stream,
-    delivery: Delivery,
+    delivery: delivery::Delivery,
     delivered: Delivered,
     /// When the replica was last checked, and the timer of the next check.
-    checked: Moment,
+    checked: moment::Moment,
     due: Interval,
-    latest: Moment,
+    latest: moment::Moment,
     targets: release::Targets,
     counts: burn::Counts,
     /// Whether the answer was whole, once it has ended.
@@ -85,11 +85,11 @@
     L: Link,
 {
     pub(super) async fn start(
-        pipeline: Arc<Pipeline<E, P, S, L>>,
+        pipeline: sync::Arc<pipeline::Pipeline<E, P, S, L>>,
         permit: Permit,
         request: request::Generation,
-    ) -> std::result::Result<Self, (request::Generation, Refusal)> {
-        let mut attempts = Attempts::default();
+    ) -> std::result::Result<Self, (request::Generation, pipeline::Refusal)> {
+        let mut attempts = generate::Attempts::default();
         loop {
             let (target, in_progress) = match pipeline.target(&request, &attempts).await {
                 Ok(chosen) => chosen,
@@ -102,7 +102,7 @@
                     let targets = pipeline.targets(&request.service);
                     return Ok(Self {
                         pipeline,
-                        delivery: Delivery::open(&request.id),
+                        delivery: delivery::Delivery::open(&request.id),
                         request,
                         target,
                         in_progress,
@@ -132,7 +132,7 @@
     /// # Errors
     ///
     /// When the answer cannot be completed; what was delivered is then a part of it.
-    pub async fn next(&mut self) -> Result<Option<Bytes>> {
+    pub async fn next(&mut self) -> Result<Option<bytes::Bytes>> {
         loop {
             // The period bounds the time until the loss of a member VM is noticed while the head
             // is silent. One timer serves all events, since setting one for each is expensive.
@@ -180,9 +180,12 @@
         if now >= self.request.deadline {
             self.end(false);
             let message = "the deadline passed before the answer was complete";
-            return Err(
-                Refusal::unknown(Code::DeadlineExceeded, "relay", message).at(self.target.head)
-            );
+            return Err(pipeline::Refusal::unknown(
+                pipeline::Code::DeadlineExceeded,
+                "relay",
+                message,
+            )
+            .at(self.target.head));
         }
         if self.pipeline.is_served(&self.target, now) {
             return Ok(());
@@ -207,7 +210,7 @@
 
     async fn try_resume(&mut self, mut error: engine::Error) -> Result<()> {
         let text = self.text()?;
-        let mut attempts = Attempts::resumed();
+        let mut attempts = generate::Attempts::resumed();
         while may_move(&error) {
             // A replica with a full queue has not taken the stream, so that is no move.
             if !is_full(&error) {
@@ -242,7 +245,8 @@
         for data in self.delivered.events() {
             openai::append_text(&mut text, data).map_err(|e| {
                 let message = format!("an event that was delivered cannot be read: {e}");
-                Refusal::unknown(Code::UpstreamFailed, "resume", message).at(self.target.head)
+                pipeline::Refusal::unknown(pipeline::Code::UpstreamFailed, "resume", message)
+                    .at(self.target.head)
             })?;
         }
         Ok(text)
@@ -257,7 +261,7 @@
     S: Send + Sync + 'static,
     L: Link,
 {
-    fn observe(&mut self, now: Moment) {
+    fn observe(&mut self, now: moment::Moment) {
         if self.delivered.ends.is_empty() {
             let taken = now.since(self.request.arrived);
             self.counts.first_token(Some(taken), &self.targets);
@@ -298,7 +302,7 @@
         }
         // Dropping the stream closes its connection; the explicit call also reaches an engine
         // that does not notice the close.
-        let pipeline = Arc::clone(&self.pipeline);
+        let pipeline = sync::Arc::clone(&self.pipeline);
         let (head, id) = (self.target.head, self.request.id.clone());
         self.pipeline.host.pool.run(async move {
             if let Err(e) = pipeline.engine.cancel(head, &id).await {
--- a/crates/node/src/pipeline/request.rs
+++ b/crates/node/src/pipeline/request.rs
@@ -1,9 +1,8 @@
 //! Requests as front ends hand them to the pipeline.
 
-use bytes::Bytes;
-use corneltrestle_engine::service::{HeaderMap, Method};
+use corneltrestle_engine::service;
 use corneltrestle_policy::id;
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 /// A generation request, independent of the front end that received it.
 #[derive(Clone, Debug)]
@@ -17,15 +16,15 @@
     /// Path of the engine call.
     pub path: &'static str,
     /// JSON body as the caller sent it.
-    pub body: Bytes,
+    pub body: bytes::Bytes,
     /// Hashes of the prompt's prefixes, shortest first.
     pub prefixes: Vec<u64>,
     /// Whether a person waits for it.
     pub interactive: bool,
     /// When it arrived.
-    pub arrived: Moment,
+    pub arrived: moment::Moment,
     /// When its answer is due.
-    pub deadline: Moment,
+    pub deadline: moment::Moment,
 }
 
 /// A call to a plain service, independent of the front end that received it.
@@ -38,17 +37,17 @@
     /// The service that it is addressed to.
     pub service: id::Service,
     /// The method.
-    pub method: Method,
+    pub method: service::Method,
     /// Path and query below the service's prefix, with a leading slash.
     pub target: String,
     /// End-to-end headers.
-    pub headers: HeaderMap,
+    pub headers: service::HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: bytes::Bytes,
     /// The caller's idempotency key.
     pub key: Option<String>,
     /// When its answer is due.
-    pub deadline: Moment,
+    pub deadline: moment::Moment,
 }
 
 impl Call {
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -1,16 +1,17 @@
 //! Warm-up slots: whether this node may send a replica one more request.
 
+use std::time;
+
 use corneltrestle_policy::{assignment, id, release, report, warmup};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use corneltrestle_wire::link as wire;
-use std::time::Duration;
 
 use crate::{identity, tables};
 
 /// Requests in progress from which a replica counts as warm.
 const WARM_LEVEL: u32 = 64;
 /// Time after the deadline of a borrower at which its loan ends by itself.
-const LOAN_MARGIN: Duration = Duration::from_secs(5);
+const LOAN_MARGIN: time::Duration = time::Duration::from_secs(5);
 
 /// Whether `node` has a free slot of a replica with `busy` own requests in progress.
 ///
@@ -22,7 +23,7 @@
     head: &report::Report,
     table: &mut tables::warmup::Warmup,
     busy: usize,
-    now: Moment,
+    now: moment::Moment,
 ) -> bool {
     // A report relayed by a peer may lack the start, without which the slots are not known.
     if head.start == 0 {
@@ -44,7 +45,7 @@
     identity: &identity::Identity,
     tables: &tables::Tables,
     request: &wire::SlotRequest,
-    now: Moment,
+    now: moment::Moment,
 ) -> wire::Loan {
     let release = tables.current.load();
     let replicas = tables.replicas.lock();
--- a/crates/node/src/tables.rs
+++ b/crates/node/src/tables.rs
@@ -29,7 +29,7 @@
 pub mod reports;
 pub mod warmup;
 
-use std::sync::Arc;
+use std::sync;
 
 use corneltrestle_kernel::{host, plugin, table};
 
@@ -37,31 +37,31 @@
 #[derive(Clone, Debug)]
 pub struct Tables {
     /// Accepted release, for writers.
-    pub config: Arc<table::Table<config::Config>>,
+    pub config: sync::Arc<table::Table<config::Config>>,
     /// Accepted release, for readers.
     pub current: config::Current,
     /// Nodes of this and other zones.
-    pub members: Arc<table::Table<members::Members>>,
+    pub members: sync::Arc<table::Table<members::Members>>,
     /// News to push.
-    pub outbox: Arc<table::Table<outbox::Outbox>>,
+    pub outbox: sync::Arc<table::Table<outbox::Outbox>>,
     /// The platform's VM list.
-    pub listed: Arc<table::Table<listed::Listed>>,
+    pub listed: sync::Arc<table::Table<listed::Listed>>,
     /// Assignments.
-    pub replicas: Arc<table::Table<replicas::Replicas>>,
+    pub replicas: sync::Arc<table::Table<replicas::Replicas>>,
     /// State of the holder of the zone lease.
-    pub coordinator: Arc<table::Table<coordinator::Coordinator>>,
+    pub coordinator: sync::Arc<table::Table<coordinator::Coordinator>>,
     /// Reports of VMs.
-    pub reports: Arc<table::Table<reports::Reports>>,
+    pub reports: sync::Arc<table::Table<reports::Reports>>,
     /// Warm-up levels.
-    pub warmup: Arc<table::Table<warmup::Warmup>>,
+    pub warmup: sync::Arc<table::Table<warmup::Warmup>>,
     /// Own requests in progress.
-    pub dispatched: Arc<table::Table<dispatched::Dispatched>>,
+    pub dispatched: sync::Arc<table::Table<dispatched::Dispatched>>,
     /// Admission queues.
-    pub admission: Arc<table::Table<admission::Admission>>,
+    pub admission: sync::Arc<table::Table<admission::Admission>>,
     /// Idempotency claims.
-    pub claims: Arc<table::Table<claims::Claims>>,
+    pub claims: sync::Arc<table::Table<claims::Claims>>,
     /// Service-level counts.
-    pub burn: Arc<table::Table<burn::Burn>>,
+    pub burn: sync::Arc<table::Table<burn::Burn>>,
 }
 
 impl Tables {
--- a/crates/node/src/tables/admission.rs
+++ b/crates/node/src/tables/admission.rs
@@ -1,10 +1,10 @@
 //! Admission queues with the jobs that wait in them.
 
-use std::collections::HashMap;
+use std::collections;
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{admission, id, retry};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use tokio::sync::oneshot;
 
 /// Most requests in progress on a node.
@@ -23,7 +23,7 @@
     pub retries: retry::Budget,
     /// Budget of hedges.
     pub hedges: retry::Budget,
-    waiters: HashMap<u64, Waiter>,
+    waiters: collections::HashMap<u64, Waiter>,
     issued: u64,
 }
 
@@ -46,7 +46,7 @@
             policy: admission::Admission::open(limits),
             retries: retry::Budget::retries(),
             hedges: retry::Budget::hedges(),
-            waiters: HashMap::new(),
+            waiters: collections::HashMap::new(),
             issued: 0,
         }
     }
@@ -79,8 +79,8 @@
         organisation: &id::Organisation,
         view: &admission::View<'_>,
         class: admission::Class,
-        deadline: Moment,
-        now: Moment,
+        deadline: moment::Moment,
+        now: moment::Moment,
     ) -> Offered {
         self.issued += 1;
         let id = self.issued;
@@ -98,13 +98,13 @@
     }
 
     /// Counts the end of a request and starts those that it made room for.
-    pub fn finish(&mut self, organisation: &id::Organisation, now: Moment) {
+    pub fn finish(&mut self, organisation: &id::Organisation, now: moment::Moment) {
         self.policy.finish(organisation.as_str(), now);
         self.wake(now);
     }
 
     /// Starts waiting requests as far as limits allow.
-    pub fn wake(&mut self, now: Moment) {
+    pub fn wake(&mut self, now: moment::Moment) {
         for id in self.policy.expire(now) {
             self.waiters.remove(&id);
         }
--- a/crates/node/src/tables/claims.rs
+++ b/crates/node/src/tables/claims.rs
@@ -1,10 +1,10 @@
 //! Idempotency claims of this node.
 
-use std::collections::{HashSet, VecDeque};
+use std::collections;
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::claim;
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 /// Claims given up before sending that are remembered.
 const ABANDONED: usize = 4_096;
@@ -14,10 +14,10 @@
 /// Claims in progress, and those given up; rank 80.
 #[derive(Debug, Default)]
 pub struct Claims {
-    held: HashSet<String>,
-    abandoned: VecDeque<String>,
+    held: collections::HashSet<String>,
+    abandoned: collections::VecDeque<String>,
     /// Claims of processes that are not known, with the moments when they were first read.
-    doubtful: VecDeque<(String, Moment)>,
+    doubtful: collections::VecDeque<(String, moment::Moment)>,
     /// Store lease that new claims are attached to.
     pub lease: Option<Lease>,
 }
@@ -28,7 +28,7 @@
     /// The lease.
     pub id: i64,
     /// When it was granted.
-    pub granted: Moment,
+    pub granted: moment::Moment,
 }
 
 impl table::Ranked for Claims {
@@ -57,7 +57,7 @@
     }
 
     /// When this node first read a claim of a process that it does not know.
-    pub fn first_read(&mut self, claim: &str, now: Moment) -> Moment {
+    pub fn first_read(&mut self, claim: &str, now: moment::Moment) -> moment::Moment {
         if let Some((_, read)) = self.doubtful.iter().find(|(known, _)| known == claim) {
             return *read;
         }
--- a/crates/node/src/tables/config.rs
+++ b/crates/node/src/tables/config.rs
@@ -1,15 +1,13 @@
 //! The accepted release.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
-use arc_swap::ArcSwap;
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{adoption, release};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 /// Age of watch data that was never received.
-const UNCONFIRMED: Duration = Duration::from_secs(86_400);
+const UNCONFIRMED: time::Duration = time::Duration::from_secs(86_400);
 
 /// The accepted release with its place in the store; rank 10.
 #[derive(Debug, Default)]
@@ -17,7 +15,7 @@
     /// Version of `config/head` in the store when it was read, 0 if learned from a peer.
     pub version: u64,
     /// When a watch or a direct read last confirmed the present revision, on any node.
-    pub confirmed: Option<Moment>,
+    pub confirmed: Option<moment::Moment>,
     /// The highest revision with which a peer of the zone has answered.
     pub peer: Option<adoption::Answer>,
     current: Current,
@@ -31,12 +29,12 @@
 /// Readers' snapshot of the accepted release; cheap to clone.
 #[derive(Clone, Debug, Default)]
 pub struct Current {
-    release: Arc<ArcSwap<release::Release>>,
+    release: sync::Arc<arc_swap::ArcSwap<release::Release>>,
 }
 
 impl Current {
     /// The present release.
-    pub fn load(&self) -> Arc<release::Release> {
+    pub fn load(&self) -> sync::Arc<release::Release> {
         self.release.load_full()
     }
 }
@@ -53,12 +51,12 @@
     }
 
     /// Age of the newest watch data; a day if there is none.
-    pub fn watch_age(&self, now: Moment) -> Duration {
+    pub fn watch_age(&self, now: moment::Moment) -> time::Duration {
         self.confirmed.map_or(UNCONFIRMED, |confirmed| now.since(confirmed))
     }
 
     /// Notes that `revision` was the newest one at `at`, as the store or a peer says.
-    pub fn heard(&mut self, revision: u64, at: Moment) {
+    pub fn heard(&mut self, revision: u64, at: moment::Moment) {
         if revision <= self.revision() {
             self.confirmed = self.confirmed.max(Some(at));
         }
@@ -80,7 +78,7 @@
     pub fn adopt(&mut self, offered: release::Release) -> bool {
         let newer = offered.revision > self.revision();
         if newer {
-            self.current.release.store(Arc::new(offered));
+            self.current.release.store(sync::Arc::new(offered));
         }
         newer
     }
--- a/crates/node/src/tables/coordinator.rs
+++ b/crates/node/src/tables/coordinator.rs
@@ -1,6 +1,6 @@
 //! What the holder of the zone lease knows.
 
-use std::collections::BTreeSet;
+use std::collections;
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{id, lease, plan};
@@ -13,7 +13,7 @@
     /// Observations between rounds.
     pub memory: plan::Memory,
     /// VMs with an order in flight.
-    pub ordered: BTreeSet<id::Vm>,
+    pub ordered: collections::BTreeSet<id::Vm>,
 }
 
 /// A lease with its identifier in the store.
--- a/crates/node/src/tables/listed.rs
+++ b/crates/node/src/tables/listed.rs
@@ -1,18 +1,18 @@
 //! The platform's VM list as last read.
 
-use std::sync::Arc;
+use std::sync;
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::vm;
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 /// The VM list; rank 25.
 #[derive(Debug, Default)]
 pub struct Listed {
     /// The entries.
-    pub vms: Arc<Vec<vm::Vm>>,
+    pub vms: sync::Arc<Vec<vm::Vm>>,
     /// When the list was read; `None` before the first time.
-    pub read: Option<Moment>,
+    pub read: Option<moment::Moment>,
 }
 
 impl table::Ranked for Listed {
--- a/crates/node/src/tables/members.rs
+++ b/crates/node/src/tables/members.rs
@@ -1,10 +1,10 @@
 //! The nodes that this node knows of.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use corneltrestle_kernel::{run, table};
 use corneltrestle_policy::{id, membership};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use corneltrestle_wire::link;
 
 /// The members, their demand and the news that were forwarded; rank 20.
@@ -14,7 +14,7 @@
     pub known: membership::Members,
     /// News that this node has forwarded.
     pub forwarded: membership::Forwarded,
-    demand: BTreeMap<id::Node, Published>,
+    demand: collections::BTreeMap<id::Node, Published>,
 }
 
 /// The demand of a node.
@@ -33,7 +33,11 @@
 impl Members {
     /// Members as a starting node knows them.
     pub fn new(known: membership::Members) -> Self {
-        Self { known, forwarded: membership::Forwarded::default(), demand: BTreeMap::new() }
+        Self {
+            known,
+            forwarded: membership::Forwarded::default(),
+            demand: collections::BTreeMap::new(),
+        }
     }
 
     /// Takes the demand of a node, known with its heartbeat `changed`.
@@ -52,7 +56,12 @@
     }
 
     /// Demand of an organisation at `own` and over all nodes that are not dead, with their number.
-    pub fn demand(&self, own: &id::Node, organisation: &str, now: Moment) -> (f64, f64, usize) {
+    pub fn demand(
+        &self,
+        own: &id::Node,
+        organisation: &str,
+        now: moment::Moment,
+    ) -> (f64, f64, usize) {
         let view = self.known.view(now);
         let of = |node: &id::Node| {
             let rows = self.demand.get(node).map_or(&[][..], |known| &known.rows);
@@ -65,7 +74,7 @@
     }
 
     /// The members of a zone in the order of their ids, as digests carry them.
-    pub fn roster(&self, zone: &str, now: Moment) -> Vec<link::Member> {
+    pub fn roster(&self, zone: &str, now: moment::Moment) -> Vec<link::Member> {
         let view = self.known.view(now);
         view.entries()
             .filter(|entry| entry.zone.as_str() == zone)
@@ -92,7 +101,7 @@
     }
 
     /// Forgets the demand of nodes that are no longer known.
-    pub fn prune(&mut self, now: Moment) {
+    pub fn prune(&mut self, now: moment::Moment) {
         let view = self.known.view(now);
         self.demand.retain(|node, _| view.get(node.as_str()).is_some());
     }
--- a/crates/node/src/tables/outbox.rs
+++ b/crates/node/src/tables/outbox.rs
@@ -1,11 +1,10 @@
 //! News that wait to be pushed to peers.
 
-use std::collections::VecDeque;
-use std::sync::Arc;
+use std::{collections, sync};
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::id;
-use corneltrestle_wire::link::NewsKind;
+use corneltrestle_wire::link;
 use tokio::sync::Notify;
 
 /// Most pieces of news that wait; older ones then reach peers by their pulls.
@@ -14,15 +13,15 @@
 /// News to push; rank 22.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    waiting: VecDeque<Post>,
-    added: Arc<Notify>,
+    waiting: collections::VecDeque<Post>,
+    added: sync::Arc<Notify>,
 }
 
 /// A piece of news with the node that it came from, if it came from a peer.
 #[derive(Clone, Debug)]
 pub struct Post {
     /// The news.
-    pub kind: NewsKind,
+    pub kind: link::NewsKind,
     /// The node that sent it.
     pub sender: Option<id::Node>,
 }
@@ -34,7 +33,7 @@
 
 impl Outbox {
     /// Adds a piece of news.
-    pub fn post(&mut self, kind: NewsKind, sender: Option<id::Node>) {
+    pub fn post(&mut self, kind: link::NewsKind, sender: Option<id::Node>) {
         if self.waiting.len() == WAITING {
             self.waiting.pop_front();
         }
@@ -43,12 +42,12 @@
     }
 
     /// Takes the news that wait.
-    pub fn take(&mut self) -> VecDeque<Post> {
+    pub fn take(&mut self) -> collections::VecDeque<Post> {
         std::mem::take(&mut self.waiting)
     }
 
     /// Notified when news are added.
-    pub fn added(&self) -> Arc<Notify> {
-        Arc::clone(&self.added)
+    pub fn added(&self) -> sync::Arc<Notify> {
+        sync::Arc::clone(&self.added)
     }
 }
--- a/crates/node/src/tables/replicas.rs
+++ b/crates/node/src/tables/replicas.rs
@@ -1,7 +1,6 @@
 //! The assignment of each zone as last learned.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::{collections, sync};
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{assignment, id};
@@ -9,7 +8,7 @@
 /// The assignments; rank 30.
 #[derive(Debug, Default)]
 pub struct Replicas {
-    zones: BTreeMap<id::Zone, Stored>,
+    zones: collections::BTreeMap<id::Zone, Stored>,
 }
 
 /// An assignment with its version in the store.
@@ -18,7 +17,7 @@
     /// Version of the value in the store.
     pub version: u64,
     /// The assignment.
-    pub assignment: Arc<assignment::Assignment>,
+    pub assignment: sync::Arc<assignment::Assignment>,
 }
 
 impl table::Ranked for Replicas {
@@ -37,7 +36,7 @@
         let known = self.zones.entry(zone.clone()).or_default();
         let newer = version > known.version;
         if newer {
-            *known = Stored { version, assignment: Arc::new(assignment) };
+            *known = Stored { version, assignment: sync::Arc::new(assignment) };
         }
         newer
     }
--- a/crates/node/src/tables/reports.rs
+++ b/crates/node/src/tables/reports.rs
@@ -1,18 +1,18 @@
 //! The latest report of each VM.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{id, report};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 /// The latest reports; rank 40.
 #[derive(Debug, Default)]
 pub struct Reports {
-    seen: BTreeMap<id::Vm, report::Seen>,
-    missed: BTreeMap<id::Vm, u32>,
+    seen: collections::BTreeMap<id::Vm, report::Seen>,
+    missed: collections::BTreeMap<id::Vm, u32>,
     /// When VMs were last known to be lost; older reports of peers do not bring them back.
-    lost: BTreeMap<id::Vm, Moment>,
+    lost: collections::BTreeMap<id::Vm, moment::Moment>,
 }
 
 impl table::Ranked for Reports {
@@ -22,7 +22,7 @@
 
 impl Reports {
     /// Takes a report that holds at least since `at`, unless a later one or a loss is known.
-    pub fn record(&mut self, report: report::Report, at: Moment) {
+    pub fn record(&mut self, report: report::Report, at: moment::Moment) {
         if self.lost.get(&report.vm).is_some_and(|lost| *lost >= at) {
             return;
         }
@@ -36,13 +36,13 @@
     }
 
     /// Takes the report that the VM itself gave to a poll sent at `at`.
-    pub fn polled(&mut self, report: report::Report, at: Moment) {
+    pub fn polled(&mut self, report: report::Report, at: moment::Moment) {
         self.missed.remove(&report.vm);
         self.record(report, at);
     }
 
     /// Notes that a report still holds at `at`, as a peer has seen it.
-    pub fn confirm(&mut self, vm: &id::Vm, at: Moment) {
+    pub fn confirm(&mut self, vm: &id::Vm, at: moment::Moment) {
         if self.lost.get(vm).is_some_and(|lost| *lost >= at) {
             return;
         }
@@ -59,7 +59,7 @@
     }
 
     /// Notes the loss of a VM at `at`.
-    pub fn lose(&mut self, vm: &id::Vm, at: Moment) {
+    pub fn lose(&mut self, vm: &id::Vm, at: moment::Moment) {
         self.seen.remove(vm);
         self.lost.insert(vm.clone(), at);
     }
@@ -77,12 +77,12 @@
     }
 
     /// All reports, by VM.
-    pub fn all(&self) -> &BTreeMap<id::Vm, report::Seen> {
+    pub fn all(&self) -> &collections::BTreeMap<id::Vm, report::Seen> {
         &self.seen
     }
 
     /// Forgets reports older than `oldest`, so that the table stays bounded as VMs are replaced.
-    pub fn prune(&mut self, oldest: Moment) {
+    pub fn prune(&mut self, oldest: moment::Moment) {
         self.seen.retain(|_, seen| seen.at >= oldest);
         self.missed.retain(|vm, _| self.seen.contains_key(vm));
         self.lost.retain(|_, lost| *lost >= oldest);
--- a/crates/node/src/tables/warmup.rs
+++ b/crates/node/src/tables/warmup.rs
@@ -1,31 +1,30 @@
 //! Warm-up levels of replicas.
 
-use std::collections::HashMap;
-use std::time::Duration;
+use std::{collections, time};
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{assignment, id, warmup};
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 /// The warm-up levels; rank 50.
 #[derive(Debug, Default)]
 pub struct Warmup {
-    levels: HashMap<id::Replica, Level>,
+    levels: collections::HashMap<id::Replica, Level>,
     /// Own slots that other nodes use.
-    loans: HashMap<u64, Loan>,
+    loans: collections::HashMap<u64, Loan>,
     /// When no other node had a free slot.
-    exhausted: HashMap<id::Replica, Moment>,
+    exhausted: collections::HashMap<id::Replica, moment::Moment>,
 }
 
 /// Wait before other nodes are asked for a slot again, so that many waiting requests do not ask for
 /// each of them.
-const ASK_PERIOD: Duration = Duration::from_millis(100);
+const ASK_PERIOD: time::Duration = time::Duration::from_millis(100);
 
 #[derive(Debug)]
 struct Loan {
     replica: id::Replica,
     /// When the loan ends if it is not given back.
-    expiry: Moment,
+    expiry: moment::Moment,
 }
 
 #[derive(Debug)]
@@ -77,13 +76,13 @@
 /// Loans of slots between nodes.
 impl Warmup {
     /// Own slots of a replica that other nodes use at `now`.
-    pub fn lent(&mut self, replica: &id::Replica, now: Moment) -> usize {
+    pub fn lent(&mut self, replica: &id::Replica, now: moment::Moment) -> usize {
         self.loans.retain(|_, loan| loan.expiry > now);
         self.loans.values().filter(|loan| loan.replica == *replica).count()
     }
 
     /// Lends an own slot until it is given back, or until `expiry`; returns the loan's number.
-    pub fn lend(&mut self, replica: &id::Replica, expiry: Moment) -> u64 {
+    pub fn lend(&mut self, replica: &id::Replica, expiry: moment::Moment) -> u64 {
         let number = rand::random::<u64>().max(1);
         self.loans.insert(number, Loan { replica: replica.clone(), expiry });
         number
@@ -95,12 +94,12 @@
     }
 
     /// Whether other nodes may be asked for a slot of a replica now.
-    pub fn may_ask(&self, replica: &id::Replica, now: Moment) -> bool {
+    pub fn may_ask(&self, replica: &id::Replica, now: moment::Moment) -> bool {
         self.exhausted.get(replica).is_none_or(|asked| now.since(*asked) >= ASK_PERIOD)
     }
 
     /// Notes that no other node had a free slot of a replica.
-    pub fn asked_in_vain(&mut self, replica: &id::Replica, now: Moment) {
+    pub fn asked_in_vain(&mut self, replica: &id::Replica, now: moment::Moment) {
         self.exhausted.insert(replica.clone(), now);
     }
 }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -5,8 +5,7 @@
 pub mod etcd;
 mod limiter;
 
-use std::future::Future;
-use std::time::Duration;
+use std::time;
 
 pub use corneltrestle_policy::calls::Class;
 pub use error::{Error, Kind};
@@ -73,14 +72,18 @@
     ) -> impl Future<Output = Result<Swap>> + Send;
 
     /// Grants a lease; attached keys are deleted when it lapses.
-    fn grant(&self, ttl: Duration, class: Class) -> impl Future<Output = Result<LeaseId>> + Send;
+    fn grant(
+        &self,
+        ttl: time::Duration,
+        class: Class,
+    ) -> impl Future<Output = Result<LeaseId>> + Send;
 
     /// Renews a lease; `None` if it has lapsed, else the time that it has left.
     fn renew(
         &self,
         lease: LeaseId,
         class: Class,
-    ) -> impl Future<Output = Result<Option<Duration>>> + Send;
+    ) -> impl Future<Output = Result<Option<time::Duration>>> + Send;
 
     /// Revokes a lease.
     fn revoke(&self, lease: LeaseId, class: Class) -> impl Future<Output = Result<()>> + Send;
--- a/crates/platform/src/store/budget.rs
+++ b/crates/platform/src/store/budget.rs
@@ -1,19 +1,20 @@
 //! The budget of store calls that all parts of a node share.
 
-use std::sync::Arc;
-use std::time::Duration;
+use std::{sync, time};
 
-use corneltrestle_kernel::host;
-use corneltrestle_kernel::table::{self, Table};
-use corneltrestle_policy::calls::{self, Rate};
+use corneltrestle_kernel::{host, table};
+use corneltrestle_policy::calls;
 
-use super::limiter::{Limiter, Permit, refused};
-use super::{Class, Result};
+use super::{
+    Result,
+    limiter::{Limiter, Permit, refused},
+};
+use crate::store;
 
 /// Longest wait of a call for its turn.
-const WAIT: Duration = Duration::from_millis(500);
+const WAIT: time::Duration = time::Duration::from_millis(500);
 /// Wait between two attempts while all places are taken.
-const FULL_WAIT: Duration = Duration::from_millis(5);
+const FULL_WAIT: time::Duration = time::Duration::from_millis(5);
 
 /// Calls in progress, rates and back-off towards the store; rank 90.
 #[derive(Debug)]
@@ -29,27 +30,30 @@
 /// Allows calls within the budget of [`corneltrestle_policy::calls`].
 #[derive(Clone, Debug)]
 pub struct Budget {
-    host: Arc<host::Host>,
-    table: Arc<Table<Calls>>,
+    host: sync::Arc<host::Host>,
+    table: sync::Arc<table::Table<Calls>>,
 }
 
 impl Budget {
     /// Opens a budget with these rates of order calls and of all other calls together.
     ///
     /// Leases and configuration get four tenths of the other calls each, reports the rest.
-    pub fn open(host: &Arc<host::Host>, order_rate: f64, other_rate: f64) -> Self {
-        let rate = |rate: f64| Rate { rate, burst: (rate * 2.0).max(4.0) };
+    pub fn open(host: &sync::Arc<host::Host>, order_rate: f64, other_rate: f64) -> Self {
+        let rate = |rate: f64| calls::Rate { rate, burst: (rate * 2.0).max(4.0) };
         let (most, rest) = (rate(other_rate * 0.4), rate(other_rate * 0.2));
         let rates = [most, rate(order_rate), most, rest];
         let state = calls::Calls::open(rates);
-        Self { host: Arc::clone(host), table: Arc::new(Table::new(Calls { state })) }
+        Self {
+            host: sync::Arc::clone(host),
+            table: sync::Arc::new(table::Table::new(Calls { state })),
+        }
     }
 }
 
 impl Limiter for Budget {
     type Permit = InProgress;
 
-    async fn start(&self, class: Class) -> Result<InProgress> {
+    async fn start(&self, class: store::Class) -> Result<InProgress> {
         let begun = self.host.now();
         loop {
             let now = self.host.now();
@@ -63,7 +67,7 @@
             if now.since(begun) + wait > WAIT {
                 return Err(refused("the budget of store calls is used up".to_owned()));
             }
-            tokio::time::sleep(wait.max(Duration::from_millis(1))).await;
+            tokio::time::sleep(wait.max(time::Duration::from_millis(1))).await;
         }
     }
 }
--- a/crates/platform/src/store/etcd/message.rs
+++ b/crates/platform/src/store/etcd/message.rs
@@ -2,13 +2,14 @@
 
 use std::fmt;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
-use serde::de::{Deserializer, Error as _, Visitor};
-use serde::ser::Serializer;
-use serde::{Deserialize, Serialize};
+use base64::{Engine as _, engine::general_purpose};
+use serde::{
+    Deserialize, Serialize,
+    de::{self, Error as _, Visitor},
+    ser,
+};
 
-use crate::store::{Event, Version, Versioned};
+use crate::store;
 
 /// Bytes that are sent as base64.
 #[derive(Clone, Copy)]
@@ -200,45 +201,45 @@
 
 impl TxnAnswer {
     /// The value that the key had instead of the expected one; `None` if the answer lacks it.
-    pub(super) fn present(self) -> Option<Option<Versioned>> {
+    pub(super) fn present(self) -> Option<Option<store::Versioned>> {
         let found = self.responses.into_iter().next()?.response_range?;
         Some(first(found.kvs))
     }
 }
 
-impl From<KeyValue> for Versioned {
+impl From<KeyValue> for store::Versioned {
     fn from(kv: KeyValue) -> Self {
         Self { version: version(kv.mod_revision), value: kv.value }
     }
 }
 
-impl From<WatchEvent> for Event {
+impl From<WatchEvent> for store::Event {
     fn from(event: WatchEvent) -> Self {
         Self::Changed((event.kind == EventKind::Put).then(|| event.kv.into()))
     }
 }
 
 /// The value of a single key.
-pub(super) fn first(kvs: Vec<KeyValue>) -> Option<Versioned> {
-    kvs.into_iter().next().map(Versioned::from)
+pub(super) fn first(kvs: Vec<KeyValue>) -> Option<store::Versioned> {
+    kvs.into_iter().next().map(store::Versioned::from)
 }
 
 /// Revisions are never negative.
-pub(super) fn version(revision: i64) -> Version {
+pub(super) fn version(revision: i64) -> store::Version {
     u64::try_from(revision).unwrap_or(0)
 }
 
 impl Serialize for Base64<'_> {
-    fn serialize<S: Serializer>(&self, out: S) -> Result<S::Ok, S::Error> {
-        out.collect_str(&base64::display::Base64Display::new(self.0, &STANDARD))
+    fn serialize<S: ser::Serializer>(&self, out: S) -> Result<S::Ok, S::Error> {
+        out.collect_str(&base64::display::Base64Display::new(self.0, &general_purpose::STANDARD))
     }
 }
 
-fn as_text<S: Serializer>(value: &i64, out: S) -> Result<S::Ok, S::Error> {
+fn as_text<S: ser::Serializer>(value: &i64, out: S) -> Result<S::Ok, S::Error> {
     out.collect_str(value)
 }
 
-fn base64<'de, D: Deserializer<'de>>(input: D) -> Result<Vec<u8>, D::Error> {
+fn base64<'de, D: de::Deserializer<'de>>(input: D) -> Result<Vec<u8>, D::Error> {
     struct Text;
     impl Visitor<'_> for Text {
         type Value = Vec<u8>;
@@ -248,13 +249,13 @@
         }
 
         fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<Vec<u8>, E> {
-            STANDARD.decode(text).map_err(E::custom)
+            general_purpose::STANDARD.decode(text).map_err(E::custom)
         }
     }
     input.deserialize_str(Text)
 }
 
-fn int64<'de, D: Deserializer<'de>>(input: D) -> Result<i64, D::Error> {
+fn int64<'de, D: de::Deserializer<'de>>(input: D) -> Result<i64, D::Error> {
     struct Text;
     impl Visitor<'_> for Text {
         type Value = i64;
--- a/crates/platform/src/store/limiter.rs
+++ b/crates/platform/src/store/limiter.rs
@@ -1,11 +1,11 @@
 //! Limits on the calls that a node makes.
 
-use std::future::Future;
-use std::sync::Arc;
+use std::sync;
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use super::{Class, Error, Kind, Result};
+use super::Result;
+use crate::store;
 
 /// Decides whether a call may start.
 pub trait Limiter: Send + Sync + 'static {
@@ -16,8 +16,8 @@
     ///
     /// # Errors
     ///
-    /// [`Kind::Budget`] when the call may not start now; the client adds the step and the peer.
-    fn start(&self, class: Class) -> impl Future<Output = Result<Self::Permit>> + Send;
+    /// [`store::Kind::Budget`] when the call may not start now; the client adds the step and the peer.
+    fn start(&self, class: store::Class) -> impl Future<Output = Result<Self::Permit>> + Send;
 }
 
 /// A call in progress; it ends when the permit is dropped.
@@ -29,21 +29,21 @@
 /// Allows a fixed number of calls in flight, whatever their class.
 #[derive(Clone, Debug)]
 pub struct InFlight {
-    free: Arc<Semaphore>,
+    free: sync::Arc<Semaphore>,
 }
 
 impl InFlight {
     /// A limit of `calls` in flight; a waiting watch is one of them.
     pub fn new(calls: usize) -> Self {
-        Self { free: Arc::new(Semaphore::new(calls)) }
+        Self { free: sync::Arc::new(Semaphore::new(calls)) }
     }
 }
 
 impl Limiter for InFlight {
     type Permit = OwnedSemaphorePermit;
 
-    async fn start(&self, _: Class) -> Result<Self::Permit> {
-        Arc::clone(&self.free)
+    async fn start(&self, _: store::Class) -> Result<Self::Permit> {
+        sync::Arc::clone(&self.free)
             .try_acquire_owned()
             .map_err(|_| refused("too many calls in flight".to_owned()))
     }
@@ -54,6 +54,6 @@
 }
 
 /// A call that may not start now.
-pub(super) fn refused(cause: String) -> Error {
-    Error { kind: Kind::Budget, step: "limit", peer: String::new(), cause }
+pub(super) fn refused(cause: String) -> store::Error {
+    store::Error { kind: store::Kind::Budget, step: "limit", peer: String::new(), cause }
 }
--- a/crates/platform/src/vms.rs
+++ b/crates/platform/src/vms.rs
@@ -2,8 +2,6 @@
 
 pub mod discovery;
 
-use std::future::Future;
-
 use corneltrestle_policy::vm;
 
 /// The result of reading the list.
--- a/crates/platform/src/vms/discovery.rs
+++ b/crates/platform/src/vms/discovery.rs
@@ -2,20 +2,17 @@
 
 mod port;
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{net, sync, time};
 
-use bytes::Bytes;
-use corneltrestle_client::pool::{self, Delivery, Pool};
+use corneltrestle_client::pool;
 use corneltrestle_policy::{id, vm};
-use http_body_util::Full;
-use hyper::{Request, StatusCode};
-use serde::Deserialize;
-use serde::de::{Deserializer, Error as _};
-use serde_json::Value;
+use serde::{
+    Deserialize,
+    de::{self, Error as _},
+};
 
-use super::{Error, Result, Vms};
+use super::{Result, Vms};
+use crate::vms;
 
 /// Largest list: about 250 bytes for each of 10,000 VMs, with room for labels that are not read.
 const MAX_LIST_BYTES: usize = 8_000_000;
@@ -24,9 +21,9 @@
 #[derive(Clone, Debug)]
 pub struct Config {
     /// Address of the list's server.
-    pub address: SocketAddr,
+    pub address: net::SocketAddr,
     /// Longest time for reading the list.
-    pub timeout: Duration,
+    pub timeout: time::Duration,
     /// Connections.
     pub pool: pool::Config,
 }
@@ -34,15 +31,15 @@
 /// Client of the VM list.
 #[derive(Debug)]
 pub struct HttpVms {
-    pool: Arc<Pool>,
-    peer: SocketAddr,
-    timeout: Duration,
+    pool: sync::Arc<pool::Pool>,
+    peer: net::SocketAddr,
+    timeout: time::Duration,
 }
 
 /// One entry; each VM is a target group of its own. Unknown labels are ignored.
 #[derive(Deserialize)]
 struct Entry {
-    targets: [SocketAddr; 1],
+    targets: [net::SocketAddr; 1],
     labels: Labels,
 }
 
@@ -59,20 +56,20 @@
 
 impl Config {
     /// The default limits for the server at `address`.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, timeout: Duration::from_secs(2), pool: pool::Config::default() }
+    pub fn new(address: net::SocketAddr) -> Self {
+        Self { address, timeout: time::Duration::from_secs(2), pool: pool::Config::default() }
     }
 }
 
 impl HttpVms {
     /// Opens a client. It connects on first use.
     pub fn open(config: Config) -> Self {
-        let pool = Pool::open(config.pool);
+        let pool = pool::Pool::open(config.pool);
         Self { pool, peer: config.address, timeout: config.timeout }
     }
 
-    fn error(&self, step: &'static str, cause: impl ToString) -> Error {
-        Error { step, peer: self.peer.to_string(), cause: cause.to_string() }
+    fn error(&self, step: &'static str, cause: impl ToString) -> vms::Error {
+        vms::Error { step, peer: self.peer.to_string(), cause: cause.to_string() }
     }
 }
 
@@ -80,21 +77,22 @@
     /// A malformed entry is left out with a log line.
     async fn list(&self) -> Result<Vec<vm::Vm>> {
         let failed = |e| self.error("read list", e);
-        let request = Request::get("/v1/vms").body(Full::<Bytes>::default());
+        let request =
+            hyper::Request::get("/v1/vms").body(http_body_util::Full::<bytes::Bytes>::default());
         let request = request.map_err(|e| self.error("read list", e))?;
-        let delivery = Delivery::Repeatable;
+        let delivery = pool::Delivery::Repeatable;
         let sent = self.pool.fetch(self.peer, request, delivery, self.timeout, MAX_LIST_BYTES);
         let answer = sent.await.map_err(failed)?;
-        if answer.status() != StatusCode::OK {
+        if answer.status() != hyper::StatusCode::OK {
             return Err(self.error("read list", answer.status()));
         }
-        let entries: Vec<Value> =
+        let entries: Vec<serde_json::Value> =
             serde_json::from_slice(answer.body()).map_err(|e| self.error("decode list", e))?;
         Ok(entries.into_iter().filter_map(decode).collect())
     }
 }
 
-fn decode(entry: Value) -> Option<vm::Vm> {
+fn decode(entry: serde_json::Value) -> Option<vm::Vm> {
     let name = entry["labels"]["vm"].as_str().unwrap_or("").to_owned();
     match Entry::deserialize(entry) {
         Ok(Entry { targets: [address], labels }) => Some(vm::Vm {
@@ -114,6 +112,6 @@
 }
 
 /// Labels are texts.
-fn count<'de, D: Deserializer<'de>>(input: D) -> std::result::Result<u16, D::Error> {
+fn count<'de, D: de::Deserializer<'de>>(input: D) -> std::result::Result<u16, D::Error> {
     String::deserialize(input)?.parse().map_err(D::Error::custom)
 }
--- a/crates/platform/src/vms/discovery/port.rs
+++ b/crates/platform/src/vms/discovery/port.rs
@@ -1,37 +1,45 @@
 //! The plug-in that offers the VM list as a port.
 
-use std::sync::Arc;
+use std::sync;
 
-use corneltrestle_kernel::host::Host;
-use corneltrestle_kernel::linkme;
-use corneltrestle_kernel::plugin::{self, Handle, Kind, Plugin};
-use corneltrestle_kernel::settings::{Key, Section, Type};
+use corneltrestle_kernel::{host, linkme, plugin, settings};
 
-use super::{Config, HttpVms};
+use crate::vms::discovery;
 
-static SECTION: Section = Section {
+static SECTION: settings::Section = settings::Section {
     name: "vms",
     help: "The platform's VM list, served as Prometheus HTTP service discovery.",
     keys: &[
-        Key::required("address", Type::Address, "Address of the list's server."),
-        Key::new("timeout", Type::millis(10, 60_000), "2s", "Longest time for reading the list."),
+        settings::Key::required(
+            "address",
+            settings::Type::Address,
+            "Address of the list's server.",
+        ),
+        settings::Key::new(
+            "timeout",
+            settings::Type::millis(10, 60_000),
+            "2s",
+            "Longest time for reading the list.",
+        ),
     ],
 };
 
 #[linkme::distributed_slice(plugin::PLUGINS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static VMS: Plugin = Plugin {
+static VMS: plugin::Plugin = plugin::Plugin {
     name: "vms",
-    kind: Kind::Port,
+    kind: plugin::Kind::Port,
     section: Some(&SECTION),
     check: plugin::unchecked,
     open,
 };
 
-fn open(host: &Arc<Host>) -> plugin::Result<Handle> {
+fn open(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let settings = host.settings.section(SECTION.name);
-    let config =
-        Config { timeout: settings.span("timeout"), ..Config::new(settings.address("address")) };
-    host.provide(Arc::new(HttpVms::open(config)));
-    Ok(Handle::idle())
+    let config = discovery::Config {
+        timeout: settings.span("timeout"),
+        ..discovery::Config::new(settings.address("address"))
+    };
+    host.provide(sync::Arc::new(discovery::HttpVms::open(config)));
+    Ok(plugin::Handle::idle())
 }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -4,15 +4,13 @@
 mod organisation;
 mod share;
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+use std::{collections, time};
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 use crate::id;
 
 pub use bucket::{Bucket, wait};
-use organisation::{Entry, Organisation};
 pub use share::{FLOOR, share};
 
 /// Importance of a request; interactive requests start before background ones.
@@ -68,7 +66,7 @@
         /// Why.
         reason: Reason,
         /// When a retry makes sense.
-        retry_after: Duration,
+        retry_after: time::Duration,
     },
 }
 
@@ -109,33 +107,33 @@
 #[derive(Debug)]
 pub struct Admission {
     limits: Limits,
-    organisations: BTreeMap<id::Organisation, Organisation>,
+    organisations: collections::BTreeMap<id::Organisation, organisation::Organisation>,
     /// Start tag of the latest start, by class.
     virtual_times: [f64; Class::COUNT],
     running: usize,
     waiting: usize,
     /// Mean time in progress; zero before the first finish.
-    held: Duration,
+    held: time::Duration,
     /// Request-seconds in progress since the latest finish.
     area: f64,
-    counted: Moment,
+    counted: moment::Moment,
 }
 
 impl Admission {
     /// Organisations without requests for this long are forgotten.
-    pub const RETENTION: Duration = Duration::from_secs(60);
+    pub const RETENTION: time::Duration = time::Duration::from_secs(60);
 
     /// Opens empty queues.
     pub fn open(limits: Limits) -> Self {
         Self {
             limits,
-            organisations: BTreeMap::new(),
+            organisations: collections::BTreeMap::new(),
             virtual_times: [0.0; Class::COUNT],
             running: 0,
             waiting: 0,
-            held: Duration::ZERO,
+            held: time::Duration::ZERO,
             area: 0.0,
-            counted: Moment::ZERO,
+            counted: moment::Moment::ZERO,
         }
     }
 
@@ -150,12 +148,12 @@
     }
 
     /// Demand by organisation: requests in progress and waiting, plus arrivals of the last second.
-    pub fn demand(&self, now: Moment) -> impl Iterator<Item = (&id::Organisation, f64)> {
+    pub fn demand(&self, now: moment::Moment) -> impl Iterator<Item = (&id::Organisation, f64)> {
         self.organisations.iter().map(move |(name, state)| (name, state.demand(now)))
     }
 
     /// When a waiting request may start or expires, if nothing else happens before.
-    pub fn due(&self, now: Moment) -> Option<Moment> {
+    pub fn due(&self, now: moment::Moment) -> Option<moment::Moment> {
         let starts = self
             .organisations
             .values()
@@ -177,13 +175,13 @@
         view: &View<'_>,
         id: u64,
         class: Class,
-        deadline: Moment,
-        now: Moment,
+        deadline: moment::Moment,
+        now: moment::Moment,
     ) -> Verdict {
         self.update(view, now);
         self.state(view.name, now).arrived(now);
         if deadline <= now {
-            return shed(Reason::Late, Duration::ZERO);
+            return shed(Reason::Late, time::Duration::ZERO);
         }
         let slot = class as usize;
         if self.running < self.limits.running
@@ -205,18 +203,18 @@
         if state.waiting() >= queue {
             return shed(Reason::Queue, wait);
         }
-        state.queues[slot].push_back(Entry { id, deadline });
+        state.queues[slot].push_back(organisation::Entry { id, deadline });
         self.waiting += 1;
         Verdict::Queue
     }
 
     /// Applies changed limits of an organisation.
-    pub fn update(&mut self, view: &View<'_>, now: Moment) {
+    pub fn update(&mut self, view: &View<'_>, now: moment::Moment) {
         self.state(view.name, now).update(view, now);
     }
 
     /// Counts the end of a request that was admitted or returned by [`Admission::next`].
-    pub fn finish(&mut self, organisation: &str, now: Moment) {
+    pub fn finish(&mut self, organisation: &str, now: moment::Moment) {
         let Some(state) = self.organisations.get_mut(organisation) else { return };
         if state.running == 0 {
             return;
@@ -225,16 +223,16 @@
         self.count(now);
         self.running -= 1;
         // The request-seconds between two finishes average to the mean time in progress.
-        let sample = Duration::from_secs_f64(self.area.min(1e9));
+        let sample = time::Duration::from_secs_f64(self.area.min(1e9));
         self.area = 0.0;
         self.held = match self.held {
-            Duration::ZERO => sample,
+            time::Duration::ZERO => sample,
             held => (held * 15 + sample) / 16,
         };
     }
 
     /// Starts the waiting request that is first in fair order, if any may start.
-    pub fn next(&mut self, now: Moment) -> Option<u64> {
+    pub fn next(&mut self, now: moment::Moment) -> Option<u64> {
         let (name, class, position) = self.pick(now)?;
         let name = name.clone();
         let entry = self.organisations.get_mut(&name)?.queues[class].remove(position)?;
@@ -244,7 +242,7 @@
     }
 
     /// Removes the waiting requests whose deadline has passed.
-    pub fn expire(&mut self, now: Moment) -> Vec<u64> {
+    pub fn expire(&mut self, now: moment::Moment) -> Vec<u64> {
         let mut expired = Vec::new();
         for queue in self.organisations.values_mut().flat_map(|state| &mut state.queues) {
             queue.retain(|entry| {
@@ -275,7 +273,7 @@
 /// Fair order.
 impl Admission {
     /// The waiting request to start next: its organisation, class and position in the queue.
-    fn pick(&self, now: Moment) -> Option<(&id::Organisation, usize, usize)> {
+    fn pick(&self, now: moment::Moment) -> Option<(&id::Organisation, usize, usize)> {
         if self.running >= self.limits.running || self.waiting == 0 {
             return None;
         }
@@ -296,7 +294,7 @@
         })
     }
 
-    fn start(&mut self, name: &str, class: usize, now: Moment) {
+    fn start(&mut self, name: &str, class: usize, now: moment::Moment) {
         self.count(now);
         self.running += 1;
         let Some(state) = self.organisations.get_mut(name) else { return };
@@ -306,7 +304,12 @@
     }
 
     /// Predicted wait of a new request of `state`.
-    fn predict(&self, state: &Organisation, class: usize, now: Moment) -> Duration {
+    fn predict(
+        &self,
+        state: &organisation::Organisation,
+        class: usize,
+        now: moment::Moment,
+    ) -> time::Duration {
         let own = state.queues[..=class].iter().map(|queue| queue.len()).sum::<usize>();
         let rounds = (own + 1) as f64 / state.weight;
         let ahead = self
@@ -320,26 +323,26 @@
             .sum::<usize>();
         let over = (self.running + ahead + 1).saturating_sub(self.limits.running);
         let node = self.held.as_secs_f64() * over as f64 / self.limits.running.max(1) as f64;
-        Duration::from_secs_f64(node.min(1e9)).max(state.wait(own, self.held, now))
+        time::Duration::from_secs_f64(node.min(1e9)).max(state.wait(own, self.held, now))
     }
 
     /// The state of an organisation; idle ones are forgotten when a new one comes.
-    fn state(&mut self, name: &str, now: Moment) -> &mut Organisation {
+    fn state(&mut self, name: &str, now: moment::Moment) -> &mut organisation::Organisation {
         if !self.organisations.contains_key(name) {
             self.organisations.retain(|_, state| !state.is_idle(now, Self::RETENTION));
         }
         self.organisations.entry(name.into()).or_default()
     }
 
-    fn count(&mut self, now: Moment) {
+    fn count(&mut self, now: moment::Moment) {
         self.area += self.running as f64 * now.since(self.counted).as_secs_f64();
         self.counted = self.counted.max(now);
     }
 }
 
-fn shed(reason: Reason, wait: Duration) -> Verdict {
+fn shed(reason: Reason, wait: time::Duration) -> Verdict {
     // Bounds of the advice: no busy retries, no caller that gives up for long.
     let shortest = if reason == Reason::Late { 0 } else { 100 };
-    let bounds = (Duration::from_millis(shortest), Duration::from_secs(30));
+    let bounds = (time::Duration::from_millis(shortest), time::Duration::from_secs(30));
     Verdict::Shed { reason, retry_after: wait.clamp(bounds.0, bounds.1) }
 }
--- a/crates/policy/src/adoption.rs
+++ b/crates/policy/src/adoption.rs
@@ -1,8 +1,8 @@
 //! How a node adopts revisions of the declared state.
 
-use std::time::Duration;
+use std::time;
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use rand::Rng;
 
 use crate::{id, rank};
@@ -11,11 +11,11 @@
 pub const WATCHERS: usize = 2;
 
 /// Age of the newest watch data at which a node reads the store itself.
-pub const READ_AGE: Duration = Duration::from_secs(2);
+pub const READ_AGE: time::Duration = time::Duration::from_secs(2);
 
 /// Time over which the nodes of a zone spread their direct reads. Together with [`READ_AGE`] and
 /// one read it stays below the 6 s in which a revision is in force.
-pub const READ_SPREAD: Duration = Duration::from_secs(2);
+pub const READ_SPREAD: time::Duration = time::Duration::from_secs(2);
 
 /// Where a revision was offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,9 +75,9 @@
     zone: &str,
     node: &str,
     live: impl IntoIterator<Item = &'a str>,
-    news: Moment,
+    news: moment::Moment,
     rng: &mut R,
-) -> Moment {
+) -> moment::Moment {
     let key = format!("read/{zone}");
     let own = (rank::weight(&key, node), node);
     let (mut position, mut nodes) = (0_u32, 1_u32);
--- a/crates/policy/src/assignment/replica.rs
+++ b/crates/policy/src/assignment/replica.rs
@@ -1,6 +1,6 @@
 //! One replica in an assignment.
 
-use std::net::SocketAddr;
+use std::net;
 
 use crate::id;
 
@@ -45,7 +45,7 @@
     /// The VM.
     pub id: id::Vm,
     /// Address of its engine.
-    pub address: SocketAddr,
+    pub address: net::SocketAddr,
 }
 
 /// Progress of a replica.
--- a/crates/policy/src/burn.rs
+++ b/crates/policy/src/burn.rs
@@ -4,16 +4,14 @@
 mod rating;
 mod series;
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+use std::{collections, time};
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 use crate::id;
 
 pub use counts::Counts;
 pub use rating::{Rating, Verdict, rate};
-use series::Series;
 
 /// Counts of one service and organisation over the windows of the report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -55,7 +53,8 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct Burn {
-    series: BTreeMap<id::Service, BTreeMap<id::Organisation, Series>>,
+    series:
+        collections::BTreeMap<id::Service, collections::BTreeMap<id::Organisation, series::Series>>,
     number: usize,
 }
 
@@ -63,12 +62,18 @@
     /// Most pairs of service and organisation; each takes about 13 KB.
     pub const LIMIT: usize = 1_024;
     /// The short window.
-    pub const SHORT: Duration = Duration::from_secs(300);
+    pub const SHORT: time::Duration = time::Duration::from_secs(300);
     /// The long window.
-    pub const LONG: Duration = Duration::from_secs(3_600);
+    pub const LONG: time::Duration = time::Duration::from_secs(3_600);
 
     /// Adds counts at `now`; false if there are too many pairs to count another one.
-    pub fn record(&mut self, service: &str, org: &str, counts: &Counts, now: Moment) -> bool {
+    pub fn record(
+        &mut self,
+        service: &str,
+        org: &str,
+        counts: &Counts,
+        now: moment::Moment,
+    ) -> bool {
         if let Some(series) = self.series.get_mut(service).and_then(|all| all.get_mut(org)) {
             series.record(counts, now);
             return true;
@@ -88,13 +93,13 @@
             all.retain(|organisation, _| keep(service, organisation));
             !all.is_empty()
         });
-        self.number = self.series.values().map(BTreeMap::len).sum();
+        self.number = self.series.values().map(collections::BTreeMap::len).sum();
     }
 
     /// The totals of all pairs.
     pub fn totals(
         &self,
-        now: Moment,
+        now: moment::Moment,
     ) -> impl Iterator<Item = (&id::Service, &id::Organisation, Totals)> {
         self.series.iter().flat_map(move |(service, all)| {
             all.iter().map(move |(org, series)| (service, org, series.totals(now)))
@@ -103,13 +108,13 @@
 
     /// The last 24 hours of a pair: ages in minutes with the counts at that age, without overlap.
     /// Counts older than an hour are in steps of ten minutes, at the age of the step's end.
-    pub fn history(&self, service: &str, org: &str, now: Moment) -> Vec<(u32, Counts)> {
+    pub fn history(&self, service: &str, org: &str, now: moment::Moment) -> Vec<(u32, Counts)> {
         let series = self.series.get(service).and_then(|all| all.get(org));
         series.map(|series| series.history(now)).unwrap_or_default()
     }
 
     /// The last 60 minutes of a pair by age in minutes, the present minute first.
-    pub fn minutes(&self, service: &str, org: &str, now: Moment) -> Vec<Counts> {
+    pub fn minutes(&self, service: &str, org: &str, now: moment::Moment) -> Vec<Counts> {
         let series = self.series.get(service).and_then(|all| all.get(org));
         series.map(|series| series.minutes(now)).unwrap_or_default()
     }
--- a/crates/policy/src/burn/counts.rs
+++ b/crates/policy/src/burn/counts.rs
@@ -1,8 +1,8 @@
 //! Counts against service-level targets.
 
-use std::time::Duration;
+use std::time;
 
-use crate::release::Targets;
+use crate::release;
 
 /// Numbers of requests and of those that met their target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -34,13 +34,13 @@
     }
 
     /// Counts a first token that came after `taken`, or never.
-    pub fn first_token(&mut self, taken: Option<Duration>, targets: &Targets) {
+    pub fn first_token(&mut self, taken: Option<time::Duration>, targets: &release::Targets) {
         self.firsts += 1;
         self.prompt_firsts += u64::from(taken.is_some_and(|taken| taken <= targets.first_token));
     }
 
     /// Counts the time between two tokens.
-    pub fn gap(&mut self, taken: Duration, targets: &Targets) {
+    pub fn gap(&mut self, taken: time::Duration, targets: &release::Targets) {
         self.gaps += 1;
         self.prompt_gaps += u64::from(taken <= targets.between_tokens);
     }
--- a/crates/policy/src/burn/rating.rs
+++ b/crates/policy/src/burn/rating.rs
@@ -1,8 +1,6 @@
 //! Error budget, burn rates and the verdict.
 
-use crate::release::Targets;
-
-use super::{Counts, Totals};
+use crate::{burn, release};
 
 /// Fraction of first tokens and of times between tokens that must be within their target.
 const ON_TIME: f64 = 0.95;
@@ -46,7 +44,7 @@
 }
 
 /// Rates each target: whole answers, first tokens, times between tokens and orders.
-pub fn rate(totals: &Totals, targets: &Targets) -> [Rating; 4] {
+pub fn rate(totals: &burn::Totals, targets: &release::Targets) -> [Rating; 4] {
     [
         target(totals, targets.whole, |c| (c.requests, c.whole)),
         target(totals, ON_TIME, |c| (c.firsts, c.prompt_firsts)),
@@ -62,9 +60,13 @@
     }
 }
 
-fn target(totals: &Totals, goal: f64, select: impl Fn(&Counts) -> (u64, u64)) -> Rating {
+fn target(
+    totals: &burn::Totals,
+    goal: f64,
+    select: impl Fn(&burn::Counts) -> (u64, u64),
+) -> Rating {
     let budget = (1.0 - goal).max(LEAST_BUDGET);
-    let burn = |counts: &Counts| {
+    let burn = |counts: &burn::Counts| {
         let (all, good) = select(counts);
         if all == 0 { 0.0 } else { all.saturating_sub(good) as f64 / all as f64 / budget }
     };
--- a/crates/policy/src/burn/series.rs
+++ b/crates/policy/src/burn/series.rs
@@ -1,8 +1,8 @@
 //! Counts of one pair over the last 24 hours in bounded memory.
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
-use super::{Burn, Counts, Totals};
+use crate::burn;
 
 /// Milliseconds of a fine step.
 const MINUTE: u64 = 60_000;
@@ -20,21 +20,21 @@
     const MINUTES: usize = 60;
     const STEPS: usize = 144;
 
-    pub(super) fn record(&mut self, counts: &Counts, now: Moment) {
+    pub(super) fn record(&mut self, counts: &burn::Counts, now: moment::Moment) {
         self.minutes.slot(now.as_millis() / MINUTE, Self::MINUTES).add(counts);
         self.steps.slot(now.as_millis() / TEN_MINUTES, Self::STEPS).add(counts);
     }
 
-    pub(super) fn totals(&self, now: Moment) -> Totals {
+    pub(super) fn totals(&self, now: moment::Moment) -> burn::Totals {
         let (minute, step) = (now.as_millis() / MINUTE, now.as_millis() / TEN_MINUTES);
-        Totals {
-            short: self.minutes.sum(minute, Burn::SHORT.as_secs() / 60),
-            long: self.minutes.sum(minute, Burn::LONG.as_secs() / 60),
+        burn::Totals {
+            short: self.minutes.sum(minute, burn::Burn::SHORT.as_secs() / 60),
+            long: self.minutes.sum(minute, burn::Burn::LONG.as_secs() / 60),
             day: self.steps.sum(step, Self::STEPS as u64),
         }
     }
 
-    pub(super) fn history(&self, now: Moment) -> Vec<(u32, Counts)> {
+    pub(super) fn history(&self, now: moment::Moment) -> Vec<(u32, burn::Counts)> {
         let (minute, step) = (now.as_millis() / MINUTE, now.as_millis() / TEN_MINUTES);
         let per_step = TEN_MINUTES / MINUTE;
         let mut history: Vec<_> = (0..).zip(self.minutes(now)).collect();
@@ -50,14 +50,16 @@
             let age = minute.saturating_sub(last).max(Self::MINUTES as u64);
             history.push((u32::try_from(age).unwrap_or(u32::MAX), older));
         }
-        history.retain(|(_, counts)| *counts != Counts::default());
+        history.retain(|(_, counts)| *counts != burn::Counts::default());
         history
     }
 
-    pub(super) fn minutes(&self, now: Moment) -> Vec<Counts> {
+    pub(super) fn minutes(&self, now: moment::Moment) -> Vec<burn::Counts> {
         let minute = now.as_millis() / MINUTE;
         (0..Self::MINUTES as u64)
-            .map(|age| minute.checked_sub(age).map_or_else(Counts::default, |i| self.minutes.at(i)))
+            .map(|age| {
+                minute.checked_sub(age).map_or_else(burn::Counts::default, |i| self.minutes.at(i))
+            })
             .collect()
     }
 }
@@ -65,31 +67,31 @@
 /// Counts of the latest steps; a slot is reused when its step is too old.
 #[derive(Debug, Default)]
 struct Ring {
-    slots: Vec<(u64, Counts)>,
+    slots: Vec<(u64, burn::Counts)>,
 }
 
 impl Ring {
-    fn slot(&mut self, step: u64, size: usize) -> &mut Counts {
+    fn slot(&mut self, step: u64, size: usize) -> &mut burn::Counts {
         if self.slots.is_empty() {
-            self.slots = vec![(0, Counts::default()); size];
+            self.slots = vec![(0, burn::Counts::default()); size];
         }
         let (at, counts) = &mut self.slots[(step % size as u64) as usize];
         if *at != step {
-            (*at, *counts) = (step, Counts::default());
+            (*at, *counts) = (step, burn::Counts::default());
         }
         counts
     }
 
-    fn at(&self, step: u64) -> Counts {
+    fn at(&self, step: u64) -> burn::Counts {
         match self.slots.get((step % self.slots.len().max(1) as u64) as usize) {
             Some((at, counts)) if *at == step => *counts,
-            _ => Counts::default(),
+            _ => burn::Counts::default(),
         }
     }
 
     /// The sum of the last `number` steps including `step`.
-    fn sum(&self, step: u64, number: u64) -> Counts {
-        let mut sum = Counts::default();
+    fn sum(&self, step: u64, number: u64) -> burn::Counts {
+        let mut sum = burn::Counts::default();
         for (_, counts) in self.slots.iter().filter(|(at, _)| *at <= step && at + number > step) {
             sum.add(counts);
         }
--- a/crates/policy/src/calls.rs
+++ b/crates/policy/src/calls.rs
@@ -1,12 +1,14 @@
 //! The budget of calls to the store: calls in flight, rates by class and backoff.
 
-use std::time::Duration;
+use std::time;
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use rand::Rng;
 
-use crate::admission::{Bucket, wait};
-use crate::retry;
+use crate::{
+    admission::{self, wait},
+    retry,
+};
 
 /// What a call is for, more important ones first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -47,7 +49,7 @@
     /// It may, and counts as in flight.
     Go,
     /// It may not; this is the earliest moment at which time alone can allow it.
-    Wait(Moment),
+    Wait(moment::Moment),
     /// It may not until a call in flight ends.
     Full,
 }
@@ -72,13 +74,13 @@
 #[derive(Clone, Debug)]
 pub struct Calls {
     rates: [Rate; 4],
-    buckets: [Bucket; 4],
+    buckets: [admission::Bucket; 4],
     flight: usize,
     failures: u32,
     /// End of the backoff, which holds back all classes.
-    backoff: Moment,
+    backoff: moment::Moment,
     /// End of the delay after an outage, which holds back the less important classes.
-    pause: Moment,
+    pause: moment::Moment,
 }
 
 impl Calls {
@@ -87,7 +89,7 @@
     /// Failures in a row, each after its own backoff, that count as an outage.
     pub const OUTAGE: u32 = 3;
     /// Longest delay of configuration and report calls after an outage.
-    pub const PAUSE: Duration = Duration::from_secs(2);
+    pub const PAUSE: time::Duration = time::Duration::from_secs(2);
 
     /// Opens the budget with the rates of [`Class::ALL`].
     pub fn open(rates: [Rate; 4]) -> Self {
@@ -96,8 +98,8 @@
             buckets: Default::default(),
             flight: 0,
             failures: 0,
-            backoff: Moment::ZERO,
-            pause: Moment::ZERO,
+            backoff: moment::Moment::ZERO,
+            pause: moment::Moment::ZERO,
         }
     }
 
@@ -112,7 +114,7 @@
     }
 
     /// Asks to begin a call.
-    pub fn begin(&mut self, class: Class, now: Moment) -> Permit {
+    pub fn begin(&mut self, class: Class, now: moment::Moment) -> Permit {
         let held = if class >= Class::Config { self.backoff.max(self.pause) } else { self.backoff };
         if held > now {
             return Permit::Wait(held);
@@ -143,7 +145,7 @@
 
     /// Takes the end of a call that [`Permit::Go`] allowed. A failure is a time-out, a refused
     /// connection or an error of the store itself, not a lost comparison.
-    pub fn end(&mut self, failed: bool, now: Moment, rng: &mut impl Rng) {
+    pub fn end(&mut self, failed: bool, now: moment::Moment, rng: &mut impl Rng) {
         self.flight = self.flight.saturating_sub(1);
         if failed {
             // Calls that were in flight together fail together and count once.
@@ -154,7 +156,7 @@
             return;
         }
         if self.is_out() {
-            self.pause = now + rng.random_range(Duration::ZERO..=Self::PAUSE);
+            self.pause = now + rng.random_range(time::Duration::ZERO..=Self::PAUSE);
         }
         self.failures = 0;
         self.backoff = now;
--- a/crates/policy/src/changeset/apply.rs
+++ b/crates/policy/src/changeset/apply.rs
@@ -1,10 +1,12 @@
 //! The step from one release to the next.
 
-use std::collections::BTreeMap;
+use std::collections;
 
-use super::error::{Error, Fault, FaultKind, Kind, Result};
-use super::{Action, Change, Changeset, Item, check};
-use crate::release::{Note, Release};
+use super::{
+    check,
+    error::{self, Result},
+};
+use crate::{changeset, release};
 
 /// The release that `changeset` leads to.
 ///
@@ -27,31 +29,34 @@
 /// assert_eq!(changeset::apply(&next, &note).unwrap_err().kind, Kind::AlreadyAccepted(1));
 /// # Ok::<(), changeset::Error>(())
 /// ```
-pub fn apply(release: &Release, changeset: &Changeset) -> Result<Release> {
-    let fail = |kind| Err(Error { note: changeset.id.clone(), kind });
+pub fn apply(
+    release: &release::Release,
+    changeset: &changeset::Changeset,
+) -> Result<release::Release> {
+    let fail = |kind| Err(error::Error { note: changeset.id.clone(), kind });
     if let Some(note) = release.notes.iter().rev().find(|note| note.id == changeset.id) {
         return fail(if note.digest == changeset.digest {
-            Kind::AlreadyAccepted(note.revision)
+            error::Kind::AlreadyAccepted(note.revision)
         } else {
-            Kind::Reused { revision: note.revision }
+            error::Kind::Reused { revision: note.revision }
         });
     }
     if changeset.base != release.revision {
-        return fail(Kind::Base { base: changeset.base, revision: release.revision });
+        return fail(error::Kind::Base { base: changeset.base, revision: release.revision });
     }
     let mut faults = Vec::new();
     let mut next = release.clone();
     check_note(changeset, &mut faults);
-    let mut lines = BTreeMap::new();
+    let mut lines = collections::BTreeMap::new();
     for change in &changeset.changes {
         let label = change.item.label();
         let fault = if let Some(first) = lines.get(&label) {
-            Some(FaultKind::Repeated { first: *first })
+            Some(error::FaultKind::Repeated { first: *first })
         } else {
             lines.insert(label.clone(), change.line);
             apply_change(&mut next, change)
         };
-        faults.extend(fault.map(|kind| Fault { line: change.line, item: label, kind }));
+        faults.extend(fault.map(|kind| error::Fault { line: change.line, item: label, kind }));
     }
     for change in &changeset.changes {
         check::values(change, &mut faults);
@@ -60,64 +65,73 @@
     check::clashes(&next, &lines, &mut faults);
     if !faults.is_empty() {
         faults.sort_by_key(|fault| fault.line);
-        return fail(Kind::Faults(faults));
+        return fail(error::Kind::Faults(faults));
     }
     next.revision += 1;
-    next.notes.push_back(Note {
+    next.notes.push_back(release::Note {
         id: changeset.id.clone(),
         revision: next.revision,
         digest: changeset.digest,
     });
-    while next.notes.len() > Release::HISTORY {
+    while next.notes.len() > release::Release::HISTORY {
         next.notes.pop_front();
     }
     Ok(next)
 }
 
-fn check_note(changeset: &Changeset, faults: &mut Vec<Fault>) {
-    let mut add = |kind| faults.push(Fault { line: 0, item: "note".to_owned(), kind });
+fn check_note(changeset: &changeset::Changeset, faults: &mut Vec<error::Fault>) {
+    let mut add = |kind| faults.push(error::Fault { line: 0, item: "note".to_owned(), kind });
     if !check::is_name(&changeset.id) {
-        add(FaultKind::Name);
+        add(error::FaultKind::Name);
     }
     if changeset.changes.is_empty() {
-        add(FaultKind::Empty);
+        add(error::FaultKind::Empty);
     }
 }
 
-fn apply_change(next: &mut Release, change: &Change) -> Option<FaultKind> {
+fn apply_change(
+    next: &mut release::Release,
+    change: &changeset::Change,
+) -> Option<error::FaultKind> {
     match &change.item {
-        Item::Organisation(name, value) => {
+        changeset::Item::Organisation(name, value) => {
             apply_item(&mut next.organisations, change.action, name, value.as_ref())
         }
-        Item::Service(name, value) => {
+        changeset::Item::Service(name, value) => {
             apply_item(&mut next.services, change.action, name, value.as_ref())
         }
-        Item::ReplicaSet(name, value) => {
+        changeset::Item::ReplicaSet(name, value) => {
             apply_item(&mut next.sets, change.action, name, value.as_ref())
         }
-        Item::Zone(name, value) => apply_item(&mut next.zones, change.action, name, value.as_ref()),
+        changeset::Item::Zone(name, value) => {
+            apply_item(&mut next.zones, change.action, name, value.as_ref())
+        }
     }
 }
 
 /// Applies the change as far as possible even if it is wrong, so that no fault follows from
 /// another one.
 fn apply_item<K: Ord + Clone, V: Clone>(
-    items: &mut BTreeMap<K, V>,
-    action: Action,
+    items: &mut collections::BTreeMap<K, V>,
+    action: changeset::Action,
     name: &K,
     value: Option<&V>,
-) -> Option<FaultKind> {
+) -> Option<error::FaultKind> {
     let exists = items.contains_key(name);
-    if let (Action::Add | Action::Change, Some(value)) = (action, value) {
+    if let (changeset::Action::Add | changeset::Action::Change, Some(value)) = (action, value) {
         items.insert(name.clone(), value.clone());
     }
-    if action == Action::Withdraw {
+    if action == changeset::Action::Withdraw {
         items.remove(name);
     }
     match (action, exists) {
-        (Action::Add, true) => Some(FaultKind::Exists),
-        (Action::Change | Action::Withdraw, false) => Some(FaultKind::Missing),
-        _ if (action == Action::Withdraw) == value.is_some() => Some(FaultKind::Value),
+        (changeset::Action::Add, true) => Some(error::FaultKind::Exists),
+        (changeset::Action::Change | changeset::Action::Withdraw, false) => {
+            Some(error::FaultKind::Missing)
+        }
+        _ if (action == changeset::Action::Withdraw) == value.is_some() => {
+            Some(error::FaultKind::Value)
+        }
         _ => None,
     }
 }
--- a/crates/policy/src/changeset/check.rs
+++ b/crates/policy/src/changeset/check.rs
@@ -1,11 +1,12 @@
 //! Checks of values, of references between items and of values that must be distinct.
 
-use std::collections::BTreeMap;
+use std::collections;
 
-use super::error::{Fault, FaultKind};
-use super::{Action, Change, Item};
-use crate::id;
-use crate::release::{Kind, Organisation, Pattern, Plain, Release, ReplicaSet, Service};
+use super::error;
+use crate::{
+    changeset, id,
+    release::{self, Service},
+};
 
 /// Paths of the model calls, which no plain service may take.
 const RESERVED: [&str; 3] = ["/v1/chat/completions", "/v1/completions", "/v1/models"];
@@ -20,33 +21,33 @@
 }
 
 /// Checks the name and the value of one item.
-pub(super) fn values(change: &Change, faults: &mut Vec<Fault>) {
+pub(super) fn values(change: &changeset::Change, faults: &mut Vec<error::Fault>) {
     let mut sink = Sink { change, faults };
     if !is_name(change.item.name()) {
-        sink.add(FaultKind::Name);
+        sink.add(error::FaultKind::Name);
     }
     match &change.item {
-        Item::Organisation(_, Some(value)) => organisation(value, &mut sink),
-        Item::Service(_, Some(value)) => service(value, &mut sink),
-        Item::ReplicaSet(_, Some(value)) => replica_set(value, &mut sink),
+        changeset::Item::Organisation(_, Some(value)) => organisation(value, &mut sink),
+        changeset::Item::Service(_, Some(value)) => service(value, &mut sink),
+        changeset::Item::ReplicaSet(_, Some(value)) => replica_set(value, &mut sink),
         _ => {}
     }
 }
 
 /// Collects the faults of one change.
 struct Sink<'a> {
-    change: &'a Change,
-    faults: &'a mut Vec<Fault>,
+    change: &'a changeset::Change,
+    faults: &'a mut Vec<error::Fault>,
 }
 
 impl Sink<'_> {
-    fn add(&mut self, kind: FaultKind) {
-        let Change { line, item, .. } = self.change;
-        self.faults.push(Fault { line: *line, item: item.label(), kind });
+    fn add(&mut self, kind: error::FaultKind) {
+        let changeset::Change { line, item, .. } = self.change;
+        self.faults.push(error::Fault { line: *line, item: item.label(), kind });
     }
 
     fn invalid(&mut self, field: &'static str, found: &str, expected: &'static str) {
-        self.add(FaultKind::Invalid { field, found: found.to_owned(), expected });
+        self.add(error::FaultKind::Invalid { field, found: found.to_owned(), expected });
     }
 
     fn positive(&mut self, field: &'static str, value: u32) {
@@ -56,7 +57,7 @@
     }
 }
 
-fn organisation(value: &Organisation, sink: &mut Sink<'_>) {
+fn organisation(value: &release::Organisation, sink: &mut Sink<'_>) {
     let hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
     if value.key_hash.len() != 64 || !value.key_hash.bytes().all(hex) {
         sink.invalid("key-hash", &value.key_hash, "64 lower-case hexadecimal digits of SHA-256");
@@ -66,7 +67,7 @@
     sink.positive("concurrency", value.concurrency);
 }
 
-fn replica_set(value: &ReplicaSet, sink: &mut Sink<'_>) {
+fn replica_set(value: &release::ReplicaSet, sink: &mut Sink<'_>) {
     sink.positive("vms", value.vms.into());
     sink.positive("replicas", value.replicas.into());
     sink.positive("cold-limit", value.cold_limit);
@@ -94,13 +95,13 @@
         }
     }
     match &value.kind {
-        Kind::Model { model } if model.is_empty() => sink.invalid("model", "", "a name"),
-        Kind::Model { .. } => {}
-        Kind::Plain(plain) => plain_service(plain, sink),
+        release::Kind::Model { model } if model.is_empty() => sink.invalid("model", "", "a name"),
+        release::Kind::Model { .. } => {}
+        release::Kind::Plain(plain) => plain_service(plain, sink),
     }
 }
 
-fn plain_service(plain: &Plain, sink: &mut Sink<'_>) {
+fn plain_service(plain: &release::Plain, sink: &mut Sink<'_>) {
     if !is_path(&plain.prefix) || plain.prefix.contains('*') {
         sink.invalid("prefix", &plain.prefix, "a path such as /orders, without a trailing slash");
     } else if RESERVED.iter().any(|path| overlap(path, &plain.prefix)) {
@@ -124,7 +125,7 @@
     }
 }
 
-fn pattern_fault(pattern: &Pattern) -> Option<&'static str> {
+fn pattern_fault(pattern: &release::Pattern) -> Option<&'static str> {
     let upper = |b: u8| b.is_ascii_uppercase();
     if pattern.method.is_empty() || !pattern.method.bytes().all(upper) {
         return Some("an HTTP method in upper case, then a path pattern");
@@ -150,19 +151,23 @@
 }
 
 /// Checks that everything an item refers to exists in the resulting release.
-pub(super) fn references(next: &Release, changes: &[Change], faults: &mut Vec<Fault>) {
+pub(super) fn references(
+    next: &release::Release,
+    changes: &[changeset::Change],
+    faults: &mut Vec<error::Fault>,
+) {
     for change in changes {
         let mut sink = Sink { change, faults };
         match &change.item {
-            Item::ReplicaSet(_, Some(set)) => set_references(next, set, &mut sink),
-            Item::Service(name, value) => {
+            changeset::Item::ReplicaSet(_, Some(set)) => set_references(next, set, &mut sink),
+            changeset::Item::Service(name, value) => {
                 let plain = value.as_ref().and_then(|value| value.plain());
                 plain.inspect(|plain| zone_references(next, plain, &mut sink));
-                if change.action == Action::Withdraw || plain.is_some() {
+                if change.action == changeset::Action::Withdraw || plain.is_some() {
                     set_users(next, changes, |set| set.service == *name, &mut sink);
                 }
             }
-            Item::Zone(name, _) if change.action == Action::Withdraw => {
+            changeset::Item::Zone(name, _) if change.action == changeset::Action::Withdraw => {
                 set_users(next, changes, |set| set.zone == *name, &mut sink);
                 service_users(next, changes, name, &mut sink);
             }
@@ -171,54 +176,65 @@
     }
 }
 
-fn zone_references(next: &Release, plain: &Plain, sink: &mut Sink<'_>) {
+fn zone_references(next: &release::Release, plain: &release::Plain, sink: &mut Sink<'_>) {
     for (zone, _) in plain.upstreams.iter().filter(|(zone, _)| !next.zones.contains_key(zone)) {
-        sink.add(FaultKind::Unknown { reference: format!("zone {zone}") });
+        sink.add(error::FaultKind::Unknown { reference: format!("zone {zone}") });
     }
 }
 
-fn set_references(next: &Release, set: &ReplicaSet, sink: &mut Sink<'_>) {
+fn set_references(next: &release::Release, set: &release::ReplicaSet, sink: &mut Sink<'_>) {
     match next.services.get(&set.service).map(|service| &service.kind) {
-        None => sink.add(FaultKind::Unknown { reference: format!("service {}", set.service) }),
-        Some(Kind::Plain(_)) => {
-            sink.add(FaultKind::PlainService { service: set.service.to_string() })
+        None => {
+            sink.add(error::FaultKind::Unknown { reference: format!("service {}", set.service) })
+        }
+        Some(release::Kind::Plain(_)) => {
+            sink.add(error::FaultKind::PlainService { service: set.service.to_string() })
         }
-        Some(Kind::Model { .. }) => {}
+        Some(release::Kind::Model { .. }) => {}
     }
     if !next.zones.contains_key(&set.zone) {
-        sink.add(FaultKind::Unknown { reference: format!("zone {}", set.zone) });
+        sink.add(error::FaultKind::Unknown { reference: format!("zone {}", set.zone) });
     }
 }
 
 /// Reports the replica sets that use a withdrawn item and are not themselves part of the note;
 /// those that are get a fault of their own.
 fn set_users(
-    next: &Release,
-    changes: &[Change],
-    uses: impl Fn(&ReplicaSet) -> bool,
+    next: &release::Release,
+    changes: &[changeset::Change],
+    uses: impl Fn(&release::ReplicaSet) -> bool,
     sink: &mut Sink<'_>,
 ) {
     for name in next.sets.iter().filter(|(_, set)| uses(set)).map(|(name, _)| name) {
-        let named = |c: &Change| matches!(&c.item, Item::ReplicaSet(other, _) if other == name);
+        let named = |c: &changeset::Change| matches!(&c.item, changeset::Item::ReplicaSet(other, _) if other == name);
         if !changes.iter().any(named) {
-            sink.add(FaultKind::Used { user: format!("group {name}") });
+            sink.add(error::FaultKind::Used { user: format!("group {name}") });
         }
     }
 }
 
 /// Reports the plain services with upstreams in a withdrawn zone, except those in the note.
-fn service_users(next: &Release, changes: &[Change], zone: &id::Zone, sink: &mut Sink<'_>) {
+fn service_users(
+    next: &release::Release,
+    changes: &[changeset::Change],
+    zone: &id::Zone,
+    sink: &mut Sink<'_>,
+) {
     for (name, service) in &next.services {
-        let named = |c: &Change| matches!(&c.item, Item::Service(other, _) if other == name);
-        let uses = |plain: &Plain| plain.upstreams.iter().any(|(other, _)| other == zone);
+        let named = |c: &changeset::Change| matches!(&c.item, changeset::Item::Service(other, _) if other == name);
+        let uses = |plain: &release::Plain| plain.upstreams.iter().any(|(other, _)| other == zone);
         if service.plain().is_some_and(uses) && !changes.iter().any(named) {
-            sink.add(FaultKind::Used { user: format!("service {name}") });
+            sink.add(error::FaultKind::Used { user: format!("service {name}") });
         }
     }
 }
 
 /// Checks that key hashes, model names and path prefixes are distinct.
-pub(super) fn clashes(next: &Release, lines: &BTreeMap<String, usize>, faults: &mut Vec<Fault>) {
+pub(super) fn clashes(
+    next: &release::Release,
+    lines: &collections::BTreeMap<String, usize>,
+    faults: &mut Vec<error::Fault>,
+) {
     let keys: Vec<_> = (next.organisations.iter())
         .map(|(name, value)| (format!("organisation {name}"), value.key_hash.as_str()))
         .collect();
@@ -226,8 +242,12 @@
     let (mut models, mut prefixes) = (Vec::new(), Vec::new());
     for (name, service) in &next.services {
         match &service.kind {
-            Kind::Model { model } => models.push((format!("service {name}"), model.as_str())),
-            Kind::Plain(plain) => prefixes.push((format!("service {name}"), plain.prefix.as_str())),
+            release::Kind::Model { model } => {
+                models.push((format!("service {name}"), model.as_str()))
+            }
+            release::Kind::Plain(plain) => {
+                prefixes.push((format!("service {name}"), plain.prefix.as_str()))
+            }
         }
     }
     pairs("model", &models, |a, b| a == b, lines, faults);
@@ -239,16 +259,17 @@
     field: &'static str,
     values: &[(String, &str)],
     clash: impl Fn(&str, &str) -> bool,
-    lines: &BTreeMap<String, usize>,
-    faults: &mut Vec<Fault>,
+    lines: &collections::BTreeMap<String, usize>,
+    faults: &mut Vec<error::Fault>,
 ) {
     for (n, a) in values.iter().enumerate() {
         for b in values[n + 1..].iter().filter(|b| clash(a.1, b.1)) {
             let (line_a, line_b) = (lines.get(&a.0), lines.get(&b.0));
             let (own, other) = if line_a > line_b { (a, b) } else { (b, a) };
             let Some(line) = line_a.max(line_b) else { continue };
-            let kind = FaultKind::Clash { field, found: own.1.to_owned(), other: other.0.clone() };
-            faults.push(Fault { line: *line, item: own.0.clone(), kind });
+            let kind =
+                error::FaultKind::Clash { field, found: own.1.to_owned(), other: other.0.clone() };
+            faults.push(error::Fault { line: *line, item: own.0.clone(), kind });
         }
     }
 }
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -2,7 +2,7 @@
 
 mod holding;
 
-use std::time::Duration;
+use std::time;
 
 use crate::{id, membership};
 
@@ -118,7 +118,11 @@
 /// assert_eq!(claim::holder(2, present, Duration::ZERO), Holder::Live);
 /// assert_eq!(claim::holder(2, present, Duration::from_secs(6)), Holder::Dead);
 /// ```
-pub fn holder(boot: u64, present: Option<(u64, membership::Liveness)>, waited: Duration) -> Holder {
+pub fn holder(
+    boot: u64,
+    present: Option<(u64, membership::Liveness)>,
+    waited: time::Duration,
+) -> Holder {
     match present {
         Some((known, membership::Liveness::Dead)) if known == boot => Holder::Dead,
         Some((known, _)) if known == boot => Holder::Live,
--- a/crates/policy/src/claim/holding.rs
+++ b/crates/policy/src/claim/holding.rs
@@ -1,10 +1,10 @@
 //! A claimed key, from the claim to the record of its outcome.
 
-use std::time::Duration;
+use std::time;
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
-use super::{Answer, Record, State};
+use crate::claim;
 
 /// A key that this node has claimed.
 ///
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug)]
 pub struct Holding {
     version: u64,
-    claimed: Moment,
+    claimed: moment::Moment,
     sent: bool,
 }
 
@@ -38,18 +38,18 @@
     /// The upstream refused it before running it.
     Refused,
     /// The upstream answered completely.
-    Answered(Answer),
+    Answered(claim::Answer),
     /// Something was sent and the answer is not known completely.
     Broken,
 }
 
 impl Holding {
     /// Oldest claim under which a call is sent.
-    pub const AGE: Duration = Duration::from_secs(10);
+    pub const AGE: time::Duration = time::Duration::from_secs(10);
 
     /// Holds a key at the version that the claim has; `claimed` is the moment before the first
     /// attempt to write the claim.
-    pub fn open(version: u64, claimed: Moment) -> Self {
+    pub fn open(version: u64, claimed: moment::Moment) -> Self {
         Self { version, claimed, sent: false }
     }
 
@@ -60,7 +60,7 @@
 
     /// Asks to send the call, right before the first byte; true at most once, and only while the
     /// claim is younger than [`Holding::AGE`].
-    pub fn send(&mut self, now: Moment) -> bool {
+    pub fn send(&mut self, now: moment::Moment) -> bool {
         let allowed = !self.sent && now.since(self.claimed) < Self::AGE;
         self.sent |= allowed;
         allowed
@@ -73,19 +73,21 @@
 
     /// The state to record after the call ended.
     ///
-    /// [`State::NotRun`] lets a later call claim the key again. An answer above [`Answer::LIMIT`]
+    /// [`claim::State::NotRun`] lets a later call claim the key again. An answer above [`claim::Answer::LIMIT`]
     /// is not recorded, so later calls get an unknown outcome.
-    pub fn outcome(&self, ended: Ended) -> State {
+    pub fn outcome(&self, ended: Ended) -> claim::State {
         match ended {
-            _ if !self.sent => State::NotRun,
-            Ended::NotSent | Ended::Refused => State::NotRun,
-            Ended::Answered(answer) if answer.size() <= Answer::LIMIT => State::Done(answer),
-            Ended::Answered(_) | Ended::Broken => State::Unknown,
+            _ if !self.sent => claim::State::NotRun,
+            Ended::NotSent | Ended::Refused => claim::State::NotRun,
+            Ended::Answered(answer) if answer.size() <= claim::Answer::LIMIT => {
+                claim::State::Done(answer)
+            }
+            Ended::Answered(_) | Ended::Broken => claim::State::Unknown,
         }
     }
 
     /// The record with the outcome, to write from [`Holding::version`].
-    pub fn record(&self, claimed: &Record, ended: Ended) -> Record {
-        Record { state: self.outcome(ended), ..claimed.clone() }
+    pub fn record(&self, claimed: &claim::Record, ended: Ended) -> claim::Record {
+        claim::Record { state: self.outcome(ended), ..claimed.clone() }
     }
 }
--- a/crates/policy/src/delivery.rs
+++ b/crates/policy/src/delivery.rs
@@ -1,6 +1,6 @@
 //! Checks of stream events before anything of them reaches the caller.
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 /// An event of a stream.
 #[derive(Clone, Copy, Debug)]
@@ -112,7 +112,7 @@
     /// silent: at most [`Delivery::RESUMES`] times and before the deadline.
     ///
     /// Returns the index of the token to go on with.
-    pub fn resume(&mut self, deadline: Moment, now: Moment) -> Option<u64> {
+    pub fn resume(&mut self, deadline: moment::Moment, now: moment::Moment) -> Option<u64> {
         if self.state == State::Whole {
             return None;
         }
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -1,15 +1,13 @@
 //! Names of the things that decisions are about.
 
-use std::borrow::Borrow;
-use std::fmt;
-use std::sync::Arc;
+use std::{borrow::Borrow, fmt, sync};
 
 macro_rules! names {
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
         $(#[$doc])*
         #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
         #[serde(transparent)]
-        pub struct $name(Arc<str>);
+        pub struct $name(sync::Arc<str>);
 
         impl $name {
             /// The name as text.
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -1,20 +1,20 @@
 //! The holder's own judgement of its zone lease, on its monotonic clock.
 
-use std::time::Duration;
+use std::time;
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use rand::Rng;
 
 use crate::{id, rank};
 
 /// Time to live that is requested from the store, in whole seconds as the store counts.
-pub const TTL: Duration = Duration::from_secs(5);
+pub const TTL: time::Duration = time::Duration::from_secs(5);
 
 /// Nodes of a zone that compete for its lease; three bound the writes after a store outage.
 pub const CANDIDATES: usize = 3;
 
 /// Delay between the attempts of successive candidates, so that usually one attempt is made.
-const STAGGER: Duration = Duration::from_millis(250);
+const STAGGER: time::Duration = time::Duration::from_millis(250);
 
 /// The value of a zone's lease key.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -34,9 +34,9 @@
     /// Fencing token of this acquisition.
     pub token: u64,
     /// The moment before the latest confirmed grant or renewal was sent.
-    pub sent: Moment,
+    pub sent: moment::Moment,
     /// Time to live that the store confirmed.
-    pub ttl: Duration,
+    pub ttl: time::Duration,
 }
 
 /// What a node does about the lease now.
@@ -56,12 +56,12 @@
     /// The end of validity: the time to live less a margin of 25 %, from before the sending.
     ///
     /// The margin covers clocks of different rates.
-    pub fn valid_until(&self) -> Moment {
+    pub fn valid_until(&self) -> moment::Moment {
         self.sent + self.ttl * 3 / 4
     }
 
     /// When to renew: early enough for two attempts within the validity.
-    pub fn renew_at(&self) -> Moment {
+    pub fn renew_at(&self) -> moment::Moment {
         self.sent + self.ttl / 4
     }
 
@@ -83,7 +83,7 @@
     /// assert_eq!(held.step(Some(now), now), lease::Step::Renew);
     /// assert_eq!(held.step(None, sent + lease::TTL), lease::Step::StepDown);
     /// ```
-    pub fn step(&self, resumed: Option<Moment>, now: Moment) -> Step {
+    pub fn step(&self, resumed: Option<moment::Moment>, now: moment::Moment) -> Step {
         if now >= self.valid_until() {
             Step::StepDown
         } else if resumed.is_some_and(|end| self.sent < end) {
@@ -96,7 +96,7 @@
     }
 
     /// Records a confirmed renewal; one that was sent earlier than the latest is ignored.
-    pub fn renewed(&mut self, sent: Moment, ttl: Duration) {
+    pub fn renewed(&mut self, sent: moment::Moment, ttl: time::Duration) {
         if sent > self.sent {
             (self.sent, self.ttl) = (sent, ttl);
         }
@@ -109,9 +109,9 @@
     zone: &str,
     node: &str,
     live: impl IntoIterator<Item = &'a str>,
-    free: Moment,
+    free: moment::Moment,
     rng: &mut R,
-) -> Option<Moment> {
+) -> Option<moment::Moment> {
     let key = format!("lease/{zone}");
     let others = live.into_iter().filter(|other| *other != node);
     let own = (rank::weight(&key, node), node);
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -8,42 +8,40 @@
 mod peers;
 mod view;
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::{collections, net, time};
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
+
+use crate::id;
 
 pub use merge::{Entry, Merged};
 pub use news::{Forwarded, News};
 pub use view::{Liveness, View};
 
-use crate::id;
-
 /// Time between two pulls of a node.
-pub const PERIOD: Duration = Duration::from_millis(500);
+pub const PERIOD: time::Duration = time::Duration::from_millis(500);
 
 /// Heartbeat age from which a node is suspect.
-pub const SUSPECT: Duration = Duration::from_secs(3);
+pub const SUSPECT: time::Duration = time::Duration::from_secs(3);
 
 /// Heartbeat age from which a node is dead.
-pub const DEAD: Duration = Duration::from_secs(6);
+pub const DEAD: time::Duration = time::Duration::from_secs(6);
 
 /// Heartbeat age at which a node is forgotten; above any delay of a digest, so that an old digest
 /// does not bring it back.
-pub const FORGOTTEN: Duration = Duration::from_secs(60);
+pub const FORGOTTEN: time::Duration = time::Duration::from_secs(60);
 
 /// A gap between two runs above this means that the process was paused: three periods.
-pub const PAUSE: Duration = Duration::from_millis(1_500);
+pub const PAUSE: time::Duration = time::Duration::from_millis(1_500);
 
 /// The nodes that one node knows of.
 #[derive(Clone, Debug)]
 pub struct Members {
     own: id::Node,
-    nodes: BTreeMap<id::Node, Member>,
-    opened: Moment,
-    ran: Moment,
-    resumed: Option<Moment>,
+    nodes: collections::BTreeMap<id::Node, Member>,
+    opened: moment::Moment,
+    ran: moment::Moment,
+    resumed: Option<moment::Moment>,
     renewed: bool,
 }
 
@@ -53,22 +51,28 @@
     /// Availability zone.
     pub zone: id::Zone,
     /// Address of its link.
-    pub address: SocketAddr,
+    pub address: net::SocketAddr,
     /// Identifier of its process; 0 before its first heartbeat is known.
     pub boot: u64,
     /// Heartbeat counter of that process.
     pub heartbeat: u64,
     /// No later than the moment of that heartbeat; `None` before the first one is known.
-    pub beat: Option<Moment>,
+    pub beat: Option<moment::Moment>,
     /// When the VM list last named it.
-    pub listed: Option<Moment>,
+    pub listed: Option<moment::Moment>,
     /// Whether it drains.
     pub draining: bool,
 }
 
 impl Members {
     /// The members as a starting node knows them: itself.
-    pub fn new(own: id::Node, zone: id::Zone, address: SocketAddr, boot: u64, now: Moment) -> Self {
+    pub fn new(
+        own: id::Node,
+        zone: id::Zone,
+        address: net::SocketAddr,
+        boot: u64,
+        now: moment::Moment,
+    ) -> Self {
         let member = Member {
             zone,
             address,
@@ -78,13 +82,13 @@
             listed: Some(now),
             draining: false,
         };
-        let nodes = BTreeMap::from([(own.clone(), member)]);
+        let nodes = collections::BTreeMap::from([(own.clone(), member)]);
         Self { own, nodes, opened: now, ran: now, resumed: None, renewed: true }
     }
 
     /// Starts a run at `now`: counts the own heartbeat, detects a pause and forgets members that
     /// have been dead for long. Returns whether a pause was detected.
-    pub fn run(&mut self, now: Moment) -> bool {
+    pub fn run(&mut self, now: moment::Moment) -> bool {
         let paused = now.since(self.ran) > PAUSE;
         self.ran = now;
         if paused {
@@ -111,7 +115,7 @@
     }
 
     /// Borrows the members for decisions at `now`.
-    pub fn view(&self, now: Moment) -> View<'_> {
+    pub fn view(&self, now: moment::Moment) -> View<'_> {
         View {
             own: &self.own,
             nodes: &self.nodes,
--- a/crates/policy/src/membership/merge.rs
+++ b/crates/policy/src/membership/merge.rs
@@ -1,13 +1,10 @@
 //! Updates of the members from digests, pushes and the VM list.
 
-use std::collections::btree_map;
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::{collections::btree_map, net, time};
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
-use super::{FORGOTTEN, Member, Members};
-use crate::id;
+use crate::{id, membership};
 
 /// One node in a digest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,13 +14,13 @@
     /// Its availability zone.
     pub zone: &'a id::Zone,
     /// Address of its link.
-    pub address: SocketAddr,
+    pub address: net::SocketAddr,
     /// Identifier of its process.
     pub boot: u64,
     /// Heartbeat counter of that process.
     pub heartbeat: u64,
     /// Age of that heartbeat when the digest was sent, as the sender knows it.
-    pub age: Duration,
+    pub age: time::Duration,
     /// Whether it drains.
     pub draining: bool,
 }
@@ -41,7 +38,7 @@
     Restarted,
 }
 
-impl Members {
+impl membership::Members {
     /// Merges the entries of a digest that arrived at `now` after `trip`, the time from sending the
     /// request to receiving the digest.
     ///
@@ -49,8 +46,8 @@
     pub fn merge<'a>(
         &mut self,
         entries: impl IntoIterator<Item = Entry<'a>>,
-        trip: Duration,
-        now: Moment,
+        trip: time::Duration,
+        now: moment::Moment,
     ) {
         for entry in entries {
             self.merge_entry(&entry, trip, now);
@@ -58,14 +55,19 @@
         self.renewed |= self.resumed.is_none_or(|end| now.before(trip) >= end);
     }
 
-    /// Merges one entry; see [`Members::merge`].
-    pub fn merge_entry(&mut self, entry: &Entry<'_>, trip: Duration, now: Moment) -> Merged {
+    /// Merges one entry; see [`membership::Members::merge`].
+    pub fn merge_entry(
+        &mut self,
+        entry: &Entry<'_>,
+        trip: time::Duration,
+        now: moment::Moment,
+    ) -> Merged {
         let age = entry.age + trip;
-        if *entry.node == self.own || age >= FORGOTTEN {
+        if *entry.node == self.own || age >= membership::FORGOTTEN {
             return Merged::Nothing;
         }
         let beat = now.before(age);
-        let member = || Member {
+        let member = || membership::Member {
             zone: entry.zone.clone(),
             address: entry.address,
             boot: entry.boot,
@@ -90,13 +92,19 @@
             return Merged::Nothing;
         }
         let merged = if known.beat.is_none() { Merged::Joined } else { Merged::Restarted };
-        *known = Member { listed: known.listed, ..member() };
+        *known = membership::Member { listed: known.listed, ..member() };
         merged
     }
 
     /// Adds a node that the VM list names, or notes that the list still names it.
-    pub fn discover(&mut self, node: &id::Node, zone: &id::Zone, address: SocketAddr, now: Moment) {
-        let member = self.nodes.entry(node.clone()).or_insert_with(|| Member {
+    pub fn discover(
+        &mut self,
+        node: &id::Node,
+        zone: &id::Zone,
+        address: net::SocketAddr,
+        now: moment::Moment,
+    ) {
+        let member = self.nodes.entry(node.clone()).or_insert_with(|| membership::Member {
             zone: zone.clone(),
             address,
             boot: 0,
@@ -119,9 +127,9 @@
     }
 }
 
-impl Member {
+impl membership::Member {
     /// Takes over a heartbeat of the same process.
-    fn renew(&mut self, entry: &Entry<'_>, beat: Moment) -> Merged {
+    fn renew(&mut self, entry: &Entry<'_>, beat: moment::Moment) -> Merged {
         let before = (self.heartbeat, self.beat, self.draining);
         if entry.heartbeat >= self.heartbeat {
             self.heartbeat = entry.heartbeat;
--- a/crates/policy/src/membership/news.rs
+++ b/crates/policy/src/membership/news.rs
@@ -1,6 +1,6 @@
 //! News that nodes push to each other, each piece forwarded once per node.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections;
 
 use crate::id;
 
@@ -33,8 +33,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Forwarded {
     revision: u64,
-    known: BTreeSet<News>,
-    order: VecDeque<News>,
+    known: collections::BTreeSet<News>,
+    order: collections::VecDeque<News>,
 }
 
 impl Forwarded {
--- a/crates/policy/src/membership/peers.rs
+++ b/crates/policy/src/membership/peers.rs
@@ -1,10 +1,8 @@
 //! Choice of peers for pulls and pushes.
 
-use rand::Rng;
-use rand::seq::IteratorRandom;
+use rand::{Rng, seq::IteratorRandom};
 
-use super::{Liveness, Member, View};
-use crate::{id, rank};
+use crate::{id, membership, rank};
 
 /// Peers that get each piece of news from each node.
 const FAN_OUT: usize = 3;
@@ -16,15 +14,15 @@
 /// find each other again.
 const PROBE_ROUNDS: u64 = 8;
 
-impl<'a> View<'a> {
+impl<'a> membership::View<'a> {
     /// The node of the own zone to pull from in `round`.
     ///
     /// The offset in id order is 2^k, with k going round, so that information reaches n nodes in
     /// ceil(log2 n) rounds in which all choose the same k.
-    pub fn pull_target(&self, round: u64) -> Option<(&'a id::Node, &'a Member)> {
+    pub fn pull_target(&self, round: u64) -> Option<(&'a id::Node, &'a membership::Member)> {
         let zone = &self.nodes.get(self.own)?.zone;
-        let is_present = |(node, member): &(&id::Node, &Member)| {
-            *node == self.own || self.judge(member) != Liveness::Dead
+        let is_present = |(node, member): &(&id::Node, &membership::Member)| {
+            *node == self.own || self.judge(member) != membership::Liveness::Dead
         };
         let ring: Vec<_> =
             self.nodes.iter().filter(|(_, m)| m.zone == *zone).filter(is_present).collect();
@@ -44,10 +42,10 @@
     }
 
     /// A node of `zone` that counts as dead; the choice goes round.
-    fn probe(&self, zone: &id::Zone, round: u64) -> Option<(&'a id::Node, &'a Member)> {
+    fn probe(&self, zone: &id::Zone, round: u64) -> Option<(&'a id::Node, &'a membership::Member)> {
         let absent: Vec<_> = (self.nodes.iter())
             .filter(|(node, m)| *node != self.own && m.zone == *zone)
-            .filter(|(_, member)| self.judge(member) == Liveness::Dead)
+            .filter(|(_, member)| self.judge(member) == membership::Liveness::Dead)
             .collect();
         let count = u64::try_from(absent.len()).ok().filter(|count| *count > 0)?;
         absent.get(usize::try_from(round % count).ok()?).copied()
@@ -57,7 +55,8 @@
     /// none is known to be live.
     pub fn contacts(&self, zone: &str) -> Vec<&'a id::Node> {
         let of_zone = || self.nodes.iter().filter(|(_, m)| m.zone.as_str() == zone);
-        let live = of_zone().filter(|(_, m)| self.judge(m) == Liveness::Alive && !m.draining);
+        let live =
+            of_zone().filter(|(_, m)| self.judge(m) == membership::Liveness::Alive && !m.draining);
         let mut names: Vec<_> = live.map(|(node, _)| node.as_str()).collect();
         if names.is_empty() {
             names = of_zone().map(|(node, _)| node.as_str()).collect();
@@ -71,10 +70,10 @@
         &self,
         sender: Option<&id::Node>,
         rng: &mut R,
-    ) -> Vec<(&'a id::Node, &'a Member)> {
+    ) -> Vec<(&'a id::Node, &'a membership::Member)> {
         (self.nodes.iter())
             .filter(|(node, _)| *node != self.own && Some(*node) != sender)
-            .filter(|(_, member)| self.judge(member) != Liveness::Dead)
+            .filter(|(_, member)| self.judge(member) != membership::Liveness::Dead)
             .choose_multiple(rng, FAN_OUT)
     }
 }
--- a/crates/policy/src/membership/view.rs
+++ b/crates/policy/src/membership/view.rs
@@ -1,29 +1,28 @@
 //! Decisions over the members at one moment.
 
-use std::collections::BTreeMap;
+use std::collections;
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
-use super::{DEAD, Entry, Member, SUSPECT};
-use crate::id;
+use crate::{id, membership};
 
 /// The members at one moment.
 #[derive(Clone, Copy, Debug)]
 pub struct View<'a> {
     pub(super) own: &'a id::Node,
-    pub(super) nodes: &'a BTreeMap<id::Node, Member>,
-    pub(super) now: Moment,
-    pub(super) opened: Moment,
-    pub(super) resumed: Option<Moment>,
+    pub(super) nodes: &'a collections::BTreeMap<id::Node, membership::Member>,
+    pub(super) now: moment::Moment,
+    pub(super) opened: moment::Moment,
+    pub(super) resumed: Option<moment::Moment>,
     pub(super) renewed: bool,
 }
 
 /// Whether a node is there, by the age of its heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Liveness {
-    /// Below [`SUSPECT`].
+    /// Below [`membership::SUSPECT`].
     Alive,
-    /// Below [`DEAD`].
+    /// Below [`membership::DEAD`].
     Suspect,
     /// Older, or no heartbeat is known.
     Dead,
@@ -36,7 +35,7 @@
     }
 
     /// A known node.
-    pub fn get(&self, node: &str) -> Option<&'a Member> {
+    pub fn get(&self, node: &str) -> Option<&'a membership::Member> {
         self.nodes.get(node)
     }
 
@@ -45,16 +44,19 @@
         self.get(node).map_or(Liveness::Dead, |member| self.judge(member))
     }
 
-    pub(super) fn judge(&self, member: &Member) -> Liveness {
+    pub(super) fn judge(&self, member: &membership::Member) -> Liveness {
         match member.beat.map(|beat| self.now.since(beat)) {
-            Some(age) if age < SUSPECT => Liveness::Alive,
-            Some(age) if age < DEAD => Liveness::Suspect,
+            Some(age) if age < membership::SUSPECT => Liveness::Alive,
+            Some(age) if age < membership::DEAD => Liveness::Suspect,
             _ => Liveness::Dead,
         }
     }
 
     /// The nodes of `zone` that are alive and do not drain, in id order.
-    pub fn live(&self, zone: &'a str) -> impl Iterator<Item = (&'a id::Node, &'a Member)> + '_ {
+    pub fn live(
+        &self,
+        zone: &'a str,
+    ) -> impl Iterator<Item = (&'a id::Node, &'a membership::Member)> + '_ {
         self.nodes.iter().filter(move |(_, member)| {
             member.zone.as_str() == zone
                 && !member.draining
@@ -71,7 +73,7 @@
     ///
     /// A node without any peer left in its view has nobody to renew it from, so it need not wait.
     pub fn is_settled(&self) -> bool {
-        let dead = |(node, member): (&id::Node, &Member)| {
+        let dead = |(node, member): (&id::Node, &membership::Member)| {
             node == self.own || self.judge(member) == Liveness::Dead
         };
         self.renewed || self.nodes.iter().all(dead)
@@ -80,9 +82,9 @@
     /// Whether this node has just started and does not know all nodes of its zone yet: `listed`,
     /// the nodes of the zone in the VM list, lacks this node or holds one that was never heard of.
     ///
-    /// It ends [`SUSPECT`] after the start, because a listed node may be lost for good.
+    /// It ends [`membership::SUSPECT`] after the start, because a listed node may be lost for good.
     pub fn is_gathering<'b>(&self, listed: impl IntoIterator<Item = &'b str>) -> bool {
-        if self.now.since(self.opened) >= SUSPECT {
+        if self.now.since(self.opened) >= membership::SUSPECT {
             return false;
         }
         let (mut has_own, mut has_unheard) = (false, false);
@@ -95,19 +97,19 @@
 
     /// Whether data that was renewed at `renewed` may be used: not if it dates from before the
     /// latest pause.
-    pub fn is_usable(&self, renewed: Moment) -> bool {
+    pub fn is_usable(&self, renewed: moment::Moment) -> bool {
         self.resumed.is_none_or(|end| renewed >= end)
     }
 
     /// The end of the latest pause of this process.
-    pub fn resumed(&self) -> Option<Moment> {
+    pub fn resumed(&self) -> Option<moment::Moment> {
         self.resumed
     }
 
     /// The entries of a digest that is sent now.
-    pub fn entries(&self) -> impl Iterator<Item = Entry<'a>> + '_ {
+    pub fn entries(&self) -> impl Iterator<Item = membership::Entry<'a>> + '_ {
         self.nodes.iter().filter_map(|(node, member)| {
-            Some(Entry {
+            Some(membership::Entry {
                 node,
                 zone: &member.zone,
                 address: member.address,
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -12,19 +12,17 @@
 mod repair;
 mod review;
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+use std::{collections, time};
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
+
+use crate::{assignment, id, release, report, vm};
 
 pub use memory::Memory;
 pub use orders::{Kind, Order};
 
-use crate::assignment::Assignment;
-use crate::{id, release, report, vm};
-
 /// Longest time that an order is in flight before its sender gives up.
-pub const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
+pub const ORDER_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
 /// Routers among which the slots of a cold replica are divided: few, so that each has a slot at a
 /// low level, and more than one, so that the loss of a node leaves slots in use.
@@ -38,11 +36,11 @@
     /// The declared state.
     pub release: &'a release::Release,
     /// The assignment as it is stored.
-    pub assignment: &'a Assignment,
+    pub assignment: &'a assignment::Assignment,
     /// The VM list; it lags.
     pub vms: &'a [vm::Vm],
     /// The latest report of each VM.
-    pub reports: &'a BTreeMap<id::Vm, report::Seen>,
+    pub reports: &'a collections::BTreeMap<id::Vm, report::Seen>,
     /// What the holder has observed.
     pub memory: &'a Memory,
     /// The live nodes that may route to the zone's replicas.
@@ -52,14 +50,14 @@
     /// Replicas that the weight store allows to load at the same time.
     pub loads: usize,
     /// Longest age of a report at which its VM counts as present.
-    pub bound: Duration,
+    pub bound: time::Duration,
 }
 
 /// The result of planning.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Plan {
     /// The assignment to write, or `None` if the stored one stays.
-    pub next: Option<Assignment>,
+    pub next: Option<assignment::Assignment>,
     /// Orders to send once the assignment is stored; repeated in each round until they show effect.
     pub orders: Vec<Order>,
 }
@@ -67,7 +65,7 @@
 /// Plans for the zone at `now`.
 ///
 /// A holder whose token is older than the stored one gets an empty plan.
-pub fn plan(view: &View<'_>, now: Moment) -> Plan {
+pub fn plan(view: &View<'_>, now: moment::Moment) -> Plan {
     if view.token < view.assignment.token {
         return Plan::default();
     }
--- a/crates/policy/src/plan/draft.rs
+++ b/crates/policy/src/plan/draft.rs
@@ -1,34 +1,32 @@
 //! The assignment while it is being planned.
 
-use std::collections::BTreeMap;
+use std::collections;
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
-use super::View;
-use crate::assignment::{Assignment, Begun, Member, Phase, Releasing, Replica};
-use crate::{id, report, vm};
+use crate::{assignment, id, plan, report, vm};
 
 /// The next assignment with the VMs and loads that are still available.
 ///
 /// A VM moves only between the spares, one replica and the releasing VMs, so it is never a member
 /// of two replicas.
 pub(super) struct Draft<'a> {
-    pub(super) view: &'a View<'a>,
-    pub(super) now: Moment,
-    pub(super) next: Assignment,
-    pub(super) spares: BTreeMap<id::Fabric, Vec<Member>>,
+    pub(super) view: &'a plan::View<'a>,
+    pub(super) now: moment::Moment,
+    pub(super) next: assignment::Assignment,
+    pub(super) spares: collections::BTreeMap<id::Fabric, Vec<assignment::Member>>,
 }
 
 impl<'a> Draft<'a> {
-    pub(super) fn new(view: &'a View<'a>, now: Moment) -> Self {
+    pub(super) fn new(view: &'a plan::View<'a>, now: moment::Moment) -> Self {
         let mut next = view.assignment.clone();
         next.releasing.retain(|entry| !view.is_released(entry, now));
-        let mut draft = Self { view, now, next, spares: BTreeMap::new() };
+        let mut draft = Self { view, now, next, spares: collections::BTreeMap::new() };
         let mut spares: Vec<_> = view.vms.iter().filter(|vm| draft.is_spare(vm)).collect();
         spares.sort_by(|a, b| a.id.cmp(&b.id));
         spares.dedup_by(|a, b| a.id == b.id);
         for vm in spares {
-            let member = Member { id: vm.id.clone(), address: vm.address };
+            let member = assignment::Member { id: vm.id.clone(), address: vm.address };
             draft.spares.entry(vm.fabric.clone()).or_default().push(member);
         }
         draft
@@ -48,38 +46,42 @@
         self.spares.get(fabric).map_or(0, Vec::len)
     }
 
-    pub(super) fn is_broken(&self, replica: &Replica) -> bool {
+    pub(super) fn is_broken(&self, replica: &assignment::Replica) -> bool {
         self.view.is_broken(replica, self.now)
     }
 
     /// Whether the replica takes part of the rate of the weight store.
-    pub(super) fn is_loading(&self, replica: &Replica) -> bool {
-        let loads = |member: &Member| {
+    pub(super) fn is_loading(&self, replica: &assignment::Replica) -> bool {
+        let loads = |member: &assignment::Member| {
             let report = self.view.fresh(&member.id, self.now);
             report.is_some_and(|report| report.phase == report::Phase::Loading)
         };
-        replica.phase == Phase::Forming
+        replica.phase == assignment::Phase::Forming
             && (!self.is_broken(replica) || replica.vms.iter().any(loads))
     }
 
     /// Replicas of a set that count towards its declared number.
     pub(super) fn standing(&self, set: &id::ReplicaSet) -> usize {
-        self.count(set, |replica| replica.phase != Phase::Draining)
+        self.count(set, |replica| replica.phase != assignment::Phase::Draining)
     }
 
     pub(super) fn serving(&self, set: &id::ReplicaSet) -> usize {
-        self.count(set, |replica| replica.phase == Phase::Serving)
+        self.count(set, |replica| replica.phase == assignment::Phase::Serving)
     }
 
-    fn count(&self, set: &id::ReplicaSet, is_wanted: impl Fn(&Replica) -> bool) -> usize {
+    fn count(
+        &self,
+        set: &id::ReplicaSet,
+        is_wanted: impl Fn(&assignment::Replica) -> bool,
+    ) -> usize {
         self.next.replicas.iter().filter(|r| r.id.set == *set && is_wanted(r)).count()
     }
 
-    pub(super) fn get(&self, id: &id::Replica) -> Option<&Replica> {
+    pub(super) fn get(&self, id: &id::Replica) -> Option<&assignment::Replica> {
         self.next.replicas.iter().find(|replica| replica.id == *id)
     }
 
-    pub(super) fn set_phase(&mut self, id: &id::Replica, phase: Phase) {
+    pub(super) fn set_phase(&mut self, id: &id::Replica, phase: assignment::Phase) {
         if let Some(replica) = self.next.replicas.iter_mut().find(|r| r.id == *id) {
             replica.phase = phase;
         }
@@ -87,13 +89,13 @@
 
     /// Puts a replica into service and notes the state of its head's engine.
     pub(super) fn begin(&mut self, id: &id::Replica) {
-        let head = self.get(id).and_then(Replica::head);
+        let head = self.get(id).and_then(assignment::Replica::head);
         let report = head.and_then(|head| self.view.fresh(&head.id, self.now));
         let begun = report
-            .map(|report| Begun { start: report.start, finished: report.finished })
+            .map(|report| assignment::Begun { start: report.start, finished: report.finished })
             .unwrap_or_default();
         if let Some(replica) = self.next.replicas.iter_mut().find(|r| r.id == *id) {
-            (replica.phase, replica.begun) = (Phase::Serving, begun);
+            (replica.phase, replica.begun) = (assignment::Phase::Serving, begun);
         }
     }
 
@@ -102,13 +104,14 @@
         let Some(at) = self.next.replicas.iter().position(|r| r.id == *id) else { return };
         let replica = self.next.replicas.remove(at);
         for vm in replica.vms {
-            let entry = Releasing { vm, replica: replica.id.clone(), epoch: replica.epoch };
+            let entry =
+                assignment::Releasing { vm, replica: replica.id.clone(), epoch: replica.epoch };
             self.next.releasing.push(entry);
         }
     }
 
     /// Takes `count` spares of `fabric`, or none if there are fewer.
-    fn take(&mut self, fabric: &id::Fabric, count: usize) -> Option<Vec<Member>> {
+    fn take(&mut self, fabric: &id::Fabric, count: usize) -> Option<Vec<assignment::Member>> {
         let spares = self.spares.get_mut(fabric).filter(|spares| spares.len() >= count)?;
         Some(spares.drain(..count).collect())
     }
@@ -122,9 +125,17 @@
     pub(super) fn form(&mut self, id: id::Replica, fabric: &id::Fabric, size: usize) -> bool {
         let Some(vms) = self.take(fabric, size) else { return false };
         let epoch = self.next_epoch();
-        let (fabric, phase, routers) = (fabric.clone(), Phase::Forming, Vec::new());
-        let begun = Begun::default();
-        self.next.replicas.push(Replica { id, epoch, fabric, vms, phase, routers, begun });
+        let (fabric, phase, routers) = (fabric.clone(), assignment::Phase::Forming, Vec::new());
+        let begun = assignment::Begun::default();
+        self.next.replicas.push(assignment::Replica {
+            id,
+            epoch,
+            fabric,
+            vms,
+            phase,
+            routers,
+            begun,
+        });
         true
     }
 
@@ -133,18 +144,18 @@
     pub(super) fn replace(&mut self, id: &id::Replica) -> bool {
         let Some(at) = self.next.replicas.iter().position(|r| r.id == *id) else { return false };
         let old = self.next.replicas[at].clone();
-        let is_unfit = |m: &Member| self.view.is_unfit(&old, &m.id, self.now);
+        let is_unfit = |m: &assignment::Member| self.view.is_unfit(&old, &m.id, self.now);
         let unfit: Vec<_> = old.vms.iter().map(is_unfit).collect();
         let count = unfit.iter().filter(|unfit| **unfit).count();
         let Some(spares) = self.take(&old.fabric, count) else { return false };
         let epoch = self.next_epoch();
         let replica = &mut self.next.replicas[at];
-        (replica.epoch, replica.phase) = (epoch, Phase::Forming);
+        (replica.epoch, replica.phase) = (epoch, assignment::Phase::Forming);
         replica.routers.clear();
         let slots = replica.vms.iter_mut().zip(&unfit).filter(|(_, unfit)| **unfit);
         for ((slot, _), spare) in slots.zip(spares) {
             let vm = std::mem::replace(slot, spare);
-            let entry = Releasing { vm, replica: old.id.clone(), epoch: old.epoch };
+            let entry = assignment::Releasing { vm, replica: old.id.clone(), epoch: old.epoch };
             self.next.releasing.push(entry);
         }
         true
--- a/crates/policy/src/plan/gather.rs
+++ b/crates/policy/src/plan/gather.rs
@@ -1,13 +1,12 @@
 //! Consolidation of fragmented VMs, only through replicas that do not serve.
 
-use super::draft::Draft;
-use crate::assignment::{Member, Phase, Replica};
-use crate::id;
+use super::draft;
+use crate::{assignment, id};
 
 /// A replica that cannot be formed or repaired from the spares of any fabric domain.
 struct Demand {
     /// The broken replica; `None` for one that is missing.
-    broken: Option<Replica>,
+    broken: Option<assignment::Replica>,
     /// VMs of a complete replica.
     size: usize,
 }
@@ -21,7 +20,7 @@
     moves: Option<id::Fabric>,
 }
 
-impl Draft<'_> {
+impl draft::Draft<'_> {
     /// Makes room for the first unmet demand that can be met, by dissolving broken replicas or
     /// moving forming ones. One demand in a round: the next round sees the outcome.
     pub(super) fn gather(&mut self) {
@@ -73,8 +72,8 @@
         }
     }
 
-    fn survivors(&self, replica: &Replica) -> usize {
-        let fit = |member: &&Member| !self.view.is_unfit(replica, &member.id, self.now);
+    fn survivors(&self, replica: &assignment::Replica) -> usize {
+        let fit = |member: &&assignment::Member| !self.view.is_unfit(replica, &member.id, self.now);
         replica.vms.iter().filter(fit).count()
     }
 
@@ -92,7 +91,8 @@
     /// The replicas of `fabric` to dissolve for `demand`, those that give least first; `None` if
     /// all of them do not suffice.
     fn donors(&self, demand: &Demand, fabric: &id::Fabric) -> Option<Vec<Donor>> {
-        let is_other = |r: &&Replica| demand.broken.as_ref().is_none_or(|own| own.id != r.id);
+        let is_other =
+            |r: &&assignment::Replica| demand.broken.as_ref().is_none_or(|own| own.id != r.id);
         let of_fabric = self.next.replicas.iter().filter(|r| r.fabric == *fabric);
         let mut donors: Vec<_> =
             of_fabric.filter(is_other).filter_map(|replica| self.donor(replica)).collect();
@@ -111,15 +111,15 @@
         (open == 0).then_some(chosen)
     }
 
-    fn donor(&self, replica: &Replica) -> Option<Donor> {
-        if replica.phase != Phase::Forming {
+    fn donor(&self, replica: &assignment::Replica) -> Option<Donor> {
+        if replica.phase != assignment::Phase::Forming {
             return None;
         }
         let (id, gives) = (replica.id.clone(), self.view.present(replica, self.now));
         if self.is_broken(replica) {
             return (gives > 0).then_some(Donor { id, gives, moves: None });
         }
-        let fits = |spares: &Vec<Member>| spares.len() >= replica.vms.len();
+        let fits = |spares: &Vec<assignment::Member>| spares.len() >= replica.vms.len();
         let elsewhere =
             self.spares.iter().filter(|(f, spares)| **f != replica.fabric && fits(spares));
         let moves = elsewhere.min_by_key(|(_, spares)| spares.len()).map(|(f, _)| f.clone())?;
--- a/crates/policy/src/plan/growth.rs
+++ b/crates/policy/src/plan/growth.rs
@@ -1,19 +1,17 @@
 //! Formation of replicas that are declared and missing, and choice of their routers.
 
-use std::cmp::Reverse;
+use std::cmp;
 
-use super::ROUTERS;
-use super::draft::Draft;
-use crate::assignment::Phase;
-use crate::{id, rank};
+use super::draft;
+use crate::{assignment, id, plan, rank};
 
-impl Draft<'_> {
+impl draft::Draft<'_> {
     /// The sets of the zone with missing replicas and the size of each, in order of preference:
     /// fewest replicas first, then the largest, which are hardest to place.
     pub(super) fn missing(&self) -> Vec<(id::ReplicaSet, usize)> {
         let mut missing: Vec<_> = (self.view.release.sets.iter())
             .filter(|(_, set)| set.zone == *self.view.zone && set.vms > 0)
-            .map(|(name, set)| (self.standing(name), Reverse(set.vms), name, set.replicas))
+            .map(|(name, set)| (self.standing(name), cmp::Reverse(set.vms), name, set.replicas))
             .filter(|(standing, _, _, replicas)| *standing < usize::from(*replicas))
             .collect();
         missing.sort();
@@ -51,11 +49,11 @@
         let live = self.view.routers;
         for replica in &mut self.next.replicas {
             let has_live = replica.routers.iter().any(|node| live.contains(&node.as_str()));
-            if live.is_empty() || (has_live && replica.phase != Phase::Forming) {
+            if live.is_empty() || (has_live && replica.phase != assignment::Phase::Forming) {
                 continue;
             }
             let key = format!("{}@{}", replica.id, replica.epoch);
-            let chosen = rank::first(&key, live.iter().copied(), ROUTERS);
+            let chosen = rank::first(&key, live.iter().copied(), plan::ROUTERS);
             replica.routers = chosen.into_iter().map(id::Node::from).collect();
         }
     }
