--- a/crates/policy/src/plan/health.rs
+++ b/crates/policy/src/plan/health.rs
@@ -1,12 +1,8 @@
 //! Judgement of VMs and replicas from their reports.
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
-use super::{ORDER_TIMEOUT, View};
-use crate::assignment::{Member, Phase, Releasing, Replica};
-use crate::release::{Fencing, ReplicaSet};
-use crate::report::{self, Report};
-use crate::{id, vm};
+use crate::{assignment, id, plan, release, report, vm};
 
 /// State of a member VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,9 +15,9 @@
     Lost,
 }
 
-impl<'a> View<'a> {
+impl<'a> plan::View<'a> {
     /// The latest report of `vm` unless it is older than the bound.
-    pub(super) fn fresh(&self, vm: &id::Vm, now: Moment) -> Option<&'a Report> {
+    pub(super) fn fresh(&self, vm: &id::Vm, now: moment::Moment) -> Option<&'a report::Report> {
         let seen = self.reports.get(vm)?;
         (now.since(seen.at) <= self.bound).then_some(&seen.report)
     }
@@ -35,25 +31,33 @@
     }
 
     /// The replica set of `replica` if it is still declared for this zone.
-    pub(super) fn declared(&self, replica: &Replica) -> Option<&'a ReplicaSet> {
+    pub(super) fn declared(
+        &self,
+        replica: &assignment::Replica,
+    ) -> Option<&'a release::ReplicaSet> {
         self.release.sets.get(&replica.id.set).filter(|set| set.zone == *self.zone)
     }
 
     /// The replica set of `replica` if it is declared with the same number of VMs.
-    pub(super) fn set_of(&self, replica: &Replica) -> Option<&'a ReplicaSet> {
+    pub(super) fn set_of(&self, replica: &assignment::Replica) -> Option<&'a release::ReplicaSet> {
         self.declared(replica).filter(|set| usize::from(set.vms) == replica.vms.len())
     }
 
-    pub(super) fn health(&self, replica: &Replica, vm: &id::Vm, now: Moment) -> Health {
+    pub(super) fn health(
+        &self,
+        replica: &assignment::Replica,
+        vm: &id::Vm,
+        now: moment::Moment,
+    ) -> Health {
         let Some(report) = self.fresh(vm, now) else { return Health::Lost };
         let start = self.memory.start(vm, replica.epoch);
         if report.replica.as_ref() == Some(&replica.id) && report.epoch == replica.epoch {
             let same = start.is_none_or(|start| start == report.start);
             return if same { Health::Joined } else { Health::Lost };
         }
-        let since = self.memory.since(&replica.id, replica.epoch, Phase::Forming);
-        let is_late = since.is_some_and(|since| now.since(since) > ORDER_TIMEOUT);
-        if replica.phase != Phase::Forming || start.is_some() || is_late {
+        let since = self.memory.since(&replica.id, replica.epoch, assignment::Phase::Forming);
+        let is_late = since.is_some_and(|since| now.since(since) > plan::ORDER_TIMEOUT);
+        if replica.phase != assignment::Phase::Forming || start.is_some() || is_late {
             Health::Lost
         } else {
             Health::Waiting
@@ -61,28 +65,40 @@
     }
 
     /// Whether `vm` has to be replaced before the replica can serve.
-    pub(super) fn is_unfit(&self, replica: &Replica, vm: &id::Vm, now: Moment) -> bool {
+    pub(super) fn is_unfit(
+        &self,
+        replica: &assignment::Replica,
+        vm: &id::Vm,
+        now: moment::Moment,
+    ) -> bool {
         self.is_leaving(vm) || self.health(replica, vm, now) == Health::Lost
     }
 
     /// Whether a member has to be replaced.
-    pub(super) fn is_broken(&self, replica: &Replica, now: Moment) -> bool {
+    pub(super) fn is_broken(&self, replica: &assignment::Replica, now: moment::Moment) -> bool {
         replica.vms.iter().any(|member| self.is_unfit(replica, &member.id, now))
     }
 
     /// Members that report and stay, whether or not they have joined.
-    pub(super) fn present(&self, replica: &Replica, now: Moment) -> usize {
-        let present = |m: &&Member| !self.is_leaving(&m.id) && self.fresh(&m.id, now).is_some();
+    pub(super) fn present(&self, replica: &assignment::Replica, now: moment::Moment) -> usize {
+        let present =
+            |m: &&assignment::Member| !self.is_leaving(&m.id) && self.fresh(&m.id, now).is_some();
         replica.vms.iter().filter(present).count()
     }
 
-    pub(super) fn has_lost(&self, replica: &Replica, now: Moment) -> bool {
-        let lost = |member: &Member| self.health(replica, &member.id, now) == Health::Lost;
+    pub(super) fn has_lost(&self, replica: &assignment::Replica, now: moment::Moment) -> bool {
+        let lost =
+            |member: &assignment::Member| self.health(replica, &member.id, now) == Health::Lost;
         replica.vms.iter().any(lost)
     }
 
     /// Whether `vm` reports other weights than declared.
-    pub(super) fn is_outdated(&self, set: &ReplicaSet, vm: &id::Vm, now: Moment) -> bool {
+    pub(super) fn is_outdated(
+        &self,
+        set: &release::ReplicaSet,
+        vm: &id::Vm,
+        now: moment::Moment,
+    ) -> bool {
         self.fresh(vm, now).is_some_and(|report| {
             report.phase == report::Phase::Ready
                 && (&report.model, &report.adapter, &report.version)
@@ -91,8 +107,8 @@
     }
 
     /// Whether all members have joined and are ready.
-    pub(super) fn is_whole(&self, replica: &Replica, now: Moment) -> bool {
-        let ready = |report: &Report| report.phase == report::Phase::Ready;
+    pub(super) fn is_whole(&self, replica: &assignment::Replica, now: moment::Moment) -> bool {
+        let ready = |report: &report::Report| report.phase == report::Phase::Ready;
         replica.vms.iter().all(|member| {
             self.health(replica, &member.id, now) == Health::Joined
                 && self.fresh(&member.id, now).is_some_and(ready)
@@ -100,8 +116,14 @@
     }
 
     /// Whether the replica is whole, stays and has loaded what is declared.
-    pub(super) fn is_complete(&self, set: &ReplicaSet, replica: &Replica, now: Moment) -> bool {
-        let unfit = |m: &Member| self.is_leaving(&m.id) || self.is_outdated(set, &m.id, now);
+    pub(super) fn is_complete(
+        &self,
+        set: &release::ReplicaSet,
+        replica: &assignment::Replica,
+        now: moment::Moment,
+    ) -> bool {
+        let unfit =
+            |m: &assignment::Member| self.is_leaving(&m.id) || self.is_outdated(set, &m.id, now);
         self.is_whole(replica, now) && !replica.vms.iter().any(unfit)
     }
 
@@ -109,8 +131,8 @@
     ///
     /// The reports must be newer than the start of the drain by the bound, because routers may
     /// dispatch for as long after they last saw the replica serving.
-    pub(super) fn is_drained(&self, replica: &Replica) -> bool {
-        let since = self.memory.since(&replica.id, replica.epoch, Phase::Draining);
+    pub(super) fn is_drained(&self, replica: &assignment::Replica) -> bool {
+        let since = self.memory.since(&replica.id, replica.epoch, assignment::Phase::Draining);
         since.is_some_and(|since| {
             replica.vms.iter().all(|member| {
                 self.reports.get(&member.id).is_some_and(|seen| {
@@ -122,18 +144,18 @@
     }
 
     /// Whether a VM that left its replica may be used again.
-    pub(super) fn is_released(&self, entry: &Releasing, now: Moment) -> bool {
+    pub(super) fn is_released(&self, entry: &assignment::Releasing, now: moment::Moment) -> bool {
         let Some(release) = self.memory.release(&entry.vm.id, entry.epoch) else { return false };
         if let Some(report) = self.fresh(&entry.vm.id, now) {
             return release.confirmed && report.replica.is_none();
         }
         // The engines of a withdrawn set are taken to ignore tokens, which is the slower rule.
         let checked = self.release.sets.get(&entry.replica.set).map(|set| set.fencing);
-        if checked == Some(Fencing::Checked) && self.listed(&entry.vm.id).is_some() {
+        if checked == Some(release::Fencing::Checked) && self.listed(&entry.vm.id).is_some() {
             return false;
         }
         let last = self.reports.get(&entry.vm.id).map(|seen| seen.at + self.bound);
         let lost = last.map_or(release.since, |last| last.max(release.since));
-        now.since(lost) > ORDER_TIMEOUT + self.bound
+        now.since(lost) > plan::ORDER_TIMEOUT + self.bound
     }
 }
--- a/crates/policy/src/plan/memory.rs
+++ b/crates/policy/src/plan/memory.rs
@@ -1,31 +1,30 @@
 //! What the lease holder remembers between rounds, on its own clock.
 
-use std::collections::BTreeMap;
+use std::collections;
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
-use crate::assignment::{Assignment, Phase};
-use crate::{id, report};
+use crate::{assignment, id, report};
 
 /// Observations of one lease holder; a new holder starts without any, which only lengthens waits.
 #[derive(Clone, Debug, Default)]
 pub struct Memory {
     /// Epoch and start id with which each member first reported that it had joined.
-    starts: BTreeMap<id::Vm, (u64, u64)>,
-    phases: BTreeMap<id::Replica, Seen>,
-    releasing: BTreeMap<(id::Vm, u64), Release>,
+    starts: collections::BTreeMap<id::Vm, (u64, u64)>,
+    phases: collections::BTreeMap<id::Replica, Seen>,
+    releasing: collections::BTreeMap<(id::Vm, u64), Release>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     epoch: u64,
-    phase: Phase,
-    since: Moment,
+    phase: assignment::Phase,
+    since: moment::Moment,
 }
 
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Release {
-    pub(super) since: Moment,
+    pub(super) since: moment::Moment,
     pub(super) confirmed: bool,
 }
 
@@ -34,12 +33,12 @@
     /// plan.
     pub fn observe(
         &mut self,
-        assignment: &Assignment,
-        reports: &BTreeMap<id::Vm, report::Seen>,
-        now: Moment,
+        assignment: &assignment::Assignment,
+        reports: &collections::BTreeMap<id::Vm, report::Seen>,
+        now: moment::Moment,
     ) {
-        let mut starts = BTreeMap::new();
-        let mut phases = BTreeMap::new();
+        let mut starts = collections::BTreeMap::new();
+        let mut phases = collections::BTreeMap::new();
         for replica in &assignment.replicas {
             for member in &replica.vms {
                 let known = self.starts.get(&member.id).filter(|(e, _)| *e == replica.epoch);
@@ -77,7 +76,12 @@
     }
 
     /// Since when the replica has been in `phase` at `epoch`.
-    pub(super) fn since(&self, replica: &id::Replica, epoch: u64, phase: Phase) -> Option<Moment> {
+    pub(super) fn since(
+        &self,
+        replica: &id::Replica,
+        epoch: u64,
+        phase: assignment::Phase,
+    ) -> Option<moment::Moment> {
         let seen = self.phases.get(replica)?;
         (seen.epoch == epoch && seen.phase == phase).then_some(seen.since)
     }
--- a/crates/policy/src/plan/orders.rs
+++ b/crates/policy/src/plan/orders.rs
@@ -1,15 +1,13 @@
 //! Orders that bring the engines in line with the assignment.
 
-use super::draft::Draft;
-use super::health::Health;
-use crate::assignment::{Member, Phase, Replica};
-use crate::{id, vm};
+use super::{draft, health};
+use crate::{assignment, id, vm};
 
 /// An order to the engine of a VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
     /// The VM.
-    pub vm: Member,
+    pub vm: assignment::Member,
     /// What it is to do.
     pub kind: Kind,
 }
@@ -40,11 +38,11 @@
     },
 }
 
-impl Draft<'_> {
+impl draft::Draft<'_> {
     pub(super) fn orders(&self) -> Vec<Order> {
         let mut orders = Vec::new();
         self.release_orders(&mut orders);
-        for replica in self.next.replicas.iter().filter(|r| r.phase == Phase::Forming) {
+        for replica in self.next.replicas.iter().filter(|r| r.phase == assignment::Phase::Forming) {
             if !self.is_broken(replica) {
                 self.forming_orders(replica, &mut orders);
             }
@@ -66,12 +64,12 @@
             let Some(report) = report.filter(|_| self.next.is_free(vm.id.as_str())) else {
                 continue;
             };
-            let member = Member { id: vm.id.clone(), address: vm.address };
+            let member = assignment::Member { id: vm.id.clone(), address: vm.address };
             orders.push(Order { vm: member, kind: Kind::Release { epoch: report.epoch } });
         }
     }
 
-    fn forming_orders(&self, replica: &Replica, orders: &mut Vec<Order>) {
+    fn forming_orders(&self, replica: &assignment::Replica, orders: &mut Vec<Order>) {
         let size = u16::try_from(replica.vms.len()).unwrap_or(u16::MAX);
         for (rank, member) in (0..size).zip(&replica.vms) {
             let id = replica.id.clone();
@@ -80,8 +78,8 @@
                 set.is_some_and(|set| self.view.is_outdated(set, &member.id, self.now))
             };
             let kind = match self.view.health(replica, &member.id, self.now) {
-                Health::Joined if is_outdated() => Kind::Load { replica: id },
-                Health::Joined => continue,
+                health::Health::Joined if is_outdated() => Kind::Load { replica: id },
+                health::Health::Joined => continue,
                 _ => Kind::Join { replica: id, epoch: replica.epoch, rank, size },
             };
             orders.push(Order { vm: member.clone(), kind });
--- a/crates/policy/src/plan/repair.rs
+++ b/crates/policy/src/plan/repair.rs
@@ -1,13 +1,13 @@
 //! Repair of replicas that lost members.
 
-use super::draft::Draft;
-use crate::assignment::{Member, Phase, Replica};
-use crate::id;
+use super::draft;
+use crate::{assignment, id};
 
-impl Draft<'_> {
+impl draft::Draft<'_> {
     /// The replicas that have to be repaired, those of sets with the fewest serving ones first.
     pub(super) fn broken(&self) -> Vec<id::Replica> {
-        let is_waiting = |r: &&Replica| r.phase == Phase::Forming && self.is_broken(r);
+        let is_waiting =
+            |r: &&assignment::Replica| r.phase == assignment::Phase::Forming && self.is_broken(r);
         let mut broken: Vec<_> = (self.next.replicas.iter())
             .filter(is_waiting)
             .map(|replica| (self.serving(&replica.id.set), replica.id.clone()))
@@ -43,14 +43,14 @@
 
     /// Whether the replica can be formed anew of its own members, some of which report but left
     /// it by a restart; they have to be released first.
-    fn is_restartable(&self, replica: &Replica) -> bool {
+    fn is_restartable(&self, replica: &assignment::Replica) -> bool {
         let (coming, size) = (self.coming(&replica.fabric), replica.vms.len());
-        let is_unfit = |m: &&Member| self.view.is_unfit(replica, &m.id, self.now);
+        let is_unfit = |m: &&assignment::Member| self.view.is_unfit(replica, &m.id, self.now);
         let need = replica.vms.iter().filter(is_unfit).count();
         coming < need && coming + self.view.present(replica, self.now) >= size
     }
 
-    fn rebuild(&mut self, replica: &Replica) -> bool {
+    fn rebuild(&mut self, replica: &assignment::Replica) -> bool {
         let size = replica.vms.len();
         let Some(fabric) = self.best_fit(size) else { return false };
         self.dissolve(&replica.id);
--- a/crates/policy/src/plan/review.rs
+++ b/crates/policy/src/plan/review.rs
@@ -1,13 +1,11 @@
 //! Changes of phase: loss, drain, end of loading and withdrawal.
 
-use std::cmp::Reverse;
+use std::cmp;
 
-use super::draft::Draft;
-use crate::assignment::{Member, Phase, Replica};
-use crate::id;
-use crate::release::ReplicaSet;
+use super::draft;
+use crate::{assignment, id, release};
 
-impl Draft<'_> {
+impl draft::Draft<'_> {
     /// Brings the phase of each replica up to date and drops replicas that are not wanted.
     pub(super) fn review(&mut self) {
         self.shed_surplus();
@@ -17,7 +15,7 @@
             match self.view.set_of(&replica) {
                 Some(set) => self.review_wanted(set, &replica),
                 // A serving replica of the old shape waits for its turn in `roll`.
-                None if is_reshaped && replica.phase == Phase::Serving && is_whole => {}
+                None if is_reshaped && replica.phase == assignment::Phase::Serving && is_whole => {}
                 None => self.retire(&replica),
             }
         }
@@ -29,10 +27,13 @@
     fn shed_surplus(&mut self) {
         for (name, set) in &self.view.release.sets {
             let surplus = self.standing(name).saturating_sub(set.replicas.into());
-            let is_standing = |r: &&Replica| r.id.set == *name && r.phase != Phase::Draining;
+            let is_standing = |r: &&assignment::Replica| {
+                r.id.set == *name && r.phase != assignment::Phase::Draining
+            };
             let mut standing: Vec<_> =
                 self.next.replicas.iter().filter(is_standing).cloned().collect();
-            standing.sort_by_key(|r| (r.phase == Phase::Serving, Reverse(r.id.index)));
+            standing
+                .sort_by_key(|r| (r.phase == assignment::Phase::Serving, cmp::Reverse(r.id.index)));
             for replica in standing.iter().take(surplus) {
                 self.retire(replica);
             }
@@ -40,39 +41,41 @@
     }
 
     /// Ends a replica that is not wanted: at once if it has no requests to finish.
-    fn retire(&mut self, replica: &Replica) {
+    fn retire(&mut self, replica: &assignment::Replica) {
         let is_over = match replica.phase {
-            Phase::Forming => true,
-            Phase::Serving => self.view.has_lost(replica, self.now),
-            Phase::Draining => {
+            assignment::Phase::Forming => true,
+            assignment::Phase::Serving => self.view.has_lost(replica, self.now),
+            assignment::Phase::Draining => {
                 self.view.has_lost(replica, self.now) || self.view.is_drained(replica)
             }
         };
         if is_over {
             self.dissolve(&replica.id);
         } else {
-            self.set_phase(&replica.id, Phase::Draining);
+            self.set_phase(&replica.id, assignment::Phase::Draining);
         }
     }
 
-    fn review_wanted(&mut self, set: &ReplicaSet, replica: &Replica) {
+    fn review_wanted(&mut self, set: &release::ReplicaSet, replica: &assignment::Replica) {
         let Some(phase) = self.get(&replica.id).map(|replica| replica.phase) else { return };
         let (view, now) = (self.view, self.now);
         let is_lost = view.has_lost(replica, now);
         match phase {
-            Phase::Forming if view.is_complete(set, replica, now) => self.begin(&replica.id),
+            assignment::Phase::Forming if view.is_complete(set, replica, now) => {
+                self.begin(&replica.id)
+            }
             // A member that is there but not ready loads again, for example after a late order.
-            Phase::Serving if !view.is_whole(replica, now) => {
-                self.set_phase(&replica.id, Phase::Forming);
+            assignment::Phase::Serving if !view.is_whole(replica, now) => {
+                self.set_phase(&replica.id, assignment::Phase::Forming);
             }
-            Phase::Serving if self.is_broken(replica) => {
-                self.set_phase(&replica.id, Phase::Draining);
+            assignment::Phase::Serving if self.is_broken(replica) => {
+                self.set_phase(&replica.id, assignment::Phase::Draining);
             }
-            Phase::Draining if is_lost || view.is_drained(replica) => {
+            assignment::Phase::Draining if is_lost || view.is_drained(replica) => {
                 if self.standing(&replica.id.set) >= usize::from(set.replicas) {
                     self.dissolve(&replica.id);
                 } else if self.is_broken(replica) || self.free_slots() > 0 {
-                    self.set_phase(&replica.id, Phase::Forming);
+                    self.set_phase(&replica.id, assignment::Phase::Forming);
                 }
             }
             _ => {}
@@ -88,25 +91,27 @@
     /// Drains replicas with other weights or another shape than declared, one of each set at a
     /// time.
     fn roll(&mut self) {
-        let of_zone = |set: &ReplicaSet| set.zone == *self.view.zone;
+        let of_zone = |set: &release::ReplicaSet| set.zone == *self.view.zone;
         for (name, set) in self.view.release.sets.iter().filter(|(_, set)| of_zone(set)) {
-            let in_transit = |replica: &Replica| match replica.phase {
-                Phase::Serving => false,
-                Phase::Draining => true,
-                Phase::Forming => !self.is_broken(replica),
+            let in_transit = |replica: &assignment::Replica| match replica.phase {
+                assignment::Phase::Serving => false,
+                assignment::Phase::Draining => true,
+                assignment::Phase::Forming => !self.is_broken(replica),
             };
             let mut of_set = self.next.replicas.iter().filter(|r| r.id.set == *name);
             if self.free_slots() == 0 || of_set.clone().any(in_transit) {
                 continue;
             }
             let id = of_set.find(|r| self.has_outdated(set, r)).map(|r| r.id.clone());
-            id.inspect(|id: &id::Replica| self.set_phase(id, Phase::Draining));
+            id.inspect(|id: &id::Replica| self.set_phase(id, assignment::Phase::Draining));
         }
     }
 
-    fn has_outdated(&self, set: &ReplicaSet, replica: &Replica) -> bool {
-        let outdated = |member: &Member| self.view.is_outdated(set, &member.id, self.now);
+    fn has_outdated(&self, set: &release::ReplicaSet, replica: &assignment::Replica) -> bool {
+        let outdated =
+            |member: &assignment::Member| self.view.is_outdated(set, &member.id, self.now);
         let reshaped = usize::from(set.vms) != replica.vms.len();
-        replica.phase == Phase::Serving && (reshaped || replica.vms.iter().any(outdated))
+        replica.phase == assignment::Phase::Serving
+            && (reshaped || replica.vms.iter().any(outdated))
     }
 }
--- a/crates/policy/src/prefix.rs
+++ b/crates/policy/src/prefix.rs
@@ -1,9 +1,8 @@
 //! Prefix caches of upstreams, estimated from own dispatches and their cache events.
 
-use std::collections::{BTreeMap, HashMap};
-use std::time::Duration;
+use std::{collections, time};
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use xxhash_rust::xxh3;
 
 use crate::id;
@@ -61,7 +60,7 @@
 pub struct History {
     /// Prefixes remembered for all upstreams.
     capacity: usize,
-    caches: HashMap<id::Replica, Cache>,
+    caches: collections::HashMap<id::Replica, Cache>,
 }
 
 #[derive(Debug, Default)]
@@ -71,27 +70,27 @@
     sequence: Option<u64>,
     /// Change counter, for the order of use.
     tick: u64,
-    known: HashMap<u64, Known>,
+    known: collections::HashMap<u64, Known>,
     /// Prefixes in the order of their latest use.
-    used: BTreeMap<u64, u64>,
+    used: collections::BTreeMap<u64, u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Known {
     tick: u64,
     /// The latest own dispatch with this prefix.
-    sent: Option<Moment>,
+    sent: Option<moment::Moment>,
 }
 
 impl History {
     /// Own dispatches this recent outweigh events and gaps: events come late and may describe the
     /// time before the dispatch.
-    pub const TRUST: Duration = Duration::from_secs(5);
+    pub const TRUST: time::Duration = time::Duration::from_secs(5);
 
     /// Opens an empty history with room for `capacity` prefixes, divided evenly among the
     /// upstreams; each takes about 100 bytes.
     pub fn open(capacity: usize) -> Self {
-        Self { capacity, caches: HashMap::new() }
+        Self { capacity, caches: collections::HashMap::new() }
     }
 
     /// Prefixes remembered for all upstreams.
@@ -110,7 +109,13 @@
     }
 
     /// Takes a dispatch of this node: the upstream will hold these prefixes.
-    pub fn dispatched(&mut self, upstream: &id::Replica, start: u64, blocks: &[u64], now: Moment) {
+    pub fn dispatched(
+        &mut self,
+        upstream: &id::Replica,
+        start: u64,
+        blocks: &[u64],
+        now: moment::Moment,
+    ) {
         let (cache, room) = self.cache(upstream, start);
         // The shortest prefix is used last, so that it is evicted last.
         for &prefix in blocks.iter().rev() {
@@ -122,7 +127,13 @@
     ///
     /// Events with an old sequence number are ignored. A gap may hide evictions, so only what own
     /// recent dispatches confirm outlasts it.
-    pub fn merge(&mut self, upstream: &id::Replica, start: u64, events: &[Event], now: Moment) {
+    pub fn merge(
+        &mut self,
+        upstream: &id::Replica,
+        start: u64,
+        events: &[Event],
+        now: moment::Moment,
+    ) {
         let (cache, room) = self.cache(upstream, start);
         for event in events {
             match cache.sequence {
@@ -173,13 +184,13 @@
 }
 
 impl Known {
-    fn is_recent(&self, now: Moment) -> bool {
+    fn is_recent(&self, now: moment::Moment) -> bool {
         self.sent.is_some_and(|sent| now.since(sent) < History::TRUST)
     }
 }
 
 impl Cache {
-    fn insert(&mut self, prefix: u64, sent: Option<Moment>, room: usize) {
+    fn insert(&mut self, prefix: u64, sent: Option<moment::Moment>, room: usize) {
         let before = self.known.get(&prefix).copied();
         if let Some(before) = before {
             self.used.remove(&before.tick);
@@ -205,7 +216,7 @@
         }
     }
 
-    fn forget_unconfirmed(&mut self, now: Moment) {
+    fn forget_unconfirmed(&mut self, now: moment::Moment) {
         self.known.retain(|_, known| known.is_recent(now));
         let known = &self.known;
         self.used.retain(|_, prefix| known.contains_key(prefix));
--- a/crates/policy/src/release.rs
+++ b/crates/policy/src/release.rs
@@ -4,14 +4,14 @@
 mod replica_set;
 mod service;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections;
+
+use crate::id;
 
 pub use organisation::Organisation;
 pub use replica_set::{Fencing, ReplicaSet};
 pub use service::{Kind, Pattern, Plain, Service, Targets};
 
-use crate::id;
-
 /// The complete state that operators have declared.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
@@ -19,15 +19,15 @@
     /// Revision; 0 before the first accepted note.
     pub revision: u64,
     /// The latest accepted notes, oldest first, at most [`Release::HISTORY`].
-    pub notes: VecDeque<Note>,
+    pub notes: collections::VecDeque<Note>,
     /// Organisations by name.
-    pub organisations: BTreeMap<id::Organisation, Organisation>,
+    pub organisations: collections::BTreeMap<id::Organisation, Organisation>,
     /// Services by name.
-    pub services: BTreeMap<id::Service, Service>,
+    pub services: collections::BTreeMap<id::Service, Service>,
     /// Replica sets by name.
-    pub sets: BTreeMap<id::ReplicaSet, ReplicaSet>,
+    pub sets: collections::BTreeMap<id::ReplicaSet, ReplicaSet>,
     /// Availability zones by name; an absent zone is in service.
-    pub zones: BTreeMap<id::Zone, ZoneState>,
+    pub zones: collections::BTreeMap<id::Zone, ZoneState>,
 }
 
 /// An accepted note.
--- a/crates/policy/src/release/service.rs
+++ b/crates/policy/src/release/service.rs
@@ -1,7 +1,6 @@
 //! Services and their service-level targets.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::{net, time};
 
 use crate::id;
 
@@ -12,7 +11,7 @@
     /// What serves it.
     pub kind: Kind,
     /// Longest time for a request without a deadline of its own.
-    pub timeout: Duration,
+    pub timeout: time::Duration,
     /// Service-level targets.
     pub targets: Targets,
 }
@@ -37,7 +36,7 @@
     /// Path prefix, with a leading and without a trailing slash.
     pub prefix: String,
     /// Addresses with the availability zone of each.
-    pub upstreams: Vec<(id::Zone, SocketAddr)>,
+    pub upstreams: Vec<(id::Zone, net::SocketAddr)>,
     /// Calls that may be repeated; all others are not repeatable.
     pub repeatable: Vec<Pattern>,
     /// Whether calls that are not repeatable need an idempotency key.
@@ -61,9 +60,9 @@
     /// Fraction of requests answered whole and within their deadline.
     pub whole: f64,
     /// First token within this time for 95 in 100.
-    pub first_token: Duration,
+    pub first_token: time::Duration,
     /// Time between tokens for 95 in 100.
-    pub between_tokens: Duration,
+    pub between_tokens: time::Duration,
     /// Fraction of orders that end with a known outcome.
     pub orders: f64,
 }
@@ -72,8 +71,8 @@
     fn default() -> Self {
         Self {
             whole: 0.999,
-            first_token: Duration::from_millis(1_500),
-            between_tokens: Duration::from_millis(49),
+            first_token: time::Duration::from_millis(1_500),
+            between_tokens: time::Duration::from_millis(49),
             orders: 0.999,
         }
     }
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -1,6 +1,6 @@
 //! What a VM's engine reports about itself.
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 use crate::id;
 
@@ -61,7 +61,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
     /// No later than the moment at which the VM answered.
-    pub at: Moment,
+    pub at: moment::Moment,
     /// The report.
     pub report: Report,
 }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -2,17 +2,17 @@
 
 mod budget;
 
-use std::time::Duration;
+use std::time;
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use rand::Rng;
 
 pub use budget::Budget;
 
 /// Longest first backoff.
-pub const BACKOFF_MIN: Duration = Duration::from_millis(50);
+pub const BACKOFF_MIN: time::Duration = time::Duration::from_millis(50);
 /// Longest backoff.
-pub const BACKOFF_MAX: Duration = Duration::from_secs(5);
+pub const BACKOFF_MAX: time::Duration = time::Duration::from_secs(5);
 
 /// What is known about a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,11 +50,11 @@
 
 /// Backoff with full jitter: uniform from zero to a bound that starts at [`BACKOFF_MIN`] and
 /// doubles with each failure up to [`BACKOFF_MAX`]. `failures` counts from 1.
-pub fn backoff(failures: u32, rng: &mut impl Rng) -> Duration {
-    rng.random_range(Duration::ZERO..=bound(failures))
+pub fn backoff(failures: u32, rng: &mut impl Rng) -> time::Duration {
+    rng.random_range(time::Duration::ZERO..=bound(failures))
 }
 
-fn bound(failures: u32) -> Duration {
+fn bound(failures: u32) -> time::Duration {
     let doublings = failures.saturating_sub(1).min(16);
     (BACKOFF_MIN * 2u32.pow(doublings)).min(BACKOFF_MAX)
 }
@@ -69,11 +69,11 @@
     failure: Failure,
     repeatable: bool,
     failures: u32,
-    deadline: Moment,
+    deadline: moment::Moment,
     budget: &mut Budget,
-    now: Moment,
+    now: moment::Moment,
     rng: &mut impl Rng,
-) -> Option<Moment> {
+) -> Option<moment::Moment> {
     if !is_allowed(failure, repeatable) {
         return None;
     }
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -1,6 +1,6 @@
 //! The allowance of extra attempts.
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 /// An allowance of extra attempts as a fraction of the requests, with a minimum each second.
 ///
@@ -46,12 +46,12 @@
     }
 
     /// Counts a first attempt.
-    pub fn count(&mut self, now: Moment) {
+    pub fn count(&mut self, now: moment::Moment) {
         self.slot(now).requests += 1;
     }
 
     /// Grants an extra attempt, and counts it, if the budget has one left.
-    pub fn take(&mut self, now: Moment) -> bool {
+    pub fn take(&mut self, now: moment::Moment) -> bool {
         let second = now.as_millis() / 1_000;
         let (mut requests, mut extra) = (0, 0);
         for slot in self.slots.iter().filter(|s| s.second + Self::WINDOW as u64 > second) {
@@ -67,11 +67,11 @@
     }
 
     /// Grants a hedge of a call: only repeatable calls get one.
-    pub fn hedge(&mut self, repeatable: bool, now: Moment) -> bool {
+    pub fn hedge(&mut self, repeatable: bool, now: moment::Moment) -> bool {
         repeatable && self.take(now)
     }
 
-    fn slot(&mut self, now: Moment) -> &mut Slot {
+    fn slot(&mut self, now: moment::Moment) -> &mut Slot {
         let second = now.as_millis() / 1_000;
         let slot = &mut self.slots[(second % Self::WINDOW as u64) as usize];
         if slot.second != second {
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -3,11 +3,10 @@
 mod baseline;
 mod candidate;
 
-use std::time::Duration;
+use std::time;
 
-use corneltrestle_time::Moment;
-use rand::Rng;
-use rand::seq::index;
+use corneltrestle_time::moment;
+use rand::{Rng, seq::index};
 
 pub use baseline::{prefix_affinity, two_choices};
 pub use candidate::Candidate;
@@ -16,11 +15,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Weights {
     /// Delay of a first token by each request that waits.
-    pub waiting: Duration,
+    pub waiting: time::Duration,
     /// Delay of a first token by each request that is being decoded.
-    pub running: Duration,
+    pub running: time::Duration,
     /// Time to compute one block of the prompt.
-    pub block: Duration,
+    pub block: time::Duration,
     /// Blocks of the prompt.
     pub blocks: u32,
     /// Live nodes.
@@ -28,7 +27,7 @@
     /// Requests a second that this node dispatches to the service.
     pub rate: f64,
     /// Predictions that differ by no more than this are equal.
-    pub tie: Duration,
+    pub tie: time::Duration,
     /// Candidates to compare.
     pub sample: usize,
 }
@@ -36,13 +35,13 @@
 impl Default for Weights {
     fn default() -> Self {
         Self {
-            waiting: Duration::from_millis(40),
-            running: Duration::from_millis(2),
-            block: Duration::from_millis(1),
+            waiting: time::Duration::from_millis(40),
+            running: time::Duration::from_millis(2),
+            block: time::Duration::from_millis(1),
             blocks: 0,
             nodes: 1,
             rate: 0.0,
-            tie: Duration::from_millis(1),
+            tie: time::Duration::from_millis(1),
             sample: 4,
         }
     }
@@ -57,8 +56,8 @@
     candidate: &Candidate<'_>,
     number: usize,
     weights: &Weights,
-    now: Moment,
-) -> Duration {
+    now: moment::Moment,
+) -> time::Duration {
     let others = weights.nodes.saturating_sub(1) as f64 * weights.rate.max(0.0);
     let age = now.since(candidate.reported).as_secs_f64();
     let foreign = others * age / number.max(1) as f64;
@@ -99,7 +98,7 @@
 pub fn choose(
     candidates: &[Candidate<'_>],
     weights: &Weights,
-    now: Moment,
+    now: moment::Moment,
     rng: &mut impl Rng,
 ) -> Option<usize> {
     let permitted: Vec<usize> =
@@ -120,7 +119,7 @@
     {
         sample.push(holder);
     }
-    let times: Vec<(Duration, usize)> = sample
+    let times: Vec<(time::Duration, usize)> = sample
         .into_iter()
         .map(|i| (predict(&candidates[i], permitted.len(), weights, now), i))
         .collect();
--- a/crates/policy/src/route/baseline.rs
+++ b/crates/policy/src/route/baseline.rs
@@ -1,12 +1,11 @@
 //! Well-known rules of choice, to compare measurements against.
 
-use rand::Rng;
-use rand::seq::index;
+use rand::{Rng, seq::index};
 
-use super::Candidate;
+use crate::route;
 
 /// Power of two choices: the less loaded of two random permitted candidates.
-pub fn two_choices(candidates: &[Candidate<'_>], rng: &mut impl Rng) -> Option<usize> {
+pub fn two_choices(candidates: &[route::Candidate<'_>], rng: &mut impl Rng) -> Option<usize> {
     let permitted = permitted(candidates);
     index::sample(rng, permitted.len(), permitted.len().min(2))
         .into_iter()
@@ -18,7 +17,7 @@
 /// those whose load is at most `bound` times the mean plus one request; the least loaded one if
 /// none of them holds any. Ties go to a random candidate.
 pub fn prefix_affinity(
-    candidates: &[Candidate<'_>],
+    candidates: &[route::Candidate<'_>],
     bound: f64,
     rng: &mut impl Rng,
 ) -> Option<usize> {
@@ -35,10 +34,10 @@
         .map(|(i, _, _)| i)
 }
 
-fn permitted(candidates: &[Candidate<'_>]) -> Vec<usize> {
+fn permitted(candidates: &[route::Candidate<'_>]) -> Vec<usize> {
     (0..candidates.len()).filter(|&i| candidates[i].permitted).collect()
 }
 
-fn load(candidate: &Candidate<'_>) -> u64 {
+fn load(candidate: &route::Candidate<'_>) -> u64 {
     u64::from(candidate.running) + u64::from(candidate.waiting) + candidate.unreported() as u64
 }
--- a/crates/policy/src/route/candidate.rs
+++ b/crates/policy/src/route/candidate.rs
@@ -1,8 +1,8 @@
 //! Upstreams to choose from.
 
-use std::time::Duration;
+use std::time;
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 /// An upstream that may take the request.
 #[derive(Clone, Copy, Debug)]
@@ -12,13 +12,13 @@
     /// Requests waiting, by its report.
     pub waiting: u32,
     /// The moment that the report describes.
-    pub reported: Moment,
+    pub reported: moment::Moment,
     /// Moments of this node's dispatches to it that are in progress, in increasing order.
-    pub dispatches: &'a [Moment],
+    pub dispatches: &'a [moment::Moment],
     /// Leading blocks of the prompt that its prefix cache holds.
     pub cached: u32,
     /// Network latency one way.
-    pub distance: Duration,
+    pub distance: time::Duration,
     /// Whether its warm-up level allows this node one more request.
     pub permitted: bool,
 }
--- a/crates/policy/src/silence.rs
+++ b/crates/policy/src/silence.rs
@@ -1,8 +1,8 @@
 //! Progress and age of long-lived connections.
 
-use std::time::Duration;
+use std::time;
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 use rand::Rng;
 
 /// What a connection is for.
@@ -20,11 +20,11 @@
 
 impl Kind {
     /// Longest time without progress while something is expected.
-    pub const fn limit(self) -> Duration {
+    pub const fn limit(self) -> time::Duration {
         match self {
-            Kind::Stream | Kind::Watch => Duration::from_secs(5),
-            Kind::Link => Duration::from_secs(2),
-            Kind::Connect => Duration::from_secs(1),
+            Kind::Stream | Kind::Watch => time::Duration::from_secs(5),
+            Kind::Link => time::Duration::from_secs(2),
+            Kind::Connect => time::Duration::from_secs(1),
         }
     }
 }
@@ -59,33 +59,38 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Connection {
     kind: Kind,
-    progress: Moment,
-    expiry: Moment,
+    progress: moment::Moment,
+    expiry: moment::Moment,
     busy: bool,
 }
 
 impl Connection {
     /// Longest age.
-    pub const AGE: Duration = Duration::from_secs(600);
+    pub const AGE: time::Duration = time::Duration::from_secs(600);
     /// The age limit is drawn from this fraction of [`Connection::AGE`] up to the whole, so that
     /// connections opened together are not replaced together.
     pub const AGE_FRACTION: f64 = 0.9;
 
     /// Opens the history; the connection expects progress at once if it is being set up or is a
     /// watch.
-    pub fn open(kind: Kind, now: Moment, rng: &mut impl Rng) -> Self {
+    pub fn open(kind: Kind, now: moment::Moment, rng: &mut impl Rng) -> Self {
         Self::open_for(kind, Self::AGE, now, rng)
     }
 
     /// Opens the history with another longest age.
-    pub fn open_for(kind: Kind, age: Duration, now: Moment, rng: &mut impl Rng) -> Self {
+    pub fn open_for(
+        kind: Kind,
+        age: time::Duration,
+        now: moment::Moment,
+        rng: &mut impl Rng,
+    ) -> Self {
         let age = age.mul_f64(rng.random_range(Self::AGE_FRACTION..=1.0));
         let busy = matches!(kind, Kind::Connect | Kind::Watch);
         Self { kind, progress: now, expiry: now + age, busy }
     }
 
     /// Something is expected from the peer now.
-    pub fn began(&mut self, now: Moment) {
+    pub fn began(&mut self, now: moment::Moment) {
         if !self.busy {
             self.progress = now;
         }
@@ -93,7 +98,7 @@
     }
 
     /// Something arrived.
-    pub fn progressed(&mut self, now: Moment) {
+    pub fn progressed(&mut self, now: moment::Moment) {
         self.progress = self.progress.max(now);
     }
 
@@ -103,7 +108,7 @@
     }
 
     /// Decides on the connection.
-    pub fn check(&self, now: Moment) -> Verdict {
+    pub fn check(&self, now: moment::Moment) -> Verdict {
         let silent = self.busy && now.since(self.progress) >= self.kind.limit();
         match (silent, now >= self.expiry, self.busy) {
             (true, _, _) | (false, true, false) => Verdict::Replace,
@@ -113,7 +118,7 @@
     }
 
     /// When the next check may decide differently without progress.
-    pub fn due(&self, now: Moment) -> Moment {
+    pub fn due(&self, now: moment::Moment) -> moment::Moment {
         let silence = self.progress + self.kind.limit();
         match (self.busy, now < self.expiry) {
             (true, true) => silence.min(self.expiry),
--- a/crates/policy/src/vm.rs
+++ b/crates/policy/src/vm.rs
@@ -1,6 +1,6 @@
 //! Entries of the platform's VM list.
 
-use std::net::SocketAddr;
+use std::net;
 
 use crate::id;
 
@@ -11,7 +11,7 @@
     /// Name of the VM, unique over its lifetime.
     pub id: id::Vm,
     /// Address of its engine, or of its node link for an entry VM.
-    pub address: SocketAddr,
+    pub address: net::SocketAddr,
     /// Availability zone.
     pub zone: id::Zone,
     /// Fabric domain.
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -1,6 +1,6 @@
 //! Slow start: bounds on the work in progress at an upstream that may be cold.
 
-use std::time::Duration;
+use std::time;
 
 use xxhash_rust::xxh3;
 
@@ -90,7 +90,7 @@
 
     /// Takes the time to a first token; [`Warmup::SLOW`] in a row above `limit` fall back to the
     /// cold level. Returns whether that happened.
-    pub fn first_token(&mut self, taken: Duration, limit: Duration) -> bool {
+    pub fn first_token(&mut self, taken: time::Duration, limit: time::Duration) -> bool {
         self.slow = if taken > limit { self.slow + 1 } else { 0 };
         let cold = self.slow >= Self::SLOW;
         if cold {
--- a/crates/policy/src/wholeness.rs
+++ b/crates/policy/src/wholeness.rs
@@ -1,14 +1,13 @@
 //! Whether a replica may take a request: only with every member present.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::{collections, time};
 
-use corneltrestle_time::Moment;
+use corneltrestle_time::moment;
 
 use crate::{assignment, id, report};
 
 /// Longest age of a report at which its VM still counts as present, by default.
-pub const VIEW_BOUND: Duration = Duration::from_secs(3);
+pub const VIEW_BOUND: time::Duration = time::Duration::from_secs(3);
 
 /// What the decision is made from.
 #[derive(Clone, Copy, Debug)]
@@ -16,13 +15,13 @@
     /// The replica as assigned.
     pub replica: &'a assignment::Replica,
     /// The latest report of each VM.
-    pub reports: &'a BTreeMap<id::Vm, report::Seen>,
+    pub reports: &'a collections::BTreeMap<id::Vm, report::Seen>,
     /// VMs that were asked to leave.
-    pub leaving: &'a BTreeSet<id::Vm>,
+    pub leaving: &'a collections::BTreeSet<id::Vm>,
     /// Whether the replica's availability zone takes new work.
     pub zone_in: bool,
     /// Longest age of a report at which its VM counts as present.
-    pub bound: Duration,
+    pub bound: time::Duration,
 }
 
 /// Why a replica may not take a request.
@@ -52,7 +51,7 @@
 /// # Errors
 ///
 /// The first reason against it.
-pub fn check<'a>(view: &View<'a>, now: Moment) -> Result<(), Reason<'a>> {
+pub fn check<'a>(view: &View<'a>, now: moment::Moment) -> Result<(), Reason<'a>> {
     if !view.zone_in {
         return Err(Reason::ZoneOut);
     }
@@ -65,7 +64,11 @@
     view.replica.vms.iter().try_for_each(|member| check_member(view, &member.id, now))
 }
 
-fn check_member<'a>(view: &View<'a>, vm: &'a id::Vm, now: Moment) -> Result<(), Reason<'a>> {
+fn check_member<'a>(
+    view: &View<'a>,
+    vm: &'a id::Vm,
+    now: moment::Moment,
+) -> Result<(), Reason<'a>> {
     if view.leaving.contains(vm) {
         return Err(Reason::Leaving(vm));
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -6,22 +6,23 @@
 mod orders;
 mod slots;
 
-use std::collections::{BTreeMap, VecDeque};
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{collections, net, sync, time};
 
-use corneltrestle_kernel::clock::{self, Clock};
-use corneltrestle_kernel::table::{Ranked, Table};
-use corneltrestle_policy::{Moment, id, report};
-use hyper::{Method, StatusCode};
+use corneltrestle_kernel::{
+    clock::{self, Clock},
+    table::{self, Ranked},
+};
+use corneltrestle_policy::{id, report};
+use corneltrestle_time::moment;
+
+use crate::{
+    fault,
+    server::{self, Api},
+};
 
 pub use fabric::Fabric;
 pub use generate::answer_text;
 
-use crate::fault;
-use crate::server::{self, Api, Body, Call, Kind, Reply, Shared};
-
 /// A running engine.
 pub type Handle = server::Handle<Engine>;
 
@@ -32,17 +33,17 @@
 #[derive(Clone, Debug)]
 pub struct Config {
     /// Address to listen on.
-    pub listen: SocketAddr,
+    pub listen: net::SocketAddr,
     /// Name of the VM.
     pub vm: id::Vm,
     /// The VMs of this process, among which the members of a replica see each other.
     pub fabric: Fabric,
     /// Time to load a model.
-    pub load: Duration,
+    pub load: time::Duration,
     /// Time to the first token of an uncached prompt without other load.
-    pub first: Duration,
+    pub first: time::Duration,
     /// Time between tokens without other load.
-    pub token: Duration,
+    pub token: time::Duration,
     /// Requests decoded at the same time.
     pub slots: u32,
     /// Requests that may wait.
@@ -54,7 +55,7 @@
     /// Whether fencing tokens of orders are checked.
     pub fencing: bool,
     /// Age up to which load figures in reports may be old.
-    pub lag: Duration,
+    pub lag: time::Duration,
 }
 
 impl Default for Config {
@@ -63,15 +64,15 @@
             listen: ([127, 0, 0, 1], 0).into(),
             vm: "vm-0".into(),
             fabric: Fabric::default(),
-            load: Duration::ZERO,
-            first: Duration::ZERO,
-            token: Duration::ZERO,
+            load: time::Duration::ZERO,
+            first: time::Duration::ZERO,
+            token: time::Duration::ZERO,
             slots: 8,
             queue: 32,
             cold: 2,
             blocks: 1024,
             fencing: true,
-            lag: Duration::ZERO,
+            lag: time::Duration::ZERO,
         }
     }
 }
@@ -81,8 +82,8 @@
 pub struct Engine {
     config: Config,
     clock: clock::System,
-    orders: Table<orders::Orders>,
-    state: Table<State>,
+    orders: table::Table<orders::Orders>,
+    state: table::Table<State>,
 }
 
 #[derive(Debug)]
@@ -91,8 +92,8 @@
     slots: slots::Slots,
     cache: cache::Cache,
     /// Prefixes of the latest requests, for export.
-    exports: VecDeque<(String, Vec<u64>)>,
-    seen: Option<(Moment, Load)>,
+    exports: collections::VecDeque<(String, Vec<u64>)>,
+    seen: Option<(moment::Moment, Load)>,
 }
 
 /// The load figures of a report.
@@ -117,8 +118,8 @@
 pub async fn bind(config: Config) -> server::Result<Handle> {
     let listen = config.listen;
     config.fabric.update(&config.vm, |member| *member = fabric::Member::idle());
-    let state = Table::new(State::new(&config));
-    let orders = Table::default();
+    let state = table::Table::new(State::new(&config));
+    let orders = table::Table::default();
     server::bind(Engine { config, clock: clock::System::open(), orders, state }, listen).await
 }
 
@@ -128,7 +129,7 @@
             start: rand::random(),
             slots: slots::Slots::new(config.cold),
             cache: cache::Cache::new(config.blocks),
-            exports: VecDeque::new(),
+            exports: collections::VecDeque::new(),
             seen: None,
         }
     }
@@ -152,7 +153,7 @@
     }
 
     /// The load figures, renewed when they are older than `lag`.
-    fn lagged_load(&mut self, lag: Duration, now: Moment) -> Load {
+    fn lagged_load(&mut self, lag: time::Duration, now: moment::Moment) -> Load {
         match self.seen {
             Some((taken, load)) if now.since(taken) < lag => load,
             _ => {
@@ -205,30 +206,34 @@
         }
     }
 
-    fn now(&self) -> Moment {
+    fn now(&self) -> moment::Moment {
         self.clock.now()
     }
 
-    fn events(&self, call: &Call, shared: &Shared) -> Reply {
+    fn events(&self, call: &server::Call, shared: &server::Shared) -> server::Reply {
         let knobs = shared.knobs();
         let after = call.number("after").unwrap_or(0);
         let now = self.now();
         let state = self.state.lock();
         let events = state.cache.events(after, now, knobs.event_delay, knobs.event_gap);
-        server::json(StatusCode::OK, &events.collect::<Vec<_>>())
+        server::json(hyper::StatusCode::OK, &events.collect::<Vec<_>>())
     }
 
-    fn export(&self, id: &str) -> Reply {
+    fn export(&self, id: &str) -> server::Reply {
         let state = self.state.lock();
         match state.exports.iter().rev().find(|(known, _)| known == id) {
-            Some((_, prefixes)) => server::json(StatusCode::OK, prefixes),
-            None => server::failure(StatusCode::NOT_FOUND, "unknown", "no such request"),
+            Some((_, prefixes)) => server::json(hyper::StatusCode::OK, prefixes),
+            None => server::failure(hyper::StatusCode::NOT_FOUND, "unknown", "no such request"),
         }
     }
 
-    fn import(&self, id: &str, body: &[u8]) -> Reply {
+    fn import(&self, id: &str, body: &[u8]) -> server::Reply {
         let Ok(prefixes) = serde_json::from_slice::<Vec<u64>>(body) else {
-            return server::failure(StatusCode::BAD_REQUEST, "invalid", "not an exported cache");
+            return server::failure(
+                hyper::StatusCode::BAD_REQUEST,
+                "invalid",
+                "not an exported cache",
+            );
         };
         let now = self.now();
         let mut state = self.state.lock();
@@ -237,48 +242,54 @@
         empty()
     }
 
-    fn cancel(&self, id: &str) -> Reply {
+    fn cancel(&self, id: &str) -> server::Reply {
         if self.state.lock().slots.cancel(id) {
             return empty();
         }
-        server::failure(StatusCode::NOT_FOUND, "unknown", "no such request")
+        server::failure(hyper::StatusCode::NOT_FOUND, "unknown", "no such request")
     }
 }
 
-fn empty() -> Reply {
-    server::reply(StatusCode::NO_CONTENT, Body::whole(bytes::Bytes::new()))
+fn empty() -> server::Reply {
+    server::reply(hyper::StatusCode::NO_CONTENT, server::Body::whole(bytes::Bytes::new()))
 }
 
 impl Api for Engine {
-    fn kind(&self, method: &Method, path: &str) -> Kind {
+    fn kind(&self, method: &hyper::Method, path: &str) -> server::Kind {
         let (name, write) = match (method, path) {
-            (&Method::GET, "/v1/report") => ("report", false),
-            (&Method::GET, "/v1/cache-events") => ("cache-events", false),
-            (&Method::POST, "/v1/orders") => ("order", true),
-            (&Method::POST, "/v1/completions" | "/v1/chat/completions") => ("generate", true),
-            (&Method::DELETE, path) if path.starts_with("/v1/requests/") => ("cancel", true),
-            (&Method::GET, path) if path.starts_with("/v1/kv/") => ("export", false),
-            (&Method::PUT, path) if path.starts_with("/v1/kv/") => ("import", true),
+            (&hyper::Method::GET, "/v1/report") => ("report", false),
+            (&hyper::Method::GET, "/v1/cache-events") => ("cache-events", false),
+            (&hyper::Method::POST, "/v1/orders") => ("order", true),
+            (&hyper::Method::POST, "/v1/completions" | "/v1/chat/completions") => {
+                ("generate", true)
+            }
+            (&hyper::Method::DELETE, path) if path.starts_with("/v1/requests/") => ("cancel", true),
+            (&hyper::Method::GET, path) if path.starts_with("/v1/kv/") => ("export", false),
+            (&hyper::Method::PUT, path) if path.starts_with("/v1/kv/") => ("import", true),
             _ => ("unknown", false),
         };
-        Kind { name, write }
+        server::Kind { name, write }
     }
 
-    async fn answer(self: &Arc<Self>, call: &Call, shared: &Arc<Shared>) -> Reply {
+    async fn answer(
+        self: &sync::Arc<Self>,
+        call: &server::Call,
+        shared: &sync::Arc<server::Shared>,
+    ) -> server::Reply {
         let last = call.path.rsplit('/').next().unwrap_or("");
         match self.kind(&call.method, &call.path).name {
-            "report" => server::json(StatusCode::OK, &self.report()),
+            "report" => server::json(hyper::StatusCode::OK, &self.report()),
             "cache-events" => self.events(call, shared),
             "order" => orders::answer(self, &call.body, shared),
             "generate" => generate::answer(self, call, shared).await,
             "cancel" => self.cancel(last),
             "export" => self.export(last),
             "import" => self.import(last, &call.body),
-            _ => server::failure(StatusCode::NOT_FOUND, "unknown", "no such call"),
+            _ => server::failure(hyper::StatusCode::NOT_FOUND, "unknown", "no such call"),
         }
     }
 
-    fn counts(&self, counts: &mut BTreeMap<String, u64>) {
+    fn counts(&self, counts: &mut collections::BTreeMap<String, u64>) {
         let state = self.state.lock();
         counts.insert("overload".to_owned(), state.slots.overloads());
         counts.insert("finished".to_owned(), state.slots.finished());
--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -1,10 +1,9 @@
 //! The prefix cache and its events.
 
-use std::collections::{HashSet, VecDeque};
-use std::time::Duration;
+use std::{collections, time};
 
-use corneltrestle_policy::Moment;
-use corneltrestle_policy::prefix::Event;
+use corneltrestle_policy::prefix;
+use corneltrestle_time::moment;
 
 /// Number of events that are kept.
 const HISTORY: usize = 4096;
@@ -13,9 +12,9 @@
 #[derive(Debug)]
 pub(super) struct Cache {
     limit: usize,
-    order: VecDeque<u64>,
-    stored: HashSet<u64>,
-    events: VecDeque<(Moment, Event)>,
+    order: collections::VecDeque<u64>,
+    stored: collections::HashSet<u64>,
+    events: collections::VecDeque<(moment::Moment, prefix::Event)>,
     sequence: u64,
 }
 
@@ -23,9 +22,9 @@
     pub(super) fn new(limit: u32) -> Self {
         Self {
             limit: limit as usize,
-            order: VecDeque::new(),
-            stored: HashSet::new(),
-            events: VecDeque::new(),
+            order: collections::VecDeque::new(),
+            stored: collections::HashSet::new(),
+            events: collections::VecDeque::new(),
             sequence: 0,
         }
     }
@@ -39,7 +38,7 @@
     }
 
     /// Stores prefixes; returns how many leading ones were there.
-    pub(super) fn touch(&mut self, prefixes: &[u64], now: Moment) -> usize {
+    pub(super) fn touch(&mut self, prefixes: &[u64], now: moment::Moment) -> usize {
         let hits = prefixes.iter().take_while(|prefix| self.stored.contains(prefix)).count();
         for prefix in prefixes {
             if self.limit == 0 || !self.stored.insert(*prefix) {
@@ -55,35 +54,35 @@
     }
 
     /// Evicts everything.
-    pub(super) fn clear(&mut self, now: Moment) {
+    pub(super) fn clear(&mut self, now: moment::Moment) {
         while !self.order.is_empty() {
             self.evict(now);
         }
     }
 
-    fn evict(&mut self, now: Moment) {
+    fn evict(&mut self, now: moment::Moment) {
         if let Some(prefix) = self.order.pop_front() {
             self.stored.remove(&prefix);
             self.record(prefix, false, now);
         }
     }
 
-    fn record(&mut self, prefix: u64, stored: bool, now: Moment) {
+    fn record(&mut self, prefix: u64, stored: bool, now: moment::Moment) {
         self.sequence += 1;
         if self.events.len() == HISTORY {
             self.events.pop_front();
         }
-        self.events.push_back((now, Event { sequence: self.sequence, prefix, stored }));
+        self.events.push_back((now, prefix::Event { sequence: self.sequence, prefix, stored }));
     }
 
     /// Events after a sequence number that are at least `delay` old, without every `gap`th one.
     pub(super) fn events(
         &self,
         after: u64,
-        now: Moment,
-        delay: Duration,
+        now: moment::Moment,
+        delay: time::Duration,
         gap: u64,
-    ) -> impl Iterator<Item = Event> {
+    ) -> impl Iterator<Item = prefix::Event> {
         let events = self.events.iter();
         let visible = events.filter(move |(at, event)| {
             let lost = gap != 0 && event.sequence.is_multiple_of(gap);
--- a/crates/standin/src/engine/fabric.rs
+++ b/crates/standin/src/engine/fabric.rs
@@ -1,7 +1,6 @@
 //! The VMs of one process and their memberships, through which a replica notices a lost member.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::{collections, sync};
 
 use corneltrestle_policy::{id, report};
 use tokio::sync::watch;
@@ -11,10 +10,10 @@
 /// Members of a replica reach each other only through the same `Fabric`.
 #[derive(Clone, Debug, Default)]
 pub struct Fabric {
-    members: Arc<watch::Sender<Members>>,
+    members: sync::Arc<watch::Sender<Members>>,
 }
 
-type Members = BTreeMap<id::Vm, Member>;
+type Members = collections::BTreeMap<id::Vm, Member>;
 
 /// The membership of one VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,6 +84,6 @@
         return false;
     }
     let serving = members.values().filter(|member| member.same_replica(seen) && member.serves());
-    let ranks: BTreeSet<_> = serving.map(|member| member.rank).collect();
+    let ranks: collections::BTreeSet<_> = serving.map(|member| member.rank).collect();
     ranks.len() == usize::from(seen.size)
 }
--- a/crates/standin/src/engine/generate.rs
+++ b/crates/standin/src/engine/generate.rs
@@ -1,22 +1,16 @@
 //! Generation: admission, tokens and answers.
 
-use std::borrow::Cow;
-use std::io;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{borrow, io, sync, time};
 
-use bytes::Bytes;
 use corneltrestle_policy::prefix;
 use corneltrestle_wire::{openai, sse};
-use hyper::{StatusCode, header};
+use hyper::header;
 use serde_json::json;
 use tokio::sync::mpsc;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3;
 
-use super::Engine;
-use super::fabric::Member;
-use super::slots::Slot;
-use crate::server::{self, Body, Call, Reply, Shared};
+use super::{Engine, fabric, slots};
+use crate::server;
 
 /// Tokens of an answer, unless the request says otherwise.
 const TOKENS: u64 = 16;
@@ -28,7 +22,7 @@
 const PREFIXES: usize = 64;
 
 /// Wait for a slot, unless the request has a deadline.
-const WAIT_LIMIT: Duration = Duration::from_secs(600);
+const WAIT_LIMIT: time::Duration = time::Duration::from_secs(600);
 
 const WORDS: [&str; 32] = [
     "arc", "bay", "cap", "dew", "elm", "fog", "gap", "hub", "ink", "jar", "key", "log", "map",
@@ -46,25 +40,30 @@
 #[derive(serde::Deserialize)]
 struct Resume<'a> {
     #[serde(borrow)]
-    text: Cow<'a, str>,
+    text: borrow::Cow<'a, str>,
     next: u64,
 }
 
 /// Why a generation is not run, or not to its end.
-struct Refusal(StatusCode, &'static str, &'static str);
+struct Refusal(hyper::StatusCode, &'static str, &'static str);
 
-const NOT_MEMBER: Refusal =
-    Refusal(StatusCode::CONFLICT, "not-member", "not the head of this replica at this epoch");
+const NOT_MEMBER: Refusal = Refusal(
+    hyper::StatusCode::CONFLICT,
+    "not-member",
+    "not the head of this replica at this epoch",
+);
 const INCOMPLETE: Refusal =
-    Refusal(StatusCode::SERVICE_UNAVAILABLE, "incomplete", "a member is loading or lost");
-const INVALID: Refusal = Refusal(StatusCode::BAD_REQUEST, "invalid", "body not understood");
+    Refusal(hyper::StatusCode::SERVICE_UNAVAILABLE, "incomplete", "a member is loading or lost");
+const INVALID: Refusal = Refusal(hyper::StatusCode::BAD_REQUEST, "invalid", "body not understood");
 const QUEUE_FULL: Refusal =
-    Refusal(StatusCode::TOO_MANY_REQUESTS, "overloaded", "the queue is full");
-const DEADLINE: Refusal = Refusal(StatusCode::GATEWAY_TIMEOUT, "deadline", "no slot in time");
-const CANCELLED: Refusal = Refusal(StatusCode::GONE, "cancelled", "the request was cancelled");
+    Refusal(hyper::StatusCode::TOO_MANY_REQUESTS, "overloaded", "the queue is full");
+const DEADLINE: Refusal =
+    Refusal(hyper::StatusCode::GATEWAY_TIMEOUT, "deadline", "no slot in time");
+const CANCELLED: Refusal =
+    Refusal(hyper::StatusCode::GONE, "cancelled", "the request was cancelled");
 
 impl Refusal {
-    fn reply(&self) -> Reply {
+    fn reply(&self) -> server::Reply {
         server::failure(self.0, self.1, self.2)
     }
 }
@@ -78,14 +77,14 @@
     prefixes: Vec<u64>,
     next: u64,
     total: u64,
-    member: Member,
+    member: fabric::Member,
 }
 
 /// The token of a prompt at an index; the same on every engine.
-fn token(prompt: u64, index: u64) -> Cow<'static, str> {
-    let hash = xxh3_64_with_seed(&index.to_le_bytes(), prompt);
+fn token(prompt: u64, index: u64) -> borrow::Cow<'static, str> {
+    let hash = xxh3::xxh3_64_with_seed(&index.to_le_bytes(), prompt);
     let word = WORDS[(hash % WORDS.len() as u64) as usize];
-    if index == 0 { Cow::Borrowed(word) } else { Cow::Owned(format!(" {word}")) }
+    if index == 0 { borrow::Cow::Borrowed(word) } else { borrow::Cow::Owned(format!(" {word}")) }
 }
 
 /// The complete text that every engine generates for a prompt with these texts.
@@ -103,16 +102,20 @@
     (0..tokens).map(|index| token(prompt, index)).collect()
 }
 
-pub(super) async fn answer(engine: &Arc<Engine>, call: &Call, shared: &Arc<Shared>) -> Reply {
+pub(super) async fn answer(
+    engine: &sync::Arc<Engine>,
+    call: &server::Call,
+    shared: &sync::Arc<server::Shared>,
+) -> server::Reply {
     let job = match Job::admit(engine, call) {
         Ok(job) => job,
         Err(refusal) => return refusal.reply(),
     };
     let priority = call.header("x-priority").parse().unwrap_or(0);
-    let Some((slot, ready)) = Slot::enter(engine, &job.id, priority) else {
+    let Some((slot, ready)) = slots::Slot::enter(engine, &job.id, priority) else {
         return QUEUE_FULL.reply();
     };
-    let left = call.header("x-deadline-ms").parse().map_or(WAIT_LIMIT, Duration::from_millis);
+    let left = call.header("x-deadline-ms").parse().map_or(WAIT_LIMIT, time::Duration::from_millis);
     tokio::select! {
         _ = ready => {}
         () = slot.cancel.cancelled() => return CANCELLED.reply(),
@@ -127,7 +130,7 @@
 }
 
 impl Job {
-    fn admit(engine: &Engine, call: &Call) -> Result<Self, Refusal> {
+    fn admit(engine: &Engine, call: &server::Call) -> Result<Self, Refusal> {
         let member = engine.config.fabric.member(&engine.config.vm);
         let replica = member.replica.as_ref().map(ToString::to_string);
         let epoch = call.header("x-epoch").parse().ok();
@@ -141,7 +144,7 @@
         Self::decode(call, member).ok_or(INVALID)
     }
 
-    fn decode(call: &Call, member: Member) -> Option<Self> {
+    fn decode(call: &server::Call, member: fabric::Member) -> Option<Self> {
         let request = openai::Request::decode(&call.body).ok()?;
         let options: Options<'_> = serde_json::from_slice(&call.body).ok()?;
         let mut job = Self {
@@ -165,7 +168,7 @@
         Some(job)
     }
 
-    fn token(&self, index: u64) -> Cow<'static, str> {
+    fn token(&self, index: u64) -> borrow::Cow<'static, str> {
         token(self.prefixes.last().copied().unwrap_or(0), index)
     }
 
@@ -178,7 +181,7 @@
     }
 
     /// The event of one token, under another request's id from index `foreign` on.
-    fn event(&self, index: u64, foreign: Option<u64>) -> Bytes {
+    fn event(&self, index: u64, foreign: Option<u64>) -> bytes::Bytes {
         let other = foreign.is_some_and(|from| index >= from);
         let id = if other { server::other_id(&self.id) } else { self.id.clone() };
         let text = self.token(index);
@@ -188,11 +191,11 @@
             (None, Some(text))
         };
         let last = index + 1 == self.total;
-        let finish_reason = last.then_some(Cow::Borrowed("length"));
+        let finish_reason = last.then_some(borrow::Cow::Borrowed("length"));
         let chunk = openai::Chunk {
-            id: Cow::Borrowed(&id),
-            object: Cow::Borrowed(self.object(true)),
-            model: Cow::Borrowed(&self.model),
+            id: borrow::Cow::Borrowed(&id),
+            object: borrow::Cow::Borrowed(self.object(true)),
+            model: borrow::Cow::Borrowed(&self.model),
             choices: vec![openai::Choice { index: 0, delta, text, finish_reason }],
         };
         let data = serde_json::to_vec(&chunk).expect("a chunk is plain JSON");
@@ -219,7 +222,7 @@
 
 impl Engine {
     /// Computes the prompt, in less time if its prefixes are cached.
-    async fn prefill(&self, job: &Job, shared: &Shared) {
+    async fn prefill(&self, job: &Job, shared: &server::Shared) {
         let now = self.now();
         let span = {
             let mut state = self.state.lock();
@@ -232,14 +235,14 @@
     }
 
     /// Computes one more token.
-    async fn decode(&self, shared: &Shared) {
+    async fn decode(&self, shared: &server::Shared) {
         let pace = self.state.lock().slots.pace(self.config.slots);
         pass(self.config.token.mul_f64(pace) + shared.knobs().delay, shared).await;
     }
 }
 
 /// Lets time pass, and the time of a pause with it.
-async fn pass(span: Duration, shared: &Shared) {
+async fn pass(span: time::Duration, shared: &server::Shared) {
     if !span.is_zero() {
         tokio::time::sleep(span).await;
     }
@@ -247,7 +250,12 @@
 }
 
 /// Answers in one body.
-async fn whole(engine: &Arc<Engine>, job: &Job, slot: Slot, shared: &Arc<Shared>) -> Reply {
+async fn whole(
+    engine: &sync::Arc<Engine>,
+    job: &Job,
+    slot: slots::Slot,
+    shared: &sync::Arc<server::Shared>,
+) -> server::Reply {
     let work = async {
         engine.prefill(job, shared).await;
         for _ in job.next + 1..job.total {
@@ -264,13 +272,18 @@
     let text: String = (job.next..job.total).map(|index| job.token(index)).collect();
     let other = shared.knobs().foreign == Some(0);
     let id = if other { server::other_id(&job.id) } else { job.id.clone() };
-    server::json(StatusCode::OK, &job.completion(&text, &id))
+    server::json(hyper::StatusCode::OK, &job.completion(&text, &id))
 }
 
 /// Answers with one event for each token.
-fn stream(engine: &Arc<Engine>, job: Job, slot: Slot, shared: &Arc<Shared>) -> Reply {
+fn stream(
+    engine: &sync::Arc<Engine>,
+    job: Job,
+    slot: slots::Slot,
+    shared: &sync::Arc<server::Shared>,
+) -> server::Reply {
     let (sender, frames) = mpsc::channel(4);
-    let (engine, server) = (Arc::clone(engine), Arc::clone(shared));
+    let (engine, server) = (sync::Arc::clone(engine), sync::Arc::clone(shared));
     shared.run(async move {
         let done = tokio::select! {
             biased;
@@ -290,7 +303,7 @@
         server.unpaused().await;
         let _ = sender.send(last).await;
     });
-    let mut reply = server::reply(StatusCode::OK, Body::stream(frames));
+    let mut reply = server::reply(hyper::StatusCode::OK, server::Body::stream(frames));
     let kind = header::HeaderValue::from_static("text/event-stream");
     reply.headers_mut().insert(header::CONTENT_TYPE, kind);
     reply
@@ -299,8 +312,8 @@
 async fn send(
     engine: &Engine,
     job: &Job,
-    sender: &mpsc::Sender<io::Result<Bytes>>,
-    server: &Shared,
+    sender: &mpsc::Sender<io::Result<bytes::Bytes>>,
+    server: &server::Shared,
 ) {
     engine.prefill(job, server).await;
     for index in job.next..job.total {
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -1,15 +1,13 @@
 //! Orders to join, leave and load.
 
-use std::sync::Arc;
+use std::sync;
 
 use corneltrestle_kernel::table::Ranked;
 use corneltrestle_policy::{id, report};
-use hyper::StatusCode;
 use serde_json::json;
 
-use super::Engine;
-use super::fabric::Member;
-use crate::server::{self, Reply, Shared};
+use super::{Engine, fabric};
+use crate::server;
 
 /// What an engine has loaded; empty texts for nothing.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Deserialize)]
@@ -75,11 +73,15 @@
     }
 }
 
-pub(super) fn answer(engine: &Arc<Engine>, body: &[u8], shared: &Arc<Shared>) -> Reply {
+pub(super) fn answer(
+    engine: &sync::Arc<Engine>,
+    body: &[u8],
+    shared: &sync::Arc<server::Shared>,
+) -> server::Reply {
     let order: Order = match serde_json::from_slice(body) {
         Ok(order) => order,
         Err(e) => {
-            return server::failure(StatusCode::BAD_REQUEST, "invalid", &e.to_string());
+            return server::failure(hyper::StatusCode::BAD_REQUEST, "invalid", &e.to_string());
         }
     };
     let checked = engine.config.fencing && !shared.knobs().unfenced;
@@ -91,19 +93,24 @@
     } else {
         engine.act(&order, &mut orders.model, shared)
     };
-    server::json(StatusCode::OK, &json!({"answer": answer}))
+    server::json(hyper::StatusCode::OK, &json!({"answer": answer}))
 }
 
 impl Engine {
-    fn act(self: &Arc<Self>, order: &Order, loaded: &mut Model, shared: &Shared) -> Answer {
+    fn act(
+        self: &sync::Arc<Self>,
+        order: &Order,
+        loaded: &mut Model,
+        shared: &server::Shared,
+    ) -> Answer {
         match order {
             Order::Join { replica, epoch, rank, size, model, .. } => {
-                let wanted = Member {
+                let wanted = fabric::Member {
                     replica: Some(replica.clone()),
                     epoch: *epoch,
                     rank: *rank,
                     size: *size,
-                    ..Member::idle()
+                    ..fabric::Member::idle()
                 };
                 self.join(&wanted, model, loaded, shared)
             }
@@ -115,11 +122,11 @@
     /// Joins a replica, also at a later epoch of the present one; its weights stay if its part of
     /// the model is the same.
     fn join(
-        self: &Arc<Self>,
-        wanted: &Member,
+        self: &sync::Arc<Self>,
+        wanted: &fabric::Member,
         model: &Model,
         loaded: &mut Model,
-        shared: &Shared,
+        shared: &server::Shared,
     ) -> Answer {
         let present = self.config.fabric.member(&self.config.vm);
         let same = present.replica == wanted.replica;
@@ -140,7 +147,7 @@
         let equal = std::mem::replace(loaded, model.clone()) == *model;
         self.config.fabric.update(&self.config.vm, |member| {
             let (loads, live) = (member.loads, member.live);
-            *member = Member { loads, live, ..wanted.clone() };
+            *member = fabric::Member { loads, live, ..wanted.clone() };
         });
         self.begin_load(part && equal, shared);
         Answer::Accepted
@@ -153,12 +160,21 @@
                 return Answer::Refused;
             }
             *loaded = Model::default();
-            *member = Member { loads: member.loads + 1, live: member.live, ..Member::idle() };
+            *member = fabric::Member {
+                loads: member.loads + 1,
+                live: member.live,
+                ..fabric::Member::idle()
+            };
             Answer::Accepted
         })
     }
 
-    fn load(self: &Arc<Self>, model: &Model, loaded: &mut Model, shared: &Shared) -> Answer {
+    fn load(
+        self: &sync::Arc<Self>,
+        model: &Model,
+        loaded: &mut Model,
+        shared: &server::Shared,
+    ) -> Answer {
         if self.config.fabric.member(&self.config.vm).replica.is_none() {
             return Answer::Refused;
         }
@@ -169,7 +185,7 @@
     }
 
     /// Becomes ready after the load time, or at once if the weights are there.
-    fn begin_load(self: &Arc<Self>, loaded: bool, shared: &Shared) {
+    fn begin_load(self: &sync::Arc<Self>, loaded: bool, shared: &server::Shared) {
         let number = self.config.fabric.update(&self.config.vm, |member| {
             member.loads += 1;
             member.phase = if loaded { report::Phase::Ready } else { report::Phase::Loading };
@@ -178,7 +194,7 @@
         if loaded {
             return;
         }
-        let engine = Arc::clone(self);
+        let engine = sync::Arc::clone(self);
         shared.run(async move {
             tokio::time::sleep(engine.config.load).await;
             engine.config.fabric.update(&engine.config.vm, |member| {
--- a/crates/standin/src/engine/slots.rs
+++ b/crates/standin/src/engine/slots.rs
@@ -1,8 +1,6 @@
 //! Decoding slots, the queue before them and the cold limit.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
-use std::sync::Arc;
+use std::{cmp, collections, sync};
 
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
@@ -17,8 +15,8 @@
 pub(super) struct Slots {
     running: u32,
     /// Waiting requests, the next one first.
-    waiting: BTreeMap<Place, oneshot::Sender<()>>,
-    requests: HashMap<String, (u64, CancellationToken)>,
+    waiting: collections::BTreeMap<Place, oneshot::Sender<()>>,
+    requests: collections::HashMap<String, (u64, CancellationToken)>,
     next: u64,
     finished: u64,
     cancelled: u64,
@@ -31,12 +29,12 @@
     restarts: u64,
 }
 
-type Place = (Reverse<u8>, u64);
+type Place = (cmp::Reverse<u8>, u64);
 
 /// A place in the queue, then a slot; dropping it passes the slot on.
 #[derive(Debug)]
 pub(super) struct Slot {
-    engine: Arc<Engine>,
+    engine: sync::Arc<Engine>,
     id: String,
     place: Place,
     restarts: u64,
@@ -49,8 +47,8 @@
     pub(super) fn new(cold: u64) -> Self {
         Self {
             running: 0,
-            waiting: BTreeMap::new(),
-            requests: HashMap::new(),
+            waiting: collections::BTreeMap::new(),
+            requests: collections::HashMap::new(),
             next: 0,
             finished: 0,
             cancelled: 0,
@@ -145,7 +143,7 @@
 impl Slot {
     /// Enters the queue; `None` if it is full. The slot is there once the receiver answers.
     pub(super) fn enter(
-        engine: &Arc<Engine>,
+        engine: &sync::Arc<Engine>,
         id: &str,
         priority: u8,
     ) -> Option<(Self, oneshot::Receiver<()>)> {
@@ -153,7 +151,7 @@
         let cancel = CancellationToken::new();
         let mut state = engine.state.lock();
         let slots = &mut state.slots;
-        let place = (Reverse(priority), slots.next);
+        let place = (cmp::Reverse(priority), slots.next);
         if slots.running < engine.config.slots {
             slots.running += 1;
             let _ = granted.send(());
@@ -167,7 +165,7 @@
         if slots.in_progress() > slots.level {
             slots.overloads += 1;
         }
-        let (engine, id, restarts) = (Arc::clone(engine), id.to_owned(), slots.restarts);
+        let (engine, id, restarts) = (sync::Arc::clone(engine), id.to_owned(), slots.restarts);
         Some((Self { engine, id, place, restarts, finished: false, cancel }, ready))
     }
 
@@ -179,7 +177,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let engine = Arc::clone(&self.engine);
+        let engine = sync::Arc::clone(&self.engine);
         engine.state.lock().slots.release(self);
     }
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -16,11 +16,9 @@
 mod truncate;
 mod wrong_id;
 
-use std::fmt;
-use std::time::Duration;
+use std::{fmt, time};
 
 use corneltrestle_kernel::linkme::distributed_slice;
-use hyper::StatusCode;
 
 /// The result of looking up a fault.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -77,9 +75,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Knobs {
     /// Delay of each answer.
-    pub delay: Duration,
+    pub delay: time::Duration,
     /// Status of every answer.
-    pub status: Option<StatusCode>,
+    pub status: Option<hyper::StatusCode>,
     /// Whether the port is closed.
     pub refusing: bool,
     /// Whether the VM is gone.
@@ -103,11 +101,11 @@
     /// Number of times that all leases lapsed.
     pub lapses: u64,
     /// Age at which cache events become visible.
-    pub event_delay: Duration,
+    pub event_delay: time::Duration,
     /// Every cache event with a multiple of this number is missing; 0 for none.
     pub event_gap: u64,
     /// Lag of the VM list, in place of the configured one.
-    pub list_lag: Option<Duration>,
+    pub list_lag: Option<time::Duration>,
     /// Whether orders with an old fencing token are accepted.
     pub unfenced: bool,
 }
@@ -119,8 +117,8 @@
     }
 
     /// The value as milliseconds, or none when switched off.
-    pub fn millis(self) -> Duration {
-        Duration::from_millis(self.amount())
+    pub fn millis(self) -> time::Duration {
+        time::Duration::from_millis(self.amount())
     }
 
     /// The value if switched on.
--- a/crates/standin/src/fault/answer_lost.rs
+++ b/crates/standin/src/fault/answer_lost.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static ANSWER_LOST: Fault = Fault {
+static ANSWER_LOST: fault::Fault = fault::Fault {
     name: "answer-lost",
     help: "A write takes effect, then the connection closes without an answer; value: number of writes.",
     default: 1,
--- a/crates/standin/src/fault/cold_again.rs
+++ b/crates/standin/src/fault/cold_again.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static COLD_AGAIN: Fault = Fault {
+static COLD_AGAIN: fault::Fault = fault::Fault {
     name: "cold-again",
     help: "The engine restarts: new start id, empty cache, the model still loaded.",
     default: 0,
--- a/crates/standin/src/fault/crash.rs
+++ b/crates/standin/src/fault/crash.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static CRASH: Fault = Fault {
+static CRASH: fault::Fault = fault::Fault {
     name: "crash",
     help: "The VM is gone: its port is closed and its connections break; off: it starts again, empty.",
     default: 0,
--- a/crates/standin/src/fault/down.rs
+++ b/crates/standin/src/fault/down.rs
@@ -2,13 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use hyper::StatusCode;
+use crate::fault;
 
-use super::{FAULTS, Fault};
-
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static DOWN: Fault = Fault {
+static DOWN: fault::Fault = fault::Fault {
     name: "down",
     help: "Every call fails; value: the HTTP status, or 0 to close the port and break connections.",
     default: 503,
@@ -19,8 +17,8 @@
         knobs.status = switch.given().filter(|v| *v != 0).map(|v| {
             u16::try_from(v)
                 .ok()
-                .and_then(|v| StatusCode::from_u16(v).ok())
-                .unwrap_or(StatusCode::SERVICE_UNAVAILABLE)
+                .and_then(|v| hyper::StatusCode::from_u16(v).ok())
+                .unwrap_or(hyper::StatusCode::SERVICE_UNAVAILABLE)
         });
     },
 };
--- a/crates/standin/src/fault/gapped_events.rs
+++ b/crates/standin/src/fault/gapped_events.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static GAPPED_EVENTS: Fault = Fault {
+static GAPPED_EVENTS: fault::Fault = fault::Fault {
     name: "gapped-events",
     help: "Cache events are missing; value: every event whose number is a multiple of it.",
     default: 2,
--- a/crates/standin/src/fault/ignore_fencing.rs
+++ b/crates/standin/src/fault/ignore_fencing.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static IGNORE_FENCING: Fault = Fault {
+static IGNORE_FENCING: fault::Fault = fault::Fault {
     name: "ignore-fencing",
     help: "The engine accepts orders with an old fencing token.",
     default: 0,
--- a/crates/standin/src/fault/lagging_list.rs
+++ b/crates/standin/src/fault/lagging_list.rs
@@ -1,16 +1,16 @@
 //! Fault `lagging-list`.
 
-use std::time::Duration;
+use std::time;
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static LAGGING_LIST: Fault = Fault {
+static LAGGING_LIST: fault::Fault = fault::Fault {
     name: "lagging-list",
     help: "The VM list lags; value: milliseconds.",
     default: 5000,
-    apply: |knobs, switch| knobs.list_lag = switch.given().map(Duration::from_millis),
+    apply: |knobs, switch| knobs.list_lag = switch.given().map(time::Duration::from_millis),
 };
--- a/crates/standin/src/fault/late_events.rs
+++ b/crates/standin/src/fault/late_events.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static LATE_EVENTS: Fault = Fault {
+static LATE_EVENTS: fault::Fault = fault::Fault {
     name: "late-events",
     help: "Cache events become visible late; value: milliseconds.",
     default: 1000,
--- a/crates/standin/src/fault/lease_lapse.rs
+++ b/crates/standin/src/fault/lease_lapse.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static LEASE_LAPSE: Fault = Fault {
+static LEASE_LAPSE: fault::Fault = fault::Fault {
     name: "lease-lapse",
     help: "All leases lapse at once and their keys are deleted.",
     default: 0,
--- a/crates/standin/src/fault/pause.rs
+++ b/crates/standin/src/fault/pause.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static PAUSE: Fault = Fault {
+static PAUSE: fault::Fault = fault::Fault {
     name: "pause",
     help: "Nothing is answered until it is switched off; a replica with a paused VM is dead.",
     default: 0,
--- a/crates/standin/src/fault/silent.rs
+++ b/crates/standin/src/fault/silent.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static SILENT: Fault = Fault {
+static SILENT: fault::Fault = fault::Fault {
     name: "silent",
     help: "Connections that are open now fall silent for good; new ones work.",
     default: 0,
--- a/crates/standin/src/fault/slow.rs
+++ b/crates/standin/src/fault/slow.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static SLOW: Fault = Fault {
+static SLOW: fault::Fault = fault::Fault {
     name: "slow",
     help: "Each answer, and each token after the first, is delayed; value: milliseconds.",
     default: 500,
--- a/crates/standin/src/fault/truncate.rs
+++ b/crates/standin/src/fault/truncate.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static TRUNCATE: Fault = Fault {
+static TRUNCATE: fault::Fault = fault::Fault {
     name: "truncate",
     help: "A body is cut in its middle; value: number of frames that a stream sends before.",
     default: 1,
--- a/crates/standin/src/fault/wrong_id.rs
+++ b/crates/standin/src/fault/wrong_id.rs
@@ -2,11 +2,11 @@
 
 use corneltrestle_kernel::linkme::distributed_slice;
 
-use super::{FAULTS, Fault};
+use crate::fault;
 
-#[distributed_slice(FAULTS)]
+#[distributed_slice(fault::FAULTS)]
 #[linkme(crate = corneltrestle_kernel::linkme)]
-static WRONG_ID: Fault = Fault {
+static WRONG_ID: fault::Fault = fault::Fault {
     name: "wrong-id",
     help: "Answers carry another request's id; value: index of the first event that does, 0 for headers too.",
     default: 0,
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,13 +1,10 @@
 //! The stand-ins as a program: `corneltrestle-standin KIND --settings FILE`.
 
-use std::path::PathBuf;
-use std::process::ExitCode;
+use std::{path, process};
 
-use corneltrestle_kernel::settings::Settings;
-use corneltrestle_kernel::{logging, pool};
-use corneltrestle_standin::settings::Kind;
+use corneltrestle_kernel::{logging, pool, settings::Settings};
 use corneltrestle_standin::{fault, server, settings};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{self, signal};
 
 /// Threads of the pool; stand-ins share their machine with the nodes under test.
 const WORKERS: usize = 2;
@@ -27,12 +24,12 @@
 Exit codes: 0 stopped or checked, 1 cannot run, 2 wrong arguments or settings.";
 
 struct Arguments {
-    kind: Kind,
-    file: PathBuf,
+    kind: settings::Kind,
+    file: path::PathBuf,
     check: bool,
 }
 
-fn main() -> ExitCode {
+fn main() -> process::ExitCode {
     let arguments = match parse() {
         Ok(Some(arguments)) => arguments,
         Ok(None) => {
@@ -40,28 +37,28 @@
             for fault in fault::FAULTS {
                 println!("  {:15} {} (default {})", fault.name, fault.help, fault.default);
             }
-            return ExitCode::SUCCESS;
+            return process::ExitCode::SUCCESS;
         }
         Err(e) => {
             eprintln!("standin: {e}\n\n{USAGE}");
-            return ExitCode::from(EXIT_USAGE);
+            return process::ExitCode::from(EXIT_USAGE);
         }
     };
     let settings = match arguments.kind.load(&arguments.file) {
         Ok(settings) => settings,
         Err(e) => {
             eprintln!("{e}");
-            return ExitCode::from(EXIT_USAGE);
+            return process::ExitCode::from(EXIT_USAGE);
         }
     };
     if arguments.check {
-        return ExitCode::SUCCESS;
+        return process::ExitCode::SUCCESS;
     }
     match run(arguments.kind, &settings) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => process::ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("standin: {e}");
-            ExitCode::FAILURE
+            process::ExitCode::FAILURE
         }
     }
 }
@@ -75,12 +72,12 @@
     while let Some(argument) = parser.next()? {
         match argument {
             Long("help") | Short('h') => return Ok(None),
-            Long("settings") => file = Some(PathBuf::from(parser.value()?)),
+            Long("settings") => file = Some(path::PathBuf::from(parser.value()?)),
             Long("check") => check = true,
             Value(name) if kind.is_none() => {
                 let name = name.string()?;
                 let unknown = || format!("unknown stand-in {name:?}");
-                kind = Some(Kind::named(&name).ok_or_else(unknown)?);
+                kind = Some(settings::Kind::named(&name).ok_or_else(unknown)?);
             }
             other => return Err(other.unexpected()),
         }
@@ -90,22 +87,22 @@
     Ok(Some(Arguments { kind, file, check }))
 }
 
-fn run(kind: Kind, settings: &Settings) -> Result<(), Box<dyn std::error::Error>> {
+fn run(kind: settings::Kind, settings: &Settings) -> Result<(), Box<dyn std::error::Error>> {
     let _log = logging::open("info")?;
     let pool = pool::Pool::spawn(WORKERS)?;
     pool.wait(async {
         match kind {
-            Kind::Store => until_signal(settings::store(settings).await?).await,
-            Kind::Engine => until_signal(settings::engines(settings).await?).await,
-            Kind::Vms => until_signal(settings::vms(settings).await?).await,
-            Kind::Service => until_signal(settings::service(settings).await?).await,
+            settings::Kind::Store => until_signal(settings::store(settings).await?).await,
+            settings::Kind::Engine => until_signal(settings::engines(settings).await?).await,
+            settings::Kind::Vms => until_signal(settings::vms(settings).await?).await,
+            settings::Kind::Service => until_signal(settings::service(settings).await?).await,
         }
     })?;
     Ok(())
 }
 
 async fn until_signal<A: server::Api>(running: settings::Running<A>) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
+    let mut terminate = signal(unix::SignalKind::terminate())?;
     tokio::select! {
         _ = terminate.recv() => {}
         interrupted = tokio::signal::ctrl_c() => interrupted?,
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -5,26 +5,24 @@
 mod connection;
 mod control;
 
-use std::collections::BTreeMap;
-use std::future::Future;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-
-use corneltrestle_kernel::table::{Ranked, Table};
-use corneltrestle_kernel::{plugin, pool};
-use hyper::Method;
-use tokio::net::TcpListener;
-use tokio::runtime;
-use tokio::sync::watch;
+use std::{
+    collections, net,
+    sync::{self, atomic},
+};
+
+use corneltrestle_kernel::{
+    plugin, pool,
+    table::{self, Ranked},
+};
+use tokio::{net::TcpListener, runtime, sync::watch};
+
+use crate::fault;
 
 pub use body::Body;
 pub use call::{Call, Reply, failure, json, reply};
 pub(crate) use connection::other_id;
 pub use control::{Control, control};
 
-use crate::fault;
-
 /// The result of binding a stand-in.
 pub type Result<T> = std::io::Result<T>;
 
@@ -40,13 +38,13 @@
 /// The calls of one stand-in.
 pub trait Api: Send + Sync + Sized + 'static {
     /// The kind of a call.
-    fn kind(&self, method: &Method, path: &str) -> Kind;
+    fn kind(&self, method: &hyper::Method, path: &str) -> Kind;
 
     /// Answers a call.
     fn answer(
-        self: &Arc<Self>,
+        self: &sync::Arc<Self>,
         call: &Call,
-        shared: &Arc<Shared>,
+        shared: &sync::Arc<Shared>,
     ) -> impl Future<Output = Reply> + Send;
 
     /// Answers a control call of this stand-in, if it has one at that path.
@@ -55,7 +53,7 @@
     }
 
     /// Counts beyond those of calls.
-    fn counts(&self, _counts: &mut BTreeMap<String, u64>) {}
+    fn counts(&self, _counts: &mut collections::BTreeMap<String, u64>) {}
 
     /// Acts on a switched fault.
     fn switched(&self, _before: &fault::Knobs, _after: &fault::Knobs) {}
@@ -68,13 +66,13 @@
 #[derive(Debug)]
 pub struct Shared {
     /// Address that the server listens on.
-    pub address: SocketAddr,
+    pub address: net::SocketAddr,
     jobs: plugin::Handle,
     pool: pool::Pool,
     knobs: watch::Sender<fault::Knobs>,
-    counts: Table<Counts>,
-    in_flight: AtomicU64,
-    peak: AtomicU64,
+    counts: table::Table<Counts>,
+    in_flight: atomic::AtomicU64,
+    peak: atomic::AtomicU64,
 }
 
 /// A call in progress, until it is dropped.
@@ -83,12 +81,12 @@
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.0.in_flight.fetch_sub(1, atomic::Ordering::Relaxed);
     }
 }
 
 #[derive(Debug, Default)]
-struct Counts(BTreeMap<&'static str, u64>);
+struct Counts(collections::BTreeMap<&'static str, u64>);
 
 impl Ranked for Counts {
     const RANK: u16 = 260;
@@ -98,29 +96,29 @@
 /// A running stand-in; [`Handle::shutdown`] stops it as the loss of its VM would.
 #[derive(Debug)]
 pub struct Handle<A> {
-    api: Arc<A>,
-    shared: Arc<Shared>,
+    api: sync::Arc<A>,
+    shared: sync::Arc<Shared>,
 }
 
 impl<A> Clone for Handle<A> {
     fn clone(&self) -> Self {
-        Self { api: Arc::clone(&self.api), shared: Arc::clone(&self.shared) }
+        Self { api: sync::Arc::clone(&self.api), shared: sync::Arc::clone(&self.shared) }
     }
 }
 
 /// Binds a server for `api` on the workers of the present tokio runtime.
-pub(crate) async fn bind<A: Api>(api: A, listen: SocketAddr) -> Result<Handle<A>> {
+pub(crate) async fn bind<A: Api>(api: A, listen: net::SocketAddr) -> Result<Handle<A>> {
     let listener = TcpListener::bind(listen).await?;
-    let shared = Arc::new(Shared {
+    let shared = sync::Arc::new(Shared {
         address: listener.local_addr()?,
         jobs: plugin::Handle::idle(),
         pool: pool::Pool::attach(runtime::Handle::current()),
         knobs: watch::Sender::new(fault::Knobs::default()),
-        counts: Table::default(),
-        in_flight: AtomicU64::new(0),
-        peak: AtomicU64::new(0),
+        counts: table::Table::default(),
+        in_flight: atomic::AtomicU64::new(0),
+        peak: atomic::AtomicU64::new(0),
     });
-    let handle = Handle { api: Arc::new(api), shared };
+    let handle = Handle { api: sync::Arc::new(api), shared };
     let server = handle.clone();
     handle.shared.run(connection::accept(server, listener));
     Ok(handle)
@@ -128,12 +126,12 @@
 
 impl<A: Api> Handle<A> {
     /// Address that the server listens on.
-    pub fn address(&self) -> SocketAddr {
+    pub fn address(&self) -> net::SocketAddr {
         self.shared.address
     }
 
     /// The stand-in behind the server.
-    pub fn api(&self) -> &Arc<A> {
+    pub fn api(&self) -> &sync::Arc<A> {
         &self.api
     }
 
@@ -162,8 +160,8 @@
     }
 
     /// The counts of calls by kind, and those of the stand-in itself.
-    pub fn counts(&self) -> BTreeMap<String, u64> {
-        let mut counts = BTreeMap::new();
+    pub fn counts(&self) -> collections::BTreeMap<String, u64> {
+        let mut counts = collections::BTreeMap::new();
         for (name, count) in &self.shared.counts.lock().0 {
             counts.insert((*name).to_owned(), *count);
         }
@@ -174,7 +172,9 @@
     /// The most calls that were in progress at the same time since this was last asked. A streamed
     /// answer counts until it begins.
     pub fn take_peak(&self) -> u64 {
-        self.shared.peak.swap(self.shared.in_flight.load(Ordering::Relaxed), Ordering::Relaxed)
+        self.shared
+            .peak
+            .swap(self.shared.in_flight.load(atomic::Ordering::Relaxed), atomic::Ordering::Relaxed)
     }
 
     /// Runs a job until the server stops.
@@ -212,8 +212,8 @@
 
     fn begin(&self, name: &'static str) -> InFlight<'_> {
         *self.counts.lock().0.entry(name).or_default() += 1;
-        let in_flight = self.in_flight.fetch_add(1, Ordering::Relaxed) + 1;
-        self.peak.fetch_max(in_flight, Ordering::Relaxed);
+        let in_flight = self.in_flight.fetch_add(1, atomic::Ordering::Relaxed) + 1;
+        self.peak.fetch_max(in_flight, atomic::Ordering::Relaxed);
         InFlight(self)
     }
 
--- a/crates/standin/src/server/body.rs
+++ b/crates/standin/src/server/body.rs
@@ -1,11 +1,11 @@
 //! Response bodies: whole or streamed, and possibly cut in the middle.
 
-use std::io;
-use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::{
+    io, pin,
+    task::{self, ready},
+};
 
-use bytes::Bytes;
-use hyper::body::{Frame, SizeHint};
+use hyper::body;
 use tokio::sync::mpsc;
 
 /// A response body; dropping a streamed one closes the sender's channel.
@@ -17,8 +17,8 @@
 
 #[derive(Debug)]
 enum Source {
-    Whole(Option<Bytes>),
-    Stream(mpsc::Receiver<io::Result<Bytes>>),
+    Whole(Option<bytes::Bytes>),
+    Stream(mpsc::Receiver<io::Result<bytes::Bytes>>),
 }
 
 #[derive(Debug)]
@@ -35,19 +35,19 @@
 
 impl Body {
     /// A body that is known as a whole.
-    pub fn whole(bytes: Bytes) -> Self {
+    pub fn whole(bytes: bytes::Bytes) -> Self {
         Self { source: Source::Whole(Some(bytes)), cut: Cut::No }
     }
 
     /// A body whose frames come from a channel; an error breaks the connection.
-    pub fn stream(frames: mpsc::Receiver<io::Result<Bytes>>) -> Self {
+    pub fn stream(frames: mpsc::Receiver<io::Result<bytes::Bytes>>) -> Self {
         Self { source: Source::Stream(frames), cut: Cut::No }
     }
 
     /// The length of a whole body in bytes.
     pub(crate) fn len(&self) -> Option<usize> {
         match &self.source {
-            Source::Whole(bytes) => Some(bytes.as_ref().map_or(0, Bytes::len)),
+            Source::Whole(bytes) => Some(bytes.as_ref().map_or(0, bytes::Bytes::len)),
             Source::Stream(_) => None,
         }
     }
@@ -61,20 +61,20 @@
 }
 
 impl hyper::body::Body for Body {
-    type Data = Bytes;
+    type Data = bytes::Bytes;
     type Error = io::Error;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<io::Result<body::Frame<bytes::Bytes>>>> {
         match self.cut {
             Cut::Flush => {
                 self.cut = Cut::Now;
                 context.waker().wake_by_ref();
-                return Poll::Pending;
+                return task::Poll::Pending;
             }
-            Cut::Now => return Poll::Ready(Some(Err(io::Error::other("cut by a fault")))),
+            Cut::Now => return task::Poll::Ready(Some(Err(io::Error::other("cut by a fault")))),
             Cut::No | Cut::After(_) => {}
         }
         let next = match &mut self.source {
@@ -82,7 +82,7 @@
             Source::Stream(frames) => ready!(frames.poll_recv(context)),
         };
         let Some(Ok(mut bytes)) = next else {
-            return Poll::Ready(next.map(|frame| frame.map(Frame::data)));
+            return task::Poll::Ready(next.map(|frame| frame.map(body::Frame::data)));
         };
         match self.cut {
             Cut::After(0) => {
@@ -92,17 +92,17 @@
             Cut::After(frames) => self.cut = Cut::After(frames - 1),
             _ => {}
         }
-        Poll::Ready(Some(Ok(Frame::data(bytes))))
+        task::Poll::Ready(Some(Ok(body::Frame::data(bytes))))
     }
 
     fn is_end_stream(&self) -> bool {
         matches!((&self.source, &self.cut), (Source::Whole(None), Cut::No))
     }
 
-    fn size_hint(&self) -> SizeHint {
+    fn size_hint(&self) -> body::SizeHint {
         match (self.len(), &self.cut) {
-            (Some(len), Cut::No) => SizeHint::with_exact(len as u64),
-            _ => SizeHint::default(),
+            (Some(len), Cut::No) => body::SizeHint::with_exact(len as u64),
+            _ => body::SizeHint::default(),
         }
     }
 }
--- a/crates/standin/src/server/call.rs
+++ b/crates/standin/src/server/call.rs
@@ -1,17 +1,15 @@
 //! Calls as stand-ins see them, and their replies.
 
-use std::borrow::Cow;
+use std::borrow;
 
-use bytes::Bytes;
 use corneltrestle_wire::openai;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::{body, header};
 
-use super::Body;
+use crate::server;
 
 /// The reply to a call.
-pub type Reply = Response<Body>;
+pub type Reply = hyper::Response<server::Body>;
 
 /// Largest request body in bytes; the store's limit of 1 MB grows by a third in base64.
 const BODY_LIMIT: usize = 4 << 20;
@@ -20,22 +18,22 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     /// The method.
-    pub method: Method,
+    pub method: hyper::Method,
     /// The path, without query.
     pub path: String,
     /// The query; empty if there is none.
     pub query: String,
     /// The headers.
-    pub headers: HeaderMap,
+    pub headers: hyper::HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: bytes::Bytes,
 }
 
 impl Call {
     /// Reads a call; `None` if its body is broken or too large.
-    pub(super) async fn read(request: Request<Incoming>) -> Option<Self> {
+    pub(super) async fn read(request: hyper::Request<body::Incoming>) -> Option<Self> {
         let (head, body) = request.into_parts();
-        let body = Limited::new(body, BODY_LIMIT).collect().await.ok()?.to_bytes();
+        let body = http_body_util::Limited::new(body, BODY_LIMIT).collect().await.ok()?.to_bytes();
         let path = head.uri.path().to_owned();
         let query = head.uri.query().unwrap_or("").to_owned();
         Some(Self { method: head.method, path, query, headers: head.headers, body })
@@ -59,9 +57,9 @@
 }
 
 /// A reply with a JSON body.
-pub fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Reply {
+pub fn json<T: serde::Serialize>(status: hyper::StatusCode, value: &T) -> Reply {
     let bytes = serde_json::to_vec(value).expect("stand-ins' values are plain JSON");
-    let mut reply = reply(status, Body::whole(bytes.into()));
+    let mut reply = reply(status, server::Body::whole(bytes.into()));
     reply
         .headers_mut()
         .insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
@@ -69,18 +67,18 @@
 }
 
 /// A reply with a status and a body.
-pub fn reply(status: StatusCode, body: Body) -> Reply {
-    let mut reply = Response::new(body);
+pub fn reply(status: hyper::StatusCode, body: server::Body) -> Reply {
+    let mut reply = hyper::Response::new(body);
     *reply.status_mut() = status;
     reply
 }
 
 /// An error in the form of [`openai::ErrorBody`].
-pub fn failure(status: StatusCode, code: &str, message: &str) -> Reply {
+pub fn failure(status: hyper::StatusCode, code: &str, message: &str) -> Reply {
     let error = openai::ErrorInfo {
-        code: Cow::Borrowed(code),
-        message: Cow::Borrowed(message),
-        step: Cow::Borrowed("standin"),
+        code: borrow::Cow::Borrowed(code),
+        message: borrow::Cow::Borrowed(message),
+        step: borrow::Cow::Borrowed("standin"),
         retry_after_ms: None,
     };
     json(status, &openai::ErrorBody { error })
--- a/crates/standin/src/server/connection.rs
+++ b/crates/standin/src/server/connection.rs
@@ -1,30 +1,25 @@
 //! Listening and connections.
 
-use std::io;
-use std::time::Duration;
+use std::{io, time};
 
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, StatusCode, header};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use hyper::{body, header, server::conn::http1, service::service_fn};
+use hyper_util::rt;
+use tokio::net;
 
-use crate::fault::Knobs;
-
-use super::{Api, Call, Handle, Reply, call, control};
+use super::{Api, call, control};
+use crate::{fault, server};
 
 /// Pause before the port is bound again, when something else holds it.
-const REBIND_DELAY: Duration = Duration::from_millis(50);
+const REBIND_DELAY: time::Duration = time::Duration::from_millis(50);
 
 /// Accepts connections; while a fault says so, the port is closed.
-pub(super) async fn accept<A: Api>(server: Handle<A>, first: TcpListener) {
+pub(super) async fn accept<A: Api>(server: server::Handle<A>, first: net::TcpListener) {
     let shared = &server.shared;
     let mut listener = Some(first);
     loop {
         let Some(open) = &listener else {
             shared.reached(|knobs| knobs.listening()).await;
-            listener = TcpListener::bind(shared.address).await.ok();
+            listener = net::TcpListener::bind(shared.address).await.ok();
             if listener.is_none() {
                 tokio::time::sleep(REBIND_DELAY).await;
             }
@@ -42,16 +37,16 @@
     }
 }
 
-async fn connection<A: Api>(server: Handle<A>, stream: TcpStream) {
+async fn connection<A: Api>(server: server::Handle<A>, stream: net::TcpStream) {
     let _ = stream.set_nodelay(true);
     let shared = &server.shared;
     let opened = shared.knobs();
     // A connection that was accepted while the port was being closed breaks as well.
-    let broken = |knobs: &Knobs| knobs.broken > opened.broken || !knobs.listening();
+    let broken = |knobs: &fault::Knobs| knobs.broken > opened.broken || !knobs.listening();
     let service = service_fn(|request| answer(&server, request));
     let mut served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(stream), service);
+        .timer(rt::TokioTimer::new())
+        .serve_connection(rt::TokioIo::new(stream), service);
     tokio::select! {
         _ = &mut served => return,
         () = shared.reached(broken) => return,
@@ -63,9 +58,16 @@
 }
 
 /// Answers a request with the faults applied; an error closes the connection without an answer.
-async fn answer<A: Api>(server: &Handle<A>, request: Request<Incoming>) -> io::Result<Reply> {
-    let Some(call) = Call::read(request).await else {
-        return Ok(call::failure(StatusCode::PAYLOAD_TOO_LARGE, "too-large", "body not readable"));
+async fn answer<A: Api>(
+    server: &server::Handle<A>,
+    request: hyper::Request<body::Incoming>,
+) -> io::Result<server::Reply> {
+    let Some(call) = server::Call::read(request).await else {
+        return Ok(call::failure(
+            hyper::StatusCode::PAYLOAD_TOO_LARGE,
+            "too-large",
+            "body not readable",
+        ));
     };
     if call.path.starts_with("/control/") {
         return Ok(control::answer(server, &call));
@@ -95,7 +97,7 @@
 }
 
 /// Echoes the request id, or another one.
-fn echo(call: &Call, foreign: bool, reply: &mut Reply) {
+fn echo(call: &server::Call, foreign: bool, reply: &mut server::Reply) {
     let Some(id) = call.headers.get("x-request-id") else { return };
     let other = || header::HeaderValue::try_from(other_id(call.id())).ok();
     let id = if foreign { other() } else { Some(id.clone()) };
--- a/crates/standin/src/server/control.rs
+++ b/crates/standin/src/server/control.rs
@@ -3,31 +3,26 @@
 //! Every server answers it on its own port, untouched by faults other than `crash`, `silent` and a
 //! closed port. [`control`] answers it on a separate port for several servers.
 
-use std::borrow::Cow;
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
+use std::{borrow, collections, net, sync};
 
-use hyper::{Method, StatusCode};
-
-use super::{Api, Call, Handle, Kind, Reply, Result, Shared, call};
-use crate::fault;
+use super::{Api, Result, call};
+use crate::{fault, server};
 
 #[derive(serde::Deserialize)]
 struct Order<'a> {
     #[serde(borrow)]
-    name: Cow<'a, str>,
+    name: borrow::Cow<'a, str>,
     on: bool,
     value: Option<u64>,
     /// Name of one server; all servers if absent.
     #[serde(borrow)]
-    server: Option<Cow<'a, str>>,
+    server: Option<borrow::Cow<'a, str>>,
 }
 
 /// A control port for several servers, which stays open when they crash.
 #[derive(Debug)]
 pub struct Control<A> {
-    servers: Vec<(String, Handle<A>)>,
+    servers: Vec<(String, server::Handle<A>)>,
 }
 
 /// Binds a control port for named servers.
@@ -36,27 +31,34 @@
 ///
 /// When the address cannot be bound.
 pub async fn control<A: Api>(
-    servers: Vec<(String, Handle<A>)>,
-    listen: SocketAddr,
-) -> Result<Handle<Control<A>>> {
+    servers: Vec<(String, server::Handle<A>)>,
+    listen: net::SocketAddr,
+) -> Result<server::Handle<Control<A>>> {
     super::bind(Control { servers }, listen).await
 }
 
 impl<A: Api> Api for Control<A> {
-    fn kind(&self, _: &Method, _: &str) -> Kind {
-        Kind { name: "unknown", write: false }
+    fn kind(&self, _: &hyper::Method, _: &str) -> server::Kind {
+        server::Kind { name: "unknown", write: false }
     }
 
-    async fn answer(self: &Arc<Self>, _: &Call, _: &Arc<Shared>) -> Reply {
-        call::failure(StatusCode::NOT_FOUND, "unknown", "this port only answers /control/")
+    async fn answer(
+        self: &sync::Arc<Self>,
+        _: &server::Call,
+        _: &sync::Arc<server::Shared>,
+    ) -> server::Reply {
+        call::failure(hyper::StatusCode::NOT_FOUND, "unknown", "this port only answers /control/")
     }
 
-    fn control(&self, call: &Call) -> Option<Reply> {
+    fn control(&self, call: &server::Call) -> Option<server::Reply> {
         match (&call.method, call.path.as_str()) {
-            (&Method::POST, "/control/faults") => Some(switch(&self.servers, call)),
-            (&Method::GET, "/control/counts") => {
+            (&hyper::Method::POST, "/control/faults") => Some(switch(&self.servers, call)),
+            (&hyper::Method::GET, "/control/counts") => {
                 let counts = self.servers.iter().map(|(name, server)| (name, server.counts()));
-                Some(call::json(StatusCode::OK, &counts.collect::<BTreeMap<_, _>>()))
+                Some(call::json(
+                    hyper::StatusCode::OK,
+                    &counts.collect::<collections::BTreeMap<_, _>>(),
+                ))
             }
             _ => self.servers.iter().find_map(|(_, server)| server.api.control(call)),
         }
@@ -64,19 +66,23 @@
 }
 
 /// Answers a control call on a server's own port.
-pub(super) fn answer<A: Api>(server: &Handle<A>, call: &Call) -> Reply {
+pub(super) fn answer<A: Api>(server: &server::Handle<A>, call: &server::Call) -> server::Reply {
     if let Some(reply) = server.api.control(call) {
         return reply;
     }
     match (&call.method, call.path.as_str()) {
-        (&Method::POST, "/control/faults") => switch(&[(String::new(), server.clone())], call),
-        (&Method::GET, "/control/counts") => call::json(StatusCode::OK, &server.counts()),
-        _ => call::failure(StatusCode::NOT_FOUND, "unknown", "no such control call"),
+        (&hyper::Method::POST, "/control/faults") => {
+            switch(&[(String::new(), server.clone())], call)
+        }
+        (&hyper::Method::GET, "/control/counts") => {
+            call::json(hyper::StatusCode::OK, &server.counts())
+        }
+        _ => call::failure(hyper::StatusCode::NOT_FOUND, "unknown", "no such control call"),
     }
 }
 
-fn switch<A: Api>(servers: &[(String, Handle<A>)], call: &Call) -> Reply {
-    let refused = |message: &str| call::failure(StatusCode::BAD_REQUEST, "invalid", message);
+fn switch<A: Api>(servers: &[(String, server::Handle<A>)], call: &server::Call) -> server::Reply {
+    let refused = |message: &str| call::failure(hyper::StatusCode::BAD_REQUEST, "invalid", message);
     let order: Order<'_> = match serde_json::from_slice(&call.body) {
         Ok(order) => order,
         Err(e) => return refused(&e.to_string()),
@@ -89,7 +95,7 @@
     let switched: fault::Result<Vec<()>> =
         chosen.map(|(_, server)| server.switch(&order.name, order.on, order.value)).collect();
     match switched {
-        Ok(_) => call::json(StatusCode::OK, &serde_json::json!({})),
+        Ok(_) => call::json(hyper::StatusCode::OK, &serde_json::json!({})),
         Err(e) => refused(&e.to_string()),
     }
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -2,17 +2,13 @@
 //!
 //! It runs every order that it receives and counts the runs, so that a second run shows.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::{collections, net, sync, time};
 
-use corneltrestle_kernel::table::{Ranked, Table};
-use hyper::{Method, StatusCode};
+use corneltrestle_kernel::table::{self, Ranked};
 use serde_json::json;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3;
 
-use crate::server::{self, Api, Call, Kind, Reply, Shared};
+use crate::server::{self, Api};
 
 /// A running service.
 pub type Handle = server::Handle<Service>;
@@ -21,22 +17,22 @@
 #[derive(Clone, Debug)]
 pub struct Config {
     /// Address to listen on.
-    pub listen: SocketAddr,
+    pub listen: net::SocketAddr,
     /// Time that each call takes.
-    pub time: Duration,
+    pub time: time::Duration,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        Self { listen: ([127, 0, 0, 1], 0).into(), time: Duration::ZERO }
+        Self { listen: ([127, 0, 0, 1], 0).into(), time: time::Duration::ZERO }
     }
 }
 
 /// The order service.
 #[derive(Debug)]
 pub struct Service {
-    time: Duration,
-    orders: Table<Orders>,
+    time: time::Duration,
+    orders: table::Table<Orders>,
 }
 
 /// How often orders ran.
@@ -44,9 +40,9 @@
 #[serde(rename_all = "kebab-case")]
 pub struct Orders {
     /// Runs by the header `Idempotency-Key`.
-    pub keys: BTreeMap<String, u64>,
+    pub keys: collections::BTreeMap<String, u64>,
     /// Runs by request id.
-    pub requests: BTreeMap<String, u64>,
+    pub requests: collections::BTreeMap<String, u64>,
     /// All runs, those without key or request id included.
     pub total: u64,
 }
@@ -62,7 +58,7 @@
 ///
 /// When the address cannot be bound.
 pub async fn bind(config: Config) -> server::Result<Handle> {
-    let service = Service { time: config.time, orders: Table::default() };
+    let service = Service { time: config.time, orders: table::Table::default() };
     server::bind(service, config.listen).await
 }
 
@@ -84,47 +80,54 @@
         orders.total
     }
 
-    fn status(&self, key: &str) -> Reply {
+    fn status(&self, key: &str) -> server::Reply {
         match self.orders.lock().keys.get(key) {
-            Some(runs) => {
-                server::json(StatusCode::OK, &json!({"key": key, "state": "placed", "runs": runs}))
+            Some(runs) => server::json(
+                hyper::StatusCode::OK,
+                &json!({"key": key, "state": "placed", "runs": runs}),
+            ),
+            None => {
+                server::failure(hyper::StatusCode::NOT_FOUND, "unknown", "no order with this key")
             }
-            None => server::failure(StatusCode::NOT_FOUND, "unknown", "no order with this key"),
         }
     }
 }
 
 impl Api for Service {
-    fn kind(&self, method: &Method, path: &str) -> Kind {
+    fn kind(&self, method: &hyper::Method, path: &str) -> server::Kind {
         let name = match (method, path) {
-            (&Method::POST, "/orders") => "order",
-            (&Method::GET, path) if path.starts_with("/orders/") => "status",
-            (&Method::GET, path) if path.starts_with("/stock/") => "stock",
+            (&hyper::Method::POST, "/orders") => "order",
+            (&hyper::Method::GET, path) if path.starts_with("/orders/") => "status",
+            (&hyper::Method::GET, path) if path.starts_with("/stock/") => "stock",
             _ => "unknown",
         };
-        Kind { name, write: name == "order" }
+        server::Kind { name, write: name == "order" }
     }
 
-    async fn answer(self: &Arc<Self>, call: &Call, _: &Arc<Shared>) -> Reply {
+    async fn answer(
+        self: &sync::Arc<Self>,
+        call: &server::Call,
+        _: &sync::Arc<server::Shared>,
+    ) -> server::Reply {
         tokio::time::sleep(self.time).await;
         let parts: Vec<_> = call.path.split('/').skip(1).collect();
         match (&call.method, parts.as_slice()) {
-            (&Method::POST, ["orders"]) => {
+            (&hyper::Method::POST, ["orders"]) => {
                 let key = call.header("idempotency-key");
                 let number = self.run(key, call.id());
-                server::json(StatusCode::CREATED, &json!({"order": number, "key": key}))
+                server::json(hyper::StatusCode::CREATED, &json!({"order": number, "key": key}))
             }
-            (&Method::GET, ["orders", key, "status"]) => self.status(key),
-            (&Method::GET, ["stock", item]) => {
-                let stock = xxh3_64(item.as_bytes()) % 100;
-                server::json(StatusCode::OK, &json!({"item": item, "stock": stock}))
+            (&hyper::Method::GET, ["orders", key, "status"]) => self.status(key),
+            (&hyper::Method::GET, ["stock", item]) => {
+                let stock = xxh3::xxh3_64(item.as_bytes()) % 100;
+                server::json(hyper::StatusCode::OK, &json!({"item": item, "stock": stock}))
             }
-            _ => server::failure(StatusCode::NOT_FOUND, "unknown", "no such call"),
+            _ => server::failure(hyper::StatusCode::NOT_FOUND, "unknown", "no such call"),
         }
     }
 
-    fn control(&self, call: &Call) -> Option<Reply> {
-        let runs = (&call.method, call.path.as_str()) == (&Method::GET, "/control/runs");
-        runs.then(|| server::json(StatusCode::OK, &self.runs()))
+    fn control(&self, call: &server::Call) -> Option<server::Reply> {
+        let runs = (&call.method, call.path.as_str()) == (&hyper::Method::GET, "/control/runs");
+        runs.then(|| server::json(hyper::StatusCode::OK, &self.runs()))
     }
 }
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -1,42 +1,43 @@
 //! Settings of the binary: one section for each stand-in.
 
-use std::collections::HashSet;
-use std::io;
-use std::path::Path;
+use std::{collections, io, path};
 
-use corneltrestle_kernel::ini;
-use corneltrestle_kernel::settings::{self, Key, Section, Settings, Type};
+use corneltrestle_kernel::{ini, settings};
 
 use crate::{engine, fault, server, service, store, vms};
 
 /// Longest time in settings, in milliseconds.
 const LONGEST_MS: u64 = 600_000;
 
-const LISTEN: Key =
-    Key::new("listen", Type::Address, "127.0.0.1:0", "Address of the server, or of the first VM.");
-const CONTROL: Key = Key::new(
+const LISTEN: settings::Key = settings::Key::new(
+    "listen",
+    settings::Type::Address,
+    "127.0.0.1:0",
+    "Address of the server, or of the first VM.",
+);
+const CONTROL: settings::Key = settings::Key::new(
     "control",
-    Type::Address,
+    settings::Type::Address,
     "127.0.0.1:0",
     "Address of a control port that stays open when a server crashes.",
 );
-const FAULTS: Key = Key::optional(
+const FAULTS: settings::Key = settings::Key::optional(
     "faults",
-    Type::Text,
+    settings::Type::Text,
     "Faults that are on from the start, as NAME or NAME:NUMBER, separated by commas.",
 );
 
 /// The section `[store]`.
-pub static STORE: Section = Section {
+pub static STORE: settings::Section = settings::Section {
     name: "store",
     help: "The key-value service.",
     keys: &[
         LISTEN,
         CONTROL,
         FAULTS,
-        Key::new(
+        settings::Key::new(
             "progress",
-            Type::millis(10, LONGEST_MS),
+            settings::Type::millis(10, LONGEST_MS),
             "1s",
             "Time between progress notifications of a watch.",
         ),
@@ -44,26 +45,36 @@
 };
 
 /// The section `[vms]`.
-pub static VMS: Section = Section {
+pub static VMS: settings::Section = settings::Section {
     name: "vms",
     help: "The VM list; its entries are set with POST /control/vms.",
     keys: &[
         LISTEN,
         CONTROL,
         FAULTS,
-        Key::new("lag", Type::millis(0, LONGEST_MS), "0s", "Time until a change is visible."),
+        settings::Key::new(
+            "lag",
+            settings::Type::millis(0, LONGEST_MS),
+            "0s",
+            "Time until a change is visible.",
+        ),
     ],
 };
 
 /// The section `[service]`.
-pub static SERVICE: Section = Section {
+pub static SERVICE: settings::Section = settings::Section {
     name: "service",
     help: "The order service.",
     keys: &[
         LISTEN,
         CONTROL,
         FAULTS,
-        Key::new("time", Type::millis(0, LONGEST_MS), "0s", "Time that each call takes."),
+        settings::Key::new(
+            "time",
+            settings::Type::millis(0, LONGEST_MS),
+            "0s",
+            "Time that each call takes.",
+        ),
     ],
 };
 
@@ -93,7 +104,7 @@
     }
 
     /// The section of this kind.
-    pub fn section(self) -> &'static Section {
+    pub fn section(self) -> &'static settings::Section {
         match self {
             Self::Store => &STORE,
             Self::Engine => &ENGINE,
@@ -107,9 +118,9 @@
     /// # Errors
     ///
     /// Every fault in the file.
-    pub fn load(self, path: &Path) -> settings::Result<Settings> {
+    pub fn load(self, path: &path::Path) -> settings::Result<settings::Settings> {
         let section = self.section();
-        let settings = Settings::load(path, &[section])?;
+        let settings = settings::Settings::load(path, &[section])?;
         let view = settings.section(section.name);
         let mut faults = Vec::new();
         if let Err(e) = fault::list(view.text("faults")) {
@@ -126,7 +137,7 @@
     }
 
     /// A fault in a value that the type of its key cannot state.
-    fn fault(self, path: &Path, key: &str, found: &str, expected: String) -> settings::Fault {
+    fn fault(self, path: &path::Path, key: &str, found: &str, expected: String) -> settings::Fault {
         let section = self.section().name;
         let text = std::fs::read_to_string(path).unwrap_or_default();
         let document = ini::Document::parse(&text).unwrap_or_default();
@@ -137,40 +148,69 @@
 }
 
 /// The section `[engine]`.
-pub static ENGINE: Section = Section {
+pub static ENGINE: settings::Section = settings::Section {
     name: "engine",
     help: "Model engines, one for each VM, on consecutive ports from `listen`.",
     keys: &[
         LISTEN,
         CONTROL,
         FAULTS,
-        Key::required("vms", Type::Text, "Names of the VMs, separated by commas."),
-        Key::new("load", Type::millis(0, LONGEST_MS), "2s", "Time to load a model."),
-        Key::new("first-token", Type::millis(0, LONGEST_MS), "100ms", "Time to the first token."),
-        Key::new("per-token", Type::millis(0, LONGEST_MS), "20ms", "Time between tokens."),
-        Key::new("slots", Type::Count { min: 1, max: 4096 }, "8", "Requests decoded at once."),
-        Key::new("queue", Type::Count { min: 0, max: 65_536 }, "32", "Requests that may wait."),
-        Key::new(
+        settings::Key::required(
+            "vms",
+            settings::Type::Text,
+            "Names of the VMs, separated by commas.",
+        ),
+        settings::Key::new(
+            "load",
+            settings::Type::millis(0, LONGEST_MS),
+            "2s",
+            "Time to load a model.",
+        ),
+        settings::Key::new(
+            "first-token",
+            settings::Type::millis(0, LONGEST_MS),
+            "100ms",
+            "Time to the first token.",
+        ),
+        settings::Key::new(
+            "per-token",
+            settings::Type::millis(0, LONGEST_MS),
+            "20ms",
+            "Time between tokens.",
+        ),
+        settings::Key::new(
+            "slots",
+            settings::Type::Count { min: 1, max: 4096 },
+            "8",
+            "Requests decoded at once.",
+        ),
+        settings::Key::new(
+            "queue",
+            settings::Type::Count { min: 0, max: 65_536 },
+            "32",
+            "Requests that may wait.",
+        ),
+        settings::Key::new(
             "cold-limit",
-            Type::Count { min: 1, max: 4096 },
+            settings::Type::Count { min: 1, max: 4096 },
             "2",
             "Requests in progress that a just started engine bears.",
         ),
-        Key::new(
+        settings::Key::new(
             "blocks",
-            Type::Count { min: 0, max: 1_000_000 },
+            settings::Type::Count { min: 0, max: 1_000_000 },
             "1024",
             "Prefixes in the cache.",
         ),
-        Key::new(
+        settings::Key::new(
             "fencing",
-            Type::Choice(&["checked", "ignored"]),
+            settings::Type::Choice(&["checked", "ignored"]),
             "checked",
             "Whether fencing tokens are checked.",
         ),
-        Key::new(
+        settings::Key::new(
             "report-lag",
-            Type::millis(0, LONGEST_MS),
+            settings::Type::millis(0, LONGEST_MS),
             "0s",
             "Age of load figures in reports.",
         ),
@@ -218,7 +258,7 @@
 /// # Errors
 ///
 /// When an address cannot be bound.
-pub async fn store(settings: &Settings) -> server::Result<Running<store::Store>> {
+pub async fn store(settings: &settings::Settings) -> server::Result<Running<store::Store>> {
     let view = settings.section(STORE.name);
     let config = store::Config { listen: view.address("listen"), progress: view.span("progress") };
     let server = store::bind(config).await?;
@@ -230,7 +270,7 @@
 /// # Errors
 ///
 /// When an address cannot be bound.
-pub async fn vms(settings: &Settings) -> server::Result<Running<vms::Vms>> {
+pub async fn vms(settings: &settings::Settings) -> server::Result<Running<vms::Vms>> {
     let view = settings.section(VMS.name);
     let config =
         vms::Config { listen: view.address("listen"), lag: view.span("lag"), vms: Vec::new() };
@@ -243,7 +283,7 @@
 /// # Errors
 ///
 /// When an address cannot be bound.
-pub async fn service(settings: &Settings) -> server::Result<Running<service::Service>> {
+pub async fn service(settings: &settings::Settings) -> server::Result<Running<service::Service>> {
     let view = settings.section(SERVICE.name);
     let config = service::Config { listen: view.address("listen"), time: view.span("time") };
     let server = service::bind(config).await?;
@@ -255,7 +295,7 @@
 /// # Errors
 ///
 /// When an address cannot be bound.
-pub async fn engines(settings: &Settings) -> server::Result<Running<engine::Engine>> {
+pub async fn engines(settings: &settings::Settings) -> server::Result<Running<engine::Engine>> {
     let view = settings.section(ENGINE.name);
     let count = |key| u32::try_from(view.count(key)).unwrap_or(u32::MAX);
     let mut config = engine::Config {
@@ -289,6 +329,6 @@
 }
 
 fn distinct(list: &str) -> bool {
-    let mut seen = HashSet::new();
+    let mut seen = collections::HashSet::new();
     names(list).all(|name| seen.insert(name)) && !seen.is_empty()
 }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -4,51 +4,54 @@
 mod message;
 mod watch;
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
-
-use corneltrestle_kernel::clock::{self, Clock};
-use corneltrestle_kernel::table::Table;
-use hyper::{Method, StatusCode};
-use serde_json::{Value, json};
+use std::{
+    collections, net,
+    sync::{self, atomic},
+    time,
+};
+
+use corneltrestle_kernel::{
+    clock::{self, Clock},
+    table,
+};
+use serde_json::json;
 use tokio::sync::watch as notify;
 
-use crate::fault;
-use crate::server::{self, Api, Call, Kind, Reply, Shared};
+use crate::{
+    fault,
+    server::{self, Api},
+};
 
 /// A running store.
 pub type Handle = server::Handle<Store>;
 
 /// Period in which lapsed leases are removed; leases last whole seconds.
-const LAPSE_PERIOD: Duration = Duration::from_millis(50);
+const LAPSE_PERIOD: time::Duration = time::Duration::from_millis(50);
 
 /// How a store is set up.
 #[derive(Clone, Debug)]
 pub struct Config {
     /// Address to listen on.
-    pub listen: SocketAddr,
+    pub listen: net::SocketAddr,
     /// Time between the progress notifications of a watch.
-    pub progress: Duration,
+    pub progress: time::Duration,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        Self { listen: ([127, 0, 0, 1], 0).into(), progress: Duration::from_secs(1) }
+        Self { listen: ([127, 0, 0, 1], 0).into(), progress: time::Duration::from_secs(1) }
     }
 }
 
 /// The key-value service.
 #[derive(Debug)]
 pub struct Store {
-    progress: Duration,
+    progress: time::Duration,
     clock: clock::System,
-    keys: Table<keys::Keys>,
+    keys: table::Table<keys::Keys>,
     /// The latest revision, which watches wait for.
     revision: notify::Sender<u64>,
-    watching: AtomicU64,
+    watching: atomic::AtomicU64,
 }
 
 /// Binds a store on the workers of the present tokio runtime.
@@ -60,12 +63,12 @@
     let store = Store {
         progress: config.progress,
         clock: clock::System::open(),
-        keys: Table::default(),
+        keys: table::Table::default(),
         revision: notify::Sender::new(1),
-        watching: AtomicU64::new(0),
+        watching: atomic::AtomicU64::new(0),
     };
     let handle = server::bind(store, config.listen).await?;
-    let store = Arc::clone(handle.api());
+    let store = sync::Arc::clone(handle.api());
     handle.run(async move {
         loop {
             tokio::time::sleep(LAPSE_PERIOD).await;
@@ -96,7 +99,7 @@
         result
     }
 
-    fn call(&self, path: &str, body: &[u8]) -> message::Result<Value> {
+    fn call(&self, path: &str, body: &[u8]) -> message::Result<serde_json::Value> {
         let now = self.clock.now();
         match path {
             "/v3/kv/range" => {
@@ -125,31 +128,37 @@
 }
 
 impl Api for Store {
-    fn kind(&self, _: &Method, path: &str) -> Kind {
+    fn kind(&self, _: &hyper::Method, path: &str) -> server::Kind {
         match path {
-            "/v3/kv/range" => Kind { name: "range", write: false },
-            "/v3/kv/txn" => Kind { name: "txn", write: true },
-            "/v3/lease/grant" => Kind { name: "grant", write: true },
-            "/v3/lease/keepalive" => Kind { name: "keepalive", write: true },
-            "/v3/lease/revoke" => Kind { name: "revoke", write: true },
-            "/v3/watch" => Kind { name: "watch", write: false },
-            _ => Kind { name: "unknown", write: false },
+            "/v3/kv/range" => server::Kind { name: "range", write: false },
+            "/v3/kv/txn" => server::Kind { name: "txn", write: true },
+            "/v3/lease/grant" => server::Kind { name: "grant", write: true },
+            "/v3/lease/keepalive" => server::Kind { name: "keepalive", write: true },
+            "/v3/lease/revoke" => server::Kind { name: "revoke", write: true },
+            "/v3/watch" => server::Kind { name: "watch", write: false },
+            _ => server::Kind { name: "unknown", write: false },
         }
     }
 
-    async fn answer(self: &Arc<Self>, call: &Call, shared: &Arc<Shared>) -> Reply {
+    async fn answer(
+        self: &sync::Arc<Self>,
+        call: &server::Call,
+        shared: &sync::Arc<server::Shared>,
+    ) -> server::Reply {
         let answered = match call.path.as_str() {
-            _ if call.method != Method::POST => Err(message::Error::unknown()),
+            _ if call.method != hyper::Method::POST => Err(message::Error::unknown()),
             "/v3/watch" => {
                 message::decode(&call.body).map(|create| watch::open(self, create, shared))
             }
-            path => self.call(path, &call.body).map(|value| server::json(StatusCode::OK, &value)),
+            path => {
+                self.call(path, &call.body).map(|value| server::json(hyper::StatusCode::OK, &value))
+            }
         };
         answered.unwrap_or_else(|e| e.reply())
     }
 
-    fn counts(&self, counts: &mut BTreeMap<String, u64>) {
-        counts.insert("watching".to_owned(), self.watching.load(Ordering::Relaxed));
+    fn counts(&self, counts: &mut collections::BTreeMap<String, u64>) {
+        counts.insert("watching".to_owned(), self.watching.load(atomic::Ordering::Relaxed));
     }
 
     fn switched(&self, before: &fault::Knobs, after: &fault::Knobs) {
--- a/crates/standin/src/store/keys.rs
+++ b/crates/standin/src/store/keys.rs
@@ -1,13 +1,12 @@
 //! Keys, leases and the history that watches read.
 
-use std::collections::{BTreeMap, VecDeque};
-use std::time::Duration;
+use std::{collections, time};
 
 use corneltrestle_kernel::table::Ranked;
-use corneltrestle_policy::Moment;
-use serde_json::{Value, json};
+use corneltrestle_time::moment;
+use serde_json::json;
 
-use super::message::{self, Error, Operation, Result};
+use super::message::{self, Result};
 
 /// Largest value in bytes.
 const VALUE_LIMIT: usize = 1 << 20;
@@ -19,10 +18,10 @@
 #[derive(Debug)]
 pub(super) struct Keys {
     revision: u64,
-    keys: BTreeMap<Vec<u8>, Key>,
-    leases: BTreeMap<i64, Granted>,
+    keys: collections::BTreeMap<Vec<u8>, Key>,
+    leases: collections::BTreeMap<i64, Granted>,
     next: i64,
-    history: VecDeque<Change>,
+    history: collections::VecDeque<Change>,
     /// Revision of the latest change that was dropped from the history.
     compacted: u64,
 }
@@ -38,8 +37,8 @@
 
 #[derive(Debug)]
 struct Granted {
-    ttl: Duration,
-    expiry: Moment,
+    ttl: time::Duration,
+    expiry: moment::Moment,
 }
 
 #[derive(Debug)]
@@ -54,10 +53,10 @@
         // The revision of an empty etcd is 1.
         Self {
             revision: 1,
-            keys: BTreeMap::new(),
-            leases: BTreeMap::new(),
+            keys: collections::BTreeMap::new(),
+            leases: collections::BTreeMap::new(),
             next: 1,
-            history: VecDeque::new(),
+            history: collections::VecDeque::new(),
             compacted: 0,
         }
     }
@@ -78,12 +77,12 @@
         self.keys.get(name)
     }
 
-    pub(super) fn header(&self) -> Value {
+    pub(super) fn header(&self) -> serde_json::Value {
         let revision = self.revision.to_string();
         json!({"cluster_id": "1", "member_id": "1", "revision": revision, "raft_term": "1"})
     }
 
-    pub(super) fn range(&self, range: &message::Range) -> Value {
+    pub(super) fn range(&self, range: &message::Range) -> serde_json::Value {
         match self.keys.get(&range.key) {
             Some(key) => {
                 json!({"header": self.header(), "kvs": [key.encode(&range.key)], "count": "1"})
@@ -92,7 +91,7 @@
         }
     }
 
-    pub(super) fn txn(&mut self, txn: &message::Txn) -> Result<Value> {
+    pub(super) fn txn(&mut self, txn: &message::Txn) -> Result<serde_json::Value> {
         let [compare] = &txn.compare;
         let message::Target::Mod = compare.target;
         let message::Comparison::Equal = compare.result;
@@ -112,23 +111,23 @@
     }
 
     /// Checks all operations before the first takes effect.
-    fn check(&self, operations: &[Operation]) -> Result<()> {
+    fn check(&self, operations: &[message::Operation]) -> Result<()> {
         for operation in operations {
-            let Operation::Put(put) = operation else { continue };
+            let message::Operation::Put(put) = operation else { continue };
             if put.value.len() > VALUE_LIMIT {
-                return Err(Error::invalid("etcdserver: request is too large"));
+                return Err(message::Error::invalid("etcdserver: request is too large"));
             }
             if put.lease != 0 && !self.leases.contains_key(&put.lease) {
-                return Err(Error::no_lease());
+                return Err(message::Error::no_lease());
             }
         }
         Ok(())
     }
 
-    fn apply(&mut self, operation: &Operation) -> Value {
+    fn apply(&mut self, operation: &message::Operation) -> serde_json::Value {
         match operation {
-            Operation::Range(range) => json!({"response_range": self.range(range)}),
-            Operation::Put(put) => {
+            message::Operation::Range(range) => json!({"response_range": self.range(range)}),
+            message::Operation::Put(put) => {
                 self.put(put);
                 json!({"response_put": {"header": {"revision": self.revision.to_string()}}})
             }
@@ -161,17 +160,26 @@
 
 /// Leases.
 impl Keys {
-    pub(super) fn grant(&mut self, grant: &message::Grant, now: Moment) -> Result<Value> {
+    pub(super) fn grant(
+        &mut self,
+        grant: &message::Grant,
+        now: moment::Moment,
+    ) -> Result<serde_json::Value> {
         let ttl = u64::try_from(grant.ttl).ok().filter(|ttl| (1..=9_000_000_000).contains(ttl));
-        let ttl = ttl.ok_or_else(|| Error::invalid("etcdserver: lease TTL out of range"))?;
+        let ttl =
+            ttl.ok_or_else(|| message::Error::invalid("etcdserver: lease TTL out of range"))?;
         let id = if grant.id == 0 { self.next } else { grant.id };
         self.next = self.next.max(id) + 1;
-        let ttl = Duration::from_secs(ttl);
+        let ttl = time::Duration::from_secs(ttl);
         self.leases.insert(id, Granted { ttl, expiry: now + ttl });
         Ok(self.lease(id, Some(ttl)))
     }
 
-    pub(super) fn keep_alive(&mut self, lease: &message::Lease, now: Moment) -> Value {
+    pub(super) fn keep_alive(
+        &mut self,
+        lease: &message::Lease,
+        now: moment::Moment,
+    ) -> serde_json::Value {
         self.lapse(now);
         let ttl = self.leases.get_mut(&lease.id).map(|granted| {
             granted.expiry = now + granted.ttl;
@@ -180,14 +188,14 @@
         self.lease(lease.id, ttl)
     }
 
-    pub(super) fn revoke(&mut self, lease: &message::Lease) -> Result<Value> {
-        self.leases.remove(&lease.id).ok_or_else(Error::no_lease)?;
+    pub(super) fn revoke(&mut self, lease: &message::Lease) -> Result<serde_json::Value> {
+        self.leases.remove(&lease.id).ok_or_else(message::Error::no_lease)?;
         self.remove(&[lease.id]);
         Ok(json!({"header": self.header()}))
     }
 
     /// Removes the leases that have lapsed, with their keys.
-    pub(super) fn lapse(&mut self, now: Moment) {
+    pub(super) fn lapse(&mut self, now: moment::Moment) {
         let lapsed = |granted: &Granted| now >= granted.expiry;
         let ids: Vec<_> =
             self.leases.iter().filter(|(_, g)| lapsed(g)).map(|(id, _)| *id).collect();
@@ -213,7 +221,7 @@
         }
     }
 
-    fn lease(&self, id: i64, ttl: Option<Duration>) -> Value {
+    fn lease(&self, id: i64, ttl: Option<time::Duration>) -> serde_json::Value {
         let mut answer = json!({"header": self.header(), "ID": id.to_string()});
         if let Some(ttl) = ttl {
             answer["TTL"] = ttl.as_secs().to_string().into();
@@ -225,7 +233,11 @@
 /// Watches.
 impl Keys {
     /// The events of a key from a revision on; `Err` with the revision that has been dropped.
-    pub(super) fn events(&self, name: &[u8], from: u64) -> std::result::Result<Vec<Value>, u64> {
+    pub(super) fn events(
+        &self,
+        name: &[u8],
+        from: u64,
+    ) -> std::result::Result<Vec<serde_json::Value>, u64> {
         if from <= self.compacted {
             return Err(self.compacted);
         }
@@ -235,7 +247,7 @@
 }
 
 impl Change {
-    fn encode(&self) -> Value {
+    fn encode(&self) -> serde_json::Value {
         match &self.key {
             Some(key) => json!({"kv": key.encode(&self.name)}),
             None => {
@@ -247,7 +259,7 @@
 }
 
 impl Key {
-    fn encode(&self, name: &[u8]) -> Value {
+    fn encode(&self, name: &[u8]) -> serde_json::Value {
         let mut value = json!({
             "key": message::encode(name),
             "create_revision": self.created.to_string(),
--- a/crates/standin/src/store/message.rs
+++ b/crates/standin/src/store/message.rs
@@ -1,12 +1,10 @@
 //! Messages of the JSON gateway: 64-bit numbers as text, keys and values in base64.
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
-use hyper::StatusCode;
-use serde::{Deserialize, Deserializer, de};
+use base64::{Engine, engine::general_purpose};
+use serde::{Deserialize, de};
 use serde_json::json;
 
-use crate::server::{self, Reply};
+use crate::server;
 
 /// The result of a store call.
 pub(super) type Result<T> = std::result::Result<T, Error>;
@@ -14,26 +12,26 @@
 /// An error in the form of the gateway.
 #[derive(Debug)]
 pub(super) struct Error {
-    status: StatusCode,
+    status: hyper::StatusCode,
     code: u8,
     message: String,
 }
 
 impl Error {
     pub(super) fn invalid(message: impl Into<String>) -> Self {
-        Self { status: StatusCode::BAD_REQUEST, code: 3, message: message.into() }
+        Self { status: hyper::StatusCode::BAD_REQUEST, code: 3, message: message.into() }
     }
 
     pub(super) fn unknown() -> Self {
-        Self { status: StatusCode::NOT_FOUND, code: 5, message: "Not Found".to_owned() }
+        Self { status: hyper::StatusCode::NOT_FOUND, code: 5, message: "Not Found".to_owned() }
     }
 
     pub(super) fn no_lease() -> Self {
         let message = "etcdserver: requested lease not found".to_owned();
-        Self { status: StatusCode::NOT_FOUND, code: 5, message }
+        Self { status: hyper::StatusCode::NOT_FOUND, code: 5, message }
     }
 
-    pub(super) fn reply(&self) -> Reply {
+    pub(super) fn reply(&self) -> server::Reply {
         let body = json!({"error": self.message, "code": self.code, "message": self.message});
         server::json(self.status, &body)
     }
@@ -44,17 +42,19 @@
 }
 
 pub(super) fn encode(bytes: &[u8]) -> String {
-    STANDARD.encode(bytes)
+    general_purpose::STANDARD.encode(bytes)
 }
 
 /// Reads bytes from base64.
-fn bytes<'de, D: Deserializer<'de>>(deserializer: D) -> std::result::Result<Vec<u8>, D::Error> {
+fn bytes<'de, D: serde::Deserializer<'de>>(
+    deserializer: D,
+) -> std::result::Result<Vec<u8>, D::Error> {
     let text = String::deserialize(deserializer)?;
-    STANDARD.decode(text).map_err(de::Error::custom)
+    general_purpose::STANDARD.decode(text).map_err(de::Error::custom)
 }
 
 /// Reads a number from text or from a JSON number, as the gateway does.
-fn number<'de, D: Deserializer<'de>>(deserializer: D) -> std::result::Result<i64, D::Error> {
+fn number<'de, D: serde::Deserializer<'de>>(deserializer: D) -> std::result::Result<i64, D::Error> {
     #[derive(Deserialize)]
     #[serde(untagged)]
     enum Form {
--- a/crates/standin/src/store/watch.rs
+++ b/crates/standin/src/store/watch.rs
@@ -1,35 +1,37 @@
 //! Watches: newline-separated results on one response.
 
-use std::io;
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::{
+    io,
+    sync::{self, atomic},
+};
 
-use bytes::Bytes;
-use hyper::StatusCode;
-use serde_json::{Value, json};
-use tokio::sync::mpsc;
-use tokio::time::Instant;
+use serde_json::json;
+use tokio::{sync::mpsc, time};
 
 use super::{Store, message};
-use crate::server::{self, Body, Reply, Shared};
+use crate::server;
 
-type Sender = mpsc::Sender<io::Result<Bytes>>;
+type Sender = mpsc::Sender<io::Result<bytes::Bytes>>;
 
 /// Counts a watch as long as it lives.
-struct Waiting(Arc<Store>);
+struct Waiting(sync::Arc<Store>);
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        self.0.watching.fetch_sub(1, Ordering::Relaxed);
+        self.0.watching.fetch_sub(1, atomic::Ordering::Relaxed);
     }
 }
 
 /// Opens a watch on one key.
-pub(super) fn open(store: &Arc<Store>, watch: message::Watch, shared: &Arc<Shared>) -> Reply {
+pub(super) fn open(
+    store: &sync::Arc<Store>,
+    watch: message::Watch,
+    shared: &sync::Arc<server::Shared>,
+) -> server::Reply {
     let (sender, frames) = mpsc::channel(16);
-    store.watching.fetch_add(1, Ordering::Relaxed);
-    let waiting = Waiting(Arc::clone(store));
-    let server = Arc::clone(shared);
+    store.watching.fetch_add(1, atomic::Ordering::Relaxed);
+    let waiting = Waiting(sync::Arc::clone(store));
+    let server = sync::Arc::clone(shared);
     shared.run(async move {
         let create = &watch.create_request;
         tokio::select! {
@@ -37,7 +39,7 @@
             _ = feed(&waiting.0, create, &sender, &server) => {}
         }
     });
-    server::reply(StatusCode::OK, Body::stream(frames))
+    server::reply(hyper::StatusCode::OK, server::Body::stream(frames))
 }
 
 /// Sends events and progress until the watch ends; `None` once the caller has gone.
@@ -45,7 +47,7 @@
     store: &Store,
     create: &message::Create,
     sender: &Sender,
-    server: &Shared,
+    server: &server::Shared,
 ) -> Option<()> {
     let mut revision = store.revision.subscribe();
     let (header, present) = {
@@ -55,7 +57,7 @@
     let start = u64::try_from(create.start_revision).unwrap_or(0);
     let mut from = if start == 0 { present + 1 } else { start };
     send(sender, json!({"header": header, "created": true})).await?;
-    let mut due = Instant::now() + store.progress;
+    let mut due = time::Instant::now() + store.progress;
     loop {
         revision.borrow_and_update();
         let (header, events, next) = {
@@ -67,13 +69,13 @@
         match events {
             Ok(events) if !events.is_empty() => {
                 send(sender, json!({"header": header, "events": events})).await?;
-                due = Instant::now() + store.progress;
+                due = time::Instant::now() + store.progress;
             }
-            Ok(_) if Instant::now() >= due => {
+            Ok(_) if time::Instant::now() >= due => {
                 if create.progress_notify {
                     send(sender, json!({"header": header})).await?;
                 }
-                due = Instant::now() + store.progress;
+                due = time::Instant::now() + store.progress;
             }
             Ok(_) => {}
             Err(dropped) => {
@@ -89,7 +91,7 @@
     }
 }
 
-async fn send(sender: &Sender, result: Value) -> Option<()> {
+async fn send(sender: &Sender, result: serde_json::Value) -> Option<()> {
     let line = format!("{}\n", json!({"result": result}));
     sender.send(Ok(line.into())).await.ok()
 }
--- a/crates/standin/src/vms.rs
+++ b/crates/standin/src/vms.rs
@@ -1,18 +1,16 @@
 //! Stand-in of the platform's VM list, in the form of Prometheus HTTP service discovery.
 
-use std::borrow::Cow;
-use std::collections::VecDeque;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-
-use corneltrestle_kernel::clock::{self, Clock};
-use corneltrestle_kernel::table::{Ranked, Table};
-use corneltrestle_policy::{Moment, vm};
-use hyper::{Method, StatusCode};
+use std::{borrow, collections, net, sync, time};
+
+use corneltrestle_kernel::{
+    clock::{self, Clock},
+    table::{self, Ranked},
+};
+use corneltrestle_policy::vm;
+use corneltrestle_time::moment;
 use serde_json::json;
 
-use crate::server::{self, Api, Call, Kind, Reply, Shared};
+use crate::server::{self, Api};
 
 /// A running VM list.
 pub type Handle = server::Handle<Vms>;
@@ -24,30 +22,30 @@
 #[derive(Clone, Debug)]
 pub struct Config {
     /// Address to listen on.
-    pub listen: SocketAddr,
+    pub listen: net::SocketAddr,
     /// Time after which a change becomes visible.
-    pub lag: Duration,
+    pub lag: time::Duration,
     /// The first list, visible at once.
     pub vms: Vec<vm::Vm>,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        Self { listen: ([127, 0, 0, 1], 0).into(), lag: Duration::ZERO, vms: Vec::new() }
+        Self { listen: ([127, 0, 0, 1], 0).into(), lag: time::Duration::ZERO, vms: Vec::new() }
     }
 }
 
 /// The VM list.
 #[derive(Debug)]
 pub struct Vms {
-    lag: Duration,
+    lag: time::Duration,
     clock: clock::System,
-    lists: Table<Lists>,
+    lists: table::Table<Lists>,
 }
 
 /// Past and present lists, oldest first; never empty.
 #[derive(Debug)]
-struct Lists(VecDeque<(Moment, Vec<vm::Vm>)>);
+struct Lists(collections::VecDeque<(moment::Moment, Vec<vm::Vm>)>);
 
 impl Ranked for Lists {
     const RANK: u16 = 220;
@@ -61,7 +59,7 @@
 /// When the address cannot be bound.
 pub async fn bind(config: Config) -> server::Result<Handle> {
     let clock = clock::System::open();
-    let lists = Table::new(Lists(VecDeque::from([(clock.now(), config.vms)])));
+    let lists = table::Table::new(Lists(collections::VecDeque::from([(clock.now(), config.vms)])));
     server::bind(Vms { lag: config.lag, clock, lists }, config.listen).await
 }
 
@@ -76,7 +74,7 @@
         lists.0.push_back((now, vms.to_vec()));
     }
 
-    fn visible(&self, lag: Duration) -> Vec<serde_json::Value> {
+    fn visible(&self, lag: time::Duration) -> Vec<serde_json::Value> {
         let now = self.clock.now();
         let lists = self.lists.lock();
         let found = lists.0.iter().rev().find(|(set, _)| now.since(*set) >= lag);
@@ -101,7 +99,7 @@
 
 #[derive(serde::Deserialize)]
 struct Entry<'a> {
-    targets: [SocketAddr; 1],
+    targets: [net::SocketAddr; 1],
     #[serde(borrow)]
     labels: Labels<'a>,
 }
@@ -109,15 +107,15 @@
 #[derive(serde::Deserialize)]
 struct Labels<'a> {
     #[serde(borrow)]
-    vm: Cow<'a, str>,
+    vm: borrow::Cow<'a, str>,
     #[serde(borrow)]
-    zone: Cow<'a, str>,
+    zone: borrow::Cow<'a, str>,
     #[serde(borrow)]
-    fabric: Cow<'a, str>,
+    fabric: borrow::Cow<'a, str>,
     role: vm::Role,
     state: vm::State,
     #[serde(borrow)]
-    accelerators: Cow<'a, str>,
+    accelerators: borrow::Cow<'a, str>,
 }
 
 impl Entry<'_> {
@@ -135,21 +133,25 @@
 }
 
 impl Api for Vms {
-    fn kind(&self, method: &Method, path: &str) -> Kind {
-        let list = method == Method::GET && path == "/v1/vms";
-        Kind { name: if list { "list" } else { "unknown" }, write: false }
+    fn kind(&self, method: &hyper::Method, path: &str) -> server::Kind {
+        let list = method == hyper::Method::GET && path == "/v1/vms";
+        server::Kind { name: if list { "list" } else { "unknown" }, write: false }
     }
 
-    async fn answer(self: &Arc<Self>, call: &Call, shared: &Arc<Shared>) -> Reply {
-        if (&call.method, call.path.as_str()) != (&Method::GET, "/v1/vms") {
-            return server::failure(StatusCode::NOT_FOUND, "unknown", "no such call");
+    async fn answer(
+        self: &sync::Arc<Self>,
+        call: &server::Call,
+        shared: &sync::Arc<server::Shared>,
+    ) -> server::Reply {
+        if (&call.method, call.path.as_str()) != (&hyper::Method::GET, "/v1/vms") {
+            return server::failure(hyper::StatusCode::NOT_FOUND, "unknown", "no such call");
         }
         let lag = shared.knobs().list_lag.unwrap_or(self.lag);
-        server::json(StatusCode::OK, &self.visible(lag))
+        server::json(hyper::StatusCode::OK, &self.visible(lag))
     }
 
-    fn control(&self, call: &Call) -> Option<Reply> {
-        if (&call.method, call.path.as_str()) != (&Method::POST, "/control/vms") {
+    fn control(&self, call: &server::Call) -> Option<server::Reply> {
+        if (&call.method, call.path.as_str()) != (&hyper::Method::POST, "/control/vms") {
             return None;
         }
         let entries: Result<Vec<Entry<'_>>, _> = serde_json::from_slice(&call.body);
@@ -158,9 +160,11 @@
         Some(match vms {
             Some(vms) => {
                 self.set(&vms);
-                server::json(StatusCode::OK, &json!({}))
+                server::json(hyper::StatusCode::OK, &json!({}))
+            }
+            None => {
+                server::failure(hyper::StatusCode::BAD_REQUEST, "invalid", "not a list of targets")
             }
-            None => server::failure(StatusCode::BAD_REQUEST, "invalid", "not a list of targets"),
         })
     }
 }
--- a/crates/time/src/clock.rs
+++ b/crates/time/src/clock.rs
@@ -1,9 +1,8 @@
 //! Clocks, read only at the edges of the system.
 
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::{sync::atomic, time};
 
-use crate::moment::Moment;
+use crate::moment;
 
 /// Milliseconds since the Unix epoch, for values that other processes read.
 pub type WallMillis = u64;
@@ -11,7 +10,7 @@
 /// A source of the present time.
 pub trait Clock: Send + Sync {
     /// The present moment; never goes back.
-    fn now(&self) -> Moment;
+    fn now(&self) -> moment::Moment;
 
     /// The wall clock in milliseconds since the Unix epoch; may jump.
     fn wall(&self) -> WallMillis;
@@ -20,23 +19,23 @@
 /// The clock of the operating system.
 #[derive(Clone, Copy, Debug)]
 pub struct System {
-    origin: Instant,
+    origin: time::Instant,
 }
 
 impl System {
     /// Opens the clock with the present instant as its origin.
     pub fn open() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: time::Instant::now() }
     }
 }
 
 impl Clock for System {
-    fn now(&self) -> Moment {
-        Moment::ZERO + self.origin.elapsed()
+    fn now(&self) -> moment::Moment {
+        moment::Moment::ZERO + self.origin.elapsed()
     }
 
     fn wall(&self) -> WallMillis {
-        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let elapsed = time::SystemTime::now().duration_since(time::UNIX_EPOCH).unwrap_or_default();
         u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
     }
 }
@@ -55,23 +54,23 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct Manual {
-    micros: AtomicU64,
+    micros: atomic::AtomicU64,
 }
 
 impl Manual {
     /// Moves the clock forward by `span`.
-    pub fn advance(&self, span: Duration) {
+    pub fn advance(&self, span: time::Duration) {
         let step = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
-        self.micros.fetch_add(step, Ordering::SeqCst);
+        self.micros.fetch_add(step, atomic::Ordering::SeqCst);
     }
 }
 
 impl Clock for Manual {
-    fn now(&self) -> Moment {
-        Moment::from_micros(self.micros.load(Ordering::SeqCst))
+    fn now(&self) -> moment::Moment {
+        moment::Moment::from_micros(self.micros.load(atomic::Ordering::SeqCst))
     }
 
     fn wall(&self) -> WallMillis {
-        self.micros.load(Ordering::SeqCst) / 1_000
+        self.micros.load(atomic::Ordering::SeqCst) / 1_000
     }
 }
--- a/crates/time/src/moment.rs
+++ b/crates/time/src/moment.rs
@@ -1,7 +1,6 @@
 //! A point in monotonic time.
 
-use std::ops;
-use std::time::Duration;
+use std::{ops, time};
 
 /// A point in monotonic time, in microseconds since an origin chosen by the process.
 ///
@@ -59,24 +58,24 @@
     }
 
     /// Time elapsed from `earlier` to `self`, or zero if `earlier` is later.
-    pub const fn since(self, earlier: Moment) -> Duration {
-        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    pub const fn since(self, earlier: Moment) -> time::Duration {
+        time::Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
     /// The moment `span` before `self`, or the origin if that would be earlier.
-    pub fn before(self, span: Duration) -> Moment {
+    pub fn before(self, span: time::Duration) -> Moment {
         Moment(self.0.saturating_sub(micros(span)))
     }
 }
 
-impl ops::Add<Duration> for Moment {
+impl ops::Add<time::Duration> for Moment {
     type Output = Moment;
 
-    fn add(self, span: Duration) -> Moment {
+    fn add(self, span: time::Duration) -> Moment {
         Moment(self.0.saturating_add(micros(span)))
     }
 }
 
-fn micros(span: Duration) -> u64 {
+fn micros(span: time::Duration) -> u64 {
     u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/wire/src/link/age.rs
+++ b/crates/wire/src/link/age.rs
@@ -1,9 +1,9 @@
 //! Ages in one byte.
 
-use std::time::Duration;
+use std::time;
 
 /// Unit of an age on the wire.
-pub const UNIT: Duration = Duration::from_millis(50);
+pub const UNIT: time::Duration = time::Duration::from_millis(50);
 
 /// The byte for an age that is unknown or too long.
 pub const UNKNOWN: u8 = 255;
@@ -20,12 +20,12 @@
 /// assert_eq!(age::decode(3), Some(Duration::from_millis(150)));
 /// assert_eq!(age::decode(age::encode(Some(Duration::from_secs(60)))), None);
 /// ```
-pub fn encode(age: Option<Duration>) -> u8 {
+pub fn encode(age: Option<time::Duration>) -> u8 {
     let units = age.map(|age| age.as_micros().div_ceil(UNIT.as_micros()));
     units.and_then(|units| u8::try_from(units).ok()).unwrap_or(UNKNOWN)
 }
 
 /// Decodes an age; `None` if it is unknown or longer than 12.7 s.
-pub fn decode(byte: u8) -> Option<Duration> {
+pub fn decode(byte: u8) -> Option<time::Duration> {
     (byte != UNKNOWN).then(|| UNIT * u32::from(byte))
 }
--- a/crates/wire/src/link/check.rs
+++ b/crates/wire/src/link/check.rs
@@ -1,15 +1,14 @@
 //! Bounds of fields.
 
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
-use std::time::Duration;
+use std::{net, time};
 
-use super::error::{Error, Kind};
-use super::{MAX_NAME_BYTES, Result};
+use super::{Result, error};
+use crate::link;
 
 /// Checks that `found` elements are allowed.
 pub(super) fn at_most(field: &'static str, found: usize, max: usize) -> Result<()> {
     if found > max {
-        return Err(Error { field, kind: Kind::TooLong { found, max } });
+        return Err(error::Error { field, kind: error::Kind::TooLong { found, max } });
     }
     Ok(())
 }
@@ -17,7 +16,7 @@
 /// Checks that there are as many elements as another field requires.
 pub(super) fn exactly(field: &'static str, found: usize, expected: usize) -> Result<()> {
     if found != expected {
-        return Err(Error { field, kind: Kind::Length { found, expected } });
+        return Err(error::Error { field, kind: error::Kind::Length { found, expected } });
     }
     Ok(())
 }
@@ -25,9 +24,9 @@
 /// A name that is required.
 pub(super) fn name<'a, T: From<&'a str>>(field: &'static str, text: &'a str) -> Result<T> {
     if text.is_empty() {
-        return Err(Error { field, kind: Kind::Missing });
+        return Err(error::Error { field, kind: error::Kind::Missing });
     }
-    at_most(field, text.len(), MAX_NAME_BYTES)?;
+    at_most(field, text.len(), link::MAX_NAME_BYTES)?;
     Ok(T::from(text))
 }
 
@@ -43,28 +42,29 @@
 }
 
 /// Milliseconds on the wire, at most about 49 days.
-pub(super) fn millis(span: Duration) -> u32 {
+pub(super) fn millis(span: time::Duration) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
 
 /// IP address and port in network order.
-pub(super) fn address_bytes(address: SocketAddr) -> Vec<u8> {
+pub(super) fn address_bytes(address: net::SocketAddr) -> Vec<u8> {
     let mut bytes = match address.ip() {
-        IpAddr::V4(ip) => ip.octets().to_vec(),
-        IpAddr::V6(ip) => ip.octets().to_vec(),
+        net::IpAddr::V4(ip) => ip.octets().to_vec(),
+        net::IpAddr::V6(ip) => ip.octets().to_vec(),
     };
     bytes.extend(address.port().to_be_bytes());
     bytes
 }
 
 /// The address that [`address_bytes`] encoded.
-pub(super) fn address(field: &'static str, bytes: &[u8]) -> Result<SocketAddr> {
-    let invalid = || Error::invalid(field, "an IP address of 4 or 16 bytes and a port of 2 bytes");
+pub(super) fn address(field: &'static str, bytes: &[u8]) -> Result<net::SocketAddr> {
+    let invalid =
+        || error::Error::invalid(field, "an IP address of 4 or 16 bytes and a port of 2 bytes");
     let (ip, port) = bytes.split_last_chunk::<2>().ok_or_else(invalid)?;
     let ip = match ip.len() {
-        4 => <[u8; 4]>::try_from(ip).ok().map(|ip| IpAddr::V4(Ipv4Addr::from(ip))),
-        16 => <[u8; 16]>::try_from(ip).ok().map(|ip| IpAddr::V6(Ipv6Addr::from(ip))),
+        4 => <[u8; 4]>::try_from(ip).ok().map(|ip| net::IpAddr::V4(net::Ipv4Addr::from(ip))),
+        16 => <[u8; 16]>::try_from(ip).ok().map(|ip| net::IpAddr::V6(net::Ipv6Addr::from(ip))),
         _ => None,
     };
-    Ok(SocketAddr::new(ip.ok_or_else(invalid)?, u16::from_be_bytes(*port)))
+    Ok(net::SocketAddr::new(ip.ok_or_else(invalid)?, u16::from_be_bytes(*port)))
 }
--- a/crates/wire/src/link/counts.rs
+++ b/crates/wire/src/link/counts.rs
@@ -1,11 +1,11 @@
 //! Service-level counts.
 
-use std::collections::HashMap;
+use std::collections;
 
 use corneltrestle_policy::id;
 
-use super::error::Error;
-use super::{MAX_COUNTS, MAX_ORGANISATIONS, Result, VERSION, check, generated};
+use super::{Result, check, error, generated};
+use crate::link;
 
 /// A request for service-level counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,7 +19,7 @@
 pub struct CountsReply {
     /// The answering node.
     pub node: id::Node,
-    /// The counts, at most [`MAX_COUNTS`].
+    /// The counts, at most [`link::MAX_COUNTS`].
     pub rows: Vec<Count>,
 }
 
@@ -60,7 +60,7 @@
 
 impl From<CountsRequest> for generated::CountsRequest {
     fn from(request: CountsRequest) -> Self {
-        Self { version: VERSION, since: request.since }
+        Self { version: link::VERSION, since: request.since }
     }
 }
 
@@ -74,7 +74,7 @@
 #[derive(Default)]
 struct Names<'a> {
     names: Vec<String>,
-    positions: HashMap<&'a str, u32>,
+    positions: collections::HashMap<&'a str, u32>,
 }
 
 impl<'a> Names<'a> {
@@ -104,7 +104,7 @@
             rows.push(generated::CountRow { service, organisation, minute, counts });
         }
         Self {
-            version: VERSION,
+            version: link::VERSION,
             node: reply.node.to_string(),
             services: services.names,
             organisations: organisations.names,
@@ -114,11 +114,11 @@
 }
 
 impl TryFrom<generated::CountsReply> for CountsReply {
-    type Error = Error;
+    type Error = error::Error;
 
     fn try_from(reply: generated::CountsReply) -> Result<Self> {
-        check::at_most("counts.services", reply.services.len(), MAX_ORGANISATIONS)?;
-        check::at_most("counts.organisations", reply.organisations.len(), MAX_ORGANISATIONS)?;
+        check::at_most("counts.services", reply.services.len(), link::MAX_ORGANISATIONS)?;
+        check::at_most("counts.organisations", reply.organisations.len(), link::MAX_ORGANISATIONS)?;
         let services: Vec<id::Service> = names("counts.services", &reply.services)?;
         let organisations: Vec<id::Organisation> =
             names("counts.organisations", &reply.organisations)?;
@@ -132,7 +132,7 @@
         };
         Ok(Self {
             node: check::name("counts.node", &reply.node)?,
-            rows: check::list("counts.rows", reply.rows, MAX_COUNTS, decode)?,
+            rows: check::list("counts.rows", reply.rows, link::MAX_COUNTS, decode)?,
         })
     }
 }
@@ -143,7 +143,7 @@
 
 fn at<T: Clone>(field: &'static str, names: &[T], position: u32) -> Result<T> {
     let found = names.get(position as usize).cloned();
-    found.ok_or_else(|| Error::invalid(field, "a position in the names of the message"))
+    found.ok_or_else(|| error::Error::invalid(field, "a position in the names of the message"))
 }
 
 /// Decodes pairs; a newer node may send more of them.
@@ -151,10 +151,10 @@
     let (pairs, rest) = counts.as_chunks::<2>();
     check::exactly("row.counts", rest.len(), 0)?;
     let [whole, first, between, orders, ..] = pairs else {
-        return Err(Error::invalid("row.counts", "four pairs of good and all"));
+        return Err(error::Error::invalid("row.counts", "four pairs of good and all"));
     };
     let ratio = |[good, all]: &[u64; 2]| {
-        let invalid = || Error::invalid("row.counts", "no more good ones than all");
+        let invalid = || error::Error::invalid("row.counts", "no more good ones than all");
         (good <= all).then_some(Ratio { good: *good, all: *all }).ok_or_else(invalid)
     };
     Ok(Counts {
--- a/crates/wire/src/link/digest.rs
+++ b/crates/wire/src/link/digest.rs
@@ -1,14 +1,11 @@
 //! The periodic pull.
 
-use std::time::Duration;
+use std::time;
 
 use corneltrestle_policy::id;
 
-use super::error::Error;
-use super::{
-    KnownReports, KnownRoster, MAX_ZONES, Reports, Result, Roster, VERSION, check, generated,
-    roster,
-};
+use super::{Result, check, error, generated, roster};
+use crate::link;
 
 /// What a node asks a peer for, with what it knows already.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,9 +13,9 @@
     /// The calling node.
     pub node: id::Node,
     /// Zones whose members are asked for.
-    pub rosters: Vec<KnownRoster>,
+    pub rosters: Vec<link::KnownRoster>,
     /// Zones whose reports are asked for.
-    pub reports: Vec<KnownReports>,
+    pub reports: Vec<link::KnownReports>,
 }
 
 /// What the answering node knows and the caller does not.
@@ -29,17 +26,17 @@
     /// Revision of its release.
     pub revision: u64,
     /// Age of its newest watch data; in whole milliseconds on the wire.
-    pub watch_age: Duration,
+    pub watch_age: time::Duration,
     /// Members of the zones that were asked for.
-    pub rosters: Vec<Roster>,
+    pub rosters: Vec<link::Roster>,
     /// Reports of the zones that were asked for.
-    pub reports: Vec<Reports>,
+    pub reports: Vec<link::Reports>,
 }
 
 impl From<PullRequest> for generated::PullRequest {
     fn from(request: PullRequest) -> Self {
         Self {
-            version: VERSION,
+            version: link::VERSION,
             node: request.node.to_string(),
             rosters: request.rosters.into_iter().map(Into::into).collect(),
             reports: request.reports.into_iter().map(Into::into).collect(),
@@ -48,13 +45,21 @@
 }
 
 impl TryFrom<generated::PullRequest> for PullRequest {
-    type Error = Error;
+    type Error = error::Error;
 
     fn try_from(request: generated::PullRequest) -> Result<Self> {
-        let rosters =
-            check::list("pull.rosters", request.rosters, MAX_ZONES, KnownRoster::try_from)?;
-        let reports =
-            check::list("pull.reports", request.reports, MAX_ZONES, KnownReports::try_from)?;
+        let rosters = check::list(
+            "pull.rosters",
+            request.rosters,
+            link::MAX_ZONES,
+            link::KnownRoster::try_from,
+        )?;
+        let reports = check::list(
+            "pull.reports",
+            request.reports,
+            link::MAX_ZONES,
+            link::KnownReports::try_from,
+        )?;
         Ok(Self { node: check::name("pull.node", &request.node)?, rosters, reports })
     }
 }
@@ -64,7 +69,7 @@
         let mut names = roster::Names::default();
         let rosters = digest.rosters.into_iter().map(|r| roster::encode(r, &mut names)).collect();
         Self {
-            version: VERSION,
+            version: link::VERSION,
             node: digest.node.to_string(),
             revision: digest.revision,
             watch_age_ms: check::millis(digest.watch_age),
@@ -76,7 +81,7 @@
 }
 
 impl TryFrom<generated::Digest> for Digest {
-    type Error = Error;
+    type Error = error::Error;
 
     fn try_from(digest: generated::Digest) -> Result<Self> {
         let names = roster::Names::decode(&digest.organisations)?;
@@ -84,9 +89,14 @@
         Ok(Self {
             node: check::name("digest.node", &digest.node)?,
             revision: digest.revision,
-            watch_age: Duration::from_millis(u64::from(digest.watch_age_ms)),
-            rosters: check::list("digest.rosters", digest.rosters, MAX_ZONES, decode)?,
-            reports: check::list("digest.reports", digest.reports, MAX_ZONES, Reports::try_from)?,
+            watch_age: time::Duration::from_millis(u64::from(digest.watch_age_ms)),
+            rosters: check::list("digest.rosters", digest.rosters, link::MAX_ZONES, decode)?,
+            reports: check::list(
+                "digest.reports",
+                digest.reports,
+                link::MAX_ZONES,
+                link::Reports::try_from,
+            )?,
         })
     }
 }
--- a/crates/wire/src/link/document.rs
+++ b/crates/wire/src/link/document.rs
@@ -1,11 +1,9 @@
 //! Stored documents as a peer knows them.
 
-use bytes::Bytes;
 use corneltrestle_policy::id;
 
-use super::error::Error;
-use super::{Result, VERSION, check, generated};
-use crate::stored;
+use super::{Result, check, error, generated};
+use crate::{link, stored};
 
 /// A request for a stored document.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,7 +29,7 @@
     /// Revision of the release, or store version of the assignment.
     pub revision: u64,
     /// The stored JSON; absent if the caller has it already or the node has none.
-    pub body: Option<Bytes>,
+    pub body: Option<bytes::Bytes>,
 }
 
 impl From<FetchRequest> for generated::FetchRequest {
@@ -40,12 +38,12 @@
             Document::Release => String::new(),
             Document::Assignment(zone) => zone.to_string(),
         };
-        Self { version: VERSION, zone, known: request.known }
+        Self { version: link::VERSION, zone, known: request.known }
     }
 }
 
 impl TryFrom<generated::FetchRequest> for FetchRequest {
-    type Error = Error;
+    type Error = error::Error;
 
     fn try_from(request: generated::FetchRequest) -> Result<Self> {
         let document = if request.zone.is_empty() {
@@ -59,15 +57,15 @@
 
 impl From<Value> for generated::Value {
     fn from(value: Value) -> Self {
-        Self { version: VERSION, revision: value.revision, body: value.body }
+        Self { version: link::VERSION, revision: value.revision, body: value.body }
     }
 }
 
 impl TryFrom<generated::Value> for Value {
-    type Error = Error;
+    type Error = error::Error;
 
     fn try_from(value: generated::Value) -> Result<Self> {
-        let size = value.body.as_ref().map_or(0, Bytes::len);
+        let size = value.body.as_ref().map_or(0, bytes::Bytes::len);
         check::at_most("value.body", size, stored::MAX_BYTES)?;
         Ok(Self { revision: value.revision, body: value.body })
     }
--- a/crates/wire/src/link/news.rs
+++ b/crates/wire/src/link/news.rs
@@ -2,8 +2,12 @@
 
 use corneltrestle_policy::id;
 
-use super::error::{Error, Kind};
-use super::{Result, VERSION, check, generated};
+use super::{
+    Result, check,
+    error::{self, Kind},
+    generated,
+};
+use crate::link;
 
 /// News for a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,12 +69,12 @@
                 Kind::Drain(generated::NodeDrain { node: node.to_string(), boot })
             }
         };
-        Self { version: VERSION, node: news.node.to_string(), kind: Some(kind) }
+        Self { version: link::VERSION, node: news.node.to_string(), kind: Some(kind) }
     }
 }
 
 impl TryFrom<generated::News> for News {
-    type Error = Error;
+    type Error = error::Error;
 
     fn try_from(news: generated::News) -> Result<Self> {
         use generated::news;
@@ -81,7 +85,7 @@
                 NewsKind::Drain { node: check::name("drain.node", &drain.node)?, boot: drain.boot }
             }
             // A newer node may have sent a kind that this version does not know.
-            None => return Err(Error { field: "news.kind", kind: Kind::Missing }),
+            None => return Err(error::Error { field: "news.kind", kind: Kind::Missing }),
         };
         Ok(Self { node: check::name("news.node", &news.node)?, kind })
     }
@@ -89,7 +93,7 @@
 
 fn decode_loss(loss: &generated::VmLoss) -> Result<NewsKind> {
     let index = u16::try_from(loss.index)
-        .map_err(|_| Error::invalid("loss.index", "a number of 16 bits"))?;
+        .map_err(|_| error::Error::invalid("loss.index", "a number of 16 bits"))?;
     Ok(NewsKind::Loss {
         zone: check::name("loss.zone", &loss.zone)?,
         vm: check::name("loss.vm", &loss.vm)?,
@@ -100,7 +104,7 @@
 
 impl From<Ack> for generated::Ack {
     fn from(ack: Ack) -> Self {
-        Self { version: VERSION, fresh: ack.is_fresh }
+        Self { version: link::VERSION, fresh: ack.is_fresh }
     }
 }
 
--- a/crates/wire/src/link/reports.rs
+++ b/crates/wire/src/link/reports.rs
@@ -1,12 +1,12 @@
 //! Report ages and loads of a zone, by position in its assignment.
 
-use std::time::Duration;
+use std::time;
 
 use corneltrestle_policy::id;
 use xxhash_rust::xxh3;
 
-use super::error::Error;
-use super::{MAX_VMS, Result, age, check, generated};
+use super::{Result, age, check, error, generated};
+use crate::link;
 
 /// Load of a replica as its head VM last reported it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -52,7 +52,7 @@
     pub assignment: u64,
     /// Age of the latest report of each member VM in assignment order; `None` if unknown or
     /// longer than 12.7 s.
-    pub ages: Vec<Option<Duration>>,
+    pub ages: Vec<Option<time::Duration>>,
     /// Position and load of each replica whose load differs from the caller's. It is as old as
     /// the report of the replica's head VM and may be older than the caller's.
     pub loads: Vec<(usize, Load)>,
@@ -78,7 +78,7 @@
     pub fn answer(
         zone: &id::Zone,
         assignment: u64,
-        ages: &[Option<Duration>],
+        ages: &[Option<time::Duration>],
         replicas: &[ReplicaLoad],
         known: &KnownReports,
     ) -> Self {
@@ -126,10 +126,10 @@
 }
 
 impl TryFrom<generated::KnownReports> for KnownReports {
-    type Error = Error;
+    type Error = error::Error;
 
     fn try_from(known: generated::KnownReports) -> Result<Self> {
-        check::at_most("known_reports.loads", known.loads.len(), MAX_VMS)?;
+        check::at_most("known_reports.loads", known.loads.len(), link::MAX_VMS)?;
         Ok(Self {
             zone: check::name("known_reports.zone", &known.zone)?,
             assignment: known.assignment,
@@ -156,14 +156,14 @@
 }
 
 impl TryFrom<generated::Reports> for Reports {
-    type Error = Error;
+    type Error = error::Error;
 
     fn try_from(reports: generated::Reports) -> Result<Self> {
-        check::at_most("reports.ages", reports.ages.len(), MAX_VMS)?;
-        check::at_most("reports.starts", reports.starts.len(), MAX_VMS)?;
+        check::at_most("reports.ages", reports.ages.len(), link::MAX_VMS)?;
+        check::at_most("reports.starts", reports.starts.len(), link::MAX_VMS)?;
         let (loads, rest) = reports.loads.as_chunks::<4>();
         check::exactly("reports.loads", rest.len(), 0)?;
-        check::at_most("reports.loads", loads.len(), MAX_VMS)?;
+        check::at_most("reports.loads", loads.len(), link::MAX_VMS)?;
         Ok(Self {
             zone: check::name("reports.zone", &reports.zone)?,
             assignment: reports.assignment,
@@ -175,9 +175,9 @@
 }
 
 fn decode_load([position, running, waiting, finished]: &[u64; 4]) -> Result<(usize, Load)> {
-    let invalid = |expected| Error::invalid("reports.loads", expected);
+    let invalid = |expected| error::Error::invalid("reports.loads", expected);
     let count = |n: &u64| u32::try_from(*n).map_err(|_| invalid("counts of 32 bits"));
-    let position = usize::try_from(*position).ok().filter(|n| *n < MAX_VMS);
+    let position = usize::try_from(*position).ok().filter(|n| *n < link::MAX_VMS);
     let load = Load { running: count(running)?, waiting: count(waiting)?, finished: *finished };
     Ok((position.ok_or_else(|| invalid("positions of replicas"))?, load))
 }
--- a/crates/wire/src/link/roster.rs
+++ b/crates/wire/src/link/roster.rs
@@ -2,8 +2,7 @@
 
 mod codec;
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::{net, time};
 
 use corneltrestle_kernel::run;
 use corneltrestle_policy::id;
@@ -24,11 +23,11 @@
     /// Its heartbeat counter.
     pub heartbeat: u64,
     /// Age of that heartbeat; in whole milliseconds on the wire.
-    pub age: Duration,
+    pub age: time::Duration,
     /// Its run state; one that this version does not know is read as `Starting`.
     pub state: run::Stage,
     /// Address of its link.
-    pub address: SocketAddr,
+    pub address: net::SocketAddr,
     /// Its demand.
     pub demand: Demand,
 }
@@ -43,11 +42,11 @@
     /// Its heartbeat counter.
     pub heartbeat: u64,
     /// Age of that heartbeat.
-    pub age: Duration,
+    pub age: time::Duration,
     /// Its run state.
     pub state: run::Stage,
     /// Address of its link.
-    pub address: SocketAddr,
+    pub address: net::SocketAddr,
     /// Its demand.
     pub demand: &'a [(id::Organisation, u32)],
     /// Heartbeat counter with which the present demand became known.
@@ -93,7 +92,7 @@
     /// How far its counter is ahead of the one that the caller sent; at least 1.
     pub advance: u64,
     /// Age of the heartbeat; `None` if longer than 12.7 s.
-    pub age: Option<Duration>,
+    pub age: Option<time::Duration>,
     /// Its whole new demand, if it changed after the caller's heartbeat.
     pub demand: Option<Demand>,
 }
--- a/crates/wire/src/link/roster/codec.rs
+++ b/crates/wire/src/link/roster/codec.rs
@@ -1,13 +1,11 @@
 //! Encoding of rosters.
 
-use std::time::Duration;
+use std::time;
 
 use corneltrestle_kernel::run;
 use corneltrestle_policy::id;
 
-use super::{Beat, Demand, KnownRoster, Member, Members, Roster};
-use crate::link::error::{Error, Kind};
-use crate::link::{MAX_MEMBERS, MAX_ORGANISATIONS, Result, age, check, generated};
+use crate::link::{self, Result, age, check, error, generated, roster};
 
 /// Names of organisations, each written once in a message.
 #[derive(Debug, Default)]
@@ -17,7 +15,7 @@
 
 impl Names {
     pub(crate) fn decode(names: &[String]) -> Result<Self> {
-        check::at_most("digest.organisations", names.len(), MAX_ORGANISATIONS)?;
+        check::at_most("digest.organisations", names.len(), link::MAX_ORGANISATIONS)?;
         let names = names.iter().map(|name| check::name("digest.organisations", name));
         Ok(Self { names: names.collect::<Result<_>>()? })
     }
@@ -35,18 +33,18 @@
         u32::try_from(position).unwrap_or(u32::MAX)
     }
 
-    fn write(&mut self, demand: &Demand) -> Vec<u32> {
+    fn write(&mut self, demand: &roster::Demand) -> Vec<u32> {
         let given = demand.iter().filter(|(_, amount)| *amount > 0);
         given.flat_map(|(name, amount)| [self.position(name), *amount]).collect()
     }
 
-    fn read(&self, field: &'static str, pairs: &[u32]) -> Result<Demand> {
+    fn read(&self, field: &'static str, pairs: &[u32]) -> Result<roster::Demand> {
         let (pairs, rest) = pairs.as_chunks::<2>();
         check::exactly(field, rest.len(), 0)?;
-        check::at_most(field, pairs.len(), MAX_ORGANISATIONS)?;
+        check::at_most(field, pairs.len(), link::MAX_ORGANISATIONS)?;
         let read = |[position, amount]: &[u32; 2]| {
             let name = self.names.get(*position as usize);
-            let invalid = || Error::invalid(field, "positions in digest.organisations");
+            let invalid = || error::Error::invalid(field, "positions in digest.organisations");
             Ok((name.ok_or_else(invalid)?.clone(), *amount))
         };
         pairs.iter().map(read).collect()
@@ -72,17 +70,17 @@
     }
 }
 
-impl From<KnownRoster> for generated::KnownRoster {
-    fn from(known: KnownRoster) -> Self {
+impl From<roster::KnownRoster> for generated::KnownRoster {
+    fn from(known: roster::KnownRoster) -> Self {
         Self { zone: known.zone.to_string(), hash: known.hash, heartbeats: known.heartbeats }
     }
 }
 
-impl TryFrom<generated::KnownRoster> for KnownRoster {
-    type Error = Error;
+impl TryFrom<generated::KnownRoster> for roster::KnownRoster {
+    type Error = error::Error;
 
     fn try_from(known: generated::KnownRoster) -> Result<Self> {
-        check::at_most("known_roster.heartbeats", known.heartbeats.len(), MAX_MEMBERS)?;
+        check::at_most("known_roster.heartbeats", known.heartbeats.len(), link::MAX_MEMBERS)?;
         Ok(Self {
             zone: check::name("known_roster.zone", &known.zone)?,
             hash: known.hash,
@@ -91,22 +89,24 @@
     }
 }
 
-pub(crate) fn encode(roster: Roster, names: &mut Names) -> generated::Roster {
+pub(crate) fn encode(roster: roster::Roster, names: &mut Names) -> generated::Roster {
     let mut out = generated::Roster {
         zone: roster.zone.to_string(),
         hash: roster.hash,
         ..generated::Roster::default()
     };
     match roster.members {
-        Members::All(members) => {
+        roster::Members::All(members) => {
             out.members = members.iter().map(|member| encode_member(member, names)).collect();
         }
-        Members::Newer(beats) => beats.iter().for_each(|beat| encode_beat(beat, names, &mut out)),
+        roster::Members::Newer(beats) => {
+            beats.iter().for_each(|beat| encode_beat(beat, names, &mut out))
+        }
     }
     out
 }
 
-fn encode_member(member: &Member, names: &mut Names) -> generated::Member {
+fn encode_member(member: &roster::Member, names: &mut Names) -> generated::Member {
     generated::Member {
         id: member.id.to_string(),
         boot: member.boot,
@@ -118,7 +118,7 @@
     }
 }
 
-fn encode_beat(beat: &Beat, names: &mut Names, out: &mut generated::Roster) {
+fn encode_beat(beat: &roster::Beat, names: &mut Names, out: &mut generated::Roster) {
     let at = beat.position / 8;
     if out.newer.len() <= at {
         out.newer.resize(at + 1, 0);
@@ -132,33 +132,38 @@
     }
 }
 
-pub(crate) fn decode(roster: generated::Roster, names: &Names) -> Result<Roster> {
+pub(crate) fn decode(roster: generated::Roster, names: &Names) -> Result<roster::Roster> {
     let zone = check::name("roster.zone", &roster.zone)?;
     let hash = roster.hash;
     // No members are written alike in both forms; they are read as no newer heartbeat.
     let members = if roster.members.is_empty() {
-        Members::Newer(decode_beats(&roster, names)?)
+        roster::Members::Newer(decode_beats(&roster, names)?)
     } else {
         let decode = |member| decode_member(member, names);
-        Members::All(check::list("roster.members", roster.members, MAX_MEMBERS, decode)?)
+        roster::Members::All(check::list(
+            "roster.members",
+            roster.members,
+            link::MAX_MEMBERS,
+            decode,
+        )?)
     };
-    Ok(Roster { zone, hash, members })
+    Ok(roster::Roster { zone, hash, members })
 }
 
-fn decode_member(member: generated::Member, names: &Names) -> Result<Member> {
-    Ok(Member {
+fn decode_member(member: generated::Member, names: &Names) -> Result<roster::Member> {
+    Ok(roster::Member {
         id: check::name("member.id", &member.id)?,
         boot: member.boot,
         heartbeat: member.heartbeat,
-        age: Duration::from_millis(u64::from(member.age_ms)),
+        age: time::Duration::from_millis(u64::from(member.age_ms)),
         state: state(member.state),
         address: check::address("member.address", &member.address)?,
         demand: names.read("member.demand", &member.demand)?,
     })
 }
 
-fn decode_beats(roster: &generated::Roster, names: &Names) -> Result<Vec<Beat>> {
-    check::at_most("roster.newer", roster.newer.len(), MAX_MEMBERS.div_ceil(8))?;
+fn decode_beats(roster: &generated::Roster, names: &Names) -> Result<Vec<roster::Beat>> {
+    check::at_most("roster.newer", roster.newer.len(), link::MAX_MEMBERS.div_ceil(8))?;
     let bits = roster.newer.iter().enumerate().flat_map(|(n, byte)| {
         (0..8).filter(move |bit| byte & (1 << bit) != 0).map(move |bit| n * 8 + bit)
     });
@@ -166,8 +171,8 @@
     check::exactly("roster.advances", roster.advances.len(), positions.len())?;
     check::exactly("roster.ages", roster.ages.len(), positions.len())?;
     let columns = positions.iter().zip(roster.advances.iter().zip(&roster.ages));
-    let mut beats: Vec<Beat> = columns
-        .map(|(position, (advance, byte))| Beat {
+    let mut beats: Vec<roster::Beat> = columns
+        .map(|(position, (advance, byte))| roster::Beat {
             position: *position,
             advance: *advance,
             age: age::decode(*byte),
@@ -175,17 +180,18 @@
         })
         .collect();
     if beats.iter().any(|beat| beat.advance == 0) {
-        return Err(Error::invalid("roster.advances", "at least 1 each"));
+        return Err(error::Error::invalid("roster.advances", "at least 1 each"));
     }
     check::at_most("roster.demands", roster.demands.len(), beats.len())?;
     for demand in &roster.demands {
         let found = beats.binary_search_by_key(&(demand.member as usize), |beat| beat.position);
         let Ok(at) = found else {
-            return Err(Error { field: "roster.demands", kind: NOT_NEWER });
+            return Err(error::Error { field: "roster.demands", kind: NOT_NEWER });
         };
         beats[at].demand = Some(names.read("demand.demand", &demand.demand)?);
     }
     Ok(beats)
 }
 
-const NOT_NEWER: Kind = Kind::Invalid { expected: "positions of members that roster.newer names" };
+const NOT_NEWER: error::Kind =
+    error::Kind::Invalid { expected: "positions of members that roster.newer names" };
--- a/crates/wire/src/link/slot.rs
+++ b/crates/wire/src/link/slot.rs
@@ -1,11 +1,11 @@
 //! Loans of warm-up slots.
 
-use std::time::Duration;
+use std::time;
 
 use corneltrestle_policy::id;
 
-use super::error::Error;
-use super::{Result, VERSION, check, generated};
+use super::{Result, check, error, generated};
+use crate::link;
 
 /// A request for the use of one of the answering node's warm-up slots.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,7 +19,7 @@
     /// Start id of its head VM.
     pub start: u64,
     /// Longest use; in whole milliseconds on the wire.
-    pub left: Duration,
+    pub left: time::Duration,
 }
 
 /// The number of a loan, or `None` if the answering node has no free slot.
@@ -28,7 +28,7 @@
 impl From<SlotRequest> for generated::SlotRequest {
     fn from(request: SlotRequest) -> Self {
         Self {
-            version: VERSION,
+            version: link::VERSION,
             node: request.node.to_string(),
             set: request.replica.set.to_string(),
             index: request.replica.index.into(),
@@ -40,17 +40,17 @@
 }
 
 impl TryFrom<generated::SlotRequest> for SlotRequest {
-    type Error = Error;
+    type Error = error::Error;
 
     fn try_from(request: generated::SlotRequest) -> Result<Self> {
         let index = u16::try_from(request.index)
-            .map_err(|_| Error::invalid("slot.index", "a number of 16 bits"))?;
+            .map_err(|_| error::Error::invalid("slot.index", "a number of 16 bits"))?;
         Ok(Self {
             node: check::name("slot.node", &request.node)?,
             replica: id::Replica { set: check::name("slot.set", &request.set)?, index },
             epoch: request.epoch,
             start: request.start,
-            left: Duration::from_millis(request.left_ms),
+            left: time::Duration::from_millis(request.left_ms),
         })
     }
 }
--- a/crates/wire/src/link/status.rs
+++ b/crates/wire/src/link/status.rs
@@ -1,12 +1,12 @@
 //! State of nodes for operators.
 
-use std::time::Duration;
+use std::time;
 
 use corneltrestle_kernel::run;
 use corneltrestle_policy::id;
 
-use super::error::Error;
-use super::{MAX_MEMBERS, Result, VERSION, check, generated, roster};
+use super::{Result, check, error, generated, roster};
+use crate::link;
 
 /// A request for the state of nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,7 +36,7 @@
     /// Revision of its release.
     pub revision: u64,
     /// Age of its newest watch data; in whole milliseconds on the wire.
-    pub watch_age: Duration,
+    pub watch_age: time::Duration,
     /// Replicas of its zone.
     pub replicas: u32,
     /// Replicas of its zone with a complete fresh view.
@@ -45,7 +45,7 @@
 
 impl From<StatusRequest> for generated::StatusRequest {
     fn from(request: StatusRequest) -> Self {
-        Self { version: VERSION, zone: request.is_zone }
+        Self { version: link::VERSION, zone: request.is_zone }
     }
 }
 
@@ -67,12 +67,12 @@
             replicas: node.replicas,
             serving: node.serving,
         };
-        Self { version: VERSION, nodes: reply.nodes.into_iter().map(encode).collect() }
+        Self { version: link::VERSION, nodes: reply.nodes.into_iter().map(encode).collect() }
     }
 }
 
 impl TryFrom<generated::StatusReply> for StatusReply {
-    type Error = Error;
+    type Error = error::Error;
 
     fn try_from(reply: generated::StatusReply) -> Result<Self> {
         let decode = |node: generated::NodeStatus| {
@@ -82,11 +82,11 @@
                 is_reached: node.reached,
                 stage: roster::state(node.stage),
                 revision: node.revision,
-                watch_age: Duration::from_millis(u64::from(node.watch_age_ms)),
+                watch_age: time::Duration::from_millis(u64::from(node.watch_age_ms)),
                 replicas: node.replicas,
                 serving: node.serving,
             })
         };
-        Ok(Self { nodes: check::list("status.nodes", reply.nodes, MAX_MEMBERS, decode)? })
+        Ok(Self { nodes: check::list("status.nodes", reply.nodes, link::MAX_MEMBERS, decode)? })
     }
 }
--- a/crates/wire/src/note.rs
+++ b/crates/wire/src/note.rs
@@ -9,18 +9,15 @@
 mod section;
 mod value;
 
-use std::collections::BTreeSet;
+use std::collections;
 
 use corneltrestle_kernel::ini;
-use corneltrestle_policy::changeset::{Action, Change, Changeset, Item};
-use corneltrestle_policy::release;
+use corneltrestle_policy::{changeset, release};
 use xxhash_rust::xxh3;
 
 pub use encode::encode;
 pub use error::{Error, Fault, FaultKind};
 
-use section::Reader;
-
 /// Longest text of a note; the complete declared state stays below this size too.
 pub const MAX_BYTES: usize = 256 * 1024;
 
@@ -76,23 +73,23 @@
 /// let error = note::decode("[note]\nid = n1\nbase = x\n", &Release::default()).unwrap_err();
 /// assert_eq!(error.faults[0].line, 3);
 /// ```
-pub fn decode(text: &str, present: &release::Release) -> Result<Changeset> {
+pub fn decode(text: &str, present: &release::Release) -> Result<changeset::Changeset> {
     let doc = parse(text)?;
     let mut faults = Vec::new();
     let identity = identity(&doc, &mut faults);
-    let mut seen = BTreeSet::new();
+    let mut seen = collections::BTreeSet::new();
     let mut changes = Vec::new();
     for section in &doc.sections {
         let (kind, name) = split(&section.name);
         if !seen.insert((kind, name)) {
-            Reader::new(section, &mut faults).fault(FaultKind::RepeatedSection);
+            section::Reader::new(section, &mut faults).fault(FaultKind::RepeatedSection);
         }
         if kind != "note" {
             changes.extend(change(section, present, &mut faults));
         }
     }
     let digest = digest(text);
-    finish(faults, identity.map(|(id, base)| Changeset { id, base, digest, changes }))
+    finish(faults, identity.map(|(id, base)| changeset::Changeset { id, base, digest, changes }))
 }
 
 fn parse(text: &str) -> Result<ini::Document> {
@@ -127,7 +124,7 @@
         });
         return None;
     };
-    let mut reader = Reader::new(section, faults);
+    let mut reader = section::Reader::new(section, faults);
     reader.check_keys(item::NOTE_KEYS);
     let id = reader.value("id", &value::NAME, None);
     let base = reader.value("base", &value::REVISION, None);
@@ -146,9 +143,9 @@
     section: &ini::Section,
     present: &release::Release,
     faults: &mut Vec<Fault>,
-) -> Option<Change> {
+) -> Option<changeset::Change> {
     let (kind, name) = split(&section.name);
-    let mut reader = Reader::new(section, faults);
+    let mut reader = section::Reader::new(section, faults);
     let (keys, is_declared) = match kind {
         "organisation" => (item::ORGANISATION_KEYS, present.organisations.contains_key(name)),
         "service" => (item::SERVICE_KEYS, present.services.contains_key(name)),
@@ -167,13 +164,13 @@
         reader.fault(FaultKind::SectionName);
     }
     let action = reader.value("change", &value::ACTION, None);
-    if action == Some(Action::Withdraw) {
+    if action == Some(changeset::Action::Withdraw) {
         reader.forbid_others();
     } else {
         reader.check_keys(keys);
     }
     match action {
-        Some(Action::Change) if !is_declared => {
+        Some(changeset::Action::Change) if !is_declared => {
             reader.fault(FaultKind::NotDeclared);
             reader.ignore_missing();
         }
@@ -181,36 +178,36 @@
         _ => {}
     }
     let item = read(&mut reader, kind, name, action, present)?;
-    Some(Change { line: section.line, action: action?, item })
+    Some(changeset::Change { line: section.line, action: action?, item })
 }
 
 /// Reads the item of a section with its complete new value.
 fn read(
-    reader: &mut Reader<'_>,
+    reader: &mut section::Reader<'_>,
     kind: &str,
     name: &str,
-    action: Option<Action>,
+    action: Option<changeset::Action>,
     present: &release::Release,
-) -> Option<Item> {
-    let is_change = action == Some(Action::Change);
-    let is_withdrawn = action == Some(Action::Withdraw);
+) -> Option<changeset::Item> {
+    let is_change = action == Some(changeset::Action::Change);
+    let is_withdrawn = action == Some(changeset::Action::Withdraw);
     Some(match kind {
         "organisation" => {
             let before = present.organisations.get(name).filter(|_| is_change);
             let value = unless(is_withdrawn, || item::organisation(reader, before))?;
-            Item::Organisation(name.into(), value)
+            changeset::Item::Organisation(name.into(), value)
         }
         "service" => {
             let before = present.services.get(name).filter(|_| is_change);
             let value = unless(is_withdrawn, || item::service(reader, before))?;
-            Item::Service(name.into(), value)
+            changeset::Item::Service(name.into(), value)
         }
         "group" => {
             let before = present.sets.get(name).filter(|_| is_change);
             let value = unless(is_withdrawn, || item::replica_set(reader, before))?;
-            Item::ReplicaSet(name.into(), value)
+            changeset::Item::ReplicaSet(name.into(), value)
         }
-        _ => Item::Zone(name.into(), unless(is_withdrawn, || item::zone(reader))?),
+        _ => changeset::Item::Zone(name.into(), unless(is_withdrawn, || item::zone(reader))?),
     })
 }
 
