--- a/crates/wire/src/note/encode.rs
+++ b/crates/wire/src/note/encode.rs
@@ -2,59 +2,59 @@
 
 use std::fmt::{self, Write};
 
-use corneltrestle_policy::changeset::{Action, Change, Changeset, Item};
-use corneltrestle_policy::release::{
-    Fencing, Kind, Organisation, Plain, ReplicaSet, Service, ZoneState,
+use corneltrestle_policy::{
+    changeset,
+    release::{self, Service},
 };
 
 /// Writes a note with the changes in their order.
 ///
 /// Decoding the text gives the same id, base and changes, with the lines and the digest of the
 /// new text. Lines and digest of `changeset` itself are not used.
-pub fn encode(changeset: &Changeset) -> String {
+pub fn encode(changeset: &changeset::Changeset) -> String {
     let mut out = String::new();
     // Writing to a string does not fail.
     let _ = write_all(&mut out, changeset);
     out
 }
 
-fn write_all(out: &mut String, changeset: &Changeset) -> fmt::Result {
+fn write_all(out: &mut String, changeset: &changeset::Changeset) -> fmt::Result {
     writeln!(out, "[note]\nid = {}\nbase = {}", changeset.id, changeset.base)?;
     changeset.changes.iter().try_for_each(|change| section(out, change))
 }
 
-fn section(out: &mut String, change: &Change) -> fmt::Result {
+fn section(out: &mut String, change: &changeset::Change) -> fmt::Result {
     let (kind, name) = match &change.item {
-        Item::Organisation(name, _) => ("organisation", name.as_str()),
-        Item::Service(name, _) => ("service", name.as_str()),
-        Item::ReplicaSet(name, _) => ("group", name.as_str()),
-        Item::Zone(name, _) => ("zone", name.as_str()),
+        changeset::Item::Organisation(name, _) => ("organisation", name.as_str()),
+        changeset::Item::Service(name, _) => ("service", name.as_str()),
+        changeset::Item::ReplicaSet(name, _) => ("group", name.as_str()),
+        changeset::Item::Zone(name, _) => ("zone", name.as_str()),
     };
     let action = match change.action {
-        Action::Add => "add",
-        Action::Change => "change",
-        Action::Withdraw => "withdraw",
+        changeset::Action::Add => "add",
+        changeset::Action::Change => "change",
+        changeset::Action::Withdraw => "withdraw",
     };
     writeln!(out, "\n[{kind} {name}]\nchange = {action}")?;
     match &change.item {
-        Item::Organisation(_, Some(value)) => organisation(out, value),
-        Item::Service(_, Some(value)) => service(out, value),
-        Item::ReplicaSet(_, Some(value)) => replica_set(out, value),
-        Item::Zone(_, Some(value)) => zone(out, *value),
+        changeset::Item::Organisation(_, Some(value)) => organisation(out, value),
+        changeset::Item::Service(_, Some(value)) => service(out, value),
+        changeset::Item::ReplicaSet(_, Some(value)) => replica_set(out, value),
+        changeset::Item::Zone(_, Some(value)) => zone(out, *value),
         _ => Ok(()),
     }
 }
 
-fn organisation(out: &mut String, value: &Organisation) -> fmt::Result {
-    let Organisation { key_hash, weight, rate, concurrency } = value;
+fn organisation(out: &mut String, value: &release::Organisation) -> fmt::Result {
+    let release::Organisation { key_hash, weight, rate, concurrency } = value;
     writeln!(out, "key-hash = {key_hash}\nweight = {weight}")?;
     writeln!(out, "rate = {rate}\nconcurrency = {concurrency}")
 }
 
 fn service(out: &mut String, value: &Service) -> fmt::Result {
     match &value.kind {
-        Kind::Model { model } => writeln!(out, "kind = model\nmodel = {model}")?,
-        Kind::Plain(value) => plain(out, value)?,
+        release::Kind::Model { model } => writeln!(out, "kind = model\nmodel = {model}")?,
+        release::Kind::Plain(value) => plain(out, value)?,
     }
     let targets = &value.targets;
     writeln!(out, "timeout = {}", humantime::format_duration(value.timeout))?;
@@ -66,7 +66,7 @@
     writeln!(out, "target-orders = {}", targets.orders)
 }
 
-fn plain(out: &mut String, value: &Plain) -> fmt::Result {
+fn plain(out: &mut String, value: &release::Plain) -> fmt::Result {
     let upstreams: Vec<_> =
         value.upstreams.iter().map(|(zone, address)| format!("{zone} {address}")).collect();
     let repeatable: Vec<_> =
@@ -77,10 +77,10 @@
     writeln!(out, "require-key = {}", if value.require_key { "yes" } else { "no" })
 }
 
-fn replica_set(out: &mut String, value: &ReplicaSet) -> fmt::Result {
+fn replica_set(out: &mut String, value: &release::ReplicaSet) -> fmt::Result {
     let fencing = match value.fencing {
-        Fencing::Checked => "checked",
-        Fencing::Ignored => "ignored",
+        release::Fencing::Checked => "checked",
+        release::Fencing::Ignored => "ignored",
     };
     writeln!(out, "service = {}\nzone = {}", value.service, value.zone)?;
     writeln!(out, "vms = {}\nreplicas = {}", value.vms, value.replicas)?;
@@ -89,10 +89,10 @@
     writeln!(out, "cold-limit = {}", value.cold_limit)
 }
 
-fn zone(out: &mut String, value: ZoneState) -> fmt::Result {
+fn zone(out: &mut String, value: release::ZoneState) -> fmt::Result {
     let state = match value {
-        ZoneState::In => "in",
-        ZoneState::Out => "out",
+        release::ZoneState::In => "in",
+        release::ZoneState::Out => "out",
     };
     writeln!(out, "state = {state}")
 }
--- a/crates/wire/src/note/item.rs
+++ b/crates/wire/src/note/item.rs
@@ -1,12 +1,8 @@
 //! Items of a release as sections of a note.
 
-use corneltrestle_policy::release::{
-    Fencing, Kind, Organisation, Plain, ReplicaSet, Service, Targets, ZoneState,
-};
+use corneltrestle_policy::release::{self, Service};
 
-use super::error::FaultKind;
-use super::section::Reader;
-use super::value::{self, ServiceKind};
+use super::{error, section, value};
 
 /// Work in progress that a replica bears after a cold start unless the note says otherwise.
 const COLD_LIMIT: u32 = 2;
@@ -43,15 +39,15 @@
 pub(super) const ZONE_KEYS: &[&str] = &["change", "state"];
 
 pub(super) fn organisation(
-    reader: &mut Reader<'_>,
-    present: Option<&Organisation>,
-) -> Option<Organisation> {
+    reader: &mut section::Reader<'_>,
+    present: Option<&release::Organisation>,
+) -> Option<release::Organisation> {
     let hash = present.map(|p| p.key_hash.clone());
     let key_hash = reader.value("key-hash", &value::KEY_HASH, hash);
     let weight = reader.value("weight", &value::COUNT, Some(present.map_or(1, |p| p.weight)));
     let rate = reader.value("rate", &value::COUNT, present.map(|p| p.rate));
     let concurrency = reader.value("concurrency", &value::COUNT, present.map(|p| p.concurrency));
-    Some(Organisation {
+    Some(release::Organisation {
         key_hash: key_hash?,
         weight: weight?,
         rate: rate?,
@@ -59,27 +55,33 @@
     })
 }
 
-pub(super) fn service(reader: &mut Reader<'_>, present: Option<&Service>) -> Option<Service> {
+pub(super) fn service(
+    reader: &mut section::Reader<'_>,
+    present: Option<&Service>,
+) -> Option<Service> {
     let kind = kind(reader, present.map(|p| &p.kind));
     let timeout = reader.value("timeout", &value::TIME, present.map(|p| p.timeout));
     let targets = targets(reader, present.map(|p| p.targets).unwrap_or_default());
     Some(Service { kind: kind?, timeout: timeout?, targets: targets? })
 }
 
-fn kind(reader: &mut Reader<'_>, present: Option<&Kind>) -> Option<Kind> {
+fn kind(
+    reader: &mut section::Reader<'_>,
+    present: Option<&release::Kind>,
+) -> Option<release::Kind> {
     let before = present.map(|kind| match kind {
-        Kind::Model { .. } => ServiceKind::Model,
-        Kind::Plain(_) => ServiceKind::Plain,
+        release::Kind::Model { .. } => value::ServiceKind::Model,
+        release::Kind::Plain(_) => value::ServiceKind::Plain,
     });
     match reader.value("kind", &value::KIND, before) {
-        Some(ServiceKind::Model) => {
+        Some(value::ServiceKind::Model) => {
             for key in ["prefix", "upstreams", "repeatable", "require-key"] {
-                reader.forbid(key, &FaultKind::OtherKind { kind: "plain" });
+                reader.forbid(key, &error::FaultKind::OtherKind { kind: "plain" });
             }
             model(reader, present)
         }
-        Some(ServiceKind::Plain) => {
-            reader.forbid("model", &FaultKind::OtherKind { kind: "model" });
+        Some(value::ServiceKind::Plain) => {
+            reader.forbid("model", &error::FaultKind::OtherKind { kind: "model" });
             plain(reader, present)
         }
         None => {
@@ -91,17 +93,23 @@
     }
 }
 
-fn model(reader: &mut Reader<'_>, present: Option<&Kind>) -> Option<Kind> {
+fn model(
+    reader: &mut section::Reader<'_>,
+    present: Option<&release::Kind>,
+) -> Option<release::Kind> {
     let before = match present {
-        Some(Kind::Model { model }) => Some(model.clone()),
+        Some(release::Kind::Model { model }) => Some(model.clone()),
         _ => None,
     };
-    reader.value("model", &value::TEXT, before).map(|model| Kind::Model { model })
+    reader.value("model", &value::TEXT, before).map(|model| release::Kind::Model { model })
 }
 
-fn plain(reader: &mut Reader<'_>, present: Option<&Kind>) -> Option<Kind> {
+fn plain(
+    reader: &mut section::Reader<'_>,
+    present: Option<&release::Kind>,
+) -> Option<release::Kind> {
     let before = match present {
-        Some(Kind::Plain(plain)) => Some(plain),
+        Some(release::Kind::Plain(plain)) => Some(plain),
         _ => None,
     };
     let prefix = reader.value("prefix", &value::PREFIX, before.map(|p| p.prefix.clone()));
@@ -111,7 +119,7 @@
     let repeatable = reader.value("repeatable", &value::REPEATABLE, Some(repeatable));
     let required = before.is_none_or(|p| p.require_key);
     let require_key = reader.value("require-key", &value::FLAG, Some(required));
-    Some(Kind::Plain(Plain {
+    Some(release::Kind::Plain(release::Plain {
         prefix: prefix?,
         upstreams: upstreams?,
         repeatable: repeatable?,
@@ -119,18 +127,23 @@
     }))
 }
 
-fn targets(reader: &mut Reader<'_>, before: Targets) -> Option<Targets> {
+fn targets(reader: &mut section::Reader<'_>, before: release::Targets) -> Option<release::Targets> {
     let whole = reader.value("target-whole", &value::FRACTION, Some(before.whole));
     let first = reader.value("target-first-token", &value::TIME, Some(before.first_token));
     let between = reader.value("target-between-tokens", &value::TIME, Some(before.between_tokens));
     let orders = reader.value("target-orders", &value::FRACTION, Some(before.orders));
-    Some(Targets { whole: whole?, first_token: first?, between_tokens: between?, orders: orders? })
+    Some(release::Targets {
+        whole: whole?,
+        first_token: first?,
+        between_tokens: between?,
+        orders: orders?,
+    })
 }
 
 pub(super) fn replica_set(
-    reader: &mut Reader<'_>,
-    present: Option<&ReplicaSet>,
-) -> Option<ReplicaSet> {
+    reader: &mut section::Reader<'_>,
+    present: Option<&release::ReplicaSet>,
+) -> Option<release::ReplicaSet> {
     let service = present.map(|p| p.service.to_string());
     let service = reader.value("service", &value::NAME, service);
     let zone = reader.value("zone", &value::NAME, present.map(|p| p.zone.to_string()));
@@ -141,11 +154,11 @@
     let adapter = reader.value("adapter", &value::ADAPTER, Some(adapter));
     let version = reader.value("version", &value::TEXT, present.map(|p| p.version.clone()));
     // Waiting for a confirmed release is safe for engines of both kinds.
-    let fencing = present.map_or(Fencing::Ignored, |p| p.fencing);
+    let fencing = present.map_or(release::Fencing::Ignored, |p| p.fencing);
     let fencing = reader.value("fencing", &value::FENCING, Some(fencing));
     let limit = present.map_or(COLD_LIMIT, |p| p.cold_limit);
     let cold_limit = reader.value("cold-limit", &value::COUNT, Some(limit));
-    Some(ReplicaSet {
+    Some(release::ReplicaSet {
         service: service?.as_str().into(),
         zone: zone?.as_str().into(),
         vms: vms?,
@@ -158,6 +171,6 @@
     })
 }
 
-pub(super) fn zone(reader: &mut Reader<'_>) -> Option<ZoneState> {
+pub(super) fn zone(reader: &mut section::Reader<'_>) -> Option<release::ZoneState> {
     reader.value("state", &value::STATE, None)
 }
--- a/crates/wire/src/note/section.rs
+++ b/crates/wire/src/note/section.rs
@@ -2,19 +2,18 @@
 
 use corneltrestle_kernel::ini;
 
-use super::error::{Fault, FaultKind};
-use super::value::Form;
+use super::{error, value};
 
 /// Reads the values of one section and collects its faults.
 pub(super) struct Reader<'a> {
     section: &'a ini::Section,
-    faults: &'a mut Vec<Fault>,
+    faults: &'a mut Vec<error::Fault>,
     /// Whether absent keys are faults; they are not if it is unknown which keys are needed.
     reports_missing: bool,
 }
 
 impl<'a> Reader<'a> {
-    pub(super) fn new(section: &'a ini::Section, faults: &'a mut Vec<Fault>) -> Self {
+    pub(super) fn new(section: &'a ini::Section, faults: &'a mut Vec<error::Fault>) -> Self {
         Self { section, faults, reports_missing: true }
     }
 
@@ -24,12 +23,12 @@
     }
 
     /// Adds a fault of the section.
-    pub(super) fn fault(&mut self, kind: FaultKind) {
+    pub(super) fn fault(&mut self, kind: error::FaultKind) {
         self.push(self.section.line, "", kind);
     }
 
     /// Adds a fault of `key` if it is given, once for each time.
-    pub(super) fn forbid(&mut self, key: &str, kind: &FaultKind) {
+    pub(super) fn forbid(&mut self, key: &str, kind: &error::FaultKind) {
         let section = self.section;
         for entry in section.entries.iter().filter(|entry| entry.key == key) {
             self.push(entry.line, key, kind.clone());
@@ -40,7 +39,7 @@
     pub(super) fn forbid_all(&mut self) {
         let section = self.section;
         for entry in &section.entries {
-            self.push(entry.line, &entry.key, FaultKind::NoSection);
+            self.push(entry.line, &entry.key, error::FaultKind::NoSection);
         }
     }
 
@@ -50,9 +49,9 @@
         let mut has_change = false;
         for entry in &section.entries {
             if entry.key != "change" {
-                self.push(entry.line, &entry.key, FaultKind::Withdrawn);
+                self.push(entry.line, &entry.key, error::FaultKind::Withdrawn);
             } else if std::mem::replace(&mut has_change, true) {
-                self.push(entry.line, &entry.key, FaultKind::RepeatedKey);
+                self.push(entry.line, &entry.key, error::FaultKind::RepeatedKey);
             }
         }
     }
@@ -62,18 +61,23 @@
         let section = self.section;
         for (n, entry) in section.entries.iter().enumerate() {
             if !known.contains(&entry.key.as_str()) {
-                self.push(entry.line, &entry.key, FaultKind::UnknownKey { known });
+                self.push(entry.line, &entry.key, error::FaultKind::UnknownKey { known });
             } else if section.entries[..n].iter().any(|earlier| earlier.key == entry.key) {
-                self.push(entry.line, &entry.key, FaultKind::RepeatedKey);
+                self.push(entry.line, &entry.key, error::FaultKind::RepeatedKey);
             }
         }
     }
 
     /// The value of `key`, or `absent` if the key is not given; without both it is a fault.
-    pub(super) fn value<T>(&mut self, key: &str, form: &Form<T>, absent: Option<T>) -> Option<T> {
+    pub(super) fn value<T>(
+        &mut self,
+        key: &str,
+        form: &value::Form<T>,
+        absent: Option<T>,
+    ) -> Option<T> {
         let Some(entry) = self.section.entry(key) else {
             if absent.is_none() && self.reports_missing {
-                let kind = FaultKind::Missing { expected: form.expected };
+                let kind = error::FaultKind::Missing { expected: form.expected };
                 self.push(self.section.line, key, kind);
             }
             return absent;
@@ -81,14 +85,15 @@
         let found = entry.value.trim();
         let value = (form.parse)(found);
         if value.is_none() {
-            let kind = FaultKind::Invalid { found: found.to_owned(), expected: form.expected };
+            let kind =
+                error::FaultKind::Invalid { found: found.to_owned(), expected: form.expected };
             self.push(entry.line, key, kind);
         }
         value
     }
 
-    fn push(&mut self, line: usize, key: &str, kind: FaultKind) {
+    fn push(&mut self, line: usize, key: &str, kind: error::FaultKind) {
         let section = self.section.name.clone();
-        self.faults.push(Fault { line, section, key: key.to_owned(), kind });
+        self.faults.push(error::Fault { line, section, key: key.to_owned(), kind });
     }
 }
--- a/crates/wire/src/note/value.rs
+++ b/crates/wire/src/note/value.rs
@@ -1,11 +1,8 @@
 //! Forms of the values in a note.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::{collections, net, time};
 
-use corneltrestle_policy::changeset::Action;
-use corneltrestle_policy::{id, release};
+use corneltrestle_policy::{changeset, id, release};
 
 /// Longest name in bytes; names are parts of store keys and of metric labels.
 const MAX_NAME_BYTES: usize = 64;
@@ -13,8 +10,8 @@
 /// Longest text, path or pattern in bytes.
 const MAX_TEXT_BYTES: usize = 256;
 
-const MIN_TIME: Duration = Duration::from_millis(1);
-const MAX_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+const MIN_TIME: time::Duration = time::Duration::from_millis(1);
+const MAX_TIME: time::Duration = time::Duration::from_secs(24 * 60 * 60);
 
 /// The form of a value: how it is parsed and how it is described.
 pub(super) struct Form<T> {
@@ -32,12 +29,12 @@
 pub(super) const REVISION: Form<u64> =
     Form { expected: "a revision as a whole number", parse: |text| text.parse().ok() };
 
-pub(super) const ACTION: Form<Action> = Form {
+pub(super) const ACTION: Form<changeset::Action> = Form {
     expected: "add, change or withdraw",
     parse: |text| match text {
-        "add" => Some(Action::Add),
-        "change" => Some(Action::Change),
-        "withdraw" => Some(Action::Withdraw),
+        "add" => Some(changeset::Action::Add),
+        "change" => Some(changeset::Action::Change),
+        "withdraw" => Some(changeset::Action::Withdraw),
         _ => None,
     },
 };
@@ -87,12 +84,13 @@
     parse: |text| (is_path(text) && !text.contains('*')).then(|| text.to_owned()),
 };
 
-pub(super) const UPSTREAMS: Form<Vec<(id::Zone, SocketAddr)>> = Form {
+pub(super) const UPSTREAMS: Form<Vec<(id::Zone, net::SocketAddr)>> = Form {
     expected: "a list of a zone and an address, such as a 10.0.0.1:80, b 10.0.0.2:80, \
                with each address once",
     parse: |text| {
         let upstreams = list(text, upstream)?;
-        let addresses: BTreeSet<_> = upstreams.iter().map(|(_, address)| address).collect();
+        let addresses: collections::BTreeSet<_> =
+            upstreams.iter().map(|(_, address)| address).collect();
         (!upstreams.is_empty() && addresses.len() == upstreams.len()).then_some(upstreams)
     },
 };
@@ -112,7 +110,7 @@
     },
 };
 
-pub(super) const TIME: Form<Duration> = Form {
+pub(super) const TIME: Form<time::Duration> = Form {
     expected: "a time with its unit from 1ms to 24h, such as 1500ms",
     parse: |text| {
         humantime::parse_duration(text).ok().filter(|t| (MIN_TIME..=MAX_TIME).contains(t))
@@ -178,7 +176,7 @@
     text.split(',').map(|part| parse(part.trim())).collect()
 }
 
-fn upstream(text: &str) -> Option<(id::Zone, SocketAddr)> {
+fn upstream(text: &str) -> Option<(id::Zone, net::SocketAddr)> {
     let (zone, address) = text.split_once(char::is_whitespace)?;
     let address = address.trim().parse().ok()?;
     is_name(zone).then(|| (zone.into(), address))
--- a/crates/wire/src/openai.rs
+++ b/crates/wire/src/openai.rs
@@ -1,6 +1,6 @@
 //! The parts of OpenAI messages that the system reads or writes itself.
 
-use std::borrow::Cow;
+use std::borrow;
 
 use serde::{Deserialize, Serialize};
 
@@ -12,7 +12,7 @@
 pub struct Request<'a> {
     /// The model.
     #[serde(borrow)]
-    pub model: Cow<'a, str>,
+    pub model: borrow::Cow<'a, str>,
     /// Whether the answer is streamed.
     #[serde(default)]
     pub stream: bool,
@@ -21,7 +21,7 @@
     pub messages: Vec<Message<'a>>,
     /// Prompt of a completion.
     #[serde(borrow, default)]
-    pub prompt: Cow<'a, str>,
+    pub prompt: borrow::Cow<'a, str>,
     /// Whether the body has a field `resume`, which only a node may add.
     #[serde(default, deserialize_with = "present", rename = "resume")]
     pub has_resume: bool,
@@ -36,10 +36,10 @@
 pub struct Message<'a> {
     /// Who speaks.
     #[serde(borrow)]
-    pub role: Cow<'a, str>,
+    pub role: borrow::Cow<'a, str>,
     /// The text.
     #[serde(borrow, default)]
-    pub content: Cow<'a, str>,
+    pub content: borrow::Cow<'a, str>,
 }
 
 /// One event of a streamed answer.
@@ -47,13 +47,13 @@
 pub struct Chunk<'a> {
     /// Identifier of the answer.
     #[serde(borrow)]
-    pub id: Cow<'a, str>,
+    pub id: borrow::Cow<'a, str>,
     /// `chat.completion.chunk` or `text_completion`.
     #[serde(borrow)]
-    pub object: Cow<'a, str>,
+    pub object: borrow::Cow<'a, str>,
     /// The model.
     #[serde(borrow, default)]
-    pub model: Cow<'a, str>,
+    pub model: borrow::Cow<'a, str>,
     /// The choices; engines send one.
     #[serde(borrow)]
     pub choices: Vec<Choice<'a>>,
@@ -69,10 +69,10 @@
     pub delta: Option<Delta<'a>>,
     /// New text of a completion.
     #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
-    pub text: Option<Cow<'a, str>>,
+    pub text: Option<borrow::Cow<'a, str>>,
     /// Why the answer ended, in its last event.
     #[serde(borrow, default)]
-    pub finish_reason: Option<Cow<'a, str>>,
+    pub finish_reason: Option<borrow::Cow<'a, str>>,
 }
 
 /// New text of a chat.
@@ -80,7 +80,7 @@
 pub struct Delta<'a> {
     /// The text.
     #[serde(borrow, default)]
-    pub content: Cow<'a, str>,
+    pub content: borrow::Cow<'a, str>,
 }
 
 /// The error form of every answer that is not the upstream's own.
@@ -96,13 +96,13 @@
 pub struct ErrorInfo<'a> {
     /// Stable code, for example `overloaded`.
     #[serde(borrow)]
-    pub code: Cow<'a, str>,
+    pub code: borrow::Cow<'a, str>,
     /// A sentence for people.
     #[serde(borrow)]
-    pub message: Cow<'a, str>,
+    pub message: borrow::Cow<'a, str>,
     /// The step at which the request ended.
     #[serde(borrow)]
-    pub step: Cow<'a, str>,
+    pub step: borrow::Cow<'a, str>,
     /// Milliseconds after which a retry makes sense.
     #[serde(skip_serializing_if = "Option::is_none", default)]
     pub retry_after_ms: Option<u64>,
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -7,7 +7,7 @@
 
 pub use decoder::{Decoder, Event, TooLarge};
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::BufMut;
 
 /// Data of the event that marks a complete answer.
 pub const DONE: &str = "[DONE]";
@@ -20,13 +20,13 @@
 /// let event = corneltrestle_wire::sse::encode("r1/0", b"{}");
 /// assert_eq!(&event[..], b"id: r1/0\ndata: {}\n\n");
 /// ```
-pub fn encode(id: &str, data: &[u8]) -> Bytes {
-    encode_in(&mut BytesMut::new(), id, data)
+pub fn encode(id: &str, data: &[u8]) -> bytes::Bytes {
+    encode_in(&mut bytes::BytesMut::new(), id, data)
 }
 
 /// Encodes an event with an id in a buffer that a stream keeps for all its events, so that most
 /// events need no allocation.
-pub fn encode_in(buffer: &mut BytesMut, id: &str, data: &[u8]) -> Bytes {
+pub fn encode_in(buffer: &mut bytes::BytesMut, id: &str, data: &[u8]) -> bytes::Bytes {
     buffer.reserve(id.len() + data.len() + 14);
     if !id.is_empty() {
         buffer.put_slice(b"id: ");
@@ -40,8 +40,8 @@
 }
 
 /// Encodes an event of another type than a message, for example `error`.
-pub fn encode_named(event: &str, data: &[u8]) -> Bytes {
-    let mut out = BytesMut::with_capacity(event.len() + data.len() + 17);
+pub fn encode_named(event: &str, data: &[u8]) -> bytes::Bytes {
+    let mut out = bytes::BytesMut::with_capacity(event.len() + data.len() + 17);
     out.put_slice(b"event: ");
     out.put_slice(event.as_bytes());
     out.put_slice(b"\ndata: ");
--- a/crates/wire/src/sse/decoder.rs
+++ b/crates/wire/src/sse/decoder.rs
@@ -2,8 +2,6 @@
 
 use std::{fmt, mem};
 
-use bytes::{Bytes, BytesMut};
-
 /// Decodes events from the parts of a body, with bounded memory.
 ///
 /// The fields of an event are slices of the part that holds it; only an event that spans several
@@ -25,9 +23,9 @@
 #[derive(Debug)]
 pub struct Decoder {
     /// Events that lie in one part.
-    whole: Bytes,
+    whole: bytes::Bytes,
     /// The beginning of an event that spans parts; `whole` is empty meanwhile.
-    partial: BytesMut,
+    partial: bytes::BytesMut,
     /// Start of the first line of `partial` that has not ended.
     line: usize,
     max: usize,
@@ -37,11 +35,11 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Event {
     /// Its id; empty if it has none.
-    pub id: Bytes,
+    pub id: bytes::Bytes,
     /// Its type; empty for a message.
-    pub name: Bytes,
+    pub name: bytes::Bytes,
     /// Its data.
-    pub data: Bytes,
+    pub data: bytes::Bytes,
 }
 
 /// An event is larger than the limit.
@@ -62,11 +60,11 @@
 impl Decoder {
     /// A decoder of events of at most `max` bytes.
     pub fn new(max: usize) -> Self {
-        Self { whole: Bytes::new(), partial: BytesMut::new(), line: 0, max }
+        Self { whole: bytes::Bytes::new(), partial: bytes::BytesMut::new(), line: 0, max }
     }
 
     /// Adds a part of the body.
-    pub fn feed(&mut self, part: Bytes) {
+    pub fn feed(&mut self, part: bytes::Bytes) {
         if self.whole.is_empty() && self.partial.is_empty() {
             self.whole = part;
         } else {
@@ -140,7 +138,7 @@
     Err(line)
 }
 
-fn parse(block: &Bytes) -> Option<Event> {
+fn parse(block: &bytes::Bytes) -> Option<Event> {
     let mut event = Event::default();
     let mut found = false;
     let mut rest = &block[..];
@@ -164,6 +162,6 @@
     Some(value.strip_prefix(b" ").unwrap_or(value))
 }
 
-fn join(data: &[u8], line: &[u8]) -> Bytes {
+fn join(data: &[u8], line: &[u8]) -> bytes::Bytes {
     [data, line].join(&b'\n').into()
 }
