--- a/crates/measure/src/process.rs
+++ b/crates/measure/src/process.rs
@@ -2,8 +2,11 @@
 
 use std::{fs, io, time};
 
+use corneltrestle_kernel::pool;
 use tokio::runtime;
 
+use crate::scenario;
+
 /// Resident memory of this process in bytes; 0 if it cannot be read.
 pub fn resident_bytes() -> u64 {
     let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
@@ -38,6 +41,24 @@
         .build()
 }
 
+/// Workers of a scenario.
+const WORKERS: usize = 4;
+/// Time that jobs get to end after a scenario.
+const END: time::Duration = time::Duration::from_secs(2);
+
+/// Runs a scenario on workers of its own.
+///
+/// # Errors
+///
+/// When the workers cannot be spawned, or the scenario's own error.
+pub fn wait<T>(scenario: impl Future<Output = scenario::Result<T>>) -> scenario::Result<T> {
+    let pool = pool::Pool::spawn(WORKERS)
+        .map_err(|e| scenario::Error::Failed { step: "start workers", cause: e.to_string() })?;
+    let result = pool.wait(scenario);
+    pool.shutdown(END);
+    result
+}
+
 /// The value below which the part `part` of `values` lies; 0 without values.
 pub fn quantile(values: &mut [f64], part: f64) -> f64 {
     values.sort_by(f64::total_cmp);
--- a/crates/measure/src/scenario/cold_start.rs
+++ b/crates/measure/src/scenario/cold_start.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use corneltrestle_kernel::{
-    linkme, pool,
+    linkme,
     table::{self, Ranked},
 };
 use corneltrestle_standin::engine;
@@ -11,7 +11,7 @@
 
 use super::Result;
 use crate::{
-    report, scenario,
+    process, report, scenario,
     traffic::{self, Route},
 };
 
@@ -59,11 +59,7 @@
 }
 
 fn run(options: &scenario::Options) -> Result<report::Report> {
-    let pool = pool::Pool::spawn(4)
-        .map_err(|e| scenario::Error::Failed { step: "start workers", cause: e.to_string() })?;
-    let report = pool.wait(measure(options));
-    pool.shutdown(time::Duration::from_secs(2));
-    report
+    process::wait(measure(options))
 }
 
 async fn measure(options: &scenario::Options) -> Result<report::Report> {
--- a/crates/measure/src/scenario/group_loss.rs
+++ b/crates/measure/src/scenario/group_loss.rs
@@ -3,13 +3,13 @@
 use std::{collections, sync, time};
 
 use corneltrestle_engine::engine::{self as client, Engine};
-use corneltrestle_kernel::{linkme, pool};
+use corneltrestle_kernel::linkme;
 use corneltrestle_policy::{assignment, id, report};
 use corneltrestle_standin::engine;
 use rand::{Rng, SeedableRng};
 
 use super::Result;
-use crate::{report::Report, scenario, traffic};
+use crate::{process, report::Report, scenario, traffic};
 
 #[linkme::distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
@@ -58,11 +58,7 @@
 }
 
 fn run(options: &scenario::Options) -> Result<Report> {
-    let pool = pool::Pool::spawn(4)
-        .map_err(|e| scenario::Error::Failed { step: "start workers", cause: e.to_string() })?;
-    let report = pool.wait(measure(options));
-    pool.shutdown(time::Duration::from_secs(2));
-    report
+    process::wait(measure(options))
 }
 
 async fn measure(options: &scenario::Options) -> Result<Report> {
--- a/crates/measure/src/scenario/orders.rs
+++ b/crates/measure/src/scenario/orders.rs
@@ -4,7 +4,7 @@
 use std::{collections, net, sync, time};
 
 use corneltrestle_kernel::{
-    linkme, pool,
+    linkme,
     table::{self, Ranked},
 };
 use corneltrestle_local::caller;
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::Result;
-use crate::{report, scenario, traffic};
+use crate::{process, report, scenario, traffic};
 
 #[linkme::distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
@@ -116,11 +116,7 @@
 }
 
 fn run(options: &scenario::Options) -> Result<report::Report> {
-    let pool = pool::Pool::spawn(4)
-        .map_err(|e| scenario::Error::Failed { step: "start workers", cause: e.to_string() })?;
-    let report = pool.wait(measure(options));
-    pool.shutdown(time::Duration::from_secs(2));
-    report
+    process::wait(measure(options))
 }
 
 async fn measure(options: &scenario::Options) -> Result<report::Report> {
--- a/crates/measure/src/scenario/zone_move.rs
+++ b/crates/measure/src/scenario/zone_move.rs
@@ -3,13 +3,13 @@
 
 use std::{sync, time};
 
-use corneltrestle_kernel::{linkme, pool};
+use corneltrestle_kernel::linkme;
 use corneltrestle_node::operate;
 use corneltrestle_policy::vm;
 use corneltrestle_standin::engine;
 
 use super::Result;
-use crate::{report, scenario, traffic};
+use crate::{process, report, scenario, traffic};
 
 #[linkme::distributed_slice(scenario::SCENARIOS)]
 #[linkme(crate = linkme)]
@@ -69,11 +69,7 @@
 }
 
 fn run(options: &scenario::Options) -> Result<report::Report> {
-    let pool = pool::Pool::spawn(4)
-        .map_err(|e| scenario::Error::Failed { step: "start workers", cause: e.to_string() })?;
-    let report = pool.wait(measure(options));
-    pool.shutdown(time::Duration::from_secs(2));
-    report
+    process::wait(measure(options))
 }
 
 async fn measure(options: &scenario::Options) -> Result<report::Report> {
