Name the start id that a request is meant for

Cause: a node without a request at a replica learns of a sudden cold restart only from the next report, and sent work above the bound until then. Ruled out: a push of the new start id, which still leaves the time until the next poll. Change: a generation carries the start id of the latest report, and an engine that has started again refuses it before it runs; the node then waits for newer reports, as after any 409.

--- a/crates/engine/src/engine/http/request.rs
+++ b/crates/engine/src/engine/http/request.rs
@@ -51,6 +51,7 @@
         .header(http::REQUEST_ID, wanted.id)
         .header("x-replica", wanted.replica.to_string())
         .header("x-epoch", wanted.epoch)
+        .header("x-start", wanted.start)
         .header("x-priority", u16::from(wanted.priority))
         .header("x-deadline-ms", left)
         .body(http_body_util::Full::new(body))
--- a/crates/engine/src/engine/request.rs
+++ b/crates/engine/src/engine/request.rs
@@ -15,6 +15,9 @@
     pub replica: &'a id::Replica,
     /// Epoch of that replica.
     pub epoch: u64,
+    /// Start id of the engine that the request is meant for, by its latest report; 0 for any. An
+    /// engine that has started again refuses the request before it runs: it may be cold.
+    pub start: u64,
     /// Priority; higher goes first.
     pub priority: u8,
     /// Time left until the caller's deadline.
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -67,7 +67,7 @@
     resume: Option<Resume<'a>>,
 ) -> Generate<'a> {
     let path = "/v1/completions";
-    Generate { path, id: "r1", replica, epoch: 7, priority: 3, left: LIMIT, body, resume }
+    Generate { path, id: "r1", replica, epoch: 7, start: 9, priority: 3, left: LIMIT, body, resume }
 }
 
 #[test_case(stream("id: r1/0\ndata: a\n\nid: r1/1\ndata: b\n\ndata: [DONE]\n\n"), &["a", "b"], None; "complete")]
@@ -117,7 +117,14 @@
     let found = run(&open(), server.address, body, Some(resume)).await;
     assert_eq!(found, (vec!["e".to_owned()], None));
     let request = &server.requests()[0];
-    for part in ["x-request-id: r1", "x-replica: chat/2", "x-epoch: 7", "x-priority: 3", expected] {
+    for part in [
+        "x-request-id: r1",
+        "x-replica: chat/2",
+        "x-epoch: 7",
+        "x-start: 9",
+        "x-priority: 3",
+        expected,
+    ] {
         assert!(request.contains(part), "{part} in {request}");
     }
 }
--- a/crates/node/src/pipeline/borrow.rs
+++ b/crates/node/src/pipeline/borrow.rs
@@ -35,7 +35,6 @@
 /// A cold replica and the nodes that hold its slots.
 struct Cold {
     target: choose::Target,
-    start: u64,
     lenders: Vec<net::SocketAddr>,
 }
 
@@ -52,7 +51,7 @@
             node: self.identity.node.clone(),
             replica: replica.id.clone(),
             epoch: replica.epoch,
-            start: cold.start,
+            start: cold.target.start,
             left: request.deadline.since(self.now()),
         };
         for lender in &cold.lenders {
@@ -70,7 +69,7 @@
             }
             let mut dispatched = self.tables.dispatched.lock();
             let loan = Some(loan);
-            let begun = self.begin(&mut dispatched, &cold.target, cold.start, request, loan, now);
+            let begun = self.begin(&mut dispatched, &cold.target, request, loan, now);
             drop(dispatched);
             return Some((cold.target, begun));
         }
@@ -111,10 +110,10 @@
         Some(Cold {
             target: choose::Target {
                 replica: sync::Arc::new(chosen.replica.clone()),
+                start,
                 zone: chosen.zone.clone(),
                 head: chosen.replica.head()?.address,
             },
-            start,
             lenders: lenders.filter_map(|node| Some(view.get(node)?.address)).collect(),
         })
     }
--- a/crates/node/src/pipeline/choose.rs
+++ b/crates/node/src/pipeline/choose.rs
@@ -22,6 +22,8 @@
 pub(super) struct Target {
     /// The replica with its epoch and members.
     pub replica: sync::Arc<assignment::Replica>,
+    /// Start id of its head VM, by its latest report.
+    pub start: u64,
     /// Its zone.
     pub zone: id::Zone,
     /// Address of its head VM.
@@ -66,6 +68,7 @@
             id: &request.id,
             replica: &self.replica.id,
             epoch: self.replica.epoch,
+            start: self.start,
             priority: u8::from(request.interactive),
             left: request.deadline.since(now),
             body: &request.body,
@@ -141,11 +144,11 @@
         let Found { replica, zone, head, .. } = &found[chosen];
         let target = Target {
             replica: sync::Arc::new((*replica).clone()),
+            start: head.report.start,
             zone: (*zone).clone(),
             head: replica.head()?.address,
         };
-        let start = head.report.start;
-        let in_progress = self.begin(&mut dispatched, &target, start, request, None, now);
+        let in_progress = self.begin(&mut dispatched, &target, request, None, now);
         Some((target, in_progress))
     }
 
@@ -154,14 +157,13 @@
         &self,
         dispatched: &mut dispatched::Dispatched,
         target: &Target,
-        start: u64,
         request: &request::Generation,
         loan: Option<borrow::Loan<L>>,
         now: moment::Moment,
     ) -> InProgress<L> {
         let replica = &target.replica.id;
         dispatched.begin(replica, now);
-        dispatched.history.dispatched(replica, start, &request.prefixes, now);
+        dispatched.history.dispatched(replica, target.start, &request.prefixes, now);
         InProgress {
             table: sync::Arc::clone(&self.tables.dispatched),
             replica: replica.clone(),
--- a/crates/standin/src/engine/generate.rs
+++ b/crates/standin/src/engine/generate.rs
@@ -52,6 +52,10 @@
     "not-member",
     "not the head of this replica at this epoch",
 );
+const RESTARTED: Refusal =
+    Refusal(hyper::StatusCode::CONFLICT, "restarted", "meant for an earlier start of the engine");
+/// Start id of a request that any start of the engine may run.
+const ANY_START: u64 = 0;
 const INCOMPLETE: Refusal =
     Refusal(hyper::StatusCode::SERVICE_UNAVAILABLE, "incomplete", "a member is loading or lost");
 const INVALID: Refusal = Refusal(hyper::StatusCode::BAD_REQUEST, "invalid", "body not understood");
@@ -138,6 +142,10 @@
         if !named || epoch != Some(member.epoch) || member.rank != 0 {
             return Err(NOT_MEMBER);
         }
+        let meant = call.header("x-start").parse().unwrap_or(ANY_START);
+        if meant != ANY_START && meant != engine.state.lock().start {
+            return Err(RESTARTED);
+        }
         if !engine.config.fabric.complete(&engine.config.vm, &member) {
             return Err(INCOMPLETE);
         }
--- a/crates/standin/tests/contract/engine.rs
+++ b/crates/standin/tests/contract/engine.rs
@@ -137,6 +137,21 @@
     assert_eq!(answer.unwrap().status.as_u16(), status);
 }
 
+/// Guards against work on a cold engine from a caller that has not heard of its restart.
+#[tokio::test]
+async fn request_for_an_earlier_start_is_refused() {
+    let (client, engines) = replica(1, Config::default()).await;
+    let start = engines[0].api().report().start;
+    for (meant, status) in [(start, 200), (start ^ 1, 409), (0, 200)] {
+        let meant = meant.to_string();
+        let headers =
+            [("x-request-id", "r"), ("x-replica", "g/0"), ("x-epoch", "1"), ("x-start", &meant)];
+        let peer = engines[0].address();
+        let answer = client.call(Method::POST, peer, "/v1/completions", &headers, &prompt(1)).await;
+        assert_eq!(answer.unwrap().status.as_u16(), status, "{meant}");
+    }
+}
+
 #[test_case(join(1, "g", 1, 0, 1), "accepted"; "the same join again")]
 #[test_case(join(2, "g", 2, 0, 1), "accepted"; "a later epoch")]
 #[test_case(join(2, "g", 0, 0, 1), "refused"; "an earlier epoch")]
