Move the store traits and the accept loop into crates without plug-ins

A second daemon needs the traits of the store and the accept loop without the etcd client and the OpenAI front end, whose plug-ins register themselves when their crate is linked. crates/infra holds the traits and the call budget, crates/etcd the clients, crates/server the accept loop with its limits.

--- a/crates/corneltrestle/src/lib.rs
+++ b/crates/corneltrestle/src/lib.rs
@@ -17,12 +17,13 @@
 pub mod command;
 
 pub use corneltrestle_engine as engine;
+pub use corneltrestle_etcd as etcd;
 pub use corneltrestle_http as http;
+pub use corneltrestle_infra as infra;
 pub use corneltrestle_kernel as kernel;
 pub use corneltrestle_local as local;
 pub use corneltrestle_measure as measure;
 pub use corneltrestle_node as node;
-pub use corneltrestle_platform as platform;
 pub use corneltrestle_policy as policy;
 pub use corneltrestle_time as time;
 pub use corneltrestle_wire as wire;
--- a/crates/platform/src/vms/discovery.rs
+++ b/crates/etcd/src/discovery.rs
@@ -11,8 +11,7 @@
     de::{self, Error as _},
 };
 
-use super::{Result, Vms};
-use crate::vms;
+use corneltrestle_infra::vms::{self, Result, Vms};
 
 /// Largest list: about 250 bytes for each of 10,000 VMs, with room for labels that are not read.
 const MAX_LIST_BYTES: usize = 8_000_000;
--- a/crates/platform/src/vms/discovery/port.rs
+++ b/crates/etcd/src/discovery/port.rs
@@ -4,7 +4,7 @@
 
 use corneltrestle_kernel::{host, linkme, plugin, settings};
 
-use crate::vms::discovery;
+use crate::discovery;
 
 static SECTION: settings::Section = settings::Section {
     name: "vms",
--- a/crates/platform/src/store/etcd.rs
+++ b/crates/etcd/src/gateway.rs
@@ -11,11 +11,10 @@
 use hyper::header;
 use serde::{Serialize, de::DeserializeOwned};
 
-use super::{
-    Result, Store,
+use corneltrestle_infra::store::{
+    self, Result, Store,
     limiter::{self, Limiter, Permit},
 };
-use crate::store;
 
 pub use port::NodeStore;
 pub use watch::EtcdWatch;
--- a/crates/platform/src/store/etcd/message.rs
+++ b/crates/etcd/src/gateway/message.rs
@@ -9,7 +9,7 @@
     ser,
 };
 
-use crate::store;
+use corneltrestle_infra::store;
 
 /// Bytes that are sent as base64.
 #[derive(Clone, Copy)]
--- a/crates/platform/src/store/etcd/port.rs
+++ b/crates/etcd/src/gateway/port.rs
@@ -4,10 +4,12 @@
 
 use corneltrestle_kernel::{host, linkme, plugin, settings};
 
-use crate::store::{budget, etcd};
+use corneltrestle_infra::store::budget;
+
+use crate::gateway;
 
 /// The store as nodes use it.
-pub type NodeStore = etcd::EtcdStore<budget::Budget>;
+pub type NodeStore = gateway::EtcdStore<budget::Budget>;
 
 static SECTION: settings::Section = settings::Section {
     name: "store",
@@ -47,13 +49,13 @@
 
 fn open(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let settings = host.settings.section(SECTION.name);
-    let config = etcd::Config {
+    let config = gateway::Config {
         timeout: settings.span("timeout"),
-        ..etcd::Config::new(settings.address("address"))
+        ..gateway::Config::new(settings.address("address"))
     };
     let rate = |key| settings.count(key) as f64;
     let budget = budget::Budget::open(host, rate("order-rate"), rate("other-rate"));
-    let store: NodeStore = etcd::EtcdStore::with_limiter(config, budget);
+    let store: NodeStore = gateway::EtcdStore::with_limiter(config, budget);
     host.provide(sync::Arc::new(store));
     Ok(plugin::Handle::idle())
 }
--- a/crates/platform/src/store/etcd/watch.rs
+++ b/crates/etcd/src/gateway/watch.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::{Link, MAX_ANSWER_BYTES, message, request};
-use crate::store::{self, Result, Watch};
+use corneltrestle_infra::store::{self, Result, Watch};
 
 /// A waiting watch. It holds its permit until it is dropped.
 #[derive(Debug)]
--- a/crates/platform/tests/discovery.rs
+++ b/crates/etcd/tests/discovery.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use corneltrestle_platform::vms::Vms;
-use corneltrestle_platform::vms::discovery::{Config, HttpVms};
+use corneltrestle_etcd::discovery::{Config, HttpVms};
+use corneltrestle_infra::vms::Vms;
 use corneltrestle_policy::vm;
 use scripted::Step::{Read, Stall, Write};
 use scripted::{Scripted, Step, answer, refusing};
--- a/crates/platform/tests/etcd.rs
+++ b/crates/etcd/tests/etcd.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use corneltrestle_platform::store::etcd::{Config, EtcdStore, EtcdWatch};
-use corneltrestle_platform::store::{Class, Event, Kind, Store, Swap, Versioned, Watch};
+use corneltrestle_etcd::gateway::{Config, EtcdStore, EtcdWatch};
+use corneltrestle_infra::store::{Class, Event, Kind, Store, Swap, Versioned, Watch};
 use scripted::Step::{Read, Stall, Write};
 use scripted::{Scripted, Step, answer, refusing};
 use test_case::test_case;
--- a/crates/platform/tests/ports.rs
+++ b/crates/etcd/tests/ports.rs
@@ -1,8 +1,8 @@
 //! Guards against ports that are not registered, or that do not read their settings.
 
+use corneltrestle_etcd::discovery::HttpVms;
+use corneltrestle_etcd::gateway::NodeStore;
 use corneltrestle_kernel::{host, pool, settings};
-use corneltrestle_platform::store::etcd::NodeStore;
-use corneltrestle_platform::vms::discovery::HttpVms;
 
 const SETTINGS: &str = "[store]\naddress = 127.0.0.1:2379\n[vms]\naddress = 127.0.0.1:9000\n";
 
--- a/crates/http/src/callers.rs
+++ b/crates/http/src/callers.rs
@@ -12,14 +12,17 @@
     engine::{self, Engine},
     service::{self, Service},
 };
+use corneltrestle_etcd::gateway;
+use corneltrestle_infra::store::Store;
 use corneltrestle_kernel::{host, linkme, plugin, settings};
 use corneltrestle_node::{
     link::{Link, port},
     pipeline,
 };
-use corneltrestle_platform::store::{self, Store};
 
-use crate::{intake, request_id, server};
+use corneltrestle_server as server;
+
+use crate::{intake, refuse, request_id};
 
 /// Settings of the front end for callers.
 pub static SECTION: settings::Section = settings::Section {
@@ -74,7 +77,7 @@
     open: open::<
         engine::http::HttpEngine,
         service::http::HttpService,
-        store::etcd::NodeStore,
+        gateway::NodeStore,
         port::NodeLink,
     >,
 };
@@ -104,5 +107,5 @@
             let router = sync::Arc::clone(&router);
             async move { Ok(router.handle(request).await) }
         });
-    server::bind(host, "callers", callers.address("address"), limits, service)
+    server::bind(host, "callers", callers.address("address"), move || limits, service, refuse::Json)
 }
--- a/crates/http/src/callers/generate.rs
+++ b/crates/http/src/callers/generate.rs
@@ -3,6 +3,7 @@
 use std::{sync, time};
 
 use corneltrestle_engine::{engine::Engine, service::Service};
+use corneltrestle_infra::store::Store;
 use corneltrestle_node::{
     link::Link,
     pipeline::{
@@ -11,7 +12,6 @@
         request,
     },
 };
-use corneltrestle_platform::store::Store;
 use corneltrestle_policy::{id, prefix, release};
 use corneltrestle_wire::{openai, sse};
 use http_body_util::channel;
--- a/crates/http/src/callers/plain.rs
+++ b/crates/http/src/callers/plain.rs
@@ -4,6 +4,7 @@
     engine::Engine,
     service::{self, Service},
 };
+use corneltrestle_infra::store::Store;
 use corneltrestle_node::{
     link::Link,
     pipeline::{
@@ -11,7 +12,6 @@
         request,
     },
 };
-use corneltrestle_platform::store::Store;
 use corneltrestle_policy::{id, release};
 use hyper::{body::Incoming, header};
 
--- a/crates/http/src/callers/router.rs
+++ b/crates/http/src/callers/router.rs
@@ -3,6 +3,7 @@
 use std::{sync, time};
 
 use corneltrestle_engine::{engine::Engine, service::Service};
+use corneltrestle_infra::store::Store;
 use corneltrestle_kernel::{host, run};
 use corneltrestle_node::{
     link::Link,
@@ -11,7 +12,6 @@
         refusal::{self, Result},
     },
 };
-use corneltrestle_platform::store::Store;
 use corneltrestle_time::moment;
 use hyper::body::Incoming;
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,5 +9,5 @@
 pub mod callers;
 mod intake;
 pub mod operators;
+mod refuse;
 mod request_id;
-pub mod server;
--- a/crates/http/src/operators.rs
+++ b/crates/http/src/operators.rs
@@ -4,14 +4,17 @@
 
 use std::sync;
 
+use corneltrestle_etcd::gateway;
+use corneltrestle_infra::store::Store;
 use corneltrestle_kernel::{host, linkme, plugin, settings};
 use corneltrestle_node::{
     identity,
     link::{Link, port},
 };
-use corneltrestle_platform::store::{self, Store};
 
-use crate::{request_id, server};
+use corneltrestle_server as server;
+
+use crate::{refuse, request_id};
 
 /// Settings of the front end for operators.
 pub static SECTION: settings::Section = settings::Section {
@@ -38,7 +41,7 @@
     kind: plugin::Kind::FrontEnd,
     section: Some(&SECTION),
     check: plugin::unchecked,
-    open: open::<store::etcd::NodeStore, port::NodeLink>,
+    open: open::<gateway::NodeStore, port::NodeLink>,
 };
 
 fn open<S: Store, L: Link>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
@@ -50,7 +53,7 @@
             async move { Ok(handler.handle(request).await) }
         });
     let address = host.settings.section("operators").address("address");
-    server::bind(host, "operators", address, server::Limits::default(), service)
+    server::bind(host, "operators", address, server::Limits::default, service, refuse::Json)
 }
 
 /// The process's metrics; several nodes in one process share them.
--- a/crates/http/src/operators/handler.rs
+++ b/crates/http/src/operators/handler.rs
@@ -2,6 +2,7 @@
 
 use std::{sync, time};
 
+use corneltrestle_infra::store::Store;
 use corneltrestle_kernel::{host, plugin};
 use corneltrestle_node::{
     counts, identity,
@@ -10,7 +11,6 @@
     pipeline::refusal::{self, Result},
     tables,
 };
-use corneltrestle_platform::store::Store;
 use hyper::{body::Incoming, header};
 use subtle::ConstantTimeEq;
 
--- /dev/null
+++ b/crates/http/src/refuse.rs
@@ -0,0 +1,58 @@
+//! Refusals of connections without a complete request.
+
+use corneltrestle_node::pipeline::refusal;
+use corneltrestle_server::refuse::{self, Cause};
+use hyper::header;
+
+use crate::{answer, body};
+
+/// Refusals in the JSON form of all answers of this system.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Json;
+
+impl refuse::Refuse for Json {
+    type Body = body::Body;
+
+    fn header_too_large(&self, message: &str) -> hyper::Response<body::Body> {
+        let refusal = refusal::Refusal::not_run(refusal::Code::HeaderTooLarge, "receive", message);
+        let mut response = answer::refusal(&refusal);
+        let id = format!("{:032x}", rand::random::<u128>());
+        if let Ok(id) = header::HeaderValue::try_from(id) {
+            response.headers_mut().insert(answer::REQUEST_ID, id);
+        }
+        response
+    }
+
+    fn without_request(&self, cause: Cause) -> Vec<u8> {
+        match cause {
+            Cause::HeaderLate => {
+                let message = "the header of the request did not arrive whole in time";
+                let code = refusal::Code::RequestTimeout;
+                whole("408 Request Timeout", &refusal::Refusal::not_run(code, "receive", message))
+            }
+            Cause::Connections => {
+                let message = "the node has too many connections";
+                let code = refusal::Code::Overloaded;
+                whole(
+                    "503 Service Unavailable",
+                    &refusal::Refusal::not_run(code, "accept", message),
+                )
+            }
+        }
+    }
+}
+
+/// A complete answer as bytes, for connections on which hyper has no request to answer.
+fn whole(status: &str, refusal: &refusal::Refusal) -> Vec<u8> {
+    let body = serde_json::to_vec(&answer::error_body(refusal)).unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
+         {}: {}\r\n{}: {:032x}\r\nconnection: close\r\n\r\n",
+        body.len(),
+        answer::OUTCOME,
+        refusal.outcome.as_str(),
+        answer::REQUEST_ID,
+        rand::random::<u128>(),
+    );
+    [head.into_bytes(), body].concat()
+}
--- a/crates/platform/src/store.rs
+++ b/crates/infra/src/store.rs
@@ -2,8 +2,7 @@
 
 pub mod budget;
 mod error;
-pub mod etcd;
-mod limiter;
+pub mod limiter;
 
 use std::time;
 
--- a/crates/platform/src/vms.rs
+++ b/crates/infra/src/vms.rs
@@ -1,7 +1,5 @@
 //! The list of live and leaving VMs; it lags.
 
-pub mod discovery;
-
 use corneltrestle_policy::vm;
 
 /// The result of reading the list.
--- a/crates/measure/src/scenario/config/poll.rs
+++ b/crates/measure/src/scenario/config/poll.rs
@@ -6,7 +6,8 @@
     time,
 };
 
-use corneltrestle_platform::store::{self, Store, etcd};
+use corneltrestle_etcd::gateway;
+use corneltrestle_infra::store::{self, Store};
 use corneltrestle_policy::release;
 use corneltrestle_wire::{key, stored};
 use tokio::{runtime, task};
@@ -63,7 +64,7 @@
     seen: sync::Arc<atomic::AtomicU64>,
     calls: sync::Arc<atomic::AtomicU64>,
 ) {
-    let client = etcd::EtcdStore::open(etcd::Config::new(store));
+    let client = gateway::EtcdStore::open(gateway::Config::new(store));
     let mut due = tokio::time::interval_at(tokio::time::Instant::now() + phase, PERIOD);
     loop {
         due.tick().await;
--- a/crates/node/src/duty/assign.rs
+++ b/crates/node/src/duty/assign.rs
@@ -6,8 +6,9 @@
 use std::{sync, time};
 
 use corneltrestle_engine::engine::{self, Engine};
+use corneltrestle_etcd::gateway;
+use corneltrestle_infra::store::{self, Store};
 use corneltrestle_kernel::{host, linkme, plugin, run};
-use corneltrestle_platform::store::{self, Store};
 use corneltrestle_policy::{assignment, plan, vm};
 use corneltrestle_time::moment;
 use corneltrestle_wire::{key, stored};
@@ -26,7 +27,7 @@
     kind: plugin::Kind::Duty,
     section: None,
     check: plugin::unchecked,
-    open: open::<store::etcd::NodeStore, engine::http::HttpEngine>,
+    open: open::<gateway::NodeStore, engine::http::HttpEngine>,
 };
 
 /// The duty with what it works on.
--- a/crates/node/src/duty/assign/lease.rs
+++ b/crates/node/src/duty/assign/lease.rs
@@ -1,7 +1,7 @@
 //! The zone lease: acquisition, renewal and release.
 
 use corneltrestle_engine::engine::Engine;
-use corneltrestle_platform::store::{self, Store};
+use corneltrestle_infra::store::{self, Store};
 use corneltrestle_policy::lease;
 use corneltrestle_time::moment;
 use corneltrestle_wire::{key, stored};
--- a/crates/node/src/duty/assign/orders.rs
+++ b/crates/node/src/duty/assign/orders.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use corneltrestle_engine::engine::{self, Engine};
-use corneltrestle_platform::store::Store;
+use corneltrestle_infra::store::Store;
 use corneltrestle_policy::{id, plan, release};
 
 use crate::duty::assign;
--- a/crates/node/src/duty/discover.rs
+++ b/crates/node/src/duty/discover.rs
@@ -2,8 +2,9 @@
 
 use std::{sync, time};
 
+use corneltrestle_etcd::discovery;
+use corneltrestle_infra::vms::Vms;
 use corneltrestle_kernel::{host, linkme, plugin};
-use corneltrestle_platform::vms::{self, Vms};
 
 use crate::tables;
 
@@ -17,7 +18,7 @@
     kind: plugin::Kind::Duty,
     section: None,
     check: plugin::unchecked,
-    open: open::<vms::discovery::HttpVms>,
+    open: open::<discovery::HttpVms>,
 };
 
 fn open<V: Vms>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
--- a/crates/node/src/duty/watch.rs
+++ b/crates/node/src/duty/watch.rs
@@ -5,8 +5,9 @@
 
 use std::{sync, time};
 
+use corneltrestle_etcd::gateway;
+use corneltrestle_infra::store::{self, Store, Watch};
 use corneltrestle_kernel::{host, linkme, plugin, run};
-use corneltrestle_platform::store::{self, Store, Watch};
 use corneltrestle_policy::{adoption, assignment, release};
 use corneltrestle_time::moment;
 use corneltrestle_wire::{key, stored};
@@ -23,7 +24,7 @@
     kind: plugin::Kind::Duty,
     section: None,
     check: plugin::unchecked,
-    open: open::<store::etcd::NodeStore>,
+    open: open::<gateway::NodeStore>,
 };
 
 /// The duty with what it works on.
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -4,7 +4,7 @@
 pub mod standing;
 pub mod survey;
 
-use corneltrestle_platform::store::{self, Store};
+use corneltrestle_infra::store::{self, Store};
 use corneltrestle_policy::{changeset, release};
 use corneltrestle_wire::{key, note, stored};
 
--- a/crates/node/src/operate/standing.rs
+++ b/crates/node/src/operate/standing.rs
@@ -1,6 +1,6 @@
 //! Where an accepted note is in force.
 
-use corneltrestle_platform::store::{self, Store};
+use corneltrestle_infra::store::{self, Store};
 use corneltrestle_policy::{adoption, id, release};
 use corneltrestle_wire::{key, link as wire, stored};
 
--- a/crates/node/src/pipeline/order.rs
+++ b/crates/node/src/pipeline/order.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use corneltrestle_engine::service::{self, Service};
-use corneltrestle_platform::store::{self, Store};
+use corneltrestle_infra::store::{self, Store};
 use corneltrestle_policy::claim;
 use corneltrestle_wire::{key, stored};
 
--- a/crates/node/src/pipeline/plain.rs
+++ b/crates/node/src/pipeline/plain.rs
@@ -3,7 +3,7 @@
 use std::{net, sync, time};
 
 use corneltrestle_engine::service::{self, Service};
-use corneltrestle_platform::store::Store;
+use corneltrestle_infra::store::Store;
 use corneltrestle_policy::{burn, id, release, retry, vm};
 use rand::seq::SliceRandom;
 
--- a/crates/http/src/server/early.rs
+++ b/crates/server/src/early.rs
@@ -1,69 +1,49 @@
-//! Answers on connections that never carry a complete header.
+//! Connections that never carry a complete header.
 
 use std::{
     io::{self, Write},
     pin, task,
 };
 
-use corneltrestle_node::pipeline::refusal;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net,
 };
 
-use crate::answer;
+use crate::refuse::{Cause, Refuse};
 
 /// A connection that is answered when it ends after a part of a first header.
 #[derive(Debug)]
-pub(super) struct Socket {
+pub(crate) struct Socket<R: Refuse> {
     socket: net::TcpStream,
+    refuse: R,
     has_read: bool,
     has_written: bool,
 }
 
-impl Socket {
-    pub(super) fn new(socket: net::TcpStream) -> Self {
-        Self { socket, has_read: false, has_written: false }
+impl<R: Refuse> Socket<R> {
+    pub(crate) fn new(socket: net::TcpStream, refuse: R) -> Self {
+        Self { socket, refuse, has_read: false, has_written: false }
     }
 }
 
-impl Drop for Socket {
+impl<R: Refuse> Drop for Socket<R> {
     fn drop(&mut self) {
         if self.has_read && !self.has_written {
-            let message = "the header of the request did not arrive whole in time";
-            let refusal =
-                refusal::Refusal::not_run(refusal::Code::RequestTimeout, "receive", message);
             // A caller that has left cannot be told.
-            let _ = self.socket.try_write(&whole("408 Request Timeout", &refusal));
+            let _ = self.socket.try_write(&self.refuse.without_request(Cause::HeaderLate));
         }
     }
 }
 
 /// Refuses a connection beyond the limit; nothing waits for the caller.
-pub(super) fn refuse(socket: net::TcpStream) {
-    let message = "the node has too many connections";
-    let refusal = refusal::Refusal::not_run(refusal::Code::Overloaded, "accept", message);
+pub(crate) fn refuse<R: Refuse>(socket: net::TcpStream, refuse: &R) {
     if let Ok(mut socket) = socket.into_std() {
-        let _ = socket.write(&whole("503 Service Unavailable", &refusal));
+        let _ = socket.write(&refuse.without_request(Cause::Connections));
     }
 }
 
-/// A complete answer as bytes, for connections on which hyper has no request to answer.
-fn whole(status: &str, refusal: &refusal::Refusal) -> Vec<u8> {
-    let body = serde_json::to_vec(&answer::error_body(refusal)).unwrap_or_default();
-    let head = format!(
-        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
-         {}: {}\r\n{}: {:032x}\r\nconnection: close\r\n\r\n",
-        body.len(),
-        answer::OUTCOME,
-        refusal.outcome.as_str(),
-        answer::REQUEST_ID,
-        rand::random::<u128>(),
-    );
-    [head.into_bytes(), body].concat()
-}
-
-impl AsyncRead for Socket {
+impl<R: Refuse> AsyncRead for Socket<R> {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
@@ -76,7 +56,7 @@
     }
 }
 
-impl AsyncWrite for Socket {
+impl<R: Refuse> AsyncWrite for Socket<R> {
     fn poll_write(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
--- a/crates/http/src/server/header.rs
+++ b/crates/server/src/header.rs
@@ -8,42 +8,40 @@
     task,
 };
 
-use corneltrestle_node::pipeline::refusal;
 use hyper::header;
 use pin_project_lite::pin_project;
 use tower::Service;
 
-use crate::{answer, body, server};
+use crate::{limits::Limits, refuse::Refuse};
 
 /// Passes requests on whose header is within the limits, and notes that there was one.
 #[derive(Clone, Debug)]
-pub(super) struct Checked<S> {
+pub(crate) struct Checked<S, R> {
     inner: S,
-    limits: server::Limits,
+    refuse: R,
+    limits: Limits,
     asked: sync::Arc<atomic::AtomicBool>,
 }
 
-impl<S> Checked<S> {
-    pub(super) fn new(
+impl<S, R> Checked<S, R> {
+    pub(crate) fn new(
         inner: S,
-        limits: server::Limits,
+        refuse: R,
+        limits: Limits,
         asked: sync::Arc<atomic::AtomicBool>,
     ) -> Self {
-        Self { inner, limits, asked }
+        Self { inner, refuse, limits, asked }
     }
 }
 
-impl<S, B> Service<hyper::Request<B>> for Checked<S>
+impl<S, R, B> Service<hyper::Request<B>> for Checked<S, R>
 where
-    S: Service<
-            hyper::Request<B>,
-            Response = hyper::Response<body::Body>,
-            Error = convert::Infallible,
-        >,
+    S: Service<hyper::Request<B>, Response = hyper::Response<R::Body>, Error = convert::Infallible>,
+    R: Refuse,
 {
-    type Response = hyper::Response<body::Body>;
+    type Response = hyper::Response<R::Body>;
     type Error = convert::Infallible;
-    type Future = Answer<S::Future>;
+    type Future = Answer<S::Future, R::Body>;
 
     fn poll_ready(
         &mut self,
@@ -55,7 +53,9 @@
     fn call(&mut self, request: hyper::Request<B>) -> Self::Future {
         self.asked.store(true, atomic::Ordering::Relaxed);
         match excess(&request, self.limits) {
-            Some(message) => Answer::Refused { answer: ready(Ok(refused(message))) },
+            Some(message) => {
+                Answer::Refused { answer: ready(Ok(self.refuse.header_too_large(&message))) }
+            }
             None => Answer::Passed { inner: self.inner.call(request) },
         }
     }
@@ -65,15 +65,15 @@
     /// The answer of the inner service, or a refusal.
     #[project = AnswerProject]
     #[derive(Debug)]
-    pub(super) enum Answer<F> {
-        Refused { answer: future::Ready<Result<hyper::Response<body::Body>, convert::Infallible>> },
+    pub(crate) enum Answer<F, B> {
+        Refused { answer: future::Ready<Result<hyper::Response<B>, convert::Infallible>> },
         Passed { #[pin] inner: F },
     }
 }
 
-impl<F> Future for Answer<F>
+impl<F, B> Future for Answer<F, B>
 where
-    F: Future<Output = Result<hyper::Response<body::Body>, convert::Infallible>>,
+    F: Future<Output = Result<hyper::Response<B>, convert::Infallible>>,
 {
     type Output = F::Output;
 
@@ -85,7 +85,7 @@
     }
 }
 
-fn excess<B>(request: &hyper::Request<B>, limits: server::Limits) -> Option<String> {
+fn excess<B>(request: &hyper::Request<B>, limits: Limits) -> Option<String> {
     let fields = request.headers().len();
     if fields > limits.header_fields {
         return Some(format!("the header has more than {} fields", limits.header_fields));
@@ -98,13 +98,3 @@
     (bytes > limits.header_bytes)
         .then(|| format!("the header is larger than {} bytes", limits.header_bytes))
 }
-
-fn refused(message: String) -> hyper::Response<body::Body> {
-    let refusal = refusal::Refusal::not_run(refusal::Code::HeaderTooLarge, "receive", message);
-    let mut response = answer::refusal(&refusal);
-    let id = format!("{:032x}", rand::random::<u128>());
-    if let Ok(id) = header::HeaderValue::try_from(id) {
-        response.headers_mut().insert(answer::REQUEST_ID, id);
-    }
-    response
-}
--- /dev/null
+++ b/crates/server/src/limits.rs
@@ -0,0 +1,52 @@
+//! Limits of a server's connections.
+
+use std::time;
+
+/// Multiple of the header limits at which hyper itself gives up. Up to it, the front end answers in
+/// its own error form.
+const HARD: usize = 4;
+
+/// Least buffer that hyper accepts, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Limits of a front end's connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest time for the header of a request.
+    pub header_time: time::Duration,
+    /// Longest time without a request on a connection.
+    pub idle_time: time::Duration,
+    /// Largest header in bytes.
+    pub header_bytes: usize,
+    /// Most header fields.
+    pub header_fields: usize,
+    /// Most connections at a time; more are refused at once.
+    pub connections: usize,
+    /// Longest time that connections get to finish at shutdown.
+    pub drain: time::Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            header_time: time::Duration::from_secs(5),
+            idle_time: time::Duration::from_secs(5),
+            header_bytes: 32 * 1024,
+            header_fields: 64,
+            connections: 4_096,
+            drain: time::Duration::from_secs(30),
+        }
+    }
+}
+
+impl Limits {
+    /// Bytes of a header at which the connection is given up without an answer of the front end.
+    pub(crate) fn hard_bytes(&self) -> usize {
+        (HARD * self.header_bytes).max(MIN_BUFFER_BYTES)
+    }
+
+    /// Header fields at which the connection is given up without an answer of the front end.
+    pub(crate) fn hard_fields(&self) -> usize {
+        HARD * self.header_fields
+    }
+}
