--- a/crates/client/src/body.rs
+++ b/crates/client/src/body.rs
@@ -19,8 +19,18 @@
     connection: Option<connection::Connection>,
     pool: sync::Arc<pool::Pool>,
     peer: net::SocketAddr,
-    /// Whether the end of the body is marked; otherwise a truncated body cannot be recognised.
-    delimited: bool,
+    end: End,
+}
+
+/// How the end of a body is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    /// By its length or its last chunk.
+    Marked,
+    /// By the end of its connection.
+    Close,
+    /// Not at all: a truncated body cannot be recognised.
+    Unknown,
 }
 
 impl Body {
@@ -29,9 +39,9 @@
         connection: connection::Connection,
         pool: sync::Arc<pool::Pool>,
         peer: net::SocketAddr,
-        delimited: bool,
+        end: End,
     ) -> Self {
-        Self { incoming, connection: Some(connection), pool, peer, delimited }
+        Self { incoming, connection: Some(connection), pool, peer, end }
     }
 
     /// The next part of the body, or `None` after its end. Trailers are skipped.
@@ -100,12 +110,15 @@
 
     fn end(&mut self) -> Result<()> {
         let connection = self.connection.take();
-        if !self.delimited {
-            return Err(error::Error::new(error::Kind::Broken, "body without length or end mark"));
-        }
-        if let Some(connection) = connection {
-            self.pool.put(self.peer, connection.rest(None));
+        match (self.end, connection) {
+            (End::Unknown, _) => {
+                Err(error::Error::new(error::Kind::Broken, "body without length or end mark"))
+            }
+            (End::Marked, Some(connection)) => {
+                self.pool.put(self.peer, connection.rest(None));
+                Ok(())
+            }
+            _ => Ok(()),
         }
-        Ok(())
     }
 }
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -3,7 +3,7 @@
 use std::{
     future, net,
     pin::{Pin, pin},
-    task,
+    task, time,
 };
 
 use corneltrestle_policy::silence;
@@ -13,7 +13,7 @@
     client::conn::http1,
 };
 use hyper_util::rt;
-use tokio::{net::TcpStream, time};
+use tokio::net::TcpStream;
 
 use crate::error::{self, Result};
 
@@ -31,6 +31,8 @@
     /// The body of an answer that is complete for its reader, but whose end has not been read.
     tail: Option<body::Incoming>,
     history: silence::Connection,
+    /// Since when it has been idle.
+    rested: moment::Moment,
 }
 
 /// A request that was not answered.
@@ -45,11 +47,11 @@
     /// Connects to `peer`; every error is [`error::Kind::NotSent`].
     pub(crate) async fn open(
         peer: net::SocketAddr,
-        until: time::Instant,
+        until: tokio::time::Instant,
         history: silence::Connection,
     ) -> Result<Self> {
         let not_sent = |cause: String| error::Error::new(error::Kind::NotSent, cause);
-        let stream = time::timeout_at(until, TcpStream::connect(peer))
+        let stream = tokio::time::timeout_at(until, TcpStream::connect(peer))
             .await
             .map_err(|_| not_sent("no connection in time".to_owned()))?
             .map_err(|e| not_sent(format!("cannot connect: {e}")))?;
@@ -59,7 +61,7 @@
             .handshake(rt::TokioIo::new(stream))
             .await
             .map_err(|e| not_sent(e.to_string()))?;
-        Ok(Self { sender, driver: Some(driver), tail: None, history })
+        Ok(Self { sender, driver: Some(driver), tail: None, history, rested: moment::Moment::ZERO })
     }
 
     /// Whether the connection is past its age limit.
@@ -73,9 +75,17 @@
         self
     }
 
+    /// Notes since when the connection has been idle.
+    pub(crate) fn rest_from(&mut self, now: moment::Moment) {
+        self.rested = now;
+    }
+
     /// Whether the connection can carry another call: the last body has ended, the peer has not
-    /// closed it and it is not too old.
-    pub(crate) fn is_usable(&mut self, now: moment::Moment) -> bool {
+    /// closed it, it is not too old and has not been idle for longer than `rest`.
+    pub(crate) fn is_usable(&mut self, now: moment::Moment, rest: time::Duration) -> bool {
+        if now.since(self.rested) > rest {
+            return false;
+        }
         let cx = &mut task::Context::from_waker(task::Waker::noop());
         self.drive(cx);
         if let Some(tail) = &mut self.tail {
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -28,6 +28,11 @@
     pub idle: usize,
     /// Age at which a connection is closed; up to a tenth less, at random.
     pub age: time::Duration,
+    /// Longest time for which a connection is kept idle.
+    pub rest: time::Duration,
+    /// Whether a body may end with its connection. A truncation is then recognised only if the
+    /// connection is reset.
+    pub unmarked: bool,
 }
 
 /// How often a call may reach its peer.
@@ -65,7 +70,7 @@
 impl Default for Config {
     fn default() -> Self {
         let (connect, age) = (silence::Kind::Connect.limit(), silence::Connection::AGE);
-        Self { connect, idle: 32, age }
+        Self { connect, idle: 32, age, rest: age, unmarked: false }
     }
 }
 
@@ -165,8 +170,12 @@
             return Err(broken(error::Kind::Malformed, "answer switches protocols"));
         }
         let delimited = bodyless || is_delimited(&answer);
-        Ok(answer
-            .map(|body| body::Body::new(body, connection, sync::Arc::clone(self), peer, delimited)))
+        let end = match (delimited, self.config.unmarked) {
+            (true, _) => body::End::Marked,
+            (false, true) => body::End::Close,
+            (false, false) => body::End::Unknown,
+        };
+        Ok(answer.map(|body| body::Body::new(body, connection, sync::Arc::clone(self), peer, end)))
     }
 }
 
@@ -180,15 +189,16 @@
         let now = self.clock.now();
         loop {
             let mut connection = self.idle.lock().peers.get_mut(&peer)?.pop()?;
-            if connection.is_usable(now) {
+            if connection.is_usable(now, self.config.rest) {
                 return Some(connection);
             }
         }
     }
 
     /// Keeps a connection for the next call.
-    pub(crate) fn put(&self, peer: net::SocketAddr, connection: connection::Connection) {
+    pub(crate) fn put(&self, peer: net::SocketAddr, mut connection: connection::Connection) {
         let now = self.clock.now();
+        connection.rest_from(now);
         if connection.is_expired(now) {
             return;
         }
--- a/crates/engine/src/port.rs
+++ b/crates/engine/src/port.rs
@@ -87,6 +87,7 @@
         connect: settings.span("connect-timeout"),
         idle: size(settings, "idle"),
         age: settings.span("max-age"),
+        ..pool::Config::default()
     };
     host.provide(sync::Arc::new(engine::http::HttpEngine::open(engine::http::Config {
         timeout: settings.span("timeout"),
--- /dev/null
+++ b/crates/gateway/src/duty.rs
@@ -0,0 +1,3 @@
+//! Periodic duties of a node; each registers itself as a plug-in with the types of its platform.
+
+pub mod follow;
--- /dev/null
+++ b/crates/gateway/src/identity.rs
@@ -0,0 +1,106 @@
+//! Who this node is.
+
+use std::{collections, sync};
+
+use corneltrestle_kernel::{host, linkme, plugin, settings};
+use corneltrestle_policy::id;
+
+/// A node's identity.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of the node.
+    pub node: id::Node,
+    /// Availability zone.
+    pub zone: id::Zone,
+    /// Random identifier of this process, not 0.
+    pub boot: u64,
+    /// Region of each zone.
+    pub regions: collections::BTreeMap<id::Zone, id::Region>,
+}
+
+static SECTION: settings::Section = settings::Section {
+    name: "node",
+    help: "The node and its place.",
+    keys: &[
+        settings::Key::required("id", settings::Type::Text, "Name of the node, unique."),
+        settings::Key::required("zone", settings::Type::Text, "Availability zone."),
+        settings::Key::new(
+            "regions",
+            settings::Type::Text,
+            "none",
+            "Region of each availability zone, as `zone:region` separated by blanks.",
+        ),
+        settings::Key::new(
+            "workers",
+            settings::Type::Count { min: 1, max: 64 },
+            "1",
+            "Worker threads.",
+        ),
+        settings::Key::new(
+            "drain-delay",
+            settings::Type::millis(0, 60_000),
+            "2500ms",
+            "Time for which a stopping node still serves new connections: two checks of the balancer.",
+        ),
+        settings::Key::new(
+            "drain-limit",
+            settings::Type::millis(100, 600_000),
+            "5s",
+            "Longest time for requests in progress to finish after the delay.",
+        ),
+    ],
+};
+
+#[linkme::distributed_slice(plugin::PLUGINS)]
+#[linkme(crate = linkme)]
+static IDENTITY: plugin::Plugin = plugin::Plugin {
+    name: "identity",
+    kind: plugin::Kind::Port,
+    section: Some(&SECTION),
+    check,
+    open,
+};
+
+impl Identity {
+    /// The region of a zone, if it is known.
+    pub fn region(&self, zone: &str) -> Option<&id::Region> {
+        self.regions.get(zone)
+    }
+}
+
+fn check(settings: &settings::Settings) -> plugin::Result<()> {
+    regions(settings).map(|_| ())
+}
+
+fn open(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let node = host.settings.section(SECTION.name);
+    let identity = Identity {
+        node: node.text("id").into(),
+        zone: node.text("zone").into(),
+        boot: rand::random::<u64>().max(1),
+        regions: regions(&host.settings)?,
+    };
+    log::info!(node = identity.node.as_str(), zone = identity.zone.as_str(), boot = identity.boot; "node: started");
+    host.provide(sync::Arc::new(identity));
+    Ok(plugin::Handle::idle())
+}
+
+fn regions(
+    settings: &settings::Settings,
+) -> plugin::Result<collections::BTreeMap<id::Zone, id::Region>> {
+    let text = settings.section(SECTION.name).text("regions");
+    if text == "none" {
+        return Ok(collections::BTreeMap::new());
+    }
+    text.split_whitespace()
+        .map(|pair| match pair.split_once(':') {
+            Some((zone, region)) if !zone.is_empty() && !region.is_empty() => {
+                Ok((zone.into(), region.into()))
+            }
+            _ => Err(plugin::Error::Settings {
+                step: "node",
+                hint: format!("[node] regions: `{pair}` is not of the form zone:region"),
+            }),
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -0,0 +1,152 @@
+//! Attempts of one request at upstreams.
+
+use std::{collections, time};
+
+use corneltrestle_policy::{id, retry};
+use corneltrestle_time::moment;
+
+use super::{Code, Pipeline, RETRY_AFTER, Refusal, admit::Admitted};
+use crate::{
+    request,
+    upstream::{self, Caller},
+};
+
+/// Upstreams to which one request is offered; beyond it others have a better use of them.
+const MAX_OFFERS: u32 = 6;
+
+/// The attempts of one request so far.
+#[derive(Debug, Default)]
+pub(super) struct Attempts {
+    /// Upstreams at which it may have run.
+    pub(super) runs: u32,
+    /// Times that it was sent.
+    pub(super) offers: u32,
+    /// Upstreams that have failed or rejected it.
+    pub(super) tried: collections::BTreeSet<id::Vm>,
+    /// What the latest attempt met.
+    failure: Option<String>,
+}
+
+/// How an attempt failed.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// The call failed.
+    Call(upstream::Error),
+    /// The upstream has not run the request.
+    Rejected(upstream::Rejection),
+    /// The upstream did not answer in time.
+    Silent,
+    /// The upstream answered with a failure of its own, or with an answer that it does not vouch for.
+    Wrong(hyper::StatusCode),
+}
+
+impl Failure {
+    /// Whether the request may have run.
+    fn may_have_run(&self) -> bool {
+        match self {
+            Self::Call(error) => error.may_have_run(),
+            Self::Rejected(_) => false,
+            Self::Silent | Self::Wrong(_) => true,
+        }
+    }
+
+    fn kind(&self) -> retry::Failure {
+        match self {
+            Self::Call(error) => match error.kind {
+                upstream::Kind::NotSent => retry::Failure::NotSent,
+                upstream::Kind::Broken => retry::Failure::Broken,
+                upstream::Kind::Malformed => retry::Failure::Wrong,
+            },
+            Self::Rejected(rejection) => match rejection.reason {
+                upstream::Reason::Full => retry::Failure::Full,
+                _ => retry::Failure::Refused,
+            },
+            Self::Silent => retry::Failure::Broken,
+            Self::Wrong(_) => retry::Failure::Wrong,
+        }
+    }
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Call(error) => write!(f, "{error}"),
+            Self::Rejected(rejection) => match &rejection.culprit {
+                Some(culprit) => {
+                    write!(f, "rejected: {:?}, because of {culprit}", rejection.reason)
+                }
+                None => write!(f, "rejected: {:?}", rejection.reason),
+            },
+            Self::Silent => f.write_str("no answer in time"),
+            Self::Wrong(status) => write!(f, "a wrong answer with status {status}"),
+        }
+    }
+}
+
+impl<C: Caller> Pipeline<C> {
+    /// Decides whether a request is sent again after a failure.
+    ///
+    /// # Errors
+    ///
+    /// The answer to the caller, if it is not.
+    pub(super) fn again(
+        &self,
+        attempts: &mut Attempts,
+        request: &request::Request,
+        admitted: &Admitted,
+        upstream: &id::Vm,
+        failure: Failure,
+        now: moment::Moment,
+    ) -> super::Result<()> {
+        log::info!(
+            id = request.id.as_str(), upstream = upstream.as_str(), offer = attempts.offers;
+            "route: attempt failed: {failure}"
+        );
+        if failure.may_have_run() {
+            attempts.runs += 1;
+        }
+        attempts.tried.insert(upstream.clone());
+        let repeatable = admitted.route.kind.is_repeatable();
+        let allowed = retry::is_allowed(failure.kind(), repeatable)
+            && attempts.runs < admitted.route.attempts.max(1)
+            && attempts.offers < MAX_OFFERS
+            && now < admitted.deadline;
+        let is_wrong = matches!(failure.kind(), retry::Failure::Wrong);
+        attempts.failure = Some(failure.to_string());
+        if allowed && self.tables.retries.lock().take(&admitted.service, now) {
+            return Ok(());
+        }
+        Err(refuse(attempts, admitted, is_wrong, now))
+    }
+}
+
+/// The answer to a request that is not sent again.
+pub(super) fn refuse(
+    attempts: &Attempts,
+    admitted: &Admitted,
+    is_wrong: bool,
+    now: moment::Moment,
+) -> Refusal {
+    let message = attempts.failure.clone().unwrap_or_else(|| "no upstream can serve".to_owned());
+    let is_late = now >= admitted.deadline;
+    if attempts.runs == 0 {
+        let code = if is_late { Code::DeadlineExceeded } else { Code::Overloaded };
+        return Refusal::not_run(code, "send", message).retry_after(RETRY_AFTER);
+    }
+    let code = if is_late && !is_wrong { Code::DeadlineExceeded } else { Code::UpstreamFailed };
+    Refusal::unknown(code, "send", message)
+}
+
+/// Longest time for an attempt: what is left, or part of it if another attempt may follow.
+pub(super) fn limit(
+    admitted: &Admitted,
+    attempts: &Attempts,
+    now: moment::Moment,
+) -> time::Duration {
+    let left = admitted.deadline.since(now);
+    let is_last = attempts.runs + 1 >= admitted.route.attempts.max(1);
+    if is_last || !admitted.route.kind.is_repeatable() {
+        return left;
+    }
+    left.min((admitted.route.objective * 4).max(left / 4))
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -0,0 +1,169 @@
+//! Choice of the upstream for a request.
+
+use std::{collections, net, sync, time};
+
+use corneltrestle_kernel::table;
+use corneltrestle_policy::{cost, deployment, fleet, id, upstream as registered};
+use rand::Rng;
+
+use super::{Pipeline, admit::Admitted};
+use crate::{
+    request,
+    tables::{activity, catalog},
+    upstream::Caller,
+};
+
+/// What a call to another availability zone counts in the comparison of upstreams, as time: traffic
+/// between zones costs more than a short wait.
+const ZONE_PENALTY: time::Duration = time::Duration::from_millis(15);
+
+/// Predictions that differ by no more than this are equal.
+const TIE: time::Duration = time::Duration::from_millis(2);
+
+/// Time for which a request occupies a slot of a plain upstream, for the comparison.
+const PLAIN_WORK: time::Duration = time::Duration::from_millis(20);
+
+/// The upstream that was chosen.
+#[derive(Debug)]
+pub(super) struct Target {
+    /// The upstream.
+    pub(super) id: id::Vm,
+    /// Where it answers.
+    pub(super) address: net::SocketAddr,
+    /// The request counts as in progress until this is dropped.
+    pub(super) progress: InProgress,
+}
+
+/// A request in progress at an upstream; its end is counted when it is dropped.
+#[derive(Debug)]
+pub(super) struct InProgress {
+    table: sync::Arc<table::Table<activity::Activity>>,
+    upstream: id::Vm,
+    unread: u64,
+}
+
+impl InProgress {
+    /// Notes that the upstream has read the prompt.
+    pub(super) fn started(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if unread > 0 {
+            self.table.lock().started(&self.upstream, unread);
+        }
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.table.lock().end(&self.upstream, self.unread);
+    }
+}
+
+/// An upstream that may take the request, with its predicted time.
+struct Candidate<'a> {
+    upstream: &'a registered::Upstream,
+    time: time::Duration,
+}
+
+impl<C: Caller> Pipeline<C> {
+    /// Chooses an upstream for a request and counts it there.
+    pub(super) fn choose(
+        &self,
+        request: &request::Request,
+        admitted: &Admitted,
+        tried: &collections::BTreeSet<id::Vm>,
+    ) -> Option<Target> {
+        let snapshot = self.tables.current.load();
+        let mut activity = self.tables.activity.lock();
+        let mut found = match (admitted.engine(), &request.generation) {
+            (Some(engine), Some(generation)) => {
+                self.heads(&snapshot, &activity, admitted, engine, generation)
+            }
+            _ => self.plain(&snapshot, &activity, admitted),
+        };
+        if found.iter().any(|candidate| !tried.contains(&candidate.upstream.id)) {
+            found.retain(|candidate| !tried.contains(&candidate.upstream.id));
+        }
+        let chosen = least(&found)?;
+        let unread = request.generation.as_ref().map_or(0, |generation| generation.prompt);
+        activity.begin(&chosen.id, unread);
+        Some(Target {
+            id: chosen.id.clone(),
+            address: chosen.address,
+            progress: InProgress {
+                table: sync::Arc::clone(&self.tables.activity),
+                upstream: chosen.id.clone(),
+                unread,
+            },
+        })
+    }
+
+    /// Heads of groups that serve the model.
+    fn heads<'a>(
+        &self,
+        snapshot: &'a catalog::Snapshot,
+        activity: &activity::Activity,
+        admitted: &Admitted,
+        engine: &deployment::Engine,
+        generation: &request::Generation,
+    ) -> Vec<Candidate<'a>> {
+        let Some(model) = engine.model(generation.model.as_str()) else { return Vec::new() };
+        let serves = |group: &&fleet::Group| {
+            group.service == admitted.service
+                && group.model.as_ref() == Some(&model.name)
+                && snapshot.fleet.is_serving(group, model)
+        };
+        let groups = snapshot.fleet.groups().iter().filter(serves);
+        groups
+            .filter_map(|group| {
+                let head = snapshot.fleet.head(group)?;
+                if !self.may_serve(snapshot, admitted, head) {
+                    return None;
+                }
+                let pace = snapshot.fleet.pace(group, engine);
+                let work = activity.of(head.id.as_str());
+                let time = cost::first_event(engine, pace, &work, generation.prompt);
+                Some(Candidate { upstream: head, time: time + self.distance(&head.zone) })
+            })
+            .collect()
+    }
+
+    /// Upstreams of a service without models.
+    fn plain<'a>(
+        &self,
+        snapshot: &'a catalog::Snapshot,
+        activity: &activity::Activity,
+        admitted: &Admitted,
+    ) -> Vec<Candidate<'a>> {
+        let all = snapshot.fleet.of_service(admitted.service.as_str());
+        all.filter(|upstream| self.may_serve(snapshot, admitted, upstream))
+            .map(|upstream| {
+                let work = activity.of(upstream.id.as_str());
+                let time = PLAIN_WORK * work.requests / upstream.slots.max(1);
+                Candidate { upstream, time: time + self.distance(&upstream.zone) }
+            })
+            .collect()
+    }
+
+    /// Whether an upstream takes new work of this request.
+    fn may_serve(
+        &self,
+        snapshot: &catalog::Snapshot,
+        admitted: &Admitted,
+        upstream: &registered::Upstream,
+    ) -> bool {
+        upstream.state == registered::State::Ready
+            && !snapshot.evacuated.contains(&upstream.zone)
+            && admitted.allows(self.identity.region(upstream.zone.as_str()))
+    }
+
+    fn distance(&self, zone: &id::Zone) -> time::Duration {
+        if *zone == self.identity.zone { time::Duration::ZERO } else { ZONE_PENALTY }
+    }
+}
+
+/// One of the candidates with the least predicted time, at random.
+fn least<'a>(found: &[Candidate<'a>]) -> Option<&'a registered::Upstream> {
+    let least = found.iter().map(|candidate| candidate.time).min()?;
+    let equal: Vec<_> = found.iter().filter(|c| c.time <= least + TIE).collect();
+    Some(equal[rand::rng().random_range(0..equal.len())].upstream)
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -0,0 +1,60 @@
+//! Bodies of answers on their way to the caller.
+
+use std::vec;
+
+use super::{Result, choose::InProgress, stream::Stream, whole};
+use crate::upstream::{Body, Caller};
+
+/// The body of an answer. Dropping it ends the work of the upstream.
+#[derive(Debug)]
+pub struct Relay<C: Caller> {
+    state: State<C>,
+}
+
+#[derive(Debug)]
+enum State<C: Caller> {
+    Whole { parts: vec::IntoIter<bytes::Bytes>, rest: Option<C::Body>, _progress: InProgress },
+    Stream(Box<Stream<C>>),
+}
+
+impl<C: Caller> Relay<C> {
+    /// A body of which `parts` have been read; `rest` reads what is missing.
+    pub(super) fn whole(
+        parts: Vec<bytes::Bytes>,
+        rest: Option<C::Body>,
+        progress: InProgress,
+    ) -> Self {
+        Self { state: State::Whole { parts: parts.into_iter(), rest, _progress: progress } }
+    }
+
+    /// A stream of events.
+    pub(super) fn stream(stream: Stream<C>) -> Self {
+        Self { state: State::Stream(Box::new(stream)) }
+    }
+
+    /// Size in bytes, if the whole body is known.
+    pub fn size(&self) -> Option<u64> {
+        match &self.state {
+            State::Whole { parts, rest: None, .. } => {
+                Some(parts.as_slice().iter().map(|part| part.len() as u64).sum())
+            }
+            _ => None,
+        }
+    }
+
+    /// The next part, or `None` after the complete body.
+    ///
+    /// # Errors
+    ///
+    /// When the answer cannot be completed; what was passed on is then a part of it.
+    pub async fn next(&mut self) -> Result<Option<bytes::Bytes>> {
+        match &mut self.state {
+            State::Whole { parts, rest, .. } => match (parts.next(), rest) {
+                (Some(part), _) => Ok(Some(part)),
+                (None, Some(rest)) => rest.chunk().await.map_err(|e| whole::cut_off(&e)),
+                (None, None) => Ok(None),
+            },
+            State::Stream(stream) => stream.next().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -0,0 +1,193 @@
+//! Streams of events, which another upstream resumes when their own fails.
+
+use std::sync;
+
+use corneltrestle_policy::delivery;
+use corneltrestle_wire::sse;
+
+use super::{
+    Answer, Code, Pipeline, Refusal, Result,
+    admit::Admitted,
+    attempt::{self, Attempts, Failure},
+    choose::Target,
+    relay::Relay,
+};
+use crate::{
+    request,
+    upstream::{self, Body, Call, Caller, Reply},
+};
+
+/// Largest event.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+
+/// A stream in progress.
+#[derive(Debug)]
+pub(super) struct Stream<C: Caller> {
+    pipeline: sync::Arc<Pipeline<C>>,
+    request: request::Request,
+    admitted: Admitted,
+    attempts: Attempts,
+    delivery: delivery::Delivery,
+    target: Target,
+    body: C::Body,
+    decoder: sse::Decoder,
+}
+
+/// An answer that has begun, with the upstream that gives it.
+struct Begun<B> {
+    target: Target,
+    answer: upstream::Answer<B>,
+}
+
+/// Starts a stream at the first upstream that answers.
+pub(super) async fn start<C: Caller>(
+    pipeline: &sync::Arc<Pipeline<C>>,
+    request: request::Request,
+    admitted: Admitted,
+) -> Result<Answer<C>> {
+    let mut attempts = Attempts::default();
+    let resumed = request.resumed;
+    let begun = begin(pipeline, &request, &admitted, &mut attempts, resumed).await?;
+    let Begun { target, answer } = begun;
+    if !answer.status.is_success() {
+        let relay = Relay::whole(Vec::new(), Some(answer.body), target.progress);
+        return Ok(Answer { status: answer.status, headers: answer.headers, relay });
+    }
+    let delivery = delivery::Delivery::open_at(&request.id, resumed.unwrap_or(0) + 1);
+    let stream = Stream {
+        pipeline: sync::Arc::clone(pipeline),
+        request,
+        admitted,
+        attempts,
+        delivery,
+        target,
+        body: answer.body,
+        decoder: sse::Decoder::new(MAX_EVENT_BYTES),
+    };
+    let (status, headers) = (answer.status, answer.headers);
+    Ok(Answer { status, headers, relay: Relay::stream(stream) })
+}
+
+/// Sends a request until an upstream begins to answer; `resumed` is the last event delivered.
+async fn begin<C: Caller>(
+    pipeline: &sync::Arc<Pipeline<C>>,
+    request: &request::Request,
+    admitted: &Admitted,
+    attempts: &mut Attempts,
+    resumed: Option<u64>,
+) -> Result<Begun<C::Body>> {
+    loop {
+        let now = pipeline.now();
+        let Some(mut target) = pipeline.choose(request, admitted, &attempts.tried) else {
+            return Err(attempt::refuse(attempts, admitted, false, now));
+        };
+        attempts.offers += 1;
+        let limit = attempt::limit(admitted, attempts, now);
+        let call = Call {
+            request,
+            upstream: &target.id,
+            organisation: admitted.organisation.as_ref(),
+            left: admitted.deadline.since(now),
+            resumed,
+            repeatable: admitted.route.kind.is_repeatable(),
+        };
+        let sent = pipeline.caller.send(target.address, &call);
+        let failure = match tokio::time::timeout(limit, sent).await {
+            Ok(Ok(Reply::Answer(answer))) if is_usable(&answer, attempts, admitted) => {
+                target.progress.started();
+                return Ok(Begun { target, answer });
+            }
+            Ok(Ok(Reply::Answer(answer))) => Failure::Wrong(answer.status),
+            Ok(Ok(Reply::Rejected(rejection))) => Failure::Rejected(rejection),
+            Ok(Err(error)) => Failure::Call(error),
+            Err(_) => Failure::Silent,
+        };
+        pipeline.again(attempts, request, admitted, &target.id, failure, pipeline.now())?;
+    }
+}
+
+/// Whether an answer may be passed on: it is genuine, or a failure where no attempt is left.
+fn is_usable<B>(answer: &upstream::Answer<B>, attempts: &Attempts, admitted: &Admitted) -> bool {
+    let is_last = attempts.runs + 1 >= admitted.route.attempts;
+    if answer.status.is_success() {
+        return answer.is_genuine;
+    }
+    is_last || !admitted.route.kind.is_repeatable()
+}
+
+impl<C: Caller> Stream<C> {
+    /// The next event, or `None` after the complete answer.
+    pub(super) async fn next(&mut self) -> Result<Option<bytes::Bytes>> {
+        loop {
+            match self.decoder.next_block() {
+                Ok(Some(block)) => match self.check(&block) {
+                    delivery::Verdict::Deliver => return Ok(Some(block.raw)),
+                    delivery::Verdict::Drop => continue,
+                    _ => {
+                        let failure = Failure::Wrong(hyper::StatusCode::OK);
+                        self.resume(failure).await?;
+                        continue;
+                    }
+                },
+                Ok(None) => {}
+                Err(_) => {
+                    self.resume(Failure::Wrong(hyper::StatusCode::OK)).await?;
+                    continue;
+                }
+            }
+            let left = self.admitted.deadline.since(self.pipeline.now());
+            match tokio::time::timeout(left, self.body.chunk()).await {
+                Ok(Ok(Some(part))) => self.decoder.feed(part),
+                Ok(Ok(None)) if self.decoder.is_empty() => return Ok(None),
+                Ok(Ok(None)) => self.resume(Failure::Wrong(hyper::StatusCode::OK)).await?,
+                Ok(Err(error)) => self.resume(Failure::Call(error)).await?,
+                Err(_) => return Err(self.late()),
+            }
+        }
+    }
+
+    fn check(&mut self, block: &sse::Block) -> delivery::Verdict {
+        let index = std::str::from_utf8(&block.event.id).ok().and_then(|id| id.parse().ok());
+        match index {
+            Some(index) => {
+                self.delivery.check(&delivery::Event { request: &self.request.id, index })
+            }
+            None => delivery::Verdict::Gap,
+        }
+    }
+
+    /// Goes on with the stream at another upstream.
+    async fn resume(&mut self, failure: Failure) -> Result<()> {
+        let now = self.pipeline.now();
+        let upstream = self.target.id.clone();
+        self.pipeline.again(
+            &mut self.attempts,
+            &self.request,
+            &self.admitted,
+            &upstream,
+            failure,
+            now,
+        )?;
+        let Some(next) = self.delivery.resume(self.admitted.deadline, now) else {
+            return Err(self.late());
+        };
+        metrics::counter!("streams_moved_total").increment(1);
+        let resumed = next.checked_sub(1).filter(|last| *last > 0);
+        let begun =
+            begin(&self.pipeline, &self.request, &self.admitted, &mut self.attempts, resumed)
+                .await?;
+        if !begun.answer.status.is_success() {
+            let message = format!("resuming ended with status {}", begun.answer.status);
+            return Err(Refusal::unknown(Code::UpstreamFailed, "resume", message));
+        }
+        self.target = begun.target;
+        self.body = begun.answer.body;
+        self.decoder = sse::Decoder::new(MAX_EVENT_BYTES);
+        Ok(())
+    }
+
+    fn late(&self) -> Refusal {
+        let message = "the time was up before the answer was complete";
+        Refusal::unknown(Code::DeadlineExceeded, "relay", message).at(self.target.address)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pipeline/whole.rs
@@ -0,0 +1,119 @@
+//! Requests whose answer is read whole before any of it is passed on.
+
+use std::sync;
+
+use corneltrestle_time::moment;
+
+use super::{
+    Answer, Code, Pipeline, Refusal, Result,
+    admit::Admitted,
+    attempt::{self, Attempts, Failure},
+    choose::Target,
+    relay::Relay,
+};
+use crate::{
+    request,
+    upstream::{self, Body, Call, Caller, Reply},
+};
+
+/// Largest answer that is read whole; a larger one is passed on as it arrives.
+const MAX_WHOLE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Answers a request, trying other upstreams where that is allowed.
+pub(super) async fn answer<C: Caller>(
+    pipeline: &sync::Arc<Pipeline<C>>,
+    request: request::Request,
+    admitted: Admitted,
+) -> Result<Answer<C>> {
+    let mut attempts = Attempts::default();
+    loop {
+        let now = pipeline.now();
+        let Some(target) = pipeline.choose(&request, &admitted, &attempts.tried) else {
+            return Err(attempt::refuse(&attempts, &admitted, false, now));
+        };
+        attempts.offers += 1;
+        let limit = attempt::limit(&admitted, &attempts, now);
+        let call = Call {
+            request: &request,
+            upstream: &target.id,
+            organisation: admitted.organisation.as_ref(),
+            left: admitted.deadline.since(now),
+            resumed: None,
+            repeatable: admitted.route.kind.is_repeatable(),
+        };
+        let sent = exchange(pipeline, &target, &call);
+        let failure = match tokio::time::timeout(limit, sent).await {
+            Ok(Ok(answer)) if may_retry(&answer, &attempts, &admitted, pipeline.now()) => {
+                Failure::Wrong(answer.status)
+            }
+            Ok(Ok(answer)) if answer.is_genuine || !answer.status.is_success() => {
+                return Ok(passed(answer, target));
+            }
+            Ok(Ok(answer)) => Failure::Wrong(answer.status),
+            Ok(Err(failure)) => failure,
+            Err(_) => Failure::Silent,
+        };
+        pipeline.again(&mut attempts, &request, &admitted, &target.id, failure, pipeline.now())?;
+    }
+}
+
+/// Whether another upstream may do better than this answer.
+fn may_retry<B>(
+    answer: &upstream::Answer<B>,
+    attempts: &Attempts,
+    admitted: &Admitted,
+    now: moment::Moment,
+) -> bool {
+    answer.status.is_server_error()
+        && admitted.route.kind.is_repeatable()
+        && attempts.runs + 1 < admitted.route.attempts
+        && admitted.deadline.since(now) > admitted.route.objective / 2
+}
+
+/// One exchange with an upstream, up to the end of its answer.
+async fn exchange<C: Caller>(
+    pipeline: &Pipeline<C>,
+    target: &Target,
+    call: &Call<'_>,
+) -> std::result::Result<upstream::Answer<Collected<C::Body>>, Failure> {
+    let reply = pipeline.caller.send(target.address, call).await.map_err(Failure::Call)?;
+    let answer = match reply {
+        Reply::Rejected(rejection) => return Err(Failure::Rejected(rejection)),
+        Reply::Answer(answer) => answer,
+    };
+    let upstream::Answer { status, headers, is_genuine, mut body } = answer;
+    let mut parts = Vec::new();
+    let mut size = 0;
+    while size <= MAX_WHOLE_BYTES {
+        match body.chunk().await.map_err(Failure::Call)? {
+            Some(part) => {
+                size += part.len();
+                parts.push(part);
+            }
+            None => {
+                let body = Collected { parts, rest: None };
+                return Ok(upstream::Answer { status, headers, is_genuine, body });
+            }
+        }
+    }
+    let body = Collected { parts, rest: Some(body) };
+    Ok(upstream::Answer { status, headers, is_genuine, body })
+}
+
+/// A body of which a part has been read.
+struct Collected<B> {
+    parts: Vec<bytes::Bytes>,
+    /// What is still to be read of a large body.
+    rest: Option<B>,
+}
+
+fn passed<C: Caller>(answer: upstream::Answer<Collected<C::Body>>, target: Target) -> Answer<C> {
+    let upstream::Answer { status, headers, body, .. } = answer;
+    let relay = Relay::whole(body.parts, body.rest, target.progress);
+    Answer { status, headers, relay }
+}
+
+/// The refusal of an answer that ended before it was complete.
+pub(super) fn cut_off(error: &upstream::Error) -> Refusal {
+    Refusal::unknown(Code::UpstreamFailed, "relay", error.to_string())
+}
--- /dev/null
+++ b/crates/gateway/src/source.rs
@@ -0,0 +1,98 @@
+//! The source of what a deployment declares and of what registers itself.
+
+use std::{net, time};
+
+use corneltrestle_infra::store;
+use corneltrestle_policy::{deployment, id, upstream};
+
+/// The result of a call to the source.
+pub type Result<T> = store::Result<T>;
+
+/// What a fact is about; there is at most one fact about each subject.
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Subject {
+    /// The declared state.
+    Deployment,
+    /// The evacuation of an availability zone.
+    Evacuation(id::Zone),
+    /// An upstream.
+    Upstream(id::Vm),
+    /// A node of this system.
+    Node(id::Node),
+}
+
+/// A fact.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fact {
+    /// The declared state.
+    Deployment(Box<deployment::Deployment>),
+    /// Nothing new may be sent to the zone.
+    Evacuated,
+    /// The upstream as it registered itself.
+    Upstream(upstream::Upstream),
+    /// The node as it registered itself.
+    Node(Node),
+}
+
+/// A node of this system.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Node {
+    /// Availability zone.
+    pub zone: id::Zone,
+    /// Address on which it hears other nodes.
+    pub address: net::SocketAddr,
+    /// Random identifier of its process.
+    pub boot: u64,
+}
+
+/// A change of one fact.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Change {
+    /// Its revision; grows with each change of any fact.
+    pub revision: u64,
+    /// What it is about.
+    pub subject: Subject,
+    /// The fact from now on; `None` if there is none any more, or none that can be used.
+    pub fact: Option<Fact>,
+}
+
+/// Changes up to a revision.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Changes {
+    /// Revision from which to go on.
+    pub at: u64,
+    /// The changes, in order.
+    pub changes: Vec<Change>,
+}
+
+/// Where facts come from.
+pub trait Source: Send + Sync + 'static {
+    /// All present facts, each as a change, and the revision from which to follow them.
+    fn load(&self) -> impl Future<Output = Result<Changes>> + Send;
+
+    /// The changes after revision `after`, as soon as there is one and at the latest after `wait`.
+    ///
+    /// # Errors
+    ///
+    /// [`store::Kind::Compacted`] when the changes are no longer known; facts are then loaded anew.
+    fn changes(
+        &self,
+        after: u64,
+        wait: time::Duration,
+    ) -> impl Future<Output = Result<Changes>> + Send;
+
+    /// Registers a node for as long as a lease lives.
+    fn register(
+        &self,
+        id: &id::Node,
+        node: &Node,
+        lease: store::LeaseId,
+    ) -> impl Future<Output = Result<()>> + Send;
+}
--- /dev/null
+++ b/crates/gateway/src/tables.rs
@@ -0,0 +1,37 @@
+//! The shared tables of a node, in lock order.
+//!
+//! | rank | table | holds |
+//! |---|---|---|
+//! | 10 | [`catalog::Catalog`] | facts of the platform with their revisions |
+//! | 40 | [`activity::Activity`] | requests in progress by upstream |
+//! | 60 | [`retries::Retries`] | retry budgets by service |
+
+pub mod activity;
+pub mod catalog;
+pub mod retries;
+
+use std::sync;
+
+use corneltrestle_kernel::{host, table};
+
+/// Handles on the tables of a node.
+#[derive(Clone, Debug)]
+pub struct Tables {
+    /// Facts, for writers.
+    pub catalog: sync::Arc<table::Table<catalog::Catalog>>,
+    /// Facts, for readers.
+    pub current: catalog::Current,
+    /// Requests in progress.
+    pub activity: sync::Arc<table::Table<activity::Activity>>,
+    /// Retry budgets.
+    pub retries: sync::Arc<table::Table<retries::Retries>>,
+}
+
+impl Tables {
+    /// The tables of a host, created empty on first use.
+    pub fn of(host: &host::Host) -> Self {
+        let catalog = host.table::<catalog::Catalog>();
+        let current = catalog.lock().current();
+        Self { catalog, current, activity: host.table(), retries: host.table() }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/tables/catalog.rs
@@ -0,0 +1,197 @@
+//! Facts of the platform: what is declared and what has registered itself.
+
+use std::{collections, sync, time};
+
+use corneltrestle_kernel::table;
+use corneltrestle_policy::{deployment, fleet, id};
+use corneltrestle_time::moment;
+
+use crate::source::{Change, Changes, Fact, Node, Subject};
+
+/// Time for which a removal is held back after an outage of the source: registrations that lapsed
+/// meanwhile are renewed within about two seconds of its return.
+const RENEWAL: time::Duration = time::Duration::from_millis(2_500);
+
+/// All facts with their revisions; rank 10.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    facts: collections::BTreeMap<Subject, Known>,
+    at: u64,
+    /// When the source last confirmed the facts.
+    heard: Option<moment::Moment>,
+    /// When the source returned from its latest outage.
+    returned: Option<moment::Moment>,
+    /// Whether the source is out of reach.
+    is_out: bool,
+    /// Upstreams whose removal is held back.
+    held: collections::BTreeSet<Subject>,
+    current: Current,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    revision: u64,
+    fact: Fact,
+}
+
+/// The present snapshot, shared with readers.
+pub type Current = sync::Arc<arc_swap::ArcSwap<Snapshot>>;
+
+/// Facts at one revision in the form in which requests need them.
+#[derive(Debug, Default)]
+pub struct Snapshot {
+    /// Revision.
+    pub at: u64,
+    /// The declared state, once it is known.
+    pub deployment: Option<sync::Arc<deployment::Deployment>>,
+    /// Zones to which nothing new may be sent.
+    pub evacuated: collections::BTreeSet<id::Zone>,
+    /// Upstreams and groups.
+    pub fleet: fleet::Fleet,
+    /// Registered nodes.
+    pub nodes: collections::BTreeMap<id::Node, Node>,
+}
+
+impl table::Ranked for Catalog {
+    const RANK: u16 = 10;
+    const NAME: &'static str = "catalog";
+}
+
+impl Catalog {
+    /// The present snapshot for readers.
+    pub fn current(&self) -> Current {
+        sync::Arc::clone(&self.current)
+    }
+
+    /// Revision from which to follow the source.
+    pub fn at(&self) -> u64 {
+        self.at
+    }
+
+    /// When the source last confirmed the facts.
+    pub fn heard(&self) -> Option<moment::Moment> {
+        self.heard
+    }
+
+    /// Whether the source is out of reach.
+    pub fn is_out(&self) -> bool {
+        self.is_out
+    }
+
+    /// Notes that the source cannot be reached; returns whether it could be before.
+    pub fn lose(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_out, true)
+    }
+
+    /// Takes all facts anew; `now` is the moment before they were asked for.
+    pub fn replace(&mut self, loaded: Changes, now: moment::Moment) {
+        self.hear(now);
+        let mut gone: collections::BTreeSet<Subject> = self.facts.keys().cloned().collect();
+        for change in &loaded.changes {
+            gone.remove(&change.subject);
+        }
+        self.at = loaded.at;
+        let removals =
+            gone.into_iter().map(|subject| Change { revision: self.at, subject, fact: None });
+        let all: Vec<Change> = loaded.changes.into_iter().chain(removals).collect();
+        self.take(all, now);
+    }
+
+    /// Takes changes; `now` is the moment before they were asked for.
+    pub fn apply(&mut self, changes: Changes, now: moment::Moment) {
+        self.hear(now);
+        self.at = self.at.max(changes.at);
+        if !changes.changes.is_empty() {
+            self.take(changes.changes, now);
+        }
+    }
+
+    /// Removes upstreams whose removal is held back no longer; returns how many there were.
+    pub fn settle(&mut self, now: moment::Moment) -> usize {
+        if self.held.is_empty() || self.is_renewing(now) {
+            return 0;
+        }
+        let held = std::mem::take(&mut self.held);
+        let number = held.len();
+        for subject in held {
+            self.facts.remove(&subject);
+        }
+        self.publish();
+        number
+    }
+
+    fn hear(&mut self, now: moment::Moment) {
+        if std::mem::replace(&mut self.is_out, false) && self.heard.is_some() {
+            self.returned = Some(now);
+        }
+        self.heard = Some(now);
+    }
+
+    fn is_renewing(&self, now: moment::Moment) -> bool {
+        self.is_out || self.returned.is_some_and(|returned| now < returned + RENEWAL)
+    }
+
+    fn take(&mut self, changes: Vec<Change>, now: moment::Moment) {
+        let renewing = self.is_renewing(now);
+        for change in changes {
+            self.take_one(change, renewing);
+        }
+        self.publish();
+    }
+
+    fn take_one(&mut self, change: Change, renewing: bool) {
+        let known = self.facts.get(&change.subject);
+        if known.is_some_and(|known| known.revision > change.revision) {
+            return;
+        }
+        let Some(fact) = change.fact else {
+            if renewing && matches!(change.subject, Subject::Upstream(_)) && known.is_some() {
+                self.held.insert(change.subject);
+            } else {
+                self.facts.remove(&change.subject);
+            }
+            return;
+        };
+        if is_older(known.map(|known| &known.fact), &fact) {
+            log::error!("config: a lower version than the one in force is ignored");
+            return;
+        }
+        self.held.remove(&change.subject);
+        self.facts.insert(change.subject, Known { revision: change.revision, fact });
+    }
+
+    fn publish(&self) {
+        let previous = self.current.load();
+        let mut next = Snapshot { at: self.at, ..Snapshot::default() };
+        let mut upstreams = Vec::new();
+        for (subject, known) in &self.facts {
+            match (subject, &known.fact) {
+                (_, Fact::Deployment(declared)) => {
+                    let kept = previous.deployment.as_ref();
+                    next.deployment = kept
+                        .filter(|kept| kept.version == declared.version)
+                        .cloned()
+                        .or_else(|| Some(sync::Arc::new((**declared).clone())));
+                }
+                (Subject::Evacuation(zone), Fact::Evacuated) => {
+                    next.evacuated.insert(zone.clone());
+                }
+                (_, Fact::Upstream(upstream)) => upstreams.push(upstream.clone()),
+                (Subject::Node(id), Fact::Node(node)) => {
+                    next.nodes.insert(id.clone(), node.clone());
+                }
+                _ => {}
+            }
+        }
+        next.fleet = fleet::Fleet::open(upstreams);
+        self.current.store(sync::Arc::new(next));
+    }
+}
+
+/// Whether a declared state has a lower version than the known one.
+fn is_older(known: Option<&Fact>, new: &Fact) -> bool {
+    match (known, new) {
+        (Some(Fact::Deployment(known)), Fact::Deployment(new)) => new.version < known.version,
+        _ => false,
+    }
+}
--- a/crates/http/src/answer.rs
+++ b/crates/http/src/answer.rs
@@ -1,6 +1,7 @@
 //! Answers in HTTP form.
 
 use corneltrestle_node::pipeline::refusal;
+use corneltrestle_server::status;
 use corneltrestle_wire::openai;
 use hyper::header;
 
@@ -41,7 +42,7 @@
 
 /// The answer to a request that its upstream did not answer.
 pub fn refusal(refusal: &refusal::Refusal) -> hyper::Response<body::Body> {
-    let mut response = json(status(refusal.code), &error_body(refusal));
+    let mut response = json(status::of(refusal), &error_body(refusal));
     let headers = response.headers_mut();
     headers.insert(OUTCOME, header::HeaderValue::from_static(refusal.outcome.as_str()));
     if let Some(retry) = refusal.retry {
@@ -65,21 +66,3 @@
         },
     }
 }
-
-fn status(code: refusal::Code) -> hyper::StatusCode {
-    match code {
-        refusal::Code::BadRequest | refusal::Code::KeyRequired => hyper::StatusCode::BAD_REQUEST,
-        refusal::Code::Unauthorized => hyper::StatusCode::UNAUTHORIZED,
-        refusal::Code::UnknownService | refusal::Code::NotFound => hyper::StatusCode::NOT_FOUND,
-        refusal::Code::MethodNotAllowed => hyper::StatusCode::METHOD_NOT_ALLOWED,
-        refusal::Code::HeaderTooLarge => hyper::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-        refusal::Code::TooLarge => hyper::StatusCode::PAYLOAD_TOO_LARGE,
-        refusal::Code::RequestTimeout => hyper::StatusCode::REQUEST_TIMEOUT,
-        refusal::Code::KeyReused => hyper::StatusCode::UNPROCESSABLE_ENTITY,
-        refusal::Code::InProgress => hyper::StatusCode::CONFLICT,
-        refusal::Code::RateLimited => hyper::StatusCode::TOO_MANY_REQUESTS,
-        refusal::Code::UpstreamFailed => hyper::StatusCode::BAD_GATEWAY,
-        refusal::Code::DeadlineExceeded => hyper::StatusCode::GATEWAY_TIMEOUT,
-        _ => hyper::StatusCode::SERVICE_UNAVAILABLE,
-    }
-}
--- a/crates/infra/src/store/error.rs
+++ b/crates/infra/src/store/error.rs
@@ -29,6 +29,8 @@
     Budget,
     /// The answer could not be decoded; the call may have taken effect.
     Malformed,
+    /// The history that was asked for is no longer kept; the call had no effect.
+    Compacted,
 }
 
 impl Error {
--- /dev/null
+++ b/crates/kernel/src/daemon.rs
@@ -0,0 +1,177 @@
+//! The command line of a daemon: settings, signals and exit codes.
+
+use std::{path, process};
+
+use lexopt::prelude::*;
+use tokio::signal::unix;
+
+use crate::{host, linkme, logging, plugin, running, settings};
+
+const HELP: &str = "\
+An entry node of corneltrestle.
+
+Usage: {name} --settings FILE [--check]
+       {name} --print-settings
+
+Options:
+  --settings FILE  INI file with the settings; docs/settings.md lists every key
+  --check          check the settings and stop
+  --print-settings print the reference page of the settings
+  --help           print this text
+  --version        print the version
+
+SIGTERM and SIGINT drain the node: it accepts nothing new, lets requests in progress finish within
+the drain limit and ends.
+
+Exit codes: 0 stopped as asked, 1 cannot run, 2 wrong command line or settings.
+";
+
+/// Exit code for a wrong command line or wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+static LOG: settings::Section = settings::Section {
+    name: "log",
+    help: "Logs, one line an event.",
+    keys: &[
+        settings::Key::new(
+            "level",
+            settings::Type::Text,
+            "info",
+            "Lowest level, with exceptions for parts, such as `info, hyper=warn`.",
+        ),
+        settings::Key::new(
+            "output",
+            settings::Type::Choice(&["stderr", "stdout"]),
+            "stderr",
+            "Stream to which lines are written.",
+        ),
+    ],
+};
+
+/// Registers the section of the log; the log itself opens before the plug-ins.
+#[linkme::distributed_slice(plugin::PLUGINS)]
+#[linkme(crate = linkme)]
+static LOGGING: plugin::Plugin = plugin::Plugin {
+    name: "log",
+    kind: plugin::Kind::Port,
+    section: Some(&LOG),
+    check: plugin::unchecked,
+    open: |_: &std::sync::Arc<host::Host>| Ok(plugin::Handle::idle()),
+};
+
+struct Arguments {
+    settings: path::PathBuf,
+    check: bool,
+}
+
+/// Runs the daemon `name` with the plug-ins that are linked into it.
+pub fn main(name: &'static str) -> process::ExitCode {
+    let arguments = match parse(name) {
+        Ok(Some(arguments)) => arguments,
+        Ok(None) => return process::ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{name}: {e}; try --help");
+            return process::ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match load(&arguments.settings) {
+        Ok(_) if arguments.check => {
+            println!("{}: ok", arguments.settings.display());
+            process::ExitCode::SUCCESS
+        }
+        Ok(settings) => serve(settings),
+        Err(message) => {
+            eprintln!("{message}");
+            process::ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn parse(name: &str) -> Result<Option<Arguments>, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let (mut settings, mut check) = (None, false);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("settings") => settings = Some(path::PathBuf::from(parser.value()?)),
+            Long("check") => check = true,
+            Long("print-settings") => {
+                print!("{}", settings::document(&settings::sections()));
+                return Ok(None);
+            }
+            Long("help") | Short('h') => {
+                print!("{}", HELP.replace("{name}", name));
+                return Ok(None);
+            }
+            Long("version") => {
+                println!("{name} {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    let settings = settings.ok_or("--settings FILE is missing")?;
+    Ok(Some(Arguments { settings, check }))
+}
+
+fn load(path: &path::Path) -> Result<settings::Settings, String> {
+    let settings =
+        settings::Settings::load(path, &settings::sections()).map_err(|e| e.to_string())?;
+    running::check(&settings).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(settings)
+}
+
+fn serve(settings: settings::Settings) -> process::ExitCode {
+    let section = settings.section(LOG.name);
+    let output = match section.text("output") {
+        "stdout" => logging::Output::Stdout,
+        _ => logging::Output::Stderr,
+    };
+    let _log = match logging::open(section.text("level"), output) {
+        Ok(log) => log,
+        Err(e) => {
+            eprintln!("[log] level: {e}");
+            return process::ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match run(settings) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(message) => {
+            log::error!("node: {message}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs the node until a signal asks it to stop.
+fn run(settings: settings::Settings) -> Result<(), String> {
+    let pool = running::Running::spawn_pool(&settings).map_err(|e| e.to_string())?;
+    // The signals are caught before the node opens, so that one that comes early drains it, too.
+    let signals = pool.wait(async { Signals::open() });
+    let mut signals = signals.map_err(|e| format!("cannot listen for signals: {e}"))?;
+    let node = running::Running::open_on(pool, settings).map_err(|e| e.to_string())?;
+    node.host().pool.wait(signals.any());
+    node.shutdown();
+    Ok(())
+}
+
+/// The signals that ask for a planned stop.
+struct Signals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+}
+
+impl Signals {
+    fn open() -> std::io::Result<Self> {
+        Ok(Self {
+            terminate: unix::signal(unix::SignalKind::terminate())?,
+            interrupt: unix::signal(unix::SignalKind::interrupt())?,
+        })
+    }
+
+    async fn any(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 //! in the slice [`plugin::PLUGINS`]; it finds the shared tables, the worker pool and the settings
 //! through the [`host::Host`] that opens it.
 
+pub mod daemon;
 pub mod host;
 pub mod ini;
 pub mod logging;
--- a/crates/kernel/src/logging.rs
+++ b/crates/kernel/src/logging.rs
@@ -1,4 +1,4 @@
-//! Structured logs on standard error.
+//! Structured logs.
 
 use std::io::Write;
 
@@ -7,7 +7,16 @@
 /// The result of opening the log.
 pub type Result<T> = std::result::Result<T, flexi_logger::FlexiLoggerError>;
 
-/// Opens the log on standard error at `level`, for example `info` or `info, hyper=warn`.
+/// The stream to which lines are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Standard error.
+    Stderr,
+    /// Standard output.
+    Stdout,
+}
+
+/// Opens the log at `level`, for example `info` or `info, hyper=warn`.
 ///
 /// Each line holds the time, the level, the message with the prefix of its part, and key-value
 /// pairs.
@@ -15,8 +24,12 @@
 /// # Errors
 ///
 /// When the level cannot be parsed or a log is already open.
-pub fn open(level: &str) -> Result<flexi_logger::LoggerHandle> {
-    flexi_logger::Logger::try_with_str(level)?.format(line).log_to_stderr().start()
+pub fn open(level: &str, output: Output) -> Result<flexi_logger::LoggerHandle> {
+    let logger = flexi_logger::Logger::try_with_str(level)?.format(line);
+    match output {
+        Output::Stderr => logger.log_to_stderr().start(),
+        Output::Stdout => logger.log_to_stdout().start(),
+    }
 }
 
 fn line(
--- a/crates/node/src/pipeline.rs
+++ b/crates/node/src/pipeline.rs
@@ -9,7 +9,6 @@
 mod generate;
 mod order;
 mod plain;
-pub mod refusal;
 mod relay;
 pub mod request;
 
@@ -21,7 +20,7 @@
 
 use crate::{identity, link::Link, tables};
 
-pub use refusal::{Code, Outcome, Refusal, Result};
+pub use corneltrestle_policy::refusal::{self, Code, Outcome, Refusal, Result};
 pub use relay::Relay;
 
 /// The request path of a node over its clients: engines, plain services, the store and other nodes.
--- /dev/null
+++ b/crates/policy/src/cost.rs
@@ -0,0 +1,79 @@
+//! The published cost model of model engines: how long passes take and when a first event comes.
+
+use std::time;
+
+use crate::deployment;
+
+/// What a group works on.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Requests that run or wait.
+    pub requests: u32,
+    /// Prompt tokens that have not been read yet.
+    pub unread: u64,
+}
+
+/// Time of a pass of `running` requests without reading prompts.
+///
+/// Each request counts with the usual context of the engine's requests.
+pub fn pass(engine: &deployment::Engine, pace: f64, running: u32) -> time::Duration {
+    let context = f64::from(engine.prompt + engine.answer / 2) / 1_000.0;
+    let each = engine.sequence.as_secs_f64() + engine.context.as_secs_f64() * context;
+    let step = engine.step.as_secs_f64() + each * f64::from(running);
+    seconds(f64::from(engine.stride) * step * pace)
+}
+
+/// Time to read `tokens` of prompts.
+pub fn read(engine: &deployment::Engine, pace: f64, tokens: u64) -> time::Duration {
+    if engine.read <= 0.0 {
+        return time::Duration::ZERO;
+    }
+    let tokens = tokens as f64;
+    // The pairs of prompts of the usual length; the number of prompts is not known.
+    let pairs = tokens * f64::from(engine.prompt) / 2.0 / 1e6;
+    seconds((tokens / engine.read + pairs * engine.pairs.as_secs_f64()) * pace)
+}
+
+/// Predicted time from the arrival of a request with `prompt` tokens until its first event.
+///
+/// It waits for half a pass on average, for the prompts before it, for its own prompt and for the
+/// rest of its first pass. Beyond the slots it also waits until others have finished.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::{cost, deployment};
+/// # let engine = deployment::Engine {
+/// #     slots: 26, memory: 1_590_000, stride: 7,
+/// #     step: std::time::Duration::from_micros(5_950),
+/// #     sequence: std::time::Duration::from_nanos(44_500),
+/// #     context: std::time::Duration::from_nanos(8_130),
+/// #     read: 50_700.0, pairs: std::time::Duration::from_micros(368), chunk: 2_048,
+/// #     models: vec![], loads: Default::default(), kept: 1, far: 4.0,
+/// #     form: std::time::Duration::from_millis(300), prompt: 1_115, answer: 178,
+/// # };
+/// let idle = cost::first_event(&engine, 1.0, &cost::Work::default(), 1_000);
+/// let busy = cost::first_event(&engine, 1.0, &cost::Work { requests: 20, unread: 5_000 }, 1_000);
+/// assert!(idle < busy);
+/// ```
+pub fn first_event(
+    engine: &deployment::Engine,
+    pace: f64,
+    work: &Work,
+    prompt: u64,
+) -> time::Duration {
+    let slots = engine.slots.max(1);
+    let running = work.requests.min(slots);
+    let pass = pass(engine, pace, running);
+    let rest = if work.requests == 0 { time::Duration::ZERO } else { pass / 2 };
+    let reading = read(engine, pace, work.unread + prompt);
+    let waiting = (work.requests + 1).saturating_sub(slots);
+    // Running requests end at the rate at which the slots turn over.
+    let events = (f64::from(engine.answer) / f64::from(engine.stride.max(1))).max(1.0);
+    let turn = pass.mul_f64(events) * waiting / slots;
+    rest + reading + pass + turn
+}
+
+fn seconds(seconds: f64) -> time::Duration {
+    time::Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(time::Duration::MAX)
+}
--- /dev/null
+++ b/crates/policy/src/deployment/limits.rs
@@ -0,0 +1,29 @@
+//! Limits on what callers may send.
+
+use std::time;
+
+/// Limits on requests and connections of callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Limits {
+    /// Largest header in bytes.
+    pub header_bytes: usize,
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a header to arrive.
+    pub header_time: time::Duration,
+    /// Longest time between two requests on a connection.
+    pub idle_time: time::Duration,
+}
+
+impl Default for Limits {
+    /// Limits before a deployment is known: those of common HTTP servers.
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            header_time: time::Duration::from_secs(5),
+            idle_time: time::Duration::from_secs(15),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/fleet/group.rs
@@ -0,0 +1,71 @@
+//! Serving groups as their members register them.
+
+use std::collections;
+
+use crate::{id, upstream};
+
+/// A group: the upstreams that name the same group and epoch.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Group {
+    /// Its name.
+    pub id: id::Group,
+    /// Epoch of its membership.
+    pub epoch: u64,
+    /// The service of its members.
+    pub service: id::Service,
+    /// The model, once a member has loaded it.
+    pub model: Option<id::Model>,
+    /// Whether the head says that it serves.
+    pub is_open: bool,
+    /// Whether its members are in several fabric domains.
+    pub is_far: bool,
+    /// Rank and place in the fleet of each registered member, by rank.
+    pub(super) members: Vec<(u32, usize)>,
+}
+
+impl Group {
+    /// Number of registered members.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether no member is registered, which is never so for a group of a fleet.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+}
+
+/// The groups of these upstreams, by name and epoch.
+pub(super) fn of(upstreams: &[upstream::Upstream]) -> Vec<Group> {
+    let mut found = collections::BTreeMap::<(&id::Group, u64), Vec<(u32, usize)>>::new();
+    for (place, upstream) in upstreams.iter().enumerate() {
+        if let Some(member) = member_of(upstream) {
+            found.entry((&member.group, member.epoch)).or_default().push((member.rank, place));
+        }
+    }
+    found.into_iter().map(|((id, epoch), members)| build(upstreams, id, epoch, members)).collect()
+}
+
+fn member_of(upstream: &upstream::Upstream) -> Option<&upstream::Member> {
+    upstream.engine.as_ref()?.member.as_ref()
+}
+
+fn build(
+    upstreams: &[upstream::Upstream],
+    id: &id::Group,
+    epoch: u64,
+    mut members: Vec<(u32, usize)>,
+) -> Group {
+    members.sort_unstable();
+    let engines = || members.iter().filter_map(|(_, place)| upstreams[*place].engine.as_ref());
+    let model = engines().find_map(|engine| engine.models.first()).cloned();
+    let fabric = engines().next().map(|engine| &engine.fabric);
+    let is_far = engines().any(|engine| Some(&engine.fabric) != fabric);
+    let is_open = members
+        .first()
+        .filter(|(rank, _)| *rank == 0)
+        .and_then(|(_, place)| member_of(&upstreams[*place]))
+        .is_some_and(|head| head.state == upstream::MemberState::Open);
+    let service = upstreams[members[0].1].service.clone();
+    Group { id: id.clone(), epoch, service, model, is_open, is_far, members }
+}
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -51,6 +51,14 @@
     Service;
     /// A declared set of replicas, which operators call a serving group.
     ReplicaSet;
+    /// A model with its weights.
+    Model;
+    /// A region, which has one or more availability zones.
+    Region;
+    /// A route of requests.
+    Route;
+    /// A serving group formed from the VMs of a fabric domain.
+    Group;
 }
 
 /// One replica of a replica set.
--- a/crates/server/src/lib.rs
+++ b/crates/server/src/lib.rs
@@ -9,6 +9,7 @@
 mod header;
 pub mod limits;
 pub mod refuse;
+pub mod status;
 
 pub use accept::bind;
 pub use limits::Limits;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -88,7 +88,7 @@
 }
 
 fn run(kind: settings::Kind, settings: &Settings) -> Result<(), Box<dyn std::error::Error>> {
-    let _log = logging::open("info")?;
+    let _log = logging::open("info", logging::Output::Stderr)?;
     let pool = pool::Pool::spawn(WORKERS)?;
     pool.wait(async {
         match kind {
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -5,7 +5,7 @@
 
 mod decoder;
 
-pub use decoder::{Decoder, Event, TooLarge};
+pub use decoder::{Block, Decoder, Event, TooLarge};
 
 use bytes::BufMut;
 
--- a/crates/wire/src/sse/decoder.rs
+++ b/crates/wire/src/sse/decoder.rs
@@ -42,6 +42,15 @@
     pub data: bytes::Bytes,
 }
 
+/// An event with its bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Block {
+    /// The event as it arrived, with the blank line that ends it.
+    pub raw: bytes::Bytes,
+    /// The event.
+    pub event: Event,
+}
+
 /// An event is larger than the limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TooLarge {
@@ -81,15 +90,24 @@
     /// When an event is larger than the limit.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Result<Option<Event>, TooLarge> {
+        Ok(self.next_block()?.map(|block| block.event))
+    }
+
+    /// As [`Decoder::next`], with the bytes of the event.
+    ///
+    /// # Errors
+    ///
+    /// When an event is larger than the limit.
+    pub fn next_block(&mut self) -> Result<Option<Block>, TooLarge> {
         loop {
             if !self.partial.is_empty() && !self.complete_partial()? {
                 return Ok(None);
             }
             match end_of_event(&self.whole, 0) {
                 Ok(end) if end <= self.max => {
-                    let event = parse(&self.whole.split_to(end));
-                    if event.is_some() {
-                        return Ok(event);
+                    let raw = self.whole.split_to(end);
+                    if let Some(event) = parse(&raw) {
+                        return Ok(Some(Block { raw, event }));
                     }
                 }
                 Ok(_) => return Err(TooLarge { max: self.max }),
@@ -106,6 +124,11 @@
         }
     }
 
+    /// Whether all that was added has been returned, so that the body may end here.
+    pub fn is_empty(&self) -> bool {
+        self.whole.is_empty() && self.partial.is_empty()
+    }
+
     /// Whether the event that spans parts has ended; it is then the first one in `whole`.
     fn complete_partial(&mut self) -> Result<bool, TooLarge> {
         match end_of_event(&self.partial, self.line) {
