Form serving groups under a lease of the store

The holder of the coordinator's lease lets each VM load a model in a standby group of its own, forms groups of VMs of one fabric domain, opens them, and dissolves those that have lost a member.

--- /dev/null
+++ b/crates/gateway/src/duty/coordinate.rs
@@ -0,0 +1,106 @@
+//! Duty: forms serving groups while this node holds the coordinator's lease.
+
+mod lease;
+mod orders;
+
+use std::{collections, sync, time};
+
+use corneltrestle_infra::store::Store;
+use corneltrestle_kernel::{host, plugin};
+use corneltrestle_policy::{formation, id};
+use corneltrestle_time::moment;
+
+use crate::{identity, source::Source, tables, upstream::Caller};
+
+/// Longest time between two decisions; changes of the catalog are acted on at once.
+const PERIOD: time::Duration = time::Duration::from_millis(100);
+
+/// Age of the catalog from which the coordinator does not act: it may have missed changes.
+const MAX_AGE: time::Duration = time::Duration::from_secs(3);
+
+/// Time for which a VM that has not answered an order counts as lost.
+const SILENCE: time::Duration = time::Duration::from_secs(2);
+
+/// The duty with what it works on.
+#[derive(Debug)]
+struct Coordinator<S, C> {
+    host: sync::Arc<host::Host>,
+    identity: sync::Arc<identity::Identity>,
+    tables: tables::Tables,
+    store: sync::Arc<S>,
+    caller: sync::Arc<C>,
+}
+
+/// Opens the duty.
+///
+/// # Errors
+///
+/// When a port is missing.
+pub fn open<S: Store + Source, C: Caller>(
+    host: &sync::Arc<host::Host>,
+) -> plugin::Result<plugin::Handle> {
+    let coordinator = sync::Arc::new(Coordinator::<S, C> {
+        host: sync::Arc::clone(host),
+        identity: host.port()?,
+        tables: tables::Tables::of(host),
+        store: host.port()?,
+        caller: host.port()?,
+    });
+    let handle = plugin::Handle::default();
+    let holder = sync::Arc::clone(&coordinator);
+    handle.run_until_stop(&host.pool, async move { holder.hold().await });
+    handle.run_until_stop(&host.pool, async move { coordinator.run().await });
+    Ok(handle)
+}
+
+impl<S: Store + Source, C: Caller> Coordinator<S, C> {
+    async fn run(self: sync::Arc<Self>) {
+        let changed = self.tables.catalog.lock().changed();
+        loop {
+            let _ = tokio::time::timeout(PERIOD, changed.notified()).await;
+            self.act(self.host.now());
+        }
+    }
+
+    /// Decides and gives orders, if this node holds the lease.
+    fn act(self: &sync::Arc<Self>, now: moment::Moment) {
+        let is_fresh = {
+            let catalog = self.tables.catalog.lock();
+            catalog.heard().is_some_and(|heard| now.since(heard) < MAX_AGE)
+        };
+        if !is_fresh || !self.holds(now) {
+            return;
+        }
+        let steps = self.decide(now);
+        for step in steps {
+            self.order(step);
+        }
+    }
+
+    fn decide(&self, now: moment::Moment) -> Vec<formation::Step> {
+        let snapshot = self.tables.current.load();
+        let Some(deployment) = &snapshot.deployment else { return Vec::new() };
+        let mut coordinator = self.tables.coordinator.lock();
+        let tables::coordinator::Coordinator { memory, busy, silent, .. } = &mut *coordinator;
+        let Some(memory) = memory else { return Vec::new() };
+        silent.retain(|_, at| now.since(*at) < SILENCE);
+        let lost: collections::BTreeSet<id::Vm> = silent.keys().cloned().collect();
+        let engines = deployment
+            .services
+            .iter()
+            .filter_map(|(name, service)| service.engine.as_ref().map(|engine| (name, engine)));
+        let mut steps = Vec::new();
+        for (service, engine) in engines {
+            let view = formation::View {
+                service,
+                engine,
+                fleet: &snapshot.fleet,
+                evacuated: &snapshot.evacuated,
+                lost: &lost,
+                busy,
+            };
+            steps.extend(formation::decide(&view, memory, now));
+        }
+        steps
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/duty/coordinate/lease.rs
@@ -0,0 +1,154 @@
+//! The coordinator's lease.
+
+use std::time;
+
+use corneltrestle_infra::store::{self, Class, LeaseId, Store, Swap};
+use corneltrestle_policy::{formation, lease};
+use corneltrestle_time::moment;
+
+use super::Coordinator;
+use crate::{
+    source::{Holder, Source},
+    upstream::Caller,
+};
+
+/// Time to live of the lease: another node takes over after it.
+const TTL: time::Duration = time::Duration::from_millis(1_500);
+
+/// Time between two looks at the lease.
+const PERIOD: time::Duration = time::Duration::from_millis(100);
+
+/// A gap between two looks above this means that the process was paused.
+const PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// What this node knows of its own lease.
+#[derive(Debug, Default)]
+struct State {
+    held: Option<(LeaseId, lease::Held)>,
+    /// When the lease was first seen without a holder.
+    free: Option<moment::Moment>,
+    /// When this node tries to acquire it.
+    attempt: Option<moment::Moment>,
+    looked: Option<moment::Moment>,
+    resumed: Option<moment::Moment>,
+}
+
+impl<S: Store + Source, C: Caller> Coordinator<S, C> {
+    /// Whether this node may act as the coordinator.
+    pub(super) fn holds(&self, now: moment::Moment) -> bool {
+        let valid = self.tables.coordinator.lock().valid;
+        valid.is_some_and(|until| now < until)
+    }
+
+    /// Acquires the lease when it is free, and renews it while this node holds it.
+    pub(super) async fn hold(&self) {
+        let mut state = State::default();
+        loop {
+            let now = self.host.now();
+            if state.looked.is_some_and(|at| now.since(at) > PAUSE) {
+                state.resumed = Some(now);
+            }
+            state.looked = Some(now);
+            let result = match state.held {
+                Some((id, held)) => self.keep(&mut state, id, held, now).await,
+                None => self.seek(&mut state, now).await,
+            };
+            if let Err(e) = result {
+                log::info!("lease: {e}");
+            }
+            tokio::time::sleep(PERIOD).await;
+        }
+    }
+
+    async fn keep(
+        &self,
+        state: &mut State,
+        id: LeaseId,
+        mut held: lease::Held,
+        now: moment::Moment,
+    ) -> store::Result<()> {
+        let is_fenced = self.tables.coordinator.lock().is_fenced;
+        match held.step(state.resumed, now) {
+            lease::Step::Act if !is_fenced => return Ok(()),
+            lease::Step::StepDown => {
+                self.step_down(state, "the lease was not renewed in time");
+                return Ok(());
+            }
+            _ if is_fenced => {
+                self.step_down(state, "another node has used a higher fencing token");
+                return self.store.revoke(id, Class::Lease).await;
+            }
+            _ => {}
+        }
+        let sent = self.host.now();
+        match self.store.renew(id, Class::Lease).await? {
+            Some(ttl) => {
+                held.renewed(sent, ttl);
+                state.held = Some((id, held));
+                self.tables.coordinator.lock().valid = Some(held.valid_until());
+            }
+            None => self.step_down(state, "the lease has lapsed"),
+        }
+        Ok(())
+    }
+
+    /// Tries to acquire the lease if it has no holder.
+    async fn seek(&self, state: &mut State, now: moment::Moment) -> store::Result<()> {
+        let snapshot = self.tables.current.load_full();
+        if snapshot.deployment.is_none() || snapshot.coordinator.is_some() {
+            (state.free, state.attempt) = (None, None);
+            return Ok(());
+        }
+        let free = *state.free.get_or_insert(now);
+        let attempt = match state.attempt {
+            Some(at) => at,
+            None => {
+                let live = snapshot.nodes.keys().map(|node| node.as_str());
+                let own = self.identity.node.as_str();
+                let at = lease::acquire_at("coordinator", own, live, free, &mut rand::rng());
+                let Some(at) = at else { return Ok(()) };
+                *state.attempt.insert(at)
+            }
+        };
+        if now < attempt {
+            return Ok(());
+        }
+        state.attempt = None;
+        state.free = Some(now);
+        self.acquire(state).await
+    }
+
+    async fn acquire(&self, state: &mut State) -> store::Result<()> {
+        let sent = self.host.now();
+        let id = self.store.grant(TTL, Class::Lease).await?;
+        let holder = Holder { node: self.identity.node.clone(), boot: self.identity.boot };
+        let value = serde_json::to_vec(&holder).unwrap_or_default();
+        let key = S::coordinator_key();
+        let token = match self.store.swap(key, 0, &value, Some(id), Class::Lease).await {
+            Ok(Swap::Done(revision)) => revision,
+            Ok(Swap::Conflict(_)) => return self.store.revoke(id, Class::Lease).await,
+            Err(e) if e.may_have_run() => match self.store.read(key, Class::Lease).await? {
+                Some(found) if found.value == value => found.version,
+                _ => return Err(e),
+            },
+            Err(e) => return Err(e),
+        };
+        let held = lease::Held { token, sent, ttl: TTL };
+        state.held = Some((id, held));
+        log::info!(token = token; "lease: this node coordinates");
+        let mut coordinator = self.tables.coordinator.lock();
+        coordinator.memory = Some(formation::Memory::open(token));
+        coordinator.valid = Some(held.valid_until());
+        coordinator.is_fenced = false;
+        Ok(())
+    }
+
+    fn step_down(&self, state: &mut State, reason: &str) {
+        log::warn!("lease: this node coordinates no longer: {reason}");
+        *state = State { looked: state.looked, resumed: state.resumed, ..State::default() };
+        let mut coordinator = self.tables.coordinator.lock();
+        coordinator.memory = None;
+        coordinator.valid = None;
+        coordinator.is_fenced = false;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/duty/coordinate/orders.rs
@@ -0,0 +1,72 @@
+//! Orders to VMs.
+
+use std::{sync, time};
+
+use corneltrestle_policy::formation;
+
+use super::Coordinator;
+use crate::{
+    source::Source,
+    upstream::{self, Caller, Command, Outcome},
+};
+use corneltrestle_infra::store::Store;
+
+/// Longest time for the answer to an order.
+const LIMIT: time::Duration = time::Duration::from_millis(400);
+
+impl<S: Store + Source, C: Caller> Coordinator<S, C> {
+    /// Gives an order in a job of its own, so that a VM that does not answer delays none.
+    pub(super) fn order(self: &sync::Arc<Self>, step: formation::Step) {
+        let token = {
+            let mut coordinator = self.tables.coordinator.lock();
+            let Some(memory) = &coordinator.memory else { return };
+            let token = memory.token();
+            coordinator.busy.insert(step.vm.clone());
+            token
+        };
+        let this = sync::Arc::clone(self);
+        self.host.pool.run(async move {
+            let outcome = this.send(&step, token).await;
+            this.settle(&step, token, outcome);
+        });
+    }
+
+    async fn send(&self, step: &formation::Step, token: u64) -> upstream::Result<Option<Outcome>> {
+        let snapshot = self.tables.current.load_full();
+        let Some(vm) = snapshot.fleet.get(step.vm.as_str()) else { return Ok(None) };
+        let command = Command { order: &step.order, token, expected: None, limit: LIMIT };
+        self.caller.order(vm.address, &step.vm, &command).await.map(Some)
+    }
+
+    fn settle(
+        &self,
+        step: &formation::Step,
+        token: u64,
+        outcome: upstream::Result<Option<Outcome>>,
+    ) {
+        let (vm, order) = (step.vm.as_str(), &step.order);
+        let now = self.host.now();
+        let mut coordinator = self.tables.coordinator.lock();
+        coordinator.busy.remove(vm);
+        if coordinator.memory.as_ref().is_none_or(|memory| memory.token() != token) {
+            return;
+        }
+        match outcome {
+            Ok(outcome) => {
+                log::info!(vm = vm, token = token; "group: {order:?} ended as {outcome:?}");
+                if outcome == Some(Outcome::Fenced) {
+                    coordinator.is_fenced = true;
+                }
+                if outcome != Some(Outcome::Begun)
+                    && let Some(memory) = &mut coordinator.memory
+                {
+                    memory.settle(vm);
+                }
+            }
+            Err(e) => {
+                log::warn!(vm = vm, token = token; "group: {order:?} was not answered: {e}");
+                coordinator.silent.insert(step.vm.clone(), now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/duty/register.rs
@@ -0,0 +1,83 @@
+//! Duty: keeps this node registered, so that other nodes find it.
+
+use std::{sync, time};
+
+use corneltrestle_infra::store::{self, Class, LeaseId, Store};
+use corneltrestle_kernel::{host, plugin};
+
+use crate::{
+    identity,
+    source::{Node, Source},
+};
+
+/// Time to live of the registration.
+const TTL: time::Duration = time::Duration::from_secs(10);
+
+/// Time between two renewals: two may fail before the registration lapses.
+const PERIOD: time::Duration = time::Duration::from_secs(3);
+
+/// Time until a failed registration is tried again.
+const RETRY: time::Duration = time::Duration::from_millis(500);
+
+/// The duty with what it works on.
+#[derive(Debug)]
+struct Registrar<S> {
+    store: sync::Arc<S>,
+    key: String,
+    value: Vec<u8>,
+}
+
+/// Opens the duty.
+///
+/// # Errors
+///
+/// When no plug-in has offered the store.
+pub fn open<S: Store + Source>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let identity = host.port::<identity::Identity>()?;
+    let node = Node { zone: identity.zone.clone(), address: identity.mesh, boot: identity.boot };
+    let registrar = Registrar::<S> {
+        store: host.port()?,
+        key: S::node_key(&identity.node),
+        value: serde_json::to_vec(&node).unwrap_or_default(),
+    };
+    let handle = plugin::Handle::default();
+    handle.run_until_stop(&host.pool, registrar.run());
+    Ok(handle)
+}
+
+impl<S: Store> Registrar<S> {
+    async fn run(self) {
+        let mut lease = None;
+        loop {
+            let round = match lease {
+                Some(held) => self.renew(held).await,
+                None => self.register().await.map(Some),
+            };
+            lease = match round {
+                Ok(held) => held,
+                Err(e) => {
+                    log::info!("node: the registration was not renewed: {e}");
+                    lease
+                }
+            };
+            tokio::time::sleep(if lease.is_some() { PERIOD } else { RETRY }).await;
+        }
+    }
+
+    /// Renews the lease; `None` if it has lapsed.
+    async fn renew(&self, lease: LeaseId) -> store::Result<Option<LeaseId>> {
+        Ok(self.store.renew(lease, Class::Lease).await?.map(|_| lease))
+    }
+
+    async fn register(&self) -> store::Result<LeaseId> {
+        let lease = self.store.grant(TTL, Class::Lease).await?;
+        let mut version = 0;
+        // An earlier process of this node may have left its entry.
+        while let store::Swap::Conflict(present) =
+            self.store.swap(&self.key, version, &self.value, Some(lease), Class::Lease).await?
+        {
+            version = present.map_or(0, |present| present.version);
+        }
+        Ok(lease)
+    }
+}
--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -1,6 +1,6 @@
 //! Who this node is.
 
-use std::{collections, sync};
+use std::{collections, net, sync};
 
 use corneltrestle_kernel::{host, linkme, plugin, settings};
 use corneltrestle_policy::id;
@@ -12,6 +12,8 @@
     pub node: id::Node,
     /// Availability zone.
     pub zone: id::Zone,
+    /// Address on which the node hears other nodes.
+    pub mesh: net::SocketAddr,
     /// Random identifier of this process, not 0.
     pub boot: u64,
     /// Region of each zone.
@@ -24,6 +26,11 @@
     keys: &[
         settings::Key::required("id", settings::Type::Text, "Name of the node, unique."),
         settings::Key::required("zone", settings::Type::Text, "Availability zone."),
+        settings::Key::required(
+            "mesh",
+            settings::Type::Address,
+            "Address on which the node hears other nodes, over UDP.",
+        ),
         settings::Key::new(
             "regions",
             settings::Type::Text,
@@ -77,6 +84,7 @@
     let identity = Identity {
         node: node.text("id").into(),
         zone: node.text("zone").into(),
+        mesh: node.address("mesh"),
         boot: rand::random::<u64>().max(1),
         regions: regions(&host.settings)?,
     };
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -22,6 +22,8 @@
     Upstream(id::Vm),
     /// A node of this system.
     Node(id::Node),
+    /// The node that forms groups.
+    Coordinator,
 }
 
 /// A fact.
@@ -36,6 +38,18 @@
     Upstream(upstream::Upstream),
     /// The node as it registered itself.
     Node(Node),
+    /// The node that holds the lease of the coordinator.
+    Coordinator(Holder),
+}
+
+/// The holder of the coordinator's lease. The revision at which it was written is the fencing token.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Holder {
+    /// The node.
+    pub node: id::Node,
+    /// Identifier of its process.
+    pub boot: u64,
 }
 
 /// A node of this system.
@@ -88,11 +102,9 @@
         wait: time::Duration,
     ) -> impl Future<Output = Result<Changes>> + Send;
 
-    /// Registers a node for as long as a lease lives.
-    fn register(
-        &self,
-        id: &id::Node,
-        node: &Node,
-        lease: store::LeaseId,
-    ) -> impl Future<Output = Result<()>> + Send;
+    /// Key under which a node registers itself; its value is the JSON form of [`Node`].
+    fn node_key(id: &id::Node) -> String;
+
+    /// Key of the coordinator's lease; its value is the JSON form of [`Holder`].
+    fn coordinator_key() -> &'static str;
 }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -3,11 +3,13 @@
 //! | rank | table | holds |
 //! |---|---|---|
 //! | 10 | [`catalog::Catalog`] | facts of the platform with their revisions |
+//! | 30 | [`coordinator::Coordinator`] | state of the node that forms groups |
 //! | 40 | [`activity::Activity`] | requests in progress by upstream |
 //! | 60 | [`retries::Retries`] | retry budgets by service |
 
 pub mod activity;
 pub mod catalog;
+pub mod coordinator;
 pub mod retries;
 
 use std::sync;
@@ -21,6 +23,8 @@
     pub catalog: sync::Arc<table::Table<catalog::Catalog>>,
     /// Facts, for readers.
     pub current: catalog::Current,
+    /// State of the coordinator.
+    pub coordinator: sync::Arc<table::Table<coordinator::Coordinator>>,
     /// Requests in progress.
     pub activity: sync::Arc<table::Table<activity::Activity>>,
     /// Retry budgets.
@@ -32,6 +36,12 @@
     pub fn of(host: &host::Host) -> Self {
         let catalog = host.table::<catalog::Catalog>();
         let current = catalog.lock().current();
-        Self { catalog, current, activity: host.table(), retries: host.table() }
+        Self {
+            catalog,
+            current,
+            coordinator: host.table(),
+            activity: host.table(),
+            retries: host.table(),
+        }
     }
 }
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -5,8 +5,9 @@
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{deployment, fleet, id};
 use corneltrestle_time::moment;
+use tokio::sync::Notify;
 
-use crate::source::{Change, Changes, Fact, Node, Subject};
+use crate::source::{Change, Changes, Fact, Holder, Node, Subject};
 
 /// Time for which a removal is held back after an outage of the source: registrations that lapsed
 /// meanwhile are renewed within about two seconds of its return.
@@ -26,6 +27,7 @@
     /// Upstreams whose removal is held back.
     held: collections::BTreeSet<Subject>,
     current: Current,
+    changed: sync::Arc<Notify>,
 }
 
 #[derive(Clone, Debug)]
@@ -50,6 +52,8 @@
     pub fleet: fleet::Fleet,
     /// Registered nodes.
     pub nodes: collections::BTreeMap<id::Node, Node>,
+    /// The holder of the coordinator's lease.
+    pub coordinator: Option<Holder>,
 }
 
 impl table::Ranked for Catalog {
@@ -63,6 +67,11 @@
         sync::Arc::clone(&self.current)
     }
 
+    /// Notified when the snapshot changes.
+    pub fn changed(&self) -> sync::Arc<Notify> {
+        sync::Arc::clone(&self.changed)
+    }
+
     /// Revision from which to follow the source.
     pub fn at(&self) -> u64 {
         self.at
@@ -180,11 +189,13 @@
                 (Subject::Node(id), Fact::Node(node)) => {
                     next.nodes.insert(id.clone(), node.clone());
                 }
+                (_, Fact::Coordinator(holder)) => next.coordinator = Some(holder.clone()),
                 _ => {}
             }
         }
         next.fleet = fleet::Fleet::open(upstreams);
         self.current.store(sync::Arc::new(next));
+        self.changed.notify_waiters();
     }
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,7 +4,7 @@
 
 use std::{net, time};
 
-use corneltrestle_policy::{id, upstream};
+use corneltrestle_policy::{formation, id, upstream};
 
 use crate::request;
 
@@ -101,53 +101,11 @@
     pub engine: upstream::Engine,
 }
 
-/// An order to the engine of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Order {
-    /// Join a group as one of its members; the first one is the head.
-    Join {
-        /// The group.
-        group: id::Group,
-        /// Epoch of the membership.
-        epoch: u64,
-        /// The model.
-        model: id::Model,
-        /// All members.
-        members: Vec<id::Vm>,
-    },
-    /// Begin to serve, as the head of a group.
-    Open {
-        /// The group.
-        group: id::Group,
-        /// Epoch of the membership.
-        epoch: u64,
-    },
-    /// Take no new requests, as the head of a group, and finish those that run.
-    Close {
-        /// The group.
-        group: id::Group,
-        /// Epoch of the membership.
-        epoch: u64,
-    },
-    /// Leave a group at once.
-    Leave {
-        /// The group.
-        group: id::Group,
-        /// Epoch of the membership.
-        epoch: u64,
-    },
-    /// Load the weights of a model onto the host.
-    Stage {
-        /// The model.
-        model: id::Model,
-    },
-}
-
 /// An order with what makes it safe to repeat.
 #[derive(Clone, Copy, Debug)]
 pub struct Command<'a> {
     /// The order.
-    pub order: &'a Order,
+    pub order: &'a formation::Order,
     /// Fencing token of the node that gives it.
     pub token: u64,
     /// Orders that the upstream must have accepted before, so that one that is carried out late
--- /dev/null
+++ b/crates/policy/src/formation.rs
@@ -0,0 +1,93 @@
+//! Formation of serving groups: which VMs load which model, form a group, or leave one.
+//!
+//! A VM first joins a standby group of its own, which loads its model. Groups are then formed from
+//! VMs of one fabric domain that have the model, which takes a fraction of a second. A lost member
+//! is replaced in the same way, by a spare VM that stands by.
+
+mod compose;
+mod gather;
+mod host;
+mod memory;
+mod repair;
+
+use std::collections;
+
+use corneltrestle_time::moment;
+
+pub use compose::{Supply, compose};
+pub use host::{Condition, Host, Role};
+pub use memory::{Memory, Plan};
+
+use crate::{deployment, fleet, id};
+
+/// What the decision is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// The service whose VMs are formed into groups.
+    pub service: &'a id::Service,
+    /// Its engine.
+    pub engine: &'a deployment::Engine,
+    /// All upstreams.
+    pub fleet: &'a fleet::Fleet,
+    /// Zones that take no new work.
+    pub evacuated: &'a collections::BTreeSet<id::Zone>,
+    /// VMs that have stopped to answer.
+    pub lost: &'a collections::BTreeSet<id::Vm>,
+    /// VMs to which an order is under way.
+    pub busy: &'a collections::BTreeSet<id::Vm>,
+}
+
+/// An order to a VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// The VM.
+    pub vm: id::Vm,
+    /// The order.
+    pub order: Order,
+}
+
+/// An order to the engine of a VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Join a group as one of its members; the first one is the head.
+    Join {
+        /// The group.
+        group: id::Group,
+        /// Epoch of the membership.
+        epoch: u64,
+        /// The model.
+        model: id::Model,
+        /// All members.
+        members: Vec<id::Vm>,
+    },
+    /// Begin to serve, as the head of a group.
+    Open {
+        /// The group.
+        group: id::Group,
+        /// Epoch of the membership.
+        epoch: u64,
+    },
+    /// Take no new requests, as the head of a group, and finish those that run.
+    Close {
+        /// The group.
+        group: id::Group,
+        /// Epoch of the membership.
+        epoch: u64,
+    },
+    /// Leave a group at once.
+    Leave {
+        /// The group.
+        group: id::Group,
+        /// Epoch of the membership.
+        epoch: u64,
+    },
+}
+
+/// Decides on the next orders and notes what they are to lead to.
+pub fn decide(view: &View<'_>, memory: &mut Memory, now: moment::Moment) -> Vec<Step> {
+    let hosts = host::classify(view, memory, now);
+    memory.retain(&hosts, now);
+    let mut steps = repair::steps(view, &hosts, memory, now);
+    steps.extend(gather::steps(view, &hosts, memory, now));
+    steps
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod delivery;
 pub mod deployment;
 pub mod fleet;
+pub mod formation;
 pub mod id;
 pub mod lease;
 pub mod membership;
