--- a/crates/gateway/src/duty/coordinate.rs
+++ b/crates/gateway/src/duty/coordinate.rs
@@ -98,6 +98,7 @@
                 evacuated: &snapshot.evacuated,
                 lost: &lost,
                 busy,
+                begun: self.tables.activity.lock().has_begun(),
             };
             steps.extend(formation::decide(&view, memory, now));
         }
--- a/crates/gateway/src/tables/activity.rs
+++ b/crates/gateway/src/tables/activity.rs
@@ -9,6 +9,8 @@
 #[derive(Debug, Default)]
 pub struct Activity {
     own: collections::HashMap<id::Vm, cost::Work>,
+    /// Whether a request has been sent to an upstream.
+    begun: bool,
 }
 
 impl table::Ranked for Activity {
@@ -22,9 +24,15 @@
         self.own.get(upstream).copied().unwrap_or_default()
     }
 
+    /// Whether a request has been sent to an upstream.
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+
     /// Counts a request with `prompt` tokens.
     pub fn begin(&mut self, upstream: &id::Vm, prompt: u64) {
         let work = self.own.entry(upstream.clone()).or_default();
+        self.begun = true;
         work.requests += 1;
         work.unread += prompt;
     }
--- a/crates/policy/src/formation.rs
+++ b/crates/policy/src/formation.rs
@@ -18,7 +18,7 @@
 pub use host::{Condition, Host, Role};
 pub use memory::{Memory, Plan};
 
-use crate::{deployment, fleet, id};
+use crate::{deployment, fleet, id, upstream};
 
 /// What the decision is made from.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +35,8 @@
     pub lost: &'a collections::BTreeSet<id::Vm>,
     /// VMs to which an order is under way.
     pub busy: &'a collections::BTreeSet<id::Vm>,
+    /// Whether requests have come: before the first one, loads are short and need no limit.
+    pub begun: bool,
 }
 
 /// An order to a VM.
@@ -83,8 +85,29 @@
     },
 }
 
+impl Order {
+    /// Whether the effect of the order shows in the registration of its VM.
+    pub fn has_effect(&self, upstream: &upstream::Upstream) -> bool {
+        let member = upstream.engine.as_ref().and_then(|engine| engine.member.as_ref());
+        let of = |group: &id::Group, epoch: u64| {
+            member.filter(|member| member.group == *group && member.epoch == epoch)
+        };
+        match self {
+            Self::Join { group, epoch, .. } => of(group, *epoch).is_some(),
+            Self::Open { group, epoch } => {
+                of(group, *epoch).is_none_or(|m| m.state == upstream::MemberState::Open)
+            }
+            Self::Close { group, epoch } => {
+                of(group, *epoch).is_none_or(|m| m.state != upstream::MemberState::Open)
+            }
+            Self::Leave { group, epoch } => of(group, *epoch).is_none(),
+        }
+    }
+}
+
 /// Decides on the next orders and notes what they are to lead to.
 pub fn decide(view: &View<'_>, memory: &mut Memory, now: moment::Moment) -> Vec<Step> {
+    memory.observe(view.fleet, now);
     let hosts = host::classify(view, memory, now);
     memory.retain(&hosts, now);
     let mut steps = repair::steps(view, &hosts, memory, now);
--- a/crates/policy/src/formation/gather.rs
+++ b/crates/policy/src/formation/gather.rs
@@ -64,7 +64,7 @@
     }
     // Loads that complete a group soonest go first.
     wanted.sort_by_key(|load| load.missing);
-    let places = free_places(view.engine, hosts, memory, now);
+    let places = free_places(view, hosts, memory, now);
     for load in wanted.into_iter().take(places) {
         steps.push(load_step(&load, memory, now));
     }
@@ -209,11 +209,15 @@
 
 /// Loads that may begin now.
 fn free_places(
-    engine: &deployment::Engine,
+    view: &View<'_>,
     hosts: &[Host<'_>],
     memory: &mut Memory,
     now: moment::Moment,
 ) -> usize {
+    if !view.begun {
+        return usize::MAX;
+    }
+    let engine = view.engine;
     let loading = hosts.iter().filter(|host| host.role == Role::Loading).count();
     let parallel = usize::try_from(engine.loads.parallel.max(1)).unwrap_or(usize::MAX);
     let rate = (engine.loads.rate * LOAD_RATE).max(1.0) as usize;
--- a/crates/policy/src/formation/host.rs
+++ b/crates/policy/src/formation/host.rs
@@ -3,7 +3,7 @@
 use corneltrestle_time::moment;
 
 use super::{Memory, View};
-use crate::{fleet, id, upstream};
+use crate::{id, upstream};
 
 /// Begin of the names of groups in which one VM stands by.
 pub(super) const STANDBY: &str = "standby-";
@@ -127,12 +127,3 @@
 pub(super) fn is_standby(group: &id::Group) -> bool {
     group.as_str().starts_with(STANDBY)
 }
-
-/// Whether all members of a group are registered under it and usable.
-pub(super) fn is_intact(group: &fleet::Group, hosts: &[Host<'_>], size: usize) -> bool {
-    let members = hosts.iter().filter(|host| {
-        host.condition == Condition::Usable
-            && host.member().is_some_and(|m| m.group == group.id && m.epoch == group.epoch)
-    });
-    members.count() == size
-}
--- a/crates/policy/src/formation/memory.rs
+++ b/crates/policy/src/formation/memory.rs
@@ -5,7 +5,7 @@
 use corneltrestle_time::moment;
 
 use super::{Host, Order, Role, Step};
-use crate::id;
+use crate::{fleet, id};
 
 /// Epochs that one holder of a token may use.
 const EPOCHS: u64 = 100_000;
@@ -21,8 +21,8 @@
     plans: collections::BTreeMap<id::Group, Plan>,
     /// Standby VMs that load, with the model and the time until which they may take.
     loading: collections::BTreeMap<id::Vm, Loading>,
-    /// When each VM got its latest order, until the effect shows.
-    ordered: collections::BTreeMap<id::Vm, moment::Moment>,
+    /// The latest order of each VM and when it was given, until the effect shows.
+    ordered: collections::BTreeMap<id::Vm, (Order, moment::Moment)>,
     /// Starts of loads, for the rate of the weight store.
     starts: collections::VecDeque<moment::Moment>,
 }
@@ -93,7 +93,7 @@
 
     /// Notes the order of a step; the VM gets no other one until its effect shows.
     pub(super) fn order(&mut self, vm: &id::Vm, order: Order, now: moment::Moment) -> Step {
-        self.ordered.insert(vm.clone(), now);
+        self.ordered.insert(vm.clone(), (order.clone(), now));
         Step { vm: vm.clone(), order }
     }
 
@@ -119,15 +119,23 @@
 
     /// Whether an order to the VM has not shown its effect yet.
     pub(super) fn is_ordered(&self, vm: &str, now: moment::Moment) -> bool {
-        self.ordered.get(vm).is_some_and(|at| now < *at + EFFECT)
+        self.ordered.get(vm).is_some_and(|(_, at)| now < *at + EFFECT)
     }
 
-    /// Notes that the entry of a VM has changed or that its order has ended without effect.
+    /// Notes that the order of a VM has ended without effect.
     pub fn settle(&mut self, vm: &str) {
         self.ordered.remove(vm);
     }
 
-    /// Forgets VMs that are gone and loads that have ended.
+    /// Forgets orders whose effect shows in the registrations.
+    pub(super) fn observe(&mut self, fleet: &fleet::Fleet, now: moment::Moment) {
+        self.ordered.retain(|vm, (order, at)| {
+            now < *at + EFFECT
+                && fleet.get(vm.as_str()).is_some_and(|upstream| !order.has_effect(upstream))
+        });
+    }
+
+    /// Forgets loads that have ended.
     pub(super) fn retain(&mut self, hosts: &[Host<'_>], now: moment::Moment) {
         let known: collections::BTreeMap<&str, &Host<'_>> =
             hosts.iter().map(|host| (host.upstream.id.as_str(), host)).collect();
@@ -136,6 +144,5 @@
                 now < load.until && !host.has(&load.model) && host.role != Role::Unusable
             })
         });
-        self.ordered.retain(|vm, at| known.contains_key(vm.as_str()) && now < *at + EFFECT);
     }
 }
--- a/crates/policy/src/formation/repair.rs
+++ b/crates/policy/src/formation/repair.rs
@@ -4,10 +4,7 @@
 
 use corneltrestle_time::moment;
 
-use super::{
-    Condition, Host, Memory, Order, Plan, Step, View,
-    host::{self, SERVING},
-};
+use super::{Condition, Host, Memory, Order, Plan, Step, View, host::SERVING};
 use crate::{fleet, id, upstream};
 
 /// Time that a group which another node has formed gets to become complete.
@@ -181,8 +178,3 @@
     remaining == 0
         && members.iter().flatten().all(|host| !host.is_busy || host.condition == Condition::Lost)
 }
-
-/// Whether a group of the fleet serves with all its members usable.
-pub(super) fn serves(group: &fleet::Group, hosts: &[Host<'_>], size: usize) -> bool {
-    group.is_open && host::is_intact(group, hosts, size)
-}
