Detect groups that stand still and probe their members

Nodes exchange pulses over UDP with their requests in progress. A group whose streams get no event within the predicted time of a pass is avoided, its streams resume elsewhere, and the coordinator probes its members and replaces the lost.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -2,4 +2,6 @@
 
 pub mod coordinate;
 pub mod follow;
+pub mod mesh;
 pub mod register;
+pub mod watchdog;
--- a/crates/gateway/src/duty/coordinate.rs
+++ b/crates/gateway/src/duty/coordinate.rs
@@ -2,6 +2,7 @@
 
 mod lease;
 mod orders;
+mod probe;
 
 use std::{collections, sync, time};
 
@@ -10,7 +11,7 @@
 use corneltrestle_policy::{formation, id};
 use corneltrestle_time::moment;
 
-use crate::{identity, source::Source, tables, upstream::Caller};
+use crate::{identity, mesh, source::Source, tables, upstream::Caller};
 
 /// Longest time between two decisions; changes of the catalog are acted on at once.
 const PERIOD: time::Duration = time::Duration::from_millis(100);
@@ -18,9 +19,6 @@
 /// Age of the catalog from which the coordinator does not act: it may have missed changes.
 const MAX_AGE: time::Duration = time::Duration::from_secs(3);
 
-/// Time for which a VM that has not answered an order counts as lost.
-const SILENCE: time::Duration = time::Duration::from_secs(2);
-
 /// The duty with what it works on.
 #[derive(Debug)]
 struct Coordinator<S, C> {
@@ -29,6 +27,7 @@
     tables: tables::Tables,
     store: sync::Arc<S>,
     caller: sync::Arc<C>,
+    mesh: sync::Arc<mesh::Mesh>,
 }
 
 /// Opens the duty.
@@ -45,6 +44,7 @@
         tables: tables::Tables::of(host),
         store: host.port()?,
         caller: host.port()?,
+        mesh: host.port()?,
     });
     let handle = plugin::Handle::default();
     let holder = sync::Arc::clone(&coordinator);
@@ -58,17 +58,24 @@
         let changed = self.tables.catalog.lock().changed();
         loop {
             let _ = tokio::time::timeout(PERIOD, changed.notified()).await;
-            self.act(self.host.now());
+            let now = self.host.now();
+            if self.may_act(now) {
+                self.probe(now);
+                self.report_damage(now);
+                self.act(now);
+            }
         }
     }
 
-    /// Decides and gives orders, if this node holds the lease.
+    /// Whether this node holds the lease and knows the present facts.
+    fn may_act(&self, now: moment::Moment) -> bool {
+        let heard = self.tables.catalog.lock().heard();
+        heard.is_some_and(|heard| now.since(heard) < MAX_AGE) && self.holds(now)
+    }
+
+    /// Decides and gives orders, if this node may.
     fn act(self: &sync::Arc<Self>, now: moment::Moment) {
-        let is_fresh = {
-            let catalog = self.tables.catalog.lock();
-            catalog.heard().is_some_and(|heard| now.since(heard) < MAX_AGE)
-        };
-        if !is_fresh || !self.holds(now) {
+        if !self.may_act(now) {
             return;
         }
         let steps = self.decide(now);
@@ -81,10 +88,9 @@
         let snapshot = self.tables.current.load();
         let Some(deployment) = &snapshot.deployment else { return Vec::new() };
         let mut coordinator = self.tables.coordinator.lock();
-        let tables::coordinator::Coordinator { memory, busy, silent, .. } = &mut *coordinator;
+        let tables::coordinator::Coordinator { memory, busy, lost, .. } = &mut *coordinator;
         let Some(memory) = memory else { return Vec::new() };
-        silent.retain(|_, at| now.since(*at) < SILENCE);
-        let lost: collections::BTreeSet<id::Vm> = silent.keys().cloned().collect();
+        let lost: collections::BTreeSet<id::Vm> = lost.keys().cloned().collect();
         let engines = deployment
             .services
             .iter()
--- a/crates/gateway/src/duty/coordinate/orders.rs
+++ b/crates/gateway/src/duty/coordinate/orders.rs
@@ -45,7 +45,6 @@
         outcome: upstream::Result<Option<Outcome>>,
     ) {
         let (vm, order) = (step.vm.as_str(), &step.order);
-        let now = self.host.now();
         let mut coordinator = self.tables.coordinator.lock();
         coordinator.busy.remove(vm);
         if coordinator.memory.as_ref().is_none_or(|memory| memory.token() != token) {
@@ -57,15 +56,14 @@
                 if outcome == Some(Outcome::Fenced) {
                     coordinator.is_fenced = true;
                 }
-                if outcome != Some(Outcome::Begun)
-                    && let Some(memory) = &mut coordinator.memory
-                {
+                let is_effective = matches!(outcome, Some(Outcome::Begun | Outcome::Standing));
+                if !is_effective && let Some(memory) = &mut coordinator.memory {
                     memory.settle(vm);
                 }
             }
             Err(e) => {
                 log::warn!(vm = vm, token = token; "group: {order:?} was not answered: {e}");
-                coordinator.silent.insert(step.vm.clone(), now);
+                coordinator.silent.insert(step.vm.clone());
             }
         }
     }
--- /dev/null
+++ b/crates/gateway/src/duty/coordinate/probe.rs
@@ -0,0 +1,91 @@
+//! Probes of VMs that may be lost.
+
+use std::{collections, sync, time};
+
+use corneltrestle_infra::store::Store;
+use corneltrestle_policy::{fleet, id};
+use corneltrestle_time::moment;
+use futures_util::future;
+
+use super::Coordinator;
+use crate::{
+    source::Source,
+    tables::{catalog, coordinator, stalls},
+    upstream::Caller,
+};
+
+/// Longest time for the answer to one probe. Reports take a few milliseconds.
+const LIMIT: time::Duration = time::Duration::from_millis(120);
+
+/// Probes without an answer after which a VM counts as lost.
+const ATTEMPTS: u32 = 2;
+
+/// Time between two probes of a group that stands still, or of a VM that is lost.
+const PERIOD: time::Duration = time::Duration::from_millis(500);
+
+impl<S: Store + Source, C: Caller> Coordinator<S, C> {
+    /// Probes the members of groups that stand still, and VMs that are lost or did not answer.
+    pub(super) fn probe(self: &sync::Arc<Self>, now: moment::Moment) {
+        let snapshot = self.tables.current.load_full();
+        let mut suspects: collections::BTreeSet<id::Vm> = {
+            let stalls = self.tables.stalls.lock();
+            let groups =
+                stalls.iter().filter_map(|(head, _)| snapshot.fleet.group_of(head.as_str()));
+            groups.flat_map(|group| members(&snapshot, group)).collect()
+        };
+        let due: Vec<id::Vm> = {
+            let mut coordinator = self.tables.coordinator.lock();
+            suspects.extend(coordinator.lost.keys().cloned());
+            suspects.extend(std::mem::take(&mut coordinator.silent));
+            coordinator.forget(&snapshot.fleet, now);
+            suspects.into_iter().filter(|vm| coordinator.begin_probe(vm, PERIOD, now)).collect()
+        };
+        if !due.is_empty() {
+            let this = sync::Arc::clone(self);
+            self.host.pool.run(async move {
+                future::join_all(due.iter().map(|vm| this.probe_one(&snapshot, vm))).await;
+                this.act(this.host.now());
+            });
+        }
+    }
+
+    async fn probe_one(&self, snapshot: &catalog::Snapshot, vm: &id::Vm) {
+        let Some(upstream) = snapshot.fleet.get(vm.as_str()) else { return };
+        for _ in 0..ATTEMPTS {
+            match self.caller.report(upstream.address, vm, LIMIT).await {
+                Ok(report) => {
+                    let was_lost = self.tables.coordinator.lock().lost.remove(vm).is_some();
+                    if was_lost {
+                        log::info!(vm = vm.as_str(), pace = report.pace; "group: the VM answers again");
+                    }
+                    return;
+                }
+                Err(e) => log::debug!(vm = vm.as_str(); "group: probe failed: {e}"),
+            }
+        }
+        let lost = coordinator::Lost { born: upstream.born, since: self.host.now() };
+        if self.tables.coordinator.lock().lost.insert(vm.clone(), lost).is_none() {
+            log::warn!(vm = vm.as_str(), probes = ATTEMPTS; "group: the VM does not answer and counts as lost");
+        }
+    }
+
+    /// Keeps requests away from groups that have lost a member.
+    pub(super) fn report_damage(&self, now: moment::Moment) {
+        let snapshot = self.tables.current.load();
+        let lost: Vec<id::Vm> = self.tables.coordinator.lock().lost.keys().cloned().collect();
+        for vm in lost {
+            let Some(group) = snapshot.fleet.group_of(vm.as_str()) else { continue };
+            let Some(head) = snapshot.fleet.head(group) else { continue };
+            let stall = stalls::Stall { born: head.born, at: now, is_own: true };
+            let is_new = self.tables.stalls.lock().refresh(&head.id, stall);
+            if is_new {
+                self.tables.activity.lock().interrupt(head.id.as_str());
+                self.mesh.hurry();
+            }
+        }
+    }
+}
+
+fn members(snapshot: &catalog::Snapshot, group: &fleet::Group) -> Vec<id::Vm> {
+    snapshot.fleet.members(group).map(|member| member.id.clone()).collect()
+}
--- /dev/null
+++ b/crates/gateway/src/duty/watchdog.rs
@@ -0,0 +1,131 @@
+//! Duty: finds upstreams that stand still by the silence of their streams.
+
+use std::{collections, sync, time};
+
+use corneltrestle_kernel::{host, linkme, plugin};
+use corneltrestle_policy::{id, stall};
+use corneltrestle_time::moment;
+
+use crate::{
+    mesh,
+    tables::{self, activity, catalog, stalls},
+};
+
+/// Time between two looks at the streams.
+const PERIOD: time::Duration = time::Duration::from_millis(20);
+
+/// Time that peers get to tell of events that they have got.
+const ASK: time::Duration = time::Duration::from_millis(12);
+
+#[linkme::distributed_slice(plugin::PLUGINS)]
+#[linkme(crate = linkme)]
+static WATCHDOG: plugin::Plugin = plugin::Plugin {
+    name: "watchdog",
+    kind: plugin::Kind::Duty,
+    section: None,
+    check: plugin::unchecked,
+    open,
+};
+
+/// The duty with what it works on.
+#[derive(Debug)]
+struct Watchdog {
+    host: sync::Arc<host::Host>,
+    tables: tables::Tables,
+    mesh: sync::Arc<mesh::Mesh>,
+    /// Upstreams of which peers were asked, and when.
+    asked: collections::HashMap<id::Vm, moment::Moment>,
+}
+
+fn open(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    let mut watchdog = Watchdog {
+        host: sync::Arc::clone(host),
+        tables: tables::Tables::of(host),
+        mesh: host.port()?,
+        asked: collections::HashMap::new(),
+    };
+    let handle = plugin::Handle::default();
+    handle.run_until_stop(&host.pool, async move {
+        loop {
+            tokio::time::sleep(PERIOD).await;
+            watchdog.look(watchdog.host.now());
+        }
+    });
+    Ok(handle)
+}
+
+impl Watchdog {
+    fn look(&mut self, now: moment::Moment) {
+        let snapshot = self.tables.current.load_full();
+        let silent = {
+            let mut activity = self.tables.activity.lock();
+            activity.prune(now);
+            self.tables.stalls.lock().prune(now);
+            self.silent(&snapshot, &activity, now)
+        };
+        self.asked.retain(|upstream, _| silent.contains_key(upstream));
+        let mut ask = false;
+        for (upstream, born) in silent {
+            match self.asked.get(&upstream) {
+                None => {
+                    self.asked.insert(upstream, now);
+                    ask = true;
+                }
+                Some(at) if now.since(*at) >= ASK => self.declare(&upstream, born, now),
+                Some(_) => {}
+            }
+        }
+        if ask {
+            self.mesh.hurry();
+        }
+    }
+
+    /// Upstreams of which neither this node nor a peer has got an event for too long, with their
+    /// starts.
+    fn silent(
+        &self,
+        snapshot: &catalog::Snapshot,
+        activity: &activity::Activity,
+        now: moment::Moment,
+    ) -> collections::HashMap<id::Vm, u64> {
+        let is_silent = |waiting: &activity::Waiting| {
+            let id = waiting.upstream.as_str();
+            let limit = limit(snapshot, activity, id)?;
+            let born = snapshot.fleet.get(id)?.born;
+            let progress = activity.peer_progress(id).max(Some(waiting.progress))?;
+            (now.since(progress) > limit).then_some(born)
+        };
+        activity
+            .waiting()
+            .filter_map(|waiting| is_silent(&waiting).map(|born| (waiting.upstream, born)))
+            .collect()
+    }
+
+    fn declare(&self, upstream: &id::Vm, born: u64, now: moment::Moment) {
+        let stall = stalls::Stall { born, at: now, is_own: true };
+        let activity = self.tables.activity.lock();
+        if !self.tables.stalls.lock().note(upstream, stall) {
+            return;
+        }
+        let work = activity.of(upstream.as_str());
+        log::warn!(
+            upstream = upstream.as_str(), requests = work.requests, unread = work.unread;
+            "stall: no stream of it has got an event in time"
+        );
+        activity.interrupt(upstream.as_str());
+        self.mesh.hurry();
+    }
+}
+
+/// Longest silence of an upstream that serves a model.
+fn limit(
+    snapshot: &catalog::Snapshot,
+    activity: &activity::Activity,
+    upstream: &str,
+) -> Option<time::Duration> {
+    let group = snapshot.fleet.group_of(upstream)?;
+    let service = snapshot.deployment.as_ref()?.services.get(&group.service)?;
+    let engine = service.engine.as_ref()?;
+    let pace = snapshot.fleet.pace(group, engine);
+    Some(stall::limit(engine, pace, &activity.of(upstream)))
+}
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -36,6 +36,11 @@
     Rejected(upstream::Rejection),
     /// The upstream did not answer in time.
     Silent,
+    /// The upstream was found to stand still, after it had begun to answer or before.
+    Stalled {
+        /// Whether it had begun to answer.
+        begun: bool,
+    },
     /// The upstream answered with a failure of its own, or with an answer that it does not vouch for.
     Wrong(hyper::StatusCode),
 }
@@ -46,6 +51,8 @@
         match self {
             Self::Call(error) => error.may_have_run(),
             Self::Rejected(_) => false,
+            // A request begins to run with its first event.
+            Self::Stalled { begun } => *begun,
             Self::Silent | Self::Wrong(_) => true,
         }
     }
@@ -61,7 +68,7 @@
                 upstream::Reason::Full => retry::Failure::Full,
                 _ => retry::Failure::Refused,
             },
-            Self::Silent => retry::Failure::Broken,
+            Self::Silent | Self::Stalled { .. } => retry::Failure::Broken,
             Self::Wrong(_) => retry::Failure::Wrong,
         }
     }
@@ -78,6 +85,8 @@
                 None => write!(f, "rejected: {:?}", rejection.reason),
             },
             Self::Silent => f.write_str("no answer in time"),
+            Self::Stalled { begun: true } => f.write_str("it stands still in the answer"),
+            Self::Stalled { begun: false } => f.write_str("it stands still before the answer"),
             Self::Wrong(status) => write!(f, "a wrong answer with status {status}"),
         }
     }
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -4,12 +4,14 @@
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{cost, deployment, fleet, id, upstream as registered};
+use corneltrestle_time::moment;
 use rand::Rng;
+use tokio::sync::Notify;
 
 use super::{Pipeline, admit::Admitted};
 use crate::{
     request,
-    tables::{activity, catalog},
+    tables::{activity, catalog, stalls},
     upstream::Caller,
 };
 
@@ -40,21 +42,32 @@
     table: sync::Arc<table::Table<activity::Activity>>,
     upstream: id::Vm,
     unread: u64,
+    is_stream: bool,
+    stalled: sync::Arc<Notify>,
 }
 
 impl InProgress {
-    /// Notes that the upstream has read the prompt.
-    pub(super) fn started(&mut self) {
+    /// Notes that the stream has begun, so that the prompt has been read.
+    pub(super) fn started(&mut self, now: moment::Moment) {
         let unread = std::mem::take(&mut self.unread);
-        if unread > 0 {
-            self.table.lock().started(&self.upstream, unread);
-        }
+        self.is_stream = true;
+        self.table.lock().started(self.upstream.as_str(), unread, now);
+    }
+
+    /// Notes an event of the stream.
+    pub(super) fn progressed(&self, now: moment::Moment) {
+        self.table.lock().progressed(self.upstream.as_str(), now);
+    }
+
+    /// Waits until the upstream is found to stand still.
+    pub(super) async fn stalled(&self) {
+        self.stalled.notified().await;
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.table.lock().end(&self.upstream, self.unread);
+        self.table.lock().end(self.upstream.as_str(), self.unread, self.is_stream);
     }
 }
 
@@ -71,12 +84,14 @@
         request: &request::Request,
         admitted: &Admitted,
         tried: &collections::BTreeSet<id::Vm>,
+        now: moment::Moment,
     ) -> Option<Target> {
         let snapshot = self.tables.current.load();
         let mut activity = self.tables.activity.lock();
+        let stalls = self.tables.stalls.lock();
         let mut found = match (admitted.engine(), &request.generation) {
             (Some(engine), Some(generation)) => {
-                self.heads(&snapshot, &activity, admitted, engine, generation)
+                self.heads(&snapshot, &activity, &stalls, admitted, engine, generation)
             }
             _ => self.plain(&snapshot, &activity, admitted),
         };
@@ -85,7 +100,7 @@
         }
         let chosen = least(&found)?;
         let unread = request.generation.as_ref().map_or(0, |generation| generation.prompt);
-        activity.begin(&chosen.id, unread);
+        let stalled = activity.begin(&chosen.id, unread, now);
         Some(Target {
             id: chosen.id.clone(),
             address: chosen.address,
@@ -93,6 +108,8 @@
                 table: sync::Arc::clone(&self.tables.activity),
                 upstream: chosen.id.clone(),
                 unread,
+                is_stream: false,
+                stalled,
             },
         })
     }
@@ -102,6 +119,7 @@
         &self,
         snapshot: &'a catalog::Snapshot,
         activity: &activity::Activity,
+        stalls: &stalls::Stalls,
         admitted: &Admitted,
         engine: &deployment::Engine,
         generation: &request::Generation,
@@ -116,7 +134,9 @@
         groups
             .filter_map(|group| {
                 let head = snapshot.fleet.head(group)?;
-                if !self.may_serve(snapshot, admitted, head) {
+                if !self.may_serve(snapshot, admitted, head)
+                    || stalls.contains(head.id.as_str(), head.born)
+                {
                     return None;
                 }
                 let pace = snapshot.fleet.pace(group, engine);
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -39,6 +39,13 @@
     answer: upstream::Answer<B>,
 }
 
+/// What was read of a body.
+enum Read {
+    Part(bytes::Bytes),
+    End,
+    Failed(Failure),
+}
+
 /// Starts a stream at the first upstream that answers.
 pub(super) async fn start<C: Caller>(
     pipeline: &sync::Arc<Pipeline<C>>,
@@ -78,7 +85,7 @@
 ) -> Result<Begun<C::Body>> {
     loop {
         let now = pipeline.now();
-        let Some(mut target) = pipeline.choose(request, admitted, &attempts.tried) else {
+        let Some(mut target) = pipeline.choose(request, admitted, &attempts.tried, now) else {
             return Err(attempt::refuse(attempts, admitted, false, now));
         };
         attempts.offers += 1;
@@ -92,14 +99,22 @@
             repeatable: admitted.route.kind.is_repeatable(),
         };
         let sent = pipeline.caller.send(target.address, &call);
+        let sent = async {
+            tokio::select! {
+                biased;
+                reply = sent => Some(reply),
+                () = target.progress.stalled() => None,
+            }
+        };
         let failure = match tokio::time::timeout(limit, sent).await {
-            Ok(Ok(Reply::Answer(answer))) if is_usable(&answer, attempts, admitted) => {
-                target.progress.started();
+            Ok(None) => Failure::Stalled { begun: false },
+            Ok(Some(Ok(Reply::Answer(answer)))) if is_usable(&answer, attempts, admitted) => {
+                target.progress.started(pipeline.now());
                 return Ok(Begun { target, answer });
             }
-            Ok(Ok(Reply::Answer(answer))) => Failure::Wrong(answer.status),
-            Ok(Ok(Reply::Rejected(rejection))) => Failure::Rejected(rejection),
-            Ok(Err(error)) => Failure::Call(error),
+            Ok(Some(Ok(Reply::Answer(answer)))) => Failure::Wrong(answer.status),
+            Ok(Some(Ok(Reply::Rejected(rejection)))) => Failure::Rejected(rejection),
+            Ok(Some(Err(error))) => Failure::Call(error),
             Err(_) => Failure::Silent,
         };
         pipeline.again(attempts, request, admitted, &target.id, failure, pipeline.now())?;
@@ -135,17 +150,37 @@
                     continue;
                 }
             }
-            let left = self.admitted.deadline.since(self.pipeline.now());
-            match tokio::time::timeout(left, self.body.chunk()).await {
-                Ok(Ok(Some(part))) => self.decoder.feed(part),
-                Ok(Ok(None)) if self.decoder.is_empty() => return Ok(None),
-                Ok(Ok(None)) => self.resume(Failure::Wrong(hyper::StatusCode::OK)).await?,
-                Ok(Err(error)) => self.resume(Failure::Call(error)).await?,
-                Err(_) => return Err(self.late()),
+            match self.read().await? {
+                Read::Part(part) => {
+                    self.target.progress.progressed(self.pipeline.now());
+                    self.decoder.feed(part);
+                }
+                Read::End if self.decoder.is_empty() => return Ok(None),
+                Read::End => self.resume(Failure::Wrong(hyper::StatusCode::OK)).await?,
+                Read::Failed(failure) => self.resume(failure).await?,
             }
         }
     }
 
+    /// Reads the next part of the body, until the time is up or the upstream stands still.
+    async fn read(&mut self) -> Result<Read> {
+        let left = self.admitted.deadline.since(self.pipeline.now());
+        let part = async {
+            tokio::select! {
+                biased;
+                part = self.body.chunk() => match part {
+                    Ok(Some(part)) => Read::Part(part),
+                    Ok(None) => Read::End,
+                    Err(error) => Read::Failed(Failure::Call(error)),
+                },
+                () = self.target.progress.stalled() => {
+                    Read::Failed(Failure::Stalled { begun: true })
+                }
+            }
+        };
+        tokio::time::timeout(left, part).await.map_err(|_| self.late())
+    }
+
     fn check(&mut self, block: &sse::Block) -> delivery::Verdict {
         let index = std::str::from_utf8(&block.event.id).ok().and_then(|id| id.parse().ok());
         match index {
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -5,12 +5,14 @@
 //! | 10 | [`catalog::Catalog`] | facts of the platform with their revisions |
 //! | 30 | [`coordinator::Coordinator`] | state of the node that forms groups |
 //! | 40 | [`activity::Activity`] | requests in progress by upstream |
+//! | 50 | [`stalls::Stalls`] | upstreams that stand still |
 //! | 60 | [`retries::Retries`] | retry budgets by service |
 
 pub mod activity;
 pub mod catalog;
 pub mod coordinator;
 pub mod retries;
+pub mod stalls;
 
 use std::sync;
 
@@ -27,6 +29,8 @@
     pub coordinator: sync::Arc<table::Table<coordinator::Coordinator>>,
     /// Requests in progress.
     pub activity: sync::Arc<table::Table<activity::Activity>>,
+    /// Upstreams that stand still.
+    pub stalls: sync::Arc<table::Table<stalls::Stalls>>,
     /// Retry budgets.
     pub retries: sync::Arc<table::Table<retries::Retries>>,
 }
@@ -41,6 +45,7 @@
             current,
             coordinator: host.table(),
             activity: host.table(),
+            stalls: host.table(),
             retries: host.table(),
         }
     }
--- a/crates/gateway/src/tables/activity.rs
+++ b/crates/gateway/src/tables/activity.rs
@@ -1,56 +1,221 @@
-//! Requests in progress by upstream.
+//! Requests in progress by upstream, of this node and of its peers.
 
-use std::collections;
+use std::{collections, sync, time};
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{cost, id};
+use corneltrestle_time::moment;
+use corneltrestle_wire::mesh;
+use tokio::sync::Notify;
 
-/// This node's requests in progress; rank 40.
+/// Part of the unread tokens that a peer told of which are taken as still unread: they are read
+/// while its pulse is on its way.
+const PEER_UNREAD: f64 = 0.5;
+
+/// Age of a pulse from which it says nothing of requests in progress.
+const MAX_PULSE_AGE: time::Duration = time::Duration::from_secs(4);
+
+/// Requests in progress; rank 40.
 #[derive(Debug, Default)]
 pub struct Activity {
-    own: collections::HashMap<id::Vm, cost::Work>,
+    own: collections::HashMap<id::Vm, Own>,
+    peers: collections::HashMap<id::Node, Peer>,
+    /// Sums over the rows of all peers, by hash of the upstream.
+    others: collections::HashMap<u32, cost::Work>,
     /// Whether a request has been sent to an upstream.
     begun: bool,
 }
 
+/// This node's requests at one upstream.
+#[derive(Debug)]
+struct Own {
+    work: cost::Work,
+    /// Streams that have begun.
+    streams: u32,
+    /// Latest event of any of them.
+    progress: moment::Moment,
+    /// Notified when the upstream is found to stand still.
+    stalled: sync::Arc<Notify>,
+}
+
+/// The latest pulse of a peer.
+#[derive(Debug)]
+struct Peer {
+    boot: u64,
+    sequence: u64,
+    at: moment::Moment,
+    rows: Vec<mesh::Row>,
+}
+
+/// An upstream at which streams of this node wait for events.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    /// The upstream.
+    pub upstream: id::Vm,
+    /// Its latest event.
+    pub progress: moment::Moment,
+}
+
 impl table::Ranked for Activity {
     const RANK: u16 = 40;
     const NAME: &'static str = "activity";
 }
 
+/// Requests of this node.
 impl Activity {
-    /// What the upstream works on, as far as this node knows.
-    pub fn of(&self, upstream: &str) -> cost::Work {
-        self.own.get(upstream).copied().unwrap_or_default()
-    }
-
     /// Whether a request has been sent to an upstream.
     pub fn has_begun(&self) -> bool {
         self.begun
     }
 
-    /// Counts a request with `prompt` tokens.
-    pub fn begin(&mut self, upstream: &id::Vm, prompt: u64) {
-        let work = self.own.entry(upstream.clone()).or_default();
+    /// What the upstream works on, as far as this node knows.
+    pub fn of(&self, upstream: &str) -> cost::Work {
+        let own = self.own.get(upstream).map(|own| own.work).unwrap_or_default();
+        let others = self.others.get(&mesh::hash(upstream)).copied().unwrap_or_default();
+        let unread = (others.unread as f64 * PEER_UNREAD) as u64;
+        cost::Work { requests: own.requests + others.requests, unread: own.unread + unread }
+    }
+
+    /// Counts a request with `prompt` tokens; the result is notified when the upstream stands still.
+    pub fn begin(
+        &mut self,
+        upstream: &id::Vm,
+        prompt: u64,
+        now: moment::Moment,
+    ) -> sync::Arc<Notify> {
         self.begun = true;
-        work.requests += 1;
-        work.unread += prompt;
+        let own = self.own.entry(upstream.clone()).or_insert_with(|| Own {
+            work: cost::Work::default(),
+            streams: 0,
+            progress: now,
+            stalled: sync::Arc::default(),
+        });
+        own.work.requests += 1;
+        own.work.unread += prompt;
+        sync::Arc::clone(&own.stalled)
     }
 
-    /// Notes that the prompt of a request has been read.
-    pub fn started(&mut self, upstream: &id::Vm, prompt: u64) {
-        if let Some(work) = self.own.get_mut(upstream) {
-            work.unread = work.unread.saturating_sub(prompt);
+    /// Notes that a stream has begun, so that the prompt of `prompt` tokens has been read.
+    pub fn started(&mut self, upstream: &str, prompt: u64, now: moment::Moment) {
+        if let Some(own) = self.own.get_mut(upstream) {
+            own.work.unread = own.work.unread.saturating_sub(prompt);
+            own.streams += 1;
+            own.progress = now;
+        }
+    }
+
+    /// Notes an event of a stream.
+    pub fn progressed(&mut self, upstream: &str, now: moment::Moment) {
+        if let Some(own) = self.own.get_mut(upstream) {
+            own.progress = now;
         }
     }
 
     /// Ends a request; `unread` are the tokens of its prompt that count as not read.
-    pub fn end(&mut self, upstream: &id::Vm, unread: u64) {
-        let Some(work) = self.own.get_mut(upstream) else { return };
-        work.requests = work.requests.saturating_sub(1);
-        work.unread = work.unread.saturating_sub(unread);
-        if work.requests == 0 {
+    pub fn end(&mut self, upstream: &str, unread: u64, is_stream: bool) {
+        let Some(own) = self.own.get_mut(upstream) else { return };
+        own.work.requests = own.work.requests.saturating_sub(1);
+        own.work.unread = own.work.unread.saturating_sub(unread);
+        own.streams = own.streams.saturating_sub(u32::from(is_stream));
+        if own.work.requests == 0 {
             self.own.remove(upstream);
         }
     }
+
+    /// Upstreams at which streams of this node wait for events.
+    pub fn waiting(&self) -> impl Iterator<Item = Waiting> + '_ {
+        self.own
+            .iter()
+            .filter(|(_, own)| own.streams > 0)
+            .map(|(upstream, own)| Waiting { upstream: upstream.clone(), progress: own.progress })
+    }
+
+    /// Tells the streams at an upstream that it stands still.
+    pub fn interrupt(&self, upstream: &str) {
+        if let Some(own) = self.own.get(upstream) {
+            own.stalled.notify_waiters();
+        }
+    }
+}
+
+/// Requests of peers.
+impl Activity {
+    /// The rows of a pulse of this node.
+    pub fn rows(&self, now: moment::Moment) -> Vec<mesh::Row> {
+        let quiet = |own: &Own| match own.streams {
+            0 => 0,
+            _ => millis(now.since(own.progress)).saturating_add(1),
+        };
+        self.own
+            .iter()
+            .map(|(upstream, own)| mesh::Row {
+                upstream: mesh::hash(upstream.as_str()),
+                requests: own.work.requests,
+                unread: u32::try_from(own.work.unread).unwrap_or(u32::MAX),
+                quiet: quiet(own),
+            })
+            .collect()
+    }
+
+    /// Takes the rows of a peer's pulse, unless a later one of its process is known.
+    pub fn hear(&mut self, node: &id::Node, pulse: &mesh::Pulse, now: moment::Moment) -> bool {
+        let known = self.peers.get(node);
+        if known.is_some_and(|k| k.boot == pulse.boot && k.sequence >= pulse.sequence) {
+            return false;
+        }
+        let peer =
+            Peer { boot: pulse.boot, sequence: pulse.sequence, at: now, rows: pulse.rows.clone() };
+        for row in &peer.rows {
+            let sum = self.others.entry(row.upstream).or_default();
+            sum.requests += row.requests;
+            sum.unread += u64::from(row.unread);
+        }
+        if let Some(old) = self.peers.insert(node.clone(), peer) {
+            self.subtract(&old.rows);
+        }
+        true
+    }
+
+    /// Forgets peers that have not been heard of for long.
+    pub fn prune(&mut self, now: moment::Moment) {
+        let old: Vec<id::Node> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.at) > MAX_PULSE_AGE)
+            .map(|(node, _)| node.clone())
+            .collect();
+        for node in old {
+            if let Some(peer) = self.peers.remove(&node) {
+                self.subtract(&peer.rows);
+            }
+        }
+    }
+
+    /// The latest event that a peer has got from an upstream, by what it told.
+    pub fn peer_progress(&self, upstream: &str) -> Option<moment::Moment> {
+        let hash = mesh::hash(upstream);
+        let rows = self.peers.values().flat_map(|peer| {
+            peer.rows
+                .iter()
+                .filter(|row| row.upstream == hash && row.quiet > 0)
+                .map(|row| peer.at.before(time::Duration::from_millis(u64::from(row.quiet - 1))))
+        });
+        rows.max()
+    }
+
+    fn subtract(&mut self, rows: &[mesh::Row]) {
+        for row in rows {
+            let Some(sum) = self.others.get_mut(&row.upstream) else { continue };
+            sum.requests = sum.requests.saturating_sub(row.requests);
+            sum.unread = sum.unread.saturating_sub(u64::from(row.unread));
+            if sum.requests == 0 {
+                self.others.remove(&row.upstream);
+            }
+        }
+    }
+}
+
+/// A span in milliseconds, as far as they can be written.
+pub fn millis(span: time::Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/gateway/src/tables/coordinator.rs
+++ b/crates/gateway/src/tables/coordinator.rs
@@ -1,9 +1,9 @@
 //! What the holder of the coordinator's lease works on.
 
-use std::collections;
+use std::{collections, time};
 
 use corneltrestle_kernel::table;
-use corneltrestle_policy::{formation, id};
+use corneltrestle_policy::{fleet, formation, id};
 use corneltrestle_time::moment;
 
 /// State of the coordinator; rank 30.
@@ -17,8 +17,49 @@
     pub valid: Option<moment::Moment>,
     /// Whether a VM has seen a higher fencing token.
     pub is_fenced: bool,
-    /// VMs that did not answer an order, and when.
-    pub silent: collections::BTreeMap<id::Vm, moment::Moment>,
+    /// VMs that did not answer an order and have not been probed since.
+    pub silent: collections::BTreeSet<id::Vm>,
+    /// VMs that do not answer probes.
+    pub lost: collections::BTreeMap<id::Vm, Lost>,
+    /// When each VM was last probed.
+    probed: collections::BTreeMap<id::Vm, moment::Moment>,
+}
+
+/// A VM that does not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lost {
+    /// Identifier of its start.
+    pub born: u64,
+    /// Since when it counts as lost.
+    pub since: moment::Moment,
+}
+
+/// Time for which a probe is remembered.
+const PROBE_MEMORY: time::Duration = time::Duration::from_secs(5);
+
+impl Coordinator {
+    /// Notes a probe of a VM unless the latest one is younger than `period`; returns whether it is
+    /// to be made.
+    pub fn begin_probe(
+        &mut self,
+        vm: &id::Vm,
+        period: time::Duration,
+        now: moment::Moment,
+    ) -> bool {
+        if self.probed.get(vm).is_some_and(|at| now.since(*at) < period) {
+            return false;
+        }
+        self.probed.insert(vm.clone(), now);
+        true
+    }
+
+    /// Forgets VMs that are gone or have started again.
+    pub fn forget(&mut self, fleet: &fleet::Fleet, now: moment::Moment) {
+        self.lost.retain(|vm, lost| {
+            fleet.get(vm.as_str()).is_some_and(|upstream| upstream.born == lost.born)
+        });
+        self.probed.retain(|_, at| now.since(*at) < PROBE_MEMORY);
+    }
 }
 
 impl table::Ranked for Coordinator {
--- /dev/null
+++ b/crates/gateway/src/tables/stalls.rs
@@ -0,0 +1,70 @@
+//! Upstreams that have been found to stand still.
+
+use std::{collections, time};
+
+use corneltrestle_kernel::table;
+use corneltrestle_policy::id;
+use corneltrestle_time::moment;
+
+/// Time after which a stall that nobody confirms is forgotten.
+const LIFE: time::Duration = time::Duration::from_millis(1_500);
+
+/// Stalls by upstream; rank 50.
+#[derive(Debug, Default)]
+pub struct Stalls {
+    found: collections::BTreeMap<id::Vm, Stall>,
+}
+
+/// A stall.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stall {
+    /// Identifier of the start of the upstream.
+    pub born: u64,
+    /// When it was found.
+    pub at: moment::Moment,
+    /// Whether this node has found it, and not a peer.
+    pub is_own: bool,
+}
+
+impl table::Ranked for Stalls {
+    const RANK: u16 = 50;
+    const NAME: &'static str = "stalls";
+}
+
+impl Stalls {
+    /// Notes a stall; returns whether it was not known.
+    pub fn note(&mut self, upstream: &id::Vm, stall: Stall) -> bool {
+        let known = self.found.get(upstream);
+        if known.is_some_and(|known| known.born == stall.born) {
+            return false;
+        }
+        self.found.insert(upstream.clone(), stall);
+        true
+    }
+
+    /// Notes a stall that goes on; returns whether it was not known.
+    pub fn refresh(&mut self, upstream: &id::Vm, stall: Stall) -> bool {
+        let known = self.found.insert(upstream.clone(), stall.clone());
+        known.is_none_or(|known| known.born != stall.born)
+    }
+
+    /// Whether this start of an upstream stands still.
+    pub fn contains(&self, upstream: &str, born: u64) -> bool {
+        self.found.get(upstream).is_some_and(|stall| stall.born == born)
+    }
+
+    /// Forgets a stall.
+    pub fn clear(&mut self, upstream: &str) {
+        self.found.remove(upstream);
+    }
+
+    /// Forgets old stalls.
+    pub fn prune(&mut self, now: moment::Moment) {
+        self.found.retain(|_, stall| now.since(stall.at) < LIFE);
+    }
+
+    /// All stalls.
+    pub fn iter(&self) -> impl Iterator<Item = (&id::Vm, &Stall)> {
+        self.found.iter()
+    }
+}
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -24,6 +24,8 @@
     places: collections::HashMap<id::Vm, usize>,
     services: collections::BTreeMap<id::Service, Vec<usize>>,
     groups: Vec<Group>,
+    /// Place in `groups` of the group that each upstream is a member of.
+    memberships: collections::HashMap<usize, usize>,
 }
 
 impl Fleet {
@@ -37,7 +39,12 @@
             places.insert(upstream.id.clone(), place);
         }
         let groups = group::of(&upstreams);
-        Self { upstreams, places, services, groups }
+        let memberships = groups
+            .iter()
+            .enumerate()
+            .flat_map(|(group, of)| of.members.iter().map(move |(_, place)| (*place, group)))
+            .collect();
+        Self { upstreams, places, services, groups, memberships }
     }
 
     /// All upstreams, by id.
@@ -61,6 +68,12 @@
         &self.groups
     }
 
+    /// The group that an upstream is a member of.
+    pub fn group_of(&self, upstream: &str) -> Option<&Group> {
+        let place = self.places.get(upstream)?;
+        self.memberships.get(place).map(|group| &self.groups[*group])
+    }
+
     /// The members of a group that are registered, the head first if it is among them.
     pub fn members<'a>(
         &'a self,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod retry;
 pub mod route;
 pub mod silence;
+pub mod stall;
 pub mod upstream;
 pub mod vm;
 pub mod warmup;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod key;
 pub mod link;
+pub mod mesh;
 pub mod note;
 pub mod openai;
 pub mod sse;
