Form groups from loaded VMs first and load where it completes a group

Spares count only for groups of their model, loads go to the group that gains most by each, and a spare that is of no use loads another model. The state of all domains is written to the log once a second.

--- a/crates/gateway/src/duty/coordinate.rs
+++ b/crates/gateway/src/duty/coordinate.rs
@@ -11,7 +11,12 @@
 use corneltrestle_policy::{formation, id};
 use corneltrestle_time::moment;
 
-use crate::{identity, mesh, source::Source, tables, upstream::Caller};
+use crate::{
+    identity, mesh,
+    source::Source,
+    tables::{self, catalog},
+    upstream::Caller,
+};
 
 /// Longest time between two decisions; changes of the catalog are acted on at once.
 const PERIOD: time::Duration = time::Duration::from_millis(100);
@@ -19,6 +24,9 @@
 /// Age of the catalog from which the coordinator does not act: it may have missed changes.
 const MAX_AGE: time::Duration = time::Duration::from_secs(3);
 
+/// Time between two lines in the log on the state of all groups.
+const SUMMARY_PERIOD: time::Duration = time::Duration::from_secs(1);
+
 /// The duty with what it works on.
 #[derive(Debug)]
 struct Coordinator<S, C> {
@@ -88,8 +96,12 @@
         let snapshot = self.tables.current.load();
         let Some(deployment) = &snapshot.deployment else { return Vec::new() };
         let mut coordinator = self.tables.coordinator.lock();
-        let tables::coordinator::Coordinator { memory, busy, lost, .. } = &mut *coordinator;
+        let tables::coordinator::Coordinator { memory, busy, lost, logged, .. } = &mut *coordinator;
         let Some(memory) = memory else { return Vec::new() };
+        let is_due = logged.is_none_or(|at| now.since(at) >= SUMMARY_PERIOD);
+        if is_due {
+            *logged = Some(now);
+        }
         let lost: collections::BTreeSet<id::Vm> = lost.keys().cloned().collect();
         let engines = deployment
             .services
@@ -97,6 +109,7 @@
             .filter_map(|(name, service)| service.engine.as_ref().map(|engine| (name, engine)));
         let mut steps = Vec::new();
         for (service, engine) in engines {
+            let (load, begun) = self.load(&snapshot, service);
             let view = formation::View {
                 service,
                 engine,
@@ -104,10 +117,34 @@
                 evacuated: &snapshot.evacuated,
                 lost: &lost,
                 busy,
-                begun: self.tables.activity.lock().has_begun(),
+                load: &load,
+                begun,
             };
             steps.extend(formation::decide(&view, memory, now));
+            if is_due {
+                let summary = formation::Summary::of(&view, memory, now);
+                log::info!(service = service.as_str(), token = memory.token(); "group: {summary}");
+            }
         }
         steps
     }
+
+    /// Requests in progress by model, and whether requests have come.
+    fn load(
+        &self,
+        snapshot: &catalog::Snapshot,
+        service: &id::Service,
+    ) -> (collections::BTreeMap<id::Model, u32>, bool) {
+        let activity = self.tables.activity.lock();
+        let mut load = collections::BTreeMap::<id::Model, u32>::new();
+        let groups = snapshot.fleet.groups().iter().filter(|group| group.service == *service);
+        for group in groups {
+            let (Some(head), Some(model)) = (snapshot.fleet.head(group), &group.model) else {
+                continue;
+            };
+            let requests = activity.of(head.id.as_str()).requests;
+            *load.entry(model.clone()).or_default() += requests;
+        }
+        (load, activity.has_begun())
+    }
 }
--- a/crates/gateway/src/duty/follow.rs
+++ b/crates/gateway/src/duty/follow.rs
@@ -89,11 +89,12 @@
 
     async fn follow(&self) -> source::Result<bool> {
         let after = self.tables.catalog.lock().at();
-        let asked = self.host.now();
         let changes = self.source.changes(after, WAIT).await?;
+        // An answer says that nothing else had changed when it was made.
+        let answered = self.host.now();
         let changed = !changes.changes.is_empty();
         let before = self.version();
-        self.tables.catalog.lock().apply(changes, asked);
+        self.tables.catalog.lock().apply(changes, answered);
         let version = self.version();
         if version != before {
             log::info!(version = version, revision = after; "config: a new version is in force");
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -106,7 +106,7 @@
         self.take(all, now);
     }
 
-    /// Takes changes; `now` is the moment before they were asked for.
+    /// Takes changes that were the latest ones at `now`.
     pub fn apply(&mut self, changes: Changes, now: moment::Moment) {
         self.hear(now);
         self.at = self.at.max(changes.at);
--- a/crates/gateway/src/tables/coordinator.rs
+++ b/crates/gateway/src/tables/coordinator.rs
@@ -21,6 +21,8 @@
     pub silent: collections::BTreeSet<id::Vm>,
     /// VMs that do not answer probes.
     pub lost: collections::BTreeMap<id::Vm, Lost>,
+    /// When the state of all groups was last written to the log.
+    pub logged: Option<moment::Moment>,
     /// When each VM was last probed.
     probed: collections::BTreeMap<id::Vm, moment::Moment>,
 }
--- a/crates/policy/src/formation.rs
+++ b/crates/policy/src/formation.rs
@@ -7,16 +7,19 @@
 mod compose;
 mod gather;
 mod host;
+mod load;
 mod memory;
 mod repair;
+mod summary;
 
 use std::collections;
 
 use corneltrestle_time::moment;
 
-pub use compose::{Supply, compose};
+pub use compose::{Need, Supply, compose};
 pub use host::{Condition, Host, Role};
 pub use memory::{Memory, Plan};
+pub use summary::Summary;
 
 use crate::{deployment, fleet, id, upstream};
 
@@ -35,6 +38,8 @@
     pub lost: &'a collections::BTreeSet<id::Vm>,
     /// VMs to which an order is under way.
     pub busy: &'a collections::BTreeSet<id::Vm>,
+    /// Requests in progress by model.
+    pub load: &'a collections::BTreeMap<id::Model, u32>,
     /// Whether requests have come: before the first one, loads are short and need no limit.
     pub begun: bool,
 }
--- a/crates/policy/src/formation/compose.rs
+++ b/crates/policy/src/formation/compose.rs
@@ -2,29 +2,49 @@
 
 use crate::deployment;
 
-/// Value of a spare VM in a domain with groups, against that of one more group. A second spare is
-/// worth less; more than two are not needed, as losses come one or two at a time.
-const SPARE_VALUES: [f64; 2] = [0.35, 0.25];
+/// Value of a spare VM in a domain with a group of its model, against that of a group that is
+/// needed. A second spare is worth less; more than two are not needed, as losses come one or two at
+/// a time.
+const SPARE_VALUES: [f64; 2] = [0.35, 0.2];
 
-/// What the wait for one load takes from the value of a group: loads take tens of times longer than
-/// joins, but a group serves for far longer still.
-const LOAD_COST: f64 = 0.12;
+/// Value of the first group beyond those that the work needs.
+const EXTRA_VALUE: f64 = 0.5;
 
-/// The free VMs of a domain by the model that they have.
+/// The VMs of a domain by the model that they have.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Supply {
-    /// VMs with the weights of each model of the engine, in its order.
+    /// Free VMs with the weights of each model of the engine, in its order.
     pub loaded: Vec<usize>,
-    /// VMs without weights.
+    /// VMs that load each model.
+    pub coming: Vec<usize>,
+    /// Free VMs without weights.
     pub empty: usize,
-    /// Groups of the domain that serve or are being formed.
-    pub groups: usize,
+    /// Groups of each model that serve or are being formed.
+    pub groups: Vec<usize>,
 }
 
-/// The numbers of groups of each model that are worth most.
-///
-/// `standing` are the groups of each model in the whole fleet. A model's next group is worth its
-/// share of the work divided by the number of its groups, so that numbers approach the shares.
+/// How many groups of a model there are in the whole fleet, and how many are needed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    /// Groups that serve or are being formed.
+    pub standing: usize,
+    /// Groups that the work needs.
+    pub target: f64,
+}
+
+impl Need {
+    /// Value of the next group: 1 up to the target, less beyond it.
+    pub fn gain(&self) -> f64 {
+        self.gain_of(self.standing + 1)
+    }
+
+    fn gain_of(&self, number: usize) -> f64 {
+        let number = number as f64;
+        if number <= self.target { 1.0 } else { EXTRA_VALUE * (self.target / number).powi(2) }
+    }
+}
+
+/// The numbers of groups of each model that are worth most, formed from VMs that have their models.
 ///
 /// # Examples
 ///
@@ -37,69 +57,50 @@
 ///     load: Duration::from_secs(16), warm: Duration::from_secs(1),
 /// };
 /// let models = [model("large", 4, 0.57), model("small", 3, 0.43)];
-/// let supply = formation::Supply { loaded: vec![0, 0], empty: 9, groups: 0 };
-/// assert_eq!(formation::compose(&supply, &models, &[0, 0]), [1, 1]);
+/// let needs = [formation::Need { standing: 0, target: 6.0 }; 2];
+/// let supply = formation::Supply {
+///     loaded: vec![5, 4], coming: vec![0, 0], empty: 0, groups: vec![0, 0],
+/// };
+/// assert_eq!(formation::compose(&supply, &models, &needs), [1, 1]);
 /// ```
-pub fn compose(supply: &Supply, models: &[deployment::Model], standing: &[usize]) -> Vec<usize> {
-    let free = supply.loaded.iter().sum::<usize>() + supply.empty;
-    let scale = scale(models, standing);
+pub fn compose(supply: &Supply, models: &[deployment::Model], needs: &[Need]) -> Vec<usize> {
     let mut best = (f64::MIN, vec![0; models.len()]);
     let mut counts = vec![0; models.len()];
     loop {
-        let used: usize = counts.iter().zip(models).map(|(n, model)| n * size(model)).sum();
-        if used <= free {
-            let value = value(supply, models, standing, &counts, free - used, scale);
-            if value > best.0 {
-                best = (value, counts.clone());
-            }
+        let value = value(supply, models, needs, &counts);
+        if value > best.0 {
+            best = (value, counts.clone());
         }
-        if !advance(&mut counts, models, free) {
+        if !advance(&mut counts, supply, models) {
             return best.1;
         }
     }
 }
 
-fn size(model: &deployment::Model) -> usize {
+/// VMs of a group of the model.
+pub(super) fn size(model: &deployment::Model) -> usize {
     usize::try_from(model.size).unwrap_or(usize::MAX).max(1)
 }
 
-/// The mean value of the next group, which the values of spares and loads are parts of.
-fn scale(models: &[deployment::Model], standing: &[usize]) -> f64 {
-    let total: f64 = models.iter().zip(standing).map(|(model, n)| gain(model, *n + 1)).sum();
-    total / models.len().max(1) as f64
-}
-
-/// Value of the group of a model that brings their number to `number`.
-fn gain(model: &deployment::Model, number: usize) -> f64 {
-    model.share.max(0.01) / number as f64
-}
-
-fn value(
-    supply: &Supply,
-    models: &[deployment::Model],
-    standing: &[usize],
-    counts: &[usize],
-    spares: usize,
-    scale: f64,
-) -> f64 {
+fn value(supply: &Supply, models: &[deployment::Model], needs: &[Need], counts: &[usize]) -> f64 {
     let mut value = 0.0;
-    let mut loads = 0;
+    let mut spares = 0;
     for (place, model) in models.iter().enumerate() {
-        let (count, standing) = (counts[place], standing[place]);
-        value += (1..=count).map(|number| gain(model, standing + number)).sum::<f64>();
-        loads += (count * size(model)).saturating_sub(supply.loaded[place]);
-    }
-    if supply.groups + counts.iter().sum::<usize>() > 0 {
-        value += SPARE_VALUES.iter().take(spares).sum::<f64>() * scale;
+        let need = &needs[place];
+        value += (1..=counts[place]).map(|n| need.gain_of(need.standing + n)).sum::<f64>();
+        // A spare is of use only to a group of its model.
+        if supply.groups[place] + counts[place] > 0 {
+            spares += supply.loaded[place] - counts[place] * size(model);
+        }
     }
-    value - loads as f64 * LOAD_COST * scale
+    value + SPARE_VALUES.iter().take(spares).sum::<f64>()
 }
 
-/// The next combination of counts; false after the last one.
-fn advance(counts: &mut [usize], models: &[deployment::Model], free: usize) -> bool {
-    for (count, model) in counts.iter_mut().zip(models) {
+/// The next combination of counts for which there are VMs; false after the last one.
+fn advance(counts: &mut [usize], supply: &Supply, models: &[deployment::Model]) -> bool {
+    for (place, count) in counts.iter_mut().enumerate() {
         *count += 1;
-        if *count * size(model) <= free {
+        if *count * size(&models[place]) <= supply.loaded[place] {
             return true;
         }
         *count = 0;
--- a/crates/policy/src/formation/gather.rs
+++ b/crates/policy/src/formation/gather.rs
@@ -1,34 +1,39 @@
-//! Groups that are formed from free VMs, and loads that prepare them.
+//! Groups that are formed from free VMs.
 
 use std::{collections, time};
 
 use corneltrestle_time::moment;
 
 use super::{
-    Host, Memory, Order, Plan, Role, Step, Supply, View, compose,
-    host::{SERVING, STANDBY},
+    Host, Memory, Need, Order, Plan, Role, Step, Supply, View,
+    compose::{self, compose},
+    host::SERVING,
+    load,
 };
 use crate::{deployment, id};
 
 /// Time that the members of a new group get to join, beyond the time that a join takes.
 const JOIN_SLACK: time::Duration = time::Duration::from_millis(1_500);
 
-/// Factor on the published time of a load, after which it counts as failed.
-const LOAD_SLACK: f64 = 3.0;
+/// Part of the VMs that the first groups use; the others stand by.
+const SHARE_USED: f64 = 0.8;
 
-/// Part of the rate of the weight store that is used, so that repeated orders stay under its limit.
-const LOAD_RATE: f64 = 0.8;
+/// Part of the slots of a group that is to be in use: beyond it, first events come late.
+const UTILISATION: f64 = 0.5;
+
+/// Least target of a model, as part of the target before requests came.
+const MIN_TARGET: f64 = 0.5;
 
 /// The free VMs of one fabric domain.
-struct Domain<'h, 'a> {
-    spares: Vec<&'h Host<'a>>,
-    empty: Vec<&'h Host<'a>>,
+pub(super) struct Domain<'h, 'a> {
+    pub(super) spares: Vec<&'h Host<'a>>,
+    pub(super) empty: Vec<&'h Host<'a>>,
     loading: Vec<&'h Host<'a>>,
-    /// Groups that serve or are being formed.
-    groups: usize,
+    /// Models of the groups that serve or are being formed.
+    groups: Vec<id::Model>,
 }
 
-/// Orders that form groups and load models.
+/// Orders that form groups, and that load models for those to come.
 pub(super) fn steps(
     view: &View<'_>,
     hosts: &[Host<'_>],
@@ -36,41 +41,49 @@
     now: moment::Moment,
 ) -> Vec<Step> {
     let models = &view.engine.models;
-    let mut standing: Vec<usize> = models
-        .iter()
-        .map(|model| {
-            let plans = memory.plans().values();
-            plans.filter(|plan| !plan.is_ending && plan.model == model.name).count()
-        })
-        .collect();
+    let mut needs: Vec<Need> =
+        models.iter().map(|model| need(view, model, hosts.len(), memory)).collect();
     let mut steps = Vec::new();
     let mut wanted = Vec::new();
     for domain in domains(hosts, memory).values() {
         let supply = supply(domain, models, memory);
-        let counts = compose(&supply, models, &standing);
+        let counts = compose(&supply, models, &needs);
+        let mut left = supply;
         for (place, model) in models.iter().enumerate() {
-            let mut free = members_for(domain, model, now, memory);
+            let mut free = members_for(domain, model, now, memory).into_iter();
             for _ in 0..counts[place] {
-                let size = usize::try_from(model.size).unwrap_or(usize::MAX);
-                if free.len() < size {
+                let members: Vec<_> = free.by_ref().take(compose::size(model)).collect();
+                if members.len() < compose::size(model) {
                     break;
                 }
-                let members: Vec<_> = free.drain(..size).collect();
                 steps.extend(form(model, &members, memory, now));
             }
-            standing[place] += counts[place];
+            left.loaded[place] -= counts[place] * compose::size(model);
+            left.groups[place] += counts[place];
+            needs[place].standing += counts[place];
         }
-        wanted.extend(loads(domain, &supply, &counts, models));
-    }
-    // Loads that complete a group soonest go first.
-    wanted.sort_by_key(|load| load.missing);
-    let places = free_places(view, hosts, memory, now);
-    for load in wanted.into_iter().take(places) {
-        steps.push(load_step(&load, memory, now));
+        wanted.extend(load::wanted(view, domain, &left, &needs, memory, now));
     }
+    steps.extend(load::steps(view, hosts, wanted, memory, now));
     steps
 }
 
+/// How many groups of a model there are and are needed.
+///
+/// Before requests come, the published shares of the work tell; then the requests in progress do.
+fn need(view: &View<'_>, model: &deployment::Model, vms: usize, memory: &Memory) -> Need {
+    let plans = memory.plans().values();
+    let standing = plans.filter(|plan| !plan.is_ending && plan.model == model.name).count();
+    let usual = vms as f64 * model.share * SHARE_USED / compose::size(model) as f64;
+    let target = if view.begun {
+        let load = f64::from(view.load.get(&model.name).copied().unwrap_or(0));
+        (load / f64::from(view.engine.slots.max(1)) / UTILISATION).max(usual * MIN_TARGET)
+    } else {
+        usual
+    };
+    Need { standing, target }
+}
+
 fn domains<'h, 'a>(
     hosts: &'h [Host<'a>],
     memory: &Memory,
@@ -81,18 +94,17 @@
             spares: Vec::new(),
             empty: Vec::new(),
             loading: Vec::new(),
-            groups: 0,
+            groups: Vec::new(),
         });
         match host.role {
             Role::Spare if !host.is_busy => domain.spares.push(host),
             Role::Empty if !host.is_busy => domain.empty.push(host),
             Role::Loading => domain.loading.push(host),
             Role::Member => {
-                let leads = memory
-                    .plans()
-                    .values()
-                    .any(|plan| !plan.is_ending && plan.members.first() == Some(&host.upstream.id));
-                domain.groups += usize::from(leads);
+                let led = memory.plans().values().find(|plan| {
+                    !plan.is_ending && plan.members.first() == Some(&host.upstream.id)
+                });
+                domain.groups.extend(led.map(|plan| plan.model.clone()));
             }
             _ => {}
         }
@@ -101,20 +113,24 @@
 }
 
 fn supply(domain: &Domain<'_, '_>, models: &[deployment::Model], memory: &Memory) -> Supply {
-    let loaded = models
-        .iter()
-        .map(|model| {
-            let spares = domain.spares.iter().filter(|host| has_first(host, model, models));
-            let coming = domain.loading.iter().filter(|host| {
-                memory
-                    .loading()
-                    .get(&host.upstream.id)
-                    .is_some_and(|loading| loading.model == model.name)
-            });
-            spares.count() + coming.count()
-        })
-        .collect();
-    Supply { loaded, empty: domain.empty.len(), groups: domain.groups }
+    let loaded = |model: &deployment::Model| {
+        domain.spares.iter().filter(|host| has_first(host, model, models)).count()
+    };
+    let comes = |host: &Host<'_>, model: &deployment::Model| {
+        let loading = memory.loading().get(&host.upstream.id);
+        loading.is_some_and(|loading| loading.model == model.name)
+    };
+    let coming =
+        |model: &deployment::Model| domain.loading.iter().filter(|host| comes(host, model)).count();
+    let groups = |model: &deployment::Model| {
+        domain.groups.iter().filter(|name| **name == model.name).count()
+    };
+    Supply {
+        loaded: models.iter().map(loaded).collect(),
+        coming: models.iter().map(coming).collect(),
+        empty: domain.empty.len(),
+        groups: models.iter().map(groups).collect(),
+    }
 }
 
 /// Whether `model` is the first of the models that the host has, so that it is counted once.
@@ -171,67 +187,3 @@
         })
         .collect()
 }
-
-/// A load that is wanted.
-struct Load<'h, 'a> {
-    host: &'h Host<'a>,
-    model: &'h deployment::Model,
-    /// VMs that the group still lacks; those for spares come last.
-    missing: usize,
-}
-
-/// Loads of empty VMs that the composition lacks, then those of spares.
-fn loads<'h, 'a>(
-    domain: &Domain<'h, 'a>,
-    supply: &Supply,
-    counts: &[usize],
-    models: &'h [deployment::Model],
-) -> Vec<Load<'h, 'a>> {
-    let mut empty = domain.empty.iter().copied();
-    let mut loads = Vec::new();
-    let mut spare = vec![0; models.len()];
-    for (place, model) in models.iter().enumerate() {
-        let needed = counts[place] * usize::try_from(model.size).unwrap_or(usize::MAX);
-        let missing = needed.saturating_sub(supply.loaded[place]);
-        spare[place] = supply.loaded[place].saturating_sub(needed);
-        for host in empty.by_ref().take(missing) {
-            loads.push(Load { host, model, missing });
-        }
-    }
-    // The other VMs stand by; each for the model of which the fewest do.
-    for host in empty {
-        let Some(place) = (0..models.len()).min_by_key(|place| spare[*place]) else { break };
-        spare[place] += 1;
-        loads.push(Load { host, model: &models[place], missing: usize::MAX });
-    }
-    loads
-}
-
-/// Loads that may begin now.
-fn free_places(
-    view: &View<'_>,
-    hosts: &[Host<'_>],
-    memory: &mut Memory,
-    now: moment::Moment,
-) -> usize {
-    if !view.begun {
-        return usize::MAX;
-    }
-    let engine = view.engine;
-    let loading = hosts.iter().filter(|host| host.role == Role::Loading).count();
-    let parallel = usize::try_from(engine.loads.parallel.max(1)).unwrap_or(usize::MAX);
-    let rate = (engine.loads.rate * LOAD_RATE).max(1.0) as usize;
-    let by_rate = rate.saturating_sub(memory.starts(now));
-    parallel.saturating_sub(loading).min(by_rate)
-}
-
-fn load_step(load: &Load<'_, '_>, memory: &mut Memory, now: moment::Moment) -> Step {
-    let epoch = memory.next_epoch();
-    let vm = &load.host.upstream.id;
-    let group: id::Group = format!("{STANDBY}{epoch}").as_str().into();
-    let until = now + load.model.load.mul_f64(LOAD_SLACK);
-    memory.load(vm, &load.model.name, until, now);
-    let model = load.model.name.clone();
-    let order = Order::Join { group, epoch, model, members: vec![vm.clone()] };
-    memory.order(vm, order, now)
-}
--- /dev/null
+++ b/crates/policy/src/formation/load.rs
@@ -0,0 +1,193 @@
+//! Which VMs load which model, so that groups can be formed and repaired.
+
+use std::time;
+
+use corneltrestle_time::moment;
+
+use super::{
+    Memory, Need, Order, Role, Step, Supply, View,
+    compose::size,
+    gather::Domain,
+    host::{Host, STANDBY},
+};
+use crate::{deployment, id};
+
+/// Factor on the published time of a load, after which it counts as failed. Loads that run together
+/// take longer.
+const LOAD_SLACK: f64 = 4.0;
+
+/// Part of the rate of the weight store that is used, so that repeated orders stay under its limit.
+const LOAD_RATE: f64 = 0.8;
+
+/// Loads beyond those that run at full speed, for loads that complete a group on their own.
+const EXTRA_PLACES: usize = 3;
+
+/// Places for loads that are kept free of loads for spares, since a load that follows would wait.
+const KEPT_PLACES: usize = 3;
+
+/// Time for which a VM has to stand by unused before it may load another model.
+const SWITCH_AFTER: time::Duration = time::Duration::from_secs(3);
+
+/// Value of a load that takes a spare of another model, against that of an empty VM.
+const SWITCH_VALUE: f64 = 0.6;
+
+/// A load that is wanted.
+#[derive(Clone, Debug)]
+pub(super) struct Load {
+    vm: id::Vm,
+    model: id::Model,
+    /// Time that it takes alone.
+    time: time::Duration,
+    /// VMs that the group still lacks, this one included; 0 for a spare.
+    missing: usize,
+    /// Value of what it completes, by each load.
+    worth: f64,
+}
+
+/// Loads of the VMs of a domain.
+///
+/// Each empty VM goes to the group that gains most by it; those that complete no group stand by.
+/// Without an empty VM, a spare whose model lacks too many others for a group loads another model.
+/// Before requests come, more VMs register, and groups are not planned yet.
+pub(super) fn wanted(
+    view: &View<'_>,
+    domain: &Domain<'_, '_>,
+    supply: &Supply,
+    needs: &[Need],
+    memory: &Memory,
+    now: moment::Moment,
+) -> Vec<Load> {
+    let models = &view.engine.models;
+    let mut left = supply.clone();
+    let mut empty = domain.empty.iter();
+    let mut loads = Vec::new();
+    if view.begun && supply.empty == 0 {
+        return switch(domain, supply, needs, models, memory, now).into_iter().collect();
+    }
+    while view.begun
+        && let Some((place, missing)) = next_group(&left, needs, models)
+    {
+        let worth = needs[place].gain() / missing as f64;
+        loads.extend(
+            empty.by_ref().take(missing).map(|host| load(host, &models[place], missing, worth)),
+        );
+        left.empty -= missing;
+        left.loaded[place] = 0;
+        left.coming[place] = 0;
+        left.groups[place] += 1;
+    }
+    for host in empty {
+        let Some(place) = standby(&left, models) else { break };
+        left.coming[place] += 1;
+        loads.push(load(host, &models[place], 0, 0.0));
+    }
+    loads
+}
+
+/// The load of one spare that completes a group of another model.
+fn switch(
+    domain: &Domain<'_, '_>,
+    supply: &Supply,
+    needs: &[Need],
+    models: &[deployment::Model],
+    memory: &Memory,
+    now: moment::Moment,
+) -> Option<Load> {
+    let lacks_one = |place: usize| {
+        supply.loaded[place] + supply.coming[place] + 1 == size(&models[place])
+            && supply.coming[place] == 0
+            && needs[place].gain() >= 1.0
+    };
+    let place = (0..models.len()).find(|place| lacks_one(*place))?;
+    let from = (0..models.len())
+        .filter(|other| *other != place && supply.loaded[*other] > 0)
+        .min_by_key(|other| supply.groups[*other])?;
+    let spare = domain.spares.iter().find(|host| {
+        host.has(&models[from].name)
+            && !host.has(&models[place].name)
+            && memory.idle(host.upstream.id.as_str(), now) >= SWITCH_AFTER
+    })?;
+    Some(load(spare, &models[place], 1, needs[place].gain() * SWITCH_VALUE))
+}
+
+fn load(host: &Host<'_>, model: &deployment::Model, missing: usize, worth: f64) -> Load {
+    let (vm, time) = (host.upstream.id.clone(), model.load);
+    Load { vm, model: model.name.clone(), time, missing, worth }
+}
+
+/// The model of which a group can be completed with the loads that gain most, and their number.
+fn next_group(
+    supply: &Supply,
+    needs: &[Need],
+    models: &[deployment::Model],
+) -> Option<(usize, usize)> {
+    let missing = |place: usize| {
+        size(&models[place]).saturating_sub(supply.loaded[place] + supply.coming[place])
+    };
+    (0..models.len())
+        .map(|place| (place, missing(place)))
+        .filter(|(_, missing)| (1..=supply.empty).contains(missing))
+        .max_by(|(a, m), (b, n)| {
+            let worth = |place: usize, missing: usize| needs[place].gain() / missing as f64;
+            worth(*a, *m).total_cmp(&worth(*b, *n))
+        })
+}
+
+/// The model for which one more VM is to stand by: the one with the fewest VMs of the domain for
+/// its size, so that groups of all models can be formed and repaired there.
+fn standby(supply: &Supply, models: &[deployment::Model]) -> Option<usize> {
+    let part = |place: usize| {
+        let size = size(&models[place]);
+        let vms = supply.groups[place] * size + supply.coming[place] + supply.loaded[place];
+        vms as f64 / size as f64
+    };
+    (0..models.len()).min_by(|a, b| part(*a).total_cmp(&part(*b)))
+}
+
+/// Orders for the loads that may begin now.
+pub(super) fn steps(
+    view: &View<'_>,
+    hosts: &[Host<'_>],
+    mut wanted: Vec<Load>,
+    memory: &mut Memory,
+    now: moment::Moment,
+) -> Vec<Step> {
+    wanted.sort_by(|a, b| b.worth.total_cmp(&a.worth));
+    let mut loading = hosts.iter().filter(|host| host.role == Role::Loading).count();
+    let mut steps = Vec::new();
+    for load in wanted {
+        if view.begun && !may_begin(&load, loading, &view.engine.loads, memory, now) {
+            continue;
+        }
+        loading += 1;
+        steps.push(step(&load, memory, now));
+    }
+    steps
+}
+
+/// Whether a load may begin beside those that run.
+fn may_begin(
+    load: &Load,
+    loading: usize,
+    limits: &deployment::Loads,
+    memory: &mut Memory,
+    now: moment::Moment,
+) -> bool {
+    let parallel = usize::try_from(limits.parallel.max(1)).unwrap_or(usize::MAX);
+    let places = match load.missing {
+        0 => parallel.saturating_sub(KEPT_PLACES).max(1),
+        1 => parallel + EXTRA_PLACES,
+        _ => parallel,
+    };
+    let rate = (limits.rate * LOAD_RATE).max(1.0) as usize;
+    loading < places && memory.starts(now) < rate
+}
+
+fn step(load: &Load, memory: &mut Memory, now: moment::Moment) -> Step {
+    let epoch = memory.next_epoch();
+    let group: id::Group = format!("{STANDBY}{epoch}").as_str().into();
+    memory.load(&load.vm, &load.model, now + load.time.mul_f64(LOAD_SLACK), now);
+    let model = load.model.clone();
+    let order = Order::Join { group, epoch, model, members: vec![load.vm.clone()] };
+    memory.order(&load.vm, order, now)
+}
--- a/crates/policy/src/formation/memory.rs
+++ b/crates/policy/src/formation/memory.rs
@@ -23,6 +23,8 @@
     loading: collections::BTreeMap<id::Vm, Loading>,
     /// The latest order of each VM and when it was given, until the effect shows.
     ordered: collections::BTreeMap<id::Vm, (Order, moment::Moment)>,
+    /// Since when each VM has stood by.
+    idle: collections::BTreeMap<id::Vm, moment::Moment>,
     /// Starts of loads, for the rate of the weight store.
     starts: collections::VecDeque<moment::Moment>,
 }
@@ -63,6 +65,7 @@
             plans: collections::BTreeMap::new(),
             loading: collections::BTreeMap::new(),
             ordered: collections::BTreeMap::new(),
+            idle: collections::BTreeMap::new(),
             starts: collections::VecDeque::new(),
         }
     }
@@ -117,6 +120,11 @@
         self.starts.len()
     }
 
+    /// Time for which a VM has stood by.
+    pub(super) fn idle(&self, vm: &str, now: moment::Moment) -> time::Duration {
+        self.idle.get(vm).map_or(time::Duration::ZERO, |since| now.since(*since))
+    }
+
     /// Whether an order to the VM has not shown its effect yet.
     pub(super) fn is_ordered(&self, vm: &str, now: moment::Moment) -> bool {
         self.ordered.get(vm).is_some_and(|(_, at)| now < *at + EFFECT)
@@ -135,7 +143,7 @@
         });
     }
 
-    /// Forgets loads that have ended.
+    /// Forgets loads that have ended, and notes which VMs stand by.
     pub(super) fn retain(&mut self, hosts: &[Host<'_>], now: moment::Moment) {
         let known: collections::BTreeMap<&str, &Host<'_>> =
             hosts.iter().map(|host| (host.upstream.id.as_str(), host)).collect();
@@ -144,5 +152,10 @@
                 now < load.until && !host.has(&load.model) && host.role != Role::Unusable
             })
         });
+        self.idle
+            .retain(|vm, _| known.get(vm.as_str()).is_some_and(|host| host.role == Role::Spare));
+        for host in hosts.iter().filter(|host| host.role == Role::Spare) {
+            self.idle.entry(host.upstream.id.clone()).or_insert(now);
+        }
     }
 }
--- /dev/null
+++ b/crates/policy/src/formation/summary.rs
@@ -0,0 +1,108 @@
+//! The state of the formation of groups, for logs and metrics.
+
+use std::{collections, fmt};
+
+use corneltrestle_time::moment;
+
+use super::{Condition, Host, Memory, Role, View, host};
+use crate::id;
+
+/// VMs and groups by fabric domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Summary {
+    /// The domains by name.
+    pub domains: collections::BTreeMap<String, Counts>,
+}
+
+/// VMs and groups of one fabric domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Groups that serve, by model.
+    pub serving: collections::BTreeMap<id::Model, usize>,
+    /// Groups that are being formed, by model.
+    pub forming: collections::BTreeMap<id::Model, usize>,
+    /// VMs that stand by, by model.
+    pub spares: collections::BTreeMap<id::Model, usize>,
+    /// VMs that load a model.
+    pub loading: usize,
+    /// VMs without a model.
+    pub empty: usize,
+    /// VMs that leave or are lost.
+    pub unusable: usize,
+}
+
+impl Summary {
+    /// Counts what a view shows.
+    pub fn of(view: &View<'_>, memory: &Memory, now: moment::Moment) -> Self {
+        let mut summary = Self::default();
+        for host in host::classify(view, memory, now) {
+            let fabric = host.fabric().map_or("", id::Fabric::as_str);
+            summary.domains.entry(fabric.to_owned()).or_default().count(view, memory, &host);
+        }
+        summary
+    }
+
+    /// Groups that serve, by model, over all domains.
+    pub fn serving(&self) -> collections::BTreeMap<&id::Model, usize> {
+        let mut total = collections::BTreeMap::new();
+        for (model, number) in self.domains.values().flat_map(|counts| &counts.serving) {
+            *total.entry(model).or_default() += number;
+        }
+        total
+    }
+}
+
+impl Counts {
+    fn count(&mut self, view: &View<'_>, memory: &Memory, host: &Host<'_>) {
+        if host.condition != Condition::Usable {
+            self.unusable += 1;
+            return;
+        }
+        match host.role {
+            Role::Spare => {
+                let model = view.engine.models.iter().find(|model| host.has(&model.name));
+                if let Some(model) = model {
+                    *self.spares.entry(model.name.clone()).or_default() += 1;
+                }
+            }
+            Role::Loading => self.loading += 1,
+            Role::Empty => self.empty += 1,
+            Role::Unusable => self.unusable += 1,
+            Role::Member => {
+                let led = memory.plans().values().find(|plan| {
+                    !plan.is_ending && plan.members.first() == Some(&host.upstream.id)
+                });
+                if let Some(plan) = led {
+                    let groups =
+                        if plan.opened.is_some() { &mut self.serving } else { &mut self.forming };
+                    *groups.entry(plan.model.clone()).or_default() += 1;
+                }
+            }
+        }
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let list = |counts: &collections::BTreeMap<id::Model, usize>| {
+            let parts: Vec<_> = counts.iter().map(|(model, n)| format!("{model}={n}")).collect();
+            parts.join(",")
+        };
+        let parts: Vec<_> = self
+            .domains
+            .iter()
+            .map(|(name, counts)| {
+                format!(
+                    "{name} serving[{}] forming[{}] spares[{}] loading={} empty={} unusable={}",
+                    list(&counts.serving),
+                    list(&counts.forming),
+                    list(&counts.spares),
+                    counts.loading,
+                    counts.empty,
+                    counts.unusable
+                )
+            })
+            .collect();
+        f.write_str(&parts.join("; "))
+    }
+}
