Reload settings on SIGHUP, return to the store soon, pace cold upstreams

SIGHUP ended the process, so that requests in progress were cut off. The backoff of store calls held configuration back for seconds after a cut. A cold upstream got more requests than it bears, because each node judged alone.

--- a/crates/etcd/src/gateway/port.rs
+++ b/crates/etcd/src/gateway/port.rs
@@ -5,6 +5,7 @@
 use corneltrestle_kernel::{host, linkme, plugin, settings};
 
 use corneltrestle_infra::store::budget;
+use corneltrestle_policy::calls;
 
 use crate::gateway;
 
@@ -54,7 +55,12 @@
         ..gateway::Config::new(settings.address("address"))
     };
     let rate = |key| settings.count(key) as f64;
-    let budget = budget::Budget::open(host, rate("order-rate"), rate("other-rate"));
+    let budget = budget::Budget::open(
+        host,
+        rate("order-rate"),
+        rate("other-rate"),
+        calls::Recovery::default(),
+    );
     let store: NodeStore = gateway::EtcdStore::with_limiter(config, budget);
     host.provide(sync::Arc::new(store));
     Ok(plugin::Handle::idle())
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -11,7 +11,7 @@
 use super::{Pipeline, admit::Admitted};
 use crate::{
     request,
-    tables::{activity, catalog, stalls},
+    tables::{activity, catalog, pacing, stalls},
     upstream::Caller,
 };
 
@@ -95,10 +95,17 @@
             }
             _ => self.plain(&snapshot, &activity, admitted),
         };
+        let mut pacing = self.tables.pacing.lock();
+        found.retain(|candidate| {
+            self.is_bearable(&snapshot, admitted, &pacing, candidate.upstream, now)
+        });
         if found.iter().any(|candidate| !tried.contains(&candidate.upstream.id)) {
             found.retain(|candidate| !tried.contains(&candidate.upstream.id));
         }
         let chosen = least(&found)?;
+        if snapshot.cold.contains_key(&chosen.id) {
+            pacing.sent.count(&chosen.id, now);
+        }
         let unread = request.generation.as_ref().map_or(0, |generation| generation.prompt);
         let stalled = activity.begin(&chosen.id, unread, now);
         Some(Target {
@@ -176,6 +183,23 @@
             && admitted.allows(self.identity.region(upstream.zone.as_str()))
     }
 
+    /// Whether an upstream bears another request of this node now, or is not cold.
+    fn is_bearable(
+        &self,
+        snapshot: &catalog::Snapshot,
+        admitted: &Admitted,
+        pacing: &pacing::Pacing,
+        upstream: &registered::Upstream,
+        now: moment::Moment,
+    ) -> bool {
+        let is_cold = snapshot.cold.get(&upstream.id).is_some_and(|until| now < *until);
+        let service = admitted.deployment.services.get(&admitted.service);
+        let nodes = snapshot.nodes.len();
+        !is_cold
+            || service
+                .is_none_or(|service| pacing.sent.allows(&upstream.id, &service.cold, nodes, now))
+    }
+
     fn distance(&self, zone: &id::Zone) -> time::Duration {
         if *zone == self.identity.zone { time::Duration::ZERO } else { ZONE_PENALTY }
     }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -6,11 +6,13 @@
 //! | 30 | [`coordinator::Coordinator`] | state of the node that forms groups |
 //! | 40 | [`activity::Activity`] | requests in progress by upstream |
 //! | 50 | [`stalls::Stalls`] | upstreams that stand still |
+//! | 55 | [`pacing::Pacing`] | requests sent to cold upstreams |
 //! | 60 | [`retries::Retries`] | retry budgets by service |
 
 pub mod activity;
 pub mod catalog;
 pub mod coordinator;
+pub mod pacing;
 pub mod retries;
 pub mod stalls;
 
@@ -31,6 +33,8 @@
     pub activity: sync::Arc<table::Table<activity::Activity>>,
     /// Upstreams that stand still.
     pub stalls: sync::Arc<table::Table<stalls::Stalls>>,
+    /// Requests sent to cold upstreams.
+    pub pacing: sync::Arc<table::Table<pacing::Pacing>>,
     /// Retry budgets.
     pub retries: sync::Arc<table::Table<retries::Retries>>,
 }
@@ -46,6 +50,7 @@
             coordinator: host.table(),
             activity: host.table(),
             stalls: host.table(),
+            pacing: host.table(),
             retries: host.table(),
         }
     }
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -34,6 +34,8 @@
 struct Known {
     revision: u64,
     fact: Fact,
+    /// When it was taken.
+    at: moment::Moment,
 }
 
 /// The present snapshot, shared with readers.
@@ -50,6 +52,8 @@
     pub evacuated: collections::BTreeSet<id::Zone>,
     /// Upstreams and groups.
     pub fleet: fleet::Fleet,
+    /// Until when each cold upstream is cold.
+    pub cold: collections::BTreeMap<id::Vm, moment::Moment>,
     /// Registered nodes.
     pub nodes: collections::BTreeMap<id::Node, Node>,
     /// The holder of the coordinator's lease.
@@ -143,12 +147,12 @@
     fn take(&mut self, changes: Vec<Change>, now: moment::Moment) {
         let renewing = self.is_renewing(now);
         for change in changes {
-            self.take_one(change, renewing);
+            self.take_one(change, renewing, now);
         }
         self.publish();
     }
 
-    fn take_one(&mut self, change: Change, renewing: bool) {
+    fn take_one(&mut self, change: Change, renewing: bool, now: moment::Moment) {
         let known = self.facts.get(&change.subject);
         if known.is_some_and(|known| known.revision > change.revision) {
             return;
@@ -166,7 +170,7 @@
             return;
         }
         self.held.remove(&change.subject);
-        self.facts.insert(change.subject, Known { revision: change.revision, fact });
+        self.facts.insert(change.subject, Known { revision: change.revision, fact, at: now });
     }
 
     fn publish(&self) {
@@ -185,7 +189,12 @@
                 (Subject::Evacuation(zone), Fact::Evacuated) => {
                     next.evacuated.insert(zone.clone());
                 }
-                (_, Fact::Upstream(upstream)) => upstreams.push(upstream.clone()),
+                (_, Fact::Upstream(upstream)) => {
+                    if !upstream.cold.is_zero() {
+                        next.cold.insert(upstream.id.clone(), known.at + upstream.cold);
+                    }
+                    upstreams.push(upstream.clone());
+                }
                 (Subject::Node(id), Fact::Node(node)) => {
                     next.nodes.insert(id.clone(), node.clone());
                 }
--- a/crates/infra/src/store/budget.rs
+++ b/crates/infra/src/store/budget.rs
@@ -38,11 +38,16 @@
     /// Opens a budget with these rates of order calls and of all other calls together.
     ///
     /// Leases and configuration get four tenths of the other calls each, reports the rest.
-    pub fn open(host: &sync::Arc<host::Host>, order_rate: f64, other_rate: f64) -> Self {
+    pub fn open(
+        host: &sync::Arc<host::Host>,
+        order_rate: f64,
+        other_rate: f64,
+        recovery: calls::Recovery,
+    ) -> Self {
         let rate = |rate: f64| calls::Rate { rate, burst: (rate * 2.0).max(4.0) };
         let (most, rest) = (rate(other_rate * 0.4), rate(other_rate * 0.2));
         let rates = [most, rate(order_rate), most, rest];
-        let state = calls::Calls::open(rates);
+        let state = calls::Calls::open_with(rates, recovery);
         Self {
             host: sync::Arc::clone(host),
             table: sync::Arc::new(table::Table::new(Calls { state })),
--- a/crates/kernel/src/daemon.rs
+++ b/crates/kernel/src/daemon.rs
@@ -1,6 +1,6 @@
 //! The command line of a daemon: settings, signals and exit codes.
 
-use std::{path, process};
+use std::{fs, path, process, time};
 
 use lexopt::prelude::*;
 use tokio::signal::unix;
@@ -21,7 +21,8 @@
   --version        print the version
 
 SIGTERM and SIGINT drain the node: it accepts nothing new, lets requests in progress finish within
-the drain limit and ends.
+the drain limit and ends. SIGHUP reads the settings again; a change of the file is noticed without
+it, too. Faults are logged and change nothing; keys that have changed are named.
 
 Exit codes: 0 stopped as asked, 1 cannot run, 2 wrong command line or settings.
 ";
@@ -79,7 +80,7 @@
             println!("{}: ok", arguments.settings.display());
             process::ExitCode::SUCCESS
         }
-        Ok(settings) => serve(settings),
+        Ok(settings) => serve(&arguments.settings, settings),
         Err(message) => {
             eprintln!("{message}");
             process::ExitCode::from(EXIT_USAGE)
@@ -120,7 +121,7 @@
     Ok(settings)
 }
 
-fn serve(settings: settings::Settings) -> process::ExitCode {
+fn serve(path: &path::Path, settings: settings::Settings) -> process::ExitCode {
     let section = settings.section(LOG.name);
     let output = match section.text("output") {
         "stdout" => logging::Output::Stdout,
@@ -133,7 +134,7 @@
             return process::ExitCode::from(EXIT_USAGE);
         }
     };
-    match run(settings) {
+    match run(path, settings) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(message) => {
             log::error!("node: {message}");
@@ -143,21 +144,70 @@
 }
 
 /// Runs the node until a signal asks it to stop.
-fn run(settings: settings::Settings) -> Result<(), String> {
+fn run(path: &path::Path, settings: settings::Settings) -> Result<(), String> {
     let pool = running::Running::spawn_pool(&settings).map_err(|e| e.to_string())?;
     // The signals are caught before the node opens, so that one that comes early drains it, too.
     let signals = pool.wait(async { Signals::open() });
     let mut signals = signals.map_err(|e| format!("cannot listen for signals: {e}"))?;
+    let mut known = Known { path, settings: settings.clone(), modified: modified(path) };
     let node = running::Running::open_on(pool, settings).map_err(|e| e.to_string())?;
-    node.host().pool.wait(signals.any());
+    loop {
+        match node.host().pool.wait(signals.next()) {
+            Event::Stop => break,
+            Event::Reload => known.reload(),
+            Event::Look if modified(path) != known.modified => known.reload(),
+            Event::Look => {}
+        }
+    }
     node.shutdown();
     Ok(())
 }
 
-/// The signals that ask for a planned stop.
+/// Time between two looks at the settings file.
+const LOOK_PERIOD: time::Duration = time::Duration::from_secs(5);
+
+/// The settings as they were last read.
+struct Known<'a> {
+    path: &'a path::Path,
+    settings: settings::Settings,
+    modified: Option<time::SystemTime>,
+}
+
+impl Known<'_> {
+    /// Reads the settings again. What a node has opened keeps its settings until its next start.
+    fn reload(&mut self) {
+        self.modified = modified(self.path);
+        match load(self.path) {
+            Ok(settings) => {
+                let changed = self.settings.changed(&settings).join(", ");
+                let changed = if changed.is_empty() { "nothing" } else { &changed };
+                log::info!("node: settings were read again; changed for the next start: {changed}");
+                self.settings = settings;
+            }
+            Err(e) => log::error!("node: settings were not taken: {e}"),
+        }
+    }
+}
+
+fn modified(path: &path::Path) -> Option<time::SystemTime> {
+    fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
+}
+
+/// What happens while a node runs.
+enum Event {
+    /// A signal asks for a planned stop.
+    Stop,
+    /// A signal asks for the settings to be read again.
+    Reload,
+    /// It is time to look at the settings file.
+    Look,
+}
+
+/// The signals that a daemon acts on.
 struct Signals {
     terminate: unix::Signal,
     interrupt: unix::Signal,
+    hangup: unix::Signal,
 }
 
 impl Signals {
@@ -165,13 +215,16 @@
         Ok(Self {
             terminate: unix::signal(unix::SignalKind::terminate())?,
             interrupt: unix::signal(unix::SignalKind::interrupt())?,
+            hangup: unix::signal(unix::SignalKind::hangup())?,
         })
     }
 
-    async fn any(&mut self) {
+    async fn next(&mut self) -> Event {
         tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => Event::Stop,
+            _ = self.interrupt.recv() => Event::Stop,
+            _ = self.hangup.recv() => Event::Reload,
+            () = tokio::time::sleep(LOOK_PERIOD) => Event::Look,
         }
     }
 }
--- a/crates/kernel/src/settings.rs
+++ b/crates/kernel/src/settings.rs
@@ -89,6 +89,16 @@
         }
     }
 
+    /// The keys that have another value in `other`, as `[section] key`.
+    pub fn changed(&self, other: &Self) -> Vec<String> {
+        let keys: collections::BTreeSet<_> =
+            self.values.keys().chain(other.values.keys()).collect();
+        keys.into_iter()
+            .filter(|key| self.values.get(*key) != other.values.get(*key))
+            .map(|(section, key)| format!("[{section}] {key}"))
+            .collect()
+    }
+
     /// The settings of a declared section.
     pub fn section(&self, section: &'static str) -> View<'_> {
         View { settings: self, section }
--- a/crates/policy/src/calls.rs
+++ b/crates/policy/src/calls.rs
@@ -43,6 +43,22 @@
     pub burst: f64,
 }
 
+/// How calls begin again after failures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Recovery {
+    /// Longest backoff.
+    pub backoff: time::Duration,
+    /// Longest delay of configuration and report calls after an outage, so that not all nodes call
+    /// at once when the store returns.
+    pub pause: time::Duration,
+}
+
+impl Default for Recovery {
+    fn default() -> Self {
+        Self { backoff: retry::BACKOFF_MAX, pause: Calls::PAUSE }
+    }
+}
+
 /// Whether a call may begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Permit {
@@ -74,6 +90,7 @@
 #[derive(Clone, Debug)]
 pub struct Calls {
     rates: [Rate; 4],
+    recovery: Recovery,
     buckets: [admission::Bucket; 4],
     flight: usize,
     failures: u32,
@@ -88,13 +105,19 @@
     pub const FLIGHT: usize = 8;
     /// Failures in a row, each after its own backoff, that count as an outage.
     pub const OUTAGE: u32 = 3;
-    /// Longest delay of configuration and report calls after an outage.
+    /// Longest delay of configuration and report calls after an outage, by default.
     pub const PAUSE: time::Duration = time::Duration::from_secs(2);
 
     /// Opens the budget with the rates of [`Class::ALL`].
     pub fn open(rates: [Rate; 4]) -> Self {
+        Self::open_with(rates, Recovery::default())
+    }
+
+    /// Opens the budget with another recovery from failures.
+    pub fn open_with(rates: [Rate; 4], recovery: Recovery) -> Self {
         Self {
             rates,
+            recovery,
             buckets: Default::default(),
             flight: 0,
             failures: 0,
@@ -151,12 +174,13 @@
             // Calls that were in flight together fail together and count once.
             if self.failures == 0 || now >= self.backoff {
                 self.failures = self.failures.saturating_add(1);
-                self.backoff = now + retry::backoff(self.failures, rng);
+                self.backoff =
+                    now + retry::backoff_within(self.failures, self.recovery.backoff, rng);
             }
             return;
         }
         if self.is_out() {
-            self.pause = now + rng.random_range(time::Duration::ZERO..=Self::PAUSE);
+            self.pause = now + rng.random_range(time::Duration::ZERO..=self.recovery.pause);
         }
         self.failures = 0;
         self.backoff = now;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod id;
 pub mod lease;
 pub mod membership;
+pub mod pacing;
 pub mod plan;
 pub mod prefix;
 pub mod rank;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -51,7 +51,12 @@
 /// Backoff with full jitter: uniform from zero to a bound that starts at [`BACKOFF_MIN`] and
 /// doubles with each failure up to [`BACKOFF_MAX`]. `failures` counts from 1.
 pub fn backoff(failures: u32, rng: &mut impl Rng) -> time::Duration {
-    rng.random_range(time::Duration::ZERO..=bound(failures))
+    backoff_within(failures, BACKOFF_MAX, rng)
+}
+
+/// As [`backoff`], with another longest bound.
+pub fn backoff_within(failures: u32, max: time::Duration, rng: &mut impl Rng) -> time::Duration {
+    rng.random_range(time::Duration::ZERO..=bound(failures).min(max))
 }
 
 fn bound(failures: u32) -> time::Duration {
