Hand facts on between nodes and share the retry budget

One node follows the store; the others take over what it knows by gRPC when its pulse tells of a later revision. Nodes that the store turns away stay current.

--- a/crates/gateway/src/duty/follow.rs
+++ b/crates/gateway/src/duty/follow.rs
@@ -1,13 +1,19 @@
-//! Duty: follows the facts of the platform.
+//! Duty: follows the facts of the platform, at their source or at a node that does.
+//!
+//! The node that coordinates follows the source; the others take over what it knows. In a zone that
+//! hears of no node with recent facts, one node after the other follows the source itself.
 
 use std::{sync, time};
 
 use corneltrestle_infra::store;
 use corneltrestle_kernel::{host, plugin, run};
-use corneltrestle_policy::retry;
+use corneltrestle_policy::{rank, retry};
+use corneltrestle_time::moment;
 use rand::Rng;
 
 use crate::{
+    identity,
+    mesh::{Facts, Mesh},
     source::{self, Source},
     tables,
 };
@@ -15,30 +21,48 @@
 /// Longest wait of a call for changes. A connection that has fallen silent is noticed after it.
 const WAIT: time::Duration = time::Duration::from_secs(2);
 
+/// Longest wait while removals are held back, so that they are settled in time.
+const SETTLING_WAIT: time::Duration = time::Duration::from_millis(500);
+
 /// Least time between two calls for changes, so that changes that come together cost one call.
-const PACE: time::Duration = time::Duration::from_millis(100);
+const PACE: time::Duration = time::Duration::from_millis(40);
 
 /// Longest wait before the source is asked again after a failure.
 const RETRY_MAX: time::Duration = time::Duration::from_millis(400);
 
+/// Age of the facts up to which a node leaves following the source to others.
+const RECENT: time::Duration = time::Duration::from_millis(900);
+
+/// Time between the nodes of a zone that begin to follow the source one after the other.
+const STAGGER: time::Duration = time::Duration::from_millis(300);
+
+/// Time between two looks at who follows the source.
+const LOOK: time::Duration = time::Duration::from_millis(200);
+
 /// The duty with what it works on.
 #[derive(Debug)]
 struct Follower<S> {
     host: sync::Arc<host::Host>,
+    identity: sync::Arc<identity::Identity>,
     tables: tables::Tables,
     source: sync::Arc<S>,
+    mesh: sync::Arc<Mesh>,
+    facts: Facts,
 }
 
 /// Opens the duty.
 ///
 /// # Errors
 ///
-/// When no plug-in has offered the source.
+/// When a port is missing.
 pub fn open<S: Source>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let follower = Follower::<S> {
         host: sync::Arc::clone(host),
+        identity: host.port()?,
         tables: tables::Tables::of(host),
         source: host.port()?,
+        mesh: host.port()?,
+        facts: Facts::open(host),
     };
     let handle = plugin::Handle::default();
     handle.run_until_stop(&host.pool, async move { follower.run().await });
@@ -50,16 +74,14 @@
         let mut failures = 0;
         let mut loaded = false;
         loop {
-            let result = if loaded { self.follow().await } else { self.load().await };
+            let result = self.round(&mut loaded).await;
+            self.advance();
+            self.settle();
             match result {
-                Ok(changed) => {
+                Ok(()) => {
                     if std::mem::take(&mut failures) > 0 {
                         log::info!(dependency = "store"; "store: reached again");
                     }
-                    loaded = true;
-                    if changed {
-                        tokio::time::sleep(PACE).await;
-                    }
                 }
                 Err(e) if e.kind == store::Kind::Compacted => {
                     log::info!(dependency = "store"; "store: changes are no longer kept; all facts are read");
@@ -70,47 +92,120 @@
                     self.lose(&e);
                     let most = RETRY_MAX.min(retry::BACKOFF_MIN * failures);
                     let wait = rand::rng().random_range(most / 2..=most);
-                    tokio::time::sleep(wait).await;
+                    let _ = tokio::time::timeout(wait, self.take_over()).await;
                 }
             }
-            self.settle();
         }
     }
 
-    async fn load(&self) -> source::Result<bool> {
+    /// One step: what peers know better, then the source if it is this node's turn.
+    async fn round(&self, loaded: &mut bool) -> source::Result<()> {
+        if !*loaded {
+            self.load().await?;
+            *loaded = true;
+        }
+        let now = self.host.now();
+        if self.leads() || self.is_turn(now) {
+            tokio::select! {
+                followed = self.follow() => followed,
+                () = self.take_over() => Ok(()),
+            }
+        } else {
+            let _ = tokio::time::timeout(LOOK, self.take_over()).await;
+            Ok(())
+        }
+    }
+
+    /// Whether this node coordinates.
+    fn leads(&self) -> bool {
+        let snapshot = self.tables.current.load();
+        snapshot.coordinator.as_ref().is_some_and(|holder| holder.boot == self.identity.boot)
+    }
+
+    /// Whether the facts are so old that it is this node's turn to follow the source.
+    fn is_turn(&self, now: moment::Moment) -> bool {
+        let Some(heard) = self.tables.catalog.lock().heard() else { return true };
+        let own = self.identity.node.as_str();
+        let before = {
+            let peers = self.tables.peers.lock();
+            let weight =
+                |node: &str| (rank::weight(self.identity.zone.as_str(), node), node.to_owned());
+            let near = peers.live(now).filter(|(_, peer)| peer.is_near && !peer.draining);
+            near.filter(|(node, _)| weight(node.as_str()) < weight(own)).count()
+        };
+        let turn = RECENT + STAGGER * u32::try_from(before).unwrap_or(u32::MAX);
+        now.since(heard) >= turn
+    }
+
+    /// Waits until a peer knows later facts, and takes them over.
+    async fn take_over(&self) {
+        loop {
+            let now = self.host.now();
+            let (known, ahead) = {
+                let known = self.tables.catalog.lock().at();
+                (known, self.tables.peers.lock().ahead(known, now).cloned())
+            };
+            let Some(peer) = ahead else {
+                self.mesh.behind().await;
+                continue;
+            };
+            match self.facts.fetch(peer.link, known, now).await {
+                Ok(excerpt) => {
+                    let confirmed = excerpt.confirmed.unwrap_or(moment::Moment::ZERO);
+                    let mut catalog = self.tables.catalog.lock();
+                    if excerpt.complete {
+                        catalog.replace(excerpt.changes, confirmed);
+                    } else {
+                        catalog.apply(excerpt.changes, confirmed);
+                    }
+                    drop(catalog);
+                    self.mesh.hurry();
+                    return;
+                }
+                Err(e) => {
+                    log::info!("mesh: facts were not taken over: {e}");
+                    tokio::time::sleep(retry::BACKOFF_MIN).await;
+                }
+            }
+        }
+    }
+
+    async fn load(&self) -> source::Result<()> {
         let asked = self.host.now();
-        let facts = self.source.load().await?;
+        let facts = tokio::select! {
+            facts = self.source.load() => facts?,
+            // A node that cannot reach the source starts with what its peers know.
+            () = self.take_over() => return Ok(()),
+        };
         let (at, number) = (facts.at, facts.changes.len());
         self.tables.catalog.lock().replace(facts, asked);
         log::info!(revision = at, facts = number; "config: all facts were read");
-        self.advance();
-        Ok(false)
+        Ok(())
     }
 
-    async fn follow(&self) -> source::Result<bool> {
-        let after = self.tables.catalog.lock().at();
-        let changes = self.source.changes(after, WAIT).await?;
+    async fn follow(&self) -> source::Result<()> {
+        let (after, wait) = {
+            let catalog = self.tables.catalog.lock();
+            (catalog.at(), if catalog.is_holding() { SETTLING_WAIT } else { WAIT })
+        };
+        let changes = self.source.changes(after, wait).await?;
         // An answer says that nothing else had changed when it was made.
         let answered = self.host.now();
         let changed = !changes.changes.is_empty();
-        let before = self.version();
         self.tables.catalog.lock().apply(changes, answered);
-        let version = self.version();
-        if version != before {
-            log::info!(version = version, revision = after; "config: a new version is in force");
+        if changed {
+            self.mesh.hurry();
+            tokio::time::sleep(PACE).await;
         }
-        self.advance();
-        Ok(changed)
-    }
-
-    fn version(&self) -> u64 {
-        self.tables.current.load().deployment.as_ref().map_or(0, |declared| declared.version)
+        Ok(())
     }
 
     /// Becomes ready once the declared state is known.
     fn advance(&self) {
-        if self.host.run.stage() == run::Stage::Starting && self.version() > 0 {
-            log::info!(version = self.version(); "node: ready");
+        let snapshot = self.tables.current.load();
+        let Some(declared) = &snapshot.deployment else { return };
+        if self.host.run.stage() == run::Stage::Starting {
+            log::info!(version = declared.version; "node: ready");
             self.host.run.advance(run::Stage::Ready);
         }
     }
@@ -123,7 +218,10 @@
     }
 
     fn lose(&self, error: &store::Error) {
-        if self.tables.catalog.lock().lose() {
+        let recent = self.host.now().before(RECENT);
+        let mut catalog = self.tables.catalog.lock();
+        // Peers may still reach the source.
+        if catalog.heard().is_none_or(|heard| heard < recent) && catalog.lose() {
             log::warn!(dependency = "store"; "store: out of reach: {error}");
         }
     }
--- a/crates/gateway/src/duty/mesh.rs
+++ b/crates/gateway/src/duty/mesh.rs
@@ -1,10 +1,14 @@
 //! Duty: exchanges pulses with the other nodes.
 
-use std::{sync, time};
+use std::{net, sync, time};
 
 use corneltrestle_kernel::{host, linkme, plugin, run};
 
-use crate::{identity, mesh::Mesh, tables};
+use crate::{
+    identity,
+    mesh::{self, Mesh},
+    tables,
+};
 
 /// Least time between two pulses to the nodes of the own zone.
 const NEAR_PERIOD: time::Duration = time::Duration::from_millis(80);
@@ -41,9 +45,26 @@
     let handle = plugin::Handle::default();
     handle.run_until_stop(&host.pool, send(sync::Arc::clone(host), sync::Arc::clone(&mesh)));
     handle.run_until_stop(&host.pool, receive(sync::Arc::clone(host), mesh));
+    open_link(host, &handle)?;
     Ok(handle)
 }
 
+/// Answers the calls of other nodes.
+fn open_link(host: &sync::Arc<host::Host>, handle: &plugin::Handle) -> plugin::Result<()> {
+    let identity = host.port::<identity::Identity>()?;
+    let refused =
+        |source| plugin::Error::Bind { step: "mesh", peer: identity.link.to_string(), source };
+    let listener = net::TcpListener::bind(identity.link).map_err(refused)?;
+    listener.set_nonblocking(true).map_err(refused)?;
+    let (server, stop) = (sync::Arc::clone(host), handle.stop().clone());
+    handle.run(&host.pool, async move {
+        if let Err(e) = mesh::serve(listener, server, stop).await {
+            log::error!("mesh: {e}");
+        }
+    });
+    Ok(())
+}
+
 /// Sends pulses, those that are urgent at once.
 async fn send(host: sync::Arc<host::Host>, mesh: sync::Arc<Mesh>) {
     let mut far_due = host.now();
@@ -52,7 +73,7 @@
         let now = host.now();
         let (near, far) = mesh.peers();
         let draining = host.run.stage() >= run::Stage::Draining;
-        let pulse = mesh.pulse(is_urgent, draining, now);
+        let pulse = mesh.pulse(mesh.takes_ask(), draining, now);
         mesh.send(&pulse, &near).await;
         if is_urgent || now >= far_due {
             mesh.send(&pulse, &far).await;
@@ -75,7 +96,7 @@
     loop {
         let (pulse, peer) = mesh.receive().await;
         let now = host.now();
-        mesh.take(&pulse, now);
+        mesh.take(&pulse, peer, now);
         if pulse.asks {
             let draining = host.run.stage() >= run::Stage::Draining;
             mesh.send(&mesh.pulse(false, draining, now), &[peer]).await;
--- a/crates/gateway/src/duty/watchdog.rs
+++ b/crates/gateway/src/duty/watchdog.rs
@@ -77,7 +77,7 @@
             }
         }
         if ask {
-            self.mesh.hurry();
+            self.mesh.ask();
         }
     }
 
--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -14,6 +14,8 @@
     pub zone: id::Zone,
     /// Address on which the node hears other nodes.
     pub mesh: net::SocketAddr,
+    /// Address on which the node answers the calls of other nodes.
+    pub link: net::SocketAddr,
     /// Random identifier of this process, not 0.
     pub boot: u64,
     /// Region of each zone.
@@ -31,6 +33,11 @@
             settings::Type::Address,
             "Address on which the node hears other nodes, over UDP.",
         ),
+        settings::Key::required(
+            "link",
+            settings::Type::Address,
+            "Address on which the node answers calls of other nodes, over TCP.",
+        ),
         settings::Key::new(
             "regions",
             settings::Type::Text,
@@ -85,6 +92,7 @@
         node: node.text("id").into(),
         zone: node.text("zone").into(),
         mesh: node.address("mesh"),
+        link: node.address("link"),
         boot: rand::random::<u64>().max(1),
         regions: regions(&host.settings)?,
     };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod duty;
 pub mod identity;
+pub mod limits;
 pub mod mesh;
 pub mod pipeline;
 pub mod request;
--- /dev/null
+++ b/crates/gateway/src/limits.rs
@@ -0,0 +1,76 @@
+//! Limits that the operators of the platform have set, from the settings.
+
+use std::sync;
+
+use corneltrestle_kernel::{host, linkme, plugin, settings};
+use corneltrestle_policy::retry::fleet;
+
+/// Limits of a deployment that are not part of its declared state.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Limits on attempts beyond the first one of each request, over all nodes.
+    pub retries: fleet::Limits,
+}
+
+static SECTION: settings::Section = settings::Section {
+    name: "limits",
+    help: "Limits that hold for all nodes together.",
+    keys: &[
+        settings::Key::new(
+            "retry-ratio",
+            settings::Type::Text,
+            "0.1",
+            "Attempts beyond the first one of each request, as part of the requests of a service.",
+        ),
+        settings::Key::new(
+            "retry-slack",
+            settings::Type::Text,
+            "30",
+            "Attempts beyond those in one window, for each service.",
+        ),
+        settings::Key::new(
+            "retry-window",
+            settings::Type::millis(1_000, 600_000),
+            "10s",
+            "Window over which attempts are counted.",
+        ),
+    ],
+};
+
+#[linkme::distributed_slice(plugin::PLUGINS)]
+#[linkme(crate = linkme)]
+static LIMITS: plugin::Plugin = plugin::Plugin {
+    name: "limits",
+    kind: plugin::Kind::Port,
+    section: Some(&SECTION),
+    check,
+    open,
+};
+
+fn check(settings: &settings::Settings) -> plugin::Result<()> {
+    limits(settings).map(|_| ())
+}
+
+fn open(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+    host.provide(sync::Arc::new(limits(&host.settings)?));
+    Ok(plugin::Handle::idle())
+}
+
+fn limits(settings: &settings::Settings) -> plugin::Result<Limits> {
+    let section = settings.section(SECTION.name);
+    let number = |key: &'static str| {
+        let text = section.text(key);
+        text.parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0).ok_or_else(
+            || plugin::Error::Settings {
+                step: "limits",
+                hint: format!("[limits] {key}: `{text}` is not a number from 0"),
+            },
+        )
+    };
+    let retries = fleet::Limits {
+        ratio: number("retry-ratio")?,
+        slack: number("retry-slack")?,
+        window: section.span("retry-window"),
+    };
+    Ok(Limits { retries })
+}
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -1,6 +1,8 @@
 //! Datagrams between the nodes of a deployment.
 
-use std::{io, net, sync};
+mod facts;
+
+use std::{io, net, sync, time};
 
 use corneltrestle_policy::id;
 use corneltrestle_time::moment;
@@ -9,9 +11,11 @@
 
 use crate::{
     identity,
-    tables::{self, activity::millis, stalls},
+    tables::{self, activity::millis, peers, stalls},
 };
 
+pub use facts::{Facts, serve};
+
 /// The result of binding the mesh.
 pub type Result<T> = io::Result<T>;
 
@@ -24,6 +28,10 @@
     sequence: sync::atomic::AtomicU64,
     /// Notified when peers are to hear of something at once.
     urgent: Notify,
+    /// Whether peers are to be asked with the next pulse.
+    asks: sync::atomic::AtomicBool,
+    /// Notified when a peer knows later facts.
+    behind: Notify,
 }
 
 impl Mesh {
@@ -39,8 +47,21 @@
         let socket = net::UdpSocket::bind(identity.mesh)?;
         socket.set_nonblocking(true)?;
         let socket = UdpSocket::from_std(socket)?;
-        let (sequence, urgent) = (sync::atomic::AtomicU64::new(1), Notify::new());
-        Ok(sync::Arc::new(Self { identity, tables, socket, sequence, urgent }))
+        let sequence = sync::atomic::AtomicU64::new(1);
+        let (urgent, behind) = (Notify::new(), Notify::new());
+        let asks = sync::atomic::AtomicBool::new(false);
+        Ok(sync::Arc::new(Self { identity, tables, socket, sequence, urgent, asks, behind }))
+    }
+
+    /// Asks peers to tell of themselves at once.
+    pub fn ask(&self) {
+        self.asks.store(true, sync::atomic::Ordering::Relaxed);
+        self.hurry();
+    }
+
+    /// Whether peers are to be asked with the next pulse; true once for each request to do so.
+    pub(crate) fn takes_ask(&self) -> bool {
+        self.asks.swap(false, sync::atomic::Ordering::Relaxed)
     }
 
     /// Lets peers hear of something at once.
@@ -71,6 +92,7 @@
             (catalog.at(), catalog.heard())
         };
         let rows = self.tables.activity.lock().rows(now);
+        let usage = self.tables.retries.lock().usage(now);
         let stalls = self.tables.stalls.lock();
         let stalls =
             stalls.iter().filter(|(_, stall)| stall.is_own).map(|(id, stall)| mesh::Stall {
@@ -88,6 +110,8 @@
             rows,
             stalls: stalls.collect(),
             asks,
+            usage,
+            port: u32::from(self.identity.link.port()),
         })
     }
 
@@ -118,20 +142,63 @@
         }
     }
 
-    /// Takes what a peer tells.
-    pub(crate) fn take(&self, pulse: &mesh::Pulse, now: moment::Moment) {
+    /// Takes what the peer at `from` tells.
+    pub(crate) fn take(&self, pulse: &mesh::Pulse, from: net::SocketAddr, now: moment::Moment) {
         let node: id::Node = pulse.node.as_str().into();
         if !self.tables.activity.lock().hear(&node, pulse, now) {
             return;
         }
+        self.take_revision(&node, pulse, from, now);
+        self.tables.retries.lock().hear(&node, &pulse.usage, now);
         for stall in &pulse.stalls {
             self.take_stall(stall, now);
         }
     }
 
+    /// Notes which facts a peer knows.
+    fn take_revision(
+        &self,
+        node: &id::Node,
+        pulse: &mesh::Pulse,
+        from: net::SocketAddr,
+        now: moment::Moment,
+    ) {
+        let port = u16::try_from(pulse.port).unwrap_or(0);
+        let age = time::Duration::from_millis(u64::from(pulse.age));
+        let confirmed = (pulse.age != u32::MAX).then(|| now.before(age));
+        let own_zone = &self.identity.zone;
+        let zone = self.tables.current.load().nodes.get(node).map(|node| node.zone.clone());
+        let own = {
+            let mut catalog = self.tables.catalog.lock();
+            if let Some(confirmed) = confirmed.filter(|_| pulse.revision == catalog.at()) {
+                catalog.confirm(confirmed);
+            }
+            catalog.at()
+        };
+        self.tables.peers.lock().hear(
+            node.clone(),
+            peers::Peer {
+                link: net::SocketAddr::new(from.ip(), port),
+                is_near: zone.as_ref() == Some(own_zone),
+                revision: pulse.revision,
+                confirmed,
+                draining: pulse.draining,
+                at: now,
+            },
+        );
+        if pulse.revision > own {
+            self.behind.notify_one();
+        }
+    }
+
+    /// Waits until a peer tells of later facts than this node knows.
+    pub(crate) async fn behind(&self) {
+        self.behind.notified().await;
+    }
+
     /// Takes a stall that a peer has found, unless own streams show that the upstream works.
     fn take_stall(&self, stall: &mesh::Stall, now: moment::Moment) {
-        let at = now.before(std::time::Duration::from_millis(u64::from(stall.age)));
+        let at = now.before(time::Duration::from_millis(u64::from(stall.age)));
         let activity = self.tables.activity.lock();
         let id: id::Vm = stall.upstream.as_str().into();
         let works = activity.waiting().any(|own| own.upstream == id && own.progress >= at);
@@ -147,4 +214,4 @@
 }
 
 /// Pause after a failed receive.
-const RECEIVE_PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
+const RECEIVE_PAUSE: time::Duration = time::Duration::from_millis(10);
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -17,7 +17,7 @@
 use corneltrestle_policy::{deployment, refusal};
 use corneltrestle_time::moment;
 
-use crate::{identity, request, tables, upstream::Caller};
+use crate::{identity, limits, request, tables, upstream::Caller};
 
 pub use corneltrestle_policy::refusal::{Code, Outcome, Refusal};
 pub use relay::Relay;
@@ -35,6 +35,7 @@
     identity: sync::Arc<identity::Identity>,
     tables: tables::Tables,
     caller: sync::Arc<C>,
+    limits: sync::Arc<limits::Limits>,
 }
 
 /// An answer whose body is still to be relayed.
@@ -60,6 +61,7 @@
             identity: host.port()?,
             tables: tables::Tables::of(host),
             caller: host.port()?,
+            limits: host.port()?,
         }))
     }
 
--- a/crates/gateway/src/pipeline/admit.rs
+++ b/crates/gateway/src/pipeline/admit.rs
@@ -60,7 +60,7 @@
         })?;
         let timeout = request.arrived + route.timeout;
         let deadline = request.deadline.map_or(timeout, |deadline| deadline.min(timeout));
-        self.tables.retries.lock().count(&service, request.arrived);
+        self.tables.retries.lock().count(&service, &self.limits.retries, request.arrived);
         Ok(Admitted { deployment, route, service, organisation, regions, deadline })
     }
 
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -122,11 +122,17 @@
             && now < admitted.deadline;
         let is_wrong = matches!(failure.kind(), retry::Failure::Wrong);
         attempts.failure = Some(failure.to_string());
-        if allowed && self.tables.retries.lock().take(&admitted.service, now) {
+        if allowed && self.may_retry(&admitted.service, now) {
             return Ok(());
         }
         Err(refuse(attempts, admitted, is_wrong, now))
     }
+
+    /// Whether the budget that all nodes share allows another attempt; it counts as made then.
+    fn may_retry(&self, service: &id::Service, now: moment::Moment) -> bool {
+        let nodes = self.tables.current.load().nodes.len();
+        self.tables.retries.lock().take(service, &self.limits.retries, nodes, now)
+    }
 }
 
 /// The answer to a request that is not sent again.
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -32,6 +32,8 @@
     pub(super) id: id::Vm,
     /// Where it answers.
     pub(super) address: net::SocketAddr,
+    /// Predicted time until the first event or the answer.
+    pub(super) predicted: time::Duration,
     /// The request counts as in progress until this is dropped.
     pub(super) progress: InProgress,
 }
@@ -102,7 +104,7 @@
         if found.iter().any(|candidate| !tried.contains(&candidate.upstream.id)) {
             found.retain(|candidate| !tried.contains(&candidate.upstream.id));
         }
-        let chosen = least(&found)?;
+        let Candidate { upstream: chosen, time: predicted } = least(&found)?;
         if snapshot.cold.contains_key(&chosen.id) {
             pacing.sent.count(&chosen.id, now);
         }
@@ -111,6 +113,7 @@
         Some(Target {
             id: chosen.id.clone(),
             address: chosen.address,
+            predicted: *predicted,
             progress: InProgress {
                 table: sync::Arc::clone(&self.tables.activity),
                 upstream: chosen.id.clone(),
@@ -206,8 +209,8 @@
 }
 
 /// One of the candidates with the least predicted time, at random.
-fn least<'a>(found: &[Candidate<'a>]) -> Option<&'a registered::Upstream> {
+fn least<'c, 'a>(found: &'c [Candidate<'a>]) -> Option<&'c Candidate<'a>> {
     let least = found.iter().map(|candidate| candidate.time).min()?;
     let equal: Vec<_> = found.iter().filter(|c| c.time <= least + TIE).collect();
-    Some(equal[rand::rng().random_range(0..equal.len())].upstream)
+    Some(equal[rand::rng().random_range(0..equal.len())])
 }
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -3,6 +3,7 @@
 use std::sync;
 
 use corneltrestle_policy::delivery;
+use corneltrestle_time::moment;
 use corneltrestle_wire::sse;
 
 use super::{
@@ -14,7 +15,7 @@
 };
 use crate::{
     request,
-    upstream::{self, Body, Call, Caller, Reply},
+    upstream::{self, Body, Call, Caller, Reply, Urgency},
 };
 
 /// Largest event.
@@ -96,6 +97,7 @@
             organisation: admitted.organisation.as_ref(),
             left: admitted.deadline.since(now),
             resumed,
+            urgency: Some(urgency(request, admitted, &target, resumed, now)),
             repeatable: admitted.route.kind.is_repeatable(),
         };
         let sent = pipeline.caller.send(target.address, &call);
@@ -121,6 +123,24 @@
     }
 }
 
+/// The urgency of a request at the upstream that was chosen for it.
+fn urgency(
+    request: &request::Request,
+    admitted: &Admitted,
+    target: &Target,
+    resumed: Option<u64>,
+    now: moment::Moment,
+) -> Urgency {
+    let waited = now.since(request.arrived);
+    if resumed.is_some() {
+        Urgency::Resumed
+    } else if waited + target.predicted <= admitted.route.objective {
+        Urgency::Usual
+    } else {
+        Urgency::Late
+    }
+}
+
 /// Whether an answer may be passed on: it is genuine, or a failure where no attempt is left.
 fn is_usable<B>(answer: &upstream::Answer<B>, attempts: &Attempts, admitted: &Admitted) -> bool {
     let is_last = attempts.runs + 1 >= admitted.route.attempts;
--- a/crates/gateway/src/pipeline/whole.rs
+++ b/crates/gateway/src/pipeline/whole.rs
@@ -39,6 +39,7 @@
             organisation: admitted.organisation.as_ref(),
             left: admitted.deadline.since(now),
             resumed: None,
+            urgency: None,
             repeatable: admitted.route.kind.is_repeatable(),
         };
         let sent = exchange(pipeline, &target, &call);
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -3,6 +3,7 @@
 //! | rank | table | holds |
 //! |---|---|---|
 //! | 10 | [`catalog::Catalog`] | facts of the platform with their revisions |
+//! | 20 | [`peers::Peers`] | other nodes, as they have told of themselves |
 //! | 30 | [`coordinator::Coordinator`] | state of the node that forms groups |
 //! | 40 | [`activity::Activity`] | requests in progress by upstream |
 //! | 50 | [`stalls::Stalls`] | upstreams that stand still |
@@ -13,6 +14,7 @@
 pub mod catalog;
 pub mod coordinator;
 pub mod pacing;
+pub mod peers;
 pub mod retries;
 pub mod stalls;
 
@@ -27,6 +29,8 @@
     pub catalog: sync::Arc<table::Table<catalog::Catalog>>,
     /// Facts, for readers.
     pub current: catalog::Current,
+    /// Other nodes.
+    pub peers: sync::Arc<table::Table<peers::Peers>>,
     /// State of the coordinator.
     pub coordinator: sync::Arc<table::Table<coordinator::Coordinator>>,
     /// Requests in progress.
@@ -47,6 +51,7 @@
         Self {
             catalog,
             current,
+            peers: host.table(),
             coordinator: host.table(),
             activity: host.table(),
             stalls: host.table(),
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -28,6 +28,24 @@
     held: collections::BTreeSet<Subject>,
     current: Current,
     changed: sync::Arc<Notify>,
+    /// The latest changes, in order, for peers that lack them.
+    log: collections::VecDeque<Change>,
+    /// Revision after which the log holds all changes.
+    logged: u64,
+}
+
+/// Changes that are kept for peers: more than come in the time for which a peer may lag.
+const LOG: usize = 512;
+
+/// Facts for a peer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Excerpt {
+    /// The facts or changes.
+    pub changes: Changes,
+    /// Whether they are all facts, and not only the changes that the peer lacks.
+    pub complete: bool,
+    /// When the source confirmed them.
+    pub confirmed: Option<moment::Moment>,
 }
 
 #[derive(Clone, Debug)]
@@ -91,11 +109,39 @@
         self.is_out
     }
 
+    /// Whether removals are held back.
+    pub fn is_holding(&self) -> bool {
+        !self.held.is_empty()
+    }
+
     /// Notes that the source cannot be reached; returns whether it could be before.
     pub fn lose(&mut self) -> bool {
         !std::mem::replace(&mut self.is_out, true)
     }
 
+    /// Notes that a peer knows the same facts and that the source confirmed them at `confirmed`.
+    pub fn confirm(&mut self, confirmed: moment::Moment) {
+        if self.heard.is_none_or(|heard| heard < confirmed) {
+            self.hear(confirmed);
+        }
+    }
+
+    /// What a peer that knows the facts of revision `after` lacks.
+    pub fn excerpt(&self, after: u64) -> Excerpt {
+        let complete = after < self.logged || after > self.at || after == 0;
+        let changes = if complete {
+            let facts = self.facts.iter().map(|(subject, known)| Change {
+                revision: known.revision,
+                subject: subject.clone(),
+                fact: Some(known.fact.clone()),
+            });
+            facts.collect()
+        } else {
+            self.log.iter().filter(|change| change.revision > after).cloned().collect()
+        };
+        Excerpt { changes: Changes { at: self.at, changes }, complete, confirmed: self.heard }
+    }
+
     /// Takes all facts anew; `now` is the moment before they were asked for.
     pub fn replace(&mut self, loaded: Changes, now: moment::Moment) {
         self.hear(now);
@@ -104,6 +150,8 @@
             gone.remove(&change.subject);
         }
         self.at = loaded.at;
+        self.log.clear();
+        self.logged = self.at;
         let removals =
             gone.into_iter().map(|subject| Change { revision: self.at, subject, fact: None });
         let all: Vec<Change> = loaded.changes.into_iter().chain(removals).collect();
@@ -115,6 +163,7 @@
         self.hear(now);
         self.at = self.at.max(changes.at);
         if !changes.changes.is_empty() {
+            self.record(&changes.changes);
             self.take(changes.changes, now);
         }
     }
@@ -133,6 +182,14 @@
         number
     }
 
+    fn record(&mut self, changes: &[Change]) {
+        let latest = self.log.back().map_or(0, |change| change.revision);
+        self.log.extend(changes.iter().filter(|change| change.revision > latest).cloned());
+        while self.log.len() > LOG {
+            self.logged = self.log.pop_front().map_or(self.logged, |change| change.revision);
+        }
+    }
+
     fn hear(&mut self, now: moment::Moment) {
         if std::mem::replace(&mut self.is_out, false) && self.heard.is_some() {
             self.returned = Some(now);
@@ -203,6 +260,12 @@
             }
         }
         next.fleet = fleet::Fleet::open(upstreams);
+        let version = |snapshot: &Snapshot| {
+            snapshot.deployment.as_ref().map_or(0, |declared| declared.version)
+        };
+        if version(&next) != version(&previous) {
+            log::info!(version = version(&next), revision = self.at; "config: a new version is in force");
+        }
         self.current.store(sync::Arc::new(next));
         self.changed.notify_waiters();
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -26,10 +26,23 @@
     pub left: time::Duration,
     /// Id of the last event that has been delivered, if the call goes on with a stream.
     pub resumed: Option<u64>,
+    /// Urgency at the upstream, if it knows urgencies.
+    pub urgency: Option<Urgency>,
     /// Whether the request may be sent twice over connections that turn out to be closed.
     pub repeatable: bool,
 }
 
+/// Urgency of a request at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// A stream that goes on: its caller has seen a part of it and waits.
+    Resumed,
+    /// A request that can be on time.
+    Usual,
+    /// A request that is late already, or will be.
+    Late,
+}
+
 /// What an upstream answered.
 #[derive(Debug)]
 pub enum Reply<B> {
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -4,9 +4,7 @@
 //! fetches only read, and news that is known already has no effect.
 
 pub mod answer;
-mod channels;
 mod error;
-mod incoming;
 pub mod port;
 mod secret;
 mod server;
@@ -16,10 +14,11 @@
 
 use corneltrestle_wire::link::{self, Digest};
 
+pub use corneltrestle_rpc::Limits;
 pub use error::Error;
 pub use secret::MIN_SECRET_BYTES;
 pub use server::serve;
-pub use tonic_link::{Limits, TonicLink};
+pub use tonic_link::TonicLink;
 
 /// The result of a call to a peer.
 pub type Result<T> = std::result::Result<T, Error>;
--- a/crates/node/src/link/server.rs
+++ b/crates/node/src/link/server.rs
@@ -2,12 +2,13 @@
 
 use std::{net, sync, time};
 
+use corneltrestle_rpc::incoming;
 use corneltrestle_wire::link::{self as wire, self, generated};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tonic::{async_trait, service::interceptor, transport};
 
-use super::{Error, Handler, Result, incoming, secret};
+use super::{Error, Handler, Result, secret};
 
 /// Pings make a peer that is gone noticeable on an idle connection.
 const PING_INTERVAL: time::Duration = time::Duration::from_secs(10);
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -8,6 +8,7 @@
 
 use corneltrestle_kernel::run::Stage;
 use corneltrestle_node::link::{Error, Handler, Limits, Link, TonicLink, serve};
+use corneltrestle_rpc as rpc;
 use corneltrestle_time::clock::Manual;
 use corneltrestle_wire::link::{
     Ack, CountsReply, CountsRequest, Digest, Document, FetchRequest, Loan, News, NewsKind,
@@ -130,7 +131,7 @@
     let running = start(0, "127.0.0.1:0").await;
     let (link, _) = open(secret, LONG);
     let error = link.pull(running.address, &pull("n2")).await.unwrap_err();
-    assert_eq!(error, Error::Refused { step: "pull", peer: running.address });
+    assert_eq!(error, Error::Call(rpc::Error::Refused { step: "pull", peer: running.address }));
     assert_eq!(running.peer.calls.load(Ordering::SeqCst), 0);
 }
 
@@ -161,7 +162,9 @@
     let running = start(0, "127.0.0.1:0").await;
     let (link, _) = open(SECRET, LONG);
     let error = link.pull(running.address, &pull(&"n".repeat(300))).await.unwrap_err();
-    assert!(matches!(&error, Error::Failed { cause, .. } if cause.starts_with("pull.node: ")));
+    assert!(
+        matches!(&error, Error::Call(rpc::Error::Failed { cause, .. }) if cause.starts_with("pull.node: "))
+    );
     assert_eq!(running.peer.calls.load(Ordering::SeqCst), 0);
 }
 
@@ -173,7 +176,10 @@
     let (link, _) = open(SECRET, LONG);
     let request = FetchRequest { document: Document::Assignment("a".into()), known: 0 };
     let error = link.fetch(running.address, &request).await.unwrap_err();
-    assert!(matches!(error, Error::Malformed { .. } | Error::Failed { .. }), "{error}");
+    assert!(
+        matches!(error, Error::Malformed { .. } | Error::Call(rpc::Error::Failed { .. })),
+        "{error}"
+    );
     assert!(error.to_string().starts_with(expected), "{error}");
 }
 
@@ -187,7 +193,7 @@
         let request = pull("n2");
         let accepted = tokio::time::timeout(LONG, listener.accept());
         let (error, accepted) = tokio::join!(link.pull(peer, &request), accepted);
-        assert_eq!(error, Err(Error::Silent { step: "pull", peer }));
+        assert_eq!(error, Err(Error::Call(rpc::Error::Silent { step: "pull", peer })));
         kept.push(accepted.expect("a new connection"));
     }
 }
@@ -199,7 +205,7 @@
     drop(listener);
     let (link, _) = open(SECRET, LONG);
     let error = link.pull(peer, &pull("n2")).await.unwrap_err();
-    assert!(matches!(error, Error::Unreachable { step: "pull", .. }), "{error}");
+    assert!(matches!(error, Error::Call(rpc::Error::Unreachable { step: "pull", .. })), "{error}");
 }
 
 #[tokio::test]
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -1,6 +1,7 @@
 //! Retries and hedges: which failures allow them, how many, and when.
 
 mod budget;
+pub mod fleet;
 
 use std::time;
 
--- /dev/null
+++ b/crates/policy/src/retry/fleet.rs
@@ -0,0 +1,115 @@
+//! The allowance of extra attempts that all nodes of a deployment share.
+
+use std::{collections, time};
+
+use corneltrestle_time::moment;
+
+/// Limits on the extra attempts of a service, over all nodes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Extra attempts by each request.
+    pub ratio: f64,
+    /// Extra attempts beyond those.
+    pub slack: f64,
+    /// Window over which both are counted.
+    pub window: time::Duration,
+}
+
+/// What one node has sent in the window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Requests.
+    pub requests: u32,
+    /// Extra attempts.
+    pub extra: u32,
+}
+
+/// What a node knows of the other nodes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Others {
+    /// What those that are heard of have sent.
+    pub usage: Usage,
+    /// Those that are heard of.
+    pub heard: usize,
+    /// All of them.
+    pub all: usize,
+}
+
+/// Part of the allowance that is used, since requests are counted where they arrive.
+const USED: f64 = 0.75;
+
+/// Extra attempts that each other node may have sent since it was last heard of.
+const UNTOLD: f64 = 2.0;
+
+/// A node's view of the allowance.
+///
+/// It grants an extra attempt while those of all nodes, by their latest news, leave room for it. Of
+/// the slack, nodes that are not heard of keep their part.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use corneltrestle_policy::{Moment, retry::fleet};
+///
+/// let limits = fleet::Limits { ratio: 0.2, slack: 20.0, window: Duration::from_secs(10) };
+/// let mut allowance = fleet::Allowance::open(limits);
+/// let now = Moment::from_millis(1);
+/// let unheard = fleet::Others { all: 1, ..fleet::Others::default() };
+/// let granted = (0..100).filter(|_| allowance.take(&unheard, now)).count();
+/// assert_eq!(granted, 7);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Allowance {
+    limits: Limits,
+    requests: collections::VecDeque<moment::Moment>,
+    extra: collections::VecDeque<moment::Moment>,
+}
+
+impl Allowance {
+    /// Opens an allowance of which nothing is used.
+    pub fn open(limits: Limits) -> Self {
+        let (requests, extra) = (collections::VecDeque::new(), collections::VecDeque::new());
+        Self { limits, requests, extra }
+    }
+
+    /// Counts a request.
+    pub fn count(&mut self, now: moment::Moment) {
+        self.prune(now);
+        self.requests.push_back(now);
+    }
+
+    /// Grants an extra attempt, and counts it, if the allowance has room for it.
+    pub fn take(&mut self, others: &Others, now: moment::Moment) -> bool {
+        let own = self.usage(now);
+        let heard = others.heard.min(others.all) as f64;
+        let requests = f64::from(own.requests) + f64::from(others.usage.requests);
+        let slack = self.limits.slack * (heard + 1.0) / (others.all as f64 + 1.0);
+        let allowed = USED * (self.limits.ratio * requests + slack);
+        let untold = (UNTOLD * heard).min(allowed / 2.0);
+        let used = f64::from(own.extra) + f64::from(others.usage.extra);
+        let granted = used + 1.0 + untold <= allowed;
+        if granted {
+            self.extra.push_back(now);
+        }
+        granted
+    }
+
+    /// What this node has sent in the window.
+    pub fn usage(&mut self, now: moment::Moment) -> Usage {
+        self.prune(now);
+        let number = |times: &collections::VecDeque<moment::Moment>| {
+            u32::try_from(times.len()).unwrap_or(u32::MAX)
+        };
+        Usage { requests: number(&self.requests), extra: number(&self.extra) }
+    }
+
+    fn prune(&mut self, now: moment::Moment) {
+        let window = self.limits.window;
+        for times in [&mut self.requests, &mut self.extra] {
+            while times.front().is_some_and(|at| now.since(*at) >= window) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/crates/node/src/link/channels.rs
+++ b/crates/rpc/src/channels.rs
@@ -9,18 +9,18 @@
 
 /// The channels of a node by the address of the peer.
 #[derive(Debug, Default)]
-pub(super) struct Channels {
+pub(crate) struct Channels {
     open: collections::HashMap<net::SocketAddr, Open>,
     opened: u64,
 }
 
 /// An open channel.
 #[derive(Clone, Debug)]
-pub(super) struct Open {
+pub(crate) struct Open {
     /// The channel.
-    pub(super) channel: transport::Channel,
+    pub(crate) channel: transport::Channel,
     /// Number of the channel among all that were opened.
-    pub(super) number: u64,
+    pub(crate) number: u64,
     history: silence::Connection,
 }
 
@@ -32,12 +32,12 @@
 
 impl Channels {
     /// The channel to `peer` unless it is too old.
-    pub(super) fn get(&self, peer: net::SocketAddr, now: moment::Moment) -> Option<Open> {
+    pub(crate) fn get(&self, peer: net::SocketAddr, now: moment::Moment) -> Option<Open> {
         self.open.get(&peer).filter(|open| open.is_kept(now)).cloned()
     }
 
     /// Stores a channel and drops the channels that are too old.
-    pub(super) fn insert(
+    pub(crate) fn insert(
         &mut self,
         peer: net::SocketAddr,
         channel: transport::Channel,
@@ -54,7 +54,7 @@
     }
 
     /// Drops the channel with this number; a newer one stays.
-    pub(super) fn remove(&mut self, peer: net::SocketAddr, number: u64) {
+    pub(crate) fn remove(&mut self, peer: net::SocketAddr, number: u64) {
         if self.open.get(&peer).is_some_and(|open| open.number == number) {
             self.open.remove(&peer);
         }
--- a/crates/node/src/link/incoming.rs
+++ b/crates/rpc/src/incoming.rs
@@ -22,7 +22,8 @@
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// A connection that counts towards the bound until it is dropped; its bytes are counted, too.
-pub(super) struct Connection {
+#[derive(Debug)]
+pub struct Connection {
     stream: net::TcpStream,
     silence: pin::Pin<Box<Sleep>>,
     received: metrics::Counter,
@@ -31,7 +32,7 @@
 }
 
 /// The connections that `listener` accepts.
-pub(super) fn connections(
+pub fn connections(
     listener: net::TcpListener,
 ) -> impl Stream<Item = io::Result<Connection>> + Send {
     let permits = sync::Arc::new(Semaphore::new(MAX_CONNECTIONS));
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -1,8 +1,11 @@
-//! Datagrams between the entry nodes of a deployment.
+//! Messages between the entry nodes of a deployment: datagrams, and calls in [`generated`].
 //!
 //! Each datagram is complete in itself and may be lost, repeated or overtaken: a receiver keeps the
 //! latest one of each process. Fields that this version does not know are ignored.
 
+#[allow(missing_docs, unreachable_pub, clippy::all)]
+pub mod generated;
+
 use prost::Message;
 
 /// Largest datagram, so that it fits into one packet of an Ethernet network.
@@ -44,6 +47,26 @@
     /// Whether an answer is wanted at once.
     #[prost(bool, tag = "9")]
     pub asks: bool,
+    /// What it has sent to services in the window of the retry budget.
+    #[prost(message, repeated, tag = "10")]
+    pub usage: Vec<Usage>,
+    /// Port on which it answers calls, at the address that sent the pulse.
+    #[prost(uint32, tag = "11")]
+    pub port: u32,
+}
+
+/// What a node has sent to a service in the window of the retry budget.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Usage {
+    /// Hash of the service's name, see [`hash`].
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Requests.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    /// Attempts beyond the first one of each.
+    #[prost(uint32, tag = "3")]
+    pub extra: u32,
 }
 
 /// Requests in progress at an upstream.
@@ -77,9 +100,9 @@
     pub age: u32,
 }
 
-/// Hash of an upstream's identifier in rows.
-pub fn hash(upstream: &str) -> u32 {
-    xxhash_rust::xxh3::xxh3_64(upstream.as_bytes()) as u32
+/// Hash of a name in rows.
+pub fn hash(name: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32
 }
 
 /// Encodes a pulse; rows beyond the size of a datagram are left out.
--- a/tools/codegen/src/main.rs
+++ b/tools/codegen/src/main.rs
@@ -1,4 +1,4 @@
-//! Generates `crates/wire/src/link/generated.rs` from `crates/wire/proto/link.proto`.
+//! Generates the code of the calls between nodes from the files in `crates/wire/proto`.
 //!
 //! Run `cargo run --manifest-path tools/codegen/Cargo.toml` from the root of the repository after
 //! a change of the proto file, then `cargo fmt`, and commit the result. No build runs this.
@@ -8,18 +8,26 @@
 use std::{env, fs};
 
 const PROTO_DIR: &str = "crates/wire/proto";
-const TARGET: &str = "crates/wire/src/link/generated.rs";
+
+/// Each proto file with its package and the generated file.
+const FILES: [(&str, &str, &str); 2] = [
+    ("link.proto", "corneltrestle.link.v1", "crates/wire/src/link/generated.rs"),
+    ("mesh.proto", "corneltrestle.mesh.v1", "crates/wire/src/mesh/generated.rs"),
+];
 
 fn main() -> Result<(), Box<dyn Error>> {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
-    let files = protox::compile(["link.proto"], [root.join(PROTO_DIR)])?;
+    let files = protox::compile(FILES.map(|(file, _, _)| file), [root.join(PROTO_DIR)])?;
     let out = env::temp_dir().join(format!("corneltrestle-codegen-{}", std::process::id()));
     fs::create_dir_all(&out)?;
     tonic_prost_build::configure()
         .out_dir(&out)
         .bytes(".corneltrestle.link.v1.Value.body")
+        .bytes(".corneltrestle.mesh.v1.FactsReply.changes")
         .compile_fds(files)?;
-    fs::copy(out.join("corneltrestle.link.v1.rs"), root.join(TARGET))?;
+    for (_, package, target) in FILES {
+        fs::copy(out.join(format!("{package}.rs")), root.join(target))?;
+    }
     fs::remove_dir_all(&out)?;
     Ok(())
 }
