--- a/crates/gateway/src/duty/watchdog.rs
+++ b/crates/gateway/src/duty/watchdog.rs
@@ -61,6 +61,7 @@
             let mut activity = self.tables.activity.lock();
             activity.prune(now);
             self.tables.stalls.lock().prune(now);
+            self.tables.health.lock().prune(now);
             self.tables.pacing.lock().sent.prune(now);
             self.silent(&snapshot, &activity, now)
         };
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -14,7 +14,7 @@
 use std::{sync, time};
 
 use corneltrestle_kernel::{host, plugin};
-use corneltrestle_policy::{deployment, refusal};
+use corneltrestle_policy::{deployment, health, id, refusal};
 use corneltrestle_time::moment;
 
 use crate::{identity, limits, request, tables, upstream::Caller};
@@ -76,6 +76,12 @@
         snapshot.deployment.as_ref().map(|declared| declared.limits).unwrap_or_default()
     }
 
+    /// Notes that an upstream has answered, well or with a failure.
+    fn answered(&self, upstream: &id::Vm, is_good: bool) {
+        let outcome = if is_good { health::Outcome::Answered } else { health::Outcome::Failed };
+        self.tables.health.lock().record(upstream, outcome, self.now());
+    }
+
     /// Passes a request on to an upstream and returns its answer.
     ///
     /// # Errors
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use corneltrestle_policy::{id, retry};
+use corneltrestle_policy::{health, id, retry};
 use corneltrestle_time::moment;
 
 use super::{Code, Pipeline, RETRY_AFTER, Refusal, admit::Admitted};
@@ -57,6 +57,24 @@
         }
     }
 
+    /// What it says of the upstream; a stall is known to all nodes.
+    fn outcome(&self) -> Option<health::Outcome> {
+        Some(match self {
+            Self::Call(error) => match error.kind {
+                upstream::Kind::NotSent => health::Outcome::Unreachable,
+                _ => health::Outcome::Failed,
+            },
+            Self::Rejected(rejection) => match rejection.reason {
+                upstream::Reason::Full => health::Outcome::Full,
+                upstream::Reason::Misdirected => health::Outcome::Misdirected,
+                upstream::Reason::Invalid => return None,
+            },
+            Self::Silent => health::Outcome::Silent,
+            Self::Stalled { .. } => return None,
+            Self::Wrong(_) => health::Outcome::Failed,
+        })
+    }
+
     fn kind(&self) -> retry::Failure {
         match self {
             Self::Call(error) => match error.kind {
@@ -111,6 +129,9 @@
             id = request.id.as_str(), upstream = upstream.as_str(), offer = attempts.offers;
             "route: attempt failed: {failure}"
         );
+        if let Some(outcome) = failure.outcome() {
+            self.tables.health.lock().record(upstream, outcome, now);
+        }
         if failure.may_have_run() {
             attempts.runs += 1;
         }
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -19,6 +19,9 @@
 /// between zones costs more than a short wait.
 const ZONE_PENALTY: time::Duration = time::Duration::from_millis(15);
 
+/// Objectives that an upstream which fails all requests counts as further away.
+const FAILURE_PENALTY: f64 = 4.0;
+
 /// Predictions that differ by no more than this are equal.
 const TIE: time::Duration = time::Duration::from_millis(2);
 
@@ -97,6 +100,15 @@
             }
             _ => self.plain(&snapshot, &activity, admitted),
         };
+        let health = self.tables.health.lock();
+        if found.iter().any(|candidate| !health.of(candidate.upstream.id.as_str()).is_avoided(now))
+        {
+            found.retain(|candidate| !health.of(candidate.upstream.id.as_str()).is_avoided(now));
+        }
+        for candidate in &mut found {
+            let rate = health.of(candidate.upstream.id.as_str()).failure_rate(now);
+            candidate.time += admitted.route.objective.mul_f64(rate * FAILURE_PENALTY);
+        }
         let mut pacing = self.tables.pacing.lock();
         found.retain(|candidate| {
             self.is_bearable(&snapshot, admitted, &pacing, candidate.upstream, now)
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -112,6 +112,7 @@
             Ok(None) => Failure::Stalled { begun: false },
             Ok(Some(Ok(Reply::Answer(answer)))) if is_usable(&answer, attempts, admitted) => {
                 target.progress.started(pipeline.now());
+                pipeline.answered(&target.id, answer.status.is_success());
                 return Ok(Begun { target, answer });
             }
             Ok(Some(Ok(Reply::Answer(answer)))) => Failure::Wrong(answer.status),
--- a/crates/gateway/src/pipeline/whole.rs
+++ b/crates/gateway/src/pipeline/whole.rs
@@ -48,6 +48,7 @@
                 Failure::Wrong(answer.status)
             }
             Ok(Ok(answer)) if answer.is_genuine || !answer.status.is_success() => {
+                pipeline.answered(&target.id, !answer.status.is_server_error());
                 return Ok(passed(answer, target));
             }
             Ok(Ok(answer)) => Failure::Wrong(answer.status),
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -7,12 +7,14 @@
 //! | 30 | [`coordinator::Coordinator`] | state of the node that forms groups |
 //! | 40 | [`activity::Activity`] | requests in progress by upstream |
 //! | 50 | [`stalls::Stalls`] | upstreams that stand still |
+//! | 52 | [`health::Health`] | what requests met at upstreams |
 //! | 55 | [`pacing::Pacing`] | requests sent to cold upstreams |
 //! | 60 | [`retries::Retries`] | retry budgets by service |
 
 pub mod activity;
 pub mod catalog;
 pub mod coordinator;
+pub mod health;
 pub mod pacing;
 pub mod peers;
 pub mod retries;
@@ -37,6 +39,8 @@
     pub activity: sync::Arc<table::Table<activity::Activity>>,
     /// Upstreams that stand still.
     pub stalls: sync::Arc<table::Table<stalls::Stalls>>,
+    /// What requests met at upstreams.
+    pub health: sync::Arc<table::Table<health::Health>>,
     /// Requests sent to cold upstreams.
     pub pacing: sync::Arc<table::Table<pacing::Pacing>>,
     /// Retry budgets.
@@ -55,6 +59,7 @@
             coordinator: host.table(),
             activity: host.table(),
             stalls: host.table(),
+            health: host.table(),
             pacing: host.table(),
             retries: host.table(),
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod deployment;
 pub mod fleet;
 pub mod formation;
+pub mod health;
 pub mod id;
 pub mod lease;
 pub mod membership;
