Give each fabric domain a home model

Domains whose VMs have several models were left with a few VMs of each after losses, of which no group could be formed. Domains are assigned to models by need, and spares count little, as a group is formed anew from the survivors.

--- a/crates/policy/src/formation.rs
+++ b/crates/policy/src/formation.rs
@@ -6,6 +6,7 @@
 
 mod compose;
 mod gather;
+mod home;
 mod host;
 mod load;
 mod memory;
--- a/crates/policy/src/formation/compose.rs
+++ b/crates/policy/src/formation/compose.rs
@@ -3,9 +3,8 @@
 use crate::deployment;
 
 /// Value of a spare VM in a domain with a group of its model, against that of a group that is
-/// needed. A second spare is worth less; more than two are not needed, as losses come one or two at
-/// a time.
-const SPARE_VALUES: [f64; 2] = [0.35, 0.2];
+/// needed. It is small, since a group can be formed anew from those that have lost a member.
+const SPARE_VALUES: [f64; 2] = [0.05, 0.02];
 
 /// Value of the first group beyond those that the work needs.
 const EXTRA_VALUE: f64 = 0.5;
--- a/crates/policy/src/formation/gather.rs
+++ b/crates/policy/src/formation/gather.rs
@@ -7,6 +7,7 @@
 use super::{
     Host, Memory, Need, Order, Plan, Role, Step, Supply, View,
     compose::{self, compose},
+    home::{self, Home},
     host::SERVING,
     load,
 };
@@ -45,8 +46,14 @@
         models.iter().map(|model| need(view, model, hosts.len(), memory)).collect();
     let mut steps = Vec::new();
     let mut wanted = Vec::new();
-    for domain in domains(hosts, memory).values() {
+    let domains = domains(hosts, memory);
+    let homes = home::assign(domains.keys().copied(), models, &needs);
+    for (fabric, domain) in &domains {
         let supply = supply(domain, models, memory);
+        let home = match present(&supply, models) {
+            Some(home) if view.begun => home,
+            _ => homes[fabric],
+        };
         let counts = compose(&supply, models, &needs);
         let mut left = supply;
         for (place, model) in models.iter().enumerate() {
@@ -62,12 +69,25 @@
             left.groups[place] += counts[place];
             needs[place].standing += counts[place];
         }
-        wanted.extend(load::wanted(view, domain, &left, &needs, memory, now));
+        wanted.extend(load::wanted(view, domain, &left, &needs, home, memory, now));
     }
     steps.extend(load::steps(view, hosts, wanted, memory, now));
     steps
 }
 
+/// The model that the most VMs of a domain have.
+fn present(supply: &Supply, models: &[deployment::Model]) -> Option<Home> {
+    let vms = |place: usize| {
+        supply.groups[place] * compose::size(&models[place])
+            + supply.loaded[place]
+            + supply.coming[place]
+    };
+    (0..models.len())
+        .filter(|place| vms(*place) > 0)
+        .max_by_key(|place| vms(*place))
+        .map(Home::Model)
+}
+
 /// How many groups of a model there are and are needed.
 ///
 /// Before requests come, the published shares of the work tell; then the requests in progress do.
--- /dev/null
+++ b/crates/policy/src/formation/home.rs
@@ -0,0 +1,64 @@
+//! Which model the VMs of each fabric domain load.
+//!
+//! A domain whose VMs have one model can form a group of any of them. In a domain with several
+//! models, losses leave a few VMs of each, which form no group.
+
+use std::collections;
+
+use super::{Need, compose::size};
+use crate::{deployment, id};
+
+/// Part of a domain that a second model has to lack for the last domain to be shared by both.
+const SHARED: f64 = 0.35;
+
+/// The model that a domain is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Home {
+    /// The model in this place of the engine's list.
+    Model(usize),
+    /// All models, in proportion to the sizes of their groups.
+    Shared,
+}
+
+/// Assigns the domains to models, so that the groups that can be formed are in proportion to those
+/// that are needed. Neighbouring domains get different models, so that a zone has all of them.
+pub(super) fn assign<'a>(
+    domains: impl IntoIterator<Item = Option<&'a id::Fabric>>,
+    models: &[deployment::Model],
+    needs: &[Need],
+) -> collections::BTreeMap<Option<&'a id::Fabric>, Home> {
+    let domains: Vec<_> = domains.into_iter().collect();
+    let parts: Vec<f64> =
+        models.iter().zip(needs).map(|(model, need)| need.target * vms(model)).collect();
+    let total = parts.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+    let mut left: Vec<f64> = parts.iter().map(|part| part / total * domains.len() as f64).collect();
+    let last = domains.len().saturating_sub(1);
+    domains
+        .into_iter()
+        .enumerate()
+        .map(|(number, domain)| {
+            let home = next(&left, number == last);
+            if let Home::Model(place) = home {
+                left[place] -= 1.0;
+            }
+            (domain, home)
+        })
+        .collect()
+}
+
+/// The model that lacks the largest part of a domain.
+fn next(left: &[f64], is_last: bool) -> Home {
+    let mut order: Vec<usize> = (0..left.len()).collect();
+    order.sort_by(|a, b| left[*b].total_cmp(&left[*a]));
+    match (order.first(), order.get(1)) {
+        (Some(_), Some(second)) if is_last && left[*second] >= SHARED => Home::Shared,
+        (Some(first), _) => Home::Model(*first),
+        (None, _) => Home::Shared,
+    }
+}
+
+/// VMs that a group needs, with those that are left over in a domain on average.
+fn vms(model: &deployment::Model) -> f64 {
+    let size = size(model) as f64;
+    size + (size - 1.0) / 2.0
+}
--- a/crates/policy/src/formation/load.rs
+++ b/crates/policy/src/formation/load.rs
@@ -8,6 +8,7 @@
     Memory, Need, Order, Role, Step, Supply, View,
     compose::size,
     gather::Domain,
+    home::Home,
     host::{Host, STANDBY},
 };
 use crate::{deployment, id};
@@ -19,12 +20,6 @@
 /// Part of the rate of the weight store that is used, so that repeated orders stay under its limit.
 const LOAD_RATE: f64 = 0.8;
 
-/// Loads beyond those that run at full speed, for loads that complete a group on their own.
-const EXTRA_PLACES: usize = 3;
-
-/// Places for loads that are kept free of loads for spares, since a load that follows would wait.
-const KEPT_PLACES: usize = 3;
-
 /// Time for which a VM has to stand by unused before it may load another model.
 const SWITCH_AFTER: time::Duration = time::Duration::from_secs(3);
 
@@ -38,8 +33,6 @@
     model: id::Model,
     /// Time that it takes alone.
     time: time::Duration,
-    /// VMs that the group still lacks, this one included; 0 for a spare.
-    missing: usize,
     /// Value of what it completes, by each load.
     worth: f64,
 }
@@ -48,42 +41,80 @@
 ///
 /// Each empty VM goes to the group that gains most by it; those that complete no group stand by.
 /// Without an empty VM, a spare whose model lacks too many others for a group loads another model.
-/// Before requests come, more VMs register, and groups are not planned yet.
+/// Before requests come, loads are short, and all VMs load the model that the domain is for.
 pub(super) fn wanted(
     view: &View<'_>,
     domain: &Domain<'_, '_>,
     supply: &Supply,
     needs: &[Need],
+    home: Home,
     memory: &Memory,
     now: moment::Moment,
 ) -> Vec<Load> {
     let models = &view.engine.models;
+    if !view.begun {
+        return first(domain, supply, home, models);
+    }
+    if supply.empty == 0 {
+        return switch(domain, supply, needs, models, memory, now).into_iter().collect();
+    }
     let mut left = supply.clone();
     let mut empty = domain.empty.iter();
     let mut loads = Vec::new();
-    if view.begun && supply.empty == 0 {
-        return switch(domain, supply, needs, models, memory, now).into_iter().collect();
-    }
-    while view.begun
-        && let Some((place, missing)) = next_group(&left, needs, models)
-    {
+    while let Some((place, missing)) = next_group(&left, needs, models) {
         let worth = needs[place].gain() / missing as f64;
-        loads.extend(
-            empty.by_ref().take(missing).map(|host| load(host, &models[place], missing, worth)),
-        );
+        loads.extend(empty.by_ref().take(missing).map(|host| load(host, &models[place], worth)));
         left.empty -= missing;
         left.loaded[place] = 0;
         left.coming[place] = 0;
         left.groups[place] += 1;
     }
     for host in empty {
-        let Some(place) = standby(&left, models) else { break };
+        let Some(place) = standby(&left, home, models) else { break };
         left.coming[place] += 1;
-        loads.push(load(host, &models[place], 0, 0.0));
+        loads.push(load(host, &models[place], 0.0));
     }
     loads
 }
 
+/// Loads before requests come: of empty VMs, and of spares that have another model than the one
+/// that the domain is for.
+fn first(
+    domain: &Domain<'_, '_>,
+    supply: &Supply,
+    home: Home,
+    models: &[deployment::Model],
+) -> Vec<Load> {
+    let mut left = supply.clone();
+    let mut loads = Vec::new();
+    for host in &domain.empty {
+        let Some(place) = standby(&left, home, models) else { break };
+        left.coming[place] += 1;
+        loads.push(load(host, &models[place], 0.0));
+    }
+    for host in &domain.spares {
+        let Some(from) = models.iter().position(|model| host.has(&model.name)) else { continue };
+        left.loaded[from] -= 1;
+        match standby(&left, home, models) {
+            Some(place)
+                if place != from
+                    && (home != Home::Shared || is_better(&left, from, place, models)) =>
+            {
+                left.coming[place] += 1;
+                loads.push(load(host, &models[place], 0.0));
+            }
+            _ => left.loaded[from] += 1,
+        }
+    }
+    loads
+}
+
+/// Whether a VM is of more use with the model `to` than with `from`: the domain has at least half a
+/// group more of `from`.
+fn is_better(supply: &Supply, from: usize, to: usize, models: &[deployment::Model]) -> bool {
+    part(supply, from, models) - part(supply, to, models) >= 0.5
+}
+
 /// The load of one spare that completes a group of another model.
 fn switch(
     domain: &Domain<'_, '_>,
@@ -107,12 +138,12 @@
             && !host.has(&models[place].name)
             && memory.idle(host.upstream.id.as_str(), now) >= SWITCH_AFTER
     })?;
-    Some(load(spare, &models[place], 1, needs[place].gain() * SWITCH_VALUE))
+    Some(load(spare, &models[place], needs[place].gain() * SWITCH_VALUE))
 }
 
-fn load(host: &Host<'_>, model: &deployment::Model, missing: usize, worth: f64) -> Load {
+fn load(host: &Host<'_>, model: &deployment::Model, worth: f64) -> Load {
     let (vm, time) = (host.upstream.id.clone(), model.load);
-    Load { vm, model: model.name.clone(), time, missing, worth }
+    Load { vm, model: model.name.clone(), time, worth }
 }
 
 /// The model of which a group can be completed with the loads that gain most, and their number.
@@ -133,15 +164,20 @@
         })
 }
 
-/// The model for which one more VM is to stand by: the one with the fewest VMs of the domain for
-/// its size, so that groups of all models can be formed and repaired there.
-fn standby(supply: &Supply, models: &[deployment::Model]) -> Option<usize> {
-    let part = |place: usize| {
-        let size = size(&models[place]);
-        let vms = supply.groups[place] * size + supply.coming[place] + supply.loaded[place];
-        vms as f64 / size as f64
-    };
-    (0..models.len()).min_by(|a, b| part(*a).total_cmp(&part(*b)))
+/// The model for which one more VM is to stand by: the one that the domain is for. In a shared
+/// domain it is the one with the fewest VMs for its size.
+fn standby(supply: &Supply, home: Home, models: &[deployment::Model]) -> Option<usize> {
+    if let Home::Model(place) = home {
+        return Some(place);
+    }
+    (0..models.len()).min_by(|a, b| part(supply, *a, models).total_cmp(&part(supply, *b, models)))
+}
+
+/// Groups of a model that a domain has, with parts of groups.
+fn part(supply: &Supply, place: usize, models: &[deployment::Model]) -> f64 {
+    let size = size(&models[place]);
+    let vms = supply.groups[place] * size + supply.coming[place] + supply.loaded[place];
+    vms as f64 / size as f64
 }
 
 /// Orders for the loads that may begin now.
@@ -156,7 +192,7 @@
     let mut loading = hosts.iter().filter(|host| host.role == Role::Loading).count();
     let mut steps = Vec::new();
     for load in wanted {
-        if view.begun && !may_begin(&load, loading, &view.engine.loads, memory, now) {
+        if view.begun && !may_begin(loading, &view.engine.loads, memory, now) {
             continue;
         }
         loading += 1;
@@ -167,20 +203,14 @@
 
 /// Whether a load may begin beside those that run.
 fn may_begin(
-    load: &Load,
     loading: usize,
     limits: &deployment::Loads,
     memory: &mut Memory,
     now: moment::Moment,
 ) -> bool {
     let parallel = usize::try_from(limits.parallel.max(1)).unwrap_or(usize::MAX);
-    let places = match load.missing {
-        0 => parallel.saturating_sub(KEPT_PLACES).max(1),
-        1 => parallel + EXTRA_PLACES,
-        _ => parallel,
-    };
     let rate = (limits.rate * LOAD_RATE).max(1.0) as usize;
-    loading < places && memory.starts(now) < rate
+    loading < parallel && memory.starts(now) < rate
 }
 
 fn step(load: &Load, memory: &mut Memory, now: moment::Moment) -> Step {
