--- a/crates/gateway/src/duty/coordinate.rs
+++ b/crates/gateway/src/duty/coordinate.rs
@@ -8,15 +8,10 @@
 
 use corneltrestle_infra::store::Store;
 use corneltrestle_kernel::{host, plugin};
-use corneltrestle_policy::{formation, id};
+use corneltrestle_policy::{demand, deployment, formation, id};
 use corneltrestle_time::moment;
 
-use crate::{
-    identity, mesh,
-    source::Source,
-    tables::{self, catalog},
-    upstream::Caller,
-};
+use crate::{identity, mesh, source::Source, tables, upstream::Caller};
 
 /// Longest time between two decisions; changes of the catalog are acted on at once.
 const PERIOD: time::Duration = time::Duration::from_millis(100);
@@ -109,7 +104,8 @@
             .filter_map(|(name, service)| service.engine.as_ref().map(|engine| (name, engine)));
         let mut steps = Vec::new();
         for (service, engine) in engines {
-            let (load, begun) = self.load(&snapshot, service);
+            let demand = self.demand(service, engine, now);
+            let begun = self.tables.activity.lock().has_begun();
             let view = formation::View {
                 service,
                 engine,
@@ -117,7 +113,7 @@
                 evacuated: &snapshot.evacuated,
                 lost: &lost,
                 busy,
-                load: &load,
+                demand: &demand,
                 begun,
             };
             steps.extend(formation::decide(&view, memory, now));
@@ -129,22 +125,19 @@
         steps
     }
 
-    /// Requests in progress by model, and whether requests have come.
-    fn load(
+    /// What is asked of each model over all nodes, taken to be asked of each as of this one.
+    fn demand(
         &self,
-        snapshot: &catalog::Snapshot,
         service: &id::Service,
-    ) -> (collections::BTreeMap<id::Model, u32>, bool) {
-        let activity = self.tables.activity.lock();
-        let mut load = collections::BTreeMap::<id::Model, u32>::new();
-        let groups = snapshot.fleet.groups().iter().filter(|group| group.service == *service);
-        for group in groups {
-            let (Some(head), Some(model)) = (snapshot.fleet.head(group), &group.model) else {
-                continue;
-            };
-            let requests = activity.of(head.id.as_str()).requests;
-            *load.entry(model.clone()).or_default() += requests;
-        }
-        (load, activity.has_begun())
+        engine: &deployment::Engine,
+        now: moment::Moment,
+    ) -> collections::BTreeMap<id::Model, demand::Demand> {
+        let scale = self.tables.retries.lock().scale(service, now);
+        let table = self.tables.demand.lock();
+        let asked = engine.models.iter().map(|model| {
+            let own = table.meter.of(model.name.as_str(), engine, now);
+            (model.name.clone(), demand::Demand { rate: own.rate * scale, ..own })
+        });
+        asked.collect()
     }
 }
--- a/crates/gateway/src/pipeline/admit.rs
+++ b/crates/gateway/src/pipeline/admit.rs
@@ -61,6 +61,11 @@
         let timeout = request.arrived + route.timeout;
         let deadline = request.deadline.map_or(timeout, |deadline| deadline.min(timeout));
         self.tables.retries.lock().count(&service, &self.limits.retries, request.arrived);
+        if let Some(generation) = &request.generation {
+            let (model, prompt) = (&generation.model, generation.prompt);
+            let meter = &mut self.tables.demand.lock().meter;
+            meter.request(model, prompt, route.objective, request.arrived);
+        }
         Ok(Admitted { deployment, route, service, organisation, regions, deadline })
     }
 
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -1,6 +1,6 @@
 //! Streams of events, which another upstream resumes when their own fails.
 
-use std::sync;
+use std::{sync, time};
 
 use corneltrestle_policy::delivery;
 use corneltrestle_time::moment;
@@ -32,6 +32,27 @@
     target: Target,
     body: C::Body,
     decoder: sse::Decoder,
+    timing: Timing,
+}
+
+/// When events were passed on.
+#[derive(Clone, Copy, Debug)]
+struct Timing {
+    /// Time from the arrival of the request to the first event.
+    first: Option<time::Duration>,
+    /// Longest time between two events.
+    pause: time::Duration,
+    latest: moment::Moment,
+}
+
+impl Timing {
+    fn event(&mut self, arrived: moment::Moment, now: moment::Moment) {
+        match self.first {
+            None => self.first = Some(now.since(arrived)),
+            Some(_) => self.pause = self.pause.max(now.since(self.latest)),
+        }
+        self.latest = now;
+    }
 }
 
 /// An answer that has begun, with the upstream that gives it.
@@ -71,6 +92,7 @@
         target,
         body: answer.body,
         decoder: sse::Decoder::new(MAX_EVENT_BYTES),
+        timing: Timing { first: None, pause: time::Duration::ZERO, latest: pipeline.now() },
     };
     let (status, headers) = (answer.status, answer.headers);
     Ok(Answer { status, headers, relay: Relay::stream(stream) })
@@ -157,7 +179,10 @@
         loop {
             match self.decoder.next_block() {
                 Ok(Some(block)) => match self.check(&block) {
-                    delivery::Verdict::Deliver => return Ok(Some(block.raw)),
+                    delivery::Verdict::Deliver => {
+                        self.timing.event(self.request.arrived, self.pipeline.now());
+                        return Ok(Some(block.raw));
+                    }
                     delivery::Verdict::Drop => continue,
                     _ => {
                         let failure = Failure::Wrong(hyper::StatusCode::OK);
@@ -176,7 +201,10 @@
                     self.target.progress.progressed(self.pipeline.now());
                     self.decoder.feed(part);
                 }
-                Read::End if self.decoder.is_empty() => return Ok(None),
+                Read::End if self.decoder.is_empty() => {
+                    self.finish();
+                    return Ok(None);
+                }
                 Read::End => self.resume(Failure::Wrong(hyper::StatusCode::OK)).await?,
                 Read::Failed(failure) => self.resume(failure).await?,
             }
@@ -242,6 +270,24 @@
         Ok(())
     }
 
+    fn finish(&self) {
+        let events = self.delivery.next() - 1;
+        if let Some(generation) = &self.request.generation {
+            self.pipeline.tables.demand.lock().meter.answer(&generation.model, events);
+        }
+        let millis = |span: time::Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+        log::info!(
+            id = self.request.id.as_str(),
+            route = self.admitted.route.name.as_str(),
+            upstream = self.target.id.as_str(),
+            first_ms = self.timing.first.map_or(0, millis),
+            pause_ms = millis(self.timing.pause),
+            events = events,
+            offers = self.attempts.offers;
+            "route: stream finished"
+        );
+    }
+
     fn late(&self) -> Refusal {
         let message = "the time was up before the answer was complete";
         Refusal::unknown(Code::DeadlineExceeded, "relay", message).at(self.target.address)
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -10,10 +10,12 @@
 //! | 52 | [`health::Health`] | what requests met at upstreams |
 //! | 55 | [`pacing::Pacing`] | requests sent to cold upstreams |
 //! | 60 | [`retries::Retries`] | retry budgets by service |
+//! | 62 | [`demand::Demand`] | what callers ask of models |
 
 pub mod activity;
 pub mod catalog;
 pub mod coordinator;
+pub mod demand;
 pub mod health;
 pub mod pacing;
 pub mod peers;
@@ -45,6 +47,8 @@
     pub pacing: sync::Arc<table::Table<pacing::Pacing>>,
     /// Retry budgets.
     pub retries: sync::Arc<table::Table<retries::Retries>>,
+    /// What callers ask of models.
+    pub demand: sync::Arc<table::Table<demand::Demand>>,
 }
 
 impl Tables {
@@ -62,6 +66,7 @@
             health: host.table(),
             pacing: host.table(),
             retries: host.table(),
+            demand: host.table(),
         }
     }
 }
--- a/crates/gateway/src/tables/retries.rs
+++ b/crates/gateway/src/tables/retries.rs
@@ -50,6 +50,15 @@
         self.budget(service, limits).take(&others, now)
     }
 
+    /// Requests of all nodes for a service by each request of this node, in the window.
+    pub fn scale(&mut self, service: &id::Service, now: moment::Moment) -> f64 {
+        let hash = mesh::hash(service.as_str());
+        let rows = self.peers.values().flat_map(|(_, usage)| usage);
+        let others: u32 = rows.filter(|row| row.service == hash).map(|row| row.requests).sum();
+        let own = self.budgets.get_mut(service).map_or(0, |budget| budget.usage(now).requests);
+        f64::from(own + others) / f64::from(own.max(1))
+    }
+
     /// What this node has sent, for its pulse.
     pub fn usage(&mut self, now: moment::Moment) -> Vec<mesh::Usage> {
         self.budgets
--- a/crates/policy/src/formation.rs
+++ b/crates/policy/src/formation.rs
@@ -22,7 +22,7 @@
 pub use memory::{Memory, Plan};
 pub use summary::Summary;
 
-use crate::{deployment, fleet, id, upstream};
+use crate::{demand, deployment, fleet, id, upstream};
 
 /// What the decision is made from.
 #[derive(Clone, Copy, Debug)]
@@ -39,8 +39,8 @@
     pub lost: &'a collections::BTreeSet<id::Vm>,
     /// VMs to which an order is under way.
     pub busy: &'a collections::BTreeSet<id::Vm>,
-    /// Requests in progress by model.
-    pub load: &'a collections::BTreeMap<id::Model, u32>,
+    /// What is asked of each model, over all nodes.
+    pub demand: &'a collections::BTreeMap<id::Model, demand::Demand>,
     /// Whether requests have come: before the first one, loads are short and need no limit.
     pub begun: bool,
 }
--- a/crates/policy/src/formation/gather.rs
+++ b/crates/policy/src/formation/gather.rs
@@ -11,7 +11,7 @@
     host::SERVING,
     load,
 };
-use crate::{deployment, id};
+use crate::{demand, deployment, id};
 
 /// Time that the members of a new group get to join, beyond the time that a join takes.
 const JOIN_SLACK: time::Duration = time::Duration::from_millis(1_500);
@@ -19,9 +19,6 @@
 /// Part of the VMs that the first groups use; the others stand by.
 const SHARE_USED: f64 = 0.8;
 
-/// Part of the slots of a group that is to be in use: beyond it, first events come late.
-const UTILISATION: f64 = 0.5;
-
 /// Least target of a model, as part of the target before requests came.
 const MIN_TARGET: f64 = 0.5;
 
@@ -90,14 +87,14 @@
 
 /// How many groups of a model there are and are needed.
 ///
-/// Before requests come, the published shares of the work tell; then the requests in progress do.
+/// Before requests come, the published shares of the work tell; then the demand does.
 fn need(view: &View<'_>, model: &deployment::Model, vms: usize, memory: &Memory) -> Need {
     let plans = memory.plans().values();
     let standing = plans.filter(|plan| !plan.is_ending && plan.model == model.name).count();
     let usual = vms as f64 * model.share * SHARE_USED / compose::size(model) as f64;
     let target = if view.begun {
-        let load = f64::from(view.load.get(&model.name).copied().unwrap_or(0));
-        (load / f64::from(view.engine.slots.max(1)) / UTILISATION).max(usual * MIN_TARGET)
+        let asked = view.demand.get(&model.name).copied().unwrap_or_default();
+        demand::groups(view.engine, model.pace, &asked).max(usual * MIN_TARGET)
     } else {
         usual
     };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claim;
 pub mod cost;
 pub mod delivery;
+pub mod demand;
 pub mod deployment;
 pub mod fleet;
 pub mod formation;
