Count attempts that other nodes cannot know of yet

After the loss of an upstream all nodes send streams again within the time of a pulse, and each took the others' attempts for unsent. What a node has just sent is taken to be sent by all. An upstream that rejected a request is not offered it again.

--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -83,7 +83,7 @@
 }
 
 impl<C: Caller> Pipeline<C> {
-    /// Chooses an upstream for a request and counts it there.
+    /// Chooses an upstream at which the request has not been tried, and counts it there.
     pub(super) fn choose(
         &self,
         request: &request::Request,
@@ -113,9 +113,7 @@
         found.retain(|candidate| {
             self.is_bearable(&snapshot, admitted, &pacing, candidate.upstream, now)
         });
-        if found.iter().any(|candidate| !tried.contains(&candidate.upstream.id)) {
-            found.retain(|candidate| !tried.contains(&candidate.upstream.id));
-        }
+        found.retain(|candidate| !tried.contains(&candidate.upstream.id));
         let Candidate { upstream: chosen, time: predicted } = least(&found)?;
         if snapshot.cold.contains_key(&chosen.id) {
             pacing.sent.count(&chosen.id, now);
--- a/crates/policy/src/retry/fleet.rs
+++ b/crates/policy/src/retry/fleet.rs
@@ -38,8 +38,8 @@
 /// Part of the allowance that is used, since requests are counted where they arrive.
 const USED: f64 = 0.75;
 
-/// Extra attempts that each other node may have sent since it was last heard of.
-const UNTOLD: f64 = 2.0;
+/// Time for which the attempts of a node may not be known to the others: their pulses come as often.
+const UNTOLD: time::Duration = time::Duration::from_millis(300);
 
 /// A node's view of the allowance.
 ///
@@ -86,9 +86,10 @@
         let requests = f64::from(own.requests) + f64::from(others.usage.requests);
         let slack = self.limits.slack * (heard + 1.0) / (others.all as f64 + 1.0);
         let allowed = USED * (self.limits.ratio * requests + slack);
-        let untold = (UNTOLD * heard).min(allowed / 2.0);
-        let used = f64::from(own.extra) + f64::from(others.usage.extra);
-        let granted = used + 1.0 + untold <= allowed;
+        // What one node meets, such as the loss of an upstream, the others meet at the same time.
+        let recent = self.extra.iter().rev().take_while(|at| now.since(**at) < UNTOLD).count();
+        let used = f64::from(own.extra) + f64::from(others.usage.extra) + heard * recent as f64;
+        let granted = used + 1.0 <= allowed;
         if granted {
             self.extra.push_back(now);
         }
