Tell other zones of a zone's requests by one of its nodes, and of changes at once

Now one node of each zone tells three nodes of each other zone, which send it on, and changes of facts and stalls go out as datagrams. A stall names the epoch of the group, so that a new group with the same head is not avoided. A VM that a new group takes gets no second order in the same round; the second one made the coordinator step down. Before requests come, only groups of a domain's own model are formed.

--- a/crates/gateway/src/duty/coordinate/probe.rs
+++ b/crates/gateway/src/duty/coordinate/probe.rs
@@ -76,11 +76,11 @@
         for vm in lost {
             let Some(group) = snapshot.fleet.group_of(vm.as_str()) else { continue };
             let Some(head) = snapshot.fleet.head(group) else { continue };
-            let stall = stalls::Stall { born: head.born, at: now, is_own: true };
-            let is_new = self.tables.stalls.lock().refresh(&head.id, stall);
+            let stall = stalls::Stall { epoch: group.epoch, at: now, is_own: true };
+            let is_new = self.tables.stalls.lock().refresh(&head.id, stall.clone());
             if is_new {
                 self.tables.activity.lock().interrupt(head.id.as_str());
-                self.mesh.hurry();
+                self.mesh.spread_stall(head.id.as_str(), &stall, now);
             }
         }
     }
--- a/crates/gateway/src/duty/follow.rs
+++ b/crates/gateway/src/duty/follow.rs
@@ -3,7 +3,7 @@
 //! The node that coordinates follows the source; the others take over what it knows. In a zone that
 //! hears of no node with recent facts, one node after the other follows the source itself.
 
-use std::{sync, time};
+use std::{ops, sync, time};
 
 use corneltrestle_infra::store;
 use corneltrestle_kernel::{host, plugin, run};
@@ -27,6 +27,10 @@
 /// Least time between two calls for changes, so that changes that come together cost one call.
 const PACE: time::Duration = time::Duration::from_millis(40);
 
+/// Time that changes get to arrive by datagram before they are fetched.
+const DELTA_WAIT: ops::Range<time::Duration> =
+    time::Duration::from_millis(15)..time::Duration::from_millis(60);
+
 /// Longest wait before the source is asked again after a failure.
 const RETRY_MAX: time::Duration = time::Duration::from_millis(400);
 
@@ -143,10 +147,13 @@
             let now = self.host.now();
             let (known, ahead) = {
                 let known = self.tables.catalog.lock().at();
-                (known, self.tables.peers.lock().ahead(known, now).cloned())
+                (known, self.tables.peers.lock().ahead(known, now, &mut rand::rng()).cloned())
             };
             let Some(peer) = ahead else {
                 self.mesh.behind().await;
+                // The changes themselves may be on their way.
+                let wait = rand::rng().random_range(DELTA_WAIT);
+                tokio::time::sleep(wait).await;
                 continue;
             };
             match self.facts.fetch(peer.link, known, now).await {
@@ -158,8 +165,6 @@
                     } else {
                         catalog.apply(excerpt.changes, confirmed);
                     }
-                    drop(catalog);
-                    self.mesh.hurry();
                     return;
                 }
                 Err(e) => {
@@ -191,12 +196,13 @@
         let changes = self.source.changes(after, wait).await?;
         // An answer says that nothing else had changed when it was made.
         let answered = self.host.now();
-        let changed = !changes.changes.is_empty();
-        self.tables.catalog.lock().apply(changes, answered);
-        if changed {
-            self.mesh.hurry();
-            tokio::time::sleep(PACE).await;
+        if changes.changes.is_empty() {
+            self.tables.catalog.lock().apply(changes, answered);
+            return Ok(());
         }
+        self.tables.catalog.lock().apply(changes.clone(), answered);
+        self.mesh.spread_changes(after, &changes.changes, answered);
+        tokio::time::sleep(PACE).await;
         Ok(())
     }
 
--- a/crates/gateway/src/duty/mesh.rs
+++ b/crates/gateway/src/duty/mesh.rs
@@ -3,6 +3,7 @@
 use std::{net, sync, time};
 
 use corneltrestle_kernel::{host, linkme, plugin, run};
+use corneltrestle_wire::mesh as wire;
 
 use crate::{
     identity,
@@ -13,7 +14,7 @@
 /// Least time between two pulses to the nodes of the own zone.
 const NEAR_PERIOD: time::Duration = time::Duration::from_millis(80);
 
-/// Least time between two pulses to the nodes of other zones, as traffic between zones is dear.
+/// Time between two digests to other zones, as traffic between zones is dear.
 const FAR_PERIOD: time::Duration = time::Duration::from_millis(240);
 
 /// Pulses a second that a node sends; with more peers they are sent less often.
@@ -65,41 +66,44 @@
     Ok(())
 }
 
-/// Sends pulses, those that are urgent at once.
+/// Sends what is urgent at once, and pulses and digests from time to time.
 async fn send(host: sync::Arc<host::Host>, mesh: sync::Arc<Mesh>) {
-    let mut far_due = host.now();
+    let (mut near_due, mut far_due) = (host.now(), host.now());
     loop {
-        let is_urgent = tokio::time::timeout(near_period(&mesh), mesh.urgent()).await.is_ok();
+        let wait = near_due.since(host.now());
+        let _ = tokio::time::timeout(wait, mesh.urgent()).await;
+        mesh.flush().await;
         let now = host.now();
-        let (near, far) = mesh.peers();
-        let draining = host.run.stage() >= run::Stage::Draining;
-        let pulse = mesh.pulse(mesh.takes_ask(), draining, now);
-        mesh.send(&pulse, &near).await;
-        if is_urgent || now >= far_due {
-            mesh.send(&pulse, &far).await;
-            far_due = now + FAR_PERIOD.max(spread(far.len()));
+        if now >= near_due {
+            let near = mesh.near();
+            let draining = host.run.stage() >= run::Stage::Draining;
+            mesh.send(&mesh.pulse(draining, now), &near).await;
+            near_due = now + NEAR_PERIOD.max(spread(near.len()));
+        }
+        if now >= far_due {
+            if mesh.speaks(now) {
+                mesh.send(&mesh.digest(now), &mesh.relays()).await;
+            }
+            far_due = now + FAR_PERIOD;
         }
     }
 }
 
-fn near_period(mesh: &Mesh) -> time::Duration {
-    NEAR_PERIOD.max(spread(mesh.peers().0.len()))
-}
-
 /// Time between two pulses to each of so many peers, within the rate.
 fn spread(peers: usize) -> time::Duration {
     time::Duration::from_secs_f64(peers as f64 / RATE)
 }
 
-/// Takes the pulses of peers, and answers those that ask.
+/// Takes the datagrams of other nodes, and answers those that ask.
 async fn receive(host: sync::Arc<host::Host>, mesh: sync::Arc<Mesh>) {
+    let mut buffer = [0; 2 * wire::MAX_BYTES];
     loop {
-        let (pulse, peer) = mesh.receive().await;
+        let (datagram, length, peer) = mesh.receive(&mut buffer).await;
         let now = host.now();
-        mesh.take(&pulse, peer, now);
-        if pulse.asks {
+        mesh.take(&datagram, &buffer[..length], now);
+        if datagram.asks {
             let draining = host.run.stage() >= run::Stage::Draining;
-            mesh.send(&mesh.pulse(false, draining, now), &[peer]).await;
+            mesh.send(&mesh.answer(&datagram, draining, now), &[peer]).await;
         }
     }
 }
--- a/crates/gateway/src/duty/watchdog.rs
+++ b/crates/gateway/src/duty/watchdog.rs
@@ -67,23 +67,23 @@
         };
         self.asked.retain(|upstream, _| silent.contains_key(upstream));
         let mut ask = false;
-        for (upstream, born) in silent {
+        for (upstream, epoch) in silent {
             match self.asked.get(&upstream) {
                 None => {
                     self.asked.insert(upstream, now);
                     ask = true;
                 }
-                Some(at) if now.since(*at) >= ASK => self.declare(&upstream, born, now),
+                Some(at) if now.since(*at) >= ASK => self.declare(&upstream, epoch, now),
                 Some(_) => {}
             }
         }
         if ask {
-            self.mesh.ask();
+            self.mesh.ask(now);
         }
     }
 
-    /// Upstreams of which neither this node nor a peer has got an event for too long, with their
-    /// starts.
+    /// Upstreams of which neither this node nor a peer has got an event for too long, with the
+    /// epochs of their groups.
     fn silent(
         &self,
         snapshot: &catalog::Snapshot,
@@ -93,20 +93,20 @@
         let is_silent = |waiting: &activity::Waiting| {
             let id = waiting.upstream.as_str();
             let limit = limit(snapshot, activity, id)?;
-            let born = snapshot.fleet.get(id)?.born;
+            let epoch = snapshot.fleet.group_of(id)?.epoch;
             let progress = activity.peer_progress(id).max(Some(waiting.progress))?;
-            (now.since(progress) > limit).then_some(born)
+            (now.since(progress) > limit).then_some(epoch)
         };
         activity
             .waiting()
-            .filter_map(|waiting| is_silent(&waiting).map(|born| (waiting.upstream, born)))
+            .filter_map(|waiting| is_silent(&waiting).map(|epoch| (waiting.upstream, epoch)))
             .collect()
     }
 
-    fn declare(&self, upstream: &id::Vm, born: u64, now: moment::Moment) {
-        let stall = stalls::Stall { born, at: now, is_own: true };
+    fn declare(&self, upstream: &id::Vm, epoch: u64, now: moment::Moment) {
+        let stall = stalls::Stall { epoch, at: now, is_own: true };
         let activity = self.tables.activity.lock();
-        if !self.tables.stalls.lock().note(upstream, stall) {
+        if !self.tables.stalls.lock().note(upstream, stall.clone()) {
             return;
         }
         let work = activity.of(upstream.as_str());
@@ -115,7 +115,8 @@
             "stall: no stream of it has got an event in time"
         );
         activity.interrupt(upstream.as_str());
-        self.mesh.hurry();
+        drop(activity);
+        self.mesh.spread_stall(upstream.as_str(), &stall, now);
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/mesh/compose.rs
@@ -0,0 +1,138 @@
+//! Datagrams that this node sends.
+
+use std::sync::atomic;
+
+use corneltrestle_time::moment;
+use corneltrestle_wire::mesh;
+
+use super::Mesh;
+use crate::{
+    source::Change,
+    tables::{activity::millis, outbox::Reach, stalls},
+};
+
+impl Mesh {
+    /// What this node tells those of its zone.
+    pub(crate) fn pulse(&self, draining: bool, now: moment::Moment) -> Vec<u8> {
+        let load = mesh::Load {
+            nodes: 0,
+            rows: self.tables.activity.lock().rows(now),
+            usage: self.tables.retries.lock().usage(now),
+        };
+        let stalls = self.stalls(|stall| stall.is_own, now);
+        let datagram = self.datagram(draining, now);
+        mesh::encode(mesh::Datagram { load: Some(load), stalls, ..datagram })
+    }
+
+    /// What this node tells other zones of all nodes of its zone.
+    pub(crate) fn digest(&self, now: moment::Moment) -> Vec<u8> {
+        let (nodes, rows) = self.tables.activity.lock().zone_rows(now);
+        let usage = self.tables.retries.lock().zone_usage(now);
+        let load = mesh::Load { nodes, rows, usage };
+        let stalls = self.stalls(|_| true, now);
+        let datagram = self.datagram(false, now);
+        mesh::encode(mesh::Datagram { load: Some(load), stalls, spreads: true, ..datagram })
+    }
+
+    /// Tells all nodes at once that an upstream stands still.
+    pub(crate) fn spread_stall(&self, upstream: &str, stall: &stalls::Stall, now: moment::Moment) {
+        let stalls = vec![encoded(upstream, stall, now)];
+        let datagram = mesh::Datagram { stalls, spreads: true, ..self.datagram(false, now) };
+        self.post(mesh::encode(datagram), Reach::All);
+    }
+
+    /// Asks other nodes to tell at once what they work on, those of other zones for their zones.
+    pub(crate) fn ask(&self, now: moment::Moment) {
+        let datagram = mesh::Datagram { asks: true, ..self.datagram(false, now) };
+        self.post(mesh::encode(datagram), Reach::All);
+    }
+
+    /// The answer to a node that asks.
+    pub(crate) fn answer(
+        &self,
+        asked: &mesh::Datagram,
+        draining: bool,
+        now: moment::Moment,
+    ) -> Vec<u8> {
+        let zone = asked.origin.as_ref().map_or("", |origin| origin.zone.as_str());
+        if zone == self.identity.zone.as_str() {
+            self.pulse(draining, now)
+        } else {
+            self.digest(now)
+        }
+    }
+
+    /// Tells all nodes at once of changes that lead from revision `after` to the present one.
+    ///
+    /// Changes that do not fit into datagrams are fetched by those who hear of the revision.
+    pub(crate) fn spread_changes(&self, after: u64, changes: &[Change], now: moment::Moment) {
+        let mut from = after;
+        for part in parts(changes) {
+            let datagram = self.datagram(false, now);
+            let revision = part.revision.unwrap_or(datagram.revision);
+            let delta = mesh::Delta { after: from, changes: part.bytes.into() };
+            let datagram =
+                mesh::Datagram { revision, delta: Some(delta), spreads: true, ..datagram };
+            self.post(mesh::encode(datagram), Reach::All);
+            from = revision;
+        }
+    }
+
+    fn datagram(&self, draining: bool, now: moment::Moment) -> mesh::Datagram {
+        let (revision, heard) = {
+            let catalog = self.tables.catalog.lock();
+            (catalog.at(), catalog.heard())
+        };
+        let origin = mesh::Origin {
+            node: self.identity.node.to_string(),
+            zone: self.identity.zone.to_string(),
+            boot: self.identity.boot,
+            sequence: self.sequence.fetch_add(1, atomic::Ordering::Relaxed),
+            link: self.identity.link.to_string(),
+            draining,
+        };
+        let age = heard.map_or(u32::MAX, |heard| millis(now.since(heard)));
+        mesh::Datagram { origin: Some(origin), revision, age, ..mesh::Datagram::default() }
+    }
+
+    fn stalls(
+        &self,
+        told: impl Fn(&stalls::Stall) -> bool,
+        now: moment::Moment,
+    ) -> Vec<mesh::Stall> {
+        let stalls = self.tables.stalls.lock();
+        let stalls = stalls.iter().filter(|(_, stall)| told(stall));
+        stalls.map(|(id, stall)| encoded(id.as_str(), stall, now)).collect()
+    }
+}
+
+fn encoded(upstream: &str, stall: &stalls::Stall, now: moment::Moment) -> mesh::Stall {
+    let age = millis(now.since(stall.at));
+    mesh::Stall { upstream: upstream.to_owned(), epoch: stall.epoch, age }
+}
+
+/// Changes for one datagram.
+struct Part {
+    bytes: Vec<u8>,
+    /// Revision to which they lead; that of the datagram for the last part.
+    revision: Option<u64>,
+}
+
+/// Divides changes over datagrams; none if one of them does not fit.
+fn parts(changes: &[Change]) -> Vec<Part> {
+    let mut parts = Vec::new();
+    let mut rest = changes;
+    while !rest.is_empty() {
+        let fits = |number: &usize| {
+            postcard::to_stdvec(&rest[..*number])
+                .is_ok_and(|bytes| bytes.len() <= mesh::MAX_DELTA_BYTES)
+        };
+        let Some(number) = (1..=rest.len()).take_while(fits).last() else { return Vec::new() };
+        let Ok(bytes) = postcard::to_stdvec(&rest[..number]) else { return Vec::new() };
+        let is_last = number == rest.len();
+        let revision = (!is_last).then(|| rest[number - 1].revision);
+        parts.push(Part { bytes, revision });
+        rest = &rest[number..];
+    }
+    parts
+}
--- /dev/null
+++ b/crates/gateway/src/mesh/take.rs
@@ -0,0 +1,105 @@
+//! Datagrams that other nodes have sent.
+
+use std::{net, time};
+
+use corneltrestle_policy::id;
+use corneltrestle_time::moment;
+use corneltrestle_wire::mesh;
+
+use super::Mesh;
+use crate::{
+    source::{Change, Changes},
+    tables::{outbox::Reach, peers, stalls},
+};
+
+impl Mesh {
+    /// Takes what another node tells; `bytes` are its datagram.
+    pub(crate) fn take(&self, datagram: &mesh::Datagram, bytes: &[u8], now: moment::Moment) {
+        let Some(origin) = &datagram.origin else { return };
+        if origin.boot == self.identity.boot {
+            return;
+        }
+        let is_near = origin.zone == self.identity.zone.as_str();
+        let is_new = self.tables.peers.lock().is_new(origin.boot, origin.sequence);
+        if is_new && datagram.spreads && !is_near {
+            self.post(bytes.to_vec(), Reach::Near);
+        }
+        self.take_revision(origin, datagram, is_near, now);
+        if let Some(load) = datagram.load.as_ref().filter(|_| is_new) {
+            // The rows of a zone replace the earlier ones, whichever of its nodes tells them.
+            let key = if load.nodes == 0 { &origin.node } else { &origin.zone };
+            let key: id::Node = key.as_str().into();
+            let latest = (origin.boot, origin.sequence);
+            if self.tables.activity.lock().hear(&key, latest, load, now) {
+                self.tables.retries.lock().hear(&key, load, now);
+            }
+        }
+        for stall in &datagram.stalls {
+            self.take_stall(stall, now);
+        }
+    }
+
+    /// Takes the changes of facts, and notes which facts the other node knows.
+    fn take_revision(
+        &self,
+        origin: &mesh::Origin,
+        datagram: &mesh::Datagram,
+        is_near: bool,
+        now: moment::Moment,
+    ) {
+        let age = time::Duration::from_millis(u64::from(datagram.age));
+        let confirmed = (datagram.age != u32::MAX).then(|| now.before(age));
+        let own = {
+            let mut catalog = self.tables.catalog.lock();
+            if let Some(delta) = &datagram.delta
+                && (delta.after..datagram.revision).contains(&catalog.at())
+                && let Some(changes) = decoded(delta)
+            {
+                let from = catalog.at();
+                let changes = changes.into_iter().filter(|change| change.revision > from).collect();
+                let changes = Changes { at: datagram.revision, changes };
+                catalog.apply(changes, confirmed.unwrap_or(moment::Moment::ZERO));
+            } else if let Some(confirmed) = confirmed
+                && datagram.revision == catalog.at()
+            {
+                catalog.confirm(confirmed);
+            }
+            catalog.at()
+        };
+        if let Ok(link) = origin.link.parse::<net::SocketAddr>() {
+            let peer = peers::Peer {
+                link,
+                is_near,
+                revision: datagram.revision,
+                draining: origin.draining,
+                at: now,
+            };
+            self.tables.peers.lock().hear(origin.node.as_str().into(), peer);
+        }
+        if datagram.revision > own {
+            self.behind.notify_one();
+        }
+    }
+
+    /// Takes a stall that another node has found, unless own streams show that the upstream works.
+    fn take_stall(&self, stall: &mesh::Stall, now: moment::Moment) {
+        let at = now.before(time::Duration::from_millis(u64::from(stall.age)));
+        let activity = self.tables.activity.lock();
+        let id: id::Vm = stall.upstream.as_str().into();
+        let works = activity.waiting().any(|own| own.upstream == id && own.progress >= at);
+        if works {
+            return;
+        }
+        let found = stalls::Stall { epoch: stall.epoch, at, is_own: false };
+        if self.tables.stalls.lock().hear(&id, found, now) {
+            log::info!(upstream = id.as_str(); "stall: a peer has found that it stands still");
+            activity.interrupt(id.as_str());
+        }
+    }
+}
+
+fn decoded(delta: &mesh::Delta) -> Option<Vec<Change>> {
+    postcard::from_bytes(&delta.changes)
+        .inspect_err(|e| log::warn!("mesh: changes cannot be read: {e}"))
+        .ok()
+}
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -162,7 +162,7 @@
             .filter_map(|group| {
                 let head = snapshot.fleet.head(group)?;
                 if !self.may_serve(snapshot, admitted, head)
-                    || stalls.contains(head.id.as_str(), head.born)
+                    || stalls.contains(head.id.as_str(), group.epoch)
                 {
                     return None;
                 }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -11,12 +11,14 @@
 //! | 55 | [`pacing::Pacing`] | requests sent to cold upstreams |
 //! | 60 | [`retries::Retries`] | retry budgets by service |
 //! | 62 | [`demand::Demand`] | what callers ask of models |
+//! | 70 | [`outbox::Outbox`] | datagrams that wait to be sent |
 
 pub mod activity;
 pub mod catalog;
 pub mod coordinator;
 pub mod demand;
 pub mod health;
+pub mod outbox;
 pub mod pacing;
 pub mod peers;
 pub mod retries;
@@ -49,6 +51,8 @@
     pub retries: sync::Arc<table::Table<retries::Retries>>,
     /// What callers ask of models.
     pub demand: sync::Arc<table::Table<demand::Demand>>,
+    /// Datagrams that wait to be sent.
+    pub outbox: sync::Arc<table::Table<outbox::Outbox>>,
 }
 
 impl Tables {
@@ -67,6 +71,7 @@
             pacing: host.table(),
             retries: host.table(),
             demand: host.table(),
+            outbox: host.table(),
         }
     }
 }
--- a/crates/gateway/src/tables/activity.rs
+++ b/crates/gateway/src/tables/activity.rs
@@ -38,12 +38,14 @@
     stalled: sync::Arc<Notify>,
 }
 
-/// The latest pulse of a peer.
+/// The latest rows of a peer, or of another zone.
 #[derive(Debug)]
 struct Peer {
     boot: u64,
     sequence: u64,
     at: moment::Moment,
+    /// Nodes whose rows these are; 0 for the peer alone.
+    nodes: u32,
     rows: Vec<mesh::Row>,
 }
 
@@ -161,18 +163,47 @@
             .collect()
     }
 
-    /// Takes the rows of a peer's pulse, unless a later one of its process is known.
-    pub fn hear(&mut self, node: &id::Node, pulse: &mesh::Pulse, now: moment::Moment) -> bool {
-        let known = self.peers.get(node);
-        if known.is_some_and(|k| k.boot == pulse.boot && k.sequence >= pulse.sequence) {
+    /// The rows of all nodes of this node's zone, and the number of those nodes.
+    pub fn zone_rows(&self, now: moment::Moment) -> (u32, Vec<mesh::Row>) {
+        let near = || self.peers.values().filter(|peer| peer.nodes == 0);
+        let told =
+            near().flat_map(|peer| peer.rows.iter().map(|row| aged(row, now.since(peer.at))));
+        let mut sums = collections::HashMap::<u32, mesh::Row>::new();
+        for row in self.rows(now).into_iter().chain(told) {
+            let sum = sums.entry(row.upstream).or_default();
+            sum.upstream = row.upstream;
+            sum.quiet = match (sum.quiet, row.quiet) {
+                (0, quiet) | (quiet, 0) => quiet,
+                (one, other) => one.min(other),
+            };
+            sum.requests += row.requests;
+            sum.unread = sum.unread.saturating_add(row.unread);
+            sum.late += row.late;
+            sum.late_unread = sum.late_unread.saturating_add(row.late_unread);
+        }
+        let nodes = 1 + u32::try_from(near().count()).unwrap_or(0);
+        (nodes, sums.into_values().collect())
+    }
+
+    /// Takes the rows that a node tells of itself, or of its zone, unless later ones of its process
+    /// are known; `latest` are the process and the number of the datagram.
+    pub fn hear(
+        &mut self,
+        key: &id::Node,
+        latest: (u64, u64),
+        load: &mesh::Load,
+        now: moment::Moment,
+    ) -> bool {
+        let (boot, sequence) = latest;
+        let known = self.peers.get(key);
+        if known.is_some_and(|known| known.boot == boot && known.sequence >= sequence) {
             return false;
         }
-        let peer =
-            Peer { boot: pulse.boot, sequence: pulse.sequence, at: now, rows: pulse.rows.clone() };
+        let peer = Peer { boot, sequence, at: now, nodes: load.nodes, rows: load.rows.clone() };
         for row in &peer.rows {
             self.others.entry(row.upstream).or_default().add(&work(row));
         }
-        if let Some(old) = self.peers.insert(node.clone(), peer) {
+        if let Some(old) = self.peers.insert(key.clone(), peer) {
             self.subtract(&old.rows);
         }
         true
@@ -216,6 +247,12 @@
     }
 }
 
+/// A row that was told some time ago.
+fn aged(row: &mesh::Row, age: time::Duration) -> mesh::Row {
+    let quiet = if row.quiet > 0 { row.quiet.saturating_add(millis(age)) } else { 0 };
+    mesh::Row { quiet, ..*row }
+}
+
 /// The work that a row tells of.
 fn work(row: &mesh::Row) -> cost::Work {
     cost::Work {
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -194,7 +194,7 @@
         if std::mem::replace(&mut self.is_out, false) && self.heard.is_some() {
             self.returned = Some(now);
         }
-        self.heard = Some(now);
+        self.heard = self.heard.max(Some(now));
     }
 
     fn is_renewing(&self, now: moment::Moment) -> bool {
--- a/crates/gateway/src/tables/peers.rs
+++ b/crates/gateway/src/tables/peers.rs
@@ -5,6 +5,7 @@
 use corneltrestle_kernel::table;
 use corneltrestle_policy::id;
 use corneltrestle_time::moment;
+use rand::{Rng, seq::IteratorRandom};
 
 /// Age of a pulse up to which a node counts as live. Pulses within a zone come several times in it.
 const LIVE: time::Duration = time::Duration::from_millis(700);
@@ -16,8 +17,13 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     heard: collections::BTreeMap<id::Node, Peer>,
+    /// The latest datagrams by process and number, so that none is sent on twice.
+    seen: collections::VecDeque<(u64, u64)>,
 }
 
+/// Datagrams that are remembered.
+const SEEN: usize = 512;
+
 /// A node that was heard of.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -27,8 +33,6 @@
     pub is_near: bool,
     /// Revision of the facts that it knows.
     pub revision: u64,
-    /// When the platform had confirmed them.
-    pub confirmed: Option<moment::Moment>,
     /// Whether it stops.
     pub draining: bool,
     /// When it was last heard of.
@@ -41,6 +45,18 @@
 }
 
 impl Peers {
+    /// Whether a datagram of a process comes for the first time.
+    pub fn is_new(&mut self, boot: u64, sequence: u64) -> bool {
+        let is_new = !self.seen.contains(&(boot, sequence));
+        if is_new {
+            self.seen.push_back((boot, sequence));
+            if self.seen.len() > SEEN {
+                self.seen.pop_front();
+            }
+        }
+        is_new
+    }
+
     /// Takes the news of a node.
     pub fn hear(&mut self, node: id::Node, peer: Peer) {
         self.heard.insert(node, peer);
@@ -51,11 +67,11 @@
         self.heard.iter().filter(move |(_, peer)| now.since(peer.at) < LIVE)
     }
 
-    /// The live node that knows later facts than those of a revision: one of the own zone, if there
-    /// is one, and otherwise the one with the latest facts.
-    pub fn ahead(&self, revision: u64, now: moment::Moment) -> Option<&Peer> {
-        let ahead = self.live(now).map(|(_, peer)| peer).filter(|peer| peer.revision > revision);
-        ahead.max_by_key(|peer| (peer.is_near, peer.revision))
+    /// A live node that knows later facts than those of a revision, drawn at random: one of the own
+    /// zone, if there is one.
+    pub fn ahead(&self, revision: u64, now: moment::Moment, rng: &mut impl Rng) -> Option<&Peer> {
+        let ahead = || self.live(now).map(|(_, peer)| peer).filter(|peer| peer.revision > revision);
+        ahead().filter(|peer| peer.is_near).choose(rng).or_else(|| ahead().choose(rng))
     }
 
     /// Forgets nodes that have not been heard of for long.
--- a/crates/gateway/src/tables/retries.rs
+++ b/crates/gateway/src/tables/retries.rs
@@ -11,8 +11,17 @@
 #[derive(Debug, Default)]
 pub struct Retries {
     budgets: collections::BTreeMap<id::Service, fleet::Allowance>,
-    /// What each peer has told, with the moment at which it did.
-    peers: collections::HashMap<id::Node, (moment::Moment, Vec<mesh::Usage>)>,
+    /// What each peer of the own zone has told, and one node of each other zone.
+    peers: collections::HashMap<id::Node, Told>,
+}
+
+/// What was told.
+#[derive(Clone, Debug)]
+struct Told {
+    at: moment::Moment,
+    /// Nodes whose usage it is; 0 for that of one.
+    nodes: u32,
+    usage: Vec<mesh::Usage>,
 }
 
 impl table::Ranked for Retries {
@@ -37,12 +46,12 @@
     ) -> bool {
         let hash = mesh::hash(service.as_str());
         let mut others = fleet::Others { all: nodes.saturating_sub(1), ..fleet::Others::default() };
-        for (at, usage) in self.peers.values() {
-            if now.since(*at) > limits.window / 4 {
+        for told in self.peers.values() {
+            if now.since(told.at) > limits.window / 4 {
                 continue;
             }
-            others.heard += 1;
-            for row in usage.iter().filter(|row| row.service == hash) {
+            others.heard += usize::try_from(told.nodes.max(1)).unwrap_or(1);
+            for row in told.usage.iter().filter(|row| row.service == hash) {
                 others.usage.requests += row.requests;
                 others.usage.extra += row.extra;
             }
@@ -53,7 +62,7 @@
     /// Requests of all nodes for a service by each request of this node, in the window.
     pub fn scale(&mut self, service: &id::Service, now: moment::Moment) -> f64 {
         let hash = mesh::hash(service.as_str());
-        let rows = self.peers.values().flat_map(|(_, usage)| usage);
+        let rows = self.peers.values().flat_map(|told| &told.usage);
         let others: u32 = rows.filter(|row| row.service == hash).map(|row| row.requests).sum();
         let own = self.budgets.get_mut(service).map_or(0, |budget| budget.usage(now).requests);
         f64::from(own + others) / f64::from(own.max(1))
@@ -71,9 +80,24 @@
             .collect()
     }
 
-    /// Takes what a peer has sent.
-    pub fn hear(&mut self, node: &id::Node, usage: &[mesh::Usage], now: moment::Moment) {
-        self.peers.insert(node.clone(), (now, usage.to_vec()));
+    /// What all nodes of this node's zone have sent.
+    pub fn zone_usage(&mut self, now: moment::Moment) -> Vec<mesh::Usage> {
+        let mut sums = collections::BTreeMap::<u32, mesh::Usage>::new();
+        let own = self.usage(now);
+        let near = self.peers.values().filter(|told| told.nodes == 0);
+        for row in own.iter().chain(near.flat_map(|told| &told.usage)) {
+            let sum = sums.entry(row.service).or_default();
+            sum.service = row.service;
+            sum.requests += row.requests;
+            sum.extra += row.extra;
+        }
+        sums.into_values().collect()
+    }
+
+    /// Takes what a peer, or one node for its zone, tells.
+    pub fn hear(&mut self, key: &id::Node, load: &mesh::Load, now: moment::Moment) {
+        let told = Told { at: now, nodes: load.nodes, usage: load.usage.clone() };
+        self.peers.insert(key.clone(), told);
     }
 
     fn budget(&mut self, service: &id::Service, limits: &fleet::Limits) -> &mut fleet::Allowance {
--- a/crates/gateway/src/tables/stalls.rs
+++ b/crates/gateway/src/tables/stalls.rs
@@ -18,8 +18,8 @@
 /// A stall.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Stall {
-    /// Identifier of the start of the upstream.
-    pub born: u64,
+    /// Epoch of the group that the upstream leads; a later group of it does not stand still.
+    pub epoch: u64,
     /// When it was found.
     pub at: moment::Moment,
     /// Whether this node has found it, and not a peer.
@@ -35,7 +35,7 @@
     /// Notes a stall; returns whether it was not known.
     pub fn note(&mut self, upstream: &id::Vm, stall: Stall) -> bool {
         let known = self.found.get(upstream);
-        if known.is_some_and(|known| known.born == stall.born) {
+        if known.is_some_and(|known| known.epoch >= stall.epoch) {
             return false;
         }
         self.found.insert(upstream.clone(), stall);
@@ -45,12 +45,26 @@
     /// Notes a stall that goes on; returns whether it was not known.
     pub fn refresh(&mut self, upstream: &id::Vm, stall: Stall) -> bool {
         let known = self.found.insert(upstream.clone(), stall.clone());
-        known.is_none_or(|known| known.born != stall.born)
+        known.is_none_or(|known| known.epoch != stall.epoch)
     }
 
-    /// Whether this start of an upstream stands still.
-    pub fn contains(&self, upstream: &str, born: u64) -> bool {
-        self.found.get(upstream).is_some_and(|stall| stall.born == born)
+    /// Takes a stall that another node has found at `stall.at`; returns whether it was not known.
+    pub fn hear(&mut self, upstream: &id::Vm, stall: Stall, now: moment::Moment) -> bool {
+        if now.since(stall.at) >= LIFE {
+            return false;
+        }
+        match self.found.get_mut(upstream) {
+            Some(known) if known.epoch == stall.epoch => {
+                known.at = known.at.max(stall.at);
+                false
+            }
+            _ => self.note(upstream, stall),
+        }
+    }
+
+    /// Whether the group of this epoch that an upstream leads stands still.
+    pub fn contains(&self, upstream: &str, epoch: u64) -> bool {
+        self.found.get(upstream).is_some_and(|stall| stall.epoch == epoch)
     }
 
     /// Forgets a stall.
--- a/crates/policy/src/formation/gather.rs
+++ b/crates/policy/src/formation/gather.rs
@@ -51,7 +51,9 @@
             Some(home) if view.begun => home,
             _ => homes[fabric],
         };
-        let counts = compose(&supply, models, &needs);
+        // VMs with another model load that of their domain while loads are short.
+        let usable = if view.begun { supply.clone() } else { home.only(&supply) };
+        let counts = compose(&usable, models, &needs);
         let mut left = supply;
         for (place, model) in models.iter().enumerate() {
             let mut free = members_for(domain, model, now, memory).into_iter();
--- a/crates/policy/src/formation/home.rs
+++ b/crates/policy/src/formation/home.rs
@@ -5,7 +5,7 @@
 
 use std::collections;
 
-use super::{Need, compose::size};
+use super::{Need, Supply, compose::size};
 use crate::{deployment, id};
 
 /// Part of a domain that a second model has to lack for the last domain to be shared by both.
@@ -20,6 +20,18 @@
     Shared,
 }
 
+impl Home {
+    /// The supply without the free VMs that have another model than the one the domain is for.
+    pub(super) fn only(self, supply: &Supply) -> Supply {
+        let mut only = supply.clone();
+        if let Self::Model(home) = self {
+            let others = only.loaded.iter_mut().enumerate().filter(|(place, _)| *place != home);
+            others.for_each(|(_, loaded)| *loaded = 0);
+        }
+        only
+    }
+}
+
 /// Assigns the domains to models, so that the groups that can be formed are in proportion to those
 /// that are needed. Neighbouring domains get different models, so that a zone has all of them.
 pub(super) fn assign<'a>(
--- a/crates/policy/src/formation/load.rs
+++ b/crates/policy/src/formation/load.rs
@@ -192,6 +192,10 @@
     let mut loading = hosts.iter().filter(|host| host.role == Role::Loading).count();
     let mut steps = Vec::new();
     for load in wanted {
+        // A VM that a new group takes in this round is still among the free ones.
+        if memory.is_ordered(load.vm.as_str(), now) {
+            continue;
+        }
         if view.begun && !may_begin(loading, &view.engine.loads, memory, now) {
             continue;
         }
