Leave duties to strong nodes, and judge silence by when a request was sent

Silence after a pause of the process is not held against others. VMs with the most memory hold the lease and speak for their zone, as a weak coordinator paused for 165 ms. Pulses come 240 times a second over all peers instead of 60.

--- a/crates/gateway/src/duty/coordinate/lease.rs
+++ b/crates/gateway/src/duty/coordinate/lease.rs
@@ -18,6 +18,9 @@
 /// Time between two looks at the lease.
 const PERIOD: time::Duration = time::Duration::from_millis(100);
 
+/// Time for which the lease is left to strong nodes; they try to acquire it within a second.
+const WEAK_AFTER: time::Duration = time::Duration::from_secs(2);
+
 /// A gap between two looks above this means that the process was paused.
 const PAUSE: time::Duration = time::Duration::from_millis(500);
 
@@ -103,8 +106,13 @@
         let attempt = match state.attempt {
             Some(at) => at,
             None => {
-                let live = snapshot.nodes.keys().map(|node| node.as_str());
                 let own = self.identity.node.as_str();
+                let is_late = now.since(free) >= WEAK_AFTER;
+                if !is_late && !snapshot.is_strong(own, None) {
+                    return Ok(());
+                }
+                let live = snapshot.nodes.keys().map(|node| node.as_str());
+                let live = live.filter(|node| is_late || snapshot.is_strong(node, None));
                 let at = lease::acquire_at("coordinator", own, live, free, &mut rand::rng());
                 let Some(at) = at else { return Ok(()) };
                 *state.attempt.insert(at)
--- a/crates/gateway/src/duty/coordinate/probe.rs
+++ b/crates/gateway/src/duty/coordinate/probe.rs
@@ -51,6 +51,7 @@
 
     async fn probe_one(&self, snapshot: &catalog::Snapshot, vm: &id::Vm) {
         let Some(upstream) = snapshot.fleet.get(vm.as_str()) else { return };
+        let begun = self.host.now();
         for _ in 0..ATTEMPTS {
             match self.caller.report(upstream.address, vm, LIMIT).await {
                 Ok(report) => {
@@ -63,6 +64,10 @@
                 Err(e) => log::debug!(vm = vm.as_str(); "group: probe failed: {e}"),
             }
         }
+        if self.tables.pauses.lock().has_paused(begun, self.host.now()) {
+            log::info!(vm = vm.as_str(); "group: the probe says nothing, as this process was paused");
+            return;
+        }
         let lost = coordinator::Lost { born: upstream.born, since: self.host.now() };
         if self.tables.coordinator.lock().lost.insert(vm.clone(), lost).is_none() {
             log::warn!(vm = vm.as_str(), probes = ATTEMPTS; "group: the VM does not answer and counts as lost");
@@ -76,7 +81,8 @@
         for vm in lost {
             let Some(group) = snapshot.fleet.group_of(vm.as_str()) else { continue };
             let Some(head) = snapshot.fleet.head(group) else { continue };
-            let stall = stalls::Stall { epoch: group.epoch, at: now, is_own: true };
+            // What peers have told of their streams may be old.
+            let stall = stalls::Stall { epoch: group.epoch, at: now, progress: None, is_own: true };
             let is_new = self.tables.stalls.lock().refresh(&head.id, stall.clone());
             if is_new {
                 self.tables.activity.lock().interrupt(head.id.as_str());
--- a/crates/gateway/src/duty/mesh.rs
+++ b/crates/gateway/src/duty/mesh.rs
@@ -18,7 +18,7 @@
 const FAR_PERIOD: time::Duration = time::Duration::from_millis(240);
 
 /// Pulses a second that a node sends; with more peers they are sent less often.
-const RATE: f64 = 60.0;
+const RATE: f64 = 240.0;
 
 /// Registered as a port, so that the duties that open later find the mesh.
 #[linkme::distributed_slice(plugin::PLUGINS)]
--- a/crates/gateway/src/duty/register.rs
+++ b/crates/gateway/src/duty/register.rs
@@ -34,7 +34,12 @@
 /// When no plug-in has offered the store.
 pub fn open<S: Store + Source>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let identity = host.port::<identity::Identity>()?;
-    let node = Node { zone: identity.zone.clone(), address: identity.mesh, boot: identity.boot };
+    let node = Node {
+        zone: identity.zone.clone(),
+        address: identity.mesh,
+        boot: identity.boot,
+        memory: identity.memory,
+    };
     let registrar = Registrar::<S> {
         store: host.port()?,
         key: S::node_key(&identity.node),
--- a/crates/gateway/src/duty/watchdog.rs
+++ b/crates/gateway/src/duty/watchdog.rs
@@ -57,6 +57,9 @@
 impl Watchdog {
     fn look(&mut self, now: moment::Moment) {
         let snapshot = self.tables.current.load_full();
+        if let Some(pause) = self.tables.pauses.lock().look(PERIOD, now) {
+            log::warn!(pause_ms = activity::millis(pause); "node: the process was paused");
+        }
         let silent = {
             let mut activity = self.tables.activity.lock();
             activity.prune(now);
@@ -90,11 +93,12 @@
         activity: &activity::Activity,
         now: moment::Moment,
     ) -> collections::HashMap<id::Vm, u64> {
+        let resumed = self.tables.pauses.lock().ended();
         let is_silent = |waiting: &activity::Waiting| {
             let id = waiting.upstream.as_str();
             let limit = limit(snapshot, activity, id)?;
             let epoch = snapshot.fleet.group_of(id)?.epoch;
-            let progress = activity.peer_progress(id).max(Some(waiting.progress))?;
+            let progress = activity.progress(id).max(resumed)?;
             (now.since(progress) > limit).then_some(epoch)
         };
         activity
@@ -104,12 +108,13 @@
     }
 
     fn declare(&self, upstream: &id::Vm, epoch: u64, now: moment::Moment) {
-        let stall = stalls::Stall { epoch, at: now, is_own: true };
         let activity = self.tables.activity.lock();
+        let progress = activity.progress(upstream.as_str());
+        let stall = stalls::Stall { epoch, at: now, progress, is_own: true };
         if !self.tables.stalls.lock().note(upstream, stall.clone()) {
             return;
         }
-        let work = activity.of(upstream.as_str());
+        let work = activity.most(upstream.as_str());
         log::warn!(
             upstream = upstream.as_str(), requests = work.requests, unread = work.unread;
             "stall: no stream of it has got an event in time"
@@ -130,5 +135,5 @@
     let service = snapshot.deployment.as_ref()?.services.get(&group.service)?;
     let engine = service.engine.as_ref()?;
     let pace = snapshot.fleet.pace(group, engine);
-    Some(stall::limit(engine, pace, &activity.of(upstream)))
+    Some(stall::limit(engine, pace, &activity.most(upstream)))
 }
--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -18,6 +18,8 @@
     pub link: net::SocketAddr,
     /// Random identifier of this process, not 0.
     pub boot: u64,
+    /// Memory of the VM in MiB.
+    pub memory: u64,
     /// Region of each zone.
     pub regions: collections::BTreeMap<id::Zone, id::Region>,
 }
@@ -94,6 +96,7 @@
         mesh: node.address("mesh"),
         link: node.address("link"),
         boot: rand::random::<u64>().max(1),
+        memory: memory(),
         regions: regions(&host.settings)?,
     };
     log::info!(node = identity.node.as_str(), zone = identity.zone.as_str(), boot = identity.boot; "node: started");
@@ -101,6 +104,13 @@
     Ok(plugin::Handle::idle())
 }
 
+/// Memory of the VM in MiB.
+fn memory() -> u64 {
+    let info = rustix::system::sysinfo();
+    let bytes = u64::try_from(info.totalram).unwrap_or(0) * u64::from(info.mem_unit.max(1));
+    bytes / (1024 * 1024)
+}
+
 fn regions(
     settings: &settings::Settings,
 ) -> plugin::Result<collections::BTreeMap<id::Zone, id::Region>> {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -27,7 +27,7 @@
 pub type Result<T> = io::Result<T>;
 
 /// Nodes of each other zone to which a datagram goes; some may be gone.
-const RELAYS: usize = 3;
+const RELAYS: usize = 2;
 
 /// Pause after a failed receive.
 const RECEIVE_PAUSE: time::Duration = time::Duration::from_millis(10);
@@ -144,9 +144,15 @@
 
     /// Whether this node tells other zones of the requests of its zone: the first of the live ones.
     pub(crate) fn speaks(&self, now: moment::Moment) -> bool {
-        let zone = self.identity.zone.as_str();
+        let snapshot = self.tables.current.load();
+        let zone = &self.identity.zone;
+        let key = |node: &str| {
+            let is_weak = !snapshot.is_strong(node, Some(zone));
+            (is_weak, rank::weight(zone.as_str(), node))
+        };
+        let own = key(self.identity.node.as_str());
         let peers = self.tables.peers.lock();
-        let near = peers.live(now).filter(|(_, peer)| peer.is_near).map(|(node, _)| node.as_str());
-        rank::is_first(zone, self.identity.node.as_str(), near, 1)
+        let mut near = peers.live(now).filter(|(_, peer)| peer.is_near && !peer.draining);
+        near.all(|(node, _)| own < key(node.as_str()))
     }
 }
--- a/crates/gateway/src/mesh/compose.rs
+++ b/crates/gateway/src/mesh/compose.rs
@@ -108,7 +108,8 @@
 
 fn encoded(upstream: &str, stall: &stalls::Stall, now: moment::Moment) -> mesh::Stall {
     let age = millis(now.since(stall.at));
-    mesh::Stall { upstream: upstream.to_owned(), epoch: stall.epoch, age }
+    let quiet = stall.progress.map_or(0, |at| millis(now.since(at)).saturating_add(1));
+    mesh::Stall { upstream: upstream.to_owned(), epoch: stall.epoch, age, quiet }
 }
 
 /// Changes for one datagram.
--- a/crates/gateway/src/mesh/take.rs
+++ b/crates/gateway/src/mesh/take.rs
@@ -90,7 +90,9 @@
         if works {
             return;
         }
-        let found = stalls::Stall { epoch: stall.epoch, at, is_own: false };
+        let quiet = |quiet: u32| now.before(time::Duration::from_millis(u64::from(quiet)));
+        let progress = stall.quiet.checked_sub(1).map(quiet);
+        let found = stalls::Stall { epoch: stall.epoch, at, progress, is_own: false };
         if self.tables.stalls.lock().hear(&id, found, now) {
             log::info!(upstream = id.as_str(); "stall: a peer has found that it stands still");
             activity.interrupt(id.as_str());
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -36,9 +36,9 @@
     Rejected(upstream::Rejection),
     /// The upstream did not answer in time.
     Silent,
-    /// The upstream was found to stand still, after it had begun to answer or before.
+    /// The upstream was found to stand still.
     Stalled {
-        /// Whether it had begun to answer.
+        /// Whether the request may have begun to run.
         begun: bool,
     },
     /// The upstream answered with a failure of its own, or with an answer that it does not vouch for.
@@ -51,7 +51,6 @@
         match self {
             Self::Call(error) => error.may_have_run(),
             Self::Rejected(_) => false,
-            // A request begins to run with its first event.
             Self::Stalled { begun } => *begun,
             Self::Silent | Self::Wrong(_) => true,
         }
@@ -103,8 +102,10 @@
                 None => write!(f, "rejected: {:?}", rejection.reason),
             },
             Self::Silent => f.write_str("no answer in time"),
-            Self::Stalled { begun: true } => f.write_str("it stands still in the answer"),
-            Self::Stalled { begun: false } => f.write_str("it stands still before the answer"),
+            Self::Stalled { begun: true } => f.write_str("it stands still"),
+            Self::Stalled { begun: false } => {
+                f.write_str("it stands still, and the request has not begun")
+            }
             Self::Wrong(status) => write!(f, "a wrong answer with status {status}"),
         }
     }
@@ -149,6 +150,12 @@
         Err(refuse(attempts, admitted, is_wrong, now))
     }
 
+    /// Whether a request that was sent at `sent`, and not answered, may have begun to run at an
+    /// upstream that stands still.
+    pub(super) fn may_have_begun(&self, upstream: &id::Vm, sent: moment::Moment) -> bool {
+        self.tables.stalls.lock().may_have_begun(upstream.as_str(), sent)
+    }
+
     /// Whether the budget that all nodes share allows another attempt; it counts as made then.
     fn may_retry(&self, service: &id::Service, now: moment::Moment) -> bool {
         let nodes = self.tables.current.load().nodes.len();
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -133,7 +133,7 @@
             }
         };
         let failure = match tokio::time::timeout(limit, sent).await {
-            Ok(None) => Failure::Stalled { begun: false },
+            Ok(None) => Failure::Stalled { begun: pipeline.may_have_begun(&target.id, now) },
             Ok(Some(Ok(Reply::Answer(answer)))) if is_usable(&answer, attempts, admitted) => {
                 target.progress.started(pipeline.now());
                 pipeline.answered(&target.id, answer.status.is_success());
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -1,6 +1,6 @@
 //! The source of what a deployment declares and of what registers itself.
 
-use std::{net, time};
+use std::{net, sync, time};
 
 use corneltrestle_infra::store;
 use corneltrestle_policy::{deployment, id, upstream};
@@ -35,7 +35,7 @@
     /// Nothing new may be sent to the zone.
     Evacuated,
     /// The upstream as it registered itself.
-    Upstream(upstream::Upstream),
+    Upstream(sync::Arc<upstream::Upstream>),
     /// The node as it registered itself.
     Node(Node),
     /// The node that holds the lease of the coordinator.
@@ -62,6 +62,9 @@
     pub address: net::SocketAddr,
     /// Random identifier of its process.
     pub boot: u64,
+    /// Memory of its VM in MiB; larger VMs have more processor time as well.
+    #[serde(default)]
+    pub memory: u64,
 }
 
 /// A change of one fact.
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -12,6 +12,7 @@
 //! | 60 | [`retries::Retries`] | retry budgets by service |
 //! | 62 | [`demand::Demand`] | what callers ask of models |
 //! | 70 | [`outbox::Outbox`] | datagrams that wait to be sent |
+//! | 72 | [`pauses::Pauses`] | times at which the process did not run |
 
 pub mod activity;
 pub mod catalog;
@@ -20,6 +21,7 @@
 pub mod health;
 pub mod outbox;
 pub mod pacing;
+pub mod pauses;
 pub mod peers;
 pub mod retries;
 pub mod stalls;
@@ -53,6 +55,8 @@
     pub demand: sync::Arc<table::Table<demand::Demand>>,
     /// Datagrams that wait to be sent.
     pub outbox: sync::Arc<table::Table<outbox::Outbox>>,
+    /// Times at which the process did not run.
+    pub pauses: sync::Arc<table::Table<pauses::Pauses>>,
 }
 
 impl Tables {
@@ -72,6 +76,7 @@
             retries: host.table(),
             demand: host.table(),
             outbox: host.table(),
+            pauses: host.table(),
         }
     }
 }
--- a/crates/gateway/src/tables/activity.rs
+++ b/crates/gateway/src/tables/activity.rs
@@ -70,12 +70,22 @@
         self.begun
     }
 
-    /// What the upstream works on, as far as this node knows.
+    /// What the upstream works on, as far as this node knows, without what is likely done by now.
     pub fn of(&self, upstream: &str) -> cost::Work {
         let mut work = self.others.get(&mesh::hash(upstream)).copied().unwrap_or_default();
         let unread = |tokens: u64| (tokens as f64 * PEER_UNREAD) as u64;
         work.unread = unread(work.unread);
         work.late_unread = unread(work.late_unread);
+        self.add_own(upstream, work)
+    }
+
+    /// The most that the upstream may work on, as far as this node knows.
+    pub fn most(&self, upstream: &str) -> cost::Work {
+        let work = self.others.get(&mesh::hash(upstream)).copied().unwrap_or_default();
+        self.add_own(upstream, work)
+    }
+
+    fn add_own(&self, upstream: &str, mut work: cost::Work) -> cost::Work {
         if let Some(own) = self.own.get(upstream) {
             work.add(&own.work);
         }
@@ -224,8 +234,14 @@
         }
     }
 
+    /// The latest event that this node or a peer has got from an upstream.
+    pub fn progress(&self, upstream: &str) -> Option<moment::Moment> {
+        let own = self.own.get(upstream).filter(|own| own.streams > 0).map(|own| own.progress);
+        own.max(self.peer_progress(upstream))
+    }
+
     /// The latest event that a peer has got from an upstream, by what it told.
-    pub fn peer_progress(&self, upstream: &str) -> Option<moment::Moment> {
+    fn peer_progress(&self, upstream: &str) -> Option<moment::Moment> {
         let hash = mesh::hash(upstream);
         let rows = self.peers.values().flat_map(|peer| {
             peer.rows
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -34,6 +34,10 @@
     logged: u64,
 }
 
+/// Part of the most memory from which a node counts as strong; what the kernel keeps for itself
+/// differs between VMs of one size.
+const STRONG: f64 = 0.75;
+
 /// Changes that are kept for peers: more than come in the time for which a peer may lag.
 const LOG: usize = 512;
 
@@ -78,6 +82,17 @@
     pub coordinator: Option<Holder>,
 }
 
+impl Snapshot {
+    /// Whether a node has about as much memory as the largest of its zone, or of all zones. Duties
+    /// for other nodes are left to such nodes.
+    pub fn is_strong(&self, node: &str, zone: Option<&id::Zone>) -> bool {
+        let nodes =
+            || self.nodes.values().filter(|node| zone.is_none_or(|zone| node.zone == *zone));
+        let most = nodes().map(|node| node.memory).max().unwrap_or(0);
+        self.nodes.get(node).is_some_and(|node| node.memory as f64 >= most as f64 * STRONG)
+    }
+}
+
 impl table::Ranked for Catalog {
     const RANK: u16 = 10;
     const NAME: &'static str = "catalog";
--- a/crates/gateway/src/tables/stalls.rs
+++ b/crates/gateway/src/tables/stalls.rs
@@ -22,6 +22,8 @@
     pub epoch: u64,
     /// When it was found.
     pub at: moment::Moment,
+    /// The latest event of any stream; requests that were sent before it may have begun to run.
+    pub progress: Option<moment::Moment>,
     /// Whether this node has found it, and not a peer.
     pub is_own: bool,
 }
@@ -44,8 +46,23 @@
 
     /// Notes a stall that goes on; returns whether it was not known.
     pub fn refresh(&mut self, upstream: &id::Vm, stall: Stall) -> bool {
-        let known = self.found.insert(upstream.clone(), stall.clone());
-        known.is_none_or(|known| known.epoch != stall.epoch)
+        match self.found.get_mut(upstream) {
+            Some(known) if known.epoch == stall.epoch => {
+                (known.at, known.is_own) = (stall.at, stall.is_own);
+                false
+            }
+            _ => {
+                self.found.insert(upstream.clone(), stall);
+                true
+            }
+        }
+    }
+
+    /// Whether a request that was sent to an upstream at `sent` and has got no answer may have
+    /// begun to run before the upstream stood still: passes begin with the latest event.
+    pub fn may_have_begun(&self, upstream: &str, sent: moment::Moment) -> bool {
+        let progress = self.found.get(upstream).and_then(|stall| stall.progress);
+        progress.is_none_or(|progress| sent <= progress)
     }
 
     /// Takes a stall that another node has found at `stall.at`; returns whether it was not known.
@@ -56,6 +73,7 @@
         match self.found.get_mut(upstream) {
             Some(known) if known.epoch == stall.epoch => {
                 known.at = known.at.max(stall.at);
+                known.progress = known.progress.max(stall.progress);
                 false
             }
             _ => self.note(upstream, stall),
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -2,7 +2,7 @@
 
 mod group;
 
-use std::{collections, time};
+use std::{collections, sync, time};
 
 pub use group::Group;
 
@@ -20,7 +20,7 @@
 /// ```
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fleet {
-    upstreams: Vec<upstream::Upstream>,
+    upstreams: Vec<sync::Arc<upstream::Upstream>>,
     places: collections::HashMap<id::Vm, usize>,
     services: collections::BTreeMap<id::Service, Vec<usize>>,
     groups: Vec<Group>,
@@ -30,7 +30,7 @@
 
 impl Fleet {
     /// Builds the fleet of these upstreams; each id occurs once.
-    pub fn open(mut upstreams: Vec<upstream::Upstream>) -> Self {
+    pub fn open(mut upstreams: Vec<sync::Arc<upstream::Upstream>>) -> Self {
         upstreams.sort_by(|a, b| a.id.cmp(&b.id));
         let mut services = collections::BTreeMap::<_, Vec<usize>>::new();
         let mut places = collections::HashMap::with_capacity(upstreams.len());
@@ -48,19 +48,19 @@
     }
 
     /// All upstreams, by id.
-    pub fn all(&self) -> &[upstream::Upstream] {
-        &self.upstreams
+    pub fn all(&self) -> impl Iterator<Item = &upstream::Upstream> {
+        self.upstreams.iter().map(|upstream| &**upstream)
     }
 
     /// The upstream with this id.
     pub fn get(&self, id: &str) -> Option<&upstream::Upstream> {
-        self.places.get(id).map(|place| &self.upstreams[*place])
+        self.places.get(id).map(|place| &*self.upstreams[*place])
     }
 
     /// The upstreams of a service.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = &upstream::Upstream> {
         let places = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        places.iter().map(|place| &self.upstreams[*place])
+        places.iter().map(|place| &*self.upstreams[*place])
     }
 
     /// The groups, complete or not.
@@ -79,7 +79,7 @@
         &'a self,
         group: &'a Group,
     ) -> impl Iterator<Item = &'a upstream::Upstream> + 'a {
-        group.members.iter().map(|(_, place)| &self.upstreams[*place])
+        group.members.iter().map(|(_, place)| &*self.upstreams[*place])
     }
 
     /// The head of a group.
@@ -88,7 +88,7 @@
             .members
             .first()
             .filter(|(rank, _)| *rank == 0)
-            .map(|(_, place)| &self.upstreams[*place])
+            .map(|(_, place)| &*self.upstreams[*place])
     }
 
     /// Whether a group serves by what its members have registered: its head is open, all members
--- a/crates/policy/src/fleet/group.rs
+++ b/crates/policy/src/fleet/group.rs
@@ -1,6 +1,6 @@
 //! Serving groups as their members register them.
 
-use std::collections;
+use std::{collections, sync};
 
 use crate::{id, upstream};
 
@@ -36,7 +36,7 @@
 }
 
 /// The groups of these upstreams, by name and epoch.
-pub(super) fn of(upstreams: &[upstream::Upstream]) -> Vec<Group> {
+pub(super) fn of(upstreams: &[sync::Arc<upstream::Upstream>]) -> Vec<Group> {
     let mut found = collections::BTreeMap::<(&id::Group, u64), Vec<(u32, usize)>>::new();
     for (place, upstream) in upstreams.iter().enumerate() {
         if let Some(member) = member_of(upstream) {
@@ -51,7 +51,7 @@
 }
 
 fn build(
-    upstreams: &[upstream::Upstream],
+    upstreams: &[sync::Arc<upstream::Upstream>],
     id: &id::Group,
     epoch: u64,
     mut members: Vec<(u32, usize)>,
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -135,6 +135,9 @@
     /// Milliseconds since the stall was found.
     #[prost(uint32, tag = "3")]
     pub age: u32,
+    /// Milliseconds since the latest event of any stream, plus 1; 0 if none is known.
+    #[prost(uint32, tag = "4")]
+    pub quiet: u32,
 }
 
 /// Changes that lead to the revision of the datagram.
