--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -107,7 +107,7 @@
 /// Memory of the VM in MiB.
 fn memory() -> u64 {
     let info = rustix::system::sysinfo();
-    let bytes = u64::try_from(info.totalram).unwrap_or(0) * u64::from(info.mem_unit.max(1));
+    let bytes = info.totalram * u64::from(info.mem_unit.max(1));
     bytes / (1024 * 1024)
 }
 
