gateway: tell what became of each request in one line

Cause: the lines of a request gave its attempts one by one, and none said how a request had ended. Change: a record follows each request; its last line holds the attempts with the prediction that chose them, the times of first event and longest pause, and, if it failed, code, outcome, step, cause, and revision and age of the facts. Counters and a histogram by service come from it, too.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod attempt;
 mod choose;
+mod record;
 mod relay;
 mod stream;
 mod whole;
@@ -88,11 +89,13 @@
     ///
     /// When no upstream answers the request in time.
     pub async fn handle(self: &sync::Arc<Self>, request: request::Request) -> Result<Answer<C>> {
-        let admitted = self.admit(&request)?;
+        let mut record = record::Record::open(&self.host, &self.tables.catalog, &request);
+        let admitted = self.admit(&request).inspect_err(|refusal| record.refused(refusal))?;
+        record.admitted(&admitted);
         if admitted.route.kind.is_stream() {
-            stream::start(self, request, admitted).await
+            stream::start(self, request, admitted, record).await
         } else {
-            whole::answer(self, request, admitted).await
+            whole::answer(self, request, admitted, record).await
         }
     }
 }
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -5,7 +5,9 @@
 use corneltrestle_policy::{health, id, retry};
 use corneltrestle_time::moment;
 
-use super::{Code, Pipeline, RETRY_AFTER, Refusal, admit::Admitted};
+use super::{
+    Code, Pipeline, RETRY_AFTER, Refusal, admit::Admitted, choose::Target, record::Record,
+};
 use crate::{
     request,
     upstream::{self, Caller},
@@ -15,7 +17,7 @@
 const MAX_OFFERS: u32 = 6;
 
 /// The attempts of one request so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Attempts {
     /// Upstreams at which it may have run.
     pub(super) runs: u32,
@@ -25,6 +27,22 @@
     pub(super) tried: collections::BTreeSet<id::Vm>,
     /// What the latest attempt met.
     failure: Option<String>,
+    /// What is told of the request.
+    pub(super) record: Record,
+}
+
+impl Attempts {
+    /// Opens the attempts of a request that has not been sent.
+    pub(super) fn open(record: Record) -> Self {
+        let tried = collections::BTreeSet::new();
+        Self { runs: 0, offers: 0, tried, failure: None, record }
+    }
+
+    /// Notes that the request is sent to an upstream.
+    pub(super) fn offer(&mut self, target: &Target, now: moment::Moment) {
+        self.offers += 1;
+        self.record.offered(target, now);
+    }
 }
 
 /// How an attempt failed.
@@ -126,10 +144,11 @@
         failure: Failure,
         now: moment::Moment,
     ) -> super::Result<()> {
-        log::info!(
+        log::warn!(
             id = request.id.as_str(), upstream = upstream.as_str(), offer = attempts.offers;
             "route: attempt failed: {failure}"
         );
+        attempts.record.failed(&failure, now);
         if let Some(outcome) = failure.outcome() {
             self.tables.health.lock().record(upstream, outcome, now);
         }
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -35,6 +35,8 @@
     pub(super) id: id::Vm,
     /// Where it answers.
     pub(super) address: net::SocketAddr,
+    /// Predicted time until the first event.
+    pub(super) predicted: time::Duration,
     /// Whether the first event is predicted to come too late.
     pub(super) is_late: bool,
     /// The request counts as in progress until this is dropped.
@@ -130,6 +132,7 @@
         Some(Target {
             id: chosen.id.clone(),
             address: chosen.address,
+            predicted: *predicted,
             is_late,
             progress: InProgress {
                 table: sync::Arc::clone(&self.tables.activity),
--- /dev/null
+++ b/crates/gateway/src/pipeline/record.rs
@@ -0,0 +1,206 @@
+//! What became of one request, for the log and the metrics.
+
+use std::{fmt, sync};
+
+use corneltrestle_kernel::{host, linkme, metric, table};
+use corneltrestle_policy::{id, refusal};
+use corneltrestle_time::moment;
+
+use super::{admit::Admitted, choose::Target};
+use crate::{
+    request,
+    tables::{activity::millis, catalog},
+};
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static SECONDS: metric::Metric = metric::Metric::histogram(
+    "request_seconds",
+    "Time from the arrival of a request to its end, by service.",
+);
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static REQUESTS: metric::Metric = metric::Metric::counter(
+    "requests_total",
+    "Requests by service and by result: answered, caller-left or the code of the refusal.",
+);
+
+/// The record of one request; its line is written when the request ends, or when it is dropped
+/// because the caller has left.
+#[derive(Debug)]
+pub(super) struct Record {
+    host: sync::Arc<host::Host>,
+    catalog: sync::Arc<table::Table<catalog::Catalog>>,
+    id: String,
+    arrived: moment::Moment,
+    route: Option<id::Route>,
+    service: Option<id::Service>,
+    organisation: Option<id::Organisation>,
+    offers: Vec<Offer>,
+    events: Events,
+    is_closed: bool,
+}
+
+/// An attempt at an upstream.
+#[derive(Debug)]
+struct Offer {
+    upstream: id::Vm,
+    /// Milliseconds from the arrival of the request until it was sent.
+    sent: u32,
+    /// Milliseconds from then until the predicted first event.
+    predicted: u32,
+    /// How it failed, and when.
+    failure: Option<(u32, String)>,
+}
+
+/// Events that were passed on.
+#[derive(Clone, Copy, Debug, Default)]
+struct Events {
+    number: u64,
+    /// Milliseconds from the arrival of the request to the first one.
+    first: u32,
+    /// Longest time between two of them.
+    pause: u32,
+    latest: Option<moment::Moment>,
+}
+
+impl Record {
+    /// Opens the record of a request.
+    pub(super) fn open(
+        host: &sync::Arc<host::Host>,
+        catalog: &sync::Arc<table::Table<catalog::Catalog>>,
+        request: &request::Request,
+    ) -> Self {
+        Self {
+            host: sync::Arc::clone(host),
+            catalog: sync::Arc::clone(catalog),
+            id: request.id.clone(),
+            arrived: request.arrived,
+            route: None,
+            service: None,
+            organisation: None,
+            offers: Vec::new(),
+            events: Events::default(),
+            is_closed: false,
+        }
+    }
+
+    /// Notes what is declared for the request.
+    pub(super) fn admitted(&mut self, admitted: &Admitted) {
+        self.route = Some(admitted.route.name.clone());
+        self.service = Some(admitted.service.clone());
+        self.organisation.clone_from(&admitted.organisation);
+    }
+
+    /// Notes that the request is sent to an upstream.
+    pub(super) fn offered(&mut self, target: &Target, now: moment::Moment) {
+        self.offers.push(Offer {
+            upstream: target.id.clone(),
+            sent: self.since(now),
+            predicted: millis(target.predicted),
+            failure: None,
+        });
+    }
+
+    /// Notes that the latest attempt has failed.
+    pub(super) fn failed(&mut self, failure: &impl fmt::Display, now: moment::Moment) {
+        let at = self.since(now);
+        if let Some(offer) = self.offers.last_mut() {
+            offer.failure = Some((at, failure.to_string()));
+        }
+    }
+
+    /// Notes an event that is passed on.
+    pub(super) fn event(&mut self, now: moment::Moment) {
+        match self.events.latest {
+            None => self.events.first = self.since(now),
+            Some(latest) => {
+                self.events.pause = self.events.pause.max(millis(now.since(latest)));
+            }
+        }
+        self.events.number += 1;
+        self.events.latest = Some(now);
+    }
+
+    /// Closes the record of a request whose answer is complete.
+    pub(super) fn finished(&mut self, status: hyper::StatusCode) {
+        self.is_closed = true;
+        self.count("answered");
+        log::info!(
+            id = self.id.as_str(), route = self.route(), took_ms = self.since(self.host.now()),
+            status = status.as_u16(), first_ms = self.events.first, pause_ms = self.events.pause,
+            events = self.events.number, offers = self.offers.len(), sent = self.offers().as_str();
+            "route: request answered"
+        );
+    }
+
+    /// Closes the record of a request that is refused or breaks off.
+    pub(super) fn refused(&mut self, refusal: &refusal::Refusal) {
+        self.is_closed = true;
+        self.count(refusal.code.as_str());
+        let (revision, age) = self.facts();
+        log::warn!(
+            id = self.id.as_str(), route = self.route(), took_ms = self.since(self.host.now()),
+            organisation = self.organisation.as_ref().map_or("none", id::Organisation::as_str),
+            code = refusal.code.as_str(), outcome = refusal.outcome.as_str(), step = refusal.step,
+            cause = refusal.message.as_str(), events = self.events.number,
+            revision = revision, facts_ms = age, sent = self.offers().as_str();
+            "route: request failed"
+        );
+    }
+
+    fn route(&self) -> &str {
+        self.route.as_ref().map_or("none", id::Route::as_str)
+    }
+
+    /// The attempts in words.
+    fn offers(&self) -> String {
+        let offers: Vec<String> = self.offers.iter().map(Offer::to_string).collect();
+        offers.join("; ")
+    }
+
+    /// Revision of the facts and their age in milliseconds.
+    fn facts(&self) -> (u64, u32) {
+        let catalog = self.catalog.lock();
+        let age = catalog.heard().map_or(u32::MAX, |heard| millis(self.host.now().since(heard)));
+        (catalog.at(), age)
+    }
+
+    fn since(&self, now: moment::Moment) -> u32 {
+        millis(now.since(self.arrived))
+    }
+
+    fn count(&self, result: &'static str) {
+        let service = self.service.as_ref().map_or("none", id::Service::as_str).to_owned();
+        let took = self.host.now().since(self.arrived);
+        metrics::counter!(REQUESTS.name, "service" => service.clone(), "result" => result)
+            .increment(1);
+        metrics::histogram!(SECONDS.name, "service" => service).record(took);
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        if self.is_closed {
+            return;
+        }
+        self.count("caller-left");
+        log::info!(
+            id = self.id.as_str(), route = self.route(), took_ms = self.since(self.host.now()),
+            events = self.events.number, sent = self.offers().as_str();
+            "route: caller left"
+        );
+    }
+}
+
+impl fmt::Display for Offer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { upstream, sent, predicted, failure } = self;
+        write!(f, "{upstream} at {sent} ms, first event predicted in {predicted} ms")?;
+        match failure {
+            Some((at, failure)) => write!(f, ", failed at {at} ms: {failure}"),
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -1,9 +1,9 @@
 //! Streams of events, which another upstream resumes when their own fails.
 
-use std::{sync, time};
+use std::sync;
 
+use corneltrestle_kernel::{linkme, metric};
 use corneltrestle_policy::delivery;
-use corneltrestle_time::moment;
 use corneltrestle_wire::sse;
 
 use super::{
@@ -11,6 +11,7 @@
     admit::Admitted,
     attempt::{self, Attempts, Failure},
     choose::Target,
+    record::Record,
     relay::Relay,
 };
 use crate::{
@@ -18,6 +19,13 @@
     upstream::{self, Body, Call, Caller, Reply, Urgency},
 };
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static MOVED: metric::Metric = metric::Metric::counter(
+    "streams_moved_total",
+    "Streams that were resumed at another upstream.",
+);
+
 /// Largest event.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
@@ -32,27 +40,6 @@
     target: Target,
     body: C::Body,
     decoder: sse::Decoder,
-    timing: Timing,
-}
-
-/// When events were passed on.
-#[derive(Clone, Copy, Debug)]
-struct Timing {
-    /// Time from the arrival of the request to the first event.
-    first: Option<time::Duration>,
-    /// Longest time between two events.
-    pause: time::Duration,
-    latest: moment::Moment,
-}
-
-impl Timing {
-    fn event(&mut self, arrived: moment::Moment, now: moment::Moment) {
-        match self.first {
-            None => self.first = Some(now.since(arrived)),
-            Some(_) => self.pause = self.pause.max(now.since(self.latest)),
-        }
-        self.latest = now;
-    }
 }
 
 /// An answer that has begun, with the upstream that gives it.
@@ -73,12 +60,16 @@
     pipeline: &sync::Arc<Pipeline<C>>,
     request: request::Request,
     admitted: Admitted,
+    record: Record,
 ) -> Result<Answer<C>> {
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts::open(record);
     let resumed = request.resumed;
-    let begun = begin(pipeline, &request, &admitted, &mut attempts, resumed).await?;
-    let Begun { target, answer } = begun;
+    let begun = begin(pipeline, &request, &admitted, &mut attempts, resumed)
+        .await
+        .inspect_err(|refusal| attempts.record.refused(refusal));
+    let Begun { target, answer } = begun?;
     if !answer.status.is_success() {
+        attempts.record.finished(answer.status);
         let relay = Relay::whole(Vec::new(), Some(answer.body), target.progress);
         return Ok(Answer { status: answer.status, headers: answer.headers, relay });
     }
@@ -92,7 +83,6 @@
         target,
         body: answer.body,
         decoder: sse::Decoder::new(MAX_EVENT_BYTES),
-        timing: Timing { first: None, pause: time::Duration::ZERO, latest: pipeline.now() },
     };
     let (status, headers) = (answer.status, answer.headers);
     Ok(Answer { status, headers, relay: Relay::stream(stream) })
@@ -113,7 +103,7 @@
         else {
             return Err(attempt::refuse(attempts, admitted, false, now));
         };
-        attempts.offers += 1;
+        attempts.offer(&target, now);
         let limit = attempt::limit(admitted, attempts, now);
         let call = Call {
             request,
@@ -169,13 +159,21 @@
 impl<C: Caller> Stream<C> {
     /// The next event, or `None` after the complete answer.
     pub(super) async fn next(&mut self) -> Result<Option<bytes::Bytes>> {
+        let event = self.read_on().await;
+        match &event {
+            Ok(Some(_)) => self.attempts.record.event(self.pipeline.now()),
+            Ok(None) => self.finish(),
+            Err(refusal) => self.attempts.record.refused(refusal),
+        }
+        event
+    }
+
+    /// Reads, at one upstream after the other, until there is an event to pass on.
+    async fn read_on(&mut self) -> Result<Option<bytes::Bytes>> {
         loop {
             match self.decoder.next_block() {
                 Ok(Some(block)) => match self.check(&block) {
-                    delivery::Verdict::Deliver => {
-                        self.timing.event(self.request.arrived, self.pipeline.now());
-                        return Ok(Some(block.raw));
-                    }
+                    delivery::Verdict::Deliver => return Ok(Some(block.raw)),
                     delivery::Verdict::Drop => continue,
                     _ => {
                         let failure = Failure::Wrong(hyper::StatusCode::OK);
@@ -194,10 +192,7 @@
                     self.target.progress.progressed(self.pipeline.now());
                     self.decoder.feed(part);
                 }
-                Read::End if self.decoder.is_empty() => {
-                    self.finish();
-                    return Ok(None);
-                }
+                Read::End if self.decoder.is_empty() => return Ok(None),
                 Read::End => self.resume(Failure::Wrong(hyper::StatusCode::OK)).await?,
                 Read::Failed(failure) => self.resume(failure).await?,
             }
@@ -248,7 +243,7 @@
         let Some(next) = self.delivery.resume(self.admitted.deadline, now) else {
             return Err(self.late());
         };
-        metrics::counter!("streams_moved_total").increment(1);
+        metrics::counter!(MOVED.name).increment(1);
         let resumed = next.checked_sub(1).filter(|last| *last > 0);
         let begun =
             begin(&self.pipeline, &self.request, &self.admitted, &mut self.attempts, resumed)
@@ -263,22 +258,12 @@
         Ok(())
     }
 
-    fn finish(&self) {
+    fn finish(&mut self) {
         let events = self.delivery.next() - 1;
         if let Some(generation) = &self.request.generation {
             self.pipeline.tables.demand.lock().meter.answer(&generation.model, events);
         }
-        let millis = |span: time::Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
-        log::info!(
-            id = self.request.id.as_str(),
-            route = self.admitted.route.name.as_str(),
-            upstream = self.target.id.as_str(),
-            first_ms = self.timing.first.map_or(0, millis),
-            pause_ms = millis(self.timing.pause),
-            events = events,
-            offers = self.attempts.offers;
-            "route: stream finished"
-        );
+        self.attempts.record.finished(hyper::StatusCode::OK);
     }
 
     fn late(&self) -> Refusal {
--- a/crates/gateway/src/pipeline/whole.rs
+++ b/crates/gateway/src/pipeline/whole.rs
@@ -9,6 +9,7 @@
     admit::Admitted,
     attempt::{self, Attempts, Failure},
     choose::Target,
+    record::Record,
     relay::Relay,
 };
 use crate::{
@@ -24,17 +25,33 @@
     pipeline: &sync::Arc<Pipeline<C>>,
     request: request::Request,
     admitted: Admitted,
+    record: Record,
+) -> Result<Answer<C>> {
+    let mut attempts = Attempts::open(record);
+    let answer = exchanges(pipeline, &request, &admitted, &mut attempts).await;
+    match &answer {
+        Ok(answer) => attempts.record.finished(answer.status),
+        Err(refusal) => attempts.record.refused(refusal),
+    }
+    answer
+}
+
+/// Exchanges with upstreams until one answers.
+async fn exchanges<C: Caller>(
+    pipeline: &sync::Arc<Pipeline<C>>,
+    request: &request::Request,
+    admitted: &Admitted,
+    attempts: &mut Attempts,
 ) -> Result<Answer<C>> {
-    let mut attempts = Attempts::default();
     loop {
         let now = pipeline.now();
-        let Some(target) = pipeline.choose(&request, &admitted, &attempts.tried, false, now) else {
-            return Err(attempt::refuse(&attempts, &admitted, false, now));
+        let Some(target) = pipeline.choose(request, admitted, &attempts.tried, false, now) else {
+            return Err(attempt::refuse(attempts, admitted, false, now));
         };
-        attempts.offers += 1;
-        let limit = attempt::limit(&admitted, &attempts, now);
+        attempts.offer(&target, now);
+        let limit = attempt::limit(admitted, attempts, now);
         let call = Call {
-            request: &request,
+            request,
             upstream: &target.id,
             organisation: admitted.organisation.as_ref(),
             left: admitted.deadline.since(now),
@@ -44,7 +61,7 @@
         };
         let sent = exchange(pipeline, &target, &call);
         let failure = match tokio::time::timeout(limit, sent).await {
-            Ok(Ok(answer)) if may_retry(&answer, &attempts, &admitted, pipeline.now()) => {
+            Ok(Ok(answer)) if may_retry(&answer, attempts, admitted, pipeline.now()) => {
                 Failure::Wrong(answer.status)
             }
             Ok(Ok(answer)) if answer.is_genuine || !answer.status.is_success() => {
@@ -55,7 +72,7 @@
             Ok(Err(failure)) => failure,
             Err(_) => Failure::Silent,
         };
-        pipeline.again(&mut attempts, &request, &admitted, &target.id, failure, pipeline.now())?;
+        pipeline.again(attempts, request, admitted, &target.id, failure, pipeline.now())?;
     }
 }
 
