telemetry: describe every metric, and serve them on an address of the settings

Cause: metrics were served by the front end for operators only, which the node on the platform does not have, and none had a help text. Change: metrics register themselves with kind and help; gauges are read off the tables when the page is asked for: age and revision of the facts, groups, upstreams, stalls, peers, budgets. Pages of settings and metrics exist for both programs, and tests compare them.

--- a/crates/daemon/tests/pages.rs
+++ b/crates/daemon/tests/pages.rs
@@ -1,18 +1,19 @@
-//! Guards against a settings page that differs from the settings that the daemon knows.
+//! Guards against pages of the documentation that differ from the settings and metrics that the
+//! daemon knows.
 
 use std::process::Command;
 
-#[test]
-fn settings_page_is_the_one_that_the_daemon_prints() {
-    let printed = Command::new(env!("CARGO_BIN_EXE_corneltrestled"))
-        .arg("--print-settings")
-        .output()
-        .unwrap();
+use test_case::test_case;
+
+#[test_case("--print-settings", "settings.md")]
+#[test_case("--print-metrics", "metrics.md")]
+fn page_is_the_one_that_the_daemon_prints(option: &str, page: &str) {
+    let printed = Command::new(env!("CARGO_BIN_EXE_corneltrestled")).arg(option).output().unwrap();
     assert!(printed.status.success());
-    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/settings.md");
+    let path = format!("{}/../../docs/{page}", env!("CARGO_MANIFEST_DIR"));
     assert!(
-        std::fs::read(page).unwrap() == printed.stdout,
-        "docs/settings.md is out of date; write it with: \
-         cargo run -p corneltrestled -- --print-settings > docs/settings.md"
+        std::fs::read(path).unwrap() == printed.stdout,
+        "docs/{page} is out of date; write it with: \
+         cargo run -p corneltrestled -- {option} > docs/{page}"
     );
 }
--- a/crates/etcd/src/gateway.rs
+++ b/crates/etcd/src/gateway.rs
@@ -7,6 +7,7 @@
 use std::{net, sync, time};
 
 use corneltrestle_client::{self as client, pool};
+use corneltrestle_kernel::{linkme, metric};
 use corneltrestle_policy::silence;
 use hyper::header;
 use serde::{Serialize, de::DeserializeOwned};
@@ -19,6 +20,11 @@
 pub use port::NodeStore;
 pub use watch::EtcdWatch;
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static CALLS: metric::Metric =
+    metric::Metric::counter("store_calls_total", "Calls to the store by class.");
+
 /// Largest answer; a value has at most 1 MB, which base64 makes a third larger.
 const MAX_ANSWER_BYTES: usize = 2_000_000;
 
@@ -98,7 +104,7 @@
             let peer = self.link.peer.to_string();
             store::Error { step, peer, ..e }
         })?;
-        metrics::counter!("store_calls_total", "class" => class_label(class)).increment(1);
+        metrics::counter!(CALLS.name, "class" => class_label(class)).increment(1);
         Ok(permit)
     }
 
--- /dev/null
+++ b/crates/gateway/src/gauges.rs
@@ -0,0 +1,92 @@
+//! Gauges that are read off the tables when metrics are shown.
+
+use std::sync;
+
+use corneltrestle_kernel::{host, linkme, metric};
+
+use crate::{identity, tables::Tables};
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static AGE: metric::Metric = metric::Metric::gauge(
+    "facts_age_seconds",
+    "Time since the store last confirmed the facts that the node goes by.",
+);
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static REVISION: metric::Metric =
+    metric::Metric::gauge("facts_revision", "Revision of the facts that the node goes by.");
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static VERSION: metric::Metric =
+    metric::Metric::gauge("config_version", "Version of the declared state in force.");
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static UPSTREAMS: metric::Metric =
+    metric::Metric::gauge("upstreams", "Registered upstreams, by service.");
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static GROUPS: metric::Metric = metric::Metric::gauge("groups", "Groups, by model.");
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static STALLED: metric::Metric =
+    metric::Metric::gauge("upstreams_stalled", "Upstreams that are known to stand still.");
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static PEERS: metric::Metric =
+    metric::Metric::gauge("peers_live", "Other nodes that were heard of lately.");
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static COORDINATOR: metric::Metric =
+    metric::Metric::gauge("coordinator", "Whether the node holds the coordinator's lease.");
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static EXTRA: metric::Metric = metric::Metric::gauge(
+    "retries_in_window",
+    "Attempts beyond the first in the window of the retry budget, by service.",
+);
+
+#[linkme::distributed_slice(metric::GAUGES)]
+#[linkme(crate = linkme)]
+static READ: fn(&sync::Arc<host::Host>) = read;
+
+/// Reads one table after the other.
+fn read(host: &sync::Arc<host::Host>) {
+    let (tables, now) = (Tables::of(host), host.now());
+    let heard = tables.catalog.lock().heard();
+    metrics::gauge!(AGE.name).set(heard.map_or(f64::INFINITY, |at| now.since(at).as_secs_f64()));
+    let current = tables.current.load();
+    metrics::gauge!(REVISION.name).set(current.at as f64);
+    let version = current.deployment.as_ref().map_or(0, |declared| declared.version);
+    metrics::gauge!(VERSION.name).set(version as f64);
+    if let Some(declared) = &current.deployment {
+        for service in declared.services.keys() {
+            let number = current.fleet.of_service(service.as_str()).count();
+            let label = service.as_str().to_owned();
+            metrics::gauge!(UPSTREAMS.name, "service" => label).set(number as f64);
+        }
+        let engines = declared.services.values().filter_map(|service| service.engine.as_ref());
+        for model in engines.flat_map(|engine| &engine.models) {
+            let groups = current.fleet.groups().iter();
+            let number = groups.filter(|group| group.model.as_ref() == Some(&model.name)).count();
+            let label = model.name.as_str().to_owned();
+            metrics::gauge!(GROUPS.name, "model" => label).set(number as f64);
+        }
+    }
+    let boot = host.port::<identity::Identity>().map_or(0, |identity| identity.boot);
+    let holds = current.coordinator.as_ref().is_some_and(|holder| holder.boot == boot);
+    metrics::gauge!(COORDINATOR.name).set(f64::from(u8::from(holds)));
+    metrics::gauge!(PEERS.name).set(tables.peers.lock().live(now).count() as f64);
+    metrics::gauge!(STALLED.name).set(tables.stalls.lock().iter().count() as f64);
+    for (service, extra) in tables.retries.lock().extra(now) {
+        metrics::gauge!(EXTRA.name, "service" => service.as_str().to_owned()).set(f64::from(extra));
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! traits [`source::Source`] and [`upstream::Caller`].
 
 pub mod duty;
+mod gauges;
 pub mod identity;
 pub mod limits;
 pub mod mesh;
--- a/crates/gateway/src/tables/retries.rs
+++ b/crates/gateway/src/tables/retries.rs
@@ -80,6 +80,14 @@
             .collect()
     }
 
+    /// Attempts of this node beyond the first, by service.
+    pub fn extra(&mut self, now: moment::Moment) -> Vec<(id::Service, u32)> {
+        let extra = |(service, budget): (&id::Service, &mut fleet::Allowance)| {
+            (service.clone(), budget.usage(now).extra)
+        };
+        self.budgets.iter_mut().map(extra).collect()
+    }
+
     /// What all nodes of this node's zone have sent.
     pub fn zone_usage(&mut self, now: moment::Moment) -> Vec<mesh::Usage> {
         let mut sums = collections::BTreeMap::<u32, mesh::Usage>::new();
--- a/crates/http/src/callers/generate.rs
+++ b/crates/http/src/callers/generate.rs
@@ -4,6 +4,7 @@
 
 use corneltrestle_engine::{engine::Engine, service::Service};
 use corneltrestle_infra::store::Store;
+use corneltrestle_kernel::{linkme, metric};
 use corneltrestle_node::{
     link::Link,
     pipeline::{
@@ -20,6 +21,13 @@
 use super::router;
 use crate::{answer, body};
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static UNREAD: metric::Metric = metric::Metric::counter(
+    "streams_unread_total",
+    "Streams that ended because their caller stopped reading.",
+);
+
 /// Path of chat calls.
 pub(super) const CHAT: &str = "/v1/chat/completions";
 /// Path of completion calls.
@@ -103,7 +111,7 @@
                     Ok(Ok(())) => {}
                     Ok(Err(_)) => return,
                     Err(_) => {
-                        metrics::counter!("streams_unread_total").increment(1);
+                        metrics::counter!(UNREAD.name).increment(1);
                         sender.abort(body::Error::Incomplete);
                         return;
                     }
--- a/crates/http/src/callers/router.rs
+++ b/crates/http/src/callers/router.rs
@@ -4,7 +4,7 @@
 
 use corneltrestle_engine::{engine::Engine, service::Service};
 use corneltrestle_infra::store::Store;
-use corneltrestle_kernel::{host, run};
+use corneltrestle_kernel::{host, linkme, metric, run};
 use corneltrestle_node::{
     link::Link,
     pipeline::{
@@ -18,6 +18,11 @@
 use super::{auth, generate, models};
 use crate::{answer, body, intake, request_id};
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static REFUSED: metric::Metric =
+    metric::Metric::counter("requests_refused_total", "Requests that were refused, by code.");
+
 /// Header with the time that the caller waits for the whole answer, in milliseconds.
 const DEADLINE: &str = "x-deadline-ms";
 
@@ -49,8 +54,7 @@
         match self.route(request).await {
             Ok(response) => response,
             Err(refusal) => {
-                metrics::counter!("requests_refused_total", "code" => refusal.code.as_str())
-                    .increment(1);
+                metrics::counter!(REFUSED.name, "code" => refusal.code.as_str()).increment(1);
                 answer::refusal(&refusal)
             }
         }
--- a/crates/http/src/operators.rs
+++ b/crates/http/src/operators.rs
@@ -13,6 +13,7 @@
 };
 
 use corneltrestle_server as server;
+use corneltrestle_telemetry::recorder;
 
 use crate::{refuse, request_id};
 
@@ -46,7 +47,8 @@
 
 fn open<S: Store, L: Link>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let token = identity::read_secret(&host.settings, "operators", "token-file")?;
-    let handler = sync::Arc::new(handler::Handler::<S, L>::open(host, token, recorder())?);
+    let handler =
+        sync::Arc::new(handler::Handler::<S, L>::open(host, token, recorder::Metrics::open(host))?);
     let service =
         tower::ServiceBuilder::new().layer(request_id::RequestIdLayer).service_fn(move |request| {
             let handler = sync::Arc::clone(&handler);
@@ -55,17 +57,3 @@
     let address = host.settings.section("operators").address("address");
     server::bind(host, "operators", address, server::Limits::default, service, refuse::Json)
 }
-
-/// The process's metrics; several nodes in one process share them.
-fn recorder() -> metrics_exporter_prometheus::PrometheusHandle {
-    static RECORDER: sync::OnceLock<metrics_exporter_prometheus::PrometheusHandle> =
-        sync::OnceLock::new();
-    let install = || {
-        let recorder = metrics_exporter_prometheus::PrometheusBuilder::new().build_recorder();
-        let handle = recorder.handle();
-        // Another recorder is in place when the library is embedded; that one then has the metrics.
-        let _ = metrics::set_global_recorder(recorder);
-        handle
-    };
-    RECORDER.get_or_init(install).clone()
-}
--- a/crates/http/src/operators/handler.rs
+++ b/crates/http/src/operators/handler.rs
@@ -11,6 +11,7 @@
     pipeline::refusal::{self, Result},
     tables,
 };
+use corneltrestle_telemetry::recorder;
 use hyper::{body::Incoming, header};
 use subtle::ConstantTimeEq;
 
@@ -27,7 +28,7 @@
 #[derive(Debug)]
 pub(super) struct Handler<S, L> {
     token: identity::Secret,
-    metrics: metrics_exporter_prometheus::PrometheusHandle,
+    metrics: recorder::Metrics,
     store: sync::Arc<S>,
     tables: tables::Tables,
     survey: survey::Survey<L>,
@@ -37,7 +38,7 @@
     pub(super) fn open(
         host: &sync::Arc<host::Host>,
         token: identity::Secret,
-        metrics: metrics_exporter_prometheus::PrometheusHandle,
+        metrics: recorder::Metrics,
     ) -> plugin::Result<Self> {
         Ok(Self {
             token,
--- a/crates/kernel/src/daemon.rs
+++ b/crates/kernel/src/daemon.rs
@@ -5,18 +5,19 @@
 use lexopt::prelude::*;
 use tokio::signal::unix;
 
-use crate::{host, linkme, logging, plugin, running, settings};
+use crate::{host, linkme, logging, metric, plugin, running, settings};
 
 const HELP: &str = "\
 An entry node of corneltrestle.
 
 Usage: {name} --settings FILE [--check]
-       {name} --print-settings
+       {name} --print-settings | --print-metrics
 
 Options:
   --settings FILE  INI file with the settings; docs/settings.md lists every key
   --check          check the settings and stop
   --print-settings print the reference page of the settings
+  --print-metrics  print the reference page of the metrics
   --help           print this text
   --version        print the version
 
@@ -99,6 +100,10 @@
                 print!("{}", settings::document(&settings::sections()));
                 return Ok(None);
             }
+            Long("print-metrics") => {
+                print!("{}", metric::document());
+                return Ok(None);
+            }
             Long("help") | Short('h') => {
                 print!("{}", HELP.replace("{name}", name));
                 return Ok(None);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod host;
 pub mod ini;
 pub mod logging;
+pub mod metric;
 pub mod plugin;
 pub mod pool;
 pub mod run;
--- a/crates/node/src/pipeline/generate.rs
+++ b/crates/node/src/pipeline/generate.rs
@@ -3,11 +3,17 @@
 use std::{collections, sync, time};
 
 use corneltrestle_engine::engine::{self, Engine};
+use corneltrestle_kernel::{linkme, metric};
 use corneltrestle_policy::{burn, retry};
 
 use super::{Result, choose, relay, request};
 use crate::{link::Link, pipeline};
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static FAILED: metric::Metric =
+    metric::Metric::counter("attempts_failed_total", "Attempts that failed at an upstream.");
+
 /// Wait between two looks for a replica that can serve.
 const CHOOSE_PERIOD: time::Duration = time::Duration::from_millis(50);
 /// Wait that callers are told after a refusal for want of capacity.
@@ -182,7 +188,7 @@
             self.tables.dispatched.lock().doubt(&target.replica.id, now);
         }
         log::info!(request = request.id, attempt = attempts.count; "route: {error}");
-        metrics::counter!("attempts_failed_total").increment(1);
+        metrics::counter!(FAILED.name).increment(1);
         let may_go_on =
             may_move(&error) && self.await_retry(request, attempts.count, failure(&error)).await;
         if !may_go_on {
--- a/crates/node/src/pipeline/plain.rs
+++ b/crates/node/src/pipeline/plain.rs
@@ -4,12 +4,20 @@
 
 use corneltrestle_engine::service::{self, Service};
 use corneltrestle_infra::store::Store;
+use corneltrestle_kernel::{linkme, metric};
 use corneltrestle_policy::{burn, id, release, retry, vm};
 use rand::seq::SliceRandom;
 
 use super::{Result, request};
 use crate::{link::Link, pipeline};
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static HEDGES: metric::Metric = metric::Metric::counter(
+    "hedges_total",
+    "Calls that were sent to a second upstream before the first had answered.",
+);
+
 /// Time without an answer after which a repeatable call is sent to a second upstream.
 const HEDGE_DELAY: time::Duration = time::Duration::from_millis(250);
 
@@ -124,7 +132,7 @@
         if !granted {
             return first.await;
         }
-        metrics::counter!("hedges_total").increment(1);
+        metrics::counter!(HEDGES.name).increment(1);
         let second = self.send(call, peers[1]);
         tokio::pin!(second);
         tokio::select! {
--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -3,6 +3,7 @@
 use std::{sync, time};
 
 use corneltrestle_engine::engine::{self, Engine, Stream};
+use corneltrestle_kernel::{linkme, metric};
 use corneltrestle_policy::{burn, delivery, id, release};
 use corneltrestle_time::moment;
 use corneltrestle_wire::openai;
@@ -17,6 +18,13 @@
 };
 use crate::{link::Link, pipeline};
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static MOVED: metric::Metric = metric::Metric::counter(
+    "streams_moved_total",
+    "Streams that were resumed at another upstream.",
+);
+
 /// Time between two checks that the replica of an answer in progress is whole.
 pub(super) const CHECK_PERIOD: time::Duration = time::Duration::from_millis(250);
 
@@ -218,7 +226,7 @@
                 if self.delivery.resume(self.request.deadline, now).is_none() {
                     break;
                 }
-                metrics::counter!("streams_moved_total").increment(1);
+                metrics::counter!(MOVED.name).increment(1);
             }
             let next = self.delivery.next();
             self.pipeline.retry(&self.request, &mut attempts, &self.target, error).await?;
--- a/crates/rpc/src/incoming.rs
+++ b/crates/rpc/src/incoming.rs
@@ -2,6 +2,7 @@
 
 use std::{io, pin, sync, task, time};
 
+use corneltrestle_kernel::{linkme, metric};
 use futures_util::{Stream, stream};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -11,6 +12,11 @@
 };
 use tonic::transport::server::Connected;
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static BYTES: metric::Metric =
+    metric::Metric::counter("link_bytes_total", "Bytes on links between nodes by direction.");
+
 /// Most connections at a time; 340 nodes with two each while channels are replaced.
 const MAX_CONNECTIONS: usize = 1_024;
 
@@ -40,7 +46,7 @@
         let permit = permits.clone().acquire_owned().await.ok()?;
         let stream = accept(&listener).await;
         let silence = Box::pin(tokio::time::sleep(MAX_SILENCE));
-        let bytes = |direction| metrics::counter!("link_bytes_total", "direction" => direction);
+        let bytes = |direction| metrics::counter!(BYTES.name, "direction" => direction);
         let (received, sent) = (bytes("received"), bytes("sent"));
         let connection = Connection { stream, silence, received, sent, _permit: permit };
         Some((Ok(connection), (listener, permits)))
--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -7,7 +7,7 @@
     time,
 };
 
-use corneltrestle_kernel::{host, plugin};
+use corneltrestle_kernel::{host, linkme, metric, plugin};
 use hyper::body::{Body, Incoming};
 use hyper_util::{rt, server::conn::auto, service};
 use tokio_util::sync::CancellationToken;
@@ -15,6 +15,13 @@
 
 use crate::{early, header, limits::Limits, refuse::Refuse};
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static REFUSED: metric::Metric = metric::Metric::counter(
+    "connections_refused_total",
+    "Connections that were refused because a front end had too many.",
+);
+
 /// Pause after a failed accept, for example without free file descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(10);
 
@@ -133,7 +140,7 @@
                 }
             };
             let Ok(slot) = sync::Arc::clone(&slots).try_acquire_owned() else {
-                metrics::counter!("connections_refused_total", "part" => step).increment(1);
+                metrics::counter!(REFUSED.name, "part" => step).increment(1);
                 early::refuse(socket, &self.refuse);
                 continue;
             };
--- a/crates/server/src/refuse.rs
+++ b/crates/server/src/refuse.rs
@@ -1,5 +1,9 @@
 //! Answers that a server gives without asking its service.
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Response, StatusCode};
+
 /// Why a connection ends without a complete request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
@@ -20,3 +24,25 @@
     /// A complete HTTP/1.1 answer as bytes, for a connection on which there is no request.
     fn without_request(&self, cause: Cause) -> Vec<u8>;
 }
+
+/// Refusals without a body.
+#[derive(Clone, Copy, Debug)]
+pub struct Empty;
+
+impl Refuse for Empty {
+    type Body = Full<Bytes>;
+
+    fn header_too_large(&self, _: &str) -> Response<Full<Bytes>> {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        response
+    }
+
+    fn without_request(&self, cause: Cause) -> Vec<u8> {
+        let status = match cause {
+            Cause::HeaderLate => "408 Request Timeout",
+            Cause::Connections => "503 Service Unavailable",
+        };
+        format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n").into_bytes()
+    }
+}
