--- /dev/null
+++ b/crates/gateway/tests/pipeline.rs
@@ -0,0 +1,186 @@
+//! The way of a request through a node, over upstreams that fail by script.
+
+#[path = "support/world.rs"]
+mod world;
+
+use std::time::Duration;
+
+use corneltrestle_gateway::{
+    pipeline::{Code, Outcome},
+    tables::stalls,
+    upstream::Urgency,
+};
+use corneltrestle_policy::retry::fleet;
+use test_case::test_case;
+use world::{AMPLE, Act, World, whole_stream};
+
+const NO_RETRIES: fleet::Limits =
+    fleet::Limits { ratio: 0.0, slack: 0.0, window: Duration::from_secs(10) };
+
+/// Guards against a failure of one upstream that reaches the caller while another one could serve.
+#[test_case(Act::NotSent)]
+#[test_case(Act::Full)]
+#[test_case(Act::Broken)]
+#[test_case(Act::Status(500))]
+#[tokio::test]
+async fn idempotent_request_is_sent_to_another_upstream(failure: Act) {
+    let world = World::open(&[&[failure], &[Act::Whole("done")]], AMPLE);
+    let (status, body, refusal) = world.send("/status/7").await;
+    assert_eq!((status, body.as_str(), refusal), (200, "done", None));
+    assert_eq!(world.seen().len(), 2);
+}
+
+/// Guards against an order that is carried out twice.
+#[test_case(Act::Broken)]
+#[test_case(Act::Status(500))]
+#[tokio::test]
+async fn order_that_may_have_run_is_not_sent_again(failure: Act) {
+    let world = World::open(&[&[failure], &[Act::Whole("done")]], AMPLE);
+    let (status, _, refusal) = world.send("/order/7").await;
+    assert_eq!(world.seen().len(), 1);
+    assert!(status == 500 || refusal.is_some_and(|refusal| refusal.outcome == Outcome::Unknown));
+}
+
+/// Guards against an order that is lost although no upstream has run it.
+#[test_case(Act::NotSent)]
+#[test_case(Act::Full)]
+#[tokio::test]
+async fn order_that_has_not_run_is_sent_again(failure: Act) {
+    let world = World::open(&[&[failure], &[Act::Whole("done")]], AMPLE);
+    let (status, _, refusal) = world.send("/order/7").await;
+    assert_eq!((status, refusal), (200, None));
+}
+
+/// Guards against refusals that say a request has not run when that is not known, or the reverse.
+#[test_case("/order/7", Act::Broken, Outcome::Unknown)]
+#[test_case("/order/7", Act::NotSent, Outcome::NotRun)]
+#[test_case("/order/7", Act::Full, Outcome::NotRun)]
+#[test_case("/status/7", Act::Broken, Outcome::Unknown)]
+#[test_case("/draft/7", Act::Broken, Outcome::Unknown)]
+#[test_case("/draft/7", Act::Full, Outcome::NotRun)]
+#[tokio::test]
+async fn refusal_tells_whether_the_request_may_have_run(
+    path: &'static str,
+    failure: Act,
+    outcome: Outcome,
+) {
+    let world =
+        World::open(&[std::slice::from_ref(&failure), std::slice::from_ref(&failure)], AMPLE);
+    let (_, _, refusal) = world.send(path).await;
+    assert_eq!(refusal.expect("nothing answers").outcome, outcome);
+}
+
+/// Guards against events that are lost or doubled when a stream goes on at another upstream.
+#[test_case(Act::Breaks(0); "before the first event")]
+#[test_case(Act::Breaks(1); "after the first event")]
+#[test_case(Act::Breaks(5); "before the last event")]
+#[tokio::test]
+async fn broken_stream_goes_on_without_a_seam(failure: Act) {
+    let world = World::open(&[&[failure], &[Act::Stream]], AMPLE);
+    let (status, body, refusal) = world.send("/draft/7").await;
+    assert_eq!((status, body, refusal), (200, whole_stream(), None));
+}
+
+/// Guards against a resumed stream that starts over or waits behind new requests.
+#[tokio::test]
+async fn resumed_stream_names_its_last_event_and_is_urgent() {
+    let world = World::open(&[&[Act::Breaks(3)], &[Act::Stream]], AMPLE);
+    world.send("/draft/7").await;
+    let resumed = &world.seen()[1];
+    assert_eq!((resumed.resumed, resumed.urgency), (Some(3), Some(Urgency::Resumed)));
+}
+
+/// Guards against streams that wait at a group which stands still until their time is up.
+#[tokio::test]
+async fn stream_leaves_an_upstream_that_stands_still() {
+    let world = World::open(&[&[Act::Hangs(2)], &[Act::Stream]], AMPLE);
+    let (tables, host) = (world.tables.clone(), world.host.clone());
+    let watchdog = tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let now = host.now();
+        let stall = stalls::Stall { epoch: 1, at: now, progress: Some(now), is_own: true };
+        tables.stalls.lock().note(&"models-a".into(), stall);
+        tables.activity.lock().interrupt("models-a");
+    });
+    let (status, body, refusal) = world.send("/draft/7").await;
+    watchdog.await.expect("the watchdog runs");
+    assert_eq!((status, body, refusal), (200, whole_stream(), None));
+    assert_eq!(world.seen().len(), 2);
+}
+
+/// Guards against a stream that may run once at most and is started a second time.
+#[tokio::test]
+async fn stream_that_cannot_be_resumed_breaks_off() {
+    let world = World::open(&[&[Act::Breaks(2)], &[Act::Stream]], AMPLE);
+    let (_, _, refusal) = world.send("/note/7").await;
+    assert_eq!(refusal.expect("the stream is cut off").outcome, Outcome::Unknown);
+    assert_eq!(world.seen().len(), 1);
+}
+
+/// Guards against retries beyond the budget that all nodes share.
+#[test_case("/status/7", Act::Broken)]
+#[test_case("/draft/7", Act::Breaks(2))]
+#[test_case("/order/7", Act::Full)]
+#[tokio::test]
+async fn nothing_is_sent_again_without_budget(path: &'static str, failure: Act) {
+    let world = World::open(&[&[failure], &[Act::Stream]], NO_RETRIES);
+    let (_, _, refusal) = world.send(path).await;
+    assert!(refusal.is_some());
+    assert_eq!(world.seen().len(), 1);
+}
+
+/// Guards against a request that runs at more upstreams than its route allows.
+#[tokio::test]
+async fn request_runs_at_no_more_upstreams_than_its_route_allows() {
+    let failing: &[Act] = &[Act::Broken];
+    let world = World::open(&[failing; 6], AMPLE);
+    let (_, _, refusal) = world.send("/status/7").await;
+    assert!(refusal.is_some());
+    assert_eq!(world.seen().len(), 3);
+}
+
+/// Guards against a caller that waits past its own deadline.
+#[test_case("/status/7")]
+#[test_case("/draft/7")]
+#[tokio::test]
+async fn request_ends_at_its_deadline(path: &'static str) {
+    let world = World::open(&[&[Act::Hangs(0)]], AMPLE);
+    let mut request = world.request(path);
+    request.deadline = Some(world.host.now() + Duration::from_millis(150));
+    let (_, _, refusal) = world.send_request(request).await;
+    assert_eq!(refusal.expect("nothing answers").code, Code::DeadlineExceeded);
+}
+
+/// Guards against requests that count as in progress after their end.
+#[test_case("/status/7", Act::Whole("done"))]
+#[test_case("/draft/7", Act::Stream)]
+#[test_case("/draft/7", Act::Breaks(2))]
+#[test_case("/order/7", Act::Broken)]
+#[tokio::test]
+async fn ended_request_is_in_progress_nowhere(path: &'static str, act: Act) {
+    let world = World::open(&[&[act], &[Act::Stream]], AMPLE);
+    world.send(path).await;
+    let rows = world.tables.activity.lock().rows(world.host.now());
+    assert_eq!(rows, []);
+}
+
+/// Guards against an answer that is cut off and passed on as complete.
+#[tokio::test]
+async fn event_out_of_order_is_not_passed_on() {
+    let world = World::open(&[&[Act::Breaks(2), Act::Stream], &[Act::Stream]], AMPLE);
+    let mut request = world.request("/draft/7");
+    request.resumed = Some(2);
+    let (_, body, refusal) = world.send_request(request).await;
+    assert_eq!(refusal, None);
+    assert!(body.starts_with("id: 3\n"), "{body}");
+}
+
+/// Guards against requests without a route or a key that reach an upstream.
+#[tokio::test]
+async fn unknown_path_is_refused() {
+    let world = World::open(&[&[Act::Stream]], AMPLE);
+    let (_, _, refusal) = world.send("/elsewhere/7").await;
+    let refusal = refusal.expect("there is no such route");
+    assert_eq!((refusal.code, refusal.outcome), (Code::UnknownService, Outcome::NotRun));
+    assert_eq!(world.seen(), []);
+}
--- /dev/null
+++ b/crates/gateway/tests/support/world.rs
@@ -0,0 +1,341 @@
+//! A node's request path over upstreams that answer by script.
+
+use std::{collections, net, sync, time::Duration};
+
+use corneltrestle_gateway::{
+    identity, limits, pipeline, request,
+    source::{Change, Changes, Fact, Subject},
+    tables,
+    upstream::{
+        Answer, Body, Call, Caller, Command, Error, Kind, Outcome, Reason, Rejection, Reply,
+        Report, Result, Urgency,
+    },
+};
+use corneltrestle_kernel::{host, pool, run, settings};
+use corneltrestle_policy::{deployment, id, refusal, retry::fleet, upstream};
+use hyper::{HeaderMap, Method, StatusCode};
+use parking_lot::Mutex;
+
+/// What an upstream does with a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Act {
+    /// It cannot be reached.
+    NotSent,
+    /// The connection breaks after the request was sent.
+    Broken,
+    /// It has no place.
+    Full,
+    /// It answers with a status of its own.
+    Status(u16),
+    /// It answers whole.
+    Whole(&'static str),
+    /// It streams all events of the answer.
+    Stream,
+    /// It streams so many events, then its connection breaks.
+    Breaks(u64),
+    /// It streams so many events, then nothing more comes.
+    Hangs(u64),
+}
+
+/// Events of a complete answer.
+pub(crate) const EVENTS: u64 = 6;
+
+/// A request that came to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Seen {
+    pub(crate) upstream: id::Vm,
+    pub(crate) resumed: Option<u64>,
+    pub(crate) urgency: Option<Urgency>,
+}
+
+/// Upstreams that act by script: one act for each request, the last one again and again.
+#[derive(Debug, Default)]
+pub(crate) struct Upstreams {
+    scripts: Mutex<collections::HashMap<id::Vm, collections::VecDeque<Act>>>,
+    seen: Mutex<Vec<Seen>>,
+}
+
+impl Upstreams {
+    fn act(&self, call: &Call<'_>) -> Act {
+        let seen =
+            Seen { upstream: call.upstream.clone(), resumed: call.resumed, urgency: call.urgency };
+        self.seen.lock().push(seen);
+        let mut scripts = self.scripts.lock();
+        let script = scripts.get_mut(call.upstream).expect("a script for each upstream");
+        if script.len() > 1 { script.pop_front() } else { script.front().cloned() }.expect("an act")
+    }
+}
+
+/// The body of a scripted answer.
+#[derive(Debug)]
+pub(crate) struct Scripted {
+    parts: collections::VecDeque<bytes::Bytes>,
+    end: End,
+    peer: net::SocketAddr,
+}
+
+#[derive(Debug)]
+enum End {
+    Complete,
+    Broken,
+    Silent,
+}
+
+impl Body for Scripted {
+    async fn chunk(&mut self) -> Result<Option<bytes::Bytes>> {
+        if let Some(part) = self.parts.pop_front() {
+            return Ok(Some(part));
+        }
+        match self.end {
+            End::Complete => Ok(None),
+            End::Broken => Err(error(Kind::Broken, self.peer)),
+            End::Silent => std::future::pending().await,
+        }
+    }
+}
+
+fn error(kind: Kind, peer: net::SocketAddr) -> Error {
+    Error { kind, step: "send", peer, cause: "as in the script".to_owned() }
+}
+
+fn events(from: u64, to: u64) -> collections::VecDeque<bytes::Bytes> {
+    (from..=to).map(|n| bytes::Bytes::from(format!("id: {n}\ndata: text {n}\n\n"))).collect()
+}
+
+impl Caller for Upstreams {
+    type Body = Scripted;
+
+    async fn send(&self, peer: net::SocketAddr, call: &Call<'_>) -> Result<Reply<Scripted>> {
+        let next = call.resumed.unwrap_or(0) + 1;
+        let answer = |status: u16, parts, end| {
+            Ok(Reply::Answer(Answer {
+                status: StatusCode::from_u16(status).expect("a status"),
+                headers: HeaderMap::new(),
+                is_genuine: true,
+                body: Scripted { parts, end, peer },
+            }))
+        };
+        match self.act(call) {
+            Act::NotSent => Err(error(Kind::NotSent, peer)),
+            Act::Broken => Err(error(Kind::Broken, peer)),
+            Act::Full => Ok(Reply::Rejected(Rejection { reason: Reason::Full, culprit: None })),
+            Act::Status(status) => answer(status, collections::VecDeque::new(), End::Complete),
+            Act::Whole(text) => answer(200, [bytes::Bytes::from(text)].into(), End::Complete),
+            Act::Stream => answer(200, events(next, EVENTS), End::Complete),
+            Act::Breaks(last) => answer(200, events(next, last), End::Broken),
+            Act::Hangs(last) => answer(200, events(next, last), End::Silent),
+        }
+    }
+
+    async fn report(&self, peer: net::SocketAddr, _: &id::Vm, _: Duration) -> Result<Report> {
+        Err(error(Kind::NotSent, peer))
+    }
+
+    async fn order(&self, peer: net::SocketAddr, _: &id::Vm, _: &Command<'_>) -> Result<Outcome> {
+        Err(error(Kind::NotSent, peer))
+    }
+}
+
+/// A node with its tables.
+pub(crate) struct World {
+    pub(crate) host: sync::Arc<host::Host>,
+    pub(crate) tables: tables::Tables,
+    pub(crate) upstreams: sync::Arc<Upstreams>,
+    pipeline: sync::Arc<pipeline::Pipeline<Upstreams>>,
+}
+
+/// The retry budget of tests that are not about it.
+pub(crate) const AMPLE: fleet::Limits =
+    fleet::Limits { ratio: 1.0, slack: 100.0, window: Duration::from_secs(10) };
+
+impl World {
+    /// Opens a node on the running runtime; upstreams `a`, `b` and so on serve both services.
+    pub(crate) fn open(scripts: &[&[Act]], retries: fleet::Limits) -> Self {
+        let settings = settings::Settings::parse("test", "", &[]).expect("no settings");
+        let handle = tokio::runtime::Handle::current();
+        let host = host::Host::open(settings, pool::Pool::attach(handle));
+        let address = ([127, 0, 0, 1], 1).into();
+        host.provide(sync::Arc::new(identity::Identity {
+            node: "node-1".into(),
+            zone: "zone-1".into(),
+            mesh: address,
+            link: address,
+            boot: 1,
+            memory: 512,
+            regions: collections::BTreeMap::new(),
+        }));
+        host.provide(sync::Arc::new(limits::Limits { retries }));
+        let upstreams = sync::Arc::new(Upstreams::default());
+        host.provide(sync::Arc::clone(&upstreams));
+        let tables = tables::Tables::of(&host);
+        let mut changes = vec![change(Subject::Deployment, Fact::Deployment(Box::new(declared())))];
+        for (number, script) in scripts.iter().enumerate() {
+            for service in ["models", "orders"] {
+                let vm = registered(service, number);
+                upstreams.scripts.lock().insert(vm.id.clone(), script.iter().cloned().collect());
+                let fact = Fact::Upstream(sync::Arc::new(vm.clone()));
+                changes.push(change(Subject::Upstream(vm.id), fact));
+            }
+        }
+        tables.catalog.lock().replace(Changes { at: 1, changes }, host.now());
+        host.run.advance(run::Stage::Ready);
+        let pipeline = pipeline::Pipeline::open(&host).expect("all ports are there");
+        Self { host, tables, upstreams, pipeline }
+    }
+
+    /// Sends a request and reads its whole answer: status and body, with the refusal that ended it.
+    pub(crate) async fn send(&self, path: &'static str) -> (u16, String, Option<refusal::Refusal>) {
+        self.send_request(self.request(path)).await
+    }
+
+    pub(crate) async fn send_request(
+        &self,
+        request: request::Request,
+    ) -> (u16, String, Option<refusal::Refusal>) {
+        let answer = match self.pipeline.handle(request).await {
+            Ok(answer) => answer,
+            Err(refusal) => return (0, String::new(), Some(refusal)),
+        };
+        let mut relay = answer.relay;
+        let mut body = Vec::new();
+        loop {
+            match relay.next().await {
+                Ok(Some(part)) => body.extend_from_slice(&part),
+                Ok(None) => break,
+                Err(refusal) => return (answer.status.as_u16(), text(body), Some(refusal)),
+            }
+        }
+        (answer.status.as_u16(), text(body), None)
+    }
+
+    pub(crate) fn request(&self, path: &'static str) -> request::Request {
+        let generates = path.starts_with("/draft/") || path.starts_with("/note/");
+        request::Request {
+            id: "request-1".to_owned(),
+            method: Method::POST,
+            target: path.parse().expect("a path"),
+            host: "shop.example".to_owned(),
+            headers: HeaderMap::new(),
+            body: bytes::Bytes::from_static(b"{}"),
+            key: None,
+            generation: generates.then(|| request::Generation {
+                model: "small".into(),
+                prompt: 100,
+                answer: 42,
+            }),
+            resumed: None,
+            arrived: self.host.now(),
+            deadline: None,
+        }
+    }
+
+    /// Upstreams that the request came to, without the prefix of their service.
+    pub(crate) fn seen(&self) -> Vec<Seen> {
+        self.upstreams.seen.lock().clone()
+    }
+}
+
+fn text(body: Vec<u8>) -> String {
+    String::from_utf8(body).expect("answers are text")
+}
+
+/// The body of a complete stream.
+pub(crate) fn whole_stream() -> String {
+    let events: Vec<_> = events(1, EVENTS).into_iter().flatten().collect();
+    text(events)
+}
+
+pub(crate) fn change(subject: Subject, fact: Fact) -> Change {
+    Change { revision: 1, subject, fact: Some(fact) }
+}
+
+/// An upstream of a service: with an open group of its own if it serves models.
+pub(crate) fn registered(service: &str, number: usize) -> upstream::Upstream {
+    let engine = upstream::Engine {
+        fabric: Some("fabric-1".into()),
+        staged: vec!["small".into()],
+        member: Some(upstream::Member {
+            group: format!("group-{number}").as_str().into(),
+            epoch: 1,
+            rank: 0,
+            state: upstream::MemberState::Open,
+        }),
+        models: vec!["small".into()],
+    };
+    let letter = char::from(b'a' + u8::try_from(number).expect("few upstreams"));
+    upstream::Upstream {
+        id: format!("{service}-{letter}").as_str().into(),
+        service: service.into(),
+        address: ([127, 0, 0, 1], 100).into(),
+        zone: if number == 0 { "zone-1".into() } else { "zone-2".into() },
+        version: "1".to_owned(),
+        slots: 8,
+        state: upstream::State::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+        engine: (service == "models").then_some(engine),
+    }
+}
+
+fn route(prefix: &str, service: &str, kind: deployment::Kind) -> deployment::Route {
+    deployment::Route {
+        name: prefix.into(),
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(200),
+        pause: None,
+        priority: 1,
+        split: vec![deployment::Share { service: service.into(), weight: 1 }],
+        attempts: 3,
+        public: true,
+        regions: Vec::new(),
+    }
+}
+
+fn declared() -> deployment::Deployment {
+    let engine = deployment::Engine {
+        slots: 8,
+        memory: 1_590_000,
+        stride: 7,
+        step: Duration::from_micros(5_950),
+        sequence: Duration::from_nanos(44_500),
+        context: Duration::from_nanos(8_130),
+        read: 50_700.0,
+        pairs: Duration::from_micros(368),
+        chunk: 2_048,
+        models: vec![deployment::Model {
+            name: "small".into(),
+            size: 1,
+            pace: 1.0,
+            share: 1.0,
+            load: Duration::from_secs(1),
+            warm: Duration::from_millis(100),
+        }],
+        loads: deployment::Loads::default(),
+        kept: 1,
+        far: 1.0,
+        form: Duration::from_millis(100),
+        prompt: 100,
+        answer: 42,
+    };
+    let service = |engine| deployment::Service {
+        health: "/health".to_owned(),
+        connections: 100,
+        cold: deployment::Cold::default(),
+        engine,
+    };
+    deployment::Deployment {
+        version: 1,
+        routes: vec![
+            route("/draft/", "models", deployment::Kind::ResumableStream),
+            route("/note/", "models", deployment::Kind::Stream),
+            route("/status/", "orders", deployment::Kind::Idempotent),
+            route("/order/", "orders", deployment::Kind::Once),
+        ],
+        services: [("models".into(), service(Some(engine))), ("orders".into(), service(None))]
+            .into(),
+        ..deployment::Deployment::default()
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/tables.rs
@@ -0,0 +1,291 @@
+//! What a node holds to be true, when its sources lag, fail or contradict each other.
+
+use std::{collections, sync, time::Duration};
+
+use corneltrestle_gateway::{
+    source::{Change, Changes, Fact, Node, Subject},
+    tables::{activity::Activity, catalog::Catalog, pauses::Pauses, peers, stalls},
+};
+use corneltrestle_policy::{Moment, cost, deployment, id, upstream};
+use corneltrestle_wire::mesh;
+use test_case::test_case;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(10_000 + millis)
+}
+
+fn vm(name: &str) -> upstream::Upstream {
+    upstream::Upstream {
+        id: name.into(),
+        service: "orders".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: "zone-1".into(),
+        version: "1".to_owned(),
+        slots: 4,
+        state: upstream::State::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+        engine: None,
+    }
+}
+
+fn added(revision: u64, name: &str) -> Change {
+    let fact = Fact::Upstream(sync::Arc::new(vm(name)));
+    Change { revision, subject: Subject::Upstream(name.into()), fact: Some(fact) }
+}
+
+fn removed(revision: u64, name: &str) -> Change {
+    Change { revision, subject: Subject::Upstream(name.into()), fact: None }
+}
+
+fn changes(changes: Vec<Change>) -> Changes {
+    Changes { at: changes.iter().map(|change| change.revision).max().unwrap_or(0), changes }
+}
+
+fn known(catalog: &Catalog) -> Vec<String> {
+    let snapshot = catalog.current().load_full();
+    snapshot.fleet.all().map(|upstream| upstream.id.to_string()).collect()
+}
+
+fn catalog(names: &[&str]) -> Catalog {
+    let mut catalog = Catalog::default();
+    let all = names.iter().enumerate().map(|(n, name)| added(n as u64 + 1, name)).collect();
+    catalog.replace(changes(all), at(0));
+    catalog
+}
+
+/// Guards against a lapsed registration that still gets requests while the store is well.
+#[test]
+fn removal_takes_effect_at_once() {
+    let mut catalog = catalog(&["a", "b"]);
+    catalog.apply(changes(vec![removed(5, "a")]), at(10));
+    assert_eq!(known(&catalog), ["b"]);
+}
+
+/// Guards against upstreams that are dropped because the store was away when they renewed.
+#[test]
+fn removals_after_an_outage_wait_for_renewals() {
+    let mut catalog = catalog(&["a", "b"]);
+    catalog.lose();
+    catalog.replace(Changes { at: 5, changes: Vec::new() }, at(5_000));
+    assert_eq!(known(&catalog), ["a", "b"]);
+    catalog.apply(changes(vec![added(9, "a")]), at(6_000));
+    assert_eq!(catalog.settle(at(6_500)), 0);
+    assert_eq!(catalog.settle(at(8_000)), 1);
+    assert_eq!(known(&catalog), ["a"]);
+}
+
+/// Guards against a change that comes late and undoes a later one.
+#[test]
+fn older_change_is_ignored() {
+    let mut catalog = catalog(&["a"]);
+    catalog.apply(changes(vec![added(9, "b")]), at(10));
+    catalog.apply(changes(vec![removed(7, "b")]), at(20));
+    assert_eq!(known(&catalog), ["a", "b"]);
+}
+
+fn declared(revision: u64, version: u64) -> Change {
+    let deployment = deployment::Deployment { version, ..deployment::Deployment::default() };
+    let fact = Fact::Deployment(Box::new(deployment));
+    Change { revision, subject: Subject::Deployment, fact: Some(fact) }
+}
+
+/// Guards against a declared state that falls back to an earlier version.
+#[test]
+fn lower_version_is_not_adopted() {
+    let mut catalog = Catalog::default();
+    catalog.replace(changes(vec![declared(1, 7)]), at(0));
+    catalog.apply(changes(vec![declared(2, 6)]), at(10));
+    let version = |catalog: &Catalog| {
+        catalog.current().load().deployment.as_ref().map(|declared| declared.version)
+    };
+    assert_eq!(version(&catalog), Some(7));
+    catalog.apply(changes(vec![declared(3, 12)]), at(20));
+    assert_eq!(version(&catalog), Some(12));
+}
+
+/// Guards against a peer that misses changes: what one node lacks, another one's excerpt holds.
+#[test_case(0, true; "a node that knows nothing gets everything")]
+#[test_case(2, true; "a node that knows less than the log")]
+#[test_case(3, false; "a node that lacks a change")]
+#[test_case(99, true; "a node of another history")]
+fn excerpt_holds_what_a_peer_lacks(after: u64, complete: bool) {
+    let mut catalog = catalog(&["a", "b", "c"]);
+    catalog.apply(changes(vec![added(4, "d")]), at(10));
+    let excerpt = catalog.excerpt(after);
+    assert_eq!(excerpt.complete, complete);
+    assert_eq!(excerpt.changes.at, 4);
+    let names: Vec<_> = excerpt.changes.changes.iter().map(|change| change.revision).collect();
+    assert!(names.contains(&4));
+}
+
+/// Guards against duties on nodes that have a fraction of the memory of the others.
+#[test]
+fn weak_nodes_are_not_strong() {
+    let node = |name: &str, memory| {
+        let address = ([127, 0, 0, 1], 80).into();
+        let node = Node { zone: "zone-1".into(), address, boot: 1, memory };
+        Change { revision: 1, subject: Subject::Node(name.into()), fact: Some(Fact::Node(node)) }
+    };
+    let mut catalog = Catalog::default();
+    catalog.replace(changes(vec![node("weak", 160), node("a", 512), node("b", 500)]), at(0));
+    let snapshot = catalog.current().load_full();
+    let zone: id::Zone = "zone-1".into();
+    let strong = |name: &str| snapshot.is_strong(name, Some(&zone));
+    assert!(strong("a") && strong("b") && !strong("weak") && !strong("unknown"));
+}
+
+fn stall(epoch: u64, found: Moment, progress: Option<Moment>) -> stalls::Stall {
+    stalls::Stall { epoch, at: found, progress, is_own: true }
+}
+
+/// Guards against requests that count as run although their group had stopped before they came.
+#[test]
+fn request_sent_after_the_latest_event_has_not_begun() {
+    let mut stalls = stalls::Stalls::default();
+    stalls.note(&"a".into(), stall(1, at(300), Some(at(100))));
+    assert!(stalls.may_have_begun("a", at(90)));
+    assert!(!stalls.may_have_begun("a", at(150)));
+}
+
+/// Guards against a guess that nothing has run when it is not known what did.
+#[test]
+fn request_may_have_begun_where_no_event_is_known() {
+    let mut stalls = stalls::Stalls::default();
+    stalls.note(&"a".into(), stall(1, at(300), None));
+    assert!(stalls.may_have_begun("a", at(150)));
+    assert!(stalls.may_have_begun("unknown", at(150)));
+}
+
+/// Guards against an upstream that is shunned for the stall of a group it was in before.
+#[test]
+fn stall_of_an_earlier_epoch_does_not_count() {
+    let mut stalls = stalls::Stalls::default();
+    stalls.note(&"a".into(), stall(1, at(0), None));
+    assert!(stalls.contains("a", 1) && !stalls.contains("a", 2));
+}
+
+/// Guards against a stall that nobody confirms and that is never forgotten.
+#[test]
+fn unconfirmed_stall_is_forgotten() {
+    let mut stalls = stalls::Stalls::default();
+    stalls.note(&"a".into(), stall(1, at(0), None));
+    stalls.prune(at(1_400));
+    assert!(stalls.contains("a", 1));
+    stalls.prune(at(1_600));
+    assert!(!stalls.contains("a", 1));
+    assert!(!stalls.hear(&"a".into(), stall(1, at(0), None), at(1_600)));
+}
+
+/// Guards against others that are taken for dead after this process has paused.
+#[test]
+fn pause_of_this_process_is_noticed() {
+    let period = Duration::from_millis(10);
+    let mut pauses = Pauses::default();
+    assert_eq!(pauses.look(period, at(0)), None);
+    assert_eq!(pauses.look(period, at(12)), None);
+    assert!(!pauses.has_paused(at(0), at(20)));
+    assert!(pauses.has_paused(at(0), at(400)));
+    assert_eq!(pauses.look(period, at(400)), Some(Duration::from_millis(388)));
+    assert!(pauses.has_paused(at(390), at(405)));
+    assert!(!pauses.has_paused(at(401), at(410)));
+}
+
+fn work(requests: u32, unread: u64) -> cost::Work {
+    cost::Work { requests, unread, ..cost::Work::default() }
+}
+
+fn load(nodes: u32, rows: Vec<mesh::Row>) -> mesh::Load {
+    mesh::Load { nodes, rows, ..mesh::Load::default() }
+}
+
+fn row(upstream: &str, requests: u32, quiet: u32) -> mesh::Row {
+    mesh::Row { upstream: mesh::hash(upstream), requests, quiet, ..mesh::Row::default() }
+}
+
+/// Guards against an upstream that looks idle to each of several nodes which all send to it.
+#[test]
+fn requests_of_peers_count() {
+    let mut activity = Activity::default();
+    activity.begin(&"a".into(), &work(2, 100), at(0));
+    activity.hear(&"node-2".into(), (1, 1), &load(0, vec![row("a", 5, 0)]), at(0));
+    activity.hear(&"zone-2".into(), (1, 1), &load(4, vec![row("a", 7, 0)]), at(0));
+    assert_eq!(activity.of("a").requests, 14);
+    activity.hear(&"node-2".into(), (1, 2), &load(0, vec![]), at(10));
+    assert_eq!(activity.of("a").requests, 9);
+}
+
+/// Guards against a datagram that comes late and replaces a later one.
+#[test]
+fn earlier_pulse_is_ignored() {
+    let mut activity = Activity::default();
+    assert!(activity.hear(&"b".into(), (1, 5), &load(0, vec![row("a", 5, 0)]), at(0)));
+    assert!(!activity.hear(&"b".into(), (1, 4), &load(0, vec![row("a", 9, 0)]), at(1)));
+    assert!(activity.hear(&"b".into(), (2, 1), &load(0, vec![row("a", 1, 0)]), at(2)));
+    assert_eq!(activity.of("a").requests, 1);
+}
+
+/// Guards against requests of a node that has gone and that count for ever.
+#[test]
+fn silent_peer_is_forgotten() {
+    let mut activity = Activity::default();
+    activity.hear(&"b".into(), (1, 1), &load(0, vec![row("a", 5, 0)]), at(0));
+    activity.prune(at(5_000));
+    assert_eq!(activity.of("a").requests, 0);
+}
+
+/// Guards against a zone that tells of the requests of another zone as its own.
+#[test]
+fn zone_rows_hold_the_nodes_of_the_zone_only() {
+    let mut activity = Activity::default();
+    activity.begin(&"a".into(), &work(1, 0), at(0));
+    activity.hear(&"near".into(), (1, 1), &load(0, vec![row("a", 2, 30)]), at(0));
+    activity.hear(&"far-zone".into(), (1, 1), &load(9, vec![row("a", 40, 1)]), at(0));
+    let (nodes, rows) = activity.zone_rows(at(20));
+    assert_eq!((nodes, rows.len(), rows[0].requests), (2, 1, 3));
+    assert!(rows[0].quiet >= 50, "the age of what was told counts: {}", rows[0].quiet);
+}
+
+/// Guards against the latest event of an upstream being that of the slowest node.
+#[test]
+fn latest_event_of_any_node_counts() {
+    let mut activity = Activity::default();
+    activity.begin(&"a".into(), &work(1, 10), at(0));
+    activity.started("a", &work(0, 10), at(50));
+    activity.hear(&"b".into(), (1, 1), &load(0, vec![row("a", 1, 31)]), at(200));
+    assert_eq!(activity.progress("a"), Some(at(170)));
+}
+
+/// Guards against datagrams that go round and round between zones.
+#[test]
+fn datagram_is_new_once() {
+    let mut peers = peers::Peers::default();
+    assert!(peers.is_new(1, 7));
+    assert!(!peers.is_new(1, 7));
+    assert!(peers.is_new(2, 7));
+}
+
+/// Guards against facts that are asked of a node which no longer answers.
+#[test]
+fn only_live_nodes_are_asked_for_facts() {
+    let mut peers = peers::Peers::default();
+    let peer = |revision, heard| peers::Peer {
+        link: ([127, 0, 0, 1], 80).into(),
+        is_near: true,
+        revision,
+        draining: false,
+        at: heard,
+    };
+    peers.hear("old".into(), peer(9, at(0)));
+    peers.hear("live".into(), peer(5, at(2_000)));
+    let now = at(2_100);
+    let mut rng = rand::rng();
+    let ahead = |revision, rng: &mut _| peers.ahead(revision, |_| true, now, rng).cloned();
+    assert_eq!(ahead(3, &mut rng).map(|peer| peer.revision), Some(5));
+    assert_eq!(ahead(5, &mut rng), None);
+    peers.hear("weak".into(), peer(7, at(2_000)));
+    let strong = peers.ahead(3, |node| node != "weak", now, &mut rng);
+    assert_eq!(strong.map(|peer| peer.revision), Some(5));
+    let live: collections::BTreeSet<_> = peers.live(now).map(|(node, _)| node.as_str()).collect();
+    assert_eq!(live, ["live", "weak"].into());
+}
--- a/crates/policy/src/formation/load.rs
+++ b/crates/policy/src/formation/load.rs
@@ -53,7 +53,7 @@
 ) -> Vec<Load> {
     let models = &view.engine.models;
     if !view.begun {
-        return first(domain, supply, home, models);
+        return first(domain, supply, home, models, memory, now);
     }
     if supply.empty == 0 {
         return switch(domain, supply, needs, models, memory, now).into_iter().collect();
@@ -84,6 +84,8 @@
     supply: &Supply,
     home: Home,
     models: &[deployment::Model],
+    memory: &Memory,
+    now: moment::Moment,
 ) -> Vec<Load> {
     let mut left = supply.clone();
     let mut loads = Vec::new();
@@ -92,7 +94,9 @@
         left.coming[place] += 1;
         loads.push(load(host, &models[place], 0.0));
     }
-    for host in &domain.spares {
+    // Those that a new group takes in this round are no longer in the supply.
+    let free = |host: &&&Host<'_>| !memory.is_ordered(host.upstream.id.as_str(), now);
+    for host in domain.spares.iter().filter(free) {
         let Some(from) = models.iter().position(|model| host.has(&model.name)) else { continue };
         left.loaded[from] -= 1;
         match standby(&left, home, models) {
--- a/crates/policy/src/pacing.rs
+++ b/crates/policy/src/pacing.rs
@@ -13,6 +13,21 @@
 /// may arrive closer together.
 const USED: f64 = 0.8;
 
+/// As [`USED`], where nodes take turns: those of two turns may meet in a window.
+const USED_IN_TURNS: f64 = 0.6;
+
+/// Length of a turn, in which a node sends one request at most.
+const TURN: time::Duration = time::Duration::from_secs(1);
+
+/// Place of a node in the order of all nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Number of the node, from 0.
+    pub number: usize,
+    /// Number of all nodes.
+    pub nodes: usize,
+}
+
 /// The requests that this node has sent to cold upstreams.
 ///
 /// # Examples
@@ -22,8 +37,9 @@
 ///
 /// let cold = deployment::Cold { span: std::time::Duration::from_secs(3), rate: 10.0 };
 /// let (mut pacing, now) = (pacing::Pacing::default(), Moment::from_millis(1));
-/// assert!((0..2).all(|_| pacing.take(&"vm-1".into(), &cold, 4, now)));
-/// assert!(!pacing.take(&"vm-1".into(), &cold, 4, now));
+/// let (place, until) = (pacing::Place { number: 0, nodes: 4 }, Moment::from_millis(3_001));
+/// assert!((0..2).all(|_| pacing.take(&"vm-1".into(), &cold, place, until, now)));
+/// assert!(!pacing.take(&"vm-1".into(), &cold, place, until, now));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Pacing {
@@ -31,22 +47,30 @@
 }
 
 impl Pacing {
-    /// Whether this node, one of `nodes`, may send a request to a cold upstream now.
+    /// Whether the node at `place` may send a request now to an upstream that is cold `until` then.
+    ///
+    /// Each node has its share of the rate. Where that is less than a request a second, nodes take
+    /// turns, which all of them count from the end of the cold time.
     pub fn allows(
         &self,
         upstream: &id::Vm,
         cold: &deployment::Cold,
-        nodes: usize,
+        place: Place,
+        until: moment::Moment,
         now: moment::Moment,
     ) -> bool {
         if cold.rate <= 0.0 {
             return true;
         }
-        let share = (cold.rate * USED / nodes.max(1) as f64).floor().max(1.0) as usize;
+        let nodes = place.nodes.max(1);
+        let share = (cold.rate * USED / nodes as f64).floor() as usize;
+        if share == 0 && !is_turn(cold, place, until, now) {
+            return false;
+        }
         let recent = |sent: &collections::VecDeque<moment::Moment>| {
             sent.iter().filter(|at| now.since(**at) < WINDOW).count()
         };
-        self.sent.get(upstream).map_or(0, recent) < share
+        self.sent.get(upstream).map_or(0, recent) < share.max(1)
     }
 
     /// As [`Pacing::allows`], and counts the request if it may be sent.
@@ -54,10 +78,11 @@
         &mut self,
         upstream: &id::Vm,
         cold: &deployment::Cold,
-        nodes: usize,
+        place: Place,
+        until: moment::Moment,
         now: moment::Moment,
     ) -> bool {
-        let allowed = self.allows(upstream, cold, nodes, now);
+        let allowed = self.allows(upstream, cold, place, until, now);
         if allowed {
             self.count(upstream, now);
         }
@@ -78,3 +103,16 @@
         self.sent.retain(|_, sent| sent.back().is_some_and(|at| now.since(*at) < WINDOW));
     }
 }
+
+/// Whether it is the turn of a node to send one request.
+fn is_turn(
+    cold: &deployment::Cold,
+    place: Place,
+    until: moment::Moment,
+    now: moment::Moment,
+) -> bool {
+    let at_once = (cold.rate * USED_IN_TURNS).floor().max(1.0) as usize;
+    let turns = place.nodes.div_ceil(at_once).max(1);
+    let turn = (until.since(now).as_millis() / TURN.as_millis()) as usize;
+    (place.number + turn).is_multiple_of(turns)
+}
--- /dev/null
+++ b/crates/policy/tests/fleet_budget.rs
@@ -0,0 +1,157 @@
+//! Guards against bounds that hold for each node and are exceeded by all of them together.
+
+#[path = "support/law.rs"]
+mod law;
+
+use std::time::Duration;
+
+use corneltrestle_policy::{Moment, deployment, pacing, retry::fleet};
+use proptest::prelude::*;
+
+/// Nodes that each try a retry in every step, and hear of the others with a delay.
+struct Nodes {
+    limits: fleet::Limits,
+    allowances: Vec<fleet::Allowance>,
+    /// What each node told last.
+    told: Vec<fleet::Usage>,
+    granted: Vec<Moment>,
+    requests: Vec<Moment>,
+}
+
+impl Nodes {
+    fn open(number: usize, limits: fleet::Limits) -> Self {
+        Self {
+            limits,
+            allowances: vec![fleet::Allowance::open(limits); number],
+            told: vec![fleet::Usage::default(); number],
+            granted: Vec::new(),
+            requests: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, requests: usize, tries: usize, heard: &[bool], now: Moment) {
+        for node in 0..self.allowances.len() {
+            for _ in 0..requests {
+                self.allowances[node].count(now);
+                self.requests.push(now);
+            }
+            for _ in 0..tries {
+                let others = self.others(node, heard);
+                if self.allowances[node].take(&others, now) {
+                    self.granted.push(now);
+                }
+            }
+        }
+    }
+
+    fn others(&self, node: usize, heard: &[bool]) -> fleet::Others {
+        let mut others =
+            fleet::Others { all: self.allowances.len() - 1, ..fleet::Others::default() };
+        for (other, told) in self.told.iter().enumerate() {
+            if other != node && heard[other] && heard[node] {
+                others.heard += 1;
+                others.usage.requests += told.requests;
+                others.usage.extra += told.extra;
+            }
+        }
+        others
+    }
+
+    fn tell(&mut self, now: Moment) {
+        self.told = self.allowances.iter_mut().map(|allowance| allowance.usage(now)).collect();
+    }
+
+    fn check(&self, now: Moment) {
+        let within = |times: &[Moment]| {
+            times.iter().filter(|at| now.since(**at) < self.limits.window).count() as f64
+        };
+        let allowed = self.limits.ratio * within(&self.requests) + self.limits.slack;
+        let granted = within(&self.granted);
+        assert!(granted <= allowed, "{granted} attempts, {allowed} allowed at {now:?}");
+    }
+}
+
+/// Guards against a storm of retries: all nodes lose their upstreams at the same time, and some
+/// cannot hear each other.
+#[test]
+fn retries_of_all_nodes_keep_the_budget() {
+    let deaf = prop::collection::vec(any::<bool>(), 12);
+    law::holds(64, (2usize..12, deaf, 0usize..6, 1usize..6), |(nodes, deaf, requests, tries)| {
+        let limits = fleet::Limits { ratio: 0.2, slack: 134.0, window: Duration::from_secs(10) };
+        let mut all = Nodes::open(nodes, limits);
+        let heard: Vec<bool> = deaf.iter().take(nodes).map(|deaf| !deaf).collect();
+        for step in 0..150 {
+            let now = Moment::from_millis(10_000 + step * 100);
+            all.step(requests, tries, &heard, now);
+            if step % 3 == 2 {
+                all.tell(now);
+            }
+            all.check(now);
+        }
+        Ok(())
+    });
+}
+
+/// Requests that all nodes send to a cold upstream, each as often as it may, by time; a node learns
+/// of the upstream up to `skew` milliseconds after it has started.
+fn sent_to_cold(nodes: usize, cold: &deployment::Cold, skew: u64) -> Vec<Moment> {
+    let mut all = vec![pacing::Pacing::default(); nodes];
+    let mut sent = Vec::new();
+    for step in 0..300 {
+        let now = Moment::from_millis(1_000 + step * 10);
+        for (number, pacing) in all.iter_mut().enumerate() {
+            let late = Duration::from_millis(number as u64 * 37 % (skew + 1));
+            let until = Moment::from_millis(4_000) + late;
+            let place = pacing::Place { number, nodes };
+            if pacing.take(&"vm-1".into(), cold, place, until, now) {
+                sent.push(now);
+            }
+        }
+    }
+    sent
+}
+
+/// Guards against a cold upstream that gets more from all nodes together than it bears.
+#[test]
+fn cold_upstream_gets_no_more_than_it_bears() {
+    // Upstreams bear half again the published rate, and five requests.
+    let bears = |rate: f64| rate * 1.5 + 5.0;
+    for rate in [4.0, 10.0, 20.0, 40.0] {
+        let cold = deployment::Cold { span: Duration::from_secs(3), rate };
+        for nodes in [1, 3, 8, 25, 75, 340] {
+            let sent = sent_to_cold(nodes, &cold, 150);
+            for (place, first) in sent.iter().enumerate() {
+                let later = sent[place..].iter();
+                let number =
+                    later.take_while(|at| at.since(*first) < Duration::from_secs(1)).count();
+                assert!(
+                    number as f64 <= bears(rate),
+                    "{number} requests in a second from {nodes} nodes at a rate of {rate}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against nodes that leave a cold upstream idle, and never warm it up.
+#[test]
+fn cold_upstream_is_used() {
+    let cold = deployment::Cold { span: Duration::from_secs(3), rate: 20.0 };
+    for nodes in [1, 3, 8, 25, 75] {
+        let sent = sent_to_cold(nodes, &cold, 150).len();
+        assert!(sent >= 20, "{sent} requests in three seconds from {nodes} nodes");
+    }
+}
+
+/// Guards against a node that may never send to a cold upstream when there are many nodes.
+#[test]
+fn every_node_gets_its_turn() {
+    let cold = deployment::Cold { span: Duration::from_secs(8), rate: 20.0 };
+    for number in 0..75 {
+        let place = pacing::Place { number, nodes: 75 };
+        let mut pacing = pacing::Pacing::default();
+        let until = Moment::from_millis(9_000);
+        let mut moments = (0..80).map(|step| Moment::from_millis(1_000 + step * 100));
+        assert!(moments.any(|now| pacing.take(&"vm-1".into(), &cold, place, until, now)));
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/formation.rs
@@ -0,0 +1,228 @@
+//! Laws of the formation of groups, on VMs that carry out orders.
+
+#[path = "support/engines.rs"]
+mod engines;
+#[path = "support/law.rs"]
+mod law;
+
+use std::{collections, time::Duration};
+
+use corneltrestle_policy::{
+    Moment, demand,
+    formation::{self, Order, Step},
+    id,
+};
+use engines::Engines;
+use proptest::prelude::*;
+
+/// Seconds in which a quiet fleet has its groups: a load, two joins and slack.
+const SETTLED_S: u32 = 20;
+
+fn ticks(seconds: u32) -> u32 {
+    seconds * 10
+}
+
+fn run(engines: &mut Engines, seconds: u32) {
+    for _ in 0..ticks(seconds) {
+        engines.tick(|_| true);
+    }
+}
+
+/// Guards against accelerators that stay idle: a quiet fleet forms groups of nearly all VMs.
+#[test]
+fn quiet_fleet_forms_groups_of_all_models() {
+    let mut engines = Engines::open(3, 9);
+    run(&mut engines, SETTLED_S);
+    let (large, small) = (engines.serving("large"), engines.serving("small"));
+    assert!(large >= 2 && small >= 2, "large {large}, small {small}");
+    assert!(large * 4 + small * 3 >= 18, "large {large}, small {small}");
+}
+
+/// Guards against groups that are never formed again after a member was lost.
+#[test]
+fn lost_member_is_replaced() {
+    let mut engines = Engines::open(3, 9);
+    run(&mut engines, SETTLED_S);
+    engines.begun = true;
+    let before = engines.serving("large") + engines.serving("small");
+    engines.lose(0);
+    run(&mut engines, 1);
+    engines.lapse();
+    engines.add(0);
+    run(&mut engines, SETTLED_S);
+    let after = engines.serving("large") + engines.serving("small");
+    assert!(after >= before, "{before} groups before the loss, {after} after it");
+}
+
+/// Guards against VMs that are kept in a zone which takes no new work.
+#[test]
+fn evacuated_zone_serves_no_longer() {
+    let mut engines = Engines::open(2, 9);
+    run(&mut engines, SETTLED_S);
+    engines.begun = true;
+    engines.evacuated.insert("zone-0".into());
+    run(&mut engines, 5);
+    let fleet = engines.fleet();
+    let zone: id::Zone = "zone-0".into();
+    let serving = fleet.groups().iter().filter(|group| group.is_open);
+    let left = serving.flat_map(|group| fleet.members(group)).filter(|vm| vm.zone == zone).count();
+    assert_eq!(left, 0);
+}
+
+/// Guards against a second holder of the lease that takes groups apart instead of going on.
+#[test]
+fn new_holder_takes_over_groups_that_serve() {
+    let mut engines = Engines::open(3, 9);
+    run(&mut engines, SETTLED_S);
+    engines.begun = true;
+    let before: Vec<_> = engines.fleet().groups().iter().map(|group| group.id.clone()).collect();
+    engines.memory = formation::Memory::open(2);
+    let orders: Vec<Step> = (0..30).flat_map(|_| engines.tick(|_| true)).collect();
+    let after: Vec<_> = engines.fleet().groups().iter().map(|group| group.id.clone()).collect();
+    assert!(
+        !orders.iter().any(|step| matches!(step.order, Order::Leave { .. } | Order::Close { .. })),
+        "{orders:?}"
+    );
+    assert!(
+        before.iter().filter(|id| id.as_str().starts_with("group-")).all(|id| after.contains(id))
+    );
+}
+
+/// Guards against a holder whose epochs are lower than those of the one before it.
+#[test]
+fn epochs_of_a_later_token_are_higher() {
+    let highest = |token: u64| {
+        let mut engines = Engines::open(1, 9);
+        engines.memory = formation::Memory::open(token);
+        let steps: Vec<Step> = (0..100).flat_map(|_| engines.tick(|_| true)).collect();
+        let epochs: Vec<u64> = steps.iter().map(epoch).collect();
+        (
+            epochs.iter().copied().min().expect("orders"),
+            epochs.iter().copied().max().expect("orders"),
+        )
+    };
+    assert!(highest(3).1 < highest(4).0);
+}
+
+fn epoch(step: &Step) -> u64 {
+    match &step.order {
+        Order::Join { epoch, .. }
+        | Order::Open { epoch, .. }
+        | Order::Close { epoch, .. }
+        | Order::Leave { epoch, .. } => *epoch,
+    }
+}
+
+/// A disturbance between two decisions.
+#[derive(Clone, Debug)]
+enum Event {
+    Quiet,
+    Lose(usize),
+    Lapse,
+    Add(usize),
+    Drain(usize),
+    Begin,
+    Takeover,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        12 => Just(Event::Quiet),
+        2 => any::<prop::sample::Index>().prop_map(|place| Event::Lose(place.index(64))),
+        2 => Just(Event::Lapse),
+        2 => (0usize..3).prop_map(Event::Add),
+        1 => any::<prop::sample::Index>().prop_map(|place| Event::Drain(place.index(64))),
+        1 => Just(Event::Begin),
+        1 => Just(Event::Takeover),
+    ]
+}
+
+/// Laws that each decision keeps, whatever came before it.
+#[derive(Default)]
+struct Laws {
+    joins: collections::BTreeMap<u64, (id::Group, Vec<id::Vm>)>,
+    highest: u64,
+    loads: Vec<Moment>,
+}
+
+impl Laws {
+    fn check(&mut self, engines: &Engines, steps: &[Step], now: Moment) {
+        let mut ordered = collections::BTreeSet::new();
+        for step in steps {
+            assert!(
+                ordered.insert(&step.vm),
+                "two orders to {} in one decision: {steps:?}",
+                step.vm
+            );
+            assert!(!engines.lost.contains(&step.vm), "an order to a lost VM: {step:?}");
+            self.check_join(engines, step, now);
+        }
+        let mut members = collections::BTreeSet::new();
+        for plan in engines.memory.plans().values().filter(|plan| !plan.is_ending) {
+            for member in &plan.members {
+                assert!(members.insert(member), "{member} is to be in two groups");
+            }
+        }
+    }
+
+    fn check_join(&mut self, engines: &Engines, step: &Step, now: Moment) {
+        let Order::Join { group, epoch, model, members } = &step.order else { return };
+        let joins = self.joins.entry(*epoch).or_insert_with(|| {
+            assert!(*epoch > self.highest, "epoch {epoch} after {}", self.highest);
+            (group.clone(), members.clone())
+        });
+        self.highest = self.highest.max(*epoch);
+        assert_eq!(*joins, (group.clone(), members.clone()), "one epoch, two groups");
+        let size = engines.engine.model(model.as_str()).expect("a model").size as usize;
+        assert!(members.len() == 1 || members.len() == size, "{step:?}");
+        if engines.begun && members.len() == 1 {
+            self.loads.retain(|at| now.since(*at) < Duration::from_secs(1));
+            self.loads.push(now);
+            let rate = engines.engine.loads.rate;
+            assert!(self.loads.len() as f64 <= rate, "{} loads a second", self.loads.len());
+        }
+    }
+}
+
+/// Guards against orders that contradict each other under losses, additions, drains and changes of
+/// the holder, while one order in `lost` has no effect.
+#[test]
+fn laws_hold_under_disturbances() {
+    let events = prop::collection::vec(event(), 60..240);
+    law::holds(64, (events, 2u64..12), |(events, lost)| {
+        let mut engines = Engines::open(3, 9);
+        let (mut laws, mut token) = (Laws::default(), 1);
+        for event in events {
+            match event {
+                Event::Quiet => {}
+                Event::Lose(place) => engines.lose(place),
+                Event::Lapse => engines.lapse(),
+                Event::Add(domain) if engines.len() < 36 => engines.add(domain),
+                Event::Add(_) => {}
+                Event::Drain(place) => engines.drain(place),
+                Event::Begin => {
+                    laws.loads.clear();
+                    engines.begun = true;
+                }
+                Event::Takeover => {
+                    token += 1;
+                    engines.memory = formation::Memory::open(token);
+                    laws.loads.clear();
+                }
+            }
+            let now = engines.now;
+            let steps = engines.tick(|step| epoch(step) % lost != 0);
+            laws.check(&engines, &steps, now);
+        }
+        Ok(())
+    });
+}
+
+/// Guards against a demand that no number of groups can answer and would never be counted to.
+#[test]
+fn demand_that_cannot_be_met_is_bounded() {
+    let engine = engines::engine();
+    let asked =
+        demand::Demand { rate: 1e9, prompt: 1e6, events: 1e4, objective: Duration::from_millis(1) };
+    assert!(demand::groups(&engine, 1.0, &asked) <= 1_000.0);
+}
--- /dev/null
+++ b/crates/policy/tests/judgement.rs
@@ -0,0 +1,132 @@
+//! How upstreams are judged: health by what requests meet, stalls and first events by the cost model.
+
+#[path = "support/engines.rs"]
+#[expect(dead_code, reason = "only the engine is needed")]
+mod engines;
+
+use std::time::Duration;
+
+use corneltrestle_policy::{
+    Moment, cost, demand,
+    health::{Health, Outcome},
+    stall,
+};
+use test_case::test_case;
+
+/// Guards against an upstream that is given up for good after a run of failures.
+#[test]
+fn unreachable_upstream_is_tried_again_within_two_seconds() {
+    let (mut health, mut now) = (Health::default(), Moment::from_millis(1));
+    for _ in 0..40 {
+        health.record(Outcome::Unreachable, now);
+        now = now + Duration::from_secs(2);
+        assert!(!health.is_avoided(now));
+    }
+}
+
+/// Guards against a wait that does not grow while an upstream stays out of reach.
+#[test]
+fn wait_doubles_with_each_failure() {
+    let (mut health, now) = (Health::default(), Moment::from_millis(1));
+    health.record(Outcome::Unreachable, now);
+    assert!(!health.is_avoided(now + Duration::from_millis(300)));
+    health.record(Outcome::Silent, now);
+    assert!(health.is_avoided(now + Duration::from_millis(300)));
+}
+
+/// Guards against an upstream that stays avoided after it has answered.
+#[test]
+fn answer_ends_the_wait() {
+    let (mut health, now) = (Health::default(), Moment::from_millis(1));
+    health.record(Outcome::Unreachable, now);
+    health.record(Outcome::Answered, now);
+    assert!(!health.is_avoided(now));
+}
+
+/// Guards against failures of the past that count as much as those of now.
+#[test]
+fn failure_rate_fades() {
+    let (mut health, now) = (Health::default(), Moment::from_millis(1));
+    for _ in 0..20 {
+        health.record(Outcome::Failed, now);
+    }
+    assert!(health.failure_rate(now) > 0.9);
+    assert!(health.failure_rate(now + Duration::from_secs(9)) < 0.2);
+}
+
+/// Guards against rejections of an upstream that is full or was not meant, which count as failures.
+#[test_case(Outcome::Full)]
+#[test_case(Outcome::Misdirected)]
+#[test_case(Outcome::Unreachable)]
+fn request_that_did_not_run_is_no_failure(outcome: Outcome) {
+    let (mut health, now) = (Health::default(), Moment::from_millis(1));
+    health.record(outcome, now);
+    assert!(health.failure_rate(now) <= f64::EPSILON);
+}
+
+/// Guards against predictions that fall while an upstream gets more work.
+#[test]
+fn more_work_takes_longer() {
+    let engine = engines::engine();
+    let mut latest = Duration::ZERO;
+    for requests in 0..80 {
+        let work =
+            cost::Work { requests, unread: u64::from(requests) * 300, ..cost::Work::default() };
+        let time = cost::first_event(&engine, 1.0, &work, 1_000, false);
+        assert!(time >= latest, "{requests} requests: {time:?} after {latest:?}");
+        latest = time;
+    }
+}
+
+/// Guards against streams that are moved while their upstream only reads a long prompt.
+#[test]
+fn silence_may_last_while_prompts_are_read() {
+    let engine = engines::engine();
+    let work = |unread| cost::Work { requests: 20, unread, ..cost::Work::default() };
+    let read = cost::read(&engine, 1.0, 20_000);
+    let longer = stall::limit(&engine, 1.0, &work(20_000)) - stall::limit(&engine, 1.0, &work(0));
+    assert!(longer >= read, "{longer:?} for {read:?} of reading");
+}
+
+/// Guards against a stall that is noticed only after seconds.
+#[test]
+fn stall_of_a_full_group_is_noticed_within_half_a_second() {
+    let engine = engines::engine();
+    let work = cost::Work { requests: 60, unread: 2_000, ..cost::Work::default() };
+    assert!(stall::limit(&engine, 1.0, &work) < Duration::from_millis(500));
+}
+
+/// Guards against work of others that is subtracted twice and wraps around.
+#[test]
+fn work_never_falls_below_nothing() {
+    let mut work = cost::Work { requests: 1, unread: 5, late: 1, late_unread: 5 };
+    let more = cost::Work { requests: 3, unread: 9, late: 2, late_unread: 9 };
+    work.subtract(&more);
+    assert_eq!(work, cost::Work::default());
+}
+
+/// Guards against groups that are kept for a demand of the past.
+#[test]
+fn demand_ends_with_the_requests() {
+    let engine = engines::engine();
+    let (mut meter, now) = (demand::Meter::default(), Moment::from_millis(1));
+    for _ in 0..50 {
+        meter.request(&"large".into(), 1_000, Duration::from_millis(200), now);
+    }
+    assert!(meter.of("large", &engine, now).rate > 5.0);
+    let later = now + Duration::from_secs(6);
+    assert!(meter.of("large", &engine, later).rate <= 0.0);
+}
+
+/// Guards against a number of groups that does not follow the rate.
+#[test]
+fn more_requests_need_more_groups() {
+    let engine = engines::engine();
+    let needed = |rate| {
+        let objective = Duration::from_millis(300);
+        let asked = demand::Demand { rate, prompt: 1_000.0, events: 20.0, objective };
+        demand::groups(&engine, 1.0, &asked)
+    };
+    assert!(needed(10.0) < needed(60.0));
+    assert!(needed(60.0) < needed(200.0));
+}
--- /dev/null
+++ b/crates/policy/tests/support/engines.rs
@@ -0,0 +1,259 @@
+//! VMs of a model engine that carry out orders, for tests of the formation of groups.
+
+use std::{collections, sync, time::Duration};
+
+use corneltrestle_policy::{
+    Moment, demand, deployment, fleet,
+    formation::{self, Order},
+    id, upstream,
+};
+
+/// Time from one decision to the next.
+pub(crate) const TICK: Duration = Duration::from_millis(100);
+
+/// An engine with a model of four VMs and one of three.
+pub(crate) fn engine() -> deployment::Engine {
+    let model = |name: &str, size, share| deployment::Model {
+        name: name.into(),
+        size,
+        share,
+        pace: 1.0,
+        load: Duration::from_secs(4),
+        warm: Duration::from_millis(500),
+    };
+    deployment::Engine {
+        slots: 26,
+        memory: 1_590_000,
+        stride: 7,
+        step: Duration::from_micros(5_950),
+        sequence: Duration::from_nanos(44_500),
+        context: Duration::from_nanos(8_130),
+        read: 50_700.0,
+        pairs: Duration::from_micros(368),
+        chunk: 2_048,
+        models: vec![model("large", 4, 0.57), model("small", 3, 0.43)],
+        loads: deployment::Loads { rate: 3.0, parallel: 6 },
+        kept: 1,
+        far: 4.0,
+        form: Duration::from_millis(300),
+        prompt: 1_115,
+        answer: 178,
+    }
+}
+
+/// One VM.
+#[derive(Clone, Debug)]
+struct Vm {
+    upstream: upstream::Upstream,
+    /// Highest epoch of an order that it has accepted.
+    epoch: u64,
+    /// When it has joined the group of the latest order.
+    joined: Moment,
+    model: Option<id::Model>,
+}
+
+/// VMs in fabric domains.
+pub(crate) struct Engines {
+    pub(crate) engine: deployment::Engine,
+    pub(crate) now: Moment,
+    pub(crate) begun: bool,
+    pub(crate) memory: formation::Memory,
+    /// VMs that do not answer, still registered.
+    pub(crate) lost: collections::BTreeSet<id::Vm>,
+    pub(crate) evacuated: collections::BTreeSet<id::Zone>,
+    pub(crate) demand: collections::BTreeMap<id::Model, demand::Demand>,
+    vms: collections::BTreeMap<id::Vm, Vm>,
+    added: usize,
+}
+
+impl Engines {
+    /// Opens empty VMs: `per_domain` in each of `domains`.
+    pub(crate) fn open(domains: usize, per_domain: usize) -> Self {
+        let mut engines = Self {
+            engine: engine(),
+            now: Moment::from_millis(1_000),
+            begun: false,
+            memory: formation::Memory::open(1),
+            lost: collections::BTreeSet::new(),
+            evacuated: collections::BTreeSet::new(),
+            demand: collections::BTreeMap::new(),
+            vms: collections::BTreeMap::new(),
+            added: 0,
+        };
+        for domain in 0..domains {
+            for _ in 0..per_domain {
+                engines.add(domain);
+            }
+        }
+        engines
+    }
+
+    /// Adds an empty VM to a domain.
+    pub(crate) fn add(&mut self, domain: usize) {
+        let id: id::Vm = format!("vm-{:03}", self.added).as_str().into();
+        self.added += 1;
+        let upstream = upstream::Upstream {
+            id: id.clone(),
+            service: "models".into(),
+            address: ([127, 0, 0, 1], 80).into(),
+            zone: format!("zone-{domain}").as_str().into(),
+            version: "1".to_owned(),
+            slots: 26,
+            state: upstream::State::Ready,
+            cold: Duration::ZERO,
+            born: 1,
+            engine: Some(upstream::Engine {
+                fabric: Some(format!("fabric-{domain}").as_str().into()),
+                ..upstream::Engine::default()
+            }),
+        };
+        let vm = Vm { upstream, epoch: 0, joined: Moment::ZERO, model: None };
+        self.vms.insert(id, vm);
+    }
+
+    /// Loses a VM: it stops to answer, and its registration lapses when [`Engines::lapse`] is
+    /// called.
+    pub(crate) fn lose(&mut self, place: usize) {
+        if let Some(id) = self.vms.keys().nth(place % self.vms.len().max(1)).cloned() {
+            self.lost.insert(id);
+        }
+    }
+
+    /// Ends the registrations of lost VMs.
+    pub(crate) fn lapse(&mut self) {
+        for id in std::mem::take(&mut self.lost) {
+            self.vms.remove(&id);
+        }
+    }
+
+    /// Makes a VM drain.
+    pub(crate) fn drain(&mut self, place: usize) {
+        let count = self.vms.len().max(1);
+        if let Some(vm) = self.vms.values_mut().nth(place % count) {
+            vm.upstream.state = upstream::State::Draining;
+        }
+    }
+
+    /// Number of registered VMs.
+    pub(crate) fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    pub(crate) fn fleet(&self) -> fleet::Fleet {
+        let upstreams = self.vms.values().map(|vm| sync::Arc::new(vm.upstream.clone()));
+        fleet::Fleet::open(upstreams.collect())
+    }
+
+    /// Groups that serve a model.
+    pub(crate) fn serving(&self, model: &str) -> usize {
+        let fleet = self.fleet();
+        let model = self.engine.model(model).expect("a model of the engine");
+        let serves = |group: &&fleet::Group| {
+            group.model.as_ref() == Some(&model.name)
+                && fleet.is_serving(group, model)
+                && fleet.members(group).all(|member| !self.lost.contains(&member.id))
+        };
+        fleet.groups().iter().filter(serves).count()
+    }
+
+    /// Decides once and lets time pass; `carried_out` tells whether the order of a step takes
+    /// effect.
+    pub(crate) fn tick(
+        &mut self,
+        carried_out: impl Fn(&formation::Step) -> bool,
+    ) -> Vec<formation::Step> {
+        let fleet = self.fleet();
+        let (service, busy) = ("models".into(), collections::BTreeSet::new());
+        let view = formation::View {
+            service: &service,
+            engine: &self.engine,
+            fleet: &fleet,
+            evacuated: &self.evacuated,
+            lost: &self.lost,
+            busy: &busy,
+            demand: &self.demand,
+            begun: self.begun,
+        };
+        let steps = formation::decide(&view, &mut self.memory, self.now);
+        for step in &steps {
+            if !self.lost.contains(&step.vm) && carried_out(step) {
+                self.carry_out(step);
+            }
+        }
+        self.now = self.now + TICK;
+        self.progress();
+        steps
+    }
+
+    fn carry_out(&mut self, step: &formation::Step) {
+        let now = self.now;
+        let times: collections::BTreeMap<_, _> = self
+            .engine
+            .models
+            .iter()
+            .map(|model| (model.name.clone(), (model.load, model.warm)))
+            .collect();
+        let Some(vm) = self.vms.get_mut(&step.vm) else { return };
+        let engine = vm.upstream.engine.as_mut().expect("a model engine");
+        match &step.order {
+            Order::Join { group, epoch, model, members } => {
+                if *epoch <= vm.epoch {
+                    return;
+                }
+                vm.epoch = *epoch;
+                let (load, warm) = times[model];
+                let is_warm = vm.model.as_ref() == Some(model);
+                vm.joined = now + if is_warm { warm } else { load };
+                if !is_warm {
+                    engine.models.clear();
+                    engine.staged.clear();
+                }
+                vm.model = Some(model.clone());
+                let rank = members.iter().position(|member| *member == step.vm);
+                engine.member = Some(upstream::Member {
+                    group: group.clone(),
+                    epoch: *epoch,
+                    rank: rank.expect("a member of the group that it joins") as u32,
+                    state: upstream::MemberState::Joining,
+                });
+            }
+            Order::Open { group, epoch } | Order::Close { group, epoch } => {
+                let opens = matches!(step.order, Order::Open { .. });
+                if let Some(member) = engine.member.as_mut()
+                    && member.group == *group
+                    && member.epoch == *epoch
+                {
+                    member.state = if opens {
+                        upstream::MemberState::Open
+                    } else {
+                        upstream::MemberState::Closing
+                    };
+                }
+            }
+            Order::Leave { group, epoch } => {
+                let is_member = engine
+                    .member
+                    .as_ref()
+                    .is_some_and(|member| member.group == *group && member.epoch == *epoch);
+                if is_member {
+                    engine.member = None;
+                    engine.models.clear();
+                    engine.staged.extend(vm.model.clone());
+                }
+            }
+        }
+    }
+
+    /// Ends joins whose time is over.
+    fn progress(&mut self) {
+        for vm in self.vms.values_mut() {
+            let engine = vm.upstream.engine.as_mut().expect("a model engine");
+            let Some(member) = engine.member.as_mut() else { continue };
+            if member.state == upstream::MemberState::Joining && self.now >= vm.joined {
+                member.state = upstream::MemberState::Ready;
+                engine.models = vm.model.iter().cloned().collect();
+                engine.staged = engine.models.clone();
+            }
+        }
+    }
+}
