follow: wait for facts that are on their way, and ask strong nodes first

Cause: a node that takes facts over from a peer gave up after 200 ms and asked another one. Without a coordinator, a zone also asked the store only every 900 ms. Ruled out: a pause of the process; its watchdog saw none. Change: only the wait for a peer that knows more is bounded; a call has its own limit. Strong nodes of the own zone are asked first. The node that followed the source goes on while there is no coordinator. Facts that are older than those known meanwhile are not taken.

--- a/crates/gateway/src/duty/follow.rs
+++ b/crates/gateway/src/duty/follow.rs
@@ -15,7 +15,7 @@
     identity,
     mesh::{Facts, Mesh},
     source::{self, Source},
-    tables,
+    tables::{self, peers},
 };
 
 /// Longest wait of a call for changes. A connection that has fallen silent is noticed after it.
@@ -76,9 +76,9 @@
 impl<S: Source> Follower<S> {
     async fn run(self) {
         let mut failures = 0;
-        let mut loaded = false;
+        let (mut loaded, mut follows) = (false, false);
         loop {
-            let result = self.round(&mut loaded).await;
+            let result = self.round(&mut loaded, &mut follows).await;
             self.advance();
             self.settle();
             match result {
@@ -102,24 +102,40 @@
         }
     }
 
-    /// One step: what peers know better, then the source if it is this node's turn.
-    async fn round(&self, loaded: &mut bool) -> source::Result<()> {
+    /// One step: what peers know better, then the source if it is this node's turn. Without a
+    /// coordinator, the node that has followed the source goes on.
+    async fn round(&self, loaded: &mut bool, follows: &mut bool) -> source::Result<()> {
         if !*loaded {
             self.load().await?;
             *loaded = true;
         }
         let now = self.host.now();
-        if self.leads() || self.is_turn(now) {
+        let has_turn = self.is_turn(now) || *follows && self.is_leaderless();
+        *follows = false;
+        if self.leads() || has_turn {
             tokio::select! {
-                followed = self.follow() => followed,
+                followed = self.follow() => {
+                    *follows = followed.is_ok();
+                    followed
+                }
                 () = self.take_over() => Ok(()),
             }
         } else {
-            let _ = tokio::time::timeout(LOOK, self.take_over()).await;
+            // Only the wait is bounded here: facts that are on their way are waited for.
+            if let Ok(peer) = tokio::time::timeout(LOOK, self.ahead()).await
+                && !self.fetch(&peer).await
+            {
+                tokio::time::sleep(retry::BACKOFF_MIN).await;
+            }
             Ok(())
         }
     }
 
+    /// Whether no node holds the coordinator's lease.
+    fn is_leaderless(&self) -> bool {
+        self.tables.current.load().coordinator.is_none()
+    }
+
     /// Whether this node coordinates.
     fn leads(&self) -> bool {
         let snapshot = self.tables.current.load();
@@ -143,34 +159,56 @@
 
     /// Waits until a peer knows later facts, and takes them over.
     async fn take_over(&self) {
+        loop {
+            let peer = self.ahead().await;
+            if self.fetch(&peer).await {
+                return;
+            }
+            tokio::time::sleep(retry::BACKOFF_MIN).await;
+        }
+    }
+
+    /// Waits until a peer knows later facts.
+    async fn ahead(&self) -> peers::Peer {
         loop {
             let now = self.host.now();
-            let (known, ahead) = {
-                let known = self.tables.catalog.lock().at();
-                (known, self.tables.peers.lock().ahead(known, now, &mut rand::rng()).cloned())
+            let snapshot = self.tables.current.load();
+            let known = self.tables.catalog.lock().at();
+            let ahead = {
+                let is_strong = |node: &str| snapshot.is_strong(node, None);
+                let peers = self.tables.peers.lock();
+                peers.ahead(known, is_strong, now, &mut rand::rng()).cloned()
             };
-            let Some(peer) = ahead else {
-                self.mesh.behind().await;
-                // The changes themselves may be on their way.
-                let wait = rand::rng().random_range(DELTA_WAIT);
-                tokio::time::sleep(wait).await;
-                continue;
-            };
-            match self.facts.fetch(peer.link, known, now).await {
-                Ok(excerpt) => {
-                    let confirmed = excerpt.confirmed.unwrap_or(moment::Moment::ZERO);
-                    let mut catalog = self.tables.catalog.lock();
-                    if excerpt.complete {
-                        catalog.replace(excerpt.changes, confirmed);
-                    } else {
-                        catalog.apply(excerpt.changes, confirmed);
-                    }
-                    return;
-                }
-                Err(e) => {
-                    log::info!("mesh: facts were not taken over: {e}");
-                    tokio::time::sleep(retry::BACKOFF_MIN).await;
+            drop(snapshot);
+            if let Some(peer) = ahead {
+                return peer;
+            }
+            self.mesh.behind().await;
+            // The changes themselves may be on their way.
+            let wait = rand::rng().random_range(DELTA_WAIT);
+            tokio::time::sleep(wait).await;
+        }
+    }
+
+    /// Takes over what a peer knows; returns whether it has answered.
+    async fn fetch(&self, peer: &peers::Peer) -> bool {
+        let (known, now) = (self.tables.catalog.lock().at(), self.host.now());
+        match self.facts.fetch(peer.link, known, now).await {
+            Ok(excerpt) => {
+                let confirmed = excerpt.confirmed.unwrap_or(moment::Moment::ZERO);
+                let mut catalog = self.tables.catalog.lock();
+                if excerpt.changes.at < catalog.at() {
+                    // Later changes have come meanwhile.
+                } else if excerpt.complete {
+                    catalog.replace(excerpt.changes, confirmed);
+                } else {
+                    catalog.apply(excerpt.changes, confirmed);
                 }
+                true
+            }
+            Err(e) => {
+                log::info!("mesh: facts were not taken over: {e}");
+                false
             }
         }
     }
--- a/crates/gateway/src/tables/peers.rs
+++ b/crates/gateway/src/tables/peers.rs
@@ -68,10 +68,18 @@
     }
 
     /// A live node that knows later facts than those of a revision, drawn at random: one of the own
-    /// zone, if there is one.
-    pub fn ahead(&self, revision: u64, now: moment::Moment, rng: &mut impl Rng) -> Option<&Peer> {
-        let ahead = || self.live(now).map(|(_, peer)| peer).filter(|peer| peer.revision > revision);
-        ahead().filter(|peer| peer.is_near).choose(rng).or_else(|| ahead().choose(rng))
+    /// zone, if there is one, and one that is strong, if there is one.
+    pub fn ahead(
+        &self,
+        revision: u64,
+        is_strong: impl Fn(&str) -> bool,
+        now: moment::Moment,
+        rng: &mut impl Rng,
+    ) -> Option<&Peer> {
+        let rank = |node: &id::Node, peer: &Peer| (peer.is_near, is_strong(node.as_str()));
+        let ahead = || self.live(now).filter(|(_, peer)| peer.revision > revision);
+        let best = ahead().map(|(node, peer)| rank(node, peer)).max()?;
+        ahead().filter(|(node, peer)| rank(node, peer) == best).map(|(_, peer)| peer).choose(rng)
     }
 
     /// Forgets nodes that have not been heard of for long.
