pacing: let nodes take turns at a cold upstream

The share of a node was never less than one. Change: where the share is less, nodes take turns of a second, counted from the end of the cold time.

--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -215,12 +215,18 @@
         upstream: &registered::Upstream,
         now: moment::Moment,
     ) -> bool {
-        let is_cold = snapshot.cold.get(&upstream.id).is_some_and(|until| now < *until);
+        let Some(until) = snapshot.cold.get(&upstream.id).filter(|until| now < **until) else {
+            return true;
+        };
         let service = admitted.deployment.services.get(&admitted.service);
-        let nodes = snapshot.nodes.len();
-        !is_cold
-            || service
-                .is_none_or(|service| pacing.sent.allows(&upstream.id, &service.cold, nodes, now))
+        let own = self.identity.node.as_str();
+        let place = corneltrestle_policy::pacing::Place {
+            number: snapshot.nodes.keys().take_while(|node| node.as_str() < own).count(),
+            nodes: snapshot.nodes.len(),
+        };
+        service.is_none_or(|service| {
+            pacing.sent.allows(&upstream.id, &service.cold, place, *until, now)
+        })
     }
 
     fn distance(&self, zone: &id::Zone) -> time::Duration {
