explain: tell the story of a request or an upstream from logs

Cause: the lines about one failure are spread over the logs of several nodes. Change: corneltrestle explain ID FILE... puts lines in order, adds what the nodes concerned believed of the upstreams and of themselves at that time, and names the causes; text and JSON. Nodes log changes of registrations, memberships, evacuations and of the coordinator. Times of lines end with Z. Commands to runners no longer have an expected count, which nothing set: epochs and tokens protect orders.

--- a/crates/corneltrestle/src/command.rs
+++ b/crates/corneltrestle/src/command.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod demo;
+pub mod explain;
 mod measure;
 mod note;
 pub mod report;
--- a/crates/gateway/src/duty/coordinate/orders.rs
+++ b/crates/gateway/src/duty/coordinate/orders.rs
@@ -34,7 +34,7 @@
     async fn send(&self, step: &formation::Step, token: u64) -> upstream::Result<Option<Outcome>> {
         let snapshot = self.tables.current.load_full();
         let Some(vm) = snapshot.fleet.get(step.vm.as_str()) else { return Ok(None) };
-        let command = Command { order: &step.order, token, expected: None, limit: LIMIT };
+        let command = Command { order: &step.order, token, limit: LIMIT };
         self.caller.order(vm.address, &step.vm, &command).await.map(Some)
     }
 
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -1,5 +1,7 @@
 //! Facts of the platform: what is declared and what has registered itself.
 
+mod news;
+
 use std::{collections, sync, time};
 
 use corneltrestle_kernel::table;
@@ -218,17 +220,22 @@
 
     fn take(&mut self, changes: Vec<Change>, now: moment::Moment) {
         let renewing = self.is_renewing(now);
+        let is_first = self.facts.is_empty();
         for change in changes {
-            self.take_one(change, renewing, now);
+            self.take_one(change, renewing, is_first, now);
         }
         self.publish();
     }
 
-    fn take_one(&mut self, change: Change, renewing: bool, now: moment::Moment) {
+    fn take_one(&mut self, change: Change, renewing: bool, is_first: bool, now: moment::Moment) {
         let known = self.facts.get(&change.subject);
         if known.is_some_and(|known| known.revision > change.revision) {
             return;
         }
+        if !is_first {
+            let known = known.map(|known| &known.fact);
+            news::tell(&change.subject, known, change.fact.as_ref(), change.revision);
+        }
         let Some(fact) = change.fact else {
             if renewing && matches!(change.subject, Subject::Upstream(_)) && known.is_some() {
                 self.held.insert(change.subject);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -121,9 +121,6 @@
     pub order: &'a formation::Order,
     /// Fencing token of the node that gives it.
     pub token: u64,
-    /// Orders that the upstream must have accepted before, so that one that is carried out late
-    /// has no effect.
-    pub expected: Option<u64>,
     /// Longest time for the answer.
     pub limit: time::Duration,
 }
--- a/crates/kernel/src/logging.rs
+++ b/crates/kernel/src/logging.rs
@@ -1,9 +1,11 @@
 //! Structured logs: one line an event, in a bounded queue, so that no request waits for a reader.
 
+mod entry;
 mod line;
 mod queue;
 mod quota;
 
+pub use entry::Entry;
 pub use queue::{Queue, Urgency};
 pub use quota::{Quota, Verdict};
 
--- /dev/null
+++ b/crates/kernel/src/logging/entry.rs
@@ -0,0 +1,97 @@
+//! Lines of the log as they are read again.
+
+use std::{collections, time};
+
+/// A line.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_kernel::logging;
+///
+/// let line = "2026-12-04T10:20:30.000500Z WARN  stall: it stands still upstream=vm-3 requests=4";
+/// let entry = logging::Entry::parse(line).unwrap();
+/// assert_eq!((entry.level.as_str(), entry.message.as_str()), ("WARN", "stall: it stands still"));
+/// assert_eq!(entry.field("upstream"), Some("vm-3"));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct Entry {
+    /// When it was written, by the clock of its VM.
+    pub time: time::SystemTime,
+    /// Level, in capitals.
+    pub level: String,
+    /// Prefix of its part and what it says.
+    pub message: String,
+    /// What it was decided on, by name.
+    pub fields: collections::BTreeMap<String, String>,
+}
+
+impl Entry {
+    /// Reads a line, or `None` if it is not one of this log.
+    pub fn parse(line: &str) -> Option<Self> {
+        let (time, rest) = line.trim_end().split_once(' ')?;
+        let time = humantime::parse_rfc3339(time).ok()?;
+        let (level, rest) = rest.trim_start().split_once(' ')?;
+        let mut rest = rest.trim();
+        let mut fields = collections::BTreeMap::new();
+        while let Some((before, name, value)) = last_pair(rest) {
+            fields.insert(name.to_owned(), value);
+            rest = before.trim_end();
+        }
+        Some(Self { time, level: level.to_owned(), message: rest.to_owned(), fields })
+    }
+
+    /// The value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name).map(String::as_str)
+    }
+}
+
+/// The last pair of a line, with what comes before it.
+fn last_pair(text: &str) -> Option<(&str, &str, String)> {
+    let (at, value) = if text.ends_with('"') {
+        let open = opening_quote(text)?;
+        (open, unquote(&text[open + 1..text.len() - 1]))
+    } else {
+        let at = text.rfind(' ').map_or(0, |space| space + 1);
+        let (name, value) = text[at..].split_once('=')?;
+        (at + name.len() + 1, value.to_owned())
+    };
+    let name = text[..at].strip_suffix('=')?;
+    let start = name.rfind(' ').map_or(0, |space| space + 1);
+    let name = &name[start..];
+    let is_name = !name.is_empty() && name.bytes().all(|b| b.is_ascii_lowercase() || b == b'_');
+    is_name.then(|| (&text[..start], name, value))
+}
+
+/// Where the quoted value at the end of a text begins.
+fn opening_quote(text: &str) -> Option<usize> {
+    let before = &text[..text.len() - 1];
+    let mut end = before.len();
+    loop {
+        let at = before[..end].rfind('"')?;
+        let escapes = before[..at].bytes().rev().take_while(|b| *b == b'\\').count();
+        if escapes % 2 == 0 && before[..at].ends_with('=') {
+            return Some(at);
+        }
+        end = at;
+    }
+}
+
+fn unquote(text: &str) -> String {
+    let mut plain = String::with_capacity(text.len());
+    let mut chars = text.chars();
+    while let Some(c) = chars.next() {
+        match (c, c == '\\') {
+            (_, true) => match chars.next() {
+                Some('n') => plain.push('\n'),
+                Some('t') => plain.push('\t'),
+                Some('r') => plain.push('\r'),
+                Some(other) => plain.push(other),
+                None => {}
+            },
+            (c, false) => plain.push(c),
+        }
+    }
+    plain
+}
--- a/crates/kernel/src/logging/line.rs
+++ b/crates/kernel/src/logging/line.rs
@@ -38,15 +38,11 @@
 }
 
 impl LogWriter for Writer {
-    fn write(
-        &self,
-        now: &mut flexi_logger::DeferredNow,
-        record: &log::Record<'_>,
-    ) -> io::Result<()> {
+    fn write(&self, _: &mut flexi_logger::DeferredNow, record: &log::Record<'_>) -> io::Result<()> {
         let is_urgent = record.level() <= log::Level::Warn;
         let Verdict::Write { left } = self.judge(record, is_urgent) else { return Ok(()) };
         let mut line = Vec::with_capacity(256);
-        format(&mut line, now, record, left)?;
+        format(&mut line, record, left)?;
         let urgency = if is_urgent { Urgency::Urgent } else { Urgency::Usual };
         self.queue.push(line, urgency);
         Ok(())
@@ -62,13 +58,9 @@
     }
 }
 
-fn format<W: io::Write>(
-    out: &mut W,
-    now: &mut flexi_logger::DeferredNow,
-    record: &log::Record<'_>,
-    left: u32,
-) -> io::Result<()> {
-    write!(out, "{} {:5} {}", now.format_rfc3339(), record.level(), record.args())?;
+fn format<W: io::Write>(out: &mut W, record: &log::Record<'_>, left: u32) -> io::Result<()> {
+    let now = humantime::format_rfc3339_micros(time::SystemTime::now());
+    write!(out, "{now} {:5} {}", record.level(), record.args())?;
     record.key_values().visit(&mut Pairs { out }).map_err(io::Error::other)?;
     if left > 0 {
         write!(out, " left_out={left}")?;
