catalog: take each confirmation of the store once

Cause: the age of the facts went round between nodes, each way a little too young. Change: a confirmation carries the process that got it and a number, and each node takes it once. The coordinator asks the store twice a second at least, so that the facts of all nodes stay confirmed. A refusal says whether no upstream was left, no attempt, or no budget.

--- a/crates/corneltrestle/src/command/explain/text.rs
+++ b/crates/corneltrestle/src/command/explain/text.rs
@@ -2,6 +2,8 @@
 
 use std::{fmt::Write, time};
 
+use comfy_table::presets;
+
 use super::story::{Kind, Line, Story};
 use crate::command::table;
 
@@ -58,6 +60,7 @@
 fn lines(story: &Story) -> String {
     let begin = story.lines.first().map_or(time::UNIX_EPOCH, |line| line.entry.time);
     let mut table = table::open(&["after", "process", "level", "what", "on what"]);
+    table.load_preset(presets::NOTHING);
     for line in &story.lines {
         let after = line.entry.time.duration_since(begin).unwrap_or_default();
         table.add_row([
--- a/crates/gateway/src/duty/follow.rs
+++ b/crates/gateway/src/duty/follow.rs
@@ -21,6 +21,10 @@
 /// Longest wait of a call for changes. A connection that has fallen silent is noticed after it.
 const WAIT: time::Duration = time::Duration::from_secs(2);
 
+/// Longest wait of the coordinator, so that its answers confirm the facts of all nodes within
+/// [`RECENT`].
+const LEADING_WAIT: time::Duration = time::Duration::from_millis(500);
+
 /// Longest wait while removals are held back, so that they are settled in time.
 const SETTLING_WAIT: time::Duration = time::Duration::from_millis(500);
 
@@ -221,7 +225,11 @@
             () = self.take_over() => return Ok(()),
         };
         let (at, number) = (facts.at, facts.changes.len());
-        self.tables.catalog.lock().replace(facts, asked);
+        {
+            let mut catalog = self.tables.catalog.lock();
+            catalog.replace(facts, asked);
+            catalog.asked(self.identity.boot, asked);
+        }
         log::info!(revision = at, facts = number; "config: all facts were read");
         Ok(())
     }
@@ -229,16 +237,27 @@
     async fn follow(&self) -> source::Result<()> {
         let (after, wait) = {
             let catalog = self.tables.catalog.lock();
-            (catalog.at(), if catalog.is_holding() { SETTLING_WAIT } else { WAIT })
+            let wait = if catalog.is_holding() {
+                SETTLING_WAIT
+            } else if self.leads() {
+                LEADING_WAIT
+            } else {
+                WAIT
+            };
+            (catalog.at(), wait)
         };
         let changes = self.source.changes(after, wait).await?;
         // An answer says that nothing else had changed when it was made.
         let answered = self.host.now();
-        if changes.changes.is_empty() {
-            self.tables.catalog.lock().apply(changes, answered);
+        let is_same = changes.changes.is_empty();
+        {
+            let mut catalog = self.tables.catalog.lock();
+            catalog.apply(changes.clone(), answered);
+            catalog.asked(self.identity.boot, answered);
+        }
+        if is_same {
             return Ok(());
         }
-        self.tables.catalog.lock().apply(changes.clone(), answered);
         self.mesh.spread_changes(after, &changes.changes, answered);
         tokio::time::sleep(PACE).await;
         Ok(())
--- a/crates/gateway/src/mesh/compose.rs
+++ b/crates/gateway/src/mesh/compose.rs
@@ -79,9 +79,9 @@
     }
 
     fn datagram(&self, draining: bool, now: moment::Moment) -> mesh::Datagram {
-        let (revision, heard) = {
+        let (revision, heard, stamp) = {
             let catalog = self.tables.catalog.lock();
-            (catalog.at(), catalog.heard())
+            (catalog.at(), catalog.heard(), catalog.stamp())
         };
         let origin = mesh::Origin {
             node: self.identity.node.to_string(),
@@ -92,7 +92,7 @@
             draining,
         };
         let age = heard.map_or(u32::MAX, |heard| millis(now.since(heard)));
-        mesh::Datagram { origin: Some(origin), revision, age, ..mesh::Datagram::default() }
+        mesh::Datagram { origin: Some(origin), revision, age, stamp, ..mesh::Datagram::default() }
     }
 
     fn stalls(
--- a/crates/gateway/src/mesh/take.rs
+++ b/crates/gateway/src/mesh/take.rs
@@ -59,10 +59,11 @@
                 let changes = changes.into_iter().filter(|change| change.revision > from).collect();
                 let changes = Changes { at: datagram.revision, changes };
                 catalog.apply(changes, confirmed.unwrap_or(moment::Moment::ZERO));
-            } else if let Some(confirmed) = confirmed
+            }
+            if let (Some(confirmed), Some(stamp)) = (confirmed, datagram.stamp)
                 && datagram.revision == catalog.at()
             {
-                catalog.confirm(confirmed);
+                catalog.confirm(stamp, confirmed);
             }
             catalog.at()
         };
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -163,10 +163,13 @@
             && now < admitted.deadline;
         let is_wrong = matches!(failure.kind(), retry::Failure::Wrong);
         attempts.failure = Some(failure.to_string());
-        if allowed && self.may_retry(&admitted.service, now) {
-            return Ok(());
+        if !allowed {
+            return Err(refuse(attempts, admitted, End::Spent { is_wrong }, now));
         }
-        Err(refuse(attempts, admitted, is_wrong, now))
+        if !self.may_retry(&admitted.service, now) {
+            return Err(refuse(attempts, admitted, End::Budget { is_wrong }, now));
+        }
+        Ok(())
     }
 
     /// Whether a request that was sent at `sent`, and not answered, may have begun to run at an
@@ -182,14 +185,41 @@
     }
 }
 
+/// Why a request is not sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// No upstream takes it now.
+    Upstreams,
+    /// It may not be sent again, or has been sent as often as it may.
+    Spent {
+        /// Whether an upstream has given a wrong answer.
+        is_wrong: bool,
+    },
+    /// The retry budget is used up.
+    Budget {
+        /// Whether an upstream has given a wrong answer.
+        is_wrong: bool,
+    },
+}
+
 /// The answer to a request that is not sent again.
 pub(super) fn refuse(
     attempts: &Attempts,
     admitted: &Admitted,
-    is_wrong: bool,
+    end: End,
     now: moment::Moment,
 ) -> Refusal {
-    let message = attempts.failure.clone().unwrap_or_else(|| "no upstream can serve".to_owned());
+    let failure = attempts.failure.as_deref();
+    let (is_wrong, message) = match (end, failure) {
+        (End::Upstreams, None) => (false, "no upstream can serve".to_owned()),
+        (End::Upstreams, Some(failure)) => {
+            (false, format!("{failure}; no other upstream can serve"))
+        }
+        (End::Spent { is_wrong }, failure) => (is_wrong, failure.unwrap_or_default().to_owned()),
+        (End::Budget { is_wrong }, failure) => {
+            (is_wrong, format!("{}; the retry budget is used up", failure.unwrap_or_default()))
+        }
+    };
     let is_late = now >= admitted.deadline;
     if attempts.runs == 0 {
         let code = if is_late { Code::DeadlineExceeded } else { Code::Overloaded };
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -101,7 +101,7 @@
         let Some(mut target) =
             pipeline.choose(request, admitted, &attempts.tried, resumed.is_some(), now)
         else {
-            return Err(attempt::refuse(attempts, admitted, false, now));
+            return Err(attempt::refuse(attempts, admitted, attempt::End::Upstreams, now));
         };
         attempts.offer(&target, now);
         let limit = attempt::limit(admitted, attempts, now);
--- a/crates/gateway/src/pipeline/whole.rs
+++ b/crates/gateway/src/pipeline/whole.rs
@@ -46,7 +46,7 @@
     loop {
         let now = pipeline.now();
         let Some(target) = pipeline.choose(request, admitted, &attempts.tried, false, now) else {
-            return Err(attempt::refuse(attempts, admitted, false, now));
+            return Err(attempt::refuse(attempts, admitted, attempt::End::Upstreams, now));
         };
         attempts.offer(&target, now);
         let limit = attempt::limit(admitted, attempts, now);
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -1,12 +1,14 @@
 //! Facts of the platform: what is declared and what has registered itself.
 
 mod news;
+mod stamps;
 
 use std::{collections, sync, time};
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{deployment, fleet, id};
 use corneltrestle_time::moment;
+use corneltrestle_wire::mesh;
 use tokio::sync::Notify;
 
 use crate::source::{Change, Changes, Fact, Holder, Node, Subject};
@@ -22,6 +24,7 @@
     at: u64,
     /// When the source last confirmed the facts.
     heard: Option<moment::Moment>,
+    stamps: stamps::Stamps,
     /// When the source returned from its latest outage.
     returned: Option<moment::Moment>,
     /// Whether the source is out of reach.
@@ -136,9 +139,20 @@
         !std::mem::replace(&mut self.is_out, true)
     }
 
-    /// Notes that a peer knows the same facts and that the source confirmed them at `confirmed`.
-    pub fn confirm(&mut self, confirmed: moment::Moment) {
-        if self.heard.is_none_or(|heard| heard < confirmed) {
+    /// The confirmation of the source that [`Catalog::heard`] tells of, if it is known.
+    pub fn stamp(&self) -> Option<mesh::Stamp> {
+        self.stamps.latest()
+    }
+
+    /// Notes that the process `boot`, this one, got an answer of the source at `now`.
+    pub fn asked(&mut self, boot: u64, now: moment::Moment) {
+        self.stamps.take(mesh::Stamp { boot, number: now.as_micros() });
+    }
+
+    /// Notes that a peer knows the same facts, and that the source confirmed them at `confirmed`,
+    /// unless this confirmation was taken before.
+    pub fn confirm(&mut self, stamp: mesh::Stamp, confirmed: moment::Moment) {
+        if self.stamps.take(stamp) && self.heard.is_none_or(|heard| heard < confirmed) {
             self.hear(confirmed);
         }
     }
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -84,6 +84,35 @@
     assert_eq!(known(&catalog), ["a", "b"]);
 }
 
+/// Guards against facts that never grow old because nodes hand their age to and fro, each a little
+/// younger than it is.
+#[test]
+fn confirmation_counts_once() {
+    let mut catalog = catalog(&["a"]);
+    let stamp = |boot, number| mesh::Stamp { boot, number };
+    catalog.confirm(stamp(1, 5), at(100));
+    assert_eq!(catalog.heard(), Some(at(100)));
+    for late in 0..50 {
+        catalog.confirm(stamp(1, 5), at(110 + late * 10));
+        catalog.confirm(stamp(2, 9), at(50));
+        catalog.confirm(stamp(1, 4), at(115 + late * 10));
+    }
+    assert_eq!(catalog.heard(), Some(at(100)));
+    catalog.confirm(stamp(1, 6), at(700));
+    assert_eq!((catalog.heard(), catalog.stamp()), (Some(at(700)), Some(stamp(1, 6))));
+}
+
+/// Guards against an outage that counts as over because a peer repeats an old confirmation.
+#[test]
+fn outage_is_not_ended_by_an_old_confirmation() {
+    let mut catalog = catalog(&["a"]);
+    let stamp = mesh::Stamp { boot: 1, number: 5 };
+    catalog.confirm(stamp, at(100));
+    assert!(catalog.lose());
+    catalog.confirm(stamp, at(101));
+    assert!(catalog.is_out());
+}
+
 fn declared(revision: u64, version: u64) -> Change {
     let deployment = deployment::Deployment { version, ..deployment::Deployment::default() };
     let fact = Fact::Deployment(Box::new(deployment));
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -47,6 +47,21 @@
     /// Whether a receiver in another zone sends it on within its zone.
     #[prost(bool, tag = "8")]
     pub spreads: bool,
+    /// The confirmation of the facts by their source that `age` counts from.
+    #[prost(message, optional, tag = "9")]
+    pub stamp: Option<Stamp>,
+}
+
+/// A confirmation of facts by their source. It is taken once by each node: its age grows too little
+/// on each way, so that facts handed to and fro would never grow old.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Stamp {
+    /// Identifier of the process that asked the source.
+    #[prost(fixed64, tag = "1")]
+    pub boot: u64,
+    /// Grows with each confirmation that the process got.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
 }
 
 /// The node that tells something.
