mesh: let facts enter a zone through few nodes, and turn askers away when there are many

Ruled out: paused processes (two short pauses in the zone), the store (reached all the while). Change: two nodes of a zone ask other zones at once, two more after each 150 ms; the others ask nodes of their own zone that are ahead. A node hands on 1 MB a second and turns others away beyond that, so that they ask those that have the facts by then. Facts are encoded as in datagrams, in less space. The preference of strong nodes is gone. Test: facts::nodes_that_ask_at_once_are_turned_away_and_answered_later.

--- a/crates/gateway/src/duty/follow.rs
+++ b/crates/gateway/src/duty/follow.rs
@@ -38,6 +38,15 @@
 /// Longest wait before the source is asked again after a failure.
 const RETRY_MAX: time::Duration = time::Duration::from_millis(400);
 
+/// Nodes of a zone that ask other zones for facts at once.
+const FAR_ASKERS: u32 = 2;
+
+/// Time after which as many more nodes ask other zones.
+const FAR_WAIT: time::Duration = time::Duration::from_millis(150);
+
+/// Time between two looks at whether a node of the own zone has later facts by now.
+const FAR_LOOK: time::Duration = time::Duration::from_millis(40);
+
 /// Age of the facts up to which a node leaves following the source to others.
 const RECENT: time::Duration = time::Duration::from_millis(900);
 
@@ -149,16 +158,18 @@
     /// Whether the facts are so old that it is this node's turn to follow the source.
     fn is_turn(&self, now: moment::Moment) -> bool {
         let Some(heard) = self.tables.catalog.lock().heard() else { return true };
+        now.since(heard) >= RECENT + STAGGER * self.place(now)
+    }
+
+    /// Place of this node among the live ones of its zone, in an order that all of them know.
+    fn place(&self, now: moment::Moment) -> u32 {
         let own = self.identity.node.as_str();
-        let before = {
-            let peers = self.tables.peers.lock();
-            let weight =
-                |node: &str| (rank::weight(self.identity.zone.as_str(), node), node.to_owned());
-            let near = peers.live(now).filter(|(_, peer)| peer.is_near && !peer.draining);
-            near.filter(|(node, _)| weight(node.as_str()) < weight(own)).count()
-        };
-        let turn = RECENT + STAGGER * u32::try_from(before).unwrap_or(u32::MAX);
-        now.since(heard) >= turn
+        let weight =
+            |node: &str| (rank::weight(self.identity.zone.as_str(), node), node.to_owned());
+        let peers = self.tables.peers.lock();
+        let near = peers.live(now).filter(|(_, peer)| peer.is_near && !peer.draining);
+        let before = near.filter(|(node, _)| weight(node.as_str()) < weight(own)).count();
+        u32::try_from(before).unwrap_or(u32::MAX)
     }
 
     /// Waits until a peer knows later facts, and takes them over.
@@ -172,21 +183,32 @@
         }
     }
 
-    /// Waits until a peer knows later facts.
+    /// Waits until a peer knows later facts that this node may ask for.
+    ///
+    /// Facts enter a zone through a few of its nodes; the others ask those of their zone, so that no
+    /// node is asked by all.
     async fn ahead(&self) -> peers::Peer {
+        let mut waits = None;
         loop {
             let now = self.host.now();
-            let snapshot = self.tables.current.load();
             let known = self.tables.catalog.lock().at();
-            let ahead = {
-                let is_strong = |node: &str| snapshot.is_strong(node, None);
-                let peers = self.tables.peers.lock();
-                peers.ahead(known, is_strong, now, &mut rand::rng()).cloned()
+            let (near, far) = {
+                let (peers, mut rng) = (self.tables.peers.lock(), rand::rng());
+                let near = peers.ahead(known, true, now, &mut rng).cloned();
+                (near, peers.ahead(known, false, now, &mut rng).cloned())
             };
-            drop(snapshot);
-            if let Some(peer) = ahead {
-                return peer;
+            if let Some(near) = near {
+                return near;
+            }
+            if let Some(far) = far {
+                let since = *waits.get_or_insert(now);
+                if now.since(since) >= FAR_WAIT * (self.place(now) / FAR_ASKERS) {
+                    return far;
+                }
+                let _ = tokio::time::timeout(FAR_LOOK, self.mesh.behind()).await;
+                continue;
             }
+            waits = None;
             self.mesh.behind().await;
             // The changes themselves may be on their way.
             let wait = rand::rng().random_range(DELTA_WAIT);
--- a/crates/gateway/src/mesh/facts.rs
+++ b/crates/gateway/src/mesh/facts.rs
@@ -1,6 +1,10 @@
 //! Facts that nodes hand on to each other.
 
-use std::{io, net, sync, time};
+use std::{
+    io, net,
+    sync::{self, atomic},
+    time,
+};
 
 use corneltrestle_kernel::{clock, host};
 use corneltrestle_rpc::{self as rpc, incoming};
@@ -23,6 +27,13 @@
 /// Longest time to connect.
 const CONNECT: time::Duration = time::Duration::from_millis(300);
 
+/// Bytes a second that a node hands on: less than half of a slow link. Peers that ask for more are
+/// turned away, and ask one of those that have the facts by then.
+const RATE: f64 = 1_000_000.0;
+
+/// Time for which answers may be ahead of the rate.
+const BURST: time::Duration = time::Duration::from_millis(100);
+
 /// Calls in progress on one connection.
 const MAX_CALLS: u32 = 32;
 
@@ -59,7 +70,7 @@
         let changes = if reply.changes.is_empty() {
             Vec::new()
         } else {
-            serde_json::from_slice(&reply.changes).map_err(|e| rpc::Error::Failed {
+            postcard::from_bytes(&reply.changes).map_err(|e| rpc::Error::Failed {
                 step: "facts",
                 peer,
                 cause: e.to_string(),
@@ -85,8 +96,9 @@
     stop: CancellationToken,
 ) -> io::Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
-    let service = generated::mesh_server::MeshServer::new(Service { host })
-        .max_encoding_message_size(MAX_BYTES);
+    let service =
+        generated::mesh_server::MeshServer::new(Service { host, sent: atomic::AtomicU64::new(0) })
+            .max_encoding_message_size(MAX_BYTES);
     transport::Server::builder()
         .max_concurrent_streams(MAX_CALLS)
         .add_service(service)
@@ -97,6 +109,21 @@
 
 struct Service {
     host: sync::Arc<host::Host>,
+    /// When the answers so far will have been sent at the rate, in microseconds.
+    sent: atomic::AtomicU64,
+}
+
+impl Service {
+    /// Whether another answer may be given now.
+    fn has_room(&self, now: moment::Moment) -> bool {
+        self.sent.load(atomic::Ordering::Relaxed) <= (now + BURST).as_micros()
+    }
+
+    fn count(&self, bytes: usize, now: moment::Moment) {
+        let span = (bytes as f64 / RATE * 1e6) as u64;
+        let next = |sent: u64| Some(sent.max(now.as_micros()) + span);
+        let _ = self.sent.fetch_update(atomic::Ordering::Relaxed, atomic::Ordering::Relaxed, next);
+    }
 }
 
 #[async_trait]
@@ -105,15 +132,19 @@
         &self,
         request: tonic::Request<generated::FactsRequest>,
     ) -> Result<tonic::Response<generated::FactsReply>, tonic::Status> {
+        if !self.has_room(self.host.now()) {
+            return Err(tonic::Status::resource_exhausted("other nodes are given facts"));
+        }
         let catalog = self.host.table::<catalog::Catalog>();
         let excerpt = catalog.lock().excerpt(request.into_inner().after);
         let now = self.host.now();
         let changes = if excerpt.changes.changes.is_empty() {
             Vec::new()
         } else {
-            serde_json::to_vec(&excerpt.changes.changes)
+            postcard::to_allocvec(&excerpt.changes.changes)
                 .map_err(|e| tonic::Status::internal(e.to_string()))?
         };
+        self.count(changes.len(), now);
         Ok(tonic::Response::new(generated::FactsReply {
             at: excerpt.changes.at,
             age: excerpt.confirmed.map_or(u32::MAX, |confirmed| millis(now.since(confirmed))),
--- a/crates/gateway/src/tables/peers.rs
+++ b/crates/gateway/src/tables/peers.rs
@@ -67,19 +67,17 @@
         self.heard.iter().filter(move |(_, peer)| now.since(peer.at) < LIVE)
     }
 
-    /// A live node that knows later facts than those of a revision, drawn at random: one of the own
-    /// zone, if there is one, and one that is strong, if there is one.
+    /// A live node of the own zone, or of the others, that knows later facts than those of a
+    /// revision, drawn at random.
     pub fn ahead(
         &self,
         revision: u64,
-        is_strong: impl Fn(&str) -> bool,
+        is_near: bool,
         now: moment::Moment,
         rng: &mut impl Rng,
     ) -> Option<&Peer> {
-        let rank = |node: &id::Node, peer: &Peer| (peer.is_near, is_strong(node.as_str()));
-        let ahead = || self.live(now).filter(|(_, peer)| peer.revision > revision);
-        let best = ahead().map(|(node, peer)| rank(node, peer)).max()?;
-        ahead().filter(|(node, peer)| rank(node, peer) == best).map(|(_, peer)| peer).choose(rng)
+        let ahead = self.live(now).map(|(_, peer)| peer);
+        ahead.filter(|peer| peer.is_near == is_near && peer.revision > revision).choose(rng)
     }
 
     /// Forgets nodes that have not been heard of for long.
--- /dev/null
+++ b/crates/gateway/tests/facts.rs
@@ -0,0 +1,99 @@
+//! Guards against a node that is asked for facts by all others at once and answers none in time.
+
+use std::{collections, net, sync, time::Duration};
+
+use corneltrestle_gateway::{
+    mesh::{self, Facts},
+    source::{Change, Changes, Fact, Subject},
+    tables,
+};
+use corneltrestle_kernel::{host, pool, settings};
+use corneltrestle_policy::upstream;
+use tokio_util::sync::CancellationToken;
+
+/// Upstreams whose registrations are about as large as those of a large deployment.
+const UPSTREAMS: u64 = 900;
+
+fn host() -> sync::Arc<host::Host> {
+    let settings = settings::Settings::parse("test", "", &[]).expect("no settings");
+    host::Host::open(settings, pool::Pool::attach(tokio::runtime::Handle::current()))
+}
+
+fn registered(number: u64) -> Change {
+    let id = format!("vm-{number}-of-a-large-deployment");
+    let upstream = upstream::Upstream {
+        id: id.as_str().into(),
+        service: "models-of-a-large-deployment".into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: "zone-1".into(),
+        version: "version-1".to_owned(),
+        slots: 30,
+        state: upstream::State::Ready,
+        cold: Duration::ZERO,
+        born: 1_700_000_000_000 + number,
+        engine: Some(upstream::Engine {
+            fabric: Some("a-fabric-domain".into()),
+            staged: vec!["model-1".into()],
+            ..upstream::Engine::default()
+        }),
+    };
+    let fact = Fact::Upstream(sync::Arc::new(upstream));
+    Change { revision: number, subject: Subject::Upstream(id.as_str().into()), fact: Some(fact) }
+}
+
+/// A node that knows all upstreams; returns its address.
+fn serve(stop: &CancellationToken) -> net::SocketAddr {
+    let host = host();
+    let changes = (1..=UPSTREAMS).map(registered).collect();
+    let tables = tables::Tables::of(&host);
+    tables.catalog.lock().replace(Changes { at: UPSTREAMS, changes }, host.now());
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    listener.set_nonblocking(true).expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(mesh::serve(listener, host, stop.clone()));
+    address
+}
+
+#[tokio::test]
+async fn nodes_that_ask_at_once_are_turned_away_and_answered_later() {
+    let stop = CancellationToken::new();
+    let address = serve(&stop);
+    let mut waiting = tokio::task::JoinSet::new();
+    for _ in 0..24 {
+        waiting.spawn(async move {
+            let (host, mut turned) = (host(), 0);
+            let facts = Facts::open(&host);
+            loop {
+                let asked = tokio::time::Instant::now();
+                match facts.fetch(address, 0, host.now()).await {
+                    Ok(excerpt) => return (excerpt.changes.changes.len(), turned),
+                    Err(_) => {
+                        assert!(asked.elapsed() < Duration::from_millis(500), "a slow refusal");
+                        turned += 1;
+                        tokio::time::sleep(Duration::from_millis(50)).await;
+                    }
+                }
+            }
+        });
+    }
+    let answered = tokio::time::timeout(Duration::from_secs(20), waiting.join_all());
+    let answered = answered.await.expect("all are answered in the end");
+    assert!(answered.iter().all(|(number, _)| *number as u64 == UPSTREAMS));
+    assert!(answered.iter().any(|(_, turned)| *turned > 0), "nobody was turned away");
+    stop.cancel();
+}
+
+#[tokio::test]
+async fn small_changes_are_given_to_all_at_once() {
+    let stop = CancellationToken::new();
+    let address = serve(&stop);
+    let host = host();
+    let facts = Facts::open(&host);
+    let mut seen = collections::BTreeSet::new();
+    for _ in 0..24 {
+        let excerpt = facts.fetch(address, UPSTREAMS, host.now()).await.expect("an answer");
+        seen.insert(excerpt.changes.at);
+    }
+    assert_eq!(seen, [UPSTREAMS].into());
+    stop.cancel();
+}
