Remove unused functions and repeated work

The place of the node among all nodes was counted for each cold candidate of a request; it is counted once, and only if an upstream is cold. Pacing::take and fleet::round_trip had no caller but tests. The live nodes of the own zone are listed in one place.

--- a/crates/gateway/src/duty/follow.rs
+++ b/crates/gateway/src/duty/follow.rs
@@ -7,7 +7,7 @@
 
 use corneltrestle_infra::store;
 use corneltrestle_kernel::{host, plugin, run};
-use corneltrestle_policy::{rank, retry};
+use corneltrestle_policy::{id, rank, retry};
 use corneltrestle_time::moment;
 use rand::Rng;
 
@@ -167,8 +167,8 @@
         let weight =
             |node: &str| (rank::weight(self.identity.zone.as_str(), node), node.to_owned());
         let peers = self.tables.peers.lock();
-        let near = peers.live(now).filter(|(_, peer)| peer.is_near && !peer.draining);
-        let before = near.filter(|(node, _)| weight(node.as_str()) < weight(own)).count();
+        let near = peers.near(now).map(id::Node::as_str);
+        let before = near.filter(|node| weight(node) < weight(own)).count();
         u32::try_from(before).unwrap_or(u32::MAX)
     }
 
@@ -192,15 +192,14 @@
         loop {
             let now = self.host.now();
             let known = self.tables.catalog.lock().at();
-            let (near, far) = {
-                let (peers, mut rng) = (self.tables.peers.lock(), rand::rng());
-                let near = peers.ahead(known, true, now, &mut rng).cloned();
-                (near, peers.ahead(known, false, now, &mut rng).cloned())
+            let ahead = |is_near| {
+                let peers = self.tables.peers.lock();
+                peers.ahead(known, is_near, now, &mut rand::rng()).cloned()
             };
-            if let Some(near) = near {
+            if let Some(near) = ahead(true) {
                 return near;
             }
-            if let Some(far) = far {
+            if let Some(far) = ahead(false) {
                 let since = *waits.get_or_insert(now);
                 if now.since(since) >= FAR_WAIT * (self.place(now) / FAR_ASKERS) {
                     return far;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -14,7 +14,7 @@
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 use rand::seq::IndexedRandom;
-use tokio::{net::UdpSocket, sync::Notify};
+use tokio::net::UdpSocket;
 
 use crate::{
     identity,
@@ -40,9 +40,9 @@
     socket: UdpSocket,
     sequence: sync::atomic::AtomicU64,
     /// Notified when a datagram waits in the outbox.
-    urgent: Notify,
+    urgent: tokio::sync::Notify,
     /// Notified when a peer knows later facts.
-    behind: Notify,
+    behind: tokio::sync::Notify,
 }
 
 impl Mesh {
@@ -59,7 +59,7 @@
         socket.set_nonblocking(true)?;
         let socket = UdpSocket::from_std(socket)?;
         let sequence = sync::atomic::AtomicU64::new(1);
-        let (urgent, behind) = (Notify::new(), Notify::new());
+        let (urgent, behind) = (tokio::sync::Notify::new(), tokio::sync::Notify::new());
         Ok(sync::Arc::new(Self { identity, tables, socket, sequence, urgent, behind }))
     }
 
@@ -152,7 +152,6 @@
         };
         let own = key(self.identity.node.as_str());
         let peers = self.tables.peers.lock();
-        let mut near = peers.live(now).filter(|(_, peer)| peer.is_near && !peer.draining);
-        near.all(|(node, _)| own < key(node.as_str()))
+        peers.near(now).all(|node| own < key(node.as_str()))
     }
 }
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -3,15 +3,14 @@
 use std::{collections, net, sync, time};
 
 use corneltrestle_kernel::table;
-use corneltrestle_policy::{cost, deployment, fleet, id, upstream as registered};
+use corneltrestle_policy::{cost, deployment, fleet, id, pacing, upstream as registered};
 use corneltrestle_time::moment;
 use rand::Rng;
-use tokio::sync::Notify;
 
 use super::{Pipeline, admit::Admitted};
 use crate::{
     request,
-    tables::{activity, catalog, pacing, stalls},
+    tables::{activity, catalog, stalls},
     upstream::Caller,
 };
 
@@ -51,7 +50,7 @@
     /// The work as which the request counts.
     work: cost::Work,
     is_stream: bool,
-    stalled: sync::Arc<Notify>,
+    stalled: sync::Arc<tokio::sync::Notify>,
 }
 
 impl InProgress {
@@ -115,9 +114,12 @@
             candidate.time += admitted.route.objective.mul_f64(rate * FAILURE_PENALTY);
         }
         let mut pacing = self.tables.pacing.lock();
-        found.retain(|candidate| {
-            self.is_bearable(&snapshot, admitted, &pacing, candidate.upstream, now)
-        });
+        if !snapshot.cold.is_empty() {
+            let place = self.place(&snapshot);
+            found.retain(|candidate| {
+                is_bearable(&snapshot, admitted, &pacing.sent, candidate.upstream, place, now)
+            });
+        }
         found.retain(|candidate| !tried.contains(&candidate.upstream.id));
         let Candidate { upstream: chosen, time: predicted } = least(&found)?;
         if snapshot.cold.contains_key(&chosen.id) {
@@ -206,27 +208,13 @@
             && admitted.allows(self.identity.region(upstream.zone.as_str()))
     }
 
-    /// Whether an upstream bears another request of this node now, or is not cold.
-    fn is_bearable(
-        &self,
-        snapshot: &catalog::Snapshot,
-        admitted: &Admitted,
-        pacing: &pacing::Pacing,
-        upstream: &registered::Upstream,
-        now: moment::Moment,
-    ) -> bool {
-        let Some(until) = snapshot.cold.get(&upstream.id).filter(|until| now < **until) else {
-            return true;
-        };
-        let service = admitted.deployment.services.get(&admitted.service);
+    /// The place of this node among all nodes.
+    fn place(&self, snapshot: &catalog::Snapshot) -> pacing::Place {
         let own = self.identity.node.as_str();
-        let place = corneltrestle_policy::pacing::Place {
+        pacing::Place {
             number: snapshot.nodes.keys().take_while(|node| node.as_str() < own).count(),
             nodes: snapshot.nodes.len(),
-        };
-        service.is_none_or(|service| {
-            pacing.sent.allows(&upstream.id, &service.cold, place, *until, now)
-        })
+        }
     }
 
     fn distance(&self, zone: &id::Zone) -> time::Duration {
@@ -234,6 +222,22 @@
     }
 }
 
+/// Whether an upstream bears another request of the node at `place` now, or is not cold.
+fn is_bearable(
+    snapshot: &catalog::Snapshot,
+    admitted: &Admitted,
+    sent: &pacing::Pacing,
+    upstream: &registered::Upstream,
+    place: pacing::Place,
+    now: moment::Moment,
+) -> bool {
+    let Some(until) = snapshot.cold.get(&upstream.id).filter(|until| now < **until) else {
+        return true;
+    };
+    let service = admitted.deployment.services.get(&admitted.service);
+    service.is_none_or(|service| sent.allows(&upstream.id, &service.cold, place, *until, now))
+}
+
 /// One of the candidates with the least predicted time, at random.
 fn least<'c, 'a>(found: &'c [Candidate<'a>]) -> Option<&'c Candidate<'a>> {
     let least = found.iter().map(|candidate| candidate.time).min()?;
--- a/crates/gateway/src/tables/peers.rs
+++ b/crates/gateway/src/tables/peers.rs
@@ -67,6 +67,12 @@
         self.heard.iter().filter(move |(_, peer)| now.since(peer.at) < LIVE)
     }
 
+    /// Live nodes of the own zone that do not stop.
+    pub fn near(&self, now: moment::Moment) -> impl Iterator<Item = &id::Node> {
+        let near = self.live(now).filter(|(_, peer)| peer.is_near && !peer.draining);
+        near.map(|(node, _)| node)
+    }
+
     /// A live node of the own zone, or of the others, that knows later facts than those of a
     /// revision, drawn at random.
     pub fn ahead(
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -2,7 +2,7 @@
 
 mod group;
 
-use std::{collections, sync, time};
+use std::{collections, sync};
 
 pub use group::Group;
 
@@ -118,8 +118,3 @@
         if group.is_far { pace * engine.far } else { pace }
     }
 }
-
-/// The delay of a call to another availability zone and back.
-pub fn round_trip(from: &id::Zone, to: &id::Zone, between: time::Duration) -> time::Duration {
-    if from == to { time::Duration::ZERO } else { between * 2 }
-}
--- a/crates/policy/src/pacing.rs
+++ b/crates/policy/src/pacing.rs
@@ -38,8 +38,11 @@
 /// let cold = deployment::Cold { span: std::time::Duration::from_secs(3), rate: 10.0 };
 /// let (mut pacing, now) = (pacing::Pacing::default(), Moment::from_millis(1));
 /// let (place, until) = (pacing::Place { number: 0, nodes: 4 }, Moment::from_millis(3_001));
-/// assert!((0..2).all(|_| pacing.take(&"vm-1".into(), &cold, place, until, now)));
-/// assert!(!pacing.take(&"vm-1".into(), &cold, place, until, now));
+/// for _ in 0..2 {
+///     assert!(pacing.allows(&"vm-1".into(), &cold, place, until, now));
+///     pacing.count(&"vm-1".into(), now);
+/// }
+/// assert!(!pacing.allows(&"vm-1".into(), &cold, place, until, now));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Pacing {
@@ -73,22 +76,6 @@
         self.sent.get(upstream).map_or(0, recent) < share.max(1)
     }
 
-    /// As [`Pacing::allows`], and counts the request if it may be sent.
-    pub fn take(
-        &mut self,
-        upstream: &id::Vm,
-        cold: &deployment::Cold,
-        place: Place,
-        until: moment::Moment,
-        now: moment::Moment,
-    ) -> bool {
-        let allowed = self.allows(upstream, cold, place, until, now);
-        if allowed {
-            self.count(upstream, now);
-        }
-        allowed
-    }
-
     /// Counts a request to an upstream.
     pub fn count(&mut self, upstream: &id::Vm, now: moment::Moment) {
         let sent = self.sent.entry(upstream.clone()).or_default();
--- a/crates/policy/tests/fleet_budget.rs
+++ b/crates/policy/tests/fleet_budget.rs
@@ -92,6 +92,22 @@
     });
 }
 
+/// Sends a request to a cold upstream, if the node may.
+fn send(
+    pacing: &mut pacing::Pacing,
+    cold: &deployment::Cold,
+    place: pacing::Place,
+    until: Moment,
+    now: Moment,
+) -> bool {
+    let vm = "vm-1".into();
+    let allowed = pacing.allows(&vm, cold, place, until, now);
+    if allowed {
+        pacing.count(&vm, now);
+    }
+    allowed
+}
+
 /// Requests that all nodes send to a cold upstream, each as often as it may, by time; a node learns
 /// of the upstream up to `skew` milliseconds after it has started.
 fn sent_to_cold(nodes: usize, cold: &deployment::Cold, skew: u64) -> Vec<Moment> {
@@ -103,7 +119,7 @@
             let late = Duration::from_millis(number as u64 * 37 % (skew + 1));
             let until = Moment::from_millis(4_000) + late;
             let place = pacing::Place { number, nodes };
-            if pacing.take(&"vm-1".into(), cold, place, until, now) {
+            if send(pacing, cold, place, until, now) {
                 sent.push(now);
             }
         }
@@ -152,6 +168,6 @@
         let mut pacing = pacing::Pacing::default();
         let until = Moment::from_millis(9_000);
         let mut moments = (0..80).map(|step| Moment::from_millis(1_000 + step * 100));
-        assert!(moments.any(|now| pacing.take(&"vm-1".into(), &cold, place, until, now)));
+        assert!(moments.any(|now| send(&mut pacing, &cold, place, until, now)));
     }
 }
