gateway: log values that cannot be encoded, and encode changes once

Changes were encoded anew for each number of them that might fit into a datagram. An encoding that failed gave an empty value, or no datagram, without a word. Imports name modules.

--- a/crates/gateway/src/duty/coordinate/lease.rs
+++ b/crates/gateway/src/duty/coordinate/lease.rs
@@ -6,9 +6,8 @@
 use corneltrestle_policy::{formation, lease};
 use corneltrestle_time::moment;
 
-use super::Coordinator;
 use crate::{
-    source::{Holder, Source},
+    source::{self, Holder, Source},
     upstream::Caller,
 };
 
@@ -36,7 +35,7 @@
     resumed: Option<moment::Moment>,
 }
 
-impl<S: Store + Source, C: Caller> Coordinator<S, C> {
+impl<S: Store + Source, C: Caller> super::Coordinator<S, C> {
     /// Whether this node may act as the coordinator.
     pub(super) fn holds(&self, now: moment::Moment) -> bool {
         let valid = self.tables.coordinator.lock().valid;
@@ -130,7 +129,7 @@
         let sent = self.host.now();
         let id = self.store.grant(TTL, Class::Lease).await?;
         let holder = Holder { node: self.identity.node.clone(), boot: self.identity.boot };
-        let value = serde_json::to_vec(&holder).unwrap_or_default();
+        let value = source::encode("coordinate", &holder)?;
         let key = S::coordinator_key();
         let token = match self.store.swap(key, 0, &value, Some(id), Class::Lease).await {
             Ok(Swap::Done(revision)) => revision,
--- a/crates/gateway/src/duty/coordinate/orders.rs
+++ b/crates/gateway/src/duty/coordinate/orders.rs
@@ -4,7 +4,6 @@
 
 use corneltrestle_policy::formation;
 
-use super::Coordinator;
 use crate::{
     source::Source,
     upstream::{self, Caller, Command, Outcome},
@@ -14,7 +13,7 @@
 /// Longest time for the answer to an order.
 const LIMIT: time::Duration = time::Duration::from_millis(400);
 
-impl<S: Store + Source, C: Caller> Coordinator<S, C> {
+impl<S: Store + Source, C: Caller> super::Coordinator<S, C> {
     /// Gives an order in a job of its own, so that a VM that does not answer delays none.
     pub(super) fn order(self: &sync::Arc<Self>, step: formation::Step) {
         let token = {
--- a/crates/gateway/src/duty/coordinate/probe.rs
+++ b/crates/gateway/src/duty/coordinate/probe.rs
@@ -7,7 +7,6 @@
 use corneltrestle_time::moment;
 use futures_util::future;
 
-use super::Coordinator;
 use crate::{
     source::Source,
     tables::{catalog, coordinator, stalls},
@@ -23,7 +22,7 @@
 /// Time between two probes of a group that stands still, or of a VM that is lost.
 const PERIOD: time::Duration = time::Duration::from_millis(500);
 
-impl<S: Store + Source, C: Caller> Coordinator<S, C> {
+impl<S: Store + Source, C: Caller> super::Coordinator<S, C> {
     /// Probes the members of groups that stand still, and VMs that are lost or did not answer.
     pub(super) fn probe(self: &sync::Arc<Self>, now: moment::Moment) {
         let snapshot = self.tables.current.load_full();
--- a/crates/gateway/src/duty/register.rs
+++ b/crates/gateway/src/duty/register.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     identity,
-    source::{Node, Source},
+    source::{self, Node, Source},
 };
 
 /// Time to live of the registration.
@@ -24,7 +24,7 @@
 struct Registrar<S> {
     store: sync::Arc<S>,
     key: String,
-    value: Vec<u8>,
+    node: Node,
 }
 
 /// Opens the duty.
@@ -40,11 +40,7 @@
         boot: identity.boot,
         memory: identity.memory,
     };
-    let registrar = Registrar::<S> {
-        store: host.port()?,
-        key: S::node_key(&identity.node),
-        value: serde_json::to_vec(&node).unwrap_or_default(),
-    };
+    let registrar = Registrar::<S> { store: host.port()?, key: S::node_key(&identity.node), node };
     let handle = plugin::Handle::default();
     handle.run_until_stop(&host.pool, registrar.run());
     Ok(handle)
@@ -75,11 +71,12 @@
     }
 
     async fn register(&self) -> store::Result<LeaseId> {
+        let value = source::encode("register", &self.node)?;
         let lease = self.store.grant(TTL, Class::Lease).await?;
         let mut version = 0;
         // An earlier process of this node may have left its entry.
         while let store::Swap::Conflict(present) =
-            self.store.swap(&self.key, version, &self.value, Some(lease), Class::Lease).await?
+            self.store.swap(&self.key, version, &value, Some(lease), Class::Lease).await?
         {
             version = present.map_or(0, |present| present.version);
         }
--- a/crates/gateway/src/mesh/compose.rs
+++ b/crates/gateway/src/mesh/compose.rs
@@ -5,13 +5,12 @@
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 
-use super::Mesh;
 use crate::{
     source::Change,
     tables::{activity::millis, outbox::Reach, stalls},
 };
 
-impl Mesh {
+impl super::Mesh {
     /// What this node tells those of its zone.
     pub(crate) fn pulse(&self, draining: bool, now: moment::Moment) -> Vec<u8> {
         let load = mesh::Load {
@@ -112,6 +111,9 @@
     mesh::Stall { upstream: upstream.to_owned(), epoch: stall.epoch, age, quiet }
 }
 
+/// Most bytes of the number of changes at the begin of a part: far fewer than 16,384 fit into one.
+const LENGTH_BYTES: usize = 2;
+
 /// Changes for one datagram.
 struct Part {
     bytes: Vec<u8>,
@@ -121,19 +123,32 @@
 
 /// Divides changes over datagrams; none if one of them does not fit.
 fn parts(changes: &[Change]) -> Vec<Part> {
+    try_parts(changes).unwrap_or_else(|e| {
+        log::warn!("mesh: changes cannot be encoded: {e}");
+        Vec::new()
+    })
+}
+
+fn try_parts(changes: &[Change]) -> postcard::Result<Vec<Part>> {
+    let sizes: Vec<usize> = changes
+        .iter()
+        .map(|change| postcard::to_stdvec(change).map(|bytes| bytes.len()))
+        .collect::<postcard::Result<_>>()?;
     let mut parts = Vec::new();
-    let mut rest = changes;
-    while !rest.is_empty() {
-        let fits = |number: &usize| {
-            postcard::to_stdvec(&rest[..*number])
-                .is_ok_and(|bytes| bytes.len() <= mesh::MAX_DELTA_BYTES)
+    let mut first = 0;
+    while first < changes.len() {
+        let mut size = LENGTH_BYTES;
+        let fits = |next: &&usize| {
+            size += **next;
+            size <= mesh::MAX_DELTA_BYTES
         };
-        let Some(number) = (1..=rest.len()).take_while(fits).last() else { return Vec::new() };
-        let Ok(bytes) = postcard::to_stdvec(&rest[..number]) else { return Vec::new() };
-        let is_last = number == rest.len();
-        let revision = (!is_last).then(|| rest[number - 1].revision);
-        parts.push(Part { bytes, revision });
-        rest = &rest[number..];
+        let last = first + sizes[first..].iter().take_while(fits).count();
+        if last == first {
+            return Ok(Vec::new());
+        }
+        let revision = (last < changes.len()).then(|| changes[last - 1].revision);
+        parts.push(Part { bytes: postcard::to_stdvec(&changes[first..last])?, revision });
+        first = last;
     }
-    parts
+    Ok(parts)
 }
--- a/crates/gateway/src/mesh/facts.rs
+++ b/crates/gateway/src/mesh/facts.rs
@@ -10,7 +10,6 @@
 use corneltrestle_rpc::{self as rpc, incoming};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh::generated;
-use tokio_util::sync::CancellationToken;
 use tonic::{async_trait, transport};
 
 use crate::{
@@ -93,7 +92,7 @@
 pub async fn serve(
     listener: net::TcpListener,
     host: sync::Arc<host::Host>,
-    stop: CancellationToken,
+    stop: tokio_util::sync::CancellationToken,
 ) -> io::Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let service =
--- a/crates/gateway/src/mesh/take.rs
+++ b/crates/gateway/src/mesh/take.rs
@@ -6,13 +6,12 @@
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 
-use super::Mesh;
 use crate::{
     source::{Change, Changes},
     tables::{outbox::Reach, peers, stalls},
 };
 
-impl Mesh {
+impl super::Mesh {
     /// Takes what another node tells; `bytes` are its datagram.
     pub(crate) fn take(&self, datagram: &mesh::Datagram, bytes: &[u8], now: moment::Moment) {
         let Some(origin) = &datagram.origin else { return };
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -111,3 +111,13 @@
     /// Key of the coordinator's lease; its value is the JSON form of [`Holder`].
     fn coordinator_key() -> &'static str;
 }
+
+/// The form in which a value of this system is stored.
+pub(crate) fn encode(step: &'static str, value: &impl serde::Serialize) -> Result<Vec<u8>> {
+    serde_json::to_vec(value).map_err(|e| store::Error {
+        kind: store::Kind::NotSent,
+        step,
+        peer: "this node".to_owned(),
+        cause: e.to_string(),
+    })
+}
--- a/crates/gateway/src/tables/activity.rs
+++ b/crates/gateway/src/tables/activity.rs
@@ -6,7 +6,6 @@
 use corneltrestle_policy::{cost, id};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
-use tokio::sync::Notify;
 
 /// Part of the unread tokens that a peer told of which are taken as still unread: they are read
 /// while its pulse is on its way.
@@ -35,7 +34,7 @@
     /// Latest event of any of them.
     progress: moment::Moment,
     /// Notified when the upstream is found to stand still.
-    stalled: sync::Arc<Notify>,
+    stalled: sync::Arc<tokio::sync::Notify>,
 }
 
 /// The latest rows of a peer, or of another zone.
@@ -98,7 +97,7 @@
         upstream: &id::Vm,
         work: &cost::Work,
         now: moment::Moment,
-    ) -> sync::Arc<Notify> {
+    ) -> sync::Arc<tokio::sync::Notify> {
         self.begun = true;
         let own = self.own.entry(upstream.clone()).or_insert_with(|| Own {
             work: cost::Work::default(),
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -9,7 +9,6 @@
 use corneltrestle_policy::{deployment, fleet, id};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
-use tokio::sync::Notify;
 
 use crate::source::{Change, Changes, Fact, Holder, Node, Subject};
 
@@ -32,7 +31,7 @@
     /// Upstreams whose removal is held back.
     held: collections::BTreeSet<Subject>,
     current: Current,
-    changed: sync::Arc<Notify>,
+    changed: sync::Arc<tokio::sync::Notify>,
     /// The latest changes, in order, for peers that lack them.
     log: collections::VecDeque<Change>,
     /// Revision after which the log holds all changes.
@@ -110,7 +109,7 @@
     }
 
     /// Notified when the snapshot changes.
-    pub fn changed(&self) -> sync::Arc<Notify> {
+    pub fn changed(&self) -> sync::Arc<tokio::sync::Notify> {
         sync::Arc::clone(&self.changed)
     }
 
