node, policy, standin: count warm-up of a new epoch from its own start

A node that knew only the forming replica took all requests of the epoch before for warm-up, and lent slots without limit (traced in a failure of cold_engine_gets_no_more_than_its_limit, case member lost: baseline 0 with 152 requests finished, level 64 instead of 2). The stand-in checked the start of an engine and queued the request in two steps, so that a request of the start before could be queued after a restart and count as an overload (case cold again).

The test of an order with its service down waits until the ports are closed: the stand-in closes them in a task, and a call that is accepted before has an unknown outcome.

Ruled out: streams of the epoch before (they end when a member is lost).

--- a/crates/local/tests/orders.rs
+++ b/crates/local/tests/orders.rs
@@ -3,9 +3,10 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{net::TcpStream, time::Duration};
 
 use corneltrestle_local::Local;
+use corneltrestle_standin::service;
 use futures_util::future;
 use test_case::test_case;
 
@@ -85,9 +86,19 @@
 ) {
     let local = open().await;
     switch_services(&local, fault, true, value);
+    if fault == "down" {
+        // The stand-ins close their ports in a task of their own. A call that still finds one open
+        // may have been read, so that its outcome is unknown.
+        common::wait_until("the ports are closed", SETTLE_TIME, || {
+            let connect = |(_, desk): &(_, service::Handle)| TcpStream::connect(desk.address());
+            local.services.iter().all(|desk| connect(desk).is_err())
+        })
+        .await;
+    }
     let callers: Vec<_> = local.nodes.values().map(common::caller).collect();
-    let (_, outcome) = common::outcome(&common::order(&callers[0], "frame-2").await);
-    assert_eq!(outcome, wanted);
+    let answer = common::order(&callers[0], "frame-2").await;
+    let (_, outcome) = common::outcome(&answer);
+    assert_eq!(outcome, wanted, "{}", String::from_utf8_lossy(&answer.body));
     assert_eq!(common::runs(&local, "frame-2"), runs);
     switch_services(&local, fault, false, None);
     let (status, outcome) = common::outcome(&common::order(&callers[1], "frame-2").await);
--- a/crates/policy/src/plan/draft.rs
+++ b/crates/policy/src/plan/draft.rs
@@ -158,6 +158,8 @@
         let epoch = self.next_epoch();
         let replica = &mut self.next.replicas[at];
         (replica.epoch, replica.phase) = (epoch, assignment::Phase::Forming);
+        // That of the epoch before would count its requests as warm-up of the new one.
+        replica.baseline = assignment::Baseline::default();
         replica.routers.clear();
         let slots = replica.vms.iter_mut().zip(&unfit).filter(|(_, unfit)| **unfit);
         for ((slot, _), spare) in slots.zip(spares) {
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 
+use corneltrestle_policy::assignment::Baseline;
 use corneltrestle_policy::assignment::Phase::{self, Draining, Forming, Serving};
 use corneltrestle_policy::plan::{Kind, Plan};
 use corneltrestle_policy::release::Fencing;
@@ -48,6 +49,18 @@
     world.plan()
 }
 
+/// Guards against a node that takes the requests of the epoch before for warm-up of the new one.
+#[test]
+fn a_new_epoch_has_no_baseline_until_it_serves() {
+    let mut world = serving(&[4], 3, Fencing::Checked);
+    assert_ne!(world.assignment.replicas[0].baseline, Baseline::default());
+    let member = world.assignment.replicas[0].vms[1].id.to_string();
+    let plan = lose(&mut world, &member);
+    world.apply(plan);
+    let replica = &world.assignment.replicas[0];
+    assert_eq!((replica.phase, replica.baseline), (Forming, Baseline::default()));
+}
+
 #[test]
 fn the_best_fit_domain_is_chosen() {
     let world = serving(&[4, 2, 3], 2, Fencing::Checked);
--- a/crates/standin/src/engine/generate.rs
+++ b/crates/standin/src/engine/generate.rs
@@ -133,8 +133,11 @@
         Err(refusal) => return refusal.reply(),
     };
     let priority = call.header("x-priority").parse().unwrap_or(0);
-    let Some((slot, ready)) = slots::Slot::enqueue(engine, &job.id, priority) else {
-        return QUEUE_FULL.reply();
+    let start = call.header("x-start").parse().ok().filter(|start| *start != ANY_START);
+    let (slot, ready) = match slots::Slot::enqueue(engine, &job.id, priority, start) {
+        Ok(queued) => queued,
+        Err(slots::Declined::Full) => return QUEUE_FULL.reply(),
+        Err(slots::Declined::Restarted) => return RESTARTED.reply(),
     };
     let remaining =
         call.header("x-deadline-ms").parse().map_or(MAX_WAIT, time::Duration::from_millis);
@@ -160,10 +163,6 @@
         if !same_replica || epoch != Some(member.epoch) || member.rank != 0 {
             return Err(NOT_MEMBER);
         }
-        let expected = call.header("x-start").parse().unwrap_or(ANY_START);
-        if expected != ANY_START && expected != engine.state.lock().start {
-            return Err(RESTARTED);
-        }
         if !engine.config.fabric.is_complete(&engine.config.vm, &member) {
             return Err(INCOMPLETE);
         }
--- a/crates/standin/src/engine/slots.rs
+++ b/crates/standin/src/engine/slots.rs
@@ -146,16 +146,30 @@
     }
 }
 
+/// Why a request is not queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Declined {
+    /// The queue is full.
+    Full,
+    /// The request names another start of the engine.
+    Restarted,
+}
+
 impl Slot {
-    /// Queues a request; `None` if the queue is full. The receiver resolves once it has a slot.
+    /// Queues a request for the engine's start `start`, or for any if it is `None`. The receiver
+    /// resolves once the request has a slot.
     pub(super) fn enqueue(
         engine: &sync::Arc<Engine>,
         id: &str,
         priority: u8,
-    ) -> Option<(Self, oneshot::Receiver<()>)> {
+        start: Option<u64>,
+    ) -> Result<(Self, oneshot::Receiver<()>), Declined> {
         let (granted, ready) = oneshot::channel();
         let cancel = CancellationToken::new();
         let mut state = engine.state.lock();
+        if start.is_some_and(|start| start != state.start) {
+            return Err(Declined::Restarted);
+        }
         let slots = &mut state.slots;
         let queue_key = (cmp::Reverse(priority), slots.next_number);
         if slots.running < engine.config.slots {
@@ -164,16 +178,22 @@
         } else if slots.waiting() < engine.config.queue {
             slots.waiting.insert(queue_key, granted);
         } else {
-            return None;
+            return Err(Declined::Full);
         }
         slots.next_number += 1;
         slots.requests.insert(id.to_owned(), (queue_key.1, cancel.clone()));
         if slots.in_progress() > slots.warm_limit {
             slots.overloads += 1;
+            log::info!(
+                "standin: {} has {} requests in progress with {id}, above its limit of {}",
+                engine.config.vm,
+                slots.in_progress(),
+                slots.warm_limit
+            );
         }
         let (engine, id, limit_resets) =
             (sync::Arc::clone(engine), id.to_owned(), slots.limit_resets);
-        Some((Self { engine, id, queue_key, limit_resets, finished: false, cancel }, ready))
+        Ok((Self { engine, id, queue_key, limit_resets, finished: false, cancel }, ready))
     }
 
     /// Releases the slot and counts the request as finished rather than cancelled.
