gateway: a stalled upstream is given up only if another one can go on

Cause: a stream whose upstream was declared stalled was cut off although no other upstream could serve it, the route forbade a second run, or no retry was left.

Change: an attempt at a stalled upstream goes on until another upstream can take over, by candidates, attempts and the retry budget, else until its deadline.

Result: slow_stream_goes_on_where_it_cannot_move fails in its three cases without the change and passes with it.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -5,7 +5,9 @@
 use corneltrestle_policy::{health, id, retry};
 use corneltrestle_time::moment;
 
-use super::{Code, Pipeline, RETRY_AFTER, Refusal, admit::Admitted, record::Record};
+use super::{
+    Code, Pipeline, RETRY_AFTER, Refusal, admit::Admitted, choose::Target, record::Record,
+};
 use crate::{
     request,
     upstream::{self, Client},
@@ -15,6 +17,9 @@
 /// without running it. Beyond it, the capacity is better used for other requests.
 const MAX_DISPATCHES: usize = 6;
 
+/// Time between two checks whether a request can move away from a stalled upstream.
+const MOVE_CHECK_PERIOD: time::Duration = time::Duration::from_millis(50);
+
 /// The attempts of one request so far.
 #[derive(Debug)]
 pub(super) struct Attempts {
@@ -172,6 +177,41 @@
         self.tables.stalls.lock().may_have_begun(upstream.as_str(), sent)
     }
 
+    /// Waits until the upstream of an attempt is declared stalled and the request can move to
+    /// another one. Until then the attempt goes on, as the upstream may only be slow. `sent` is
+    /// when the request was sent; `None` if its answer has begun.
+    pub(super) async fn can_move(
+        &self,
+        attempts: &Attempts,
+        request: &request::Request,
+        admitted: &Admitted,
+        target: &Target,
+        sent: Option<moment::Moment>,
+    ) {
+        target.progress.stalled().await;
+        let route = &admitted.route;
+        loop {
+            let now = self.now();
+            let begun = sent.is_none_or(|sent| self.may_have_begun(&target.id, sent));
+            let runs = attempts.runs + u32::from(begun);
+            if (!begun || route.kind.is_repeatable())
+                && runs < route.attempt_limit.max(1)
+                && attempts.record.dispatches() < MAX_DISPATCHES
+                && self.has_alternative(request, admitted, &attempts.tried, &target.id, now)
+                && self.has_retry(&admitted.service, now)
+            {
+                return;
+            }
+            tokio::time::sleep(MOVE_CHECK_PERIOD).await;
+        }
+    }
+
+    /// Whether the budget shared by all nodes allows a retry.
+    fn has_retry(&self, service: &id::Service, now: moment::Moment) -> bool {
+        let nodes = self.tables.current.load().nodes.len();
+        self.tables.retries.lock().allows(service, &self.limits.retries, nodes, now)
+    }
+
     /// Takes a retry from the budget shared by all nodes; returns whether one was left.
     fn may_retry(&self, service: &id::Service, now: moment::Moment) -> bool {
         let nodes = self.tables.current.load().nodes.len();
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -10,7 +10,7 @@
 use super::{Pipeline, admit::Admitted};
 use crate::{
     request,
-    tables::{activity, catalog, stalls},
+    tables::{activity, catalog, health, stalls},
     upstream::Client,
 };
 
@@ -88,6 +88,15 @@
     time: time::Duration,
 }
 
+/// What a choice reads of the tables, locked in the order of their ranks.
+struct View<'s, 't> {
+    snapshot: &'s catalog::Snapshot,
+    activity: &'t activity::Activity,
+    stalls: &'t stalls::Stalls,
+    health: &'t health::Health,
+    pacing: &'t pacing::Pacing,
+}
+
 impl<C: Client> Pipeline<C> {
     /// Chooses an upstream that was not tried yet, and counts the request there. Upstreams that
     /// fail are avoided while there is another one.
@@ -102,36 +111,16 @@
         let snapshot = self.tables.current.load();
         let mut activity = self.tables.activity.lock();
         let stalls = self.tables.stalls.lock();
-        let mut found = match (admitted.engine(), &request.generation) {
-            (Some(engine), Some(generation)) => {
-                self.group_heads(&snapshot, &activity, &stalls, admitted, engine, generation)
-            }
-            _ => self.plain_upstreams(&snapshot, &activity, admitted),
-        };
         let health = self.tables.health.lock();
-        if found.iter().any(|candidate| !health.of(candidate.upstream.id.as_str()).is_avoided(now))
-        {
-            found.retain(|candidate| !health.of(candidate.upstream.id.as_str()).is_avoided(now));
-        }
-        for candidate in &mut found {
-            let rate = health.of(candidate.upstream.id.as_str()).failure_rate(now);
-            candidate.time += admitted.route.objective.mul_f64(rate * FAILURE_PENALTY_OBJECTIVES);
-        }
         let mut pacing = self.tables.pacing.lock();
-        if !snapshot.cold.is_empty() {
-            let position = self.position(&snapshot);
-            found.retain(|candidate| {
-                accepts_while_cold(
-                    &snapshot,
-                    admitted,
-                    &pacing.sent,
-                    candidate.upstream,
-                    position,
-                    now,
-                )
-            });
-        }
-        found.retain(|candidate| !tried.contains(&candidate.upstream.id));
+        let view = View {
+            snapshot: &snapshot,
+            activity: &activity,
+            stalls: &stalls,
+            health: &health,
+            pacing: &pacing.sent,
+        };
+        let found = self.candidates(&view, request, admitted, tried, now);
         let Candidate { upstream: chosen, time: predicted } = fastest(&found)?;
         if snapshot.cold.contains_key(&chosen.id) {
             pacing.sent.count(&chosen.id, now);
@@ -157,16 +146,76 @@
         })
     }
 
+    /// Whether an upstream other than `current` that was not tried yet can take the request now.
+    pub(super) fn has_alternative(
+        &self,
+        request: &request::Request,
+        admitted: &Admitted,
+        tried: &collections::BTreeSet<id::Vm>,
+        current: &id::Vm,
+        now: moment::Moment,
+    ) -> bool {
+        let snapshot = self.tables.current.load();
+        let activity = self.tables.activity.lock();
+        let stalls = self.tables.stalls.lock();
+        let health = self.tables.health.lock();
+        let pacing = self.tables.pacing.lock();
+        let view = View {
+            snapshot: &snapshot,
+            activity: &activity,
+            stalls: &stalls,
+            health: &health,
+            pacing: &pacing.sent,
+        };
+        let found = self.candidates(&view, request, admitted, tried, now);
+        found.iter().any(|candidate| candidate.upstream.id != *current)
+    }
+
+    /// Upstreams that may take the request. Those that fail are left out while there is another
+    /// one.
+    fn candidates<'a>(
+        &self,
+        view: &View<'a, '_>,
+        request: &request::Request,
+        admitted: &Admitted,
+        tried: &collections::BTreeSet<id::Vm>,
+        now: moment::Moment,
+    ) -> Vec<Candidate<'a>> {
+        let mut found = match (admitted.engine(), &request.generation) {
+            (Some(engine), Some(generation)) => {
+                self.group_heads(view, admitted, engine, generation)
+            }
+            _ => self.plain_upstreams(view, admitted),
+        };
+        let is_avoided = |candidate: &Candidate<'_>| {
+            view.health.of(candidate.upstream.id.as_str()).is_avoided(now)
+        };
+        if !found.iter().all(is_avoided) {
+            found.retain(|candidate| !is_avoided(candidate));
+        }
+        for candidate in &mut found {
+            let rate = view.health.of(candidate.upstream.id.as_str()).failure_rate(now);
+            candidate.time += admitted.route.objective.mul_f64(rate * FAILURE_PENALTY_OBJECTIVES);
+        }
+        if !view.snapshot.cold.is_empty() {
+            let position = self.position(view.snapshot);
+            found.retain(|candidate| {
+                accepts_while_cold(view, admitted, candidate.upstream, position, now)
+            });
+        }
+        found.retain(|candidate| !tried.contains(&candidate.upstream.id));
+        found
+    }
+
     /// Heads of the serving groups that serve the requested model.
     fn group_heads<'a>(
         &self,
-        snapshot: &'a catalog::Snapshot,
-        activity: &activity::Activity,
-        stalls: &stalls::Stalls,
+        view: &View<'a, '_>,
         admitted: &Admitted,
         engine: &deployment::Engine,
         generation: &request::Generation,
     ) -> Vec<Candidate<'a>> {
+        let snapshot = view.snapshot;
         let Some(model) = engine.model(generation.model.as_str()) else { return Vec::new() };
         let serves = |group: &&fleet::Group| {
             group.service == admitted.service
@@ -178,12 +227,12 @@
             .filter_map(|group| {
                 let head = snapshot.fleet.head(group)?;
                 if !self.may_serve(snapshot, admitted, head)
-                    || stalls.contains(head.id.as_str(), group.epoch)
+                    || view.stalls.contains(head.id.as_str(), group.epoch)
                 {
                     return None;
                 }
                 let pace = snapshot.fleet.pace(group, engine);
-                let work = activity.estimated_work(head.id.as_str());
+                let work = view.activity.estimated_work(head.id.as_str());
                 let time = cost::first_event(engine, pace, &work, generation.prompt_tokens, false);
                 Some(Candidate { upstream: head, time: time + self.zone_penalty(&head.zone) })
             })
@@ -191,16 +240,11 @@
     }
 
     /// Upstreams of a service without an engine.
-    fn plain_upstreams<'a>(
-        &self,
-        snapshot: &'a catalog::Snapshot,
-        activity: &activity::Activity,
-        admitted: &Admitted,
-    ) -> Vec<Candidate<'a>> {
-        let all = snapshot.fleet.of_service(admitted.service.as_str());
-        all.filter(|upstream| self.may_serve(snapshot, admitted, upstream))
+    fn plain_upstreams<'a>(&self, view: &View<'a, '_>, admitted: &Admitted) -> Vec<Candidate<'a>> {
+        let all = view.snapshot.fleet.of_service(admitted.service.as_str());
+        all.filter(|upstream| self.may_serve(view.snapshot, admitted, upstream))
             .map(|upstream| {
-                let work = activity.estimated_work(upstream.id.as_str());
+                let work = view.activity.estimated_work(upstream.id.as_str());
                 let time = PLAIN_SERVICE_TIME * work.requests / upstream.slots.max(1);
                 Candidate { upstream, time: time + self.zone_penalty(&upstream.zone) }
             })
@@ -237,18 +281,19 @@
 /// Whether an upstream is warm, or cold and able to take another request of the node at
 /// `position`.
 fn accepts_while_cold(
-    snapshot: &catalog::Snapshot,
+    view: &View<'_, '_>,
     admitted: &Admitted,
-    sent: &pacing::Pacing,
     upstream: &registered::Upstream,
     position: pacing::Position,
     now: moment::Moment,
 ) -> bool {
-    let Some(until) = snapshot.cold.get(&upstream.id).filter(|until| now < **until) else {
+    let Some(until) = view.snapshot.cold.get(&upstream.id).filter(|until| now < **until) else {
         return true;
     };
     let service = admitted.deployment.services.get(&admitted.service);
-    service.is_none_or(|service| sent.allows(&upstream.id, &service.cold, position, *until, now))
+    service.is_none_or(|service| {
+        view.pacing.allows(&upstream.id, &service.cold, position, *until, now)
+    })
 }
 
 /// A random one of the candidates within [`TIE_MARGIN`] of the least predicted time.
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -121,7 +121,7 @@
             tokio::select! {
                 biased;
                 reply = sent => Some(reply),
-                () = target.progress.stalled() => None,
+                () = pipeline.can_move(attempts, request, admitted, &target, Some(now)) => None,
             }
         };
         let failure = match tokio::time::timeout(timeout, sent).await {
@@ -201,7 +201,8 @@
         }
     }
 
-    /// Reads the next part of the body. Ends early if the upstream stalls; fails at the deadline.
+    /// Reads the next part of the body. Ends early if the upstream stalls and another one can take
+    /// over; fails at the deadline.
     async fn read(&mut self) -> Result<Read> {
         let left = self.admitted.deadline.since(self.pipeline.now());
         let part = async {
@@ -212,9 +213,13 @@
                     Ok(None) => Read::End,
                     Err(error) => Read::Failed(Failure::Call(error)),
                 },
-                () = self.target.progress.stalled() => {
-                    Read::Failed(Failure::Stalled { begun: true })
-                }
+                () = self.pipeline.can_move(
+                    &self.attempts,
+                    &self.request,
+                    &self.admitted,
+                    &self.target,
+                    None,
+                ) => Read::Failed(Failure::Stalled { begun: true }),
             }
         };
         tokio::time::timeout(left, part).await.map_err(|_| self.deadline_refusal())
--- a/crates/gateway/src/tables/retries.rs
+++ b/crates/gateway/src/tables/retries.rs
@@ -43,6 +43,30 @@
         nodes: usize,
         now: moment::Moment,
     ) -> bool {
+        let others = self.others(service, limits, nodes, now);
+        self.budget(service, limits).take(&others, now)
+    }
+
+    /// Whether the usage of all `nodes` nodes leaves a retry in the budget of a service.
+    pub fn allows(
+        &mut self,
+        service: &id::Service,
+        limits: &fleet::Limits,
+        nodes: usize,
+        now: moment::Moment,
+    ) -> bool {
+        let others = self.others(service, limits, nodes, now);
+        self.budget(service, limits).allows(&others, now)
+    }
+
+    /// What is known of the usage of the other nodes.
+    fn others(
+        &self,
+        service: &id::Service,
+        limits: &fleet::Limits,
+        nodes: usize,
+        now: moment::Moment,
+    ) -> fleet::Peers {
         let hash = mesh::hash(service.as_str());
         let mut others = fleet::Peers { total: nodes.saturating_sub(1), ..fleet::Peers::default() };
         for report in self.peers.values() {
@@ -55,7 +79,7 @@
                 others.usage.extra += row.extra;
             }
         }
-        self.budget(service, limits).take(&others, now)
+        others
     }
 
     /// Ratio of the requests of all nodes for a service to those of this node, in the window.
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -7,7 +7,6 @@
 
 use corneltrestle_gateway::{
     pipeline::{Code, Outcome},
-    tables::stalls,
     upstream::Urgency,
 };
 use corneltrestle_policy::retry::fleet;
@@ -96,20 +95,32 @@
 #[tokio::test]
 async fn stream_is_resumed_elsewhere_when_its_upstream_stalls() {
     let world = World::open(&[&[Act::Hangs(2)], &[Act::Stream]], AMPLE);
-    let (tables, host) = (world.tables.clone(), world.host.clone());
-    let watchdog = tokio::spawn(async move {
-        tokio::time::sleep(Duration::from_millis(100)).await;
-        let now = host.now();
-        let stall = stalls::Stall { epoch: 1, detected: now, progress: Some(now), is_own: true };
-        tables.stalls.lock().insert(&"models-a".into(), stall);
-        tables.activity.lock().interrupt("models-a");
-    });
+    let stall = world.declare_stalled("models-a", Duration::from_millis(100));
     let (status, body, refusal) = world.send("/draft/7").await;
-    watchdog.await.expect("the watchdog task ends");
+    stall.await.expect("the watchdog task ends");
     assert_eq!((status, body, refusal), (200, whole_stream(), None));
     assert_eq!(world.seen().len(), 2);
 }
 
+/// Guards against a slow stream that is cut off although no other upstream can go on with it.
+#[test_case("/draft/7", AMPLE, &[Act::Pauses(2)]; "no other upstream")]
+#[test_case("/note/7", AMPLE, &[Act::Pauses(2), Act::Stream]; "not to be repeated")]
+#[test_case("/draft/7", NO_RETRIES, &[Act::Pauses(2), Act::Stream]; "no retry left")]
+#[tokio::test]
+async fn slow_stream_goes_on_where_it_cannot_move(
+    path: &'static str,
+    retries: fleet::Limits,
+    acts: &[Act],
+) {
+    let scripts: Vec<_> = acts.iter().map(std::slice::from_ref).collect();
+    let world = World::open(&scripts, retries);
+    let stall = world.declare_stalled("models-a", Duration::from_millis(100));
+    let (status, body, refusal) = world.send(path).await;
+    stall.await.expect("the watchdog task ends");
+    assert_eq!((status, body, refusal), (200, whole_stream(), None));
+    assert_eq!(world.seen().len(), 1);
+}
+
 /// Guards against a second run of a stream that may run at most once.
 #[tokio::test]
 async fn stream_that_cannot_be_resumed_is_cut_off() {
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -35,6 +35,8 @@
     Breaks(u64),
     /// It streams the events up to this one, then sends nothing more.
     Hangs(u64),
+    /// It streams all remaining events, with a pause of half a second after this one.
+    Pauses(u64),
 }
 
 /// Number of events of a complete answer.
@@ -73,6 +75,8 @@
 #[derive(Debug)]
 pub(crate) struct Scripted {
     parts: collections::VecDeque<bytes::Bytes>,
+    /// Parts that follow after a pause.
+    later: collections::VecDeque<bytes::Bytes>,
     end: End,
     peer: net::SocketAddr,
 }
@@ -89,6 +93,11 @@
         if let Some(part) = self.parts.pop_front() {
             return Ok(Some(part));
         }
+        if !self.later.is_empty() {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            self.parts = std::mem::take(&mut self.later);
+            return Ok(self.parts.pop_front());
+        }
         match self.end {
             End::Complete => Ok(None),
             End::Broken => Err(error(Kind::Broken, self.peer)),
@@ -115,7 +124,7 @@
                 status: StatusCode::from_u16(status).expect("a status"),
                 headers: HeaderMap::new(),
                 is_genuine: true,
-                body: Scripted { parts, end, peer },
+                body: Scripted { parts, later: collections::VecDeque::new(), end, peer },
             }))
         };
         match self.act(call) {
@@ -127,6 +136,13 @@
             Act::Stream => answer(200, events(next, EVENTS), End::Complete),
             Act::Breaks(last) => answer(200, events(next, last), End::Broken),
             Act::Hangs(last) => answer(200, events(next, last), End::Silent),
+            Act::Pauses(last) => {
+                let mut reply = answer(200, events(next, last), End::Complete);
+                if let Ok(Reply::Answer(answer)) = &mut reply {
+                    answer.body.later = events(last + 1, EVENTS);
+                }
+                reply
+            }
         }
     }
 
@@ -234,6 +250,23 @@
         }
     }
 
+    /// Declares the group of an upstream stalled after a delay, as the watchdog does.
+    pub(crate) fn declare_stalled(
+        &self,
+        upstream: &'static str,
+        delay: Duration,
+    ) -> tokio::task::JoinHandle<()> {
+        let (tables, host) = (self.tables.clone(), self.host.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            let now = host.now();
+            let progress = Some(now);
+            let stall = tables::stalls::Stall { epoch: 1, detected: now, progress, is_own: true };
+            tables.stalls.lock().insert(&upstream.into(), stall);
+            tables.activity.lock().interrupt(upstream);
+        })
+    }
+
     /// The requests that upstreams received, in order.
     pub(crate) fn seen(&self) -> Vec<Seen> {
         self.upstreams.seen.lock().clone()
--- a/crates/policy/src/retry/fleet.rs
+++ b/crates/policy/src/retry/fleet.rs
@@ -86,6 +86,15 @@
 
     /// Returns whether an extra attempt is allowed, and counts it if so.
     pub fn take(&mut self, peers: &Peers, now: moment::Moment) -> bool {
+        let granted = self.allows(peers, now);
+        if granted {
+            self.extra.push_back(now);
+        }
+        granted
+    }
+
+    /// Whether an extra attempt is allowed.
+    pub fn allows(&mut self, peers: &Peers, now: moment::Moment) -> bool {
         let own = self.usage(now);
         let known = peers.known.min(peers.total) as f64;
         let requests = f64::from(own.requests) + f64::from(peers.usage.requests);
@@ -95,11 +104,7 @@
         // peer is assumed to have sent as many attempts within the lag as this node.
         let recent = self.extra.iter().rev().take_while(|at| now.since(**at) < USAGE_LAG).count();
         let used = f64::from(own.extra) + f64::from(peers.usage.extra) + known * recent as f64;
-        let granted = used + 1.0 <= allowed;
-        if granted {
-            self.extra.push_back(now);
-        }
-        granted
+        used + 1.0 <= allowed
     }
 
     /// What this node has sent within the window.
