Limits that follow their settings, log lines with the id of their request, one rule for the last run

The rule for the last run of a request stood in three places, one of them without the guard for a route that allows no attempt; it now stands in one. The demo's test keeps its output in a file.

--- a/crates/corneltrestle/tests/demo.rs
+++ b/crates/corneltrestle/tests/demo.rs
@@ -1,7 +1,7 @@
 //! Guards against violated guarantees while the complete system runs under load, a node restarts and a
 //! zone is taken out of service and brought back, and against a demo that does not report them.
 
-use std::process::Command;
+use std::{fs, path::Path, process::Command};
 
 use serde_json::Value;
 
@@ -13,6 +13,9 @@
         .unwrap();
     let progress = String::from_utf8_lossy(&output.stderr);
     let text = String::from_utf8(output.stdout).unwrap();
+    // The output of a shortened test log is of no use without the cause.
+    let kept = Path::new(env!("CARGO_TARGET_TMPDIR")).join("demo-seed-7.txt");
+    fs::write(kept, format!("{progress}\n{text}")).unwrap();
     let report: Value = serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {progress}"));
     assert_eq!(report["violations"], Value::Array(Vec::new()), "{text}\n{progress}");
     assert_eq!(output.status.code(), Some(0), "{progress}");
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -39,6 +39,16 @@
         let tried = collections::BTreeSet::new();
         Self { runs: 0, tried, is_bad_answer: false, record }
     }
+
+    /// Whether the route allows a further run after `runs` ones. It always allows the first one.
+    fn allows_run_after(runs: u32, admitted: &Admitted) -> bool {
+        runs < admitted.route.attempt_limit.max(1)
+    }
+
+    /// Whether the request may not run again after the attempt in progress.
+    pub(super) fn is_last(&self, admitted: &Admitted) -> bool {
+        !Self::allows_run_after(self.runs + 1, admitted) || !admitted.route.kind.is_repeatable()
+    }
 }
 
 /// How an attempt failed.
@@ -158,7 +168,7 @@
         attempts.tried.insert(upstream.clone());
         let repeatable = admitted.route.kind.is_repeatable();
         let allowed = retry::is_allowed(failure.kind(), repeatable)
-            && attempts.runs < admitted.route.attempt_limit.max(1)
+            && Attempts::allows_run_after(attempts.runs, admitted)
             && attempts.record.dispatches() < MAX_DISPATCHES
             && now < admitted.deadline;
         attempts.is_bad_answer = matches!(failure.kind(), retry::Failure::InvalidResponse);
@@ -189,13 +199,12 @@
         sent: Option<moment::Moment>,
     ) {
         target.progress.stalled().await;
-        let route = &admitted.route;
         loop {
             let now = self.now();
             let begun = sent.is_none_or(|sent| self.may_have_begun(&target.id, sent));
             let runs = attempts.runs + u32::from(begun);
-            if (!begun || route.kind.is_repeatable())
-                && runs < route.attempt_limit.max(1)
+            if (!begun || admitted.route.kind.is_repeatable())
+                && Attempts::allows_run_after(runs, admitted)
                 && attempts.record.dispatches() < MAX_DISPATCHES
                 && self.has_alternative(request, admitted, &attempts.tried, &target.id, now)
                 && self.has_retry(&admitted.service, now)
@@ -266,8 +275,7 @@
     now: moment::Moment,
 ) -> time::Duration {
     let left = admitted.deadline.since(now);
-    let is_last = attempts.runs + 1 >= admitted.route.attempt_limit.max(1);
-    if is_last || !admitted.route.kind.is_repeatable() {
+    if attempts.is_last(admitted) {
         return left;
     }
     left.min((admitted.route.objective * 4).max(left / 4))
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -86,8 +86,7 @@
     now: moment::Moment,
 ) -> bool {
     answer.status.is_server_error()
-        && admitted.route.kind.is_repeatable()
-        && attempts.runs + 1 < admitted.route.attempt_limit
+        && !attempts.is_last(admitted)
         && admitted.deadline.since(now) > admitted.route.objective / 2
 }
 
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -151,11 +151,7 @@
 
 /// Whether to pass an answer on: a genuine success, or a failure if no retry can follow.
 fn is_usable<B>(answer: &upstream::Answer<B>, attempts: &Attempts, admitted: &Admitted) -> bool {
-    let is_last = attempts.runs + 1 >= admitted.route.attempt_limit;
-    if answer.status.is_success() {
-        return answer.is_genuine;
-    }
-    is_last || !admitted.route.kind.is_repeatable()
+    if answer.status.is_success() { answer.is_genuine } else { attempts.is_last(admitted) }
 }
 
 impl<C: Client> Stream<C> {
--- a/crates/node/src/pipeline/generate.rs
+++ b/crates/node/src/pipeline/generate.rs
@@ -190,7 +190,7 @@
         if (is_full || may_be_replica_loss(&error)) && now + BUDGET_PERIOD < request.deadline {
             self.tables.dispatched.lock().record_failure(&target.replica.id, now);
         }
-        log::info!(request = request.id, attempt = attempts.count; "route: {error}");
+        log::info!(id = request.id, attempt = attempts.count; "route: {error}");
         metrics::counter!(ATTEMPTS_FAILED.name).increment(1);
         let may_retry = may_try_another(&error)
             && self.await_retry(request, attempts.count, failure(&error)).await;
--- a/crates/node/src/pipeline/plain.rs
+++ b/crates/node/src/pipeline/plain.rs
@@ -89,7 +89,7 @@
                 }
                 Err(e) => e,
             };
-            log::info!(request = call.id; "route: {error}");
+            log::info!(id = call.id; "route: {error}");
             may_have_run |= error.kind != service::Kind::NotSent;
             match self.next_attempt(call, &mut failures, failure(&error)) {
                 Some(wait) => tokio::time::sleep(wait).await,
--- a/crates/node/src/pipeline/relay.rs
+++ b/crates/node/src/pipeline/relay.rs
@@ -318,7 +318,7 @@
         let (head, id) = (self.target.head, self.request.id.clone());
         self.pipeline.host.pool.spawn(async move {
             if let Err(e) = pipeline.engine.cancel(head, &id).await {
-                log::debug!(request = id; "route: cannot cancel: {e}");
+                log::debug!(id = id; "route: cannot cancel: {e}");
             }
         });
     }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -60,14 +60,11 @@
     backoff_within(failures, BACKOFF_MAX, rng)
 }
 
-/// Like [`backoff`], with `max` as a further upper bound.
+/// Like [`backoff`], with `max` in place of [`BACKOFF_MAX`].
 pub fn backoff_within(failures: u32, max: time::Duration, rng: &mut impl Rng) -> time::Duration {
-    rng.random_range(time::Duration::ZERO..=bound(failures).min(max))
-}
-
-fn bound(failures: u32) -> time::Duration {
     let doublings = failures.saturating_sub(1).min(16);
-    (BACKOFF_BASE * 2u32.pow(doublings)).min(BACKOFF_MAX)
+    let bound = (BACKOFF_BASE * 2u32.pow(doublings)).min(max);
+    rng.random_range(time::Duration::ZERO..=bound)
 }
 
 /// When to send a failed call again, or `None` if it must not be sent again: the failure does not
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -66,6 +66,14 @@
     assert!(longest <= BACKOFF_MAX && longest > BACKOFF_MAX.mul_f64(0.9));
 }
 
+/// Guards against a limit of the settings that has no effect above the default one.
+#[test]
+fn backoff_keeps_to_a_limit_above_the_default() {
+    let (mut rng, limit) = (StdRng::seed_from_u64(18), BACKOFF_MAX * 2);
+    let spans: Vec<_> = (0..200).map(|_| retry::backoff_within(40, limit, &mut rng)).collect();
+    assert!(spans.iter().all(|span| *span <= limit) && spans.iter().any(|s| *s > BACKOFF_MAX));
+}
+
 #[test_case(Kind::Stream, 5_000)]
 #[test_case(Kind::Watch, 5_000)]
 #[test_case(Kind::Link, 2_000)]
--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -1,7 +1,7 @@
 //! The accept loop and the connection driver shared by all front ends.
 //!
-//! [`bind`] runs one task that accepts connections and one task per connection. A semaphore bounds
-//! the number of connections; those beyond it get a refusal and are closed at once.
+//! [`bind`] runs one task that accepts connections and one task per connection. Connections beyond
+//! the limit get a refusal and are closed at once.
 
 use std::{
     convert, error, future, net,
@@ -78,8 +78,7 @@
 /// Binds `address` and serves each connection with a clone of `service`.
 ///
 /// `name` identifies the front end in log lines, metrics and errors. `limits` is called for each
-/// connection, so that changed limits apply to new connections; [`Limits::max_connections`] is
-/// read only once, when the server starts.
+/// connection, so that changed limits apply to new connections.
 ///
 /// At shutdown the listener closes at once; connections get [`Limits::drain_timeout`] to finish.
 ///
@@ -136,7 +135,7 @@
             Ok(listener) => listener,
             Err(e) => return log::error!("{name}: cannot register the listener: {e}"),
         };
-        let permits = sync::Arc::new(tokio::sync::Semaphore::new((self.limits)().max_connections));
+        let open = sync::Arc::new(());
         loop {
             let accepted = tokio::select! {
                 () = tasks.stop_token().cancelled() => return,
@@ -150,11 +149,13 @@
                     continue;
                 }
             };
-            let Ok(permit) = sync::Arc::clone(&permits).try_acquire_owned() else {
+            // Each open connection holds one more reference.
+            if sync::Arc::strong_count(&open) > (self.limits)().max_connections {
                 metrics::counter!(REFUSED.name, "part" => name).increment(1);
                 socket::refuse(socket, &self.refuse);
                 continue;
-            };
+            }
+            let held = sync::Arc::clone(&open);
             // Without TCP_NODELAY responses are slower but still correct.
             let _ = socket.set_nodelay(true);
             let server = self.clone();
@@ -163,7 +164,7 @@
                 if let Err(e) = server.serve(socket, stop).await {
                     log::debug!("{name}: connection from {peer} ended: {e}");
                 }
-                drop(permit);
+                drop(held);
             });
         }
     }
--- /dev/null
+++ b/crates/server/tests/connections.rs
@@ -0,0 +1,58 @@
+//! Guards against a limit of connections that keeps the value that it had when the server started.
+
+use std::{
+    convert::Infallible,
+    future,
+    net::SocketAddr,
+    sync::{Arc, atomic},
+    time::Duration,
+};
+
+use corneltrestle_kernel::{host, pool, settings};
+use corneltrestle_server as server;
+use http_body_util::Full;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+/// Opens a connection, sends a request and returns the status line of the answer.
+async fn call(peer: SocketAddr) -> (TcpStream, String) {
+    let mut socket = TcpStream::connect(peer).await.unwrap();
+    let _ = socket.write_all(b"GET / HTTP/1.1\r\nHost: node\r\n\r\n").await;
+    let mut answer = [0; 12];
+    let read = tokio::time::timeout(Duration::from_secs(10), socket.read_exact(&mut answer));
+    read.await.expect("an answer").unwrap();
+    (socket, String::from_utf8_lossy(&answer).into_owned())
+}
+
+#[tokio::test]
+async fn changed_limit_of_connections_applies_to_new_ones() {
+    let settings = settings::Settings::parse("test", "", &[]).unwrap();
+    let host = host::Host::open(settings, pool::Pool::attach(tokio::runtime::Handle::current()));
+    let most = Arc::new(atomic::AtomicUsize::new(2));
+    let limit = Arc::clone(&most);
+    let limits = move || server::Limits {
+        max_connections: limit.load(atomic::Ordering::Relaxed),
+        drain_timeout: Duration::ZERO,
+        ..server::Limits::default()
+    };
+    let answer = |_| {
+        let body: Full<bytes::Bytes> = Full::default();
+        future::ready(Ok::<_, Infallible>(hyper::Response::new(body)))
+    };
+    let address: SocketAddr = ([127, 84, 11, 9], 7_311).into();
+    let service = tower::service_fn(answer);
+    let running = server::bind(&host, "test", address, limits, service, server::refuse::Empty);
+    let running = running.unwrap();
+    let (first, second) = (call(address).await, call(address).await);
+    assert_eq!((first.1.as_str(), second.1.as_str()), ("HTTP/1.1 200", "HTTP/1.1 200"));
+    assert_eq!(call(address).await.1, "HTTP/1.1 503");
+    most.store(3, atomic::Ordering::Relaxed);
+    let third = call(address).await;
+    assert_eq!(third.1, "HTTP/1.1 200", "the limit has been raised");
+    most.store(1, atomic::Ordering::Relaxed);
+    drop(first);
+    assert_eq!(call(address).await.1, "HTTP/1.1 503", "the limit has been lowered");
+    running.shutdown().await;
+}
--- a/crates/time/src/clock.rs
+++ b/crates/time/src/clock.rs
@@ -1,4 +1,7 @@
 //! Monotonic and wall clocks: that of the operating system, and one that tests set.
+//!
+//! Clocks are read only at the edges of the system; decisions get the time as an argument, so that
+//! tests can play any course of time.
 
 use std::{sync::atomic, time};
 
