--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -30,6 +30,9 @@
 /// Nodes of each other zone to which a datagram is sent; more than one, as some may be gone.
 const RELAYS_PER_ZONE: usize = 2;
 
+/// Datagrams with changes of facts after which the changes are published although more wait.
+const MAX_UNPUBLISHED: usize = 32;
+
 /// Delay after a failed receive.
 const RECEIVE_RETRY_DELAY: time::Duration = time::Duration::from_millis(10);
 
@@ -103,14 +106,31 @@
 
     /// Receives the next datagram that can be decoded. Returns it with its length in `buffer` and
     /// the address of its sender.
+    ///
+    /// Changes of facts are published when no further datagram waits, or after
+    /// [`MAX_UNPUBLISHED`] of them.
     pub(crate) async fn receive(
         &self,
         buffer: &mut [u8],
+        unpublished: &mut usize,
     ) -> (mesh::Datagram, usize, net::SocketAddr) {
         loop {
-            match self.socket.recv_from(buffer).await {
+            let received = match self.socket.try_recv_from(buffer) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.publish(unpublished);
+                    self.socket.recv_from(buffer).await
+                }
+                received => received,
+            };
+            match received {
                 Ok((length, peer)) => match mesh::decode(&buffer[..length]) {
-                    Ok(datagram) => return (datagram, length, peer),
+                    Ok(datagram) => {
+                        *unpublished += usize::from(datagram.delta.is_some());
+                        if *unpublished >= MAX_UNPUBLISHED {
+                            self.publish(unpublished);
+                        }
+                        return (datagram, length, peer);
+                    }
                     Err(e) => log::warn!("mesh: a datagram from {peer} cannot be decoded: {e}"),
                 },
                 Err(e) => {
@@ -120,6 +140,12 @@
             }
         }
     }
+
+    fn publish(&self, unpublished: &mut usize) {
+        if std::mem::take(unpublished) > 0 {
+            self.tables.catalog.lock().publish();
+        }
+    }
 }
 
 /// Receivers of datagrams.
--- a/crates/gateway/src/mesh/incoming.rs
+++ b/crates/gateway/src/mesh/incoming.rs
@@ -19,12 +19,17 @@
             return;
         }
         let is_local = origin.zone == self.identity.zone.as_str();
-        let is_new = self.tables.peers.lock().is_new(origin.boot, origin.sequence);
-        if is_new && datagram.forward && !is_local {
-            self.enqueue(bytes.to_vec(), Reach::Zone);
+        // Only these reach a node on several ways.
+        if datagram.forward {
+            if !self.tables.peers.lock().is_new(origin.boot, origin.sequence) {
+                return;
+            }
+            if !is_local {
+                self.enqueue(bytes.to_vec(), Reach::Zone);
+            }
         }
         self.handle_revision(origin, datagram, is_local, now);
-        if let Some(load) = datagram.load.as_ref().filter(|_| is_new) {
+        if let Some(load) = &datagram.load {
             // The rows of a zone replace its earlier ones, whichever of its nodes sent them.
             let key = if load.nodes == 0 { &origin.node } else { &origin.zone };
             let key: id::Node = key.as_str().into();
@@ -57,7 +62,7 @@
                 let from = catalog.revision();
                 let changes = changes.into_iter().filter(|change| change.revision > from).collect();
                 let changes = Changes { revision: datagram.revision, changes };
-                catalog.apply(changes, confirmed_at.unwrap_or(moment::Moment::ZERO));
+                catalog.apply_unpublished(changes, confirmed_at.unwrap_or(moment::Moment::ZERO));
             }
             if let (Some(confirmed_at), Some(confirmation)) = (confirmed_at, datagram.confirmation)
                 && datagram.revision == catalog.revision()
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -37,6 +37,15 @@
     history: collections::VecDeque<Change>,
     /// Revision after which the history holds all changes.
     history_start: u64,
+    unpublished: Unpublished,
+}
+
+/// Kinds of facts that have changed since the snapshot was published.
+#[derive(Clone, Copy, Debug, Default)]
+struct Unpublished {
+    upstreams: bool,
+    nodes: bool,
+    others: bool,
 }
 
 /// Fraction of the largest node's memory from which a node counts as large. Nodes of one size
@@ -78,11 +87,11 @@
     /// Evacuated zones: their upstreams receive no new requests.
     pub evacuated: collections::BTreeSet<id::Zone>,
     /// Registered upstreams and the groups they form.
-    pub fleet: fleet::Fleet,
+    pub fleet: sync::Arc<fleet::Fleet>,
     /// Until when each newly started upstream is cold and takes requests at a limited rate.
-    pub cold: collections::BTreeMap<id::Vm, moment::Moment>,
+    pub cold: sync::Arc<collections::BTreeMap<id::Vm, moment::Moment>>,
     /// Registered nodes, this one included.
-    pub nodes: collections::BTreeMap<id::Node, Node>,
+    pub nodes: sync::Arc<collections::BTreeMap<id::Node, Node>>,
     /// The holder of the coordinator's lease; `None` if it is free.
     pub coordinator: Option<Holder>,
 }
@@ -197,10 +206,18 @@
             gone.into_iter().map(|subject| Change { revision: self.revision, subject, fact: None });
         let all: Vec<Change> = loaded.changes.into_iter().chain(removals).collect();
         self.store_all(all, now);
+        self.publish();
     }
 
-    /// Applies changes that were the latest ones at `now`.
+    /// Applies changes that were the latest ones at `now`, and publishes them.
     pub fn apply(&mut self, changes: Changes, now: moment::Moment) {
+        self.apply_unpublished(changes, now);
+        self.publish();
+    }
+
+    /// Applies changes that were the latest ones at `now`. Readers see them after the next call of
+    /// [`Catalog::publish`], so that the changes of several datagrams cost one snapshot.
+    pub fn apply_unpublished(&mut self, changes: Changes, now: moment::Moment) {
         self.mark_confirmed(now);
         self.revision = self.revision.max(changes.revision);
         if !changes.changes.is_empty() {
@@ -219,6 +236,7 @@
         for subject in deferred {
             self.facts.remove(&subject);
         }
+        self.unpublished.upstreams = true;
         self.publish();
         number
     }
@@ -250,7 +268,6 @@
         for change in changes {
             self.store(change, defers_removals, is_first, now);
         }
-        self.publish();
     }
 
     fn store(
@@ -268,6 +285,11 @@
             let known = known.map(|known| &known.fact);
             change_log::write(&change.subject, known, change.fact.as_ref(), change.revision);
         }
+        match change.subject {
+            Subject::Upstream(_) => self.unpublished.upstreams = true,
+            Subject::Node(_) => self.unpublished.nodes = true,
+            _ => self.unpublished.others = true,
+        }
         let Some(fact) = change.fact else {
             if defers_removals && matches!(change.subject, Subject::Upstream(_)) && known.is_some()
             {
@@ -287,36 +309,33 @@
         self.facts.insert(change.subject, Entry { revision: change.revision, fact, received: now });
     }
 
-    fn publish(&self) {
-        let previous = self.current.load();
-        let mut next = Snapshot { revision: self.revision, ..Snapshot::default() };
-        let mut upstreams = Vec::new();
-        for (subject, known) in &self.facts {
-            match (subject, &known.fact) {
-                (_, Fact::Deployment(declared)) => {
-                    let kept = previous.deployment.as_ref();
-                    next.deployment = kept
-                        .filter(|kept| kept.version == declared.version)
-                        .cloned()
-                        .or_else(|| Some(sync::Arc::new((**declared).clone())));
-                }
-                (Subject::Evacuation(zone), Fact::Evacuated) => {
-                    next.evacuated.insert(zone.clone());
-                }
-                (_, Fact::Upstream(upstream)) => {
-                    if !upstream.cold_left.is_zero() {
-                        next.cold.insert(upstream.id.clone(), known.received + upstream.cold_left);
-                    }
-                    upstreams.push(upstream.clone());
-                }
-                (Subject::Node(id), Fact::Node(node)) => {
-                    next.nodes.insert(id.clone(), node.clone());
-                }
-                (_, Fact::Coordinator(holder)) => next.coordinator = Some(holder.clone()),
-                _ => {}
-            }
+    /// Publishes a new snapshot if facts have changed since the last one.
+    pub fn publish(&mut self) {
+        let previous = self.current.load_full();
+        let Unpublished { upstreams, nodes, others } = std::mem::take(&mut self.unpublished);
+        if !(upstreams || nodes || others) && previous.revision == self.revision {
+            return;
+        }
+        let mut next = Snapshot {
+            revision: self.revision,
+            deployment: previous.deployment.clone(),
+            evacuated: previous.evacuated.clone(),
+            fleet: sync::Arc::clone(&previous.fleet),
+            cold: sync::Arc::clone(&previous.cold),
+            nodes: sync::Arc::clone(&previous.nodes),
+            coordinator: previous.coordinator.clone(),
+        };
+        if upstreams {
+            (next.fleet, next.cold) = self.upstreams();
+        }
+        if nodes {
+            next.nodes = sync::Arc::new(self.nodes());
+        }
+        if others {
+            next.deployment = self.deployment(&previous);
+            next.evacuated = self.evacuated();
+            next.coordinator = self.coordinator();
         }
-        next.fleet = fleet::Fleet::new(upstreams);
         let version = |snapshot: &Snapshot| {
             snapshot.deployment.as_ref().map_or(0, |declared| declared.version)
         };
@@ -328,6 +347,60 @@
     }
 }
 
+/// The parts of a snapshot.
+impl Catalog {
+    /// The registered upstreams, and until when they are cold.
+    #[allow(clippy::type_complexity, reason = "the pair is taken apart at once")]
+    fn upstreams(
+        &self,
+    ) -> (sync::Arc<fleet::Fleet>, sync::Arc<collections::BTreeMap<id::Vm, moment::Moment>>) {
+        let mut upstreams = Vec::with_capacity(self.facts.len());
+        let mut cold = collections::BTreeMap::new();
+        for known in self.facts.values() {
+            let Fact::Upstream(upstream) = &known.fact else { continue };
+            if !upstream.cold_left.is_zero() {
+                cold.insert(upstream.id.clone(), known.received + upstream.cold_left);
+            }
+            upstreams.push(sync::Arc::clone(upstream));
+        }
+        (sync::Arc::new(fleet::Fleet::new(upstreams)), sync::Arc::new(cold))
+    }
+
+    fn nodes(&self) -> collections::BTreeMap<id::Node, Node> {
+        let nodes = self.facts.iter().filter_map(|(subject, known)| match (subject, &known.fact) {
+            (Subject::Node(id), Fact::Node(node)) => Some((id.clone(), node.clone())),
+            _ => None,
+        });
+        nodes.collect()
+    }
+
+    /// The configuration; that of the previous snapshot if the version is the same.
+    fn deployment(&self, previous: &Snapshot) -> Option<sync::Arc<deployment::Deployment>> {
+        let Fact::Deployment(declared) = &self.facts.get(&Subject::Deployment)?.fact else {
+            return None;
+        };
+        let kept = previous.deployment.as_ref();
+        kept.filter(|kept| kept.version == declared.version)
+            .cloned()
+            .or_else(|| Some(sync::Arc::new((**declared).clone())))
+    }
+
+    fn evacuated(&self) -> collections::BTreeSet<id::Zone> {
+        let zones = self.facts.keys().filter_map(|subject| match subject {
+            Subject::Evacuation(zone) => Some(zone.clone()),
+            _ => None,
+        });
+        zones.collect()
+    }
+
+    fn coordinator(&self) -> Option<Holder> {
+        match &self.facts.get(&Subject::Coordinator)?.fact {
+            Fact::Coordinator(holder) => Some(holder.clone()),
+            _ => None,
+        }
+    }
+}
+
 /// Whether a configuration has a lower version than the known one.
 fn is_older(known: Option<&Fact>, new: &Fact) -> bool {
     match (known, new) {
--- a/crates/gateway/src/tables/peers.rs
+++ b/crates/gateway/src/tables/peers.rs
@@ -18,13 +18,15 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     known: collections::BTreeMap<id::Node, Peer>,
-    /// Boot identifiers and sequence numbers of the latest datagrams, so that none is forwarded
-    /// twice.
-    seen: collections::VecDeque<(u64, u64)>,
+    /// Boot identifiers and sequence numbers of the latest forwarded datagrams, so that none is
+    /// forwarded twice.
+    seen: collections::HashSet<(u64, u64)>,
+    /// The same, oldest first.
+    seen_order: collections::VecDeque<(u64, u64)>,
 }
 
 /// Datagrams that are remembered as seen.
-const MAX_SEEN: usize = 512;
+const MAX_SEEN: usize = 1_024;
 
 /// A node that was heard from.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,11 +52,13 @@
     /// Records a datagram as seen; returns whether it is the first with this number from the
     /// process.
     pub fn is_new(&mut self, boot: u64, sequence: u64) -> bool {
-        let is_new = !self.seen.contains(&(boot, sequence));
+        let is_new = self.seen.insert((boot, sequence));
         if is_new {
-            self.seen.push_back((boot, sequence));
-            if self.seen.len() > MAX_SEEN {
-                self.seen.pop_front();
+            self.seen_order.push_back((boot, sequence));
+            if self.seen_order.len() > MAX_SEEN
+                && let Some(oldest) = self.seen_order.pop_front()
+            {
+                self.seen.remove(&oldest);
             }
         }
         is_new
--- a/crates/gateway/src/task/mesh.rs
+++ b/crates/gateway/src/task/mesh.rs
@@ -97,8 +97,9 @@
 /// Handles the datagrams of other nodes, and replies to requests for heartbeats.
 async fn receive(host: sync::Arc<host::Host>, mesh: sync::Arc<Mesh>) {
     let mut buffer = [0; 2 * wire::MAX_BYTES];
+    let mut unpublished = 0;
     loop {
-        let (datagram, length, peer) = mesh.receive(&mut buffer).await;
+        let (datagram, length, peer) = mesh.receive(&mut buffer, &mut unpublished).await;
         let now = host.now();
         mesh.handle(&datagram, &buffer[..length], now);
         if datagram.wants_reply {
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -63,6 +63,21 @@
     assert_eq!(known(&catalog), ["b"]);
 }
 
+/// Guards against a snapshot for each of the many datagrams that the changes of a large group take.
+#[test]
+fn changes_of_several_datagrams_are_published_together() {
+    let mut catalog = catalog(&["a", "b"]);
+    let before = catalog.current().load_full();
+    catalog.apply_unpublished(changes(vec![removed(5, "a")]), at(10));
+    catalog.apply_unpublished(changes(vec![added(6, "c")]), at(10));
+    assert!(sync::Arc::ptr_eq(&before, &catalog.current().load_full()));
+    catalog.publish();
+    assert_eq!(known(&catalog), ["b", "c"]);
+    let published = catalog.current().load_full();
+    catalog.publish();
+    assert!(sync::Arc::ptr_eq(&published, &catalog.current().load_full()), "nothing has changed");
+}
+
 /// Guards against upstreams that are removed because they could not renew their registration while
 /// the store was unreachable.
 #[test]
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -20,12 +20,12 @@
 /// ```
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fleet {
+    /// Sorted by id.
     upstreams: Vec<sync::Arc<upstream::Upstream>>,
-    indices: collections::HashMap<id::Vm, usize>,
     services: collections::BTreeMap<id::Service, Vec<usize>>,
     groups: Vec<Group>,
     /// Index in `groups` of the group of each upstream, by index of the upstream.
-    memberships: collections::HashMap<usize, usize>,
+    memberships: Vec<Option<usize>>,
 }
 
 impl Fleet {
@@ -33,18 +33,18 @@
     pub fn new(mut upstreams: Vec<sync::Arc<upstream::Upstream>>) -> Self {
         upstreams.sort_by(|a, b| a.id.cmp(&b.id));
         let mut services = collections::BTreeMap::<_, Vec<usize>>::new();
-        let mut indices = collections::HashMap::with_capacity(upstreams.len());
         for (index, upstream) in upstreams.iter().enumerate() {
-            services.entry(upstream.service.clone()).or_default().push(index);
-            indices.insert(upstream.id.clone(), index);
+            match services.get_mut(&upstream.service) {
+                Some(indices) => indices.push(index),
+                None => drop(services.insert(upstream.service.clone(), vec![index])),
+            }
         }
         let groups = group::of(&upstreams);
-        let memberships = groups
-            .iter()
-            .enumerate()
-            .flat_map(|(group, of)| of.members.iter().map(move |(_, index)| (*index, group)))
-            .collect();
-        Self { upstreams, indices, services, groups, memberships }
+        let mut memberships = vec![None; upstreams.len()];
+        for (group, of) in groups.iter().enumerate() {
+            of.members.iter().for_each(|(_, index)| memberships[*index] = Some(group));
+        }
+        Self { upstreams, services, groups, memberships }
     }
 
     /// All upstreams, by id.
@@ -54,7 +54,11 @@
 
     /// The upstream with this id.
     pub fn get(&self, id: &str) -> Option<&upstream::Upstream> {
-        self.indices.get(id).map(|index| &*self.upstreams[*index])
+        self.index(id).map(|index| &*self.upstreams[index])
+    }
+
+    fn index(&self, id: &str) -> Option<usize> {
+        self.upstreams.binary_search_by(|upstream| upstream.id.as_str().cmp(id)).ok()
     }
 
     /// The upstreams of a service, by id.
@@ -70,8 +74,8 @@
 
     /// The group that an upstream is a member of.
     pub fn group_of(&self, upstream: &str) -> Option<&Group> {
-        let index = self.indices.get(upstream)?;
-        self.memberships.get(index).map(|group| &self.groups[*group])
+        let group = self.memberships[self.index(upstream)?]?;
+        Some(&self.groups[group])
     }
 
     /// The registered members of a group by rank, starting with the head if it is registered.
--- a/crates/policy/src/fleet/group.rs
+++ b/crates/policy/src/fleet/group.rs
@@ -1,6 +1,6 @@
 //! Groups of VMs, derived from the registrations of their members.
 
-use std::{collections, sync};
+use std::sync;
 
 use crate::{id, upstream};
 
@@ -37,26 +37,30 @@
 
 /// Derives the groups of these upstreams, sorted by name and epoch.
 pub(super) fn of(upstreams: &[sync::Arc<upstream::Upstream>]) -> Vec<Group> {
-    let mut found = collections::BTreeMap::<(&id::Group, u64), Vec<(u32, usize)>>::new();
-    for (index, upstream) in upstreams.iter().enumerate() {
-        if let Some(member) = member_of(upstream) {
-            found.entry((&member.group, member.epoch)).or_default().push((member.rank, index));
-        }
-    }
-    found.into_iter().map(|((id, epoch), members)| build(upstreams, id, epoch, members)).collect()
+    let members = upstreams.iter().enumerate().filter_map(|(index, upstream)| {
+        let member = member_of(upstream)?;
+        Some((&member.group, member.epoch, member.rank, index))
+    });
+    let mut members: Vec<_> = members.collect();
+    members.sort_unstable();
+    members
+        .chunk_by(|one, other| (one.0, one.1) == (other.0, other.1))
+        .map(|group| build(upstreams, group))
+        .collect()
 }
 
 fn member_of(upstream: &upstream::Upstream) -> Option<&upstream::Member> {
     upstream.engine.as_ref()?.member.as_ref()
 }
 
+/// Builds a group of its members, which are sorted by rank and not empty.
 fn build(
     upstreams: &[sync::Arc<upstream::Upstream>],
-    id: &id::Group,
-    epoch: u64,
-    mut members: Vec<(u32, usize)>,
+    group: &[(&id::Group, u64, u32, usize)],
 ) -> Group {
-    members.sort_unstable();
+    let (id, epoch, ..) = group[0];
+    let members: Vec<(u32, usize)> =
+        group.iter().map(|(_, _, rank, index)| (*rank, *index)).collect();
     let engines = || members.iter().filter_map(|(_, index)| upstreams[*index].engine.as_ref());
     let model = engines().find_map(|engine| engine.models.first()).cloned();
     let fabric = engines().next().map(|engine| &engine.fabric);
