policy: spread the groups of each model over the zones

Cause: the division of domains between models took no account of their zones.

Change: the value of a composition includes what is left of it without each zone.

--- a/crates/policy/src/formation.rs
+++ b/crates/policy/src/formation.rs
@@ -21,7 +21,7 @@
 
 use corneltrestle_time::moment;
 
-pub use outlook::Outlook;
+pub use outlook::{Outlook, Room};
 pub use state::{Plan, State};
 pub use summary::Summary;
 pub use vm::{Condition, Role, Vm};
--- a/crates/policy/src/formation/assemble.rs
+++ b/crates/policy/src/formation/assemble.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Condition, Order, Plan, Role, State, Step, View, Vm, load,
-    outlook::{self, Outlook},
+    outlook::{self, Outlook, Room},
     vm::SERVING,
 };
 use crate::{demand, deployment, id};
@@ -40,6 +40,8 @@
     groups: Vec<Vec<id::Group>>,
     /// VMs that may be members of groups, whatever they do now.
     usable: usize,
+    /// Availability zone of the domain.
+    zone: &'h id::Zone,
 }
 
 /// Returns the orders that form new groups and those that load models for later ones.
@@ -52,14 +54,13 @@
     let models = &view.engine.models;
     let domains: Vec<_> = domains(vms, models, state).into_values().collect();
     let targets = targets(view, vms.len());
-    let sizes: Vec<usize> = domains.iter().map(|domain| domain.usable).collect();
-    let most = sizes.iter().copied().max().unwrap_or(0);
+    let most = domains.iter().map(|domain| domain.usable).max().unwrap_or(0);
     let outlook = Outlook::new(models, &targets, LOSS_RATE, most);
     let mut steps = Vec::new();
     // Before the first request loads are short, so that VMs may change their model for a better
     // composition of their domain.
     if !view.has_traffic {
-        let composition = outlook.compose(&sizes);
+        let composition = outlook.compose(&rooms(&domains));
         for (domain, wanted) in domains.iter().zip(&composition) {
             dissolve_surplus(domain, models, wanted, state);
             steps.extend(groups(domain, models, Some(wanted), state, now));
@@ -77,6 +78,13 @@
     steps
 }
 
+fn rooms(domains: &[Domain<'_, '_>]) -> Vec<Room> {
+    let zones: collections::BTreeSet<_> = domains.iter().map(|domain| domain.zone).collect();
+    let number = |zone: &id::Zone| zones.iter().take_while(|other| **other < zone).count();
+    let room = |domain: &Domain<'_, '_>| Room { vms: domain.usable, zone: number(domain.zone) };
+    domains.iter().map(room).collect()
+}
+
 /// Forms as many groups as a domain has free VMs for; with `wanted`, no more than the VMs that
 /// should have each model suffice for.
 fn groups(
@@ -155,6 +163,7 @@
             loading: vec![0; models.len()],
             groups: vec![Vec::new(); models.len()],
             usable: 0,
+            zone: &vm.upstream.zone,
         });
         domain.usable += usize::from(vm.condition == Condition::Usable);
         match vm.role {
