gateway, policy: hubs sum up the loads of a large zone

Cause: each node sent heartbeats to all nodes of its zone, 240 a second. With 60 nodes a zone that is most of what nodes do (in a profile of idle nodes the calls for datagrams and the search for duplicates lead), each node hears of another one only every 246 ms, and a sum has no room for the busiest upstreams as its rows came in no order.

Change: in zones of more than 16 nodes, each node reports its load to two hubs, when it changes or after 240 ms, and each hub sends every node the sum of all others every 160 ms. Nodes choose the hubs by rank, find out by silence that one is lost, and do not take an own pause for silence. Sums leave out those of other hubs. One random node is told of the own revision with each heartbeat, so that changes of facts still spread between all nodes. Requests for loads go to the hubs only. Rows are sorted by requests.

--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -1,6 +1,7 @@
 //! The mesh: datagrams and calls between the nodes of a deployment.
 //!
-//! Each node sends heartbeats with its requests in progress to the nodes of its zone. One node of
+//! Each node sends heartbeats with its requests in progress to the nodes of its zone; in a zone of
+//! many nodes only to its hubs, which send the sum of all requests to each node. The first hub of
 //! each zone sends digests with the requests of all its nodes to the other zones. Urgent datagrams
 //! go to all nodes of the own zone and to a few of each other zone, which forward them within
 //! theirs.
@@ -11,10 +12,10 @@
 
 use std::{io, net, sync, time};
 
-use corneltrestle_policy::rendezvous;
+use corneltrestle_policy::id;
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use tokio::net::UdpSocket;
 
 use crate::{
@@ -30,6 +31,9 @@
 /// Nodes of each other zone to which a datagram is sent; more than one, as some may be gone.
 const RELAYS_PER_ZONE: usize = 2;
 
+/// Number of other nodes of a zone up to which all of them exchange heartbeats directly.
+const MAX_DIRECT_PEERS: usize = 15;
+
 /// Datagrams with changes of facts after which the changes are published although more wait.
 const MAX_UNPUBLISHED: usize = 32;
 
@@ -87,8 +91,12 @@
     pub(crate) async fn flush(&self) {
         let items = self.tables.outbox.lock().take();
         for item in items {
-            self.send(&item.datagram, &self.zone_peers()).await;
-            if item.reach == outbox::Reach::All {
+            let near = match item.reach {
+                outbox::Reach::Zone | outbox::Reach::All => self.zone_peers(),
+                outbox::Reach::Listeners | outbox::Reach::AllListeners => self.listeners(),
+            };
+            self.send(&item.datagram, &near).await;
+            if matches!(item.reach, outbox::Reach::All | outbox::Reach::AllListeners) {
                 self.send(&item.datagram, &self.relays()).await;
             }
         }
@@ -152,12 +160,7 @@
 impl Mesh {
     /// Addresses of the other nodes of the own zone.
     pub(crate) fn zone_peers(&self) -> Vec<net::SocketAddr> {
-        let snapshot = self.tables.current.load();
-        let near = snapshot
-            .nodes
-            .iter()
-            .filter(|(id, node)| node.zone == self.identity.zone && **id != self.identity.node);
-        near.map(|(_, node)| node.address).collect()
+        self.zone_nodes().into_iter().map(|(_, address)| address).collect()
     }
 
     /// Addresses of up to [`RELAYS_PER_ZONE`] nodes of each other zone, drawn anew on each call, as
@@ -175,17 +178,64 @@
             .collect()
     }
 
-    /// Whether this node sends the digests of its zone: it ranks first among the live nodes, large
-    /// nodes before small ones.
-    pub(crate) fn represents_zone(&self, now: moment::Moment) -> bool {
+    /// Chooses the hubs of the own zone; a node that is shutting down does not choose itself.
+    pub(crate) fn choose_hubs(&self, draining: bool, now: moment::Moment) {
         let snapshot = self.tables.current.load();
-        let zone = &self.identity.zone;
-        let key = |node: &str| {
-            let is_small = !snapshot.is_large(node, Some(zone));
-            (is_small, rendezvous::weight(zone.as_str(), node))
-        };
-        let own = key(self.identity.node.as_str());
-        let peers = self.tables.peers.lock();
-        peers.same_zone(now).all(|node| own < key(node.as_str()))
+        let registered = snapshot.nodes_of(&self.identity.zone);
+        let own = &self.identity.node;
+        let registered = registered.into_iter().filter(|(node, _)| !draining || *node != own);
+        let mut peers = self.tables.peers.lock();
+        let pause_end = self.pause_end(now);
+        peers.choose_hubs(&self.identity.zone, own, registered, pause_end, now);
+    }
+
+    /// End of the latest pause of this process; `now` if one may have just ended.
+    fn pause_end(&self, now: moment::Moment) -> Option<moment::Moment> {
+        let pauses = self.tables.pauses.lock();
+        if pauses.has_paused(now, now) { Some(now) } else { pauses.last_end() }
+    }
+
+    /// Whether the nodes of the own zone report to hubs.
+    pub(crate) fn uses_hubs(&self) -> bool {
+        let snapshot = self.tables.current.load();
+        let nodes = snapshot.nodes.values().filter(|node| node.zone == self.identity.zone);
+        nodes.count() > MAX_DIRECT_PEERS + 1
+    }
+
+    /// Place of this node among the hubs of its zone, from 0; `None` if it is none.
+    pub(crate) fn place_among_hubs(&self) -> Option<usize> {
+        self.tables.peers.lock().hubs().place(self.identity.node.as_str())
+    }
+
+    /// Addresses of the nodes that take this node's heartbeats: the other hubs of the own zone, or
+    /// all its other nodes if there are few.
+    pub(crate) fn listeners(&self) -> Vec<net::SocketAddr> {
+        if !self.uses_hubs() {
+            return self.zone_peers();
+        }
+        let hubs = self.tables.peers.lock().hubs().chosen().to_vec();
+        let snapshot = self.tables.current.load();
+        let others = hubs.iter().filter(|hub| **hub != self.identity.node);
+        others.filter_map(|hub| Some(snapshot.nodes.get(hub)?.address)).collect()
+    }
+
+    /// The other nodes of the own zone with their addresses.
+    pub(crate) fn zone_nodes(&self) -> Vec<(id::Node, net::SocketAddr)> {
+        let snapshot = self.tables.current.load();
+        let near = snapshot
+            .nodes
+            .iter()
+            .filter(|(id, node)| node.zone == self.identity.zone && **id != self.identity.node);
+        near.map(|(id, node)| (id.clone(), node.address)).collect()
+    }
+
+    /// Address of a random other node of the own zone.
+    pub(crate) fn random_peer(&self) -> Option<net::SocketAddr> {
+        self.zone_peers().into_iter().choose(&mut rand::rng())
+    }
+
+    /// Address for the datagrams of a node; `None` if it is not registered.
+    pub(crate) fn address_of(&self, node: &str) -> Option<net::SocketAddr> {
+        self.tables.current.load().nodes.get(node).map(|node| node.address)
     }
 }
--- a/crates/gateway/src/mesh/incoming.rs
+++ b/crates/gateway/src/mesh/incoming.rs
@@ -8,39 +8,51 @@
 
 use crate::{
     source::{Change, Changes},
-    tables::{outbox::Reach, peers, stalls},
+    tables::{activity::Reporter, outbox::Reach, peers, stalls},
 };
 
 impl super::Mesh {
-    /// Handles a datagram of another node; `bytes` is its encoded form, for forwarding.
-    pub(crate) fn handle(&self, datagram: &mesh::Datagram, bytes: &[u8], now: moment::Moment) {
-        let Some(origin) = &datagram.origin else { return };
+    /// Handles a datagram of another node; `bytes` is its encoded form, for forwarding. Returns
+    /// whether a reply is wanted from this node.
+    pub(crate) fn handle(
+        &self,
+        datagram: &mesh::Datagram,
+        bytes: &[u8],
+        now: moment::Moment,
+    ) -> bool {
+        let Some(origin) = &datagram.origin else { return false };
         if origin.boot == self.identity.boot {
-            return;
+            return false;
         }
         let is_local = origin.zone == self.identity.zone.as_str();
         // Only these reach a node on several ways.
         if datagram.forward {
             if !self.tables.peers.lock().is_new(origin.boot, origin.sequence) {
-                return;
+                return false;
             }
             if !is_local {
-                self.enqueue(bytes.to_vec(), Reach::Zone);
+                // Loads and requests for them concern only those that sum them up.
+                let is_of_loads = datagram.load.is_some() || datagram.wants_reply;
+                let reach = if is_of_loads { Reach::Listeners } else { Reach::Zone };
+                self.enqueue(bytes.to_vec(), reach);
             }
         }
         self.handle_revision(origin, datagram, is_local, now);
         if let Some(load) = &datagram.load {
-            // The rows of a zone replace its earlier ones, whichever of its nodes sent them.
-            let key = if load.nodes == 0 { &origin.node } else { &origin.zone };
-            let key: id::Node = key.as_str().into();
+            // The load of a zone replaces its earlier one, whichever of its nodes sent it.
+            let reporter = match load.nodes {
+                0 => Reporter::Node(origin.node.as_str().into()),
+                _ if is_local => Reporter::Hub(origin.node.as_str().into()),
+                _ => Reporter::Zone(origin.zone.as_str().into()),
+            };
             let latest = (origin.boot, origin.sequence);
-            if self.tables.activity.lock().update_peer(&key, latest, load, now) {
-                self.tables.retries.lock().update_peer(&key, load, now);
-            }
+            self.tables.activity.lock().update_peer(&reporter, latest, load, now);
         }
         for stall in &datagram.stalls {
             self.handle_stall(stall, now);
         }
+        // A node that is no hub knows too little of the loads of its zone.
+        datagram.wants_reply && (!self.uses_hubs() || self.place_among_hubs().is_some())
     }
 
     /// Applies the changes of facts in a datagram, and records which revision its sender has.
--- a/crates/gateway/src/mesh/outgoing.rs
+++ b/crates/gateway/src/mesh/outgoing.rs
@@ -1,6 +1,6 @@
 //! Composing the datagrams that this node sends.
 
-use std::sync::atomic;
+use std::{net, sync::atomic};
 
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
@@ -11,24 +11,51 @@
 };
 
 impl super::Mesh {
-    /// The heartbeat to the nodes of the own zone: requests in progress, retry usage and the stalls
-    /// that this node detected.
-    pub(crate) fn heartbeat(&self, draining: bool, now: moment::Moment) -> Vec<u8> {
-        let load = mesh::Load {
-            nodes: 0,
-            rows: self.tables.activity.lock().rows(now),
-            usage: self.tables.retries.lock().usage(now),
-        };
+    /// The load of this node alone.
+    pub(crate) fn own_load(&self, now: moment::Moment) -> mesh::Load {
+        let mut rows = self.tables.activity.lock().rows(now);
+        rows.sort_unstable_by_key(|row| row.upstream);
+        mesh::Load { nodes: 0, rows, usage: self.tables.retries.lock().usage(now) }
+    }
+
+    /// The heartbeat with the load of this node and the stalls that it detected.
+    pub(crate) fn heartbeat(
+        &self,
+        load: mesh::Load,
+        draining: bool,
+        now: moment::Moment,
+    ) -> Vec<u8> {
         let stalls = self.stalls(|stall| stall.is_own, now);
         let datagram = self.datagram(draining, now);
         mesh::encode(mesh::Datagram { load: Some(load), stalls, ..datagram })
     }
 
+    /// A datagram without load, which tells that the node lives and which facts it has.
+    pub(crate) fn sign_of_life(&self, draining: bool, now: moment::Moment) -> Vec<u8> {
+        mesh::encode(self.datagram(draining, now))
+    }
+
+    /// The sums that a hub sends: for each other node of its zone, the load of all nodes but that
+    /// one.
+    pub(crate) fn sums(&self, now: moment::Moment) -> Vec<(net::SocketAddr, Vec<u8>)> {
+        let nodes = self.zone_nodes();
+        let usage = self.tables.retries.lock().usage(now);
+        let loads: Vec<_> = {
+            let activity = self.tables.activity.lock();
+            let sum = activity.zone_load(usage, true, now);
+            nodes.into_iter().map(|(id, to)| (to, activity.without(&sum, &id))).collect()
+        };
+        let datagram = self.datagram(false, now);
+        let encode = |(to, load): (net::SocketAddr, mesh::Load)| {
+            (to, mesh::encode(mesh::Datagram { load: Some(load), ..datagram.clone() }))
+        };
+        loads.into_iter().map(encode).collect()
+    }
+
     /// The digest to other zones: the same for all nodes of the own zone, with all known stalls.
     pub(crate) fn digest(&self, now: moment::Moment) -> Vec<u8> {
-        let (nodes, rows) = self.tables.activity.lock().zone_rows(now);
-        let usage = self.tables.retries.lock().zone_usage(now);
-        let load = mesh::Load { nodes, rows, usage };
+        let usage = self.tables.retries.lock().usage(now);
+        let load = self.tables.activity.lock().zone_load(usage, false, now);
         let stalls = self.stalls(|_| true, now);
         let datagram = self.datagram(false, now);
         mesh::encode(mesh::Datagram { load: Some(load), stalls, forward: true, ..datagram })
@@ -46,25 +73,37 @@
         self.enqueue(mesh::encode(datagram), Reach::All);
     }
 
-    /// Asks the other nodes for a heartbeat at once, and those of other zones for a digest.
-    pub(crate) fn request_heartbeats(&self, now: moment::Moment) {
-        let datagram = mesh::Datagram { wants_reply: true, ..self.datagram(false, now) };
-        self.enqueue(mesh::encode(datagram), Reach::All);
+    /// Asks the listeners of the own zone for their loads at once, and those of other zones for a
+    /// digest.
+    pub(crate) fn request_loads(&self, now: moment::Moment) {
+        let datagram = self.datagram(false, now);
+        let datagram = mesh::Datagram { wants_reply: true, forward: true, ..datagram };
+        self.enqueue(mesh::encode(datagram), Reach::AllListeners);
     }
 
-    /// The reply to a request for heartbeats: a heartbeat within the zone, a digest to other zones.
+    /// The reply to a request for loads: to other zones the digest, within the zone the sum of all
+    /// others' loads by a hub, and the heartbeat where there are no hubs.
     pub(crate) fn reply(
         &self,
-        request: &mesh::Datagram,
+        origin: &mesh::Origin,
         draining: bool,
         now: moment::Moment,
     ) -> Vec<u8> {
-        let zone = request.origin.as_ref().map_or("", |origin| origin.zone.as_str());
-        if zone == self.identity.zone.as_str() {
-            self.heartbeat(draining, now)
-        } else {
-            self.digest(now)
+        if origin.zone != self.identity.zone.as_str() {
+            return self.digest(now);
         }
+        if !self.uses_hubs() {
+            return self.heartbeat(self.own_load(now), draining, now);
+        }
+        let usage = self.tables.retries.lock().usage(now);
+        let load = {
+            let activity = self.tables.activity.lock();
+            let sum = activity.zone_load(usage, true, now);
+            activity.without(&sum, &origin.node.as_str().into())
+        };
+        let stalls = self.stalls(|_| true, now);
+        let datagram = self.datagram(draining, now);
+        mesh::encode(mesh::Datagram { load: Some(load), stalls, ..datagram })
     }
 
     /// Sends the changes from revision `after` to the present one to all nodes at once.
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -2,7 +2,10 @@
 
 use std::{collections, time};
 
-use corneltrestle_policy::{health, id, retry};
+use corneltrestle_policy::{
+    health, id,
+    retry::{self, fleet},
+};
 use corneltrestle_time::moment;
 
 use super::{
@@ -217,14 +220,21 @@
 
     /// Whether the budget shared by all nodes allows a retry.
     fn has_retry(&self, service: &id::Service, now: moment::Moment) -> bool {
-        let nodes = self.tables.current.load().nodes.len();
-        self.tables.retries.lock().allows(service, &self.limits.retries, nodes, now)
+        let others = self.usage_of_others(service, now);
+        self.tables.retries.lock().allows(service, &self.limits.retries, &others, now)
     }
 
     /// Takes a retry from the budget shared by all nodes; returns whether one was left.
     fn may_retry(&self, service: &id::Service, now: moment::Moment) -> bool {
-        let nodes = self.tables.current.load().nodes.len();
-        self.tables.retries.lock().try_take(service, &self.limits.retries, nodes, now)
+        let others = self.usage_of_others(service, now);
+        self.tables.retries.lock().try_take(service, &self.limits.retries, &others, now)
+    }
+
+    fn usage_of_others(&self, service: &id::Service, now: moment::Moment) -> fleet::Peers {
+        let total = self.tables.current.load().nodes.len().saturating_sub(1);
+        let max_age = self.limits.retries.window / 4;
+        let activity = self.tables.activity.lock();
+        fleet::Peers { total, ..activity.usage_of_others(service.as_str(), max_age, now) }
     }
 }
 
--- a/crates/gateway/src/tables/activity.rs
+++ b/crates/gateway/src/tables/activity.rs
@@ -1,26 +1,25 @@
 //! Requests in progress by upstream, of this node and of its peers.
 
+mod loads;
+
 use std::{collections, sync, time};
 
 use corneltrestle_kernel::table;
-use corneltrestle_policy::{cost, id};
+use corneltrestle_policy::{cost, id, retry::fleet};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 
+pub use loads::Reporter;
+
 /// Fraction of the unread prompt tokens reported by a peer that is assumed to be still unread: the
 /// rest is read while the heartbeat is in transit.
 const PEER_UNREAD_FACTOR: f64 = 0.5;
 
-/// Age after which a peer's heartbeat no longer counts.
-const MAX_HEARTBEAT_AGE: time::Duration = time::Duration::from_secs(4);
-
 /// Requests in progress; lock rank 40.
 #[derive(Debug, Default)]
 pub struct Activity {
     local: collections::HashMap<id::Vm, Local>,
-    peers: collections::HashMap<id::Node, Peer>,
-    /// Sums over the rows of all peers, by [`mesh::hash`] of the upstream's id.
-    peer_totals: collections::HashMap<u32, cost::Work>,
+    others: loads::Loads,
     /// Whether this node has sent any request since its process started.
     has_sent: bool,
 }
@@ -37,17 +36,6 @@
     stalled: sync::Arc<tokio::sync::Notify>,
 }
 
-/// The latest rows of a peer, or of another zone by the digest of one of its nodes.
-#[derive(Debug)]
-struct Peer {
-    boot: u64,
-    sequence: u64,
-    at: moment::Moment,
-    /// Number of nodes that the rows of a zone cover; 0 for the rows of one peer.
-    nodes: u32,
-    rows: Vec<mesh::Row>,
-}
-
 /// An upstream at which streams of this node wait for their next event.
 #[derive(Clone, Debug)]
 pub struct Waiting {
@@ -72,7 +60,7 @@
     /// Estimate of the work in progress at an upstream, less what peers' requests have likely
     /// completed since they were reported. Used to choose an upstream.
     pub fn estimated_work(&self, upstream: &str) -> cost::Work {
-        let mut work = self.peer_totals.get(&mesh::hash(upstream)).copied().unwrap_or_default();
+        let mut work = self.others.work(upstream);
         let unread = |tokens: u64| (tokens as f64 * PEER_UNREAD_FACTOR) as u64;
         work.unread = unread(work.unread);
         work.late_unread = unread(work.late_unread);
@@ -82,8 +70,7 @@
     /// Upper bound of the work in progress at an upstream, by all that is known. Used to detect
     /// stalls.
     pub fn max_work(&self, upstream: &str) -> cost::Work {
-        let work = self.peer_totals.get(&mesh::hash(upstream)).copied().unwrap_or_default();
-        self.add_local(upstream, work)
+        self.add_local(upstream, self.others.work(upstream))
     }
 
     fn add_local(&self, upstream: &str, mut work: cost::Work) -> cost::Work {
@@ -156,7 +143,7 @@
     }
 }
 
-/// Requests of peers.
+/// Requests of other nodes.
 impl Activity {
     /// The rows of this node's heartbeat.
     pub fn rows(&self, now: moment::Moment) -> Vec<mesh::Row> {
@@ -177,95 +164,62 @@
             .collect()
     }
 
-    /// The rows of all nodes of this node's zone, summed by upstream, and the number of those
-    /// nodes.
-    pub fn zone_rows(&self, now: moment::Moment) -> (u32, Vec<mesh::Row>) {
-        let same_zone = || self.peers.values().filter(|peer| peer.nodes == 0);
-        let reported =
-            same_zone().flat_map(|peer| peer.rows.iter().map(|row| aged(row, now.since(peer.at))));
-        let mut sums = collections::HashMap::<u32, mesh::Row>::new();
-        for row in self.rows(now).into_iter().chain(reported) {
-            let sum = sums.entry(row.upstream).or_default();
-            sum.upstream = row.upstream;
-            sum.event_age = match (sum.event_age, row.event_age) {
-                (0, event_age) | (event_age, 0) => event_age,
-                (one, other) => one.min(other),
-            };
-            sum.requests += row.requests;
-            sum.unread = sum.unread.saturating_add(row.unread);
-            sum.late += row.late;
-            sum.late_unread = sum.late_unread.saturating_add(row.late_unread);
-        }
-        let nodes = 1 + u32::try_from(same_zone().count()).unwrap_or(0);
-        (nodes, sums.into_values().collect())
+    /// The load of this node's zone, of all zones if `includes_zones`. `usage` is this node's use of
+    /// the retry budgets.
+    pub fn zone_load(
+        &self,
+        usage: Vec<mesh::Usage>,
+        includes_zones: bool,
+        now: moment::Moment,
+    ) -> mesh::Load {
+        let own = mesh::Load { nodes: 0, rows: self.rows(now), usage };
+        self.others.sum(&own, includes_zones, now)
+    }
+
+    /// A load of this node's zone without the load of one of its nodes.
+    pub fn without(&self, load: &mesh::Load, node: &id::Node) -> mesh::Load {
+        self.others.without(load, node)
     }
 
-    /// Stores the rows that a node reports for itself or its zone, unless later ones of the same
-    /// process are known. `latest` are the boot identifier and sequence number of the datagram.
-    /// Returns whether the rows were stored.
+    /// Stores a load that another node reports, unless a later one of the same process is known.
+    /// `latest` are the boot identifier and sequence number of its datagram. Returns whether it was
+    /// stored.
     pub fn update_peer(
         &mut self,
-        key: &id::Node,
+        reporter: &Reporter,
         latest: (u64, u64),
         load: &mesh::Load,
         now: moment::Moment,
     ) -> bool {
-        let (boot, sequence) = latest;
-        let known = self.peers.get(key);
-        if known.is_some_and(|known| known.boot == boot && known.sequence >= sequence) {
-            return false;
-        }
-        let peer = Peer { boot, sequence, at: now, nodes: load.nodes, rows: load.rows.clone() };
-        for row in &peer.rows {
-            self.peer_totals.entry(row.upstream).or_default().add(&work(row));
-        }
-        if let Some(old) = self.peers.insert(key.clone(), peer) {
-            self.subtract(&old.rows);
-        }
-        true
+        self.others.update(reporter, latest, load, now)
     }
 
-    /// Removes peers whose last heartbeat is older than `MAX_HEARTBEAT_AGE`.
+    /// Removes loads of other nodes that are too old.
     pub fn prune(&mut self, now: moment::Moment) {
-        let old: Vec<id::Node> = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| now.since(peer.at) > MAX_HEARTBEAT_AGE)
-            .map(|(node, _)| node.clone())
-            .collect();
-        for node in old {
-            if let Some(peer) = self.peers.remove(&node) {
-                self.subtract(&peer.rows);
-            }
-        }
+        self.others.prune(now);
     }
 
-    /// Time of the latest event that this node or a peer received from an upstream; `None` if no
-    /// stream is in progress there.
+    /// Time of the latest event that this node or another one received from an upstream; `None` if
+    /// no stream is in progress there.
     pub fn progress(&self, upstream: &str) -> Option<moment::Moment> {
         let own = self.local.get(upstream).filter(|own| own.streams > 0).map(|own| own.progress);
-        own.max(self.peer_progress(upstream))
+        own.max(self.others.progress(upstream))
     }
 
-    /// Time of the latest event that a peer received from an upstream, by its heartbeats.
-    fn peer_progress(&self, upstream: &str) -> Option<moment::Moment> {
-        let hash = mesh::hash(upstream);
-        let rows = self.peers.values().flat_map(|peer| {
-            peer.rows.iter().filter(|row| row.upstream == hash && row.event_age > 0).map(|row| {
-                peer.at.before(time::Duration::from_millis(u64::from(row.event_age - 1)))
-            })
-        });
-        rows.max()
+    /// What is known of the use of a service's retry budget by the other nodes, by loads of at most
+    /// `max_age`.
+    pub fn usage_of_others(
+        &self,
+        service: &str,
+        max_age: time::Duration,
+        now: moment::Moment,
+    ) -> fleet::Peers {
+        self.others.usage(service, max_age, now)
     }
 
-    fn subtract(&mut self, rows: &[mesh::Row]) {
-        for row in rows {
-            let Some(sum) = self.peer_totals.get_mut(&row.upstream) else { continue };
-            sum.subtract(&work(row));
-            if sum.requests == 0 {
-                self.peer_totals.remove(&row.upstream);
-            }
-        }
+    /// Age in milliseconds of the oldest load of the own zone that counts; `None` without any.
+    pub fn view_age(&self, now: moment::Moment) -> Option<u32> {
+        self.others.view_age(now)
     }
 }
 
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -107,6 +107,14 @@
             .get(node)
             .is_some_and(|node| node.memory as f64 >= most as f64 * LARGE_MEMORY_RATIO)
     }
+
+    /// The nodes of a zone, with whether each has about as much memory as the largest of them.
+    pub fn nodes_of(&self, zone: &id::Zone) -> Vec<(&id::Node, bool)> {
+        let nodes = || self.nodes.iter().filter(|(_, node)| node.zone == *zone);
+        let most = nodes().map(|(_, node)| node.memory).max().unwrap_or(0) as f64;
+        let is_large = |node: &Node| node.memory as f64 >= most * LARGE_MEMORY_RATIO;
+        nodes().map(|(id, node)| (id, is_large(node))).collect()
+    }
 }
 
 impl table::Ranked for Catalog {
--- a/crates/gateway/src/tables/outbox.rs
+++ b/crates/gateway/src/tables/outbox.rs
@@ -25,6 +25,10 @@
 pub enum Reach {
     /// All other nodes of the own zone.
     Zone,
+    /// The nodes of the own zone that take heartbeats: its hubs, or all if there are few nodes.
+    Listeners,
+    /// The same, and some nodes of each other zone, which forward it to the listeners there.
+    AllListeners,
     /// All other nodes of the own zone, and some nodes of each other zone, which forward it.
     All,
 }
--- a/crates/gateway/src/tables/peers.rs
+++ b/crates/gateway/src/tables/peers.rs
@@ -3,7 +3,7 @@
 use std::{collections, net, time};
 
 use corneltrestle_kernel::table;
-use corneltrestle_policy::id;
+use corneltrestle_policy::{hubs, id};
 use corneltrestle_time::moment;
 use rand::{Rng, seq::IteratorRandom};
 
@@ -23,6 +23,7 @@
     seen: collections::HashSet<(u64, u64)>,
     /// The same, oldest first.
     seen_order: collections::VecDeque<(u64, u64)>,
+    hubs: hubs::Hubs,
 }
 
 /// Datagrams that are remembered as seen.
@@ -74,10 +75,29 @@
         self.known.iter().filter(move |(_, peer)| now.since(peer.last_seen) < LIVE_TIMEOUT)
     }
 
-    /// Live nodes of the own zone that are not shutting down.
-    pub fn same_zone(&self, now: moment::Moment) -> impl Iterator<Item = &id::Node> {
-        let same_zone = self.live(now).filter(|(_, peer)| peer.is_local && !peer.draining);
-        same_zone.map(|(node, _)| node)
+    /// Chooses the hubs of the own zone among its registered nodes, which are given with whether
+    /// each is large. Nodes that are shutting down are left out.
+    pub fn choose_hubs<'a>(
+        &mut self,
+        zone: &id::Zone,
+        own: &id::Node,
+        registered: impl IntoIterator<Item = (&'a id::Node, bool)>,
+        pause_end: Option<moment::Moment>,
+        now: moment::Moment,
+    ) -> &[id::Node] {
+        let candidate = |(node, is_large): (&'a id::Node, bool)| {
+            let peer = self.known.get(node);
+            let heard = peer.map(|peer| peer.last_seen);
+            let is_draining = peer.is_some_and(|peer| peer.draining);
+            (!is_draining).then(|| hubs::Candidate { node: node.as_str(), is_large, heard })
+        };
+        let candidates: Vec<_> = registered.into_iter().filter_map(candidate).collect();
+        self.hubs.choose(zone.as_str(), own.as_str(), &candidates, pause_end, now)
+    }
+
+    /// The hubs of the own zone that were chosen last.
+    pub fn hubs(&self) -> &hubs::Hubs {
+        &self.hubs
     }
 
     /// A random live node with a later revision of the facts: of the own zone if `is_local`, else
--- a/crates/gateway/src/task/coordinate.rs
+++ b/crates/gateway/src/task/coordinate.rs
@@ -19,6 +19,9 @@
 /// Age of the facts from which the coordinator does not act, as it may have missed changes.
 const MAX_FACTS_AGE: time::Duration = time::Duration::from_secs(3);
 
+/// Age of the other nodes' counts of requests up to which they are used.
+const MAX_USAGE_AGE: time::Duration = time::Duration::from_secs(4);
+
 /// Time between two log lines that summarise all groups.
 const SUMMARY_PERIOD: time::Duration = time::Duration::from_secs(1);
 
@@ -134,7 +137,12 @@
         engine: &deployment::Engine,
         now: moment::Moment,
     ) -> collections::BTreeMap<id::Model, demand::Demand> {
-        let scale = self.tables.retries.lock().scale(service, now);
+        let others = {
+            let activity = self.tables.activity.lock();
+            activity.usage_of_others(service.as_str(), MAX_USAGE_AGE, now).usage.requests
+        };
+        let own = self.tables.retries.lock().requests(service, now);
+        let scale = f64::from(own + others) / f64::from(own.max(1));
         let table = self.tables.demand.lock();
         let demands = engine.models.iter().map(|model| {
             let own = table.meter.demand(model.name.as_str(), engine, now);
--- a/crates/gateway/src/task/follow.rs
+++ b/crates/gateway/src/task/follow.rs
@@ -8,7 +8,7 @@
 
 use corneltrestle_infra::store;
 use corneltrestle_kernel::{host, lifecycle, plugin};
-use corneltrestle_policy::{id, rendezvous, retry};
+use corneltrestle_policy::{rendezvous, retry};
 use corneltrestle_time::moment;
 use rand::Rng;
 
@@ -163,18 +163,21 @@
     /// Whether the facts are so old that it is this node's turn to poll the source.
     fn is_turn(&self, now: moment::Moment) -> bool {
         let Some(confirmed) = self.tables.catalog.lock().confirmed_at() else { return true };
-        now.since(confirmed) >= MAX_RECENT_AGE + FOLLOW_STAGGER * self.zone_rank(now)
+        now.since(confirmed) >= MAX_RECENT_AGE + FOLLOW_STAGGER * self.zone_rank()
     }
 
-    /// Rank of this node among the live nodes of its zone, from 0. All nodes compute the same
-    /// order.
-    fn zone_rank(&self, now: moment::Moment) -> u32 {
+    /// Rank of this node among the nodes of its zone, from 0: hubs first, and no node that is known
+    /// to be shutting down. All nodes compute about the same order.
+    fn zone_rank(&self) -> u32 {
         let own = self.identity.node.as_str();
-        let weight =
-            |node: &str| (rendezvous::weight(self.identity.zone.as_str(), node), node.to_owned());
+        let snapshot = self.tables.current.load();
         let peers = self.tables.peers.lock();
-        let live = peers.same_zone(now).map(id::Node::as_str);
-        let before = live.filter(|node| weight(node) < weight(own)).count();
+        let weight = |node: &str| {
+            let place = peers.hubs().place(node).unwrap_or(usize::MAX);
+            (place, rendezvous::weight(self.identity.zone.as_str(), node), node.to_owned())
+        };
+        let nodes = snapshot.nodes.iter().filter(|(_, node)| node.zone == self.identity.zone);
+        let before = nodes.filter(|(node, _)| weight(node.as_str()) < weight(own)).count();
         u32::try_from(before).unwrap_or(u32::MAX)
     }
 
@@ -207,9 +210,7 @@
             }
             if let Some(remote) = newer(false) {
                 let since = *waiting_since.get_or_insert(now);
-                if now.since(since)
-                    >= REMOTE_FETCH_STAGGER * (self.zone_rank(now) / REMOTE_FETCHERS)
-                {
+                if now.since(since) >= REMOTE_FETCH_STAGGER * (self.zone_rank() / REMOTE_FETCHERS) {
                     return remote;
                 }
                 let _ = tokio::time::timeout(LOCAL_CHECK_PERIOD, self.mesh.behind()).await;
--- a/crates/gateway/src/task/mesh.rs
+++ b/crates/gateway/src/task/mesh.rs
@@ -3,6 +3,7 @@
 use std::{net, sync, time};
 
 use corneltrestle_kernel::{host, lifecycle, linkme, plugin};
+use corneltrestle_time::moment;
 use corneltrestle_wire::mesh as wire;
 
 use crate::{
@@ -11,15 +12,18 @@
     tables,
 };
 
-/// Minimum time between two heartbeats to the nodes of the own zone.
+/// Time between two heartbeats.
 const HEARTBEAT_PERIOD: time::Duration = time::Duration::from_millis(80);
 
+/// Time between two heartbeats to the hubs while the load of the node does not change.
+const UNCHANGED_PERIOD: time::Duration = time::Duration::from_millis(240);
+
+/// Time between two sums of a hub. Each zone has two hubs, so that its nodes get one in half of it.
+const SUM_PERIOD: time::Duration = time::Duration::from_millis(160);
+
 /// Time between two digests to other zones; longer, as traffic between zones is expensive.
 const DIGEST_PERIOD: time::Duration = time::Duration::from_millis(240);
 
-/// Heartbeat datagrams a second that a node sends; with more peers, each gets fewer.
-const MAX_HEARTBEATS_PER_S: f64 = 240.0;
-
 /// Opened before the tasks, which use it through its port.
 #[linkme::distributed_slice(plugin::PLUGINS)]
 #[linkme(crate = linkme)]
@@ -66,22 +70,42 @@
     Ok(())
 }
 
-/// Sends queued datagrams at once, and heartbeats and digests periodically.
+/// Sends queued datagrams at once, and heartbeats, sums and digests periodically.
 async fn send(host: sync::Arc<host::Host>, mesh: sync::Arc<Mesh>) {
-    let (mut heartbeat_due, mut digest_due) = (host.now(), host.now());
+    let now = host.now();
+    let (mut heartbeat_due, mut sum_due, mut digest_due) = (now, now, now);
+    let mut reported = Reported::default();
     loop {
         let wait = heartbeat_due.since(host.now());
         let _ = tokio::time::timeout(wait, mesh.queued()).await;
         mesh.flush().await;
         let now = host.now();
-        if now >= heartbeat_due {
-            let peers = mesh.zone_peers();
-            let draining = host.lifecycle.stage() >= lifecycle::Stage::Draining;
-            mesh.send(&mesh.heartbeat(draining, now), &peers).await;
-            heartbeat_due = now + HEARTBEAT_PERIOD.max(min_period(peers.len()));
+        if now < heartbeat_due {
+            continue;
+        }
+        heartbeat_due = now + HEARTBEAT_PERIOD;
+        let draining = host.lifecycle.stage() >= lifecycle::Stage::Draining;
+        mesh.choose_hubs(draining, now);
+        let load = mesh.own_load(now);
+        if !mesh.uses_hubs() {
+            mesh.send(&mesh.heartbeat(load, draining, now), &mesh.zone_peers()).await;
+        } else {
+            if reported.is_due(&load, now) {
+                mesh.send(&mesh.heartbeat(load, draining, now), &mesh.listeners()).await;
+            }
+            // Hubs alone would have to answer all nodes that miss a change of facts.
+            if let Some(peer) = mesh.random_peer() {
+                mesh.send(&mesh.sign_of_life(draining, now), &[peer]).await;
+            }
+            if mesh.place_among_hubs().is_some() && now >= sum_due {
+                for (peer, sum) in mesh.sums(now) {
+                    mesh.send(&sum, &[peer]).await;
+                }
+                sum_due = now + SUM_PERIOD;
+            }
         }
         if now >= digest_due {
-            if mesh.represents_zone(now) {
+            if mesh.place_among_hubs() == Some(0) {
                 mesh.send(&mesh.digest(now), &mesh.relays()).await;
             }
             digest_due = now + DIGEST_PERIOD;
@@ -89,22 +113,43 @@
     }
 }
 
-/// Minimum time between two heartbeats to each of `peers` nodes at [`MAX_HEARTBEATS_PER_S`].
-fn min_period(peers: usize) -> time::Duration {
-    time::Duration::from_secs_f64(peers as f64 / MAX_HEARTBEATS_PER_S)
+/// The load that was reported to the hubs last.
+#[derive(Default)]
+struct Reported {
+    load: wire::Load,
+    at: Option<moment::Moment>,
+}
+
+impl Reported {
+    /// Whether to report this load now: it has changed, or the last report is old. The times of
+    /// events and the count of requests always change; they need not be known as early.
+    fn is_due(&mut self, load: &wire::Load, now: moment::Moment) -> bool {
+        let mut load = load.clone();
+        load.rows.iter_mut().for_each(|row| row.event_age = 0);
+        load.usage.iter_mut().for_each(|usage| usage.requests = 0);
+        let is_old = self.at.is_none_or(|at| now.since(at) >= UNCHANGED_PERIOD);
+        if !is_old && load == self.load {
+            return false;
+        }
+        *self = Self { load, at: Some(now) };
+        true
+    }
 }
 
-/// Handles the datagrams of other nodes, and replies to requests for heartbeats.
+/// Handles the datagrams of other nodes, and replies to requests for loads.
 async fn receive(host: sync::Arc<host::Host>, mesh: sync::Arc<Mesh>) {
     let mut buffer = [0; 2 * wire::MAX_BYTES];
     let mut unpublished = 0;
     loop {
         let (datagram, length, peer) = mesh.receive(&mut buffer, &mut unpublished).await;
         let now = host.now();
-        mesh.handle(&datagram, &buffer[..length], now);
-        if datagram.wants_reply {
+        if mesh.handle(&datagram, &buffer[..length], now)
+            && let Some(origin) = &datagram.origin
+        {
+            // A forwarded request came from another address than that of its origin.
+            let peer = mesh.address_of(&origin.node).unwrap_or(peer);
             let draining = host.lifecycle.stage() >= lifecycle::Stage::Draining;
-            mesh.send(&mesh.reply(&datagram, draining, now), &[peer]).await;
+            mesh.send(&mesh.reply(origin, draining, now), &[peer]).await;
         }
     }
 }
--- a/crates/gateway/src/task/watchdog.rs
+++ b/crates/gateway/src/task/watchdog.rs
@@ -85,7 +85,7 @@
             }
         }
         if needs_reports {
-            self.mesh.request_heartbeats(now);
+            self.mesh.request_loads(now);
         }
     }
 
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -4,7 +4,12 @@
 
 use corneltrestle_gateway::{
     source::{Change, Changes, Fact, Node, Subject},
-    tables::{activity::Activity, catalog::Catalog, pauses::Pauses, peers, stalls},
+    tables::{
+        activity::{Activity, Reporter},
+        catalog::Catalog,
+        pauses::Pauses,
+        peers, stalls,
+    },
 };
 use corneltrestle_policy::{Moment, cost, deployment, id, upstream};
 use corneltrestle_wire::mesh;
@@ -252,16 +257,28 @@
     mesh::Row { upstream: mesh::hash(upstream), requests, event_age, ..mesh::Row::default() }
 }
 
+fn node(name: &str) -> Reporter {
+    Reporter::Node(name.into())
+}
+
+fn zone(name: &str) -> Reporter {
+    Reporter::Zone(name.into())
+}
+
+fn hub(name: &str) -> Reporter {
+    Reporter::Hub(name.into())
+}
+
 /// Guards against an upstream that looks idle to each of several nodes, so that all of them send
 /// requests to it.
 #[test]
 fn requests_of_peers_count() {
     let mut activity = Activity::default();
     activity.begin(&"a".into(), &work(2, 100), at(0));
-    activity.update_peer(&"node-2".into(), (1, 1), &load(0, vec![row("a", 5, 0)]), at(0));
-    activity.update_peer(&"zone-2".into(), (1, 1), &load(4, vec![row("a", 7, 0)]), at(0));
+    activity.update_peer(&node("node-2"), (1, 1), &load(0, vec![row("a", 5, 0)]), at(0));
+    activity.update_peer(&zone("zone-2"), (1, 1), &load(4, vec![row("a", 7, 0)]), at(0));
     assert_eq!(activity.estimated_work("a").requests, 14);
-    activity.update_peer(&"node-2".into(), (1, 2), &load(0, vec![]), at(10));
+    activity.update_peer(&node("node-2"), (1, 2), &load(0, vec![]), at(10));
     assert_eq!(activity.estimated_work("a").requests, 9);
 }
 
@@ -269,9 +286,9 @@
 #[test]
 fn earlier_heartbeat_is_ignored() {
     let mut activity = Activity::default();
-    assert!(activity.update_peer(&"b".into(), (1, 5), &load(0, vec![row("a", 5, 0)]), at(0)));
-    assert!(!activity.update_peer(&"b".into(), (1, 4), &load(0, vec![row("a", 9, 0)]), at(1)));
-    assert!(activity.update_peer(&"b".into(), (2, 1), &load(0, vec![row("a", 1, 0)]), at(2)));
+    assert!(activity.update_peer(&node("b"), (1, 5), &load(0, vec![row("a", 5, 0)]), at(0)));
+    assert!(!activity.update_peer(&node("b"), (1, 4), &load(0, vec![row("a", 9, 0)]), at(1)));
+    assert!(activity.update_peer(&node("b"), (2, 1), &load(0, vec![row("a", 1, 0)]), at(2)));
     assert_eq!(activity.estimated_work("a").requests, 1);
 }
 
@@ -279,7 +296,7 @@
 #[test]
 fn silent_peer_is_forgotten() {
     let mut activity = Activity::default();
-    activity.update_peer(&"b".into(), (1, 1), &load(0, vec![row("a", 5, 0)]), at(0));
+    activity.update_peer(&node("b"), (1, 1), &load(0, vec![row("a", 5, 0)]), at(0));
     activity.prune(at(5_000));
     assert_eq!(activity.estimated_work("a").requests, 0);
 }
@@ -289,11 +306,64 @@
 fn zone_rows_cover_only_the_nodes_of_the_zone() {
     let mut activity = Activity::default();
     activity.begin(&"a".into(), &work(1, 0), at(0));
-    activity.update_peer(&"near".into(), (1, 1), &load(0, vec![row("a", 2, 30)]), at(0));
-    activity.update_peer(&"far-zone".into(), (1, 1), &load(9, vec![row("a", 40, 1)]), at(0));
-    let (nodes, rows) = activity.zone_rows(at(20));
-    assert_eq!((nodes, rows.len(), rows[0].requests), (2, 1, 3));
-    assert!(rows[0].event_age >= 50, "the age of the peer's rows is added: {}", rows[0].event_age);
+    activity.update_peer(&node("near"), (1, 1), &load(0, vec![row("a", 2, 30)]), at(0));
+    activity.update_peer(&zone("far-zone"), (1, 1), &load(9, vec![row("a", 40, 1)]), at(0));
+    let sum = activity.zone_load(Vec::new(), false, at(20));
+    assert_eq!((sum.nodes, sum.rows.len(), sum.rows[0].requests), (2, 1, 3));
+    let event_age = sum.rows[0].event_age;
+    assert!(event_age >= 50, "the age of the peer's rows is added: {event_age}");
+    let all = activity.zone_load(Vec::new(), true, at(20));
+    assert_eq!((all.nodes, all.rows[0].requests), (11, 43));
+}
+
+/// Guards against a node that counts the requests of its zone twice: as it hears of them from a hub
+/// and from single nodes.
+#[test]
+fn sum_of_a_hub_replaces_the_loads_that_it_covers() {
+    let mut activity = Activity::default();
+    activity.update_peer(&node("b"), (1, 1), &load(0, vec![row("a", 5, 0)]), at(0));
+    activity.update_peer(&zone("zone-2"), (1, 1), &load(4, vec![row("a", 7, 0)]), at(0));
+    activity.update_peer(&hub("h"), (2, 1), &load(60, vec![row("a", 90, 0)]), at(10));
+    assert_eq!(activity.estimated_work("a").requests, 90);
+    // The other hub knows fewer nodes, as it has just taken over.
+    activity.update_peer(&hub("g"), (3, 1), &load(2, vec![row("a", 1, 0)]), at(20));
+    assert_eq!(activity.estimated_work("a").requests, 90);
+    activity.prune(at(700));
+    assert_eq!(activity.estimated_work("a").requests, 12, "no hub was heard from");
+}
+
+/// Guards against requests that never end, as two hubs pass them on to each other.
+#[test]
+fn sum_of_a_hub_does_not_hold_that_of_another() {
+    let mut activity = Activity::default();
+    activity.begin(&"a".into(), &work(1, 0), at(0));
+    activity.update_peer(&hub("h"), (2, 1), &load(60, vec![row("a", 90, 0)]), at(10));
+    let sum = activity.zone_load(Vec::new(), true, at(20));
+    assert_eq!((sum.nodes, sum.rows[0].requests), (1, 1));
+}
+
+/// Guards against a node that takes its own requests, which the hub has summed up, for those of
+/// others.
+#[test]
+fn sum_for_a_node_leaves_out_its_own_load() {
+    let mut activity = Activity::default();
+    activity.begin(&"a".into(), &work(1, 0), at(0));
+    activity.update_peer(&node("b"), (1, 1), &load(0, vec![row("a", 5, 0), row("c", 2, 0)]), at(0));
+    activity.update_peer(&node("d"), (1, 1), &load(0, vec![row("a", 3, 0)]), at(0));
+    let sum = activity.zone_load(Vec::new(), true, at(10));
+    let rest = activity.without(&sum, &"b".into());
+    let requests: Vec<_> = rest.rows.iter().map(|row| row.requests).collect();
+    assert_eq!((rest.nodes, requests), (2, vec![4, 0]));
+}
+
+/// Guards against a datagram that has no room for the upstreams with most requests.
+#[test]
+fn busiest_upstreams_come_first_in_a_sum() {
+    let mut activity = Activity::default();
+    let rows = (0..100).map(|n| row(&format!("vm-{n}"), n, 0)).collect();
+    activity.update_peer(&node("b"), (1, 1), &load(0, rows), at(0));
+    let sum = activity.zone_load(Vec::new(), true, at(10));
+    assert!(sum.rows.is_sorted_by_key(|row| std::cmp::Reverse(row.requests)));
 }
 
 /// Guards against a stall that is detected although another node still receives events from the
@@ -303,7 +373,7 @@
     let mut activity = Activity::default();
     activity.begin(&"a".into(), &work(1, 10), at(0));
     activity.started("a", &work(0, 10), at(50));
-    activity.update_peer(&"b".into(), (1, 1), &load(0, vec![row("a", 1, 31)]), at(200));
+    activity.update_peer(&node("b"), (1, 1), &load(0, vec![row("a", 1, 31)]), at(200));
     assert_eq!(activity.progress("a"), Some(at(170)));
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod fleet;
 pub mod formation;
 pub mod health;
+pub mod hubs;
 pub mod id;
 pub mod keepalive;
 pub mod lease;
