policy: use the VMs of a group again whose end one of them missed, and repeat no refused order at once

Cause: a VM whose registration lapsed while its group was dissolved came back with the group in its registration. What was left of a group that was still open was never dissolved.

Change: a registered group that lacks members for 3 s is adopted to be dissolved; a group whose head does not open within 3 s is dissolved; a VM that refused an order gets no other one for 0.4 s.

--- a/crates/gateway/src/task/coordinate/orders.rs
+++ b/crates/gateway/src/task/coordinate/orders.rs
@@ -3,6 +3,7 @@
 use std::{sync, time};
 
 use corneltrestle_policy::formation;
+use corneltrestle_time::moment;
 
 use crate::{
     source::Source,
@@ -26,7 +27,7 @@
         let this = sync::Arc::clone(self);
         self.host.pool.spawn(async move {
             let outcome = this.send(&step, token).await;
-            this.record_outcome(&step, token, outcome);
+            this.record_outcome(&step, token, outcome, this.host.now());
         });
     }
 
@@ -42,6 +43,7 @@
         step: &formation::Step,
         token: u64,
         outcome: upstream::Result<Option<Outcome>>,
+        now: moment::Moment,
     ) {
         let (vm, order) = (step.vm.as_str(), &step.order);
         let mut coordinator = self.tables.coordinator.lock();
@@ -57,7 +59,7 @@
                 }
                 let is_effective = matches!(outcome, Some(Outcome::Begun | Outcome::Standing));
                 if !is_effective && let Some(state) = &mut coordinator.state {
-                    state.discard_order(vm);
+                    state.defer_order(vm, now);
                 }
             }
             Err(e) => {
--- a/crates/policy/src/formation/lifecycle.rs
+++ b/crates/policy/src/formation/lifecycle.rs
@@ -4,12 +4,16 @@
 
 use corneltrestle_time::moment;
 
-use super::{Condition, Order, Plan, State, Step, View, Vm, vm::SERVING};
+use super::{Condition, Order, Plan, State, Step, View, Vm, outlook, vm::SERVING};
 use crate::{fleet, id, upstream};
 
 /// Time that a group formed by an earlier coordinator gets to become complete.
 const ADOPTION_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
+/// Time within which a head that was ordered to open must register that it serves. It takes a
+/// fraction of a second.
+const OPEN_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
 /// Returns the orders for groups that exist or are being formed.
 pub(super) fn steps(
     view: &View<'_>,
@@ -30,23 +34,38 @@
     steps
 }
 
-/// Adopts registered groups that an earlier coordinator has formed.
+/// Adopts registered groups that an earlier coordinator has formed. Those whose members are not all
+/// registered are adopted after a while, to be dissolved: what is left of a group whose other
+/// members were told to leave cannot serve.
 fn adopt(view: &View<'_>, state: &mut State, now: moment::Moment) {
-    for group in view.fleet.groups() {
-        let is_own = group.service == *view.service && group.id.as_str().starts_with(SERVING);
-        if !is_own || state.plans().contains_key(&group.id) {
+    let is_own = |group: &&fleet::Group| {
+        group.service == *view.service && group.id.as_str().starts_with(SERVING)
+    };
+    let unplanned: Vec<_> = view
+        .fleet
+        .groups()
+        .iter()
+        .filter(is_own)
+        .filter(|group| !state.plans().contains_key(&group.id))
+        .collect();
+    state.retain_incomplete(|group| unplanned.iter().any(|other| other.id == *group));
+    for group in unplanned {
+        let model = model(view, group);
+        let size = view.engine.model(model.as_str()).map_or(group.len(), outlook::size);
+        let is_incomplete = group.len() < size;
+        if is_incomplete && now.since(state.incomplete_since(&group.id, now)) < ADOPTION_TIMEOUT {
             continue;
         }
         let members: Vec<id::Vm> =
             view.fleet.members(group).map(|member| member.id.clone()).collect();
         let plan = Plan {
             epoch: group.epoch,
-            model: model(view, group),
+            model,
             members,
             created: now,
             join_deadline: now + ADOPTION_TIMEOUT,
             opened: group.is_open.then_some(now),
-            is_dissolving: false,
+            is_dissolving: is_incomplete,
         };
         state.plans_mut().insert(group.id.clone(), plan);
     }
@@ -81,7 +100,11 @@
     });
     let states: Vec<_> = members.iter().map(|member| member_state(*member, name, plan)).collect();
     let is_broken = states.first() == Some(&Some(upstream::MemberState::Broken));
-    let is_late = plan.opened.is_none() && now >= plan.join_deadline;
+    let is_open = states.first() == Some(&Some(upstream::MemberState::Open));
+    let is_late = match plan.opened {
+        None => now >= plan.join_deadline,
+        Some(ordered) => !is_open && !is_closing(&states) && now >= ordered + OPEN_TIMEOUT,
+    };
     if is_damaged || is_broken || is_late {
         plan.is_dissolving = true;
         return dissolve(name, plan, &members, state, now, steps);
@@ -94,15 +117,20 @@
     let is_ready = |state: &Option<upstream::MemberState>| {
         matches!(state, Some(upstream::MemberState::Ready | upstream::MemberState::Open))
     };
-    let is_open = states.first() == Some(&Some(upstream::MemberState::Open));
-    if !is_open && states.iter().all(is_ready) && !head.is_busy {
+    if is_open {
         plan.opened = Some(now);
+    } else if states.iter().all(is_ready) && !head.is_busy {
+        plan.opened.get_or_insert(now);
         let order = Order::Open { group: name.clone(), epoch: plan.epoch };
         steps.push(state.issue(&head.upstream.id, order, now));
     }
     false
 }
 
+fn is_closing(states: &[Option<upstream::MemberState>]) -> bool {
+    states.first() == Some(&Some(upstream::MemberState::Closing))
+}
+
 /// The state that a VM registered as a member of this group; `None` if it is in no group or in
 /// another one.
 fn member_state(
--- a/crates/policy/src/formation/state.rs
+++ b/crates/policy/src/formation/state.rs
@@ -16,6 +16,9 @@
 /// order counts as lost, and the VM may get another one.
 pub(super) const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
+/// Time after which a VM that refused an order may get another one.
+const REFUSED_DELAY: time::Duration = time::Duration::from_millis(400);
+
 /// State of the coordinator for as long as it holds one fencing token.
 #[derive(Clone, Debug)]
 pub struct State {
@@ -28,6 +31,8 @@
     /// The latest order of each VM with the time when it was issued, until the registration of the
     /// VM shows its effect.
     pending: collections::BTreeMap<id::Vm, (Order, moment::Moment)>,
+    /// Since when each registered group without a plan has lacked members.
+    incomplete: collections::BTreeMap<id::Group, moment::Moment>,
     /// Since when each standby VM has been free.
     free_since: collections::BTreeMap<id::Vm, moment::Moment>,
     /// Start times of the loads in the last second, for the rate limit of the weight store.
@@ -47,7 +52,8 @@
     pub created: moment::Moment,
     /// When the group is dissolved if it has not been opened by then.
     pub join_deadline: moment::Moment,
-    /// When the head was ordered to open; `None` while members join.
+    /// When the head was last registered as open, or first ordered to open; `None` while members
+    /// join.
     pub opened: Option<moment::Moment>,
     /// Whether the members are being told to leave.
     pub is_dissolving: bool,
@@ -70,6 +76,7 @@
             plans: collections::BTreeMap::new(),
             loading: collections::BTreeMap::new(),
             pending: collections::BTreeMap::new(),
+            incomplete: collections::BTreeMap::new(),
             free_since: collections::BTreeMap::new(),
             load_starts: collections::VecDeque::new(),
         }
@@ -95,6 +102,21 @@
         &mut self.plans
     }
 
+    /// Since when a registered group without a plan has lacked members; `now` if it was complete
+    /// or unknown before.
+    pub(super) fn incomplete_since(
+        &mut self,
+        group: &id::Group,
+        now: moment::Moment,
+    ) -> moment::Moment {
+        *self.incomplete.entry(group.clone()).or_insert(now)
+    }
+
+    /// Forgets the groups without a plan that `keep` rejects.
+    pub(super) fn retain_incomplete(&mut self, mut keep: impl FnMut(&id::Group) -> bool) {
+        self.incomplete.retain(|group, _| keep(group));
+    }
+
     pub(super) fn loading(&self) -> &collections::BTreeMap<id::Vm, Loading> {
         &self.loading
     }
@@ -136,9 +158,12 @@
         self.pending.get(vm).is_some_and(|(_, at)| now < *at + ORDER_TIMEOUT)
     }
 
-    /// Drops the pending order of a VM, after the order was answered but had no effect.
-    pub fn discard_order(&mut self, vm: &str) {
-        self.pending.remove(vm);
+    /// Lets the pending order of a VM end soon, after the VM has answered that it has no effect. The
+    /// registration that the order followed from may be out of date for a moment.
+    pub fn defer_order(&mut self, vm: &str, now: moment::Moment) {
+        if let Some((_, at)) = self.pending.get_mut(vm) {
+            *at = now.before(ORDER_TIMEOUT - REFUSED_DELAY);
+        }
     }
 
     /// Drops pending orders whose effect shows in the registrations, and those that have timed out.
--- a/crates/policy/tests/formation.rs
+++ b/crates/policy/tests/formation.rs
@@ -10,7 +10,7 @@
 use corneltrestle_policy::{
     Moment, demand,
     formation::{self, Order, Step},
-    id,
+    id, upstream,
 };
 use engines::Engines;
 use proptest::prelude::*;
@@ -119,6 +119,33 @@
     assert!(after >= before, "{before} groups before the loss, {after} after it");
 }
 
+/// Guards against a VM that is never used again, because its registration lapsed while its group was
+/// dissolved and still names that group when it is back, and against orders that it refuses again
+/// and again.
+#[test_case::test_case(upstream::MemberState::Ready; "ready")]
+#[test_case::test_case(upstream::MemberState::Open; "open")]
+#[test_case::test_case(upstream::MemberState::Broken; "broken")]
+fn head_that_missed_the_end_of_its_group_is_used_again(registers: upstream::MemberState) {
+    let mut engines = Engines::of(engines::engine_of(4, 4));
+    (0..4).for_each(|_| engines.add(0));
+    run(&mut engines, SETTLE_S);
+    engines.has_traffic = true;
+    let serving = |engines: &Engines| engines.serving("large") + engines.serving("small");
+    assert_eq!(serving(&engines), 1);
+    let fleet = engines.fleet();
+    let group = fleet.groups().iter().find(|group| group.is_open && group.len() > 1);
+    let head = fleet.head(group.expect("a group serves")).expect("a head").id.clone();
+    let away = engines.unregister(&head);
+    run(&mut engines, 2);
+    engines.register(away, registers);
+    let orders: Vec<Step> = (0..60).flat_map(|_| engines.tick(|_| true)).collect();
+    let opens = orders.iter().filter(|step| step.vm == head);
+    let opens = opens.filter(|step| matches!(step.order, Order::Open { .. })).count();
+    assert!(opens <= 10, "{opens} orders to open in six seconds");
+    run(&mut engines, SETTLE_S);
+    assert_eq!(serving(&engines), 1);
+}
+
 /// Guards against groups that keep serving with VMs in an evacuated zone.
 #[test]
 fn evacuated_zone_serves_no_longer() {
--- a/crates/policy/tests/support/engines.rs
+++ b/crates/policy/tests/support/engines.rs
@@ -57,6 +57,9 @@
     model: Option<id::Model>,
 }
 
+/// A VM whose registration has lapsed.
+pub(crate) struct Unregistered(Vm);
+
 /// Simulated VMs in fabric domains, with the state of their coordinator.
 pub(crate) struct Engines {
     pub(crate) engine: deployment::Engine,
@@ -139,6 +142,19 @@
         }
     }
 
+    /// Removes the registration of a VM that goes on; the result registers it again.
+    pub(crate) fn unregister(&mut self, id: &id::Vm) -> Unregistered {
+        Unregistered(self.vms.remove(id).expect("a registered VM"))
+    }
+
+    /// Registers a VM again, as a member in the given state.
+    pub(crate) fn register(&mut self, vm: Unregistered, state: upstream::MemberState) {
+        let mut vm = vm.0;
+        let engine = vm.upstream.engine.as_mut().expect("a model engine");
+        engine.member.as_mut().expect("a member").state = state;
+        self.vms.insert(vm.upstream.id.clone(), vm);
+    }
+
     /// Removes the registrations of lost VMs.
     pub(crate) fn lapse(&mut self) {
         for id in std::mem::take(&mut self.lost) {
@@ -207,7 +223,10 @@
         };
         let steps = formation::decide(&view, &mut self.state, self.now);
         for step in &steps {
-            if !self.lost.contains(&step.vm) && is_executed(step) {
+            let is_refused = !self.lost.contains(&step.vm) && self.refuses(step);
+            if is_refused {
+                self.state.defer_order(step.vm.as_str(), self.now);
+            } else if !self.lost.contains(&step.vm) && is_executed(step) {
                 self.execute(step);
             }
         }
@@ -216,6 +235,16 @@
         steps
     }
 
+    /// Whether a VM refuses an order: it is to open a group whose other members are gone.
+    fn refuses(&self, step: &formation::Step) -> bool {
+        let Order::Open { group, epoch } = &step.order else { return false };
+        let members = self.vms.values().filter(|vm| {
+            let engine = vm.upstream.engine.as_ref().expect("a model engine");
+            engine.member.as_ref().is_some_and(|m| m.group == *group && m.epoch == *epoch)
+        });
+        members.count() < 2
+    }
+
     fn execute(&mut self, step: &formation::Step) {
         let now = self.now;
         let times: collections::BTreeMap<_, _> = self
