--- a/crates/local/tests/logs.rs
+++ b/crates/local/tests/logs.rs
@@ -1,7 +1,6 @@
 //! Guards against lines about a request that lack the field by which lines of one request are
 //! sampled and found.
 
-#[allow(dead_code, reason = "it uses a part of it")]
 mod common;
 
 use log::kv;
