--- a/crates/gateway/src/pipeline/record.rs
+++ b/crates/gateway/src/pipeline/record.rs
@@ -157,7 +157,8 @@
             organisation = self.organisation.as_ref().map_or("none", id::Organisation::as_str),
             code = refusal.code.as_str(), outcome = refusal.outcome.as_str(), step = refusal.step,
             cause = refusal.message.as_str(), events = self.events.number,
-            revision = revision, facts_ms = age, sent = self.attempts().as_str();
+            revision = revision, facts_ms = age, upstream = self.upstream(),
+            sent = self.attempts().as_str();
             "route: request failed"
         );
     }
@@ -166,6 +167,12 @@
         self.route.as_ref().map_or("none", id::Route::as_str)
     }
 
+    /// The upstream of the latest send. The end of the request may be the only line that names it,
+    /// as a request can wait for a stalled upstream until its deadline.
+    fn upstream(&self) -> &str {
+        self.dispatches.last().map_or("none", |dispatch| dispatch.upstream.as_str())
+    }
+
     /// All sends with their failures, as text for the log.
     fn attempts(&self) -> String {
         let dispatches: Vec<String> = self.dispatches.iter().map(Dispatch::to_string).collect();
@@ -202,7 +209,8 @@
         self.count("caller-left");
         log::info!(
             id = self.id.as_str(), route = self.route(), took_ms = self.since(self.host.now()),
-            events = self.events.number, sent = self.attempts().as_str();
+            events = self.events.number, upstream = self.upstream(),
+            sent = self.attempts().as_str();
             "route: caller left"
         );
     }
