kernel, time: background tasks are started again after a panic; the clock counts suspended time

Causes: a background task that panicked ended for good, and the node went on without it: half alive, with registrations that lapse or facts that are no longer followed. The clock of a node stood still while its VM was suspended, so that a lease of 1.5 s counted as held after a suspension of any length.

The system clock reads CLOCK_BOOTTIME.

--- a/crates/gateway/src/task/coordinate.rs
+++ b/crates/gateway/src/task/coordinate.rs
@@ -54,8 +54,8 @@
     });
     let handle = plugin::Handle::default();
     let holder = sync::Arc::clone(&coordinator);
-    handle.spawn_until_stop(&host.pool, async move { holder.hold().await });
-    handle.spawn_until_stop(&host.pool, async move { coordinator.run().await });
+    host.supervise(&handle, "lease", move || sync::Arc::clone(&holder).hold());
+    host.supervise(&handle, "coordinate", move || sync::Arc::clone(&coordinator).run());
     Ok(handle)
 }
 
--- a/crates/gateway/src/task/coordinate/lease.rs
+++ b/crates/gateway/src/task/coordinate/lease.rs
@@ -1,6 +1,6 @@
 //! Holding the coordinator's lease: acquiring it when free, renewing it and stepping down.
 
-use std::time;
+use std::{sync, time};
 
 use corneltrestle_infra::store::{self, Class, LeaseId, Store, Swap};
 use corneltrestle_policy::{formation, lease};
@@ -44,7 +44,7 @@
     }
 
     /// Acquires the lease when it is free, and renews it while this node holds it. Does not return.
-    pub(super) async fn hold(&self) {
+    pub(super) async fn hold(self: sync::Arc<Self>) {
         let mut state = State::default();
         loop {
             let now = self.host.now();
--- a/crates/gateway/src/task/follow.rs
+++ b/crates/gateway/src/task/follow.rs
@@ -76,21 +76,21 @@
 ///
 /// When no plug-in provides a port that it uses.
 pub fn open<S: Source>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
-    let follower = Follower::<S> {
+    let follower = sync::Arc::new(Follower::<S> {
         host: sync::Arc::clone(host),
         identity: host.port()?,
         tables: tables::Tables::of(host),
         source: host.port()?,
         mesh: host.port()?,
         facts: Facts::new(host),
-    };
+    });
     let handle = plugin::Handle::default();
-    handle.spawn_until_stop(&host.pool, async move { follower.run().await });
+    host.supervise(&handle, "follow", move || sync::Arc::clone(&follower).run());
     Ok(handle)
 }
 
 impl<S: Source> Follower<S> {
-    async fn run(self) {
+    async fn run(self: sync::Arc<Self>) {
         let mut failures = 0;
         let (mut loaded, mut follows) = (false, false);
         loop {
@@ -280,11 +280,13 @@
         // The answer confirms that nothing else had changed when it was given.
         let answered = self.host.now();
         let is_same = changes.changes.is_empty();
-        {
+        let changes = {
             let mut catalog = self.tables.catalog.lock();
+            let changes = catalog.with_patches(changes);
             catalog.apply(changes.clone(), answered);
             catalog.record_answer(self.identity.boot, answered);
-        }
+            changes
+        };
         if is_same {
             return Ok(());
         }
--- a/crates/gateway/src/task/mesh.rs
+++ b/crates/gateway/src/task/mesh.rs
@@ -48,8 +48,14 @@
     drop(entered);
     host.provide(sync::Arc::clone(&mesh));
     let handle = plugin::Handle::default();
-    handle.spawn_until_stop(&host.pool, send(sync::Arc::clone(host), sync::Arc::clone(&mesh)));
-    handle.spawn_until_stop(&host.pool, receive(sync::Arc::clone(host), mesh));
+    let (sender, own) = (sync::Arc::clone(&mesh), sync::Arc::clone(host));
+    host.supervise(&handle, "send", move || {
+        send(sync::Arc::clone(&own), sync::Arc::clone(&sender))
+    });
+    let own = sync::Arc::clone(host);
+    host.supervise(&handle, "receive", move || {
+        receive(sync::Arc::clone(&own), sync::Arc::clone(&mesh))
+    });
     open_link(host, &handle)?;
     Ok(handle)
 }
--- a/crates/gateway/src/task/register.rs
+++ b/crates/gateway/src/task/register.rs
@@ -40,14 +40,15 @@
         boot: identity.boot,
         memory: identity.memory,
     };
-    let registrar = Registrar::<S> { store: host.port()?, key: S::node_key(&identity.node), node };
+    let (store, key) = (host.port()?, S::node_key(&identity.node));
+    let registrar = sync::Arc::new(Registrar::<S> { store, key, node });
     let handle = plugin::Handle::default();
-    handle.spawn_until_stop(&host.pool, registrar.run());
+    host.supervise(&handle, "register", move || sync::Arc::clone(&registrar).run());
     Ok(handle)
 }
 
 impl<S: Store> Registrar<S> {
-    async fn run(self) {
+    async fn run(self: sync::Arc<Self>) {
         let mut lease = None;
         loop {
             let result = match lease {
--- a/crates/gateway/src/task/watchdog.rs
+++ b/crates/gateway/src/task/watchdog.rs
@@ -42,17 +42,21 @@
 }
 
 fn open(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
-    let mut watchdog = Watchdog {
-        host: sync::Arc::clone(host),
-        tables: tables::Tables::of(host),
-        mesh: host.port()?,
-        asked: collections::HashMap::new(),
-    };
+    let mesh = host.port::<mesh::Mesh>()?;
     let handle = plugin::Handle::default();
-    handle.spawn_until_stop(&host.pool, async move {
-        loop {
-            tokio::time::sleep(CHECK_PERIOD).await;
-            watchdog.check(watchdog.host.now());
+    let own = sync::Arc::clone(host);
+    host.supervise(&handle, "watchdog", move || {
+        let mut watchdog = Watchdog {
+            host: sync::Arc::clone(&own),
+            tables: tables::Tables::of(&own),
+            mesh: sync::Arc::clone(&mesh),
+            asked: collections::HashMap::new(),
+        };
+        async move {
+            loop {
+                tokio::time::sleep(CHECK_PERIOD).await;
+                watchdog.check(watchdog.host.now());
+            }
         }
     });
     Ok(handle)
--- a/crates/kernel/src/daemon.rs
+++ b/crates/kernel/src/daemon.rs
@@ -163,16 +163,17 @@
     let mut signals = signals.map_err(|e| format!("cannot listen for signals: {e}"))?;
     let mut file = SettingsFile { path, settings: settings.clone(), modified: modified(path) };
     let node = node::Node::open_on(pool, settings).map_err(|e| e.to_string())?;
-    loop {
-        match node.host().pool.block_on(signals.next()) {
-            Event::Stop => break,
+    let result = loop {
+        match node.host().pool.block_on(signals.next(node.host())) {
+            Event::Stop => break Ok(()),
+            Event::Failed => break Err("a background task has failed for good".to_owned()),
             Event::Reload => file.reload(),
             Event::Poll if modified(path) != file.modified => file.reload(),
             Event::Poll => {}
         }
-    }
+    };
     node.shutdown();
-    Ok(())
+    result
 }
 
 /// Interval at which the modification time of the settings file is checked.
@@ -214,6 +215,8 @@
     Stop,
     /// SIGHUP: read the settings again.
     Reload,
+    /// A background task has failed for good: drain the node and exit.
+    Failed,
     /// The poll interval has passed: check whether the settings file has changed.
     Poll,
 }
@@ -234,8 +237,9 @@
         })
     }
 
-    async fn next(&mut self) -> Event {
+    async fn next(&mut self, host: &host::Host) -> Event {
         tokio::select! {
+            () = host.failed() => Event::Failed,
             _ = self.terminate.recv() => Event::Stop,
             _ = self.interrupt.recv() => Event::Stop,
             _ = self.hangup.recv() => Event::Reload,
--- a/crates/kernel/src/host.rs
+++ b/crates/kernel/src/host.rs
@@ -3,16 +3,18 @@
 
 use std::{
     any::{self, Any, type_name},
-    collections, sync, time,
+    collections, panic, sync, time,
 };
 
 use corneltrestle_time::{
     clock::{self, Clock},
     moment,
 };
+use futures_util::FutureExt;
 use rand::Rng;
+use tokio_util::sync::CancellationToken;
 
-use crate::{lifecycle, plugin, pool, settings, table};
+use crate::{lifecycle, plugin, pool, settings, supervise, table};
 
 type Shared = collections::HashMap<any::TypeId, sync::Arc<dyn Any + Send + Sync>>;
 
@@ -32,6 +34,8 @@
     pub settings: settings::Settings,
     /// Tables and ports by their type.
     shared: parking_lot::Mutex<Shared>,
+    /// Cancelled once a background task has failed for good.
+    failure: CancellationToken,
 }
 
 /// The running plug-ins of a node.
@@ -50,6 +54,7 @@
             lifecycle: lifecycle::State::open(),
             settings,
             shared: parking_lot::Mutex::default(),
+            failure: CancellationToken::new(),
         })
     }
 
@@ -71,6 +76,15 @@
     pub fn now(&self) -> moment::Moment {
         self.clock.now()
     }
+
+    /// Completes once a background task has failed for good, so that the node has to stop.
+    pub async fn failed(&self) {
+        self.failure.cancelled().await;
+    }
+
+    pub(crate) fn fail(&self) {
+        self.failure.cancel();
+    }
 }
 
 /// Tables and ports.
@@ -111,7 +125,8 @@
     /// Calls `task` repeatedly until the handle stops, with a pause of `period` between two runs.
     ///
     /// Each pause is up to 5 % shorter or longer at random, so that the nodes of a deployment do
-    /// not run in step. Runs never overlap. `task` receives the current time.
+    /// not run in step. Runs never overlap. `task` receives the current time. A run that panics is
+    /// handled as in [`Host::supervise`].
     pub fn every<F, Fut>(
         self: &sync::Arc<Self>,
         handle: &plugin::Handle,
@@ -123,8 +138,18 @@
     {
         let host = sync::Arc::clone(self);
         handle.spawn_until_stop(&self.pool, async move {
+            let mut failures = supervise::Failures::default();
             loop {
-                task(host.now()).await;
+                let run = panic::AssertUnwindSafe(task(host.now())).catch_unwind();
+                if let Err(panicked) = run.await
+                    && !host.record_failure(
+                        any::type_name::<F>(),
+                        &supervise::cause(Err(panicked)),
+                        &mut failures,
+                    )
+                {
+                    return;
+                }
                 let jitter = rand::rng().random_range(0.0..0.1);
                 tokio::time::sleep(period.mul_f64(0.95 + jitter)).await;
             }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod plugin;
 pub mod pool;
 pub mod settings;
+pub mod supervise;
 pub mod table;
 
 pub use corneltrestle_time::clock;
--- a/crates/node/src/task/gossip.rs
+++ b/crates/node/src/task/gossip.rs
@@ -44,7 +44,10 @@
     });
     let handle = plugin::Handle::default();
     let pusher = sync::Arc::clone(&gossip);
-    handle.spawn_until_stop(&host.pool, async move { pusher.push_updates().await });
+    host.supervise(&handle, "push", move || {
+        let pusher = sync::Arc::clone(&pusher);
+        async move { pusher.push_updates().await }
+    });
     let drainer = sync::Arc::clone(&gossip);
     let stop = handle.stop_token().clone();
     handle.spawn(&host.pool, async move {
--- a/crates/time/src/clock.rs
+++ b/crates/time/src/clock.rs
@@ -20,21 +20,31 @@
 }
 
 /// The clock of the operating system.
+///
+/// It counts the time for which the VM was suspended, unlike [`time::Instant`]: a lease runs out
+/// meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct System {
-    origin: time::Instant,
+    origin: time::Duration,
 }
 
 impl System {
     /// Creates a clock whose origin is the current instant.
     pub fn open() -> Self {
-        Self { origin: time::Instant::now() }
+        Self { origin: since_boot() }
     }
 }
 
+/// Time since the VM was started, suspended time included.
+fn since_boot() -> time::Duration {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let part = |value: i64| u64::try_from(value).unwrap_or(0);
+    time::Duration::from_secs(part(now.tv_sec)) + time::Duration::from_nanos(part(now.tv_nsec))
+}
+
 impl Clock for System {
     fn now(&self) -> moment::Moment {
-        moment::Moment::ZERO + self.origin.elapsed()
+        moment::Moment::ZERO + since_boot().saturating_sub(self.origin)
     }
 
     fn wall(&self) -> WallMillis {
