gateway, policy, client: nodes receive changes of facts in order, and configurations as differences

A new version of the configuration fits into no datagram. Relays were mostly small nodes, which send each datagram to 59 others. Idle connections were closed only on their next use: 4,606 descriptors in one process.

Change: changes that overtook others are kept until the gap is filled; queued datagrams take the same way, through large nodes; the history holds 4,096 changes; configurations are passed on as the difference from the version before (policy::deployment::Patch); the pool of connections closes idle ones every 2 s.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -87,10 +87,15 @@
         self.idle_since = now;
     }
 
-    /// Whether the connection can carry another call: the last body has ended, the peer has not
-    /// closed it, it is not too old and has been idle for at most `idle_timeout`.
+    /// Whether the connection has not expired and has been idle for at most `idle_timeout`.
+    pub(crate) fn is_fresh(&self, now: moment::Moment, idle_timeout: time::Duration) -> bool {
+        now.since(self.idle_since) <= idle_timeout && !self.is_expired(now)
+    }
+
+    /// Whether the connection can carry another call: it is fresh, see [`Connection::is_fresh`], the
+    /// last body has ended, and the peer has not closed it.
     pub(crate) fn is_usable(&mut self, now: moment::Moment, idle_timeout: time::Duration) -> bool {
-        if now.since(self.idle_since) > idle_timeout {
+        if !self.is_fresh(now, idle_timeout) {
             return false;
         }
         let cx = &mut task::Context::from_waker(task::Waker::noop());
@@ -102,7 +107,7 @@
             self.pending_body = None;
             self.drive(cx);
         }
-        self.driver.is_some() && self.sender.is_ready() && !self.is_expired(now)
+        self.driver.is_some() && self.sender.is_ready()
     }
 
     /// Sends a request and waits for the header of the response.
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -16,9 +16,9 @@
     error::{self, Result},
 };
 
-/// Minimum time between two removals of expired connections from all peers. [`Pool::put`] runs
-/// them, so that connections to peers that are no longer called are closed, too.
-const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(10);
+/// Minimum time between two removals of idle and expired connections from all peers. [`Pool::put`]
+/// runs them, so that connections to peers that are no longer called are closed, too.
+const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
 /// Limits of a [`Pool`].
 #[derive(Clone, Debug)]
@@ -223,7 +223,7 @@
         }
         let mut idle = self.idle.lock();
         if idle.last_sweep.is_none_or(|at| now >= at + SWEEP_INTERVAL) {
-            idle.sweep(now);
+            idle.sweep(self.config.idle_timeout, now);
         }
         let kept = idle.peers.entry(peer).or_default();
         if kept.len() < self.config.max_idle {
@@ -233,12 +233,13 @@
 }
 
 impl Idle {
-    /// Closes expired connections to all peers. Connections to peers that are no longer called
-    /// would otherwise stay open, since [`Pool::take`] never sees them.
-    fn sweep(&mut self, now: moment::Moment) {
+    /// Closes connections to all peers that have expired or were idle for too long. Those to peers
+    /// that are no longer called, and those below the ones used last, would otherwise stay open,
+    /// since [`Pool::take`] never sees them.
+    fn sweep(&mut self, idle_timeout: time::Duration, now: moment::Moment) {
         self.last_sweep = Some(now);
         self.peers.retain(|_, kept| {
-            kept.retain(|connection| !connection.is_expired(now));
+            kept.retain(|connection| connection.is_fresh(now, idle_timeout));
             !kept.is_empty()
         });
     }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -15,7 +15,7 @@
 use corneltrestle_policy::id;
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
-use rand::seq::{IndexedRandom, IteratorRandom};
+use rand::seq::{IteratorRandom, SliceRandom};
 use tokio::net::UdpSocket;
 
 use crate::{
@@ -88,8 +88,11 @@
     }
 
     /// Sends all queued datagrams.
+    ///
+    /// All of them go to the same relays, so that changes of facts keep their order.
     pub(crate) async fn flush(&self) {
         let items = self.tables.outbox.lock().take();
+        let relays = std::cell::OnceCell::new();
         for item in items {
             let near = match item.reach {
                 outbox::Reach::Zone | outbox::Reach::All => self.zone_peers(),
@@ -97,7 +100,7 @@
             };
             self.send(&item.datagram, &near).await;
             if matches!(item.reach, outbox::Reach::All | outbox::Reach::AllListeners) {
-                self.send(&item.datagram, &self.relays()).await;
+                self.send(&item.datagram, relays.get_or_init(|| self.relays())).await;
             }
         }
     }
@@ -164,18 +167,22 @@
     }
 
     /// Addresses of up to [`RELAYS_PER_ZONE`] nodes of each other zone, drawn anew on each call, as
-    /// some nodes may be gone.
+    /// some nodes may be gone; large ones where there are enough, as a relay sends each datagram to
+    /// all nodes of its zone.
     pub(crate) fn relays(&self) -> Vec<net::SocketAddr> {
         let snapshot = self.tables.current.load();
-        let mut zones = std::collections::BTreeMap::<_, Vec<net::SocketAddr>>::new();
-        for node in snapshot.nodes.values().filter(|node| node.zone != self.identity.zone) {
-            zones.entry(&node.zone).or_default().push(node.address);
-        }
+        let zones: std::collections::BTreeSet<_> =
+            snapshot.nodes.values().map(|node| &node.zone).collect();
         let mut rng = rand::rng();
-        zones
-            .values()
-            .flat_map(|nodes| nodes.choose_multiple(&mut rng, RELAYS_PER_ZONE).copied())
-            .collect()
+        let mut relays = Vec::new();
+        for zone in zones.into_iter().filter(|zone| **zone != self.identity.zone) {
+            let mut nodes = snapshot.nodes_of(zone);
+            nodes.shuffle(&mut rng);
+            nodes.sort_by_key(|(_, is_large)| !is_large);
+            let chosen = nodes.into_iter().take(RELAYS_PER_ZONE);
+            relays.extend(chosen.map(|(node, _)| snapshot.nodes[node].address));
+        }
+        relays
     }
 
     /// Chooses the hubs of the own zone; a node that is shutting down does not choose itself.
--- a/crates/gateway/src/mesh/incoming.rs
+++ b/crates/gateway/src/mesh/incoming.rs
@@ -68,13 +68,12 @@
         let own = {
             let mut catalog = self.tables.catalog.lock();
             if let Some(delta) = &datagram.delta
-                && (delta.after..datagram.revision).contains(&catalog.revision())
+                && datagram.revision > catalog.revision()
                 && let Some(changes) = decode(delta)
             {
-                let from = catalog.revision();
-                let changes = changes.into_iter().filter(|change| change.revision > from).collect();
                 let changes = Changes { revision: datagram.revision, changes };
-                catalog.apply_unpublished(changes, confirmed_at.unwrap_or(moment::Moment::ZERO));
+                let confirmed_at = confirmed_at.unwrap_or(moment::Moment::ZERO);
+                catalog.receive(delta.after, changes, confirmed_at);
             }
             if let (Some(confirmed_at), Some(confirmation)) = (confirmed_at, datagram.confirmation)
                 && datagram.revision == catalog.revision()
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -32,7 +32,7 @@
 #[serde(rename_all = "kebab-case")]
 pub enum Fact {
     /// The configuration of the deployment.
-    Deployment(Box<deployment::Deployment>),
+    Deployment(sync::Arc<deployment::Deployment>),
     /// The zone is evacuated: no new requests may be sent to it.
     Evacuated,
     /// An upstream as it registered itself.
@@ -41,6 +41,8 @@
     Node(Node),
     /// The holder of the coordinator's lease.
     Coordinator(Holder),
+    /// What has changed in the configuration since its previous version. Only between nodes.
+    Patch(sync::Arc<deployment::Patch>),
 }
 
 /// The holder of the coordinator's lease. The revision at which it was written is the fencing
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -3,6 +3,7 @@
 
 mod change_log;
 mod confirmations;
+mod parked;
 
 use std::{collections, sync, time};
 
@@ -37,6 +38,8 @@
     history: collections::VecDeque<Change>,
     /// Revision after which the history holds all changes.
     history_start: u64,
+    /// Changes from datagrams that have overtaken others.
+    parked: parked::Parked,
     unpublished: Unpublished,
 }
 
@@ -52,8 +55,9 @@
 /// differ in the memory that the operating system reserves.
 const LARGE_MEMORY_RATIO: f64 = 0.75;
 
-/// Changes kept for peers: more than occur in the time by which a peer may lag behind.
-const MAX_HISTORY: usize = 512;
+/// Changes kept for peers: more than occur in the time by which a peer may lag behind. The loss of a
+/// fabric domain with its groups, and their formation elsewhere, make several hundred a second.
+const MAX_HISTORY: usize = 4_096;
 
 /// Facts that a peer lacks.
 #[derive(Clone, Debug, PartialEq)]
@@ -223,9 +227,37 @@
         self.publish();
     }
 
-    /// Applies changes that were the latest ones at `now`. Readers see them after the next call of
-    /// [`Catalog::publish`], so that the changes of several datagrams cost one snapshot.
-    pub fn apply_unpublished(&mut self, changes: Changes, now: moment::Moment) {
+    /// Applies changes from a datagram, which follow revision `after` and were the latest ones at
+    /// `now`, and then those that had overtaken them. Keeps them if changes before them are missing.
+    /// Readers see them after the next call of [`Catalog::publish`], so that the changes of several
+    /// datagrams cost one snapshot.
+    pub fn receive(&mut self, after: u64, changes: Changes, now: moment::Moment) {
+        self.parked.insert(after, changes, now);
+        while let Some((mut changes, now)) = self.parked.next(self.revision) {
+            changes.changes.retain(|change| change.revision > self.revision);
+            self.apply_unpublished(changes, now);
+        }
+    }
+
+    /// The same changes, with a configuration given as the difference from the version before it.
+    pub fn with_patches(&self, mut changes: Changes) -> Changes {
+        let mut latest = match self.facts.get(&Subject::Deployment).map(|known| &known.fact) {
+            Some(Fact::Deployment(known)) => sync::Arc::clone(known),
+            _ => return changes,
+        };
+        for change in &mut changes.changes {
+            if let Some(Fact::Deployment(next)) = &change.fact {
+                let next = sync::Arc::clone(next);
+                if let Some(patch) = deployment::Patch::between(&latest, &next) {
+                    change.fact = Some(Fact::Patch(patch.into()));
+                }
+                latest = next;
+            }
+        }
+        changes
+    }
+
+    fn apply_unpublished(&mut self, changes: Changes, now: moment::Moment) {
         self.mark_confirmed(now);
         self.revision = self.revision.max(changes.revision);
         if !changes.changes.is_empty() {
@@ -289,16 +321,30 @@
         if known.is_some_and(|known| known.revision > change.revision) {
             return;
         }
+        let fact = match change.fact {
+            Some(Fact::Patch(patch)) => match patched(known.map(|known| &known.fact), &patch) {
+                Some(fact) => Some(fact),
+                None => {
+                    log::error!(
+                        base = patch.base, version = patch.version;
+                        "config: a change of another version is ignored; all facts are loaded again"
+                    );
+                    self.revision = 0;
+                    return;
+                }
+            },
+            fact => fact,
+        };
         if !is_first {
             let known = known.map(|known| &known.fact);
-            change_log::write(&change.subject, known, change.fact.as_ref(), change.revision);
+            change_log::write(&change.subject, known, fact.as_ref(), change.revision);
         }
         match change.subject {
             Subject::Upstream(_) => self.unpublished.upstreams = true,
             Subject::Node(_) => self.unpublished.nodes = true,
             _ => self.unpublished.others = true,
         }
-        let Some(fact) = change.fact else {
+        let Some(fact) = fact else {
             if defers_removals && matches!(change.subject, Subject::Upstream(_)) && known.is_some()
             {
                 self.deferred.insert(change.subject);
@@ -340,7 +386,7 @@
             next.nodes = sync::Arc::new(self.nodes());
         }
         if others {
-            next.deployment = self.deployment(&previous);
+            next.deployment = self.deployment();
             next.evacuated = self.evacuated();
             next.coordinator = self.coordinator();
         }
@@ -382,15 +428,11 @@
         nodes.collect()
     }
 
-    /// The configuration; that of the previous snapshot if the version is the same.
-    fn deployment(&self, previous: &Snapshot) -> Option<sync::Arc<deployment::Deployment>> {
-        let Fact::Deployment(declared) = &self.facts.get(&Subject::Deployment)?.fact else {
-            return None;
-        };
-        let kept = previous.deployment.as_ref();
-        kept.filter(|kept| kept.version == declared.version)
-            .cloned()
-            .or_else(|| Some(sync::Arc::new((**declared).clone())))
+    fn deployment(&self) -> Option<sync::Arc<deployment::Deployment>> {
+        match &self.facts.get(&Subject::Deployment)?.fact {
+            Fact::Deployment(declared) => Some(sync::Arc::clone(declared)),
+            _ => None,
+        }
     }
 
     fn evacuated(&self) -> collections::BTreeSet<id::Zone> {
@@ -409,6 +451,14 @@
     }
 }
 
+/// The configuration to which a patch leads; `None` if it is for another version than the known one.
+fn patched(known: Option<&Fact>, patch: &deployment::Patch) -> Option<Fact> {
+    match known {
+        Some(Fact::Deployment(known)) => Some(Fact::Deployment(patch.apply(known)?.into())),
+        _ => None,
+    }
+}
+
 /// Whether a configuration has a lower version than the known one.
 fn is_older(known: Option<&Fact>, new: &Fact) -> bool {
     match (known, new) {
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -188,7 +188,7 @@
         let upstreams = sync::Arc::new(Upstreams::default());
         host.provide(sync::Arc::clone(&upstreams));
         let tables = tables::Tables::of(&host);
-        let mut changes = vec![change(Subject::Deployment, Fact::Deployment(Box::new(declared())))];
+        let mut changes = vec![change(Subject::Deployment, Fact::Deployment(declared().into()))];
         for (number, script) in scripts.iter().enumerate() {
             for service in ["models", "orders"] {
                 let vm = registered(service, number);
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -73,8 +73,8 @@
 fn changes_of_several_datagrams_are_published_together() {
     let mut catalog = catalog(&["a", "b"]);
     let before = catalog.current().load_full();
-    catalog.apply_unpublished(changes(vec![removed(5, "a")]), at(10));
-    catalog.apply_unpublished(changes(vec![added(6, "c")]), at(10));
+    catalog.receive(2, changes(vec![removed(5, "a")]), at(10));
+    catalog.receive(5, changes(vec![added(6, "c")]), at(10));
     assert!(sync::Arc::ptr_eq(&before, &catalog.current().load_full()));
     catalog.publish();
     assert_eq!(known(&catalog), ["b", "c"]);
@@ -83,6 +83,20 @@
     assert!(sync::Arc::ptr_eq(&published, &catalog.current().load_full()), "nothing has changed");
 }
 
+/// Guards against a node that fetches all facts from a peer since datagrams have overtaken each other
+/// on their way through two nodes.
+#[test]
+fn changes_that_overtook_others_are_applied_in_order() {
+    let mut catalog = catalog(&["a", "b"]);
+    catalog.receive(7, changes(vec![removed(8, "c")]), at(10));
+    catalog.receive(5, changes(vec![added(7, "c"), removed(6, "b")]), at(10));
+    assert_eq!(catalog.revision(), 2, "what follows a gap does not count");
+    catalog.receive(2, changes(vec![removed(5, "a")]), at(11));
+    catalog.receive(2, changes(vec![removed(5, "a")]), at(12));
+    catalog.publish();
+    assert_eq!((catalog.revision(), known(&catalog)), (8, Vec::new()));
+}
+
 /// Guards against upstreams that are removed because they could not renew their registration while
 /// the store was unreachable.
 #[test]
@@ -140,7 +154,7 @@
 
 fn declared(revision: u64, version: u64) -> Change {
     let deployment = deployment::Deployment { version, ..deployment::Deployment::default() };
-    let fact = Fact::Deployment(Box::new(deployment));
+    let fact = Fact::Deployment(deployment.into());
     Change { revision, subject: Subject::Deployment, fact: Some(fact) }
 }
 
@@ -158,6 +172,36 @@
     assert_eq!(version(&catalog), Some(12));
 }
 
+/// Guards against a change of a large configuration that nodes have to fetch in full from each other.
+#[test]
+fn configuration_is_passed_on_as_its_changes() {
+    let mut sender = Catalog::default();
+    sender.replace(changes(vec![declared(1, 7)]), at(0));
+    let mut receiver = Catalog::default();
+    receiver.replace(changes(vec![declared(1, 7)]), at(0));
+    let sent = sender.with_patches(changes(vec![declared(2, 8), declared(3, 10)]));
+    assert!(sent.changes.iter().all(|change| matches!(change.fact, Some(Fact::Patch(_)))));
+    receiver.receive(1, sent.clone(), at(10));
+    receiver.publish();
+    let version = |catalog: &Catalog| catalog.current().load().deployment.clone().unwrap().version;
+    assert_eq!(version(&receiver), 10);
+    sender.apply(sent, at(10));
+    assert_eq!(version(&sender), 10);
+    assert_eq!(sender.update_since(2).changes.changes.len(), 1);
+}
+
+/// Guards against a node that goes on with a configuration to which it missed a change.
+#[test]
+fn patch_of_another_version_leads_to_all_facts() {
+    let mut sender = Catalog::default();
+    sender.replace(changes(vec![declared(1, 7)]), at(0));
+    let sent = sender.with_patches(changes(vec![declared(3, 10)]));
+    let mut receiver = Catalog::default();
+    receiver.replace(changes(vec![declared(1, 6)]), at(0));
+    receiver.receive(1, sent, at(10));
+    assert_eq!(receiver.revision(), 0, "it has to load all facts");
+}
+
 /// Guards against an update that lacks changes which the peer does not have.
 #[test_case(0, true; "a node that knows nothing gets everything")]
 #[test_case(2, true; "a node that is behind the history")]
--- a/crates/policy/src/deployment.rs
+++ b/crates/policy/src/deployment.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod limits;
 mod organisation;
+mod patch;
 mod route;
 mod service;
 
@@ -12,6 +13,7 @@
 pub use engine::{Engine, LoadLimits, Model};
 pub use limits::Limits;
 pub use organisation::{Organisation, Organisations};
+pub use patch::{Patch, Removed};
 pub use route::{Kind, Route, Share};
 pub use service::{Cold, Service};
 
