gateway, wire: a zone passes an urgent datagram on once

Cause: every node that received a datagram of another zone passed it on to its whole zone, not only the two nodes that the sender chose: with 59 nodes in a zone, each change of facts arrived 59 times at each of them, 3,481 sends a zone.

Change: a datagram that was passed on says so, and is not passed on again.

--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -115,8 +115,7 @@
         }
     }
 
-    /// Receives the next datagram that can be decoded. Returns it with its length in `buffer` and
-    /// the address of its sender.
+    /// Receives the next datagram that can be decoded. Returns it with the address of its sender.
     ///
     /// Changes of facts are published when no further datagram waits, or after
     /// [`MAX_UNPUBLISHED`] of them.
@@ -124,7 +123,7 @@
         &self,
         buffer: &mut [u8],
         unpublished: &mut usize,
-    ) -> (mesh::Datagram, usize, net::SocketAddr) {
+    ) -> (mesh::Datagram, net::SocketAddr) {
         loop {
             let received = match self.socket.try_recv_from(buffer) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
@@ -140,7 +139,7 @@
                         if *unpublished >= MAX_UNPUBLISHED {
                             self.publish(unpublished);
                         }
-                        return (datagram, length, peer);
+                        return (datagram, peer);
                     }
                     Err(e) => log::warn!("mesh: a datagram from {peer} cannot be decoded: {e}"),
                 },
--- a/crates/gateway/src/mesh/incoming.rs
+++ b/crates/gateway/src/mesh/incoming.rs
@@ -12,14 +12,8 @@
 };
 
 impl super::Mesh {
-    /// Handles a datagram of another node; `bytes` is its encoded form, for forwarding. Returns
-    /// whether a reply is wanted from this node.
-    pub(crate) fn handle(
-        &self,
-        datagram: &mesh::Datagram,
-        bytes: &[u8],
-        now: moment::Moment,
-    ) -> bool {
+    /// Handles a datagram of another node. Returns whether a reply is wanted from this node.
+    pub(crate) fn handle(&self, datagram: &mesh::Datagram, now: moment::Moment) -> bool {
         let Some(origin) = &datagram.origin else { return false };
         if origin.boot == self.identity.boot {
             return false;
@@ -30,11 +24,13 @@
             if !self.tables.peers.lock().is_new(origin.boot, origin.sequence) {
                 return false;
             }
-            if !is_local {
+            // If each receiver passed it on, each node would get it once from every other one.
+            if !is_local && !datagram.relayed {
                 // Loads and requests for them concern only those that sum them up.
                 let is_of_loads = datagram.load.is_some() || datagram.wants_reply;
                 let reach = if is_of_loads { Reach::Listeners } else { Reach::Zone };
-                self.enqueue(bytes.to_vec(), reach);
+                let relayed = mesh::Datagram { relayed: true, ..datagram.clone() };
+                self.enqueue(mesh::encode(relayed), reach);
             }
         }
         self.handle_revision(origin, datagram, is_local, now);
--- a/crates/gateway/src/task/mesh.rs
+++ b/crates/gateway/src/task/mesh.rs
@@ -147,9 +147,9 @@
     let mut buffer = [0; 2 * wire::MAX_BYTES];
     let mut unpublished = 0;
     loop {
-        let (datagram, length, peer) = mesh.receive(&mut buffer, &mut unpublished).await;
+        let (datagram, peer) = mesh.receive(&mut buffer, &mut unpublished).await;
         let now = host.now();
-        if mesh.handle(&datagram, &buffer[..length], now)
+        if mesh.handle(&datagram, now)
             && let Some(origin) = &datagram.origin
         {
             // A forwarded request came from another address than that of its origin.
--- /dev/null
+++ b/crates/gateway/tests/mesh.rs
@@ -0,0 +1,99 @@
+//! Datagrams between nodes, as sockets receive them.
+
+use std::{net, sync, time::Duration};
+
+use corneltrestle_gateway::{
+    source::{Change, Changes, Fact, Node, Subject},
+    tables,
+};
+use corneltrestle_kernel::{host, pool, settings};
+use corneltrestle_wire::mesh;
+use test_case::test_case;
+use tokio::net::UdpSocket;
+
+/// Time without a datagram after which no further one is expected.
+const SILENCE: Duration = Duration::from_millis(300);
+
+/// A free UDP and TCP address of the loopback interface.
+fn free_address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+fn registered(name: &str, zone: &str, address: net::SocketAddr) -> Change {
+    let node = Node { zone: zone.into(), address, boot: 9, memory: 512 };
+    Change { revision: 1, subject: Subject::Node(name.into()), fact: Some(Fact::Node(node)) }
+}
+
+/// Opens the mesh of the node `own` in `zone-1`, which knows two other nodes of its zone.
+async fn open() -> (net::SocketAddr, [UdpSocket; 2], sync::Arc<host::Host>, host::Opened) {
+    let (address, link) = (free_address(), free_address());
+    let text = format!(
+        "[node]\nid = own\nzone = zone-1\nregions = none\nmesh = {address}\nlink = {link}\n"
+    );
+    let settings = settings::Settings::parse("node.ini", &text, &settings::sections()).unwrap();
+    let pool = pool::Pool::attach(tokio::runtime::Handle::current());
+    let host = host::Host::open(settings, pool);
+    let bind = || async { UdpSocket::bind("127.0.0.1:0").await.expect("a socket") };
+    let near = [bind().await, bind().await];
+    let changes = vec![
+        registered("own", "zone-1", address),
+        registered("near-1", "zone-1", near[0].local_addr().unwrap()),
+        registered("near-2", "zone-1", near[1].local_addr().unwrap()),
+    ];
+    let tables = tables::Tables::of(&host);
+    tables.catalog.lock().replace(Changes { revision: 1, changes }, host.now());
+    let opened = host.open_plugins().expect("the plug-ins open");
+    (address, near, host, opened)
+}
+
+fn urgent(relayed: bool) -> mesh::Datagram {
+    let origin = mesh::Origin {
+        node: "far".to_owned(),
+        zone: "zone-2".to_owned(),
+        boot: 7,
+        sequence: 1,
+        link: "127.0.0.1:1".to_owned(),
+        draining: false,
+    };
+    let stalls = vec![mesh::Stall { upstream: "vm-1".to_owned(), ..mesh::Stall::default() }];
+    mesh::Datagram {
+        origin: Some(origin),
+        stalls,
+        forward: true,
+        relayed,
+        ..mesh::Datagram::default()
+    }
+}
+
+/// Datagrams of the origin `far` that arrive at a socket until it is silent.
+async fn forwarded(socket: &UdpSocket) -> Vec<mesh::Datagram> {
+    let (mut buffer, mut found) = ([0; 2 * mesh::MAX_BYTES], Vec::new());
+    let limit = tokio::time::Instant::now() + SILENCE;
+    while let Ok(Ok(length)) = tokio::time::timeout_at(limit, socket.recv(&mut buffer)).await {
+        let datagram = mesh::decode(&buffer[..length]).expect("a datagram");
+        if datagram.origin.as_ref().is_some_and(|origin| origin.node == "far") {
+            found.push(datagram);
+        }
+    }
+    found
+}
+
+/// Guards against a zone in which each node passes an urgent datagram on to all others, so that
+/// their number grows with the square of the number of nodes and fills their links.
+#[test_case(false, 1; "from another zone")]
+#[test_case(true, 0; "from a node of the zone that has passed it on")]
+#[tokio::test]
+async fn datagram_is_passed_on_within_a_zone_once(relayed: bool, expected: usize) {
+    let (address, near, _host, opened) = open().await;
+    let datagram = mesh::encode(urgent(relayed));
+    for _ in 0..2 {
+        near[0].send_to(&datagram, address).await.expect("a datagram is sent");
+    }
+    for socket in &near {
+        let got = forwarded(socket).await;
+        assert_eq!(got.len(), expected, "{got:?}");
+        assert!(got.iter().all(|datagram| datagram.relayed));
+    }
+    opened.shutdown().await;
+}
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -51,12 +51,16 @@
     /// Whether the receiver replies at once with its own state.
     #[prost(bool, tag = "7")]
     pub wants_reply: bool,
-    /// Whether a receiver in another zone forwards the datagram within its zone.
+    /// Whether a receiver in another zone forwards the datagram within its zone, unless it is
+    /// `relayed`.
     #[prost(bool, tag = "8")]
     pub forward: bool,
     /// The confirmation that `age` counts from; absent if it is not known.
     #[prost(message, optional, tag = "9")]
     pub confirmation: Option<Confirmation>,
+    /// Whether a node of the receiver's zone has forwarded the datagram.
+    #[prost(bool, tag = "10")]
+    pub relayed: bool,
 }
 
 /// Identifies an answer of the source of facts, which confirms that a node's facts are current.
