gateway, client, server: answers without an end, stalled streams that send comments, first requests during a stop

Change: 128 KB at most without a complete header or part of a body; the deadline ends relayed answers; 256 KB are buffered; events are progress, and only while a stream waits; such statuses become 502 with an unknown outcome; connections get 500 ms for their first request at a stop, those in the backlog are accepted, and answers of a draining node announce the close.

Second copies of answers and lost answers found no fault here.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -15,12 +15,20 @@
 use hyper_util::rt;
 use tokio::net::TcpStream;
 
-use crate::error::{self, Result};
+use crate::{
+    error::{self, Result},
+    limited,
+};
 
 /// Read buffer of one connection, which also bounds the size of a response header.
 const MAX_BUFFER_BYTES: usize = 64 * 1024;
 
-type Driver = http1::Connection<rt::TokioIo<TcpStream>, http_body_util::Full<bytes::Bytes>>;
+/// Bytes that a peer may send without completing a response header or a part of a body. hyper bounds
+/// a header, but neither the number of interim ones nor that of leading zeros in the size of a chunk,
+/// and reads them without leaving the worker to others.
+const MAX_UNUSED_BYTES: usize = 2 * MAX_BUFFER_BYTES;
+
+type Driver = http1::Connection<rt::TokioIo<limited::Stream>, http_body_util::Full<bytes::Bytes>>;
 
 /// An open connection. No background task holds it, so that dropping it closes the socket.
 #[derive(Debug)]
@@ -28,6 +36,7 @@
     sender: http1::SendRequest<http_body_util::Full<bytes::Bytes>>,
     /// Reads and writes the socket; `None` once the connection has ended.
     driver: Option<Driver>,
+    allowance: limited::Allowance,
     /// The last response's body, if its end is still to be read; see
     /// [`Body::finish`](crate::body::Body::finish).
     pending_body: Option<body::Incoming>,
@@ -57,6 +66,8 @@
             .map_err(|_| not_sent("no connection in time".to_owned()))?
             .map_err(|e| not_sent(format!("cannot connect: {e}")))?;
         stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
+        let allowance = limited::Allowance::new(MAX_UNUSED_BYTES);
+        let stream = limited::Stream { stream, allowance: allowance.clone() };
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(rt::TokioIo::new(stream))
@@ -65,6 +76,7 @@
         Ok(Self {
             sender,
             driver: Some(driver),
+            allowance,
             pending_body: None,
             history,
             idle_since: moment::Moment::ZERO,
@@ -115,13 +127,16 @@
         &mut self,
         request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
     ) -> std::result::Result<hyper::Response<body::Incoming>, SendError> {
+        self.allowance.set(MAX_UNUSED_BYTES);
         let mut response = pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
         let received = future::poll_fn(|cx| {
             drive(driver, cx);
             response.as_mut().poll(cx)
         });
-        received.await.map_err(|mut failed| match failed.take_message() {
+        let received = received.await;
+        self.allowance.set(MAX_UNUSED_BYTES);
+        received.map_err(|mut failed| match failed.take_message() {
             Some(request) => SendError {
                 error: error::Error::new(error::Kind::NotSent, failed.error().to_string()),
                 unsent: Some(request),
@@ -141,7 +156,11 @@
             return task::Poll::Ready(frame);
         }
         self.drive(cx);
-        Pin::new(body).poll_frame(cx)
+        let frame = Pin::new(body).poll_frame(cx);
+        if frame.is_ready() {
+            self.allowance.set(MAX_UNUSED_BYTES);
+        }
+        frame
     }
 
     fn drive(&mut self, cx: &mut task::Context<'_>) {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -9,6 +9,7 @@
 mod connection;
 pub mod error;
 pub mod headers;
+mod limited;
 pub mod pool;
 
 pub use error::{Error, Kind, Result};
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -77,6 +77,16 @@
         snapshot.deployment.as_ref().map(|declared| declared.limits).unwrap_or_default()
     }
 
+    /// Time until the deadline of a request.
+    ///
+    /// # Errors
+    ///
+    /// When it has passed. A timeout alone would not end an answer whose next part is always there.
+    fn time_left(&self, deadline: moment::Moment) -> Result<time::Duration> {
+        let now = self.now();
+        if now < deadline { Ok(deadline.since(now)) } else { Err(relay::out_of_time()) }
+    }
+
     /// Records an answer for the health of an upstream; `is_good` is false if it counts as a
     /// failure.
     fn record_answer(&self, upstream: &id::Vm, is_good: bool) {
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -11,7 +11,7 @@
     attempt::{self, Attempts, Failure},
     choose::Target,
     record::Record,
-    relay::Relay,
+    relay::{Relay, Rest},
 };
 use crate::{
     request,
@@ -19,7 +19,8 @@
 };
 
 /// Largest answer that is buffered whole; a larger one is relayed as it arrives, and not retried.
-const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
+/// A faulty upstream may fill as many of them as there are requests at the node.
+const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
 /// Sends a request, and retries at other upstreams where allowed.
 pub(super) async fn answer<C: Client>(
@@ -65,9 +66,9 @@
             Ok(Ok(answer)) if may_retry(&answer, attempts, admitted, pipeline.now()) => {
                 Failure::BadAnswer(answer.status)
             }
-            Ok(Ok(answer)) if answer.is_genuine || !answer.status.is_success() => {
+            Ok(Ok(answer)) if is_usable(&answer) => {
                 pipeline.record_answer(&target.id, !answer.status.is_server_error());
-                return Ok(into_answer(answer, target));
+                return Ok(into_answer(pipeline, answer, target, admitted.deadline));
             }
             Ok(Ok(answer)) => Failure::BadAnswer(answer.status),
             Ok(Err(failure)) => failure,
@@ -90,6 +91,12 @@
         && admitted.deadline.since(now) > admitted.route.objective / 2
 }
 
+/// Whether to pass an answer on: a genuine success, or a failure that leaves open whether the request
+/// has run.
+fn is_usable<B>(answer: &upstream::Answer<B>) -> bool {
+    if answer.status.is_success() { answer.is_genuine } else { !answer.claims_not_run() }
+}
+
 /// Sends the request to one upstream and buffers its answer.
 async fn exchange<C: Client>(
     pipeline: &Pipeline<C>,
@@ -128,11 +135,14 @@
 }
 
 fn into_answer<C: Client>(
+    pipeline: &sync::Arc<Pipeline<C>>,
     answer: upstream::Answer<Collected<C::Body>>,
     target: Target,
+    deadline: moment::Moment,
 ) -> Answer<C> {
     let upstream::Answer { status, headers, body, .. } = answer;
-    let relay = Relay::buffered(body.parts, body.rest, target.progress);
+    let rest = body.rest.map(|body| Rest { pipeline: sync::Arc::clone(pipeline), body, deadline });
+    let relay = Relay::buffered(body.parts, rest, target.progress);
     Answer { status, headers, relay }
 }
 
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -51,7 +51,8 @@
     upstream: id::Vm,
     /// The work it currently adds to the upstream's total.
     work: cost::Work,
-    is_stream: bool,
+    /// Whether it is a stream that waits for its next event.
+    is_waiting: bool,
     stalled: sync::Arc<tokio::sync::Notify>,
 }
 
@@ -61,13 +62,22 @@
     pub(super) fn started(&mut self, now: moment::Moment) {
         let read = cost::Work { requests: 0, late: 0, ..self.work };
         self.work.subtract(&read);
-        self.is_stream = true;
+        self.is_waiting = true;
         self.table.lock().started(self.upstream.as_str(), &read, now);
     }
 
-    /// Records the time of an event of the stream.
-    pub(super) fn progressed(&self, now: moment::Moment) {
-        self.table.lock().progressed(self.upstream.as_str(), now);
+    /// Records that the stream waits for its next event, as the caller has taken the last one.
+    pub(super) fn waits(&mut self, now: moment::Moment) {
+        if !std::mem::replace(&mut self.is_waiting, true) {
+            self.table.lock().waits(self.upstream.as_str(), now);
+        }
+    }
+
+    /// Records an event of the stream.
+    pub(super) fn progressed(&mut self, now: moment::Moment) {
+        if std::mem::take(&mut self.is_waiting) {
+            self.table.lock().progressed(self.upstream.as_str(), now);
+        }
     }
 
     /// Waits until the upstream is declared stalled.
@@ -78,7 +88,7 @@
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.table.lock().end(self.upstream.as_str(), &self.work, self.is_stream);
+        self.table.lock().end(self.upstream.as_str(), &self.work, self.is_waiting);
     }
 }
 
@@ -140,7 +150,7 @@
                 table: sync::Arc::clone(&self.tables.activity),
                 upstream: chosen.id.clone(),
                 work,
-                is_stream: false,
+                is_waiting: false,
                 stalled,
             },
         })
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -1,8 +1,10 @@
 //! Bodies of answers, as they are relayed to the caller.
 
-use std::vec;
+use std::{sync, vec};
 
-use super::{Result, buffered, choose::InProgress, stream::Stream};
+use corneltrestle_time::moment;
+
+use super::{Code, Pipeline, Refusal, Result, buffered, choose::InProgress, stream::Stream};
 use crate::upstream::{Body, Client};
 
 /// The body of an answer. Dropping it cancels the request at the upstream.
@@ -13,15 +15,39 @@
 
 #[derive(Debug)]
 enum State<C: Client> {
-    Buffered { parts: vec::IntoIter<bytes::Bytes>, rest: Option<C::Body>, _progress: InProgress },
+    Buffered { parts: vec::IntoIter<bytes::Bytes>, rest: Option<Rest<C>>, _progress: InProgress },
     Stream(Box<Stream<C>>),
 }
 
+/// The unread remainder of a body, which may have no end.
+#[derive(Debug)]
+pub(super) struct Rest<C: Client> {
+    pub(super) pipeline: sync::Arc<Pipeline<C>>,
+    pub(super) body: C::Body,
+    pub(super) deadline: moment::Moment,
+}
+
+impl<C: Client> Rest<C> {
+    async fn chunk(&mut self) -> Result<Option<bytes::Bytes>> {
+        let left = self.pipeline.time_left(self.deadline)?;
+        match tokio::time::timeout(left, self.body.chunk()).await {
+            Ok(chunk) => chunk.map_err(|e| buffered::cut_off(&e)),
+            Err(_) => Err(out_of_time()),
+        }
+    }
+}
+
+/// The refusal for an answer that is not complete at the deadline of its request.
+pub(super) fn out_of_time() -> Refusal {
+    let message = "the time was up before the answer was complete";
+    Refusal::unknown(Code::DeadlineExceeded, "relay", message)
+}
+
 impl<C: Client> Relay<C> {
     /// A body whose `parts` have been read; `rest` is the unread remainder, if any.
     pub(super) fn buffered(
         parts: Vec<bytes::Bytes>,
-        rest: Option<C::Body>,
+        rest: Option<Rest<C>>,
         progress: InProgress,
     ) -> Self {
         Self { state: State::Buffered { parts: parts.into_iter(), rest, _progress: progress } }
@@ -51,7 +77,7 @@
         match &mut self.state {
             State::Buffered { parts, rest, .. } => match (parts.next(), rest) {
                 (Some(part), _) => Ok(Some(part)),
-                (None, Some(rest)) => rest.chunk().await.map_err(|e| buffered::cut_off(&e)),
+                (None, Some(rest)) => rest.chunk().await,
                 (None, None) => Ok(None),
             },
             State::Stream(stream) => stream.next().await,
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -13,7 +13,7 @@
     attempt::{self, Attempts, Failure},
     choose::Target,
     record::Record,
-    relay::Relay,
+    relay::{self, Relay, Rest},
 };
 use crate::{
     request,
@@ -71,7 +71,9 @@
     let Connected { target, answer } = connected?;
     if !answer.status.is_success() {
         attempts.record.finished(answer.status);
-        let relay = Relay::buffered(Vec::new(), Some(answer.body), target.progress);
+        let (pipeline, deadline) = (sync::Arc::clone(pipeline), admitted.deadline);
+        let rest = Rest { pipeline, body: answer.body, deadline };
+        let relay = Relay::buffered(Vec::new(), Some(rest), target.progress);
         return Ok(Answer { status: answer.status, headers: answer.headers, relay });
     }
     let delivery = delivery::Delivery::starting_at(&request.id, resume_after.unwrap_or(0) + 1);
@@ -151,7 +153,10 @@
 
 /// Whether to pass an answer on: a genuine success, or a failure if no retry can follow.
 fn is_usable<B>(answer: &upstream::Answer<B>, attempts: &Attempts, admitted: &Admitted) -> bool {
-    if answer.status.is_success() { answer.is_genuine } else { attempts.is_last(admitted) }
+    match answer.status.is_success() {
+        true => answer.is_genuine,
+        false => attempts.is_last(admitted) && !answer.claims_not_run(),
+    }
 }
 
 impl<C: Client> Stream<C> {
@@ -169,10 +174,18 @@
     /// Reads until there is an event to deliver, resuming at other upstreams as needed.
     async fn next_event(&mut self) -> Result<Option<bytes::Bytes>> {
         loop {
+            self.target.progress.waits(self.pipeline.now());
             match self.decoder.next_block() {
+                // Bytes alone are no progress: a stalled upstream may send comments.
                 Ok(Some(block)) => match self.check(&block) {
-                    delivery::Verdict::Deliver => return Ok(Some(block.raw)),
-                    delivery::Verdict::Drop => continue,
+                    delivery::Verdict::Deliver => {
+                        self.target.progress.progressed(self.pipeline.now());
+                        return Ok(Some(block.raw));
+                    }
+                    delivery::Verdict::Drop => {
+                        self.target.progress.progressed(self.pipeline.now());
+                        continue;
+                    }
                     _ => {
                         let failure = Failure::BadAnswer(hyper::StatusCode::OK);
                         self.resume(failure).await?;
@@ -186,10 +199,7 @@
                 }
             }
             match self.read().await? {
-                Read::Part(part) => {
-                    self.target.progress.progressed(self.pipeline.now());
-                    self.decoder.feed(part);
-                }
+                Read::Part(part) => self.decoder.feed(part),
                 Read::End if self.decoder.is_empty() => return Ok(None),
                 Read::End => self.resume(Failure::BadAnswer(hyper::StatusCode::OK)).await?,
                 Read::Failed(failure) => self.resume(failure).await?,
@@ -200,7 +210,8 @@
     /// Reads the next part of the body. Ends early if the upstream stalls and another one can take
     /// over; fails at the deadline.
     async fn read(&mut self) -> Result<Read> {
-        let left = self.admitted.deadline.since(self.pipeline.now());
+        let left =
+            self.pipeline.time_left(self.admitted.deadline).map_err(|e| self.at_target(e))?;
         let part = async {
             tokio::select! {
                 biased;
@@ -218,7 +229,8 @@
                 ) => Read::Failed(Failure::Stalled { begun: true }),
             }
         };
-        tokio::time::timeout(left, part).await.map_err(|_| self.deadline_refusal())
+        let read = tokio::time::timeout(left, part).await;
+        read.map_err(|_| self.at_target(relay::out_of_time()))
     }
 
     fn check(&mut self, block: &sse::Block) -> delivery::Verdict {
@@ -244,7 +256,7 @@
             now,
         )?;
         let Some(next) = self.delivery.resume(self.admitted.deadline, now) else {
-            return Err(self.deadline_refusal());
+            return Err(self.at_target(relay::out_of_time()));
         };
         metrics::counter!(MOVED.name).increment(1);
         let resume_after = next.checked_sub(1).filter(|last| *last > 0);
@@ -277,8 +289,7 @@
         self.attempts.record.finished(hyper::StatusCode::OK);
     }
 
-    fn deadline_refusal(&self) -> Refusal {
-        let message = "the time was up before the answer was complete";
-        Refusal::unknown(Code::DeadlineExceeded, "relay", message).at(self.target.address)
+    fn at_target(&self, refusal: Refusal) -> Refusal {
+        refusal.at(self.target.address)
     }
 }
--- a/crates/gateway/src/tables/activity.rs
+++ b/crates/gateway/src/tables/activity.rs
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 struct Local {
     work: cost::Work,
-    /// Streams whose answer has begun.
+    /// Streams that wait for their next event; not those whose callers have yet to take one.
     streams: u32,
     /// Time of the latest event of any of its streams.
     progress: moment::Moment,
@@ -100,27 +100,35 @@
     }
 
     /// Records that the answer of a stream has begun, and removes `read`, the work of reading its
-    /// prompt.
+    /// prompt. The stream waits for an event from then on.
     pub fn started(&mut self, upstream: &str, read: &cost::Work, now: moment::Moment) {
         if let Some(own) = self.local.get_mut(upstream) {
             own.work.subtract(read);
+        }
+        self.waits(upstream, now);
+    }
+
+    /// Records that a stream waits for its next event.
+    pub fn waits(&mut self, upstream: &str, now: moment::Moment) {
+        if let Some(own) = self.local.get_mut(upstream) {
             own.streams += 1;
             own.progress = now;
         }
     }
 
-    /// Records the time of a stream's event.
+    /// Records the event of a stream, which no longer waits: its caller may take the event late.
     pub fn progressed(&mut self, upstream: &str, now: moment::Moment) {
         if let Some(own) = self.local.get_mut(upstream) {
+            own.streams = own.streams.saturating_sub(1);
             own.progress = now;
         }
     }
 
     /// Removes a request with its remaining work.
-    pub fn end(&mut self, upstream: &str, work: &cost::Work, is_stream: bool) {
+    pub fn end(&mut self, upstream: &str, work: &cost::Work, is_waiting: bool) {
         let Some(own) = self.local.get_mut(upstream) else { return };
         own.work.subtract(work);
-        own.streams = own.streams.saturating_sub(u32::from(is_stream));
+        own.streams = own.streams.saturating_sub(u32::from(is_waiting));
         if own.work.requests == 0 {
             self.local.remove(upstream);
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -86,6 +86,20 @@
     pub body: B,
 }
 
+impl<B> Answer<B> {
+    /// Whether callers would take the status as a statement that the request has not run. An upstream
+    /// that has not run a request says so in another way, see [`Rejection`].
+    pub fn claims_not_run(&self) -> bool {
+        matches!(
+            self.status,
+            hyper::StatusCode::REQUEST_TIMEOUT
+                | hyper::StatusCode::MISDIRECTED_REQUEST
+                | hyper::StatusCode::TOO_MANY_REQUESTS
+                | hyper::StatusCode::SERVICE_UNAVAILABLE
+        )
+    }
+}
+
 /// The body of an answer. Dropping it before its end cancels the request at the upstream.
 pub trait Body: Send + std::fmt::Debug + 'static {
     /// The next part, or `None` after the complete body.
--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -3,12 +3,7 @@
 //! [`bind`] runs one task that accepts connections and one task per connection. Connections beyond
 //! the limit get a refusal and are closed at once.
 
-use std::{
-    convert, error, future, net,
-    pin::pin,
-    sync::{self, atomic},
-    time,
-};
+use std::{convert, error, future, net, pin::pin, sync, time};
 
 use corneltrestle_kernel::{host, linkme, metric, plugin};
 use hyper::body::{Body, Incoming};
@@ -29,6 +24,9 @@
 /// does not spin on an error that persists.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(10);
 
+/// Time for which a connection without a request stays open at shutdown.
+const FIRST_REQUEST_GRACE: time::Duration = time::Duration::from_millis(500);
+
 /// Concurrent HTTP/2 streams on one connection.
 const MAX_STREAMS: u32 = 256;
 
@@ -80,7 +78,9 @@
 /// `name` identifies the front end in log lines, metrics and errors. `limits` is called for each
 /// connection, so that changed limits apply to new connections.
 ///
-/// At shutdown the listener closes at once; connections get [`Limits::drain_timeout`] to finish.
+/// At shutdown the listener closes once the connections that wait for it are accepted; connections
+/// get [`Limits::drain_timeout`] to finish, and those without a request some time for their first
+/// one.
 ///
 /// # Errors
 ///
@@ -137,14 +137,20 @@
         };
         let open = sync::Arc::new(());
         loop {
+            // Closing the listener resets the connections that wait for it, so that those are
+            // accepted first.
             let accepted = tokio::select! {
-                () = tasks.stop_token().cancelled() => return,
+                biased;
                 accepted = listener.accept() => accepted,
+                () = tasks.stop_token().cancelled() => return,
             };
             let (socket, peer) = match accepted {
                 Ok(accepted) => accepted,
                 Err(e) => {
                     log::warn!("{name}: cannot accept a connection: {e}");
+                    if tasks.stop_token().is_cancelled() {
+                        return;
+                    }
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                     continue;
                 }
@@ -158,10 +164,10 @@
             let held = sync::Arc::clone(&open);
             // Without TCP_NODELAY responses are slower but still correct.
             let _ = socket.set_nodelay(true);
-            let server = self.clone();
+            let (server, owner) = (self.clone(), sync::Arc::clone(&host));
             let stop = tasks.stop_token().clone();
             tasks.spawn(&host.pool, async move {
-                if let Err(e) = server.serve(socket, stop).await {
+                if let Err(e) = server.serve(owner, socket, stop).await {
                     log::debug!("{name}: connection from {peer} ended: {e}");
                 }
                 drop(held);
@@ -172,6 +178,7 @@
     /// Serves one connection until it ends or has been shut down gracefully.
     async fn serve<B>(
         self,
+        host: sync::Arc<host::Host>,
         socket: tokio::net::TcpStream,
         stop: CancellationToken,
     ) -> Result<(), String>
@@ -183,10 +190,10 @@
             + 'static,
     {
         let limits = (self.limits)();
-        let has_request = sync::Arc::new(atomic::AtomicBool::new(false));
+        let begun = CancellationToken::new();
+        let state = header::Connection { host, begun: begun.clone(), stop: stop.clone() };
         let socket = socket::Socket::new(socket, self.refuse.clone());
-        let service =
-            header::Limited::new(self.service, self.refuse, limits, sync::Arc::clone(&has_request));
+        let service = header::Limited::new(self.service, self.refuse, limits, state);
         let service = service::TowerToHyperService::new(service);
         let builder = builder(&limits);
         let mut connection = pin!(builder.serve_connection(rt::TokioIo::new(socket), service));
@@ -194,7 +201,7 @@
         // exist for HTTP/2, so that the first request of a connection needs a timeout of its own.
         let header_timeout = async {
             tokio::time::sleep(limits.header_timeout).await;
-            if has_request.load(atomic::Ordering::Relaxed) {
+            if begun.is_cancelled() {
                 future::pending::<()>().await;
             }
         };
@@ -203,7 +210,15 @@
             biased;
             ended = connection.as_mut() => return ended.map_err(|e| e.to_string()),
             () = header_timeout => return Err("no request within the header timeout".to_owned()),
-            () = stop.cancelled() => connection.as_mut().graceful_shutdown(),
+            () = stop.cancelled() => {}
+        }
+        // The first request of a connection that was accepted just now may be on its way; hyper
+        // would close the connection without reading it.
+        let first_request = tokio::time::timeout(FIRST_REQUEST_GRACE, begun.cancelled());
+        tokio::select! {
+            biased;
+            ended = connection.as_mut() => return ended.map_err(|e| e.to_string()),
+            _ = first_request => connection.as_mut().graceful_shutdown(),
         }
         let ended = tokio::time::timeout(limits.drain_timeout, connection).await.unwrap_or(Ok(()));
         ended.map_err(|e| e.to_string())
--- a/crates/server/src/header.rs
+++ b/crates/server/src/header.rs
@@ -1,15 +1,16 @@
-//! Middleware that refuses requests whose header exceeds the limits.
+//! Middleware that refuses requests whose header exceeds the limits, and announces the close of the
+//! connection while the node is shutting down.
 
 use std::{
     convert,
     future::{self, ready},
-    pin,
-    sync::{self, atomic},
-    task,
+    pin, sync, task,
 };
 
+use corneltrestle_kernel::{host, lifecycle};
 use hyper::header;
 use pin_project_lite::pin_project;
+use tokio_util::sync::CancellationToken;
 use tower::Service;
 
 use crate::{limits::Limits, refuse::Refuse};
@@ -20,18 +21,29 @@
     inner: S,
     refuse: R,
     limits: Limits,
-    /// Set by the first request of the connection, also by one that is refused.
-    has_request: sync::Arc<atomic::AtomicBool>,
+    connection: Connection,
+}
+
+/// State of the connection that a request arrives on.
+#[derive(Clone, Debug)]
+pub(crate) struct Connection {
+    pub(crate) host: sync::Arc<host::Host>,
+    /// Cancelled by the first request of the connection, also by one that is refused.
+    pub(crate) begun: CancellationToken,
+    /// Cancelled when the front end stops.
+    pub(crate) stop: CancellationToken,
+}
+
+impl Connection {
+    /// Whether the caller has to send its next request elsewhere.
+    fn is_leaving(&self) -> bool {
+        self.stop.is_cancelled() || self.host.lifecycle.stage() >= lifecycle::Stage::Draining
+    }
 }
 
 impl<S, R> Limited<S, R> {
-    pub(crate) fn new(
-        inner: S,
-        refuse: R,
-        limits: Limits,
-        has_request: sync::Arc<atomic::AtomicBool>,
-    ) -> Self {
-        Self { inner, refuse, limits, has_request }
+    pub(crate) fn new(inner: S, refuse: R, limits: Limits, connection: Connection) -> Self {
+        Self { inner, refuse, limits, connection }
     }
 }
 
@@ -52,12 +64,15 @@
     }
 
     fn call(&mut self, request: hyper::Request<B>) -> Self::Future {
-        self.has_request.store(true, atomic::Ordering::Relaxed);
+        self.connection.begun.cancel();
         match exceeded_limit(&request, self.limits) {
             Some(message) => ResponseFuture::Refused {
                 response: ready(Ok(self.refuse.header_too_large(&message))),
             },
-            None => ResponseFuture::Forwarded { inner: self.inner.call(request) },
+            None => ResponseFuture::Forwarded {
+                inner: self.inner.call(request),
+                connection: self.connection.clone(),
+            },
         }
     }
 }
@@ -68,7 +83,7 @@
     #[derive(Debug)]
     pub(crate) enum ResponseFuture<F, B> {
         Refused { response: future::Ready<Result<hyper::Response<B>, convert::Infallible>> },
-        Forwarded { #[pin] inner: F },
+        Forwarded { #[pin] inner: F, connection: Connection },
     }
 }
 
@@ -81,7 +96,16 @@
     fn poll(self: pin::Pin<&mut Self>, cx: &mut task::Context<'_>) -> task::Poll<F::Output> {
         match self.project() {
             ResponseProjection::Refused { response } => pin::Pin::new(response).poll(cx),
-            ResponseProjection::Forwarded { inner } => inner.poll(cx),
+            ResponseProjection::Forwarded { inner, connection } => {
+                let mut response = task::ready!(inner.poll(cx));
+                if let Ok(response) = &mut response
+                    && connection.is_leaving()
+                {
+                    let close = header::HeaderValue::from_static("close");
+                    response.headers_mut().insert(header::CONNECTION, close);
+                }
+                task::Poll::Ready(response)
+            }
         }
     }
 }
--- a/crates/server/tests/connections.rs
+++ b/crates/server/tests/connections.rs
@@ -1,4 +1,4 @@
-//! Guards against a limit of connections that keeps the value that it had when the server started.
+//! Connections of a front end: their limit, and their end at a planned stop.
 
 use std::{
     convert::Infallible,
@@ -26,10 +26,51 @@
     (socket, String::from_utf8_lossy(&answer).into_owned())
 }
 
+fn open() -> Arc<host::Host> {
+    let settings = settings::Settings::parse("test", "", &[]).unwrap();
+    host::Host::open(settings, pool::Pool::attach(tokio::runtime::Handle::current()))
+}
+
+/// Serves `address` with empty answers.
+fn bind(
+    host: &Arc<host::Host>,
+    address: SocketAddr,
+    limits: impl Fn() -> server::Limits + Clone + Send + Sync + 'static,
+) -> corneltrestle_kernel::plugin::Handle {
+    let answer = |_| {
+        let body: Full<bytes::Bytes> = Full::default();
+        future::ready(Ok::<_, Infallible>(hyper::Response::new(body)))
+    };
+    let service = tower::service_fn(answer);
+    server::bind(host, "test", address, limits, service, server::refuse::Empty).unwrap()
+}
+
+/// Guards against requests that are cut off without an answer, as they arrive on connections that were
+/// accepted, or waited to be accepted, when the stop began.
+#[tokio::test]
+async fn first_request_of_a_connection_is_answered_during_a_stop() {
+    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_312)));
+    let running = bind(&host, address, server::Limits::default);
+    let mut connections = Vec::new();
+    for _ in 0..8 {
+        connections.push(TcpStream::connect(address).await.unwrap());
+    }
+    let stopping = tokio::spawn(async move { running.shutdown().await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    for socket in &mut connections {
+        socket.write_all(b"GET / HTTP/1.1\r\nHost: node\r\n\r\n").await.unwrap();
+        let mut answer = Vec::new();
+        socket.read_to_end(&mut answer).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer).to_ascii_lowercase();
+        assert!(answer.starts_with("http/1.1 200") && answer.contains("connection: close"));
+    }
+    stopping.await.unwrap();
+}
+
+/// Guards against a limit of connections that keeps the value that it had when the server started.
 #[tokio::test]
 async fn changed_limit_of_connections_applies_to_new_ones() {
-    let settings = settings::Settings::parse("test", "", &[]).unwrap();
-    let host = host::Host::open(settings, pool::Pool::attach(tokio::runtime::Handle::current()));
+    let host = open();
     let most = Arc::new(atomic::AtomicUsize::new(2));
     let limit = Arc::clone(&most);
     let limits = move || server::Limits {
@@ -37,14 +78,8 @@
         drain_timeout: Duration::ZERO,
         ..server::Limits::default()
     };
-    let answer = |_| {
-        let body: Full<bytes::Bytes> = Full::default();
-        future::ready(Ok::<_, Infallible>(hyper::Response::new(body)))
-    };
     let address: SocketAddr = ([127, 84, 11, 9], 7_311).into();
-    let service = tower::service_fn(answer);
-    let running = server::bind(&host, "test", address, limits, service, server::refuse::Empty);
-    let running = running.unwrap();
+    let running = bind(&host, address, limits);
     let (first, second) = (call(address).await, call(address).await);
     assert_eq!((first.1.as_str(), second.1.as_str()), ("HTTP/1.1 200", "HTTP/1.1 200"));
     assert_eq!(call(address).await.1, "HTTP/1.1 503");
