client, engine, etcd: timeouts that callers state may be of any length

Peers that are no longer heard from were never dropped from the table of peers.

Result: timeout_of_any_length_is_taken.

--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -20,6 +20,15 @@
 /// runs them, so that connections to peers that are no longer called are closed, too.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(2);
 
+/// Longest timeout of a call.
+const MAX_TIMEOUT: time::Duration = time::Duration::from_secs(24 * 60 * 60);
+
+/// The end of a call that starts now. Timeouts that callers state may be of any length, but an
+/// [`Instant`] may not be.
+pub fn deadline_after(timeout: time::Duration) -> Instant {
+    Instant::now() + timeout.min(MAX_TIMEOUT)
+}
+
 /// Limits of a [`Pool`].
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -107,7 +116,7 @@
         delivery: Delivery,
         timeout: time::Duration,
     ) -> Result<hyper::Response<body::Body>> {
-        let deadline = Instant::now() + timeout;
+        let deadline = deadline_after(timeout);
         let host =
             header::HeaderValue::try_from(peer.to_string()).map_err(error::Error::invalid)?;
         request.headers_mut().insert(header::HOST, host);
@@ -117,7 +126,7 @@
         let retry = (delivery == Delivery::Repeatable).then(|| request.clone());
         // The peer may never answer on a reused connection, for example when its path is lost;
         // half of the time is kept for a retry on a new one.
-        let first_deadline = if retry.is_some() { Instant::now() + timeout / 2 } else { deadline };
+        let first_deadline = if retry.is_some() { deadline_after(timeout / 2) } else { deadline };
         match self.send_on(connection, peer, request, first_deadline).await {
             Ok(response) => Ok(response),
             Err(failed) => {
@@ -146,7 +155,7 @@
         timeout: time::Duration,
         max: usize,
     ) -> Result<hyper::Response<bytes::Bytes>> {
-        let deadline = Instant::now() + timeout;
+        let deadline = deadline_after(timeout);
         let (head, body) = self.send(peer, request, delivery, timeout).await?.into_parts();
         Ok(hyper::Response::from_parts(head, body.collect(max, deadline).await?))
     }
@@ -158,7 +167,7 @@
         request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
         deadline: Instant,
     ) -> Result<hyper::Response<body::Body>> {
-        let connect = deadline.min(Instant::now() + self.config.connect_timeout);
+        let connect = deadline.min(deadline_after(self.config.connect_timeout));
         let (kind, now) = (keepalive::Kind::Connect, self.clock.now());
         let mut history =
             keepalive::Connection::with_max_age(kind, self.config.max_age, now, &mut rand::rng());
--- a/crates/client/tests/pool.rs
+++ b/crates/client/tests/pool.rs
@@ -44,3 +44,13 @@
         () = calls => {}
     }
 }
+
+/// Guards against a caller that ends a task of the node with the time that it states.
+#[tokio::test]
+async fn timeout_of_any_length_is_taken() {
+    let server = Scripted::bind(vec![vec![Read, Write(answer("200 OK", "a")), Stall]]).await;
+    let pool = Pool::open(Config::default());
+    let request = Request::get("/").body(Full::default()).unwrap();
+    let sent = pool.send(server.address, request, Delivery::Repeatable, Duration::MAX);
+    assert_eq!(sent.await.unwrap().status(), 200);
+}
--- a/crates/engine/src/engine/http.rs
+++ b/crates/engine/src/engine/http.rs
@@ -11,7 +11,6 @@
 use corneltrestle_client::{self as client, body, pool};
 use corneltrestle_policy::{keepalive, prefix, report};
 use serde::{Deserialize, de::DeserializeOwned};
-use tokio::time::Instant;
 
 use super::{Engine, Result};
 use crate::engine;
@@ -161,7 +160,7 @@
         peer: net::SocketAddr,
         request: &engine::Generate<'_>,
     ) -> Result<bytes::Bytes> {
-        let deadline = Instant::now() + request.remaining;
+        let deadline = pool::deadline_after(request.remaining);
         let response = self.generate("complete", peer, request, request.remaining).await?;
         check_request_id("complete", peer, &response, request.id)?;
         let collected = response.into_body().collect(self.config.max_body, deadline).await;
--- a/crates/engine/src/service/http.rs
+++ b/crates/engine/src/service/http.rs
@@ -50,7 +50,7 @@
         call: &service::Call<'_>,
     ) -> Result<service::Response> {
         let failed = |e| failed(STEP, peer, e);
-        let deadline = time::Instant::now() + call.remaining;
+        let deadline = pool::deadline_after(call.remaining);
         // A call that is not safe gets a new connection. The peer may close an idle one while the
         // call is being sent, which would leave its effect unknown.
         let delivery =
--- a/crates/etcd/src/gateway/watch.rs
+++ b/crates/etcd/src/gateway/watch.rs
@@ -3,7 +3,7 @@
 use std::{collections, time};
 
 use corneltrestle_client::{body, pool};
-use tokio::time::{Instant, timeout};
+use tokio::time::timeout;
 
 use super::{Endpoint, MAX_RESPONSE_BYTES, message, request};
 use corneltrestle_infra::store::{self, Result, Watch};
@@ -30,7 +30,7 @@
     start_revision: message::Int64,
 ) -> Result<body::Body> {
     let failed = |e| endpoint.failed("watch", e);
-    let deadline = Instant::now() + endpoint.timeout;
+    let deadline = pool::deadline_after(endpoint.timeout);
     let key = message::Base64(key.as_bytes());
     let create_request = message::CreateWatch { key, start_revision, progress_notify: true };
     let request = request("/v3/watch", &message::Watch { create_request }).map_err(failed)?;
--- a/crates/gateway/src/task/watchdog.rs
+++ b/crates/gateway/src/task/watchdog.rs
@@ -68,6 +68,7 @@
         if let Some(pause) = self.tables.pauses.lock().tick(CHECK_PERIOD, now) {
             log::warn!(pause_ms = activity::saturating_millis(pause); "node: the process was paused");
         }
+        self.tables.peers.lock().prune(now);
         let silent = {
             let mut activity = self.tables.activity.lock();
             activity.prune(now);
