--- a/crates/engine/src/service/http.rs
+++ b/crates/engine/src/service/http.rs
@@ -4,7 +4,6 @@
 
 use corneltrestle_client::{self as client, headers, pool};
 use hyper::header;
-use tokio::time;
 
 use super::{Result, Service};
 use crate::{
