policy, gateway: nodes that choose by the same old picture spread their requests

Cause: each node sent a request to the group with the least predicted time. All nodes know the same loads, 100 ms old, so that the requests of all of them went to the same few groups until the next picture: with 146 requests a second to 15 groups, 20 to one of them. On the large site half of the requests for the model with few groups were late, a third of these by a pause between events (the median of the longest pause was 247 ms of 300).

Change: policy::spread fills the upstreams up to a common level by the requests that no picture shows yet, by their rate, the age of the picture and the time that each adds.

Ruled out in virtual time, share of requests in time (large site; after losses): the better of two random groups (0.95; 0.75) is as good there and worse with few nodes (0.91 against 0.93); a wider margin (0.94; 0.67), random noise on the times (0.81; 0.45).

Result in virtual time: 0.986, after losses 0.844, few nodes 0.980, where the least time gives 0.485, 0.219 and 0.844 and chance 0.973, 0.667 and 0.965.

--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -3,9 +3,8 @@
 use std::{collections, net, sync, time};
 
 use corneltrestle_kernel::table;
-use corneltrestle_policy::{cost, deployment, fleet, id, pacing, upstream as registered};
+use corneltrestle_policy::{cost, deployment, fleet, id, pacing, spread, upstream as registered};
 use corneltrestle_time::moment;
-use rand::Rng;
 
 use super::{Pipeline, admit::Admitted};
 use crate::{
@@ -22,8 +21,9 @@
 /// objective; less in proportion to a lower failure rate.
 const FAILURE_PENALTY_OBJECTIVES: f64 = 4.0;
 
-/// Candidates within this margin of the best are treated as equal and drawn at random.
-const TIE_MARGIN: time::Duration = time::Duration::from_millis(2);
+/// Time by which the picture of the load is older than its latest report: requests that a peer sent
+/// just after its previous heartbeat are not in it.
+const REPORT_LAG: time::Duration = time::Duration::from_millis(40);
 
 /// Assumed time for which a request occupies one slot of an upstream without models.
 const PLAIN_SERVICE_TIME: time::Duration = time::Duration::from_millis(20);
@@ -131,7 +131,10 @@
             pacing: &pacing.sent,
         };
         let found = self.candidates(&view, request, admitted, tried, now);
-        let Candidate { upstream: chosen, time: predicted } = fastest(&found)?;
+        let times: Vec<_> = found.iter().map(|candidate| candidate.time).collect();
+        let unseen = self.unseen(&view, admitted, found.first()?.upstream, found.len(), now);
+        let Candidate { upstream: chosen, time: predicted } =
+            &found[spread::pick(&times, &unseen, &mut rand::rng())?];
         if snapshot.cold.contains_key(&chosen.id) {
             pacing.sent.count(&chosen.id, now);
         }
@@ -261,6 +264,38 @@
             .collect()
     }
 
+    /// Requests of all nodes to `candidates` upstreams like `upstream` that the loads reported by
+    /// other nodes do not show yet. They are taken to be as many at each group of a service.
+    fn unseen(
+        &self,
+        view: &View<'_, '_>,
+        admitted: &Admitted,
+        upstream: &registered::Upstream,
+        candidates: usize,
+        now: moment::Moment,
+    ) -> spread::Unseen {
+        let snapshot = view.snapshot;
+        let (total, each) = match admitted.engine() {
+            Some(engine) => {
+                let groups = snapshot.fleet.groups().iter();
+                let total = groups.filter(|group| group.service == admitted.service).count();
+                let group = snapshot.fleet.group_of(upstream.id.as_str());
+                let pace = group.map_or(1.0, |group| snapshot.fleet.pace(group, engine));
+                (total, cost::prefill(engine, pace, u64::from(engine.mean_prompt)))
+            }
+            None => (candidates, PLAIN_SERVICE_TIME / upstream.slots.max(1)),
+        };
+        let window = self.limits.retries.window;
+        let others = view.activity.usage_of_others(admitted.service.as_str(), window, now).usage;
+        let own = self.tables.retries.lock().requests(&admitted.service, now);
+        let share = candidates as f64 / total.max(candidates) as f64;
+        let age = view.activity.view_age(now).map_or(time::Duration::ZERO, |age| {
+            time::Duration::from_millis(u64::from(age)) + REPORT_LAG
+        });
+        let rate = f64::from(own + others.requests) / window.as_secs_f64() * share;
+        spread::Unseen { rate, age, each }
+    }
+
     /// Whether an upstream is ready, in a zone that is not evacuated and in an allowed region.
     fn may_serve(
         &self,
@@ -305,10 +340,3 @@
         view.pacing.allows(&upstream.id, &service.cold, position, *until, now)
     })
 }
-
-/// A random one of the candidates within [`TIE_MARGIN`] of the least predicted time.
-fn fastest<'c, 'a>(found: &'c [Candidate<'a>]) -> Option<&'c Candidate<'a>> {
-    let least = found.iter().map(|candidate| candidate.time).min()?;
-    let equal: Vec<_> = found.iter().filter(|c| c.time <= least + TIE_MARGIN).collect();
-    Some(equal[rand::rng().random_range(0..equal.len())])
-}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod report;
 pub mod retry;
 pub mod route;
+pub mod spread;
 pub mod stall;
 pub mod upstream;
 pub mod vm;
--- /dev/null
+++ b/crates/policy/tests/spread.rs
@@ -0,0 +1,53 @@
+//! A herd of nodes that choose upstreams by the same old picture of the load: thousands of requests in
+//! virtual time against the cost model of engines.
+
+#[path = "support/herd.rs"]
+mod herd;
+
+use std::time::Duration;
+
+use corneltrestle_policy::{cost, spread};
+use rand::{Rng, SeedableRng, seq::IteratorRandom};
+use rand_chacha::ChaCha8Rng;
+use test_case::test_case;
+
+/// The load of a large zone on the model whose groups are few: requests per second, groups, age of
+/// the picture.
+const LARGE: herd::Load = herd::Load { rate: 146.0, groups: 15, age: Duration::from_millis(140) };
+
+/// The same after a quarter of the groups was lost.
+const LOSSES: herd::Load = herd::Load { groups: 11, ..LARGE };
+
+/// A small zone, where the picture is less old.
+const SMALL: herd::Load = herd::Load { rate: 62.0, groups: 6, age: Duration::from_millis(60) };
+
+/// Takes the upstream with the least predicted time, a random one of those within 2 ms of it.
+fn least(times: &[Duration], rng: &mut ChaCha8Rng) -> usize {
+    let least = *times.iter().min().expect("upstreams");
+    let equal = (0..times.len()).filter(|at| times[*at] <= least + Duration::from_millis(2));
+    equal.choose(rng).expect("one")
+}
+
+/// Guards against nodes that send all requests to the few upstreams that an old picture shows as
+/// idle: fewer than `goal` requests were then in time, or no more than by chance.
+#[test_case(LARGE, 0.9; "many nodes")]
+#[test_case(LOSSES, 0.7; "many nodes after losses")]
+#[test_case(SMALL, 0.85; "few nodes")]
+fn requests_of_many_nodes_are_spread(load: herd::Load, goal: f64) {
+    let engine = herd::engine();
+    let each = cost::prefill(&engine, 1.0, u64::from(engine.mean_prompt));
+    let unseen = spread::Unseen { rate: load.rate, age: load.age, each };
+    let mut in_time = [0.0; 3];
+    for seed in 0..3 {
+        let play = |pick: &dyn Fn(&[Duration], &mut ChaCha8Rng) -> usize| {
+            herd::play(&load, ChaCha8Rng::seed_from_u64(seed), pick) / 3.0
+        };
+        in_time[0] += play(&|times, rng| spread::pick(times, &unseen, rng).expect("one"));
+        in_time[1] += play(&|times, rng| rng.random_range(0..times.len()));
+        in_time[2] += play(&least);
+    }
+    let [spread, chance, least] = in_time;
+    println!("in time: {spread:.3}, by chance {chance:.3}, least predicted time {least:.3}");
+    assert!(spread >= goal, "{spread:.3}");
+    assert!(spread >= chance.max(least) - 0.01, "by chance {chance:.3}, least time {least:.3}");
+}
