gateway: facts of a large deployment reach nodes that lack them

Cause: all facts of a deployment of 3,000 upstreams are 800 KB, which a node sent at 1 MB/s and a peer waited 600 ms for; a node that lacked many changes got each of them, also those that were superseded.

Change: large nodes send 8 MB/s, a call takes up to 1.5 s, and an update holds the latest change of each fact, or all facts where those are fewer.

--- a/crates/gateway/src/mesh/facts.rs
+++ b/crates/gateway/src/mesh/facts.rs
@@ -7,12 +7,14 @@
 };
 
 use corneltrestle_kernel::{clock, host};
+use corneltrestle_policy::id;
 use corneltrestle_rpc::{self as rpc, incoming};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh::generated;
 use tonic::{async_trait, transport};
 
 use crate::{
+    identity,
     source::Changes,
     tables::{activity::saturating_millis, catalog},
 };
@@ -20,17 +22,21 @@
 /// Size limit of a reply, for a configuration of about 1 MB and some thousand registrations.
 const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
 
-/// Timeout of a call. Nodes are a few milliseconds apart.
-const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+/// Timeout of a call. Nodes are a few milliseconds apart, but all facts of a large deployment take a
+/// slow link some hundred.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
 /// Timeout of connecting.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
-/// Rate at which a node sends facts: less than half of the capacity of a slow link. Peers that ask
-/// for more are refused, and retry at a peer that has the facts by then.
-const MAX_BYTES_PER_S: f64 = 1_000_000.0;
+/// Rate at which a small node sends facts: less than half of the capacity of a slow link. Peers that
+/// ask for more are refused, and retry at a peer that has the facts by then.
+const SMALL_BYTES_PER_S: f64 = 1_000_000.0;
 
-/// Time by which replies may be ahead of [`MAX_BYTES_PER_S`].
+/// Rate at which a large node sends facts, see [`catalog::Snapshot::is_large`].
+const LARGE_BYTES_PER_S: f64 = 8_000_000.0;
+
+/// Time by which replies may be ahead of the rate.
 const MAX_BURST: time::Duration = time::Duration::from_millis(100);
 
 /// Concurrent calls on one connection.
@@ -98,6 +104,7 @@
 ) -> io::Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let service = generated::mesh_server::MeshServer::new(Service {
+        own: host.port::<identity::Identity>().ok().map(|identity| identity.node.clone()),
         host,
         busy_until: atomic::AtomicU64::new(0),
     })
@@ -112,7 +119,9 @@
 
 struct Service {
     host: sync::Arc<host::Host>,
-    /// When all replies so far will have been sent at [`MAX_BYTES_PER_S`], in microseconds.
+    /// Name of this node.
+    own: Option<id::Node>,
+    /// When all replies so far will have been sent at the rate of the node, in microseconds.
     busy_until: atomic::AtomicU64,
 }
 
@@ -122,9 +131,17 @@
         self.busy_until.load(atomic::Ordering::Relaxed) <= (now + MAX_BURST).as_micros()
     }
 
+    /// Bytes per second that this node sends.
+    fn rate(&self) -> f64 {
+        let current = self.host.table::<catalog::Catalog>().lock().current();
+        let snapshot = current.load();
+        let is_large = self.own.as_ref().is_some_and(|own| snapshot.is_large(own.as_str(), None));
+        if is_large { LARGE_BYTES_PER_S } else { SMALL_BYTES_PER_S }
+    }
+
     /// Adds a reply of this size to the time until which the node is busy.
     fn record_sent(&self, bytes: usize, now: moment::Moment) {
-        let span = (bytes as f64 / MAX_BYTES_PER_S * 1e6) as u64;
+        let span = (bytes as f64 / self.rate() * 1e6) as u64;
         let next = |until: u64| Some(until.max(now.as_micros()) + span);
         let _ = self.busy_until.fetch_update(
             atomic::Ordering::Relaxed,
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -186,7 +186,9 @@
 
     /// The facts or changes that a peer at revision `after` lacks.
     pub fn update_since(&self, after: u64) -> Update {
-        let complete = after < self.history_start || after > self.revision || after == 0;
+        let is_known = (self.history_start..=self.revision).contains(&after) && after != 0;
+        let missed = if is_known { self.missed_since(after) } else { Vec::new() };
+        let complete = !is_known || missed.len() > self.facts.len();
         let changes = if complete {
             let facts = self.facts.iter().map(|(subject, known)| Change {
                 revision: known.revision,
@@ -195,7 +197,7 @@
             });
             facts.collect()
         } else {
-            self.history.iter().filter(|change| change.revision > after).cloned().collect()
+            missed
         };
         Update {
             changes: Changes { revision: self.revision, changes },
@@ -204,6 +206,19 @@
         }
     }
 
+    /// The latest change of each fact after a revision, and all of the configuration, which build on
+    /// each other.
+    fn missed_since(&self, after: u64) -> Vec<Change> {
+        let mut seen = collections::HashSet::new();
+        let missed = self.history.iter().rev().take_while(|change| change.revision > after);
+        let mut latest: Vec<Change> = missed
+            .filter(|change| change.subject == Subject::Deployment || seen.insert(&change.subject))
+            .cloned()
+            .collect();
+        latest.reverse();
+        latest
+    }
+
     /// Replaces all facts; `now` is the time before they were requested.
     pub fn replace(&mut self, loaded: Changes, now: moment::Moment) {
         self.mark_confirmed(now);
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -217,6 +217,16 @@
     assert!(revisions.contains(&4));
 }
 
+/// Guards against a node that is sent what has changed again since.
+#[test]
+fn update_has_the_latest_change_of_a_fact() {
+    let mut catalog = catalog(&["a", "b", "c"]);
+    catalog.apply(changes(vec![added(4, "d"), removed(5, "d"), added(6, "a")]), at(10));
+    let update = catalog.update_since(3);
+    let revisions: Vec<_> = update.changes.changes.iter().map(|change| change.revision).collect();
+    assert_eq!((update.complete, revisions), (false, vec![5, 6]));
+}
+
 /// Guards against extra work on nodes that have a fraction of the memory of the others.
 #[test]
 fn small_nodes_do_not_count_as_large() {
