policy: requests stay in their zone unless its upstreams are busier

Change: policy::spread takes the upstreams of the own zone, if there are four or more, while their level is at most 15 ms above that of all.

--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -13,10 +13,6 @@
     upstream::Client,
 };
 
-/// Added to the predicted time of upstreams in other zones: traffic between zones costs more than a
-/// short wait.
-const ZONE_PENALTY: time::Duration = time::Duration::from_millis(15);
-
 /// Added to the predicted time of an upstream that fails all requests, in multiples of the route's
 /// objective; less in proportion to a lower failure rate.
 const FAILURE_PENALTY_OBJECTIVES: f64 = 4.0;
@@ -35,7 +31,7 @@
     pub(super) id: id::Vm,
     /// The address it serves requests on.
     pub(super) address: net::SocketAddr,
-    /// Predicted time until the first event, with the penalties.
+    /// Predicted time until the first event, with the penalty of an upstream that fails.
     pub(super) predicted: time::Duration,
     /// Whether the first event is predicted after the route's objective; never for a resumed
     /// stream.
@@ -131,7 +127,14 @@
             pacing: &pacing.sent,
         };
         let found = self.candidates(&view, request, admitted, tried, now);
-        let times: Vec<_> = found.iter().map(|candidate| candidate.time).collect();
+        let is_near = |zone: &id::Zone| *zone == self.identity.zone;
+        let times: Vec<_> = found
+            .iter()
+            .map(|&Candidate { upstream, time }| spread::Candidate {
+                time,
+                is_near: is_near(&upstream.zone),
+            })
+            .collect();
         let unseen = self.unseen(&view, admitted, found.first()?.upstream, found.len(), now);
         let Candidate { upstream: chosen, time: predicted } =
             &found[spread::pick(&times, &unseen, &mut rand::rng())?];
@@ -247,7 +250,7 @@
                 let pace = snapshot.fleet.pace(group, engine);
                 let work = view.activity.estimated_work(head.id.as_str());
                 let time = cost::first_event(engine, pace, &work, generation.prompt_tokens, false);
-                Some(Candidate { upstream: head, time: time + self.zone_penalty(&head.zone) })
+                Some(Candidate { upstream: head, time })
             })
             .collect()
     }
@@ -259,7 +262,7 @@
             .map(|upstream| {
                 let work = view.activity.estimated_work(upstream.id.as_str());
                 let time = PLAIN_SERVICE_TIME * work.requests / upstream.slots.max(1);
-                Candidate { upstream, time: time + self.zone_penalty(&upstream.zone) }
+                Candidate { upstream, time }
             })
             .collect()
     }
@@ -317,10 +320,6 @@
             nodes: snapshot.nodes.len(),
         }
     }
-
-    fn zone_penalty(&self, zone: &id::Zone) -> time::Duration {
-        if *zone == self.identity.zone { time::Duration::ZERO } else { ZONE_PENALTY }
-    }
 }
 
 /// Whether an upstream is warm, or cold and able to take another request of the node at
--- a/crates/policy/tests/spread.rs
+++ b/crates/policy/tests/spread.rs
@@ -42,7 +42,11 @@
         let play = |pick: &dyn Fn(&[Duration], &mut ChaCha8Rng) -> usize| {
             herd::play(&load, ChaCha8Rng::seed_from_u64(seed), pick) / 3.0
         };
-        in_time[0] += play(&|times, rng| spread::pick(times, &unseen, rng).expect("one"));
+        in_time[0] += play(&|times, rng| {
+            let near = |time: &Duration| spread::Candidate { time: *time, is_near: true };
+            let found: Vec<_> = times.iter().map(near).collect();
+            spread::pick(&found, &unseen, rng).expect("one")
+        });
         in_time[1] += play(&|times, rng| rng.random_range(0..times.len()));
         in_time[2] += play(&least);
     }
@@ -51,3 +55,22 @@
     assert!(spread >= goal, "{spread:.3}");
     assert!(spread >= chance.max(least) - 0.01, "by chance {chance:.3}, least time {least:.3}");
 }
+
+/// Guards against requests that go to other zones although those of their own are not busier, and
+/// against requests that wait there although others are idle.
+#[test_case(60, 60, true; "as busy")]
+#[test_case(200, 20, false; "busier")]
+fn own_zone_is_preferred_unless_it_is_busier(near: u64, far: u64, stays: bool) {
+    let candidate = |at: usize| {
+        let is_near = at < 5;
+        let time = Duration::from_millis(if is_near { near } else { far });
+        spread::Candidate { time, is_near }
+    };
+    let found: Vec<_> = (0..25).map(candidate).collect();
+    let (age, each) = (Duration::from_millis(100), Duration::from_millis(20));
+    let unseen = spread::Unseen { rate: 200.0, age, each };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let picked: Vec<_> =
+        (0..200).map(|_| spread::pick(&found, &unseen, &mut rng).expect("one")).collect();
+    assert_eq!(picked.iter().filter(|at| **at < 5).count(), if stays { 200 } else { 0 });
+}
