--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -431,6 +431,19 @@
     assert_eq!(activity.progress("a"), Some(at(170)));
 }
 
+/// Guards against an upstream that looks stalled, as the caller of its only stream reads slowly.
+#[test]
+fn stream_whose_caller_has_yet_to_read_does_not_wait() {
+    let mut activity = Activity::default();
+    activity.begin(&"a".into(), &work(1, 10), at(0));
+    activity.started("a", &work(0, 10), at(50));
+    assert_eq!(activity.waiting().count(), 1);
+    activity.progressed("a", at(60));
+    assert_eq!(activity.waiting().count(), 0, "the caller has yet to take the event");
+    activity.waits("a", at(900));
+    assert_eq!(activity.progress("a"), Some(at(900)));
+}
+
 /// Guards against datagrams that are forwarded between zones for ever.
 #[test]
 fn datagram_is_new_once() {
