gateway, client, platform: only what has arrived counts as a retry, and orders check the lease again

Causes: a request for which no connection could be made took a retry from the budget, and failed where none was left, though no upstream had got it (most failures while a fabric domain is dark). A request that was sent on a kept connection, and then again on a new one that could not be made, was taken as not sent, and its caller told that it had not run. An order was sent without another look at the lease, however long its task had waited.

Result: request_that_has_not_arrived_needs_no_retry (2 cases) and request_that_was_sent_before_the_peer_was_gone_may_have_run fail without the change.

--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -37,6 +37,12 @@
         Self::new(Kind::NotSent, format!("invalid request: {cause}"))
     }
 
+    /// This error, if bytes of the request were sent in an earlier attempt.
+    pub(crate) fn sent_before(self) -> Self {
+        let kind = if self.kind == Kind::NotSent { Kind::Broken } else { self.kind };
+        Self { kind, ..self }
+    }
+
     /// The error of a call that failed after bytes of the request may have been sent.
     pub(crate) fn after_send(error: &hyper::Error) -> Self {
         let kind = if error.is_parse() { Kind::Malformed } else { Kind::Broken };
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -132,9 +132,11 @@
             Err(failed) => {
                 // The other idle connections to this peer are as old and may be broken, too.
                 self.idle.lock().peers.remove(&peer);
+                let was_sent = failed.unsent.is_none();
                 match failed.unsent.or(retry.filter(|_| failed.error.kind == error::Kind::Broken)) {
                     Some(request) if Instant::now() < deadline => {
-                        self.send_fresh(peer, request, deadline).await
+                        let sent = self.send_fresh(peer, request, deadline).await;
+                        sent.map_err(|e| if was_sent { e.sent_before() } else { e })
                     }
                     _ => Err(failed.error),
                 }
--- a/crates/client/tests/pool.rs
+++ b/crates/client/tests/pool.rs
@@ -13,6 +13,7 @@
     Step::{Read, Stall, Write},
     answer,
 };
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -45,6 +46,26 @@
     }
 }
 
+/// Guards against the claim that nothing was sent, where only the second attempt found no peer.
+#[tokio::test]
+async fn request_that_was_sent_before_the_peer_was_gone_may_have_run() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = listener.local_addr().unwrap();
+    let server = tokio::spawn(async move {
+        let (mut socket, _) = listener.accept().await.unwrap();
+        let mut read = [0; 1_024];
+        assert!(socket.read(&mut read).await.unwrap() > 0);
+        socket.write_all(answer("200 OK", "a").as_bytes()).await.unwrap();
+        assert!(socket.read(&mut read).await.unwrap() > 0);
+        drop(listener);
+    });
+    let pool = Pool::open(Config::default());
+    assert_eq!(get(&pool, peer).await.unwrap(), "a");
+    let failed = get(&pool, peer).await.unwrap_err();
+    assert_eq!(failed.kind, corneltrestle_client::Kind::Broken, "{failed}");
+    server.await.unwrap();
+}
+
 /// Guards against a caller that ends a task of the node with the time that it states.
 #[tokio::test]
 async fn timeout_of_any_length_is_taken() {
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Whether the request has reached the upstream, so that another attempt is a retry. One that no
+    /// connection could be made for has cost no upstream anything.
+    fn has_arrived(&self) -> bool {
+        !matches!(self, Self::Call(error) if error.kind == upstream::Kind::NotSent)
+    }
+
     /// The outcome to record for the health of the upstream. A stall is not recorded, as all nodes
     /// know it from the stall table.
     fn outcome(&self) -> Option<health::Outcome> {
@@ -142,7 +148,7 @@
 
 impl<C: Client> Pipeline<C> {
     /// Records a failed attempt and checks whether the request may be sent again. If so, the retry
-    /// is taken from the budget.
+    /// is taken from the budget, unless the request has not arrived anywhere.
     ///
     /// # Errors
     ///
@@ -178,7 +184,7 @@
         if !allowed {
             return Err(refuse(attempts, admitted, Stop::NotRetryable, now));
         }
-        if !self.may_retry(&admitted.service, now) {
+        if failure.has_arrived() && !self.may_retry(&admitted.service, now) {
             return Err(refuse(attempts, admitted, Stop::NoBudget, now));
         }
         Ok(())
--- a/crates/gateway/src/task/coordinate/orders.rs
+++ b/crates/gateway/src/task/coordinate/orders.rs
@@ -32,6 +32,10 @@
     }
 
     async fn send(&self, step: &formation::Step, token: u64) -> upstream::Result<Option<Outcome>> {
+        // The task may have been delayed since the decision.
+        if !self.holds(self.host.now()) {
+            return Ok(None);
+        }
         let snapshot = self.tables.current.load_full();
         let Some(vm) = snapshot.fleet.get(step.vm.as_str()) else { return Ok(None) };
         let command = Command { order: &step.order, token, timeout: ORDER_TIMEOUT };
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -51,6 +51,17 @@
     assert_eq!((status, refusal), (200, None));
 }
 
+/// Guards against requests that fail for want of a retry although they have reached no upstream: the
+/// budget bounds what upstreams get beyond the first arrival.
+#[test_case(Act::NotSent, 200; "no connection")]
+#[test_case(Act::Full, 0; "rejected")]
+#[tokio::test]
+async fn request_that_has_not_arrived_needs_no_retry(failure: Act, expected: u16) {
+    let world = World::open(&[&[failure], &[Act::Whole("done")]], NO_RETRIES);
+    let (status, _, refusal) = world.send("/status/7").await;
+    assert_eq!((status, refusal.is_none()), (expected, expected == 200));
+}
+
 /// Guards against refusals that say a request has not run although it may have, or the reverse.
 #[test_case("/order/7", Act::Broken, Outcome::Unknown)]
 #[test_case("/order/7", Act::NotSent, Outcome::NotRun)]
