local: tests keep the error that ended a stream

The case of foreign headers from one engine failed in 1 of 25 runs beside five busy processes: the other replica answered 409, as its VMs had been taken as lost and formed again under a new epoch.

--- a/crates/local/tests/common.rs
+++ b/crates/local/tests/common.rs
@@ -36,7 +36,7 @@
     /// The call was answered with an error; with the status and the value of the outcome header.
     Refused(u16, String),
     /// The stream ended with an error event and an aborted connection, so that the caller knows.
-    Aborted,
+    Aborted(String),
     /// The stream ended in another way, or the call failed without a response; with what was received or
     /// the cause.
     Wrong(String),
@@ -257,7 +257,8 @@
     };
     if is_cut {
         let is_reported = text.contains("event: error") && !text.contains("[DONE]");
-        return if is_reported { Ended::Aborted } else { Ended::Wrong(text) };
+        let reported = text.split("event: error").nth(1).unwrap_or_default().trim().to_owned();
+        return if is_reported { Ended::Aborted(reported) } else { Ended::Wrong(text) };
     }
     match text.strip_suffix("data: [DONE]\n\n") {
         Some(events) => Ended::Complete(concat_text(events)),
@@ -314,7 +315,7 @@
                 assert_eq!(*text, self.text(prompt, tokens).await, "answer to {prompt:?}");
                 true
             }
-            Ended::Refused(..) | Ended::Aborted => false,
+            Ended::Refused(..) | Ended::Aborted(_) => false,
             Ended::Wrong(what) => panic!("{prompt:?} ended without an error to the caller: {what}"),
         }
     }
