policy: a report that lacks the start of an engine is no restart

Cause: a report that a peer relays lacks the start identifier. The holder of the zone lease took the missing identifier for another start, so that members which a peer had seen ready first, or that a new holder knew only from a peer, counted as restarted. The replica was dissolved and formed again under a new epoch, although nothing had happened to its VMs. Change: an unknown start is neither recorded as the first one nor compared. Result: a_report_relayed_by_a_peer_is_no_restart failed in both cases with an empty assignment, and passes.

--- a/crates/node/src/pipeline/borrow.rs
+++ b/crates/node/src/pipeline/borrow.rs
@@ -101,7 +101,7 @@
         let found = self.candidates(request, &release, &replicas, &reports, &leaving, now);
         let usable = found.iter().filter(|c| {
             let replica = &c.replica.id;
-            c.head.report.start != 0
+            c.head.report.known_start().is_some()
                 && !failed.contains(replica)
                 && warmup.may_borrow(replica, now)
                 && choose::has_fresh_reports(c.replica, &reports, dispatched.last_failure(replica))
--- a/crates/node/src/slots.rs
+++ b/crates/node/src/slots.rs
@@ -32,7 +32,7 @@
     // A report relayed by a peer may lack the start id, from which the slots are derived. One from
     // before the epoch would count requests of the epoch before as warm-up.
     let is_of_epoch = head.replica.as_ref() == Some(&replica.id) && head.epoch == replica.epoch;
-    if head.start == 0 || !is_of_epoch {
+    if head.known_start().is_none() || !is_of_epoch {
         return false;
     }
     let cold = release.sets.get(&replica.id.set).map_or(1, |set| set.cold_limit);
--- a/crates/node/src/updates/reports.rs
+++ b/crates/node/src/updates/reports.rs
@@ -109,7 +109,7 @@
         vm: member.id.clone(),
         replica: Some(replica.id.clone()),
         epoch: replica.epoch,
-        start: 0,
+        start: report::UNKNOWN_START,
         model: set.model.clone(),
         adapter: set.adapter.clone(),
         version: set.version.clone(),
--- a/crates/policy/src/plan/health.rs
+++ b/crates/policy/src/plan/health.rs
@@ -61,7 +61,10 @@
         let Some(report) = self.fresh_report(vm, now) else { return Health::Lost };
         let start = self.observations.start(vm, replica.epoch);
         if report.replica.as_ref() == Some(&replica.id) && report.epoch == replica.epoch {
-            let same = start.is_none_or(|start| start == report.start);
+            let same = match (start, report.known_start()) {
+                (Some(start), Some(reported)) => start == reported,
+                _ => true,
+            };
             return if same { Health::Joined } else { Health::Lost };
         }
         let since = self.observations.since(&replica.id, replica.epoch, assignment::Phase::Forming);
--- a/crates/policy/src/plan/observations.rs
+++ b/crates/policy/src/plan/observations.rs
@@ -50,7 +50,9 @@
                 let joined = reports.get(&member.id).map(|seen| &seen.report).filter(|report| {
                     report.replica.as_ref() == Some(&replica.id) && report.epoch == replica.epoch
                 });
-                let start = known.copied().or(joined.map(|report| (report.epoch, report.start)));
+                let first =
+                    || joined.and_then(|report| Some((report.epoch, report.known_start()?)));
+                let start = known.copied().or_else(first);
                 starts.extend(start.map(|start| (member.id.clone(), start)));
             }
             let same = |seen: &&Seen| seen.epoch == replica.epoch && seen.phase == replica.phase;
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -4,6 +4,9 @@
 
 use crate::id;
 
+/// Value of [`Report::start`] while it is not known.
+pub const UNKNOWN_START: u64 = 0;
+
 /// The report of one VM. The load figures may be out of date when it arrives.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -14,7 +17,8 @@
     pub replica: Option<id::Replica>,
     /// The epoch at which it joined the replica; 0 without a replica.
     pub epoch: u64,
-    /// Random identifier of this start of the engine; changes with each restart.
+    /// Random identifier of this start of the engine; changes with each restart. [`UNKNOWN_START`]
+    /// in a report that a peer has relayed without it.
     pub start: u64,
     /// The loaded model; empty if none.
     pub model: String,
@@ -37,6 +41,11 @@
 }
 
 impl Report {
+    /// The identifier of this start of the engine; `None` while it is not known.
+    pub fn known_start(&self) -> Option<u64> {
+        (self.start != UNKNOWN_START).then_some(self.start)
+    }
+
     /// The report of an engine that has just started.
     pub fn idle(vm: id::Vm, start: u64) -> Self {
         Self {
--- a/crates/policy/tests/plan.rs
+++ b/crates/policy/tests/plan.rs
@@ -7,8 +7,9 @@
 
 use corneltrestle_policy::assignment::Baseline;
 use corneltrestle_policy::assignment::Phase::{self, Draining, Forming, Serving};
-use corneltrestle_policy::plan::{Kind, Plan};
+use corneltrestle_policy::plan::{Kind, Observations, Plan};
 use corneltrestle_policy::release::Fencing;
+use corneltrestle_policy::report;
 use corneltrestle_policy::vm::State;
 use test_case::test_case;
 use world::{REPORT_MAX_AGE, ROUND, World, set};
@@ -115,6 +116,27 @@
     assert_eq!(world.plan().next.unwrap().replicas[0].phase, Forming);
 }
 
+/// Guards against a replica that is dissolved because a peer has seen its members ready before the
+/// holder has: such a report lacks the identifier of the start.
+#[test_case(false; "known to the holder before")]
+#[test_case(true; "known to the holder only from the peer")]
+fn a_report_relayed_by_a_peer_is_no_restart(is_new_holder: bool) {
+    let mut world = serving(&[4], 3, Fencing::Checked);
+    let starts: Vec<_> = world.engines.values().map(|engine| engine.report.start).collect();
+    if is_new_holder {
+        world.observations = Observations::default();
+    }
+    world.engines.values_mut().for_each(|engine| engine.report.start = report::UNKNOWN_START);
+    assert_eq!(world.plan().next, None);
+    for (engine, start) in world.engines.values_mut().zip(starts) {
+        engine.report.start = start;
+    }
+    assert_eq!(world.plan().next, None);
+    let vm = head(&world);
+    world.engine(&vm).report.start += 1;
+    assert_eq!(world.plan().next.unwrap().replicas[0].phase, Forming);
+}
+
 #[test]
 fn a_replica_without_spares_is_formed_again_from_its_restarted_members() {
     let mut world = serving(&[2], 2, Fencing::Checked);
