policy, node: a relayed load that is older than the node's own report is ignored

Cause: a digest leaves out what its caller knows at the time of its request. If the caller polled an engine that had started again while the digest was on its way, the load of the earlier start came without its identifier, and the number of finished requests was added to the new start: the engine looked warm, and the node sent it more than its cold limit. Change: report::Seen::merge takes start and load of a peer only if they are no older than the report, and begins a new start at no load. The type Load moves from the link to policy.

--- a/crates/node/src/tables/reports.rs
+++ b/crates/node/src/tables/reports.rs
@@ -51,10 +51,10 @@
         }
     }
 
-    /// Modifies the report of a VM, if one is known.
-    pub fn update(&mut self, vm: &str, change: impl FnOnce(&mut report::Report)) {
+    /// Merges what a peer tells of the engine of a VM, if a report of it is known.
+    pub fn merge(&mut self, vm: &str, relayed: &report::Relayed) {
         if let Some(seen) = self.seen.get_mut(vm) {
-            change(&mut seen.report);
+            seen.merge(relayed);
         }
     }
 
--- a/crates/node/src/updates/reports.rs
+++ b/crates/node/src/updates/reports.rs
@@ -3,7 +3,7 @@
 //! Digests refer to VMs by their position in the assignment, so reports can be merged only if both
 //! nodes have the same version of it.
 
-use std::time;
+use std::{collections, time};
 
 use corneltrestle_policy::{assignment, id, release, report};
 use corneltrestle_time::moment;
@@ -37,7 +37,10 @@
             .collect();
         let loads = replicas.iter().map(|replica| {
             let head = replica.head().and_then(|head| reports.get(head.id.as_str()));
-            head.map_or_else(Default::default, |seen| load(&seen.report))
+            head.map_or_else(Default::default, |seen| wire::ReplicaLoad {
+                start: seen.report.start,
+                load: seen.report.load(),
+            })
         });
         Self { version: stored.version, ages, loads: loads.collect() }
     }
@@ -70,32 +73,34 @@
             reports.record(report, at);
         }
     }
-    let heads = || stored.assignment.replicas.iter().map(assignment::Replica::head);
-    // A start id is merged even without a load: an idle replica has the same load as one without a
-    // report, so the digest leaves it out.
-    let mut restarted = vec![false; stored.assignment.replicas.len()];
-    let starts = digest.starts.iter().flatten();
-    for ((head, start), restarted) in heads().zip(starts).zip(&mut restarted) {
-        let Some(head) = head.filter(|_| *start != 0) else { continue };
-        reports.update(head.id.as_str(), |report| {
-            *restarted = report.start != *start;
-            report.start = *start;
-        });
-    }
-    for (position, load) in &digest.loads {
-        let Some(head) = stored.assignment.replicas.get(*position).and_then(|r| r.head()) else {
-            continue;
+    merge_heads(&mut reports, &stored.assignment.replicas, digest, round_trip, now);
+    true
+}
+
+/// Merges start ids and loads of the heads of a zone's replicas from a digest.
+fn merge_heads(
+    reports: &mut tables::reports::Reports,
+    replicas: &[assignment::Replica],
+    digest: &wire::Reports,
+    round_trip: time::Duration,
+    now: moment::Moment,
+) {
+    let loads: collections::HashMap<usize, report::Load> = digest.loads.iter().copied().collect();
+    let starts = digest.starts.as_deref().unwrap_or_default();
+    // Position of the head among the members of all replicas.
+    let mut at = 0;
+    for (position, replica) in replicas.iter().enumerate() {
+        let age = digest.ages.get(at).copied().flatten();
+        at += replica.vms.len();
+        let (Some(head), Some(age)) = (replica.head(), age) else { continue };
+        let start = starts.get(position).copied();
+        let relayed = report::Relayed {
+            at: now.before(age + round_trip),
+            start: start.filter(|start| *start != report::UNKNOWN_START),
+            load: loads.get(&position).copied(),
         };
-        reports.update(head.id.as_str(), |report| {
-            // `finished` only grows within a start, so a lower value is an older load; ignore it.
-            if restarted[*position] || load.finished >= report.finished {
-                report.running = load.running;
-                report.waiting = load.waiting;
-                report.finished = load.finished;
-            }
-        });
+        reports.merge(head.id.as_str(), &relayed);
     }
-    true
 }
 
 /// The report of a VM that only a peer has seen: the peer states that it has joined and is ready.
@@ -133,9 +138,3 @@
 ) -> impl Iterator<Item = (&assignment::Replica, &assignment::Member)> {
     replicas.iter().flat_map(|replica| replica.vms.iter().map(move |member| (replica, member)))
 }
-
-fn load(report: &report::Report) -> wire::ReplicaLoad {
-    let load =
-        wire::Load { running: report.running, waiting: report.waiting, finished: report.finished };
-    wire::ReplicaLoad { start: report.start, load }
-}
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -46,6 +46,15 @@
         (self.start != UNKNOWN_START).then_some(self.start)
     }
 
+    /// The load in this report.
+    pub fn load(&self) -> Load {
+        Load { running: self.running, waiting: self.waiting, finished: self.finished }
+    }
+
+    fn set_load(&mut self, load: Load) {
+        (self.running, self.waiting, self.finished) = (load.running, load.waiting, load.finished);
+    }
+
     /// The report of an engine that has just started.
     pub fn idle(vm: id::Vm, start: u64) -> Self {
         Self {
@@ -66,6 +75,28 @@
     }
 }
 
+/// Load of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests being decoded.
+    pub running: u32,
+    /// Requests waiting in the engine's queue.
+    pub waiting: u32,
+    /// Requests finished since the engine started.
+    pub finished: u64,
+}
+
+/// What a peer tells of the engine of a head, as far as this node does not know it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Relayed {
+    /// Lower bound of the moment at which the VM gave the report.
+    pub at: moment::Moment,
+    /// Identifier of the start of the engine.
+    pub start: Option<u64>,
+    /// Load of the engine.
+    pub load: Option<Load>,
+}
+
 /// A report with the time of its origin on this node's clock.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
@@ -76,6 +107,25 @@
     pub report: Report,
 }
 
+impl Seen {
+    /// Merges what a peer tells of the engine, unless it is older than this report: it may then be of
+    /// an earlier start.
+    pub fn merge(&mut self, relayed: &Relayed) {
+        if relayed.at < self.at {
+            return;
+        }
+        let restarted = relayed.start.filter(|start| *start != self.report.start);
+        if let Some(start) = restarted {
+            self.report.start = start;
+            self.report.set_load(Load::default());
+        }
+        // `finished` only grows within a start, so a lower value is of an older load.
+        if let Some(load) = relayed.load.filter(|load| load.finished >= self.report.finished) {
+            self.report.set_load(load);
+        }
+    }
+}
+
 /// Progress of an engine towards serving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -40,7 +40,7 @@
 pub use digest::{Digest, PullRequest};
 pub use document::{Document, FetchRequest, Value};
 pub use error::{Error, Kind};
-pub use reports::{KnownReports, Load, ReplicaLoad, Reports};
+pub use reports::{KnownReports, ReplicaLoad, Reports};
 pub use roster::{Demand, Heartbeat, KnownRoster, Member, MemberView, Members, Roster};
 pub use slot::{Loan, SlotRequest};
 pub use status::{NodeStatus, StatusReply, StatusRequest};
--- a/crates/wire/src/link/reports.rs
+++ b/crates/wire/src/link/reports.rs
@@ -4,30 +4,19 @@
 
 use std::time;
 
-use corneltrestle_policy::id;
+use corneltrestle_policy::{id, report};
 use xxhash_rust::xxh3;
 
 use super::{Result, age, check, error, generated};
 use crate::link;
 
-/// Load of a replica as its head VM last reported it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Requests for which the engine generates tokens.
-    pub running: u32,
-    /// Requests queued in the engine.
-    pub waiting: u32,
-    /// Requests finished since the engine started.
-    pub finished: u64,
-}
-
 /// Start id and load of a replica as a node knows them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaLoad {
     /// Number that the head VM drew at its start; 0 if unknown.
     pub start: u64,
     /// Load in the latest report of the head VM.
-    pub load: Load,
+    pub load: report::Load,
 }
 
 /// What the caller of a pull knows of a zone's reports, mostly as hashes to keep it short.
@@ -58,7 +47,7 @@
     pub ages: Vec<Option<time::Duration>>,
     /// Position and load of each replica whose load differs from the caller's. A load is as old as
     /// the report of the replica's head VM, which may be older than the one the caller has.
-    pub loads: Vec<(usize, Load)>,
+    pub loads: Vec<(usize, report::Load)>,
     /// Start ids of all replicas in assignment order; `None` if the caller has the same.
     pub starts: Option<Vec<u64>>,
 }
@@ -88,7 +77,7 @@
         known: &KnownReports,
     ) -> Self {
         let is_same = assignment == known.assignment;
-        let is_known = |n: usize, load: &Load| {
+        let is_known = |n: usize, load: &report::Load| {
             is_same && known.loads.get(n) == Some(&load_hash(load, known.salt))
         };
         let loads = replicas.iter().map(|replica| replica.load).enumerate();
@@ -110,7 +99,7 @@
     hasher.digest()
 }
 
-fn load_hash(load: &Load, salt: u32) -> u8 {
+fn load_hash(load: &report::Load, salt: u32) -> u8 {
     let mut bytes = [0; 16];
     bytes[..4].copy_from_slice(&load.running.to_le_bytes());
     bytes[4..8].copy_from_slice(&load.waiting.to_le_bytes());
@@ -147,7 +136,7 @@
 
 impl From<Reports> for generated::Reports {
     fn from(reports: Reports) -> Self {
-        let quadruple = |(n, load): &(usize, Load)| {
+        let quadruple = |(n, load): &(usize, report::Load)| {
             [*n as u64, u64::from(load.running), u64::from(load.waiting), load.finished]
         };
         Self {
@@ -179,10 +168,11 @@
     }
 }
 
-fn decode_load([position, running, waiting, finished]: &[u64; 4]) -> Result<(usize, Load)> {
+fn decode_load([position, running, waiting, finished]: &[u64; 4]) -> Result<(usize, report::Load)> {
     let invalid = |expected| error::Error::invalid("reports.loads", expected);
     let count = |n: &u64| u32::try_from(*n).map_err(|_| invalid("counts of 32 bits"));
     let position = usize::try_from(*position).ok().filter(|n| *n < link::MAX_VMS);
-    let load = Load { running: count(running)?, waiting: count(waiting)?, finished: *finished };
+    let load =
+        report::Load { running: count(running)?, waiting: count(waiting)?, finished: *finished };
     Ok((position.ok_or_else(|| invalid("positions of replicas"))?, load))
 }
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -5,10 +5,11 @@
 
 use corneltrestle_kernel::lifecycle::Stage;
 use corneltrestle_policy::id;
+use corneltrestle_policy::report::Load;
 use corneltrestle_wire::link::{
     Count, Counts, CountsReply, Digest, Document, FetchRequest, Heartbeat, KnownReports,
-    KnownRoster, Load, Member, MemberView, Members, PullRequest, Ratio, ReplicaLoad, Reports,
-    Roster, StatusReply, Update, UpdateKind, Value, generated,
+    KnownRoster, Member, MemberView, Members, PullRequest, Ratio, ReplicaLoad, Reports, Roster,
+    StatusReply, Update, UpdateKind, Value, generated,
 };
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
