policy: a decision on groups takes time in proportion to the VMs

Cause: each VM was looked up among the members of all plans and each member among all VMs, and the composition of the domains was computed in each decision before the first request. Change: members are looked up by hash, and a composition is kept until domains or targets change.

--- a/crates/policy/src/formation/assemble.rs
+++ b/crates/policy/src/formation/assemble.rs
@@ -60,7 +60,7 @@
     // Before the first request loads are short, so that VMs may change their model for a better
     // composition of their domain.
     if !view.has_traffic {
-        let composition = outlook.compose(&rooms(&domains));
+        let composition = state.composition(&outlook, &rooms(&domains));
         for (domain, wanted) in domains.iter().zip(&composition) {
             dissolve_surplus(domain, models, wanted, state);
             steps.extend(groups(domain, models, Some(wanted), state, now));
--- a/crates/policy/src/formation/lifecycle.rs
+++ b/crates/policy/src/formation/lifecycle.rs
@@ -1,6 +1,6 @@
 //! Opens, closes and dissolves the groups that have been planned or adopted.
 
-use std::time;
+use std::{collections, time};
 
 use corneltrestle_time::moment;
 
@@ -14,6 +14,9 @@
 /// fraction of a second.
 const OPEN_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
+/// The VMs of a service by id.
+type Index<'v, 'a> = collections::HashMap<&'a id::Vm, &'v Vm<'a>>;
+
 /// Returns the orders for groups that exist or are being formed.
 pub(super) fn steps(
     view: &View<'_>,
@@ -23,10 +26,11 @@
 ) -> Vec<Step> {
     adopt(view, state, now);
     let mut steps = Vec::new();
+    let vms: Index<'_, '_> = vms.iter().map(|vm| (&vm.upstream.id, vm)).collect();
     let names: Vec<id::Group> = state.plans().keys().cloned().collect();
     for name in names {
         let Some(mut plan) = state.plans_mut().remove(&name) else { continue };
-        let is_over = advance(&name, &mut plan, vms, state, now, &mut steps);
+        let is_over = advance(&name, &mut plan, &vms, state, now, &mut steps);
         if !is_over {
             state.plans_mut().insert(name, plan);
         }
@@ -83,13 +87,13 @@
 fn advance(
     name: &id::Group,
     plan: &mut Plan,
-    vms: &[Vm<'_>],
+    vms: &Index<'_, '_>,
     state: &mut State,
     now: moment::Moment,
     steps: &mut Vec<Step>,
 ) -> bool {
     let members: Vec<Option<&Vm<'_>>> =
-        plan.members.iter().map(|id| vms.iter().find(|vm| vm.upstream.id == *id)).collect();
+        plan.members.iter().map(|id| vms.get(id).copied()).collect();
     if plan.is_dissolving {
         return dissolve(name, plan, &members, state, now, steps);
     }
--- a/crates/policy/src/formation/outlook.rs
+++ b/crates/policy/src/formation/outlook.rs
@@ -69,6 +69,11 @@
         expected[vms.min(expected.len() - 1)]
     }
 
+    /// Number of groups of each model that suffices for the load.
+    pub(super) fn targets(&self) -> &[f64] {
+        &self.targets
+    }
+
     /// Number of VMs in the largest group.
     pub(super) fn largest_group(&self) -> usize {
         self.models.iter().map(size).max().unwrap_or(0)
--- a/crates/policy/src/formation/state.rs
+++ b/crates/policy/src/formation/state.rs
@@ -5,7 +5,7 @@
 
 use corneltrestle_time::moment;
 
-use super::{Order, Role, Step, Vm};
+use super::{Order, Outlook, Role, Room, Step, Vm};
 use crate::{fleet, id};
 
 /// Number of epochs reserved for each fencing token, so that the epochs of a later token are
@@ -37,6 +37,8 @@
     free_since: collections::BTreeMap<id::Vm, moment::Moment>,
     /// Start times of the loads in the last second, for the rate limit of the weight store.
     load_starts: collections::VecDeque<moment::Moment>,
+    /// The latest composition of the domains.
+    composed: Option<Composed>,
 }
 
 /// A group that is being formed, serves, or is being dissolved.
@@ -67,6 +69,14 @@
     pub(super) until: moment::Moment,
 }
 
+/// How many VMs of each domain should have each model, and what this follows from.
+#[derive(Clone, Debug)]
+struct Composed {
+    rooms: Vec<Room>,
+    targets: Vec<f64>,
+    counts: Vec<Vec<usize>>,
+}
+
 impl State {
     /// Creates the empty state of a coordinator that has just got the fencing token.
     pub fn new(token: u64) -> Self {
@@ -79,6 +89,7 @@
             incomplete: collections::BTreeMap::new(),
             free_since: collections::BTreeMap::new(),
             load_starts: collections::VecDeque::new(),
+            composed: None,
         }
     }
 
@@ -117,6 +128,23 @@
         self.incomplete.retain(|group, _| keep(group));
     }
 
+    /// The composition of the domains by [`Outlook::compose`]. It is computed again only when the
+    /// domains or the targets have changed, as it takes long with many domains.
+    pub(super) fn composition(&mut self, outlook: &Outlook<'_>, rooms: &[Room]) -> Vec<Vec<usize>> {
+        let is_current =
+            |known: &&Composed| known.rooms == rooms && known.targets == outlook.targets();
+        if let Some(known) = self.composed.as_ref().filter(is_current) {
+            return known.counts.clone();
+        }
+        let counts = outlook.compose(rooms);
+        self.composed = Some(Composed {
+            rooms: rooms.to_vec(),
+            targets: outlook.targets().to_vec(),
+            counts: counts.clone(),
+        });
+        counts
+    }
+
     pub(super) fn loading(&self) -> &collections::BTreeMap<id::Vm, Loading> {
         &self.loading
     }
--- a/crates/policy/src/formation/summary.rs
+++ b/crates/policy/src/formation/summary.rs
@@ -4,7 +4,7 @@
 
 use corneltrestle_time::moment;
 
-use super::{Condition, Role, State, View, Vm, vm};
+use super::{Condition, Plan, Role, State, View, Vm, vm};
 use crate::id;
 
 /// VMs and groups by fabric domain.
@@ -35,9 +35,11 @@
     /// Counts the VMs and groups of a service.
     pub fn of(view: &View<'_>, state: &State, now: moment::Moment) -> Self {
         let mut summary = Self::default();
+        let plans = state.plans().values().filter(|plan| !plan.is_dissolving);
+        let heads = plans.filter_map(|plan| Some((plan.members.first()?, plan))).collect();
         for vm in vm::classify(view, state, now) {
             let fabric = vm.fabric().map_or("", id::Fabric::as_str);
-            summary.domains.entry(fabric.to_owned()).or_default().count(view, state, &vm);
+            summary.domains.entry(fabric.to_owned()).or_default().count(view, &heads, &vm);
         }
         summary
     }
@@ -53,7 +55,13 @@
 }
 
 impl Counts {
-    fn count(&mut self, view: &View<'_>, state: &State, vm: &Vm<'_>) {
+    /// Counts a VM; `heads` are the plans of groups that are not dissolved, by their heads.
+    fn count(
+        &mut self,
+        view: &View<'_>,
+        heads: &collections::HashMap<&id::Vm, &Plan>,
+        vm: &Vm<'_>,
+    ) {
         if vm.condition != Condition::Usable {
             self.unusable += 1;
             return;
@@ -69,10 +77,7 @@
             Role::Empty => self.empty += 1,
             Role::Unusable => self.unusable += 1,
             Role::Member => {
-                let plan = state.plans().values().find(|plan| {
-                    !plan.is_dissolving && plan.members.first() == Some(&vm.upstream.id)
-                });
-                if let Some(plan) = plan {
+                if let Some(plan) = heads.get(&vm.upstream.id) {
                     let groups =
                         if plan.opened.is_some() { &mut self.serving } else { &mut self.forming };
                     *groups.entry(plan.model.clone()).or_default() += 1;
--- a/crates/policy/src/formation/vm.rs
+++ b/crates/policy/src/formation/vm.rs
@@ -1,6 +1,8 @@
 //! Classification of the VMs of a model service: what each one does, and whether it may be a member
 //! of a group.
 
+use std::collections;
+
 use corneltrestle_time::moment;
 
 use super::{State, View};
@@ -80,6 +82,8 @@
 
 /// Classifies all VMs of the service that run a model engine.
 pub(super) fn classify<'a>(view: &View<'a>, state: &State, now: moment::Moment) -> Vec<Vm<'a>> {
+    let plans = state.plans().values();
+    let planned: collections::HashSet<&id::Vm> = plans.flat_map(|plan| &plan.members).collect();
     view.fleet
         .of_service(view.service.as_str())
         .filter(|upstream| upstream.engine.is_some())
@@ -88,7 +92,7 @@
             let is_busy =
                 view.busy.contains(&upstream.id) || state.is_pending(upstream.id.as_str(), now);
             let mut vm = Vm { upstream, condition, role: Role::Unusable, is_busy };
-            vm.role = role(view, state, &vm);
+            vm.role = role(view, state, &planned, &vm);
             vm
         })
         .collect()
@@ -105,10 +109,15 @@
     }
 }
 
-fn role(view: &View<'_>, state: &State, vm: &Vm<'_>) -> Role {
-    let is_planned = state.plans().values().any(|plan| plan.members.contains(&vm.upstream.id));
+/// What a VM does now; `planned` are the members of all plans.
+fn role(
+    view: &View<'_>,
+    state: &State,
+    planned: &collections::HashSet<&id::Vm>,
+    vm: &Vm<'_>,
+) -> Role {
     let in_group = vm.member().is_some_and(|member| !is_standby(&member.group));
-    if is_planned || in_group {
+    if in_group || planned.contains(&vm.upstream.id) {
         return Role::Member;
     }
     if vm.condition != Condition::Usable {
--- a/crates/policy/tests/support/engines.rs
+++ b/crates/policy/tests/support/engines.rs
@@ -204,6 +204,25 @@
         fleet.groups().iter().filter(serves).count()
     }
 
+    /// What a decision goes by.
+    pub(crate) fn view<'a>(
+        &'a self,
+        service: &'a id::Service,
+        fleet: &'a fleet::Fleet,
+        busy: &'a collections::BTreeSet<id::Vm>,
+    ) -> formation::View<'a> {
+        formation::View {
+            service,
+            engine: &self.engine,
+            fleet,
+            evacuated: &self.evacuated,
+            lost: &self.lost,
+            busy,
+            demand: &self.demand,
+            has_traffic: self.has_traffic,
+        }
+    }
+
     /// Makes one decision and advances the time; `is_executed` says whether an order takes effect.
     pub(crate) fn tick(
         &mut self,
@@ -211,17 +230,9 @@
     ) -> Vec<formation::Step> {
         let fleet = self.fleet();
         let (service, busy) = ("models".into(), collections::BTreeSet::new());
-        let view = formation::View {
-            service: &service,
-            engine: &self.engine,
-            fleet: &fleet,
-            evacuated: &self.evacuated,
-            lost: &self.lost,
-            busy: &busy,
-            demand: &self.demand,
-            has_traffic: self.has_traffic,
-        };
-        let steps = formation::decide(&view, &mut self.state, self.now);
+        let mut state = std::mem::replace(&mut self.state, formation::State::new(0));
+        let steps = formation::decide(&self.view(&service, &fleet, &busy), &mut state, self.now);
+        self.state = state;
         for step in &steps {
             let is_refused = !self.lost.contains(&step.vm) && self.refuses(step);
             if is_refused {
