--- a/crates/policy/tests/formation.rs
+++ b/crates/policy/tests/formation.rs
@@ -50,6 +50,17 @@
     assert!(large * 6 + small * 3 >= 54, "large {large}, small {small}");
 }
 
+/// Guards against decisions that take time in proportion to the square of the number of VMs: the
+/// coordinator of a large deployment would act too late to keep its lease. They took minutes here.
+#[test]
+fn groups_of_three_thousand_vms_are_formed() {
+    let mut engines = Engines::of(engines::engine_of(32, 8));
+    (0..41 * 73).for_each(|vm| engines.add(vm % 41));
+    run(&mut engines, SETTLE_S);
+    let (large, small) = (engines.serving("large"), engines.serving("small"));
+    assert!(large * 32 + small * 8 >= 41 * 70, "large {large}, small {small}");
+}
+
 /// Guards against a division of the VMs between models that depends on the order in which they
 /// registered.
 #[test]
