gateway: the coordinator keeps its lease over an outage of the store

Cause: a coordinator that could not renew its lease in time forgot it. Leases do not run out while the store is down, so that after each outage all nodes waited until it had run out, and took half a second to choose another holder. Change: it does not act, and asks the store every 300 ms to renew the lease; if the store has kept it, it goes on with the same token and the state of its groups. Result: coordinator_goes_on_after_an_outage_of_the_store failed with another holder, and passes.

--- a/crates/gateway/src/task/coordinate/lease.rs
+++ b/crates/gateway/src/task/coordinate/lease.rs
@@ -21,6 +21,10 @@
 /// [`crate::tables::catalog::Snapshot::is_large`]. They try to acquire it within a second.
 const SMALL_NODE_DELAY: time::Duration = time::Duration::from_secs(2);
 
+/// Time between two attempts to renew a lease that was not renewed in time. The store may have kept
+/// it, as leases do not run out while it is down.
+const RESUME_PERIOD: time::Duration = time::Duration::from_millis(300);
+
 /// A gap between two checks that is longer than this means that the process was paused.
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(500);
 
@@ -33,6 +37,8 @@
     /// When this node will next try to acquire it.
     attempt_at: Option<moment::Moment>,
     last_check: Option<moment::Moment>,
+    /// When this node last tried to renew a lease that was not renewed in time.
+    resume_attempt: Option<moment::Moment>,
     pause_end: Option<moment::Moment>,
 }
 
@@ -70,22 +76,21 @@
         mut held: lease::Held,
         now: moment::Moment,
     ) -> store::Result<()> {
-        let is_fenced = self.tables.coordinator.lock().is_fenced;
+        if self.tables.coordinator.lock().is_fenced {
+            self.step_down(state, "another node has used a higher fencing token");
+            return self.store.revoke(id, Class::Lease).await;
+        }
         match held.step(state.pause_end, now) {
-            lease::Step::Act if !is_fenced => return Ok(()),
-            lease::Step::StepDown => {
-                self.step_down(state, "the lease was not renewed in time");
-                return Ok(());
-            }
-            _ if is_fenced => {
-                self.step_down(state, "another node has used a higher fencing token");
-                return self.store.revoke(id, Class::Lease).await;
-            }
+            lease::Step::Act => return Ok(()),
+            lease::Step::StepDown if !self.may_resume(state, now) => return Ok(()),
             _ => {}
         }
         let sent = self.host.now();
         match self.store.renew(id, Class::Lease).await? {
             Some(ttl) => {
+                if state.resume_attempt.take().is_some() {
+                    log::info!(token = held.token; "lease: the store has kept it; this node acts again");
+                }
                 held.renewed(sent, ttl);
                 state.held = Some((id, held));
                 self.tables.coordinator.lock().valid_until = Some(held.valid_until());
@@ -95,6 +100,28 @@
         Ok(())
     }
 
+    /// Whether to try to renew a lease that was not renewed in time, so that the fencing token and
+    /// the state stay. Until the store confirms it, this node does not act.
+    fn may_resume(&self, state: &mut State, now: moment::Moment) -> bool {
+        let snapshot = self.tables.current.load();
+        let is_own = |holder: &Holder| holder.boot == self.identity.boot;
+        if !snapshot.coordinator.as_ref().is_some_and(is_own) {
+            self.step_down(state, "it was not renewed in time, and its key has been removed");
+            return false;
+        }
+        let last = state.resume_attempt;
+        if last.is_none() {
+            log::warn!(
+                "lease: not renewed in time; this node does not act until the store answers"
+            );
+        }
+        let is_due = last.is_none_or(|at| now.since(at) >= RESUME_PERIOD);
+        if is_due {
+            state.resume_attempt = Some(now);
+        }
+        is_due
+    }
+
     /// Acquires the lease if it is free and it is this node's turn to try.
     async fn try_acquire(&self, state: &mut State, now: moment::Moment) -> store::Result<()> {
         let snapshot = self.tables.current.load_full();
