--- a/crates/gateway/src/task/coordinate.rs
+++ b/crates/gateway/src/task/coordinate.rs
@@ -34,6 +34,8 @@
     store: sync::Arc<S>,
     client: sync::Arc<C>,
     mesh: sync::Arc<mesh::Mesh>,
+    /// Permits to send an order.
+    orders: tokio::sync::Semaphore,
 }
 
 /// Starts the task on the host's worker pool.
@@ -51,6 +53,7 @@
         store: host.port()?,
         client: host.port()?,
         mesh: host.port()?,
+        orders: tokio::sync::Semaphore::new(orders::MAX_CONCURRENT),
     });
     let handle = plugin::Handle::default();
     let holder = sync::Arc::clone(&coordinator);
--- a/crates/gateway/src/task/coordinate/orders.rs
+++ b/crates/gateway/src/task/coordinate/orders.rs
@@ -14,6 +14,10 @@
 /// Timeout of an order.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
+/// Orders sent at the same time. When a deployment starts, there is one for each of its VMs, and a
+/// small node has no memory for as many connections.
+pub(super) const MAX_CONCURRENT: usize = 256;
+
 impl<S: Store + Source, C: Client> super::Coordinator<S, C> {
     /// Sends an order in a task of its own, so that a VM that does not answer delays no other.
     pub(super) fn order(self: &sync::Arc<Self>, step: formation::Step) {
@@ -26,7 +30,10 @@
         };
         let this = sync::Arc::clone(self);
         self.host.pool.spawn(async move {
+            // The semaphore is never closed.
+            let permit = this.orders.acquire().await;
             let outcome = this.send(&step, token).await;
+            drop(permit);
             this.record_outcome(&step, token, outcome, this.host.now());
         });
     }
@@ -57,7 +64,7 @@
         }
         match outcome {
             Ok(outcome) => {
-                log::info!(vm = vm, token = token; "group: {order:?} ended as {outcome:?}");
+                log::info!(vm = vm, token = token; "group: order to {order} ended as {outcome:?}");
                 if outcome == Some(Outcome::Fenced) {
                     coordinator.is_fenced = true;
                 }
@@ -67,7 +74,7 @@
                 }
             }
             Err(e) => {
-                log::warn!(vm = vm, token = token; "group: {order:?} was not answered: {e}");
+                log::warn!(vm = vm, token = token; "group: order to {order} was not answered: {e}");
                 coordinator.unanswered.insert(step.vm.clone());
             }
         }
--- a/crates/policy/src/formation.rs
+++ b/crates/policy/src/formation.rs
@@ -17,7 +17,7 @@
 mod summary;
 mod vm;
 
-use std::collections;
+use std::{collections, fmt};
 
 use corneltrestle_time::moment;
 
@@ -97,6 +97,20 @@
     },
 }
 
+impl fmt::Display for Order {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Join { group, epoch, model, members } => {
+                let size = members.len();
+                write!(f, "join {group} at epoch {epoch} with {size} members for model {model}")
+            }
+            Self::Open { group, epoch } => write!(f, "open {group} at epoch {epoch}"),
+            Self::Close { group, epoch } => write!(f, "close {group} at epoch {epoch}"),
+            Self::Leave { group, epoch } => write!(f, "leave {group} at epoch {epoch}"),
+        }
+    }
+}
+
 impl Order {
     /// Whether the registration of the receiving VM already shows the effect of the order.
     pub fn has_effect(&self, upstream: &upstream::Upstream) -> bool {
