gateway, policy: the summary of groups says whether the deployment is in use, and counts loads

The logs could not tell the hypotheses on loads of weights apart: a line per order is sampled beyond 20 a second, and nothing said whether the coordinator took the deployment for one in use. The summary, once a second, has in_use= and loads= (started with this fencing token); weight_loads_total counts them by service.

--- a/crates/gateway/src/task/coordinate.rs
+++ b/crates/gateway/src/task/coordinate.rs
@@ -7,7 +7,7 @@
 use std::{collections, sync, time};
 
 use corneltrestle_infra::store::Store;
-use corneltrestle_kernel::{host, plugin};
+use corneltrestle_kernel::{host, linkme, metric, plugin};
 use corneltrestle_policy::{demand, deployment, formation, id};
 use corneltrestle_time::moment;
 
@@ -25,6 +25,13 @@
 /// Time between two log lines that summarise all groups.
 const SUMMARY_PERIOD: time::Duration = time::Duration::from_secs(1);
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static LOADS: metric::Metric = metric::Metric::counter(
+    "weight_loads_total",
+    "Loads from the weight store that this node has ordered as the coordinator, by service.",
+);
+
 /// State of the task.
 #[derive(Debug)]
 struct Coordinator<S, C> {
@@ -123,10 +130,18 @@
                 demand: &demand,
                 has_traffic,
             };
+            let loads = state.loads();
             steps.extend(formation::decide(&view, state, now));
+            let loads = state.loads() - loads;
+            metrics::counter!(LOADS.name, "service" => service.as_str().to_owned())
+                .increment(loads);
             if is_due {
                 let summary = formation::Summary::of(&view, state, now);
-                log::info!(service = service.as_str(), token = state.token(); "group: {summary}");
+                log::info!(
+                    service = service.as_str(), token = state.token(), in_use = has_traffic,
+                    loads = state.loads();
+                    "group: {summary}"
+                );
             }
         }
         steps
--- a/crates/policy/src/formation/state.rs
+++ b/crates/policy/src/formation/state.rs
@@ -37,6 +37,8 @@
     free_since: collections::BTreeMap<id::Vm, moment::Moment>,
     /// Start times of the loads in the last second, for the rate limit of the weight store.
     load_starts: collections::VecDeque<moment::Moment>,
+    /// Number of loads started.
+    loads: u64,
     /// The latest composition of the domains.
     composed: Option<Composed>,
 }
@@ -89,6 +91,7 @@
             incomplete: collections::BTreeMap::new(),
             free_since: collections::BTreeMap::new(),
             load_starts: collections::VecDeque::new(),
+            loads: 0,
             composed: None,
         }
     }
@@ -166,6 +169,12 @@
     ) {
         self.loading.insert(vm.clone(), Loading { model: model.clone(), until });
         self.load_starts.push_back(now);
+        self.loads += 1;
+    }
+
+    /// Number of loads from the weight store that were started with this fencing token.
+    pub fn loads(&self) -> u64 {
+        self.loads
     }
 
     /// Number of loads that were started in the second before `now`.
