gateway: a coordinator without requests of its own takes the deployment for one in use

What callers saw: on a deployment with 296 VMs, more loads began than the weight store bears (CEILING), and the requests of the large model lost their groups (SHORT).

Cause: before the first request, loads are not limited and groups are dissolved for a better composition of the domains. Whether there was a request was read from what this process has sent, so that a node that was restarted or gets no callers, and becomes the coordinator, acted in a deployment in use as if nothing depended on it.

--- a/crates/gateway/src/identity.rs
+++ b/crates/gateway/src/identity.rs
@@ -20,6 +20,8 @@
     pub boot: u64,
     /// Memory of the VM in MiB.
     pub memory: u64,
+    /// Whether the process was started with the whole deployment, before its first request.
+    pub bootstrap: bool,
     /// Region of each zone; empty if regions are not configured.
     pub regions: collections::BTreeMap<id::Zone, id::Region>,
 }
@@ -52,6 +54,12 @@
             "1",
             "Worker threads.",
         ),
+        settings::Key::new(
+            "bootstrap",
+            settings::Type::Flag,
+            "no",
+            "Whether the whole deployment starts for the first time. Until the first request, loads of weights are then not limited.",
+        ),
         settings::Key::new(
             "drain-delay",
             settings::Type::millis(0, 60_000),
@@ -97,9 +105,10 @@
         link: node.address("link"),
         boot: rand::random::<u64>().max(1),
         memory: memory(),
+        bootstrap: node.flag("bootstrap"),
         regions: regions(&host.settings)?,
     };
-    log::info!(node = identity.node.as_str(), zone = identity.zone.as_str(), boot = identity.boot; "node: started");
+    log::info!(node = identity.node.as_str(), zone = identity.zone.as_str(), boot = identity.boot, bootstrap = identity.bootstrap; "node: started");
     host.provide(sync::Arc::new(identity));
     Ok(plugin::Handle::idle())
 }
--- a/crates/gateway/src/tables/activity.rs
+++ b/crates/gateway/src/tables/activity.rs
@@ -20,8 +20,8 @@
 pub struct Activity {
     local: collections::HashMap<id::Vm, Local>,
     others: loads::Loads,
-    /// Whether this node has sent any request since its process started.
-    has_sent: bool,
+    /// Whether a request of any node is known.
+    has_traffic: bool,
 }
 
 /// This node's requests at one upstream; removed when there are none.
@@ -52,11 +52,6 @@
 
 /// Requests of this node.
 impl Activity {
-    /// Whether this node has sent any request since its process started.
-    pub fn has_sent(&self) -> bool {
-        self.has_sent
-    }
-
     /// Estimate of the work in progress at an upstream, less what peers' requests have likely
     /// completed since they were reported. Used to choose an upstream.
     pub fn estimated_work(&self, upstream: &str) -> cost::Work {
@@ -88,7 +83,7 @@
         work: &cost::Work,
         now: moment::Moment,
     ) -> sync::Arc<tokio::sync::Notify> {
-        self.has_sent = true;
+        self.has_traffic = true;
         let own = self.local.entry(upstream.clone()).or_insert_with(|| Local {
             work: cost::Work::default(),
             streams: 0,
@@ -151,6 +146,15 @@
     }
 }
 
+/// Requests of all nodes.
+impl Activity {
+    /// Whether this node has sent a request, or heard of one of another node, since its process
+    /// started.
+    pub fn has_traffic(&self) -> bool {
+        self.has_traffic
+    }
+}
+
 /// Requests of other nodes.
 impl Activity {
     /// The rows of this node's heartbeat.
@@ -199,6 +203,7 @@
         load: &mesh::Load,
         now: moment::Moment,
     ) -> bool {
+        self.has_traffic |= load.usage.iter().any(|usage| usage.requests > 0);
         self.others.update(reporter, latest, load, now)
     }
 
--- a/crates/gateway/src/task/coordinate.rs
+++ b/crates/gateway/src/task/coordinate.rs
@@ -119,7 +119,9 @@
         let mut steps = Vec::new();
         for (service, engine) in engines {
             let demand = self.demand(service, engine, now);
-            let has_traffic = self.tables.activity.lock().has_sent();
+            // A deployment that is in use has had requests, whether this node knows of one or not.
+            let has_traffic =
+                !self.identity.bootstrap || self.tables.activity.lock().has_traffic();
             let view = formation::View {
                 service,
                 engine,
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -182,6 +182,7 @@
             link: address,
             boot: 1,
             memory: 512,
+            bootstrap: false,
             regions: collections::BTreeMap::new(),
         }));
         host.provide(sync::Arc::new(limits::Limits { retries }));
