policy: a load that did not begin no longer counts as running

What callers saw: too few groups after losses of VMs, as VMs stayed empty.

Cause: a load counted as running for four times its published time whatever became of it: 64 s where the order to load was refused or lost, or the VM restarted during the load. The VM got no other order meanwhile, and held one of the places of the weight store.

Change: a load counts while its order is pending or the VM is registered as joining.

Measured: formation::vm_whose_load_did_not_run_loads_again, two cases; no order within 4 s before the change, one after it.

--- a/crates/policy/src/formation/state.rs
+++ b/crates/policy/src/formation/state.rs
@@ -242,13 +242,18 @@
         self.unanswered.retain(|vm| fleet.get(vm.as_str()).is_some());
     }
 
-    /// Drops loads that have ended, and records since when VMs are free.
+    /// Drops loads that have ended or did not begin, and records since when VMs are free.
     pub(super) fn retain(&mut self, vms: &[Vm<'_>], now: moment::Moment) {
         let known: collections::BTreeMap<&str, &Vm<'_>> =
             vms.iter().map(|vm| (vm.upstream.id.as_str(), vm)).collect();
+        let is_pending =
+            |vm: &id::Vm| self.pending.get(vm).is_some_and(|(_, at)| now < *at + ORDER_TIMEOUT);
         self.loading.retain(|id, load| {
             known.get(id.as_str()).is_some_and(|vm| {
-                now < load.until && !vm.has(&load.model) && vm.role != Role::Unusable
+                now < load.until
+                    && !vm.has(&load.model)
+                    && vm.role != Role::Unusable
+                    && (vm.is_joining() || is_pending(id))
             })
         });
         self.free_since
--- a/crates/policy/src/formation/vm.rs
+++ b/crates/policy/src/formation/vm.rs
@@ -72,6 +72,11 @@
             .is_some_and(|engine| engine.staged.contains(model) || engine.models.contains(model))
     }
 
+    /// Whether it is registered as joining a group.
+    pub fn is_joining(&self) -> bool {
+        self.member().is_some_and(|member| member.state == upstream::MemberState::Joining)
+    }
+
     /// Whether it has joined its standby group with this model loaded, so that it can join another
     /// group at once.
     pub fn is_standby(&self, model: &id::Model) -> bool {
@@ -127,8 +132,7 @@
         return Role::Loading;
     }
     let has_model = view.engine.models.iter().any(|model| vm.has(&model.name));
-    let joins = vm.member().is_some_and(|m| m.state == upstream::MemberState::Joining);
-    match (has_model, joins) {
+    match (has_model, vm.is_joining()) {
         (true, _) => Role::Spare,
         (false, true) => Role::Loading,
         (false, false) => Role::Empty,
--- a/crates/policy/tests/formation.rs
+++ b/crates/policy/tests/formation.rs
@@ -189,6 +189,28 @@
     assert!(formed * 4 >= wanted * 3, "{formed} groups, {wanted} without lost orders");
 }
 
+/// Guards against a VM that stays empty for four times the load time, since the order to load got no
+/// answer, or the VM restarted during the load.
+#[test_case::test_case(|_, _| {}, false; "order lost")]
+#[test_case::test_case(Engines::restart, true; "restarted")]
+fn vm_whose_load_did_not_run_loads_again(disturb: fn(&mut Engines, &id::Vm), is_executed: bool) {
+    let mut engines = Engines::new(3, 9);
+    run(&mut engines, SETTLE_S);
+    engines.has_traffic = true;
+    engines.add(0);
+    let loads =
+        |step: &Step| matches!(&step.order, Order::Join { members, .. } if members.len() == 1);
+    let steps = (0..10).flat_map(|_| engines.tick(|step| is_executed || !loads(step)));
+    let vm = steps.filter(loads).next().expect("the new VM is to load").vm;
+    disturb(&mut engines, &vm);
+    let mut ordered = 0;
+    for _ in 0..ticks(4) {
+        let steps = engines.tick(|_| true);
+        ordered += steps.iter().filter(|step| step.vm == vm && loads(step)).count();
+    }
+    assert_eq!(ordered, 1, "orders to load again");
+}
+
 /// Guards against groups that keep serving with VMs in an evacuated zone.
 #[test]
 fn evacuated_zone_serves_no_longer() {
--- a/crates/policy/tests/support/engines.rs
+++ b/crates/policy/tests/support/engines.rs
@@ -173,6 +173,16 @@
         self.vms.insert(vm.upstream.id.clone(), vm);
     }
 
+    /// Restarts a VM, which loses its model and its membership.
+    pub(crate) fn restart(&mut self, id: &id::Vm) {
+        let vm = self.vms.get_mut(id).expect("a registered VM");
+        vm.model = None;
+        vm.upstream.incarnation += 1;
+        let engine = vm.upstream.engine.as_mut().expect("a model engine");
+        let fabric = engine.fabric.take();
+        *engine = upstream::Engine { fabric, ..upstream::Engine::default() };
+    }
+
     /// Removes the registrations of lost VMs.
     pub(crate) fn lapse(&mut self) {
         for id in std::mem::take(&mut self.lost) {
