--- a/crates/policy/tests/formation.rs
+++ b/crates/policy/tests/formation.rs
@@ -200,8 +200,8 @@
     engines.add(0);
     let loads =
         |step: &Step| matches!(&step.order, Order::Join { members, .. } if members.len() == 1);
-    let steps = (0..10).flat_map(|_| engines.tick(|step| is_executed || !loads(step)));
-    let vm = steps.filter(loads).next().expect("the new VM is to load").vm;
+    let mut steps = (0..10).flat_map(|_| engines.tick(|step| is_executed || !loads(step)));
+    let vm = steps.find(loads).expect("the new VM is to load").vm;
     disturb(&mut engines, &vm);
     let mut ordered = 0;
     for _ in 0..ticks(4) {
