policy, gateway: parts of prompts that crash upstreams are quarantined by all nodes together

Cause: nothing remembered what a request did to its upstream. Each node sent it to a second one as if the first had been lost by chance, and no node told the others.

Change: a request that was lost with its upstream before its second event is a crash; a part that is in the crashed requests, and in none that has begun, is suspected. After four crashes of two requests at least, requests with the part are refused as not run; after ten minutes one is tried.

Ruled out: refusing by key or by first part (sound requests share them), and not retrying requests that were lost before their first event (ordinary losses of VMs look the same).

--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -54,6 +54,13 @@
     "Retries in the window of the retry budget, by service.",
 );
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static QUARANTINED: metric::Metric = metric::Metric::gauge(
+    "parts_quarantined",
+    "Parts of prompts that crash upstreams; requests with them are refused.",
+);
+
 #[linkme::distributed_slice(metric::GAUGES)]
 #[linkme(crate = linkme)]
 static READ: fn(&sync::Arc<host::Host>) = read;
@@ -87,6 +94,8 @@
     metrics::gauge!(COORDINATOR.name).set(f64::from(u8::from(holds)));
     metrics::gauge!(LIVE_PEERS.name).set(tables.peers.lock().live(now).count() as f64);
     metrics::gauge!(STALLED_UPSTREAMS.name).set(tables.stalls.lock().iter().count() as f64);
+    let quarantined = tables.quarantine.lock().parts().quarantined().count();
+    metrics::gauge!(QUARANTINED.name).set(quarantined as f64);
     for (service, extra) in tables.retries.lock().retries(now) {
         metrics::gauge!(RETRIES.name, "service" => service.as_str().to_owned())
             .set(f64::from(extra));
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -3,7 +3,9 @@
 use std::sync;
 
 use corneltrestle_kernel::{host, linkme, plugin, settings};
-use corneltrestle_policy::retry::fleet;
+use corneltrestle_policy::{quarantine, retry::fleet};
+
+use crate::tables;
 
 /// Limits that are not part of the configuration in the store.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +36,18 @@
             "10s",
             "Window over which requests and retries are counted.",
         ),
+        settings::Key::new(
+            "quarantine-crashes",
+            settings::Type::Count { min: 1, max: 100 },
+            "4",
+            "Crashes of upstreams after which a part of prompts is quarantined, if no request with it has begun.",
+        ),
+        settings::Key::new(
+            "quarantine-retention",
+            settings::Type::millis(1_000, 86_400_000),
+            "10m",
+            "Time after which one request with a quarantined part is tried again.",
+        ),
     ],
 };
 
@@ -53,6 +67,13 @@
 
 fn open(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     host.provide(sync::Arc::new(limits(&host.settings)?));
+    let section = host.settings.section(SECTION.name);
+    let quarantined = quarantine::Limits {
+        crashes: usize::try_from(section.count("quarantine-crashes")).unwrap_or(usize::MAX),
+        retention: section.duration("quarantine-retention"),
+    };
+    let table = host.table::<tables::quarantine::Quarantine>();
+    *table.lock() = tables::quarantine::Quarantine::new(quarantined);
     Ok(plugin::Handle::idle())
 }
 
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -6,6 +6,7 @@
 //! go to all nodes of the own zone and to a few of each other zone, which forward them within
 //! theirs.
 
+mod evidence;
 mod facts;
 mod incoming;
 mod outgoing;
--- a/crates/gateway/src/mesh/incoming.rs
+++ b/crates/gateway/src/mesh/incoming.rs
@@ -47,6 +47,7 @@
         for stall in &datagram.stalls {
             self.handle_stall(stall, now);
         }
+        self.handle_evidence(datagram, now);
         // A node that is no hub knows too little of the loads of its zone.
         datagram.wants_reply && (!self.uses_hubs() || self.place_among_hubs().is_some())
     }
--- a/crates/gateway/src/mesh/outgoing.rs
+++ b/crates/gateway/src/mesh/outgoing.rs
@@ -26,13 +26,13 @@
         now: moment::Moment,
     ) -> Vec<u8> {
         let stalls = self.stalls(|stall| stall.is_own, now);
-        let datagram = self.datagram(draining, now);
+        let datagram = self.periodic(draining, now);
         mesh::encode(mesh::Datagram { load: Some(load), stalls, ..datagram })
     }
 
     /// A datagram without load, which tells that the node lives and which facts it has.
     pub(crate) fn sign_of_life(&self, draining: bool, now: moment::Moment) -> Vec<u8> {
-        mesh::encode(self.datagram(draining, now))
+        mesh::encode(self.periodic(draining, now))
     }
 
     /// The sums that a hub sends: for each other node of its zone, the load of all nodes but that
@@ -45,7 +45,7 @@
             let sum = activity.zone_load(usage, true, now);
             nodes.into_iter().map(|(id, to)| (to, activity.without(&sum, &id))).collect()
         };
-        let datagram = self.datagram(false, now);
+        let datagram = self.periodic(false, now);
         let encode = |(to, load): (net::SocketAddr, mesh::Load)| {
             (to, mesh::encode(mesh::Datagram { load: Some(load), ..datagram.clone() }))
         };
@@ -57,7 +57,7 @@
         let usage = self.tables.retries.lock().usage(now);
         let load = self.tables.activity.lock().zone_load(usage, false, now);
         let stalls = self.stalls(|_| true, now);
-        let datagram = self.datagram(false, now);
+        let datagram = self.periodic(false, now);
         mesh::encode(mesh::Datagram { load: Some(load), stalls, forward: true, ..datagram })
     }
 
@@ -102,7 +102,7 @@
             activity.without(&sum, &origin.node.as_str().into())
         };
         let stalls = self.stalls(|_| true, now);
-        let datagram = self.datagram(draining, now);
+        let datagram = self.periodic(draining, now);
         mesh::encode(mesh::Datagram { load: Some(load), stalls, ..datagram })
     }
 
@@ -122,7 +122,12 @@
         }
     }
 
-    fn datagram(&self, draining: bool, now: moment::Moment) -> mesh::Datagram {
+    /// A datagram that is sent again and again, with all that each node should know.
+    fn periodic(&self, draining: bool, now: moment::Moment) -> mesh::Datagram {
+        mesh::Datagram { quarantined: self.quarantined(now), ..self.datagram(draining, now) }
+    }
+
+    pub(super) fn datagram(&self, draining: bool, now: moment::Moment) -> mesh::Datagram {
         let (revision, confirmed_at, confirmation) = {
             let catalog = self.tables.catalog.lock();
             (catalog.revision(), catalog.confirmed_at(), catalog.confirmation())
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod buffered;
 mod choose;
+mod quarantine;
 mod record;
 mod relay;
 mod stream;
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -47,6 +47,7 @@
 ) -> Result<Answer<C>> {
     loop {
         let now = pipeline.now();
+        pipeline.check_parts(attempts, request, now)?;
         let Some(target) = pipeline.choose(request, admitted, &attempts.tried, false, now) else {
             return Err(attempt::refuse(attempts, admitted, attempt::Stop::NoUpstream, now));
         };
@@ -67,6 +68,7 @@
                 Failure::BadAnswer(answer.status)
             }
             Ok(Ok(answer)) if is_usable(&answer) => {
+                pipeline.record_sound(request, pipeline.now());
                 pipeline.record_answer(&target.id, !answer.status.is_server_error());
                 return Ok(into_answer(pipeline, answer, target, admitted.deadline));
             }
@@ -74,7 +76,9 @@
             Ok(Err(failure)) => failure,
             Err(_) => Failure::TimedOut,
         };
-        pipeline.check_retry(attempts, request, admitted, &target.id, failure, pipeline.now())?;
+        let now = pipeline.now();
+        pipeline.record_loss(request, &target.id, &failure, now);
+        pipeline.check_retry(attempts, request, admitted, &target.id, failure, now)?;
     }
 }
 
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -27,6 +27,9 @@
     "Streams that were resumed at another upstream.",
 );
 
+/// Number of events after which an upstream has survived the beginning of an answer.
+const SOUND_EVENTS: u64 = 2;
+
 /// Largest event; a larger one fails the attempt.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
 
@@ -41,6 +44,8 @@
     target: Target,
     body: C::Body,
     decoder: sse::Decoder,
+    /// Events of the present upstream.
+    events: u64,
 }
 
 /// An answer whose head has arrived, with the upstream that sends it.
@@ -86,6 +91,7 @@
         target,
         body: answer.body,
         decoder: sse::Decoder::new(MAX_EVENT_BYTES),
+        events: 0,
     };
     let (status, headers) = (answer.status, answer.headers);
     Ok(Answer { status, headers, relay: Relay::stream(stream) })
@@ -102,6 +108,7 @@
 ) -> Result<Connected<C::Body>> {
     loop {
         let now = pipeline.now();
+        pipeline.check_parts(attempts, request, now)?;
         let Some(mut target) =
             pipeline.choose(request, admitted, &attempts.tried, resume_after.is_some(), now)
         else {
@@ -138,7 +145,9 @@
             Ok(Some(Err(error))) => Failure::Call(error),
             Err(_) => Failure::TimedOut,
         };
-        pipeline.check_retry(attempts, request, admitted, &target.id, failure, pipeline.now())?;
+        let now = pipeline.now();
+        pipeline.record_loss(request, &target.id, &failure, now);
+        pipeline.check_retry(attempts, request, admitted, &target.id, failure, now)?;
     }
 }
 
@@ -164,7 +173,14 @@
     pub(super) async fn next(&mut self) -> Result<Option<bytes::Bytes>> {
         let event = self.next_event().await;
         match &event {
-            Ok(Some(_)) => self.attempts.record.event(self.pipeline.now()),
+            Ok(Some(_)) => {
+                let now = self.pipeline.now();
+                self.attempts.record.event(now);
+                self.events += 1;
+                if self.events == SOUND_EVENTS {
+                    self.pipeline.record_sound(&self.request, now);
+                }
+            }
             Ok(None) => self.finish(),
             Err(refusal) => self.attempts.record.refused(refusal),
         }
@@ -247,6 +263,9 @@
     async fn resume(&mut self, failure: Failure) -> Result<()> {
         let now = self.pipeline.now();
         let upstream = self.target.id.clone();
+        if self.events < SOUND_EVENTS {
+            self.pipeline.record_loss(&self.request, &upstream, &failure, now);
+        }
         self.pipeline.check_retry(
             &mut self.attempts,
             &self.request,
@@ -278,6 +297,7 @@
         self.target = connected.target;
         self.body = connected.answer.body;
         self.decoder = sse::Decoder::new(MAX_EVENT_BYTES);
+        self.events = 0;
         Ok(())
     }
 
@@ -286,6 +306,7 @@
         if let Some(generation) = &self.request.generation {
             self.pipeline.tables.demand.lock().meter.record_answer(&generation.model, events);
         }
+        self.pipeline.record_sound(&self.request, self.pipeline.now());
         self.attempts.record.finished(hyper::StatusCode::OK);
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests as front ends pass them to the pipeline.
 
-use corneltrestle_policy::id;
+use corneltrestle_policy::{id, quarantine};
 use corneltrestle_time::moment;
 use hyper::{HeaderMap, Method, http::uri};
 
@@ -40,4 +40,6 @@
     pub prompt_tokens: u64,
     /// Limit on the answer in tokens; 0 if unknown.
     pub max_tokens: u64,
+    /// Parts of the prompt that other requests may share; not the last one, which is its own.
+    pub parts: Vec<quarantine::Part>,
 }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -9,6 +9,7 @@
 //! | 40 | [`activity::Activity`] | requests in progress by upstream |
 //! | 50 | [`stalls::Stalls`] | upstreams that have stalled |
 //! | 52 | [`health::Health`] | outcomes of this node's requests by upstream |
+//! | 53 | [`quarantine::Quarantine`] | prompt parts that crash upstreams |
 //! | 55 | [`pacing::Pacing`] | requests sent to cold upstreams |
 //! | 60 | [`retries::Retries`] | retry budgets by service |
 //! | 62 | [`demand::Demand`] | requests by model |
@@ -24,6 +25,7 @@
 pub mod pacing;
 pub mod pauses;
 pub mod peers;
+pub mod quarantine;
 pub mod retries;
 pub mod stalls;
 
@@ -48,6 +50,8 @@
     pub stalls: sync::Arc<table::Table<stalls::Stalls>>,
     /// Outcomes of this node's requests by upstream.
     pub health: sync::Arc<table::Table<health::Health>>,
+    /// Prompt parts that crash upstreams.
+    pub quarantine: sync::Arc<table::Table<quarantine::Quarantine>>,
     /// Requests that this node sent to cold upstreams.
     pub pacing: sync::Arc<table::Table<pacing::Pacing>>,
     /// Retry budgets by service.
@@ -73,6 +77,7 @@
             activity: host.table(),
             stalls: host.table(),
             health: host.table(),
+            quarantine: host.table(),
             pacing: host.table(),
             retries: host.table(),
             demand: host.table(),
--- /dev/null
+++ b/crates/gateway/src/tables/quarantine.rs
@@ -0,0 +1,105 @@
+//! Prompt parts that crash upstreams, and what other nodes are still to be told about them.
+
+use corneltrestle_kernel::table;
+use corneltrestle_policy::quarantine::{self, Crash, Part};
+use corneltrestle_time::moment;
+
+/// Limit on what waits to be sent, of each kind.
+const MAX_UNSENT: usize = 16;
+
+/// Prompt parts that crash upstreams; lock rank 53.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    parts: quarantine::Quarantine,
+    unsent: Evidence,
+}
+
+/// What a node has observed since it last told the others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// Requests that were lost with their upstreams.
+    pub crashes: Vec<Crash>,
+    /// Suspected parts with which a request began, and when.
+    pub sound: Vec<(Part, moment::Moment)>,
+}
+
+impl Evidence {
+    /// Whether there is nothing to send.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.sound.is_empty()
+    }
+}
+
+impl table::Ranked for Quarantine {
+    const RANK: u16 = 53;
+    const NAME: &'static str = "quarantine";
+}
+
+impl Quarantine {
+    /// Creates a quarantine without any crash.
+    pub fn new(limits: quarantine::Limits) -> Self {
+        Self { parts: quarantine::Quarantine::new(limits), unsent: Evidence::default() }
+    }
+
+    /// What is known of the parts.
+    pub fn parts(&mut self) -> &mut quarantine::Quarantine {
+        &mut self.parts
+    }
+
+    /// Records a request of this node that was lost with its upstream, for the other nodes too.
+    pub fn record_crash(&mut self, crash: Crash) {
+        let (before, at) = (self.parts.quarantined().count(), crash.at);
+        let Some(crash) = self.parts.record_crash(crash) else { return };
+        if self.parts.quarantined().count() > before {
+            self.log_latest(at);
+        }
+        if self.unsent.crashes.len() < MAX_UNSENT {
+            self.unsent.crashes.push(crash);
+        }
+    }
+
+    /// Records that a request of this node with these parts has begun, for the other nodes if one
+    /// was suspected.
+    pub fn record_sound(&mut self, parts: &[Part], now: moment::Moment) {
+        for part in self.parts.record_sound(parts, now) {
+            self.push_sound(part, now);
+        }
+    }
+
+    /// Records a crash that another node reports.
+    pub fn receive_crash(&mut self, crash: Crash) {
+        let (before, at) = (self.parts.quarantined().count(), crash.at);
+        self.parts.record_crash(crash);
+        if self.parts.quarantined().count() > before {
+            self.log_latest(at);
+        }
+    }
+
+    /// Adopts a quarantine that another node reports, or tells it that the part is sound.
+    pub fn receive_quarantined(&mut self, part: Part, crashed: moment::Moment) {
+        if let Some(at) = self.parts.adopt(part, crashed) {
+            self.push_sound(part, at);
+        }
+    }
+
+    /// What has not been sent to the other nodes yet.
+    pub fn take_unsent(&mut self) -> Evidence {
+        std::mem::take(&mut self.unsent)
+    }
+
+    fn push_sound(&mut self, part: Part, at: moment::Moment) {
+        if self.unsent.sound.len() < MAX_UNSENT {
+            self.unsent.sound.push((part, at));
+        }
+    }
+
+    fn log_latest(&self, at: moment::Moment) {
+        let latest = self.parts.quarantined().filter(|(_, crashed)| *crashed == at);
+        for (part, _) in latest {
+            log::warn!(
+                part = format!("{:016x}", part.0);
+                "quarantine: a part of prompts crashes upstreams; requests with it are refused"
+            );
+        }
+    }
+}
--- a/crates/gateway/tests/mesh.rs
+++ b/crates/gateway/tests/mesh.rs
@@ -7,6 +7,7 @@
     tables,
 };
 use corneltrestle_kernel::{host, pool, settings};
+use corneltrestle_policy::quarantine::Part;
 use corneltrestle_wire::mesh;
 use test_case::test_case;
 use tokio::net::UdpSocket;
@@ -97,3 +98,36 @@
     }
     opened.shutdown().await;
 }
+
+/// Guards against nodes that each learn of a faulty part only by crashes of their own.
+#[tokio::test]
+async fn evidence_of_crashes_goes_from_node_to_node() {
+    let (address, near, host, opened) = open().await;
+    let part = Part::of("faulty");
+    let crash =
+        |number| mesh::Crash { upstream: number, request: number, parts: vec![part.0], age: 5 };
+    let crashes = (0..4).map(crash).collect();
+    let datagram = mesh::Datagram { crashes, ..urgent(false) };
+    near[0].send_to(&mesh::encode(datagram), address).await.expect("a datagram is sent");
+    tokio::time::sleep(SILENCE).await;
+    let table = host.table::<tables::quarantine::Quarantine>();
+    assert!(table.lock().parts().check(&[part], host.now()).is_some());
+    let mut buffer = [0; 2 * mesh::MAX_BYTES];
+    let told = async {
+        loop {
+            let length = near[1].recv(&mut buffer).await.expect("a datagram");
+            let datagram = mesh::decode(&buffer[..length]).expect("a datagram");
+            if datagram.quarantined.iter().any(|known| known.part == part.0) {
+                return;
+            }
+        }
+    };
+    tokio::time::timeout(SILENCE, told).await.expect("heartbeats name quarantined parts");
+    let sound = vec![mesh::Part { part: part.0, age: 0 }];
+    let mut cleared = mesh::Datagram { sound, ..urgent(false) };
+    cleared.origin.as_mut().expect("an origin").sequence = 2;
+    near[0].send_to(&mesh::encode(cleared), address).await.expect("a datagram is sent");
+    tokio::time::sleep(SILENCE).await;
+    assert_eq!(table.lock().parts().check(&[part], host.now()), None);
+    opened.shutdown().await;
+}
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -1,6 +1,7 @@
 //! The request path of a node, with upstreams that fail by script.
 
 #[path = "support/world.rs"]
+#[allow(dead_code, reason = "other tests use the rest")]
 mod world;
 
 use std::time::Duration;
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -12,7 +12,7 @@
     },
 };
 use corneltrestle_kernel::{host, lifecycle, pool, settings};
-use corneltrestle_policy::{deployment, id, refusal, retry::fleet, upstream};
+use corneltrestle_policy::{deployment, id, quarantine, refusal, retry::fleet, upstream};
 use hyper::{HeaderMap, Method, StatusCode};
 use parking_lot::Mutex;
 
@@ -35,6 +35,9 @@
     Breaks(u64),
     /// It streams the events up to this one, then sends nothing more.
     Hangs(u64),
+    /// It begins an answer and crashes if a part of the prompt has this identifier; it streams all
+    /// remaining events otherwise.
+    CrashesOn(&'static str),
     /// It streams all remaining events, with a pause of half a second after this one.
     Pauses(u64),
 }
@@ -135,6 +138,14 @@
             Act::Whole(text) => answer(200, [bytes::Bytes::from(text)].into(), End::Complete),
             Act::Stream => answer(200, events(next, EVENTS), End::Complete),
             Act::Breaks(last) => answer(200, events(next, last), End::Broken),
+            Act::CrashesOn(part) => {
+                let parts = call.request.generation.iter().flat_map(|made| &made.parts);
+                let mut parts = parts.copied();
+                match parts.any(|other| other == quarantine::Part::of(part)) {
+                    true => answer(200, collections::VecDeque::new(), End::Broken),
+                    false => answer(200, events(next, EVENTS), End::Complete),
+                }
+            }
             Act::Hangs(last) => answer(200, events(next, last), End::Silent),
             Act::Pauses(last) => {
                 let mut reply = answer(200, events(next, last), End::Complete);
@@ -244,6 +255,7 @@
                 model: "small".into(),
                 prompt_tokens: 100,
                 max_tokens: 42,
+                parts: Vec::new(),
             }),
             resume_after: None,
             arrived: self.host.now(),
@@ -251,6 +263,16 @@
         }
     }
 
+    /// A stream whose prompt shares these parts with other requests.
+    pub(crate) fn prompt(&self, id: &str, parts: &[&str]) -> request::Request {
+        let mut request = self.request("/draft/7");
+        request.id = id.to_owned();
+        if let Some(generation) = &mut request.generation {
+            generation.parts = parts.iter().map(|part| quarantine::Part::of(part)).collect();
+        }
+        request
+    }
+
     /// Declares the group of an upstream stalled after a delay, as the watchdog does.
     pub(crate) fn declare_stalled(
         &self,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod pacing;
 pub mod plan;
 pub mod prefix;
+pub mod quarantine;
 pub mod refusal;
 pub mod release;
 pub mod rendezvous;
--- /dev/null
+++ b/crates/policy/src/quarantine.rs
@@ -0,0 +1,253 @@
+//! Quarantine of prompt parts that crash upstreams.
+//!
+//! A fault of an engine may make it crash whenever it begins to answer a prompt with a certain part.
+//! Such a request takes down each upstream that it is sent to, with the requests of others. The part
+//! is found by elimination: it is in requests that were lost with their upstreams before they began,
+//! and in none that has begun.
+
+use std::{collections, time};
+
+use corneltrestle_time::moment;
+use xxhash_rust::xxh3;
+
+/// Different requests with a part that must have been lost before it is quarantined.
+const MIN_REQUESTS: usize = 2;
+
+/// Time within which failures at one upstream are one crash.
+const CRASH_SPAN: time::Duration = time::Duration::from_secs(2);
+
+/// Time for which a part is not suspected after a request with it has begun.
+const SOUND_RETENTION: time::Duration = time::Duration::from_secs(30);
+
+/// Limit on the crashes that are kept.
+const MAX_CRASHES: usize = 256;
+
+/// Limit on the sound parts that are kept.
+const MAX_SOUND: usize = 16_384;
+
+/// Limit on the quarantined parts.
+const MAX_QUARANTINED: usize = 64;
+
+/// A part of a prompt that several requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Part(pub u64);
+
+impl Part {
+    /// The part with this identifier.
+    pub fn of(id: &str) -> Self {
+        Self(hash(id))
+    }
+}
+
+/// Short form of the identifier of an upstream, a request or a part.
+pub fn hash(id: &str) -> u64 {
+    xxh3::xxh3_64(id.as_bytes())
+}
+
+/// A request that was lost with its upstream before it began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Hash of the upstream's identifier.
+    pub upstream: u64,
+    /// Hash of the request's identifier.
+    pub request: u64,
+    /// Its parts that are not known to be sound.
+    pub parts: Vec<Part>,
+    /// When the upstream failed.
+    pub at: moment::Moment,
+}
+
+/// When a part is quarantined, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Crashes with a part after which it is quarantined. Some requests fail without a fault of
+    /// theirs, and some evidence is lost between nodes.
+    pub crashes: usize,
+    /// Time for which a crash is evidence, and after which one request with a quarantined part is
+    /// tried again.
+    pub retention: time::Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { crashes: 4, retention: time::Duration::from_secs(600) }
+    }
+}
+
+/// Crashes and the parts that explain them, as far as this node knows.
+///
+/// # Examples
+///
+/// ```
+/// use corneltrestle_policy::{Moment, quarantine::{Crash, Part, Quarantine}};
+///
+/// let (mut quarantine, now) = (Quarantine::default(), Moment::from_millis(1_000));
+/// let (shared, faulty) = (Part::of("5c1e07a2"), Part::of("91bd3f06"));
+/// quarantine.record_sound(&[shared], now);
+/// for number in 0..4 {
+///     let crash = Crash { upstream: number, request: number, parts: vec![shared, faulty], at: now };
+///     quarantine.record_crash(crash);
+/// }
+/// assert!(quarantine.check(&[shared, faulty], now).is_some());
+/// assert!(quarantine.check(&[shared], now).is_none());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    limits: Limits,
+    crashes: collections::VecDeque<Crash>,
+    /// When a request with each part last began.
+    sound: collections::HashMap<Part, moment::Moment>,
+    quarantined: collections::BTreeMap<Part, moment::Moment>,
+}
+
+impl Quarantine {
+    /// Creates a quarantine without any crash.
+    pub fn new(limits: Limits) -> Self {
+        Self { limits, ..Self::default() }
+    }
+
+    /// Records a request that was lost with its upstream. Returns the crash with the parts that are
+    /// suspected, or `None` if it is known already or suspects none.
+    pub fn record_crash(&mut self, mut crash: Crash) -> Option<Crash> {
+        crash.parts.retain(|part| !self.is_sound(*part, crash.at));
+        crash.parts.sort_unstable();
+        crash.parts.dedup();
+        let is_known = |known: &Crash| {
+            known.request == crash.request && is_same(known, &crash) && known.parts == crash.parts
+        };
+        if crash.parts.is_empty() || self.crashes.iter().any(is_known) {
+            return None;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.pop_front();
+        }
+        self.crashes.push_back(crash.clone());
+        for part in &crash.parts {
+            if self.is_conclusive(*part) && self.rivals(*part).is_empty() {
+                self.insert(*part, crash.at);
+            }
+        }
+        Some(crash)
+    }
+
+    /// Records that a request with these parts has begun. Returns those that were suspected.
+    pub fn record_sound(&mut self, parts: &[Part], now: moment::Moment) -> Vec<Part> {
+        let mut cleared = Vec::new();
+        for part in parts {
+            if self.is_suspected(*part) {
+                cleared.push(*part);
+            }
+            self.clear(*part, now);
+        }
+        cleared
+    }
+
+    /// Records that a request with this part began at `at`, which clears it of the crashes until
+    /// then and shortly after.
+    pub fn clear(&mut self, part: Part, at: moment::Moment) {
+        if let Some(known) = self.sound.get_mut(&part) {
+            *known = at.max(*known);
+        } else if self.sound.len() < MAX_SOUND {
+            self.sound.insert(part, at);
+        }
+        let is_cleared = |crashed: moment::Moment| crashed <= at + SOUND_RETENTION;
+        for crash in self.crashes.iter_mut().filter(|crash| is_cleared(crash.at)) {
+            crash.parts.retain(|suspect| *suspect != part);
+        }
+        self.crashes.retain(|crash| !crash.parts.is_empty());
+        if self.quarantined.get(&part).is_some_and(|crashed| is_cleared(*crashed)) {
+            self.quarantined.remove(&part);
+        }
+    }
+
+    /// Adopts the quarantine of a part from another node, with the time of its latest crash. Returns
+    /// when a request with it began, if that clears it.
+    pub fn adopt(&mut self, part: Part, crashed: moment::Moment) -> Option<moment::Moment> {
+        if self.is_sound(part, crashed) {
+            return self.sound.get(&part).copied();
+        }
+        self.insert(part, crashed);
+        None
+    }
+
+    /// Time after which a request with these parts may be tried, if one of them is quarantined.
+    /// After that time one request is allowed.
+    pub fn check(&mut self, parts: &[Part], now: moment::Moment) -> Option<time::Duration> {
+        for part in parts {
+            if let Some(crashed) = self.quarantined.get_mut(part) {
+                let left = (*crashed + self.limits.retention).since(now);
+                if left > time::Duration::ZERO {
+                    return Some(left);
+                }
+                *crashed = now;
+            } else if self.is_conclusive(*part)
+                && self.rivals(*part).iter().all(|rival| parts.contains(rival))
+            {
+                return Some(self.limits.retention);
+            }
+        }
+        None
+    }
+
+    /// The quarantined parts with the times of their latest crashes.
+    pub fn quarantined(&self) -> impl Iterator<Item = (Part, moment::Moment)> + '_ {
+        self.quarantined.iter().map(|(part, crashed)| (*part, *crashed))
+    }
+
+    /// Drops what is too old.
+    pub fn prune(&mut self, now: moment::Moment) {
+        self.sound.retain(|_, at| now.since(*at) < SOUND_RETENTION);
+        self.crashes.retain(|crash| now.since(crash.at) < self.limits.retention);
+        self.quarantined.retain(|_, crashed| now.since(*crashed) < self.limits.retention * 2);
+    }
+
+    fn insert(&mut self, part: Part, crashed: moment::Moment) {
+        if let Some(known) = self.quarantined.get_mut(&part) {
+            *known = crashed.max(*known);
+        } else if self.quarantined.len() < MAX_QUARANTINED {
+            self.quarantined.insert(part, crashed);
+        }
+    }
+
+    fn is_sound(&self, part: Part, crashed: moment::Moment) -> bool {
+        self.sound.get(&part).is_some_and(|at| crashed <= *at + SOUND_RETENTION)
+    }
+
+    fn is_suspected(&self, part: Part) -> bool {
+        self.quarantined.contains_key(&part) || self.with(part).next().is_some()
+    }
+
+    fn with(&self, part: Part) -> impl Iterator<Item = &Crash> + '_ {
+        self.crashes.iter().filter(move |crash| crash.parts.contains(&part))
+    }
+
+    /// Number of crashes with a part; the requests that one crash took along count once.
+    fn crashes_with(&self, part: Part) -> usize {
+        let first = |crash: &&Crash| {
+            let earlier = self.with(part).take_while(|other| !std::ptr::eq(*other, *crash));
+            !earlier.into_iter().any(|other| is_same(other, crash))
+        };
+        self.with(part).filter(first).count()
+    }
+
+    fn is_conclusive(&self, part: Part) -> bool {
+        let requests: collections::BTreeSet<u64> =
+            self.with(part).map(|crash| crash.request).collect();
+        requests.len() >= MIN_REQUESTS && self.crashes_with(part) >= self.limits.crashes
+    }
+
+    /// Other parts that explain the crashes with a part as well.
+    fn rivals(&self, part: Part) -> Vec<Part> {
+        let crashes = self.crashes_with(part);
+        let others: collections::BTreeSet<Part> =
+            self.with(part).flat_map(|crash| crash.parts.iter().copied()).collect();
+        let others = others.into_iter().filter(|other| *other != part);
+        others.filter(|other| self.crashes_with(*other) >= crashes).collect()
+    }
+}
+
+/// Whether two failures are of the same crash of an upstream.
+fn is_same(one: &Crash, other: &Crash) -> bool {
+    let apart = one.at.since(other.at).max(other.at.since(one.at));
+    one.upstream == other.upstream && apart < CRASH_SPAN
+}
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -21,6 +21,9 @@
 /// Limit on the rows of a load; [`encode`] drops those beyond it.
 pub const MAX_ROWS: usize = 80;
 
+/// Limit on each list of prompt parts in a datagram.
+pub const MAX_PARTS: usize = 16;
+
 /// The result of decoding a datagram.
 pub type Result<T> = std::result::Result<T, prost::DecodeError>;
 
@@ -61,6 +64,17 @@
     /// Whether a node of the receiver's zone has forwarded the datagram.
     #[prost(bool, tag = "10")]
     pub relayed: bool,
+    /// Requests of the origin that were lost with their upstreams before they began, at most
+    /// [`MAX_PARTS`].
+    #[prost(message, repeated, tag = "11")]
+    pub crashes: Vec<Crash>,
+    /// Quarantined parts of prompts with the age of their latest crash, at most [`MAX_PARTS`].
+    #[prost(message, repeated, tag = "12")]
+    pub quarantined: Vec<Part>,
+    /// Parts that were suspected, with the time since a request with them began, at most
+    /// [`MAX_PARTS`].
+    #[prost(message, repeated, tag = "13")]
+    pub sound: Vec<Part>,
 }
 
 /// Identifies an answer of the source of facts, which confirms that a node's facts are current.
@@ -168,6 +182,34 @@
     pub event_age: u32,
 }
 
+/// A request that was lost with its upstream before it began.
+#[derive(Clone, PartialEq, Message)]
+pub struct Crash {
+    /// Hash of the upstream's identifier.
+    #[prost(fixed64, tag = "1")]
+    pub upstream: u64,
+    /// Hash of the request's identifier.
+    #[prost(fixed64, tag = "2")]
+    pub request: u64,
+    /// Hashes of the parts of its prompt that are suspected, at most [`MAX_PARTS`].
+    #[prost(fixed64, repeated, tag = "3")]
+    pub parts: Vec<u64>,
+    /// Milliseconds since the upstream failed.
+    #[prost(uint32, tag = "4")]
+    pub age: u32,
+}
+
+/// A part of prompts, with the age of what is said of it.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Part {
+    /// Hash of the part's identifier.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Milliseconds since then.
+    #[prost(uint32, tag = "2")]
+    pub age: u32,
+}
+
 /// Changes of facts between two revisions.
 #[derive(Clone, PartialEq, Message)]
 pub struct Delta {
