gateway, platform: an upstream that says it is leaving gets no further request

Rule: a runner that leaves says so in all its answers, and no request that arrives later than drain_ms after such an answer may reach it from that node, whether in touch with the store or not.

Cause: only registrations said that an upstream is draining. Some never do, and a node without the store learns it late.

Change: a reply carries a notice beside its result; the health table remembers upstreams that are leaving, by the start of their process, and none of them is chosen, even for want of another one.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -190,6 +190,18 @@
         Ok(())
     }
 
+    /// Sends a request to the chosen upstream, and records what the upstream says of itself.
+    pub(super) async fn send(
+        &self,
+        target: &Target,
+        call: &upstream::Call<'_>,
+    ) -> upstream::Result<upstream::Verdict<C::Body>> {
+        let reply = self.client.send(target.address, call).await?;
+        let (incarnation, now) = (target.incarnation, self.now());
+        self.tables.health.lock().record_notice(&target.id, incarnation, reply.notice, now);
+        Ok(reply.result)
+    }
+
     /// Whether a request that was sent to a stalled upstream at `sent`, and not answered, may have
     /// begun to run.
     pub(super) fn may_have_begun(&self, upstream: &id::Vm, sent: moment::Moment) -> bool {
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     request,
-    upstream::{self, Body, Call, Client, Reply},
+    upstream::{self, Body, Call, Client, Verdict},
 };
 
 /// Largest answer that is buffered whole; a larger one is relayed as it arrives, and not retried.
@@ -68,7 +68,9 @@
                 Failure::BadAnswer(answer.status)
             }
             Ok(Ok(answer)) if is_usable(&answer) => {
-                pipeline.record_sound(request, pipeline.now());
+                if answer.status.is_success() {
+                    pipeline.record_sound(request, pipeline.now());
+                }
                 pipeline.record_answer(&target.id, !answer.status.is_server_error());
                 return Ok(into_answer(pipeline, answer, target, admitted.deadline));
             }
@@ -107,10 +109,9 @@
     target: &Target,
     call: &Call<'_>,
 ) -> std::result::Result<upstream::Answer<Collected<C::Body>>, Failure> {
-    let reply = pipeline.client.send(target.address, call).await.map_err(Failure::Call)?;
-    let answer = match reply {
-        Reply::Rejected(rejection) => return Err(Failure::Rejected(rejection)),
-        Reply::Answer(answer) => answer,
+    let answer = match pipeline.send(target, call).await.map_err(Failure::Call)? {
+        Verdict::Rejected(rejection) => return Err(Failure::Rejected(rejection)),
+        Verdict::Answer(answer) => answer,
     };
     let upstream::Answer { status, headers, is_genuine, mut body } = answer;
     let mut parts = Vec::new();
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -31,6 +31,8 @@
     pub(super) id: id::Vm,
     /// The address it serves requests on.
     pub(super) address: net::SocketAddr,
+    /// Identifier of the start of its process.
+    pub(super) incarnation: u64,
     /// Predicted time until the first event, with the penalty of an upstream that fails.
     pub(super) predicted: time::Duration,
     /// Whether the first event is predicted after the route's objective; never for a resumed
@@ -150,6 +152,7 @@
         Some(Target {
             id: chosen.id.clone(),
             address: chosen.address,
+            incarnation: chosen.incarnation,
             predicted: *predicted,
             is_late,
             progress: InProgress {
@@ -203,6 +206,7 @@
             }
             _ => self.plain_upstreams(view, admitted),
         };
+        found.retain(|candidate| !view.health.is_leaving(candidate.upstream));
         let is_avoided = |candidate: &Candidate<'_>| {
             view.health.of(candidate.upstream.id.as_str()).is_avoided(now)
         };
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     request,
-    upstream::{self, Body, Call, Client, Reply, Urgency},
+    upstream::{self, Body, Call, Client, Urgency, Verdict},
 };
 
 #[linkme::distributed_slice(metric::METRICS)]
@@ -125,7 +125,7 @@
             urgency: Some(urgency(&target, resume_after)),
             repeatable: admitted.route.kind.is_repeatable(),
         };
-        let sent = pipeline.client.send(target.address, &call);
+        let sent = pipeline.send(&target, &call);
         let sent = async {
             tokio::select! {
                 biased;
@@ -135,13 +135,13 @@
         };
         let failure = match tokio::time::timeout(timeout, sent).await {
             Ok(None) => Failure::Stalled { begun: pipeline.may_have_begun(&target.id, now) },
-            Ok(Some(Ok(Reply::Answer(answer)))) if is_usable(&answer, attempts, admitted) => {
+            Ok(Some(Ok(Verdict::Answer(answer)))) if is_usable(&answer, attempts, admitted) => {
                 target.progress.started(pipeline.now());
                 pipeline.record_answer(&target.id, answer.status.is_success());
                 return Ok(Connected { target, answer });
             }
-            Ok(Some(Ok(Reply::Answer(answer)))) => Failure::BadAnswer(answer.status),
-            Ok(Some(Ok(Reply::Rejected(rejection)))) => Failure::Rejected(rejection),
+            Ok(Some(Ok(Verdict::Answer(answer)))) => Failure::BadAnswer(answer.status),
+            Ok(Some(Ok(Verdict::Rejected(rejection)))) => Failure::Rejected(rejection),
             Ok(Some(Err(error))) => Failure::Call(error),
             Err(_) => Failure::TimedOut,
         };
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -45,13 +45,29 @@
 
 /// Reply of an upstream.
 #[derive(Debug)]
-pub enum Reply<B> {
+pub struct Reply<B> {
+    /// What it did with the request.
+    pub result: Verdict<B>,
+    /// What it says of itself.
+    pub notice: Notice,
+}
+
+/// What an upstream did with a request.
+#[derive(Debug)]
+pub enum Verdict<B> {
     /// It has not run the request.
     Rejected(Rejection),
     /// It has run the request.
     Answer(Answer<B>),
 }
 
+/// What an upstream says of itself beside an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// Whether it is leaving and wants no new requests.
+    pub is_leaving: bool,
+}
+
 /// Why an upstream has not run a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rejection {
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -4,10 +4,11 @@
 #[allow(dead_code, reason = "other tests use the rest")]
 mod world;
 
-use std::time::Duration;
+use std::{sync, time::Duration};
 
 use corneltrestle_gateway::{
     pipeline::{Code, Outcome},
+    source::{Change, Changes, Fact, Subject},
     upstream::Urgency,
 };
 use corneltrestle_policy::retry::fleet;
@@ -192,6 +193,37 @@
     assert_eq!(rows, []);
 }
 
+/// Guards against requests to an upstream that has said that it is leaving, whatever its registration
+/// says.
+#[tokio::test]
+async fn upstream_that_is_leaving_gets_no_further_request() {
+    let world = World::open(&[&[Act::Leaves], &[Act::Stream]], AMPLE);
+    for _ in 0..20 {
+        let (status, body, refusal) = world.send("/draft/7").await;
+        assert_eq!((status, body, refusal), (200, whole_stream(), None));
+    }
+    let seen = world.seen();
+    assert!(seen.iter().filter(|seen| seen.upstream.as_str() == "models-a").count() <= 1);
+}
+
+/// Guards against an upstream that is never used again after a restart, as its former process was
+/// leaving, and against a node that sends to it for want of another one.
+#[tokio::test]
+async fn leaving_ends_with_a_restart_of_the_upstream() {
+    let world = World::open(&[&[Act::Leaves, Act::Stream]], AMPLE);
+    world.send("/draft/7").await;
+    let (_, _, refusal) = world.send("/draft/7").await;
+    assert_eq!(refusal.expect("no other upstream").outcome, Outcome::NotRun);
+    let mut restarted = world::registered("models", 0);
+    restarted.incarnation += 1;
+    let fact = Fact::Upstream(sync::Arc::new(restarted.clone()));
+    let subject = Subject::Upstream(restarted.id);
+    let changes = vec![Change { revision: 2, subject, fact: Some(fact) }];
+    world.tables.catalog.lock().apply(Changes { revision: 2, changes }, world.host.now());
+    let (status, _, refusal) = world.send("/draft/7").await;
+    assert_eq!((status, refusal), (200, None));
+}
+
 /// Guards against events out of order that are passed on as a complete answer.
 #[tokio::test]
 async fn event_out_of_order_is_not_passed_on() {
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -7,8 +7,8 @@
     source::{Change, Changes, Fact, Subject},
     tables,
     upstream::{
-        Answer, Body, Call, Client, Command, Error, Kind, Outcome, Reason, Rejection, Reply,
-        Report, Result, Urgency,
+        Answer, Body, Call, Client, Command, Error, Kind, Notice, Outcome, Reason, Rejection,
+        Reply, Report, Result, Urgency, Verdict,
     },
 };
 use corneltrestle_kernel::{host, lifecycle, pool, settings};
@@ -31,6 +31,8 @@
     Whole(&'static str),
     /// It streams all remaining events.
     Stream,
+    /// It streams all remaining events, and says that it is leaving.
+    Leaves,
     /// It streams the events up to this one, then its connection breaks.
     Breaks(u64),
     /// It streams the events up to this one, then sends nothing more.
@@ -123,20 +125,29 @@
     async fn send(&self, peer: net::SocketAddr, call: &Call<'_>) -> Result<Reply<Scripted>> {
         let next = call.resume_after.unwrap_or(0) + 1;
         let answer = |status: u16, parts, end| {
-            Ok(Reply::Answer(Answer {
+            let answer = Answer {
                 status: StatusCode::from_u16(status).expect("a status"),
                 headers: HeaderMap::new(),
                 is_genuine: true,
                 body: Scripted { parts, later: collections::VecDeque::new(), end, peer },
-            }))
+            };
+            Ok(Reply { result: Verdict::Answer(answer), notice: Notice::default() })
+        };
+        let rejected = |notice| {
+            let rejection = Rejection { reason: Reason::Full, culprit: None };
+            Ok(Reply { result: Verdict::Rejected(rejection), notice })
         };
         match self.act(call) {
             Act::NotSent => Err(error(Kind::NotSent, peer)),
             Act::Broken => Err(error(Kind::Broken, peer)),
-            Act::Full => Ok(Reply::Rejected(Rejection { reason: Reason::Full, culprit: None })),
+            Act::Full => rejected(Notice::default()),
             Act::Status(status) => answer(status, collections::VecDeque::new(), End::Complete),
             Act::Whole(text) => answer(200, [bytes::Bytes::from(text)].into(), End::Complete),
             Act::Stream => answer(200, events(next, EVENTS), End::Complete),
+            Act::Leaves => {
+                let reply = answer(200, events(next, EVENTS), End::Complete);
+                reply.map(|reply| Reply { notice: Notice { is_leaving: true }, ..reply })
+            }
             Act::Breaks(last) => answer(200, events(next, last), End::Broken),
             Act::CrashesOn(part) => {
                 let parts = call.request.generation.iter().flat_map(|made| &made.parts);
@@ -149,7 +160,7 @@
             Act::Hangs(last) => answer(200, events(next, last), End::Silent),
             Act::Pauses(last) => {
                 let mut reply = answer(200, events(next, last), End::Complete);
-                if let Ok(Reply::Answer(answer)) = &mut reply {
+                if let Ok(Reply { result: Verdict::Answer(answer), .. }) = &mut reply {
                     answer.body.later = events(last + 1, EVENTS);
                 }
                 reply
