gateway, platform: an upstream that turns requests away is left alone for the time it names

Cause: the header was not read. A full upstream was avoided for 100 ms, and used all the same where no other one was left.

Change: the notice of a reply carries the time; until it is over the upstream is not chosen, and where none is left, the request is refused at once as not run, with the time after which the first of them takes requests again.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -236,6 +236,21 @@
         }
     }
 
+    /// The refusal for a request that no upstream can take. Its caller is told when the first of
+    /// those that turn requests away takes them again.
+    pub(super) fn refuse_without_upstream(
+        &self,
+        attempts: &Attempts,
+        admitted: &Admitted,
+        now: moment::Moment,
+    ) -> Refusal {
+        let refusal = refuse(attempts, admitted, Stop::NoUpstream, now);
+        match (refusal.retry, self.reopens_in(admitted, now)) {
+            (Some(retry), Some(wait)) => refusal.retry_after(retry.max(wait)),
+            _ => refusal,
+        }
+    }
+
     /// Whether the budget shared by all nodes allows a retry.
     fn has_retry(&self, service: &id::Service, now: moment::Moment) -> bool {
         let others = self.usage_of_others(service, now);
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -49,7 +49,7 @@
         let now = pipeline.now();
         pipeline.check_parts(attempts, request, now)?;
         let Some(target) = pipeline.choose(request, admitted, &attempts.tried, false, now) else {
-            return Err(attempt::refuse(attempts, admitted, attempt::Stop::NoUpstream, now));
+            return Err(pipeline.refuse_without_upstream(attempts, admitted, now));
         };
         attempts.record.dispatched(&target, now);
         let timeout = attempt::timeout(admitted, attempts, now);
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -190,6 +190,19 @@
         found.iter().any(|candidate| candidate.upstream.id != *current)
     }
 
+    /// Time until the first of the upstreams that want no requests for a while takes them again;
+    /// `None` if there is none.
+    pub(super) fn reopens_in(
+        &self,
+        admitted: &Admitted,
+        now: moment::Moment,
+    ) -> Option<time::Duration> {
+        let snapshot = self.tables.current.load();
+        let health = self.tables.health.lock();
+        let upstreams = snapshot.fleet.of_service(admitted.service.as_str());
+        upstreams.filter_map(|upstream| health.closed_for(upstream.id.as_str(), now)).min()
+    }
+
     /// Upstreams that may take the request. Those that fail are left out while there is another
     /// one.
     fn candidates<'a>(
@@ -206,7 +219,10 @@
             }
             _ => self.plain_upstreams(view, admitted),
         };
-        found.retain(|candidate| !view.health.is_leaving(candidate.upstream));
+        found.retain(|Candidate { upstream, .. }| {
+            !view.health.is_leaving(upstream)
+                && view.health.closed_for(upstream.id.as_str(), now).is_none()
+        });
         let is_avoided = |candidate: &Candidate<'_>| {
             view.health.of(candidate.upstream.id.as_str()).is_avoided(now)
         };
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -112,7 +112,7 @@
         let Some(mut target) =
             pipeline.choose(request, admitted, &attempts.tried, resume_after.is_some(), now)
         else {
-            return Err(attempt::refuse(attempts, admitted, attempt::Stop::NoUpstream, now));
+            return Err(pipeline.refuse_without_upstream(attempts, admitted, now));
         };
         attempts.record.dispatched(&target, now);
         let timeout = attempt::timeout(admitted, attempts, now);
--- a/crates/gateway/src/tables/health.rs
+++ b/crates/gateway/src/tables/health.rs
@@ -6,6 +6,7 @@
 use corneltrestle_policy::{health, id, upstream};
 use corneltrestle_time::moment;
 
+use super::activity;
 use crate::upstream::Notice;
 
 /// Time without requests after which the health of an upstream is dropped.
@@ -21,6 +22,8 @@
     known: collections::HashMap<id::Vm, (health::Health, moment::Moment)>,
     /// Upstreams that have told this node that they are leaving.
     leaving: collections::HashMap<id::Vm, Leaving>,
+    /// Until when upstreams want no requests from this node.
+    closed: collections::HashMap<id::Vm, moment::Moment>,
 }
 
 /// An upstream that is leaving.
@@ -57,6 +60,14 @@
         notice: Notice,
         now: moment::Moment,
     ) {
+        if let Some(span) = notice.retry_after {
+            let until = self.closed.entry(upstream.clone()).or_default();
+            *until = (*until).max(now + span);
+            log::info!(
+                upstream = upstream.as_str(), span_ms = activity::saturating_millis(span);
+                "upstream: it turns requests away and wants none for a while"
+            );
+        }
         if !notice.is_leaving {
             return;
         }
@@ -67,6 +78,11 @@
         }
     }
 
+    /// Time for which an upstream wants no further requests from this node; `None` if it takes them.
+    pub fn closed_for(&self, upstream: &str, now: moment::Moment) -> Option<time::Duration> {
+        self.closed.get(upstream).filter(|until| now < **until).map(|until| until.since(now))
+    }
+
     /// Whether an upstream has told this node that it is leaving.
     pub fn is_leaving(&self, upstream: &upstream::Upstream) -> bool {
         self.leaving
@@ -77,6 +93,7 @@
     /// Removes upstreams without recent requests.
     pub fn prune(&mut self, now: moment::Moment) {
         self.known.retain(|_, (_, at)| now.since(*at) < RETENTION);
+        self.closed.retain(|_, until| now < *until);
         self.leaving.retain(|_, leaving| now.since(leaving.at) < LEAVING_RETENTION);
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -66,6 +66,8 @@
 pub struct Notice {
     /// Whether it is leaving and wants no new requests.
     pub is_leaving: bool,
+    /// Time for which it wants no requests from this node.
+    pub retry_after: Option<time::Duration>,
 }
 
 /// Why an upstream has not run a request.
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -206,6 +206,49 @@
     assert!(seen.iter().filter(|seen| seen.upstream.as_str() == "models-a").count() <= 1);
 }
 
+/// Guards against requests to an upstream that has turned one away and wants none for a while, and
+/// against an upstream that gets none after that.
+#[test_case("/status/7"; "buffered")]
+#[test_case("/draft/7"; "stream")]
+#[tokio::test]
+async fn upstream_that_turns_requests_away_is_left_alone(path: &'static str) {
+    let span = Duration::from_millis(600);
+    let serves = if path == "/draft/7" { Act::Stream } else { Act::Whole("done") };
+    let world = World::open(&[&[Act::TurnsAway(span), serves.clone()], &[serves]], AMPLE);
+    let to_first = |world: &World| {
+        world.seen().iter().filter(|seen| seen.upstream.as_str().ends_with("-a")).count()
+    };
+    while to_first(&world) == 0 {
+        world.send(path).await;
+    }
+    // A full upstream is avoided for some time anyway.
+    tokio::time::sleep(span / 2).await;
+    for _ in 0..20 {
+        let (status, _, refusal) = world.send(path).await;
+        assert_eq!((status, refusal), (200, None));
+    }
+    assert_eq!(to_first(&world), 1);
+    tokio::time::sleep(span).await;
+    for _ in 0..40 {
+        world.send(path).await;
+    }
+    assert!(to_first(&world) > 1);
+}
+
+/// Guards against callers that come back while no upstream takes requests.
+#[tokio::test]
+async fn callers_are_told_when_an_upstream_takes_requests_again() {
+    let span = Duration::from_secs(30);
+    let world = World::open(&[&[Act::TurnsAway(span)], &[Act::TurnsAway(span * 2)]], AMPLE);
+    let (_, _, refusal) = world.send("/status/7").await;
+    let refusal = refusal.expect("no upstream takes it");
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+    let retry = refusal.retry.expect("a time");
+    assert!(retry <= span && retry > span / 2, "{retry:?}");
+    world.send("/status/7").await;
+    assert_eq!(world.seen().len(), 2);
+}
+
 /// Guards against an upstream that is never used again after a restart, as its former process was
 /// leaving, and against a node that sends to it for want of another one.
 #[tokio::test]
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -25,6 +25,8 @@
     Broken,
     /// It rejects the request, as it is at capacity.
     Full,
+    /// It rejects the request, and wants none for this time.
+    TurnsAway(Duration),
     /// It answers with this status and an empty body.
     Status(u16),
     /// It answers with this body.
@@ -141,12 +143,18 @@
             Act::NotSent => Err(error(Kind::NotSent, peer)),
             Act::Broken => Err(error(Kind::Broken, peer)),
             Act::Full => rejected(Notice::default()),
+            Act::TurnsAway(span) => {
+                rejected(Notice { retry_after: Some(span), ..Notice::default() })
+            }
             Act::Status(status) => answer(status, collections::VecDeque::new(), End::Complete),
             Act::Whole(text) => answer(200, [bytes::Bytes::from(text)].into(), End::Complete),
             Act::Stream => answer(200, events(next, EVENTS), End::Complete),
             Act::Leaves => {
                 let reply = answer(200, events(next, EVENTS), End::Complete);
-                reply.map(|reply| Reply { notice: Notice { is_leaving: true }, ..reply })
+                reply.map(|reply| Reply {
+                    notice: Notice { is_leaving: true, ..Notice::default() },
+                    ..reply
+                })
             }
             Act::Breaks(last) => answer(200, events(next, last), End::Broken),
             Act::CrashesOn(part) => {
