gateway: a stream that ends without any event has been broken off

What callers could see: an empty stream as a complete answer, where the upstream crashed before its first event and its answer had neither a length nor chunks.

Cause: such an answer ends with its connection, and an end between two events counted as its end, also before the first.

Change: a stream is complete only after an event; else it is resumed as after a broken connection, which also counts for the quarantine of prompt parts.

Measured: pipeline::stream_that_ends_early_is_resumed; the case before the first event failed before the change, with a complete answer without events, the one inside an event passed.

--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -216,8 +216,16 @@
             }
             match self.read().await? {
                 Read::Part(part) => self.decoder.feed(part),
-                Read::End if self.decoder.is_empty() => return Ok(None),
-                Read::End => self.resume(Failure::BadAnswer(hyper::StatusCode::OK)).await?,
+                Read::End if self.is_complete() => return Ok(None),
+                Read::End => {
+                    let failure = Failure::Call(upstream::Error {
+                        kind: upstream::Kind::Broken,
+                        step: "read",
+                        peer: self.target.address,
+                        cause: "the stream ended before its last event".to_owned(),
+                    });
+                    self.resume(failure).await?;
+                }
                 Read::Failed(failure) => self.resume(failure).await?,
             }
         }
@@ -249,6 +257,12 @@
         read.map_err(|_| self.at_target(relay::out_of_time()))
     }
 
+    /// Whether the answer may end here. One that is delimited by its connection also ends where its
+    /// upstream crashes: inside an event, or without any.
+    fn is_complete(&self) -> bool {
+        self.decoder.is_empty() && self.delivery.next_index() > 1
+    }
+
     fn check(&mut self, block: &sse::Block) -> delivery::Verdict {
         let index = std::str::from_utf8(&block.event.id).ok().and_then(|id| id.parse().ok());
         match index {
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -97,6 +97,20 @@
     assert_eq!((status, body, refusal), (200, whole_stream(), None));
 }
 
+/// Guards against a stream that is passed on as complete although it was broken off: one without a
+/// length or chunks ends with its connection.
+#[test_case(Act::Ends(0); "before the first event")]
+#[test_case(Act::Ends(3); "inside an event")]
+#[tokio::test]
+async fn stream_that_ends_early_is_resumed(failure: Act) {
+    let world = World::open(&[&[failure.clone()], &[Act::Stream]], AMPLE);
+    let (status, body, refusal) = world.send("/draft/7").await;
+    assert_eq!((status, body, refusal), (200, whole_stream(), None));
+    let world = World::open(&[&[failure], &[Act::Stream]], AMPLE);
+    let (_, _, refusal) = world.send("/note/7").await;
+    assert_eq!(refusal.expect("it is cut off").outcome, Outcome::Unknown);
+}
+
 /// Guards against a resumed stream that starts again from the first event, or waits behind new
 /// requests.
 #[tokio::test]
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -37,6 +37,9 @@
     Leaves,
     /// It streams the events up to this one, then its connection breaks.
     Breaks(u64),
+    /// It streams the events up to this one and the beginning of the next one, then its answer ends as
+    /// if it were complete.
+    Ends(u64),
     /// It streams the events up to this one, then sends nothing more.
     Hangs(u64),
     /// It begins an answer and crashes if a part of the prompt has this identifier; it streams all
@@ -157,6 +160,13 @@
                 })
             }
             Act::Breaks(last) => answer(200, events(next, last), End::Broken),
+            Act::Ends(last) => {
+                let mut parts = events(next, last);
+                if last > 0 {
+                    parts.push_back(bytes::Bytes::from_static(b"id: 99\ndata: te"));
+                }
+                answer(200, parts, End::Complete)
+            }
             Act::CrashesOn(part) => {
                 let parts = call.request.generation.iter().flat_map(|made| &made.parts);
                 let mut parts = parts.copied();
