gateway: a resumed stream without an event of the next upstream is not complete

What callers saw at a similar system: a stream that had begun and broke off ended as if it were complete, as the next upstream answered with an error (ORDER).

Cause: an answer counted as the rest of the stream when it ended between two events, also if it had none: text that is no event was skipped, and an answer that ends with its connection ends there too if its upstream crashes. Errors by status, by rejection and as a document ended the stream as broken already, and no text of an error reached a caller.

Change: without an event of this upstream, only an empty and delimited answer completes a stream, which has then been delivered whole.

Measured: pipeline::error_of_the_next_upstream_is_not_part_of_the_stream, 7 cases; "text as an answer" and "nothing" failed before the change.

--- a/crates/client/src/body.rs
+++ b/crates/client/src/body.rs
@@ -45,6 +45,11 @@
         Self { incoming, connection: Some(connection), pool, peer, framing }
     }
 
+    /// Whether its end is known from a length or from chunks, and not from the end of its connection.
+    pub fn is_delimited(&self) -> bool {
+        self.framing == Framing::Delimited
+    }
+
     /// The next data frame of the body, or `None` after its end. Trailers are skipped.
     ///
     /// # Errors
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -46,6 +46,8 @@
     decoder: sse::Decoder,
     /// Events of the present upstream.
     events: u64,
+    /// Whether any byte of the present upstream's answer has arrived.
+    has_bytes: bool,
 }
 
 /// An answer whose head has arrived, with the upstream that sends it.
@@ -92,6 +94,7 @@
         body: answer.body,
         decoder: sse::Decoder::new(MAX_EVENT_BYTES),
         events: 0,
+        has_bytes: false,
     };
     let (status, headers) = (answer.status, answer.headers);
     Ok(Answer { status, headers, relay: Relay::stream(stream) })
@@ -173,14 +176,7 @@
     pub(super) async fn next(&mut self) -> Result<Option<bytes::Bytes>> {
         let event = self.next_event().await;
         match &event {
-            Ok(Some(_)) => {
-                let now = self.pipeline.now();
-                self.attempts.record.event(now);
-                self.events += 1;
-                if self.events == SOUND_EVENTS {
-                    self.pipeline.record_sound(&self.request, now);
-                }
-            }
+            Ok(Some(_)) => self.attempts.record.event(self.pipeline.now()),
             Ok(None) => self.finish(),
             Err(refusal) => self.attempts.record.refused(refusal),
         }
@@ -195,11 +191,11 @@
                 // Bytes alone are no progress: a stalled upstream may send comments.
                 Ok(Some(block)) => match self.check(&block) {
                     delivery::Verdict::Deliver => {
-                        self.target.progress.progressed(self.pipeline.now());
+                        self.count_event();
                         return Ok(Some(block.raw));
                     }
                     delivery::Verdict::Drop => {
-                        self.target.progress.progressed(self.pipeline.now());
+                        self.count_event();
                         continue;
                     }
                     _ => {
@@ -215,7 +211,10 @@
                 }
             }
             match self.read().await? {
-                Read::Part(part) => self.decoder.feed(part),
+                Read::Part(part) => {
+                    self.has_bytes = true;
+                    self.decoder.feed(part);
+                }
                 Read::End if self.is_complete() => return Ok(None),
                 Read::End => {
                     let failure = Failure::Call(upstream::Error {
@@ -257,10 +256,22 @@
         read.map_err(|_| self.at_target(relay::out_of_time()))
     }
 
-    /// Whether the answer may end here. One that is delimited by its connection also ends where its
-    /// upstream crashes: inside an event, or without any.
+    /// Records that the upstream has sent an event, new or not.
+    fn count_event(&mut self) {
+        let now = self.pipeline.now();
+        self.target.progress.progressed(now);
+        self.events += 1;
+        if self.events == SOUND_EVENTS {
+            self.pipeline.record_sound(&self.request, now);
+        }
+    }
+
+    /// Whether the answer may end here. Without an event of this upstream, only an empty answer to a
+    /// resumed stream is one: its caller has all events already. Other text is none of the stream,
+    /// and an answer that ends with its connection also ends where its upstream crashes.
     fn is_complete(&self) -> bool {
-        self.decoder.is_empty() && self.delivery.next_index() > 1
+        let has_all = self.delivery.next_index() > 1 && self.body.is_delimited() && !self.has_bytes;
+        self.decoder.is_empty() && (self.events > 0 || has_all)
     }
 
     fn check(&mut self, block: &sse::Block) -> delivery::Verdict {
@@ -311,7 +322,7 @@
         self.target = connected.target;
         self.body = connected.answer.body;
         self.decoder = sse::Decoder::new(MAX_EVENT_BYTES);
-        self.events = 0;
+        (self.events, self.has_bytes) = (0, false);
         Ok(())
     }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -126,6 +126,10 @@
     ///
     /// When the body ends before it is complete.
     fn chunk(&mut self) -> impl Future<Output = Result<Option<bytes::Bytes>>> + Send;
+
+    /// Whether its end is known from a length or from chunks. Otherwise it ends with its connection,
+    /// which cannot be told from a crash of the upstream.
+    fn is_delimited(&self) -> bool;
 }
 
 /// What an upstream reports about itself; the figures lag behind its state.
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -160,6 +160,32 @@
     assert_eq!(world.seen().len(), 1);
 }
 
+/// Guards against the text of an error in the middle of a stream that had begun elsewhere, and
+/// against a stream that then ends as if it were complete.
+#[test_case(Act::Status(500); "server error")]
+#[test_case(Act::Status(503); "status that would say not run")]
+#[test_case(Act::Status(404); "client error")]
+#[test_case(Act::Full; "rejected")]
+#[test_case(Act::Whole("HTTP/1.1 500 Error\r\n\r\nthe engine has failed\n\n"); "text as an answer")]
+#[test_case(Act::Whole("{\"error\":\"no such model\"}"); "document as an answer")]
+#[test_case(Act::Ends(0); "nothing")]
+#[tokio::test]
+async fn error_of_the_next_upstream_is_not_part_of_the_stream(error: Act) {
+    let error = std::slice::from_ref(&error);
+    let world = World::open(&[&[Act::Breaks(2)], error, error, error], AMPLE);
+    let begun: String = whole_stream().split_inclusive("\n\n").take(2).collect();
+    let mut is_seen = false;
+    for _ in 0..40 {
+        let (status, body, refusal) = world.send("/draft/7").await;
+        if !body.is_empty() {
+            assert_eq!((status, body.as_str()), (200, begun.as_str()));
+            assert_eq!(refusal.expect("it is not complete").outcome, Outcome::Unknown);
+            is_seen = true;
+        }
+    }
+    assert!(is_seen, "no stream began");
+}
+
 /// Guards against retries beyond the budget shared by all nodes.
 #[test_case("/status/7", Act::Broken)]
 #[test_case("/draft/7", Act::Breaks(2))]
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -91,9 +91,11 @@
     peer: net::SocketAddr,
 }
 
-#[derive(Debug)]
+#[derive(Debug, PartialEq, Eq)]
 enum End {
     Complete,
+    /// With the connection.
+    Undelimited,
     Broken,
     Silent,
 }
@@ -109,11 +111,15 @@
             return Ok(self.parts.pop_front());
         }
         match self.end {
-            End::Complete => Ok(None),
+            End::Complete | End::Undelimited => Ok(None),
             End::Broken => Err(error(Kind::Broken, self.peer)),
             End::Silent => std::future::pending().await,
         }
     }
+
+    fn is_delimited(&self) -> bool {
+        self.end != End::Undelimited
+    }
 }
 
 fn error(kind: Kind, peer: net::SocketAddr) -> Error {
@@ -165,7 +171,7 @@
                 if last > 0 {
                     parts.push_back(bytes::Bytes::from_static(b"id: 99\ndata: te"));
                 }
-                answer(200, parts, End::Complete)
+                answer(200, parts, End::Undelimited)
             }
             Act::CrashesOn(part) => {
                 let parts = call.request.generation.iter().flat_map(|made| &made.parts);
