--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -103,7 +103,7 @@
 #[test_case(Act::Ends(3); "inside an event")]
 #[tokio::test]
 async fn stream_that_ends_early_is_resumed(failure: Act) {
-    let world = World::open(&[&[failure.clone()], &[Act::Stream]], AMPLE);
+    let world = World::open(&[std::slice::from_ref(&failure), &[Act::Stream]], AMPLE);
     let (status, body, refusal) = world.send("/draft/7").await;
     assert_eq!((status, body, refusal), (200, whole_stream(), None));
     let world = World::open(&[&[failure], &[Act::Stream]], AMPLE);
