gateway, policy: only upstreams that are down are evidence against a part of a prompt

What callers could see: sound prompts that were refused for ten minutes, as their part was quarantined.

A part whose first requests were all lost in this way was quarantined, and as requests with it were refused, none could clear it.

Change: the upstream is probed before the request goes on, and counts as crashed only if it does not answer; requests that were sent to it after its crash are no evidence. A quarantined part is tried after 20 to 30 s, at each node at another time, and the wait doubles with each crash by a trial, up to ten minutes ([limits] quarantine-trial).

Ruled out: refusing a request that has lost two upstreams before its first event; in an outage sound ones look the same.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -42,11 +42,17 @@
             "4",
             "Crashes of upstreams after which a part of prompts is quarantined, if no request with it has begun.",
         ),
+        settings::Key::new(
+            "quarantine-trial",
+            settings::Type::millis(1_000, 86_400_000),
+            "20s",
+            "Time after which one request with a quarantined part is tried; doubled after each crash by a trial.",
+        ),
         settings::Key::new(
             "quarantine-retention",
             settings::Type::millis(1_000, 86_400_000),
             "10m",
-            "Time after which one request with a quarantined part is tried again.",
+            "Longest time between two trials, and time for which a crash is evidence.",
         ),
     ],
 };
@@ -70,10 +76,11 @@
     let section = host.settings.section(SECTION.name);
     let quarantined = quarantine::Limits {
         crashes: usize::try_from(section.count("quarantine-crashes")).unwrap_or(usize::MAX),
+        trial: section.duration("quarantine-trial"),
         retention: section.duration("quarantine-retention"),
     };
     let table = host.table::<tables::quarantine::Quarantine>();
-    *table.lock() = tables::quarantine::Quarantine::new(quarantined);
+    *table.lock() = tables::quarantine::Quarantine::new(quarantined, rand::random());
     Ok(plugin::Handle::idle())
 }
 
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -75,7 +75,7 @@
 
 impl Failure {
     /// Whether the request may have run.
-    fn may_have_run(&self) -> bool {
+    pub(super) fn may_have_run(&self) -> bool {
         match self {
             Self::Call(error) => error.may_have_run(),
             Self::Rejected(_) => false,
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -79,7 +79,7 @@
             Err(_) => Failure::TimedOut,
         };
         let now = pipeline.now();
-        pipeline.record_loss(request, &target.id, &failure, now);
+        pipeline.record_loss(request, &target, &failure, now).await;
         pipeline.check_retry(attempts, request, admitted, &target.id, failure, now)?;
     }
 }
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -33,6 +33,8 @@
     pub(super) address: net::SocketAddr,
     /// Identifier of the start of its process.
     pub(super) incarnation: u64,
+    /// When it was chosen.
+    pub(super) chosen: moment::Moment,
     /// Predicted time until the first event, with the penalty of an upstream that fails.
     pub(super) predicted: time::Duration,
     /// Whether the first event is predicted after the route's objective; never for a resumed
@@ -153,6 +155,7 @@
             id: chosen.id.clone(),
             address: chosen.address,
             incarnation: chosen.incarnation,
+            chosen: now,
             predicted: *predicted,
             is_late,
             progress: InProgress {
--- a/crates/gateway/src/pipeline/quarantine.rs
+++ b/crates/gateway/src/pipeline/quarantine.rs
@@ -1,20 +1,20 @@
 //! Prompt parts that crash upstreams, as requests show them.
 
+use std::time;
+
 use corneltrestle_kernel::{linkme, metric};
-use corneltrestle_policy::{
-    id,
-    quarantine::{self, Crash},
-};
+use corneltrestle_policy::quarantine::{self, Crash};
 use corneltrestle_time::moment;
 
 use super::{
     Code, Pipeline, Refusal,
     attempt::{Attempts, Failure},
+    choose::Target,
 };
-use crate::{
-    request,
-    upstream::{self, Client},
-};
+use crate::{request, upstream::Client};
+
+/// Timeout of the probe of an upstream that may have crashed.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(150);
 
 #[linkme::distributed_slice(metric::METRICS)]
 #[linkme(crate = linkme)]
@@ -47,26 +47,31 @@
         })
     }
 
-    /// Records an attempt that failed before the answer began, if the upstream may have crashed.
-    pub(super) fn record_loss(
+    /// Records an attempt that failed before the answer began, if the upstream has crashed. A broken
+    /// connection alone tells little, so the upstream is probed; one that lives answers within a few
+    /// milliseconds. The request waits for it, as it may not be sent to a further upstream.
+    pub(super) async fn record_loss(
         &self,
         request: &request::Request,
-        upstream: &id::Vm,
+        target: &Target,
         failure: &Failure,
         now: moment::Moment,
     ) {
         let Some(generation) = &request.generation else { return };
-        let is_broken =
-            matches!(failure, Failure::Call(error) if error.kind == upstream::Kind::Broken);
-        if !is_broken || generation.parts.is_empty() {
+        if generation.parts.is_empty() || !failure.may_have_run() {
             return;
         }
-        self.tables.quarantine.lock().record_crash(Crash {
-            upstream: quarantine::hash(upstream.as_str()),
+        let crash = Crash {
+            upstream: quarantine::hash(target.id.as_str()),
             request: quarantine::hash(&request.id),
             parts: generation.parts.clone(),
             at: now,
-        });
+        };
+        if !self.tables.quarantine.lock().begin_check(&target.id, crash, target.chosen) {
+            return;
+        }
+        let report = self.client.report(target.address, &target.id, PROBE_TIMEOUT).await;
+        self.tables.quarantine.lock().end_check(target.id.as_str(), report.is_ok());
     }
 
     /// Records that an upstream has answered a request beyond its beginning.
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -149,7 +149,7 @@
             Err(_) => Failure::TimedOut,
         };
         let now = pipeline.now();
-        pipeline.record_loss(request, &target.id, &failure, now);
+        pipeline.record_loss(request, &target, &failure, now).await;
         pipeline.check_retry(attempts, request, admitted, &target.id, failure, now)?;
     }
 }
@@ -289,7 +289,7 @@
         let now = self.pipeline.now();
         let upstream = self.target.id.clone();
         if self.events < SOUND_EVENTS {
-            self.pipeline.record_loss(&self.request, &upstream, &failure, now);
+            self.pipeline.record_loss(&self.request, &self.target, &failure, now).await;
         }
         self.pipeline.check_retry(
             &mut self.attempts,
--- a/crates/gateway/src/tables/quarantine.rs
+++ b/crates/gateway/src/tables/quarantine.rs
@@ -1,17 +1,39 @@
 //! Prompt parts that crash upstreams, and what other nodes are still to be told about them.
 
+use std::{collections, time};
+
 use corneltrestle_kernel::table;
-use corneltrestle_policy::quarantine::{self, Crash, Part};
+use corneltrestle_policy::{
+    id,
+    quarantine::{self, Crash, Part},
+};
 use corneltrestle_time::moment;
 
 /// Limit on what waits to be sent, of each kind.
 const MAX_UNSENT: usize = 16;
 
+/// Time for which it is remembered whether an upstream answered a probe.
+const CHECK_RETENTION: time::Duration = time::Duration::from_secs(1);
+
+/// Limit on the requests that wait for the probe of one upstream.
+const MAX_LOST: usize = 32;
+
 /// Prompt parts that crash upstreams; lock rank 53.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     parts: quarantine::Quarantine,
     unsent: Evidence,
+    checks: collections::HashMap<id::Vm, Check>,
+}
+
+/// A probe that tells whether an upstream has crashed.
+#[derive(Debug)]
+struct Check {
+    begun: moment::Moment,
+    /// Whether it answered; `None` while the probe runs.
+    answered: Option<bool>,
+    /// Requests that were lost with it.
+    lost: Vec<Crash>,
 }
 
 /// What a node has observed since it last told the others.
@@ -37,8 +59,8 @@
 
 impl Quarantine {
     /// Creates a quarantine without any crash.
-    pub fn new(limits: quarantine::Limits) -> Self {
-        Self { parts: quarantine::Quarantine::new(limits), unsent: Evidence::default() }
+    pub fn new(limits: quarantine::Limits, salt: u64) -> Self {
+        Self { parts: quarantine::Quarantine::new(limits, salt), ..Self::default() }
     }
 
     /// What is known of the parts.
@@ -46,8 +68,45 @@
         &mut self.parts
     }
 
+    /// Records a request that was sent to an upstream at `sent` and failed before it began, if it may
+    /// have crashed the upstream. Returns whether to probe the upstream.
+    pub fn begin_check(&mut self, upstream: &id::Vm, crash: Crash, sent: moment::Moment) -> bool {
+        let now = crash.at;
+        let is_down = self.checks.get(upstream).is_some_and(|check| check.begun <= sent);
+        if is_down
+            || self.parts.was_down(crash.upstream, sent)
+            || !self.parts.suspects(&crash.parts, now)
+        {
+            return false;
+        }
+        // The caller of a request that waited for a probe may have left.
+        self.checks.retain(|_, check| now.since(check.begun) < CHECK_RETENTION);
+        match self.checks.get_mut(upstream) {
+            None => {
+                let check = Check { begun: now, answered: None, lost: vec![crash] };
+                self.checks.insert(upstream.clone(), check);
+                return true;
+            }
+            Some(Check { answered: None, lost, .. }) if lost.len() < MAX_LOST => lost.push(crash),
+            Some(Check { answered: Some(false), .. }) => self.record_crash(crash),
+            Some(_) => {}
+        }
+        false
+    }
+
+    /// Records whether an upstream answered the probe that began last. If it did not, it has crashed
+    /// with the requests that it had.
+    pub fn end_check(&mut self, upstream: &str, answered: bool) {
+        let Some(check) = self.checks.get_mut(upstream) else { return };
+        check.answered = Some(answered);
+        let lost = std::mem::take(&mut check.lost);
+        if !answered {
+            lost.into_iter().for_each(|crash| self.record_crash(crash));
+        }
+    }
+
     /// Records a request of this node that was lost with its upstream, for the other nodes too.
-    pub fn record_crash(&mut self, crash: Crash) {
+    fn record_crash(&mut self, crash: Crash) {
         let (before, at) = (self.parts.quarantined().count(), crash.at);
         let Some(crash) = self.parts.record_crash(crash) else { return };
         if self.parts.quarantined().count() > before {
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -16,6 +16,10 @@
 /// Time within which failures at one upstream are one crash.
 const CRASH_SPAN: time::Duration = time::Duration::from_secs(2);
 
+/// Time from a crash until its upstream may have been sent requests again. One that is sent to it
+/// within this time, and lost, has met an upstream that was down.
+const DOWN_SPAN: time::Duration = time::Duration::from_secs(3);
+
 /// Time for which a part is not suspected after a request with it has begun.
 const SOUND_RETENTION: time::Duration = time::Duration::from_secs(30);
 
@@ -60,20 +64,32 @@
 /// When a part is quarantined, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Crashes with a part after which it is quarantined. Some requests fail without a fault of
-    /// theirs, and some evidence is lost between nodes.
+    /// Crashes with a part after which it is quarantined. Some upstreams are lost for another reason,
+    /// and some evidence is lost between nodes.
     pub crashes: usize,
-    /// Time for which a crash is evidence, and after which one request with a quarantined part is
-    /// tried again.
+    /// Time after which one request with a quarantined part is tried; doubled after each crash by
+    /// such a trial. Each node adds up to half of it, so that one trial is over before the next.
+    pub trial: time::Duration,
+    /// Longest time between two trials, and time for which a crash is evidence.
     pub retention: time::Duration,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { crashes: 4, retention: time::Duration::from_secs(600) }
+        let (trial, retention) = (time::Duration::from_secs(20), time::Duration::from_secs(600));
+        Self { crashes: 4, trial, retention }
     }
 }
 
+/// A part that is quarantined.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Quarantined {
+    /// When an upstream last crashed on it, or a trial began.
+    crashed: moment::Moment,
+    /// Time from then until the next trial.
+    wait: time::Duration,
+}
+
 /// Crashes and the parts that explain them, as far as this node knows.
 ///
 /// # Examples
@@ -97,13 +113,20 @@
     crashes: collections::VecDeque<Crash>,
     /// When a request with each part last began.
     sound: collections::HashMap<Part, moment::Moment>,
-    quarantined: collections::BTreeMap<Part, moment::Moment>,
+    quarantined: collections::BTreeMap<Part, Quarantined>,
+    /// Distinguishes the nodes, see [`Limits::trial`].
+    salt: u64,
 }
 
 impl Quarantine {
-    /// Creates a quarantine without any crash.
-    pub fn new(limits: Limits) -> Self {
-        Self { limits, ..Self::default() }
+    /// Creates a quarantine without any crash; `salt` is different at each node.
+    pub fn new(limits: Limits, salt: u64) -> Self {
+        Self { limits, salt, ..Self::default() }
+    }
+
+    /// Whether a request with these parts may explain a crash.
+    pub fn suspects(&self, parts: &[Part], now: moment::Moment) -> bool {
+        parts.iter().any(|part| !self.is_sound(*part, now))
     }
 
     /// Records a request that was lost with its upstream. Returns the crash with the parts that are
@@ -155,7 +178,7 @@
             crash.parts.retain(|suspect| *suspect != part);
         }
         self.crashes.retain(|crash| !crash.parts.is_empty());
-        if self.quarantined.get(&part).is_some_and(|crashed| is_cleared(*crashed)) {
+        if self.quarantined.get(&part).is_some_and(|known| is_cleared(known.crashed)) {
             self.quarantined.remove(&part);
         }
     }
@@ -170,20 +193,27 @@
         None
     }
 
+    /// Whether an upstream was down when a request was sent to it, so that the request cannot have
+    /// crashed it.
+    pub fn was_down(&self, upstream: u64, sent: moment::Moment) -> bool {
+        let mut crashes = self.crashes.iter().filter(|crash| crash.upstream == upstream);
+        crashes.any(|crash| crash.at <= sent && sent.since(crash.at) < DOWN_SPAN)
+    }
+
     /// Time after which a request with these parts may be tried, if one of them is quarantined.
     /// After that time one request is allowed.
     pub fn check(&mut self, parts: &[Part], now: moment::Moment) -> Option<time::Duration> {
         for part in parts {
-            if let Some(crashed) = self.quarantined.get_mut(part) {
-                let left = (*crashed + self.limits.retention).since(now);
+            if let Some(known) = self.quarantined.get(part).copied() {
+                let left = (known.crashed + self.until_trial(*part, &known)).since(now);
                 if left > time::Duration::ZERO {
                     return Some(left);
                 }
-                *crashed = now;
+                self.insert(*part, now);
             } else if self.is_conclusive(*part)
                 && self.rivals(*part).iter().all(|rival| parts.contains(rival))
             {
-                return Some(self.limits.retention);
+                return Some(self.limits.trial);
             }
         }
         None
@@ -191,24 +221,34 @@
 
     /// The quarantined parts with the times of their latest crashes.
     pub fn quarantined(&self) -> impl Iterator<Item = (Part, moment::Moment)> + '_ {
-        self.quarantined.iter().map(|(part, crashed)| (*part, *crashed))
+        self.quarantined.iter().map(|(part, known)| (*part, known.crashed))
     }
 
     /// Drops what is too old.
     pub fn prune(&mut self, now: moment::Moment) {
         self.sound.retain(|_, at| now.since(*at) < SOUND_RETENTION);
         self.crashes.retain(|crash| now.since(crash.at) < self.limits.retention);
-        self.quarantined.retain(|_, crashed| now.since(*crashed) < self.limits.retention * 2);
+        self.quarantined.retain(|_, known| now.since(known.crashed) < self.limits.retention * 2);
     }
 
     fn insert(&mut self, part: Part, crashed: moment::Moment) {
+        let Limits { trial, retention, .. } = self.limits;
         if let Some(known) = self.quarantined.get_mut(&part) {
-            *known = crashed.max(*known);
+            if crashed.since(known.crashed) >= known.wait {
+                known.wait = (known.wait * 2).min(retention);
+            }
+            known.crashed = crashed.max(known.crashed);
         } else if self.quarantined.len() < MAX_QUARANTINED {
-            self.quarantined.insert(part, crashed);
+            self.quarantined.insert(part, Quarantined { crashed, wait: trial });
         }
     }
 
+    /// Time from the latest crash on a part until this node tries a request with it.
+    fn until_trial(&self, part: Part, known: &Quarantined) -> time::Duration {
+        let place = hash_numbers(&[self.salt, part.0, known.crashed.as_millis()]) % 1_000;
+        known.wait + known.wait.mul_f64(place as f64 / 2_000.0)
+    }
+
     fn is_sound(&self, part: Part, crashed: moment::Moment) -> bool {
         self.sound.get(&part).is_some_and(|at| crashed <= *at + SOUND_RETENTION)
     }
@@ -246,6 +286,10 @@
     }
 }
 
+fn hash_numbers(numbers: &[u64; 3]) -> u64 {
+    numbers.iter().fold(0, |seed, number| xxh3::xxh3_64_with_seed(&number.to_le_bytes(), seed))
+}
+
 /// Whether two failures are of the same crash of an upstream.
 fn is_same(one: &Crash, other: &Crash) -> bool {
     let apart = one.at.since(other.at).max(other.at.since(one.at));
