engine: a refusal that names another request is no answer to this one

What callers saw at a similar system: 'not run' for requests that an engine was running, as it wrote an earlier refusal once more on a kept connection. Here the id of a response was compared only if its status was a success. A refusal without an id still counts, as engines need not repeat it; services of orders have to, on every answer, and get a new connection for each.

Measured: the case 'refusal of another request' of stream_delivers_own_tokens_in_order failed before the change (refused), and passes after it (mismatch).

--- a/crates/engine/src/engine/http.rs
+++ b/crates/engine/src/engine/http.rs
@@ -98,7 +98,8 @@
         decode(step, peer, &self.fetch(call).await?)
     }
 
-    /// Sends a generation and waits at most `timeout` for a response with a status of success.
+    /// Sends a generation and waits at most `timeout` for a response with a status of success. Its
+    /// head may repeat the request id, also that of a refusal, and is checked if it does.
     async fn generate(
         &self,
         step: &'static str,
@@ -109,6 +110,9 @@
         let request = request::generate(generation).map_err(|e| failed(step, peer, e))?;
         let sent = self.pool.send(peer, request, pool::Delivery::Once, timeout).await;
         let response = sent.map_err(|e| failed(step, peer, e))?;
+        if response.headers().contains_key(REQUEST_ID) {
+            check_request_id(step, peer, &response, generation.id)?;
+        }
         check_status(step, peer, response.status())?;
         Ok(response)
     }
@@ -140,7 +144,7 @@
     }
 
     /// Waits at most the progress timeout for the header of the response. Each event repeats the
-    /// request id; the header may do so, too, and is checked if it does.
+    /// request id.
     async fn stream(
         &self,
         peer: net::SocketAddr,
@@ -148,9 +152,6 @@
     ) -> Result<HttpStream> {
         let timeout = self.config.progress_timeout;
         let response = self.generate("stream", peer, request, timeout).await?;
-        if response.headers().contains_key(REQUEST_ID) {
-            check_request_id("stream", peer, &response, request.id)?;
-        }
         Ok(HttpStream::new(response.into_body(), peer, request, timeout, self.config.max_event))
     }
 
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -101,6 +101,7 @@
 #[test_case(Write(format!("{HEAD}{}0\r\n\r\n", chunk("id: r1/0\ndata: a\n\n"))), &["a"], Some(Kind::Broken); "missing end event")]
 #[test_case(Write(answer("404 Not Found", "{}")), &[], Some(Kind::Refused(404)); "unknown model")]
 #[test_case(Write(answer("503 Service Unavailable", "{}")), &[], Some(Kind::Refused(503)); "not ready")]
+#[test_case(Write("HTTP/1.1 503 Service Unavailable\r\nx-request-id: r2\r\ncontent-length: 0\r\n\r\n".into()), &[], Some(Kind::Mismatch); "refusal of another request")]
 #[test_case(Write(answer("500 Internal Server Error", "{}")), &[], Some(Kind::Broken); "server error")]
 #[test_case(Write("garbage\r\n\r\n".into()), &[], Some(Kind::Malformed); "not http")]
 #[test_case(Stall, &[], Some(Kind::Broken); "no response")]
