policy, gateway: crashes are charged to the requests that were there, and to the rarest part that explains them

What callers could see: all prompts refused for 20 to 30 s after the start of a deployment, as their common first part was quarantined; or a sound part.

Change: each crash carries when the request was sent, and counts only if the upstream's process was not known to be down by then, in whatever order nodes hear of it; evidence is used when it is 150 ms old. Of the requests that an upstream took along, those that were lost with most upstreams are charged. A part that another one explains as well is held back only where both are in a request.

--- a/crates/gateway/src/mesh/evidence.rs
+++ b/crates/gateway/src/mesh/evidence.rs
@@ -19,6 +19,7 @@
             upstream: crash.upstream,
             request: crash.request,
             parts: crash.parts.iter().take(mesh::MAX_PARTS).map(|part| part.0).collect(),
+            sent: saturating_millis(now.since(crash.sent)),
             age: saturating_millis(now.since(crash.at)),
         });
         let sound = evidence.sound.iter().map(|(part, at)| encode(*part, *at, now));
@@ -49,6 +50,7 @@
                 upstream: crash.upstream,
                 request: crash.request,
                 parts: parts.collect(),
+                sent: at(crash.sent),
                 at: at(crash.age),
             });
         }
--- a/crates/gateway/src/pipeline/quarantine.rs
+++ b/crates/gateway/src/pipeline/quarantine.rs
@@ -62,12 +62,13 @@
             return;
         }
         let crash = Crash {
-            upstream: quarantine::hash(target.id.as_str()),
+            upstream: quarantine::hash(&format!("{}/{}", target.id, target.incarnation)),
             request: quarantine::hash(&request.id),
             parts: generation.parts.clone(),
+            sent: target.chosen,
             at: now,
         };
-        if !self.tables.quarantine.lock().begin_check(&target.id, crash, target.chosen) {
+        if !self.tables.quarantine.lock().begin_check(&target.id, crash) {
             return;
         }
         let report = self.client.report(target.address, &target.id, PROBE_TIMEOUT).await;
--- a/crates/gateway/src/tables/quarantine.rs
+++ b/crates/gateway/src/tables/quarantine.rs
@@ -68,10 +68,10 @@
         &mut self.parts
     }
 
-    /// Records a request that was sent to an upstream at `sent` and failed before it began, if it may
-    /// have crashed the upstream. Returns whether to probe the upstream.
-    pub fn begin_check(&mut self, upstream: &id::Vm, crash: Crash, sent: moment::Moment) -> bool {
-        let now = crash.at;
+    /// Records a request that failed before it began, if it may have crashed its upstream. Returns
+    /// whether to probe the upstream.
+    pub fn begin_check(&mut self, upstream: &id::Vm, crash: Crash) -> bool {
+        let Crash { sent, at: now, .. } = crash;
         let is_down = self.checks.get(upstream).is_some_and(|check| check.begun <= sent);
         if is_down
             || self.parts.was_down(crash.upstream, sent)
@@ -107,11 +107,7 @@
 
     /// Records a request of this node that was lost with its upstream, for the other nodes too.
     fn record_crash(&mut self, crash: Crash) {
-        let (before, at) = (self.parts.quarantined().count(), crash.at);
         let Some(crash) = self.parts.record_crash(crash) else { return };
-        if self.parts.quarantined().count() > before {
-            self.log_latest(at);
-        }
         if self.unsent.crashes.len() < MAX_UNSENT {
             self.unsent.crashes.push(crash);
         }
@@ -127,11 +123,7 @@
 
     /// Records a crash that another node reports.
     pub fn receive_crash(&mut self, crash: Crash) {
-        let (before, at) = (self.parts.quarantined().count(), crash.at);
         self.parts.record_crash(crash);
-        if self.parts.quarantined().count() > before {
-            self.log_latest(at);
-        }
     }
 
     /// Adopts a quarantine that another node reports, or tells it that the part is sound.
@@ -141,6 +133,17 @@
         }
     }
 
+    /// Quarantines the parts that explain the crashes, and drops what is too old.
+    pub fn tick(&mut self, now: moment::Moment) {
+        for part in self.parts.settle(now) {
+            log::warn!(
+                part = format!("{:016x}", part.0);
+                "quarantine: a part of prompts crashes upstreams; requests with it are refused"
+            );
+        }
+        self.parts.prune(now);
+    }
+
     /// What has not been sent to the other nodes yet.
     pub fn take_unsent(&mut self) -> Evidence {
         std::mem::take(&mut self.unsent)
@@ -151,14 +154,4 @@
             self.unsent.sound.push((part, at));
         }
     }
-
-    fn log_latest(&self, at: moment::Moment) {
-        let latest = self.parts.quarantined().filter(|(_, crashed)| *crashed == at);
-        for (part, _) in latest {
-            log::warn!(
-                part = format!("{:016x}", part.0);
-                "quarantine: a part of prompts crashes upstreams; requests with it are refused"
-            );
-        }
-    }
 }
--- a/crates/gateway/src/task/watchdog.rs
+++ b/crates/gateway/src/task/watchdog.rs
@@ -74,7 +74,7 @@
             activity.prune(now);
             self.tables.stalls.lock().prune(now);
             self.tables.health.lock().prune(now);
-            self.tables.quarantine.lock().parts().prune(now);
+            self.tables.quarantine.lock().tick(now);
             self.tables.pacing.lock().sent.prune(now);
             self.silent(&snapshot, &activity, now)
         };
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -16,9 +16,13 @@
 /// Time within which failures at one upstream are one crash.
 const CRASH_SPAN: time::Duration = time::Duration::from_secs(2);
 
-/// Time from a crash until its upstream may have been sent requests again. One that is sent to it
-/// within this time, and lost, has met an upstream that was down.
-const DOWN_SPAN: time::Duration = time::Duration::from_secs(3);
+/// Age from which a crash is evidence. By then the node knows of those before it, which may explain
+/// it.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(150);
+
+/// Time from a crash in which requests are still sent to its upstream. One that is lost then has met
+/// an upstream that was down.
+const DOWN_SPAN: time::Duration = time::Duration::from_secs(5);
 
 /// Time for which a part is not suspected after a request with it has begun.
 const SOUND_RETENTION: time::Duration = time::Duration::from_secs(30);
@@ -51,12 +55,14 @@
 /// A request that was lost with its upstream before it began.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
-    /// Hash of the upstream's identifier.
+    /// Hash of the upstream's process; another one after a restart.
     pub upstream: u64,
     /// Hash of the request's identifier.
     pub request: u64,
     /// Its parts that are not known to be sound.
     pub parts: Vec<Part>,
+    /// When the request was sent.
+    pub sent: moment::Moment,
     /// When the upstream failed.
     pub at: moment::Moment,
 }
@@ -90,6 +96,13 @@
     wait: time::Duration,
 }
 
+/// A crash of one upstream, with the parts that may have caused it.
+#[derive(Clone, Debug)]
+struct Incident {
+    parts: collections::BTreeSet<Part>,
+    at: moment::Moment,
+}
+
 /// Crashes and the parts that explain them, as far as this node knows.
 ///
 /// # Examples
@@ -101,11 +114,13 @@
 /// let (shared, faulty) = (Part::of("5c1e07a2"), Part::of("91bd3f06"));
 /// quarantine.record_sound(&[shared], now);
 /// for number in 0..4 {
-///     let crash = Crash { upstream: number, request: number, parts: vec![shared, faulty], at: now };
+///     let parts = vec![shared, faulty];
+///     let crash = Crash { upstream: number, request: number, parts, sent: now, at: now };
 ///     quarantine.record_crash(crash);
 /// }
-/// assert!(quarantine.check(&[shared, faulty], now).is_some());
-/// assert!(quarantine.check(&[shared], now).is_none());
+/// let later = Moment::from_millis(2_000);
+/// assert!(quarantine.check(&[shared, faulty], later).is_some());
+/// assert!(quarantine.check(&[shared], later).is_none());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -114,6 +129,8 @@
     /// When a request with each part last began.
     sound: collections::HashMap<Part, moment::Moment>,
     quarantined: collections::BTreeMap<Part, Quarantined>,
+    /// Parts that explain the crashes, with the others that do so as well.
+    ambiguous: collections::BTreeMap<Part, Vec<Part>>,
     /// Distinguishes the nodes, see [`Limits::trial`].
     salt: u64,
 }
@@ -138,18 +155,15 @@
         let is_known = |known: &Crash| {
             known.request == crash.request && is_same(known, &crash) && known.parts == crash.parts
         };
-        if crash.parts.is_empty() || self.crashes.iter().any(is_known) {
+        let is_explained = self.was_down(crash.upstream, crash.sent);
+        if crash.parts.is_empty() || is_explained || self.crashes.iter().any(is_known) {
             return None;
         }
+        self.crashes.retain(|later| !is_down_after(&crash, later.upstream, later.sent));
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.pop_front();
         }
         self.crashes.push_back(crash.clone());
-        for part in &crash.parts {
-            if self.is_conclusive(*part) && self.rivals(*part).is_empty() {
-                self.insert(*part, crash.at);
-            }
-        }
         Some(crash)
     }
 
@@ -196,13 +210,13 @@
     /// Whether an upstream was down when a request was sent to it, so that the request cannot have
     /// crashed it.
     pub fn was_down(&self, upstream: u64, sent: moment::Moment) -> bool {
-        let mut crashes = self.crashes.iter().filter(|crash| crash.upstream == upstream);
-        crashes.any(|crash| crash.at <= sent && sent.since(crash.at) < DOWN_SPAN)
+        self.crashes.iter().any(|crash| is_down_after(crash, upstream, sent))
     }
 
     /// Time after which a request with these parts may be tried, if one of them is quarantined.
     /// After that time one request is allowed.
     pub fn check(&mut self, parts: &[Part], now: moment::Moment) -> Option<time::Duration> {
+        self.settle(now);
         for part in parts {
             if let Some(known) = self.quarantined.get(part).copied() {
                 let left = (known.crashed + self.until_trial(*part, &known)).since(now);
@@ -210,8 +224,8 @@
                     return Some(left);
                 }
                 self.insert(*part, now);
-            } else if self.is_conclusive(*part)
-                && self.rivals(*part).iter().all(|rival| parts.contains(rival))
+            } else if let Some(others) = self.ambiguous.get(part)
+                && others.iter().all(|other| parts.contains(other))
             {
                 return Some(self.limits.trial);
             }
@@ -224,6 +238,48 @@
         self.quarantined.iter().map(|(part, known)| (*part, known.crashed))
     }
 
+    /// Quarantines the parts that explain the crashes. Where several do, only requests with all of
+    /// them are held back, and one without the faulty part clears the others. Returns the parts that
+    /// were not quarantined.
+    pub fn settle(&mut self, now: moment::Moment) -> Vec<Part> {
+        self.ambiguous.clear();
+        if self.crashes.is_empty() {
+            return Vec::new();
+        }
+        let incidents = self.incidents();
+        let with = |part: &Part| -> Vec<&Incident> {
+            incidents.iter().filter(|incident| incident.parts.contains(part)).collect()
+        };
+        let suspects: collections::BTreeSet<Part> =
+            incidents.iter().flat_map(|incident| incident.parts.iter().copied()).collect();
+        let conclusive: Vec<Part> = suspects
+            .iter()
+            .copied()
+            .filter(|part| with(part).len() >= self.limits.crashes && self.has_settled(*part, now))
+            .collect();
+        let mut found = Vec::new();
+        for part in &conclusive {
+            let known = with(part);
+            let explains = |other: &&Part| {
+                let common = known.iter().filter(|incident| incident.parts.contains(*other));
+                let common = common.count();
+                let is_enough = common >= self.limits.crashes;
+                *other != part && is_enough && known.len() - common < self.limits.crashes
+            };
+            let others: Vec<Part> = suspects.iter().filter(explains).copied().collect();
+            let crashed = known.iter().map(|incident| incident.at).max();
+            if !others.is_empty() {
+                self.ambiguous.insert(*part, others);
+            } else if let Some(crashed) = crashed {
+                found.push((*part, crashed));
+            }
+        }
+        let is_new = |part: &Part| !self.quarantined.contains_key(part);
+        let new = found.iter().map(|(part, _)| *part).filter(is_new).collect();
+        found.into_iter().for_each(|(part, crashed)| self.insert(part, crashed));
+        new
+    }
+
     /// Drops what is too old.
     pub fn prune(&mut self, now: moment::Moment) {
         self.sound.retain(|_, at| now.since(*at) < SOUND_RETENTION);
@@ -261,28 +317,36 @@
         self.crashes.iter().filter(move |crash| crash.parts.contains(&part))
     }
 
-    /// Number of crashes with a part; the requests that one crash took along count once.
-    fn crashes_with(&self, part: Part) -> usize {
-        let first = |crash: &&Crash| {
-            let earlier = self.with(part).take_while(|other| !std::ptr::eq(*other, *crash));
-            !earlier.into_iter().any(|other| is_same(other, crash))
+    /// The crashes of upstreams, each with the parts of the requests that may have caused it. Of the
+    /// requests that one upstream took along, those that were lost with most upstreams did.
+    fn incidents(&self) -> Vec<Incident> {
+        let mut groups: Vec<Vec<&Crash>> = Vec::new();
+        for crash in &self.crashes {
+            match groups.iter_mut().find(|group| is_same(group[0], crash)) {
+                Some(group) => group.push(crash),
+                None => groups.push(vec![crash]),
+            }
+        }
+        let mut losses: collections::BTreeMap<u64, usize> = collections::BTreeMap::new();
+        for group in &groups {
+            let requests: collections::BTreeSet<u64> =
+                group.iter().map(|crash| crash.request).collect();
+            requests.into_iter().for_each(|request| *losses.entry(request).or_default() += 1);
+        }
+        let incident = |group: &Vec<&Crash>| {
+            let most = group.iter().map(|crash| losses[&crash.request]).max();
+            let causes = group.iter().filter(|crash| Some(losses[&crash.request]) == most);
+            let at = group[0].at;
+            Incident { parts: causes.flat_map(|crash| crash.parts.iter().copied()).collect(), at }
         };
-        self.with(part).filter(first).count()
+        groups.iter().map(incident).collect()
     }
 
-    fn is_conclusive(&self, part: Part) -> bool {
-        let requests: collections::BTreeSet<u64> =
-            self.with(part).map(|crash| crash.request).collect();
-        requests.len() >= MIN_REQUESTS && self.crashes_with(part) >= self.limits.crashes
-    }
-
-    /// Other parts that explain the crashes with a part as well.
-    fn rivals(&self, part: Part) -> Vec<Part> {
-        let crashes = self.crashes_with(part);
-        let others: collections::BTreeSet<Part> =
-            self.with(part).flat_map(|crash| crash.parts.iter().copied()).collect();
-        let others = others.into_iter().filter(|other| *other != part);
-        others.filter(|other| self.crashes_with(*other) >= crashes).collect()
+    /// Whether enough requests with a part were lost, and nodes had the time to tell of it.
+    fn has_settled(&self, part: Part, now: moment::Moment) -> bool {
+        let settled = self.with(part).filter(|crash| now.since(crash.at) >= SETTLE_TIME);
+        let requests: collections::BTreeSet<u64> = settled.map(|crash| crash.request).collect();
+        requests.len() >= MIN_REQUESTS
     }
 }
 
@@ -290,6 +354,11 @@
     numbers.iter().fold(0, |seed, number| xxh3::xxh3_64_with_seed(&number.to_le_bytes(), seed))
 }
 
+/// Whether an upstream was down, after a crash, when a request was sent to it.
+fn is_down_after(crash: &Crash, upstream: u64, sent: moment::Moment) -> bool {
+    crash.upstream == upstream && crash.at <= sent && sent.since(crash.at) < DOWN_SPAN
+}
+
 /// Whether two failures are of the same crash of an upstream.
 fn is_same(one: &Crash, other: &Crash) -> bool {
     let apart = one.at.since(other.at).max(other.at.since(one.at));
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -185,7 +185,7 @@
 /// A request that was lost with its upstream before it began.
 #[derive(Clone, PartialEq, Message)]
 pub struct Crash {
-    /// Hash of the upstream's identifier.
+    /// Hash of the upstream's process.
     #[prost(fixed64, tag = "1")]
     pub upstream: u64,
     /// Hash of the request's identifier.
@@ -197,6 +197,9 @@
     /// Milliseconds since the upstream failed.
     #[prost(uint32, tag = "4")]
     pub age: u32,
+    /// Milliseconds since the request was sent.
+    #[prost(uint32, tag = "5")]
+    pub sent: u32,
 }
 
 /// A part of prompts, with the age of what is said of it.
