--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -129,6 +129,8 @@
     /// When a request with each part last began.
     sound: collections::HashMap<Part, moment::Moment>,
     quarantined: collections::BTreeMap<Part, Quarantined>,
+    /// Whether the crashes were evaluated since the last change, and all were old enough.
+    is_settled: bool,
     /// Parts that explain the crashes, with the others that do so as well.
     ambiguous: collections::BTreeMap<Part, Vec<Part>>,
     /// Distinguishes the nodes, see [`Limits::trial`].
@@ -164,6 +166,7 @@
             self.crashes.pop_front();
         }
         self.crashes.push_back(crash.clone());
+        self.is_settled = false;
         Some(crash)
     }
 
@@ -189,7 +192,9 @@
         }
         let is_cleared = |crashed: moment::Moment| crashed <= at + SOUND_RETENTION;
         for crash in self.crashes.iter_mut().filter(|crash| is_cleared(crash.at)) {
+            let known = crash.parts.len();
             crash.parts.retain(|suspect| *suspect != part);
+            self.is_settled &= crash.parts.len() == known;
         }
         self.crashes.retain(|crash| !crash.parts.is_empty());
         if self.quarantined.get(&part).is_some_and(|known| is_cleared(known.crashed)) {
@@ -242,10 +247,11 @@
     /// them are held back, and one without the faulty part clears the others. Returns the parts that
     /// were not quarantined.
     pub fn settle(&mut self, now: moment::Moment) -> Vec<Part> {
-        self.ambiguous.clear();
-        if self.crashes.is_empty() {
+        if self.is_settled {
             return Vec::new();
         }
+        self.is_settled = self.crashes.iter().all(|crash| now.since(crash.at) >= SETTLE_TIME);
+        self.ambiguous.clear();
         let incidents = self.incidents();
         let with = |part: &Part| -> Vec<&Incident> {
             incidents.iter().filter(|incident| incident.parts.contains(part)).collect()
