gateway: an upstream that crashes after a false alarm is noticed

Found in reading: the record of a probe that had been answered was kept until the next check of another upstream, and every later loss at this one counted as met by an upstream that was down. Evidence now fits into one datagram, too.

Measured: quarantine::upstream_that_crashes_after_a_false_alarm_is_noticed failed before the change.

--- a/crates/gateway/src/tables/quarantine.rs
+++ b/crates/gateway/src/tables/quarantine.rs
@@ -9,8 +9,8 @@
 };
 use corneltrestle_time::moment;
 
-/// Limit on what waits to be sent, of each kind.
-const MAX_UNSENT: usize = 16;
+/// Limit on what waits to be sent, of each kind, so that it fits into one datagram.
+const MAX_UNSENT: usize = 8;
 
 /// Time for which it is remembered whether an upstream answered a probe.
 const CHECK_RETENTION: time::Duration = time::Duration::from_secs(1);
@@ -72,15 +72,17 @@
     /// whether to probe the upstream.
     pub fn begin_check(&mut self, upstream: &id::Vm, crash: Crash) -> bool {
         let Crash { sent, at: now, .. } = crash;
-        let is_down = self.checks.get(upstream).is_some_and(|check| check.begun <= sent);
+        // The caller of a request that waited for a probe may have left.
+        self.checks.retain(|_, check| now.since(check.begun) < CHECK_RETENTION);
+        let known = self.checks.get(upstream);
+        let is_down =
+            known.is_some_and(|check| check.answered != Some(true) && check.begun <= sent);
         if is_down
             || self.parts.was_down(crash.upstream, sent)
             || !self.parts.suspects(&crash.parts, now)
         {
             return false;
         }
-        // The caller of a request that waited for a probe may have left.
-        self.checks.retain(|_, check| now.since(check.begun) < CHECK_RETENTION);
         match self.checks.get_mut(upstream) {
             None => {
                 let check = Check { begun: now, answered: None, lost: vec![crash] };
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -102,6 +102,19 @@
     assert_eq!(world.tables.quarantine.lock().parts().check(&parts, world.host.now()), None);
 }
 
+/// Guards against a crash that goes unnoticed, as the upstream answered a probe some time before.
+#[tokio::test]
+async fn upstream_that_crashes_after_a_false_alarm_is_noticed() {
+    let world = World::open(&[BROKEN], AMPLE);
+    world.upstreams.answers_probes.store(true, Ordering::Relaxed);
+    world.send_request(world.prompt("r-1", &["subject"])).await;
+    assert!(world.tables.quarantine.lock().take_unsent().is_empty());
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    world.upstreams.answers_probes.store(false, Ordering::Relaxed);
+    world.send_request(world.prompt("r-2", &["subject"])).await;
+    assert_eq!(world.tables.quarantine.lock().take_unsent().crashes.len(), 1);
+}
+
 /// Guards against evidence that the other nodes are not told, or are told again and again.
 #[tokio::test]
 async fn other_nodes_are_told_of_a_crash_once() {
