client, platform: a refusal after a second send does not say that the first one has not run

Seen: a caller was told 503, not run, for a request that an upstream had run.

Cause: the connection pool sends a repeatable request once more on a new connection when a kept one breaks before the answer. Only errors of the second send were marked as possibly run. If the upstream refused the second copy as not run, the request counted as not run, although the first copy may have run.

Change: the pool marks the response to a request that was sent twice (`pool::Resent`), and a rejection with this mark leaves open whether the request has run.

--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -60,6 +60,11 @@
     OnceFresh,
 }
 
+/// Extension of a response to a request that was sent before, on a connection that broke. The request
+/// may have run then, whatever the response says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resent;
+
 /// The table of idle connections. Its lock rank comes after those of the tables of a node.
 #[derive(Debug, Default)]
 pub struct Idle {
@@ -104,7 +109,8 @@
     }
 
     /// Sends a request and waits at most `timeout` for the header of the response. The `Host`
-    /// header is set to the address of the peer.
+    /// header is set to the address of the peer. The response to a request that was sent twice has
+    /// the extension [`Resent`].
     ///
     /// # Errors
     ///
@@ -135,8 +141,11 @@
                 let was_sent = failed.unsent.is_none();
                 match failed.unsent.or(retry.filter(|_| failed.error.kind == error::Kind::Broken)) {
                     Some(request) if Instant::now() < deadline => {
-                        let sent = self.send_fresh(peer, request, deadline).await;
-                        sent.map_err(|e| if was_sent { e.sent_before() } else { e })
+                        let mut sent = self.send_fresh(peer, request, deadline).await;
+                        if was_sent {
+                            sent = sent.map(mark_resent).map_err(error::Error::sent_before);
+                        }
+                        sent
                     }
                     _ => Err(failed.error),
                 }
@@ -256,6 +265,11 @@
     }
 }
 
+fn mark_resent(mut response: hyper::Response<body::Body>) -> hyper::Response<body::Body> {
+    response.extensions_mut().insert(Resent);
+    response
+}
+
 /// Whether the end of the body is known from a length, the chunked encoding or the status, so that
 /// a truncation can be recognised.
 fn is_delimited<B>(response: &hyper::Response<B>) -> bool {
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -78,7 +78,7 @@
     pub(super) fn may_have_run(&self) -> bool {
         match self {
             Self::Call(error) => error.may_have_run(),
-            Self::Rejected(_) => false,
+            Self::Rejected(rejection) => rejection.may_have_run,
             Self::Stalled { begun } => *begun,
             Self::TimedOut | Self::BadAnswer(_) => true,
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -77,6 +77,8 @@
     pub reason: Reason,
     /// The member of its group that caused the rejection, if it names one.
     pub culprit: Option<id::Vm>,
+    /// Whether the request was sent before, on a connection that broke, and may have run then.
+    pub may_have_run: bool,
 }
 
 /// Reason of a rejection.
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -147,7 +147,7 @@
             Ok(Reply { result: Verdict::Answer(answer), notice: Notice::default() })
         };
         let rejected = |notice| {
-            let rejection = Rejection { reason: Reason::Full, culprit: None };
+            let rejection = Rejection { reason: Reason::Full, culprit: None, may_have_run: false };
             Ok(Reply { result: Verdict::Rejected(rejection), notice })
         };
         match self.act(call) {
