gateway: a request at a stalled upstream may have run

Cause: a request without an answer that was sent after the latest event of a stalled upstream was taken as not begun, since a running request gets an event in each pass. Where answers are held up on the way, events are missing although the request runs. Its caller was then told that it had not run, if no other upstream took it; a stream that may run at most once was given up with the same words. Class of fault: an inference is passed on as what the upstream has stated.

Change: only the word of each upstream that a request was sent to rules out that it has run. The inference still decides whether the attempt counts against the attempts that the route allows, and streams that may not be repeated stay at their upstream.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -26,8 +26,10 @@
 /// The attempts of one request so far.
 #[derive(Debug)]
 pub(super) struct Attempts {
-    /// Number of attempts in which it may have run; limited by the route's `attempt_limit`.
+    /// Number of attempts that count as runs; limited by the route's `attempt_limit`.
     pub(super) runs: u32,
+    /// Whether it may have run. Only the word of each upstream that it was sent to rules this out.
+    pub(super) may_have_run: bool,
     /// Upstreams that failed or rejected it, and that are not chosen again.
     pub(super) tried: collections::BTreeSet<id::Vm>,
     /// Whether the latest failure was [`retry::Failure::InvalidResponse`].
@@ -40,7 +42,7 @@
     /// Starts without any attempt.
     pub(super) fn new(record: Record) -> Self {
         let tried = collections::BTreeSet::new();
-        Self { runs: 0, tried, is_bad_answer: false, record }
+        Self { runs: 0, may_have_run: false, tried, is_bad_answer: false, record }
     }
 
     /// Whether the route allows a further run after `runs` ones. It always allows the first one.
@@ -65,7 +67,8 @@
     TimedOut,
     /// The upstream was found to be stalled, see [`crate::task::watchdog`].
     Stalled {
-        /// Whether the request may have begun to run.
+        /// Whether the request is likely to have begun: events of the upstream have arrived since it
+        /// was sent. Without them it may have begun all the same, if they are lost on the way.
         begun: bool,
     },
     /// The upstream answered with a server error, with an answer that is not genuine (see
@@ -79,11 +82,15 @@
         match self {
             Self::Call(error) => error.may_have_run(),
             Self::Rejected(rejection) => rejection.may_have_run,
-            Self::Stalled { begun } => *begun,
-            Self::TimedOut | Self::BadAnswer(_) => true,
+            Self::Stalled { .. } | Self::TimedOut | Self::BadAnswer(_) => true,
         }
     }
 
+    /// Whether the attempt counts as a run, also for the quarantine of prompt parts.
+    pub(super) fn counts_as_run(&self) -> bool {
+        self.may_have_run() && !matches!(self, Self::Stalled { begun: false })
+    }
+
     /// Whether the request has reached the upstream, so that another attempt is a retry. One that no
     /// connection could be made for has cost no upstream anything.
     fn has_arrived(&self) -> bool {
@@ -171,9 +178,8 @@
         if let Some(outcome) = failure.outcome() {
             self.tables.health.lock().record(upstream, outcome, now);
         }
-        if failure.may_have_run() {
-            attempts.runs += 1;
-        }
+        attempts.may_have_run |= failure.may_have_run();
+        attempts.runs += u32::from(failure.counts_as_run());
         attempts.tried.insert(upstream.clone());
         let repeatable = admitted.route.kind.is_repeatable();
         let allowed = retry::is_allowed(failure.kind(), repeatable)
@@ -202,10 +208,10 @@
         Ok(reply.result)
     }
 
-    /// Whether a request that was sent to a stalled upstream at `sent`, and not answered, may have
-    /// begun to run.
-    pub(super) fn may_have_begun(&self, upstream: &id::Vm, sent: moment::Moment) -> bool {
-        self.tables.stalls.lock().may_have_begun(upstream.as_str(), sent)
+    /// Whether a request that was sent to a stalled upstream at `sent`, and not answered, is likely to
+    /// have begun to run.
+    pub(super) fn has_begun(&self, upstream: &id::Vm, sent: moment::Moment) -> bool {
+        self.tables.stalls.lock().has_begun(upstream.as_str(), sent)
     }
 
     /// Waits until the upstream of an attempt is declared stalled and the request can move to
@@ -222,9 +228,9 @@
         target.progress.stalled().await;
         loop {
             let now = self.now();
-            let begun = sent.is_none_or(|sent| self.may_have_begun(&target.id, sent));
+            let begun = sent.is_none_or(|sent| self.has_begun(&target.id, sent));
             let runs = attempts.runs + u32::from(begun);
-            if (!begun || admitted.route.kind.is_repeatable())
+            if admitted.route.kind.is_repeatable()
                 && Attempts::allows_run_after(runs, admitted)
                 && attempts.record.dispatches() < MAX_DISPATCHES
                 && self.has_alternative(request, admitted, &attempts.tried, &target.id, now)
@@ -282,8 +288,8 @@
     NoBudget,
 }
 
-/// The refusal for a request that is not sent again. The outcome is "not run" only if no attempt
-/// may have run.
+/// The refusal for a request that is not sent again. The outcome is "not run" only if the request may
+/// not have run in any attempt.
 pub(super) fn refuse(
     attempts: &Attempts,
     admitted: &Admitted,
@@ -301,7 +307,7 @@
     };
     let is_bad_answer = stop != Stop::NoUpstream && attempts.is_bad_answer;
     let is_late = now >= admitted.deadline;
-    if attempts.runs == 0 {
+    if !attempts.may_have_run {
         let code = if is_late { Code::DeadlineExceeded } else { Code::Overloaded };
         return Refusal::not_run(code, "send", message).retry_after(RETRY_AFTER);
     }
--- a/crates/gateway/src/pipeline/quarantine.rs
+++ b/crates/gateway/src/pipeline/quarantine.rs
@@ -40,10 +40,10 @@
         let Some(left) = left else { return Ok(()) };
         metrics::counter!(REFUSED.name).increment(1);
         let message = "a part of the prompt crashes upstreams";
-        Err(if attempts.runs == 0 {
-            Refusal::not_run(Code::Unavailable, "send", message).retry_after(left)
-        } else {
+        Err(if attempts.may_have_run {
             Refusal::unknown(Code::UpstreamFailed, "send", message)
+        } else {
+            Refusal::not_run(Code::Unavailable, "send", message).retry_after(left)
         })
     }
 
@@ -58,7 +58,7 @@
         now: moment::Moment,
     ) {
         let Some(generation) = &request.generation else { return };
-        if generation.parts.is_empty() || !failure.may_have_run() {
+        if generation.parts.is_empty() || !failure.counts_as_run() {
             return;
         }
         let crash = Crash {
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -137,7 +137,7 @@
             }
         };
         let failure = match tokio::time::timeout(timeout, sent).await {
-            Ok(None) => Failure::Stalled { begun: pipeline.may_have_begun(&target.id, now) },
+            Ok(None) => Failure::Stalled { begun: pipeline.has_begun(&target.id, now) },
             Ok(Some(Ok(Verdict::Answer(answer)))) if is_usable(&answer, attempts, admitted) => {
                 target.progress.started(pipeline.now());
                 pipeline.record_answer(&target.id, answer.status.is_success());
--- a/crates/gateway/src/tables/stalls.rs
+++ b/crates/gateway/src/tables/stalls.rs
@@ -22,7 +22,7 @@
     pub epoch: u64,
     /// When it was detected, or last confirmed.
     pub detected: moment::Moment,
-    /// Time of the latest event of any of its streams, if known. Requests sent before it may have
+    /// Time of the latest event of any of its streams, if known. Requests sent after it have hardly
     /// begun to run.
     pub progress: Option<moment::Moment>,
     /// Whether this node detected it, and not a peer.
@@ -59,9 +59,10 @@
         }
     }
 
-    /// Whether a request sent to a stalled upstream at `sent` and not answered may have begun to
-    /// run before the stall: engine passes start with the latest event.
-    pub fn may_have_begun(&self, upstream: &str, sent: moment::Moment) -> bool {
+    /// Whether a request sent to a stalled upstream at `sent` and not answered is likely to have begun
+    /// to run before the stall: engine passes start with the latest event. This is no proof, as later
+    /// events may be lost on the way.
+    pub fn has_begun(&self, upstream: &str, sent: moment::Moment) -> bool {
         let progress = self.known.get(upstream).and_then(|stall| stall.progress);
         progress.is_none_or(|progress| sent <= progress)
     }
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -132,6 +132,21 @@
     assert_eq!(world.seen().len(), 2);
 }
 
+/// Guards against callers that are told that a stream has not run as no event came after it was sent,
+/// and against a second run of one that may run at most once: the events may be lost on the way.
+#[test_case("/draft/7", 2; "refused elsewhere")]
+#[test_case("/note/7", 1; "not to be repeated")]
+#[tokio::test]
+async fn stream_without_an_answer_may_have_run(path: &'static str, sends: usize) {
+    let world = World::open(&[&[Act::Silent], &[Act::Full]], AMPLE);
+    let progress = world.host.now();
+    let stall = world.declare_silent("models-a", Duration::from_millis(100), progress);
+    let (_, _, refusal) = world.send(path).await;
+    stall.await.expect("the watchdog task ends");
+    assert_eq!(refusal.expect("no upstream answers").outcome, Outcome::Unknown);
+    assert_eq!(world.seen().len(), sends);
+}
+
 /// Guards against a slow stream that is cut off although no other upstream can go on with it.
 #[test_case("/draft/7", AMPLE, &[Act::Pauses(2)]; "no other upstream")]
 #[test_case("/note/7", AMPLE, &[Act::Pauses(2), Act::Stream]; "not to be repeated")]
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -13,6 +13,7 @@
 };
 use corneltrestle_kernel::{host, lifecycle, pool, settings};
 use corneltrestle_policy::{deployment, id, quarantine, refusal, retry::fleet, upstream};
+use corneltrestle_time::moment;
 use hyper::{HeaderMap, Method, StatusCode};
 use parking_lot::Mutex;
 
@@ -23,6 +24,8 @@
     NotSent,
     /// The connection breaks after the request was sent.
     Broken,
+    /// It sends no answer.
+    Silent,
     /// It rejects the request, as it is at capacity.
     Full,
     /// It rejects the request, and wants none for this time.
@@ -153,6 +156,7 @@
         match self.act(call) {
             Act::NotSent => Err(error(Kind::NotSent, peer)),
             Act::Broken => Err(error(Kind::Broken, peer)),
+            Act::Silent => std::future::pending().await,
             Act::Full => rejected(Notice::default()),
             Act::TurnsAway(span) => {
                 rejected(Notice { retry_after: Some(span), ..Notice::default() })
@@ -321,17 +325,28 @@
         request
     }
 
-    /// Declares the group of an upstream stalled after a delay, as the watchdog does.
+    /// Declares the group of an upstream stalled after a delay, as the watchdog does. Its latest event
+    /// is taken to have come just before.
     pub(crate) fn declare_stalled(
         &self,
         upstream: &'static str,
         delay: Duration,
+    ) -> tokio::task::JoinHandle<()> {
+        self.declare_silent(upstream, delay, self.host.now() + delay)
+    }
+
+    /// Declares the group of an upstream stalled after a delay, with the time of its latest event.
+    pub(crate) fn declare_silent(
+        &self,
+        upstream: &'static str,
+        delay: Duration,
+        progress: moment::Moment,
     ) -> tokio::task::JoinHandle<()> {
         let (tables, host) = (self.tables.clone(), self.host.clone());
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
             let now = host.now();
-            let progress = Some(now);
+            let progress = Some(progress);
             let stall = tables::stalls::Stall { epoch: 1, detected: now, progress, is_own: true };
             tables.stalls.lock().insert(&upstream.into(), stall);
             tables.activity.lock().interrupt(upstream);
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -252,8 +252,8 @@
 fn request_sent_after_the_latest_event_has_not_begun() {
     let mut stalls = stalls::Stalls::default();
     stalls.insert(&"a".into(), stall(1, at(300), Some(at(100))));
-    assert!(stalls.may_have_begun("a", at(90)));
-    assert!(!stalls.may_have_begun("a", at(150)));
+    assert!(stalls.has_begun("a", at(90)));
+    assert!(!stalls.has_begun("a", at(150)));
 }
 
 /// Guards against the claim that a request has not run when no event of the upstream is known.
@@ -261,8 +261,8 @@
 fn request_may_have_begun_where_no_event_is_known() {
     let mut stalls = stalls::Stalls::default();
     stalls.insert(&"a".into(), stall(1, at(300), None));
-    assert!(stalls.may_have_begun("a", at(150)));
-    assert!(stalls.may_have_begun("unknown", at(150)));
+    assert!(stalls.has_begun("a", at(150)));
+    assert!(stalls.has_begun("unknown", at(150)));
 }
 
 /// Guards against an upstream that is avoided because of a stall of its previous group.
