--- /dev/null
+++ b/review/harness/main.rs
@@ -0,0 +1,69 @@
+//! Plays the cases of the review: `cases NAME RECORD`. Run from the root of the repository.
+//!
+//! Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run. With `TROUBLE=0` in the
+//! environment a case does the same without its disruption.
+
+mod cut_stream;
+mod deployment;
+mod http;
+mod json;
+mod planned_stop;
+mod store;
+
+use std::{env, fs, path::Path, process};
+
+/// Result of a case.
+pub enum Verdict {
+    Held,
+    Broken,
+    /// The case could not run.
+    Failed(String),
+}
+
+/// What a case gets.
+pub struct Setting<'a> {
+    /// Folder for settings and logs.
+    pub folder: &'a Path,
+    pub record: deployment::Record,
+    /// Whether the disruption takes place.
+    pub trouble: bool,
+}
+
+fn main() {
+    let arguments: Vec<String> = env::args().collect();
+    let [_, name, record] = arguments.as_slice() else {
+        eprintln!("usage: cases NAME RECORD");
+        process::exit(2);
+    };
+    let folder = env::temp_dir().join(format!("review-{name}-{}", process::id()));
+    fs::create_dir_all(&folder).expect("a temporary folder");
+    let setting = Setting {
+        folder: &folder,
+        record: deployment::Record::open(Path::new(record)),
+        trouble: env::var("TROUBLE").as_deref() != Ok("0"),
+    };
+    let record = setting.record.clone();
+    let verdict = match name.as_str() {
+        "planned-stop" => planned_stop::play(setting),
+        "cut-stream" => cut_stream::play(setting),
+        _ => Verdict::Failed(format!("no case is named {name}")),
+    };
+    let code = match verdict {
+        Verdict::Held => {
+            record.write("the rule held");
+            0
+        }
+        Verdict::Broken => {
+            record.write("the rule was broken");
+            1
+        }
+        Verdict::Failed(cause) => {
+            record.write(&format!("the case could not run: {cause}"));
+            2
+        }
+    };
+    if env::var("KEEP").is_err() {
+        let _ = fs::remove_dir_all(&folder);
+    }
+    process::exit(code);
+}
