--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,9 +5,12 @@
 
 mod cut_stream;
 mod deployment;
+mod engine;
 mod http;
 mod json;
+mod late_orders;
 mod planned_stop;
+mod second_service;
 mod store;
 
 use std::{env, fs, path::Path, process};
@@ -46,6 +49,8 @@
     let verdict = match name.as_str() {
         "planned-stop" => planned_stop::play(setting),
         "cut-stream" => cut_stream::play(setting),
+        "late-orders" => late_orders::play(setting),
+        "second-service" => second_service::play(setting),
         _ => Verdict::Failed(format!("no case is named {name}")),
     };
     let code = match verdict {
