--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -173,18 +173,32 @@
 /// What a runner does with a request that it has begun to run.
 pub type Work = Arc<dyn Fn(&Request, &mut Connection) -> io::Result<()> + Send + Sync>;
 
-/// The runs of all runners: the attempts that each began to run, with the runner.
+/// The arrival of an attempt at a runner that begins to run it.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    /// `Deadline-Ms` that the runner was given.
+    pub deadline_ms: Option<u64>,
+}
+
+/// The runs of all runners, by attempt.
 #[derive(Clone, Default)]
-pub struct Runs(Arc<Mutex<BTreeMap<String, Vec<String>>>>);
+pub struct Runs(Arc<Mutex<BTreeMap<String, Vec<Arrival>>>>);
 
 impl Runs {
-    pub fn begin(&self, attempt: &str, runner: &str) {
-        self.0.lock().unwrap().entry(attempt.to_owned()).or_default().push(runner.to_owned());
+    fn begin(&self, attempt: &str, deadline_ms: Option<u64>) {
+        let arrival = Arrival { at: Instant::now(), deadline_ms };
+        self.0.lock().unwrap().entry(attempt.to_owned()).or_default().push(arrival);
     }
 
     /// Number of times that runners began to run an attempt.
     pub fn of(&self, attempt: &str) -> usize {
-        self.0.lock().unwrap().get(attempt).map_or(0, Vec::len)
+        self.arrivals(attempt).len()
+    }
+
+    /// The arrivals of an attempt, in their order.
+    pub fn arrivals(&self, attempt: &str) -> Vec<Arrival> {
+        self.0.lock().unwrap().get(attempt).cloned().unwrap_or_default()
     }
 }
 
@@ -218,7 +232,7 @@
             record.write(&format!(
                 "runner {id} begins to run attempt {attempt}, deadline {deadline} ms"
             ));
-            runs.begin(&attempt, id);
+            runs.begin(&attempt, deadline.parse().ok());
             let done = work(&request, connection);
             let how = if done.is_ok() { "has answered" } else { "could not answer" };
             record.write(&format!("runner {id} {how} attempt {attempt}"));
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -11,6 +11,7 @@
 mod late_orders;
 mod planned_stop;
 mod second_service;
+mod slow_runner;
 mod store;
 
 use std::{env, fs, path::Path, process};
@@ -51,6 +52,7 @@
         "cut-stream" => cut_stream::play(setting),
         "late-orders" => late_orders::play(setting),
         "second-service" => second_service::play(setting),
+        "slow-runner" => slow_runner::play(setting),
         _ => Verdict::Failed(format!("no case is named {name}")),
     };
     let code = match verdict {
