--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -1,7 +1,7 @@
 //! A small deployment on loopback addresses: the store, runners and entry nodes.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fs::{self, File},
     io::{self, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
@@ -56,12 +56,15 @@
 }
 
 fn free_port(machine: u8) -> u16 {
+    // A port that was given out is not bound at once, so that it may be found free again.
+    static GIVEN: Mutex<BTreeSet<(u8, u16)>> = Mutex::new(BTreeSet::new());
     let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 77, machine));
     loop {
         // The port has to be free for TCP and UDP.
         let tcp = TcpListener::bind((ip, 0)).expect("a free port");
         let port = tcp.local_addr().expect("a bound port").port();
-        if std::net::UdpSocket::bind((ip, port)).is_ok() {
+        let is_free = std::net::UdpSocket::bind((ip, port)).is_ok();
+        if is_free && GIVEN.lock().unwrap().insert((machine, port)) {
             return port;
         }
     }
