--- a/review/harness/play.sh
+++ b/review/harness/play.sh
@@ -18,4 +18,6 @@
 TROUBLE="$TROUBLE" target/review/cases "$name" "$folder/record.txt" "$scratch" &
 player=$!
 wait "$player"
-exit $?
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
