server: count and log connections that are closed with status 408

Nothing told whether a route timed out, an upstream's own 408 was passed on, or the server closed the connection by itself.

Change: the counter connections_timed_out_total and a log line with `begun`, that is, whether a request of the connection had reached the service.

--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -192,7 +192,7 @@
         let limits = (self.limits)();
         let begun = CancellationToken::new();
         let state = header::Connection { host, begun: begun.clone(), stop: stop.clone() };
-        let socket = socket::Socket::new(socket, self.refuse.clone());
+        let socket = socket::Socket::new(self.name, socket, self.refuse.clone(), begun.clone());
         let service = header::Limited::new(self.service, self.refuse, limits, state);
         let service = service::TowerToHyperService::new(service);
         let builder = builder(&limits);
--- a/crates/server/src/socket.rs
+++ b/crates/server/src/socket.rs
@@ -8,32 +8,55 @@
     pin, task,
 };
 
+use corneltrestle_kernel::{linkme, metric};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net,
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::refuse::{Cause, Refuse};
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static TIMED_OUT: metric::Metric = metric::Metric::counter(
+    "connections_timed_out_total",
+    "Connections that a front end closed with status 408 before it had written anything on them.",
+);
+
 /// A TCP stream that sends a refusal when it is dropped after bytes were read but none written,
 /// that is, when the connection ends inside its first header.
 #[derive(Debug)]
 pub(crate) struct Socket<R: Refuse> {
+    /// Name of the front end.
+    name: &'static str,
     stream: net::TcpStream,
     refuse: R,
+    /// Cancelled by the first request of the connection.
+    begun: CancellationToken,
     has_read: bool,
     has_written: bool,
 }
 
 impl<R: Refuse> Socket<R> {
-    pub(crate) fn new(stream: net::TcpStream, refuse: R) -> Self {
-        Self { stream, refuse, has_read: false, has_written: false }
+    pub(crate) fn new(
+        name: &'static str,
+        stream: net::TcpStream,
+        refuse: R,
+        begun: CancellationToken,
+    ) -> Self {
+        Self { name, stream, refuse, begun, has_read: false, has_written: false }
     }
 }
 
 impl<R: Refuse> Drop for Socket<R> {
     fn drop(&mut self) {
         if self.has_read && !self.has_written {
+            metrics::counter!(TIMED_OUT.name, "part" => self.name).increment(1);
+            log::info!(
+                begun = self.begun.is_cancelled();
+                "{}: connection closed with status 408, nothing was written on it", self.name
+            );
             // Best effort: the caller may have closed the connection already.
             let _ = self.stream.try_write(&self.refuse.raw_response(Cause::HeaderTimeout));
         }
