server: refuse a connection only if none of its requests has begun

Cause: when a connection was dropped with bytes read and none written, the server wrote the refusal that is meant for an incomplete first header. That is also the state of a connection whose first request is being handled.

Change: the socket also knows whether a request was handed to the service, and writes the refusal only if not. Such a connection is now closed without an answer, which promises nothing. The same for a caller that closes its sending side, and a handler that panics.

--- a/crates/server/src/socket.rs
+++ b/crates/server/src/socket.rs
@@ -21,11 +21,14 @@
 #[linkme(crate = linkme)]
 static TIMED_OUT: metric::Metric = metric::Metric::counter(
     "connections_timed_out_total",
-    "Connections that a front end closed with status 408 before it had written anything on them.",
+    "Connections that ended inside their first header, and were refused with status 408.",
 );
 
-/// A TCP stream that sends a refusal when it is dropped after bytes were read but none written,
-/// that is, when the connection ends inside its first header.
+/// A TCP stream that sends a refusal when it is dropped inside its first header: bytes were read, no
+/// request was handed to the service, and hyper has not answered by itself.
+///
+/// That nothing was written would not be enough: a request may be handled, and have run, when its
+/// connection ends without an answer.
 #[derive(Debug)]
 pub(crate) struct Socket<R: Refuse> {
     /// Name of the front end.
@@ -51,12 +54,9 @@
 
 impl<R: Refuse> Drop for Socket<R> {
     fn drop(&mut self) {
-        if self.has_read && !self.has_written {
+        if self.has_read && !self.has_written && !self.begun.is_cancelled() {
             metrics::counter!(TIMED_OUT.name, "part" => self.name).increment(1);
-            log::info!(
-                begun = self.begun.is_cancelled();
-                "{}: connection closed with status 408, nothing was written on it", self.name
-            );
+            log::info!("{}: connection closed inside its first header", self.name);
             // Best effort: the caller may have closed the connection already.
             let _ = self.stream.try_write(&self.refuse.raw_response(Cause::HeaderTimeout));
         }
--- a/crates/server/tests/connections.rs
+++ b/crates/server/tests/connections.rs
@@ -2,15 +2,19 @@
 
 use std::{
     convert::Infallible,
-    future,
+    future, io,
     net::SocketAddr,
     sync::{Arc, atomic},
     time::Duration,
 };
 
+use bytes::Bytes;
 use corneltrestle_kernel::{host, pool, settings};
-use corneltrestle_server as server;
-use http_body_util::Full;
+use corneltrestle_server::{self as server, refuse};
+use futures_util::stream;
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::body::{Frame, Incoming};
+use test_case::test_case;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -91,3 +95,102 @@
     assert_eq!(call(address).await.1, "HTTP/1.1 503", "the limit has been lowered");
     running.shutdown().await;
 }
+
+/// How a connection ends while its first request is handled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// The drain limit passes.
+    DrainLimit,
+    /// The body of the answer fails before its head has been written.
+    FailedBody,
+    /// The caller closes its sending side.
+    HalfClose,
+    /// The handler panics.
+    Panic,
+}
+
+type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Refusals with the body type of the service in [`bind_ending`].
+#[derive(Clone, Copy)]
+struct Refusals;
+
+impl refuse::Refuse for Refusals {
+    type Body = Body;
+
+    fn header_too_large(&self, message: &str) -> hyper::Response<Body> {
+        refuse::Empty.header_too_large(message).map(|_| Body::default())
+    }
+
+    fn raw_response(&self, cause: refuse::Cause) -> Vec<u8> {
+        refuse::Empty.raw_response(cause)
+    }
+}
+
+/// Serves `address` with requests whose connection ends as `end` says; counts them in `begun`.
+fn bind_ending(
+    host: &Arc<host::Host>,
+    address: SocketAddr,
+    end: End,
+    begun: &Arc<atomic::AtomicUsize>,
+) -> corneltrestle_kernel::plugin::Handle {
+    let begun = Arc::clone(begun);
+    let service = tower::service_fn(move |_: hyper::Request<Incoming>| {
+        begun.fetch_add(1, atomic::Ordering::Relaxed);
+        async move {
+            match end {
+                End::DrainLimit | End::HalfClose => future::pending().await,
+                End::FailedBody => {
+                    let failed = Err::<Frame<Bytes>, _>(io::Error::other("the body has failed"));
+                    let body = StreamBody::new(stream::iter([failed])).boxed_unsync();
+                    Ok::<_, Infallible>(hyper::Response::new(body))
+                }
+                End::Panic => panic!("the handler of the test panics"),
+            }
+        }
+    });
+    let limits =
+        || server::Limits { drain_timeout: Duration::from_millis(200), ..Default::default() };
+    server::bind(host, "test", address, limits, service, Refusals).unwrap()
+}
+
+/// Guards against callers that are told by a 408 that their request has not run, as its connection ends
+/// before anything was written on it while the request is handled.
+#[test_case(End::DrainLimit, 21; "drain limit")]
+#[test_case(End::FailedBody, 22; "failed body")]
+#[test_case(End::HalfClose, 23; "half close")]
+#[test_case(End::Panic, 24; "panic")]
+#[tokio::test]
+async fn request_in_progress_is_not_answered_as_timed_out(end: End, port: u16) {
+    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_300 + port)));
+    let begun = Arc::default();
+    let running = bind_ending(&host, address, end, &begun);
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    socket.write_all(b"GET / HTTP/1.1\r\nHost: node\r\n\r\n").await.unwrap();
+    if end == End::HalfClose {
+        socket.shutdown().await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    running.shutdown().await;
+    let mut answer = Vec::new();
+    let _ = socket.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer);
+    assert_eq!(begun.load(atomic::Ordering::Relaxed), 1, "the request has reached the service");
+    assert!(!answer.starts_with("HTTP/1.1 408"), "{answer}");
+}
+
+/// Guards against a caller that is not told that its request has not run, as its first header never
+/// became complete.
+#[tokio::test]
+async fn incomplete_first_header_is_answered_as_timed_out() {
+    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_325)));
+    let limits =
+        || server::Limits { header_timeout: Duration::from_millis(100), ..Default::default() };
+    let running = bind(&host, address, limits);
+    let mut socket = TcpStream::connect(address).await.unwrap();
+    socket.write_all(b"GET / HTTP/1.1\r\nHost: no").await.unwrap();
+    let mut answer = Vec::new();
+    socket.read_to_end(&mut answer).await.unwrap();
+    assert!(answer.starts_with(b"HTTP/1.1 408"), "{answer:?}");
+    running.shutdown().await;
+}
