client: count and log requests that the pool sends once more

Nothing told whether the pool or the pipeline had sent it again, and whether the connection had broken or the pool had run out of patience.

Change: the counter connection_resends_total by cause, and a log line.

--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -4,6 +4,7 @@
 
 use corneltrestle_kernel::{
     clock::{self, Clock},
+    linkme, metric,
     table::{self, Ranked},
 };
 use corneltrestle_policy::keepalive;
@@ -16,6 +17,13 @@
     error::{self, Result},
 };
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static RESENT: metric::Metric = metric::Metric::counter(
+    "connection_resends_total",
+    "Requests sent once more on a new connection after a reused one had failed, by cause.",
+);
+
 /// Minimum time between two removals of idle and expired connections from all peers. [`Pool::put`]
 /// runs them, so that connections to peers that are no longer called are closed, too.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(2);
@@ -141,6 +149,10 @@
                 let was_sent = failed.unsent.is_none();
                 match failed.unsent.or(retry.filter(|_| failed.error.kind == error::Kind::Broken)) {
                     Some(request) if Instant::now() < deadline => {
+                        let is_timeout = Instant::now() >= first_deadline;
+                        let cause = if is_timeout { "timeout" } else { "broken" };
+                        metrics::counter!(RESENT.name, "cause" => cause).increment(1);
+                        log::info!(peer:% = peer, sent = was_sent, timeout = is_timeout; "client: sent once more");
                         let mut sent = self.send_fresh(peer, request, deadline).await;
                         if was_sent {
                             sent = sent.map(mark_resent).map_err(error::Error::sent_before);
