client, gateway: the pipeline decides on every second send of a request

Cause: the pool gave up a reused connection that was silent for half of the time, and sent a copy of the request below the limits of the pipeline.

Change: the pool sends a request once, and reports a reused connection that ended without a byte of the answer as stale. The pipeline then tries again like after any failure: within the deadline that is left, with a retry from the budget, at an upstream that is ready and not beyond its limit while cold, and on a new connection. Its last attempt goes on a new connection. Reads of the store and of reports are still made on a second connection if the first one is silent, but the first one is not given up, and the second one needs a permit of the store's budget.

New: 4 tests (10 cases) of the request path, 6 of the pool.

--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -41,6 +41,8 @@
     /// [`Body::finish`](crate::body::Body::finish).
     pending_body: Option<body::Incoming>,
     history: keepalive::Connection,
+    /// Whether it has carried a call before the present one.
+    is_reused: bool,
     /// When the connection was last returned to the pool.
     idle_since: moment::Moment,
 }
@@ -79,6 +81,7 @@
             allowance,
             pending_body: None,
             history,
+            is_reused: false,
             idle_since: moment::Moment::ZERO,
         })
     }
@@ -94,8 +97,10 @@
         self
     }
 
-    /// Starts the idle time that [`Connection::is_usable`] checks.
+    /// Records the end of a call, with which the idle time begins that [`Connection::is_usable`]
+    /// checks.
     pub(crate) fn mark_idle(&mut self, now: moment::Moment) {
+        self.is_reused = true;
         self.idle_since = now;
     }
 
@@ -135,13 +140,18 @@
             response.as_mut().poll(cx)
         });
         let received = received.await;
+        let is_unanswered = self.allowance.left() == MAX_UNUSED_BYTES;
         self.allowance.set(MAX_UNUSED_BYTES);
         received.map_err(|mut failed| match failed.take_message() {
             Some(request) => SendError {
                 error: error::Error::new(error::Kind::NotSent, failed.error().to_string()),
                 unsent: Some(request),
             },
-            None => SendError { error: error::Error::after_send(failed.error()), unsent: None },
+            None => {
+                let error = error::Error::after_send(failed.error());
+                let is_stale = self.is_reused && is_unanswered;
+                SendError { error: if is_stale { error.on_stale() } else { error }, unsent: None }
+            }
         })
     }
 
--- a/crates/client/src/error.rs
+++ b/crates/client/src/error.rs
@@ -22,6 +22,9 @@
     NotSent,
     /// The connection failed or timed out after bytes of the request may have been sent.
     Broken,
+    /// A reused connection ended before any byte of the response. The peer may have closed it as idle,
+    /// or it may have run the request.
+    Stale,
     /// The response is not valid HTTP/1.1 or exceeds the size limit; the request may have run.
     Malformed,
 }
@@ -43,6 +46,12 @@
         Self { kind, ..self }
     }
 
+    /// This error, if it ended a reused connection on which no byte of the response had arrived.
+    pub(crate) fn on_stale(self) -> Self {
+        let kind = if self.kind == Kind::Broken { Kind::Stale } else { self.kind };
+        Self { kind, ..self }
+    }
+
     /// The error of a call that failed after bytes of the request may have been sent.
     pub(crate) fn after_send(error: &hyper::Error) -> Self {
         let kind = if error.is_parse() { Kind::Malformed } else { Kind::Broken };
--- a/crates/client/src/limited.rs
+++ b/crates/client/src/limited.rs
@@ -26,9 +26,14 @@
         self.0.store(bytes, atomic::Ordering::Relaxed);
     }
 
+    /// Bytes that may still be received.
+    pub(crate) fn left(&self) -> usize {
+        self.0.load(atomic::Ordering::Relaxed)
+    }
+
     /// Takes `bytes` from the allowance; returns whether it was large enough.
     fn take(&self, bytes: usize) -> bool {
-        let left = self.0.load(atomic::Ordering::Relaxed);
+        let left = self.left();
         self.set(left.saturating_sub(bytes));
         bytes <= left
     }
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -1,6 +1,6 @@
 //! The connection pool, and calls over its connections.
 
-use std::{collections, net, sync, time};
+use std::{collections, net, pin::pin, sync, time};
 
 use corneltrestle_kernel::{
     clock::{self, Clock},
@@ -9,6 +9,7 @@
 };
 use corneltrestle_policy::keepalive;
 use corneltrestle_time::moment;
+use futures_util::future::{self, Either};
 use hyper::header;
 use tokio::time::{Instant, timeout_at};
 
@@ -21,7 +22,7 @@
 #[linkme(crate = linkme)]
 static RESENT: metric::Metric = metric::Metric::counter(
     "connection_resends_total",
-    "Requests sent once more on a new connection after a reused one had failed, by cause.",
+    "Calls sent once more on a new connection, as a reused one had ended or was silent, by cause.",
 );
 
 /// Minimum time between two removals of idle and expired connections from all peers. [`Pool::put`]
@@ -58,21 +59,14 @@
 /// How often a request may be sent, and on which connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
-    /// The request is idempotent: it is sent once more, on a new connection, if a reused connection
-    /// breaks before the response header.
-    Repeatable,
-    /// At most once, on a reused or a new connection.
+    /// At most once, on a reused or a new connection. It is for the caller to decide whether to send it
+    /// again after [`error::Kind::Stale`].
     Once,
     /// At most once, and only on a new connection. The peer may close a reused connection while the
     /// request is being sent, which leaves it unknown whether the request has run.
     OnceFresh,
 }
 
-/// Extension of a response to a request that was sent before, on a connection that broke. The request
-/// may have run then, whatever the response says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Resent;
-
 /// The table of idle connections. Its lock rank comes after those of the tables of a node.
 #[derive(Debug, Default)]
 pub struct Idle {
@@ -117,8 +111,10 @@
     }
 
     /// Sends a request and waits at most `timeout` for the header of the response. The `Host`
-    /// header is set to the address of the peer. The response to a request that was sent twice has
-    /// the extension [`Resent`].
+    /// header is set to the address of the peer.
+    ///
+    /// A peer that is silent gets the whole time, on a reused connection, too: it may be at work on the
+    /// request.
     ///
     /// # Errors
     ///
@@ -131,40 +127,78 @@
         timeout: time::Duration,
     ) -> Result<hyper::Response<body::Body>> {
         let deadline = deadline_after(timeout);
-        let host =
-            header::HeaderValue::try_from(peer.to_string()).map_err(error::Error::invalid)?;
-        request.headers_mut().insert(header::HOST, host);
+        set_host(&mut request, peer)?;
         let Some(connection) = self.take(peer, delivery) else {
             return self.send_fresh(peer, request, deadline).await;
         };
-        let retry = (delivery == Delivery::Repeatable).then(|| request.clone());
-        // The peer may never answer on a reused connection, for example when its path is lost;
-        // half of the time is kept for a retry on a new one.
-        let first_deadline = if retry.is_some() { deadline_after(timeout / 2) } else { deadline };
-        match self.send_on(connection, peer, request, first_deadline).await {
+        match self.send_on(connection, peer, request, deadline).await {
             Ok(response) => Ok(response),
             Err(failed) => {
-                // The other idle connections to this peer are as old and may be broken, too.
-                self.idle.lock().peers.remove(&peer);
-                let was_sent = failed.unsent.is_none();
-                match failed.unsent.or(retry.filter(|_| failed.error.kind == error::Kind::Broken)) {
-                    Some(request) if Instant::now() < deadline => {
-                        let is_timeout = Instant::now() >= first_deadline;
-                        let cause = if is_timeout { "timeout" } else { "broken" };
-                        metrics::counter!(RESENT.name, "cause" => cause).increment(1);
-                        log::info!(peer:% = peer, sent = was_sent, timeout = is_timeout; "client: sent once more");
-                        let mut sent = self.send_fresh(peer, request, deadline).await;
-                        if was_sent {
-                            sent = sent.map(mark_resent).map_err(error::Error::sent_before);
-                        }
-                        sent
-                    }
-                    _ => Err(failed.error),
+                self.close_idle(peer);
+                match failed.unsent {
+                    Some(unsent) => self.send_fresh(peer, unsent, deadline).await,
+                    None => Err(failed.error),
                 }
             }
         }
     }
 
+    /// Sends a call that may take effect twice, as one that reads the state of the peer. It is sent once
+    /// more, on a new connection, if a reused one ends before the response or is silent for half of the
+    /// time. The peer may only be slow, so the first one is not given up: the first response counts.
+    ///
+    /// `admit` is called before the second one, which is sent only with a permit.
+    ///
+    /// # Errors
+    ///
+    /// As [`Pool::send`].
+    pub async fn send_repeatable<P, F>(
+        self: &sync::Arc<Self>,
+        peer: net::SocketAddr,
+        mut request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
+        timeout: time::Duration,
+        admit: impl FnOnce() -> F,
+    ) -> Result<hyper::Response<body::Body>>
+    where
+        F: Future<Output = Option<P>>,
+    {
+        let deadline = deadline_after(timeout);
+        set_host(&mut request, peer)?;
+        let Some(connection) = self.take(peer, Delivery::Once) else {
+            return self.send_fresh(peer, request, deadline).await;
+        };
+        let copy = request.clone();
+        let second = async |cause| {
+            let Some(_permit) = admit().await else {
+                return Err(error::Error::new(error::Kind::NotSent, "no permit for a second call"));
+            };
+            metrics::counter!(RESENT.name, "cause" => cause).increment(1);
+            self.send_fresh(peer, copy, deadline).await
+        };
+        let mut first = pin!(self.send_on(connection, peer, request, deadline));
+        let early = timeout_at(deadline_after(timeout / 2), first.as_mut()).await;
+        let failed = match early {
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(failed)) => Some(failed),
+            Err(_) => None,
+        };
+        self.close_idle(peer);
+        let Some(failed) = failed else {
+            return match future::select(first, pin!(second("silent"))).await {
+                Either::Left((Ok(response), _)) | Either::Right((Ok(response), _)) => Ok(response),
+                Either::Left((Err(_), second)) => second.await.map_err(error::Error::sent_before),
+                Either::Right((Err(_), first)) => first.await.map_err(|failed| failed.error),
+            };
+        };
+        match failed.unsent {
+            Some(unsent) => self.send_fresh(peer, unsent, deadline).await,
+            None if failed.error.kind == error::Kind::Stale => {
+                second("ended").await.map_err(error::Error::sent_before)
+            }
+            None => Err(failed.error),
+        }
+    }
+
     /// Sends a request and reads the whole response, at most `max` bytes of body, within `timeout`.
     ///
     /// # Errors
@@ -183,6 +217,29 @@
         Ok(hyper::Response::from_parts(head, body.collect(max, deadline).await?))
     }
 
+    /// Sends a call as [`Pool::send_repeatable`] does, and reads the whole response, at most `max` bytes
+    /// of body, within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Pool::send`] and [`body::Body::collect`].
+    pub async fn fetch_repeatable<P, F>(
+        self: &sync::Arc<Self>,
+        peer: net::SocketAddr,
+        request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
+        timeout: time::Duration,
+        max: usize,
+        admit: impl FnOnce() -> F,
+    ) -> Result<hyper::Response<bytes::Bytes>>
+    where
+        F: Future<Output = Option<P>>,
+    {
+        let deadline = deadline_after(timeout);
+        let sent = self.send_repeatable(peer, request, timeout, admit).await;
+        let (head, body) = sent?.into_parts();
+        Ok(hyper::Response::from_parts(head, body.collect(max, deadline).await?))
+    }
+
     /// Sends a request on a new connection.
     async fn send_fresh(
         self: &sync::Arc<Self>,
@@ -231,6 +288,12 @@
 
 /// Taking and returning idle connections.
 impl Pool {
+    /// Closes the idle connections to a peer after one of them has failed: they are as old, and may be
+    /// broken, too.
+    fn close_idle(&self, peer: net::SocketAddr) {
+        self.idle.lock().peers.remove(&peer);
+    }
+
     /// Takes the most recently used idle connection to `peer` that is still usable, and closes
     /// those that are not.
     fn take(&self, peer: net::SocketAddr, delivery: Delivery) -> Option<connection::Connection> {
@@ -277,9 +340,11 @@
     }
 }
 
-fn mark_resent(mut response: hyper::Response<body::Body>) -> hyper::Response<body::Body> {
-    response.extensions_mut().insert(Resent);
-    response
+/// Sets the `Host` header to the address of the peer.
+fn set_host<B>(request: &mut hyper::Request<B>, peer: net::SocketAddr) -> Result<()> {
+    let host = header::HeaderValue::try_from(peer.to_string()).map_err(error::Error::invalid)?;
+    request.headers_mut().insert(header::HOST, host);
+    Ok(())
 }
 
 /// Whether the end of the body is known from a length, the chunked encoding or the status, so that
--- a/crates/client/tests/pool.rs
+++ b/crates/client/tests/pool.rs
@@ -5,21 +5,25 @@
 
 use std::{net, sync::Arc, time::Duration};
 
-use corneltrestle_client::pool::{Config, Delivery, Pool};
+use corneltrestle_client::{
+    Kind,
+    pool::{Config, Delivery, Pool},
+};
 use http_body_util::Full;
 use hyper::Request;
 use scripted::{
     Scripted,
-    Step::{Read, Stall, Write},
+    Step::{Pause, Read, Stall, Write},
     answer,
 };
+use test_case::test_case;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 
 async fn get(pool: &Arc<Pool>, peer: net::SocketAddr) -> corneltrestle_client::Result<String> {
     let request = Request::get("/").body(Full::default()).unwrap();
-    let answer = pool.fetch(peer, request, Delivery::Repeatable, TIMEOUT, 1_000).await?;
+    let answer = pool.fetch_repeatable(peer, request, TIMEOUT, 1_000, async || Some(())).await?;
     Ok(String::from_utf8(answer.into_body().to_vec()).unwrap())
 }
 
@@ -72,6 +76,78 @@
     let server = Scripted::bind(vec![vec![Read, Write(answer("200 OK", "a")), Stall]]).await;
     let pool = Pool::open(Config::default());
     let request = Request::get("/").body(Full::default()).unwrap();
-    let sent = pool.send(server.address, request, Delivery::Repeatable, Duration::MAX);
+    let sent = pool.send(server.address, request, Delivery::Once, Duration::MAX);
     assert_eq!(sent.await.unwrap().status(), 200);
 }
+
+/// Opens a pool with an idle connection to the server.
+async fn open_with_idle(server: &Scripted) -> Arc<Pool> {
+    let pool = Pool::open(Config::default());
+    assert_eq!(get(&pool, server.address).await.unwrap(), "a");
+    assert_eq!(server.connections(), 1);
+    pool
+}
+
+fn call() -> Request<Full<bytes::Bytes>> {
+    Request::get("/").body(Full::default()).unwrap()
+}
+
+/// Guards against a peer that is at work on a call and is cut off, as its connection was used before and
+/// is taken for lost.
+#[tokio::test]
+async fn slow_answer_on_a_reused_connection_is_waited_for() {
+    let slow = vec![Read, Write(answer("200 OK", "a")), Read, Pause(TIMEOUT * 7 / 10)];
+    let slow = [slow, vec![Write(answer("200 OK", "b")), Stall]].concat();
+    let server = Scripted::bind(vec![slow, vec![Read, Stall]]).await;
+    let pool = open_with_idle(&server).await;
+    let sent = pool.fetch(server.address, call(), Delivery::Once, TIMEOUT, 1_000).await;
+    assert_eq!(sent.unwrap().body(), "b");
+    assert_eq!((server.connections(), server.requests().len()), (1, 2));
+}
+
+/// Guards against a read of a slow peer that is given up for a second one, which may be as slow.
+#[tokio::test]
+async fn slow_answer_to_a_read_counts_beside_the_second_one() {
+    let slow = vec![Read, Write(answer("200 OK", "a")), Read, Pause(TIMEOUT * 7 / 10)];
+    let slow = [slow, vec![Write(answer("200 OK", "b")), Stall]].concat();
+    let server = Scripted::bind(vec![slow, vec![Read, Stall]]).await;
+    let pool = open_with_idle(&server).await;
+    assert_eq!(get(&pool, server.address).await.unwrap(), "b");
+}
+
+/// Guards against a read that fails as its connection has gone silent, while new ones work.
+#[tokio::test]
+async fn read_on_a_silent_connection_is_sent_on_a_new_one() {
+    let silent = vec![Read, Write(answer("200 OK", "a")), Read, Stall];
+    let server =
+        Scripted::bind(vec![silent, vec![Read, Write(answer("200 OK", "b")), Stall]]).await;
+    let pool = open_with_idle(&server).await;
+    assert_eq!(get(&pool, server.address).await.unwrap(), "b");
+    assert_eq!(server.connections(), 2);
+}
+
+/// Guards against a second send that its caller did not decide on, and against a caller that cannot
+/// tell a connection that was closed as idle from an answer that was broken off.
+#[test_case("", Kind::Stale; "closed without an answer")]
+#[test_case("HTTP/1.1 200 OK\r\ncontent-le", Kind::Broken; "closed within the header")]
+#[tokio::test]
+async fn call_lost_with_a_reused_connection_is_not_sent_again(part: &str, kind: Kind) {
+    let lost = vec![Read, Write(answer("200 OK", "a")), Read, Write(part.to_owned())];
+    let server = Scripted::bind(vec![lost, vec![Read, Write(answer("200 OK", "b")), Stall]]).await;
+    let pool = open_with_idle(&server).await;
+    let sent = pool.fetch(server.address, call(), Delivery::Once, TIMEOUT, 1_000).await;
+    assert_eq!(sent.unwrap_err().kind, kind);
+    assert_eq!((server.connections(), server.requests().len()), (1, 2));
+}
+
+/// Guards against a second send of a read that its budget does not allow.
+#[tokio::test]
+async fn read_is_not_sent_again_without_a_permit() {
+    let lost = vec![Read, Write(answer("200 OK", "a")), Read];
+    let server = Scripted::bind(vec![lost, vec![Read, Write(answer("200 OK", "b")), Stall]]).await;
+    let pool = open_with_idle(&server).await;
+    let sent =
+        pool.fetch_repeatable(server.address, call(), TIMEOUT, 1_000, async || None::<()>).await;
+    assert_eq!(sent.unwrap_err().kind, Kind::Broken);
+    assert_eq!(server.requests().len(), 2);
+}
--- a/crates/client/tests/support/scripted.rs
+++ b/crates/client/tests/support/scripted.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -16,6 +17,8 @@
     Read,
     /// Writes bytes.
     Write(String),
+    /// Waits before the next step.
+    Pause(Duration),
     /// Keeps the connection open without sending, until the client closes it or sends a byte.
     Stall,
 }
@@ -96,6 +99,7 @@
                     return;
                 }
             }
+            Step::Pause(span) => tokio::time::sleep(span).await,
             Step::Stall => {
                 if matches!(stream.read(&mut [0; 1]).await, Ok(0) | Err(_)) {
                     closed.notify_one();
--- a/crates/engine/src/engine/http.rs
+++ b/crates/engine/src/engine/http.rs
@@ -78,8 +78,13 @@
 
     /// Makes a call and returns the body of the response, if its status is a success.
     async fn fetch(&self, call: Call) -> Result<bytes::Bytes> {
-        let Call { step, peer, request, delivery, timeout, max_body } = call;
-        let fetched = self.pool.fetch(peer, request, delivery, timeout, max_body).await;
+        let Call { step, peer, request, repeatable, timeout, max_body } = call;
+        let fetched = if repeatable {
+            let admit = async || Some(());
+            self.pool.fetch_repeatable(peer, request, timeout, max_body, admit).await
+        } else {
+            self.pool.fetch(peer, request, pool::Delivery::Once, timeout, max_body).await
+        };
         let response = fetched.map_err(|e| failed(step, peer, e))?;
         check_status(step, peer, response.status())?;
         Ok(response.into_body())
@@ -93,8 +98,8 @@
         request: client::Result<hyper::Request<http_body_util::Full<bytes::Bytes>>>,
     ) -> Result<T> {
         let request = request.map_err(|e| failed(step, peer, e))?;
-        let (delivery, timeout) = (pool::Delivery::Repeatable, self.config.timeout);
-        let call = Call { step, peer, request, delivery, timeout, max_body: MAX_CONTROL_BYTES };
+        let (repeatable, timeout) = (true, self.config.timeout);
+        let call = Call { step, peer, request, repeatable, timeout, max_body: MAX_CONTROL_BYTES };
         decode(step, peer, &self.fetch(call).await?)
     }
 
@@ -132,8 +137,8 @@
     ) -> Result<engine::Answer> {
         let step = "order";
         let request = request::order(order).map_err(|e| failed(step, peer, e))?;
-        let (delivery, timeout) = (pool::Delivery::Once, self.config.order_timeout);
-        let call = Call { step, peer, request, delivery, timeout, max_body: MAX_CONTROL_BYTES };
+        let (repeatable, timeout) = (false, self.config.order_timeout);
+        let call = Call { step, peer, request, repeatable, timeout, max_body: MAX_CONTROL_BYTES };
         let body = self.fetch(call).await?;
         decode(step, peer, &body).map(|OrderResponse { answer }| answer)
     }
@@ -172,8 +177,8 @@
     async fn cancel(&self, peer: net::SocketAddr, id: &str) -> Result<()> {
         let step = "cancel";
         let request = request::cancel(id).map_err(|e| failed(step, peer, e))?;
-        let (delivery, timeout) = (pool::Delivery::Repeatable, self.config.timeout);
-        let call = Call { step, peer, request, delivery, timeout, max_body: MAX_CONTROL_BYTES };
+        let (repeatable, timeout) = (true, self.config.timeout);
+        let call = Call { step, peer, request, repeatable, timeout, max_body: MAX_CONTROL_BYTES };
         match self.fetch(call).await {
             Err(engine::Error { kind: engine::Kind::Refused(404), .. }) => Ok(()),
             result => result.map(drop),
@@ -183,16 +188,23 @@
     async fn export(&self, peer: net::SocketAddr, id: &str) -> Result<bytes::Bytes> {
         let step = "export";
         let request = request::export(id).map_err(|e| failed(step, peer, e))?;
-        let (delivery, timeout) = (pool::Delivery::Repeatable, self.config.order_timeout);
-        self.fetch(Call { step, peer, request, delivery, timeout, max_body: self.config.max_cache })
-            .await
+        let (repeatable, timeout) = (true, self.config.order_timeout);
+        self.fetch(Call {
+            step,
+            peer,
+            request,
+            repeatable,
+            timeout,
+            max_body: self.config.max_cache,
+        })
+        .await
     }
 
     async fn import(&self, peer: net::SocketAddr, id: &str, cache: bytes::Bytes) -> Result<()> {
         let step = "import";
         let request = request::import(id, cache).map_err(|e| failed(step, peer, e))?;
-        let (delivery, timeout) = (pool::Delivery::Once, self.config.order_timeout);
-        let call = Call { step, peer, request, delivery, timeout, max_body: MAX_CONTROL_BYTES };
+        let (repeatable, timeout) = (false, self.config.order_timeout);
+        let call = Call { step, peer, request, repeatable, timeout, max_body: MAX_CONTROL_BYTES };
         self.fetch(call).await.map(drop)
     }
 }
@@ -202,7 +214,8 @@
     step: &'static str,
     peer: net::SocketAddr,
     request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
-    delivery: pool::Delivery,
+    /// Whether it may take effect twice, see [`pool::Pool::send_repeatable`].
+    repeatable: bool,
     /// Time limit of the call, connecting included.
     timeout: time::Duration,
     /// Limit on the body of the response, in bytes.
--- a/crates/etcd/src/discovery.rs
+++ b/crates/etcd/src/discovery.rs
@@ -84,8 +84,13 @@
         let request =
             hyper::Request::get("/v1/vms").body(http_body_util::Full::<bytes::Bytes>::default());
         let request = request.map_err(|e| self.error("read list", e))?;
-        let delivery = pool::Delivery::Repeatable;
-        let sent = self.pool.fetch(self.peer, request, delivery, self.timeout, MAX_LIST_BYTES);
+        let sent = self.pool.fetch_repeatable(
+            self.peer,
+            request,
+            self.timeout,
+            MAX_LIST_BYTES,
+            async || Some(()),
+        );
         let response = sent.await.map_err(failed)?;
         if response.status() != hyper::StatusCode::OK {
             return Err(self.error("read list", response.status()));
--- a/crates/etcd/src/gateway.rs
+++ b/crates/etcd/src/gateway.rs
@@ -92,14 +92,16 @@
         Self { endpoint, limiter, progress_timeout: config.progress_timeout }
     }
 
-    /// Makes a call once the limiter admits it, and decodes the response.
+    /// Makes a call once the limiter admits it, and decodes the response. One that is repeatable may be
+    /// sent twice, each time with a permit.
     async fn call<Q: Serialize, A: DeserializeOwned>(
         &self,
         call: Call<'_, Q>,
         class: store::Class,
     ) -> Result<A> {
         let mut permit = self.acquire(call.step, class).await?;
-        let response = self.endpoint.call(&call).await;
+        let again = async || self.acquire(call.step, class).await.ok();
+        let response = self.endpoint.call(&call, again).await;
         permit.record(is_answered(&response));
         self.endpoint.decode(call.step, &response?)
     }
@@ -122,8 +124,7 @@
         class: store::Class,
     ) -> Result<message::RangeResponse> {
         let body = message::Range { key: message::Base64(key.as_bytes()) };
-        let delivery = pool::Delivery::Repeatable;
-        self.call(Call { step, path: "/v3/kv/range", body, delivery }, class).await
+        self.call(Call { step, path: "/v3/kv/range", body, repeatable: true }, class).await
     }
 }
 
@@ -145,7 +146,7 @@
         let step = "swap";
         let expected = self.endpoint.int64(step, expected)?;
         let body = message::Txn::swap(key, expected, value, lease);
-        let call = Call { step, path: "/v3/kv/txn", body, delivery: pool::Delivery::Once };
+        let call = Call { step, path: "/v3/kv/txn", body, repeatable: false };
         let response: message::TxnResponse = self.call(call, class).await?;
         if response.succeeded {
             return Ok(store::Swap::Done(message::version(response.header.revision)));
@@ -164,8 +165,7 @@
     async fn grant(&self, ttl: time::Duration, class: store::Class) -> Result<store::LeaseId> {
         let seconds = ttl.as_secs() + u64::from(ttl.subsec_nanos() > 0);
         let body = message::Grant { ttl: self.endpoint.int64("grant", seconds.max(1))? };
-        let delivery = pool::Delivery::Once;
-        let call = Call { step: "grant", path: "/v3/lease/grant", body, delivery };
+        let call = Call { step: "grant", path: "/v3/lease/grant", body, repeatable: false };
         let response: message::GrantResponse = self.call(call, class).await?;
         Ok(response.id)
     }
@@ -176,8 +176,7 @@
         class: store::Class,
     ) -> Result<Option<time::Duration>> {
         let body = message::Lease { id: message::Int64(lease) };
-        let delivery = pool::Delivery::Repeatable;
-        let call = Call { step: "renew", path: "/v3/lease/keepalive", body, delivery };
+        let call = Call { step: "renew", path: "/v3/lease/keepalive", body, repeatable: true };
         let response: message::Streamed<message::KeepAlive> = self.call(call, class).await?;
         let ttl = self.endpoint.stream_result("renew", response)?.ttl;
         Ok(u64::try_from(ttl).ok().filter(|ttl| *ttl > 0).map(time::Duration::from_secs))
@@ -186,8 +185,7 @@
     /// A lease that no longer exists counts as revoked.
     async fn revoke(&self, lease: store::LeaseId, class: store::Class) -> Result<()> {
         let body = message::Lease { id: message::Int64(lease) };
-        let delivery = pool::Delivery::Repeatable;
-        let call = Call { step: "revoke", path: "/v3/lease/revoke", body, delivery };
+        let call = Call { step: "revoke", path: "/v3/lease/revoke", body, repeatable: true };
         self.call(call, class).await.map(|message::Empty {}| ())
     }
 
@@ -197,9 +195,11 @@
         let (step, class) = ("watch", store::Class::Config);
         let read = self.range(step, key, class).await?;
         let mut permit = self.acquire(step, class).await?;
+        let again = async || self.acquire(step, class).await.ok();
         let revision = read.header.revision;
         let opened =
-            watch::open(&self.endpoint, key, message::Int64(revision.saturating_add(1))).await;
+            watch::open(&self.endpoint, key, message::Int64(revision.saturating_add(1)), again)
+                .await;
         permit.record(is_answered(&opened));
         let current = message::first(read.kvs);
         let changed = current.as_ref().map_or(0, |kv| kv.version) != after;
@@ -223,15 +223,25 @@
     step: &'static str,
     path: &'a str,
     body: Q,
-    delivery: pool::Delivery,
+    /// Whether it may take effect twice, see [`pool::Pool::send_repeatable`].
+    repeatable: bool,
 }
 
 impl Endpoint {
-    async fn call<Q: Serialize>(&self, call: &Call<'_, Q>) -> Result<bytes::Bytes> {
+    /// Makes a call; `again` gives the permit to send it twice, if it is repeatable.
+    async fn call<Q: Serialize, P, F: Future<Output = Option<P>>>(
+        &self,
+        call: &Call<'_, Q>,
+        again: impl FnOnce() -> F,
+    ) -> Result<bytes::Bytes> {
         let request = request(call.path, &call.body).map_err(|e| self.failed(call.step, e))?;
-        let sent =
-            self.pool.fetch(self.peer, request, call.delivery, self.timeout, MAX_RESPONSE_BYTES);
-        let response = sent.await.map_err(|e| self.failed(call.step, e))?;
+        let (pool, peer, limit) = (&self.pool, self.peer, self.timeout);
+        let sent = if call.repeatable {
+            pool.fetch_repeatable(peer, request, limit, MAX_RESPONSE_BYTES, again).await
+        } else {
+            pool.fetch(peer, request, pool::Delivery::Once, limit, MAX_RESPONSE_BYTES).await
+        };
+        let response = sent.map_err(|e| self.failed(call.step, e))?;
         self.check_status(call.step, response)
     }
 
--- a/crates/etcd/src/gateway/watch.rs
+++ b/crates/etcd/src/gateway/watch.rs
@@ -23,19 +23,20 @@
     _permit: P,
 }
 
-/// Starts a watch on `key` and returns the response body, on which its messages arrive.
-pub(super) async fn open(
+/// Starts a watch on `key` and returns the response body, on which its messages arrive. `again` gives
+/// the permit to ask twice for it.
+pub(super) async fn open<P, F: Future<Output = Option<P>>>(
     endpoint: &Endpoint,
     key: &str,
     start_revision: message::Int64,
+    again: impl FnOnce() -> F,
 ) -> Result<body::Body> {
     let failed = |e| endpoint.failed("watch", e);
     let deadline = pool::deadline_after(endpoint.timeout);
     let key = message::Base64(key.as_bytes());
     let create_request = message::CreateWatch { key, start_revision, progress_notify: true };
     let request = request("/v3/watch", &message::Watch { create_request }).map_err(failed)?;
-    let sent =
-        endpoint.pool.send(endpoint.peer, request, pool::Delivery::Repeatable, endpoint.timeout);
+    let sent = endpoint.pool.send_repeatable(endpoint.peer, request, endpoint.timeout, again);
     let (head, body) = sent.await.map_err(failed)?.into_parts();
     if head.status == hyper::StatusCode::OK {
         return Ok(body);
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -26,12 +26,15 @@
 /// The attempts of one request so far.
 #[derive(Debug)]
 pub(super) struct Attempts {
-    /// Number of attempts that count as runs; limited by the route's `attempt_limit`.
-    pub(super) runs: u32,
+    /// Upstreams that count as having run it; the route's `attempt_limit` is their highest number.
+    ran: collections::BTreeSet<id::Vm>,
     /// Whether it may have run. Only the word of each upstream that it was sent to rules this out.
     pub(super) may_have_run: bool,
     /// Upstreams that failed or rejected it, and that are not chosen again.
-    pub(super) tried: collections::BTreeSet<id::Vm>,
+    tried: collections::BTreeSet<id::Vm>,
+    /// Whether an attempt was lost with a reused connection. Further ones go on new connections, as
+    /// others that are kept may be as old.
+    was_stale: bool,
     /// Whether the latest failure was [`retry::Failure::InvalidResponse`].
     is_bad_answer: bool,
     /// The record of the request for the log and the metrics.
@@ -41,18 +44,39 @@
 impl Attempts {
     /// Starts without any attempt.
     pub(super) fn new(record: Record) -> Self {
-        let tried = collections::BTreeSet::new();
-        Self { runs: 0, may_have_run: false, tried, is_bad_answer: false, record }
+        Self {
+            ran: collections::BTreeSet::new(),
+            may_have_run: false,
+            tried: collections::BTreeSet::new(),
+            was_stale: false,
+            is_bad_answer: false,
+            record,
+        }
+    }
+
+    /// Whether the route allows a run at a further upstream after runs at `number` ones. It always
+    /// allows the first one.
+    fn allows_run_after(number: usize, admitted: &Admitted) -> bool {
+        u32::try_from(number).is_ok_and(|number| number < admitted.route.attempt_limit.max(1))
+    }
+
+    /// Whether the request may be sent to an upstream: it has not failed there, and the route allows a
+    /// run there. A further run at an upstream that may have run it already is none at another one.
+    pub(super) fn may_try(&self, upstream: &id::Vm, admitted: &Admitted) -> bool {
+        let allows_run = || Self::allows_run_after(self.ran.len(), admitted);
+        !self.tried.contains(upstream) && (self.ran.contains(upstream) || allows_run())
     }
 
-    /// Whether the route allows a further run after `runs` ones. It always allows the first one.
-    fn allows_run_after(runs: u32, admitted: &Admitted) -> bool {
-        runs < admitted.route.attempt_limit.max(1)
+    /// Whether the request may not run at another upstream after the attempt in progress at `upstream`.
+    pub(super) fn is_last(&self, upstream: &id::Vm, admitted: &Admitted) -> bool {
+        let number = self.ran.len() + usize::from(!self.ran.contains(upstream));
+        !Self::allows_run_after(number, admitted) || !admitted.route.kind.is_repeatable()
     }
 
-    /// Whether the request may not run again after the attempt in progress.
-    pub(super) fn is_last(&self, admitted: &Admitted) -> bool {
-        !Self::allows_run_after(self.runs + 1, admitted) || !admitted.route.kind.is_repeatable()
+    /// Whether the attempt at `upstream` may go on a connection that was used before. The last one may
+    /// not: if the connection has gone silent, no time is left to take the request elsewhere.
+    pub(super) fn may_reuse(&self, upstream: &id::Vm, admitted: &Admitted) -> bool {
+        !self.was_stale && !self.is_last(upstream, admitted)
     }
 }
 
@@ -81,7 +105,7 @@
     pub(super) fn may_have_run(&self) -> bool {
         match self {
             Self::Call(error) => error.may_have_run(),
-            Self::Rejected(rejection) => rejection.may_have_run,
+            Self::Rejected(_) => false,
             Self::Stalled { .. } | Self::TimedOut | Self::BadAnswer(_) => true,
         }
     }
@@ -97,12 +121,18 @@
         !matches!(self, Self::Call(error) if error.kind == upstream::Kind::NotSent)
     }
 
+    /// Whether the request was lost with a reused connection, which the upstream may have closed before.
+    fn is_stale(&self) -> bool {
+        matches!(self, Self::Call(error) if error.kind == upstream::Kind::Stale)
+    }
+
     /// The outcome to record for the health of the upstream. A stall is not recorded, as all nodes
-    /// know it from the stall table.
+    /// know it from the stall table, nor the end of a reused connection, which tells nothing.
     fn outcome(&self) -> Option<health::Outcome> {
         Some(match self {
             Self::Call(error) => match error.kind {
                 upstream::Kind::NotSent => health::Outcome::Unreachable,
+                upstream::Kind::Stale => return None,
                 _ => health::Outcome::Failed,
             },
             Self::Rejected(rejection) => match rejection.reason {
@@ -120,7 +150,7 @@
         match self {
             Self::Call(error) => match error.kind {
                 upstream::Kind::NotSent => retry::Failure::NotSent,
-                upstream::Kind::Broken => retry::Failure::Broken,
+                upstream::Kind::Broken | upstream::Kind::Stale => retry::Failure::Broken,
                 upstream::Kind::Malformed => retry::Failure::InvalidResponse,
             },
             Self::Rejected(rejection) => match rejection.reason {
@@ -179,11 +209,16 @@
             self.tables.health.lock().record(upstream, outcome, now);
         }
         attempts.may_have_run |= failure.may_have_run();
-        attempts.runs += u32::from(failure.counts_as_run());
-        attempts.tried.insert(upstream.clone());
+        if failure.counts_as_run() {
+            attempts.ran.insert(upstream.clone());
+        }
+        attempts.was_stale |= failure.is_stale();
+        if !failure.is_stale() {
+            attempts.tried.insert(upstream.clone());
+        }
         let repeatable = admitted.route.kind.is_repeatable();
         let allowed = retry::is_allowed(failure.kind(), repeatable)
-            && Attempts::allows_run_after(attempts.runs, admitted)
+            && (failure.is_stale() || Attempts::allows_run_after(attempts.ran.len(), admitted))
             && attempts.record.dispatches() < MAX_DISPATCHES
             && now < admitted.deadline;
         attempts.is_bad_answer = matches!(failure.kind(), retry::Failure::InvalidResponse);
@@ -229,11 +264,14 @@
         loop {
             let now = self.now();
             let begun = sent.is_none_or(|sent| self.has_begun(&target.id, sent));
-            let runs = attempts.runs + u32::from(begun);
+            let may_run = match begun {
+                true => !attempts.is_last(&target.id, admitted),
+                false => Attempts::allows_run_after(attempts.ran.len(), admitted),
+            };
             if admitted.route.kind.is_repeatable()
-                && Attempts::allows_run_after(runs, admitted)
+                && may_run
                 && attempts.record.dispatches() < MAX_DISPATCHES
-                && self.has_alternative(request, admitted, &attempts.tried, &target.id, now)
+                && self.has_alternative(request, admitted, attempts, &target.id, now)
                 && self.has_retry(&admitted.service, now)
             {
                 return;
@@ -321,10 +359,11 @@
 pub(super) fn timeout(
     admitted: &Admitted,
     attempts: &Attempts,
+    upstream: &id::Vm,
     now: moment::Moment,
 ) -> time::Duration {
     let left = admitted.deadline.since(now);
-    if attempts.is_last(admitted) {
+    if attempts.is_last(upstream, admitted) {
         return left;
     }
     left.min((admitted.route.objective * 4).max(left / 4))
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -48,11 +48,11 @@
     loop {
         let now = pipeline.now();
         pipeline.check_parts(attempts, request, now)?;
-        let Some(target) = pipeline.choose(request, admitted, &attempts.tried, false, now) else {
+        let Some(target) = pipeline.choose(request, admitted, attempts, false, now) else {
             return Err(pipeline.refuse_without_upstream(attempts, admitted, now));
         };
         attempts.record.dispatched(&target, now);
-        let timeout = attempt::timeout(admitted, attempts, now);
+        let timeout = attempt::timeout(admitted, attempts, &target.id, now);
         let call = Call {
             request,
             upstream: &target.id,
@@ -60,11 +60,11 @@
             remaining: admitted.deadline.since(now),
             resume_after: None,
             urgency: None,
-            repeatable: admitted.route.kind.is_repeatable(),
+            may_reuse: attempts.may_reuse(&target.id, admitted),
         };
         let sent = exchange(pipeline, &target, &call);
         let failure = match tokio::time::timeout(timeout, sent).await {
-            Ok(Ok(answer)) if may_retry(&answer, attempts, admitted, pipeline.now()) => {
+            Ok(Ok(answer)) if may_retry(&answer, attempts, &target, admitted, pipeline.now()) => {
                 Failure::BadAnswer(answer.status)
             }
             Ok(Ok(answer)) if is_usable(&answer) => {
@@ -89,11 +89,12 @@
 fn may_retry<B>(
     answer: &upstream::Answer<B>,
     attempts: &Attempts,
+    target: &Target,
     admitted: &Admitted,
     now: moment::Moment,
 ) -> bool {
     answer.status.is_server_error()
-        && !attempts.is_last(admitted)
+        && !attempts.is_last(&target.id, admitted)
         && admitted.deadline.since(now) > admitted.route.objective / 2
 }
 
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -1,12 +1,12 @@
 //! Load balancing: chooses the upstream with the least predicted time for a request.
 
-use std::{collections, net, sync, time};
+use std::{net, sync, time};
 
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{cost, deployment, fleet, id, pacing, spread, upstream as registered};
 use corneltrestle_time::moment;
 
-use super::{Pipeline, admit::Admitted};
+use super::{Pipeline, admit::Admitted, attempt::Attempts};
 use crate::{
     request,
     tables::{activity, catalog, health, stalls},
@@ -108,13 +108,13 @@
 }
 
 impl<C: Client> Pipeline<C> {
-    /// Chooses an upstream that was not tried yet, and counts the request there. Upstreams that
-    /// fail are avoided while there is another one.
+    /// Chooses an upstream that may be tried, and counts the request there. Upstreams that fail are
+    /// avoided while there is another one.
     pub(super) fn choose(
         &self,
         request: &request::Request,
         admitted: &Admitted,
-        tried: &collections::BTreeSet<id::Vm>,
+        attempts: &Attempts,
         is_resumed: bool,
         now: moment::Moment,
     ) -> Option<Target> {
@@ -130,7 +130,7 @@
             health: &health,
             pacing: &pacing.sent,
         };
-        let found = self.candidates(&view, request, admitted, tried, now);
+        let found = self.candidates(&view, request, admitted, attempts, now);
         let is_near = |zone: &id::Zone| *zone == self.identity.zone;
         let times: Vec<_> = found
             .iter()
@@ -168,12 +168,12 @@
         })
     }
 
-    /// Whether an upstream other than `current` that was not tried yet can take the request now.
+    /// Whether an upstream other than `current` that may be tried can take the request now.
     pub(super) fn has_alternative(
         &self,
         request: &request::Request,
         admitted: &Admitted,
-        tried: &collections::BTreeSet<id::Vm>,
+        attempts: &Attempts,
         current: &id::Vm,
         now: moment::Moment,
     ) -> bool {
@@ -189,7 +189,7 @@
             health: &health,
             pacing: &pacing.sent,
         };
-        let found = self.candidates(&view, request, admitted, tried, now);
+        let found = self.candidates(&view, request, admitted, attempts, now);
         found.iter().any(|candidate| candidate.upstream.id != *current)
     }
 
@@ -213,7 +213,7 @@
         view: &View<'a, '_>,
         request: &request::Request,
         admitted: &Admitted,
-        tried: &collections::BTreeSet<id::Vm>,
+        attempts: &Attempts,
         now: moment::Moment,
     ) -> Vec<Candidate<'a>> {
         let mut found = match (admitted.engine(), &request.generation) {
@@ -242,7 +242,7 @@
                 accepts_while_cold(view, admitted, candidate.upstream, position, now)
             });
         }
-        found.retain(|candidate| !tried.contains(&candidate.upstream.id));
+        found.retain(|candidate| attempts.may_try(&candidate.upstream.id, admitted));
         found
     }
 
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -113,12 +113,12 @@
         let now = pipeline.now();
         pipeline.check_parts(attempts, request, now)?;
         let Some(mut target) =
-            pipeline.choose(request, admitted, &attempts.tried, resume_after.is_some(), now)
+            pipeline.choose(request, admitted, attempts, resume_after.is_some(), now)
         else {
             return Err(pipeline.refuse_without_upstream(attempts, admitted, now));
         };
         attempts.record.dispatched(&target, now);
-        let timeout = attempt::timeout(admitted, attempts, now);
+        let timeout = attempt::timeout(admitted, attempts, &target.id, now);
         let call = Call {
             request,
             upstream: &target.id,
@@ -126,7 +126,7 @@
             remaining: admitted.deadline.since(now),
             resume_after,
             urgency: Some(urgency(&target, resume_after)),
-            repeatable: admitted.route.kind.is_repeatable(),
+            may_reuse: attempts.may_reuse(&target.id, admitted),
         };
         let sent = pipeline.send(&target, &call);
         let sent = async {
@@ -138,7 +138,9 @@
         };
         let failure = match tokio::time::timeout(timeout, sent).await {
             Ok(None) => Failure::Stalled { begun: pipeline.has_begun(&target.id, now) },
-            Ok(Some(Ok(Verdict::Answer(answer)))) if is_usable(&answer, attempts, admitted) => {
+            Ok(Some(Ok(Verdict::Answer(answer))))
+                if is_usable(&answer, attempts, &target, admitted) =>
+            {
                 target.progress.started(pipeline.now());
                 pipeline.record_answer(&target.id, answer.status.is_success());
                 return Ok(Connected { target, answer });
@@ -164,10 +166,15 @@
 }
 
 /// Whether to pass an answer on: a genuine success, or a failure if no retry can follow.
-fn is_usable<B>(answer: &upstream::Answer<B>, attempts: &Attempts, admitted: &Admitted) -> bool {
+fn is_usable<B>(
+    answer: &upstream::Answer<B>,
+    attempts: &Attempts,
+    target: &Target,
+    admitted: &Admitted,
+) -> bool {
     match answer.status.is_success() {
         true => answer.is_genuine,
-        false => attempts.is_last(admitted) && !answer.claims_not_run(),
+        false => attempts.is_last(&target.id, admitted) && !answer.claims_not_run(),
     }
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -28,8 +28,9 @@
     pub resume_after: Option<u64>,
     /// Urgency at the upstream; `None` if the upstream does not prioritise requests.
     pub urgency: Option<Urgency>,
-    /// Whether the request may be sent again when a reused connection turns out to be closed.
-    pub repeatable: bool,
+    /// Whether it may be sent on a connection that was used before. The upstream may have closed it by
+    /// then, see [`Kind::Stale`], or something on the way may have lost track of it.
+    pub may_reuse: bool,
 }
 
 /// Urgency of a request at an upstream, most urgent first.
@@ -77,8 +78,6 @@
     pub reason: Reason,
     /// The member of its group that caused the rejection, if it names one.
     pub culprit: Option<id::Vm>,
-    /// Whether the request was sent before, on a connection that broke, and may have run then.
-    pub may_have_run: bool,
 }
 
 /// Reason of a rejection.
--- a/crates/gateway/src/upstream/error.rs
+++ b/crates/gateway/src/upstream/error.rs
@@ -23,6 +23,9 @@
     NotSent,
     /// The connection failed or timed out after bytes of the request may have left.
     Broken,
+    /// A reused connection ended before any byte of the answer. The upstream may have closed it as idle,
+    /// or it may have run the request.
+    Stale,
     /// The answer cannot be parsed, or belongs to another request.
     Malformed,
 }
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -11,7 +11,10 @@
     source::{Change, Changes, Fact, Subject},
     upstream::Urgency,
 };
-use corneltrestle_policy::retry::fleet;
+use corneltrestle_policy::{
+    retry::fleet,
+    upstream::{State, Upstream},
+};
 use test_case::test_case;
 use world::{AMPLE, Act, World, whole_stream};
 
@@ -213,6 +216,72 @@
     assert_eq!(world.seen().len(), 1);
 }
 
+/// Guards against a request that is lost with a connection that its upstream had closed as idle, and
+/// against a second send with the deadline of the first one.
+#[test_case("/status/7", Act::Whole("done"); "buffered")]
+#[test_case("/draft/7", Act::Stream; "stream")]
+#[test_case("/price/7", Act::Whole("done"); "one upstream allowed")]
+#[tokio::test]
+async fn request_lost_with_a_reused_connection_is_sent_again(path: &'static str, act: Act) {
+    let stale = Act::Stale(Duration::from_millis(50));
+    let world = World::open(&[&[stale, act]], AMPLE);
+    let (status, _, refusal) = world.send(path).await;
+    assert_eq!((status, refusal), (200, None));
+    let [first, second] = &world.seen()[..] else { panic!("{:?}", world.seen()) };
+    assert!(!second.may_reuse, "another idle connection may be as old");
+    assert!(second.remaining + Duration::from_millis(50) <= first.remaining, "{second:?}");
+}
+
+/// Guards against a second send after the loss of a reused connection that passes the limits of all
+/// other attempts by, and against a caller that is told that its request has not run.
+#[test_case("/status/7", NO_RETRIES, Act::Whole("done"), 1; "no retry left")]
+#[test_case("/status/7", AMPLE, Act::Full, 2; "rejected then")]
+#[test_case("/order/7", AMPLE, Act::Whole("done"), 1; "not to be repeated")]
+#[tokio::test]
+async fn loss_of_a_reused_connection_is_no_free_attempt(
+    path: &'static str,
+    retries: fleet::Limits,
+    next: Act,
+    sends: usize,
+) {
+    let world = World::open(&[&[Act::Stale(Duration::ZERO), next]], retries);
+    let (_, _, refusal) = world.send(path).await;
+    assert_eq!(refusal.expect("it is not served").outcome, Outcome::Unknown);
+    assert_eq!(world.seen().len(), sends);
+}
+
+/// Guards against a second send to an upstream that has begun to drain since the first one.
+#[tokio::test]
+async fn draining_upstream_gets_no_second_send() {
+    let lost = Act::Stale(Duration::from_millis(50));
+    let world = World::open(&[&[lost, Act::Whole("done")]], AMPLE);
+    let drain = async {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let draining = Upstream { state: State::Draining, ..world::registered("orders", 0) };
+        let fact = Fact::Upstream(sync::Arc::new(draining.clone()));
+        let subject = Subject::Upstream(draining.id);
+        let changes = vec![Change { revision: 2, subject, fact: Some(fact) }];
+        world.tables.catalog.lock().apply(Changes { revision: 2, changes }, world.host.now());
+    };
+    let ((_, _, refusal), ()) = tokio::join!(world.send("/status/7"), drain);
+    assert_eq!(refusal.expect("no upstream takes it").outcome, Outcome::Unknown);
+    assert_eq!(world.seen().len(), 1);
+}
+
+/// Guards against a last attempt on a connection that has gone silent, which takes all the time that is
+/// left, and against requests that may not be repeated on connections that their upstream may close.
+#[test_case("/status/7", &[true, true, false]; "buffered")]
+#[test_case("/price/7", &[false]; "one upstream allowed")]
+#[test_case("/order/7", &[false]; "not to be repeated")]
+#[tokio::test]
+async fn last_attempt_goes_on_a_new_connection(path: &'static str, reuse: &[bool]) {
+    let failing: &[Act] = &[Act::Broken];
+    let world = World::open(&[failing; 4], AMPLE);
+    world.send(path).await;
+    let seen: Vec<bool> = world.seen().iter().map(|seen| seen.may_reuse).collect();
+    assert_eq!(seen, reuse);
+}
+
 /// Guards against a request that runs at more upstreams than its route allows.
 #[tokio::test]
 async fn request_runs_at_no_more_upstreams_than_its_route_allows() {
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -24,6 +24,8 @@
     NotSent,
     /// The connection breaks after the request was sent.
     Broken,
+    /// The reused connection ends without an answer after this time.
+    Stale(Duration),
     /// It sends no answer.
     Silent,
     /// It rejects the request, as it is at capacity.
@@ -61,6 +63,9 @@
     pub(crate) upstream: id::Vm,
     pub(crate) resume_after: Option<u64>,
     pub(crate) urgency: Option<Urgency>,
+    /// Time until the deadline that it was given.
+    pub(crate) remaining: Duration,
+    pub(crate) may_reuse: bool,
 }
 
 /// Upstreams that act by script: one act per request, the last one repeatedly.
@@ -78,6 +83,8 @@
             upstream: call.upstream.clone(),
             resume_after: call.resume_after,
             urgency: call.urgency,
+            remaining: call.remaining,
+            may_reuse: call.may_reuse,
         };
         self.seen.lock().push(seen);
         let mut scripts = self.scripts.lock();
@@ -150,12 +157,16 @@
             Ok(Reply { result: Verdict::Answer(answer), notice: Notice::default() })
         };
         let rejected = |notice| {
-            let rejection = Rejection { reason: Reason::Full, culprit: None, may_have_run: false };
+            let rejection = Rejection { reason: Reason::Full, culprit: None };
             Ok(Reply { result: Verdict::Rejected(rejection), notice })
         };
         match self.act(call) {
             Act::NotSent => Err(error(Kind::NotSent, peer)),
             Act::Broken => Err(error(Kind::Broken, peer)),
+            Act::Stale(span) => {
+                tokio::time::sleep(span).await;
+                Err(error(Kind::Stale, peer))
+            }
             Act::Silent => std::future::pending().await,
             Act::Full => rejected(Notice::default()),
             Act::TurnsAway(span) => {
@@ -458,6 +469,10 @@
             route("/note/", "models", deployment::Kind::Stream),
             route("/status/", "orders", deployment::Kind::Idempotent),
             route("/order/", "orders", deployment::Kind::Once),
+            deployment::Route {
+                attempt_limit: 1,
+                ..route("/price/", "orders", deployment::Kind::Idempotent)
+            },
         ],
         services: [("models".into(), service(Some(engine))), ("orders".into(), service(None))]
             .into(),
