--- a/crates/gateway/src/task/coordinate.rs
+++ b/crates/gateway/src/task/coordinate.rs
@@ -140,7 +140,8 @@
                 let summary = formation::Summary::of(&view, state, now);
                 log::info!(
                     service = service.as_str(), token = state.token(), in_use = has_traffic,
-                    loads = state.loads();
+                    loads = state.loads(), planned = state.plans().len(),
+                    incomplete_ms = state.longest_incomplete(now).unwrap_or_default().as_millis();
                     "group: {summary}"
                 );
             }
--- a/crates/policy/src/formation/state.rs
+++ b/crates/policy/src/formation/state.rs
@@ -141,6 +141,11 @@
         *self.incomplete.entry(group.clone()).or_insert(now)
     }
 
+    /// Longest time for which a registered group without a plan has lacked members.
+    pub fn longest_incomplete(&self, now: moment::Moment) -> Option<time::Duration> {
+        self.incomplete.values().map(|since| now.since(*since)).max()
+    }
+
     /// Forgets the groups without a plan that `keep` rejects.
     pub(super) fn retain_incomplete(&mut self, mut keep: impl FnMut(&id::Group) -> bool) {
         self.incomplete.retain(|group, _| keep(group));
