formation: keep the state of each service apart

Cause: the pass over one service went through the plans of all services with the VMs of its own. The groups of the others seemed to have lost all members and were forgotten, and so was since when they lacked members, so that they were never dissolved. The log showed planned=0 and incomplete_ms=0 from the third loss to the end, and no order.

Change: plans, loads in progress, incomplete groups, free VMs and the composition are kept by service, and a pass reaches those of its own service only. Loads of other services count in the limit on loads at the same time.

--- a/crates/gateway/src/task/coordinate.rs
+++ b/crates/gateway/src/task/coordinate.rs
@@ -116,6 +116,10 @@
             .services
             .iter()
             .filter_map(|(name, service)| service.engine.as_ref().map(|engine| (name, engine)));
+        let runs_engine = |name: &id::Service| {
+            deployment.services.get(name).is_some_and(|service| service.engine.is_some())
+        };
+        state.retain_services(runs_engine);
         let mut steps = Vec::new();
         for (service, engine) in engines {
             let demand = self.demand(service, engine, now);
@@ -138,10 +142,12 @@
                 .increment(loads);
             if is_due {
                 let summary = formation::Summary::of(&view, state, now);
+                let incomplete =
+                    state.longest_incomplete(service.as_str(), now).unwrap_or_default();
                 log::info!(
                     service = service.as_str(), token = state.token(), in_use = has_traffic,
-                    loads = state.loads(), planned = state.plans().len(),
-                    incomplete_ms = state.longest_incomplete(now).unwrap_or_default().as_millis();
+                    loads = state.loads(), planned = state.planned(service.as_str()),
+                    incomplete_ms = incomplete.as_millis();
                     "group: {summary}"
                 );
             }
--- a/crates/policy/src/formation.rs
+++ b/crates/policy/src/formation.rs
@@ -131,12 +131,14 @@
     }
 }
 
-/// Returns the orders to send now, and records them in `state` with the groups that they form.
+/// Returns the orders to send now to the VMs of one service, and records them in `state` with the groups
+/// that they form.
 pub fn decide(view: &View<'_>, state: &mut State, now: moment::Moment) -> Vec<Step> {
-    state.observe(view.fleet, now);
-    let vms = vm::classify(view, state, now);
-    state.retain(&vms, now);
-    let mut steps = lifecycle::steps(view, &vms, state, now);
-    steps.extend(assemble::steps(view, &vms, state, now));
+    let mut pass = state.pass(view.service);
+    pass.observe(view.fleet, now);
+    let vms = vm::classify(view, pass.known(), now);
+    pass.retain(&vms, now);
+    let mut steps = lifecycle::steps(view, &vms, &mut pass, now);
+    steps.extend(assemble::steps(view, &vms, &mut pass, now));
     steps
 }
--- a/crates/policy/src/formation/assemble.rs
+++ b/crates/policy/src/formation/assemble.rs
@@ -5,8 +5,9 @@
 use corneltrestle_time::moment;
 
 use super::{
-    Condition, Plan, Role, State, Step, View, Vm, lifecycle, load,
+    Condition, Plan, Role, Step, View, Vm, lifecycle, load,
     outlook::{self, Outlook, Room},
+    state::{Known, Pass},
     vm::SERVING,
 };
 use crate::{demand, deployment, id};
@@ -45,11 +46,11 @@
 pub(super) fn steps(
     view: &View<'_>,
     vms: &[Vm<'_>],
-    state: &mut State,
+    pass: &mut Pass<'_>,
     now: moment::Moment,
 ) -> Vec<Step> {
     let models = &view.engine.models;
-    let domains: Vec<_> = domains(vms, models, state).into_values().collect();
+    let domains: Vec<_> = domains(vms, models, pass.known()).into_values().collect();
     let targets = targets(view, vms.len());
     let most = domains.iter().map(|domain| domain.usable).max().unwrap_or(0);
     let outlook = Outlook::new(models, &targets, LOSS_RATE, most);
@@ -57,21 +58,21 @@
     // Before the first request loads are short, so that VMs may change their model for a better
     // composition of their domain.
     if !view.has_traffic {
-        let composition = state.composition(&outlook, &rooms(&domains));
+        let composition = pass.composition(&outlook, &rooms(&domains));
         for (domain, wanted) in domains.iter().zip(&composition) {
-            dissolve_surplus(domain, models, wanted, state);
-            steps.extend(groups(domain, models, Some(wanted), state, now));
+            dissolve_surplus(domain, models, wanted, pass);
+            steps.extend(groups(domain, models, Some(wanted), pass, now));
         }
         let wanted = domains.iter().zip(&composition);
         let loads = wanted.flat_map(|(domain, wanted)| load::initial(domain, wanted, models));
-        steps.extend(load::steps(view, vms, loads.collect(), state, now));
+        steps.extend(load::steps(view, vms, loads.collect(), pass, now));
         return steps;
     }
     for domain in &domains {
-        steps.extend(groups(domain, models, None, state, now));
+        steps.extend(groups(domain, models, None, pass, now));
     }
-    let loads = load::wanted(&domains, &outlook, models, state, now);
-    steps.extend(load::steps(view, vms, loads, state, now));
+    let loads = load::wanted(&domains, &outlook, models, pass.known(), now);
+    steps.extend(load::steps(view, vms, loads, pass, now));
     steps
 }
 
@@ -88,17 +89,17 @@
     domain: &Domain<'_, '_>,
     models: &[deployment::Model],
     wanted: Option<&Vec<usize>>,
-    state: &mut State,
+    pass: &mut Pass<'_>,
     now: moment::Moment,
 ) -> Vec<Step> {
     let mut steps = Vec::new();
     for (index, model) in models.iter().enumerate() {
         let size = outlook::size(model);
         let surplus = wanted.map_or(0, |wanted| domain.counts[index].saturating_sub(wanted[index]));
-        let free = members_for(domain, model, models, now, state);
+        let free = members_for(domain, model, models, now, pass.known());
         let usable = free.len().saturating_sub(surplus);
         for members in free[..usable].chunks_exact(size) {
-            steps.extend(form(model, members, state, now));
+            steps.extend(form(model, members, pass, now));
         }
     }
     steps
@@ -110,12 +111,12 @@
     domain: &Domain<'_, '_>,
     models: &[deployment::Model],
     wanted: &[usize],
-    state: &mut State,
+    pass: &mut Pass<'_>,
 ) {
     for (index, model) in models.iter().enumerate() {
         let allowed = wanted[index] / outlook::size(model);
         for group in domain.groups[index].iter().skip(allowed) {
-            if let Some(plan) = state.plans_mut().get_mut(group) {
+            if let Some(plan) = pass.plans_mut().get_mut(group) {
                 plan.is_dissolving = true;
             }
         }
@@ -141,9 +142,9 @@
 fn domains<'h, 'a>(
     vms: &'h [Vm<'a>],
     models: &[deployment::Model],
-    state: &State,
+    known: Known<'_>,
 ) -> collections::BTreeMap<Option<&'h id::Fabric>, Domain<'h, 'a>> {
-    let heads: collections::BTreeMap<&id::Vm, (&id::Group, &Plan)> = state
+    let heads: collections::BTreeMap<&id::Vm, (&id::Group, &Plan)> = known
         .plans()
         .iter()
         .filter(|(_, plan)| !plan.is_dissolving)
@@ -173,7 +174,7 @@
             }
             Role::Empty if !vm.is_busy => domain.empty.push(vm),
             Role::Loading => {
-                let loading = state.loading().get(&vm.upstream.id);
+                let loading = known.loading().get(&vm.upstream.id);
                 if let Some(index) = loading.and_then(|loading| position(&loading.model)) {
                     domain.counts[index] += 1;
                     domain.loading[index] += 1;
@@ -204,14 +205,14 @@
     model: &deployment::Model,
     models: &[deployment::Model],
     now: moment::Moment,
-    state: &State,
+    known: Known<'_>,
 ) -> Vec<&'h Vm<'a>> {
     let mut free: Vec<_> = domain
         .spares
         .iter()
         .copied()
         .filter(|vm| first_model(vm, models).is_some_and(|first| models[first].name == model.name))
-        .filter(|vm| !state.is_pending(vm.upstream.id.as_str(), now))
+        .filter(|vm| !known.is_pending(vm.upstream.id.as_str(), now))
         .collect();
     free.sort_by_key(|vm| (!vm.is_standby(&model.name), vm.upstream.id.clone()));
     free
@@ -221,10 +222,10 @@
 fn form(
     model: &deployment::Model,
     members: &[&Vm<'_>],
-    state: &mut State,
+    pass: &mut Pass<'_>,
     now: moment::Moment,
 ) -> Vec<Step> {
-    let epoch = state.next_epoch();
+    let epoch = pass.next_epoch();
     let group: id::Group = format!("{SERVING}{epoch}").as_str().into();
     let ids: Vec<id::Vm> = members.iter().map(|vm| vm.upstream.id.clone()).collect();
     let plan = Plan {
@@ -237,6 +238,6 @@
         is_dissolving: false,
     };
     let join = plan.join(&group);
-    state.plans_mut().insert(group, plan);
-    ids.iter().map(|vm| state.issue(vm, join.clone(), now)).collect()
+    pass.plans_mut().insert(group, plan);
+    ids.iter().map(|vm| pass.issue(vm, join.clone(), now)).collect()
 }
--- a/crates/policy/src/formation/lifecycle.rs
+++ b/crates/policy/src/formation/lifecycle.rs
@@ -4,7 +4,11 @@
 
 use corneltrestle_time::moment;
 
-use super::{Condition, Order, Plan, State, Step, View, Vm, outlook, vm::SERVING};
+use super::{
+    Condition, Order, Plan, Step, View, Vm, outlook,
+    state::{Known, Pass},
+    vm::SERVING,
+};
 use crate::{fleet, id, upstream};
 
 /// Time that a group formed by an earlier coordinator gets to become complete.
@@ -24,18 +28,18 @@
 pub(super) fn steps(
     view: &View<'_>,
     vms: &[Vm<'_>],
-    state: &mut State,
+    pass: &mut Pass<'_>,
     now: moment::Moment,
 ) -> Vec<Step> {
-    adopt(view, state, now);
+    adopt(view, pass, now);
     let mut steps = Vec::new();
     let vms: Index<'_, '_> = vms.iter().map(|vm| (&vm.upstream.id, vm)).collect();
-    let names: Vec<id::Group> = state.plans().keys().cloned().collect();
+    let names: Vec<id::Group> = pass.known().plans().keys().cloned().collect();
     for name in names {
-        let Some(mut plan) = state.plans_mut().remove(&name) else { continue };
-        let is_over = advance(view, &name, &mut plan, &vms, state, now, &mut steps);
+        let Some(mut plan) = pass.plans_mut().remove(&name) else { continue };
+        let is_over = advance(view, &name, &mut plan, &vms, pass, now, &mut steps);
         if !is_over {
-            state.plans_mut().insert(name, plan);
+            pass.plans_mut().insert(name, plan);
         }
     }
     steps
@@ -44,7 +48,7 @@
 /// Adopts registered groups that an earlier coordinator has formed. Those whose members are not all
 /// registered are adopted after a while, to be dissolved: what is left of a group whose other
 /// members were told to leave cannot serve.
-fn adopt(view: &View<'_>, state: &mut State, now: moment::Moment) {
+fn adopt(view: &View<'_>, pass: &mut Pass<'_>, now: moment::Moment) {
     let is_own = |group: &&fleet::Group| {
         group.service == *view.service && group.id.as_str().starts_with(SERVING)
     };
@@ -53,14 +57,14 @@
         .groups()
         .iter()
         .filter(is_own)
-        .filter(|group| !state.plans().contains_key(&group.id))
+        .filter(|group| !pass.known().plans().contains_key(&group.id))
         .collect();
-    state.retain_incomplete(|group| unplanned.iter().any(|other| other.id == *group));
+    pass.retain_incomplete(|group| unplanned.iter().any(|other| other.id == *group));
     for group in unplanned {
         let model = model(view, group);
         let size = view.engine.model(model.as_str()).map_or(group.len(), outlook::size);
         let is_incomplete = group.len() < size;
-        if is_incomplete && now.since(state.incomplete_since(&group.id, now)) < ADOPTION_TIMEOUT {
+        if is_incomplete && now.since(pass.incomplete_since(&group.id, now)) < ADOPTION_TIMEOUT {
             continue;
         }
         let members: Vec<id::Vm> =
@@ -74,7 +78,7 @@
             opened: group.is_open.then_some(now),
             is_dissolving: is_incomplete,
         };
-        state.plans_mut().insert(group.id.clone(), plan);
+        pass.plans_mut().insert(group.id.clone(), plan);
     }
 }
 
@@ -92,18 +96,18 @@
     name: &id::Group,
     plan: &mut Plan,
     vms: &Index<'_, '_>,
-    state: &mut State,
+    pass: &mut Pass<'_>,
     now: moment::Moment,
     steps: &mut Vec<Step>,
 ) -> bool {
     let members: Vec<Option<&Vm<'_>>> =
         plan.members.iter().map(|id| vms.get(id).copied()).collect();
     if plan.is_dissolving {
-        return dissolve(name, plan, &members, state, now, steps);
+        return dissolve(name, plan, &members, pass, now, steps);
     }
     let is_damaged = members.iter().any(|member| {
         member.is_none_or(|vm| {
-            vm.condition == Condition::Lost || has_left(vm, name, plan, state, now)
+            vm.condition == Condition::Lost || has_left(vm, name, plan, pass.known(), now)
         })
     });
     let states: Vec<_> = members.iter().map(|member| member_state(*member, name, plan)).collect();
@@ -115,25 +119,25 @@
     };
     if is_damaged || is_broken || is_late {
         plan.is_dissolving = true;
-        return dissolve(name, plan, &members, state, now, steps);
+        return dissolve(name, plan, &members, pass, now, steps);
     }
     let Some(head) = members.first().copied().flatten() else { return true };
     let is_leaving = members.iter().flatten().any(|vm| vm.condition == Condition::Leaving);
     if is_leaving {
-        return close(name, plan, head, &states, state, now, steps);
+        return close(name, plan, head, &states, pass, now, steps);
     }
     let is_ready = |state: &Option<upstream::MemberState>| {
         matches!(state, Some(upstream::MemberState::Ready | upstream::MemberState::Open))
     };
     if plan.opened.is_none() {
-        repeat_joins(view, name, plan, &members, state, now, steps);
+        repeat_joins(view, name, plan, &members, pass, now, steps);
     }
     if is_open {
         plan.opened = Some(now);
     } else if states.iter().all(is_ready) && !head.is_busy {
         plan.opened.get_or_insert(now);
         let order = Order::Open { group: name.clone(), epoch: plan.epoch };
-        steps.push(state.issue(&head.upstream.id, order, now));
+        steps.push(pass.issue(&head.upstream.id, order, now));
     }
     false
 }
@@ -145,19 +149,19 @@
     name: &id::Group,
     plan: &mut Plan,
     members: &[Option<&Vm<'_>>],
-    state: &mut State,
+    pass: &mut Pass<'_>,
     now: moment::Moment,
     steps: &mut Vec<Step>,
 ) {
     for vm in members.iter().flatten() {
         let id = &vm.upstream.id;
         let is_member = member_state(Some(vm), name, plan).is_some();
-        if is_member || vm.is_busy || !state.is_unanswered(id.as_str()) {
+        if is_member || vm.is_busy || !pass.known().is_unanswered(id.as_str()) {
             continue;
         }
         let warm = view.engine.model(plan.model.as_str()).map(|model| model.warm);
         plan.join_deadline = now + warm.unwrap_or_default() + JOIN_SLACK;
-        steps.push(state.issue(id, plan.join(name), now));
+        steps.push(pass.issue(id, plan.join(name), now));
     }
 }
 
@@ -181,12 +185,12 @@
     vm: &Vm<'_>,
     name: &id::Group,
     plan: &Plan,
-    state: &State,
+    known: Known<'_>,
     now: moment::Moment,
 ) -> bool {
     let is_member = member_state(Some(vm), name, plan).is_some();
     let is_joining = now < plan.join_deadline
-        && (vm.is_busy || state.is_pending(vm.upstream.id.as_str(), now) || plan.opened.is_none());
+        && (vm.is_busy || known.is_pending(vm.upstream.id.as_str(), now) || plan.opened.is_none());
     !is_member && !is_joining
 }
 
@@ -197,14 +201,14 @@
     plan: &mut Plan,
     head: &Vm<'_>,
     states: &[Option<upstream::MemberState>],
-    state: &mut State,
+    pass: &mut Pass<'_>,
     now: moment::Moment,
     steps: &mut Vec<Step>,
 ) -> bool {
     match states.first() {
         Some(Some(upstream::MemberState::Open)) if !head.is_busy => {
             let order = Order::Close { group: name.clone(), epoch: plan.epoch };
-            steps.push(state.issue(&head.upstream.id, order, now));
+            steps.push(pass.issue(&head.upstream.id, order, now));
         }
         Some(Some(upstream::MemberState::Open | upstream::MemberState::Closing)) => {}
         _ => plan.is_dissolving = true,
@@ -218,7 +222,7 @@
     name: &id::Group,
     plan: &Plan,
     members: &[Option<&Vm<'_>>],
-    state: &mut State,
+    pass: &mut Pass<'_>,
     now: moment::Moment,
     steps: &mut Vec<Step>,
 ) -> bool {
@@ -231,7 +235,7 @@
         remaining += 1;
         if !vm.is_busy {
             let order = Order::Leave { group: name.clone(), epoch: plan.epoch };
-            steps.push(state.issue(&vm.upstream.id, order, now));
+            steps.push(pass.issue(&vm.upstream.id, order, now));
         }
         if rank == 0 {
             break;
--- a/crates/policy/src/formation/load.rs
+++ b/crates/policy/src/formation/load.rs
@@ -5,9 +5,10 @@
 use corneltrestle_time::moment;
 
 use super::{
-    Order, Role, State, Step, View,
+    Order, Role, Step, View,
     assemble::{self, Domain},
     outlook::{self, Outlook},
+    state::{Known, Pass},
     vm::{STANDBY, Vm},
 };
 use crate::{deployment, id};
@@ -41,7 +42,7 @@
     domains: &[Domain<'_, '_>],
     outlook: &Outlook<'_>,
     models: &[deployment::Model],
-    state: &State,
+    known: Known<'_>,
     now: moment::Moment,
 ) -> Vec<Load> {
     let expected = |index: usize| {
@@ -61,7 +62,7 @@
             empty = rest;
         }
         if domain.empty.is_empty() {
-            loads.extend(switch(domain, &totals, outlook, models, state, now));
+            loads.extend(switch(domain, &totals, outlook, models, known, now));
         }
     }
     loads
@@ -121,7 +122,7 @@
     totals: &[f64],
     outlook: &Outlook<'_>,
     models: &[deployment::Model],
-    state: &State,
+    known: Known<'_>,
     now: moment::Moment,
 ) -> Option<Load> {
     let counts = &domain.counts;
@@ -132,7 +133,7 @@
     let spare = |from: usize| {
         domain.spares.iter().find(|vm| {
             assemble::first_model(vm, models) == Some(from)
-                && state.idle_time(vm.upstream.id.as_str(), now) >= MIN_IDLE
+                && known.idle_time(vm.upstream.id.as_str(), now) >= MIN_IDLE
         })
     };
     let pairs = (0..models.len()).flat_map(|from| (0..models.len()).map(move |to| (from, to)));
@@ -158,22 +159,23 @@
     view: &View<'_>,
     vms: &[Vm<'_>],
     mut wanted: Vec<Load>,
-    state: &mut State,
+    pass: &mut Pass<'_>,
     now: moment::Moment,
 ) -> Vec<Step> {
     wanted.sort_by(|a, b| b.value.total_cmp(&a.value));
-    let mut loading = vms.iter().filter(|vm| vm.role == Role::Loading).count();
+    let own = vms.iter().filter(|vm| vm.role == Role::Loading).count();
+    let mut loading = own + pass.loading_elsewhere();
     let mut steps = Vec::new();
     for load in wanted {
         // A VM that has just been ordered to join a new group is still among the candidates.
-        if state.is_pending(load.vm.as_str(), now) {
+        if pass.known().is_pending(load.vm.as_str(), now) {
             continue;
         }
-        if view.has_traffic && !may_start(loading, &view.engine.load_limits, state, now) {
+        if view.has_traffic && !may_start(loading, &view.engine.load_limits, pass, now) {
             continue;
         }
         loading += 1;
-        steps.push(step(&load, state, now));
+        steps.push(step(&load, pass, now));
     }
     steps
 }
@@ -182,19 +184,19 @@
 fn may_start(
     loading: usize,
     limits: &deployment::LoadLimits,
-    state: &mut State,
+    pass: &mut Pass<'_>,
     now: moment::Moment,
 ) -> bool {
     let parallel = usize::try_from(limits.parallel.max(1)).unwrap_or(usize::MAX);
     let rate = (limits.rate * RATE_FRACTION).max(1.0) as usize;
-    loading < parallel && state.recent_loads(now) < rate
+    loading < parallel && pass.recent_loads(now) < rate
 }
 
-fn step(load: &Load, state: &mut State, now: moment::Moment) -> Step {
-    let epoch = state.next_epoch();
+fn step(load: &Load, pass: &mut Pass<'_>, now: moment::Moment) -> Step {
+    let epoch = pass.next_epoch();
     let group: id::Group = format!("{STANDBY}{epoch}").as_str().into();
-    state.start_load(&load.vm, &load.model, now + load.time.mul_f64(TIMEOUT_FACTOR), now);
+    pass.start_load(&load.vm, &load.model, now + load.time.mul_f64(TIMEOUT_FACTOR), now);
     let model = load.model.clone();
     let order = Order::Join { group, epoch, model, members: vec![load.vm.clone()] };
-    state.issue(&load.vm, order, now)
+    pass.issue(&load.vm, order, now)
 }
--- a/crates/policy/src/formation/state.rs
+++ b/crates/policy/src/formation/state.rs
@@ -22,29 +22,58 @@
 /// State of the coordinator for as long as it holds one fencing token.
 #[derive(Clone, Debug)]
 pub struct State {
+    shared: Shared,
+    services: collections::BTreeMap<id::Service, Service>,
+}
+
+/// What the VMs of all services share.
+#[derive(Clone, Debug)]
+struct Shared {
     token: u64,
     /// Number of epochs used so far.
     used_epochs: u64,
-    plans: collections::BTreeMap<id::Group, Plan>,
-    /// VMs that load a model on their own.
-    loading: collections::BTreeMap<id::Vm, Loading>,
     /// The latest order of each VM with the time when it was issued, until the registration of the
     /// VM shows its effect.
     pending: collections::BTreeMap<id::Vm, (Order, moment::Moment)>,
     /// VMs whose latest order was not answered, so that it may never be carried out.
     unanswered: collections::BTreeSet<id::Vm>,
-    /// Since when each registered group without a plan has lacked members.
-    incomplete: collections::BTreeMap<id::Group, moment::Moment>,
-    /// Since when each standby VM has been free.
-    free_since: collections::BTreeMap<id::Vm, moment::Moment>,
     /// Start times of the loads in the last second, for the rate limit of the weight store.
     load_starts: collections::VecDeque<moment::Moment>,
     /// Number of loads started.
     loads: u64,
+}
+
+/// What belongs to the VMs and groups of one service.
+#[derive(Clone, Debug, Default)]
+struct Service {
+    plans: collections::BTreeMap<id::Group, Plan>,
+    /// VMs that load a model on their own.
+    loading: collections::BTreeMap<id::Vm, Loading>,
+    /// Since when each registered group without a plan has lacked members.
+    incomplete: collections::BTreeMap<id::Group, moment::Moment>,
+    /// Since when each standby VM has been free.
+    free_since: collections::BTreeMap<id::Vm, moment::Moment>,
     /// The latest composition of the domains.
     composed: Option<Composed>,
 }
 
+/// The state as a decision for one service changes it. What belongs to other services is out of its
+/// reach, as it knows none of their VMs.
+#[derive(Debug)]
+pub(super) struct Pass<'s> {
+    shared: &'s mut Shared,
+    service: &'s mut Service,
+    /// Number of VMs of other services that load a model.
+    loading_elsewhere: usize,
+}
+
+/// The state as a decision for one service reads it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Known<'s> {
+    shared: &'s Shared,
+    service: &'s Service,
+}
+
 /// A group that is being formed, serves, or is being dissolved.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
@@ -96,39 +125,121 @@
 impl State {
     /// Creates the empty state of a coordinator that has just got the fencing token.
     pub fn new(token: u64) -> Self {
-        Self {
+        let shared = Shared {
             token,
             used_epochs: 0,
-            plans: collections::BTreeMap::new(),
-            loading: collections::BTreeMap::new(),
             pending: collections::BTreeMap::new(),
             unanswered: collections::BTreeSet::new(),
-            incomplete: collections::BTreeMap::new(),
-            free_since: collections::BTreeMap::new(),
             load_starts: collections::VecDeque::new(),
             loads: 0,
-            composed: None,
-        }
+        };
+        Self { shared, services: collections::BTreeMap::new() }
     }
 
     /// The fencing token that the state belongs to.
     pub fn token(&self) -> u64 {
-        self.token
+        self.shared.token
     }
 
-    /// All planned groups by name.
-    pub fn plans(&self) -> &collections::BTreeMap<id::Group, Plan> {
-        &self.plans
+    /// The planned groups of all services with their names.
+    pub fn plans(&self) -> impl Iterator<Item = (&id::Group, &Plan)> {
+        self.services.values().flat_map(|service| &service.plans)
     }
 
-    /// Returns an epoch above all earlier ones, including those of earlier fencing tokens.
-    pub(super) fn next_epoch(&mut self) -> u64 {
-        self.used_epochs += 1;
-        self.token * EPOCHS_PER_TOKEN + self.used_epochs
+    /// Number of planned groups of a service.
+    pub fn planned(&self, service: &str) -> usize {
+        self.services.get(service).map_or(0, |service| service.plans.len())
+    }
+
+    /// Longest time for which a registered group of a service without a plan has lacked members.
+    pub fn longest_incomplete(&self, service: &str, now: moment::Moment) -> Option<time::Duration> {
+        self.services.get(service)?.incomplete.values().map(|since| now.since(*since)).max()
+    }
+
+    /// Number of loads from the weight store that were started with this fencing token.
+    pub fn loads(&self) -> u64 {
+        self.shared.loads
+    }
+
+    /// Drops the services that are no longer declared.
+    pub fn retain_services(&mut self, is_declared: impl Fn(&id::Service) -> bool) {
+        self.services.retain(|service, _| is_declared(service));
+    }
+
+    /// Lets the pending order of a VM end soon, after the VM has answered that it has no effect. The
+    /// registration that the order followed from may be out of date for a moment.
+    pub fn defer_order(&mut self, vm: &str, now: moment::Moment) {
+        if let Some((_, at)) = self.shared.pending.get_mut(vm) {
+            *at = now.before(ORDER_TIMEOUT - REFUSED_DELAY);
+        }
+    }
+
+    /// Records that the latest order of a VM was not answered. The VM may get an order again, as one
+    /// that is carried out late has no effect beside a repeated or later one.
+    pub fn mark_unanswered(&mut self, vm: &id::Vm, now: moment::Moment) {
+        if let Some((_, at)) = self.shared.pending.get_mut(vm) {
+            *at = now.before(ORDER_TIMEOUT);
+            self.shared.unanswered.insert(vm.clone());
+        }
+    }
+
+    /// The state for a decision for one service.
+    pub(super) fn pass(&mut self, service: &id::Service) -> Pass<'_> {
+        let others = self.services.iter().filter(|(other, _)| *other != service);
+        let loading_elsewhere = others.map(|(_, other)| other.loading.len()).sum();
+        let service = self.services.entry(service.clone()).or_default();
+        Pass { shared: &mut self.shared, service, loading_elsewhere }
+    }
+}
+
+/// What a decision knows.
+impl<'s> Known<'s> {
+    /// The planned groups of the service by name.
+    pub(super) fn plans(self) -> &'s collections::BTreeMap<id::Group, Plan> {
+        &self.service.plans
+    }
+
+    /// VMs of the service that load a model on their own.
+    pub(super) fn loading(self) -> &'s collections::BTreeMap<id::Vm, Loading> {
+        &self.service.loading
+    }
+
+    /// Time since the VM became free; zero if it is not free.
+    pub(super) fn idle_time(self, vm: &str, now: moment::Moment) -> time::Duration {
+        let since = self.service.free_since.get(vm);
+        since.map_or(time::Duration::ZERO, |since| now.since(*since))
+    }
+
+    /// Whether an order to the VM is pending: without a visible effect and not timed out.
+    pub(super) fn is_pending(self, vm: &str, now: moment::Moment) -> bool {
+        self.shared.pending.get(vm).is_some_and(|(_, at)| now < *at + ORDER_TIMEOUT)
+    }
+
+    /// Whether the latest order of the VM was not answered.
+    pub(super) fn is_unanswered(self, vm: &str) -> bool {
+        self.shared.unanswered.contains(vm)
+    }
+}
+
+/// What a decision changes.
+impl Pass<'_> {
+    pub(super) fn known(&self) -> Known<'_> {
+        Known { shared: self.shared, service: self.service }
     }
 
     pub(super) fn plans_mut(&mut self) -> &mut collections::BTreeMap<id::Group, Plan> {
-        &mut self.plans
+        &mut self.service.plans
+    }
+
+    /// Number of VMs of other services that load a model from the weight store, which all share.
+    pub(super) fn loading_elsewhere(&self) -> usize {
+        self.loading_elsewhere
+    }
+
+    /// Returns an epoch above all earlier ones, including those of earlier fencing tokens.
+    pub(super) fn next_epoch(&mut self) -> u64 {
+        self.shared.used_epochs += 1;
+        self.shared.token * EPOCHS_PER_TOKEN + self.shared.used_epochs
     }
 
     /// Since when a registered group without a plan has lacked members; `now` if it was complete
@@ -138,17 +249,12 @@
         group: &id::Group,
         now: moment::Moment,
     ) -> moment::Moment {
-        *self.incomplete.entry(group.clone()).or_insert(now)
-    }
-
-    /// Longest time for which a registered group without a plan has lacked members.
-    pub fn longest_incomplete(&self, now: moment::Moment) -> Option<time::Duration> {
-        self.incomplete.values().map(|since| now.since(*since)).max()
+        *self.service.incomplete.entry(group.clone()).or_insert(now)
     }
 
     /// Forgets the groups without a plan that `keep` rejects.
     pub(super) fn retain_incomplete(&mut self, mut keep: impl FnMut(&id::Group) -> bool) {
-        self.incomplete.retain(|group, _| keep(group));
+        self.service.incomplete.retain(|group, _| keep(group));
     }
 
     /// The composition of the domains by [`Outlook::compose`]. It is computed again only when the
@@ -156,11 +262,11 @@
     pub(super) fn composition(&mut self, outlook: &Outlook<'_>, rooms: &[Room]) -> Vec<Vec<usize>> {
         let is_current =
             |known: &&Composed| known.rooms == rooms && known.targets == outlook.targets();
-        if let Some(known) = self.composed.as_ref().filter(is_current) {
+        if let Some(known) = self.service.composed.as_ref().filter(is_current) {
             return known.counts.clone();
         }
         let counts = outlook.compose(rooms);
-        self.composed = Some(Composed {
+        self.service.composed = Some(Composed {
             rooms: rooms.to_vec(),
             targets: outlook.targets().to_vec(),
             counts: counts.clone(),
@@ -168,15 +274,11 @@
         counts
     }
 
-    pub(super) fn loading(&self) -> &collections::BTreeMap<id::Vm, Loading> {
-        &self.loading
-    }
-
     /// Records an order as issued; the VM gets no other one until the effect shows or the time-out
     /// has passed.
     pub(super) fn issue(&mut self, vm: &id::Vm, order: Order, now: moment::Moment) -> Step {
-        self.unanswered.remove(vm);
-        self.pending.insert(vm.clone(), (order.clone(), now));
+        self.shared.unanswered.remove(vm);
+        self.shared.pending.insert(vm.clone(), (order.clone(), now));
         Step { vm: vm.clone(), order }
     }
 
@@ -188,72 +290,38 @@
         until: moment::Moment,
         now: moment::Moment,
     ) {
-        self.loading.insert(vm.clone(), Loading { model: model.clone(), until });
-        self.load_starts.push_back(now);
-        self.loads += 1;
-    }
-
-    /// Number of loads from the weight store that were started with this fencing token.
-    pub fn loads(&self) -> u64 {
-        self.loads
+        self.service.loading.insert(vm.clone(), Loading { model: model.clone(), until });
+        self.shared.load_starts.push_back(now);
+        self.shared.loads += 1;
     }
 
-    /// Number of loads that were started in the second before `now`.
+    /// Number of loads that were started in the second before `now`, for all services.
     pub(super) fn recent_loads(&mut self, now: moment::Moment) -> usize {
-        while self.load_starts.front().is_some_and(|at| now.since(*at).as_secs_f64() >= 1.0) {
-            self.load_starts.pop_front();
-        }
-        self.load_starts.len()
-    }
-
-    /// Time since the VM became free; zero if it is not free.
-    pub(super) fn idle_time(&self, vm: &str, now: moment::Moment) -> time::Duration {
-        self.free_since.get(vm).map_or(time::Duration::ZERO, |since| now.since(*since))
-    }
-
-    /// Whether an order to the VM is pending: without a visible effect and not timed out.
-    pub(super) fn is_pending(&self, vm: &str, now: moment::Moment) -> bool {
-        self.pending.get(vm).is_some_and(|(_, at)| now < *at + ORDER_TIMEOUT)
-    }
-
-    /// Lets the pending order of a VM end soon, after the VM has answered that it has no effect. The
-    /// registration that the order followed from may be out of date for a moment.
-    pub fn defer_order(&mut self, vm: &str, now: moment::Moment) {
-        if let Some((_, at)) = self.pending.get_mut(vm) {
-            *at = now.before(ORDER_TIMEOUT - REFUSED_DELAY);
+        let starts = &mut self.shared.load_starts;
+        while starts.front().is_some_and(|at| now.since(*at).as_secs_f64() >= 1.0) {
+            starts.pop_front();
         }
-    }
-
-    /// Records that the latest order of a VM was not answered. The VM may get an order again, as one
-    /// that is carried out late has no effect beside a repeated or later one.
-    pub fn mark_unanswered(&mut self, vm: &id::Vm, now: moment::Moment) {
-        if let Some((_, at)) = self.pending.get_mut(vm) {
-            *at = now.before(ORDER_TIMEOUT);
-            self.unanswered.insert(vm.clone());
-        }
-    }
-
-    /// Whether the latest order of the VM was not answered.
-    pub(super) fn is_unanswered(&self, vm: &str) -> bool {
-        self.unanswered.contains(vm)
+        starts.len()
     }
 
     /// Drops pending orders whose effect shows in the registrations, and those that have timed out.
     pub(super) fn observe(&mut self, fleet: &fleet::Fleet, now: moment::Moment) {
-        self.pending.retain(|vm, (order, at)| {
+        self.shared.pending.retain(|vm, (order, at)| {
             now < *at + ORDER_TIMEOUT
                 && fleet.get(vm.as_str()).is_some_and(|upstream| !order.has_effect(upstream))
         });
-        self.unanswered.retain(|vm| fleet.get(vm.as_str()).is_some());
+        self.shared.unanswered.retain(|vm| fleet.get(vm.as_str()).is_some());
     }
 
-    /// Drops loads that have ended or did not begin, and records since when VMs are free.
+    /// Drops loads that have ended or did not begin, and records since when VMs are free. `vms` are all
+    /// VMs of the service.
     pub(super) fn retain(&mut self, vms: &[Vm<'_>], now: moment::Moment) {
         let known: collections::BTreeMap<&str, &Vm<'_>> =
             vms.iter().map(|vm| (vm.upstream.id.as_str(), vm)).collect();
+        let Self { shared, service, .. } = self;
         let is_pending =
-            |vm: &id::Vm| self.pending.get(vm).is_some_and(|(_, at)| now < *at + ORDER_TIMEOUT);
-        self.loading.retain(|id, load| {
+            |vm: &id::Vm| shared.pending.get(vm).is_some_and(|(_, at)| now < *at + ORDER_TIMEOUT);
+        service.loading.retain(|id, load| {
             known.get(id.as_str()).is_some_and(|vm| {
                 now < load.until
                     && !vm.has(&load.model)
@@ -261,10 +329,11 @@
                     && (vm.is_joining() || is_pending(id))
             })
         });
-        self.free_since
+        service
+            .free_since
             .retain(|id, _| known.get(id.as_str()).is_some_and(|vm| vm.role == Role::Spare));
         for vm in vms.iter().filter(|vm| vm.role == Role::Spare) {
-            self.free_since.entry(vm.upstream.id.clone()).or_insert(now);
+            service.free_since.entry(vm.upstream.id.clone()).or_insert(now);
         }
     }
 }
--- a/crates/policy/src/formation/summary.rs
+++ b/crates/policy/src/formation/summary.rs
@@ -33,11 +33,12 @@
 
 impl Summary {
     /// Counts the VMs and groups of a service.
-    pub fn of(view: &View<'_>, state: &State, now: moment::Moment) -> Self {
+    pub fn of(view: &View<'_>, state: &mut State, now: moment::Moment) -> Self {
         let mut summary = Self::default();
-        let plans = state.plans().values().filter(|plan| !plan.is_dissolving);
+        let pass = state.pass(view.service);
+        let plans = pass.known().plans().values().filter(|plan| !plan.is_dissolving);
         let heads = plans.filter_map(|plan| Some((plan.members.first()?, plan))).collect();
-        for vm in vm::classify(view, state, now) {
+        for vm in vm::classify(view, pass.known(), now) {
             let fabric = vm.fabric().map_or("", id::Fabric::as_str);
             summary.domains.entry(fabric.to_owned()).or_default().count(view, &heads, &vm);
         }
--- a/crates/policy/src/formation/vm.rs
+++ b/crates/policy/src/formation/vm.rs
@@ -5,7 +5,7 @@
 
 use corneltrestle_time::moment;
 
-use super::{State, View};
+use super::{View, state::Known};
 use crate::{id, upstream};
 
 /// Prefix of the names of standby groups, each with a single VM.
@@ -86,8 +86,8 @@
 }
 
 /// Classifies all VMs of the service that run a model engine.
-pub(super) fn classify<'a>(view: &View<'a>, state: &State, now: moment::Moment) -> Vec<Vm<'a>> {
-    let plans = state.plans().values();
+pub(super) fn classify<'a>(view: &View<'a>, known: Known<'_>, now: moment::Moment) -> Vec<Vm<'a>> {
+    let plans = known.plans().values();
     let planned: collections::HashSet<&id::Vm> = plans.flat_map(|plan| &plan.members).collect();
     view.fleet
         .of_service(view.service.as_str())
@@ -95,9 +95,9 @@
         .map(|upstream| {
             let condition = condition(view, upstream);
             let is_busy =
-                view.busy.contains(&upstream.id) || state.is_pending(upstream.id.as_str(), now);
+                view.busy.contains(&upstream.id) || known.is_pending(upstream.id.as_str(), now);
             let mut vm = Vm { upstream, condition, role: Role::Unusable, is_busy };
-            vm.role = role(view, state, &planned, &vm);
+            vm.role = role(view, known, &planned, &vm);
             vm
         })
         .collect()
@@ -117,7 +117,7 @@
 /// What a VM does now; `planned` are the members of all plans.
 fn role(
     view: &View<'_>,
-    state: &State,
+    known: Known<'_>,
     planned: &collections::HashSet<&id::Vm>,
     vm: &Vm<'_>,
 ) -> Role {
@@ -128,7 +128,7 @@
     if vm.condition != Condition::Usable {
         return Role::Unusable;
     }
-    if state.loading().contains_key(&vm.upstream.id) {
+    if known.loading().contains_key(&vm.upstream.id) {
         return Role::Loading;
     }
     let has_model = view.engine.models.iter().any(|model| vm.has(&model.name));
--- a/crates/policy/tests/formation.rs
+++ b/crates/policy/tests/formation.rs
@@ -315,7 +315,7 @@
             self.check_join(engines, step, now);
         }
         let mut members = collections::BTreeSet::new();
-        for plan in engines.state.plans().values().filter(|plan| !plan.is_dissolving) {
+        for plan in engines.state.plans().map(|(_, plan)| plan).filter(|plan| !plan.is_dissolving) {
             for member in &plan.members {
                 assert!(members.insert(member), "{member} is to be in two groups");
             }
--- a/crates/policy/tests/support/engines.rs
+++ b/crates/policy/tests/support/engines.rs
@@ -63,9 +63,12 @@
 /// A VM whose registration has lapsed.
 pub(crate) struct Unregistered(Vm);
 
-/// Simulated VMs in fabric domains, with the state of their coordinator.
+/// Simulated VMs of one service in fabric domains, with the state of their coordinator.
 pub(crate) struct Engines {
+    pub(crate) service: id::Service,
     pub(crate) engine: deployment::Engine,
+    /// Registrations of the VMs of other services, for which the same coordinator decides.
+    pub(crate) others: Vec<sync::Arc<upstream::Upstream>>,
     pub(crate) now: Moment,
     pub(crate) has_traffic: bool,
     pub(crate) state: formation::State,
@@ -94,7 +97,9 @@
     /// Creates no VM yet, for VMs that run `engine`.
     pub(crate) fn of(engine: deployment::Engine) -> Self {
         Self {
+            service: "models".into(),
             engine,
+            others: Vec::new(),
             now: Moment::from_millis(1_000),
             has_traffic: false,
             state: formation::State::new(1),
@@ -109,11 +114,11 @@
 
     /// Adds an empty VM to a domain.
     pub(crate) fn add(&mut self, domain: usize) {
-        let id: id::Vm = format!("vm-{:03}", self.added).as_str().into();
+        let id: id::Vm = format!("{}-{:03}", self.service, self.added).as_str().into();
         self.added += 1;
         let upstream = upstream::Upstream {
             id: id.clone(),
-            service: "models".into(),
+            service: self.service.clone(),
             address: ([127, 0, 0, 1], 80).into(),
             zone: format!("zone-{domain}").as_str().into(),
             version: "1".to_owned(),
@@ -152,7 +157,7 @@
     fn lose_member_where(&mut self, index: usize, included: impl Fn(&fleet::Group) -> bool) {
         let fleet = self.fleet();
         let serving = fleet.groups().iter().filter(|group| group.is_open && group.len() > 1);
-        let members = serving.filter(|group| included(group));
+        let members = serving.filter(|group| group.service == self.service && included(group));
         let members = members.flat_map(|group| fleet.members(group));
         let members: Vec<_> = members.filter(|vm| !self.lost.contains(&vm.id)).collect();
         if let Some(member) = members.get(index % members.len().max(1)) {
@@ -215,9 +220,13 @@
         self.vms.len()
     }
 
+    /// The registrations of all VMs.
+    pub(crate) fn registrations(&self) -> Vec<sync::Arc<upstream::Upstream>> {
+        self.vms.values().map(|vm| sync::Arc::new(vm.upstream.clone())).collect()
+    }
+
     pub(crate) fn fleet(&self) -> fleet::Fleet {
-        let upstreams = self.vms.values().map(|vm| sync::Arc::new(vm.upstream.clone()));
-        fleet::Fleet::new(upstreams.collect())
+        fleet::Fleet::new([self.registrations(), self.others.clone()].concat())
     }
 
     /// Number of groups that serve a model.
@@ -225,7 +234,8 @@
         let fleet = self.fleet();
         let model = self.engine.model(model).expect("a model of the engine");
         let serves = |group: &&fleet::Group| {
-            group.model.as_ref() == Some(&model.name)
+            group.service == self.service
+                && group.model.as_ref() == Some(&model.name)
                 && fleet.is_serving(group, model)
                 && fleet.members(group).all(|member| !self.lost.contains(&member.id))
         };
@@ -257,7 +267,7 @@
         is_executed: impl Fn(&formation::Step) -> bool,
     ) -> Vec<formation::Step> {
         let fleet = self.fleet();
-        let (service, busy) = ("models".into(), collections::BTreeSet::new());
+        let (service, busy) = (self.service.clone(), collections::BTreeSet::new());
         let mut state = std::mem::replace(&mut self.state, formation::State::new(0));
         let (due, rest) = self.unanswered.drain(..).partition(|(at, _)| *at <= self.now);
         self.unanswered = rest;
