gateway: count demand by service and model

Two services may serve models of one name. Their demand was counted together by the name, so that the coordinator wanted groups in each of them for the requests of both.

Change: one meter for each service.

New: tables::demand_for_models_of_one_name_is_kept_apart_by_service (the table had no services before).

--- a/crates/gateway/src/pipeline/admit.rs
+++ b/crates/gateway/src/pipeline/admit.rs
@@ -64,7 +64,8 @@
         self.tables.retries.lock().count(&service, &self.limits.retries, request.arrived);
         if let Some(generation) = &request.generation {
             let (model, prompt) = (&generation.model, generation.prompt_tokens);
-            let meter = &mut self.tables.demand.lock().meter;
+            let mut demand = self.tables.demand.lock();
+            let meter = demand.meter(&service);
             meter.record_request(model, prompt, route.objective, request.arrived);
         }
         Ok(Admitted { deployment, route, service, organisation, regions, deadline })
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -336,7 +336,8 @@
     fn finish(&mut self) {
         let events = self.delivery.next_index() - 1;
         if let Some(generation) = &self.request.generation {
-            self.pipeline.tables.demand.lock().meter.record_answer(&generation.model, events);
+            let mut demand = self.pipeline.tables.demand.lock();
+            demand.meter(&self.admitted.service).record_answer(&generation.model, events);
         }
         self.pipeline.record_sound(&self.request, self.pipeline.now());
         self.attempts.record.finished(hyper::StatusCode::OK);
--- a/crates/gateway/src/task/coordinate.rs
+++ b/crates/gateway/src/task/coordinate.rs
@@ -171,7 +171,7 @@
         let scale = f64::from(own + others) / f64::from(own.max(1));
         let table = self.tables.demand.lock();
         let demands = engine.models.iter().map(|model| {
-            let own = table.meter.demand(model.name.as_str(), engine, now);
+            let own = table.of(service, model.name.as_str(), engine, now);
             (model.name.clone(), demand::Demand { rate: own.rate * scale, ..own })
         });
         demands.collect()
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -7,6 +7,7 @@
     tables::{
         activity::{Activity, Reporter},
         catalog::Catalog,
+        demand::Demand,
         pauses::Pauses,
         peers, stalls,
     },
@@ -476,3 +477,34 @@
     let live: collections::BTreeSet<_> = peers.live(now).map(|(node, _)| node.as_str()).collect();
     assert_eq!(live, ["live"].into());
 }
+
+/// Guards against groups for a service that nobody calls, as another one has a model of the same name.
+#[test]
+fn demand_for_models_of_one_name_is_kept_apart_by_service() {
+    let (called, idle): (id::Service, id::Service) = ("drafts".into(), "notes".into());
+    let mut demand = Demand::default();
+    for n in 0..20 {
+        let meter = demand.meter(&called);
+        meter.record_request(&"large".into(), 1_000, Duration::from_millis(200), at(n));
+    }
+    let engine = deployment::Engine {
+        slots: 8,
+        kv_capacity: 1_590_000,
+        pass_steps: 7,
+        step_time: Duration::from_millis(6),
+        sequence_time: Duration::ZERO,
+        context_time: Duration::ZERO,
+        prefill_rate: 50_700.0,
+        attention_time: Duration::ZERO,
+        prefill_chunk: 2_048,
+        models: Vec::new(),
+        load_limits: deployment::LoadLimits::default(),
+        staged_models: 1,
+        cross_domain: 1.0,
+        open_time: Duration::ZERO,
+        mean_prompt: 100,
+        mean_answer: 42,
+    };
+    assert!(demand.of(&called, "large", &engine, at(20)).rate > 3.0);
+    assert!(demand.of(&idle, "large", &engine, at(20)).rate <= 0.0);
+}
