gateway: give up a silent attempt only where the request can go elsewhere

An answer that would have come in time was cut off after four times the route's objective, although no other upstream or no retry was left, and the caller got 502.

Cause: the timeout of an attempt was kept whether another one could follow or not.

Change: after that time a request moves as soon as another upstream can take it and the budget has a retry, as streams already did at a stalled group. Until then its attempt goes on, to the deadline at the latest. A reused connection, which may have gone silent, is taken only if another upstream is there.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts of one request at upstreams, and the decision whether to retry.
 
-use std::{collections, time};
+use std::{collections, future, time};
 
 use corneltrestle_policy::{
     health, id,
@@ -73,10 +73,10 @@
         !Self::allows_run_after(number, admitted) || !admitted.route.kind.is_repeatable()
     }
 
-    /// Whether the attempt at `upstream` may go on a connection that was used before. The last one may
-    /// not: if the connection has gone silent, no time is left to take the request elsewhere.
-    pub(super) fn may_reuse(&self, upstream: &id::Vm, admitted: &Admitted) -> bool {
-        !self.was_stale && !self.is_last(upstream, admitted)
+    /// Whether the attempt at the target may go on a connection that was used before. If the connection
+    /// has gone silent, the request must be able to move to another upstream.
+    pub(super) fn may_reuse(&self, target: &Target, admitted: &Admitted) -> bool {
+        !self.was_stale && target.has_alternative && !self.is_last(&target.id, admitted)
     }
 }
 
@@ -87,7 +87,7 @@
     Call(upstream::Error),
     /// The upstream says that it has not run the request.
     Rejected(upstream::Rejection),
-    /// The upstream did not answer within the attempt's timeout.
+    /// The upstream did not answer before the request could move to another one, or the deadline passed.
     TimedOut,
     /// The upstream was found to be stalled, see [`crate::task::watchdog`].
     Stalled {
@@ -249,9 +249,9 @@
         self.tables.stalls.lock().has_begun(upstream.as_str(), sent)
     }
 
-    /// Waits until the upstream of an attempt is declared stalled and the request can move to
-    /// another one. Until then the attempt goes on, as the upstream may only be slow. `sent` is
-    /// when the request was sent; `None` if its answer has begun.
+    /// Waits until the request can move to another upstream, as its own one was declared stalled or has
+    /// been silent for long; returns why. Until then the attempt goes on, as the upstream may only be
+    /// slow. `sent` is when the request was sent; `None` if its answer has begun.
     pub(super) async fn can_move(
         &self,
         attempts: &Attempts,
@@ -259,24 +259,42 @@
         admitted: &Admitted,
         target: &Target,
         sent: Option<moment::Moment>,
-    ) {
-        target.progress.stalled().await;
+    ) -> Failure {
+        if !admitted.route.kind.is_repeatable() {
+            return future::pending().await;
+        }
+        let is_last = attempts.is_last(&target.id, admitted);
+        let silent = async {
+            match sent {
+                Some(sent) if !is_last => tokio::time::sleep(patience(admitted, sent)).await,
+                _ => future::pending().await,
+            }
+        };
+        let mut is_stalled = tokio::select! {
+            biased;
+            () = target.progress.stalled() => true,
+            () = silent => false,
+        };
         loop {
             let now = self.now();
-            let begun = sent.is_none_or(|sent| self.has_begun(&target.id, sent));
+            let begun = !is_stalled || sent.is_none_or(|sent| self.has_begun(&target.id, sent));
             let may_run = match begun {
-                true => !attempts.is_last(&target.id, admitted),
+                true => !is_last,
                 false => Attempts::allows_run_after(attempts.ran.len(), admitted),
             };
-            if admitted.route.kind.is_repeatable()
-                && may_run
+            if may_run
                 && attempts.record.dispatches() < MAX_DISPATCHES
-                && self.has_alternative(request, admitted, attempts, &target.id, now)
                 && self.has_retry(&admitted.service, now)
+                && self.has_alternative(request, admitted, attempts, &target.id, now)
             {
-                return;
+                return if is_stalled { Failure::Stalled { begun } } else { Failure::TimedOut };
+            }
+            if is_stalled {
+                tokio::time::sleep(MOVE_CHECK_PERIOD).await;
+            } else {
+                let stalled = target.progress.stalled();
+                is_stalled = tokio::time::timeout(MOVE_CHECK_PERIOD, stalled).await.is_ok();
             }
-            tokio::time::sleep(MOVE_CHECK_PERIOD).await;
         }
     }
 
@@ -354,17 +372,8 @@
     Refusal::unknown(code, "send", message)
 }
 
-/// Timeout of the next attempt: the time until the deadline. If a retry may follow, at most four
-/// times the route's objective or a quarter of that time, whichever is larger.
-pub(super) fn timeout(
-    admitted: &Admitted,
-    attempts: &Attempts,
-    upstream: &id::Vm,
-    now: moment::Moment,
-) -> time::Duration {
-    let left = admitted.deadline.since(now);
-    if attempts.is_last(upstream, admitted) {
-        return left;
-    }
-    left.min((admitted.route.objective * 4).max(left / 4))
+/// Time without an answer after which a request goes to another upstream if it can: four times the
+/// route's objective, or a quarter of the time until the deadline, whichever is larger.
+fn patience(admitted: &Admitted, sent: moment::Moment) -> time::Duration {
+    (admitted.route.objective * 4).max(admitted.deadline.since(sent) / 4)
 }
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -8,7 +8,7 @@
 use super::{
     Answer, Code, Pipeline, Refusal, Result,
     admit::Admitted,
-    attempt::{self, Attempts, Failure},
+    attempt::{Attempts, Failure},
     choose::Target,
     record::Record,
     relay::{Relay, Rest},
@@ -52,18 +52,26 @@
             return Err(pipeline.refuse_without_upstream(attempts, admitted, now));
         };
         attempts.record.dispatched(&target, now);
-        let timeout = attempt::timeout(admitted, attempts, &target.id, now);
+        let remaining = admitted.deadline.since(now);
         let call = Call {
             request,
             upstream: &target.id,
             organisation: admitted.organisation.as_ref(),
-            remaining: admitted.deadline.since(now),
+            remaining,
             resume_after: None,
             urgency: None,
-            may_reuse: attempts.may_reuse(&target.id, admitted),
+            may_reuse: attempts.may_reuse(&target, admitted),
         };
-        let sent = exchange(pipeline, &target, &call);
-        let failure = match tokio::time::timeout(timeout, sent).await {
+        let sent = async {
+            tokio::select! {
+                biased;
+                answer = exchange(pipeline, &target, &call) => answer,
+                failure = pipeline.can_move(attempts, request, admitted, &target, Some(now)) => {
+                    Err(failure)
+                }
+            }
+        };
+        let failure = match tokio::time::timeout(remaining, sent).await {
             Ok(Ok(answer)) if may_retry(&answer, attempts, &target, admitted, pipeline.now()) => {
                 Failure::BadAnswer(answer.status)
             }
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -35,6 +35,8 @@
     pub(super) incarnation: u64,
     /// When it was chosen.
     pub(super) chosen: moment::Moment,
+    /// Whether another upstream could have been chosen.
+    pub(super) has_alternative: bool,
     /// Predicted time until the first event, with the penalty of an upstream that fails.
     pub(super) predicted: time::Duration,
     /// Whether the first event is predicted after the route's objective; never for a resumed
@@ -156,6 +158,7 @@
             address: chosen.address,
             incarnation: chosen.incarnation,
             chosen: now,
+            has_alternative: found.len() > 1,
             predicted: *predicted,
             is_late,
             progress: InProgress {
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -10,7 +10,7 @@
 use super::{
     Answer, Code, Pipeline, Refusal, Result,
     admit::Admitted,
-    attempt::{self, Attempts, Failure},
+    attempt::{Attempts, Failure},
     choose::Target,
     record::Record,
     relay::{self, Relay, Rest},
@@ -118,36 +118,38 @@
             return Err(pipeline.refuse_without_upstream(attempts, admitted, now));
         };
         attempts.record.dispatched(&target, now);
-        let timeout = attempt::timeout(admitted, attempts, &target.id, now);
+        let remaining = admitted.deadline.since(now);
         let call = Call {
             request,
             upstream: &target.id,
             organisation: admitted.organisation.as_ref(),
-            remaining: admitted.deadline.since(now),
+            remaining,
             resume_after,
             urgency: Some(urgency(&target, resume_after)),
-            may_reuse: attempts.may_reuse(&target.id, admitted),
+            may_reuse: attempts.may_reuse(&target, admitted),
         };
         let sent = pipeline.send(&target, &call);
         let sent = async {
             tokio::select! {
                 biased;
-                reply = sent => Some(reply),
-                () = pipeline.can_move(attempts, request, admitted, &target, Some(now)) => None,
+                reply = sent => Ok(reply),
+                failure = pipeline.can_move(attempts, request, admitted, &target, Some(now)) => {
+                    Err(failure)
+                }
             }
         };
-        let failure = match tokio::time::timeout(timeout, sent).await {
-            Ok(None) => Failure::Stalled { begun: pipeline.has_begun(&target.id, now) },
-            Ok(Some(Ok(Verdict::Answer(answer))))
+        let failure = match tokio::time::timeout(remaining, sent).await {
+            Ok(Err(failure)) => failure,
+            Ok(Ok(Ok(Verdict::Answer(answer))))
                 if is_usable(&answer, attempts, &target, admitted) =>
             {
                 target.progress.started(pipeline.now());
                 pipeline.record_answer(&target.id, answer.status.is_success());
                 return Ok(Connected { target, answer });
             }
-            Ok(Some(Ok(Verdict::Answer(answer)))) => Failure::BadAnswer(answer.status),
-            Ok(Some(Ok(Verdict::Rejected(rejection)))) => Failure::Rejected(rejection),
-            Ok(Some(Err(error))) => Failure::Call(error),
+            Ok(Ok(Ok(Verdict::Answer(answer)))) => Failure::BadAnswer(answer.status),
+            Ok(Ok(Ok(Verdict::Rejected(rejection)))) => Failure::Rejected(rejection),
+            Ok(Ok(Err(error))) => Failure::Call(error),
             Err(_) => Failure::TimedOut,
         };
         let now = pipeline.now();
@@ -250,13 +252,13 @@
                     Ok(None) => Read::End,
                     Err(error) => Read::Failed(Failure::Call(error)),
                 },
-                () = self.pipeline.can_move(
+                failure = self.pipeline.can_move(
                     &self.attempts,
                     &self.request,
                     &self.admitted,
                     &self.target,
                     None,
-                ) => Read::Failed(Failure::Stalled { begun: true }),
+                ) => Read::Failed(failure),
             }
         };
         let read = tokio::time::timeout(left, part).await;
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -27,6 +27,7 @@
 #[test_case(Act::Full)]
 #[test_case(Act::Broken)]
 #[test_case(Act::Status(500))]
+#[test_case(Act::Silent)]
 #[tokio::test]
 async fn idempotent_request_is_sent_to_another_upstream(failure: Act) {
     let world = World::open(&[&[failure], &[Act::Whole("done")]], AMPLE);
@@ -169,6 +170,25 @@
     assert_eq!(world.seen().len(), 1);
 }
 
+/// Guards against an answer that would come in time, and is cut off although no other upstream can give
+/// one.
+#[test_case("/status/7", AMPLE, 1; "buffered, no other upstream")]
+#[test_case("/draft/7", AMPLE, 1; "stream, no other upstream")]
+#[test_case("/status/7", NO_RETRIES, 2; "buffered, no retry left")]
+#[test_case("/draft/7", NO_RETRIES, 2; "stream, no retry left")]
+#[tokio::test]
+async fn late_answer_is_waited_for_where_none_can_come_sooner(
+    path: &'static str,
+    retries: fleet::Limits,
+    upstreams: usize,
+) {
+    let late: &[Act] = &[Act::Late(Duration::from_millis(1_400))];
+    let world = World::open(&vec![late; upstreams], retries);
+    let (status, body, refusal) = world.send(path).await;
+    assert_eq!((status, body, refusal), (200, whole_stream(), None));
+    assert_eq!(world.seen().len(), 1);
+}
+
 /// Guards against a second run of a stream that may run at most once.
 #[tokio::test]
 async fn stream_that_cannot_be_resumed_is_cut_off() {
@@ -270,13 +290,19 @@
 
 /// Guards against a last attempt on a connection that has gone silent, which takes all the time that is
 /// left, and against requests that may not be repeated on connections that their upstream may close.
-#[test_case("/status/7", &[true, true, false]; "buffered")]
-#[test_case("/price/7", &[false]; "one upstream allowed")]
-#[test_case("/order/7", &[false]; "not to be repeated")]
+#[test_case("/status/7", 4, &[true, true, false]; "buffered")]
+#[test_case("/draft/7", 4, &[true, true, false]; "stream")]
+#[test_case("/status/7", 1, &[false]; "no other upstream")]
+#[test_case("/price/7", 4, &[false]; "one upstream allowed")]
+#[test_case("/order/7", 4, &[false]; "not to be repeated")]
 #[tokio::test]
-async fn last_attempt_goes_on_a_new_connection(path: &'static str, reuse: &[bool]) {
+async fn last_attempt_goes_on_a_new_connection(
+    path: &'static str,
+    upstreams: usize,
+    reuse: &[bool],
+) {
     let failing: &[Act] = &[Act::Broken];
-    let world = World::open(&[failing; 4], AMPLE);
+    let world = World::open(&vec![failing; upstreams], AMPLE);
     world.send(path).await;
     let seen: Vec<bool> = world.seen().iter().map(|seen| seen.may_reuse).collect();
     assert_eq!(seen, reuse);
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -36,6 +36,8 @@
     Status(u16),
     /// It answers with this body.
     Whole(&'static str),
+    /// It answers after this time with all remaining events.
+    Late(Duration),
     /// It streams all remaining events.
     Stream,
     /// It streams all remaining events, and says that it is leaving.
@@ -174,6 +176,10 @@
             }
             Act::Status(status) => answer(status, collections::VecDeque::new(), End::Complete),
             Act::Whole(text) => answer(200, [bytes::Bytes::from(text)].into(), End::Complete),
+            Act::Late(span) => {
+                tokio::time::sleep(span).await;
+                answer(200, events(next, EVENTS), End::Complete)
+            }
             Act::Stream => answer(200, events(next, EVENTS), End::Complete),
             Act::Leaves => {
                 let reply = answer(200, events(next, EVENTS), End::Complete);
