gateway, client: bound the memory for answers over all requests

Cause: answers are buffered up to 256 KB each, but parts of a few bytes take many times their size, and nothing bounded the sum over all requests.

Change: the parts of an answer are joined, and all buffered answers share 16 MB; beyond that an answer is relayed as it arrives. Bodies that the client reads whole share a bound for each pool. Small chunks leave the worker to others.

--- a/crates/client/src/body.rs
+++ b/crates/client/src/body.rs
@@ -3,7 +3,7 @@
 use std::{future, net, sync};
 
 use hyper::body::{self, Body as _};
-use tokio::time;
+use tokio::{task, time};
 
 use crate::{
     connection,
@@ -58,6 +58,8 @@
     /// [`pool::Config::allow_undelimited`] is not set.
     pub async fn chunk(&mut self) -> Result<Option<bytes::Bytes>> {
         loop {
+            // A peer may send thousands of small chunks at once; other tasks get their turn between them.
+            task::coop::consume_budget().await;
             let Some(connection) = &mut self.connection else { return Ok(None) };
             let incoming = &mut self.incoming;
             match future::poll_fn(|cx| connection.poll_frame(incoming, cx)).await {
@@ -98,23 +100,31 @@
     }
 
     async fn collect_bounded(&mut self, max: usize) -> Result<bytes::Bytes> {
-        let oversized =
-            || error::Error::new(error::Kind::Malformed, format!("body larger than {max} bytes"));
+        let too_large = |cause| error::Error::new(error::Kind::Malformed, cause);
+        let oversized = || too_large(format!("body larger than {max} bytes"));
         if self.incoming.size_hint().lower() > max as u64 {
             return Err(oversized());
         }
         // A body that arrives in one frame is returned without a copy.
-        let Some(first) = self.chunk().await? else { return Ok(bytes::Bytes::new()) };
-        let Some(second) = self.chunk().await? else {
-            return if first.len() > max { Err(oversized()) } else { Ok(first) };
-        };
-        let mut all = bytes::BytesMut::from(first);
-        all.extend_from_slice(&second);
-        while all.len() <= max {
-            let Some(next) = self.chunk().await? else { return Ok(all.freeze()) };
-            all.extend_from_slice(&next);
+        let mut first = bytes::Bytes::new();
+        let mut joined = bytes::BytesMut::new();
+        let mut held = self.pool.hold(0, max);
+        while let Some(next) = self.chunk().await? {
+            if first.len() + joined.len() + next.len() > max {
+                return Err(oversized());
+            }
+            match (&mut held, self.pool.hold(next.len(), max)) {
+                (Some(held), Some(permit)) => held.merge(permit),
+                _ => return Err(too_large("too many bodies are being read".to_owned())),
+            }
+            if first.is_empty() && joined.is_empty() {
+                first = next;
+            } else {
+                joined.extend_from_slice(&std::mem::take(&mut first));
+                joined.extend_from_slice(&next);
+            }
         }
-        Err(oversized())
+        Ok(if joined.is_empty() { first } else { joined.freeze() })
     }
 
     /// Handles the end of the body: returns the connection to the pool, or closes it.
--- a/crates/client/src/connection.rs
+++ b/crates/client/src/connection.rs
@@ -20,13 +20,10 @@
     limited,
 };
 
-/// Read buffer of one connection, which also bounds the size of a response header.
-const MAX_BUFFER_BYTES: usize = 64 * 1024;
-
-/// Bytes that a peer may send without completing a response header or a part of a body. hyper bounds
-/// a header, but neither the number of interim ones nor that of leading zeros in the size of a chunk,
-/// and reads them without leaving the worker to others.
-const MAX_UNUSED_BYTES: usize = 2 * MAX_BUFFER_BYTES;
+/// Bytes that a peer may send without completing a response header or a part of a body, in multiples
+/// of the largest header. hyper bounds a header, but neither the number of interim ones nor that of
+/// leading zeros in the size of a chunk, and reads them without leaving the worker to others.
+const UNUSED_FACTOR: usize = 2;
 
 type Driver = http1::Connection<rt::TokioIo<limited::Stream>, http_body_util::Full<bytes::Bytes>>;
 
@@ -37,6 +34,8 @@
     /// Reads and writes the socket; `None` once the connection has ended.
     driver: Option<Driver>,
     allowance: limited::Allowance,
+    /// The allowance for the next part of a response, in bytes.
+    max_unused: usize,
     /// The last response's body, if its end is still to be read; see
     /// [`Body::finish`](crate::body::Body::finish).
     pending_body: Option<body::Incoming>,
@@ -56,9 +55,10 @@
 }
 
 impl Connection {
-    /// Connects to `peer`; every error is [`error::Kind::NotSent`].
+    /// Connects to `peer`, which may send response headers of `max_header` bytes; every error is [`error::Kind::NotSent`].
     pub(crate) async fn open(
         peer: net::SocketAddr,
+        max_header: usize,
         deadline: tokio::time::Instant,
         history: keepalive::Connection,
     ) -> Result<Self> {
@@ -68,10 +68,11 @@
             .map_err(|_| not_sent("no connection in time".to_owned()))?
             .map_err(|e| not_sent(format!("cannot connect: {e}")))?;
         stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
-        let allowance = limited::Allowance::new(MAX_UNUSED_BYTES);
+        let max_unused = UNUSED_FACTOR * max_header;
+        let allowance = limited::Allowance::new(max_unused);
         let stream = limited::Stream { stream, allowance: allowance.clone() };
         let (sender, driver) = http1::Builder::new()
-            .max_buf_size(MAX_BUFFER_BYTES)
+            .max_buf_size(max_header)
             .handshake(rt::TokioIo::new(stream))
             .await
             .map_err(|e| not_sent(e.to_string()))?;
@@ -79,6 +80,7 @@
             sender,
             driver: Some(driver),
             allowance,
+            max_unused,
             pending_body: None,
             history,
             is_reused: false,
@@ -132,7 +134,7 @@
         &mut self,
         request: hyper::Request<http_body_util::Full<bytes::Bytes>>,
     ) -> std::result::Result<hyper::Response<body::Incoming>, SendError> {
-        self.allowance.set(MAX_UNUSED_BYTES);
+        self.allowance.set(self.max_unused);
         let mut response = pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
         let received = future::poll_fn(|cx| {
@@ -140,8 +142,8 @@
             response.as_mut().poll(cx)
         });
         let received = received.await;
-        let is_unanswered = self.allowance.left() == MAX_UNUSED_BYTES;
-        self.allowance.set(MAX_UNUSED_BYTES);
+        let is_unanswered = self.allowance.left() == self.max_unused;
+        self.allowance.set(self.max_unused);
         received.map_err(|mut failed| match failed.take_message() {
             Some(request) => SendError {
                 error: error::Error::new(error::Kind::NotSent, failed.error().to_string()),
@@ -168,7 +170,7 @@
         self.drive(cx);
         let frame = Pin::new(body).poll_frame(cx);
         if frame.is_ready() {
-            self.allowance.set(MAX_UNUSED_BYTES);
+            self.allowance.set(self.max_unused);
         }
         frame
     }
--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -11,7 +11,10 @@
 use corneltrestle_time::moment;
 use futures_util::future::{self, Either};
 use hyper::header;
-use tokio::time::{Instant, timeout_at};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time::{Instant, timeout_at},
+};
 
 use crate::{
     body, connection,
@@ -54,6 +57,12 @@
     /// `Content-Length` or chunked encoding. A truncated body is then recognised only if the
     /// connection is reset.
     pub allow_undelimited: bool,
+    /// Size of the largest response header in bytes, which is also that of the read buffer of a
+    /// connection; at least 8 KiB.
+    pub max_header: usize,
+    /// Bytes of the bodies that are being collected at the same time over all connections; a body that
+    /// does not fit fails. Collections with a limit of their own above it are left out.
+    pub max_collected: usize,
 }
 
 /// How often a request may be sent, and on which connections.
@@ -88,6 +97,8 @@
     clock: clock::System,
     config: Config,
     idle: table::Table<Idle>,
+    /// Bytes that may still be collected, see [`Config::max_collected`].
+    buffers: sync::Arc<Semaphore>,
 }
 
 impl Default for Config {
@@ -100,6 +111,8 @@
             max_age,
             idle_timeout: max_age,
             allow_undelimited: false,
+            max_header: 64 * 1024,
+            max_collected: 64 * 1024 * 1024,
         }
     }
 }
@@ -107,7 +120,9 @@
 impl Pool {
     /// Creates an empty pool; connections are opened on demand.
     pub fn open(config: Config) -> sync::Arc<Self> {
-        sync::Arc::new(Self { clock: clock::System::open(), config, idle: table::Table::default() })
+        let buffers = sync::Arc::new(Semaphore::new(config.max_collected));
+        let clock = clock::System::open();
+        sync::Arc::new(Self { clock, config, idle: table::Table::default(), buffers })
     }
 
     /// Sends a request and waits at most `timeout` for the header of the response. The `Host`
@@ -253,7 +268,8 @@
             keepalive::Connection::with_max_age(kind, self.config.max_age, now, &mut rand::rng());
         // Connecting has a timeout of its own, so that `history` only has to track the age.
         history.mark_idle();
-        let connection = connection::Connection::open(peer, connect, history).await?;
+        let connection =
+            connection::Connection::open(peer, self.config.max_header, connect, history).await?;
         self.send_on(connection, peer, request, deadline).await.map_err(|failed| failed.error)
     }
 
@@ -309,6 +325,14 @@
         }
     }
 
+    /// Takes `bytes` of a body that is collected up to `max` from [`Config::max_collected`]; `None` if
+    /// they do not fit.
+    pub(crate) fn hold(&self, bytes: usize, max: usize) -> Option<OwnedSemaphorePermit> {
+        let bytes = if max > self.config.max_collected { 0 } else { bytes };
+        let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+        sync::Arc::clone(&self.buffers).try_acquire_many_owned(bytes).ok()
+    }
+
     /// Returns a connection to the pool; it is closed if it has expired or the pool is full.
     pub(crate) fn put(&self, peer: net::SocketAddr, mut connection: connection::Connection) {
         let now = self.clock.now();
--- a/crates/client/tests/pool.rs
+++ b/crates/client/tests/pool.rs
@@ -151,3 +151,18 @@
     assert_eq!(sent.unwrap_err().kind, Kind::Broken);
     assert_eq!(server.requests().len(), 2);
 }
+
+/// Guards against bodies that are read at the same time until the process has no memory.
+#[tokio::test]
+async fn bodies_that_are_read_at_the_same_time_have_a_bound() {
+    let begun = format!("HTTP/1.1 200 OK\r\ncontent-length: 800\r\n\r\n{}", "x".repeat(700));
+    let slow = vec![Read, Write(begun), Pause(TIMEOUT / 10), Write("x".repeat(100)), Stall];
+    let server = Scripted::bind(vec![slow]).await;
+    let pool = Pool::open(Config { max_collected: 1_000, ..Config::default() });
+    let fetch = || pool.fetch(server.address, call(), Delivery::OnceFresh, TIMEOUT, 900);
+    let (one, other) = tokio::join!(fetch(), fetch());
+    let failed = [one, other].into_iter().filter_map(Result::err).collect::<Vec<_>>();
+    assert_eq!(failed.len(), 1, "{failed:?}");
+    assert_eq!(failed[0].kind, Kind::Malformed);
+    assert_eq!(fetch().await.expect("the bytes are free again").body().len(), 800);
+}
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod attempt;
+mod buffer;
 mod buffered;
 mod choose;
 mod quarantine;
@@ -38,6 +39,8 @@
     tables: tables::Tables,
     client: sync::Arc<C>,
     limits: sync::Arc<limits::Limits>,
+    /// Memory for the answers that are buffered.
+    buffers: buffer::Budget,
 }
 
 /// An answer whose body is still to be relayed.
@@ -64,6 +67,7 @@
             tables: tables::Tables::of(host),
             client: host.port()?,
             limits: host.port()?,
+            buffers: buffer::Budget::new(),
         }))
     }
 
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -9,6 +9,7 @@
     Answer, Code, Pipeline, Refusal, Result,
     admit::Admitted,
     attempt::{Attempts, Failure},
+    buffer,
     choose::Target,
     record::Record,
     relay::{Relay, Rest},
@@ -18,10 +19,6 @@
     upstream::{self, Body, Call, Client, Verdict},
 };
 
-/// Largest answer that is buffered whole; a larger one is relayed as it arrives, and not retried.
-/// A faulty upstream may fill as many of them as there are requests at the node.
-const MAX_BUFFERED_BYTES: usize = 256 * 1024;
-
 /// Sends a request, and retries at other upstreams where allowed.
 pub(super) async fn answer<C: Client>(
     pipeline: &sync::Arc<Pipeline<C>>,
@@ -123,29 +120,23 @@
         Verdict::Answer(answer) => answer,
     };
     let upstream::Answer { status, headers, is_genuine, mut body } = answer;
-    let mut parts = Vec::new();
-    let mut size = 0;
-    while size <= MAX_BUFFERED_BYTES {
-        match body.chunk().await.map_err(Failure::Call)? {
-            Some(part) => {
-                size += part.len();
-                parts.push(part);
-            }
-            None => {
-                let body = Collected { parts, rest: None };
-                return Ok(upstream::Answer { status, headers, is_genuine, body });
-            }
+    let mut buffer = buffer::Buffer::new(&pipeline.buffers);
+    let mut rest = None;
+    while let Some(part) = body.chunk().await.map_err(Failure::Call)? {
+        if let Err(next) = buffer.push(part) {
+            rest = Some((next, body));
+            break;
         }
     }
-    let body = Collected { parts, rest: Some(body) };
+    let body = Collected { begin: buffer.into_held(), rest };
     Ok(upstream::Answer { status, headers, is_genuine, body })
 }
 
-/// A body that was buffered up to [`MAX_BUFFERED_BYTES`].
+/// A body that was buffered as far as the limits allow.
 struct Collected<B> {
-    parts: Vec<bytes::Bytes>,
-    /// The unread remainder of a larger body.
-    rest: Option<B>,
+    begin: buffer::Held,
+    /// The part that did not fit, and the unread remainder.
+    rest: Option<(bytes::Bytes, B)>,
 }
 
 fn into_answer<C: Client>(
@@ -155,8 +146,13 @@
     deadline: moment::Moment,
 ) -> Answer<C> {
     let upstream::Answer { status, headers, body, .. } = answer;
-    let rest = body.rest.map(|body| Rest { pipeline: sync::Arc::clone(pipeline), body, deadline });
-    let relay = Relay::buffered(body.parts, rest, target.progress);
+    let rest = body.rest.map(|(next, body)| Rest {
+        pipeline: sync::Arc::clone(pipeline),
+        next,
+        body,
+        deadline,
+    });
+    let relay = Relay::buffered(Some(body.begin), rest, target.progress);
     Answer { status, headers, relay }
 }
 
--- a/crates/gateway/src/pipeline/relay.rs
+++ b/crates/gateway/src/pipeline/relay.rs
@@ -1,10 +1,12 @@
 //! Bodies of answers, as they are relayed to the caller.
 
-use std::{sync, vec};
+use std::{mem, sync};
 
 use corneltrestle_time::moment;
 
-use super::{Code, Pipeline, Refusal, Result, buffered, choose::InProgress, stream::Stream};
+use super::{
+    Code, Pipeline, Refusal, Result, buffer, buffered, choose::InProgress, stream::Stream,
+};
 use crate::upstream::{Body, Client};
 
 /// The body of an answer. Dropping it cancels the request at the upstream.
@@ -15,7 +17,7 @@
 
 #[derive(Debug)]
 enum State<C: Client> {
-    Buffered { parts: vec::IntoIter<bytes::Bytes>, rest: Option<Rest<C>>, _progress: InProgress },
+    Buffered { begin: Option<buffer::Held>, rest: Option<Rest<C>>, _progress: InProgress },
     Stream(Box<Stream<C>>),
 }
 
@@ -23,12 +25,17 @@
 #[derive(Debug)]
 pub(super) struct Rest<C: Client> {
     pub(super) pipeline: sync::Arc<Pipeline<C>>,
+    /// A part that has been read; empty if there is none.
+    pub(super) next: bytes::Bytes,
     pub(super) body: C::Body,
     pub(super) deadline: moment::Moment,
 }
 
 impl<C: Client> Rest<C> {
     async fn chunk(&mut self) -> Result<Option<bytes::Bytes>> {
+        if !self.next.is_empty() {
+            return Ok(Some(mem::take(&mut self.next)));
+        }
         let left = self.pipeline.time_left(self.deadline)?;
         match tokio::time::timeout(left, self.body.chunk()).await {
             Ok(chunk) => chunk.map_err(|e| buffered::cut_off(&e)),
@@ -44,13 +51,13 @@
 }
 
 impl<C: Client> Relay<C> {
-    /// A body whose `parts` have been read; `rest` is the unread remainder, if any.
+    /// A body whose beginning has been read; `rest` is the remainder, if any.
     pub(super) fn buffered(
-        parts: Vec<bytes::Bytes>,
+        begin: Option<buffer::Held>,
         rest: Option<Rest<C>>,
         progress: InProgress,
     ) -> Self {
-        Self { state: State::Buffered { parts: parts.into_iter(), rest, _progress: progress } }
+        Self { state: State::Buffered { begin, rest, _progress: progress } }
     }
 
     /// A stream of events, which is resumed at another upstream on failure.
@@ -61,8 +68,8 @@
     /// Size in bytes, if the whole body has been read.
     pub fn size(&self) -> Option<u64> {
         match &self.state {
-            State::Buffered { parts, rest: None, .. } => {
-                Some(parts.as_slice().iter().map(|part| part.len() as u64).sum())
+            State::Buffered { begin, rest: None, .. } => {
+                Some(begin.as_ref().map_or(0, |begin| begin.bytes.len() as u64))
             }
             _ => None,
         }
@@ -75,10 +82,10 @@
     /// When the answer cannot be completed. The parts returned before are then only its beginning.
     pub async fn next(&mut self) -> Result<Option<bytes::Bytes>> {
         match &mut self.state {
-            State::Buffered { parts, rest, .. } => match (parts.next(), rest) {
-                (Some(part), _) => Ok(Some(part)),
-                (None, Some(rest)) => rest.chunk().await,
-                (None, None) => Ok(None),
+            State::Buffered { begin, rest, .. } => match (begin.take(), rest) {
+                (Some(begin), _) if !begin.bytes.is_empty() => Ok(Some(begin.bytes)),
+                (_, Some(rest)) => rest.chunk().await,
+                (_, None) => Ok(None),
             },
             State::Stream(stream) => stream.next().await,
         }
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -79,8 +79,8 @@
     if !answer.status.is_success() {
         attempts.record.finished(answer.status);
         let (pipeline, deadline) = (sync::Arc::clone(pipeline), admitted.deadline);
-        let rest = Rest { pipeline, body: answer.body, deadline };
-        let relay = Relay::buffered(Vec::new(), Some(rest), target.progress);
+        let rest = Rest { pipeline, next: bytes::Bytes::new(), body: answer.body, deadline };
+        let relay = Relay::buffered(None, Some(rest), target.progress);
         return Ok(Answer { status: answer.status, headers: answer.headers, relay });
     }
     let delivery = delivery::Delivery::starting_at(&request.id, resume_after.unwrap_or(0) + 1);
--- a/crates/gateway/tests/facts.rs
+++ b/crates/gateway/tests/facts.rs
@@ -10,6 +10,9 @@
 };
 use corneltrestle_kernel::{host, pool, settings};
 use corneltrestle_policy::upstream;
+use futures_util::future::join_all;
+use test_case::test_case;
+use tokio::io::AsyncWriteExt;
 use tokio_util::sync::CancellationToken;
 
 /// Number of upstreams of a large deployment.
@@ -101,3 +104,41 @@
     assert_eq!(seen, [UPSTREAMS].into());
     stop.cancel();
 }
+
+/// Resident memory of this process in KB.
+fn memory_kb() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a size");
+    line.trim().trim_end_matches(" kB").parse().expect("a number")
+}
+
+/// Guards against a node that keeps all bytes of a faulty peer, or waits for it without end.
+#[test_case(b"", b"x"; "no protocol")]
+#[test_case(b"\0\0\0\x04\0\0\0\0\0", b"\0\0\0\x04\0\0\0\0\0"; "settings")]
+#[test_case(b"\0\0\0\x04\0\0\0\0\0", b"\0\0\x08\x06\0\0\0\0\0pingpong"; "pings")]
+#[test_case(b"\0\0\0\x04\0\0\0\0\0", b"\0\0\x04\x01\0\0\0\0\x01\x40\x01a\0"; "headers")]
+#[test_case(b"\0\0\0\x04\0\0\0\0\0\0\0\x01\x01\x04\0\0\0\x01\x88", b"\0\0\x05\0\0\0\0\0\x01\0\xff\xff\xff\xff"; "message")]
+#[tokio::test]
+async fn endless_peer_is_given_up(start: &'static [u8], repeat: &'static [u8]) {
+    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let server = tokio::spawn(async move {
+        let block = repeat.repeat(16 * 1024 / repeat.len());
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let block = block.clone();
+            connections.spawn(async move {
+                let _ = socket.write_all(start).await;
+                while socket.write_all(&block).await.is_ok() {}
+            });
+        }
+    });
+    let (host, before) = (host(), memory_kb());
+    let facts = Facts::new(&host);
+    let fetches = (0..8).map(|_| facts.fetch(address, 0, host.now()));
+    let ended = tokio::time::timeout(Duration::from_secs(10), join_all(fetches)).await;
+    assert!(ended.expect("the calls end").iter().all(Result::is_err));
+    let growth = memory_kb().saturating_sub(before);
+    assert!(growth < 32 * 1024, "{growth} KB more than before");
+    server.abort();
+}
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -308,6 +308,29 @@
     assert_eq!(seen, reuse);
 }
 
+/// Guards against answers that take more memory than the node has, as their callers have not read them,
+/// and against answers that are cut off for that.
+#[tokio::test]
+async fn answers_beyond_the_memory_for_buffers_are_passed_on_whole() {
+    let large: &'static str = "x".repeat(200 * 1024).leak();
+    let world = World::open(&[&[Act::Whole(large)]], AMPLE);
+    let mut answers = Vec::new();
+    for _ in 0..120 {
+        answers.push(world.begin("/status/7").await);
+    }
+    let buffered = answers.iter().filter(|answer| answer.relay.size().is_some()).count();
+    assert!((40..=82).contains(&buffered), "{buffered} answers of 200 KB are buffered");
+    for mut answer in answers {
+        let mut size = 0;
+        while let Some(part) = answer.relay.next().await.expect("the answer goes on") {
+            size += part.len();
+        }
+        assert_eq!(size, large.len());
+    }
+    let again = world.begin("/status/7").await;
+    assert!(again.relay.size().is_some(), "the memory is free again");
+}
+
 /// Guards against a request that runs at more upstreams than its route allows.
 #[tokio::test]
 async fn request_runs_at_no_more_upstreams_than_its_route_allows() {
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -310,6 +310,11 @@
         (answer.status.as_u16(), text(body), None)
     }
 
+    /// Sends a request, and leaves its answer to be read.
+    pub(crate) async fn begin(&self, path: &'static str) -> pipeline::Answer<Upstreams> {
+        self.pipeline.handle(self.request(path)).await.expect("an answer")
+    }
+
     pub(crate) fn request(&self, path: &'static str) -> request::Request {
         let generates = path.starts_with("/draft/") || path.starts_with("/note/");
         request::Request {
