kernel: stop the front ends of a node at the same time

Cause: front ends were stopped one after the other, callers last, and each waits for its connections. The readiness and the metrics endpoint had a drain limit of 30 s of their own: a connection to one of them with half a header kept the stop from reaching the callers.

Change: front ends stop at the same time, and all have the drain limit of the node.

--- a/crates/http/src/callers.rs
+++ b/crates/http/src/callers.rs
@@ -89,8 +89,7 @@
     let limits = server::Limits {
         header_timeout: callers.duration("header-time"),
         max_connections: usize::try_from(callers.count("connections")).unwrap_or(usize::MAX),
-        drain_timeout: host.settings.section("node").duration("drain-limit"),
-        ..server::Limits::default()
+        ..server::Limits::of_node(host)
     };
     let body_limits = request_body::Limits {
         max_bytes: usize::try_from(callers.count("body-limit")).unwrap_or(usize::MAX),
--- a/crates/http/src/operators.rs
+++ b/crates/http/src/operators.rs
@@ -55,5 +55,6 @@
             async move { Ok(handler.handle(request).await) }
         });
     let address = host.settings.section("operators").address("address");
-    server::bind(host, "operators", address, server::Limits::default, service, refuse::Json)
+    let limits = server::Limits::of_node(host);
+    server::bind(host, "operators", address, move || limits, service, refuse::Json)
 }
--- a/crates/kernel/src/host.rs
+++ b/crates/kernel/src/host.rs
@@ -10,7 +10,7 @@
     clock::{self, Clock},
     moment,
 };
-use futures_util::FutureExt;
+use futures_util::{FutureExt, future};
 use rand::Rng;
 use tokio_util::sync::CancellationToken;
 
@@ -41,8 +41,8 @@
 /// The running plug-ins of a node.
 #[derive(Debug, Default)]
 pub struct Opened {
-    /// Name and handle of each plug-in, in the order of opening.
-    handles: Vec<(&'static str, plugin::Handle)>,
+    /// Each plug-in with its handle, in the order of opening.
+    handles: Vec<(&'static plugin::Plugin, plugin::Handle)>,
 }
 
 impl Host {
@@ -67,7 +67,7 @@
         let mut opened = Opened::default();
         for plugin in plugin::ordered() {
             (plugin.check)(&self.settings)?;
-            opened.handles.push((plugin.name, (plugin.open)(self)?));
+            opened.handles.push((plugin, (plugin.open)(self)?));
         }
         Ok(opened)
     }
@@ -158,11 +158,21 @@
 }
 
 impl Opened {
-    /// Shuts the plug-ins down one after the other, in the reverse order of opening.
+    /// Shuts the front ends down at the same time, as each of them waits for its connections, and then
+    /// the other plug-ins one after the other, in the reverse order of opening.
     pub async fn shutdown(self) {
-        for (name, handle) in self.handles.into_iter().rev() {
-            log::debug!("kernel: stopping plug-in {name}");
-            handle.shutdown().await;
+        let is_front_end =
+            |(plugin, _): &(&plugin::Plugin, _)| plugin.kind == plugin::Kind::FrontEnd;
+        let (front_ends, others): (Vec<_>, Vec<_>) =
+            self.handles.into_iter().partition(is_front_end);
+        future::join_all(front_ends.iter().map(|(plugin, handle)| stop(plugin, handle))).await;
+        for (plugin, handle) in others.iter().rev() {
+            stop(plugin, handle).await;
         }
     }
 }
+
+async fn stop(plugin: &plugin::Plugin, handle: &plugin::Handle) {
+    log::debug!("kernel: stopping plug-in {}", plugin.name);
+    handle.shutdown().await;
+}
--- a/crates/server/src/limits.rs
+++ b/crates/server/src/limits.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use corneltrestle_kernel::host;
+
 /// Hyper's own header limits as a multiple of [`Limits`]. Headers up to this size are parsed, so
 /// that the front end can refuse them in its own error format; hyper closes the connection on
 /// larger ones.
@@ -42,6 +44,12 @@
 }
 
 impl Limits {
+    /// The default limits, with the drain limit from the settings of the node.
+    pub fn of_node(host: &host::Host) -> Self {
+        let drain_timeout = host.settings.section("node").duration("drain-limit");
+        Self { drain_timeout, ..Self::default() }
+    }
+
     /// Header size in bytes above which hyper closes the connection without the front end.
     pub(crate) fn hyper_header_bytes(&self) -> usize {
         (HYPER_LIMIT_FACTOR * self.max_header_bytes).max(MIN_BUFFER_BYTES)
