server, gateway: the last line of a dropped request tells who ended its connection

Cause: a request that is dropped before its end was logged as "caller left", whether its client closed the connection, the node closed it as the client read nothing, or the drain limit of a stop cut it off. Change: the node records why it closes a connection (kernel::disconnect); the line has the cause, "this node cut the request off" is a warning, and requests_total counts it as cut-off.

--- a/crates/gateway/src/pipeline/record.rs
+++ b/crates/gateway/src/pipeline/record.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync};
 
-use corneltrestle_kernel::{host, linkme, metric, table};
+use corneltrestle_kernel::{disconnect, host, linkme, metric, table};
 use corneltrestle_policy::{id, refusal};
 use corneltrestle_time::moment;
 
@@ -23,17 +23,18 @@
 #[linkme(crate = linkme)]
 static REQUESTS: metric::Metric = metric::Metric::counter(
     "requests_total",
-    "Requests by service and by result: answered, caller-left or the code of the refusal.",
+    "Requests by service and by result: answered, caller-left, cut-off (by this node, with its connection) or the code of the refusal.",
 );
 
-/// The record of one request. Its log line is written when the request ends, or on drop when the
-/// caller has disconnected.
+/// The record of one request. Its log line is written when the request ends, or on drop with the
+/// connection on which it arrived.
 #[derive(Debug)]
 pub(super) struct Record {
     host: sync::Arc<host::Host>,
     catalog: sync::Arc<table::Table<catalog::Catalog>>,
     id: String,
     arrived: moment::Moment,
+    end: disconnect::End,
     route: Option<id::Route>,
     service: Option<id::Service>,
     organisation: Option<id::Organisation>,
@@ -77,6 +78,7 @@
             catalog: sync::Arc::clone(catalog),
             id: request.id.clone(),
             arrived: request.arrived,
+            end: request.end.clone(),
             route: None,
             service: None,
             organisation: None,
@@ -206,12 +208,20 @@
         if self.is_closed {
             return;
         }
-        self.count("caller-left");
-        log::info!(
+        let cause = self.end.cause();
+        let (result, level, message) = match cause {
+            disconnect::Cause::Client => ("caller-left", log::Level::Info, "caller left"),
+            disconnect::Cause::Unread | disconnect::Cause::DrainLimit => {
+                ("cut-off", log::Level::Warn, "this node cut the request off")
+            }
+        };
+        self.count(result);
+        log::log!(
+            level,
             id = self.id.as_str(), route = self.route(), took_ms = self.since(self.host.now()),
-            events = self.events.number, upstream = self.upstream(),
+            cause = cause.as_str(), events = self.events.number, upstream = self.upstream(),
             sent = self.attempts().as_str();
-            "route: caller left"
+            "route: {message}"
         );
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,5 +1,6 @@
 //! Requests as front ends pass them to the pipeline.
 
+use corneltrestle_kernel::disconnect;
 use corneltrestle_policy::{id, quarantine};
 use corneltrestle_time::moment;
 use hyper::{HeaderMap, Method, http::uri};
@@ -29,6 +30,8 @@
     pub arrived: moment::Moment,
     /// Deadline set by the caller, if any.
     pub deadline: Option<moment::Moment>,
+    /// The end of the connection on which it arrived.
+    pub end: disconnect::End,
 }
 
 /// What a model is to generate, as declared by the caller.
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -11,7 +11,7 @@
         Reply, Report, Result, Urgency, Verdict,
     },
 };
-use corneltrestle_kernel::{host, lifecycle, memory, pool, settings};
+use corneltrestle_kernel::{disconnect, host, lifecycle, memory, pool, settings};
 use corneltrestle_policy::{deployment, id, quarantine, refusal, retry::fleet, upstream};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
@@ -398,6 +398,7 @@
             resume_after: None,
             arrived: self.host.now(),
             deadline: None,
+            end: disconnect::End::default(),
         }
     }
 
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -6,6 +6,7 @@
 //! tables, the worker pool, the clock, the settings and the ports of other plug-ins.
 
 pub mod daemon;
+pub mod disconnect;
 pub mod host;
 pub mod ini;
 pub mod lifecycle;
--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -11,7 +11,7 @@
     time,
 };
 
-use corneltrestle_kernel::{host, lifecycle, linkme, memory, metric, plugin};
+use corneltrestle_kernel::{disconnect, host, lifecycle, linkme, memory, metric, plugin};
 use hyper::body::{Body, Incoming};
 use socket2::SockRef;
 use tokio_util::sync::CancellationToken;
@@ -330,6 +330,9 @@
             ended = connection.as_mut() => return ended,
             _ = first_request => state.close(),
         }
-        tokio::time::timeout(limits.drain_timeout, connection).await.unwrap_or(Ok(()))
+        tokio::time::timeout(limits.drain_timeout, connection).await.unwrap_or_else(|_| {
+            state.end.record(disconnect::Cause::DrainLimit);
+            Ok(())
+        })
     }
 }
--- a/crates/server/src/connection.rs
+++ b/crates/server/src/connection.rs
@@ -6,7 +6,7 @@
     atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
-use corneltrestle_kernel::memory;
+use corneltrestle_kernel::{disconnect, memory};
 use corneltrestle_time::moment::Moment;
 use tokio::net;
 use tokio_util::sync::CancellationToken;
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     holding: memory::Holding,
+    /// Why the node closes the connection, if it does.
+    pub(crate) end: disconnect::End,
     /// What the socket takes of the responses.
     pub(crate) output: Output,
     /// What the client does not take of the responses of HTTP/2.
@@ -71,6 +73,7 @@
     pub(crate) fn new(holding: memory::Holding) -> Self {
         Self {
             holding,
+            end: disconnect::End::default(),
             output: Output::default(),
             withheld: Withheld::new(),
             begun: CancellationToken::new(),
--- a/crates/server/src/header.rs
+++ b/crates/server/src/header.rs
@@ -96,8 +96,9 @@
                 in_service,
             },
             None => {
-                let caller = self.context.connection.caller();
-                request.extensions_mut().insert(peer::Peer(caller));
+                let connection = &self.context.connection;
+                let (caller, end) = (connection.caller(), connection.end.clone());
+                request.extensions_mut().insert(peer::Peer { caller, end });
                 let inner = self.inner.call(request);
                 ResponseFuture::Forwarded { inner, pacing, in_service }
             }
--- a/crates/server/src/session.rs
+++ b/crates/server/src/session.rs
@@ -10,6 +10,7 @@
     sync, task, time,
 };
 
+use corneltrestle_kernel::disconnect;
 use hyper::server::conn::http1;
 use hyper_util::{rt, server::conn::auto, service::TowerToHyperService};
 use tokio::time::Instant;
@@ -108,6 +109,7 @@
         loop {
             tokio::time::sleep((limits.read_timeout / 4).min(unread::MAX_CHECK_PERIOD)).await;
             if let Some((cause, silent)) = state.withheld.check(&host, limits.read_timeout) {
+                state.end.record(disconnect::Cause::Unread);
                 return unread::report(name, cause, silent, host.now());
             }
         }
--- a/crates/server/src/unread.rs
+++ b/crates/server/src/unread.rs
@@ -7,7 +7,7 @@
     task, time,
 };
 
-use corneltrestle_kernel::{host, linkme, memory, metric};
+use corneltrestle_kernel::{disconnect, host, linkme, memory, metric};
 use corneltrestle_time::moment;
 use socket2::SockRef;
 use tokio::net;
@@ -196,6 +196,7 @@
         cause: Cause,
         silent: time::Duration,
     ) -> io::Error {
+        self.connection.end.record(disconnect::Cause::Unread);
         let error = report(self.name, cause, silent, self.host.now());
         // A reset frees what the system keeps for the client, and tells it that an answer which ends
         // with its connection is incomplete.
