gateway: a stream leaves a silent upstream only once another one has answered

What callers saw: a stream ended without its last events, although its upstream had only paused. Cause: when an upstream was declared stalled, its connection was dropped before another upstream had taken the stream. If that one was full, could not be reached, failed, or no retry was left by then, nothing was left to read from, and the node closed the caller's connection. Class of fault: a resource in use is given up before its replacement is there. Change: the stream reads on from its upstream while another one is asked. The first to send decides; if no other one takes the stream, it stays. A move that failed is tried again only after the period of the check. That this is what the users' record shows is likely, not proven: the record does not hold the lines of the requests that it names.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -37,7 +37,7 @@
 );
 
 /// Time between two checks whether a request can move away from a stalled upstream.
-const MOVE_CHECK_PERIOD: time::Duration = time::Duration::from_millis(50);
+pub(super) const MOVE_CHECK_PERIOD: time::Duration = time::Duration::from_millis(50);
 
 /// The attempts of one request so far.
 #[derive(Debug)]
@@ -115,6 +115,20 @@
         !self.is_last(upstream, admitted) && self.record.dispatches() < MAX_DISPATCHES
     }
 
+    /// Gives up the attempt in progress, as the upstream `kept` that it was to replace has sent on. It
+    /// may have run.
+    pub(super) fn withdraw(&mut self, kept: &id::Vm, now: moment::Moment) {
+        let Some(upstream) = self.record.in_progress().filter(|latest| *latest != kept).cloned()
+        else {
+            return;
+        };
+        self.record.failed(&"the former upstream sent on", now);
+        self.has_arrived = true;
+        self.may_have_run = true;
+        self.ran.insert(upstream.clone());
+        self.tried.insert(upstream);
+    }
+
     /// Whether the attempt at the target may go on a connection that was used before. If the connection
     /// has gone silent, the request must be able to move to another upstream.
     pub(super) fn may_reuse(&self, target: &Target, admitted: &Admitted) -> bool {
--- a/crates/gateway/src/pipeline/record.rs
+++ b/crates/gateway/src/pipeline/record.rs
@@ -113,6 +113,12 @@
         }
     }
 
+    /// The upstream of the latest send, if that has not failed.
+    pub(super) fn in_progress(&self) -> Option<&id::Vm> {
+        let latest = self.dispatches.last()?;
+        latest.failure.is_none().then_some(&latest.upstream)
+    }
+
     /// Number of sends so far.
     pub(super) fn dispatches(&self) -> usize {
         self.dispatches.len()
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -1,7 +1,9 @@
 //! Event streams. When an upstream fails, the stream is resumed at another one after the last event
-//! that was delivered.
+//! that was delivered. One that is only silent is not left before another one has answered.
 
-use std::sync;
+mod reader;
+
+use std::{future, sync};
 
 use corneltrestle_kernel::{linkme, metric};
 use corneltrestle_policy::delivery;
@@ -11,7 +13,7 @@
 use super::{
     Answer, Code, Pipeline, Refusal, Result,
     admit::Admitted,
-    attempt::{Attempts, Failure, Stop},
+    attempt::{Attempts, Failure, MOVE_CHECK_PERIOD, Stop},
     choose::Target,
     record::Record,
     relay::{self, Relay, Rest},
@@ -19,7 +21,7 @@
 use crate::{
     request,
     tables::gates,
-    upstream::{self, Body, Call, Client, Urgency, Verdict},
+    upstream::{self, Call, Client, Urgency, Verdict},
 };
 
 #[linkme::distributed_slice(metric::METRICS)]
@@ -29,27 +31,36 @@
     "Streams that were resumed at another upstream.",
 );
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static KEPT: metric::Metric = metric::Metric::counter(
+    "streams_kept_total",
+    "Streams that stayed at a silent upstream, by cause: no other upstream took them (refused), or it sent on (resumed).",
+);
+
 /// Number of events after which an upstream has survived the beginning of an answer.
 const SOUND_EVENTS: u64 = 2;
 
-/// Largest event; a larger one fails the attempt.
-const MAX_EVENT_BYTES: usize = 64 * 1024;
-
 /// A stream in progress.
 #[derive(Debug)]
 pub(super) struct Stream<C: Client> {
+    session: Session<C>,
+    target: Target,
+    reader: reader::Reader<C::Body>,
+    /// Events of the present upstream.
+    events: u64,
+    /// Whether the latest move away from the present upstream failed.
+    was_kept: bool,
+}
+
+/// The request of a stream, with its attempts and what was delivered so far.
+#[derive(Debug)]
+struct Session<C: Client> {
     pipeline: sync::Arc<Pipeline<C>>,
     request: request::Request,
     admitted: Admitted,
     attempts: Attempts,
     delivery: delivery::Delivery,
-    target: Target,
-    body: C::Body,
-    decoder: sse::Decoder,
-    /// Events of the present upstream.
-    events: u64,
-    /// Whether any byte of the present upstream's answer has arrived.
-    has_bytes: bool,
 }
 
 /// An answer whose head has arrived, with the upstream that sends it.
@@ -58,11 +69,16 @@
     answer: upstream::Answer<B>,
 }
 
-/// Result of reading from a body.
-enum Read {
-    Part(bytes::Bytes),
+/// What a stream does next.
+enum Step {
+    /// It decodes what has been read.
+    Decode,
+    /// The answer has ended.
     End,
-    Failed(Failure),
+    /// The answer has failed, and the stream is resumed at another upstream.
+    Resume(Failure),
+    /// The upstream has been silent for too long, and another one may go on with the stream.
+    Leave(Failure),
 }
 
 /// Starts a stream at the first upstream that answers.
@@ -86,19 +102,11 @@
         return Ok(Answer { status: answer.status, headers: answer.headers, relay });
     }
     let delivery = delivery::Delivery::starting_at(&request.id, resume_after.unwrap_or(0) + 1);
-    let mut stream = Stream {
-        pipeline: sync::Arc::clone(pipeline),
-        request,
-        admitted,
-        attempts,
-        delivery,
-        target,
-        body: answer.body,
-        decoder: sse::Decoder::new(MAX_EVENT_BYTES),
-        events: 0,
-        has_bytes: false,
-    };
-    stream.release_request();
+    let pipeline = sync::Arc::clone(pipeline);
+    let mut session = Session { pipeline, request, admitted, attempts, delivery };
+    session.release_request(&target);
+    let reader = reader::Reader::new(answer.body);
+    let stream = Stream { session, target, reader, events: 0, was_kept: false };
     let (status, headers) = (answer.status, answer.headers);
     Ok(Answer { status, headers, relay: Relay::stream(stream) })
 }
@@ -195,9 +203,9 @@
     pub(super) async fn next(&mut self) -> Result<Option<bytes::Bytes>> {
         let event = self.next_event().await;
         match &event {
-            Ok(Some(_)) => self.attempts.record.event(self.pipeline.now()),
+            Ok(Some(_)) => self.session.attempts.record.event(self.session.pipeline.now()),
             Ok(None) => self.finish(),
-            Err(refusal) => self.attempts.record.refused(refusal),
+            Err(refusal) => self.session.attempts.record.refused(refusal),
         }
         event
     }
@@ -205,8 +213,8 @@
     /// Reads until there is an event to deliver, resuming at other upstreams as needed.
     async fn next_event(&mut self) -> Result<Option<bytes::Bytes>> {
         loop {
-            self.target.progress.waits(self.pipeline.now());
-            match self.decoder.next_block() {
+            self.target.progress.waits(self.session.pipeline.now());
+            match self.reader.next_block() {
                 // Bytes alone are no progress: a stalled upstream may send comments.
                 Ok(Some(block)) => match self.check(&block) {
                     delivery::Verdict::Deliver => {
@@ -230,12 +238,9 @@
                 }
             }
             match self.read().await? {
-                Read::Part(part) => {
-                    self.has_bytes = true;
-                    self.decoder.feed(part);
-                }
-                Read::End if self.is_complete() => return Ok(None),
-                Read::End => {
+                Step::Decode => {}
+                Step::End if self.is_complete() => return Ok(None),
+                Step::End => {
                     let failure = Failure::Call(upstream::Error {
                         kind: upstream::Kind::Broken,
                         step: "read",
@@ -244,62 +249,67 @@
                     });
                     self.resume(failure).await?;
                 }
-                Read::Failed(failure) => self.resume(failure).await?,
+                Step::Resume(failure) => self.resume(failure).await?,
+                Step::Leave(failure) => self.leave(failure).await,
             }
         }
     }
 
-    /// Reads the next part of the body. Ends early if the upstream stalls and another one can take
+    /// Reads the next part of the answer. Ends early if the upstream stalls and another one can take
     /// over; fails at the deadline.
-    async fn read(&mut self) -> Result<Read> {
-        let left =
-            self.pipeline.time_left(self.admitted.deadline).map_err(|e| self.at_target(e))?;
-        let part = async {
+    async fn read(&mut self) -> Result<Step> {
+        let left = self
+            .session
+            .pipeline
+            .time_left(self.session.admitted.deadline)
+            .map_err(|e| self.at_target(e))?;
+        let can_move = async {
+            if self.was_kept {
+                tokio::time::sleep(MOVE_CHECK_PERIOD).await;
+            }
+            self.session.can_move(&self.target).await
+        };
+        let next = async {
             tokio::select! {
                 biased;
-                part = self.body.chunk() => match part {
-                    Ok(Some(part)) => Read::Part(part),
-                    Ok(None) => Read::End,
-                    Err(error) => Read::Failed(Failure::Call(error)),
+                read = self.reader.read() => match read {
+                    reader::Read::Part => Step::Decode,
+                    reader::Read::End => Step::End,
+                    reader::Read::Failed(failure) => Step::Resume(failure),
                 },
-                failure = self.pipeline.can_move(
-                    &self.attempts,
-                    &self.request,
-                    &self.admitted,
-                    &self.target,
-                    None,
-                ) => Read::Failed(failure),
+                failure = can_move => Step::Leave(failure),
             }
         };
-        let read = tokio::time::timeout(left, part).await;
-        read.map_err(|_| self.at_target(relay::out_of_time()))
+        let next = tokio::time::timeout(left, next).await;
+        next.map_err(|_| self.at_target(relay::out_of_time()))
     }
 
     /// Records that the upstream has sent an event, new or not.
     fn count_event(&mut self) {
-        let now = self.pipeline.now();
+        let now = self.session.pipeline.now();
         self.target.progress.progressed(now);
-        self.events += 1;
+        (self.events, self.was_kept) = (self.events + 1, false);
         if self.events == 1 {
             self.record_first_event(now);
         }
         if self.events == SOUND_EVENTS {
-            self.pipeline.record_sound(&self.request, now);
+            self.session.pipeline.record_sound(&self.session.request, now);
         }
     }
 
     /// Compares the first event with its prediction. Only admission makes use of it.
     fn record_first_event(&self, now: moment::Moment) {
-        if self.pipeline.tables.gates.lock().mode() == gates::Mode::Open {
+        if self.session.pipeline.tables.gates.lock().mode() == gates::Mode::Open {
             return;
         }
-        let generation = self.request.generation.as_ref();
+        let generation = self.session.request.generation.as_ref();
         let Some((generation, predicted)) = generation.zip(self.target.expected) else { return };
         let actual = now.since(self.target.chosen);
-        let (service, model) = (&self.admitted.service, &generation.model);
-        let tables = &self.pipeline.tables;
+        let (service, model) = (&self.session.admitted.service, &generation.model);
+        let tables = &self.session.pipeline.tables;
         tables.demand.lock().record_first_event(service, model, predicted, actual);
-        let is_in_time = now.since(self.request.arrived) <= self.admitted.route.objective;
+        let is_in_time =
+            now.since(self.session.request.arrived) <= self.session.admitted.route.objective;
         tables.gates.lock().record_first_event(&(service.clone(), model.clone()), is_in_time);
     }
 
@@ -307,81 +317,121 @@
     /// resumed stream is one: its caller has all events already. Other text is none of the stream,
     /// and an answer that ends with its connection also ends where its upstream crashes.
     fn is_complete(&self) -> bool {
-        let has_all = self.delivery.next_index() > 1 && self.body.is_delimited() && !self.has_bytes;
-        self.decoder.is_empty() && (self.events > 0 || has_all)
+        let Self { session, reader, events, .. } = self;
+        let has_all =
+            session.delivery.next_index() > 1 && reader.is_delimited() && !reader.has_bytes();
+        reader.is_empty() && (*events > 0 || has_all)
     }
 
     fn check(&mut self, block: &sse::Block) -> delivery::Verdict {
         let index = std::str::from_utf8(&block.event.id).ok().and_then(|id| id.parse().ok());
         match index {
-            Some(index) => {
-                self.delivery.check(&delivery::Event { request: &self.request.id, index })
-            }
+            Some(index) => self
+                .session
+                .delivery
+                .check(&delivery::Event { request: &self.session.request.id, index }),
             None => delivery::Verdict::Gap,
         }
     }
 
     /// Resumes the stream at another upstream.
     async fn resume(&mut self, failure: Failure) -> Result<()> {
-        let now = self.pipeline.now();
-        let upstream = self.target.id.clone();
-        if self.events < SOUND_EVENTS {
-            self.pipeline.record_loss(&self.request, &self.target, &failure, now).await;
-        }
-        self.pipeline.check_retry(
-            &mut self.attempts,
-            &self.request,
-            &self.admitted,
-            &upstream,
-            failure,
-            now,
-        )?;
-        let Some(next) = self.delivery.resume(self.admitted.deadline, now) else {
-            return Err(self.at_target(relay::out_of_time()));
-        };
-        metrics::counter!(MOVED.name).increment(1);
-        let resume_after = next.checked_sub(1).filter(|last| *last > 0);
-        let connected = connect(
-            &self.pipeline,
-            &self.request,
-            &self.admitted,
-            &mut self.attempts,
-            resume_after,
-        )
-        .await?;
-        if !connected.answer.status.is_success() {
-            let message = format!(
-                "the upstream answered the resumed stream with status {}",
-                connected.answer.status
-            );
-            return Err(Refusal::unknown(Code::UpstreamFailed, "resume", message));
-        }
-        self.target = connected.target;
-        self.body = connected.answer.body;
-        self.decoder = sse::Decoder::new(MAX_EVENT_BYTES);
-        (self.events, self.has_bytes) = (0, false);
-        self.release_request();
+        let connected = self.session.connect(&self.target, self.events, failure).await?;
+        self.go_on_at(connected);
         Ok(())
     }
 
-    /// Releases the memory of the request's body if the stream can no longer be resumed.
-    fn release_request(&mut self) {
-        if !self.attempts.may_follow(&self.target.id, &self.admitted) {
-            self.request.body = bytes::Bytes::new();
-        }
+    /// Leaves a silent upstream for another one. It may only be slow: the stream stays there if it sends
+    /// an event before the other one answers, or if no other one takes the stream.
+    async fn leave(&mut self, failure: Failure) {
+        let moved = tokio::select! {
+            biased;
+            () = self.reader.has_block() => None,
+            moved = self.session.connect(&self.target, self.events, failure) => Some(moved),
+        };
+        let cause = match moved {
+            Some(Ok(connected)) => return self.go_on_at(connected),
+            Some(Err(refusal)) => {
+                log::info!(
+                    id = self.session.request.id.as_str(), upstream = self.target.id.as_str();
+                    "route: the stream stays at its upstream: {refusal}"
+                );
+                "refused"
+            }
+            None => {
+                self.session.attempts.withdraw(&self.target.id, self.session.pipeline.now());
+                "resumed"
+            }
+        };
+        metrics::counter!(KEPT.name, "cause" => cause).increment(1);
+        self.was_kept = true;
+    }
+
+    fn go_on_at(&mut self, connected: Connected<C::Body>) {
+        metrics::counter!(MOVED.name).increment(1);
+        let Connected { target, answer } = connected;
+        self.session.release_request(&target);
+        self.reader = reader::Reader::new(answer.body);
+        (self.target, self.events, self.was_kept) = (target, 0, false);
     }
 
     fn finish(&mut self) {
-        let events = self.delivery.next_index() - 1;
-        if let Some(generation) = &self.request.generation {
-            let mut demand = self.pipeline.tables.demand.lock();
-            demand.meter(&self.admitted.service).record_answer(&generation.model, events);
+        let events = self.session.delivery.next_index() - 1;
+        if let Some(generation) = &self.session.request.generation {
+            let mut demand = self.session.pipeline.tables.demand.lock();
+            demand.meter(&self.session.admitted.service).record_answer(&generation.model, events);
         }
-        self.pipeline.record_sound(&self.request, self.pipeline.now());
-        self.attempts.record.finished(hyper::StatusCode::OK);
+        self.session.pipeline.record_sound(&self.session.request, self.session.pipeline.now());
+        self.session.attempts.record.finished(hyper::StatusCode::OK);
     }
 
     fn at_target(&self, refusal: Refusal) -> Refusal {
         refusal.at(self.target.address)
     }
 }
+
+impl<C: Client> Session<C> {
+    /// Waits until the stream can move from a silent upstream to another one; returns why.
+    async fn can_move(&self, target: &Target) -> Failure {
+        let Self { pipeline, request, admitted, attempts, delivery } = self;
+        let failure = pipeline.can_move(attempts, request, admitted, target, None).await;
+        if !delivery.may_resume(admitted.deadline, pipeline.now()) {
+            future::pending::<()>().await;
+        }
+        failure
+    }
+
+    /// Sends the request to another upstream after the failure of `target`, which sent `events`; it goes
+    /// on after the last event delivered.
+    async fn connect(
+        &mut self,
+        target: &Target,
+        events: u64,
+        failure: Failure,
+    ) -> Result<Connected<C::Body>> {
+        let Self { pipeline, request, admitted, attempts, delivery } = self;
+        let now = pipeline.now();
+        if events < SOUND_EVENTS {
+            pipeline.record_loss(request, target, &failure, now).await;
+        }
+        pipeline.check_retry(attempts, request, admitted, &target.id, failure, now)?;
+        let Some(next) = delivery.resume(admitted.deadline, now) else {
+            return Err(relay::out_of_time().at(target.address));
+        };
+        let resume_after = next.checked_sub(1).filter(|last| *last > 0);
+        let connected = connect(pipeline, request, admitted, attempts, resume_after).await?;
+        let status = connected.answer.status;
+        if !status.is_success() {
+            let message = format!("the upstream answered the resumed stream with status {status}");
+            return Err(Refusal::unknown(Code::UpstreamFailed, "resume", message));
+        }
+        Ok(connected)
+    }
+
+    /// Releases the memory of the request's body if the stream can no longer be resumed.
+    fn release_request(&mut self, target: &Target) {
+        if !self.attempts.may_follow(&target.id, &self.admitted) {
+            self.request.body = bytes::Bytes::new();
+        }
+    }
+}
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -248,6 +248,34 @@
     assert_eq!(world.seen().len(), 1);
 }
 
+/// Guards against a stream that is cut off because its upstream is silent for a while: it has left that
+/// upstream, and no other one takes it.
+#[test_case(Act::Full; "full")]
+#[test_case(Act::NotSent; "unreachable")]
+#[test_case(Act::Broken; "broken")]
+#[test_case(Act::Status(500); "server error")]
+#[tokio::test]
+async fn stream_goes_on_at_a_silent_upstream_if_its_move_fails(failure: Act) {
+    let world = World::open(&[&[][..]; 2], AMPLE);
+    world.upstreams.act_in_turn(&[Act::Pauses(2), failure.clone(), failure.clone(), failure]);
+    let stall = world.declare_stalled("models-a", Duration::from_millis(100));
+    let (status, body, refusal) = world.send("/draft/7").await;
+    stall.await.expect("the watchdog task ends");
+    assert_eq!((status, body, refusal), (200, whole_stream(), None));
+}
+
+/// Guards against a stream that waits for another upstream although its own one has sent on.
+#[tokio::test]
+async fn stream_goes_on_at_the_upstream_that_sends_first() {
+    let world = World::open(&[&[][..]; 2], AMPLE);
+    world.upstreams.act_in_turn(&[Act::Pauses(2), Act::Late(Duration::from_secs(5))]);
+    let stall = world.declare_stalled("models-a", Duration::from_millis(100));
+    let (status, body, refusal) = world.send("/draft/7").await;
+    stall.await.expect("the watchdog task ends");
+    assert_eq!((status, body, refusal), (200, whole_stream(), None));
+    assert_eq!(world.seen().len(), 2);
+}
+
 /// Guards against an answer that would come in time, and is cut off although no other upstream can give
 /// one.
 #[test_case("/status/7", AMPLE, 1; "buffered, no other upstream")]
--- a/crates/policy/src/delivery.rs
+++ b/crates/policy/src/delivery.rs
@@ -113,6 +113,11 @@
         Verdict::Deliver
     }
 
+    /// Whether [`Delivery::resume`] would allow another attempt.
+    pub fn may_resume(&self, deadline: moment::Moment, now: moment::Moment) -> bool {
+        self.state != State::Complete && self.resumes < Self::MAX_RESUMES && now < deadline
+    }
+
     /// Decides whether another attempt may continue after the current one failed, was cut off or
     /// stalled: at most [`Delivery::MAX_RESUMES`] times, and only before the deadline.
     ///
@@ -123,7 +128,7 @@
             return None;
         }
         self.state = State::Broken;
-        if self.resumes >= Self::MAX_RESUMES || now >= deadline {
+        if !self.may_resume(deadline, now) {
             return None;
         }
         self.resumes += 1;
