gateway: a stopping node refuses streams that may outlast it

What callers saw: a stream that a node had taken after SIGTERM was cut off in the middle at the end of the node. Cause: admission compared the deadline with the end of the node only for requests that may not be repeated. A stream that has begun cannot end with a failure; its connection is closed. Class of fault: work is accepted without comparing its deadline with the end of what carries it. Change: streams are refused as not run as well, with a Retry-After of 20 ms instead of 300 ms, as other nodes can serve them now. A lookup is taken as before. Evidence: stops::stream_that_may_outlast_the_node_is_refused fails on the code before (the stream is taken) and passes now, 1 run each.

--- a/crates/gateway/src/pipeline/admit.rs
+++ b/crates/gateway/src/pipeline/admit.rs
@@ -9,9 +9,12 @@
 use super::{Code, Pipeline, Refusal, Result};
 use crate::{request, upstream::Client};
 
-/// `Retry-After` of a refusal by a node that has no configuration yet or is stopping.
+/// `Retry-After` of a refusal by a node that has no configuration yet.
 const START_RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
 
+/// `Retry-After` of a refusal by a node that is stopping; other nodes can serve the request now.
+const STOP_RETRY_AFTER: time::Duration = time::Duration::from_millis(20);
+
 /// Fraction of the time until its deadline for which a request waits for the configuration at most. Its
 /// caller can still go to another node after that.
 const START_WAIT_FRACTION: u32 = 3;
@@ -96,30 +99,34 @@
         Ok(Admitted { deployment, route, service, organisation, regions, priority, deadline })
     }
 
-    /// Refuses a request that may not be repeated and may outlast this node, which is stopping: its
-    /// caller could not be told what has become of it. Another node can wait for the answer.
+    /// Refuses a request that may outlast this node, which is stopping, unless it can be answered with a
+    /// failure and repeated then: what has become of an order would not be known, and a stream that has
+    /// begun can only be cut off. Another node can wait for the answer.
     fn check_end(&self, route: &deployment::Route, deadline: moment::Moment) -> Result<()> {
         let outlasts = self.host.lifecycle.end().is_some_and(|end| deadline > end);
-        if !outlasts || route.kind.is_repeatable() {
+        if !outlasts || route.kind.is_repeatable() && !route.kind.is_stream() {
             return Ok(());
         }
         let message = "the node may stop before the request ends";
-        Err(Refusal::not_run(Code::Unavailable, "admit", message).retry_after(START_RETRY_AFTER))
+        Err(Refusal::not_run(Code::Unavailable, "admit", message).retry_after(STOP_RETRY_AFTER))
     }
 
     fn deployment(&self) -> Result<sync::Arc<deployment::Deployment>> {
-        let not_ready = |message| {
-            Refusal::not_run(Code::Unavailable, "admit", message).retry_after(START_RETRY_AFTER)
+        let not_ready = |message, retry| {
+            Refusal::not_run(Code::Unavailable, "admit", message).retry_after(retry)
         };
         match self.host.lifecycle.stage() {
             lifecycle::Stage::Ready | lifecycle::Stage::Draining => {}
             lifecycle::Stage::Starting => {
-                return Err(not_ready("the node has no configuration yet"));
+                return Err(not_ready("the node has no configuration yet", START_RETRY_AFTER));
             }
-            _ => return Err(not_ready("the node is stopping")),
+            _ => return Err(not_ready("the node is stopping", STOP_RETRY_AFTER)),
         }
         let snapshot = self.tables.current.load();
-        snapshot.deployment.clone().ok_or_else(|| not_ready("the node has no configuration yet"))
+        snapshot
+            .deployment
+            .clone()
+            .ok_or_else(|| not_ready("the node has no configuration yet", START_RETRY_AFTER))
     }
 }
 
