gateway: requests in progress at the end of a stop are answered

What callers saw: the connection of an order, a lookup or a stream that waited for its upstream at the end of a stop was closed without an answer. Cause: the drain limit dropped the connections; the request path did not know of it, and had nothing to say to the caller by then. Class of fault: two parts of a node end the same work, and the one that can answer comes second. Change: an attempt without an answer ends 300 ms before the node does, with a failure, and no further one follows: unknown (502) if it may have run, not run otherwise.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -16,9 +16,9 @@
 mod relay;
 mod stream;
 
-use std::{sync, time};
+use std::{future, pin, sync, time};
 
-use corneltrestle_kernel::{host, plugin};
+use corneltrestle_kernel::{host, lifecycle, plugin};
 use corneltrestle_policy::{deployment, health, id, refusal};
 use corneltrestle_time::moment;
 
@@ -33,6 +33,9 @@
 /// `Retry-After` of a refusal for lack of capacity.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 
+/// Time before the end of a stopping node at which requests without an answer are answered with a failure.
+const END_MARGIN: time::Duration = time::Duration::from_millis(300);
+
 /// The request path of a node, generic over its client of upstreams.
 #[derive(Debug)]
 pub struct Pipeline<C> {
@@ -91,6 +94,37 @@
         if now < deadline { Ok(deadline.since(now)) } else { Err(relay::out_of_time()) }
     }
 
+    /// The result of a future, or `None` once a request with this deadline has to be answered: at its
+    /// deadline, or shortly before a stopping node ends.
+    async fn in_time<F: Future>(
+        &self,
+        deadline: moment::Moment,
+        future: pin::Pin<&mut F>,
+    ) -> Option<F::Output> {
+        let left = deadline.since(self.now());
+        tokio::select! {
+            biased;
+            output = future => Some(output),
+            () = tokio::time::sleep(left) => None,
+            () = self.ends() => None,
+        }
+    }
+
+    /// Completes shortly before a stopping node ends.
+    async fn ends(&self) {
+        let lifecycle = &self.host.lifecycle;
+        lifecycle.reached(lifecycle::Stage::Draining).await;
+        match lifecycle.end() {
+            Some(end) => tokio::time::sleep(end.since(self.now() + END_MARGIN)).await,
+            None => future::pending().await,
+        }
+    }
+
+    /// Whether the node ends too soon for a further attempt.
+    fn is_ending(&self, now: moment::Moment) -> bool {
+        self.host.lifecycle.end().is_some_and(|end| now + END_MARGIN >= end)
+    }
+
     /// Records an answer for the health of an upstream; `is_good` is false if it counts as a
     /// failure.
     fn record_answer(&self, upstream: &id::Vm, is_good: bool) {
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -285,7 +285,8 @@
         let allowed = retry::is_allowed(failure.kind(), repeatable)
             && (failure.is_stale() || Attempts::allows_run_after(attempts.ran.len(), admitted))
             && attempts.record.dispatches() < MAX_DISPATCHES
-            && now < admitted.deadline;
+            && now < admitted.deadline
+            && !self.is_ending(now);
         attempts.is_bad_answer = matches!(failure.kind(), retry::Failure::InvalidResponse);
         if !allowed {
             return Err(refuse(attempts, admitted, Stop::NotRetryable, now));
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -1,7 +1,7 @@
 //! Requests whose answer is buffered before any of it is relayed, so that a failure in the middle
 //! can still be retried.
 
-use std::sync;
+use std::{pin::pin, sync};
 
 use corneltrestle_time::moment;
 
@@ -66,29 +66,32 @@
             priority: admitted.priority,
             may_reuse: attempts.may_reuse(&target, admitted),
         };
-        let sent = async {
-            tokio::select! {
-                biased;
-                answer = exchange(pipeline, &target, &call) => answer,
-                failure = pipeline.can_move(attempts, request, admitted, &target, Some(now)) => {
-                    Err(failure)
+        let result = {
+            let sent = pin!(async {
+                tokio::select! {
+                    biased;
+                    answer = exchange(pipeline, &target, &call) => answer,
+                    failure = pipeline.can_move(attempts, request, admitted, &target, Some(now)) => {
+                        Err(failure)
+                    }
                 }
-            }
+            });
+            pipeline.in_time(admitted.deadline, sent).await
         };
-        let failure = match tokio::time::timeout(remaining, sent).await {
-            Ok(Ok(answer)) if may_retry(&answer, attempts, &target, admitted, pipeline.now()) => {
+        let failure = match result {
+            Some(Ok(answer)) if may_retry(&answer, attempts, &target, admitted, pipeline.now()) => {
                 Failure::BadAnswer(answer.status)
             }
-            Ok(Ok(answer)) if is_usable(&answer) => {
+            Some(Ok(answer)) if is_usable(&answer) => {
                 if answer.status.is_success() {
                     pipeline.record_sound(request, pipeline.now());
                 }
                 pipeline.record_answer(&target.id, !answer.status.is_server_error());
                 return Ok(into_answer(pipeline, answer, target, admitted.deadline));
             }
-            Ok(Ok(answer)) => Failure::BadAnswer(answer.status),
-            Ok(Err(failure)) => failure,
-            Err(_) => Failure::TimedOut,
+            Some(Ok(answer)) => Failure::BadAnswer(answer.status),
+            Some(Err(failure)) => failure,
+            None => Failure::TimedOut,
         };
         let now = pipeline.now();
         pipeline.record_loss(request, &target, &failure, now).await;
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -3,7 +3,7 @@
 
 mod reader;
 
-use std::{future, sync};
+use std::{future, pin::pin, sync};
 
 use corneltrestle_kernel::{linkme, metric};
 use corneltrestle_policy::delivery;
@@ -147,28 +147,31 @@
             may_reuse: attempts.may_reuse(&target, admitted),
         };
         let sent = pipeline.send(&target, &call);
-        let sent = async {
-            tokio::select! {
-                biased;
-                reply = sent => Ok(reply),
-                failure = pipeline.can_move(attempts, request, admitted, &target, Some(now)) => {
-                    Err(failure)
+        let result = {
+            let sent = pin!(async {
+                tokio::select! {
+                    biased;
+                    reply = sent => Ok(reply),
+                    failure = pipeline.can_move(attempts, request, admitted, &target, Some(now)) => {
+                        Err(failure)
+                    }
                 }
-            }
+            });
+            pipeline.in_time(admitted.deadline, sent).await
         };
-        let failure = match tokio::time::timeout(remaining, sent).await {
-            Ok(Err(failure)) => failure,
-            Ok(Ok(Ok(Verdict::Answer(answer))))
+        let failure = match result {
+            Some(Err(failure)) => failure,
+            Some(Ok(Ok(Verdict::Answer(answer))))
                 if is_usable(&answer, attempts, &target, admitted) =>
             {
                 target.progress.started(pipeline.now());
                 pipeline.record_answer(&target.id, answer.status.is_success());
                 return Ok(Connected { target, answer });
             }
-            Ok(Ok(Ok(Verdict::Answer(answer)))) => Failure::BadAnswer(answer.status),
-            Ok(Ok(Ok(Verdict::Rejected(rejection)))) => Failure::Rejected(rejection),
-            Ok(Ok(Err(error))) => Failure::Call(error),
-            Err(_) => Failure::TimedOut,
+            Some(Ok(Ok(Verdict::Answer(answer)))) => Failure::BadAnswer(answer.status),
+            Some(Ok(Ok(Verdict::Rejected(rejection)))) => Failure::Rejected(rejection),
+            Some(Ok(Err(error))) => Failure::Call(error),
+            None => Failure::TimedOut,
         };
         let now = pipeline.now();
         pipeline.record_loss(request, &target, &failure, now).await;
