server: connections end with the node, whenever their first request came

Cause: a connection without a request when the listeners closed started its drain timer with its first request, up to half a second later, so that it could end after the end of the node by which requests are admitted. Change: the timer ends at the end of the node. Evidence: by reading; a test would have to tell 0.5 s apart. The tests of stops pass.

--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -303,7 +303,11 @@
         let owner = sync::Arc::clone(&host);
         let (name, refuse, timeout) = (self.name, self.refuse.clone(), limits.read_timeout);
         let socket = socket::Socket::new(name, socket, refuse, owner, state.clone(), timeout);
-        let context = header::Context { host, connection: state.clone(), stop: stop.clone() };
+        let context = header::Context {
+            host: sync::Arc::clone(&host),
+            connection: state.clone(),
+            stop: stop.clone(),
+        };
         let service = header::Limited::new(self.service, self.refuse, limits, context);
         let mut connection = pin!(session::run(socket, service, &limits, &state));
         // hyper's header timeout starts only once the protocol version is known, and does not
@@ -330,7 +334,12 @@
             ended = connection.as_mut() => return ended,
             _ = first_request => state.close(),
         }
-        tokio::time::timeout(limits.drain_timeout, connection).await.unwrap_or_else(|_| {
+        // All connections end when the node does, also one whose first request came late.
+        let left = match host.lifecycle.end() {
+            Some(end) => end.since(host.now()),
+            None => limits.drain_timeout,
+        };
+        tokio::time::timeout(left, connection).await.unwrap_or_else(|_| {
             state.end.record(disconnect::Cause::DrainLimit);
             Ok(())
         })
