gateway: a failed move of a stream counts as a run

Cause: a stream that left a silent upstream and got a failure as its last allowed attempt ended before; since it stays at its upstream, the failure was forgotten, and the stream moved again, beyond the attempts of its route. Change: the attempt is recorded like any other one that failed.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -248,28 +248,21 @@
 }
 
 impl<C: Client> Pipeline<C> {
-    /// Records a failed attempt and checks whether the request may be sent again. If so, the retry
-    /// is taken from the budget, unless the request has not arrived anywhere. A request that has not
-    /// run does not go from one full upstream to the next.
-    ///
-    /// # Errors
-    ///
-    /// The refusal for the caller, if it may not be sent again.
-    pub(super) fn check_retry(
+    /// Records a failed attempt.
+    pub(super) fn record_failure(
         &self,
         attempts: &mut Attempts,
         request: &request::Request,
-        admitted: &Admitted,
         upstream: &id::Vm,
-        failure: Failure,
+        failure: &Failure,
         now: moment::Moment,
-    ) -> super::Result<()> {
+    ) {
         log::warn!(
             id = request.id.as_str(), upstream = upstream.as_str(),
             offer = attempts.record.dispatches();
             "route: attempt failed: {failure}"
         );
-        attempts.record.failed(&failure, now);
+        attempts.record.failed(failure, now);
         if let Some(outcome) = failure.outcome() {
             self.tables.health.lock().record(upstream, outcome, now);
         }
@@ -281,13 +274,32 @@
         if !failure.is_stale() {
             attempts.tried.insert(upstream.clone());
         }
+        attempts.is_bad_answer = matches!(failure.kind(), retry::Failure::InvalidResponse);
+    }
+
+    /// Records a failed attempt and checks whether the request may be sent again. If so, the retry
+    /// is taken from the budget, unless the request has not arrived anywhere. A request that has not
+    /// run does not go from one full upstream to the next.
+    ///
+    /// # Errors
+    ///
+    /// The refusal for the caller, if it may not be sent again.
+    pub(super) fn check_retry(
+        &self,
+        attempts: &mut Attempts,
+        request: &request::Request,
+        admitted: &Admitted,
+        upstream: &id::Vm,
+        failure: Failure,
+        now: moment::Moment,
+    ) -> super::Result<()> {
+        self.record_failure(attempts, request, upstream, &failure, now);
         let repeatable = admitted.route.kind.is_repeatable();
         let allowed = retry::is_allowed(failure.kind(), repeatable)
             && (failure.is_stale() || Attempts::allows_run_after(attempts.ran.len(), admitted))
             && attempts.record.dispatches() < MAX_DISPATCHES
             && now < admitted.deadline
             && !self.is_ending(now);
-        attempts.is_bad_answer = matches!(failure.kind(), retry::Failure::InvalidResponse);
         if !allowed {
             return Err(refuse(attempts, admitted, Stop::NotRetryable, now));
         }
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -425,6 +425,8 @@
         let connected = connect(pipeline, request, admitted, attempts, resume_after).await?;
         let status = connected.answer.status;
         if !status.is_success() {
+            let (upstream, failure) = (&connected.target.id, Failure::BadAnswer(status));
+            pipeline.record_failure(attempts, request, upstream, &failure, pipeline.now());
             let message = format!("the upstream answered the resumed stream with status {status}");
             return Err(Refusal::unknown(Code::UpstreamFailed, "resume", message));
         }
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -4,7 +4,7 @@
 #[allow(dead_code, reason = "other tests use the rest")]
 mod world;
 
-use std::{sync, time::Duration};
+use std::{collections, sync, time::Duration};
 
 use corneltrestle_gateway::{
     pipeline::{Code, Outcome},
@@ -276,6 +276,21 @@
     assert_eq!(world.seen().len(), 2);
 }
 
+/// Guards against a stream that runs at more upstreams than its route allows, as a move that ends with a
+/// failure is not counted.
+#[tokio::test]
+async fn failed_moves_stay_within_the_limit_on_attempts() {
+    let world = World::open(&[&[Act::Status(500)][..]; 6], AMPLE);
+    world.upstreams.act_in_turn(&[Act::Pauses(2)]);
+    let stall = world.declare_stalled("models-a", Duration::from_millis(100));
+    let (status, body, refusal) = world.send("/draft/7").await;
+    stall.await.expect("the watchdog task ends");
+    assert_eq!((status, body, refusal), (200, whole_stream(), None));
+    let upstreams: collections::BTreeSet<_> =
+        world.seen().into_iter().map(|seen| seen.upstream).collect();
+    assert!(upstreams.len() <= 3, "{upstreams:?}");
+}
+
 /// Guards against an answer that would come in time, and is cut off although no other upstream can give
 /// one.
 #[test_case("/status/7", AMPLE, 1; "buffered, no other upstream")]
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -62,6 +62,8 @@
     /// It streams all remaining events, with a pause of half a second after this one and each later
     /// one.
     Trickles(u64),
+    /// It streams all remaining events, and ends its answer half a second later.
+    EndsLate,
 }
 
 /// Key of an organisation whose requests have the highest priority.
@@ -247,6 +249,13 @@
                     false => answer(200, events(next, EVENTS), End::Complete),
                 }
             }
+            Act::EndsLate => {
+                let mut reply = answer(200, events(next, EVENTS), End::Complete);
+                if let Ok(Reply { result: Verdict::Answer(answer), .. }) = &mut reply {
+                    answer.body.later = [bytes::Bytes::new()].into();
+                }
+                reply
+            }
             Act::Hangs(last) => answer(200, events(next, last), End::Silent),
             act @ (Act::Pauses(last) | Act::Trickles(last)) => {
                 let mut reply = answer(200, events(next, last), End::Complete);
