gateway: admission in a stop compares deadlines with the last answer

Cause: a stopping node took an order whose deadline was up to 300 ms after the time at which requests without an answer are given up, and ended it as unknown before its deadline. Change: both use the same moment. Evidence: pipeline::order_is_not_given_up_before_its_deadline_in_a_stop fails on the code before and passes now.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -110,19 +110,23 @@
         }
     }
 
-    /// Completes shortly before a stopping node ends.
+    /// When a stopping node answers the requests that have no answer by then.
+    fn last_answer(&self) -> Option<moment::Moment> {
+        Some(self.host.lifecycle.end()?.before(END_MARGIN))
+    }
+
+    /// Completes when a stopping node answers the requests that have no answer.
     async fn ends(&self) {
-        let lifecycle = &self.host.lifecycle;
-        lifecycle.reached(lifecycle::Stage::Draining).await;
-        match lifecycle.end() {
-            Some(end) => tokio::time::sleep(end.since(self.now() + END_MARGIN)).await,
+        self.host.lifecycle.reached(lifecycle::Stage::Draining).await;
+        match self.last_answer() {
+            Some(at) => tokio::time::sleep(at.since(self.now())).await,
             None => future::pending().await,
         }
     }
 
     /// Whether the node ends too soon for a further attempt.
     fn is_ending(&self, now: moment::Moment) -> bool {
-        self.host.lifecycle.end().is_some_and(|end| now + END_MARGIN >= end)
+        self.last_answer().is_some_and(|at| now >= at)
     }
 
     /// Records an answer for the health of an upstream; `is_good` is false if it counts as a
--- a/crates/gateway/src/pipeline/admit.rs
+++ b/crates/gateway/src/pipeline/admit.rs
@@ -103,7 +103,7 @@
     /// failure and repeated then: what has become of an order would not be known, and a stream that has
     /// begun can only be cut off. Another node can wait for the answer.
     fn check_end(&self, route: &deployment::Route, deadline: moment::Moment) -> Result<()> {
-        let outlasts = self.host.lifecycle.end().is_some_and(|end| deadline > end);
+        let outlasts = self.last_answer().is_some_and(|last| deadline > last);
         if !outlasts || route.kind.is_repeatable() && !route.kind.is_stream() {
             return Ok(());
         }
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -291,6 +291,21 @@
     assert!(upstreams.len() <= 3, "{upstreams:?}");
 }
 
+/// Guards against an order that a stopping node takes, as its deadline is before the end of the node, and
+/// gives up before that deadline.
+#[tokio::test]
+async fn order_is_not_given_up_before_its_deadline_in_a_stop() {
+    for millis in [2_050, 2_250, 2_450] {
+        let world = World::open(&[&[Act::Late(Duration::from_millis(1_850))][..]; 2], AMPLE);
+        // The deadline is that of the route, 2 s.
+        world.host.lifecycle.drain(world.host.now() + Duration::from_millis(millis));
+        let (status, _, refusal) = world.send("/order/7").await;
+        let is_refused = refusal.is_some_and(|refusal| refusal.outcome == Outcome::NotRun)
+            && world.seen().is_empty();
+        assert!(status == 200 || is_refused, "end after {millis} ms");
+    }
+}
+
 /// Guards against an answer that would come in time, and is cut off although no other upstream can give
 /// one.
 #[test_case("/status/7", AMPLE, 1; "buffered, no other upstream")]
