gateway: the end of an answer counts while its stream is leaving

What callers saw: a stream that had all its events was cut off at its deadline. Cause: a stream that asks another upstream waited for an event of its own one only, not for the end of its answer. Change: an answer that ends after a whole event ends the move as well. Evidence: pipeline::answer_that_ends_while_its_stream_is_leaving_is_complete fails on the code before and passes now.

--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -345,11 +345,11 @@
     }
 
     /// Leaves a silent upstream for another one. It may only be slow: the stream stays there if it sends
-    /// an event before the other one answers, or if no other one takes the stream.
+    /// an event or ends its answer before the other one answers, or if no other one takes the stream.
     async fn leave(&mut self, failure: Failure) {
         let moved = tokio::select! {
             biased;
-            () = self.reader.has_block() => None,
+            () = self.reader.wait() => None,
             moved = self.session.connect(&self.target, self.events, failure) => Some(moved),
         };
         let cause = match moved {
--- a/crates/gateway/src/pipeline/stream/reader.rs
+++ b/crates/gateway/src/pipeline/stream/reader.rs
@@ -82,9 +82,9 @@
         }
     }
 
-    /// Reads until there is a block, which stays to be returned. Never completes if the answer ends
-    /// before; the next read then returns its end.
-    pub(super) async fn has_block(&mut self) {
+    /// Reads until there is a block, or the answer has ended after a whole one; the next call returns
+    /// either. Never completes if the answer fails, or ends otherwise: the next read then says so.
+    pub(super) async fn wait(&mut self) {
         loop {
             match self.next_block() {
                 Ok(Some(block)) => return self.block = Some(block),
@@ -94,12 +94,14 @@
                     self.end = Some(Read::Failed(failure));
                 }
             }
-            match self.read().await {
-                Read::Part => {}
-                end => {
-                    self.end = Some(end);
-                    return future::pending().await;
+            let read = self.read().await;
+            let is_whole = matches!(read, Read::End) && self.has_bytes && self.decoder.is_empty();
+            if !matches!(read, Read::Part) {
+                self.end = Some(read);
+                if is_whole {
+                    return;
                 }
+                future::pending::<()>().await;
             }
         }
     }
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -291,6 +291,18 @@
     assert!(upstreams.len() <= 3, "{upstreams:?}");
 }
 
+/// Guards against a complete answer that is cut off, as its stream was leaving a silent upstream when the
+/// end of the answer came.
+#[tokio::test]
+async fn answer_that_ends_while_its_stream_is_leaving_is_complete() {
+    let world = World::open(&[&[Act::Silent][..]; 2], AMPLE);
+    world.upstreams.act_in_turn(&[Act::EndsLate, Act::Silent]);
+    let stall = world.declare_stalled("models-a", Duration::from_millis(100));
+    let (status, body, refusal) = world.send("/draft/7").await;
+    stall.await.expect("the watchdog task ends");
+    assert_eq!((status, body, refusal), (200, whole_stream(), None));
+}
+
 /// Guards against an order that a stopping node takes, as its deadline is before the end of the node, and
 /// gives up before that deadline.
 #[tokio::test]
