gateway: streams do not try to leave their upstream at the end of a stop

Cause: a stream at a silent upstream tried to leave it every 50 ms although no attempt may follow by then; each try was logged and counted. Change: the same condition holds for leaving and for the next attempt. Evidence: in a trial with the end of the node 0.4 s ahead, 18 tries in 0.9 s before; nothing was sent, so that no test sees it.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -379,6 +379,7 @@
                 false => Attempts::allows_run_after(attempts.ran.len(), admitted),
             };
             if may_run
+                && !self.is_ending(now)
                 && attempts.record.dispatches() < MAX_DISPATCHES
                 && self.has_retry(&admitted.service, fleet::Purpose::Lost, now)
                 && self.has_alternative(request, admitted, attempts, &target.id, now)
