gateway: requests that wait for room are checked again when the node stops

What callers saw: a stream that waited for admission when its node began to stop was begun afterwards, and cut off at the end of the node; one that still waited then lost its connection without an answer. Cause: the deadline was compared with the end of the node before the wait, and the wait did not know of the end. Change: it is compared again after the wait, which ends when requests without an answer are given up. Both are refused as not run. Evidence: gate::request_that_waits_in_a_stop_is_refused, 2 of 2 cases fail on the code before and pass now.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -16,7 +16,11 @@
 mod relay;
 mod stream;
 
-use std::{future, pin, sync, time};
+use std::{
+    future,
+    pin::{self, pin},
+    sync, time,
+};
 
 use corneltrestle_kernel::{host, lifecycle, plugin};
 use corneltrestle_policy::{deployment, health, id, refusal};
@@ -146,12 +150,26 @@
         let mut record = record::Record::new(&self.host, &self.tables.catalog, &request);
         let admitted = self.admit(&request).inspect_err(|refusal| record.refused(refusal))?;
         record.admitted(&admitted);
-        let passed = self.pass_gate(&request, &admitted).await;
-        passed.inspect_err(|refusal| record.refused(refusal))?;
+        let entered = self.enter(&request, &admitted).await;
+        entered.inspect_err(|refusal| record.refused(refusal))?;
         if admitted.route.kind.is_stream() {
             stream::start(self, request, admitted, record).await
         } else {
             buffered::answer(self, request, admitted, record).await
         }
     }
+
+    /// Waits for room. The node may have begun to stop meanwhile, and the request is then checked again.
+    async fn enter(
+        self: &sync::Arc<Self>,
+        request: &request::Request,
+        admitted: &admit::Admitted,
+    ) -> Result<()> {
+        let passed = pin!(self.pass_gate(request, admitted));
+        match self.in_time(admitted.deadline, passed).await {
+            Some(passed) => passed?,
+            None => return Err(admit::stopping("the node stops before there is room")),
+        }
+        self.check_end(&admitted.route, admitted.deadline)
+    }
 }
--- a/crates/gateway/src/pipeline/admit.rs
+++ b/crates/gateway/src/pipeline/admit.rs
@@ -102,34 +102,38 @@
     /// Refuses a request that may outlast this node, which is stopping, unless it can be answered with a
     /// failure and repeated then: what has become of an order would not be known, and a stream that has
     /// begun can only be cut off. Another node can wait for the answer.
-    fn check_end(&self, route: &deployment::Route, deadline: moment::Moment) -> Result<()> {
+    pub(super) fn check_end(
+        &self,
+        route: &deployment::Route,
+        deadline: moment::Moment,
+    ) -> Result<()> {
         let outlasts = self.last_answer().is_some_and(|last| deadline > last);
         if !outlasts || route.kind.is_repeatable() && !route.kind.is_stream() {
             return Ok(());
         }
-        let message = "the node may stop before the request ends";
-        Err(Refusal::not_run(Code::Unavailable, "admit", message).retry_after(STOP_RETRY_AFTER))
+        Err(stopping("the node may stop before the request ends"))
     }
 
     fn deployment(&self) -> Result<sync::Arc<deployment::Deployment>> {
-        let not_ready = |message, retry| {
-            Refusal::not_run(Code::Unavailable, "admit", message).retry_after(retry)
+        let not_ready = || {
+            let message = "the node has no configuration yet";
+            Refusal::not_run(Code::Unavailable, "admit", message).retry_after(START_RETRY_AFTER)
         };
         match self.host.lifecycle.stage() {
             lifecycle::Stage::Ready | lifecycle::Stage::Draining => {}
-            lifecycle::Stage::Starting => {
-                return Err(not_ready("the node has no configuration yet", START_RETRY_AFTER));
-            }
-            _ => return Err(not_ready("the node is stopping", STOP_RETRY_AFTER)),
+            lifecycle::Stage::Starting => return Err(not_ready()),
+            _ => return Err(stopping("the node is stopping")),
         }
         let snapshot = self.tables.current.load();
-        snapshot
-            .deployment
-            .clone()
-            .ok_or_else(|| not_ready("the node has no configuration yet", START_RETRY_AFTER))
+        snapshot.deployment.clone().ok_or_else(not_ready)
     }
 }
 
+/// The refusal of a request by a node that is stopping.
+pub(super) fn stopping(message: &'static str) -> Refusal {
+    Refusal::not_run(Code::Unavailable, "admit", message).retry_after(STOP_RETRY_AFTER)
+}
+
 /// Refuses a request whose prompt alone is larger than what any upstream of its service holds.
 fn check_prompt(
     deployment: &deployment::Deployment,
--- a/crates/gateway/tests/gate.rs
+++ b/crates/gateway/tests/gate.rs
@@ -169,6 +169,24 @@
     }
 }
 
+/// Guards against a stream that waits for room when its node begins to stop, and then begins although it
+/// may outlast the node; and against one whose connection is closed as it still waits then.
+#[test_case(true; "room before the end")]
+#[test_case(false; "no room")]
+#[tokio::test]
+async fn request_that_waits_in_a_stop_is_refused(has_room: bool) {
+    let world = full(gates::Mode::Fair, Duration::from_secs(10));
+    let task = send_until_one_waits(&world).await;
+    let sent = world.seen().len();
+    world.host.lifecycle.drain(world.host.now() + Duration::from_secs(1));
+    if has_room {
+        report(&world, 2, 0);
+    }
+    let status = tokio::time::timeout(Duration::from_secs(5), task).await;
+    assert_eq!(status.expect("it does not wait for its deadline").expect("no panic"), 0);
+    assert_eq!(world.seen().len(), sent);
+}
+
 /// Guards against less urgent requests that are served before more urgent ones.
 #[tokio::test]
 async fn urgent_request_goes_before_one_that_waits() {
