gateway: the end of a node is no failure of its upstreams

Cause: an attempt that a stopping node gave up was recorded as a time-out of its upstream, and the upstream was probed, which took up to half of the time left to answer. Change: it is a failure of its own, without either.

--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -145,6 +145,8 @@
     Rejected(upstream::Rejection),
     /// The upstream did not answer before the request could move to another one, or the deadline passed.
     TimedOut,
+    /// The node ends before the upstream has answered, which says nothing of the upstream.
+    NodeEnds,
     /// The upstream was found to be stalled, see [`crate::task::watchdog`].
     Stalled {
         /// Whether the request is likely to have begun: events of the upstream have arrived since it
@@ -162,10 +164,15 @@
         match self {
             Self::Call(error) => error.may_have_run(),
             Self::Rejected(_) => false,
-            Self::Stalled { .. } | Self::TimedOut | Self::BadAnswer(_) => true,
+            Self::Stalled { .. } | Self::TimedOut | Self::NodeEnds | Self::BadAnswer(_) => true,
         }
     }
 
+    /// The failure of an attempt that had no answer when its request had to be answered.
+    pub(super) fn without_answer(deadline: moment::Moment, now: moment::Moment) -> Self {
+        if now < deadline { Self::NodeEnds } else { Self::TimedOut }
+    }
+
     /// Whether the attempt counts as a run, also for the quarantine of prompt parts.
     pub(super) fn counts_as_run(&self) -> bool {
         self.may_have_run() && !matches!(self, Self::Stalled { begun: false })
@@ -197,7 +204,7 @@
                 upstream::Reason::Invalid => return None,
             },
             Self::TimedOut => health::Outcome::TimedOut,
-            Self::Stalled { .. } => return None,
+            Self::Stalled { .. } | Self::NodeEnds => return None,
             Self::BadAnswer(_) => health::Outcome::Failed,
         })
     }
@@ -221,7 +228,7 @@
                 upstream::Reason::Full => retry::Failure::Full,
                 _ => retry::Failure::Refused,
             },
-            Self::TimedOut | Self::Stalled { .. } => retry::Failure::Broken,
+            Self::TimedOut | Self::NodeEnds | Self::Stalled { .. } => retry::Failure::Broken,
             Self::BadAnswer(_) => retry::Failure::InvalidResponse,
         }
     }
@@ -238,6 +245,7 @@
                 None => write!(f, "rejected: {:?}", rejection.reason),
             },
             Self::TimedOut => f.write_str("no answer in time"),
+            Self::NodeEnds => f.write_str("the node ends before there is an answer"),
             Self::Stalled { begun: true } => f.write_str("the upstream is stalled"),
             Self::Stalled { begun: false } => {
                 f.write_str("the upstream is stalled, and the request has not begun")
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -91,7 +91,7 @@
             }
             Some(Ok(answer)) => Failure::BadAnswer(answer.status),
             Some(Err(failure)) => failure,
-            None => Failure::TimedOut,
+            None => Failure::without_answer(admitted.deadline, pipeline.now()),
         };
         let now = pipeline.now();
         pipeline.record_loss(request, &target, &failure, now).await;
--- a/crates/gateway/src/pipeline/quarantine.rs
+++ b/crates/gateway/src/pipeline/quarantine.rs
@@ -58,7 +58,8 @@
         now: moment::Moment,
     ) {
         let Some(generation) = &request.generation else { return };
-        if generation.parts.is_empty() || !failure.counts_as_run() {
+        let is_of_upstream = failure.counts_as_run() && !matches!(failure, Failure::NodeEnds);
+        if generation.parts.is_empty() || !is_of_upstream {
             return;
         }
         let crash = Crash {
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -171,7 +171,7 @@
             Some(Ok(Ok(Verdict::Answer(answer)))) => Failure::BadAnswer(answer.status),
             Some(Ok(Ok(Verdict::Rejected(rejection)))) => Failure::Rejected(rejection),
             Some(Ok(Err(error))) => Failure::Call(error),
-            None => Failure::TimedOut,
+            None => Failure::without_answer(admitted.deadline, pipeline.now()),
         };
         let now = pipeline.now();
         pipeline.record_loss(request, &target, &failure, now).await;
