gateway: records of streams name the upstream whose answer is in use

Cause: after a failed move, the last line of a stream named the upstream that had not taken it, and the failure of the former one was written to the other. Change: the record goes back to the send whose answer is in use. Evidence: by reading; the tests of gateway pass.

--- a/crates/gateway/src/pipeline/record.rs
+++ b/crates/gateway/src/pipeline/record.rs
@@ -39,6 +39,8 @@
     service: Option<id::Service>,
     organisation: Option<id::Organisation>,
     dispatches: Vec<Dispatch>,
+    /// Index of the send whose answer is in use, or awaited.
+    current: usize,
     events: Events,
     is_closed: bool,
 }
@@ -83,6 +85,7 @@
             service: None,
             organisation: None,
             dispatches: Vec::new(),
+            current: 0,
             events: Events::default(),
             is_closed: false,
         }
@@ -97,6 +100,7 @@
 
     /// Records a send to an upstream.
     pub(super) fn dispatched(&mut self, target: &Target, now: moment::Moment) {
+        self.current = self.dispatches.len();
         self.dispatches.push(Dispatch {
             upstream: target.id.clone(),
             sent: self.since(now),
@@ -105,10 +109,20 @@
         });
     }
 
-    /// Records how the latest attempt failed.
+    /// Index of the send whose answer is in use.
+    pub(super) fn current(&self) -> usize {
+        self.current
+    }
+
+    /// Records that the answer of an earlier send is in use again.
+    pub(super) fn went_back(&mut self, to: usize) {
+        self.current = to;
+    }
+
+    /// Records how the attempt in use failed.
     pub(super) fn failed(&mut self, failure: &impl fmt::Display, now: moment::Moment) {
         let at = self.since(now);
-        if let Some(dispatch) = self.dispatches.last_mut() {
+        if let Some(dispatch) = self.dispatches.get_mut(self.current) {
             dispatch.failure = Some((at, failure.to_string()));
         }
     }
@@ -124,9 +138,9 @@
         self.dispatches.len()
     }
 
-    /// Message of the latest attempt's failure, if it failed.
+    /// Message of the failure of the attempt in use, if it failed.
     pub(super) fn failure(&self) -> Option<&str> {
-        let (_, failure) = self.dispatches.last()?.failure.as_ref()?;
+        let (_, failure) = self.dispatches.get(self.current)?.failure.as_ref()?;
         Some(failure)
     }
 
@@ -175,10 +189,10 @@
         self.route.as_ref().map_or("none", id::Route::as_str)
     }
 
-    /// The upstream of the latest send. The end of the request may be the only line that names it,
+    /// The upstream whose answer is in use. The end of the request may be the only line that names it,
     /// as a request can wait for a stalled upstream until its deadline.
     fn upstream(&self) -> &str {
-        self.dispatches.last().map_or("none", |dispatch| dispatch.upstream.as_str())
+        self.dispatches.get(self.current).map_or("none", |dispatch| dispatch.upstream.as_str())
     }
 
     /// All sends with their failures, as text for the log.
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -347,6 +347,7 @@
     /// Leaves a silent upstream for another one. It may only be slow: the stream stays there if it sends
     /// an event or ends its answer before the other one answers, or if no other one takes the stream.
     async fn leave(&mut self, failure: Failure) {
+        let current = self.session.attempts.record.current();
         let moved = tokio::select! {
             biased;
             () = self.reader.wait() => None,
@@ -366,6 +367,7 @@
                 "resumed"
             }
         };
+        self.session.attempts.record.went_back(current);
         metrics::counter!(KEPT.name, "cause" => cause).increment(1);
         self.was_kept = true;
     }
