server: tests take their addresses from a counter

What was seen: client_that_withholds_its_window_is_disconnected failed beside load with AddrInUse on 127.84.11.9:7362. Cause: its second case (7340 + 22) and client_that_reads_nothing_yields_to_others had the same port, and its first case (7361) that of body_is_not_read_while_the_client_takes_nothing. They collide if they run at the same time. Ports of outgoing connections (32768 to 60999 here) play no part. All runs of these files on one machine shared the addresses, too, and several ports, such as 7341, are in more than one file. Class of fault: unique numbers that are assigned by hand. Change: the tests of the crate take an address on a loopback network of their process, with a port from a counter below the range of outgoing connections. Assertions are as before.

--- a/crates/server/tests/body.rs
+++ b/crates/server/tests/body.rs
@@ -1,5 +1,8 @@
 //! Bodies of requests over real sockets: their limits, and what they hold in the memory budget.
 
+#[path = "support/address.rs"]
+mod address;
+
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -40,12 +43,12 @@
 }
 
 impl Server {
-    async fn open(port: u16, limits: body::Limits) -> Self {
+    async fn open(limits: body::Limits) -> Self {
         let text = format!("[node]\nmemory-limit = {BUDGET}\n");
         let settings = settings::Settings::parse("test", &text, &[&SECTION]).unwrap();
         let pool = pool::Pool::attach(tokio::runtime::Handle::current());
         let host = host::Host::open(settings, pool);
-        let address = SocketAddr::from(([127, 84, 11, 9], port));
+        let address = address::next();
         let owner = Arc::clone(&host);
         let service = tower::service_fn(move |request: hyper::Request<Incoming>| {
             let host = Arc::clone(&owner);
@@ -155,14 +158,14 @@
 
 /// Guards against a body of the largest size in the deployments that does not fit the smallest
 /// budget, and against memory that stays taken after the request.
-#[test_case(with_length(BODY_LIMIT, BODY_LIMIT), BODY_LIMIT, 7_331; "with a length")]
-#[test_case([chunked(BODY_LIMIT, 1), b"0\r\n\r\n".to_vec()].concat(), BODY_LIMIT, 7_332; "one chunk")]
-#[test_case([chunked(1, 200_000), b"0\r\n\r\n".to_vec()].concat(), 200_000, 7_333; "single bytes")]
-#[test_case(with_length(10, 10), 10, 7_334; "small")]
-#[test_case(head(0), 0, 7_335; "empty")]
+#[test_case(with_length(BODY_LIMIT, BODY_LIMIT), BODY_LIMIT; "with a length")]
+#[test_case([chunked(BODY_LIMIT, 1), b"0\r\n\r\n".to_vec()].concat(), BODY_LIMIT; "one chunk")]
+#[test_case([chunked(1, 200_000), b"0\r\n\r\n".to_vec()].concat(), 200_000; "single bytes")]
+#[test_case(with_length(10, 10), 10; "small")]
+#[test_case(head(0), 0; "empty")]
 #[tokio::test]
-async fn complete_body_is_read(request: Vec<u8>, size: usize, port: u16) {
-    let server = Server::open(port, limits()).await;
+async fn complete_body_is_read(request: Vec<u8>, size: usize) {
+    let server = Server::open(limits()).await;
     for _ in 0..3 {
         let answer = answer(server.send(&request).await).await;
         assert!(answer.ends_with(&format!("\r\n\r\n{size} bytes")), "{answer}");
@@ -173,15 +176,11 @@
 
 /// Guards against buffers of the announced size, or of a whole frame for each byte, for clients that
 /// send only a part.
-#[test_case(with_length(BODY_LIMIT, 10_000), 10_000, 7_336; "with a length")]
-#[test_case(chunked(1, 10_000), 10_000, 7_337; "single bytes")]
+#[test_case(with_length(BODY_LIMIT, 10_000), 10_000; "with a length")]
+#[test_case(chunked(1, 10_000), 10_000; "single bytes")]
 #[tokio::test]
-async fn incomplete_body_holds_little_more_than_its_bytes(
-    request: Vec<u8>,
-    sent: usize,
-    port: u16,
-) {
-    let server = Server::open(port, limits()).await;
+async fn incomplete_body_holds_little_more_than_its_bytes(request: Vec<u8>, sent: usize) {
+    let server = Server::open(limits()).await;
     let socket = server.send(&request).await;
     server.wait_for(|held| (sent..=2 * sent).contains(&held)).await;
     drop(socket);
@@ -190,12 +189,12 @@
 
 /// Guards against bodies beyond the limit that are read first, and against what was read of them and
 /// stays in memory.
-#[test_case(head(BODY_LIMIT + 1), 7_338; "announced")]
-#[test_case(chunked(BODY_LIMIT + 1, 1), 7_339; "one chunk")]
-#[test_case(chunked(64 * 1024, 100), 7_340; "many chunks")]
+#[test_case(head(BODY_LIMIT + 1); "announced")]
+#[test_case(chunked(BODY_LIMIT + 1, 1); "one chunk")]
+#[test_case(chunked(64 * 1024, 100); "many chunks")]
 #[tokio::test]
-async fn body_beyond_the_limit_is_refused(request: Vec<u8>, port: u16) {
-    let server = Server::open(port, limits()).await;
+async fn body_beyond_the_limit_is_refused(request: Vec<u8>) {
+    let server = Server::open(limits()).await;
     let socket = server.send(&request).await;
     server.wait_for(|held| held == 0).await;
     // The close may overtake the refusal of a body of which a part was not read.
@@ -209,7 +208,7 @@
 #[tokio::test]
 async fn body_beyond_the_budget_is_refused_when_announced() {
     let large = body::Limits { max_bytes: 64 * MB, ..limits() };
-    let server = Server::open(7_341, large).await;
+    let server = Server::open(large).await;
     let answer = answer(server.send(&head(5 * MB)).await).await;
     check_refused(&answer);
     server.close().await;
@@ -219,7 +218,7 @@
 /// body, and the connection is reset by then.
 #[tokio::test]
 async fn refusal_reaches_client_that_sends_its_whole_body() {
-    let server = Server::open(7_345, limits()).await;
+    let server = Server::open(limits()).await;
     let held = server.host.memory.hold(memory::Caller::NODE, Kind::Request, server.host.now());
     held.set_phase(memory::Phase::Served, server.host.now());
     assert!(held.try_grow(BODY_LIMIT, server.host.now()));
@@ -237,7 +236,7 @@
 /// node from other large bodies once it is silent.
 #[tokio::test]
 async fn silent_bodies_make_room_for_others() {
-    let server = Server::open(7_342, limits()).await;
+    let server = Server::open(limits()).await;
     let held = server.send(&with_length(BODY_LIMIT, BODY_LIMIT - 1)).await;
     server.wait_for(|held| held == BODY_LIMIT).await;
     let small = answer(server.send(&with_length(10_000, 10_000)).await).await;
@@ -262,7 +261,7 @@
 #[tokio::test]
 async fn body_that_does_not_arrive_in_time_is_refused() {
     let short = body::Limits { timeout: Duration::from_millis(200), ..limits() };
-    let server = Server::open(7_343, short).await;
+    let server = Server::open(short).await;
     let answer = answer(server.send(&with_length(BODY_LIMIT, MB)).await).await;
     assert!(answer.starts_with("http/1.1 408") && answer.contains("connection: close"), "{answer}");
     server.close().await;
@@ -271,7 +270,7 @@
 /// Guards against memory that is lost when a client closes the connection within a body.
 #[tokio::test]
 async fn closed_connection_releases_its_body() {
-    let server = Server::open(7_344, limits()).await;
+    let server = Server::open(limits()).await;
     for sent in [1, 10_000, MB] {
         let socket = server.send(&with_length(BODY_LIMIT, sent)).await;
         server.wait_for(|held| held >= sent).await;
--- a/crates/server/tests/connections.rs
+++ b/crates/server/tests/connections.rs
@@ -1,5 +1,8 @@
 //! Connections of a front end: their limit, and their end at a planned stop.
 
+#[path = "support/address.rs"]
+mod address;
+
 use std::{
     convert::Infallible,
     future, io,
@@ -53,7 +56,7 @@
 /// accepted, or waited to be accepted, when the stop began.
 #[tokio::test]
 async fn first_request_of_a_connection_is_answered_during_a_stop() {
-    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_312)));
+    let (host, address) = (open(), address::next());
     let running = bind(&host, address, server::Limits::default);
     let mut connections = Vec::new();
     for _ in 0..8 {
@@ -82,7 +85,7 @@
         drain_timeout: Duration::ZERO,
         ..server::Limits::default()
     };
-    let address: SocketAddr = ([127, 84, 11, 9], 7_311).into();
+    let address = address::next();
     let running = bind(&host, address, limits);
     let (first, second) = (call(address).await, call(address).await);
     assert_eq!((first.1.as_str(), second.1.as_str()), ("HTTP/1.1 200", "HTTP/1.1 200"));
@@ -156,13 +159,13 @@
 
 /// Guards against callers that are told by a 408 that their request has not run, as its connection ends
 /// before anything was written on it while the request is handled.
-#[test_case(End::DrainLimit, 21; "drain limit")]
-#[test_case(End::FailedBody, 22; "failed body")]
-#[test_case(End::HalfClose, 23; "half close")]
-#[test_case(End::Panic, 24; "panic")]
+#[test_case(End::DrainLimit; "drain limit")]
+#[test_case(End::FailedBody; "failed body")]
+#[test_case(End::HalfClose; "half close")]
+#[test_case(End::Panic; "panic")]
 #[tokio::test]
-async fn request_in_progress_is_not_answered_as_timed_out(end: End, port: u16) {
-    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_300 + port)));
+async fn request_in_progress_is_not_answered_as_timed_out(end: End) {
+    let (host, address) = (open(), address::next());
     let begun = Arc::default();
     let running = bind_ending(&host, address, end, &begun);
     let mut socket = TcpStream::connect(address).await.unwrap();
@@ -183,7 +186,7 @@
 /// became complete.
 #[tokio::test]
 async fn incomplete_first_header_is_answered_as_timed_out() {
-    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_325)));
+    let (host, address) = (open(), address::next());
     let limits =
         || server::Limits { header_timeout: Duration::from_millis(100), ..Default::default() };
     let running = bind(&host, address, limits);
@@ -206,7 +209,7 @@
 /// connections in use that are closed for others.
 #[tokio::test]
 async fn idle_connection_is_closed_in_favour_of_a_new_one() {
-    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_326)));
+    let (host, address) = (open(), address::next());
     let limits = || server::Limits {
         max_connections: 4,
         header_timeout: Duration::from_secs(60),
@@ -247,7 +250,7 @@
 /// against memory that stays taken after them.
 #[tokio::test]
 async fn large_headers_count_in_the_budget() {
-    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_327)));
+    let (host, address) = (open(), address::next());
     let limits =
         || server::Limits { header_timeout: Duration::from_secs(60), ..Default::default() };
     let running = bind(&host, address, limits);
@@ -282,7 +285,7 @@
 /// although its request may have run.
 #[tokio::test]
 async fn header_without_memory_is_refused() {
-    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_328)));
+    let (host, address) = (open(), address::next());
     let limits =
         || server::Limits { header_timeout: Duration::from_secs(60), ..Default::default() };
     let running = bind(&host, address, limits);
@@ -352,16 +355,16 @@
 
 /// Guards against bytes that are lost, or taken twice, when the memory of an idle connection is released:
 /// `first` is sent at once, and `second` after an idle time.
-#[test_case(31, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"; "one after the other")]
-#[test_case(32, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HT", "TP/1.1\r\nHost: a\r\n\r\n"; "a header in two parts")]
-#[test_case(33, "GET / HTTP/1.1\r\nHost: a\r\n\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"; "an empty line between them")]
-#[test_case(34, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabcGET", " / HTTP/1.1\r\nHost: a\r\n\r\n"; "a body and a part of a header")]
-#[test_case(35, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"; "bodies")]
-#[test_case(36, "GET /late HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"; "a pause within the answer")]
-#[test_case(37, "P", "OST / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\n\r\n"; "the beginning of HTTP 2")]
+#[test_case("GET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"; "one after the other")]
+#[test_case("GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HT", "TP/1.1\r\nHost: a\r\n\r\n"; "a header in two parts")]
+#[test_case("GET / HTTP/1.1\r\nHost: a\r\n\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"; "an empty line between them")]
+#[test_case("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabcGET", " / HTTP/1.1\r\nHost: a\r\n\r\n"; "a body and a part of a header")]
+#[test_case("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"; "bodies")]
+#[test_case("GET /late HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"; "a pause within the answer")]
+#[test_case("P", "OST / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\n\r\n"; "the beginning of HTTP 2")]
 #[tokio::test]
-async fn idle_connection_serves_what_arrives_later(port: u16, first: &str, second: &str) {
-    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_300 + port)));
+async fn idle_connection_serves_what_arrives_later(first: &str, second: &str) {
+    let (host, address) = (open(), address::next());
     let running = bind_dots(&host, address, server::Limits::default());
     let mut socket = TcpStream::connect(address).await.unwrap();
     socket.write_all(first.as_bytes()).await.unwrap();
@@ -379,11 +382,11 @@
 
 /// Guards against idle connections whose memory was released, and that stay open for longer than the idle
 /// timeout, also when a part of a header arrives, or that keep a stop waiting for the drain limit.
-#[test_case(41, ""; "silent")]
-#[test_case(42, "GET / HTTP"; "a part of a header")]
+#[test_case(""; "silent")]
+#[test_case("GET / HTTP"; "a part of a header")]
 #[tokio::test]
-async fn released_connection_is_closed_in_time(port: u16, part: &str) {
-    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_300 + port)));
+async fn released_connection_is_closed_in_time(part: &str) {
+    let (host, address) = (open(), address::next());
     let timeout = Duration::from_secs(1);
     let limits = server::Limits {
         idle_timeout: timeout,
@@ -418,7 +421,7 @@
 async fn received_bytes_that_are_not_read_are_bounded() {
     /// The buffers of the system on both sides, and what hyper reads.
     const MAX_UNREAD: usize = 96 * 1024;
-    let (host, address) = (open(), SocketAddr::from(([127, 84, 11, 9], 7_351)));
+    let (host, address) = (open(), address::next());
     let service = tower::service_fn(|request: hyper::Request<Incoming>| async move {
         let _body = request.into_body();
         future::pending::<Result<hyper::Response<Body>, Infallible>>().await
--- a/crates/server/tests/unread.rs
+++ b/crates/server/tests/unread.rs
@@ -1,5 +1,8 @@
 //! Clients that read slowly, or not at all, what a front end answers.
 
+#[path = "support/address.rs"]
+mod address;
+
 use std::{
     convert::Infallible,
     io,
@@ -143,12 +146,12 @@
 
 /// Guards against clients that read nothing and keep an answer, its connection and the request at the
 /// upstream for as long as they like.
-#[test_case(Answer { parts: usize::MAX, size: 16 * 1024 }, 1; "endless large parts")]
-#[test_case(Answer { parts: usize::MAX, size: 1 }, 2; "endless single bytes")]
-#[test_case(Answer { parts: 1, size: 8 * 1024 * 1024 }, 3; "one large part")]
+#[test_case(Answer { parts: usize::MAX, size: 16 * 1024 }; "endless large parts")]
+#[test_case(Answer { parts: usize::MAX, size: 1 }; "endless single bytes")]
+#[test_case(Answer { parts: 1, size: 8 * 1024 * 1024 }; "one large part")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn client_that_reads_nothing_is_disconnected(answer: Answer, port: u16) {
-    let address = SocketAddr::from(([127, 84, 11, 9], 7_340 + port));
+async fn client_that_reads_nothing_is_disconnected(answer: Answer) {
+    let address = address::next();
     let (_host, running, seen) = bind(address, answer, READ_TIMEOUT);
     let mut socket = request(address).await;
     wait_for("the answer is dropped", || seen.ended.load(atomic::Ordering::Relaxed) == 1).await;
@@ -160,11 +163,11 @@
 
 /// Guards against clients that read slowly and are taken for ones that read nothing, as the system
 /// reports progress only after a large part of its buffer is free.
-#[test_case(Answer { parts: 64, size: 16 * 1024 }, 11; "parts")]
-#[test_case(Answer { parts: 1, size: 1024 * 1024 }, 12; "one large part")]
+#[test_case(Answer { parts: 64, size: 16 * 1024 }; "parts")]
+#[test_case(Answer { parts: 1, size: 1024 * 1024 }; "one large part")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn client_that_reads_a_little_gets_the_whole_answer(answer: Answer, port: u16) {
-    let address = SocketAddr::from(([127, 84, 11, 9], 7_340 + port));
+async fn client_that_reads_a_little_gets_the_whole_answer(answer: Answer) {
+    let address = address::next();
     let (host, running, seen) = bind(address, answer, READ_TIMEOUT);
     let mut socket = request(address).await;
     let (mut read, mut piece) = (Vec::new(), [0; 256]);
@@ -186,7 +189,7 @@
 /// long as the read timeout allows.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn client_that_reads_nothing_yields_to_others() {
-    let address = SocketAddr::from(([127, 84, 11, 9], 7_362));
+    let address = address::next();
     let endless = Answer { parts: usize::MAX, size: 16 * 1024 };
     let (host, running, seen) = bind(address, endless, Duration::MAX);
     let socket = request(address).await;
@@ -212,7 +215,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn body_is_not_read_while_the_client_takes_nothing() {
     const LARGE: usize = 1024 * 1024;
-    let address = SocketAddr::from(([127, 84, 11, 9], 7_361));
+    let address = address::next();
     let (host, taken) = (open(), Arc::<atomic::AtomicUsize>::default());
     let counted = Arc::clone(&taken);
     let service = tower::service_fn(move |_: hyper::Request<Incoming>| {
@@ -268,11 +271,11 @@
 
 /// Guards against HTTP/2 clients that withhold their window, and keep what hyper has taken of many answers
 /// for as long as they answer pings; it counts in no limit.
-#[test_case(Answer { parts: usize::MAX, size: 16 * 1024 }, 21; "endless answers")]
-#[test_case(Answer { parts: 1, size: 64 * 1024 }, 22; "answers of one part")]
+#[test_case(Answer { parts: usize::MAX, size: 16 * 1024 }; "endless answers")]
+#[test_case(Answer { parts: 1, size: 64 * 1024 }; "answers of one part")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn client_that_withholds_its_window_is_disconnected(answer: Answer, port: u16) {
-    let address = SocketAddr::from(([127, 84, 11, 9], 7_340 + port));
+async fn client_that_withholds_its_window_is_disconnected(answer: Answer) {
+    let address = address::next();
     let (host, running, seen) = bind(address, answer, READ_TIMEOUT);
     let mut sender = connect_http2(address).await;
     let mut answers = Vec::new();
@@ -293,7 +296,7 @@
 /// Guards against the bytes of streams that were reset, and that count for as long as their connection.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reset_streams_release_their_bytes() {
-    let address = SocketAddr::from(([127, 84, 11, 9], 7_363));
+    let address = address::next();
     let endless = Answer { parts: usize::MAX, size: 16 * 1024 };
     let (host, running, seen) = bind(address, endless, LIMIT * 2);
     let mut sender = connect_http2(address).await;
@@ -316,11 +319,11 @@
 
 /// Guards against HTTP/2 clients that read slowly, or read one of their streams only, and are taken for
 /// ones that read nothing.
-#[test_case(0, 31; "one stream")]
-#[test_case(3, 32; "beside streams that are not read")]
+#[test_case(0; "one stream")]
+#[test_case(3; "beside streams that are not read")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn client_that_opens_its_window_slowly_gets_the_whole_answer(others: usize, port: u16) {
-    let address = SocketAddr::from(([127, 84, 11, 9], 7_340 + port));
+async fn client_that_opens_its_window_slowly_gets_the_whole_answer(others: usize) {
+    let address = address::next();
     let answer = Answer { parts: 2, size: 24 * 1024 };
     let (host, running, _) = bind(address, answer, READ_TIMEOUT);
     let mut sender = connect_http2(address).await;
@@ -345,7 +348,7 @@
 /// need, for as long as the read timeout allows.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn client_that_withholds_its_window_yields_to_others() {
-    let address = SocketAddr::from(([127, 84, 11, 9], 7_364));
+    let address = address::next();
     let endless = Answer { parts: usize::MAX, size: 16 * 1024 };
     let (host, running, _) = bind(address, endless, Duration::MAX);
     let mut sender = connect_http2(address).await;
