--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod plan;
 pub mod prefix;
 pub mod quarantine;
+pub mod quota;
 pub mod refusal;
 pub mod release;
 pub mod rendezvous;
