gateway: nodes exchange the limits of upstreams, and permits

Change: limits that answers have named are in the periodic datagrams. A task lends the part of the node to the coordinator, or a hub of its zone, or the node itself, whichever answers, and asks for the permits that are wanted.

--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -10,6 +10,7 @@
 mod facts;
 mod incoming;
 mod outgoing;
+mod permits;
 
 use std::{io, net, sync, time};
 
@@ -118,6 +119,7 @@
         let relays = std::cell::OnceCell::new();
         for item in items {
             let near = match item.reach {
+                outbox::Reach::Peer(address) => vec![address],
                 outbox::Reach::Zone | outbox::Reach::All => self.zone_peers(),
                 outbox::Reach::Listeners | outbox::Reach::AllListeners => self.listeners(),
             };
--- a/crates/gateway/src/mesh/incoming.rs
+++ b/crates/gateway/src/mesh/incoming.rs
@@ -48,6 +48,7 @@
             self.handle_stall(stall, now);
         }
         self.handle_evidence(datagram, now);
+        self.handle_permits(origin, datagram, now);
         // A node that is no hub knows too little of the loads of its zone.
         datagram.wants_reply && (!self.uses_hubs() || self.place_among_hubs().is_some())
     }
--- a/crates/gateway/src/mesh/outgoing.rs
+++ b/crates/gateway/src/mesh/outgoing.rs
@@ -124,7 +124,8 @@
 
     /// A datagram that is sent again and again, with all that each node should know.
     fn periodic(&self, draining: bool, now: moment::Moment) -> mesh::Datagram {
-        mesh::Datagram { quarantined: self.quarantined(now), ..self.datagram(draining, now) }
+        let (quarantined, limits) = (self.quarantined(now), self.limits(now));
+        mesh::Datagram { quarantined, limits, ..self.datagram(draining, now) }
     }
 
     pub(super) fn datagram(&self, draining: bool, now: moment::Moment) -> mesh::Datagram {
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -11,6 +11,7 @@
 //! | 52 | [`health::Health`] | outcomes of this node's requests by upstream |
 //! | 53 | [`quarantine::Quarantine`] | prompt parts that crash upstreams |
 //! | 55 | [`pacing::Pacing`] | requests sent to cold upstreams |
+//! | 57 | [`quotas::Quotas`] | limits of upstreams, and the permits under them |
 //! | 60 | [`retries::Retries`] | retry budgets by service |
 //! | 62 | [`demand::Demand`] | requests by model |
 //! | 64 | [`gates::Gates`] | requests that wait for admission |
@@ -29,6 +30,7 @@
 pub mod pauses;
 pub mod peers;
 pub mod quarantine;
+pub mod quotas;
 pub mod retries;
 pub mod stalls;
 
@@ -57,6 +59,8 @@
     pub quarantine: sync::Arc<table::Table<quarantine::Quarantine>>,
     /// Requests that this node sent to cold upstreams.
     pub pacing: sync::Arc<table::Table<pacing::Pacing>>,
+    /// Limits of upstreams on the requests of all nodes.
+    pub quotas: sync::Arc<table::Table<quotas::Quotas>>,
     /// Retry budgets by service.
     pub retries: sync::Arc<table::Table<retries::Retries>>,
     /// Requests by model.
@@ -84,6 +88,7 @@
             health: host.table(),
             quarantine: host.table(),
             pacing: host.table(),
+            quotas: host.table(),
             retries: host.table(),
             demand: host.table(),
             gates: host.table(),
--- a/crates/gateway/src/tables/outbox.rs
+++ b/crates/gateway/src/tables/outbox.rs
@@ -1,5 +1,7 @@
 //! Queue of datagrams to other nodes.
 
+use std::net;
+
 use corneltrestle_kernel::table;
 
 /// Queue length. Beyond it the oldest datagram is dropped; receivers tolerate lost datagrams.
@@ -23,6 +25,8 @@
 /// The receivers of a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
+    /// One node.
+    Peer(net::SocketAddr),
     /// All other nodes of the own zone.
     Zone,
     /// The nodes of the own zone that take heartbeats: its hubs, or all if there are few nodes.
--- a/crates/gateway/src/tables/peers.rs
+++ b/crates/gateway/src/tables/peers.rs
@@ -106,6 +106,11 @@
         self.hubs.choose(zone.as_str(), own.as_str(), &candidates, pause_end, now)
     }
 
+    /// Whether a node has said that it is shutting down.
+    pub fn is_draining(&self, node: &str) -> bool {
+        self.known.get(node).is_some_and(|peer| peer.draining)
+    }
+
     /// The hubs of the own zone that were chosen last.
     pub fn hubs(&self) -> &hubs::Hubs {
         &self.hubs
--- a/crates/gateway/src/task.rs
+++ b/crates/gateway/src/task.rs
@@ -4,5 +4,6 @@
 pub mod coordinate;
 pub mod follow;
 pub mod mesh;
+pub mod permits;
 pub mod register;
 pub mod watchdog;
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -24,6 +24,9 @@
 /// Limit on each list of prompt parts in a datagram.
 pub const MAX_PARTS: usize = 16;
 
+/// Limit on the limits of upstreams in a datagram, and on the rows of a [`Permits`].
+pub const MAX_LIMITS: usize = 12;
+
 /// The result of decoding a datagram.
 pub type Result<T> = std::result::Result<T, prost::DecodeError>;
 
@@ -75,6 +78,12 @@
     /// [`MAX_PARTS`].
     #[prost(message, repeated, tag = "13")]
     pub sound: Vec<Part>,
+    /// Limits that upstreams have named, at most [`MAX_LIMITS`].
+    #[prost(message, repeated, tag = "14")]
+    pub limits: Vec<Limit>,
+    /// A request for permits, or the answer to one; absent otherwise.
+    #[prost(message, optional, tag = "15")]
+    pub permits: Option<Permits>,
 }
 
 /// Identifies an answer of the source of facts, which confirms that a node's facts are current.
@@ -213,6 +222,54 @@
     pub age: u32,
 }
 
+/// The requests a second that an upstream takes from all nodes together.
+#[derive(Clone, PartialEq, Message)]
+pub struct Limit {
+    /// Identifier of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Identifier of the start of its process.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Requests a second; absent if it no longer names a limit.
+    #[prost(double, optional, tag = "3")]
+    pub rate: Option<f64>,
+    /// Milliseconds since an answer of the upstream said so.
+    #[prost(uint32, tag = "4")]
+    pub age: u32,
+}
+
+/// A request for permits to send to upstreams with a limit, or its answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Permits {
+    /// Time of the request in microseconds on the clock of the asking process; repeated in the answer.
+    #[prost(uint64, tag = "1")]
+    pub asked: u64,
+    /// Whether it is the answer.
+    #[prost(bool, tag = "2")]
+    pub is_grant: bool,
+    /// The part of the limits that the asking node lends; 0 if it lends none.
+    #[prost(double, tag = "3")]
+    pub part: f64,
+    /// Permits by upstream, at most [`MAX_LIMITS`].
+    #[prost(message, repeated, tag = "4")]
+    pub rows: Vec<PermitRow>,
+}
+
+/// Permits for an upstream.
+#[derive(Clone, PartialEq, Message)]
+pub struct PermitRow {
+    /// Identifier of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Permits that are wanted, or granted.
+    #[prost(uint32, tag = "2")]
+    pub number: u32,
+    /// In an answer, milliseconds until a further one is expected.
+    #[prost(uint32, tag = "3")]
+    pub wait: u32,
+}
+
 /// Changes of facts between two revisions.
 #[derive(Clone, PartialEq, Message)]
 pub struct Delta {
