gateway, platform: requests to upstreams with a limit take a permit

Change: the header is read from all answers. A request to an upstream with a limit takes a permit; without one it goes elsewhere, waits if a permit comes within its objective, or is refused as not run with the time of the next one. A stream that has begun waits until its deadline.

--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -61,6 +61,25 @@
     "Retries that this node may have in the window, its share of the retry budget of all nodes, by service.",
 );
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static LIMITED: metric::Metric =
+    metric::Metric::gauge("upstreams_limited", "Upstreams that limit the requests of all nodes.");
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static PART: metric::Metric = metric::Metric::gauge(
+    "limit_part",
+    "Part of the limits of upstreams that belongs to this node, from 0 to 1; it lends it to the node that grants permits.",
+);
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static PARTS: metric::Metric = metric::Metric::gauge(
+    "limit_parts_lent",
+    "Sum of the parts of limits that were lent to this node, from which it grants permits, from 0 to 1.",
+);
+
 #[linkme::distributed_slice(metric::METRICS)]
 #[linkme(crate = linkme)]
 static QUARANTINED: metric::Metric = metric::Metric::gauge(
@@ -103,6 +122,13 @@
     metrics::gauge!(STALLED_UPSTREAMS.name).set(tables.stalls.lock().iter().count() as f64);
     let quarantined = tables.quarantine.lock().parts().quarantined().count();
     metrics::gauge!(QUARANTINED.name).set(quarantined as f64);
+    {
+        let quotas = tables.quotas.lock();
+        let limited = quotas.known().iter().filter(|(_, limit)| limit.rate.is_some()).count();
+        metrics::gauge!(LIMITED.name).set(limited as f64);
+        metrics::gauge!(PART.name).set(quotas.part(now));
+        metrics::gauge!(PARTS.name).set(quotas.parts(now));
+    }
     for (service, extra) in tables.retries.lock().retries(now) {
         metrics::gauge!(RETRIES.name, "service" => service.as_str().to_owned())
             .set(f64::from(extra));
--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -11,6 +11,7 @@
 mod buffered;
 mod choose;
 mod gate;
+mod permit;
 mod quarantine;
 mod record;
 mod relay;
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -344,6 +344,12 @@
         let reply = self.client.send(target.address, call).await?;
         let (incarnation, now) = (target.incarnation, self.now());
         self.tables.health.lock().record_notice(&target.id, incarnation, reply.notice, now);
+        // Another upstream may have the address by now.
+        let is_other = matches!(&reply.result, upstream::Verdict::Rejected(rejection)
+            if rejection.reason == upstream::Reason::Misdirected);
+        if !is_other {
+            self.tables.quotas.lock().record(&target.id, incarnation, reply.notice.limit, now);
+        }
         Ok(reply.result)
     }
 
@@ -413,6 +419,11 @@
         stop: Stop,
         now: moment::Moment,
     ) -> Refusal {
+        let lacks_permit = || self.permit_wait(request, admitted, attempts, now).is_some();
+        let stop = match stop {
+            Stop::NoUpstream if lacks_permit() => Stop::NoPermit,
+            stop => stop,
+        };
         let refusal = refuse(attempts, admitted, stop, now);
         match (refusal.retry, self.has_room_in(request, admitted, now)) {
             (Some(retry), Some(wait)) => refusal.retry_after(retry.max(wait)),
@@ -457,6 +468,8 @@
 pub(super) enum Stop {
     /// No upstream that was not tried yet can take it.
     NoUpstream,
+    /// All upstreams that can take it limit their requests, and have no permit left.
+    NoPermit,
     /// The failure does not allow a retry, or the limit on attempts or the deadline is reached.
     NotRetryable,
     /// Full upstreams have rejected it, and no other one is known to have room.
@@ -477,6 +490,10 @@
     let message = match (stop, failure) {
         (Stop::NoUpstream, None) => "no upstream can serve".to_owned(),
         (Stop::NoUpstream, Some(failure)) => format!("{failure}; no other upstream can serve"),
+        (Stop::NoPermit, failure) => {
+            let message = "the limits of all upstreams that can serve are reached";
+            failure.map_or(message.to_owned(), |failure| format!("{failure}; {message}"))
+        }
         (Stop::Full, failure) => {
             format!("{}; no other upstream is known to have room", failure.unwrap_or_default())
         }
@@ -485,7 +502,8 @@
             format!("{}; the retry budget is exhausted", failure.unwrap_or_default())
         }
     };
-    let is_bad_answer = stop != Stop::NoUpstream && attempts.is_bad_answer;
+    let has_upstream = !matches!(stop, Stop::NoUpstream | Stop::NoPermit);
+    let is_bad_answer = has_upstream && attempts.is_bad_answer;
     let is_late = now >= admitted.deadline;
     if !attempts.may_have_run {
         let code = if is_late { Code::DeadlineExceeded } else { Code::Overloaded };
--- a/crates/gateway/src/pipeline/buffered.rs
+++ b/crates/gateway/src/pipeline/buffered.rs
@@ -45,7 +45,9 @@
     loop {
         let now = pipeline.now();
         pipeline.check_parts(attempts, request, now)?;
-        let Some(target) = pipeline.choose(request, admitted, attempts, false, now) else {
+        let chosen = pipeline.choose(request, admitted, attempts, false, now).await;
+        let now = pipeline.now();
+        let Some(target) = chosen else {
             return Err(pipeline.refuse_for_capacity(
                 attempts,
                 request,
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -11,7 +11,7 @@
 use super::{Pipeline, admit::Admitted, attempt::Attempts};
 use crate::{
     request,
-    tables::{self, activity, catalog, health, pacing as sent, stalls},
+    tables::{self, activity, catalog, health, pacing as sent, quotas, stalls},
     upstream::Client,
 };
 
@@ -139,6 +139,7 @@
     stalls: table::Guard<'a, stalls::Stalls>,
     health: table::Guard<'a, health::Health>,
     pacing: table::Guard<'a, sent::Pacing>,
+    quotas: table::Guard<'a, quotas::Quotas>,
 }
 
 impl<'a> Locked<'a> {
@@ -149,6 +150,7 @@
             stalls: tables.stalls.lock(),
             health: tables.health.lock(),
             pacing: tables.pacing.lock(),
+            quotas: tables.quotas.lock(),
         }
     }
 
@@ -159,6 +161,7 @@
             stalls: &self.stalls,
             health: &self.health,
             pacing: &self.pacing.sent,
+            quotas: &self.quotas,
         }
     }
 }
@@ -170,12 +173,14 @@
     stalls: &'t stalls::Stalls,
     health: &'t health::Health,
     pacing: &'t pacing::Pacing,
+    quotas: &'t quotas::Quotas,
 }
 
 impl<C: Client> Pipeline<C> {
     /// Chooses an upstream that may be tried, and counts the request there. Upstreams that fail are
-    /// avoided while there is another one.
-    pub(super) fn choose(
+    /// avoided while there is another one. If the upstream limits its requests, a permit is still to be
+    /// taken.
+    pub(super) fn pick(
         &self,
         request: &request::Request,
         admitted: &Admitted,
@@ -274,11 +279,35 @@
         let view = locked.view(&snapshot);
         let found = self.serving(&view, request, admitted);
         let wait = |Candidate { upstream, slot_wait, .. }: &Candidate<'_>| {
-            view.health.closed_for(upstream.id.as_str(), now).unwrap_or_default().max(*slot_wait)
+            let id = upstream.id.as_str();
+            let closed = view.health.closed_for(id, now).unwrap_or_default();
+            let dry = view.quotas.dry_for(id, now).unwrap_or_default();
+            closed.max(dry).max(*slot_wait)
         };
         found.iter().filter(|candidate| !candidate.is_stalled).map(wait).min()
     }
 
+    /// Time until the first permit is expected for the upstreams that could take the request if they had
+    /// permits; `None` if there is no such upstream.
+    pub(super) fn permit_wait(
+        &self,
+        request: &request::Request,
+        admitted: &Admitted,
+        attempts: &Attempts,
+        now: moment::Moment,
+    ) -> Option<time::Duration> {
+        let snapshot = self.tables.current.load();
+        let locked = Locked::lock(&self.tables);
+        let view = locked.view(&snapshot);
+        let found = self.serving(&view, request, admitted);
+        let may_try = |candidate: &&Candidate<'_>| {
+            let id = &candidate.upstream.id;
+            attempts.may_try(id, admitted) && view.health.closed_for(id.as_str(), now).is_none()
+        };
+        let dry = found.iter().filter(may_try);
+        dry.filter_map(|candidate| view.quotas.dry_for(candidate.upstream.id.as_str(), now)).min()
+    }
+
     /// Upstreams that serve such requests and are not leaving.
     fn serving<'a>(
         &self,
@@ -336,7 +365,8 @@
         now: moment::Moment,
     ) -> Vec<Candidate<'a>> {
         found.retain(|Candidate { upstream, .. }| {
-            view.health.closed_for(upstream.id.as_str(), now).is_none()
+            let id = upstream.id.as_str();
+            view.health.closed_for(id, now).is_none() && view.quotas.dry_for(id, now).is_none()
         });
         let is_avoided = |candidate: &Candidate<'_>| {
             view.health.of(candidate.upstream.id.as_str()).is_avoided(now)
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -123,9 +123,10 @@
     loop {
         let now = pipeline.now();
         pipeline.check_parts(attempts, request, now)?;
-        let Some(mut target) =
-            pipeline.choose(request, admitted, attempts, resume_after.is_some(), now)
-        else {
+        let chosen =
+            pipeline.choose(request, admitted, attempts, resume_after.is_some(), now).await;
+        let now = pipeline.now();
+        let Some(mut target) = chosen else {
             return Err(pipeline.refuse_for_capacity(
                 attempts,
                 request,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,7 +4,7 @@
 
 use std::{net, time};
 
-use corneltrestle_policy::{formation, id, upstream};
+use corneltrestle_policy::{formation, id, quota, upstream};
 
 use crate::request;
 
@@ -65,12 +65,14 @@
 }
 
 /// What an upstream says of itself beside an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Whether it is leaving and wants no new requests.
     pub is_leaving: bool,
     /// Time for which it wants no requests from this node.
     pub retry_after: Option<time::Duration>,
+    /// The limit that it names on the requests of all nodes.
+    pub limit: quota::Statement,
 }
 
 /// Why an upstream has not run a request.
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -12,7 +12,7 @@
     },
 };
 use corneltrestle_kernel::{disconnect, host, lifecycle, memory, pool, settings};
-use corneltrestle_policy::{deployment, id, quarantine, refusal, retry::fleet, upstream};
+use corneltrestle_policy::{deployment, id, quarantine, quota, refusal, retry::fleet, upstream};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 use hyper::{HeaderMap, Method, StatusCode};
@@ -62,6 +62,8 @@
     /// It streams all remaining events, with a pause of half a second after this one and each later
     /// one.
     Trickles(u64),
+    /// It streams all remaining events, and names this limit on the requests a second of all nodes.
+    Limits(f64),
     /// It streams all remaining events, and ends its answer half a second later.
     EndsLate,
 }
@@ -233,6 +235,12 @@
                     ..reply
                 })
             }
+            Act::Limits(rate) => {
+                answer(200, events(next, EVENTS), End::Complete).map(|reply| Reply {
+                    notice: Notice { limit: quota::Statement::Limited(rate), ..Notice::default() },
+                    ..reply
+                })
+            }
             Act::Breaks(last) => answer(200, events(next, last), End::Broken),
             Act::Ends(last) => {
                 let mut parts = events(next, last);
@@ -455,6 +463,20 @@
         })
     }
 
+    /// Makes the node the only one that is registered, so that it grants permits to itself.
+    pub(crate) async fn register(&self) {
+        let view = quota::membership::View {
+            nodes: 1,
+            own: quota::membership::Registration::Own,
+            informed: self.host.now() + Duration::from_secs(60),
+        };
+        let own: id::Node = "node-1".into();
+        self.tables.quotas.lock().observe(&own, view, true, self.host.now());
+        // The part of a node counts only after a while.
+        tokio::time::sleep(Duration::from_millis(1_050)).await;
+        assert_eq!(self.tables.quotas.lock().ask(&[own], true, self.host.now()), None);
+    }
+
     /// Receives a report of another node with requests in progress at an upstream.
     pub(crate) fn report(&self, upstream: &str, requests: u32) {
         let hash = mesh::hash(upstream);
