gateway, server, kernel: plainer names for what ends a request

No change of behaviour: disconnect::Handle was End, the request of a stream is its Transfer, and the moment at which a stopping node answers all that has no answer is its last answer.

--- a/crates/gateway/src/pipeline.rs
+++ b/crates/gateway/src/pipeline.rs
@@ -38,7 +38,8 @@
 /// `Retry-After` of a refusal for lack of capacity.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 
-/// Time before the end of a stopping node at which requests without an answer are answered with a failure.
+/// Time before the end of a stopping node at which requests without an answer are answered with a failure:
+/// the answers have to be written before the connections close.
 const END_MARGIN: time::Duration = time::Duration::from_millis(300);
 
 /// The request path of a node, generic over its client of upstreams.
@@ -111,7 +112,7 @@
             biased;
             output = future => Some(output),
             () = tokio::time::sleep(left) => None,
-            () = self.ends() => None,
+            () = self.last_answer_due() => None,
         }
     }
 
@@ -121,7 +122,7 @@
     }
 
     /// Completes when a stopping node answers the requests that have no answer.
-    async fn ends(&self) {
+    async fn last_answer_due(&self) {
         self.host.lifecycle.reached(lifecycle::Stage::Draining).await;
         match self.last_answer() {
             Some(at) => tokio::time::sleep(at.since(self.now())).await,
@@ -130,7 +131,7 @@
     }
 
     /// Whether the node ends too soon for a further attempt.
-    fn is_ending(&self, now: moment::Moment) -> bool {
+    fn is_last_answer_due(&self, now: moment::Moment) -> bool {
         self.last_answer().is_some_and(|at| now >= at)
     }
 
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -307,7 +307,7 @@
             && (failure.is_stale() || Attempts::allows_run_after(attempts.ran.len(), admitted))
             && attempts.record.dispatches() < MAX_DISPATCHES
             && now < admitted.deadline
-            && !self.is_ending(now);
+            && !self.is_last_answer_due(now);
         if !allowed {
             return Err(refuse(attempts, admitted, Stop::NotRetryable, now));
         }
@@ -393,7 +393,7 @@
                 false => Attempts::allows_run_after(attempts.ran.len(), admitted),
             };
             if may_run
-                && !self.is_ending(now)
+                && !self.is_last_answer_due(now)
                 && attempts.record.dispatches() < MAX_DISPATCHES
                 && self.has_retry(&admitted.service, fleet::Purpose::Lost, now)
                 && self.has_alternative(request, admitted, attempts, &target.id, now)
--- a/crates/gateway/src/pipeline/record.rs
+++ b/crates/gateway/src/pipeline/record.rs
@@ -34,7 +34,7 @@
     catalog: sync::Arc<table::Table<catalog::Catalog>>,
     id: String,
     arrived: moment::Moment,
-    end: disconnect::End,
+    disconnect: disconnect::Handle,
     route: Option<id::Route>,
     service: Option<id::Service>,
     organisation: Option<id::Organisation>,
@@ -80,7 +80,7 @@
             catalog: sync::Arc::clone(catalog),
             id: request.id.clone(),
             arrived: request.arrived,
-            end: request.end.clone(),
+            disconnect: request.disconnect.clone(),
             route: None,
             service: None,
             organisation: None,
@@ -228,7 +228,7 @@
         if self.is_closed {
             return;
         }
-        let cause = self.end.cause();
+        let cause = self.disconnect.cause();
         let (result, level, message) = match cause {
             disconnect::Cause::Client => ("caller-left", log::Level::Info, "caller left"),
             disconnect::Cause::Unread | disconnect::Cause::DrainLimit => {
--- a/crates/gateway/src/pipeline/stream.rs
+++ b/crates/gateway/src/pipeline/stream.rs
@@ -44,18 +44,18 @@
 /// A stream in progress.
 #[derive(Debug)]
 pub(super) struct Stream<C: Client> {
-    session: Session<C>,
+    transfer: Transfer<C>,
     target: Target,
     reader: reader::Reader<C::Body>,
     /// Events of the present upstream.
     events: u64,
-    /// Whether the latest move away from the present upstream failed.
+    /// Whether the latest move away from the present upstream failed; the next one waits for a while.
     was_kept: bool,
 }
 
 /// The request of a stream, with its attempts and what was delivered so far.
 #[derive(Debug)]
-struct Session<C: Client> {
+struct Transfer<C: Client> {
     pipeline: sync::Arc<Pipeline<C>>,
     request: request::Request,
     admitted: Admitted,
@@ -103,10 +103,10 @@
     }
     let delivery = delivery::Delivery::starting_at(&request.id, resume_after.unwrap_or(0) + 1);
     let pipeline = sync::Arc::clone(pipeline);
-    let mut session = Session { pipeline, request, admitted, attempts, delivery };
-    session.release_request(&target);
+    let mut transfer = Transfer { pipeline, request, admitted, attempts, delivery };
+    transfer.release_request(&target);
     let reader = reader::Reader::new(answer.body);
-    let stream = Stream { session, target, reader, events: 0, was_kept: false };
+    let stream = Stream { transfer, target, reader, events: 0, was_kept: false };
     let (status, headers) = (answer.status, answer.headers);
     Ok(Answer { status, headers, relay: Relay::stream(stream) })
 }
@@ -207,9 +207,9 @@
     pub(super) async fn next(&mut self) -> Result<Option<bytes::Bytes>> {
         let event = self.next_event().await;
         match &event {
-            Ok(Some(_)) => self.session.attempts.record.event(self.session.pipeline.now()),
+            Ok(Some(_)) => self.transfer.attempts.record.event(self.transfer.pipeline.now()),
             Ok(None) => self.finish(),
-            Err(refusal) => self.session.attempts.record.refused(refusal),
+            Err(refusal) => self.transfer.attempts.record.refused(refusal),
         }
         event
     }
@@ -217,7 +217,7 @@
     /// Reads until there is an event to deliver, resuming at other upstreams as needed.
     async fn next_event(&mut self) -> Result<Option<bytes::Bytes>> {
         loop {
-            self.target.progress.waits(self.session.pipeline.now());
+            self.target.progress.waits(self.transfer.pipeline.now());
             match self.reader.next_block() {
                 // Bytes alone are no progress: a stalled upstream may send comments.
                 Ok(Some(block)) => match self.check(&block) {
@@ -263,15 +263,15 @@
     /// over; fails at the deadline.
     async fn read(&mut self) -> Result<Step> {
         let left = self
-            .session
+            .transfer
             .pipeline
-            .time_left(self.session.admitted.deadline)
+            .time_left(self.transfer.admitted.deadline)
             .map_err(|e| self.at_target(e))?;
         let can_move = async {
             if self.was_kept {
                 tokio::time::sleep(MOVE_CHECK_PERIOD).await;
             }
-            self.session.can_move(&self.target).await
+            self.transfer.can_move(&self.target).await
         };
         let next = async {
             tokio::select! {
@@ -290,30 +290,30 @@
 
     /// Records that the upstream has sent an event, new or not.
     fn count_event(&mut self) {
-        let now = self.session.pipeline.now();
+        let now = self.transfer.pipeline.now();
         self.target.progress.progressed(now);
         (self.events, self.was_kept) = (self.events + 1, false);
         if self.events == 1 {
             self.record_first_event(now);
         }
         if self.events == SOUND_EVENTS {
-            self.session.pipeline.record_sound(&self.session.request, now);
+            self.transfer.pipeline.record_sound(&self.transfer.request, now);
         }
     }
 
     /// Compares the first event with its prediction. Only admission makes use of it.
     fn record_first_event(&self, now: moment::Moment) {
-        if self.session.pipeline.tables.gates.lock().mode() == gates::Mode::Open {
+        if self.transfer.pipeline.tables.gates.lock().mode() == gates::Mode::Open {
             return;
         }
-        let generation = self.session.request.generation.as_ref();
+        let generation = self.transfer.request.generation.as_ref();
         let Some((generation, predicted)) = generation.zip(self.target.expected) else { return };
         let actual = now.since(self.target.chosen);
-        let (service, model) = (&self.session.admitted.service, &generation.model);
-        let tables = &self.session.pipeline.tables;
+        let (service, model) = (&self.transfer.admitted.service, &generation.model);
+        let tables = &self.transfer.pipeline.tables;
         tables.demand.lock().record_first_event(service, model, predicted, actual);
         let is_in_time =
-            now.since(self.session.request.arrived) <= self.session.admitted.route.objective;
+            now.since(self.transfer.request.arrived) <= self.transfer.admitted.route.objective;
         tables.gates.lock().record_first_event(&(service.clone(), model.clone()), is_in_time);
     }
 
@@ -321,9 +321,9 @@
     /// resumed stream is one: its caller has all events already. Other text is none of the stream,
     /// and an answer that ends with its connection also ends where its upstream crashes.
     fn is_complete(&self) -> bool {
-        let Self { session, reader, events, .. } = self;
+        let Self { transfer, reader, events, .. } = self;
         let has_all =
-            session.delivery.next_index() > 1 && reader.is_delimited() && !reader.has_bytes();
+            transfer.delivery.next_index() > 1 && reader.is_delimited() && !reader.has_bytes();
         reader.is_empty() && (*events > 0 || has_all)
     }
 
@@ -331,16 +331,16 @@
         let index = std::str::from_utf8(&block.event.id).ok().and_then(|id| id.parse().ok());
         match index {
             Some(index) => self
-                .session
+                .transfer
                 .delivery
-                .check(&delivery::Event { request: &self.session.request.id, index }),
+                .check(&delivery::Event { request: &self.transfer.request.id, index }),
             None => delivery::Verdict::Gap,
         }
     }
 
     /// Resumes the stream at another upstream.
     async fn resume(&mut self, failure: Failure) -> Result<()> {
-        let connected = self.session.connect(&self.target, self.events, failure).await?;
+        let connected = self.transfer.connect(&self.target, self.events, failure).await?;
         self.go_on_at(connected);
         Ok(())
     }
@@ -348,27 +348,27 @@
     /// Leaves a silent upstream for another one. It may only be slow: the stream stays there if it sends
     /// an event or ends its answer before the other one answers, or if no other one takes the stream.
     async fn leave(&mut self, failure: Failure) {
-        let current = self.session.attempts.record.current();
+        let current = self.transfer.attempts.record.current();
         let moved = tokio::select! {
             biased;
             () = self.reader.wait() => None,
-            moved = self.session.connect(&self.target, self.events, failure) => Some(moved),
+            moved = self.transfer.connect(&self.target, self.events, failure) => Some(moved),
         };
         let cause = match moved {
             Some(Ok(connected)) => return self.go_on_at(connected),
             Some(Err(refusal)) => {
                 log::info!(
-                    id = self.session.request.id.as_str(), upstream = self.target.id.as_str();
+                    id = self.transfer.request.id.as_str(), upstream = self.target.id.as_str();
                     "route: the stream stays at its upstream: {refusal}"
                 );
                 "refused"
             }
             None => {
-                self.session.attempts.withdraw(&self.target.id, self.session.pipeline.now());
+                self.transfer.attempts.withdraw(&self.target.id, self.transfer.pipeline.now());
                 "resumed"
             }
         };
-        self.session.attempts.record.went_back(current);
+        self.transfer.attempts.record.went_back(current);
         metrics::counter!(KEPT.name, "cause" => cause).increment(1);
         self.was_kept = true;
     }
@@ -376,19 +376,19 @@
     fn go_on_at(&mut self, connected: Connected<C::Body>) {
         metrics::counter!(MOVED.name).increment(1);
         let Connected { target, answer } = connected;
-        self.session.release_request(&target);
+        self.transfer.release_request(&target);
         self.reader = reader::Reader::new(answer.body);
         (self.target, self.events, self.was_kept) = (target, 0, false);
     }
 
     fn finish(&mut self) {
-        let events = self.session.delivery.next_index() - 1;
-        if let Some(generation) = &self.session.request.generation {
-            let mut demand = self.session.pipeline.tables.demand.lock();
-            demand.meter(&self.session.admitted.service).record_answer(&generation.model, events);
+        let events = self.transfer.delivery.next_index() - 1;
+        if let Some(generation) = &self.transfer.request.generation {
+            let mut demand = self.transfer.pipeline.tables.demand.lock();
+            demand.meter(&self.transfer.admitted.service).record_answer(&generation.model, events);
         }
-        self.session.pipeline.record_sound(&self.session.request, self.session.pipeline.now());
-        self.session.attempts.record.finished(hyper::StatusCode::OK);
+        self.transfer.pipeline.record_sound(&self.transfer.request, self.transfer.pipeline.now());
+        self.transfer.attempts.record.finished(hyper::StatusCode::OK);
     }
 
     fn at_target(&self, refusal: Refusal) -> Refusal {
@@ -396,7 +396,7 @@
     }
 }
 
-impl<C: Client> Session<C> {
+impl<C: Client> Transfer<C> {
     /// Waits until the stream can move from a silent upstream to another one; returns why.
     async fn can_move(&self, target: &Target) -> Failure {
         let Self { pipeline, request, admitted, attempts, delivery } = self;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -31,7 +31,7 @@
     /// Deadline set by the caller, if any.
     pub deadline: Option<moment::Moment>,
     /// The end of the connection on which it arrived.
-    pub end: disconnect::End,
+    pub disconnect: disconnect::Handle,
 }
 
 /// What a model is to generate, as declared by the caller.
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -415,7 +415,7 @@
             resume_after: None,
             arrived: self.host.now(),
             deadline: None,
-            end: disconnect::End::default(),
+            disconnect: disconnect::Handle::default(),
         }
     }
 
--- a/crates/kernel/src/disconnect.rs
+++ b/crates/kernel/src/disconnect.rs
@@ -26,23 +26,23 @@
     }
 }
 
-/// The end of one connection. Clones share the cause.
+/// What a node knows of the end of one connection. Clones share it.
 ///
 /// # Examples
 ///
 /// ```
 /// use corneltrestle_kernel::disconnect;
 ///
-/// let end = disconnect::End::default();
-/// assert_eq!(end.cause(), disconnect::Cause::Client);
-/// end.record(disconnect::Cause::DrainLimit);
-/// end.record(disconnect::Cause::Unread);
-/// assert_eq!(end.cause(), disconnect::Cause::DrainLimit);
+/// let handle = disconnect::Handle::default();
+/// assert_eq!(handle.cause(), disconnect::Cause::Client);
+/// handle.record(disconnect::Cause::DrainLimit);
+/// handle.record(disconnect::Cause::Unread);
+/// assert_eq!(handle.cause(), disconnect::Cause::DrainLimit);
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct End(sync::Arc<sync::OnceLock<Cause>>);
+pub struct Handle(sync::Arc<sync::OnceLock<Cause>>);
 
-impl End {
+impl Handle {
     /// Records why the node closes the connection; the first cause counts.
     pub fn record(&self, cause: Cause) {
         let _ = self.0.set(cause);
--- a/crates/server/src/accept.rs
+++ b/crates/server/src/accept.rs
@@ -340,7 +340,7 @@
             None => limits.drain_timeout,
         };
         tokio::time::timeout(left, connection).await.unwrap_or_else(|_| {
-            state.end.record(disconnect::Cause::DrainLimit);
+            state.disconnect.record(disconnect::Cause::DrainLimit);
             Ok(())
         })
     }
--- a/crates/server/src/connection.rs
+++ b/crates/server/src/connection.rs
@@ -38,7 +38,7 @@
 pub(crate) struct Connection {
     holding: memory::Holding,
     /// Why the node closes the connection, if it does.
-    pub(crate) end: disconnect::End,
+    pub(crate) disconnect: disconnect::Handle,
     /// What the socket takes of the responses.
     pub(crate) output: Output,
     /// What the client does not take of the responses of HTTP/2.
@@ -73,7 +73,7 @@
     pub(crate) fn new(holding: memory::Holding) -> Self {
         Self {
             holding,
-            end: disconnect::End::default(),
+            disconnect: disconnect::Handle::default(),
             output: Output::default(),
             withheld: Withheld::new(),
             begun: CancellationToken::new(),
--- a/crates/server/src/header.rs
+++ b/crates/server/src/header.rs
@@ -97,8 +97,8 @@
             },
             None => {
                 let connection = &self.context.connection;
-                let (caller, end) = (connection.caller(), connection.end.clone());
-                request.extensions_mut().insert(peer::Peer { caller, end });
+                let (caller, disconnect) = (connection.caller(), connection.disconnect.clone());
+                request.extensions_mut().insert(peer::Peer { caller, disconnect });
                 let inner = self.inner.call(request);
                 ResponseFuture::Forwarded { inner, pacing, in_service }
             }
--- a/crates/server/src/peer.rs
+++ b/crates/server/src/peer.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
     pub(crate) caller: memory::Caller,
-    pub(crate) end: disconnect::End,
+    pub(crate) disconnect: disconnect::Handle,
 }
 
 /// The client that sent a request, for the memory budget; its organisation is not known yet.
@@ -18,6 +18,6 @@
 
 /// The end of the connection on which a request arrived, for a request that is dropped before its answer
 /// is complete.
-pub fn end(extensions: &http::Extensions) -> disconnect::End {
-    extensions.get::<Peer>().map(|peer| peer.end.clone()).unwrap_or_default()
+pub fn disconnect(extensions: &http::Extensions) -> disconnect::Handle {
+    extensions.get::<Peer>().map(|peer| peer.disconnect.clone()).unwrap_or_default()
 }
--- a/crates/server/src/session.rs
+++ b/crates/server/src/session.rs
@@ -109,7 +109,7 @@
         loop {
             tokio::time::sleep((limits.read_timeout / 4).min(unread::MAX_CHECK_PERIOD)).await;
             if let Some((cause, silent)) = state.withheld.check(&host, limits.read_timeout) {
-                state.end.record(disconnect::Cause::Unread);
+                state.disconnect.record(disconnect::Cause::Unread);
                 return unread::report(name, cause, silent, host.now());
             }
         }
--- a/crates/server/src/unread.rs
+++ b/crates/server/src/unread.rs
@@ -196,7 +196,7 @@
         cause: Cause,
         silent: time::Duration,
     ) -> io::Error {
-        self.connection.end.record(disconnect::Cause::Unread);
+        self.connection.disconnect.record(disconnect::Cause::Unread);
         let error = report(self.name, cause, silent, self.host.now());
         // A reset frees what the system keeps for the client, and tells it that an answer which ends
         // with its connection is incomplete.
