--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -1,10 +1,12 @@
 //! Attempts of one request at upstreams, and the decision whether to retry.
 
+mod failure;
+
 use std::{collections, future, time};
 
 use corneltrestle_kernel::{linkme, metric};
 use corneltrestle_policy::{
-    health, id,
+    id,
     retry::{self, fleet},
 };
 use corneltrestle_time::moment;
@@ -17,6 +19,8 @@
     upstream::{self, Client},
 };
 
+pub(super) use failure::Failure;
+
 /// Maximum number of times that one request is sent, including those that upstreams rejected
 /// without running it. Beyond it, the capacity is better used for other requests.
 const MAX_DISPATCHES: usize = 6;
@@ -136,125 +140,6 @@
     }
 }
 
-/// How an attempt failed.
-#[derive(Debug)]
-pub(super) enum Failure {
-    /// The connection failed, or the answer could not be read.
-    Call(upstream::Error),
-    /// The upstream says that it has not run the request.
-    Rejected(upstream::Rejection),
-    /// The upstream did not answer before the request could move to another one, or the deadline passed.
-    TimedOut,
-    /// The node ends before the upstream has answered, which says nothing of the upstream.
-    NodeEnds,
-    /// The upstream was found to be stalled, see [`crate::task::watchdog`].
-    Stalled {
-        /// Whether the request is likely to have begun: events of the upstream have arrived since it
-        /// was sent. Without them it may have begun all the same, if they are lost on the way.
-        begun: bool,
-    },
-    /// The upstream answered with a server error, with an answer that is not genuine (see
-    /// [`upstream::Answer::is_genuine`]) or with a wrong stream of events.
-    BadAnswer(hyper::StatusCode),
-}
-
-impl Failure {
-    /// Whether the request may have run.
-    pub(super) fn may_have_run(&self) -> bool {
-        match self {
-            Self::Call(error) => error.may_have_run(),
-            Self::Rejected(_) => false,
-            Self::Stalled { .. } | Self::TimedOut | Self::NodeEnds | Self::BadAnswer(_) => true,
-        }
-    }
-
-    /// The failure of an attempt that had no answer when its request had to be answered.
-    pub(super) fn without_answer(deadline: moment::Moment, now: moment::Moment) -> Self {
-        if now < deadline { Self::NodeEnds } else { Self::TimedOut }
-    }
-
-    /// Whether the attempt counts as a run, also for the quarantine of prompt parts.
-    pub(super) fn counts_as_run(&self) -> bool {
-        self.may_have_run() && !matches!(self, Self::Stalled { begun: false })
-    }
-
-    /// Whether the request has reached the upstream, so that another attempt is a retry. One that no
-    /// connection could be made for has cost no upstream anything.
-    fn has_arrived(&self) -> bool {
-        !matches!(self, Self::Call(error) if error.kind == upstream::Kind::NotSent)
-    }
-
-    /// Whether the request was lost with a reused connection, which the upstream may have closed before.
-    fn is_stale(&self) -> bool {
-        matches!(self, Self::Call(error) if error.kind == upstream::Kind::Stale)
-    }
-
-    /// The outcome to record for the health of the upstream. A stall is not recorded, as all nodes
-    /// know it from the stall table, nor the end of a reused connection, which tells nothing.
-    fn outcome(&self) -> Option<health::Outcome> {
-        Some(match self {
-            Self::Call(error) => match error.kind {
-                upstream::Kind::NotSent => health::Outcome::Unreachable,
-                upstream::Kind::Stale => return None,
-                _ => health::Outcome::Failed,
-            },
-            Self::Rejected(rejection) => match rejection.reason {
-                upstream::Reason::Full => health::Outcome::Full,
-                upstream::Reason::Misdirected => health::Outcome::Misdirected,
-                upstream::Reason::Invalid => return None,
-            },
-            Self::TimedOut => health::Outcome::TimedOut,
-            Self::Stalled { .. } | Self::NodeEnds => return None,
-            Self::BadAnswer(_) => health::Outcome::Failed,
-        })
-    }
-
-    /// What the next attempt is for.
-    fn purpose(&self) -> fleet::Purpose {
-        match self.kind() {
-            retry::Failure::Full => fleet::Purpose::Full,
-            _ => fleet::Purpose::Lost,
-        }
-    }
-
-    fn kind(&self) -> retry::Failure {
-        match self {
-            Self::Call(error) => match error.kind {
-                upstream::Kind::NotSent => retry::Failure::NotSent,
-                upstream::Kind::Broken | upstream::Kind::Stale => retry::Failure::Broken,
-                upstream::Kind::Malformed => retry::Failure::InvalidResponse,
-            },
-            Self::Rejected(rejection) => match rejection.reason {
-                upstream::Reason::Full => retry::Failure::Full,
-                _ => retry::Failure::Refused,
-            },
-            Self::TimedOut | Self::NodeEnds | Self::Stalled { .. } => retry::Failure::Broken,
-            Self::BadAnswer(_) => retry::Failure::InvalidResponse,
-        }
-    }
-}
-
-impl std::fmt::Display for Failure {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Call(error) => write!(f, "{error}"),
-            Self::Rejected(rejection) => match &rejection.culprit {
-                Some(culprit) => {
-                    write!(f, "rejected: {:?}, caused by member {culprit}", rejection.reason)
-                }
-                None => write!(f, "rejected: {:?}", rejection.reason),
-            },
-            Self::TimedOut => f.write_str("no answer in time"),
-            Self::NodeEnds => f.write_str("the node ends before there is an answer"),
-            Self::Stalled { begun: true } => f.write_str("the upstream is stalled"),
-            Self::Stalled { begun: false } => {
-                f.write_str("the upstream is stalled, and the request has not begun")
-            }
-            Self::BadAnswer(status) => write!(f, "unusable answer with status {status}"),
-        }
-    }
-}
-
 impl<C: Client> Pipeline<C> {
     /// Records a failed attempt.
     pub(super) fn record_failure(
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -1,6 +1,8 @@
 //! Load balancing: chooses the upstream with the least predicted time for a request.
 
-use std::{net, sync, time};
+mod target;
+
+use std::{sync, time};
 
 use corneltrestle_kernel::{linkme, metric, table};
 use corneltrestle_policy::{
@@ -15,6 +17,8 @@
     upstream::Client,
 };
 
+pub(super) use target::{InProgress, Target};
+
 /// Added to the predicted time of an upstream that fails all requests, in multiples of the route's
 /// objective; less in proportion to a lower failure rate.
 const FAILURE_PENALTY_OBJECTIVES: f64 = 4.0;
@@ -33,92 +37,6 @@
     "Requests that were sent to an upstream without room for their tokens, as no other one had more, by service.",
 );
 
-/// The upstream that was chosen.
-#[derive(Debug)]
-pub(super) struct Target {
-    /// The upstream.
-    pub(super) id: id::Vm,
-    /// The address it serves requests on.
-    pub(super) address: net::SocketAddr,
-    /// Identifier of the start of its process.
-    pub(super) incarnation: u64,
-    /// When it was chosen.
-    pub(super) chosen: moment::Moment,
-    /// Whether another upstream could have been chosen.
-    pub(super) has_alternative: bool,
-    /// Predicted time until the first event, with the penalty of an upstream that fails.
-    pub(super) predicted: time::Duration,
-    /// Whether the first event is predicted after the route's objective; never for a resumed
-    /// stream.
-    pub(super) is_late: bool,
-    /// The predicted time that the first event is compared with; `None` for a late request, which waits
-    /// behind all others, and for a resumed one, which goes before them.
-    pub(super) expected: Option<time::Duration>,
-    /// Counts the request as in progress at the upstream until dropped.
-    pub(super) progress: InProgress,
-}
-
-/// A request in progress at an upstream. It is removed from the activity table on drop.
-#[derive(Debug)]
-pub(super) struct InProgress {
-    table: sync::Arc<table::Table<activity::Activity>>,
-    upstream: id::Vm,
-    /// The work it currently adds to the upstream's total.
-    work: cost::Work,
-    /// Tokens that it takes in the KV cache of the upstream.
-    tokens: u64,
-    /// Whether it is a stream that waits for its next event.
-    is_waiting: bool,
-    /// Has changed if the upstream was declared stalled since the request was sent, or since the
-    /// latest event of the stream.
-    stalls: tokio::sync::watch::Receiver<()>,
-}
-
-impl InProgress {
-    /// Records that the stream has begun: its prompt has been read, so its unread tokens are
-    /// removed from the upstream's work.
-    pub(super) fn started(&mut self, now: moment::Moment) {
-        let read = cost::Work { requests: 0, late: 0, ..self.work };
-        self.work.subtract(&read);
-        self.is_waiting = true;
-        self.table.lock().started(self.upstream.as_str(), &read, now);
-    }
-
-    /// Records that the stream waits for its next event, as the caller has taken the last one.
-    pub(super) fn waits(&mut self, now: moment::Moment) {
-        if !std::mem::replace(&mut self.is_waiting, true) {
-            self.table.lock().waits(self.upstream.as_str(), now);
-        }
-    }
-
-    /// Records an event of the stream, which ends a stall.
-    pub(super) fn progressed(&mut self, now: moment::Moment) {
-        if std::mem::take(&mut self.is_waiting) {
-            let mut table = self.table.lock();
-            table.progressed(self.upstream.as_str(), now);
-            self.stalls.mark_unchanged();
-        }
-    }
-
-    /// Waits until the upstream is declared stalled; returns at once if it has been and the stream has
-    /// got no event since.
-    pub(super) async fn stalled(&self) {
-        // A copy, so that later calls see the change as well. The table keeps the sender while the
-        // request is in progress.
-        if self.stalls.clone().changed().await.is_err() {
-            std::future::pending().await
-        }
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        let mut table = self.table.lock();
-        table.release(self.upstream.as_str(), self.tokens);
-        table.end(self.upstream.as_str(), &self.work, self.is_waiting);
-    }
-}
-
 /// An upstream that may take the request, with its predicted time and penalties.
 struct Candidate<'a> {
     upstream: &'a registered::Upstream,
