--- a/crates/gateway/src/mesh/permits.rs
+++ b/crates/gateway/src/mesh/permits.rs
@@ -47,7 +47,7 @@
     /// Asks for the permits that requests of this node wait for, and lends the node's part of the
     /// limits; `is_due` says whether to lend it again.
     pub(crate) fn ask_for_permits(&self, is_due: bool, now: moment::Moment) {
-        let grantors = self.grantors();
+        let grantors = self.grantors(now);
         let ask = self.tables.quotas.lock().ask(&grantors, is_due, now);
         let Some(ask) = ask else { return };
         let Some(address) = self.address_of(ask.grantor.as_str()) else { return };
@@ -71,12 +71,16 @@
         }
     }
 
-    /// The nodes that may grant permits, in the order in which this node asks them: the coordinator, the
-    /// hubs of the own zone, and the node itself.
-    fn grantors(&self) -> Vec<id::Node> {
+    /// The nodes that may grant permits, in the order in which this node asks them: the coordinator if it
+    /// was heard from lately, the hubs of the own zone, and the node itself.
+    fn grantors(&self, now: moment::Moment) -> Vec<id::Node> {
         let snapshot = self.tables.current.load();
         let coordinator = snapshot.coordinator.as_ref().map(|holder| holder.node.clone());
         let peers = self.tables.peers.lock();
+        let is_heard = |node: &id::Node| {
+            *node == self.identity.node || peers.live(now).any(|(live, _)| live == node)
+        };
+        let coordinator = coordinator.filter(is_heard);
         let mut grantors: Vec<id::Node> = Vec::new();
         for node in coordinator.iter().chain(peers.hubs().chosen()).chain([&self.identity.node]) {
             let is_known = snapshot.nodes.contains_key(node) && !peers.is_draining(node.as_str());
@@ -123,12 +127,16 @@
         if datagram.limits.is_empty() && datagram.permits.is_none() {
             return;
         }
+        // What has waited in the socket during a pause of this process is older than it says.
+        let has_paused = self.tables.pauses.lock().has_paused(now, now);
+        let limits = datagram.limits.iter().filter(|_| !has_paused);
         let mut quotas = self.tables.quotas.lock();
-        for limit in datagram.limits.iter().take(mesh::MAX_LIMITS) {
+        for limit in limits.take(mesh::MAX_LIMITS) {
             let stated = now.before(time::Duration::from_millis(u64::from(limit.age)));
+            let source = known::Source { boot: limit.boot, micros: limit.micros };
             let (incarnation, rate) = (limit.incarnation, limit.rate);
-            let limit_known = known::Limit { incarnation, rate, stated };
-            quotas.merge(&limit.upstream.as_str().into(), limit_known);
+            let known = known::Limit { incarnation, rate, stated, source };
+            quotas.merge(&limit.upstream.as_str().into(), known);
         }
         let Some(permits) = &datagram.permits else { return };
         let node: id::Node = origin.node.as_str().into();
@@ -145,10 +153,10 @@
             return;
         }
         if permits.part > 0.0 {
-            quotas.lend(&node, permits.part, now);
+            quotas.borrow(&node, permits.part, now);
         }
         let answer = |row: &mesh::PermitRow| {
-            let grant = quotas.grant(&node, &row.upstream.as_str().into(), row.number, now);
+            let grant = quotas.grant(&row.upstream.as_str().into(), row.number, now);
             let (number, wait) = (grant.number, saturating_millis(grant.wait));
             mesh::PermitRow { upstream: row.upstream.clone(), number, wait }
         };
@@ -168,5 +176,7 @@
         incarnation: limit.incarnation,
         rate: limit.rate,
         age: saturating_millis(now.since(limit.stated)),
+        boot: limit.source.boot,
+        micros: limit.source.micros,
     }
 }
--- a/crates/gateway/src/pipeline/attempt.rs
+++ b/crates/gateway/src/pipeline/attempt.rs
@@ -233,7 +233,8 @@
         let is_other = matches!(&reply.result, upstream::Verdict::Rejected(rejection)
             if rejection.reason == upstream::Reason::Misdirected);
         if !is_other {
-            self.tables.quotas.lock().record(&target.id, incarnation, reply.notice.limit, now);
+            let (limit, boot) = (reply.notice.limit, self.identity.boot);
+            self.tables.quotas.lock().record(&target.id, incarnation, limit, boot, now);
         }
         Ok(reply.result)
     }
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -37,6 +37,15 @@
     "Requests that were sent to an upstream without room for their tokens, as no other one had more, by service.",
 );
 
+/// How an upstream is to be chosen.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Manner {
+    /// Whether a stream is resumed.
+    pub(super) is_resumed: bool,
+    /// Whether to choose one without a limit, or with a permit, while there is one.
+    pub(super) avoids_limits: bool,
+}
+
 /// An upstream that may take the request, with its predicted time and penalties.
 struct Candidate<'a> {
     upstream: &'a registered::Upstream,
@@ -51,6 +60,12 @@
     free_tokens: Option<u64>,
 }
 
+impl<'a> Candidate<'a> {
+    fn id(&self) -> &'a str {
+        self.upstream.id.as_str()
+    }
+}
+
 /// The tables that a choice reads, locked.
 struct Locked<'a> {
     activity: table::Guard<'a, activity::Activity>,
@@ -103,13 +118,17 @@
         request: &request::Request,
         admitted: &Admitted,
         attempts: &Attempts,
-        is_resumed: bool,
+        Manner { is_resumed, avoids_limits }: Manner,
         now: moment::Moment,
     ) -> Option<Target> {
         let snapshot = self.tables.current.load();
         let mut locked = Locked::lock(&self.tables);
         let view = locked.view(&snapshot);
-        let found = self.candidates(&view, request, admitted, attempts, now);
+        let mut found = self.candidates(&view, request, admitted, attempts, now);
+        let is_open = |candidate: &Candidate<'_>| view.quotas.is_open(candidate.id(), now);
+        if avoids_limits && found.iter().any(is_open) {
+            found.retain(is_open);
+        }
         let is_near = |zone: &id::Zone| *zone == self.identity.zone;
         let times: Vec<_> = found
             .iter()
@@ -181,7 +200,10 @@
         let locked = Locked::lock(&self.tables);
         let view = locked.view(&snapshot);
         let found = self.candidates(&view, request, admitted, attempts, now);
-        found.iter().any(|candidate| !candidate.is_stalled && candidate.upstream.id != *current)
+        found.iter().any(|candidate| {
+            let is_open = view.quotas.is_open(candidate.id(), now);
+            !candidate.is_stalled && is_open && candidate.upstream.id != *current
+        })
     }
 
     /// Time until the first upstream takes requests and has a free slot, by what is known of them;
--- a/crates/gateway/src/pipeline/permit.rs
+++ b/crates/gateway/src/pipeline/permit.rs
@@ -6,7 +6,12 @@
 use corneltrestle_policy::id;
 use corneltrestle_time::moment;
 
-use super::{Pipeline, admit::Admitted, attempt::Attempts, choose::Target};
+use super::{
+    Pipeline,
+    admit::Admitted,
+    attempt::Attempts,
+    choose::{Manner, Target},
+};
 use crate::{request, tables::quotas, upstream::Client};
 
 #[linkme::distributed_slice(metric::METRICS)]
@@ -17,10 +22,12 @@
 );
 
 /// Time for which a request waits for the answer of the grantor.
-const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(40);
+const GRANT_TIMEOUT: time::Duration = time::Duration::from_millis(60);
 
-/// Shortest time between two looks whether a permit is to be had.
+/// Shortest and longest time between two looks whether a permit is to be had. The limit may have ended
+/// meanwhile, or another upstream may take the request.
 const MIN_WAIT: time::Duration = time::Duration::from_millis(5);
+const MAX_WAIT: time::Duration = time::Duration::from_millis(250);
 
 /// Fraction of the time until its deadline for which a request waits for a permit at most, beside its
 /// objective.
@@ -48,8 +55,9 @@
 }
 
 impl<C: Client> Pipeline<C> {
-    /// Chooses an upstream that may be tried, with a permit if it limits its requests. Where all limit
-    /// them and no permit is left, the request waits if one is expected soon.
+    /// Chooses an upstream that may be tried, with a permit if it limits its requests. One that does is
+    /// asked for once while there is another one. Where all limit them and no permit is left, the request
+    /// waits if one is expected soon.
     pub(super) async fn choose(
         &self,
         request: &request::Request,
@@ -59,19 +67,25 @@
         now: moment::Moment,
     ) -> Option<Target> {
         let end = now + patience(admitted, is_resumed, now);
+        let mut lacked_permit = false;
         loop {
             let now = self.now();
-            match self.pick(request, admitted, attempts, is_resumed, now) {
+            if lacked_permit && now >= end {
+                return None;
+            }
+            let manner = Manner { is_resumed, avoids_limits: lacked_permit };
+            match self.pick(request, admitted, attempts, manner, now) {
                 Some(target) if self.take_permit(&target.id, admitted).await => {
                     return Some(target);
                 }
-                Some(_) => {}
+                Some(_) => lacked_permit = true,
                 None => {
                     let wait = self.permit_wait(request, admitted, attempts, now)?;
                     if now + wait >= end {
                         return None;
                     }
-                    tokio::time::sleep(wait.max(MIN_WAIT)).await;
+                    lacked_permit = false;
+                    tokio::time::sleep(wait.clamp(MIN_WAIT, MAX_WAIT)).await;
                 }
             }
         }
@@ -81,7 +95,7 @@
     /// Returns whether the request may be sent there.
     async fn take_permit(&self, upstream: &id::Vm, admitted: &Admitted) -> bool {
         let table = &*self.tables.quotas;
-        let end = self.now() + ANSWER_TIMEOUT;
+        let end = self.now() + GRANT_TIMEOUT;
         let granted = {
             let mut quotas = table.lock();
             if quotas.known().is_unlimited() {
--- a/crates/gateway/src/tables/quotas.rs
+++ b/crates/gateway/src/tables/quotas.rs
@@ -57,18 +57,19 @@
         self.signals.clone()
     }
 
-    /// Records what the answer of an upstream said of its limit.
+    /// Records what the answer of an upstream said of its limit to this process, `boot`.
     pub fn record(
         &mut self,
         upstream: &id::Vm,
         incarnation: u64,
         statement: quota::Statement,
+        boot: u64,
         now: moment::Moment,
     ) {
         if statement == quota::Statement::Invalid {
             log::debug!(upstream = upstream.as_str(); "quota: the upstream names a limit that is none");
         }
-        if self.known.record(upstream, incarnation, statement, now) {
+        if self.known.record(upstream, incarnation, statement, boot, now) {
             self.report(upstream);
         }
     }
@@ -111,9 +112,9 @@
         };
         let part = self.part(now);
         if self.lender.lend(&own, now) {
-            self.grantor.lend(&own, part, now);
+            self.grantor.borrow(&own, part, now);
         }
-        let grant = self.grantor.grant(&own, upstream, rate, 1, now);
+        let grant = self.grantor.grant(upstream, rate, 1, now);
         self.permits.receive(upstream, grant, now, now);
         self.permits.take(upstream.as_str(), now)
     }
@@ -139,6 +140,11 @@
         self.permits.miss(upstream, now);
     }
 
+    /// Whether a request to an upstream can be sent at once, without a permit or with one that is held.
+    pub fn is_open(&self, upstream: &str, now: moment::Moment) -> bool {
+        self.known.rate(upstream).is_none() || self.permits.has(upstream, now)
+    }
+
     /// Time until a permit for an upstream is expected; `None` if one may be had now.
     pub fn dry_for(&self, upstream: &str, now: moment::Moment) -> Option<time::Duration> {
         let is_dry = self.known.rate(upstream).is_some() && self.permits.is_dry(upstream, now);
@@ -181,6 +187,7 @@
     /// The request to send now to the first of these nodes that answers; `is_due` says whether to lend
     /// the part again although no permit is wanted. `None` if there is nothing to send.
     pub fn ask(&mut self, nodes: &[id::Node], is_due: bool, now: moment::Moment) -> Option<Ask> {
+        let is_due = is_due || self.lender.must_repeat(now);
         let grantor = self.lender.choose(nodes, now)?.clone();
         let is_new = self.source.as_ref() != Some(&grantor);
         if is_new {
@@ -194,7 +201,7 @@
         }
         let part = if self.lender.lend(&grantor, now) { self.part(now) } else { 0.0 };
         if is_own {
-            self.grantor.lend(&grantor, part, now);
+            self.grantor.borrow(&grantor, part, now);
             return None;
         }
         self.lender.asked(&grantor, now);
@@ -202,22 +209,16 @@
     }
 
     /// Answers the request of another node for a number of permits for an upstream.
-    pub fn grant(
-        &mut self,
-        node: &id::Node,
-        upstream: &id::Vm,
-        wanted: u32,
-        now: moment::Moment,
-    ) -> grantor::Grant {
+    pub fn grant(&mut self, upstream: &id::Vm, wanted: u32, now: moment::Moment) -> grantor::Grant {
         match self.known.rate(upstream.as_str()) {
-            Some(rate) => self.grantor.grant(node, upstream, rate, wanted, now),
+            Some(rate) => self.grantor.grant(upstream, rate, wanted, now),
             None => grantor::Grant { number: wanted, wait: time::Duration::ZERO },
         }
     }
 
     /// Records the part that another node lends to this one.
-    pub fn lend(&mut self, node: &id::Node, part: f64, now: moment::Moment) {
-        self.grantor.lend(node, part, now);
+    pub fn borrow(&mut self, node: &id::Node, part: f64, now: moment::Moment) {
+        self.grantor.borrow(node, part, now);
     }
 
     /// Records that a node has answered the request of this one.
--- a/crates/gateway/src/task/permits.rs
+++ b/crates/gateway/src/task/permits.rs
@@ -4,22 +4,13 @@
 use std::{sync, time};
 
 use corneltrestle_kernel::{host, linkme, plugin};
-use corneltrestle_policy::quota::permits;
+use corneltrestle_policy::quota::{lender, permits};
 
 use crate::{
     mesh,
     tables::{self, quotas},
 };
 
-/// Time between two loans of the part, and longer the more nodes there are.
-const MIN_LOAN_PERIOD: time::Duration = time::Duration::from_millis(150);
-
-/// Longest time between two loans; a third of the time of a loan.
-const MAX_LOAN_PERIOD: time::Duration = time::Duration::from_millis(400);
-
-/// Time added to the period for each node.
-const PERIOD_PER_NODE: time::Duration = time::Duration::from_millis(2);
-
 /// Time between two looks at the registrations while no upstream names a limit.
 const IDLE_PERIOD: time::Duration = time::Duration::from_millis(250);
 
@@ -53,7 +44,7 @@
         if is_due {
             mesh.observe_registrations(now);
             tables.quotas.lock().prune(now);
-            loan_due = now + period(tables.current.load().nodes.len());
+            loan_due = now + lender::period(tables.current.load().nodes.len());
         }
         let wait = if tables.quotas.lock().is_idle() {
             loan_due = now;
@@ -65,9 +56,3 @@
         let _ = tokio::time::timeout(wait, wanted.notified()).await;
     }
 }
-
-/// Time between two loans in a deployment of this many nodes.
-fn period(nodes: usize) -> time::Duration {
-    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
-    (MIN_LOAN_PERIOD + PERIOD_PER_NODE.saturating_mul(nodes)).min(MAX_LOAN_PERIOD)
-}
--- a/crates/gateway/tests/permits.rs
+++ b/crates/gateway/tests/permits.rs
@@ -72,7 +72,7 @@
 async fn stream_that_has_begun_waits_for_a_permit() {
     let world = open(Act::Breaks(2), Act::Limits(2.0)).await;
     let known = Statement::Limited(2.0);
-    world.tables.quotas.lock().record(&"models-b".into(), 1, known, world.host.now());
+    world.tables.quotas.lock().record(&"models-b".into(), 1, known, 1, world.host.now());
     let mut is_resumed = false;
     for _ in 0..8 {
         let (status, body, refusal) = world.send("/draft/7").await;
@@ -84,6 +84,37 @@
     assert!(is_resumed, "no stream was resumed");
 }
 
+/// Guards against requests that go from one upstream with a limit to the next until their deadline, and
+/// beyond, while the node that grants permits does not answer.
+#[tokio::test]
+async fn request_is_refused_in_time_if_no_permit_is_answered() {
+    let world = World::open(&[&[Act::Stream][..]; 4], AMPLE);
+    let known = Statement::Limited(5.0);
+    for upstream in ["models-a", "models-b", "models-c", "models-d"] {
+        world.tables.quotas.lock().record(&upstream.into(), 1, known, 1, world.host.now());
+    }
+    let sent = tokio::time::timeout(Duration::from_secs(2), world.send("/draft/7")).await;
+    let (_, _, refusal) = sent.expect("it ends before its deadline");
+    assert_eq!(refusal.expect("no permit").outcome, Outcome::NotRun);
+    assert_eq!(world.seen().len(), 0);
+}
+
+/// Guards against a request that leaves a silent upstream for one that has no permit for it.
+#[tokio::test]
+async fn upstream_without_a_permit_is_no_alternative() {
+    let world = World::open(&[&[Act::Pauses(2)], &[Act::Limits(0.2)]], AMPLE);
+    world.register().await;
+    let known = Statement::Limited(0.2);
+    world.tables.quotas.lock().record(&"models-b".into(), 1, known, 1, world.host.now());
+    let stall = world.declare_stalled("models-a", Duration::from_millis(100));
+    let (status, body, refusal) = world.send("/draft/7").await;
+    stall.await.expect("the watchdog task ends");
+    assert_eq!((status, body, refusal), (200, whole_stream(), None));
+    assert_eq!(world.seen().len(), 1);
+    let retries = world.tables.retries.lock().retries(world.host.now());
+    assert!(retries.iter().all(|(_, taken)| *taken == 0), "{retries:?}");
+}
+
 /// Guards against a limit that stays in force although the upstream no longer names it.
 #[tokio::test]
 async fn limit_that_is_no_longer_named_has_ended() {
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -5,7 +5,7 @@
 use corneltrestle_gateway::tables::quotas::{Ask, Quotas};
 use corneltrestle_policy::{
     Moment, id,
-    quota::{Statement, grantor::Grant, membership},
+    quota::{Statement, grantor::Grant, lender, membership},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use test_case::test_case;
@@ -16,9 +16,6 @@
 const LEASE: Duration = Duration::from_secs(10);
 const RENEWAL: Duration = Duration::from_secs(3);
 
-/// Time between two loans.
-const LOAN_PERIOD: Duration = Duration::from_millis(200);
-
 /// Time for which a request waits for a permit.
 const PATIENCE: Duration = Duration::from_millis(200);
 
@@ -54,6 +51,8 @@
     coordinator: usize,
     /// Requests that wait for a permit, since when.
     waiting: Vec<Moment>,
+    /// Number of answers of grantors at the last step; a request without a permit goes elsewhere then.
+    answers: u64,
     /// Requests a second.
     demand: f64,
 }
@@ -113,6 +112,7 @@
             view,
             coordinator: 0,
             waiting: Vec::new(),
+            answers: 0,
             demand: 0.0,
         });
         self.start(self.nodes.len() - 1);
@@ -124,8 +124,9 @@
         (node.is_running, node.quotas) = (true, Quotas::default());
         (node.loan_due, node.renewal_due) = (self.now, self.now);
         node.waiting.clear();
+        node.answers = 0;
         let name = UPSTREAM.into();
-        node.quotas.record(&name, 1, Statement::Limited(self.rate), self.now);
+        node.quotas.record(&name, 1, Statement::Limited(self.rate), 1, self.now);
     }
 
     /// Sets the demand of all nodes together, in equal parts.
@@ -154,7 +155,7 @@
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.messages).into_iter().partition(|sent| sent.0 <= now);
         self.messages = later;
-        for Sent(at, from, to, process, message) in due {
+        for Sent(_, from, to, process, message) in due {
             let (sender, node) = (&self.nodes[from], &self.nodes[to]);
             if !node.is_running || node.process != process || node.side != sender.side {
                 continue;
@@ -164,7 +165,6 @@
                 self.messages.push(Sent(node.paused_until, from, to, process, message));
                 continue;
             }
-            let _ = at;
             self.handle(from, to, message);
         }
     }
@@ -176,14 +176,12 @@
         match message {
             Message::Ask(ask, asked) => {
                 if ask.part > 0.0 {
-                    quotas.lend(&sender, ask.part, now);
+                    quotas.borrow(&sender, ask.part, now);
                 }
                 let wanted: u32 = ask.wanted.iter().map(|(_, number)| *number).sum();
                 let answer = match wanted {
                     0 => Message::Lent,
-                    _ => {
-                        Message::Grant(quotas.grant(&sender, &UPSTREAM.into(), wanted, now), asked)
-                    }
+                    _ => Message::Grant(quotas.grant(&UPSTREAM.into(), wanted, now), asked),
                 };
                 self.send(to, from, answer);
             }
@@ -211,7 +209,7 @@
         let demand = self.nodes[index].demand * STEP.as_secs_f64();
         let begins = demand > 0.0 && self.rng.random_bool(demand.min(1.0));
         let node = &mut self.nodes[index];
-        if begins {
+        if begins && node.quotas.dry_for(UPSTREAM, now).is_none() {
             node.waiting.push(now);
             node.quotas.wait(&upstream);
         }
@@ -219,8 +217,10 @@
         while taken < node.waiting.len() && node.quotas.try_take(&upstream, now) {
             taken += 1;
         }
-        let given_up = node.waiting.iter().skip(taken).filter(|at| now.since(**at) >= PATIENCE);
-        let ended = taken + given_up.count();
+        let answers = node.quotas.answers(&upstream);
+        let is_refused = std::mem::replace(&mut node.answers, answers) != answers;
+        let given_up = |at: &&Moment| is_refused || now.since(**at) >= PATIENCE;
+        let ended = taken + node.waiting.iter().skip(taken).filter(given_up).count();
         node.waiting.drain(..ended);
         (0..ended).for_each(|_| node.quotas.end_wait(&upstream));
         self.arrivals.extend((0..taken).map(|_| now + Duration::from_millis(2)));
@@ -258,14 +258,15 @@
         let grantors: Vec<_> = [self.nodes[index].coordinator, hub.unwrap_or(index), index]
             .map(|grantor| self.nodes[grantor].name.clone())
             .into();
+        let nodes = self.nodes.len();
         let node = &mut self.nodes[index];
         let is_due = now >= node.loan_due;
         if is_due {
-            node.loan_due = now + LOAN_PERIOD;
+            node.loan_due = now + lender::period(nodes);
             let (name, view) = (node.name.clone(), node.view);
             node.quotas.observe(&name, view, false, now);
             // An answer of the upstream says the same again.
-            node.quotas.record(&UPSTREAM.into(), 1, Statement::Limited(self.rate), now);
+            node.quotas.record(&UPSTREAM.into(), 1, Statement::Limited(self.rate), 1, now);
             node.quotas.prune(now);
         }
         let Some(ask) = node.quotas.ask(&grantors, is_due, now) else { return };
@@ -273,7 +274,7 @@
         self.send(index, to, Message::Ask(ask, now));
     }
 
-    /// The most requests in a window, and the requests a second over the whole time.
+    /// The most requests in a window.
     fn most(&mut self) -> usize {
         self.arrivals.sort();
         let mut most = 0;
@@ -344,6 +345,7 @@
 #[test_case(8, 5.2, 1; "one node has all requests")]
 #[test_case(60, 9.0, 60; "many nodes")]
 #[test_case(60, 9.0, 2; "two of many nodes have all requests")]
+#[test_case(160, 9.0, 160; "a large deployment")]
 fn limit_is_used_in_full(nodes: usize, rate: f64, busy: usize) {
     let mut world = World::open(nodes, rate, 1);
     for node in &mut world.nodes[nodes - busy..] {
@@ -362,7 +364,8 @@
 #[test]
 fn parts_of_lost_nodes_are_used_by_others() {
     let mut world = World::open(8, 8.0, 1);
-    world.set_demand(24.0);
+    // Those that are left have three times what the limit allows.
+    world.set_demand(48.0);
     for index in 0..4 {
         world.nodes[index].is_running = false;
     }
--- a/crates/policy/src/quota/grantor.rs
+++ b/crates/policy/src/quota/grantor.rs
@@ -13,9 +13,6 @@
 /// Time for which unused permits of an upstream are saved.
 const BURST_TIME: time::Duration = time::Duration::from_millis(250);
 
-/// Time for which a request for permits counts as demand.
-const DEMAND_TIME: time::Duration = time::Duration::from_millis(300);
-
 /// Time without requests after which a bucket is dropped. It is full by then, unless its rate is low.
 const RETENTION: time::Duration = time::Duration::from_secs(20);
 
@@ -30,10 +27,10 @@
 /// use corneltrestle_policy::{Moment, quota::Grantor};
 ///
 /// let (mut grantor, at) = (Grantor::default(), Moment::from_millis);
-/// grantor.lend(&"node-1".into(), 0.5, at(0));
-/// assert_eq!(grantor.grant(&"node-1".into(), &"vm".into(), 10.0, 3, at(0)).number, 0);
+/// grantor.borrow(&"node-1".into(), 0.5, at(0));
+/// assert_eq!(grantor.grant(&"vm".into(), 10.0, 3, at(0)).number, 0);
 /// // Half of ten requests a second.
-/// assert_eq!(grantor.grant(&"node-1".into(), &"vm".into(), 10.0, 3, at(200)).number, 1);
+/// assert_eq!(grantor.grant(&"vm".into(), 10.0, 3, at(200)).number, 1);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Grantor {
@@ -51,13 +48,12 @@
     pub wait: time::Duration,
 }
 
+/// A token bucket that starts empty: a grantor before this one may have granted what it holds.
 #[derive(Clone, Debug)]
 struct Bucket {
     tokens: f64,
     filled: moment::Moment,
     used: moment::Moment,
-    /// Permits that nodes want, and when they said so.
-    wanted: collections::BTreeMap<id::Node, (u32, moment::Moment)>,
     /// The limit in requests a second.
     rate: f64,
 }
@@ -74,7 +70,7 @@
 
 impl Grantor {
     /// Records that a node lends its part from now on.
-    pub fn lend(&mut self, node: &id::Node, part: f64, now: moment::Moment) {
+    pub fn borrow(&mut self, node: &id::Node, part: f64, now: moment::Moment) {
         // What was lent before does not count for the past.
         self.fill(now);
         let until = now + lender::LOAN_TIME.saturating_sub(LOAN_MARGIN);
@@ -87,10 +83,9 @@
         lent.map(|(part, _)| part).sum::<f64>().min(1.0)
     }
 
-    /// Grants a node up to `wanted` permits for an upstream that takes `rate` requests a second.
+    /// Grants up to `wanted` permits for an upstream that takes `rate` requests a second.
     pub fn grant(
         &mut self,
-        node: &id::Node,
         upstream: &id::Vm,
         rate: f64,
         wanted: u32,
@@ -101,20 +96,18 @@
             tokens: 0.0,
             filled: now,
             used: now,
-            wanted: collections::BTreeMap::new(),
             rate: rate.max(MIN_RATE),
         });
         bucket.fill(parts, now);
         (bucket.rate, bucket.used) = (rate.max(MIN_RATE), now);
-        bucket.wanted.retain(|_, (_, at)| now.since(*at) < DEMAND_TIME);
         let number = wanted.min(bucket.tokens as u32);
         bucket.tokens -= f64::from(number);
-        bucket.wanted.insert(node.clone(), (wanted - number, now));
-        let queued: u32 = bucket.wanted.values().map(|(wanted, _)| *wanted).sum();
-        let missing = (f64::from(queued.max(1)) - bucket.tokens).max(0.0);
+        let missing = (1.0 - bucket.tokens).max(0.0);
         let flow = bucket.rate * parts;
-        let wait = time::Duration::try_from_secs_f64(missing / flow).unwrap_or(MAX_WAIT);
-        Grant { number, wait: wait.min(MAX_WAIT) }
+        // Without parts, as nodes have just turned to this one, they arrive soon.
+        let most = if flow > 0.0 { MAX_WAIT } else { LOAN_MARGIN };
+        let wait = time::Duration::try_from_secs_f64(missing / flow).unwrap_or(most);
+        Grant { number, wait: wait.min(most) }
     }
 
     /// Ends loans and drops buckets that are no longer used.
--- a/crates/policy/src/quota/known.rs
+++ b/crates/policy/src/quota/known.rs
@@ -1,4 +1,7 @@
 //! The limits that upstreams have named, to this node or to others.
+//!
+//! Nodes pass statements on with their age, which is slightly too small each time. A statement is therefore
+//! dated once, when it is first received.
 
 use std::{collections, time};
 
@@ -20,6 +23,17 @@
     pub rate: Option<f64>,
     /// When an answer said so.
     pub stated: moment::Moment,
+    /// Identifies the statement among those of all nodes.
+    pub source: Source,
+}
+
+/// The process that got an answer with a limit, and when by its own clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Source {
+    /// Identifier of the process.
+    pub boot: u64,
+    /// Time of the answer in microseconds.
+    pub micros: u64,
 }
 
 /// Limits by upstream. The latest answer of the latest process counts.
@@ -30,9 +44,9 @@
 /// use corneltrestle_policy::{Moment, quota::{Known, Statement}};
 ///
 /// let (mut known, at) = (Known::default(), Moment::from_millis);
-/// known.record(&"vm".into(), 1, Statement::Limited(5.0), at(10));
+/// known.record(&"vm".into(), 1, Statement::Limited(5.0), 7, at(10));
 /// assert_eq!(known.rate("vm"), Some(5.0));
-/// known.record(&"vm".into(), 1, Statement::Unlimited, at(20));
+/// known.record(&"vm".into(), 1, Statement::Unlimited, 7, at(20));
 /// assert_eq!(known.rate("vm"), None);
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -41,12 +55,13 @@
 }
 
 impl Known {
-    /// Records what an answer said; returns whether it changes the limit.
+    /// Records what an answer said to the process `boot`; returns whether it changes the limit.
     pub fn record(
         &mut self,
         upstream: &id::Vm,
         incarnation: u64,
         statement: Statement,
+        boot: u64,
         now: moment::Moment,
     ) -> bool {
         let rate = match statement {
@@ -54,14 +69,17 @@
             Statement::Unlimited if self.limits.contains_key(upstream) => None,
             Statement::Unlimited | Statement::Invalid => return false,
         };
-        self.merge(upstream, Limit { incarnation, rate, stated: now })
+        let source = Source { boot, micros: now.as_micros() };
+        self.merge(upstream, Limit { incarnation, rate, stated: now, source })
     }
 
     /// Adopts what another node knows, unless it is older; returns whether it changes the limit.
     pub fn merge(&mut self, upstream: &id::Vm, limit: Limit) -> bool {
         let known = self.limits.get(upstream).copied();
         let order = |limit: &Limit| (limit.incarnation, limit.stated);
-        if known.is_some_and(|known| order(&known) >= order(&limit)) {
+        let is_known =
+            |known: Limit| known.source == limit.source || order(&known) >= order(&limit);
+        if known.is_some_and(is_known) {
             return false;
         }
         self.limits.insert(upstream.clone(), limit);
--- a/crates/policy/src/quota/permits.rs
+++ b/crates/policy/src/quota/permits.rs
@@ -10,14 +10,16 @@
 /// Time after it was asked for in which a permit can be used.
 const PERMIT_TIME: time::Duration = time::Duration::from_millis(400);
 
-/// Time after which permits that have not been granted are asked for again.
-pub const ASK_PERIOD: time::Duration = time::Duration::from_millis(40);
+/// Time after which permits are asked for again if there was no answer.
+pub const ASK_PERIOD: time::Duration = time::Duration::from_millis(100);
 
-/// Shortest time for which an upstream without permits is left out.
+/// Shortest and longest time for which an upstream without permits is left out before a request asks
+/// again.
 const MIN_DRY_TIME: time::Duration = time::Duration::from_millis(10);
+const MAX_DRY_TIME: time::Duration = time::Duration::from_secs(1);
 
-/// Longest time for which an upstream without permits is left out before a request asks again.
-const MAX_DRY_TIME: time::Duration = time::Duration::from_millis(250);
+/// Time for which an upstream is left out if the grantor has not answered.
+const MISSED_TIME: time::Duration = time::Duration::from_millis(100);
 
 /// Permits by upstream.
 ///
@@ -68,6 +70,12 @@
         false
     }
 
+    /// Whether a permit is held.
+    pub fn has(&self, upstream: &str, now: moment::Moment) -> bool {
+        let held = self.upstreams.get(upstream);
+        held.is_some_and(|held| held.permits.iter().any(|end| now < *end))
+    }
+
     /// Adds a request that waits for a permit; returns the number of answers so far.
     pub fn wait(&mut self, upstream: &id::Vm) -> u64 {
         let held = self.upstreams.entry(upstream.clone()).or_default();
@@ -125,8 +133,7 @@
     /// Records that no answer has come in time.
     pub fn miss(&mut self, upstream: &id::Vm, now: moment::Moment) {
         let held = self.upstreams.entry(upstream.clone()).or_default();
-        held.asked = None;
-        held.dry = Some(now + MIN_DRY_TIME);
+        held.dry = Some(now + MISSED_TIME);
     }
 
     /// Whether no permit is expected for an upstream now.
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -237,6 +237,12 @@
     /// Milliseconds since an answer of the upstream said so.
     #[prost(uint32, tag = "4")]
     pub age: u32,
+    /// Identifier of the process that got this answer.
+    #[prost(fixed64, tag = "5")]
+    pub boot: u64,
+    /// When it got it, in microseconds on its clock.
+    #[prost(uint64, tag = "6")]
+    pub micros: u64,
 }
 
 /// A request for permits to send to upstreams with a limit, or its answer.
