review: show a runner that nodes never forget after a cut from the store

A node that defers the removal of upstreams after an outage hands their facts to peers as if they were registered. The peers keep them for good.

--- /dev/null
+++ b/review/stand/runner.rs
@@ -0,0 +1,118 @@
+//! Stand-in of a plain runner: it registers itself, works for some ms on each request, and answers.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use super::{http, store::Store, time, unix_ms};
+
+/// Time between two writes of the registration.
+const HEARTBEAT_MS: u64 = 1_200;
+
+/// A request that reached a runner.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: f64,
+    pub id: String,
+    pub path: String,
+}
+
+/// A runner; clones share its state.
+#[derive(Clone)]
+pub struct Runner {
+    pub id: String,
+    pub address: SocketAddr,
+    store: Store,
+    zone: String,
+    born: u128,
+    sequence: Arc<AtomicU64>,
+    is_registered: Arc<AtomicBool>,
+    is_ended: Arc<AtomicBool>,
+    work_ms: u64,
+    pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+}
+
+impl Runner {
+    /// Starts a runner of the service `orders`.
+    pub fn start(store: &Store, id: &str, zone: &str, address: SocketAddr, work_ms: u64) -> Self {
+        let runner = Self {
+            id: id.to_owned(),
+            address,
+            store: store.clone(),
+            zone: zone.to_owned(),
+            born: unix_ms(),
+            sequence: Arc::default(),
+            is_registered: Arc::new(AtomicBool::new(true)),
+            is_ended: Arc::default(),
+            work_ms,
+            arrivals: Arc::default(),
+        };
+        let served = runner.clone();
+        http::serve(address, move |connection| served.serve(connection));
+        let beating = runner.clone();
+        thread::spawn(move || {
+            while beating.is_registered.load(Ordering::SeqCst) {
+                beating.register();
+                thread::sleep(Duration::from_millis(HEARTBEAT_MS));
+            }
+        });
+        runner
+    }
+
+    fn register(&self) {
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let text = format!(
+            "{{\"service\":\"orders\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":6,\
+             \"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+            self.address, self.zone, self.born
+        );
+        self.store.put(&format!("servers/{}", self.id), &text);
+    }
+
+    /// Removes the registration without having reported `draining`; the runner serves on.
+    pub fn deregister(&self) {
+        self.is_registered.store(false, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(20));
+        self.store.remove(&format!("servers/{}", self.id));
+    }
+
+    /// Ends the runner: open connections are closed, and new ones are not served.
+    pub fn exit(&self) {
+        self.is_ended.store(true, Ordering::SeqCst);
+    }
+
+    fn serve(&self, mut connection: http::Connection) {
+        while let Ok(request) = connection.message() {
+            if self.is_ended.load(Ordering::SeqCst) {
+                return;
+            }
+            if request.header("expect-instance").is_some_and(|id| id != self.id) {
+                let headers = [("Instance-Id", self.id.as_str())];
+                let _ = connection.write(&http::answer(421, &headers, b""));
+                continue;
+            }
+            if request.path() == "/healthz" {
+                let _ = connection.write(&http::answer(200, &[("Instance-Id", self.id.as_str())], b""));
+                continue;
+            }
+            let id = request.header("attempt-id").unwrap_or_default().to_owned();
+            let arrival = Arrival { at: time(), id: id.clone(), path: request.path().to_owned() };
+            self.arrivals.lock().unwrap().push(arrival);
+            thread::sleep(Duration::from_millis(self.work_ms));
+            if self.is_ended.load(Ordering::SeqCst) {
+                return;
+            }
+            let headers = [("Attempt-Id", id.as_str()), ("Server-Seal", "review")];
+            let body = format!("answer to {id}");
+            if connection.write(&http::answer(200, &headers, body.as_bytes())).is_err() {
+                return;
+            }
+        }
+    }
+}
