review: show that a cold runner is overrun while registrations of nodes are missing

Each node divides the rate of a cold runner by the nodes that are registered at the moment. After an outage of the store of 5.5 s the registrations of all nodes lapse for about a second, and each node takes nearly the whole rate.

--- a/review/stand/mod.rs
+++ b/review/stand/mod.rs
@@ -274,8 +274,9 @@
 }
 
 /// The operator's configuration: the service `orders` with plain runners behind `/order/`, which may run
-/// once, and `/status/`, which may be repeated.
-pub fn configuration(version: u64) -> String {
+/// once, and `/status/`, which may be repeated. `cold` is for how many seconds runners are cold, and how
+/// many requests a second they take then; zero for none.
+pub fn configuration(version: u64, cold: (f64, f64)) -> String {
     let route = |name: &str, kind: &str| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"shop.example\",\"prefix\":\"/{name}/\",\"route_kind\":\"{kind}\",\
@@ -284,8 +285,8 @@
     };
     format!(
         "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"orders\",\"health_path\":\"/healthz\",\
-         \"max_conns\":110,\"cold_start_s\":0,\"cold_per_s\":0}}],\"limits\":{{\"max_header_bytes\":16384,\
+         \"max_conns\":110,\"cold_start_s\":{},\"cold_per_s\":{}}}],\"limits\":{{\"max_header_bytes\":16384,\
          \"max_body_bytes\":4194304,\"header_timeout_ms\":2000,\"idle_timeout_ms\":30000}}}}",
-        route("order", "non_idempotent"), route("status", "idempotent")
+        route("order", "non_idempotent"), route("status", "idempotent"), cold.0, cold.1
     )
 }
--- a/review/stand/runner.rs
+++ b/review/stand/runner.rs
@@ -35,12 +35,29 @@
     is_registered: Arc<AtomicBool>,
     is_ended: Arc<AtomicBool>,
     work_ms: u64,
+    /// Time of the case until which it is cold.
+    cold_until: f64,
+    /// Requests in one second at which it crashes while it is cold.
+    cold_limit: usize,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
 }
 
 impl Runner {
     /// Starts a runner of the service `orders`.
     pub fn start(store: &Store, id: &str, zone: &str, address: SocketAddr, work_ms: u64) -> Self {
+        Self::start_cold(store, id, zone, address, work_ms, (0.0, usize::MAX))
+    }
+
+    /// Starts a runner that is cold for some seconds, and crashes at more than `limit` requests in one
+    /// second meanwhile.
+    pub fn start_cold(
+        store: &Store,
+        id: &str,
+        zone: &str,
+        address: SocketAddr,
+        work_ms: u64,
+        (cold_s, limit): (f64, usize),
+    ) -> Self {
         let runner = Self {
             id: id.to_owned(),
             address,
@@ -51,6 +68,8 @@
             is_registered: Arc::new(AtomicBool::new(true)),
             is_ended: Arc::default(),
             work_ms,
+            cold_until: time() + cold_s,
+            cold_limit: limit,
             arrivals: Arc::default(),
         };
         let served = runner.clone();
@@ -69,8 +88,8 @@
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let text = format!(
             "{{\"service\":\"orders\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":6,\
-             \"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
-            self.address, self.zone, self.born
+             \"state\":\"ready\",\"cold_left_ms\":{:.0},\"sequence\":{sequence},\"born\":{}}}",
+            self.address, self.zone, (self.cold_until - time()).max(0.0) * 1_000.0, self.born
         );
         self.store.put(&format!("servers/{}", self.id), &text);
     }
@@ -82,6 +101,22 @@
         self.store.remove(&format!("servers/{}", self.id));
     }
 
+    /// Whether the runner has ended.
+    pub fn has_ended(&self) -> bool {
+        self.is_ended.load(Ordering::SeqCst)
+    }
+
+    /// Ends the runner as a crash does; its registration is removed after three heartbeats.
+    pub fn crash(&self) {
+        self.is_ended.store(true, Ordering::SeqCst);
+        self.is_registered.store(false, Ordering::SeqCst);
+        let (store, key) = (self.store.clone(), format!("servers/{}", self.id));
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(3 * HEARTBEAT_MS));
+            store.remove(&key);
+        });
+    }
+
     /// Ends the runner: open connections are closed, and new ones are not served.
     pub fn exit(&self) {
         self.is_ended.store(true, Ordering::SeqCst);
@@ -103,7 +138,16 @@
             }
             let id = request.header("attempt-id").unwrap_or_default().to_owned();
             let arrival = Arrival { at: time(), id: id.clone(), path: request.path().to_owned() };
-            self.arrivals.lock().unwrap().push(arrival);
+            let now = arrival.at;
+            let recent = {
+                let mut arrivals = self.arrivals.lock().unwrap();
+                arrivals.push(arrival);
+                arrivals.iter().filter(|other| now - other.at < 1.0).count()
+            };
+            if now < self.cold_until && recent > self.cold_limit && !self.is_ended.swap(true, Ordering::SeqCst) {
+                super::say(&format!("{} crashes at {recent} requests in one second while it is cold", self.id));
+                self.is_registered.store(false, Ordering::SeqCst);
+            }
             thread::sleep(Duration::from_millis(self.work_ms));
             if self.is_ended.load(Ordering::SeqCst) {
                 return;
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -39,6 +39,8 @@
 #[derive(Clone, Default)]
 pub struct Store {
     shared: Arc<(Mutex<State>, Condvar)>,
+    /// Whether the store is down: nothing that arrives is carried out or answered.
+    is_down: Arc<AtomicBool>,
 }
 
 impl State {
@@ -130,27 +132,44 @@
         });
     }
 
-    /// Serves the store on an address. While `is_cut`, nothing passes in either direction: what arrives
+    /// Begins or ends an outage.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+        self.shared.1.notify_all();
+    }
+
+    /// Time since the latest renewal of any lease with at least this time to live.
+    pub fn since_renewal(&self, ttl_ms: u64) -> Duration {
+        let state = self.shared.0.lock().unwrap();
+        let now = Instant::now();
+        let of = |(ttl, until): &(u64, Instant)| {
+            Duration::from_millis(*ttl).saturating_sub(until.saturating_duration_since(now))
+        };
+        state.leases.values().filter(|(ttl, _)| *ttl >= ttl_ms).map(of).min().unwrap_or_default()
+    }
+
+    /// Serves the store on an address. While `is_cut`, or during an outage, nothing passes in either direction: what arrives
     /// is not carried out, and its connection is closed once the cut has ended.
     pub fn serve(&self, address: SocketAddr, is_cut: Arc<AtomicBool>) {
         let store = self.clone();
         http::serve(address, move |mut connection| {
+            let is_silent = || is_cut.load(Ordering::SeqCst) || store.is_down.load(Ordering::SeqCst);
             let mut exchange = || -> io::Result<()> {
                 loop {
                     let request = connection.message()?;
-                    if is_cut.load(Ordering::SeqCst) {
+                    if is_silent() {
                         return Ok(());
                     }
                     thread::sleep(Duration::from_millis(4));
                     let answer = store.answer(&request);
-                    if is_cut.load(Ordering::SeqCst) {
+                    if is_silent() {
                         return Ok(());
                     }
                     connection.write(&answer)?;
                 }
             };
             let _ = exchange();
-            while is_cut.load(Ordering::SeqCst) {
+            while is_silent() {
                 thread::sleep(Duration::from_millis(5));
             }
         });
@@ -208,6 +227,9 @@
         let end = Instant::now() + Duration::from_millis(number("wait_ms").min(30_000));
         let mut state = self.shared.0.lock().unwrap();
         loop {
+            if self.is_down.load(Ordering::SeqCst) {
+                return Vec::new();
+            }
             if after < state.discarded {
                 return http::json(410, "{}");
             }
