review: show that a runner that restarts behind a partition is overrun while cold

The registration of such a runner is that of its earlier start until it lapses, and nodes do not ask a runner that was unreachable whether it is cold.

--- a/review/stand/http.rs
+++ b/review/stand/http.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{self, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -187,12 +190,28 @@
 
 /// Accepts connections, and serves each in a thread of its own.
 pub fn serve<F: Fn(Connection) + Send + Sync + 'static>(address: SocketAddr, serve: F) {
+    serve_until(address, Arc::default(), serve);
+}
+
+/// As [`serve`], until `is_ended`: then the listener is closed.
+pub fn serve_until<F: Fn(Connection) + Send + Sync + 'static>(
+    address: SocketAddr,
+    is_ended: Arc<AtomicBool>,
+    serve: F,
+) {
     let listener = TcpListener::bind(address).unwrap_or_else(|e| crate::stand::broken(&format!("{address}: {e}")));
+    let _ = listener.set_nonblocking(true);
     let serve = Arc::new(serve);
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = Arc::clone(&serve);
-            thread::spawn(move || serve(Connection::new(stream)));
+        while !is_ended.load(Ordering::SeqCst) {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    let serve = Arc::clone(&serve);
+                    thread::spawn(move || serve(Connection::new(stream)));
+                }
+                Err(_) => thread::sleep(Duration::from_millis(1)),
+            }
         }
     });
 }
--- a/review/stand/runner.rs
+++ b/review/stand/runner.rs
@@ -34,6 +34,9 @@
     sequence: Arc<AtomicU64>,
     is_registered: Arc<AtomicBool>,
     is_ended: Arc<AtomicBool>,
+    /// Whether it is partitioned from the store.
+    is_cut: Arc<AtomicBool>,
+    is_draining: Arc<AtomicBool>,
     work_ms: u64,
     /// Time of the case until which it is cold.
     cold_until: f64,
@@ -67,33 +70,92 @@
             sequence: Arc::default(),
             is_registered: Arc::new(AtomicBool::new(true)),
             is_ended: Arc::default(),
+            is_cut: Arc::default(),
+            is_draining: Arc::default(),
             work_ms,
             cold_until: time() + cold_s,
             cold_limit: limit,
             arrivals: Arc::default(),
         };
         let served = runner.clone();
-        http::serve(address, move |connection| served.serve(connection));
+        let is_ended = Arc::clone(&runner.is_ended);
+        http::serve_until(address, is_ended, move |connection| served.serve(connection));
         let beating = runner.clone();
         thread::spawn(move || {
             while beating.is_registered.load(Ordering::SeqCst) {
-                beating.register();
+                if !beating.is_cut.load(Ordering::SeqCst) {
+                    beating.register();
+                }
                 thread::sleep(Duration::from_millis(HEARTBEAT_MS));
             }
         });
         runner
     }
 
+    /// Partitions the runner from the store: its registration is removed after three heartbeats of silence.
+    pub fn cut(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+        let (store, key) = (self.store.clone(), format!("servers/{}", self.id));
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(3 * HEARTBEAT_MS));
+            store.remove(&key);
+        });
+    }
+
+    /// Crashes behind the cut, and starts again at once under the same id and address; cold for `cold_s`.
+    pub fn rebirth(&self, down_ms: u64, (cold_s, limit): (f64, usize)) -> Self {
+        self.is_ended.store(true, Ordering::SeqCst);
+        self.is_registered.store(false, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(down_ms));
+        let reborn = Self {
+            born: unix_ms(),
+            sequence: Arc::default(),
+            is_registered: Arc::new(AtomicBool::new(true)),
+            is_ended: Arc::default(),
+            cold_until: time() + cold_s,
+            cold_limit: limit,
+            arrivals: Arc::default(),
+            ..self.clone()
+        };
+        let (served, is_ended) = (reborn.clone(), Arc::clone(&reborn.is_ended));
+        http::serve_until(self.address, is_ended, move |connection| served.serve(connection));
+        reborn
+    }
+
     fn register(&self) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let text = format!(
             "{{\"service\":\"orders\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":6,\
-             \"state\":\"ready\",\"cold_left_ms\":{:.0},\"sequence\":{sequence},\"born\":{}}}",
+             \"state\":\"{state}\",\"cold_left_ms\":{:.0},\"sequence\":{sequence},\"born\":{}}}",
             self.address, self.zone, (self.cold_until - time()).max(0.0) * 1_000.0, self.born
         );
         self.store.put(&format!("servers/{}", self.id), &text);
     }
 
+    /// Registers the runner, and goes on to do so.
+    pub fn announce(&self) {
+        let beating = self.clone();
+        thread::spawn(move || {
+            while beating.is_registered.load(Ordering::SeqCst) {
+                beating.register();
+                thread::sleep(Duration::from_millis(HEARTBEAT_MS));
+            }
+        });
+    }
+
+    /// Reports `draining`, serves on for `serve_ms`, and ends; its registration is removed then.
+    pub fn drain(&self, serve_ms: u64) {
+        self.is_draining.store(true, Ordering::SeqCst);
+        self.register();
+        let runner = self.clone();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(serve_ms));
+            runner.exit();
+            runner.deregister();
+        });
+    }
+
     /// Removes the registration without having reported `draining`; the runner serves on.
     pub fn deregister(&self) {
         self.is_registered.store(false, Ordering::SeqCst);
@@ -123,6 +185,25 @@
     }
 
     fn serve(&self, mut connection: http::Connection) {
+        let closing = connection.stream.try_clone();
+        let is_ended = Arc::clone(&self.is_ended);
+        let is_done = Arc::new(AtomicBool::new(false));
+        let done = Arc::clone(&is_done);
+        thread::spawn(move || {
+            // The end of the process closes its connections.
+            while !done.load(Ordering::SeqCst) {
+                if is_ended.load(Ordering::SeqCst) {
+                    let _ = closing.map(|stream| stream.shutdown(std::net::Shutdown::Both));
+                    return;
+                }
+                thread::sleep(Duration::from_millis(5));
+            }
+        });
+        self.exchange(&mut connection);
+        is_done.store(true, Ordering::SeqCst);
+    }
+
+    fn exchange(&self, connection: &mut http::Connection) {
         while let Ok(request) = connection.message() {
             if self.is_ended.load(Ordering::SeqCst) {
                 return;
@@ -133,7 +214,9 @@
                 continue;
             }
             if request.path() == "/healthz" {
-                let _ = connection.write(&http::answer(200, &[("Instance-Id", self.id.as_str())], b""));
+                let cold = format!("{:.0}", (self.cold_until - time()).max(0.0) * 1_000.0);
+                let headers = [("Instance-Id", self.id.as_str()), ("Cold-Ms", cold.as_str())];
+                let _ = connection.write(&http::answer(200, &headers, b""));
                 continue;
             }
             let id = request.header("attempt-id").unwrap_or_default().to_owned();
