review: show that the coordinator keeps a removed runner for longer than allowed

A node that could not reach the store defers the removal of upstreams for 2.5 s, also where only its connections had gone silent and the store was up.

--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -7,7 +7,7 @@
     net::SocketAddr,
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -41,6 +41,8 @@
     shared: Arc<(Mutex<State>, Condvar)>,
     /// Whether the store is down: nothing that arrives is carried out or answered.
     is_down: Arc<AtomicBool>,
+    /// Number of times that all open connections have gone silent.
+    silences: Arc<AtomicU64>,
 }
 
 impl State {
@@ -138,6 +140,17 @@
         self.shared.1.notify_all();
     }
 
+    /// Lets all open connections go silent for good; new ones work.
+    pub fn silence(&self) {
+        self.silences.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let state = self.shared.0.lock().unwrap();
+        state.items.get(key).map(|item| String::from_utf8_lossy(&item.value).into_owned())
+    }
+
     /// Time since the latest renewal of any lease with at least this time to live.
     pub fn since_renewal(&self, ttl_ms: u64) -> Duration {
         let state = self.shared.0.lock().unwrap();
@@ -153,15 +166,23 @@
     pub fn serve(&self, address: SocketAddr, is_cut: Arc<AtomicBool>) {
         let store = self.clone();
         http::serve(address, move |mut connection| {
+            let opened = store.silences.load(Ordering::SeqCst);
+            let is_dead = || store.silences.load(Ordering::SeqCst) != opened;
             let is_silent = || is_cut.load(Ordering::SeqCst) || store.is_down.load(Ordering::SeqCst);
             let mut exchange = || -> io::Result<()> {
                 loop {
                     let request = connection.message()?;
+                    if is_dead() {
+                        continue;
+                    }
                     if is_silent() {
                         return Ok(());
                     }
                     thread::sleep(Duration::from_millis(4));
                     let answer = store.answer(&request);
+                    if is_dead() {
+                        continue;
+                    }
                     if is_silent() {
                         return Ok(());
                     }
