--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -26,7 +26,7 @@
 const SLACK: f64 = 5.0;
 
 fn main() {
-    stand::open_record("review/7");
+    stand::open_record();
     let bound = (COLD.1 * OVERAGE + SLACK) as usize;
     let store = Store::new();
     store.put("op/config", &stand::configuration(7, COLD));
--- a/review/stand/mod.rs
+++ b/review/stand/mod.rs
@@ -47,9 +47,10 @@
     }
 }
 
-/// Opens `record.txt` in the folder of the case.
-pub fn open_record(folder: &str) {
-    let file = fs::File::create(Path::new(folder).join("record.txt"));
+/// Opens `record.txt` in the folder of the case, the first argument of the program.
+pub fn open_record() {
+    let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
+    let file = fs::File::create(Path::new(&folder).join("record.txt"));
     let file = file.unwrap_or_else(|e| broken(&format!("record.txt: {e}")));
     let _ = RECORD.set(Mutex::new(file));
     time();
--- a/review/stand/runner.rs
+++ b/review/stand/runner.rs
@@ -15,6 +15,9 @@
 /// Time between two writes of the registration.
 const HEARTBEAT_MS: u64 = 1_200;
 
+/// Additional bytes after a complete answer; they belong to no request.
+const STRAY: &[u8] = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+
 /// A request that reached a runner.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -37,6 +40,11 @@
     /// Whether it is partitioned from the store.
     is_cut: Arc<AtomicBool>,
     is_draining: Arc<AtomicBool>,
+    /// One in how many answers is followed by additional bytes; 0 for none.
+    stray_each: Arc<AtomicU64>,
+    /// Number of times that additional bytes were sent, and of answers.
+    pub strays: Arc<AtomicU64>,
+    answers: Arc<AtomicU64>,
     work_ms: u64,
     /// Time of the case until which it is cold.
     cold_until: f64,
@@ -72,6 +80,9 @@
             is_ended: Arc::default(),
             is_cut: Arc::default(),
             is_draining: Arc::default(),
+            stray_each: Arc::default(),
+            strays: Arc::default(),
+            answers: Arc::default(),
             work_ms,
             cold_until: time() + cold_s,
             cold_limit: limit,
@@ -163,6 +174,12 @@
         self.store.remove(&format!("servers/{}", self.id));
     }
 
+    /// Sends additional bytes after one in `each` answers, or after none if it is 0. They arrive late, just
+    /// before the next answer on the connection.
+    pub fn set_strays(&self, each: u64) {
+        self.stray_each.store(each, Ordering::SeqCst);
+    }
+
     /// Whether the runner has ended.
     pub fn has_ended(&self) -> bool {
         self.is_ended.load(Ordering::SeqCst)
@@ -204,7 +221,12 @@
     }
 
     fn exchange(&self, connection: &mut http::Connection) {
+        let mut is_stray_due = false;
         while let Ok(request) = connection.message() {
+            if std::mem::take(&mut is_stray_due) {
+                self.strays.fetch_add(1, Ordering::SeqCst);
+                let _ = connection.write(STRAY);
+            }
             if self.is_ended.load(Ordering::SeqCst) {
                 return;
             }
@@ -240,6 +262,9 @@
             if connection.write(&http::answer(200, &headers, body.as_bytes())).is_err() {
                 return;
             }
+            let each = self.stray_each.load(Ordering::SeqCst);
+            let answers = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+            is_stray_due = each > 0 && answers % each == 0;
         }
     }
 }
