--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -17,7 +17,7 @@
 use stand::{Client, Node, Outcome, runner::Runner, store::Store};
 
 const NODES: u8 = 6;
-/// Length of the outage; the site file has up to 5.7 s.
+/// Length of the outage; the site file has up to 8 s.
 const OUTAGE_S: f64 = 5.5;
 /// `cold_start_s` and `cold_per_s` of the service.
 const COLD: (f64, f64) = (3.0, 38.0);
@@ -31,7 +31,7 @@
     let store = Store::new();
     store.put("op/config", &stand::configuration(7, COLD));
     let runner = |n: usize| Runner::start(&store, &format!("i-runner-{n}"), "zone-1", stand::address(), 15);
-    let _runners: Vec<Runner> = (0..2).map(runner).collect();
+    let _runners: Vec<Runner> = (0..4).map(runner).collect();
     let nodes: Vec<Node> = (0..NODES)
         .map(|n| {
             let address = stand::address();
@@ -45,7 +45,7 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
     for (number, node) in nodes.iter().enumerate() {
-        for client in 0..5 {
+        for client in 0..9 {
             let (peer, outcomes, is_over) = (node.callers, Arc::clone(&outcomes), Arc::clone(&is_over));
             clients.push(thread::spawn(move || {
                 let mut connection = Client::new(peer);
@@ -81,7 +81,7 @@
     stand::sleep_until(down + OUTAGE_S + 1.5);
     let registered = store.keys("nodes/").len();
     stand::say(&format!("{registered} nodes are registered"));
-    let cold = Runner::start_cold(&store, "i-runner-2", "zone-1", stand::address(), 15, (COLD.0, 2 * COLD.1 as usize));
+    let cold = Runner::start_cold(&store, "i-runner-4", "zone-1", stand::address(), 15, (COLD.0, 2 * COLD.1 as usize));
     let back = stand::time();
     stand::say(&format!("{} starts, cold for {} s", cold.id, COLD.0));
     for _ in 0..(COLD.0 * 10.0) as usize {
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -16,11 +16,11 @@
 
 use stand::{Client, Node, Outcome, runner::Runner, store::Store};
 
-const NODES: u8 = 4;
+const NODES: u8 = 6;
 /// `drain_ms` and `contact_ms` of the pages, in seconds.
 const DRAIN_S: f64 = 2.0;
 const CONTACT_S: f64 = 3.0;
-/// Length of the cut; the site file cuts a zone off for up to 6.1 s.
+/// Length of the cut; the site file cuts a zone off for up to 6.5 s.
 const CUT_S: f64 = 5.5;
 /// How long the leaving runner serves on after its registration is gone.
 const LINGER_S: f64 = 14.0;
@@ -29,7 +29,7 @@
     stand::open_record();
     let store = Store::new();
     store.put("op/config", &stand::configuration(7, (0.0, 0.0)));
-    let runners: Vec<Runner> = (0..4)
+    let runners: Vec<Runner> = (0..8)
         .map(|n| Runner::start(&store, &format!("i-runner-{n}"), "zone-1", stand::address(), 15))
         .collect();
     let is_cut = Arc::new(AtomicBool::new(false));
@@ -46,7 +46,7 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let mut clients = Vec::new();
     for (number, node) in nodes.iter().enumerate() {
-        for client in 0..3 {
+        for client in 0..2 {
             let (peer, sent, outcomes, is_over) =
                 (node.callers, Arc::clone(&sent), Arc::clone(&outcomes), Arc::clone(&is_over));
             clients.push(thread::spawn(move || {
--- a/review/stand/mod.rs
+++ b/review/stand/mod.rs
@@ -177,6 +177,10 @@
             .unwrap_or_else(|e| broken(&format!("corneltrestle-node: {e}")));
         self.id = child.id();
         record(&format!("{} started as process {}", self.name, self.id));
+        // For run.sh, in case that this process is ended.
+        if let Ok(mut file) = fs::OpenOptions::new().create(true).append(true).open(folder().join("processes")) {
+            let _ = writeln!(file, "{}", self.id);
+        }
         CHILDREN.lock().unwrap().push(child);
     }
 
@@ -186,20 +190,6 @@
         let _ = Command::new("sh").arg("-c").arg(format!("kill -{signal} {}", self.id)).status();
     }
 
-    /// Whether the process runs.
-    pub fn is_running(&self) -> bool {
-        let mut children = CHILDREN.lock().unwrap();
-        let child = children.iter_mut().find(|child| child.id() == self.id);
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
-    /// Resident memory in KB.
-    pub fn memory_kb(&self) -> u64 {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.id)).unwrap_or_default();
-        let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
-        line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
-    }
-
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -161,21 +161,28 @@
         state.leases.values().filter(|(ttl, _)| *ttl >= ttl_ms).map(of).min().unwrap_or_default()
     }
 
-    /// Serves the store on an address. While `is_cut`, or during an outage, nothing passes in either direction: what arrives
-    /// is not carried out, and its connection is closed once the cut has ended.
+    /// Serves the store on an address. While `is_cut`, nothing passes in either direction; what was sent
+    /// meanwhile arrives with its next retransmission, unless its sender has given it up. What arrives in an
+    /// outage is lost, and its connection is closed at the end.
     pub fn serve(&self, address: SocketAddr, is_cut: Arc<AtomicBool>) {
         let store = self.clone();
         http::serve(address, move |mut connection| {
             let opened = store.silences.load(Ordering::SeqCst);
             let is_dead = || store.silences.load(Ordering::SeqCst) != opened;
-            let is_silent = || is_cut.load(Ordering::SeqCst) || store.is_down.load(Ordering::SeqCst);
+            let is_down = || store.is_down.load(Ordering::SeqCst);
             let mut exchange = || -> io::Result<()> {
                 loop {
                     let request = connection.message()?;
+                    let arrived = Instant::now();
                     if is_dead() {
                         continue;
                     }
-                    if is_silent() {
+                    while is_cut.load(Ordering::SeqCst) {
+                        thread::sleep(Duration::from_millis(5));
+                    }
+                    let held = arrived.elapsed();
+                    thread::sleep(retransmitted(held).saturating_sub(held));
+                    if is_down() {
                         return Ok(());
                     }
                     thread::sleep(Duration::from_millis(4));
@@ -183,14 +190,14 @@
                     if is_dead() {
                         continue;
                     }
-                    if is_silent() {
+                    if is_down() || is_cut.load(Ordering::SeqCst) {
                         return Ok(());
                     }
                     connection.write(&answer)?;
                 }
             };
             let _ = exchange();
-            while is_silent() {
+            while is_down() || is_cut.load(Ordering::SeqCst) {
                 thread::sleep(Duration::from_millis(5));
             }
         });
@@ -273,6 +280,20 @@
     }
 }
 
+/// When bytes that were sent into a cut are sent once more, at the latest after this time: TCP repeats them after
+/// 0.2 s, and after twice the time each time.
+fn retransmitted(held: Duration) -> Duration {
+    if held < Duration::from_millis(20) {
+        return Duration::ZERO;
+    }
+    let (mut next, mut pause) = (Duration::from_millis(200), Duration::from_millis(400));
+    while next < held {
+        next += pause;
+        pause *= 2;
+    }
+    next
+}
+
 fn transact(state: &mut State, body: &Json) -> Vec<u8> {
     let conditions = body.get("expected_rev").list();
     let holds = |row: &Json| {
