--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -96,16 +96,19 @@
     for arrival in &arrivals {
         stand::record(&format!("{} reached {} at {:.3}", arrival.id, cold.id, arrival.at));
     }
+    let outcomes = outcomes.lock().unwrap();
+    // Sent and arrived inside the second.
+    let sent = |id: &str| outcomes.get(id).map_or(f64::INFINITY, |(at, _)| *at);
     let most = arrivals
         .iter()
         .filter(|first| first.at < back + COLD.0)
         .map(|first| {
-            let window = arrivals.iter().filter(|other| (first.at..first.at + 1.0).contains(&other.at));
-            window.filter(|other| other.at < back + COLD.0).count()
+            let from = sent(&first.id);
+            let window = arrivals.iter().filter(|other| (from..from + 1.0).contains(&other.at));
+            window.filter(|other| other.at < back + COLD.0 && sent(&other.id) >= from).count()
         })
         .max()
         .unwrap_or(0);
-    let outcomes = outcomes.lock().unwrap();
     let lost = arrivals.iter().filter(|arrival| !matches!(outcomes.get(&arrival.id), Some((_, Outcome::Answer(200, ..))))).count();
     let served = outcomes.values().filter(|(at, outcome)| *at > back && matches!(outcome, Outcome::Answer(200, true, _))).count();
     if served < 100 {
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -71,19 +71,35 @@
     let (cut_from, cut_until) = (start + 5.0, start + 5.0 + CUT_S);
     if stand::has_trouble() {
         is_cut.store(true, Ordering::SeqCst);
-        stand::say("the zone is cut off from the store");
+        runners.iter().for_each(Runner::cut);
+        stand::say("the zone, nodes and runners, is cut off from the store");
     }
     stand::sleep_until(cut_from + 2.0);
     let leaving = &runners[0];
-    leaving.deregister();
+    if stand::has_trouble() {
+        leaving.leave();
+    } else {
+        leaving.deregister();
+    }
+    stand::say(&format!("{} leaves without a report, and serves on", leaving.id));
+    let key = format!("servers/{}", leaving.id);
+    while store.has(&key) {
+        stand::sleep_ms(5);
+    }
     let gone = stand::time();
-    stand::say(&format!("the registration of {} is removed; it serves on", leaving.id));
-    stand::sleep_until(cut_from + 3.0);
-    store.discard_history();
-    stand::say("the store discards its history");
+    stand::say(&format!("its registration is removed; {} runners are registered", store.keys("servers/").len()));
+    stand::sleep_until(cut_from + 4.2);
+    let discarded = stand::time();
+    if stand::has_trouble() {
+        store.discard_history();
+        stand::say("the store discards its history");
+    }
     stand::sleep_until(cut_until);
     is_cut.store(false, Ordering::SeqCst);
+    runners.iter().for_each(Runner::reconnect);
     stand::say("the zone reaches the store");
+    stand::sleep_until(cut_until + 2.0);
+    stand::say(&format!("{} runners are registered", store.keys("servers/").len()));
     stand::sleep_until(gone + LINGER_S);
     leaving.exit();
     stand::say(&format!("{} exits", leaving.id));
@@ -91,8 +107,9 @@
     is_over.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| drop(client.join()));
 
-    // Nodes are in touch again CONTACT_S after the cut. A request counts if its client sent it then.
-    let from = (gone + DRAIN_S).max(cut_until + CONTACT_S);
+    // The store is stable CONTACT_S after its history was discarded, and nodes are in touch when it was so for
+    // another CONTACT_S; the cut ended before. A request counts if its client sent it then.
+    let from = (gone + DRAIN_S).max(cut_until + CONTACT_S).max(discarded + 2.0 * CONTACT_S);
     let sent = sent.lock().unwrap();
     let mut late: BTreeMap<String, usize> = BTreeMap::new();
     for arrival in leaving.arrivals.lock().unwrap().iter() {
--- a/review/stand/runner.rs
+++ b/review/stand/runner.rs
@@ -113,6 +113,16 @@
         });
     }
 
+    /// Ends the partition: the runner registers again with its next heartbeat.
+    pub fn reconnect(&self) {
+        self.is_cut.store(false, Ordering::SeqCst);
+    }
+
+    /// Begins to leave without reporting `draining`: it writes no heartbeat any more, and serves on.
+    pub fn leave(&self) {
+        self.is_registered.store(false, Ordering::SeqCst);
+    }
+
     /// Crashes behind the cut, and starts again at once under the same id and address; cold for `cold_s`.
     pub fn rebirth(&self, down_ms: u64, (cold_s, limit): (f64, usize)) -> Self {
         self.is_ended.store(true, Ordering::SeqCst);
