gateway: pass on no upstream whose removal is deferred

Cause: callers' requests went to an upstream that was gone, for as long as its process ran, and orders in progress at its exit got 502. A node that defers the removal of upstreams after an outage keeps their facts at a revision that is later than the removal. When a peer needed all facts, as the store had discarded its history, the node passed these on with the others. The peer was then past the removal, and no later change concerns an upstream that is gone.

Change: a node passes on the facts at its revision only. A peer sees that the upstream is gone and decides by its own outages whether to defer the removal. Changes since a revision contained the removal before.

--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -30,7 +30,8 @@
     recovered: Option<moment::Moment>,
     /// Whether the source is unreachable.
     is_unreachable: bool,
-    /// Upstreams whose removal is deferred.
+    /// Upstreams whose removal is deferred. This node goes on using them, but does not pass them on:
+    /// they are not among the facts at its revision.
     deferred: collections::BTreeSet<Subject>,
     current: Current,
     changed: sync::Arc<tokio::sync::Notify>,
@@ -189,16 +190,7 @@
         let is_known = (self.history_start..=self.revision).contains(&after) && after != 0;
         let missed = if is_known { self.missed_since(after) } else { Vec::new() };
         let complete = !is_known || missed.len() > self.facts.len();
-        let changes = if complete {
-            let facts = self.facts.iter().map(|(subject, known)| Change {
-                revision: known.revision,
-                subject: subject.clone(),
-                fact: Some(known.fact.clone()),
-            });
-            facts.collect()
-        } else {
-            missed
-        };
+        let changes = if complete { self.present().collect() } else { missed };
         Update {
             changes: Changes { revision: self.revision, changes },
             complete,
@@ -206,6 +198,16 @@
         }
     }
 
+    /// The facts at the present revision, each as a change.
+    fn present(&self) -> impl Iterator<Item = Change> {
+        let facts = self.facts.iter().filter(|(subject, _)| !self.deferred.contains(*subject));
+        facts.map(|(subject, known)| Change {
+            revision: known.revision,
+            subject: subject.clone(),
+            fact: Some(known.fact.clone()),
+        })
+    }
+
     /// The latest change of each fact after a revision, and all of the configuration, which build on
     /// each other.
     fn missed_since(&self, after: u64) -> Vec<Change> {
@@ -373,6 +375,7 @@
             {
                 self.deferred.insert(change.subject);
             } else {
+                self.deferred.remove(&change.subject);
                 self.facts.remove(&change.subject);
             }
             return;
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -239,6 +239,96 @@
     }
 }
 
+/// Takes over what a peer has, as a node does that asks it.
+fn fetch(catalog: &mut Catalog, update: Update, now: Moment) {
+    if update.changes.revision < catalog.revision() {
+    } else if update.complete {
+        catalog.replace(update.changes, now);
+    } else {
+        catalog.apply(update.changes, now);
+    }
+}
+
+/// Guards against an upstream that gets requests for as long as it runs although it is gone: a node
+/// that defers its removal after an outage passed all its facts on, the removed one among them, to a
+/// peer that never hears of the removal again.
+#[test_case(false; "to a peer without an outage")]
+#[test_case(true; "to a peer that defers the removal as well")]
+fn upstream_whose_removal_is_deferred_is_not_passed_on(has_outage: bool) {
+    let (mut catalog, mut peer) = (catalog(&["a", "b"]), catalog(&["a", "b"]));
+    catalog.mark_unreachable();
+    if has_outage {
+        peer.mark_unreachable();
+    }
+    // The history of the store is gone, and all facts are loaded.
+    catalog.replace(changes(vec![added(1, "a"), added(7, "c")]), at(5_000));
+    assert_eq!(known(&catalog), ["a", "b", "c"], "the removal is deferred");
+    let after = peer.revision();
+    fetch(&mut peer, catalog.update_since(after), at(5_010));
+    fetch(&mut catalog, peer.update_since(0), at(5_020));
+    for node in [&mut catalog, &mut peer] {
+        node.remove_deferred(at(9_000));
+        assert_eq!(known(node), ["a", "c"]);
+    }
+}
+
+/// Guards against any order of outages, loads and facts from peers after which a node uses an upstream
+/// that is gone, or has lost one that is registered, once the changes are known and no removal is
+/// deferred.
+#[test]
+fn nodes_agree_with_the_store_after_outages() {
+    const NAMES: [&str; 4] = ["a", "b", "c", "d"];
+    for seed in 0..400 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut history: Vec<Change> = vec![added(1, "a")];
+        let since = |history: &[Change], after: u64| Changes {
+            revision: history.len() as u64,
+            changes: history[after as usize..].to_vec(),
+        };
+        let mut nodes = [catalog(&["a"]), catalog(&["a"]), catalog(&["a"])];
+        let mut now = at(0);
+        for _ in 0..60 {
+            now = now + Duration::from_millis(rng.random_range(1..1_500));
+            let (index, other) = (rng.random_range(0..3), rng.random_range(0..3));
+            let after = nodes[index].revision();
+            match rng.random_range(0..6) {
+                0 | 1 => {
+                    let (next, name) =
+                        (history.len() as u64 + 1, NAMES[rng.random_range(0..NAMES.len())]);
+                    let is_known = registered_at(&history, next).iter().any(|id| id == name);
+                    history.push(if is_known { removed(next, name) } else { added(next, name) });
+                }
+                2 => drop(nodes[index].mark_unreachable()),
+                3 => nodes[index].apply(since(&history, after), now),
+                4 => {
+                    let names = registered_at(&history, history.len() as u64);
+                    let mut latest = collections::BTreeMap::new();
+                    for change in &history {
+                        latest.insert(change.subject.clone(), change.clone());
+                    }
+                    let is_present = |change: &Change| match &change.subject {
+                        Subject::Upstream(id) => names.iter().any(|name| name == id.as_str()),
+                        _ => false,
+                    };
+                    let changes = latest.into_values().filter(is_present).collect();
+                    nodes[index].replace(Changes { revision: history.len() as u64, changes }, now);
+                }
+                _ => {
+                    let update = nodes[other].update_since(after);
+                    fetch(&mut nodes[index], update, now);
+                }
+            }
+            nodes[index].remove_deferred(now);
+        }
+        for node in &mut nodes {
+            node.apply(since(&history, node.revision()), now);
+            node.remove_deferred(now + Duration::from_secs(5));
+            let expected = registered_at(&history, history.len() as u64);
+            assert_eq!(known(node), expected, "seed {seed}");
+        }
+    }
+}
+
 /// Guards against facts that never grow old because nodes pass their confirmation back and forth,
 /// each time with an age that is slightly too small.
 #[test]
