gateway: send changes of facts with their own revision

Cause: a node that had polled the store sent the changes to all nodes with the revision that it had at the time of sending. A change that it received between storing these and sending them was not among them, but receivers took themselves to have it, ignored it when it arrived, and did not get it until they loaded all facts. Callers may see that as a removed upstream or an old configuration at one node.

Change: the changes lead to their own revision. The confirmation by the store is sent only if it is of that revision.

Measured: mesh::changes_are_sent_with_their_own_revision failed before (revision 6 for changes up to 5) and passes. Found by reading.

--- a/crates/gateway/src/mesh/outgoing.rs
+++ b/crates/gateway/src/mesh/outgoing.rs
@@ -6,7 +6,7 @@
 use corneltrestle_wire::mesh;
 
 use crate::{
-    source::Change,
+    source::{Change, Changes},
     tables::{activity::saturating_millis, outbox::Reach, stalls},
 };
 
@@ -106,17 +106,24 @@
         mesh::encode(mesh::Datagram { load: Some(load), stalls, ..datagram })
     }
 
-    /// Sends the changes from revision `after` to the present one to all nodes at once.
+    /// Sends the changes after revision `after` to all nodes at once.
     ///
-    /// Nodes fetch changes that do not fit into datagrams when they learn of the later revision.
-    pub(crate) fn broadcast_changes(&self, after: u64, changes: &[Change], now: moment::Moment) {
+    /// Nodes fetch changes that do not fit into datagrams when they learn of the later revision. This
+    /// node may have received still later changes, which these datagrams do not contain.
+    pub fn broadcast_changes(&self, after: u64, changes: &Changes, now: moment::Moment) {
         let mut from = after;
-        for part in parts(changes) {
+        for part in parts(&changes.changes) {
             let datagram = self.datagram(false, now);
-            let revision = part.revision.unwrap_or(datagram.revision);
+            let revision = part.revision.unwrap_or(changes.revision);
+            let confirmation = datagram.confirmation.filter(|_| datagram.revision == revision);
             let delta = mesh::Delta { after: from, changes: part.bytes.into() };
-            let datagram =
-                mesh::Datagram { revision, delta: Some(delta), forward: true, ..datagram };
+            let datagram = mesh::Datagram {
+                revision,
+                confirmation,
+                delta: Some(delta),
+                forward: true,
+                ..datagram
+            };
             self.enqueue(mesh::encode(datagram), Reach::All);
             from = revision;
         }
@@ -177,7 +184,7 @@
 /// Changes for one datagram.
 struct Part {
     bytes: Vec<u8>,
-    /// Revision after these changes; `None` in the last part, which leads to that of the datagram.
+    /// Revision after these changes; `None` in the last part, which leads to that of all changes.
     revision: Option<u64>,
 }
 
--- a/crates/gateway/src/task/follow.rs
+++ b/crates/gateway/src/task/follow.rs
@@ -292,7 +292,7 @@
         if changes.changes.is_empty() {
             return Ok(());
         }
-        self.mesh.broadcast_changes(known, &changes.changes, answered);
+        self.mesh.broadcast_changes(known, &changes, answered);
         tokio::time::sleep(MIN_POLL_INTERVAL).await;
         Ok(())
     }
--- a/crates/gateway/tests/mesh.rs
+++ b/crates/gateway/tests/mesh.rs
@@ -3,6 +3,7 @@
 use std::{net, sync, time::Duration};
 
 use corneltrestle_gateway::{
+    mesh::Mesh,
     source::{Change, Changes, Fact, Node, Subject},
     tables,
 };
@@ -107,6 +108,42 @@
     opened.shutdown().await;
 }
 
+/// The changes of facts that arrive at a socket until it is silent: each with the revision after which
+/// they follow and the one to which they lead.
+async fn deltas(socket: &UdpSocket) -> Vec<(u64, u64, Vec<Change>)> {
+    let (mut buffer, mut found) = ([0; 2 * mesh::MAX_BYTES], Vec::new());
+    let limit = tokio::time::Instant::now() + SILENCE;
+    while let Ok(Ok(length)) = tokio::time::timeout_at(limit, socket.recv(&mut buffer)).await {
+        let datagram = mesh::decode(&buffer[..length]).expect("a datagram");
+        if let Some(delta) = datagram.delta {
+            let changes = postcard::from_bytes(&delta.changes).expect("changes");
+            found.push((delta.after, datagram.revision, changes));
+        }
+    }
+    found
+}
+
+fn evacuated(revision: u64, zone: &str) -> Change {
+    let subject = Subject::Evacuation(zone.into());
+    Change { revision, subject, fact: Some(Fact::Evacuated) }
+}
+
+/// Guards against a node that never learns of a change: the sender had received it after the changes
+/// that it sent, and claimed that they lead to the revision of that change.
+#[tokio::test]
+async fn changes_are_sent_with_their_own_revision() {
+    let (_, near, host, opened) = open().await;
+    let sent = Changes { revision: 5, changes: vec![evacuated(4, "zone-4")] };
+    let catalog = host.table::<tables::catalog::Catalog>();
+    catalog.lock().apply(sent.clone(), host.now());
+    let later = Changes { revision: 6, changes: vec![evacuated(6, "zone-6")] };
+    catalog.lock().apply(later, host.now());
+    let mesh = host.port::<Mesh>().expect("the mesh");
+    mesh.broadcast_changes(1, &sent, host.now());
+    assert_eq!(deltas(&near[0]).await, [(1, 5, sent.changes)]);
+    opened.shutdown().await;
+}
+
 /// Guards against nodes that take more than their part of the slack of the retry budget, or none.
 #[test_case("yes", 10.0; "start of the deployment")]
 #[test_case("no", 0.0; "start of one node")]
