gateway: send the changes of one revision together

Cause: changes that do not fit into one datagram were split between any two of them. Where a transaction makes several changes with one revision, the first datagram led to that revision, and receivers ignored the rest of it.

Change: changes are split between revisions. If those of one revision do not fit, nodes fetch them, as they do a single change that is too large.

Measured: mesh::changes_of_one_revision_are_sent_together failed before and passes. Found by reading; the stand-ins of the store give each change a revision of its own.

--- a/crates/gateway/src/mesh/outgoing.rs
+++ b/crates/gateway/src/mesh/outgoing.rs
@@ -210,7 +210,13 @@
             size += **next;
             size <= mesh::MAX_DELTA_BYTES
         };
-        let last = first + sizes[first..].iter().take_while(fits).count();
+        let mut last = first + sizes[first..].iter().take_while(fits).count();
+        // Receivers ignore further changes of a revision that they have reached.
+        while (first + 1..changes.len()).contains(&last)
+            && changes[last - 1].revision == changes[last].revision
+        {
+            last -= 1;
+        }
         if last == first {
             return Ok(Vec::new());
         }
--- a/crates/gateway/tests/mesh.rs
+++ b/crates/gateway/tests/mesh.rs
@@ -144,6 +144,27 @@
     opened.shutdown().await;
 }
 
+/// Guards against changes of one transaction that arrive in part, as the first datagram with some of
+/// them already leads to their revision.
+#[tokio::test]
+async fn changes_of_one_revision_are_sent_together() {
+    let (_, near, host, opened) = open().await;
+    let zone = |number: usize| format!("zone-{number:02}-with-a-long-name-that-fills-a-datagram");
+    let change = |number: usize| evacuated(2 + number as u64 / 10, &zone(number));
+    let sent = Changes { revision: 5, changes: (0..35).map(change).collect() };
+    host.port::<Mesh>().expect("the mesh").broadcast_changes(1, &sent, host.now());
+    let found = deltas(&near[0]).await;
+    assert!(found.len() > 1, "{found:?}");
+    for (after, revision, changes) in &found {
+        let expected = sent
+            .changes
+            .iter()
+            .filter(|change| change.revision > *after && change.revision <= *revision);
+        assert!(expected.eq(changes), "{after} to {revision}: {changes:?}");
+    }
+    opened.shutdown().await;
+}
+
 /// Guards against nodes that take more than their part of the slack of the retry budget, or none.
 #[test_case("yes", 10.0; "start of the deployment")]
 #[test_case("no", 0.0; "start of one node")]
