policy, gateway: divide bounds by the nodes that may use a share

Cause: callers lost orders at a cold upstream that crashed. Each node divided its rate by the number of nodes that were registered at the moment. After an outage of the store the registrations of all nodes lapsed for a second, and each took what is meant for all. Limits that upstreams name and the admission by capacity used the same number.

Change: the nodes between which a bound is divided are kept in one place, policy::census. A node counts, and keeps its share, until 4 s after its registration has lapsed; a live node is registered again by then. A node has no share while it does not know that it is registered, nor after its start until it has heard of nodes that may have lapsed. Cold rates, limits of upstreams and admission use it, and the retry budget counts nodes that have just lapsed. Metric nodes_sharing.

--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -66,11 +66,18 @@
 static LIMITED: metric::Metric =
     metric::Metric::gauge("upstreams_limited", "Upstreams that limit the requests of all nodes.");
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static SHARING_NODES: metric::Metric = metric::Metric::gauge(
+    "nodes_sharing",
+    "Nodes between which bounds over all nodes are divided: those that are registered, or have been until a few seconds ago.",
+);
+
 #[linkme::distributed_slice(metric::METRICS)]
 #[linkme(crate = linkme)]
 static PART: metric::Metric = metric::Metric::gauge(
     "limit_part",
-    "Part of the limits of upstreams that belongs to this node, from 0 to 1; it lends it to the node that grants permits.",
+    "Part of the limits of upstreams, and of the rates of cold ones, that belongs to this node, from 0 to 1; 0 while it does not know that it is registered.",
 );
 
 #[linkme::distributed_slice(metric::METRICS)]
@@ -122,11 +129,18 @@
     metrics::gauge!(STALLED_UPSTREAMS.name).set(tables.stalls.lock().iter().count() as f64);
     let quarantined = tables.quarantine.lock().parts().quarantined().count();
     metrics::gauge!(QUARANTINED.name).set(quarantined as f64);
+    {
+        let (part, number) = {
+            let census = tables.census.lock();
+            (census.share(now), census.number())
+        };
+        metrics::gauge!(PART.name).set(part);
+        metrics::gauge!(SHARING_NODES.name).set(number as f64);
+    }
     {
         let quotas = tables.quotas.lock();
         let limited = quotas.known().iter().filter(|(_, limit)| limit.rate.is_some()).count();
         metrics::gauge!(LIMITED.name).set(limited as f64);
-        metrics::gauge!(PART.name).set(quotas.part(now));
         metrics::gauge!(PARTS.name).set(quotas.parts(now));
     }
     for (service, extra) in tables.retries.lock().retries(now) {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -14,7 +14,7 @@
 
 use std::{io, net, sync, time};
 
-use corneltrestle_policy::id;
+use corneltrestle_policy::{census, id};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 use rand::seq::{IteratorRandom, SliceRandom};
@@ -33,6 +33,9 @@
 /// Nodes of each other zone to which a datagram is sent; more than one, as some may be gone.
 const RELAYS_PER_ZONE: usize = 2;
 
+/// Age of the loads by which other nodes count as heard from.
+const HEARD_AGE: time::Duration = time::Duration::from_secs(2);
+
 /// Number of other nodes of a zone up to which all of them exchange heartbeats directly.
 const MAX_DIRECT_PEERS: usize = 15;
 
@@ -73,26 +76,49 @@
         Ok(sync::Arc::new(Self { identity, tables, socket, sequence, queued, behind }))
     }
 
-    /// Records the number of nodes for the retry budgets: those registered, or those heard from if these
-    /// are more, as a node may be cut off from the store. It is up to date as long as the store
-    /// confirms the facts, or other nodes do not have later ones. Nothing is known before the first
-    /// registration.
+    /// Records which nodes are registered, for the shares of bounds over all nodes. Nothing is known
+    /// before the first registration.
+    ///
+    /// Facts are up to date as long as the store confirms them, or other nodes do not have later ones.
+    /// While the store answers no node, registrations do not change, and most nodes hear each other.
     pub(crate) fn observe_nodes(&self, now: moment::Moment) {
-        let registered = self.tables.current.load().nodes.len();
-        if registered == 0 {
+        let snapshot = self.tables.current.load();
+        if snapshot.nodes.is_empty() {
             return;
         }
         let (revision, confirmed) = {
             let catalog = self.tables.catalog.lock();
             (catalog.revision(), catalog.confirmed_at())
         };
-        let (heard, agreed) = {
+        let (live, heard, agreed) = {
             let peers = self.tables.peers.lock();
-            (peers.number() + 1, peers.last_agreed(revision))
+            (peers.live(now).count(), peers.number() + 1, peers.last_agreed(revision))
+        };
+        let reported = self.tables.activity.lock().usage_of_others("", HEARD_AGE, now).known;
+        let number = {
+            let mut census = self.tables.census.lock();
+            let number = census.number().max(snapshot.nodes.len());
+            let hears_most = 2 * (live.max(reported) + 1) > number;
+            let informed = confirmed.max(agreed.filter(|_| hears_most));
+            let view = census::View {
+                own: self.registration(&snapshot),
+                informed: informed.unwrap_or(moment::Moment::ZERO),
+            };
+            census.observe(&self.identity, snapshot.nodes.keys(), view, now);
+            census.number()
         };
         let informed = confirmed.max(agreed).unwrap_or(moment::Moment::ZERO);
         let mut retries = self.tables.retries.lock();
-        retries.observe_nodes(registered.max(heard), self.identity.bootstrap, informed, now);
+        retries.observe_nodes(number.max(heard), self.identity.bootstrap, informed, now);
+    }
+
+    /// How this node is registered.
+    fn registration(&self, snapshot: &tables::catalog::Snapshot) -> census::Registration {
+        match snapshot.nodes.get(&self.identity.node) {
+            None => census::Registration::Absent,
+            Some(node) if node.boot == self.identity.boot => census::Registration::Own,
+            Some(_) => census::Registration::Earlier,
+        }
     }
 
     /// Waits until a datagram is queued to be sent at once.
--- a/crates/gateway/src/mesh/permits.rs
+++ b/crates/gateway/src/mesh/permits.rs
@@ -4,7 +4,7 @@
 
 use corneltrestle_policy::{
     id,
-    quota::{grantor::Grant, known, membership},
+    quota::{grantor::Grant, known},
 };
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
@@ -12,43 +12,14 @@
 
 use crate::tables::{activity::saturating_millis, outbox::Reach};
 
-/// Age of the loads by which other nodes count as heard from.
-const HEARD_AGE: time::Duration = time::Duration::from_secs(2);
-
 impl super::Mesh {
-    /// Records how nodes are registered, for the parts of this node in limits.
-    pub(crate) fn observe_registrations(&self, now: moment::Moment) {
-        let snapshot = self.tables.current.load();
-        let own = match snapshot.nodes.get(&self.identity.node) {
-            None => membership::Registration::Absent,
-            Some(node) if node.boot == self.identity.boot => membership::Registration::Own,
-            Some(_) => membership::Registration::Earlier,
-        };
-        let nodes = snapshot.nodes.len();
-        let (revision, confirmed) = {
-            let catalog = self.tables.catalog.lock();
-            (catalog.revision(), catalog.confirmed_at())
-        };
-        // While the store answers no node, registrations do not change, and most nodes hear each other.
-        let (live, agreed) = {
-            let peers = self.tables.peers.lock();
-            (peers.live(now).count(), peers.last_agreed(revision))
-        };
-        let reported = self.tables.activity.lock().usage_of_others("", HEARD_AGE, now).known;
-        let hears_most = 2 * (live.max(reported) + 1) > nodes;
-        let informed = confirmed.max(agreed.filter(|_| hears_most));
-        let informed = informed.unwrap_or(moment::Moment::ZERO);
-        let view = membership::View { nodes, own, informed };
-        let identity = &self.identity;
-        let mut quotas = self.tables.quotas.lock();
-        quotas.observe(&identity.node, view, identity.bootstrap, now);
-    }
-
     /// Asks for the permits that requests of this node wait for, and lends the node's part of the
     /// limits; `is_due` says whether to lend it again.
     pub(crate) fn ask_for_permits(&self, is_due: bool, now: moment::Moment) {
         let grantors = self.grantors(now);
-        let ask = self.tables.quotas.lock().ask(&grantors, is_due, now);
+        let part = self.tables.census.lock().share(now);
+        let own = &self.identity.node;
+        let ask = self.tables.quotas.lock().ask(own, &grantors, part, is_due, now);
         let Some(ask) = ask else { return };
         let Some(address) = self.address_of(ask.grantor.as_str()) else { return };
         let row = |(upstream, number): &(id::Vm, u32)| mesh::PermitRow {
--- a/crates/gateway/src/pipeline/choose.rs
+++ b/crates/gateway/src/pipeline/choose.rs
@@ -13,7 +13,7 @@
 use super::{Pipeline, admit::Admitted, attempt::Attempts};
 use crate::{
     request,
-    tables::{self, activity, catalog, health, pacing as sent, quotas, stalls},
+    tables::{self, activity, catalog, census, health, pacing as sent, quotas, stalls},
     upstream::Client,
 };
 
@@ -72,6 +72,7 @@
     stalls: table::Guard<'a, stalls::Stalls>,
     health: table::Guard<'a, health::Health>,
     pacing: table::Guard<'a, sent::Pacing>,
+    census: table::Guard<'a, census::Census>,
     quotas: table::Guard<'a, quotas::Quotas>,
 }
 
@@ -83,6 +84,7 @@
             stalls: tables.stalls.lock(),
             health: tables.health.lock(),
             pacing: tables.pacing.lock(),
+            census: tables.census.lock(),
             quotas: tables.quotas.lock(),
         }
     }
@@ -94,6 +96,7 @@
             stalls: &self.stalls,
             health: &self.health,
             pacing: &self.pacing.sent,
+            census: &self.census,
             quotas: &self.quotas,
         }
     }
@@ -106,6 +109,7 @@
     stalls: &'t stalls::Stalls,
     health: &'t health::Health,
     pacing: &'t pacing::Pacing,
+    census: &'t census::Census,
     quotas: &'t quotas::Quotas,
 }
 
@@ -319,7 +323,7 @@
             candidate.time += admitted.route.objective.mul_f64(rate * FAILURE_PENALTY_OBJECTIVES);
         }
         if !view.snapshot.cold.is_empty() {
-            let position = self.position(view.snapshot);
+            let position = view.census.position(now);
             found.retain(|candidate| {
                 accepts_while_cold(view, admitted, candidate.upstream, position, now)
             });
@@ -475,16 +479,6 @@
             && !snapshot.evacuated.contains(&upstream.zone)
             && admitted.allows(self.identity.region(upstream.zone.as_str()))
     }
-
-    /// Position of this node among all nodes by name. It divides the requests to a cold upstream
-    /// between nodes.
-    fn position(&self, snapshot: &catalog::Snapshot) -> pacing::Position {
-        let own = self.identity.node.as_str();
-        pacing::Position {
-            index: snapshot.nodes.keys().take_while(|node| node.as_str() < own).count(),
-            nodes: snapshot.nodes.len(),
-        }
-    }
 }
 
 /// Tokens that a request takes in the KV cache of an upstream; 0 if it does not generate with a model.
@@ -498,12 +492,12 @@
 }
 
 /// Whether an upstream is warm, or cold and able to take another request of the node at
-/// `position`.
+/// `position`; it takes none of a node without a share of its rate.
 fn accepts_while_cold(
     view: &View<'_, '_>,
     admitted: &Admitted,
     upstream: &registered::Upstream,
-    position: pacing::Position,
+    position: Option<pacing::Position>,
     now: moment::Moment,
 ) -> bool {
     let Some(until) = view.snapshot.cold.get(&upstream.id).filter(|until| now < **until) else {
--- a/crates/gateway/src/pipeline/gate.rs
+++ b/crates/gateway/src/pipeline/gate.rs
@@ -264,7 +264,8 @@
             let overhead = demand.overhead(service.as_str(), model.as_str());
             capacity::of(engine, paces, &measured, &capacity::Timing { max_gap, overhead })
         });
-        let known = (others.known + 1).min(snapshot.nodes.len().max(1));
+        let nodes = self.tables.census.lock().number().max(1);
+        let known = (others.known + 1).min(nodes);
         gate::View {
             capacity,
             work,
@@ -273,7 +274,7 @@
             window,
             // The clock starts with the process.
             own_window: now.since(moment::Moment::ZERO).min(window),
-            known_nodes: known as f64 / snapshot.nodes.len().max(1) as f64,
+            known_nodes: known as f64 / nodes as f64,
         }
     }
 }
--- a/crates/gateway/src/pipeline/permit.rs
+++ b/crates/gateway/src/pipeline/permit.rs
@@ -97,11 +97,13 @@
         let table = &*self.tables.quotas;
         let end = self.now() + GRANT_TIMEOUT;
         let granted = {
-            let mut quotas = table.lock();
-            if quotas.known().is_unlimited() {
+            if table.lock().known().is_unlimited() {
                 return true;
             }
-            if quotas.try_take(upstream, self.now()) {
+            let now = self.now();
+            let part = self.tables.census.lock().share(now);
+            let mut quotas = table.lock();
+            if quotas.try_take(upstream, part, now) {
                 count(admitted, "taken");
                 return true;
             }
@@ -111,9 +113,10 @@
         loop {
             let arrived = granted.notified();
             let now = self.now();
+            let part = self.tables.census.lock().share(now);
             {
                 let mut quotas = table.lock();
-                if quotas.try_take(upstream, now) {
+                if quotas.try_take(upstream, part, now) {
                     count(admitted, "taken");
                     return true;
                 }
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -11,6 +11,7 @@
 //! | 52 | [`health::Health`] | outcomes of this node's requests by upstream |
 //! | 53 | [`quarantine::Quarantine`] | prompt parts that crash upstreams |
 //! | 55 | [`pacing::Pacing`] | requests sent to cold upstreams |
+//! | 56 | [`census::Census`] | nodes between which bounds over all nodes are divided |
 //! | 57 | [`quotas::Quotas`] | limits of upstreams, and the permits under them |
 //! | 60 | [`retries::Retries`] | retry budgets by service |
 //! | 62 | [`demand::Demand`] | requests by model |
@@ -21,6 +22,7 @@
 
 pub mod activity;
 pub mod catalog;
+pub mod census;
 pub mod coordinator;
 pub mod demand;
 pub mod gates;
@@ -59,6 +61,8 @@
     pub quarantine: sync::Arc<table::Table<quarantine::Quarantine>>,
     /// Requests that this node sent to cold upstreams.
     pub pacing: sync::Arc<table::Table<pacing::Pacing>>,
+    /// Nodes between which bounds over all nodes are divided.
+    pub census: sync::Arc<table::Table<census::Census>>,
     /// Limits of upstreams on the requests of all nodes.
     pub quotas: sync::Arc<table::Table<quotas::Quotas>>,
     /// Retry budgets by service.
@@ -88,6 +92,7 @@
             health: host.table(),
             quarantine: host.table(),
             pacing: host.table(),
+            census: host.table(),
             quotas: host.table(),
             retries: host.table(),
             demand: host.table(),
--- a/crates/gateway/src/tables/quotas.rs
+++ b/crates/gateway/src/tables/quotas.rs
@@ -5,7 +5,7 @@
 use corneltrestle_kernel::table;
 use corneltrestle_policy::{
     id,
-    quota::{self, grantor, known, membership},
+    quota::{self, grantor, known},
 };
 use corneltrestle_time::moment;
 
@@ -13,15 +13,13 @@
 #[derive(Debug, Default)]
 pub struct Quotas {
     known: quota::Known,
-    /// `None` before the registrations of nodes are known.
-    membership: Option<quota::Membership>,
     lender: quota::Lender,
     grantor: quota::Grantor,
     permits: quota::Permits,
     /// The node that grants permits to this one.
     source: Option<id::Node>,
-    /// Name of this node.
-    own: Option<id::Node>,
+    /// Whether that is this node.
+    grants_itself: bool,
     signals: Signals,
 }
 
@@ -101,16 +99,16 @@
 
 /// Permits of this node.
 impl Quotas {
-    /// Takes a permit for a request to an upstream, which needs none if it names no limit.
-    pub fn try_take(&mut self, upstream: &id::Vm, now: moment::Moment) -> bool {
+    /// Takes a permit for a request to an upstream, which needs none if it names no limit. `part` is that
+    /// of this node in each limit.
+    pub fn try_take(&mut self, upstream: &id::Vm, part: f64, now: moment::Moment) -> bool {
         let Some(rate) = self.known.rate(upstream.as_str()) else { return true };
         if self.permits.take(upstream.as_str(), now) {
             return true;
         }
-        let Some(own) = self.own.clone().filter(|own| self.source.as_ref() == Some(own)) else {
+        let Some(own) = self.source.clone().filter(|_| self.grants_itself) else {
             return false;
         };
-        let part = self.part(now);
         if self.lender.lend(&own, now) {
             self.grantor.borrow(&own, part, now);
         }
@@ -154,26 +152,6 @@
 
 /// Exchange with other nodes.
 impl Quotas {
-    /// Records how nodes are registered. `own` is the name of this node.
-    pub fn observe(
-        &mut self,
-        own: &id::Node,
-        view: membership::View,
-        is_bootstrap: bool,
-        now: moment::Moment,
-    ) {
-        let new = || quota::Membership::new(is_bootstrap, now);
-        self.membership.get_or_insert_with(new).observe(view, now);
-        if self.own.is_none() {
-            self.own = Some(own.clone());
-        }
-    }
-
-    /// The part of this node in each limit.
-    pub fn part(&self, now: moment::Moment) -> f64 {
-        self.membership.map_or(0.0, |membership| membership.part(now))
-    }
-
     /// The sum of the parts that nodes have lent to this one.
     pub fn parts(&self, now: moment::Moment) -> f64 {
         self.grantor.parts(now)
@@ -184,9 +162,17 @@
         self.known.is_unlimited()
     }
 
-    /// The request to send now to the first of these nodes that answers; `is_due` says whether to lend
-    /// the part again although no permit is wanted. `None` if there is nothing to send.
-    pub fn ask(&mut self, nodes: &[id::Node], is_due: bool, now: moment::Moment) -> Option<Ask> {
+    /// The request to send now to the first of these nodes that answers. `part` is that of this node in
+    /// each limit, and `is_due` says whether to lend it again although no permit is wanted. `None` if
+    /// there is nothing to send.
+    pub fn ask(
+        &mut self,
+        own: &id::Node,
+        nodes: &[id::Node],
+        part: f64,
+        is_due: bool,
+        now: moment::Moment,
+    ) -> Option<Ask> {
         let is_due = is_due || self.lender.must_repeat(now);
         let grantor = self.lender.choose(nodes, now)?.clone();
         let is_new = self.source.as_ref() != Some(&grantor);
@@ -194,12 +180,13 @@
             log::info!(grantor = grantor.as_str(); "quota: permits come from another node");
             self.source = Some(grantor.clone());
         }
-        let is_own = self.own.as_ref() == Some(&grantor);
+        let is_own = *own == grantor;
+        self.grants_itself = is_own;
         let wanted = if is_own { Vec::new() } else { self.permits.asks(now) };
         if wanted.is_empty() && !is_due && !is_new {
             return None;
         }
-        let part = if self.lender.lend(&grantor, now) { self.part(now) } else { 0.0 };
+        let part = if self.lender.lend(&grantor, now) { part } else { 0.0 };
         if is_own {
             self.grantor.borrow(&grantor, part, now);
             return None;
--- a/crates/gateway/src/task/permits.rs
+++ b/crates/gateway/src/task/permits.rs
@@ -42,7 +42,6 @@
         let now = host.now();
         let is_due = now >= loan_due;
         if is_due {
-            mesh.observe_registrations(now);
             tables.quotas.lock().prune(now);
             loan_due = now + lender::period(tables.current.load().nodes.len());
         }
--- a/crates/gateway/tests/quotas.rs
+++ b/crates/gateway/tests/quotas.rs
@@ -4,8 +4,8 @@
 
 use corneltrestle_gateway::tables::quotas::{Ask, Quotas};
 use corneltrestle_policy::{
-    Moment, id,
-    quota::{Statement, grantor::Grant, lender, membership},
+    Moment, census, id,
+    quota::{Statement, grantor::Grant, lender},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use test_case::test_case;
@@ -44,10 +44,12 @@
     /// Side of a cut on which the node is; 0 without one.
     side: usize,
     quotas: Quotas,
+    census: census::Census,
     loan_due: Moment,
     renewal_due: Moment,
     /// What the node last learned of the store.
-    view: membership::View,
+    view: census::View,
+    registered: Vec<id::Node>,
     coordinator: usize,
     /// Requests that wait for a permit, since when.
     waiting: Vec<Moment>,
@@ -94,13 +96,10 @@
     }
 
     fn add(&mut self) {
-        let view = membership::View {
-            nodes: 0,
-            own: membership::Registration::Absent,
-            informed: Moment::ZERO,
-        };
-        let name = format!("node-{:03}", self.nodes.len()).as_str().into();
+        let view = census::View { own: census::Registration::Absent, informed: Moment::ZERO };
+        let name: id::Node = format!("node-{:03}", self.nodes.len()).as_str().into();
         self.nodes.push(Node {
+            census: census::Census::new(name.clone(), false, self.now),
             name,
             process: 0,
             is_running: false,
@@ -110,6 +109,7 @@
             loan_due: Moment::ZERO,
             renewal_due: Moment::ZERO,
             view,
+            registered: Vec::new(),
             coordinator: 0,
             waiting: Vec::new(),
             answers: 0,
@@ -122,6 +122,7 @@
         let node = &mut self.nodes[index];
         node.process += 1;
         (node.is_running, node.quotas) = (true, Quotas::default());
+        node.census = census::Census::new(node.name.clone(), false, self.now);
         (node.loan_due, node.renewal_due) = (self.now, self.now);
         node.waiting.clear();
         node.answers = 0;
@@ -214,7 +215,8 @@
             node.quotas.wait(&upstream);
         }
         let mut taken = 0;
-        while taken < node.waiting.len() && node.quotas.try_take(&upstream, now) {
+        let part = node.census.share(now);
+        while taken < node.waiting.len() && node.quotas.try_take(&upstream, part, now) {
             taken += 1;
         }
         let answers = node.quotas.answers(&upstream);
@@ -239,11 +241,12 @@
             self.store.insert(node.name.clone(), (node.process, now + LEASE));
         }
         let own = match self.store.get(&node.name) {
-            None => membership::Registration::Absent,
-            Some((process, _)) if *process == node.process => membership::Registration::Own,
-            Some(_) => membership::Registration::Earlier,
+            None => census::Registration::Absent,
+            Some((process, _)) if *process == node.process => census::Registration::Own,
+            Some(_) => census::Registration::Earlier,
         };
-        node.view = membership::View { nodes: self.store.len(), own, informed: now };
+        node.view = census::View { own, informed: now };
+        node.registered = self.store.keys().cloned().collect();
         let is_registered = |node: &Node| self.store.contains_key(&node.name);
         let coordinator = self.nodes.iter().position(is_registered).unwrap_or(0);
         self.nodes[index].coordinator = coordinator;
@@ -263,13 +266,13 @@
         let is_due = now >= node.loan_due;
         if is_due {
             node.loan_due = now + lender::period(nodes);
-            let (name, view) = (node.name.clone(), node.view);
-            node.quotas.observe(&name, view, false, now);
+            node.census.observe(&node.registered, node.view, now);
             // An answer of the upstream says the same again.
             node.quotas.record(&UPSTREAM.into(), 1, Statement::Limited(self.rate), 1, now);
             node.quotas.prune(now);
         }
-        let Some(ask) = node.quotas.ask(&grantors, is_due, now) else { return };
+        let part = node.census.share(now);
+        let Some(ask) = node.quotas.ask(&node.name, &grantors, part, is_due, now) else { return };
         let to = self.nodes.iter().position(|node| node.name == ask.grantor).expect("a node");
         self.send(index, to, Message::Ask(ask, now));
     }
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -12,7 +12,9 @@
     },
 };
 use corneltrestle_kernel::{disconnect, host, lifecycle, memory, pool, settings};
-use corneltrestle_policy::{deployment, id, quarantine, quota, refusal, retry::fleet, upstream};
+use corneltrestle_policy::{
+    census, deployment, id, quarantine, quota, refusal, retry::fleet, upstream,
+};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 use hyper::{HeaderMap, Method, StatusCode};
@@ -465,16 +467,25 @@
 
     /// Makes the node the only one that is registered, so that it grants permits to itself.
     pub(crate) async fn register(&self) {
-        let view = quota::membership::View {
-            nodes: 1,
-            own: quota::membership::Registration::Own,
-            informed: self.host.now() + Duration::from_secs(60),
-        };
         let own: id::Node = "node-1".into();
-        self.tables.quotas.lock().observe(&own, view, true, self.host.now());
+        self.observe(std::slice::from_ref(&own));
         // The part of a node counts only after a while.
         tokio::time::sleep(Duration::from_millis(1_050)).await;
-        assert_eq!(self.tables.quotas.lock().ask(&[own], true, self.host.now()), None);
+        let now = self.host.now();
+        let part = self.tables.census.lock().share(now);
+        let nodes = std::slice::from_ref(&own);
+        assert_eq!(self.tables.quotas.lock().ask(&own, nodes, part, true, now), None);
+    }
+
+    /// Learns which nodes are registered, all of which started together.
+    pub(crate) fn observe(&self, registered: &[id::Node]) {
+        let now = self.host.now();
+        let identity = self.host.port::<identity::Identity>().expect("an identity");
+        let identity = identity::Identity { bootstrap: true, ..(*identity).clone() };
+        let is_own = registered.contains(&identity.node);
+        let own = if is_own { census::Registration::Own } else { census::Registration::Absent };
+        let view = census::View { own, informed: now + Duration::from_secs(60) };
+        self.tables.census.lock().observe(&identity, registered, view, now);
     }
 
     /// Receives a report of another node with requests in progress at an upstream.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod burn;
 pub mod calls;
 pub mod capacity;
+pub mod census;
 pub mod changeset;
 pub mod claim;
 pub mod cost;
--- a/crates/policy/src/pacing.rs
+++ b/crates/policy/src/pacing.rs
@@ -20,7 +20,8 @@
 /// Length of a turn, in which a node may send one request.
 const TURN: time::Duration = time::Duration::from_secs(1);
 
-/// Position of a node in the list of all nodes, which every node sorts in the same way.
+/// Position of a node in the list of all nodes that have a share, which every node sorts in the same
+/// way, see [`crate::census`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Position {
     /// Index of the node, from 0.
@@ -38,7 +39,7 @@
 ///
 /// let cold = deployment::Cold { span: std::time::Duration::from_secs(3), rate: 10.0 };
 /// let (mut pacing, now) = (pacing::Pacing::default(), Moment::from_millis(1));
-/// let (position, until) = (pacing::Position { index: 0, nodes: 4 }, Moment::from_millis(3_001));
+/// let (position, until) = (Some(pacing::Position { index: 0, nodes: 4 }), Moment::from_millis(3_001));
 /// for _ in 0..2 {
 ///     assert!(pacing.allows(&"vm-1".into(), &cold, position, until, now));
 ///     pacing.count(&"vm-1".into(), now);
@@ -52,7 +53,7 @@
 
 impl Pacing {
     /// Whether the node at `position` may send a request now to an upstream that is cold `until`
-    /// the given time.
+    /// the given time. A node without a position has no share of a limited rate.
     ///
     /// Each node gets an equal share of the rate. If that is less than one request per second, the
     /// nodes take turns. All nodes count the turns back from `until`, so that they agree on them.
@@ -60,13 +61,14 @@
         &self,
         upstream: &id::Vm,
         cold: &deployment::Cold,
-        position: Position,
+        position: Option<Position>,
         until: moment::Moment,
         now: moment::Moment,
     ) -> bool {
         if cold.rate <= 0.0 {
             return true;
         }
+        let Some(position) = position else { return false };
         let nodes = position.nodes.max(1);
         let share = (cold.rate * RATE_FRACTION / nodes as f64).floor() as usize;
         if share == 0 && !is_turn(cold, position, until, now) {
--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -1,6 +1,7 @@
 //! Rate limits that upstreams name: the requests a second that one takes from all nodes together.
 //!
-//! Each registered node owns a [part](membership) of every limit, and the parts add up to at most 1.
+//! Each node owns a part of every limit, its share by the [census](crate::census); the parts add up to at
+//! most 1.
 //! A node [lends](lender) its part to one node at a time, for a bounded time. That node, the
 //! [grantor], collects the parts that it was lent in a token bucket for each upstream, and grants a
 //! [permit](permits) for each request to the nodes that ask, whichever of them has the requests.
@@ -12,13 +13,11 @@
 pub mod grantor;
 pub mod known;
 pub mod lender;
-pub mod membership;
 pub mod permits;
 
 pub use grantor::Grantor;
 pub use known::Known;
 pub use lender::Lender;
-pub use membership::Membership;
 pub use permits::Permits;
 
 /// Largest limit in requests a second; a higher one limits nothing.
--- a/crates/policy/tests/fleet_budget.rs
+++ b/crates/policy/tests/fleet_budget.rs
@@ -259,7 +259,7 @@
     now: Moment,
 ) -> bool {
     let vm = "vm-1".into();
-    let allowed = pacing.allows(&vm, cold, position, until, now);
+    let allowed = pacing.allows(&vm, cold, Some(position), until, now);
     if allowed {
         pacing.count(&vm, now);
     }
