client: reject responses with a status above 599

Cause: callers got the answer of an upstream in trouble whose status was 600 or 999. The HTTP parser accepts any three digits, and the type of a status those from 100 on. A status of 000, 099 or of two or four digits was malformed before, on all routes and in both programs.

Change: the client, which both programs use, takes a status above 599 for a malformed response. The request may have run; what may be repeated goes to another upstream.

--- a/crates/client/src/pool.rs
+++ b/crates/client/src/pool.rs
@@ -28,6 +28,9 @@
     "Calls sent once more on a new connection, as a reused one had ended or was silent, by cause.",
 );
 
+/// Highest status code of HTTP.
+const MAX_STATUS: u16 = 599;
+
 /// Minimum time between two removals of idle and expired connections from all peers. [`Pool::put`]
 /// runs them, so that connections to peers that are no longer called are closed, too.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(2);
@@ -296,6 +299,10 @@
         if response.status().is_informational() {
             return Err(failed(error::Kind::Malformed, "response switches protocols"));
         }
+        // Those below 100 are rejected by the parser.
+        if response.status().as_u16() > MAX_STATUS {
+            return Err(failed(error::Kind::Malformed, "response has an invalid status"));
+        }
         let delimited = is_head || is_delimited(&response);
         let framing = match (delimited, self.config.allow_undelimited) {
             (true, _) => body::Framing::Delimited,
--- a/crates/client/tests/pool.rs
+++ b/crates/client/tests/pool.rs
@@ -52,6 +52,21 @@
     }
 }
 
+/// Guards against a response whose status is none that is taken for an answer.
+#[test_case("000 Trouble"; "zero")]
+#[test_case("099 Trouble"; "below the first class")]
+#[test_case("20 Trouble"; "two digits")]
+#[test_case("2000 Trouble"; "four digits")]
+#[test_case("600 Trouble"; "above the last class")]
+#[test_case("999 Trouble"; "the highest")]
+#[tokio::test]
+async fn response_with_an_invalid_status_is_malformed(head: &str) {
+    let script = vec![Read, Write(answer(head, "body")), Stall];
+    let server = Scripted::bind(vec![script.clone(), script]).await;
+    let error = get(&Pool::open(Config::default()), server.address).await.unwrap_err();
+    assert_eq!(error.kind, Kind::Malformed, "{error}");
+}
+
 /// Guards against the claim that nothing was sent, where only the second attempt found no peer.
 #[tokio::test]
 async fn request_that_was_sent_before_the_peer_was_gone_may_have_run() {
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -105,6 +105,9 @@
 #[test_case(Write("HTTP/1.1 503 Service Unavailable\r\nx-request-id: r2\r\ncontent-length: 0\r\n\r\n".into()), &[], Some(Kind::Mismatch); "refusal of another request")]
 #[test_case(Write(answer("500 Internal Server Error", "{}")), &[], Some(Kind::Broken); "server error")]
 #[test_case(Write("garbage\r\n\r\n".into()), &[], Some(Kind::Malformed); "not http")]
+#[test_case(Write(answer("000 Trouble", "{}")), &[], Some(Kind::Malformed); "status 000")]
+#[test_case(Write(answer("99 Trouble", "{}")), &[], Some(Kind::Malformed); "status of two digits")]
+#[test_case(Write(answer("600 Trouble", "{}")), &[], Some(Kind::Malformed); "status 600")]
 #[test_case(Stall, &[], Some(Kind::Broken); "no response")]
 #[tokio::test]
 async fn stream_delivers_own_tokens_in_order(text: Step, tokens: &[&str], error: Option<Kind>) {
