gateway: renew a lapsed registration at once

Cause: after an outage in which registrations had lapsed, each node registered again at its next renewal, up to 3 s later, or 3 s after one that had failed. Nodes send heartbeats and changes of facts to registered nodes only, and knew loads and facts later meanwhile.

Change: a node registers again when the facts say that its registration has lapsed, after a random delay of up to 5 ms for each node, and when a renewal says so. A failed renewal is repeated after 1 s.

--- a/crates/gateway/src/task/register.rs
+++ b/crates/gateway/src/task/register.rs
@@ -4,10 +4,13 @@
 
 use corneltrestle_infra::store::{self, Class, LeaseId, Store};
 use corneltrestle_kernel::{host, plugin};
+use corneltrestle_policy::census;
+use rand::Rng;
 
 use crate::{
     identity,
     source::{self, Node, Source},
+    tables,
 };
 
 /// Time to live of the registration's lease.
@@ -19,9 +22,21 @@
 /// Delay before a failed registration is tried again.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
 
+/// Delay before a failed renewal is tried again.
+const RENEW_RETRY_DELAY: time::Duration = time::Duration::from_secs(1);
+
+/// Longest random delay before a lapsed registration is renewed, for each node: after an outage, those
+/// of all nodes may lapse at once.
+const DELAY_PER_NODE: time::Duration = time::Duration::from_millis(5);
+
+// Other nodes count this one until it has found out that its registration has lapsed.
+const _: () = assert!(RENEW_PERIOD.as_millis() < census::RENEWAL_GRACE.as_millis());
+
 /// State of the task.
 #[derive(Debug)]
 struct Registrar<S> {
+    identity: sync::Arc<identity::Identity>,
+    tables: tables::Tables,
     store: sync::Arc<S>,
     key: String,
     node: Node,
@@ -41,7 +56,8 @@
         memory: identity.memory,
     };
     let (store, key) = (host.port()?, S::node_key(&identity.node));
-    let registrar = sync::Arc::new(Registrar::<S> { store, key, node });
+    let tables = tables::Tables::of(host);
+    let registrar = sync::Arc::new(Registrar::<S> { identity, tables, store, key, node });
     let handle = plugin::Handle::default();
     host.supervise(&handle, "register", move || sync::Arc::clone(&registrar).run());
     Ok(handle)
@@ -51,19 +67,55 @@
     async fn run(self: sync::Arc<Self>) {
         let mut lease = None;
         loop {
-            let result = match lease {
-                Some(held) => self.renew(held).await,
-                None => self.register().await.map(Some),
-            };
-            lease = match result {
-                Ok(held) => held,
+            let wait = match self.step(&mut lease).await {
+                Ok(()) => RENEW_PERIOD,
                 Err(e) => {
                     log::info!("node: the registration was not renewed: {e}");
-                    lease
+                    if lease.is_some() { RENEW_RETRY_DELAY } else { RETRY_DELAY }
                 }
             };
-            tokio::time::sleep(if lease.is_some() { RENEW_PERIOD } else { RETRY_DELAY }).await;
+            if tokio::time::timeout(wait, self.lapsed()).await.is_ok() {
+                log::info!("node: the registration has lapsed, and is renewed");
+                let delay = rand::rng().random_range(time::Duration::ZERO..=self.max_delay());
+                tokio::time::sleep(delay).await;
+            }
+        }
+    }
+
+    /// Renews the lease, or registers the node if it has none or it has lapsed.
+    async fn step(&self, lease: &mut Option<LeaseId>) -> store::Result<()> {
+        if let Some(held) = *lease {
+            *lease = self.renew(held).await?;
+        }
+        if lease.is_none() {
+            *lease = Some(self.register().await?);
         }
+        Ok(())
+    }
+
+    /// Waits until the facts no longer contain the registration of this process, after they did.
+    async fn lapsed(&self) {
+        let changed = self.tables.catalog.lock().changed();
+        let mut was_registered = false;
+        loop {
+            let next = changed.notified();
+            let is_registered = {
+                let snapshot = self.tables.current.load();
+                let known = snapshot.nodes.get(&self.identity.node);
+                known.is_some_and(|node| node.boot == self.identity.boot)
+            };
+            if was_registered && !is_registered {
+                return;
+            }
+            was_registered |= is_registered;
+            next.await;
+        }
+    }
+
+    /// Longest delay before a lapsed registration is renewed.
+    fn max_delay(&self) -> time::Duration {
+        let nodes = u32::try_from(self.tables.census.lock().number()).unwrap_or(u32::MAX);
+        DELAY_PER_NODE.saturating_mul(nodes)
     }
 
     /// Renews the lease; `None` if it has lapsed.
