--- a/review/bed-3/http.rs
+++ b/review/bed-3/http.rs
@@ -2,8 +2,11 @@
 
 use std::{
     io::{self, BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicU16, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -192,12 +195,23 @@
     Ok(response)
 }
 
-/// A free port on a loopback address, for TCP and UDP.
+/// A free port on a loopback address, for TCP and UDP. It is below the range from which the system takes
+/// ports for outgoing connections, so that none of these takes it before it is used.
 pub fn free(ip: [u8; 4]) -> io::Result<SocketAddr> {
-    loop {
-        let found = TcpListener::bind(SocketAddr::from((ip, 0)))?.local_addr()?;
-        if std::net::UdpSocket::bind(found).is_ok() {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    for _ in 0..PORTS {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let first = (std::process::id() % u32::from(PORTS / STEP)) as u16 * STEP;
+        let found = SocketAddr::from((ip, FIRST_PORT + (first + number) % PORTS));
+        let is_free = TcpListener::bind(found).is_ok() && UdpSocket::bind(found).is_ok();
+        if is_free {
             return Ok(found);
         }
     }
+    Err(io::ErrorKind::AddrInUse.into())
 }
+
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u16 = 18_000;
+/// Ports from which a process of a case takes its own.
+const STEP: u16 = 60;
