review: unread bodies of a crowd exceed the memory of a machine

Cause: bytes that the system has received for bodies which wait for the memory budget do not count in it, up to 256 KB for each connection.

The files of the cases are formatted.

--- a/review/11/case.rs
+++ b/review/11/case.rs
@@ -63,7 +63,8 @@
     let put = |text: &str| {
         let revision = store.put("op/config", text).ok_or("the store is away")?;
         let version = text.split(',').next().unwrap_or_default();
-        record.note(format!("operator: op/config {version} is acknowledged at revision {revision}"));
+        record
+            .note(format!("operator: op/config {version} is acknowledged at revision {revision}"));
         Ok::<_, &str>(revision)
     };
     put(&configuration(1, "alpha", 3_000, &keys))?;
@@ -144,7 +145,8 @@
     let mut broken = 0;
     for node in &nodes {
         let own = || judged.iter().filter(|sent| sent.node == node.name);
-        let old = own().filter(|sent| sent.status == 200 && sent.body.starts_with("alpha-")).count();
+        let old =
+            own().filter(|sent| sent.status == 200 && sent.body.starts_with("alpha-")).count();
         let revoked = own().filter(|sent| sent.status == 200 && sent.key == REVOKED_KEY).count();
         let new = own().filter(|sent| sent.status == 200 && sent.body.starts_with("beta-")).count();
         broken += old + revoked;
--- a/review/bed-3/bed.rs
+++ b/review/bed-3/bed.rs
@@ -3,9 +3,12 @@
 #![allow(dead_code)]
 
 pub mod client;
+pub mod crowd;
 pub mod http;
 pub mod json;
+pub mod memory;
 pub mod node;
+pub mod quota;
 pub mod record;
 pub mod runner;
 pub mod store;
--- a/review/bed-3/client.rs
+++ b/review/bed-3/client.rs
@@ -60,7 +60,10 @@
             let id = format!("c{client}n{number}");
             let sent = send(&node, front, &kind, id);
             let Sent { at, id, status, body, .. } = &sent;
-            record.note_at(*at, format!("{node} {} {id} key={}: {status} {body}", kind.path, kind.key));
+            record.note_at(
+                *at,
+                format!("{node} {} {id} key={}: {status} {body}", kind.path, kind.key),
+            );
             log.lock().unwrap_or_else(|e| e.into_inner()).push(sent);
             thread::sleep(kind.pause);
         }
--- a/review/bed-3/node.rs
+++ b/review/bed-3/node.rs
@@ -41,23 +41,24 @@
         let regions: String = zones.iter().map(|zone| format!("{zone}:region ")).collect();
         let template = fs::read_to_string(TEMPLATE)?;
         // The template's lists of placeholders are written out as whole lines.
-        let lines = template.lines().map(|line| match line.split(" =").next().unwrap_or_default() {
-            "id" => format!("id = {name}"),
-            "zone" => format!("zone = {zone}"),
-            "regions" => format!("regions = {regions}"),
-            "mesh" => format!("mesh = {mesh}"),
-            "link" => format!("link = {mesh}"),
-            "bootstrap" => "bootstrap = yes".to_owned(),
-            "grace" => "grace = 8s".to_owned(),
-            "retry-ratio" => "retry-ratio = 0.2".to_owned(),
-            "retry-slack" => "retry-slack = 134".to_owned(),
-            "retry-window" => "retry-window = 10s".to_owned(),
-            _ => line
-                .replace("{{listen.front}}", &front.to_string())
-                .replace("{{listen.ready}}", &ready.to_string())
-                .replace("{{platform.address}}", &store.to_string())
-                .replace("{{ip}}:9464", &metrics.to_string()),
-        });
+        let lines =
+            template.lines().map(|line| match line.split(" =").next().unwrap_or_default() {
+                "id" => format!("id = {name}"),
+                "zone" => format!("zone = {zone}"),
+                "regions" => format!("regions = {regions}"),
+                "mesh" => format!("mesh = {mesh}"),
+                "link" => format!("link = {mesh}"),
+                "bootstrap" => "bootstrap = yes".to_owned(),
+                "grace" => "grace = 8s".to_owned(),
+                "retry-ratio" => "retry-ratio = 0.2".to_owned(),
+                "retry-slack" => "retry-slack = 134".to_owned(),
+                "retry-window" => "retry-window = 10s".to_owned(),
+                _ => line
+                    .replace("{{listen.front}}", &front.to_string())
+                    .replace("{{listen.ready}}", &ready.to_string())
+                    .replace("{{platform.address}}", &store.to_string())
+                    .replace("{{ip}}:9464", &metrics.to_string()),
+            });
         let text: Vec<_> = lines.collect();
         let text = text.join("\n") + "\n";
         if text.contains("{{") {
--- a/review/bed-3/store.rs
+++ b/review/bed-3/store.rs
@@ -197,7 +197,8 @@
                 return Some((410, String::new()));
             }
             let later = content.history.iter();
-            let later = later.filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix));
+            let later =
+                later.filter(|(revision, key, _)| *revision > after && key.starts_with(&prefix));
             let events: Vec<_> = later
                 .map(|(revision, key, item)| match item {
                     Some(item) => format!("{{{}}}", fields(key, item)),
@@ -240,7 +241,8 @@
         let matching = self.items.iter().filter(|(key, _)| key.starts_with(prefix));
         let mut matching = matching.filter(|(key, _)| key.as_str() > after || after.is_empty());
         let page: Vec<_> = matching.by_ref().take(500).collect();
-        let page: Vec<_> = page.iter().map(|(key, item)| format!("{{{}}}", fields(key, item))).collect();
+        let page: Vec<_> =
+            page.iter().map(|(key, item)| format!("{{{}}}", fields(key, item))).collect();
         let (page, more) = (page.join(","), matching.next().is_some());
         (200, format!("{{\"entries\":[{page}],\"has_more\":{more},\"at\":{}}}", self.revision))
     }
@@ -250,7 +252,8 @@
         let key = |row: &Value| row.get("key").and_then(Value::text).unwrap_or_default().to_owned();
         let is_own = |key: &str| !key.starts_with("op/") && !key.starts_with("servers/");
         let written = rows("write");
-        let removed: Vec<_> = rows("remove").iter().filter_map(Value::text).map(str::to_owned).collect();
+        let removed: Vec<_> =
+            rows("remove").iter().filter_map(Value::text).map(str::to_owned).collect();
         if !written.iter().all(|row| is_own(&key(row))) || !removed.iter().all(|key| is_own(key)) {
             return (403, String::new());
         }
@@ -264,7 +267,9 @@
                 let key = key(row);
                 match self.items.get(&key) {
                     Some(item) => format!("{{{}}}", fields(&key, item)),
-                    None => format!("{{\"key\":{},\"revision\":0,\"deleted\":true}}", json::quote(&key)),
+                    None => {
+                        format!("{{\"key\":{},\"revision\":0,\"deleted\":true}}", json::quote(&key))
+                    }
                 }
             };
             let entries: Vec<_> = conditions.iter().map(entry).collect();
@@ -315,7 +320,9 @@
 fn fields(key: &str, item: &Item) -> String {
     let Item { value, revision, created, lease } = item;
     let key = json::quote(key);
-    format!("\"key\":{key},\"value\":\"{value}\",\"revision\":{revision},\"created\":{created},\"lease\":{lease}")
+    format!(
+        "\"key\":{key},\"value\":\"{value}\",\"revision\":{revision},\"created\":{created},\"lease\":{lease}"
+    )
 }
 
 fn base64(bytes: &[u8]) -> String {
