--- a/review/bed-3/node.rs
+++ b/review/bed-3/node.rs
@@ -3,6 +3,7 @@
 use std::{
     fs, io,
     net::SocketAddr,
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -11,6 +12,13 @@
 
 use super::http::{self, Message};
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, argument: usize) -> i32;
+}
+
 /// The program of the deploy file.
 const PROGRAM: &str = "target/release/corneltrestle-node";
 const TEMPLATE: &str = "deploy/node.ini";
@@ -78,6 +86,14 @@
         let log = fs::File::options().create(true).append(true).open(&self.log)?;
         let mut command = Command::new(PROGRAM);
         command.arg("--settings").arg(&self.settings).stdin(Stdio::null());
+        // SAFETY: the call is safe between fork and exec. The node ends with the thread that started it,
+        // also where the case is killed.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            });
+        }
         self.child = Some(command.stdout(log.try_clone()?).stderr(log).spawn()?);
         Ok(())
     }
