--- a/review/14/case.rs
+++ b/review/14/case.rs
@@ -96,6 +96,10 @@
     for client in clients {
         let _ = client.join();
     }
+    // A heartbeat may have been under way when the entry was removed.
+    if store.has(&leaving.key()).is_some() {
+        return Err("the entry of the runner was written again".into());
+    }
     for node in &mut nodes {
         if node.has_ended() {
             return Err(format!("{} has ended by itself", node.name).into());
