--- a/review/play-3.sh
+++ b/review/play-3.sh
@@ -8,5 +8,7 @@
 trap 'kill "$pid" 2>/dev/null; wait "$pid"; rm -rf "${TMPDIR:-/tmp}/review-3-$pid"; exit 2' HUP INT TERM
 wait "$pid"
 code=$?
+# A program that was killed has left its folder.
+rm -rf "${TMPDIR:-/tmp}/review-3-$pid"
 [ "$code" -le 1 ] || code=2
 exit "$code"
