--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -18,6 +18,20 @@
 static FACTS_REVISION: metric::Metric =
     metric::Metric::gauge("facts_revision", "Revision of the facts that the node knows.");
 
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static FACTS_ERA: metric::Metric = metric::Metric::gauge(
+    "facts_era",
+    "Era of the facts that the node knows: rises each time the store comes back from an earlier copy; 0 if the store names none.",
+);
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static RETURNS: metric::Metric = metric::Metric::counter(
+    "store_returns_total",
+    "Returns of the store from an earlier copy of itself that the node has noticed.",
+);
+
 #[linkme::distributed_slice(metric::METRICS)]
 #[linkme(crate = linkme)]
 static CONFIG_VERSION: metric::Metric =
@@ -101,11 +115,16 @@
 /// Locks one table at a time.
 fn read(host: &sync::Arc<host::Host>) {
     let (tables, now) = (Tables::of(host), host.now());
-    let confirmed = tables.catalog.lock().confirmed_at();
+    let (confirmed, returns) = {
+        let catalog = tables.catalog.lock();
+        (catalog.confirmed_at(), catalog.returns())
+    };
+    metrics::counter!(RETURNS.name).absolute(returns);
     metrics::gauge!(FACTS_AGE.name)
         .set(confirmed.map_or(f64::INFINITY, |at| now.since(at).as_secs_f64()));
     let current = tables.current.load();
-    metrics::gauge!(FACTS_REVISION.name).set(current.revision as f64);
+    metrics::gauge!(FACTS_REVISION.name).set(current.revision.number as f64);
+    metrics::gauge!(FACTS_ERA.name).set(current.revision.era as f64);
     let version = current.deployment.as_ref().map_or(0, |declared| declared.version);
     metrics::gauge!(CONFIG_VERSION.name).set(version as f64);
     if let Some(declared) = &current.deployment {
--- a/crates/gateway/src/mesh/facts.rs
+++ b/crates/gateway/src/mesh/facts.rs
@@ -7,7 +7,7 @@
 };
 
 use corneltrestle_kernel::{clock, host};
-use corneltrestle_policy::id;
+use corneltrestle_policy::{id, revision};
 use corneltrestle_rpc::{self as rpc, incoming};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh::generated;
@@ -65,13 +65,13 @@
     pub async fn fetch(
         &self,
         peer: net::SocketAddr,
-        after: u64,
+        after: revision::Revision,
         now: moment::Moment,
     ) -> rpc::Result<catalog::Update> {
         let run = |channel: transport::Channel| async move {
             let mut client = generated::mesh_client::MeshClient::new(channel)
                 .max_decoding_message_size(MAX_REPLY_BYTES);
-            client.facts(generated::FactsRequest { after }).await
+            client.facts(generated::FactsRequest { after: after.number, era: after.era }).await
         };
         let reply = self.calls.call("facts", peer, run).await?;
         let changes = if reply.changes.is_empty() {
@@ -83,9 +83,10 @@
                 cause: e.to_string(),
             })?
         };
+        let revision = revision::Revision { era: reply.era, number: reply.at };
         let age = time::Duration::from_millis(u64::from(reply.age));
         Ok(catalog::Update {
-            changes: Changes { revision: reply.at, changes },
+            changes: Changes { revision, changes },
             complete: reply.complete,
             confirmed: (reply.age != u32::MAX).then(|| now.before(age)),
         })
@@ -163,7 +164,9 @@
             ));
         }
         let catalog = self.host.table::<catalog::Catalog>();
-        let update = catalog.lock().update_since(request.into_inner().after);
+        let request = request.into_inner();
+        let after = revision::Revision { era: request.era, number: request.after };
+        let update = catalog.lock().update_since(after);
         let now = self.host.now();
         let changes = if update.changes.changes.is_empty() {
             Vec::new()
@@ -173,7 +176,8 @@
         };
         self.record_sent(changes.len(), now);
         Ok(tonic::Response::new(generated::FactsReply {
-            at: update.changes.revision,
+            at: update.changes.revision.number,
+            era: update.changes.revision.era,
             age: update
                 .confirmed
                 .map_or(u32::MAX, |confirmed| saturating_millis(now.since(confirmed))),
--- a/crates/gateway/src/mesh/incoming.rs
+++ b/crates/gateway/src/mesh/incoming.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use corneltrestle_policy::id;
+use corneltrestle_policy::{id, revision};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 
@@ -61,36 +61,33 @@
         is_local: bool,
         now: moment::Moment,
     ) {
+        let revision = revision::Revision { era: datagram.era, number: datagram.revision };
         let age = time::Duration::from_millis(u64::from(datagram.age));
         let confirmed_at = (datagram.age != u32::MAX).then(|| now.before(age));
         let own = {
             let mut catalog = self.tables.catalog.lock();
             if let Some(delta) = &datagram.delta
-                && datagram.revision > catalog.revision()
+                && revision > catalog.revision()
                 && let Some(changes) = decode(delta)
             {
-                let changes = Changes { revision: datagram.revision, changes };
+                let after = revision::Revision { number: delta.after, ..revision };
+                let changes = Changes { revision, changes };
                 let confirmed_at = confirmed_at.unwrap_or(moment::Moment::ZERO);
-                catalog.receive(delta.after, changes, confirmed_at);
+                catalog.receive(after, changes, confirmed_at);
             }
             if let (Some(confirmed_at), Some(confirmation)) = (confirmed_at, datagram.confirmation)
-                && datagram.revision == catalog.revision()
+                && revision == catalog.revision()
             {
                 catalog.confirm(confirmation, confirmed_at);
             }
             catalog.revision()
         };
         if let Ok(link) = origin.link.parse::<net::SocketAddr>() {
-            let peer = peers::Peer {
-                link,
-                is_local,
-                revision: datagram.revision,
-                draining: origin.draining,
-                last_seen: now,
-            };
+            let peer =
+                peers::Peer { link, is_local, revision, draining: origin.draining, last_seen: now };
             self.tables.peers.lock().update(origin.node.as_str().into(), peer);
         }
-        if datagram.revision > own {
+        if revision > own {
             self.behind.notify_one();
         }
     }
--- a/crates/gateway/src/mesh/outgoing.rs
+++ b/crates/gateway/src/mesh/outgoing.rs
@@ -2,6 +2,7 @@
 
 use std::{net, sync::atomic};
 
+use corneltrestle_policy::revision;
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 
@@ -106,18 +107,25 @@
         mesh::encode(mesh::Datagram { load: Some(load), stalls, ..datagram })
     }
 
-    /// Sends the changes after revision `after` to all nodes at once.
+    /// Sends the changes after revision `after`, of the same era, to all nodes at once.
     ///
     /// Nodes fetch changes that do not fit into datagrams when they learn of the later revision. This
     /// node may have received still later changes, which these datagrams do not contain.
-    pub fn broadcast_changes(&self, after: u64, changes: &Changes, now: moment::Moment) {
-        let mut from = after;
+    pub fn broadcast_changes(
+        &self,
+        after: revision::Revision,
+        changes: &Changes,
+        now: moment::Moment,
+    ) {
+        let mut from = after.number;
         for part in parts(&changes.changes) {
             let datagram = self.datagram(false, now);
-            let revision = part.revision.unwrap_or(changes.revision);
-            let confirmation = datagram.confirmation.filter(|_| datagram.revision == revision);
+            let revision = part.revision.unwrap_or(changes.revision.number);
+            let is_latest = (datagram.era, datagram.revision) == (after.era, revision);
+            let confirmation = datagram.confirmation.filter(|_| is_latest);
             let delta = mesh::Delta { after: from, changes: part.bytes.into() };
             let datagram = mesh::Datagram {
+                era: after.era,
                 revision,
                 confirmation,
                 delta: Some(delta),
@@ -151,7 +159,8 @@
         let age = confirmed_at.map_or(u32::MAX, |at| saturating_millis(now.since(at)));
         mesh::Datagram {
             origin: Some(origin),
-            revision,
+            era: revision.era,
+            revision: revision.number,
             age,
             confirmation,
             ..mesh::Datagram::default()
--- a/crates/gateway/src/pipeline/record.rs
+++ b/crates/gateway/src/pipeline/record.rs
@@ -207,7 +207,7 @@
         let age = catalog
             .confirmed_at()
             .map_or(u32::MAX, |at| saturating_millis(self.host.now().since(at)));
-        (catalog.revision(), age)
+        (catalog.revision().number, age)
     }
 
     fn since(&self, now: moment::Moment) -> u32 {
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -4,7 +4,7 @@
 use std::{net, sync, time};
 
 use corneltrestle_infra::store;
-use corneltrestle_policy::{deployment, id, upstream};
+use corneltrestle_policy::{deployment, id, revision, upstream};
 
 /// The result of a call to the source.
 pub type Result<T> = store::Result<T>;
@@ -45,8 +45,8 @@
     Patch(sync::Arc<deployment::Patch>),
 }
 
-/// The holder of the coordinator's lease. The revision at which it was written is the fencing
-/// token.
+/// The holder of the coordinator's lease. The fencing token follows from the revision at which it
+/// was written, see [`revision::Revision::token`].
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Holder {
@@ -76,7 +76,8 @@
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Change {
-    /// Its revision; increases with each change of any fact.
+    /// Its revision within the era of the [`Changes`] that it belongs to; increases with each change
+    /// of any fact.
     pub revision: u64,
     /// The fact's subject.
     pub subject: Subject,
@@ -84,13 +85,13 @@
     pub fact: Option<Fact>,
 }
 
-/// Changes up to a revision.
+/// Changes of one era up to a revision.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Changes {
     /// Revision up to which the changes are complete, and from which to go on.
     #[serde(rename = "at")]
-    pub revision: u64,
+    pub revision: revision::Revision,
     /// The changes in the order of their revisions.
     pub changes: Vec<Change>,
 }
@@ -101,7 +102,8 @@
     fn load(&self) -> impl Future<Output = Result<Changes>> + Send;
 
     /// Waits for changes after revision `after`. Returns when there is one, or without changes
-    /// after `wait`.
+    /// after `wait`. Changes of a later era than that of `after` do not follow on it: all facts then
+    /// have to be loaded again.
     ///
     /// # Errors
     ///
@@ -109,7 +111,7 @@
     /// to be loaded again.
     fn changes(
         &self,
-        after: u64,
+        after: revision::Revision,
         wait: time::Duration,
     ) -> impl Future<Output = Result<Changes>> + Send;
 
--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -4,15 +4,18 @@
 mod change_log;
 mod confirmations;
 mod parked;
+mod snapshot;
 
 use std::{collections, sync, time};
 
 use corneltrestle_kernel::table;
-use corneltrestle_policy::{deployment, fleet, id};
+use corneltrestle_policy::{deployment, revision};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 
-use crate::source::{Change, Changes, Fact, Holder, Node, Subject};
+pub use snapshot::{Current, Snapshot};
+
+use crate::source::{Change, Changes, Fact, Subject};
 
 /// Time for which removals of upstreams are deferred after an outage of the source: registrations
 /// that lapsed in the meantime are renewed within about two seconds of its return.
@@ -22,7 +25,9 @@
 #[derive(Debug, Default)]
 pub struct Catalog {
     facts: collections::BTreeMap<Subject, Entry>,
-    revision: u64,
+    revision: revision::Revision,
+    /// Number of changes of the era since the first facts.
+    returns: u64,
     /// When the source last confirmed the facts, directly or through a peer.
     confirmed: Option<moment::Moment>,
     confirmations: confirmations::Confirmations,
@@ -37,7 +42,7 @@
     changed: sync::Arc<tokio::sync::Notify>,
     /// The latest changes, in order, for peers that lack them.
     history: collections::VecDeque<Change>,
-    /// Revision after which the history holds all changes.
+    /// Revision in the present era after which the history holds all changes.
     history_start: u64,
     /// Changes from datagrams that have overtaken others.
     parked: parked::Parked,
@@ -52,10 +57,6 @@
     others: bool,
 }
 
-/// Fraction of the largest node's memory from which a node counts as large. Nodes of one size
-/// differ in the memory that the operating system reserves.
-const LARGE_MEMORY_RATIO: f64 = 0.75;
-
 /// Changes kept for peers: more than occur in the time by which a peer may lag behind. The loss of a
 /// fabric domain with its groups, and their formation elsewhere, make several hundred a second.
 const MAX_HISTORY: usize = 4_096;
@@ -73,55 +74,13 @@
 
 #[derive(Clone, Debug)]
 struct Entry {
+    /// Revision in the present era; 0 if the fact was known before.
     revision: u64,
     fact: Fact,
     /// When this node learned of it; the cold time of an upstream counts from then.
     received: moment::Moment,
 }
 
-/// The latest snapshot, shared with readers.
-pub type Current = sync::Arc<arc_swap::ArcSwap<Snapshot>>;
-
-/// Facts at one revision, indexed for requests.
-#[derive(Debug, Default)]
-pub struct Snapshot {
-    /// Revision of the latest change that is included.
-    pub revision: u64,
-    /// The configuration; `None` before it is known.
-    pub deployment: Option<sync::Arc<deployment::Deployment>>,
-    /// Evacuated zones: their upstreams receive no new requests.
-    pub evacuated: collections::BTreeSet<id::Zone>,
-    /// Registered upstreams and the groups they form.
-    pub fleet: sync::Arc<fleet::Fleet>,
-    /// Until when each newly started upstream is cold and takes requests at a limited rate.
-    pub cold: sync::Arc<collections::BTreeMap<id::Vm, moment::Moment>>,
-    /// Registered nodes, this one included.
-    pub nodes: sync::Arc<collections::BTreeMap<id::Node, Node>>,
-    /// The holder of the coordinator's lease; `None` if it is free.
-    pub coordinator: Option<Holder>,
-}
-
-impl Snapshot {
-    /// Whether a node has about as much memory as the largest node of `zone`, or of all zones. Work
-    /// on behalf of other nodes is left to large nodes.
-    pub fn is_large(&self, node: &str, zone: Option<&id::Zone>) -> bool {
-        let nodes =
-            || self.nodes.values().filter(|node| zone.is_none_or(|zone| node.zone == *zone));
-        let most = nodes().map(|node| node.memory).max().unwrap_or(0);
-        self.nodes
-            .get(node)
-            .is_some_and(|node| node.memory as f64 >= most as f64 * LARGE_MEMORY_RATIO)
-    }
-
-    /// The nodes of a zone, with whether each has about as much memory as the largest of them.
-    pub fn nodes_of(&self, zone: &id::Zone) -> Vec<(&id::Node, bool)> {
-        let nodes = || self.nodes.iter().filter(|(_, node)| node.zone == *zone);
-        let most = nodes().map(|(_, node)| node.memory).max().unwrap_or(0) as f64;
-        let is_large = |node: &Node| node.memory as f64 >= most * LARGE_MEMORY_RATIO;
-        nodes().map(|(id, node)| (id, is_large(node))).collect()
-    }
-}
-
 impl table::Ranked for Catalog {
     const RANK: u16 = 10;
     const NAME: &'static str = "catalog";
@@ -139,10 +98,15 @@
     }
 
     /// Revision up to which the facts are known.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> revision::Revision {
         self.revision
     }
 
+    /// Number of times that the source has come back from an earlier copy while this node knew facts.
+    pub fn returns(&self) -> u64 {
+        self.returns
+    }
+
     /// When the source last confirmed the facts; `None` if it never did.
     pub fn confirmed_at(&self) -> Option<moment::Moment> {
         self.confirmed
@@ -186,9 +150,11 @@
     }
 
     /// The facts or changes that a peer at revision `after` lacks.
-    pub fn update_since(&self, after: u64) -> Update {
-        let is_known = (self.history_start..=self.revision).contains(&after) && after != 0;
-        let missed = if is_known { self.missed_since(after) } else { Vec::new() };
+    pub fn update_since(&self, after: revision::Revision) -> Update {
+        let is_known = after.era == self.revision.era
+            && after.number != 0
+            && (self.history_start..=self.revision.number).contains(&after.number);
+        let missed = if is_known { self.missed_since(after.number) } else { Vec::new() };
         let complete = !is_known || missed.len() > self.facts.len();
         let changes = if complete { self.present().collect() } else { missed };
         Update {
@@ -208,7 +174,7 @@
         })
     }
 
-    /// The latest change of each fact after a revision, and all of the configuration, which build on
+    /// The latest change of each fact after a revision of the present era, and all of the configuration, which build on
     /// each other.
     fn missed_since(&self, after: u64) -> Vec<Change> {
         let mut seen = collections::HashSet::new();
@@ -221,33 +187,63 @@
         latest
     }
 
-    /// Replaces all facts; `now` is the time before they were requested.
+    /// Replaces all facts, unless later ones are known; `now` is the time before they were requested.
     pub fn replace(&mut self, loaded: Changes, now: moment::Moment) {
+        if self.is_outdated(loaded.revision) {
+            return;
+        }
         self.mark_confirmed(now);
+        if loaded.revision.era > self.revision.era && !self.facts.is_empty() {
+            self.begin_era(&loaded, now);
+        }
+        // The last valid configuration stays in force.
         let mut gone: collections::BTreeSet<Subject> = self.facts.keys().cloned().collect();
+        gone.remove(&Subject::Deployment);
         for change in &loaded.changes {
             gone.remove(&change.subject);
         }
         self.revision = loaded.revision;
         self.history.clear();
-        self.history_start = self.revision;
-        let removals =
-            gone.into_iter().map(|subject| Change { revision: self.revision, subject, fact: None });
+        self.history_start = self.revision.number;
+        let revision = self.revision.number;
+        let removals = gone.into_iter().map(|subject| Change { revision, subject, fact: None });
         let all: Vec<Change> = loaded.changes.into_iter().chain(removals).collect();
         self.store_all(all, now);
         self.publish();
     }
 
-    /// Those of these changes that this node does not know yet.
+    /// Whether facts at `revision` are older than the known ones. Without an era, lower revisions may
+    /// be those of a store that has come back from an earlier copy.
+    pub fn is_outdated(&self, revision: revision::Revision) -> bool {
+        revision.era < self.revision.era || revision.era > 0 && revision < self.revision
+    }
+
+    /// Begins the era of these facts, which were loaded at `now`. The store assigns revisions again,
+    /// so that those of the known facts are not compared with them. What was lost with the former era
+    /// is written again within [`RENEWAL_GRACE`].
+    fn begin_era(&mut self, loaded: &Changes, now: moment::Moment) {
+        log::warn!(
+            era = loaded.revision.era, former_era = self.revision.era,
+            revision = loaded.revision.number, former_revision = self.revision.number,
+            facts = loaded.changes.len(), former_facts = self.facts.len();
+            "store: back from an earlier copy; all facts are replaced"
+        );
+        self.returns += 1;
+        self.recovered = Some(now);
+        self.facts.values_mut().for_each(|known| known.revision = 0);
+    }
+
+    /// Those of these changes of the present era that this node does not know yet.
     pub fn missing(&self, mut changes: Changes) -> Changes {
-        changes.changes.retain(|change| change.revision > self.revision);
+        changes.changes.retain(|change| change.revision > self.revision.number);
         changes
     }
 
     /// Applies changes that were the latest ones at `now`, and publishes them.
     ///
     /// Changes up to the own revision are known already, and are not applied again: a later one may
-    /// have removed their fact, which leaves no revision to compare with.
+    /// have removed their fact, which leaves no revision to compare with. Changes of another era do
+    /// not follow on the known facts, and are ignored.
     pub fn apply(&mut self, changes: Changes, now: moment::Moment) {
         self.apply_unpublished(changes, now);
         self.publish();
@@ -257,7 +253,7 @@
     /// `now`, and then those that had overtaken them. Keeps them if changes before them are missing.
     /// Readers see them after the next call of [`Catalog::publish`], so that the changes of several
     /// datagrams cost one snapshot.
-    pub fn receive(&mut self, after: u64, changes: Changes, now: moment::Moment) {
+    pub fn receive(&mut self, after: revision::Revision, changes: Changes, now: moment::Moment) {
         self.parked.insert(after, changes, now);
         while let Some((changes, now)) = self.parked.next(self.revision) {
             self.apply_unpublished(changes, now);
@@ -265,10 +261,12 @@
     }
 
     /// The same changes, with a configuration given as the difference from the version before it.
+    /// A version of an earlier era is no base for others: the same version may have been written
+    /// again with other contents.
     pub fn with_patches(&self, mut changes: Changes) -> Changes {
-        let mut latest = match self.facts.get(&Subject::Deployment).map(|known| &known.fact) {
-            Some(Fact::Deployment(known)) => sync::Arc::clone(known),
-            _ => return changes,
+        let mut latest = match patch_base(self.facts.get(&Subject::Deployment)) {
+            Some(known) => sync::Arc::clone(known),
+            None => return changes,
         };
         for change in &mut changes.changes {
             if let Some(Fact::Deployment(next)) = &change.fact {
@@ -283,6 +281,9 @@
     }
 
     fn apply_unpublished(&mut self, changes: Changes, now: moment::Moment) {
+        if changes.revision.era != self.revision.era {
+            return;
+        }
         self.mark_confirmed(now);
         let changes = self.missing(changes);
         self.revision = self.revision.max(changes.revision);
@@ -348,22 +349,25 @@
             return;
         }
         let fact = match change.fact {
-            Some(Fact::Patch(patch)) => match patched(known.map(|known| &known.fact), &patch) {
-                Some(fact) => Some(fact),
-                None => {
-                    log::error!(
-                        base = patch.base, version = patch.version;
-                        "config: a change of another version is ignored; all facts are loaded again"
-                    );
-                    self.revision = 0;
-                    return;
+            Some(Fact::Patch(patch)) => {
+                match patch_base(known).and_then(|base| patch.apply(base)) {
+                    Some(next) => Some(Fact::Deployment(next.into())),
+                    None => {
+                        log::error!(
+                            base = patch.base, version = patch.version;
+                            "config: a change of another version is ignored; all facts are loaded again"
+                        );
+                        self.revision.number = 0;
+                        return;
+                    }
                 }
-            },
+            }
             fact => fact,
         };
         if !is_first {
             let known = known.map(|known| &known.fact);
-            change_log::write(&change.subject, known, fact.as_ref(), change.revision);
+            let revision = revision::Revision { number: change.revision, ..self.revision };
+            change_log::write(&change.subject, known, fact.as_ref(), revision);
         }
         match change.subject {
             Subject::Upstream(_) => self.unpublished.upstreams = true,
@@ -421,67 +425,17 @@
             snapshot.deployment.as_ref().map_or(0, |declared| declared.version)
         };
         if version(&next) != version(&previous) {
-            log::info!(version = version(&next), revision = self.revision; "config: a new version is in force");
+            log::info!(version = version(&next), revision = self.revision.number; "config: a new version is in force");
         }
         self.current.store(sync::Arc::new(next));
         self.changed.notify_waiters();
     }
 }
 
-/// The parts of a snapshot.
-impl Catalog {
-    /// The registered upstreams, and until when they are cold.
-    #[allow(clippy::type_complexity, reason = "the pair is taken apart at once")]
-    fn upstreams(
-        &self,
-    ) -> (sync::Arc<fleet::Fleet>, sync::Arc<collections::BTreeMap<id::Vm, moment::Moment>>) {
-        let mut upstreams = Vec::with_capacity(self.facts.len());
-        let mut cold = collections::BTreeMap::new();
-        for known in self.facts.values() {
-            let Fact::Upstream(upstream) = &known.fact else { continue };
-            if !upstream.cold_left.is_zero() {
-                cold.insert(upstream.id.clone(), known.received + upstream.cold_left);
-            }
-            upstreams.push(sync::Arc::clone(upstream));
-        }
-        (sync::Arc::new(fleet::Fleet::new(upstreams)), sync::Arc::new(cold))
-    }
-
-    fn nodes(&self) -> collections::BTreeMap<id::Node, Node> {
-        let nodes = self.facts.iter().filter_map(|(subject, known)| match (subject, &known.fact) {
-            (Subject::Node(id), Fact::Node(node)) => Some((id.clone(), node.clone())),
-            _ => None,
-        });
-        nodes.collect()
-    }
-
-    fn deployment(&self) -> Option<sync::Arc<deployment::Deployment>> {
-        match &self.facts.get(&Subject::Deployment)?.fact {
-            Fact::Deployment(declared) => Some(sync::Arc::clone(declared)),
-            _ => None,
-        }
-    }
-
-    fn evacuated(&self) -> collections::BTreeSet<id::Zone> {
-        let zones = self.facts.keys().filter_map(|subject| match subject {
-            Subject::Evacuation(zone) => Some(zone.clone()),
-            _ => None,
-        });
-        zones.collect()
-    }
-
-    fn coordinator(&self) -> Option<Holder> {
-        match &self.facts.get(&Subject::Coordinator)?.fact {
-            Fact::Coordinator(holder) => Some(holder.clone()),
-            _ => None,
-        }
-    }
-}
-
-/// The configuration to which a patch leads; `None` if it is for another version than the known one.
-fn patched(known: Option<&Fact>, patch: &deployment::Patch) -> Option<Fact> {
+/// The known configuration if it is of the present era, so that patches may build on it.
+fn patch_base(known: Option<&Entry>) -> Option<&sync::Arc<deployment::Deployment>> {
     match known {
-        Some(Fact::Deployment(known)) => Some(Fact::Deployment(patch.apply(known)?.into())),
+        Some(Entry { revision: 1.., fact: Fact::Deployment(known), .. }) => Some(known),
         _ => None,
     }
 }
--- a/crates/gateway/src/tables/catalog/change_log.rs
+++ b/crates/gateway/src/tables/catalog/change_log.rs
@@ -1,11 +1,17 @@
 //! Log lines about changes of facts.
 
-use corneltrestle_policy::upstream;
+use corneltrestle_policy::{revision, upstream};
 
 use crate::source::{Fact, Subject};
 
 /// Writes a log line for a change of a fact, if operators need to know of it.
-pub(super) fn write(subject: &Subject, known: Option<&Fact>, new: Option<&Fact>, revision: u64) {
+pub(super) fn write(
+    subject: &Subject,
+    known: Option<&Fact>,
+    new: Option<&Fact>,
+    at: revision::Revision,
+) {
+    let revision = at.number;
     match (subject, known, new) {
         (Subject::Upstream(_), Some(Fact::Upstream(known)), Some(Fact::Upstream(new))) => {
             write_upstream(known, new, revision);
@@ -34,7 +40,7 @@
         (_, known, Some(Fact::Coordinator(holder)))
             if known != Some(&Fact::Coordinator(holder.clone())) =>
         {
-            log::info!(holder = holder.node.as_str(), token = revision; "lease: the coordinator has changed");
+            log::info!(holder = holder.node.as_str(), token = at.token(); "lease: the coordinator has changed");
         }
         (Subject::Coordinator, Some(_), None) => {
             log::info!(revision = revision; "lease: there is no coordinator");
--- a/crates/gateway/src/tables/catalog/parked.rs
+++ b/crates/gateway/src/tables/catalog/parked.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 
+use corneltrestle_policy::revision;
 use corneltrestle_time::moment;
 
 use crate::source::Changes;
@@ -11,11 +12,16 @@
 
 /// Changes whose predecessors are missing, by the revision that they follow.
 #[derive(Debug, Default)]
-pub(super) struct Parked(collections::BTreeMap<u64, (Changes, moment::Moment)>);
+pub(super) struct Parked(collections::BTreeMap<revision::Revision, (Changes, moment::Moment)>);
 
 impl Parked {
     /// Keeps changes that follow revision `after` and were the latest ones at `at`.
-    pub(super) fn insert(&mut self, after: u64, changes: Changes, at: moment::Moment) {
+    pub(super) fn insert(
+        &mut self,
+        after: revision::Revision,
+        changes: Changes,
+        at: moment::Moment,
+    ) {
         self.0.insert(after, (changes, at));
         if self.0.len() > MAX_PARKED {
             self.0.pop_last();
@@ -23,7 +29,10 @@
     }
 
     /// Takes changes that follow directly on `revision`; drops those that it includes.
-    pub(super) fn next(&mut self, revision: u64) -> Option<(Changes, moment::Moment)> {
+    pub(super) fn next(
+        &mut self,
+        revision: revision::Revision,
+    ) -> Option<(Changes, moment::Moment)> {
         while let Some(first) = self.0.first_entry()
             && *first.key() <= revision
         {
--- a/crates/gateway/src/tables/peers.rs
+++ b/crates/gateway/src/tables/peers.rs
@@ -3,7 +3,7 @@
 use std::{collections, net, time};
 
 use corneltrestle_kernel::table;
-use corneltrestle_policy::{hubs, id};
+use corneltrestle_policy::{hubs, id, revision};
 use corneltrestle_time::moment;
 use rand::{Rng, seq::IteratorRandom};
 
@@ -37,7 +37,7 @@
     /// Whether it is in the zone of this node.
     pub is_local: bool,
     /// Revision of its facts.
-    pub revision: u64,
+    pub revision: revision::Revision,
     /// Whether it is shutting down.
     pub draining: bool,
     /// When its latest datagram arrived.
@@ -81,7 +81,7 @@
     }
 
     /// When a node was last heard from that does not have later facts than those of `revision`.
-    pub fn last_agreed(&self, revision: u64) -> Option<moment::Moment> {
+    pub fn last_agreed(&self, revision: revision::Revision) -> Option<moment::Moment> {
         let agreed = self.known.values().filter(|peer| peer.revision <= revision);
         agreed.map(|peer| peer.last_seen).max()
     }
@@ -120,7 +120,7 @@
     /// of the other zones.
     pub fn newer(
         &self,
-        revision: u64,
+        revision: revision::Revision,
         is_local: bool,
         now: moment::Moment,
         rng: &mut impl Rng,
--- a/crates/gateway/src/task/follow.rs
+++ b/crates/gateway/src/task/follow.rs
@@ -4,10 +4,10 @@
 //! The coordinator polls the source; the other nodes fetch changes from their peers. In a zone that
 //! knows no node with recent facts, one node after the other starts to poll the source itself.
 
-use std::{ops, sync, time};
+use std::{cmp, ops, sync, time};
 
-use corneltrestle_infra::store;
-use corneltrestle_kernel::{host, lifecycle, plugin};
+use corneltrestle_infra::store::{self, Store};
+use corneltrestle_kernel::{host, lifecycle, linkme, metric, plugin};
 use corneltrestle_policy::{rendezvous, retry};
 use corneltrestle_time::moment;
 use rand::Rng;
@@ -59,6 +59,20 @@
 /// Time between two checks whether this node should poll the source.
 const TURN_CHECK_PERIOD: time::Duration = time::Duration::from_millis(200);
 
+/// Delay between the nodes of a zone that load all facts one after the other once the store has come
+/// back from an earlier copy. Most of them get the facts from a peer meanwhile.
+const RELOAD_STAGGER: time::Duration = time::Duration::from_millis(100);
+
+/// Longest delay of such a load.
+const MAX_RELOAD_DELAY: time::Duration = time::Duration::from_secs(1);
+
+#[linkme::distributed_slice(metric::METRICS)]
+#[linkme(crate = linkme)]
+static LOADS: metric::Metric = metric::Metric::counter(
+    "facts_loads_total",
+    "Times that the node has loaded all facts, by their origin: store or peer.",
+);
+
 /// State of the task.
 #[derive(Debug)]
 struct Follower<S> {
@@ -75,7 +89,7 @@
 /// # Errors
 ///
 /// When no plug-in provides a port that it uses.
-pub fn open<S: Source>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
+pub fn open<S: Store + Source>(host: &sync::Arc<host::Host>) -> plugin::Result<plugin::Handle> {
     let follower = sync::Arc::new(Follower::<S> {
         host: sync::Arc::clone(host),
         identity: host.port()?,
@@ -89,7 +103,7 @@
     Ok(handle)
 }
 
-impl<S: Source> Follower<S> {
+impl<S: Store + Source> Follower<S> {
     async fn run(self: sync::Arc<Self>) {
         let mut failures = 0;
         let (mut loaded, mut follows) = (false, false);
@@ -118,11 +132,11 @@
         }
     }
 
-    /// Loads all facts on the first call. Then polls the source once if it is this node's turn, or
-    /// waits for newer facts from a peer. Without a coordinator, the node that polled the source
-    /// goes on.
+    /// Loads all facts on the first call, and when the source has come back from an earlier copy. Then
+    /// polls the source once if it is this node's turn, or waits for newer facts from a peer. Without a
+    /// coordinator, the node that polled the source goes on.
     async fn step(&self, loaded: &mut bool, follows: &mut bool) -> source::Result<()> {
-        if !*loaded {
+        if !*loaded || self.is_of_earlier_era() {
             self.load().await?;
             *loaded = true;
         }
@@ -149,6 +163,11 @@
         }
     }
 
+    /// Whether the source has named a later era than that of the known facts.
+    fn is_of_earlier_era(&self) -> bool {
+        self.source.era() > self.tables.catalog.lock().revision().era
+    }
+
     /// Whether no node is known to hold the coordinator's lease.
     fn has_no_coordinator(&self) -> bool {
         self.tables.current.load().coordinator.is_none()
@@ -234,6 +253,7 @@
                 if update.changes.revision < catalog.revision() {
                     // Newer changes have arrived in the meantime.
                 } else if update.complete {
+                    metrics::counter!(LOADS.name, "origin" => "peer").increment(1);
                     catalog.replace(update.changes, confirmed);
                 } else {
                     catalog.apply(update.changes, confirmed);
@@ -248,22 +268,39 @@
     }
 
     async fn load(&self) -> source::Result<()> {
-        let asked = self.host.now();
-        let facts = tokio::select! {
-            facts = self.source.load() => facts?,
+        let load = async {
+            tokio::time::sleep(self.reload_delay()).await;
+            (self.host.now(), self.source.load().await)
+        };
+        let (asked, facts) = tokio::select! {
+            (asked, facts) = load => (asked, facts?),
             // A node that cannot reach the source starts with the facts of its peers.
             () = self.sync_from_peer() => return Ok(()),
         };
         let (at, number) = (facts.revision, facts.changes.len());
         {
             let mut catalog = self.tables.catalog.lock();
+            if at.era < catalog.revision().era {
+                return Err(outdated("load"));
+            }
             catalog.replace(facts, asked);
             catalog.record_answer(self.identity.boot, asked);
         }
-        log::info!(revision = at, facts = number; "config: all facts were loaded");
+        metrics::counter!(LOADS.name, "origin" => "store").increment(1);
+        log::info!(era = at.era, revision = at.number, facts = number; "config: all facts were loaded");
         Ok(())
     }
 
+    /// Delay before all facts are loaded, during which a peer may have them. The coordinator and nodes
+    /// that know no facts of an earlier era do not wait.
+    fn reload_delay(&self) -> time::Duration {
+        let has_facts = self.tables.current.load().deployment.is_some();
+        if !has_facts || self.is_coordinator() || !self.is_of_earlier_era() {
+            return time::Duration::ZERO;
+        }
+        RELOAD_STAGGER.saturating_mul(self.zone_rank()).min(MAX_RELOAD_DELAY)
+    }
+
     async fn follow(&self) -> source::Result<()> {
         let (after, wait) = {
             let catalog = self.tables.catalog.lock();
@@ -277,12 +314,21 @@
             (catalog.revision(), wait)
         };
         let changes = self.source.changes(after, wait).await?;
+        match changes.revision.era.cmp(&after.era) {
+            cmp::Ordering::Less => return Err(outdated("watch")),
+            // The next step loads all facts.
+            cmp::Ordering::Greater => return Ok(()),
+            cmp::Ordering::Equal => {}
+        }
         // The answer confirms that nothing else had changed when it was given.
         let answered = self.host.now();
         let (known, changes) = {
             let mut catalog = self.tables.catalog.lock();
             // Newer changes may have arrived in the meantime.
             let known = catalog.revision();
+            if known.era != after.era {
+                return Ok(());
+            }
             let changes = catalog.missing(changes);
             let changes = catalog.with_patches(changes);
             catalog.apply(changes.clone(), answered);
@@ -323,3 +369,13 @@
         }
     }
 }
+
+/// The error of an answer that the source gave in an earlier era than that of the known facts.
+fn outdated(step: &'static str) -> store::Error {
+    store::Error {
+        kind: store::Kind::Outdated,
+        step,
+        peer: "the source".to_owned(),
+        cause: "the answer is of an earlier era than the known facts".to_owned(),
+    }
+}
--- a/crates/gateway/tests/facts.rs
+++ b/crates/gateway/tests/facts.rs
@@ -9,7 +9,7 @@
     tables,
 };
 use corneltrestle_kernel::{host, pool, settings};
-use corneltrestle_policy::upstream;
+use corneltrestle_policy::{revision, upstream};
 use futures_util::future::join_all;
 use test_case::test_case;
 use tokio::io::AsyncWriteExt;
@@ -18,6 +18,11 @@
 /// Number of upstreams of a large deployment.
 const UPSTREAMS: u64 = 900;
 
+/// A revision of a store that does not name its eras.
+fn rev(number: u64) -> revision::Revision {
+    revision::Revision { era: 0, number }
+}
+
 fn host() -> sync::Arc<host::Host> {
     let settings = settings::Settings::parse("test", "", &[]).expect("no settings");
     host::Host::open(settings, pool::Pool::attach(tokio::runtime::Handle::current()))
@@ -50,7 +55,7 @@
     let host = host();
     let changes = (1..=UPSTREAMS).map(registered).collect();
     let tables = tables::Tables::of(&host);
-    tables.catalog.lock().replace(Changes { revision: UPSTREAMS, changes }, host.now());
+    tables.catalog.lock().replace(Changes { revision: rev(UPSTREAMS), changes }, host.now());
     let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
     listener.set_nonblocking(true).expect("a listener");
     let address = listener.local_addr().expect("an address");
@@ -68,7 +73,7 @@
             let (host, mut refused) = (host(), 0);
             let facts = Facts::new(&host);
             loop {
-                match facts.fetch(address, 0, host.now()).await {
+                match facts.fetch(address, rev(0), host.now()).await {
                     Ok(update) => return (update.changes.changes.len(), refused),
                     Err(e) => {
                         assert!(
@@ -98,8 +103,8 @@
     let facts = Facts::new(&host);
     let mut seen = collections::BTreeSet::new();
     for _ in 0..24 {
-        let update = facts.fetch(address, UPSTREAMS, host.now()).await.expect("an answer");
-        seen.insert(update.changes.revision);
+        let update = facts.fetch(address, rev(UPSTREAMS), host.now()).await.expect("an answer");
+        seen.insert(update.changes.revision.number);
     }
     assert_eq!(seen, [UPSTREAMS].into());
     stop.cancel();
@@ -135,7 +140,7 @@
     });
     let (host, before) = (host(), memory_kb());
     let facts = Facts::new(&host);
-    let fetches = (0..8).map(|_| facts.fetch(address, 0, host.now()));
+    let fetches = (0..8).map(|_| facts.fetch(address, rev(0), host.now()));
     let ended = tokio::time::timeout(Duration::from_secs(10), join_all(fetches)).await;
     assert!(ended.expect("the calls end").iter().all(Result::is_err));
     let growth = memory_kb().saturating_sub(before);
--- a/crates/gateway/tests/gate.rs
+++ b/crates/gateway/tests/gate.rs
@@ -45,7 +45,7 @@
     let declared = change(Subject::Deployment, Fact::Deployment(declared.into()));
     let changes = vec![Change { revision: 2, ..declared }];
     let now = world.host.now();
-    world.tables.catalog.lock().apply(Changes { revision: 2, changes }, now);
+    world.tables.catalog.lock().apply(Changes { revision: world::rev(2), changes }, now);
     report(&world, 1, 40);
     for _ in 0..200 {
         world.tables.retries.lock().count(&"models".into(), &AMPLE, now);
--- a/crates/gateway/tests/mesh.rs
+++ b/crates/gateway/tests/mesh.rs
@@ -8,7 +8,7 @@
     tables,
 };
 use corneltrestle_kernel::{host, pool, settings};
-use corneltrestle_policy::{quarantine::Part, retry::fleet};
+use corneltrestle_policy::{quarantine::Part, retry::fleet, revision};
 use corneltrestle_wire::mesh;
 use test_case::test_case;
 use tokio::net::UdpSocket;
@@ -16,6 +16,11 @@
 /// Time without a datagram after which no further one is expected.
 const SILENCE: Duration = Duration::from_millis(300);
 
+/// A revision of a store that does not name its eras.
+fn rev(number: u64) -> revision::Revision {
+    revision::Revision { era: 0, number }
+}
+
 /// A free UDP and TCP address of the loopback interface.
 fn free_address() -> net::SocketAddr {
     let listener = net::TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
@@ -52,7 +57,7 @@
         registered("near-2", "zone-1", near[1].local_addr().unwrap()),
     ];
     let tables = tables::Tables::of(&host);
-    tables.catalog.lock().replace(Changes { revision: 1, changes }, host.now());
+    tables.catalog.lock().replace(Changes { revision: rev(1), changes }, host.now());
     let opened = host.open_plugins().expect("the plug-ins open");
     (address, near, host, opened)
 }
@@ -133,13 +138,13 @@
 #[tokio::test]
 async fn changes_are_sent_with_their_own_revision() {
     let (_, near, host, opened) = open().await;
-    let sent = Changes { revision: 5, changes: vec![evacuated(4, "zone-4")] };
+    let sent = Changes { revision: rev(5), changes: vec![evacuated(4, "zone-4")] };
     let catalog = host.table::<tables::catalog::Catalog>();
     catalog.lock().apply(sent.clone(), host.now());
-    let later = Changes { revision: 6, changes: vec![evacuated(6, "zone-6")] };
+    let later = Changes { revision: rev(6), changes: vec![evacuated(6, "zone-6")] };
     catalog.lock().apply(later, host.now());
     let mesh = host.port::<Mesh>().expect("the mesh");
-    mesh.broadcast_changes(1, &sent, host.now());
+    mesh.broadcast_changes(rev(1), &sent, host.now());
     assert_eq!(deltas(&near[0]).await, [(1, 5, sent.changes)]);
     opened.shutdown().await;
 }
@@ -151,8 +156,8 @@
     let (_, near, host, opened) = open().await;
     let zone = |number: usize| format!("zone-{number:02}-with-a-long-name-that-fills-a-datagram");
     let change = |number: usize| evacuated(2 + number as u64 / 10, &zone(number));
-    let sent = Changes { revision: 5, changes: (0..35).map(change).collect() };
-    host.port::<Mesh>().expect("the mesh").broadcast_changes(1, &sent, host.now());
+    let sent = Changes { revision: rev(5), changes: (0..35).map(change).collect() };
+    host.port::<Mesh>().expect("the mesh").broadcast_changes(rev(1), &sent, host.now());
     let found = deltas(&near[0]).await;
     assert!(found.len() > 1, "{found:?}");
     for (after, revision, changes) in &found {
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -587,7 +587,11 @@
         let fact = Fact::Upstream(sync::Arc::new(draining.clone()));
         let subject = Subject::Upstream(draining.id);
         let changes = vec![Change { revision: 2, subject, fact: Some(fact) }];
-        world.tables.catalog.lock().apply(Changes { revision: 2, changes }, world.host.now());
+        world
+            .tables
+            .catalog
+            .lock()
+            .apply(Changes { revision: world::rev(2), changes }, world.host.now());
     };
     let ((_, _, refusal), ()) = tokio::join!(world.send("/status/7"), drain);
     assert_eq!(refusal.expect("no upstream takes it").outcome, Outcome::Unknown);
@@ -810,7 +814,11 @@
     let fact = Fact::Upstream(sync::Arc::new(restarted.clone()));
     let subject = Subject::Upstream(restarted.id);
     let changes = vec![Change { revision: 2, subject, fact: Some(fact) }];
-    world.tables.catalog.lock().apply(Changes { revision: 2, changes }, world.host.now());
+    world
+        .tables
+        .catalog
+        .lock()
+        .apply(Changes { revision: world::rev(2), changes }, world.host.now());
     let (status, _, refusal) = world.send("/draft/7").await;
     assert_eq!((status, refusal), (200, None));
 }
--- a/crates/gateway/tests/support/world.rs
+++ b/crates/gateway/tests/support/world.rs
@@ -13,7 +13,7 @@
 };
 use corneltrestle_kernel::{disconnect, host, lifecycle, memory, pool, settings};
 use corneltrestle_policy::{
-    census, deployment, id, quarantine, quota, refusal, retry::fleet, upstream,
+    census, deployment, id, quarantine, quota, refusal, retry::fleet, revision, upstream,
 };
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
@@ -355,7 +355,7 @@
                 changes.push(change(Subject::Upstream(vm.id), fact));
             }
         }
-        tables.catalog.lock().replace(Changes { revision: 1, changes }, host.now());
+        tables.catalog.lock().replace(Changes { revision: rev(1), changes }, host.now());
         let pipeline = pipeline::Pipeline::new(&host).expect("all ports are there");
         Self { host, tables, upstreams, pipeline }
     }
@@ -504,7 +504,10 @@
         let subject = Subject::Upstream(vm.id.clone());
         let fact = Some(Fact::Upstream(sync::Arc::new(vm)));
         let changes = vec![Change { revision, subject, fact }];
-        self.tables.catalog.lock().apply(Changes { revision, changes }, self.host.now());
+        self.tables
+            .catalog
+            .lock()
+            .apply(Changes { revision: rev(revision), changes }, self.host.now());
     }
 
     /// The requests that upstreams received, in order.
@@ -629,3 +632,8 @@
         ..deployment::Deployment::default()
     }
 }
+
+/// A revision of a store that does not name its eras.
+pub(crate) fn rev(number: u64) -> revision::Revision {
+    revision::Revision { era: 0, number }
+}
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -12,11 +12,16 @@
         peers, stalls,
     },
 };
-use corneltrestle_policy::{Moment, cost, deployment, id, upstream};
+use corneltrestle_policy::{Moment, cost, deployment, id, revision, upstream};
 use corneltrestle_wire::mesh;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use test_case::test_case;
 
+/// A revision of a store that does not name its eras.
+fn rev(number: u64) -> revision::Revision {
+    revision::Revision { era: 0, number }
+}
+
 fn at(millis: u64) -> Moment {
     Moment::from_millis(10_000 + millis)
 }
@@ -46,7 +51,10 @@
 }
 
 fn changes(changes: Vec<Change>) -> Changes {
-    Changes { revision: changes.iter().map(|change| change.revision).max().unwrap_or(0), changes }
+    Changes {
+        revision: rev(changes.iter().map(|change| change.revision).max().unwrap_or(0)),
+        changes,
+    }
 }
 
 fn known(catalog: &Catalog) -> Vec<String> {
@@ -75,8 +83,8 @@
 fn changes_of_several_datagrams_are_published_together() {
     let mut catalog = catalog(&["a", "b"]);
     let before = catalog.current().load_full();
-    catalog.receive(2, changes(vec![removed(5, "a")]), at(10));
-    catalog.receive(5, changes(vec![added(6, "c")]), at(10));
+    catalog.receive(rev(2), changes(vec![removed(5, "a")]), at(10));
+    catalog.receive(rev(5), changes(vec![added(6, "c")]), at(10));
     assert!(sync::Arc::ptr_eq(&before, &catalog.current().load_full()));
     catalog.publish();
     assert_eq!(known(&catalog), ["b", "c"]);
@@ -90,13 +98,13 @@
 #[test]
 fn changes_that_overtook_others_are_applied_in_order() {
     let mut catalog = catalog(&["a", "b"]);
-    catalog.receive(7, changes(vec![removed(8, "c")]), at(10));
-    catalog.receive(5, changes(vec![added(7, "c"), removed(6, "b")]), at(10));
-    assert_eq!(catalog.revision(), 2, "what follows a gap does not count");
-    catalog.receive(2, changes(vec![removed(5, "a")]), at(11));
-    catalog.receive(2, changes(vec![removed(5, "a")]), at(12));
+    catalog.receive(rev(7), changes(vec![removed(8, "c")]), at(10));
+    catalog.receive(rev(5), changes(vec![added(7, "c"), removed(6, "b")]), at(10));
+    assert_eq!(catalog.revision(), rev(2), "what follows a gap does not count");
+    catalog.receive(rev(2), changes(vec![removed(5, "a")]), at(11));
+    catalog.receive(rev(2), changes(vec![removed(5, "a")]), at(12));
     catalog.publish();
-    assert_eq!((catalog.revision(), known(&catalog)), (8, Vec::new()));
+    assert_eq!((catalog.revision(), known(&catalog)), (rev(8), Vec::new()));
 }
 
 /// Guards against upstreams that are removed because they could not renew their registration while
@@ -105,7 +113,7 @@
 fn removals_after_an_outage_wait_for_renewals() {
     let mut catalog = catalog(&["a", "b"]);
     catalog.mark_unreachable();
-    catalog.replace(Changes { revision: 5, changes: Vec::new() }, at(5_000));
+    catalog.replace(Changes { revision: rev(5), changes: Vec::new() }, at(5_000));
     assert_eq!(known(&catalog), ["a", "b"]);
     catalog.apply(changes(vec![added(9, "a")]), at(6_000));
     assert_eq!(catalog.remove_deferred(at(6_500)), 0);
@@ -132,12 +140,12 @@
 #[test]
 fn removal_is_not_undone_by_an_earlier_poll() {
     let mut catalog = catalog(&["a"]);
-    catalog.receive(1, changes(vec![added(2, "b"), held(3, Some("n"))]), at(10));
-    catalog.receive(3, changes(vec![removed(4, "b"), held(5, None)]), at(11));
+    catalog.receive(rev(1), changes(vec![added(2, "b"), held(3, Some("n"))]), at(10));
+    catalog.receive(rev(3), changes(vec![removed(4, "b"), held(5, None)]), at(11));
     catalog.publish();
     // Asked at revision 1, and answered at revision 3.
     catalog.apply(changes(vec![added(2, "b"), held(3, Some("n"))]), at(12));
-    assert_eq!((catalog.revision(), known(&catalog)), (5, vec!["a".to_owned()]));
+    assert_eq!((catalog.revision(), known(&catalog)), (rev(5), vec!["a".to_owned()]));
     assert_eq!(catalog.current().load().coordinator, None);
 }
 
@@ -173,7 +181,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut history: Vec<Change> = vec![added(1, "a")];
         let between = |history: &[Change], after: u64, to: u64| Changes {
-            revision: to,
+            revision: rev(to),
             changes: history[after as usize..to as usize].to_vec(),
         };
         let all = |history: &[Change], revision: u64| {
@@ -183,7 +191,7 @@
                     && change.fact.is_some()
             };
             let changes = history[..revision as usize].iter().filter(is_present).cloned().collect();
-            Changes { revision, changes }
+            Changes { revision: rev(revision), changes }
         };
         let mut catalog = catalog(&["a"]);
         let mut peer = Catalog::default();
@@ -192,7 +200,7 @@
         // Datagrams that have not arrived.
         let mut datagrams = Vec::new();
         for step in 0..200 {
-            let (latest, after) = (history.len() as u64, catalog.revision());
+            let (latest, after) = (history.len() as u64, catalog.revision().number);
             match rng.random_range(0..if has_loads { 8 } else { 7 }) {
                 0 | 1 => {
                     let name = NAMES[rng.random_range(0..NAMES.len())];
@@ -204,13 +212,13 @@
                 2 | 3 if !datagrams.is_empty() => {
                     let position = rng.random_range(0..datagrams.len());
                     let (after, changes) = datagrams.swap_remove(position);
-                    catalog.receive(after, changes, at(step));
+                    catalog.receive(rev(after), changes, at(step));
                     catalog.publish();
                 }
                 4 => match request.take() {
                     Some(Request::Poll(changes)) => catalog.apply(changes, at(step)),
                     Some(Request::Load(changes)) => catalog.replace(changes, at(step)),
-                    Some(Request::Peer(update)) if update.changes.revision < after => {}
+                    Some(Request::Peer(update)) if update.changes.revision.number < after => {}
                     Some(Request::Peer(Update { changes, complete: true, .. })) => {
                         catalog.replace(changes, at(step));
                     }
@@ -222,19 +230,19 @@
                     request = Some(Request::Poll(between(&history, after, to)));
                 }
                 6 if request.is_none() => {
-                    peer.apply(between(&history, peer.revision(), latest), at(step));
-                    request = Some(Request::Peer(peer.update_since(after)));
+                    peer.apply(between(&history, peer.revision().number, latest), at(step));
+                    request = Some(Request::Peer(peer.update_since(rev(after))));
                 }
                 7 if request.is_none() => request = Some(Request::Load(all(&history, latest))),
                 _ => {}
             }
             if !has_loads {
-                let expected = registered_at(&history, catalog.revision());
+                let expected = registered_at(&history, catalog.revision().number);
                 assert_eq!(known(&catalog), expected, "seed {seed}, step {step}");
             }
         }
         let latest = history.len() as u64;
-        catalog.apply(between(&history, catalog.revision(), latest), at(200));
+        catalog.apply(between(&history, catalog.revision().number, latest), at(200));
         assert_eq!(known(&catalog), registered_at(&history, latest), "seed {seed}, at the end");
     }
 }
@@ -265,7 +273,7 @@
     assert_eq!(known(&catalog), ["a", "b", "c"], "the removal is deferred");
     let after = peer.revision();
     fetch(&mut peer, catalog.update_since(after), at(5_010));
-    fetch(&mut catalog, peer.update_since(0), at(5_020));
+    fetch(&mut catalog, peer.update_since(rev(0)), at(5_020));
     for node in [&mut catalog, &mut peer] {
         node.remove_deferred(at(9_000));
         assert_eq!(known(node), ["a", "c"]);
@@ -282,7 +290,7 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let mut history: Vec<Change> = vec![added(1, "a")];
         let since = |history: &[Change], after: u64| Changes {
-            revision: history.len() as u64,
+            revision: rev(history.len() as u64),
             changes: history[after as usize..].to_vec(),
         };
         let mut nodes = [catalog(&["a"]), catalog(&["a"]), catalog(&["a"])];
@@ -290,7 +298,7 @@
         for _ in 0..60 {
             now = now + Duration::from_millis(rng.random_range(1..1_500));
             let (index, other) = (rng.random_range(0..3), rng.random_range(0..3));
-            let after = nodes[index].revision();
+            let after = nodes[index].revision().number;
             match rng.random_range(0..6) {
                 0 | 1 => {
                     let (next, name) =
@@ -311,17 +319,18 @@
                         _ => false,
                     };
                     let changes = latest.into_values().filter(is_present).collect();
-                    nodes[index].replace(Changes { revision: history.len() as u64, changes }, now);
+                    nodes[index]
+                        .replace(Changes { revision: rev(history.len() as u64), changes }, now);
                 }
                 _ => {
-                    let update = nodes[other].update_since(after);
+                    let update = nodes[other].update_since(rev(after));
                     fetch(&mut nodes[index], update, now);
                 }
             }
             nodes[index].remove_deferred(now);
         }
         for node in &mut nodes {
-            node.apply(since(&history, node.revision()), now);
+            node.apply(since(&history, node.revision().number), now);
             node.remove_deferred(now + Duration::from_secs(5));
             let expected = registered_at(&history, history.len() as u64);
             assert_eq!(known(node), expected, "seed {seed}");
@@ -390,13 +399,13 @@
     receiver.replace(changes(vec![declared(1, 7)]), at(0));
     let sent = sender.with_patches(changes(vec![declared(2, 8), declared(3, 10)]));
     assert!(sent.changes.iter().all(|change| matches!(change.fact, Some(Fact::Patch(_)))));
-    receiver.receive(1, sent.clone(), at(10));
+    receiver.receive(rev(1), sent.clone(), at(10));
     receiver.publish();
     let version = |catalog: &Catalog| catalog.current().load().deployment.clone().unwrap().version;
     assert_eq!(version(&receiver), 10);
     sender.apply(sent, at(10));
     assert_eq!(version(&sender), 10);
-    assert_eq!(sender.update_since(2).changes.changes.len(), 1);
+    assert_eq!(sender.update_since(rev(2)).changes.changes.len(), 1);
 }
 
 /// Guards against a node that goes on with a configuration to which it missed a change.
@@ -407,8 +416,8 @@
     let sent = sender.with_patches(changes(vec![declared(3, 10)]));
     let mut receiver = Catalog::default();
     receiver.replace(changes(vec![declared(1, 6)]), at(0));
-    receiver.receive(1, sent, at(10));
-    assert_eq!(receiver.revision(), 0, "it has to load all facts");
+    receiver.receive(rev(1), sent, at(10));
+    assert_eq!(receiver.revision(), rev(0), "it has to load all facts");
 }
 
 /// Guards against an update that lacks changes which the peer does not have.
@@ -419,9 +428,9 @@
 fn update_contains_what_a_peer_lacks(after: u64, complete: bool) {
     let mut catalog = catalog(&["a", "b", "c"]);
     catalog.apply(changes(vec![added(4, "d")]), at(10));
-    let update = catalog.update_since(after);
+    let update = catalog.update_since(rev(after));
     assert_eq!(update.complete, complete);
-    assert_eq!(update.changes.revision, 4);
+    assert_eq!(update.changes.revision, rev(4));
     let revisions: Vec<_> = update.changes.changes.iter().map(|change| change.revision).collect();
     assert!(revisions.contains(&4));
 }
@@ -431,7 +440,7 @@
 fn update_has_the_latest_change_of_a_fact() {
     let mut catalog = catalog(&["a", "b", "c"]);
     catalog.apply(changes(vec![added(4, "d"), removed(5, "d"), added(6, "a")]), at(10));
-    let update = catalog.update_since(3);
+    let update = catalog.update_since(rev(3));
     let revisions: Vec<_> = update.changes.changes.iter().map(|change| change.revision).collect();
     assert_eq!((update.complete, revisions), (false, vec![5, 6]));
 }
@@ -666,7 +675,7 @@
     peers::Peer {
         link: ([127, 0, 0, 1], 80).into(),
         is_local: true,
-        revision,
+        revision: rev(revision),
         draining: false,
         last_seen: heard,
     }
@@ -677,11 +686,11 @@
 #[test]
 fn only_nodes_without_later_facts_agree() {
     let mut peers = peers::Peers::default();
-    assert_eq!(peers.last_agreed(5), None);
+    assert_eq!(peers.last_agreed(rev(5)), None);
     peers.update("behind".into(), peer(4, at(100)));
     peers.update("same".into(), peer(5, at(200)));
     peers.update("ahead".into(), peer(6, at(300)));
-    assert_eq!(peers.last_agreed(5), Some(at(200)));
+    assert_eq!(peers.last_agreed(rev(5)), Some(at(200)));
 }
 
 /// Guards against fetching facts from a node that no longer answers.
@@ -694,9 +703,9 @@
     let mut rng = rand::rng();
     let newer =
         |revision, is_local, rng: &mut _| peers.newer(revision, is_local, now, rng).cloned();
-    assert_eq!(newer(3, true, &mut rng).map(|peer| peer.revision), Some(5));
-    assert_eq!(newer(5, true, &mut rng), None);
-    assert_eq!(newer(3, false, &mut rng), None);
+    assert_eq!(newer(rev(3), true, &mut rng).map(|peer| peer.revision), Some(rev(5)));
+    assert_eq!(newer(rev(5), true, &mut rng), None);
+    assert_eq!(newer(rev(3), false, &mut rng), None);
     let live: collections::BTreeSet<_> = peers.live(now).map(|(node, _)| node.as_str()).collect();
     assert_eq!(live, ["live"].into());
 }
--- a/crates/infra/src/store.rs
+++ b/crates/infra/src/store.rs
@@ -19,7 +19,7 @@
 pub type LeaseId = i64;
 
 /// Version of a value: the store's revision at its last write, which grows with each write to any
-/// key. Zero stands for an absent key.
+/// key. Zero stands for an absent key. Versions of two eras cannot be compared, see [`Store::era`].
 pub type Version = u64;
 
 /// A value with its version.
@@ -93,6 +93,13 @@
     /// Revokes a lease, which deletes its keys.
     fn revoke(&self, lease: LeaseId, class: Class) -> impl Future<Output = Result<()>> + Send;
 
+    /// The latest era that an answer has named. It rises each time the store comes back from an
+    /// earlier copy of itself, without the writes and leases since then. It is 0 for a store that does
+    /// not name its eras. An answer belongs to an era that is the same before and after the call.
+    fn era(&self) -> u64 {
+        0
+    }
+
     /// Watches a key for changes with a version greater than `after`.
     fn watch(&self, key: &str, after: Version) -> impl Future<Output = Result<Self::Watch>> + Send;
 }
--- a/crates/infra/src/store/error.rs
+++ b/crates/infra/src/store/error.rs
@@ -31,6 +31,8 @@
     Malformed,
     /// The store has compacted the revisions from which to watch; the call had no effect.
     Compacted,
+    /// The answer was given before the store came back from an earlier copy, and is out of date.
+    Outdated,
 }
 
 impl Error {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod rendezvous;
 pub mod report;
 pub mod retry;
+pub mod revision;
 pub mod route;
 pub mod spread;
 pub mod stall;
--- a/crates/wire/src/mesh.rs
+++ b/crates/wire/src/mesh.rs
@@ -2,7 +2,7 @@
 //! [`generated`].
 //!
 //! Facts are what nodes know of the platform: the configuration, evacuations, registrations and the
-//! holder of the coordinator's lease. A revision identifies their state.
+//! holder of the coordinator's lease. An era and a revision in it identify their state.
 //!
 //! A datagram depends on no other one, so that it may be lost, duplicated or reordered. Unknown
 //! fields are ignored.
@@ -84,6 +84,9 @@
     /// A request for permits, or the answer to one; absent otherwise.
     #[prost(message, optional, tag = "15")]
     pub permits: Option<Permits>,
+    /// Era of `revision` and of the changes; 0 if the source does not name its eras.
+    #[prost(uint64, tag = "16")]
+    pub era: u64,
 }
 
 /// Identifies an answer of the source of facts, which confirms that a node's facts are current.
--- a/crates/wire/src/mesh/generated.rs
+++ b/crates/wire/src/mesh/generated.rs
@@ -4,6 +4,9 @@
     /// Revision of the facts that the caller knows; 0 for none.
     #[prost(uint64, tag = "1")]
     pub after: u64,
+    /// Era of this revision; 0 if the source of facts does not name its eras.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FactsReply {
@@ -19,6 +22,9 @@
     /// The changes in postcard encoding; empty if there are none.
     #[prost(bytes = "bytes", tag = "4")]
     pub changes: ::prost::bytes::Bytes,
+    /// Era of `at` and of the changes; 0 if the source of facts does not name its eras.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 /// Generated client implementations.
 pub mod mesh_client {
