gateway: retain what is known over a return of the store

After a return of the store from an earlier copy, nodes believed the copy at once: an upstream that had been removed, had begun to drain or had turned cold since the copy was taken got requests like any other, an evacuated zone took new work, and nodes that had registered since were unknown to each other, until all of it had been written again.

For the grace in which that happens, a node now believes of each subject what is known to be later, in the former era or in the copy, and where that is not known, what restrains it more. Revisions don't tell; what upstreams say of themselves does: the start of their process, that they drain, and the epochs of their groups. That an upstream drains or is cold holds until it registers again. What is written in the new era applies at once. What is retained is not passed on to peers; the deferred removals after an outage are now of the same kind.

--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -4,12 +4,14 @@
 mod change_log;
 mod confirmations;
 mod parked;
+mod retained;
 mod snapshot;
+mod succession;
 
 use std::{collections, sync, time};
 
 use corneltrestle_kernel::table;
-use corneltrestle_policy::{deployment, revision};
+use corneltrestle_policy::{deployment, id, revision};
 use corneltrestle_time::moment;
 use corneltrestle_wire::mesh;
 
@@ -17,8 +19,9 @@
 
 use crate::source::{Change, Changes, Fact, Subject};
 
-/// Time for which removals of upstreams are deferred after an outage of the source: registrations
-/// that lapsed in the meantime are renewed within about two seconds of its return.
+/// Time for which removals of upstreams are deferred after an outage of the source, and for which
+/// beliefs are retained after it has come back from an earlier copy: registrations that lapsed or
+/// were lost in the meantime are written again within about two seconds of its return.
 const RENEWAL_GRACE: time::Duration = time::Duration::from_millis(2_500);
 
 /// All facts with their revisions; lock rank 10.
@@ -33,11 +36,13 @@
     confirmations: confirmations::Confirmations,
     /// When the source became reachable again after its latest outage.
     recovered: Option<moment::Moment>,
+    /// When this node learned of the source's latest return from an earlier copy.
+    returned: Option<moment::Moment>,
     /// Whether the source is unreachable.
     is_unreachable: bool,
-    /// Upstreams whose removal is deferred. This node goes on using them, but does not pass them on:
-    /// they are not among the facts at its revision.
-    deferred: collections::BTreeSet<Subject>,
+    /// What this node believes in place of the facts at its revision: upstreams whose removal is
+    /// deferred, and what was known before a return of the source.
+    retained: retained::Retained,
     current: Current,
     changed: sync::Arc<tokio::sync::Notify>,
     /// The latest changes, in order, for peers that lack them.
@@ -117,9 +122,22 @@
         self.is_unreachable
     }
 
-    /// Whether any removal is deferred.
-    pub fn has_deferred(&self) -> bool {
-        !self.deferred.is_empty()
+    /// Whether this node retains beliefs that differ from the facts.
+    pub fn has_retained(&self) -> bool {
+        !self.retained.is_empty()
+    }
+
+    /// Whether what the source has lost by its latest return was written again, if it could be.
+    pub fn is_settled(&self, now: moment::Moment) -> bool {
+        self.returned.is_none_or(|returned| now >= returned + RENEWAL_GRACE)
+    }
+
+    /// The process of a node that is registered at the source.
+    pub fn registered(&self, node: &id::Node) -> Option<u64> {
+        match &self.facts.get(&Subject::Node(node.clone()))?.fact {
+            Fact::Node(node) => Some(node.boot),
+            _ => None,
+        }
     }
 
     /// Marks the source as unreachable; returns whether it was reachable before.
@@ -166,8 +184,7 @@
 
     /// The facts at the present revision, each as a change.
     fn present(&self) -> impl Iterator<Item = Change> {
-        let facts = self.facts.iter().filter(|(subject, _)| !self.deferred.contains(*subject));
-        facts.map(|(subject, known)| Change {
+        self.facts.iter().map(|(subject, known)| Change {
             revision: known.revision,
             subject: subject.clone(),
             fact: Some(known.fact.clone()),
@@ -192,10 +209,9 @@
         if self.is_outdated(loaded.revision) {
             return;
         }
+        let is_return = loaded.revision.era > self.revision.era && self.confirmed.is_some();
         self.mark_confirmed(now);
-        if loaded.revision.era > self.revision.era && !self.facts.is_empty() {
-            self.begin_era(&loaded, now);
-        }
+        let former = is_return.then(|| self.begin_era(&loaded, now));
         // The last valid configuration stays in force.
         let mut gone: collections::BTreeSet<Subject> = self.facts.keys().cloned().collect();
         gone.remove(&Subject::Deployment);
@@ -208,7 +224,10 @@
         let revision = self.revision.number;
         let removals = gone.into_iter().map(|subject| Change { revision, subject, fact: None });
         let all: Vec<Change> = loaded.changes.into_iter().chain(removals).collect();
-        self.store_all(all, now);
+        self.store_all(all, former.is_some(), now);
+        if let Some(former) = former {
+            self.carry_over(former, now);
+        }
         self.publish();
     }
 
@@ -218,21 +237,6 @@
         revision.era < self.revision.era || revision.era > 0 && revision < self.revision
     }
 
-    /// Begins the era of these facts, which were loaded at `now`. The store assigns revisions again,
-    /// so that those of the known facts are not compared with them. What was lost with the former era
-    /// is written again within [`RENEWAL_GRACE`].
-    fn begin_era(&mut self, loaded: &Changes, now: moment::Moment) {
-        log::warn!(
-            era = loaded.revision.era, former_era = self.revision.era,
-            revision = loaded.revision.number, former_revision = self.revision.number,
-            facts = loaded.changes.len(), former_facts = self.facts.len();
-            "store: back from an earlier copy; all facts are replaced"
-        );
-        self.returns += 1;
-        self.recovered = Some(now);
-        self.facts.values_mut().for_each(|known| known.revision = 0);
-    }
-
     /// Those of these changes of the present era that this node does not know yet.
     pub fn missing(&self, mut changes: Changes) -> Changes {
         changes.changes.retain(|change| change.revision > self.revision.number);
@@ -289,21 +293,22 @@
         self.revision = self.revision.max(changes.revision);
         if !changes.changes.is_empty() {
             self.append_history(&changes.changes);
-            self.store_all(changes.changes, now);
+            self.store_all(changes.changes, false, now);
         }
     }
 
-    /// Removes upstreams whose deferral has ended without a renewal; returns their number.
-    pub fn remove_deferred(&mut self, now: moment::Moment) -> usize {
-        if self.deferred.is_empty() || self.defers_removals(now) {
+    /// Believes the facts again once the grace after an outage or a return of the source is over.
+    /// Returns the number of upstreams that did not renew their registration, and are no longer used.
+    pub fn end_retention(&mut self, now: moment::Moment) -> usize {
+        if self.retained.is_empty() || self.defers_removals(now) {
             return 0;
         }
-        let deferred = std::mem::take(&mut self.deferred);
-        let number = deferred.len();
-        for subject in deferred {
-            self.facts.remove(&subject);
-        }
-        self.unpublished.upstreams = true;
+        let retained = std::mem::take(&mut self.retained);
+        let is_gone = |(subject, _): &(&Subject, &Entry)| {
+            matches!(subject, Subject::Upstream(_)) && !self.facts.contains_key(*subject)
+        };
+        let number = retained.kept().filter(is_gone).count();
+        self.unpublished = Unpublished { upstreams: true, nodes: true, others: true };
         self.publish();
         number
     }
@@ -329,25 +334,30 @@
             || self.recovered.is_some_and(|recovered| now < recovered + RENEWAL_GRACE)
     }
 
-    fn store_all(&mut self, changes: Vec<Change>, now: moment::Moment) {
+    fn store_all(&mut self, changes: Vec<Change>, is_return: bool, now: moment::Moment) {
         let defers_removals = self.defers_removals(now);
-        let is_first = self.facts.is_empty();
+        let is_silent = is_return || self.facts.is_empty();
         for change in changes {
-            self.store(change, defers_removals, is_first, now);
+            self.store(change, defers_removals, is_silent, now);
         }
     }
 
+    /// The fact that this node uses.
+    fn used(&self, subject: &Subject) -> Option<&Entry> {
+        self.retained.get(subject).unwrap_or_else(|| self.facts.get(subject))
+    }
+
     fn store(
         &mut self,
         change: Change,
         defers_removals: bool,
-        is_first: bool,
+        is_silent: bool,
         now: moment::Moment,
     ) {
-        let known = self.facts.get(&change.subject);
-        if known.is_some_and(|known| known.revision > change.revision) {
+        if self.facts.get(&change.subject).is_some_and(|known| self.is_known(known, &change)) {
             return;
         }
+        let known = self.used(&change.subject);
         let fact = match change.fact {
             Some(Fact::Patch(patch)) => {
                 match patch_base(known).and_then(|base| patch.apply(base)) {
@@ -364,8 +374,9 @@
             }
             fact => fact,
         };
-        if !is_first {
-            let known = known.map(|known| &known.fact);
+        let known = known.map(|known| &known.fact);
+        let is_lower = fact.as_ref().is_some_and(|fact| is_older(known, fact));
+        if !is_silent {
             let revision = revision::Revision { number: change.revision, ..self.revision };
             change_log::write(&change.subject, known, fact.as_ref(), revision);
         }
@@ -375,25 +386,33 @@
             _ => self.unpublished.others = true,
         }
         let Some(fact) = fact else {
-            if defers_removals && matches!(change.subject, Subject::Upstream(_)) && known.is_some()
+            let removed = self.facts.remove(&change.subject);
+            if !defers_removals || !matches!(change.subject, Subject::Upstream(_)) {
+                self.retained.release(&change.subject);
+            } else if let Some(removed) = removed
+                && !self.retained.contains(&change.subject)
             {
-                self.deferred.insert(change.subject);
-            } else {
-                self.deferred.remove(&change.subject);
-                self.facts.remove(&change.subject);
+                self.retained.keep(change.subject, removed);
             }
             return;
         };
-        if is_older(known.map(|known| &known.fact), &fact) {
+        if is_lower {
             log::error!(
                 "config: a configuration with a lower version than the current one is ignored"
             );
             return;
         }
-        self.deferred.remove(&change.subject);
+        self.retained.release(&change.subject);
         self.facts.insert(change.subject, Entry { revision: change.revision, fact, received: now });
     }
 
+    /// Whether the known fact includes a change. A change of the same revision is the same one, unless
+    /// the source does not name its eras and may have assigned the revision twice.
+    fn is_known(&self, known: &Entry, change: &Change) -> bool {
+        let is_same = known.revision == change.revision && change.revision > 0;
+        known.revision > change.revision || is_same && self.revision.era > 0
+    }
+
     /// Publishes a new snapshot if facts have changed since the last one.
     pub fn publish(&mut self) {
         let previous = self.current.load_full();
--- /dev/null
+++ b/crates/gateway/src/tables/catalog/retained.rs
@@ -0,0 +1,50 @@
+//! What a node believes for a while although the facts of the source differ.
+
+use std::collections;
+
+use super::Entry;
+use crate::source::Subject;
+
+/// Beliefs that differ from the facts, by subject. A node does not pass them on.
+#[derive(Debug, Default)]
+pub(super) struct Retained(collections::BTreeMap<Subject, Option<Entry>>);
+
+impl Retained {
+    /// Goes on using a fact that the source no longer has, or has in another form.
+    pub(super) fn keep(&mut self, subject: Subject, entry: Entry) {
+        self.0.insert(subject, Some(entry));
+    }
+
+    /// Does not use a fact that the source has.
+    pub(super) fn withhold(&mut self, subject: Subject) {
+        self.0.insert(subject, None);
+    }
+
+    /// Believes what the source has.
+    pub(super) fn release(&mut self, subject: &Subject) {
+        self.0.remove(subject);
+    }
+
+    pub(super) fn contains(&self, subject: &Subject) -> bool {
+        self.0.contains_key(subject)
+    }
+
+    /// The fact that is used, or `None` if it is withheld; `None` if the belief is that of the source.
+    pub(super) fn get(&self, subject: &Subject) -> Option<Option<&Entry>> {
+        self.0.get(subject).map(Option::as_ref)
+    }
+
+    /// The facts that are used.
+    pub(super) fn kept(&self) -> impl Iterator<Item = (&Subject, &Entry)> {
+        self.0.iter().filter_map(|(subject, entry)| Some((subject, entry.as_ref()?)))
+    }
+
+    /// The subjects of the facts that are withheld.
+    pub(super) fn withheld(&self) -> impl Iterator<Item = &Subject> {
+        self.0.iter().filter(|(_, entry)| entry.is_none()).map(|(subject, _)| subject)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
--- a/crates/gateway/src/tables/catalog/snapshot.rs
+++ b/crates/gateway/src/tables/catalog/snapshot.rs
@@ -5,7 +5,7 @@
 use corneltrestle_policy::{deployment, fleet, id, revision};
 use corneltrestle_time::moment;
 
-use super::Catalog;
+use super::{Catalog, Entry};
 use crate::source::{Fact, Holder, Node, Subject};
 
 /// Fraction of the largest node's memory from which a node counts as large. Nodes of one size
@@ -57,6 +57,12 @@
 
 /// The parts of a snapshot.
 impl Catalog {
+    /// The facts that this node uses.
+    fn all_used(&self) -> impl Iterator<Item = (&Subject, &Entry)> {
+        let facts = self.facts.iter().filter(|(subject, _)| !self.retained.contains(subject));
+        facts.chain(self.retained.kept())
+    }
+
     /// The registered upstreams, and until when they are cold.
     #[allow(clippy::type_complexity, reason = "the pair is taken apart at once")]
     pub(super) fn upstreams(
@@ -64,7 +70,7 @@
     ) -> (sync::Arc<fleet::Fleet>, sync::Arc<collections::BTreeMap<id::Vm, moment::Moment>>) {
         let mut upstreams = Vec::with_capacity(self.facts.len());
         let mut cold = collections::BTreeMap::new();
-        for known in self.facts.values() {
+        for (_, known) in self.all_used() {
             let Fact::Upstream(upstream) = &known.fact else { continue };
             if !upstream.cold_left.is_zero() {
                 cold.insert(upstream.id.clone(), known.received + upstream.cold_left);
@@ -75,7 +81,7 @@
     }
 
     pub(super) fn nodes(&self) -> collections::BTreeMap<id::Node, Node> {
-        let nodes = self.facts.iter().filter_map(|(subject, known)| match (subject, &known.fact) {
+        let nodes = self.all_used().filter_map(|(subject, known)| match (subject, &known.fact) {
             (Subject::Node(id), Fact::Node(node)) => Some((id.clone(), node.clone())),
             _ => None,
         });
@@ -90,7 +96,7 @@
     }
 
     pub(super) fn evacuated(&self) -> collections::BTreeSet<id::Zone> {
-        let zones = self.facts.keys().filter_map(|subject| match subject {
+        let zones = self.all_used().filter_map(|(subject, _)| match subject {
             Subject::Evacuation(zone) => Some(zone.clone()),
             _ => None,
         });
--- a/crates/gateway/src/task/follow.rs
+++ b/crates/gateway/src/task/follow.rs
@@ -26,8 +26,8 @@
 /// confirmation within [`MAX_RECENT_AGE`].
 const COORDINATOR_POLL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
-/// Longest wait while removals are deferred, so that they are completed in time.
-const DEFERRED_POLL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Longest wait while beliefs are retained that differ from the facts, so that they end in time.
+const RETAINED_POLL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// Minimum time between two polls that return changes, so that changes in quick succession cost one
 /// call.
@@ -110,7 +110,7 @@
         loop {
             let result = self.step(&mut loaded, &mut follows).await;
             self.mark_ready();
-            self.remove_deferred();
+            self.end_retention();
             match result {
                 Ok(()) => {
                     if std::mem::take(&mut failures) > 0 {
@@ -304,8 +304,8 @@
     async fn follow(&self) -> source::Result<()> {
         let (after, wait) = {
             let catalog = self.tables.catalog.lock();
-            let wait = if catalog.has_deferred() {
-                DEFERRED_POLL_TIMEOUT
+            let wait = if catalog.has_retained() {
+                RETAINED_POLL_TIMEOUT
             } else if self.is_coordinator() {
                 COORDINATOR_POLL_TIMEOUT
             } else {
@@ -353,8 +353,8 @@
         }
     }
 
-    fn remove_deferred(&self) {
-        let removed = self.tables.catalog.lock().remove_deferred(self.host.now());
+    fn end_retention(&self) {
+        let removed = self.tables.catalog.lock().end_retention(self.host.now());
         if removed > 0 {
             log::info!(number = removed; "config: upstreams that did not renew their registration were removed");
         }
--- a/crates/gateway/tests/tables.rs
+++ b/crates/gateway/tests/tables.rs
@@ -116,8 +116,8 @@
     catalog.replace(Changes { revision: rev(5), changes: Vec::new() }, at(5_000));
     assert_eq!(known(&catalog), ["a", "b"]);
     catalog.apply(changes(vec![added(9, "a")]), at(6_000));
-    assert_eq!(catalog.remove_deferred(at(6_500)), 0);
-    assert_eq!(catalog.remove_deferred(at(8_000)), 1);
+    assert_eq!(catalog.end_retention(at(6_500)), 0);
+    assert_eq!(catalog.end_retention(at(8_000)), 1);
     assert_eq!(known(&catalog), ["a"]);
 }
 
@@ -275,7 +275,7 @@
     fetch(&mut peer, catalog.update_since(after), at(5_010));
     fetch(&mut catalog, peer.update_since(rev(0)), at(5_020));
     for node in [&mut catalog, &mut peer] {
-        node.remove_deferred(at(9_000));
+        node.end_retention(at(9_000));
         assert_eq!(known(node), ["a", "c"]);
     }
 }
@@ -327,11 +327,11 @@
                     fetch(&mut nodes[index], update, now);
                 }
             }
-            nodes[index].remove_deferred(now);
+            nodes[index].end_retention(now);
         }
         for node in &mut nodes {
             node.apply(since(&history, node.revision().number), now);
-            node.remove_deferred(now + Duration::from_secs(5));
+            node.end_retention(now + Duration::from_secs(5));
             let expected = registered_at(&history, history.len() as u64);
             assert_eq!(known(node), expected, "seed {seed}");
         }
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -34,6 +34,36 @@
     pub engine: Option<Engine>,
 }
 
+impl Upstream {
+    /// Whether `other`, a registration of the same upstream that was read from a store which has come
+    /// back from an earlier copy, is known to be later than this one, or equal to it.
+    ///
+    /// Revisions do not tell, but what upstreams say of themselves does: processes start one after the
+    /// other, none takes new work again after it has begun to drain, and the epochs of groups
+    /// increase.
+    pub fn is_succeeded_by(&self, other: &Self) -> bool {
+        if self.incarnation != other.incarnation {
+            return other.incarnation > self.incarnation;
+        }
+        let epoch = |upstream: &Self| Some(upstream.engine.as_ref()?.member.as_ref()?.epoch);
+        let has_drained = (self.state, other.state) == (State::Ready, State::Draining);
+        has_drained || epoch(other) > epoch(self) || self == other
+    }
+
+    /// This registration with what holds on from an earlier one of the same process: that it drains,
+    /// and that it stays cold for `cold_left`.
+    pub fn continued_from(&self, earlier: &Self, cold_left: time::Duration) -> Self {
+        let mut continued = self.clone();
+        if self.incarnation == earlier.incarnation {
+            continued.cold_left = self.cold_left.max(cold_left);
+            if earlier.state == State::Draining {
+                continued.state = State::Draining;
+            }
+        }
+        continued
+    }
+}
+
 /// Whether an upstream takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
