gateway: register again where only the lease outlasts a return

A node whose registration was lost with a return of the store went on renewing its lease if the copy held that, and stayed unregistered for good: a registration was written again only once its lease had ended. A node whose lease had been lost as well could renew one that the store had given to another node since.

A lease is now renewed without further questions only in the era in which it was last confirmed. In a later one, the node reads its registration first, and registers anew without it. A registration that the facts of the store no longer have is always written with a new lease.

--- a/crates/gateway/src/task/register.rs
+++ b/crates/gateway/src/task/register.rs
@@ -32,6 +32,14 @@
 // Other nodes count this one until it has found out that its registration has lapsed.
 const _: () = assert!(RENEW_PERIOD.as_millis() < census::RENEWAL_GRACE.as_millis());
 
+/// The lease of a registration.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    id: LeaseId,
+    /// Era of the store in which the lease was last known to be that of the registration.
+    era: u64,
+}
+
 /// State of the task.
 #[derive(Debug)]
 struct Registrar<S> {
@@ -76,6 +84,9 @@
             };
             if tokio::time::timeout(wait, self.lapsed()).await.is_ok() {
                 log::info!("node: the registration has lapsed, and is renewed");
+                // The lease may live on without the registration in a store that has come back from an
+                // earlier copy.
+                lease = None;
                 let delay = rand::rng().random_range(time::Duration::ZERO..=self.max_delay());
                 tokio::time::sleep(delay).await;
             }
@@ -83,7 +94,7 @@
     }
 
     /// Renews the lease, or registers the node if it has none or it has lapsed.
-    async fn step(&self, lease: &mut Option<LeaseId>) -> store::Result<()> {
+    async fn step(&self, lease: &mut Option<Held>) -> store::Result<()> {
         if let Some(held) = *lease {
             *lease = self.renew(held).await?;
         }
@@ -99,11 +110,8 @@
         let mut was_registered = false;
         loop {
             let next = changed.notified();
-            let is_registered = {
-                let snapshot = self.tables.current.load();
-                let known = snapshot.nodes.get(&self.identity.node);
-                known.is_some_and(|node| node.boot == self.identity.boot)
-            };
+            let registered = self.tables.catalog.lock().registered(&self.identity.node);
+            let is_registered = registered == Some(self.identity.boot);
             if was_registered && !is_registered {
                 return;
             }
@@ -118,21 +126,40 @@
         DELAY_PER_NODE.saturating_mul(nodes)
     }
 
-    /// Renews the lease; `None` if it has lapsed.
-    async fn renew(&self, lease: LeaseId) -> store::Result<Option<LeaseId>> {
-        Ok(self.store.renew(lease, Class::Lease).await?.map(|_| lease))
+    /// Renews the lease; `None` if it has lapsed, or its registration was lost with a return of the
+    /// store from an earlier copy.
+    async fn renew(&self, held: Held) -> store::Result<Option<Held>> {
+        if self.store.era() == held.era {
+            let renewed = self.store.renew(held.id, Class::Lease).await?;
+            if self.store.era() == held.era {
+                return Ok(renewed.map(|_| held));
+            }
+        }
+        // In a later era, the lease is that of this node only if the registration is there as well.
+        let found = self.store.read(&self.key, Class::Lease).await?;
+        let era = self.store.era();
+        let value = source::encode("register", &self.node)?;
+        if found.is_none_or(|found| found.value != value) {
+            return Ok(None);
+        }
+        let renewed = self.store.renew(held.id, Class::Lease).await?;
+        Ok(renewed.map(|_| Held { era, ..held }))
     }
 
-    async fn register(&self) -> store::Result<LeaseId> {
+    async fn register(&self) -> store::Result<Held> {
         let value = source::encode("register", &self.node)?;
-        let lease = self.store.grant(TTL, Class::Lease).await?;
-        let mut version = 0;
-        // A previous process of this node may have left its entry.
-        while let store::Swap::Conflict(present) =
-            self.store.swap(&self.key, version, &value, Some(lease), Class::Lease).await?
-        {
-            version = present.map_or(0, |present| present.version);
+        loop {
+            let id = self.store.grant(TTL, Class::Lease).await?;
+            let (era, mut version) = (self.store.era(), 0);
+            // A previous process of this node may have left its entry.
+            while let store::Swap::Conflict(present) =
+                self.store.swap(&self.key, version, &value, Some(id), Class::Lease).await?
+            {
+                version = present.map_or(0, |present| present.version);
+            }
+            if self.store.era() == era {
+                return Ok(Held { id, era });
+            }
         }
-        Ok(lease)
     }
 }
