gateway: let fencing tokens and the lease follow the era of the store

The fencing token was the revision at which the coordinator's lease was written, and the epochs of groups came from it. After a return of the store both went back: VMs rejected all orders of a new coordinator until revisions had caught up, so that no group was repaired. A holder whose key was lost and whose lease was not went on beside its successor.

Tokens are now made from the era and the revision, and increase with both. A holder that hears of a later era does not act until it has read its key, renewed the lease and written the key again, under a new token. One whose key is gone from the facts steps down. Leases of an earlier era are not revoked, as their identifiers may have been assigned again.

--- a/crates/gateway/src/task/coordinate.rs
+++ b/crates/gateway/src/task/coordinate.rs
@@ -120,10 +120,16 @@
             .observe(&snapshot.fleet, |service| deployment.services.get(service)?.engine.as_ref());
     }
 
-    /// Whether this node holds the lease and its facts are recent enough.
+    /// Whether this node holds the lease and its facts are recent enough. After a return of the store,
+    /// the VMs first register again what has become of them, and a former holder may act until it
+    /// learns of the return.
     fn may_act(&self, now: moment::Moment) -> bool {
-        let confirmed = self.tables.catalog.lock().confirmed_at();
-        confirmed.is_some_and(|at| now.since(at) < MAX_FACTS_AGE) && self.holds(now)
+        let (confirmed, is_settled) = {
+            let catalog = self.tables.catalog.lock();
+            (catalog.confirmed_at(), catalog.is_settled(now))
+        };
+        let is_recent = confirmed.is_some_and(|at| now.since(at) < MAX_FACTS_AGE);
+        is_recent && is_settled && self.holds(now)
     }
 
     /// Decides on the next steps and sends them as orders, if this node may act.
--- a/crates/gateway/src/task/coordinate/lease.rs
+++ b/crates/gateway/src/task/coordinate/lease.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use corneltrestle_infra::store::{self, Class, LeaseId, Store, Swap};
-use corneltrestle_policy::{formation, lease};
+use corneltrestle_policy::{formation, lease, revision};
 use corneltrestle_time::moment;
 
 use crate::{
@@ -28,10 +28,19 @@
 /// A gap between two checks that is longer than this means that the process was paused.
 const MIN_PAUSE: time::Duration = time::Duration::from_millis(500);
 
+/// The lease as this node holds it.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    id: LeaseId,
+    /// Revision at which its key was written; the fencing token follows from it.
+    key: revision::Revision,
+    lease: lease::Held,
+}
+
 /// What this node knows of the lease.
 #[derive(Debug, Default)]
 struct State {
-    held: Option<(LeaseId, lease::Held)>,
+    held: Option<Held>,
     /// When the lease was first seen without a holder, or this node last tried to acquire it.
     free_since: Option<moment::Moment>,
     /// When this node will next try to acquire it.
@@ -61,7 +70,7 @@
             }
             state.last_check = Some(now);
             let result = match state.held {
-                Some((id, held)) => self.renew(&mut state, id, held, now).await,
+                Some(held) => self.renew(&mut state, held, now).await,
                 None => self.try_acquire(&mut state, now).await,
             };
             if let Err(e) = result {
@@ -71,36 +80,105 @@
         }
     }
 
-    async fn renew(
-        &self,
-        state: &mut State,
-        id: LeaseId,
-        held: lease::Held,
-        now: moment::Moment,
-    ) -> store::Result<()> {
+    async fn renew(&self, state: &mut State, held: Held, now: moment::Moment) -> store::Result<()> {
+        if self.era() > held.key.era {
+            return self.reclaim(state, held, now).await;
+        }
         if self.tables.coordinator.lock().is_fenced {
             self.step_down(state, "another node has used a higher fencing token");
-            return self.store.revoke(id, Class::Lease).await;
+            return self.release(held).await;
         }
-        match held.step(state.pause_end, now) {
+        if self.is_displaced(held) {
+            self.step_down(state, "its key has been removed or replaced");
+            return self.release(held).await;
+        }
+        match held.lease.step(state.pause_end, now) {
             lease::Step::Act => Ok(()),
             lease::Step::ActAndRenew | lease::Step::Renew => {
                 let sent = self.host.now();
-                let renewed = self.store.renew(id, Class::Lease).await?;
-                self.record_renewal(state, (id, held), sent, renewed);
+                let renewed = self.store.renew(held.id, Class::Lease).await?;
+                // In a later era the lease may be that of another node.
+                if self.store.era() == held.key.era {
+                    self.record_renewal(state, held, sent, renewed);
+                }
                 Ok(())
             }
-            lease::Step::StepDown => self.resume(state, id, held, now).await,
+            lease::Step::StepDown => self.resume(state, held, now).await,
         }
     }
 
+    /// The latest era of the store that this node has heard of.
+    fn era(&self) -> u64 {
+        self.store.era().max(self.tables.catalog.lock().revision().era)
+    }
+
+    /// Whether the facts show that the key of the lease is no longer that of this node.
+    fn is_displaced(&self, held: Held) -> bool {
+        let snapshot = self.tables.current.load();
+        let is_own = |holder: &Holder| holder.boot == self.identity.boot;
+        snapshot.revision >= held.key && !snapshot.coordinator.as_ref().is_some_and(is_own)
+    }
+
+    /// Gives up the lease, unless it is one of an earlier era: its identifier may have been given to
+    /// another node since.
+    async fn release(&self, held: Held) -> store::Result<()> {
+        if self.store.era() == held.key.era {
+            self.store.revoke(held.id, Class::Lease).await?;
+        }
+        Ok(())
+    }
+
+    /// Claims the lease again once the store has come back from an earlier copy, which may lack the
+    /// lease, or its key alone. This node does not act until the store has confirmed both and written
+    /// the key again: the token of the new revision is higher than those of the former era.
+    async fn reclaim(
+        &self,
+        state: &mut State,
+        mut held: Held,
+        now: moment::Moment,
+    ) -> store::Result<()> {
+        self.tables.coordinator.lock().valid_until = None;
+        if !state.resume.get_or_insert_default().begin(now) {
+            return Ok(());
+        }
+        let (key, value) = (S::coordinator_key(), self.own_value()?);
+        let found = self.store.read(key, Class::Lease).await?;
+        let era = self.store.era();
+        if era < self.era() {
+            return Ok(());
+        }
+        let Some(found) = found.filter(|found| found.value == value) else {
+            self.step_down(state, "the store has come back from an earlier copy without it");
+            return Ok(());
+        };
+        let sent = self.host.now();
+        let renewed = self.store.renew(held.id, Class::Lease).await?;
+        if renewed.is_none() {
+            self.step_down(state, "the lease has lapsed");
+            return Ok(());
+        }
+        match self.store.swap(key, found.version, &value, Some(held.id), Class::Lease).await? {
+            Swap::Done(number) if self.store.era() == era => {
+                held.key = revision::Revision { era, number };
+                held.lease.token = held.key.token();
+                if let Some(formation) = &mut self.tables.coordinator.lock().state {
+                    formation.raise_token(held.lease.token);
+                }
+                self.record_renewal(state, held, sent, renewed);
+            }
+            // Another return; the next attempt reads the key again.
+            Swap::Done(_) => {}
+            Swap::Conflict(_) => self.step_down(state, "its key has been removed"),
+        }
+        Ok(())
+    }
+
     /// Tries to resume a lease that was not renewed in time, so that the fencing token and the state
     /// stay. Until the store confirms it, this node does not act. See [`lease::Resume`].
     async fn resume(
         &self,
         state: &mut State,
-        id: LeaseId,
-        held: lease::Held,
+        held: Held,
         now: moment::Moment,
     ) -> store::Result<()> {
         let snapshot = self.tables.current.load_full();
@@ -111,7 +189,7 @@
         }
         if state.resume.is_none() {
             log::warn!(
-                token = held.token;
+                token = held.lease.token;
                 "lease: not renewed in time; this node does not act until the store answers"
             );
         }
@@ -119,23 +197,27 @@
             return Ok(());
         }
         let found = self.store.read(S::coordinator_key(), Class::Lease).await?;
-        if found.is_none_or(|found| found.version != held.token) {
+        if self.store.era() > held.key.era {
+            return Ok(());
+        }
+        if found.is_none_or(|found| found.version != held.key.number) {
             self.step_down(state, "the lease has lapsed");
             return Ok(());
         }
         let sent = self.host.now();
-        match self.store.renew(id, Class::Lease).await {
+        match self.store.renew(held.id, Class::Lease).await {
+            Ok(_) if self.store.era() > held.key.era => Ok(()),
             Ok(renewed) => {
-                self.record_renewal(state, (id, held), sent, renewed);
+                self.record_renewal(state, held, sent, renewed);
                 Ok(())
             }
             Err(e)
                 if e.may_have_run() && state.resume.get_or_insert_default().record_unanswered() =>
             {
-                log::info!(token = held.token; "lease: {e}");
+                log::info!(token = held.lease.token; "lease: {e}");
                 self.step_down(state, "the store does not answer its renewals");
                 state.leaves_until = Some(self.host.now() + GIVE_UP_DELAY);
-                self.store.revoke(id, Class::Lease).await
+                self.release(held).await
             }
             Err(e) => Err(e),
         }
@@ -146,7 +228,7 @@
     fn record_renewal(
         &self,
         state: &mut State,
-        (id, mut held): (LeaseId, lease::Held),
+        mut held: Held,
         sent: moment::Moment,
         renewed: Option<time::Duration>,
     ) {
@@ -155,11 +237,11 @@
             return;
         };
         if state.resume.take().is_some() {
-            log::info!(token = held.token; "lease: the store has kept it; this node acts again");
+            log::info!(token = held.lease.token; "lease: the store has kept it; this node acts again");
         }
-        held.renewed(sent, ttl);
-        state.held = Some((id, held));
-        self.tables.coordinator.lock().valid_until = Some(held.valid_until());
+        held.lease.renewed(sent, ttl);
+        state.held = Some(held);
+        self.tables.coordinator.lock().valid_until = Some(held.lease.valid_until());
     }
 
     /// Acquires the lease if it is free and it is this node's turn to try.
@@ -195,30 +277,47 @@
     }
 
     async fn acquire(&self, state: &mut State) -> store::Result<()> {
-        let sent = self.host.now();
-        let id = self.store.grant(TTL, Class::Lease).await?;
-        let holder = Holder { node: self.identity.node.clone(), boot: self.identity.boot };
-        let value = source::encode("coordinate", &holder)?;
-        let key = S::coordinator_key();
-        let token = match self.store.swap(key, 0, &value, Some(id), Class::Lease).await {
-            Ok(Swap::Done(revision)) => revision,
-            Ok(Swap::Conflict(_)) => return self.store.revoke(id, Class::Lease).await,
-            Err(e) if e.may_have_run() => match self.store.read(key, Class::Lease).await? {
-                Some(found) if found.value == value => found.version,
-                _ => return Err(e),
-            },
-            Err(e) => return Err(e),
+        let (value, key) = (self.own_value()?, S::coordinator_key());
+        let mut expected = 0;
+        let (sent, id, key) = loop {
+            let sent = self.host.now();
+            let id = self.store.grant(TTL, Class::Lease).await?;
+            let era = self.store.era();
+            let number = match self.store.swap(key, expected, &value, Some(id), Class::Lease).await
+            {
+                Ok(Swap::Done(revision)) => revision,
+                Ok(Swap::Conflict(_)) if self.store.era() != era => return Ok(()),
+                Ok(Swap::Conflict(_)) => return self.store.revoke(id, Class::Lease).await,
+                Err(e) if e.may_have_run() => match self.store.read(key, Class::Lease).await? {
+                    Some(found) if found.value == value => found.version,
+                    _ => return Err(e),
+                },
+                Err(e) => return Err(e),
+            };
+            if self.store.era() == era {
+                break (sent, id, revision::Revision { era, number });
+            }
+            // The store has come back from an earlier copy meanwhile, where the lease may be that of
+            // another node.
+            expected = number;
         };
-        let held = lease::Held { token, sent, ttl: TTL };
-        state.held = Some((id, held));
+        let token = key.token();
+        let held = Held { id, key, lease: lease::Held { token, sent, ttl: TTL } };
+        state.held = Some(held);
         log::info!(token = token; "lease: this node is the coordinator");
         let mut coordinator = self.tables.coordinator.lock();
         coordinator.state = Some(formation::State::new(token));
-        coordinator.valid_until = Some(held.valid_until());
+        coordinator.valid_until = Some(held.lease.valid_until());
         coordinator.is_fenced = false;
         Ok(())
     }
 
+    /// The value of the key while this node holds the lease.
+    fn own_value(&self) -> store::Result<Vec<u8>> {
+        let holder = Holder { node: self.identity.node.clone(), boot: self.identity.boot };
+        source::encode("coordinate", &holder)
+    }
+
     fn step_down(&self, state: &mut State, reason: &str) {
         log::warn!("lease: this node is no longer the coordinator: {reason}");
         *state = State {
--- a/crates/gateway/src/task/coordinate/orders.rs
+++ b/crates/gateway/src/task/coordinate/orders.rs
@@ -21,12 +21,12 @@
 impl<S: Store + Source, C: Client> super::Coordinator<S, C> {
     /// Sends an order in a task of its own, so that a VM that does not answer delays no other.
     pub(super) fn order(self: &sync::Arc<Self>, step: formation::Step) {
-        let token = {
+        let (term, token) = {
             let mut coordinator = self.tables.coordinator.lock();
             let Some(state) = &coordinator.state else { return };
-            let token = state.token();
+            let known = (state.term(), state.token());
             coordinator.busy.insert(step.vm.clone());
-            token
+            known
         };
         let this = sync::Arc::clone(self);
         self.host.pool.spawn(async move {
@@ -34,13 +34,13 @@
             let permit = this.orders.acquire().await;
             let outcome = this.send(&step, token).await;
             drop(permit);
-            this.record_outcome(&step, token, outcome, this.host.now());
+            this.record_outcome(&step, (term, token), outcome, this.host.now());
         });
     }
 
     async fn send(&self, step: &formation::Step, token: u64) -> upstream::Result<Option<Outcome>> {
         // The task may have been delayed since the decision.
-        if !self.holds(self.host.now()) {
+        if !self.may_act(self.host.now()) {
             return Ok(None);
         }
         let snapshot = self.tables.current.load_full();
@@ -52,20 +52,22 @@
     fn record_outcome(
         &self,
         step: &formation::Step,
-        token: u64,
+        (term, token): (u64, u64),
         outcome: upstream::Result<Option<Outcome>>,
         now: moment::Moment,
     ) {
         let (vm, order) = (step.vm.as_str(), &step.order);
         let mut coordinator = self.tables.coordinator.lock();
         coordinator.busy.remove(vm);
-        if coordinator.state.as_ref().is_none_or(|state| state.token() != token) {
+        if coordinator.state.as_ref().is_none_or(|state| state.term() != term) {
             return;
         }
         match outcome {
             Ok(outcome) => {
                 log::info!(vm = vm, token = token; "group: order to {order} ended as {outcome:?}");
-                if outcome == Some(Outcome::Fenced) {
+                let is_current =
+                    coordinator.state.as_ref().is_some_and(|state| state.token() == token);
+                if outcome == Some(Outcome::Fenced) && is_current {
                     coordinator.is_fenced = true;
                 }
                 let is_effective = matches!(outcome, Some(Outcome::Begun | Outcome::Standing));
--- a/crates/policy/src/formation/state.rs
+++ b/crates/policy/src/formation/state.rs
@@ -29,7 +29,7 @@
 /// Time after which a VM that refused an order may get another one.
 const REFUSED_DELAY: time::Duration = time::Duration::from_millis(400);
 
-/// State of the coordinator for as long as it holds one fencing token.
+/// State of the coordinator for as long as it holds the lease.
 #[derive(Clone, Debug)]
 pub struct State {
     shared: Shared,
@@ -39,6 +39,8 @@
 /// What the VMs of all services share.
 #[derive(Clone, Debug)]
 struct Shared {
+    /// Fencing token with which the state was created.
+    term: u64,
     token: u64,
     /// Number of epochs used so far.
     used_epochs: u64,
@@ -182,6 +184,7 @@
     /// Creates the empty state of a coordinator that has just got the fencing token.
     pub fn new(token: u64) -> Self {
         let shared = Shared {
+            term: token,
             token,
             used_epochs: 0,
             pending: collections::BTreeMap::new(),
@@ -194,11 +197,21 @@
         Self { shared, services: collections::BTreeMap::new() }
     }
 
-    /// The fencing token that the state belongs to.
+    /// The fencing token of the orders that follow.
     pub fn token(&self) -> u64 {
         self.shared.token
     }
 
+    /// The fencing token with which the state was created, which identifies it.
+    pub fn term(&self) -> u64 {
+        self.shared.term
+    }
+
+    /// Goes on with a higher fencing token, as the store has come back from an earlier copy.
+    pub fn raise_token(&mut self, token: u64) {
+        self.shared.token = self.shared.token.max(token);
+    }
+
     /// The planned groups of all services with their names.
     pub fn plans(&self) -> impl Iterator<Item = (&id::Group, &Plan)> {
         self.services.values().flat_map(|service| &service.plans)
