gateway: fewer loads and log lines on a return of the store

Nodes of large zones that poll the store load the facts later, so that most get them from a peer. A copy with an earlier configuration is no error, and the log names the fencing token of the revision at which the lease was written.

--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -397,9 +397,12 @@
             return;
         };
         if is_lower {
-            log::error!(
-                "config: a configuration with a lower version than the current one is ignored"
-            );
+            // The copy from which the source has come back may have an earlier version.
+            if !is_silent {
+                log::error!(
+                    "config: a configuration with a lower version than the current one is ignored"
+                );
+            }
             return;
         }
         self.retained.release(&change.subject);
--- a/crates/gateway/src/tables/catalog/succession.rs
+++ b/crates/gateway/src/tables/catalog/succession.rs
@@ -8,6 +8,7 @@
 
 use std::{collections, sync};
 
+use corneltrestle_policy::revision;
 use corneltrestle_time::moment;
 
 use super::{Catalog, Entry, Unpublished, change_log, retained};
@@ -56,8 +57,10 @@
             if let Some(known) = known {
                 self.carry_over_one(&subject, known, now);
             }
-            let used = self.used(&subject).map(|used| &used.fact);
-            change_log::write(&subject, known_fact.as_ref(), used, self.revision);
+            let used = self.used(&subject);
+            let number = used.map_or(self.revision.number, |used| used.revision);
+            let at = revision::Revision { number, ..self.revision };
+            change_log::write(&subject, known_fact.as_ref(), used.map(|used| &used.fact), at);
         }
         let (kept, withheld) = (self.retained.kept().count(), self.retained.withheld().count());
         log::info!(
--- a/crates/gateway/src/task/follow.rs
+++ b/crates/gateway/src/task/follow.rs
@@ -64,7 +64,7 @@
 const RELOAD_STAGGER: time::Duration = time::Duration::from_millis(100);
 
 /// Longest delay of such a load.
-const MAX_RELOAD_DELAY: time::Duration = time::Duration::from_secs(1);
+const MAX_RELOAD_DELAY: time::Duration = time::Duration::from_secs(2);
 
 #[linkme::distributed_slice(metric::METRICS)]
 #[linkme(crate = linkme)]
