--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -20,7 +20,7 @@
 use crate::source::{Change, Changes, Fact, Subject};
 
 /// Time for which removals of upstreams are deferred after an outage of the source, and for which
-/// beliefs are retained after it has come back from an earlier copy: registrations that lapsed or
+/// facts are retained after it has come back from an earlier copy: registrations that lapsed or
 /// were lost in the meantime are written again within about two seconds of its return.
 const RENEWAL_GRACE: time::Duration = time::Duration::from_millis(2_500);
 
@@ -40,7 +40,7 @@
     returned: Option<moment::Moment>,
     /// Whether the source is unreachable.
     is_unreachable: bool,
-    /// What this node believes in place of the facts at its revision: upstreams whose removal is
+    /// What this node uses in place of the facts at its revision: upstreams whose removal is
     /// deferred, and what was known before a return of the source.
     retained: retained::Retained,
     current: Current,
@@ -122,7 +122,7 @@
         self.is_unreachable
     }
 
-    /// Whether this node retains beliefs that differ from the facts.
+    /// Whether this node uses anything in place of the facts at its revision.
     pub fn has_retained(&self) -> bool {
         !self.retained.is_empty()
     }
@@ -297,7 +297,7 @@
         }
     }
 
-    /// Believes the facts again once the grace after an outage or a return of the source is over.
+    /// Uses the facts at its revision again once the grace after an outage or a return of the source is over.
     /// Returns the number of upstreams that did not renew their registration, and are no longer used.
     pub fn end_retention(&mut self, now: moment::Moment) -> usize {
         if self.retained.is_empty() || self.defers_removals(now) {
--- a/crates/gateway/src/tables/catalog/retained.rs
+++ b/crates/gateway/src/tables/catalog/retained.rs
@@ -1,11 +1,12 @@
-//! What a node believes for a while although the facts of the source differ.
+//! Facts that a node uses, or does not use, for a while although those of the source differ.
 
 use std::collections;
 
 use super::Entry;
 use crate::source::Subject;
 
-/// Beliefs that differ from the facts, by subject. A node does not pass them on.
+/// What is used in place of the facts of the source, by subject; `None` if nothing is. A node does not
+/// pass it on.
 #[derive(Debug, Default)]
 pub(super) struct Retained(collections::BTreeMap<Subject, Option<Entry>>);
 
@@ -20,7 +21,7 @@
         self.0.insert(subject, None);
     }
 
-    /// Believes what the source has.
+    /// Uses what the source has.
     pub(super) fn release(&mut self, subject: &Subject) {
         self.0.remove(subject);
     }
@@ -29,7 +30,7 @@
         self.0.contains_key(subject)
     }
 
-    /// The fact that is used, or `None` if it is withheld; `None` if the belief is that of the source.
+    /// The fact that is used, or `None` if it is withheld; `None` if that of the source is used.
     pub(super) fn get(&self, subject: &Subject) -> Option<Option<&Entry>> {
         self.0.get(subject).map(Option::as_ref)
     }
--- a/crates/gateway/src/tables/catalog/succession.rs
+++ b/crates/gateway/src/tables/catalog/succession.rs
@@ -1,9 +1,9 @@
-//! What a node believes once the source has come back from an earlier copy of itself.
+//! Which facts a node uses once the source has come back from an earlier copy of itself.
 //!
 //! The copy lacks what was written after it. The operator and the upstreams write that again within
-//! [`RENEWAL_GRACE`](super::RENEWAL_GRACE), and nodes register again. Until then a node believes of
-//! each subject what is known to be later, in the former era or in the copy, and where that is not
-//! known, what restrains it more: zones stay evacuated, and upstreams that were removed are not
+//! [`RENEWAL_GRACE`](super::RENEWAL_GRACE), and nodes register again. Until then a node uses of each
+//! subject the fact that is known to be later, that of the former era or that of the copy, and where
+//! this is not known, the more restrictive one: zones stay evacuated, and upstreams that were removed are not
 //! used. What is written in the new era applies at once.
 
 use std::{collections, sync};
@@ -14,7 +14,7 @@
 use super::{Catalog, Entry, Unpublished, change_log, retained};
 use crate::source::{Changes, Fact, Subject};
 
-/// What a node believed in the former era.
+/// What a node knew in the former era.
 pub(super) struct Former {
     /// The facts that it used.
     used: collections::BTreeMap<Subject, Entry>,
@@ -23,7 +23,7 @@
 }
 
 impl Catalog {
-    /// Begins the era of these facts, which were requested at `now`; returns what was believed before.
+    /// Begins the era of these facts, which were requested at `now`; returns what was known before.
     /// The configuration stays. As revisions are assigned again, its own is not compared with others.
     pub(super) fn begin_era(&mut self, loaded: &Changes, now: moment::Moment) -> Former {
         let former = Former { used: self.take_used(), removed: self.removed_upstreams() };
@@ -43,7 +43,7 @@
         former
     }
 
-    /// Decides which beliefs of the former era go on beside the facts of the present one.
+    /// Decides which facts of the former era are used in place of those of the present one.
     pub(super) fn carry_over(&mut self, mut former: Former, now: moment::Moment) {
         for subject in former.removed {
             if self.facts.contains_key(&subject) {
@@ -65,7 +65,7 @@
         let (kept, withheld) = (self.retained.kept().count(), self.retained.withheld().count());
         log::info!(
             era = self.revision.era, kept = kept, withheld = withheld;
-            "store: what the copy lacks is believed until it is written again"
+            "store: facts that the copy lacks are retained until they are written again"
         );
     }
 
--- a/crates/gateway/src/task/follow.rs
+++ b/crates/gateway/src/task/follow.rs
@@ -26,7 +26,7 @@
 /// confirmation within [`MAX_RECENT_AGE`].
 const COORDINATOR_POLL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
-/// Longest wait while beliefs are retained that differ from the facts, so that they end in time.
+/// Longest wait while facts are retained that the source no longer has, so that this ends in time.
 const RETAINED_POLL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// Minimum time between two polls that return changes, so that changes in quick succession cost one
--- a/crates/gateway/tests/succession.rs
+++ b/crates/gateway/tests/succession.rs
@@ -1,4 +1,4 @@
-//! What a node believes once the store has come back from an earlier copy of itself.
+//! Which facts a node uses once the store has come back from an earlier copy of itself.
 
 use std::{collections, sync, time::Duration};
 
@@ -142,7 +142,7 @@
 #[test_case(registered(5, vm(upstream::State::Draining, 1, 0)); "draining")]
 #[test_case(registered(5, vm(upstream::State::Ready, 2, 30)); "restarted")]
 #[test_case(registered(5, member(9)); "of a later epoch")]
-fn later_copy_is_believed(copied: Change) {
+fn later_copy_is_used(copied: Change) {
     let mut catalog = Catalog::default();
     catalog.replace(Changes { revision: rev(1, 1), changes: vec![ready(1)] }, at(0));
     let Some(Fact::Upstream(expected)) = copied.fact.clone() else { panic!("an upstream") };
