gateway: keep what is known to be later than the copy of the store

An upstream that had restarted or joined another group after the copy was taken, and that could not write it again, was taken for its former process or group 2.5 s after the return: a restarted cold one got the load of a warm one. Where the start of the process, its draining or the epochs of two groups tell that the known registration is later than that of the copy, it now stays until the upstream registers again. An upstream without a group may have left one or not have joined one, so that epochs do not tell.

`succession::restraint_of_an_upstream_outlasts_the_grace` (restarted) and `membership_outlasts_a_return`.

--- a/crates/gateway/src/tables/catalog/succession.rs
+++ b/crates/gateway/src/tables/catalog/succession.rs
@@ -74,9 +74,11 @@
         let is_kept = match (&known.fact, loaded.map(|loaded| &mut loaded.fact)) {
             (Fact::Upstream(known_upstream), Some(Fact::Upstream(loaded))) => {
                 let cold_left = (known.received + known_upstream.cold_left).since(now);
-                let is_succeeded = known_upstream.is_succeeded_by(loaded);
-                *loaded = sync::Arc::new(loaded.continued_from(known_upstream, cold_left));
-                !is_succeeded
+                let is_earlier = loaded.is_succeeded_by(known_upstream);
+                let is_later = known_upstream.is_succeeded_by(loaded);
+                let latest = if is_earlier { known_upstream } else { &*loaded };
+                *loaded = sync::Arc::new(latest.continued_from(known_upstream, cold_left));
+                !is_earlier && !is_later
             }
             (Fact::Node(known), Some(Fact::Node(loaded))) => known != loaded,
             (Fact::Upstream(_) | Fact::Node(_) | Fact::Evacuated, None) => true,
--- a/crates/gateway/tests/succession.rs
+++ b/crates/gateway/tests/succession.rs
@@ -128,6 +128,7 @@
 /// Guards against requests to an upstream that drains or is cold, but cannot write that again.
 #[test_case(vm(upstream::State::Draining, 1, 0), Some((upstream::State::Draining, 1, false)); "draining")]
 #[test_case(vm(upstream::State::Ready, 1, 30), Some((upstream::State::Ready, 1, true)); "cold")]
+#[test_case(vm(upstream::State::Ready, 2, 30), Some((upstream::State::Ready, 2, true)); "restarted")]
 fn restraint_of_an_upstream_outlasts_the_grace(
     later: upstream::Upstream,
     expected: Option<(upstream::State, u64, bool)>,
@@ -137,6 +138,26 @@
     assert_eq!(used(&catalog, at(SETTLED_MS)), expected);
 }
 
+/// Guards against a VM that is ordered to join a group while it is a member of another one, as the copy
+/// of the store is from before it joined that, and against a member that has left. After the grace, a
+/// VM that did not write it again keeps its membership only if the epochs tell that it is the later one.
+#[test_case(member(5), member(9), member(9); "of a later epoch")]
+#[test_case(vm(upstream::State::Ready, 1, 0), member(9), vm(upstream::State::Ready, 1, 0); "joined")]
+#[test_case(member(5), vm(upstream::State::Ready, 1, 0), member(5); "left")]
+fn membership_outlasts_a_return(
+    copied: upstream::Upstream,
+    later: upstream::Upstream,
+    settled: upstream::Upstream,
+) {
+    let mut catalog = returned(vec![registered(1, copied)], vec![registered(20, later.clone())]);
+    let engine = |catalog: &Catalog| {
+        catalog.current().load().fleet.get("vm").and_then(|vm| vm.engine.clone())
+    };
+    assert_eq!(engine(&catalog), later.engine);
+    catalog.end_retention(at(SETTLED_MS));
+    assert_eq!(engine(&catalog), settled.engine);
+}
+
 /// Guards against a copy of the store that is ignored where it is the later one, as the node was cut
 /// off from the store before it was taken.
 #[test_case(registered(5, vm(upstream::State::Draining, 1, 0)); "draining")]
@@ -144,7 +165,8 @@
 #[test_case(registered(5, member(9)); "of a later epoch")]
 fn later_copy_is_used(copied: Change) {
     let mut catalog = Catalog::default();
-    catalog.replace(Changes { revision: rev(1, 1), changes: vec![ready(1)] }, at(0));
+    let known = registered(1, member(5));
+    catalog.replace(Changes { revision: rev(1, 1), changes: vec![known] }, at(0));
     let Some(Fact::Upstream(expected)) = copied.fact.clone() else { panic!("an upstream") };
     catalog.replace(Changes { revision: rev(2, 10), changes: vec![copied] }, at(1_000));
     assert_eq!(catalog.current().load().fleet.get("vm"), Some(&*expected));
--- a/crates/policy/src/upstream.rs
+++ b/crates/policy/src/upstream.rs
@@ -35,26 +35,31 @@
 }
 
 impl Upstream {
-    /// Whether `other`, a registration of the same upstream that was read from a store which has come
-    /// back from an earlier copy, is known to be later than this one, or equal to it.
+    /// Whether `other`, a registration of the same upstream, is known to be later than this one, or
+    /// equal to it, where one of them was read from a store that has come back from an earlier copy.
     ///
     /// Revisions do not tell, but what upstreams say of themselves does: processes start one after the
     /// other, none takes new work again after it has begun to drain, and the epochs of groups
-    /// increase.
+    /// increase. An upstream without a group may have left one or not have joined one.
     pub fn is_succeeded_by(&self, other: &Self) -> bool {
         if self.incarnation != other.incarnation {
             return other.incarnation > self.incarnation;
         }
         let epoch = |upstream: &Self| Some(upstream.engine.as_ref()?.member.as_ref()?.epoch);
-        let has_drained = (self.state, other.state) == (State::Ready, State::Draining);
-        has_drained || epoch(other) > epoch(self) || self == other
+        match (self.state, other.state) {
+            (State::Ready, State::Draining) => true,
+            (State::Draining, State::Ready) => false,
+            _ => epoch(self).is_some_and(|own| epoch(other) > Some(own)) || self == other,
+        }
     }
 
     /// This registration with what holds on from an earlier one of the same process: that it drains,
     /// and that it stays cold for `cold_left`.
     pub fn continued_from(&self, earlier: &Self, cold_left: time::Duration) -> Self {
         let mut continued = self.clone();
-        if self.incarnation == earlier.incarnation {
+        if self == earlier {
+            continued.cold_left = cold_left;
+        } else if self.incarnation == earlier.incarnation {
             continued.cold_left = self.cold_left.max(cold_left);
             if earlier.state == State::Draining {
                 continued.state = State::Draining;
