gateway: claim or leave the lease where answers are lost over a return

After a return of the store, the holder of the coordinator's lease renews it and writes its key again. If the answers to its writes, or those to its renewals, were lost meanwhile, it did so again and again, each time keeping the lease alive, and never acted: no node formed or repaired groups for as long as answers were lost.

A key that has another version than the one over which the holder wrote is now taken as written by it, and renewals without an answer count as they do after an outage: the second one gives the lease up.

`returns::lease_is_claimed_or_left_although_answers_are_lost` (2 cases) failed before (the group was not formed again within 20 s) and passes.

--- a/crates/gateway/src/task/coordinate/lease.rs
+++ b/crates/gateway/src/task/coordinate/lease.rs
@@ -48,6 +48,9 @@
     last_check: Option<moment::Moment>,
     /// Attempts to resume a lease that was not renewed in time; `None` while it is valid.
     resume: Option<lease::Resume>,
+    /// The era and version of the key that this node last tried to write again after a return of the
+    /// store.
+    claimed: Option<(u64, store::Version)>,
     pause_end: Option<moment::Moment>,
     /// Until when this node leaves the lease to others, as it could not use it.
     leaves_until: Option<moment::Moment>,
@@ -152,23 +155,38 @@
             return Ok(());
         };
         let sent = self.host.now();
-        let renewed = self.store.renew(held.id, Class::Lease).await?;
-        if renewed.is_none() {
-            self.step_down(state, "the lease has lapsed");
-            return Ok(());
-        }
-        match self.store.swap(key, found.version, &value, Some(held.id), Class::Lease).await? {
-            Swap::Done(number) if self.store.era() == era => {
-                held.key = revision::Revision { era, number };
-                held.lease.token = held.key.token();
-                if let Some(formation) = &mut self.tables.coordinator.lock().state {
-                    formation.raise_token(held.lease.token);
+        let renewed = match self.store.renew(held.id, Class::Lease).await {
+            Ok(Some(ttl)) => Some(ttl),
+            Ok(None) => {
+                self.step_down(state, "the lease has lapsed");
+                return Ok(());
+            }
+            Err(e) => return self.record_failed_renewal(state, held, e).await,
+        };
+        let is_written = state.claimed.is_some_and(|(of, version)| {
+            // The answer to the write was lost.
+            of == era && version != found.version
+        });
+        let number = if is_written {
+            found.version
+        } else {
+            state.claimed = Some((era, found.version));
+            match self.store.swap(key, found.version, &value, Some(held.id), Class::Lease).await? {
+                Swap::Done(number) => number,
+                Swap::Conflict(_) => {
+                    self.step_down(state, "its key has been removed");
+                    return Ok(());
                 }
-                self.record_renewal(state, held, sent, renewed);
             }
-            // Another return; the next attempt reads the key again.
-            Swap::Done(_) => {}
-            Swap::Conflict(_) => self.step_down(state, "its key has been removed"),
+        };
+        // After another return, the next attempt reads the key again.
+        if self.store.era() == era {
+            held.key = revision::Revision { era, number };
+            held.lease.token = held.key.token();
+            if let Some(formation) = &mut self.tables.coordinator.lock().state {
+                formation.raise_token(held.lease.token);
+            }
+            self.record_renewal(state, held, sent, renewed);
         }
         Ok(())
     }
@@ -211,16 +229,26 @@
                 self.record_renewal(state, held, sent, renewed);
                 Ok(())
             }
-            Err(e)
-                if e.may_have_run() && state.resume.get_or_insert_default().record_unanswered() =>
-            {
-                log::info!(token = held.lease.token; "lease: {e}");
-                self.step_down(state, "the store does not answer its renewals");
-                state.leaves_until = Some(self.host.now() + GIVE_UP_DELAY);
-                self.release(held).await
-            }
-            Err(e) => Err(e),
+            Err(e) => self.record_failed_renewal(state, held, e).await,
+        }
+    }
+
+    /// Records that a renewal failed which followed a read of the key. Gives the lease up once too many
+    /// of them were not answered.
+    async fn record_failed_renewal(
+        &self,
+        state: &mut State,
+        held: Held,
+        error: store::Error,
+    ) -> store::Result<()> {
+        let is_unanswered = error.may_have_run();
+        if !is_unanswered || !state.resume.get_or_insert_default().record_unanswered() {
+            return Err(error);
         }
+        log::info!(token = held.lease.token; "lease: {error}");
+        self.step_down(state, "the store does not answer its renewals");
+        state.leaves_until = Some(self.host.now() + GIVE_UP_DELAY);
+        self.release(held).await
     }
 
     /// Records the answer to a renewal that was sent at `sent`: its time to live, or `None` if the
