--- a/crates/gateway/src/tables/catalog.rs
+++ b/crates/gateway/src/tables/catalog.rs
@@ -191,8 +191,8 @@
         })
     }
 
-    /// The latest change of each fact after a revision of the present era, and all of the configuration, which build on
-    /// each other.
+    /// The latest change of each fact after a revision of the present era, and all of the
+    /// configuration, which build on each other.
     fn missed_since(&self, after: u64) -> Vec<Change> {
         let mut seen = collections::HashSet::new();
         let missed = self.history.iter().rev().take_while(|change| change.revision > after);
@@ -297,8 +297,9 @@
         }
     }
 
-    /// Uses the facts at its revision again once the grace after an outage or a return of the source is over.
-    /// Returns the number of upstreams that did not renew their registration, and are no longer used.
+    /// Uses the facts at its revision again once the grace after an outage or a return of the source
+    /// is over. Returns the number of upstreams that did not renew their registration, and are no
+    /// longer used.
     pub fn end_retention(&mut self, now: moment::Moment) -> usize {
         if self.retained.is_empty() || self.defers_removals(now) {
             return 0;
--- a/crates/gateway/src/tables/catalog/succession.rs
+++ b/crates/gateway/src/tables/catalog/succession.rs
@@ -3,8 +3,8 @@
 //! The copy lacks what was written after it. The operator and the upstreams write that again within
 //! [`RENEWAL_GRACE`](super::RENEWAL_GRACE), and nodes register again. Until then a node uses of each
 //! subject the fact that is known to be later, that of the former era or that of the copy, and where
-//! this is not known, the more restrictive one: zones stay evacuated, and upstreams that were removed are not
-//! used. What is written in the new era applies at once.
+//! this is not known, the more restrictive one: zones stay evacuated, and upstreams that were removed
+//! are not used. What is written in the new era applies at once.
 
 use std::{collections, sync};
 
